--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+SEED ?= 1
+MINUTES ?= 5
+
+.PHONY: demo test lint models unit dist soak bench clean
+
+$(VENV)/.run: requirements/run.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q --disable-pip-version-check -r requirements/run.txt "setuptools>=68"
+	$(BIN)/pip install -q --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $@
+
+$(VENV)/.dev: $(VENV)/.run requirements/dev.txt
+	$(BIN)/pip install -q --disable-pip-version-check -r requirements/dev.txt
+	touch $@
+
+demo: $(VENV)/.run
+	$(BIN)/bankrack demo $(DEMO)
+
+test: $(VENV)/.dev
+	$(BIN)/ruff format --check src tests
+	$(BIN)/ruff check src tests
+	$(BIN)/mypy
+	$(BIN)/python -m tests
+
+clean:
+	rm -rf $(VENV) dist build
--- /dev/null
+++ b/src/bankrack/__main__.py
@@ -0,0 +1,5 @@
+"""Entry point of ``python -m bankrack``."""
+
+from bankrack.cli import main
+
+main()
--- /dev/null
+++ b/src/bankrack/auth.py
@@ -0,0 +1,67 @@
+"""Bearer tokens of workspaces and operators, kept only as hashes."""
+
+import hashlib
+import hmac
+import typing as t
+
+from aiohttp import web
+
+from bankrack.exceptions import AuthenticationFailed
+from bankrack.intent import Intent
+from bankrack.intent import Workspace
+
+BEARER = "bearer "
+
+
+def hash_token(token: str) -> str:
+    """Hash a token as settings and intents hold it."""
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+class Workspaces:
+    """Finds the workspace that owns a token."""
+
+    def __init__(self) -> None:
+        self._by_token_hash: dict[str, Workspace] = {}
+
+    def replace(self, intent: Intent) -> None:
+        """Take the workspaces of a new intent."""
+        self._by_token_hash = {
+            workspace.token_sha256: workspace
+            for workspace in intent.workspaces_by_name.values()
+        }
+
+    def authenticate(self, request: web.BaseRequest) -> Workspace:
+        """Return the workspace whose token the request bears."""
+        workspace = self._by_token_hash.get(hash_token(bearer_token(request)))
+        if workspace is None:
+            raise _refused()
+        return workspace
+
+
+def authenticate_operator(
+    request: web.BaseRequest, hashes_by_name: t.Mapping[str, str]
+) -> str:
+    """Return the name of the operator whose token the request bears."""
+    presented = hash_token(bearer_token(request))
+    found = ""
+    for name, expected in hashes_by_name.items():
+        if hmac.compare_digest(presented, expected):
+            found = name
+    if not found:
+        raise _refused()
+    return found
+
+
+def bearer_token(request: web.BaseRequest) -> str:
+    """Read the one bearer token of a request."""
+    values = request.headers.getall("Authorization", [])
+    if len(values) != 1 or not values[0].lower().startswith(BEARER):
+        raise _refused()
+    return values[0][len(BEARER) :].strip()
+
+
+def _refused() -> AuthenticationFailed:
+    return AuthenticationFailed(
+        "the request bears no valid token; send one 'Authorization: Bearer <token>'"
+    )
--- /dev/null
+++ b/src/bankrack/claims.py
@@ -0,0 +1,398 @@
+"""Claims: a request with an idempotency key runs at most once.
+
+A claim is a record in the platform's document for the key's time bucket and
+shard, written by compare-and-swap before the request is sent.  The swap alone
+gives safety.  Claims of a shard are sent to one node by rendezvous, so that
+one write carries all that gathered meanwhile; when that node does not answer
+the receiving node writes itself, with the same attempt id.
+
+Each record holds the attempt that made it.  When a write's answer is lost the
+document is read again, and the attempt found there decides.
+"""
+
+import asyncio
+import collections
+import hashlib
+import logging
+import os
+import time
+import typing as t
+
+import msgspec
+
+from bankrack import logs
+from bankrack import requestkeys
+from bankrack.exceptions import AlreadyClaimed
+from bankrack.exceptions import InvariantViolated
+from bankrack.exceptions import LimitExceeded
+from bankrack.exceptions import PeerUnavailable
+from bankrack.exceptions import PlatformDataInvalid
+from bankrack.exceptions import PlatformUnavailable
+from bankrack.exceptions import RequestKeyRefused
+from bankrack.membership import rendezvous
+from bankrack.messages import ClaimAsk
+from bankrack.messages import ClaimReply
+from bankrack.peers import Peers
+from bankrack.platform import Change
+from bankrack.platform import Condition
+from bankrack.platform import Delete
+from bankrack.platform import Platform
+from bankrack.platform import Put
+from bankrack.platform import Unchanged
+from bankrack.platform import ValueBelow
+
+PREFIX = "claims/"
+FLOOR_KEY = "claims/floor"
+SHARDS = 8
+BUCKET_SECONDS = 10
+RETENTION_SECONDS = 600
+CLOCK_TOLERANCE_SECONDS = 60
+COMMIT_SECONDS = 0.125
+CLAIM_TIMEOUT = 3.0
+PEER_TIMEOUT = 1.5
+COMMIT_TRIES = 6
+RETRY_PAUSE = 0.05
+CLAIM_ID_BYTES = 16
+ATTEMPT_BYTES = 8
+RECORD_BYTES = CLAIM_ID_BYTES + ATTEMPT_BYTES
+MAX_DOCUMENT_BYTES = 900 * 1024
+CACHED_DOCUMENTS = 128
+FLOOR_SECONDS = 60.0
+RETRY_AFTER = 5.0
+_logger = logging.getLogger(__name__)
+
+
+class Claim(msgspec.Struct, frozen=True):
+    """One attempt's wish to hold a key."""
+
+    bucket: int
+    claim_id: bytes
+    attempt: bytes
+
+    @property
+    def shard(self) -> int:
+        """The shard whose document holds the claim."""
+        return self.claim_id[0] % SHARDS
+
+    @property
+    def document_key(self) -> str:
+        """Where the claim is stored."""
+        return f"{PREFIX}{self.bucket:010d}/{self.shard}"
+
+
+class ClaimDocument:
+    """One stored document: the attempts by claim id."""
+
+    __slots__ = ("attempts_by_claim", "mod_revision")
+
+    def __init__(
+        self, attempts_by_claim: dict[bytes, bytes], mod_revision: int
+    ) -> None:
+        self.attempts_by_claim = attempts_by_claim
+        self.mod_revision = mod_revision
+
+    @classmethod
+    def decode(cls, data: bytes, mod_revision: int) -> "ClaimDocument":
+        """Decode a stored document."""
+        if len(data) % RECORD_BYTES:
+            raise PlatformDataInvalid(
+                "a claims document does not decode; let no other program write there"
+            )
+        attempts = {
+            data[at : at + CLAIM_ID_BYTES]: data[
+                at + CLAIM_ID_BYTES : at + RECORD_BYTES
+            ]
+            for at in range(0, len(data), RECORD_BYTES)
+        }
+        return cls(attempts, mod_revision)
+
+
+class Waiting:
+    """A claim that waits for the next write."""
+
+    __slots__ = ("claim", "future")
+
+    def __init__(self, claim: Claim) -> None:
+        self.claim = claim
+        self.future: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+
+    def resolve(self, granted: bool) -> None:
+        """Give the answer to whoever waits."""
+        if not self.future.done():
+            self.future.set_result(granted)
+
+    def fail(self, error: Exception) -> None:
+        """Give an error to whoever waits."""
+        if not self.future.done():
+            self.future.set_exception(error)
+
+
+class ShardWriter:
+    """Writes the claims of one shard, many in one write."""
+
+    def __init__(self, platform: Platform, *, commit_seconds: float) -> None:
+        self._platform = platform
+        self._commit_seconds = commit_seconds
+        self._waiting: list[Waiting] = []
+        self._task: asyncio.Task[None] | None = None
+        self._documents_by_key: collections.OrderedDict[str, ClaimDocument] = (
+            collections.OrderedDict()
+        )
+        self._last_commit = 0.0
+        self.commits = 0
+        self.conflicts = 0
+
+    async def claim(self, claim: Claim) -> bool:
+        """Wait until ``claim`` is decided; tell whether its attempt holds it."""
+        waiting = Waiting(claim)
+        self._waiting.append(waiting)
+        if self._task is None:
+            self._task = asyncio.create_task(self._drain())
+        return await waiting.future
+
+    async def _drain(self) -> None:
+        """Write until nothing waits."""
+        try:
+            while self._waiting:
+                pause = self._last_commit + self._commit_seconds - time.monotonic()
+                if pause > 0:
+                    await asyncio.sleep(pause)
+                self._last_commit = time.monotonic()
+                batch, self._waiting = self._waiting, []
+                await self._decide(batch)
+        finally:
+            self._task = None
+
+    async def _decide(self, batch: list[Waiting]) -> None:
+        try:
+            await self._commit(batch)
+        except (PlatformUnavailable, PlatformDataInvalid, LimitExceeded) as error:
+            for waiting in batch:
+                waiting.fail(error)
+        except Exception as error:
+            _logger.exception("event=claim_commit_failed")
+            for waiting in batch:
+                waiting.fail(error)
+
+    async def _commit(self, batch: list[Waiting]) -> None:
+        """Write until every claim of the batch stands in its document."""
+        failure: PlatformUnavailable | None = None
+        for _ in range(COMMIT_TRIES):
+            try:
+                await self._load(batch)
+                fresh = self._settle(batch)
+                if not fresh:
+                    return
+                if await self._write(fresh):
+                    continue
+                self.conflicts += 1
+                await self._ensure_floor(fresh)
+            except PlatformUnavailable as error:
+                failure = error
+                await asyncio.sleep(RETRY_PAUSE)
+            self._forget(batch)
+        raise failure or PlatformUnavailable(
+            "claims keep conflicting with another writer; try again",
+            retry_after=RETRY_AFTER,
+        )
+
+    async def _load(self, batch: list[Waiting]) -> None:
+        for key in sorted({waiting.claim.document_key for waiting in batch}):
+            if key in self._documents_by_key:
+                self._documents_by_key.move_to_end(key)
+                continue
+            found = await self._platform.get(key)
+            if found is None:
+                document = ClaimDocument({}, 0)
+            else:
+                document = ClaimDocument.decode(found.value, found.mod_revision)
+            self._documents_by_key[key] = document
+        while len(self._documents_by_key) > CACHED_DOCUMENTS:
+            self._documents_by_key.popitem(last=False)
+
+    def _settle(self, batch: list[Waiting]) -> list[Waiting]:
+        """Answer the claims that stand in a document; return the others."""
+        fresh = []
+        for waiting in batch:
+            claim = waiting.claim
+            document = self._documents_by_key[claim.document_key]
+            holder = document.attempts_by_claim.get(claim.claim_id)
+            if holder is None:
+                fresh.append(waiting)
+            else:
+                waiting.resolve(holder == claim.attempt)
+        return fresh
+
+    async def _write(self, fresh: list[Waiting]) -> bool:
+        """Add the claims to their documents in one transaction."""
+        added_by_key: dict[str, dict[bytes, bytes]] = {}
+        for waiting in fresh:
+            claim = waiting.claim
+            added = added_by_key.setdefault(claim.document_key, {})
+            added.setdefault(claim.claim_id, claim.attempt)
+        lowest = min(waiting.claim.bucket for waiting in fresh)
+        conditions: list[Condition] = [ValueBelow(FLOOR_KEY, _floor_value(lowest))]
+        changes: list[Change] = []
+        for key, added in added_by_key.items():
+            document = self._documents_by_key[key]
+            conditions.append(Unchanged(key, document.mod_revision))
+            records = {**document.attempts_by_claim, **added}
+            data = b"".join(claim + attempt for claim, attempt in records.items())
+            if len(data) > MAX_DOCUMENT_BYTES:
+                raise LimitExceeded(
+                    "too many keys of one time; mint keys at the time of the request",
+                    retry_after=float(BUCKET_SECONDS),
+                )
+            changes.append(Put(key, data))
+        self.commits += 1
+        revision = await self._platform.transact(conditions, changes)
+        if not revision:
+            return False
+        for key, added in added_by_key.items():
+            document = self._documents_by_key[key]
+            document.attempts_by_claim.update(added)
+            document.mod_revision = revision
+        return True
+
+    async def _ensure_floor(self, fresh: list[Waiting]) -> None:
+        """Create the floor where it is missing; refuse claims below it."""
+        floor = await self._platform.get(FLOOR_KEY)
+        if floor is None:
+            create = Put(FLOOR_KEY, _floor_value(0))
+            await self._platform.transact([Unchanged(FLOOR_KEY, 0)], [create])
+            return
+        for waiting in list(fresh):
+            if _floor_value(waiting.claim.bucket) <= floor.value:
+                waiting.fail(_too_old())
+
+    def _forget(self, batch: list[Waiting]) -> None:
+        batch[:] = [waiting for waiting in batch if not waiting.future.done()]
+        for waiting in batch:
+            self._documents_by_key.pop(waiting.claim.document_key, None)
+
+
+class Claims:
+    """Claims keys for this node's requests and, as a writer, for its peers'.
+
+    :param writers: names the nodes that may write for others, self included.
+    """
+
+    def __init__(
+        self,
+        *,
+        platform: Platform,
+        peers: Peers,
+        writers: t.Callable[[], t.Sequence[str]],
+        wall_clock: t.Callable[[], float] = time.time,
+        commit_seconds: float = COMMIT_SECONDS,
+    ) -> None:
+        self._platform = platform
+        self._peers = peers
+        self._writers = writers
+        self._wall_clock = wall_clock
+        self.shard_writers = [
+            ShardWriter(platform, commit_seconds=commit_seconds) for _ in range(SHARDS)
+        ]
+        peers.handle(ClaimAsk, self._claim_for_peer)
+
+    def claimer(self, workspace: str, key: str) -> t.Callable[[], t.Awaitable[None]]:
+        """Return the claim of one request, to be made right before it is sent.
+
+        :raises RequestKeyRefused: the key lies outside the accepted time.
+        """
+        self._check_time(key)
+        used = False
+
+        async def claim() -> None:
+            nonlocal used
+            if used:
+                raise InvariantViolated("one attempt claims its key twice")
+            used = True
+            await self._claim(workspace, key)
+
+        return claim
+
+    async def raise_floor(self) -> None:
+        """Drop documents too old to matter; refuse their keys from now on."""
+        oldest = self._wall_clock() - 2 * RETENTION_SECONDS
+        value = _floor_value(int(oldest // BUCKET_SECONDS))
+        floor = await self._platform.get(FLOOR_KEY)
+        if floor is not None and floor.value >= value:
+            return
+        unchanged = Unchanged(FLOOR_KEY, floor.mod_revision if floor else 0)
+        old = Delete(f"{PREFIX}0", f"{PREFIX}{value.decode()}/")
+        await self._platform.transact([unchanged], [Put(FLOOR_KEY, value), old])
+
+    async def keep_floor(self) -> None:
+        """Raise the floor from time to time, on one node of all."""
+        while True:
+            await asyncio.sleep(FLOOR_SECONDS)
+            if rendezvous(FLOOR_KEY, self._writers()) != self._peers.name:
+                continue
+            try:
+                await self.raise_floor()
+            except (PlatformUnavailable, PlatformDataInvalid) as error:
+                logs.event(_logger, "claim_floor_failed", error=error.code)
+
+    async def _claim(self, workspace: str, key: str) -> None:
+        claim = Claim(
+            bucket=int(requestkeys.seconds(key) // BUCKET_SECONDS),
+            claim_id=_claim_id(workspace, key),
+            attempt=os.urandom(ATTEMPT_BYTES),
+        )
+        try:
+            async with asyncio.timeout(CLAIM_TIMEOUT):
+                granted = await self._route(claim)
+        except TimeoutError as error:
+            raise PlatformUnavailable(
+                "the key could not be claimed in time, so the request was not sent; "
+                "send it with a new key",
+                retry_after=RETRY_AFTER,
+            ) from error
+        if not granted:
+            raise AlreadyClaimed(
+                "a request with this Idempotency-Key was accepted before and is not "
+                "run again; look for its answer, or mint a new key for a new request"
+            )
+
+    async def _route(self, claim: Claim) -> bool:
+        """Claim through the shard's usual writer, else directly."""
+        writer = rendezvous(f"{PREFIX}{claim.shard}", self._writers())
+        if writer not in ("", self._peers.name):
+            ask = ClaimAsk(claim.bucket, claim.claim_id, claim.attempt)
+            try:
+                reply = await self._peers.ask(writer, ask, timeout=PEER_TIMEOUT)
+                if isinstance(reply, ClaimReply):
+                    return reply.granted
+            except PeerUnavailable as error:
+                logs.event(_logger, "claim_writer_failed", peer=writer, error=error)
+        return await self.shard_writers[claim.shard].claim(claim)
+
+    async def _claim_for_peer(self, sender: str, ask: ClaimAsk) -> ClaimReply:
+        claim = Claim(ask.bucket, ask.claim_id, ask.attempt)
+        return ClaimReply(await self.shard_writers[claim.shard].claim(claim))
+
+    def _check_time(self, key: str) -> None:
+        age = self._wall_clock() - requestkeys.seconds(key)
+        if age > RETENTION_SECONDS:
+            raise _too_old()
+        if age < -CLOCK_TOLERANCE_SECONDS:
+            raise RequestKeyRefused(
+                "the Idempotency-Key lies in the future; correct the client's clock"
+            )
+
+
+def _claim_id(workspace: str, key: str) -> bytes:
+    text = f"{workspace}\0{key}".encode()
+    return hashlib.blake2b(text, digest_size=CLAIM_ID_BYTES).digest()
+
+
+def _floor_value(bucket: int) -> bytes:
+    return b"%010d" % bucket
+
+
+def _too_old() -> RequestKeyRefused:
+    return RequestKeyRefused(
+        f"the Idempotency-Key is older than {RETENTION_SECONDS} s; mint a new key, "
+        "if the first request is known not to have run"
+    )
--- /dev/null
+++ b/src/bankrack/documents.py
@@ -0,0 +1,189 @@
+"""Reading TOML documents so that every problem is reported in one go.
+
+A :class:`Table` wraps one TOML table.  Its readers return a default where a
+value is wrong and note a :class:`~bankrack.exceptions.Problem`, so that one
+pass over the document finds all problems.
+"""
+
+import ipaddress
+import re
+import tomllib
+import typing as t
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from bankrack.exceptions import Problem
+
+NAME_PATTERN = re.compile(r"^[a-z0-9][a-z0-9._-]{0,62}$")
+
+
+def parse(text: str, source: str) -> Result["Table", list[Problem]]:
+    """Parse TOML text into its root table."""
+    try:
+        data = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        problem = Problem(
+            source,
+            "(file)",
+            found=str(error),
+            expected="valid TOML",
+            remedy="correct the syntax at that line",
+        )
+        return Error([problem])
+    return Ok(Table(data, source=source))
+
+
+class Table:
+    """One table of a TOML document under validation."""
+
+    __slots__ = ("_data", "_known", "path", "problems", "source")
+
+    def __init__(
+        self,
+        data: dict[str, t.Any],
+        *,
+        source: str,
+        path: str = "",
+        problems: list[Problem] | None = None,
+    ) -> None:
+        self._data = data
+        self._known: set[str] = set()
+        self.path = path
+        self.source = source
+        self.problems: list[Problem] = [] if problems is None else problems
+
+    def note(self, key: str, found: t.Any, expected: str, remedy: str) -> None:
+        """Record one problem at ``key`` of this table."""
+        path = f"{self.path}.{key}" if self.path else key
+        self.problems.append(
+            Problem(
+                self.source, path, found=repr(found), expected=expected, remedy=remedy
+            )
+        )
+
+    def text(self, key: str, default: str | None = None) -> str:
+        """Read a string; without a default it is required."""
+        value = self._take(key, str, "a string", default)
+        return t.cast(str, value) if value is not None else ""
+
+    def name(self, key: str, default: str | None = None) -> str:
+        """Read a name: lower case letters, digits, ``.``, ``_`` and ``-``."""
+        value = self.text(key, default)
+        if value and not NAME_PATTERN.match(value):
+            self.note(
+                key, value, "lower case letters, digits, '.', '_', '-'", "rename it"
+            )
+        return value
+
+    def choice(self, key: str, choices: t.Sequence[str], default: str) -> str:
+        """Read one of a fixed set of strings."""
+        value = self.text(key, default)
+        if value not in choices:
+            expected = "one of " + ", ".join(choices)
+            self.note(key, value, expected, "use one of the listed words")
+            return default
+        return value
+
+    def flag(self, key: str, default: bool) -> bool:
+        """Read a boolean."""
+        value = self._take(key, bool, "true or false", default)
+        return bool(value)
+
+    def number(
+        self, key: str, default: float | None, *, least: float, most: float
+    ) -> float:
+        """Read a number between ``least`` and ``most``, both included."""
+        value = self._take(key, (int, float), "a number", default)
+        return self._bounded(key, value, least, most)
+
+    def integer(self, key: str, default: int | None, *, least: int, most: int) -> int:
+        """Read a whole number between ``least`` and ``most``, both included."""
+        value = self._take(key, int, "a whole number", default)
+        return int(self._bounded(key, value, least, most))
+
+    def address(self, key: str, default: str | None = None) -> str:
+        """Read an ``ip:port`` address."""
+        value = self.text(key, default)
+        if value and not is_address(value):
+            self.note(
+                key, value, "an IP number and port, as 10.0.0.1:8080", "write it so"
+            )
+        return value
+
+    def names(self, key: str, default: t.Sequence[str] = ()) -> tuple[str, ...]:
+        """Read a list of strings."""
+        value = self._take(key, list, "a list of strings", list(default))
+        if not all(isinstance(item, str) for item in value or []):
+            self.note(key, value, "a list of strings", "quote each item")
+            return tuple(default)
+        return tuple(value or [])
+
+    def table(self, key: str) -> "Table":
+        """Read a nested table; a missing one is read as empty."""
+        value = self._take(key, dict, "a table", {})
+        return self._nested(key, value)
+
+    def tables(self, key: str) -> list["Table"]:
+        """Read an array of tables; a missing one is read as empty."""
+        value = self._take(key, list, "an array of tables", [])
+        found = []
+        for position, item in enumerate(value or []):
+            path = f"{key}[{position}]"
+            if isinstance(item, dict):
+                found.append(self._nested(path, item))
+            else:
+                self.note(path, item, "a table", f"write it under [[{key}]]")
+        return found
+
+    def strings(self, key: str) -> dict[str, str]:
+        """Read a table whose values are all strings."""
+        nested = self.table(key)
+        return {name: nested.text(name) for name in nested._data}
+
+    def finish(self) -> None:
+        """Refuse every key that no reader asked for."""
+        for key in self._data:
+            if key not in self._known:
+                known = ", ".join(sorted(self._known))
+                self.note(
+                    key, "an unknown key", f"one of {known}", "remove or rename it"
+                )
+
+    def _nested(self, key: str, value: t.Any) -> "Table":
+        path = f"{self.path}.{key}" if self.path else key
+        return Table(value, source=self.source, path=path, problems=self.problems)
+
+    def _take(self, key: str, kind: t.Any, expected: str, default: t.Any) -> t.Any:
+        self._known.add(key)
+        if key not in self._data:
+            if default is None:
+                self.note(key, None, expected, "add the key")
+            return default
+        value = self._data[key]
+        is_wrong_bool = isinstance(value, bool) and kind is not bool
+        if is_wrong_bool or not isinstance(value, kind):
+            self.note(key, value, expected, "correct the value")
+            return default
+        return value
+
+    def _bounded(self, key: str, value: t.Any, least: float, most: float) -> float:
+        if value is None:
+            return least
+        if not least <= value <= most:
+            self.note(key, value, f"between {least} and {most}", "choose one in range")
+            return least
+        return t.cast(float, value)
+
+
+def is_address(value: str) -> bool:
+    """Tell whether ``value`` is an IP number with a port."""
+    host, separator, port = value.rpartition(":")
+    if not separator or not port.isdigit() or not 0 <= int(port) <= 65535:
+        return False
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        return False
+    return True
--- /dev/null
+++ b/src/bankrack/following.py
@@ -0,0 +1,198 @@
+"""Keeping the configuration and the list of VMs up to date.
+
+The head of the configuration is read every two seconds, and at once when a
+peer's heartbeat names a higher revision.  While the platform is down the
+document is taken from the peer that holds the highest one.
+"""
+
+import asyncio
+import contextlib
+import logging
+import random
+import time
+
+import msgspec
+
+from bankrack import configuration
+from bankrack import logs
+from bankrack.configuration import Configuration
+from bankrack.configuration import Document
+from bankrack.configuration import Head
+from bankrack.exceptions import BankrackError
+from bankrack.exceptions import PlatformDataInvalid
+from bankrack.exceptions import PlatformUnavailable
+from bankrack.membership import Membership
+from bankrack.messages import DocumentAsk
+from bankrack.messages import DocumentReply
+from bankrack.peers import Peers
+from bankrack.platform import Platform
+
+POLL_SECONDS = 2.0
+PEER_TIMEOUT = 1.0
+VM_PREFIX = "vms/"
+LEAVING = "leaving"
+ENTRY = "entry"
+MAX_SECTIONS_AT_ONCE = 16
+_logger = logging.getLogger(__name__)
+
+
+class VmRecord(msgspec.Struct, frozen=True):
+    """One VM of the platform's list, which lags.
+
+    :param role: ``entry`` or ``upstream``.
+    :param address: where its peers' listener or its upstream listens.
+    """
+
+    role: str = ""
+    address: str = ""
+    state: str = "live"
+
+
+class Vms:
+    """The platform's list of VMs as last read."""
+
+    def __init__(self) -> None:
+        self.records_by_name: dict[str, VmRecord] = {}
+        self.revision = 0
+        self.invalid = 0
+
+    def leaving(self, name: str, address: str) -> bool:
+        """Tell whether the list has this VM leaving, by name or address."""
+        record = self.records_by_name.get(name)
+        if record is not None and record.state == LEAVING:
+            return True
+        return address in self._leaving_addresses
+
+    _leaving_addresses: frozenset[str] = frozenset()
+
+    def merge(self, name: str, data: bytes) -> None:
+        """Take one record; one that does not decode is counted and left out."""
+        try:
+            record = msgspec.json.decode(data, type=VmRecord)
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            self.invalid += 1
+            return
+        self.records_by_name[name] = record
+        self._leaving_addresses = frozenset(
+            r.address for r in self.records_by_name.values() if r.state == LEAVING
+        )
+
+
+class Follower:
+    """Reads the platform and hands what is new to the node."""
+
+    def __init__(
+        self,
+        *,
+        platform: Platform,
+        configuration_in_force: Configuration,
+        peers: Peers,
+        membership: Membership,
+        vms: Vms,
+    ) -> None:
+        self._platform = platform
+        self._configuration = configuration_in_force
+        self._peers = peers
+        self._membership = membership
+        self._vms = vms
+        self._head_revision = 0
+        self._wanted = asyncio.Event()
+        self.confirmed_current_at = 0.0
+        self.platform_up = False
+        peers.handle(DocumentAsk, self._give_document)
+
+    def look_now(self) -> None:
+        """Read the platform without waiting for the next poll."""
+        self._wanted.set()
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            self._wanted.clear()
+            await self.refresh()
+            pause = POLL_SECONDS * random.uniform(0.8, 1.0)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(pause):
+                    await self._wanted.wait()
+
+    async def refresh(self) -> None:
+        """Read once: from the platform, else from the best peer."""
+        try:
+            await self._read_head()
+            await self._read_vms()
+            self.platform_up = True
+            self.confirmed_current_at = time.monotonic()
+        except PlatformUnavailable:
+            self.platform_up = False
+            await self._read_peer()
+        except PlatformDataInvalid as error:
+            logs.event(
+                _logger, "platform_data_invalid", level=logging.ERROR, error=error
+            )
+            await self._read_peer()
+
+    async def _read_head(self) -> None:
+        found = await self._platform.list_changed(
+            configuration.CURRENT_KEY, since=self._head_revision, limit=1
+        )
+        if not found:
+            return
+        head = configuration.decode_head(found[0].value)
+        if head.revision > self._configuration.revision:
+            self.adopt(await self._fetch(head), source="platform")
+        self._head_revision = found[0].mod_revision
+
+    async def _fetch(self, head: Head) -> Document:
+        """Read the sections that the document in force does not share."""
+        held = self._configuration.document
+        sections = {} if held is None else dict(held.sections_by_hash)
+        wanted = set(head.hashes_by_section.values())
+        missing = sorted(wanted - sections.keys())
+        for start in range(0, len(missing), MAX_SECTIONS_AT_ONCE):
+            part = missing[start : start + MAX_SECTIONS_AT_ONCE]
+            reads = [
+                self._platform.get(configuration.SECTION_PREFIX + digest)
+                for digest in part
+            ]
+            for digest, found in zip(part, await asyncio.gather(*reads), strict=True):
+                if found is not None:
+                    sections[digest] = found.value
+        kept = {digest: sections[digest] for digest in wanted if digest in sections}
+        return Document(head, kept)
+
+    def adopt(self, document: Document, *, source: str) -> None:
+        """Put a document in force if it is newer."""
+        if not self._configuration.adopt(document):
+            return
+        logs.event(
+            _logger,
+            "configuration_adopted",
+            revision=document.revision,
+            plan=document.head.plan_id,
+            operator=document.head.operator,
+            source=source,
+        )
+
+    async def _read_peer(self) -> None:
+        revision, name = self._membership.highest_revision()
+        if revision <= self._configuration.revision:
+            return
+        try:
+            reply = await self._peers.ask(name, DocumentAsk(), timeout=PEER_TIMEOUT)
+            if isinstance(reply, DocumentReply) and reply.document is not None:
+                self.adopt(reply.document, source=name)
+        except BankrackError as error:
+            logs.event(_logger, "peer_document_failed", peer=name, error=error.code)
+
+    async def _give_document(self, sender: str, body: DocumentAsk) -> DocumentReply:
+        return DocumentReply(self._configuration.document)
+
+    async def _read_vms(self) -> None:
+        changed = await self._platform.list_changed(VM_PREFIX, since=self._vms.revision)
+        for item in changed:
+            name = item.key.removeprefix(VM_PREFIX)
+            self._vms.merge(name, item.value)
+            self._vms.revision = max(self._vms.revision, item.mod_revision)
+            record = self._vms.records_by_name.get(name)
+            if record is not None and record.role == ENTRY:
+                self._peers.learn(name, record.address)
--- /dev/null
+++ b/src/bankrack/generation.py
@@ -0,0 +1,321 @@
+"""One request's way through the engines, from placement to its last token.
+
+Before the first token a request may move to another engine, if it is
+repeatable or the engine certainly did not run it.  After the first token only
+the same generation may go on: it is resumed on the same engine, or ends with
+a typed error.
+"""
+
+import asyncio
+import logging
+import typing as t
+import uuid
+
+import aiohttp
+import msgspec
+
+from bankrack import logs
+from bankrack.admission import Admission
+from bankrack.admission import Ask
+from bankrack.admission import Placement
+from bankrack.engine import Attempt
+from bankrack.engine import EngineClient
+from bankrack.exceptions import BankrackError
+from bankrack.exceptions import InvalidUpstreamData
+from bankrack.exceptions import InvariantViolated
+from bankrack.exceptions import NoUpstream
+from bankrack.exceptions import Outcome
+from bankrack.exceptions import StreamInterrupted
+from bankrack.exceptions import UpstreamFailed
+from bankrack.exceptions import UpstreamRefused
+from bankrack.health import Health
+from bankrack.intent import Upstream
+from bankrack.retries import RetryBudget
+from bankrack.settings import Limits
+from bankrack.stream import Ending
+from bankrack.stream import StreamCheck
+from bankrack.stream import Token
+
+MAX_ATTEMPTS = 4
+RESUME_PAUSE = 0.1
+_logger = logging.getLogger(__name__)
+
+
+class Job(msgspec.Struct, frozen=True):
+    """A request ready to run.
+
+    :param body: what is sent to the engine.
+    :param key: the caller's idempotency key, empty when repeatable.
+    """
+
+    request_id: str
+    ask: Ask
+    kind: str
+    body: bytes
+    key: str = ""
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether it may run more than once."""
+        return not self.key
+
+
+class Engines:
+    """What all generations of a node share."""
+
+    def __init__(
+        self,
+        *,
+        client: EngineClient,
+        admission: Admission,
+        health: Health,
+        retries: RetryBudget,
+        limits: Limits,
+    ) -> None:
+        self.client = client
+        self.admission = admission
+        self.health = health
+        self.retries = retries
+        self.limits = limits
+        self._cancellations: set[asyncio.Task[bool]] = set()
+
+    def cancel_soon(self, upstream: Upstream, generation: str) -> None:
+        """Cancel a generation without waiting for the answer."""
+        task = asyncio.create_task(self.client.cancel(upstream, generation))
+        self._cancellations.add(task)
+        task.add_done_callback(self._cancellations.discard)
+
+
+class Generation:
+    """Runs one job and yields its tokens, each once and in order.
+
+    :param claim: called once after placement and before the first dispatch of
+        a job that must not be repeated; raises if it must not be sent.
+    """
+
+    def __init__(
+        self,
+        engines: Engines,
+        job: Job,
+        *,
+        claim: t.Callable[[], t.Awaitable[None]] | None = None,
+    ) -> None:
+        self._engines = engines
+        self._job = job
+        self._claim = claim
+        self._uncertain = False
+        self._response: aiohttp.ClientResponse | None = None
+        self.placement: Placement | None = None
+        self.upstream: Upstream | None = None
+        self.check = StreamCheck("")
+        self.resumes = 0
+
+    @classmethod
+    def continued(
+        cls, engines: Engines, job: Job, upstream: Upstream, check: StreamCheck
+    ) -> "Generation":
+        """Continue a generation that another connection began."""
+        generation = cls(engines, job)
+        generation.upstream = upstream
+        generation.check = check
+        return generation
+
+    async def batches(self) -> t.AsyncIterator[list[Token]]:
+        """Yield the tokens as they arrive; the end is whole or raises."""
+        try:
+            if self.upstream is None:
+                yield await self._start()
+            while self.check.ending is not Ending.DONE:
+                tokens = await self._next()
+                if tokens:
+                    yield tokens
+        finally:
+            self._close()
+
+    async def _start(self) -> list[Token]:
+        """Find an engine that sends a first token."""
+        tried: list[str] = []
+        while True:
+            self.placement = await self._engines.admission.place(
+                self._job.ask, avoid=tuple(tried)
+            )
+            self.upstream = self.placement.upstream
+            tried.append(self.upstream.name)
+            try:
+                await self._claim_once()
+                return await self._first_batch()
+            except (
+                NoUpstream,
+                UpstreamRefused,
+                UpstreamFailed,
+                InvalidUpstreamData,
+            ) as e:
+                self._give_back()
+                self._note_failure(e)
+                self._uncertain = e.outcome is not Outcome.NOT_RUN
+                if not self._may_move(e, len(tried)):
+                    raise
+
+    async def _claim_once(self) -> None:
+        if self._claim is not None:
+            claim, self._claim = self._claim, None
+            await claim()
+
+    async def _first_batch(self) -> list[Token]:
+        upstream = self._upstream()
+        generation = f"g-{uuid.uuid4().hex}"
+        self.check = StreamCheck(generation)
+        self._count_dispatch()
+        job = self._job
+        attempt = Attempt(
+            job.request_id, generation, job.kind, job.ask.service, job.body, job.key
+        )
+        limits = self._engines.limits
+        try:
+            async with asyncio.timeout(limits.first_token_timeout):
+                self._response = await self._engines.client.open(upstream, attempt)
+                return await self._read_first()
+        except TimeoutError as error:
+            raise UpstreamFailed(
+                f"upstream {upstream.name} sent no token in time; it may still run"
+            ) from error
+
+    def _count_dispatch(self) -> None:
+        if self._uncertain and not self._job.repeatable:
+            raise InvariantViolated("a request with a key may be sent twice")
+        self._uncertain = True
+
+    async def _read_first(self) -> list[Token]:
+        while True:
+            try:
+                tokens = await self._read()
+            except (aiohttp.ClientError, OSError, UpstreamFailed) as error:
+                if self._job.repeatable:
+                    raise _cut(self._upstream()) from error
+                await self._resume_or(_cut(self._upstream()))
+                continue
+            if tokens:
+                return tokens
+
+    async def _next(self) -> list[Token]:
+        """Read on; a broken connection resumes the same generation."""
+        if self._response is None:
+            await self._resume_or(self._interrupted("the connection was cut"))
+        limits = self._engines.limits
+        try:
+            async with asyncio.timeout(limits.token_timeout):
+                return await self._read()
+        except (aiohttp.ClientError, OSError, UpstreamFailed, TimeoutError):
+            reason = "the connection was cut"
+        except InvalidUpstreamData as error:
+            reason = error.message
+        if self.check.ending is Ending.DONE:
+            return []
+        await self._resume_or(self._interrupted(reason))
+        return []
+
+    async def _read(self) -> list[Token]:
+        assert self._response is not None
+        chunk = await self._response.content.readany()
+        if not chunk:
+            raise _cut(self._upstream())
+        return self.check.feed(chunk)
+
+    async def _resume_or(self, failure: BankrackError) -> None:
+        """Reconnect to the same generation, or raise ``failure``."""
+        self._drop_response()
+        upstream = self._upstream()
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + self._engines.limits.resume_window
+        while loop.time() < deadline:
+            self.resumes += 1
+            self.check.reconnect()
+            try:
+                self._response = await self._engines.client.resume(
+                    upstream, self.check.generation, self.check.offset
+                )
+            except UpstreamRefused:
+                break
+            except BankrackError:
+                await asyncio.sleep(RESUME_PAUSE)
+                continue
+            logs.event(
+                _logger,
+                "generation_resumed",
+                request=self._job.request_id,
+                upstream=upstream.name,
+                generation=self.check.generation,
+                offset=self.check.offset,
+            )
+            return
+        raise failure
+
+    def _may_move(self, error: BankrackError, tries: int) -> bool:
+        certain = error.outcome is Outcome.NOT_RUN
+        if not certain and not self._job.repeatable:
+            return False
+        if tries >= MAX_ATTEMPTS:
+            return False
+        if not certain:
+            self._engines.cancel_soon(self._upstream(), self.check.generation)
+        return self._engines.retries.take()
+
+    def _note_failure(self, error: BankrackError) -> None:
+        upstream = self._upstream()
+        refused = isinstance(error, UpstreamRefused)
+        self._engines.health.failed(upstream.name, definite=not refused)
+        logs.event(
+            _logger,
+            "attempt_failed",
+            level=logging.WARNING,
+            request=self._job.request_id,
+            upstream=upstream.name,
+            generation=self.check.generation or None,
+            error=error.code,
+            outcome=error.outcome.value,
+        )
+
+    def _close(self) -> None:
+        """Give back what is held; stop a generation that did not end."""
+        finished = self.check.ending is Ending.DONE
+        self._drop_response(reuse=finished)
+        if self.upstream is not None and self.check.generation:
+            if finished:
+                self._engines.health.succeeded(self.upstream.name)
+            else:
+                self._engines.cancel_soon(self.upstream, self.check.generation)
+        self._give_back()
+
+    def _give_back(self) -> None:
+        if self.placement is not None:
+            finished = self.check.ending is Ending.DONE
+            self._engines.admission.release(
+                self.placement, produced=self.check.offset, finished=finished
+            )
+            self.placement = None
+
+    def _drop_response(self, *, reuse: bool = False) -> None:
+        if self._response is None:
+            return
+        if reuse:
+            self._response.release()
+        else:
+            self._response.close()
+        self._response = None
+
+    def _upstream(self) -> Upstream:
+        assert self.upstream is not None
+        return self.upstream
+
+    def _interrupted(self, reason: str) -> StreamInterrupted:
+        return StreamInterrupted(
+            f"the generation stopped at token {self.check.offset} ({reason}) and "
+            "cannot be continued; send the request anew if it may be repeated"
+        )
+
+
+def _cut(upstream: Upstream) -> UpstreamFailed:
+    return UpstreamFailed(
+        f"upstream {upstream.name} closed the connection before a token arrived; "
+        "the request may have run, so repeat it only if that does no harm"
+    )
--- /dev/null
+++ b/src/bankrack/handles.py
@@ -0,0 +1,67 @@
+"""Signed handles that let any node continue a stream.
+
+A handle names the workspace, service, upstream and generation.  It is signed
+with a key from the configuration, so no node keeps a table of handles, and a
+caller can neither guess nor alter one.
+"""
+
+import base64
+import binascii
+import hashlib
+import hmac
+
+import msgspec
+
+from bankrack.exceptions import NotFound
+
+SIGNATURE_BYTES = 16
+
+
+class Handle(msgspec.Struct, frozen=True, array_like=True):
+    """What is needed to find a generation again."""
+
+    workspace: str
+    service: str
+    upstream: str
+    generation: str
+    kind: str
+
+
+def sign(handle: Handle, key: str) -> str:
+    """Encode and sign a handle as URL-safe text."""
+    payload = msgspec.msgpack.encode(handle)
+    return _base64(_signature(payload, key) + payload)
+
+
+def verify(text: str, key: str, workspace: str) -> Handle:
+    """Decode a handle, refusing forged ones and those of others.
+
+    All refusals read the same, so that nothing can be learned from them.
+    """
+    try:
+        data = base64.urlsafe_b64decode(text + "=" * (-len(text) % 4))
+    except (binascii.Error, ValueError) as error:
+        raise _unknown() from error
+    signature, payload = data[:SIGNATURE_BYTES], data[SIGNATURE_BYTES:]
+    if not hmac.compare_digest(signature, _signature(payload, key)):
+        raise _unknown()
+    try:
+        handle = msgspec.msgpack.decode(payload, type=Handle)
+    except msgspec.DecodeError as error:
+        raise _unknown() from error
+    if handle.workspace != workspace:
+        raise _unknown()
+    return handle
+
+
+def _signature(payload: bytes, key: str) -> bytes:
+    digest = hmac.new(key.encode(), payload, hashlib.sha256).digest()
+    return digest[:SIGNATURE_BYTES]
+
+
+def _base64(data: bytes) -> str:
+    return base64.urlsafe_b64encode(data).decode().rstrip("=")
+
+
+def _unknown() -> NotFound:
+    return NotFound("no such generation for this workspace; send the request anew")
--- /dev/null
+++ b/src/bankrack/health.py
@@ -0,0 +1,80 @@
+"""Ejecting upstreams by evidence, and probing them back.
+
+An upstream that fails several times in a row is ejected for a time that
+doubles with each ejection.  After it one request at a time may probe it, so
+that its return causes no stampede.
+"""
+
+import random
+import time
+import typing as t
+
+FAILURES_TO_EJECT = 3
+FIRST_EJECTION = 1.0
+LONGEST_EJECTION = 30.0
+JITTER = 0.2
+
+
+class UpstreamHealth:
+    """Evidence about one upstream; times in monotonic seconds."""
+
+    __slots__ = ("ejected_until", "ejections", "failures", "probing_until")
+
+    def __init__(self) -> None:
+        self.failures = 0
+        self.ejections = 0
+        self.ejected_until = 0.0
+        self.probing_until = 0.0
+
+
+class Health:
+    """Evidence about all upstreams that failed lately."""
+
+    def __init__(
+        self,
+        *,
+        clock: t.Callable[[], float] = time.monotonic,
+        seed: int | None = None,
+        probe_seconds: float = 2.0,
+    ) -> None:
+        self.by_upstream: dict[str, UpstreamHealth] = {}
+        self._clock = clock
+        self._random = random.Random(seed)
+        self._probe_seconds = probe_seconds
+
+    def usable(self, upstream: str) -> bool:
+        """Tell whether new work may go to ``upstream`` now."""
+        health = self.by_upstream.get(upstream)
+        if health is None or health.ejections == 0:
+            return True
+        now = self._clock()
+        return now >= health.ejected_until and now >= health.probing_until
+
+    def started(self, upstream: str) -> None:
+        """Note that work goes there; after an ejection it is the probe."""
+        health = self.by_upstream.get(upstream)
+        if health is not None and health.ejections:
+            health.probing_until = self._clock() + self._probe_seconds
+
+    def succeeded(self, upstream: str) -> None:
+        """Note a whole answer; all evidence against it is dropped."""
+        self.by_upstream.pop(upstream, None)
+
+    def failed(self, upstream: str, *, definite: bool = True) -> None:
+        """Note a failure.
+
+        :param definite: false for an orderly refusal, which never ejects.
+        """
+        if not definite:
+            return
+        health = self.by_upstream.setdefault(upstream, UpstreamHealth())
+        health.failures += 1
+        if health.ejections or health.failures >= FAILURES_TO_EJECT:
+            self._eject(health)
+
+    def _eject(self, health: UpstreamHealth) -> None:
+        seconds = min(LONGEST_EJECTION, FIRST_EJECTION * 2**health.ejections)
+        seconds *= 1 + JITTER * self._random.random()
+        health.ejections += 1
+        health.ejected_until = self._clock() + seconds
+        health.probing_until = 0.0
--- /dev/null
+++ b/src/bankrack/intent.py
@@ -0,0 +1,219 @@
+"""The operators' intent: workspaces, services, upstreams and keys.
+
+An intent is written in TOML, planned against the configuration in force and
+confirmed as a whole.  All values are immutable once read.
+"""
+
+import typing as t
+
+import msgspec
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from bankrack import documents
+from bankrack.exceptions import InvalidDocument
+from bankrack.settings import check_token_hash
+
+ANY = "*"
+
+
+class Workspace(msgspec.Struct, frozen=True):
+    """One customer and its limits."""
+
+    name: str
+    token_sha256: str
+    share: float = 1.0
+    max_in_flight: int = 200
+
+
+class Service(msgspec.Struct, frozen=True):
+    """What callers name in a request.
+
+    :param kind: ``model`` for generations, ``plain`` for ordinary HTTP.
+    :param priority: 0 comes first.
+    :param queue_seconds: how long a request may wait for an upstream.
+    """
+
+    name: str
+    kind: str = "model"
+    model: str = ""
+    adapter: str = ""
+    version: str = ""
+    priority: int = 1
+    queue_seconds: float = 10.0
+    max_output_tokens: int = 4096
+    workspaces: tuple[str, ...] = (ANY,)
+
+    @property
+    def engine_model(self) -> str:
+        """The model name an engine knows: adapter before base model."""
+        parts = [self.adapter or self.model]
+        if self.version:
+            parts.append(self.version)
+        return "@".join(parts)
+
+
+class Upstream(msgspec.Struct, frozen=True):
+    """One engine or plain server.
+
+    :param memory_tokens: size of the engine's cache, in tokens.
+    :param checks_fence: whether it refuses orders with an older fence.
+    :param leaving: whether the operator takes it out of service.
+    """
+
+    name: str
+    address: str
+    kind: str = "engine"
+    region: str = ""
+    hall: str = ""
+    services: tuple[str, ...] = ()
+    models: tuple[str, ...] = ()
+    memory_tokens: int = 24000
+    checks_fence: bool = True
+    leaving: bool = False
+
+
+class Intent(msgspec.Struct, frozen=True):
+    """The whole of what the operators declare."""
+
+    workspaces_by_name: dict[str, Workspace] = {}
+    services_by_name: dict[str, Service] = {}
+    upstreams_by_name: dict[str, Upstream] = {}
+    handle_key: str = ""
+
+    def serves(self, upstream: Upstream, service: Service) -> bool:
+        """Tell whether ``upstream`` may run requests of ``service``."""
+        if service.kind == "plain":
+            return upstream.kind == "plain" and service.name in upstream.services
+        return upstream.kind == "engine" and service.model in upstream.models
+
+    def upstreams_of(self, service: Service) -> list[Upstream]:
+        """List the upstreams of ``service`` that are not leaving."""
+        return [
+            upstream
+            for upstream in self.upstreams_by_name.values()
+            if not upstream.leaving and self.serves(upstream, service)
+        ]
+
+
+def parse(text: str, source: str = "intent") -> Result[Intent, InvalidDocument]:
+    """Validate an intent given as TOML text."""
+    match documents.parse(text, source):
+        case Result(tag="ok", ok=root):
+            intent = _read(root)
+            if root.problems:
+                return Error(InvalidDocument(root.problems))
+            return Ok(intent)
+        case Result(error=problems):
+            return Error(InvalidDocument(problems))
+    raise AssertionError("unreachable")
+
+
+def _read(root: documents.Table) -> Intent:
+    security = root.table("security")
+    handle_key = security.text("handle_key")
+    if len(handle_key) < 32:
+        security.note(
+            "handle_key", "a short key", "32 characters or more", "make a new key"
+        )
+    security.finish()
+    workspaces = [_workspace(table) for table in root.tables("workspaces")]
+    services = [_service(table) for table in root.tables("services")]
+    upstreams = [_upstream(table) for table in root.tables("upstreams")]
+    root.finish()
+    intent = Intent(
+        workspaces_by_name=_by_name(root, "workspaces", workspaces),
+        services_by_name=_by_name(root, "services", services),
+        upstreams_by_name=_by_name(root, "upstreams", upstreams),
+        handle_key=handle_key,
+    )
+    _check_references(root, intent)
+    return intent
+
+
+class _Named(t.Protocol):
+    @property
+    def name(self) -> str: ...
+
+
+N = t.TypeVar("N", bound=_Named)
+
+
+def _by_name(root: documents.Table, key: str, items: list[N]) -> dict[str, N]:
+    found: dict[str, N] = {}
+    for item in items:
+        if item.name in found:
+            root.note(key, item.name, "a name used once", "rename one of the two")
+        found[item.name] = item
+    return found
+
+
+def _workspace(table: documents.Table) -> Workspace:
+    workspace = Workspace(
+        name=table.name("name"),
+        token_sha256=table.text("token_sha256"),
+        share=table.number("share", 1.0, least=0.01, most=1000.0),
+        max_in_flight=table.integer("max_in_flight", 200, least=1, most=100000),
+    )
+    check_token_hash(table, "token_sha256", workspace.token_sha256)
+    table.finish()
+    return workspace
+
+
+def _service(table: documents.Table) -> Service:
+    service = Service(
+        name=table.name("name"),
+        kind=table.choice("kind", ("model", "plain"), "model"),
+        model=table.text("model", ""),
+        adapter=table.text("adapter", ""),
+        version=table.text("version", ""),
+        priority=table.integer("priority", 1, least=0, most=9),
+        queue_seconds=table.number("queue_seconds", 10.0, least=0.0, most=3600.0),
+        max_output_tokens=table.integer(
+            "max_output_tokens", 4096, least=1, most=1000000
+        ),
+        workspaces=table.names("workspaces", (ANY,)),
+    )
+    if service.kind == "model" and not service.model:
+        table.note("model", "", "the name of a model", "say which model it needs")
+    table.finish()
+    return service
+
+
+def _upstream(table: documents.Table) -> Upstream:
+    upstream = Upstream(
+        name=table.name("name"),
+        address=table.address("address"),
+        kind=table.choice("kind", ("engine", "plain"), "engine"),
+        region=table.text("region", ""),
+        hall=table.text("hall", ""),
+        services=table.names("services"),
+        models=table.names("models"),
+        memory_tokens=table.integer("memory_tokens", 24000, least=100, most=100000000),
+        checks_fence=table.flag("checks_fence", True),
+        leaving=table.flag("leaving", False),
+    )
+    table.finish()
+    return upstream
+
+
+def _check_references(root: documents.Table, intent: Intent) -> None:
+    for service in intent.services_by_name.values():
+        for name in service.workspaces:
+            if name != ANY and name not in intent.workspaces_by_name:
+                root.note(
+                    f"services.{service.name}.workspaces",
+                    name,
+                    "a declared workspace",
+                    "declare it under [[workspaces]]",
+                )
+    for upstream in intent.upstreams_by_name.values():
+        for name in upstream.services:
+            if name not in intent.services_by_name:
+                root.note(
+                    f"upstreams.{upstream.name}.services",
+                    name,
+                    "a declared service",
+                    "declare it under [[services]]",
+                )
--- /dev/null
+++ b/src/bankrack/limits.py
@@ -0,0 +1,57 @@
+"""Bounds on requests in flight, per workspace and per node."""
+
+import contextlib
+import typing as t
+
+from bankrack.exceptions import LimitExceeded
+from bankrack.exceptions import NodeDraining
+from bankrack.intent import Workspace
+
+RETRY_AFTER = 1.0
+
+
+class InFlight:
+    """Counts requests in flight and refuses those over a limit."""
+
+    def __init__(self, *, most: int) -> None:
+        self.by_workspace: dict[str, int] = {}
+        self.total = 0
+        self.draining = False
+        self._most = most
+
+    @contextlib.contextmanager
+    def enter(self, workspace: Workspace) -> t.Iterator[None]:
+        """Count one request for as long as the context lasts."""
+        self._check(workspace)
+        count = self.by_workspace.get(workspace.name, 0)
+        self.by_workspace[workspace.name] = count + 1
+        self.total += 1
+        try:
+            yield
+        finally:
+            self.total -= 1
+            self._leave(workspace.name)
+
+    def _leave(self, name: str) -> None:
+        left = self.by_workspace[name] - 1
+        if left:
+            self.by_workspace[name] = left
+        else:
+            del self.by_workspace[name]
+
+    def _check(self, workspace: Workspace) -> None:
+        if self.draining:
+            raise NodeDraining(
+                "this node is stopping; send the request again", retry_after=0.1
+            )
+        if self.total >= self._most:
+            raise LimitExceeded(
+                "this node serves as many requests as it may; try again",
+                retry_after=RETRY_AFTER,
+            )
+        if self.by_workspace.get(workspace.name, 0) >= workspace.max_in_flight:
+            raise LimitExceeded(
+                f"workspace {workspace.name} has {workspace.max_in_flight} requests in "
+                "flight on this node, its limit; wait for one to end",
+                retry_after=RETRY_AFTER,
+            )
--- /dev/null
+++ b/src/bankrack/metrics.py
@@ -0,0 +1,94 @@
+"""Metrics of a node, for Prometheus.
+
+What happens for each token is added up in plain lists and moved to the
+registry when a stream ends, so that the token path does no label look-ups.
+"""
+
+import bisect
+import typing as t
+
+from aioprometheus import Counter
+from aioprometheus import Gauge
+from aioprometheus import Histogram
+from aioprometheus import render
+from aioprometheus.collectors import Registry
+
+GAP_BUCKETS = (0.01, 0.02, 0.03, 0.04, 0.05, 0.061, 0.08, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0)
+FIRST_TOKEN_BUCKETS = (0.05, 0.1, 0.2, 0.4, 0.78, 1.0, 2.0, 5.0, 10.0, 30.0)
+STALL_THRESHOLD = 0.2
+
+
+class GapRecorder:
+    """Adds up the times between the tokens of one stream, in seconds.
+
+    What a gap has above :data:`STALL_THRESHOLD` is stall time.
+    """
+
+    __slots__ = ("_last", "counts", "largest", "stall", "total")
+
+    def __init__(self) -> None:
+        self.counts = [0] * (len(GAP_BUCKETS) + 1)
+        self.stall = 0.0
+        self.total = 0.0
+        self.largest = 0.0
+        self._last = 0.0
+
+    @property
+    def first(self) -> bool:
+        """Whether no token has been recorded yet."""
+        return not self._last
+
+    def record(self, now: float) -> None:
+        """Note that tokens arrived at monotonic time ``now``."""
+        if self._last:
+            gap = now - self._last
+            self.counts[bisect.bisect_left(GAP_BUCKETS, gap)] += 1
+            self.total += gap
+            if gap > self.largest:
+                self.largest = gap
+            if gap > STALL_THRESHOLD:
+                self.stall += gap - STALL_THRESHOLD
+        self._last = now
+
+
+class Metrics:
+    """All metrics of one node, on a registry of their own."""
+
+    def __init__(self) -> None:
+        self.registry = Registry()
+        self.requests = self._counter("bankrack_requests", "Requests by outcome")
+        self.tokens = self._counter("bankrack_tokens", "Tokens delivered")
+        self.stall = self._counter("bankrack_stall_seconds", "Stall time of streams")
+        self.gaps = self._counter("bankrack_token_gaps", "Gaps by upper bound")
+        self.resumes = self._counter("bankrack_resumes", "Streams resumed")
+        self.discarded = self._counter("bankrack_events_discarded", "Repeated events")
+        self.violations = self._counter("bankrack_violations", "Invariants violated")
+        self.values = self._gauge("bankrack_value", "State of the node by name")
+        self.first_token = self._histogram(
+            "bankrack_first_token_seconds", "Time to first token", FIRST_TOKEN_BUCKETS
+        )
+
+    def stream_ended(self, service: str, gaps: GapRecorder, tokens: int) -> None:
+        """Move what one stream added up to the registry."""
+        labels = {"service": service}
+        self.tokens.add(labels, tokens)
+        if gaps.stall:
+            self.stall.add(labels, gaps.stall)
+        bounds = [*map(str, GAP_BUCKETS), "+Inf"]
+        for bound, count in zip(bounds, gaps.counts, strict=True):
+            if count:
+                self.gaps.add({"service": service, "le": bound}, count)
+
+    def page(self, accept: t.Sequence[str]) -> tuple[bytes, dict[str, str]]:
+        """Render the page that Prometheus scrapes, with its headers."""
+        content, headers = render(self.registry, list(accept))
+        return content, dict(headers)
+
+    def _counter(self, name: str, doc: str) -> Counter:
+        return Counter(name, doc, registry=self.registry)
+
+    def _gauge(self, name: str, doc: str) -> Gauge:
+        return Gauge(name, doc, registry=self.registry)
+
+    def _histogram(self, name: str, doc: str, buckets: t.Sequence[float]) -> Histogram:
+        return Histogram(name, doc, buckets=list(buckets), registry=self.registry)
--- /dev/null
+++ b/src/bankrack/node.py
@@ -0,0 +1,345 @@
+"""The node: one daemon on each entry VM, and what it hangs together.
+
+A node keeps nothing that must last.  It follows the configuration, serves
+callers and operators, and tells its peers that it lives.
+"""
+
+import asyncio
+import contextlib
+import itertools
+import logging
+import time
+import typing as t
+
+import aiohttp
+from aiohttp import web
+
+from bankrack import logs
+from bankrack.admission import FewestInFlight
+from bankrack.auth import Workspaces
+from bankrack.callers import Callers
+from bankrack.claims import Claims
+from bankrack.configuration import Configuration
+from bankrack.configuration import Document
+from bankrack.engine import EngineClient
+from bankrack.following import Follower
+from bankrack.following import Vms
+from bankrack.generation import Engines
+from bankrack.health import Health
+from bankrack.intent import Intent
+from bankrack.intent import Upstream
+from bankrack.limits import InFlight
+from bankrack.membership import HEARTBEAT_SECONDS
+from bankrack.membership import Membership
+from bankrack.messages import Heartbeat
+from bankrack.messages import MemberRecord
+from bankrack.metrics import Metrics
+from bankrack.operators import NodeSummary
+from bankrack.operators import Operators
+from bankrack.operators import Overview
+from bankrack.peers import Peers
+from bankrack.plain import PlainServices
+from bankrack.platform import Platform
+from bankrack.retries import RetryBudget
+from bankrack.serving import serve_application
+from bankrack.settings import Settings
+
+DRAIN_POLL_SECONDS = 0.05
+DRAIN_NOTICE_SECONDS = 1.5
+_logger = logging.getLogger(__name__)
+
+
+class Node:
+    """One node, from its settings.
+
+    ``start`` returns when the listeners are open; ``ready`` tells whether a
+    configuration is in force; ``stop`` finishes every request first.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.metrics = Metrics()
+        self.workspaces = Workspaces()
+        self.configuration = Configuration(self._configuration_changed)
+        self.in_flight = InFlight(most=settings.limits.requests_in_flight)
+        self.health = Health()
+        self.vms = Vms()
+        self.membership = Membership(name=settings.name, hall=settings.hall)
+        self.peers = Peers(
+            name=settings.name, address=settings.peers, key=settings.peer_key
+        )
+        self.stopped = asyncio.Event()
+        self._counter = itertools.count(1)
+        self._tasks: list[asyncio.Task[t.Any]] = []
+        self._runners: list[web.AppRunner] = []
+        self._sessions: list[aiohttp.ClientSession] = []
+        self._stopping: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Open all listeners and begin to follow the configuration."""
+        self._connect()
+        await self.peers.start()
+        self.peers.handle(Heartbeat, self._take_heartbeat)
+        for seed in self.settings.seeds:
+            self.peers.learn(f"seed-{seed}", seed)
+        await self.follower.refresh()
+        self._spawn(self.follower.run())
+        self._spawn(self._beat())
+        self._spawn(self.claims.keep_floor())
+        settings = self.settings
+        callers = Callers(self).application()
+        operators = Operators(self).application()
+        self._runners = [
+            await serve_application(
+                callers, settings.callers, tls=settings.callers_tls
+            ),
+            await serve_application(
+                operators, settings.operators, tls=settings.operators_tls
+            ),
+        ]
+        logs.event(
+            _logger,
+            "node_started",
+            node=settings.name,
+            callers=settings.callers,
+            operators=settings.operators,
+            peers=settings.peers,
+            revision=self.configuration.revision,
+        )
+
+    def _connect(self) -> None:
+        """Make the clients; they need a running loop."""
+        platform_session = self._session(limit=64)
+        engine_session = self._session(limit=0)
+        plain_session = self._session(limit=0, auto_decompress=False)
+        settings = self.settings
+        self.platform = Platform(
+            platform_session, settings.platform_urls, prefix=settings.platform_prefix
+        )
+        self.follower = Follower(
+            platform=self.platform,
+            configuration_in_force=self.configuration,
+            peers=self.peers,
+            membership=self.membership,
+            vms=self.vms,
+        )
+        self.claims = Claims(
+            platform=self.platform, peers=self.peers, writers=self._writers
+        )
+        self.admission = FewestInFlight(lambda: self.configuration.intent, self.health)
+        self.engines = Engines(
+            client=EngineClient(
+                engine_session, connect_timeout=settings.limits.connect_timeout
+            ),
+            admission=self.admission,
+            health=self.health,
+            retries=RetryBudget(),
+            limits=settings.limits,
+        )
+        self.plain = PlainServices(
+            plain_session,
+            intent=lambda: self.configuration.intent,
+            leaving=self.is_leaving,
+            claimer=self.claims.claimer,
+            health=self.health,
+            retries=RetryBudget(),
+            metrics=self.metrics,
+            limits=settings.limits,
+        )
+
+    def _session(
+        self, *, limit: int, auto_decompress: bool = True
+    ) -> aiohttp.ClientSession:
+        session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=limit),
+            auto_decompress=auto_decompress,
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
+        self._sessions.append(session)
+        return session
+
+    async def close(self) -> None:
+        """Close everything at once."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for runner in self._runners:
+            await runner.cleanup()
+        await self.peers.close()
+        for session in self._sessions:
+            await session.close()
+        self.stopped.set()
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers may be sent here."""
+        return self.configuration.revision > 0 and not self.in_flight.draining
+
+    def begin_drain(self, reason: str) -> None:
+        """Take no new requests, finish those in flight, then stop."""
+        if self._stopping is not None:
+            return
+        self.in_flight.draining = True
+        logs.event(
+            _logger, "drain_began", reason=reason, in_flight=self.in_flight.total
+        )
+        self._stopping = asyncio.create_task(self._drain())
+
+    async def _drain(self) -> None:
+        self._send_heartbeats()
+        await asyncio.sleep(DRAIN_NOTICE_SECONDS)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self.settings.limits.drain_timeout):
+                while self.in_flight.total:
+                    await asyncio.sleep(DRAIN_POLL_SECONDS)
+        logs.event(_logger, "drain_ended", cut=self.in_flight.total)
+        await self.close()
+
+    def is_leaving(self, upstream: Upstream) -> bool:
+        """Tell whether an upstream is to get no new work."""
+        return upstream.leaving or self.vms.leaving(upstream.name, upstream.address)
+
+    def confirmed(self, document: Document) -> None:
+        """Adopt what an operator confirmed here and tell the peers."""
+        self.follower.adopt(document, source="confirm")
+        self._send_heartbeats()
+
+    def own_record(self) -> MemberRecord:
+        """What this node tells of itself."""
+        settings = self.settings
+        return MemberRecord(
+            name=settings.name,
+            address=settings.peers,
+            region=settings.region,
+            hall=settings.hall,
+            incarnation=self.peers.incarnation,
+            counter=next(self._counter),
+            revision=self.configuration.revision,
+            draining=self.in_flight.draining,
+        )
+
+    def _writers(self) -> list[str]:
+        own = self.own_record()
+        return [record.name for record in self.membership.candidates(own)]
+
+    async def _beat(self) -> None:
+        while True:
+            self._send_heartbeats()
+            for name in self.membership.forget_old():
+                self.peers.forget(name)
+            await asyncio.sleep(HEARTBEAT_SECONDS)
+
+    def _send_heartbeats(self) -> None:
+        known = self.peers.peers_by_name
+        for name in self.membership.targets(known):
+            records = [self.own_record(), *self.membership.digest()]
+            self.peers.send(name, Heartbeat(records))
+
+    async def _take_heartbeat(self, sender: str, heartbeat: Heartbeat) -> None:
+        self.membership.merge(heartbeat.records)
+        for record in heartbeat.records:
+            self.peers.learn(record.name, record.address)
+            if record.revision > self.configuration.revision:
+                self.follower.look_now()
+
+    def _configuration_changed(self, intent: Intent) -> None:
+        self.workspaces.replace(intent)
+
+    def overview(self) -> Overview:
+        """Summarise nodes and upstreams."""
+        live = {record.name for record in self.membership.live()}
+        records = [m.record for m in self.membership.members_by_name.values()]
+        own = self.own_record()
+        live.add(own.name)
+        nodes = [
+            NodeSummary(r.name, r.hall, r.revision, r.draining, r.name in live)
+            for r in sorted([*records, own], key=lambda r: r.name)
+        ]
+        upstreams = [
+            {
+                "name": upstream.name,
+                "kind": upstream.kind,
+                "hall": upstream.hall,
+                "leaving": self.is_leaving(upstream),
+                "usable": self.health.usable(upstream.name),
+            }
+            for upstream in self.configuration.intent.upstreams_by_name.values()
+        ]
+        return Overview(
+            self.configuration.revision, self.follower.platform_up, nodes, upstreams
+        )
+
+    def state(self) -> dict[str, t.Any]:
+        """Dump all tables of this process; it holds no secrets."""
+        now = time.monotonic()
+        document = self.configuration.document
+        return {
+            "node": self.settings.name,
+            "ready": self.ready,
+            "draining": self.in_flight.draining,
+            "configuration": {
+                "revision": self.configuration.revision,
+                "plan": document.head.plan_id if document else None,
+                "seconds_since_read": now - self.follower.confirmed_current_at,
+                "platform_up": self.follower.platform_up,
+            },
+            "in_flight_by_workspace": self.in_flight.by_workspace,
+            "members": [
+                {
+                    "name": member.record.name,
+                    "revision": member.record.revision,
+                    "draining": member.record.draining,
+                    "silent_seconds": now - member.advanced_at,
+                }
+                for member in self.membership.members_by_name.values()
+            ],
+            "ejected_by_upstream": {
+                name: max(0.0, health.ejected_until - now)
+                for name, health in self.health.by_upstream.items()
+            },
+            "peers": {
+                "bytes_sent": self.peers.bytes_sent,
+                "bytes_received": self.peers.bytes_received,
+                "envelopes_sent": self.peers.envelopes_sent,
+                "refused": self.peers.refused,
+                "dropped": self.peers.dropped,
+            },
+            "platform": {
+                "reads": self.platform.reads,
+                "writes": self.platform.writes,
+                "failures": self.platform.failures,
+            },
+            "claims": {
+                "commits": sum(w.commits for w in self.claims.shard_writers),
+                "conflicts": sum(w.conflicts for w in self.claims.shard_writers),
+            },
+        }
+
+    def update_gauges(self) -> None:
+        """Bring the gauges up to date before they are scraped."""
+        age = time.monotonic() - self.follower.confirmed_current_at
+        values = {
+            "configuration_revision": self.configuration.revision,
+            "configuration_age_seconds": age,
+            "requests_in_flight": self.in_flight.total,
+            "members_live": len(self.membership.live()) + 1,
+            "retries_taken": self.engines.retries.taken,
+            "retries_refused": self.engines.retries.refused,
+        }
+        for name, value in values.items():
+            self.metrics.values.set({"name": name}, value)
+
+    def _spawn(self, work: t.Coroutine[t.Any, t.Any, None]) -> None:
+        self._tasks.append(asyncio.create_task(work))
+
+
+async def run(settings: Settings) -> None:
+    """Run a node until it is drained by signal or by an operator."""
+    import signal  # Only the daemon installs signal handlers.
+
+    node = Node(settings)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, node.begin_drain, number.name)
+    await node.start()
+    await node.stopped.wait()
--- /dev/null
+++ b/src/bankrack/peers.py
@@ -0,0 +1,250 @@
+"""Messages between nodes over pynng.
+
+A node listens on one pull socket and dials one push socket for each peer it
+writes to.  One task per peer sends what gathered in its outbox as a single
+envelope, sealed with the peers' shared key; a peer that does not take its
+messages loses them, and whoever asked it gets a typed error in time.
+"""
+
+import asyncio
+import contextlib
+import hashlib
+import hmac
+import itertools
+import logging
+import time
+import typing as t
+
+import msgspec
+import pynng
+
+from bankrack import logs
+from bankrack import messages
+from bankrack.exceptions import BankrackError
+from bankrack.exceptions import PeerUnavailable
+from bankrack.messages import Body
+from bankrack.messages import Envelope
+from bankrack.messages import Failure
+from bankrack.messages import Item
+
+SEAL_BYTES = 16
+FLUSH_SECONDS = 0.001
+SEND_TIMEOUT_MS = 500
+OUTBOX_LIMIT = 2000
+MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+_logger = logging.getLogger(__name__)
+
+Handler = t.Callable[[str, t.Any], t.Awaitable[Body | None]]
+
+
+class Peer:
+    """The way to one peer."""
+
+    __slots__ = ("address", "name", "outbox", "sequence", "task", "wake")
+
+    def __init__(self, name: str, address: str) -> None:
+        self.name = name
+        self.address = address
+        self.outbox: list[Item] = []
+        self.sequence = 0
+        self.wake = asyncio.Event()
+        self.task: asyncio.Task[None] | None = None
+
+
+class Peers:
+    """Sends messages to peers and hands theirs to handlers.
+
+    :param name: this node's name.
+    :param address: ``ip:port`` to listen on; peers answer to it.
+    :param key: shared by all nodes; whoever lacks it is not heard.
+    """
+
+    def __init__(self, *, name: str, address: str, key: str) -> None:
+        self.name = name
+        self.address = address
+        self.incarnation = time.time_ns()
+        self.peers_by_name: dict[str, Peer] = {}
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        self.envelopes_sent = 0
+        self.refused = 0
+        self.dropped = 0
+        self._key = hashlib.sha256(key.encode()).digest()
+        self._handlers_by_kind: dict[type, Handler] = {}
+        self._futures_by_ask: dict[int, asyncio.Future[Body]] = {}
+        self._asks = itertools.count(1)
+        self._last_by_sender: dict[str, tuple[int, int]] = {}
+        self._listener: pynng.Pull0 | None = None
+        self._tasks: set[asyncio.Task[t.Any]] = set()
+
+    def handle(self, kind: type, handler: Handler) -> None:
+        """Register the handler of one kind of message."""
+        self._handlers_by_kind[kind] = handler
+
+    async def start(self) -> None:
+        """Listen."""
+        self._listener = pynng.Pull0(
+            listen=f"tcp://{self.address}", recv_max_size=MAX_MESSAGE_BYTES
+        )
+        self._spawn(self._receive(self._listener))
+
+    async def close(self) -> None:
+        """Stop listening and sending."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        if self._listener is not None:
+            self._listener.close()
+
+    def learn(self, name: str, address: str) -> None:
+        """Note where a peer listens."""
+        if name == self.name or not address:
+            return
+        peer = self.peers_by_name.get(name)
+        if peer is not None and peer.address == address:
+            return
+        if peer is not None and peer.task is not None:
+            peer.task.cancel()
+        self.peers_by_name[name] = Peer(name, address)
+
+    def forget(self, name: str) -> None:
+        """Drop a peer that is gone."""
+        peer = self.peers_by_name.pop(name, None)
+        if peer is not None and peer.task is not None:
+            peer.task.cancel()
+        self._last_by_sender.pop(name, None)
+
+    def send(self, name: str, body: Body) -> None:
+        """Send a message without an answer; it may be lost."""
+        self._put(name, Item(body))
+
+    async def ask(self, name: str, body: Body, *, timeout: float) -> Body:
+        """Send a question and wait for its answer.
+
+        :raises PeerUnavailable: no answer came in time, or the peer failed.
+        """
+        number = next(self._asks)
+        future: asyncio.Future[Body] = asyncio.get_running_loop().create_future()
+        self._futures_by_ask[number] = future
+        try:
+            self._put(name, Item(body, ask=number))
+            async with asyncio.timeout(timeout):
+                answer = await future
+        except TimeoutError as error:
+            raise PeerUnavailable(
+                f"peer {name} did not answer; check that node", retry_after=1.0
+            ) from error
+        finally:
+            del self._futures_by_ask[number]
+        if isinstance(answer, Failure):
+            raise PeerUnavailable(answer.message, retry_after=answer.retry_after)
+        return answer
+
+    def _put(self, name: str, item: Item) -> None:
+        peer = self.peers_by_name.get(name)
+        if peer is None:
+            return
+        if len(peer.outbox) >= OUTBOX_LIMIT:
+            self.dropped += 1
+            return
+        peer.outbox.append(item)
+        peer.wake.set()
+        if peer.task is None:
+            peer.task = self._spawn(self._deliver(peer))
+
+    async def _deliver(self, peer: Peer) -> None:
+        """Send what gathers in one peer's outbox, for as long as it lives."""
+        address = f"tcp://{peer.address}"
+        with pynng.Push0(send_timeout=SEND_TIMEOUT_MS) as socket:
+            socket.dial(address, block=False)
+            while True:
+                await peer.wake.wait()
+                await asyncio.sleep(FLUSH_SECONDS)
+                peer.wake.clear()
+                items, peer.outbox = peer.outbox, []
+                data = self._seal(self._envelope(peer, items))
+                try:
+                    await socket.asend(data)
+                except pynng.NNGException:
+                    self.dropped += len(items)
+                    continue
+                self.bytes_sent += len(data)
+                self.envelopes_sent += 1
+
+    def _envelope(self, peer: Peer, items: list[Item]) -> bytes:
+        peer.sequence += 1
+        return messages.encode(
+            Envelope(self.name, self.address, self.incarnation, peer.sequence, items)
+        )
+
+    async def _receive(self, listener: pynng.Pull0) -> None:
+        while True:
+            data = await listener.arecv()
+            self.bytes_received += len(data)
+            try:
+                envelope = messages.decode(self._unseal(data))
+            except (msgspec.DecodeError, ValueError, UnicodeDecodeError):
+                self.refused += 1
+                logs.event(_logger, "message_refused", level=logging.WARNING)
+                continue
+            if self._is_replay(envelope):
+                self.refused += 1
+                continue
+            self.learn(envelope.sender, envelope.address)
+            for item in envelope.items:
+                self._take(envelope.sender, item)
+
+    def _is_replay(self, envelope: Envelope) -> bool:
+        last = self._last_by_sender.get(envelope.sender)
+        current = (envelope.incarnation, envelope.sequence)
+        same_life = last is not None and last[0] == envelope.incarnation
+        if same_life and last is not None and current <= last:
+            return True
+        self._last_by_sender[envelope.sender] = current
+        return False
+
+    def _take(self, sender: str, item: Item) -> None:
+        if item.reply:
+            future = self._futures_by_ask.get(item.reply)
+            if future is not None and not future.done():
+                future.set_result(item.body)
+            return
+        handler = self._handlers_by_kind.get(type(item.body))
+        if handler is not None:
+            self._spawn(self._answer(sender, item, handler))
+
+    async def _answer(self, sender: str, item: Item, handler: Handler) -> None:
+        try:
+            body = await handler(sender, item.body)
+        except BankrackError as error:
+            body = Failure(error.code, error.message, error.retry_after)
+        if item.ask and body is not None:
+            self._put(sender, Item(body, reply=item.ask))
+
+    def _seal(self, data: bytes) -> bytes:
+        return self._digest(data) + data
+
+    def _unseal(self, data: bytes) -> bytes:
+        seal, content = data[:SEAL_BYTES], data[SEAL_BYTES:]
+        if not hmac.compare_digest(seal, self._digest(content)):
+            raise ValueError("seal")
+        return content
+
+    def _digest(self, data: bytes) -> bytes:
+        return hashlib.blake2b(data, key=self._key, digest_size=SEAL_BYTES).digest()
+
+    def _spawn(self, work: t.Coroutine[t.Any, t.Any, None]) -> asyncio.Task[None]:
+        task = asyncio.create_task(self._logged(work))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def _logged(self, work: t.Coroutine[t.Any, t.Any, None]) -> None:
+        with contextlib.suppress(pynng.Closed):
+            try:
+                await work
+            except (asyncio.CancelledError, pynng.Closed):
+                raise
+            except Exception:
+                _logger.exception("event=peer_task_failed")
--- /dev/null
+++ b/src/bankrack/plain.py
@@ -0,0 +1,232 @@
+"""Passing requests on to plain services, any method, bodies both ways."""
+
+import itertools
+import logging
+import time
+import typing as t
+
+import aiohttp
+from aiohttp import web
+from multidict import CIMultiDict
+
+from bankrack import logs
+from bankrack import requestkeys
+from bankrack.admission import no_upstream
+from bankrack.exceptions import BankrackError
+from bankrack.exceptions import NoUpstream
+from bankrack.exceptions import Outcome
+from bankrack.exceptions import RequestTooLarge
+from bankrack.exceptions import UpstreamFailed
+from bankrack.health import Health
+from bankrack.intent import Intent
+from bankrack.intent import Service
+from bankrack.intent import Upstream
+from bankrack.intent import Workspace
+from bankrack.metrics import Metrics
+from bankrack.retries import RetryBudget
+from bankrack.settings import Limits
+
+IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
+MAX_ATTEMPTS = 3
+_HOP_HEADERS = frozenset(
+    {
+        "authorization",
+        "connection",
+        "content-length",
+        "host",
+        "keep-alive",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+_logger = logging.getLogger(__name__)
+
+Claimer = t.Callable[[str, str], t.Callable[[], t.Awaitable[None]]]
+
+
+class PlainServices:
+    """Forwards requests to the upstreams of plain services.
+
+    :param claimer: makes the claim of a workspace's idempotency key.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        *,
+        intent: t.Callable[[], Intent],
+        leaving: t.Callable[[Upstream], bool],
+        claimer: Claimer,
+        health: Health,
+        retries: RetryBudget,
+        metrics: Metrics,
+        limits: Limits,
+    ) -> None:
+        self._session = session
+        self._intent = intent
+        self._leaving = leaving
+        self._claimer = claimer
+        self._health = health
+        self._retries = retries
+        self._metrics = metrics
+        self._limits = limits
+        self._turns = itertools.count()
+        self.in_flight_by_upstream: dict[str, int] = {}
+
+    async def forward(
+        self, request: web.Request, workspace: Workspace, service: Service
+    ) -> web.StreamResponse:
+        """Forward one request; it moves on only where nothing was sent.
+
+        A request of an idempotent method without a body may also move on
+        after a failure before the answer began.
+        """
+        key = requestkeys.read(request.headers)
+        claim = self._claimer(workspace.name, key) if key else None
+        repeatable = request.method in IDEMPOTENT_METHODS and not key
+        repeatable = repeatable and not request.can_read_body
+        self._retries.earn()
+        tried: list[str] = []
+        started = time.monotonic()
+        while True:
+            upstream = self._choose(service, tried)
+            tried.append(upstream.name)
+            if claim is not None:
+                await claim()
+                claim = None
+            try:
+                response = await self._attempt(request, upstream)
+            except (NoUpstream, UpstreamFailed) as error:
+                self._health.failed(upstream.name)
+                movable = error.outcome is Outcome.NOT_RUN or repeatable
+                if not movable or len(tried) >= MAX_ATTEMPTS:
+                    raise
+                if not self._retries.take():
+                    raise
+                continue
+            self._health.succeeded(upstream.name)
+            self._note(workspace, service, upstream, response.status, started)
+            return response
+
+    def _choose(self, service: Service, tried: list[str]) -> Upstream:
+        """Choose the usable upstream with the fewest requests in flight."""
+        candidates = [
+            upstream
+            for upstream in self._intent().upstreams_of(service)
+            if upstream.name not in tried
+            and not self._leaving(upstream)
+            and self._health.usable(upstream.name)
+        ]
+        if not candidates:
+            raise no_upstream(service)
+        turn = next(self._turns) % len(candidates)
+        rotated = candidates[turn:] + candidates[:turn]
+        counts = self.in_flight_by_upstream
+        chosen = min(rotated, key=lambda u: counts.get(u.name, 0))
+        self._health.started(chosen.name)
+        return chosen
+
+    async def _attempt(
+        self, request: web.Request, upstream: Upstream
+    ) -> web.StreamResponse:
+        counts = self.in_flight_by_upstream
+        counts[upstream.name] = counts.get(upstream.name, 0) + 1
+        try:
+            return await self._exchange(request, upstream)
+        finally:
+            counts[upstream.name] -= 1
+
+    async def _exchange(
+        self, request: web.Request, upstream: Upstream
+    ) -> web.StreamResponse:
+        path = request.raw_path.split("/", 3)
+        url = f"http://{upstream.address}/{path[3] if len(path) > 3 else ''}"
+        timeout = aiohttp.ClientTimeout(
+            total=None,
+            sock_connect=self._limits.connect_timeout,
+            sock_read=self._limits.first_token_timeout,
+        )
+        body = self._bounded(request) if request.can_read_body else None
+        try:
+            answer = await self._session.request(
+                request.method,
+                url,
+                headers=_forwarded(request.headers),
+                data=body,
+                timeout=timeout,
+                allow_redirects=False,
+            )
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            raise NoUpstream(
+                f"upstream {upstream.name} cannot be reached; try again",
+                retry_after=1.0,
+            ) from error
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            if isinstance(error.__cause__, BankrackError):
+                raise error.__cause__ from error
+            raise UpstreamFailed(
+                f"upstream {upstream.name} failed ({type(error).__name__}) after the "
+                "request was sent; repeat it only if that does no harm"
+            ) from error
+        async with answer:
+            return await self._relay(request, answer)
+
+    async def _relay(
+        self, request: web.Request, answer: aiohttp.ClientResponse
+    ) -> web.StreamResponse:
+        """Pass the answer on; a cut answer cuts the caller's, never ends it."""
+        response = web.StreamResponse(
+            status=answer.status, headers=_forwarded(answer.headers)
+        )
+        if answer.content_length is not None:
+            response.content_length = answer.content_length
+        await response.prepare(request)
+        try:
+            async for chunk in answer.content.iter_any():
+                await response.write(chunk)
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            if request.transport is not None:
+                request.transport.abort()
+            return response
+        await response.write_eof()
+        return response
+
+    async def _bounded(self, request: web.Request) -> t.AsyncIterator[bytes]:
+        size = 0
+        async for chunk in request.content.iter_any():
+            size += len(chunk)
+            if size > self._limits.body_bytes:
+                raise RequestTooLarge(
+                    "the body is too large; shorten it", outcome=Outcome.UNKNOWN
+                )
+            yield chunk
+
+    def _note(
+        self,
+        workspace: Workspace,
+        service: Service,
+        upstream: Upstream,
+        status: int,
+        started: float,
+    ) -> None:
+        self._metrics.requests.inc({"outcome": Outcome.RAN.value, "code": "ok"})
+        logs.event(
+            _logger,
+            "plain_request_ended",
+            workspace=workspace.name,
+            service=service.name,
+            upstream=upstream.name,
+            status=status,
+            seconds=time.monotonic() - started,
+        )
+
+
+def _forwarded(headers: t.Mapping[str, str]) -> CIMultiDict[str]:
+    kept: CIMultiDict[str] = CIMultiDict()
+    for name, value in headers.items():
+        if name.lower() not in _HOP_HEADERS:
+            kept.add(name, value)
+    return kept
--- /dev/null
+++ b/src/bankrack/queries.py
@@ -0,0 +1,78 @@
+"""Queries of the command line: they change nothing."""
+
+import argparse
+import datetime
+import typing as t
+
+import msgspec
+
+from bankrack.operatorclient import OperatorClient
+
+
+async def show(client: OperatorClient, arguments: argparse.Namespace) -> None:
+    """Print nodes with the revision each runs, and upstreams."""
+    found = await client.get("/v1/overview")
+    if arguments.json:
+        print_json(found)
+        return
+    platform = "up" if found["platform_up"] else "DOWN"
+    print(f"revision {found['revision']}, platform {platform}\n")
+    node_rows = [
+        [n["name"], n["hall"], n["revision"], _state_of(n)] for n in found["nodes"]
+    ]
+    print_table(["node", "hall", "revision", "state"], node_rows)
+    print()
+    upstream_rows = [
+        [u["name"], u["kind"], u["hall"], _upstream_state(u)]
+        for u in found["upstreams"]
+    ]
+    print_table(["upstream", "kind", "hall", "state"], upstream_rows)
+
+
+async def history(client: OperatorClient, arguments: argparse.Namespace) -> None:
+    """Print the confirmed revisions."""
+    found = await client.get("/v1/history")
+    if arguments.json:
+        print_json(found)
+        return
+    rows = [
+        [line["revision"], _time(line["confirmed_at"]), line["operator"], line["plan"]]
+        for line in found
+    ]
+    print_table(["revision", "confirmed", "operator", "plan"], rows)
+
+
+async def state(client: OperatorClient, arguments: argparse.Namespace) -> None:
+    """Print the dump of one node's tables."""
+    print_json(await client.get("/v1/state"))
+
+
+def print_json(value: t.Any) -> None:
+    """Print a value as indented JSON."""
+    print(msgspec.json.format(msgspec.json.encode(value), indent=2).decode())
+
+
+def print_table(header: list[str], rows: list[list[t.Any]]) -> None:
+    """Print rows in aligned columns."""
+    lines = [header, *[[str(cell) for cell in row] for row in rows]]
+    widths = [max(len(line[i]) for line in lines) for i in range(len(header))]
+    for line in lines:
+        cells = [cell.ljust(width) for cell, width in zip(line, widths, strict=True)]
+        print("  ".join(cells).rstrip())
+
+
+def _state_of(node: dict[str, t.Any]) -> str:
+    if not node["live"]:
+        return "silent"
+    return "draining" if node["draining"] else "live"
+
+
+def _upstream_state(upstream: dict[str, t.Any]) -> str:
+    if upstream["leaving"]:
+        return "leaving"
+    return "usable" if upstream["usable"] else "ejected"
+
+
+def _time(seconds: float) -> str:
+    moment = datetime.datetime.fromtimestamp(seconds, datetime.UTC)
+    return moment.strftime("%Y-%m-%dT%H:%M:%SZ")
--- /dev/null
+++ b/src/bankrack/stream.py
@@ -0,0 +1,155 @@
+"""Checking the events of one generation as they pass.
+
+Every event of an engine carries ``id: <generation>:<offset>``.  A
+:class:`StreamCheck` accepts exactly the next offset of exactly its own
+generation; whatever else arrives is never delivered.
+"""
+
+import enum
+
+import msgspec
+
+from bankrack.completions import Choice
+from bankrack.completions import Chunk
+from bankrack.completions import Usage
+from bankrack.exceptions import InvalidUpstreamData
+from bankrack.exceptions import InvariantViolated
+
+EVENT_END = b"\n\n"
+MAX_EVENT_BYTES = 256 * 1024
+_DONE = b"[DONE]"
+_CHUNK_DECODER = msgspec.json.Decoder(Chunk)
+
+
+class Ending(enum.Enum):
+    """How a stream stands."""
+
+    OPEN = "open"
+    FINISHED = "finished"
+    DONE = "done"
+
+
+class Token:
+    """One accepted event with text."""
+
+    __slots__ = ("finish_reason", "offset", "text")
+
+    def __init__(self, offset: int, text: str, finish_reason: str | None) -> None:
+        self.offset = offset
+        self.text = text
+        self.finish_reason = finish_reason
+
+
+class StreamCheck:
+    """Accepts the events of one generation, each once and in order.
+
+    :param generation: id of the only generation accepted.
+    :param offset: the first offset expected; above 0 on a resumed stream.
+    """
+
+    __slots__ = (
+        "_buffer",
+        "_expected",
+        "_prefix",
+        "discarded",
+        "ending",
+        "finish_reason",
+        "generation",
+        "offset",
+        "usage",
+    )
+
+    def __init__(self, generation: str, *, offset: int = 0) -> None:
+        self.generation = generation
+        self.offset = offset
+        self.ending = Ending.OPEN
+        self.finish_reason: str | None = None
+        self.usage: Usage | None = None
+        self.discarded = 0
+        self._buffer = b""
+        self._prefix = b"id: " + generation.encode() + b":"
+        self._expected = b""
+        self._advance(offset)
+
+    def feed(self, chunk: bytes) -> list[Token]:
+        """Take bytes of the engine and return the tokens they complete.
+
+        :raises InvalidUpstreamData: on a gap, a foreign id or garbage.  What
+            was accepted before stays accepted.
+        """
+        data = self._buffer + chunk if self._buffer else chunk
+        events = data.split(EVENT_END)
+        self._buffer = events.pop()
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise _broken("an event exceeds its bound")
+        tokens: list[Token] = []
+        for event in events:
+            if event.startswith(self._expected):
+                self._accept(event, tokens)
+            else:
+                self._reject(event)
+        return tokens
+
+    def reconnect(self) -> None:
+        """Forget half an event, before reading on over a new connection."""
+        self._buffer = b""
+
+    def _accept(self, event: bytes, tokens: list[Token]) -> None:
+        data = event[len(self._expected) :]
+        if data == _DONE:
+            self._finish()
+            return
+        if self.ending is Ending.DONE:
+            raise _broken("an event after the end")
+        try:
+            chunk = _CHUNK_DECODER.decode(data)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            raise _broken("an event that does not decode") from error
+        if not chunk.choices:
+            self._take_usage(chunk)
+            return
+        if self.ending is not Ending.OPEN:
+            raise _broken("a token after the end")
+        choice = chunk.choices[0]
+        tokens.append(Token(self.offset, chunk.text, choice.finish_reason))
+        self._take_finish(choice)
+        self._advance(self.offset + 1)
+
+    def _take_finish(self, choice: Choice) -> None:
+        if choice.finish_reason is not None:
+            self.finish_reason = choice.finish_reason
+            self.ending = Ending.FINISHED
+
+    def _take_usage(self, chunk: Chunk) -> None:
+        if self.ending is not Ending.FINISHED or chunk.usage is None:
+            raise _broken("an event without a choice")
+        self.usage = chunk.usage
+        self._advance(self.offset + 1)
+
+    def _finish(self) -> None:
+        if self.ending is not Ending.FINISHED:
+            raise _broken("an end without a finish reason")
+        self.ending = Ending.DONE
+
+    def _reject(self, event: bytes) -> None:
+        if event.startswith(b":") or not event.strip():
+            return
+        if not event.startswith(self._prefix):
+            raise _broken("an event of another generation")
+        number = event[len(self._prefix) :].split(b"\n", 1)[0]
+        if number.isdigit() and int(number) < self.offset:
+            self.discarded += 1
+            return
+        raise _broken("a gap in the stream")
+
+    def _advance(self, offset: int) -> None:
+        if offset < self.offset:
+            raise InvariantViolated("a stream's offset went back")
+        self.offset = offset
+        self._expected = b"%b%d\ndata: " % (self._prefix, offset)
+
+
+def _broken(what: str) -> InvalidUpstreamData:
+    return InvalidUpstreamData(
+        f"the upstream sent {what}; check that engine's version and health"
+    )
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of bankrack; the folder mirrors the package."""
--- /dev/null
+++ b/tests/__main__.py
@@ -0,0 +1,44 @@
+"""Runs all tests and prints one closing line that tools can read.
+
+Tests listed in ``KNOWN-RED.txt`` still run; their failures are printed but do
+not fail the run.
+"""
+
+import pathlib
+import sys
+import typing as t
+import unittest
+
+ROOT = pathlib.Path(__file__).parent
+KNOWN_RED = ROOT.parent / "KNOWN-RED.txt"
+
+
+def known_red() -> set[str]:
+    """Names of the tests that may fail."""
+    if not KNOWN_RED.exists():
+        return set()
+    lines = KNOWN_RED.read_text(encoding="utf-8").splitlines()
+    return {line.split(",")[0].strip() for line in lines if line.strip()}
+
+
+def main() -> int:
+    """Run; returns the exit code."""
+    pattern = sys.argv[1] if len(sys.argv) > 1 else "test_*.py"
+    suite = unittest.defaultTestLoader.discover(
+        str(ROOT), pattern=pattern, top_level_dir=str(ROOT.parent)
+    )
+    result = unittest.TextTestRunner(verbosity=1, stream=sys.stdout).run(suite)
+    bad: list[tuple[t.Any, str]] = [*result.failures, *result.errors]
+    allowed = known_red()
+    red = [test for test, _ in bad if test.id() in allowed]
+    failed = len(bad) - len(red)
+    skipped = len(result.skipped)
+    passed = result.testsRun - len(bad) - skipped
+    for test in red:
+        print(f"known red: {test.id()}")
+    print(f"{passed} passed, {failed} failed, {skipped} skipped")
+    return 1 if failed or result.testsRun == 0 else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/base.py
@@ -0,0 +1,34 @@
+"""The base class of all tests."""
+
+import asyncio
+import inspect
+import typing as t
+
+import testtools
+from testtools.runtest import RunTest
+
+TEST_TIMEOUT = 60.0
+
+
+class AwaitingRunTest(RunTest):
+    """Runs what a test returns when it is a coroutine.
+
+    testtools itself calls an ``async def`` test, drops the coroutine and
+    passes.
+    """
+
+    def _run_user(self, fn: t.Callable[..., t.Any], *args: t.Any, **kw: t.Any) -> t.Any:
+        def awaited(*args: t.Any, **kw: t.Any) -> t.Any:
+            value = fn(*args, **kw)
+            if inspect.iscoroutine(value):
+                asyncio.run(asyncio.wait_for(value, TEST_TIMEOUT))
+                return None
+            return value
+
+        return super()._run_user(awaited, *args, **kw)
+
+
+class TestCase(testtools.TestCase):
+    """A test whose methods may be coroutines."""
+
+    run_tests_with = AwaitingRunTest
