--- /dev/null
+++ b/src/bankrack/lengths.py
@@ -0,0 +1,150 @@
+"""Online estimates of how long an answer will be.
+
+For each service and workspace a histogram of finished lengths with bins of a
+quarter of a doubling, forgetting old answers by halving.  A workspace with few
+answers leans on its service, and a service with few on a wide prior.  All that
+is ever needed is the survival function: the chance that an answer is longer
+than some number of tokens, given how much it has produced.
+"""
+
+import collections
+import math
+import typing as t
+
+BINS_PER_DOUBLING = 4
+BINS = 72
+WINDOW = 600.0
+REBUILD_EVERY = 8
+PRIOR_MEDIAN = 128.0
+PRIOR_SIGMA = 1.3
+PRIOR_WEIGHT = 6.0
+SERVICE_WEIGHT = 24.0
+MAX_KEYS = 4096
+
+
+class Survival(t.Protocol):
+    """Anything that gives the chance of a length above ``tokens``."""
+
+    def survival(self, tokens: int) -> float:
+        """Chance that an answer has more than ``tokens`` tokens."""
+        ...
+
+
+class KnownLength:
+    """The survival function of a length that is known."""
+
+    __slots__ = ("_length",)
+
+    def __init__(self, length: int) -> None:
+        self._length = length
+
+    def survival(self, tokens: int) -> float:
+        """Chance, 0 or 1, that the length is above ``tokens``."""
+        return 1.0 if tokens < self._length else 0.0
+
+
+class LengthHistogram:
+    """Lengths seen lately, leaning on a parent while they are few.
+
+    :param parent: histogram to lean on; the wide prior when ``None``.
+    """
+
+    __slots__ = ("_counts", "_parent", "_stale", "_tail", "total")
+
+    def __init__(self, parent: "LengthHistogram | None" = None) -> None:
+        self._counts = [0.0] * BINS
+        self._parent = parent
+        self._stale = 0
+        self.total = 0.0
+        self._tail: list[float] = []
+        self._rebuild()
+
+    def observe(self, length: int) -> None:
+        """Count one finished answer of ``length`` tokens."""
+        self._counts[_bin(length)] += 1.0
+        self.total += 1.0
+        if self.total > WINDOW:
+            self._counts = [count / 2 for count in self._counts]
+            self.total /= 2
+        self._stale += 1
+        if self._stale >= REBUILD_EVERY:
+            self._rebuild()
+
+    def survival(self, tokens: int) -> float:
+        """Chance that an answer has more than ``tokens`` tokens."""
+        if tokens <= 0:
+            return 1.0
+        position = math.log2(tokens + 1) * BINS_PER_DOUBLING
+        index = int(position)
+        if index >= BINS:
+            return 0.0
+        low = self._tail[index]
+        return low + (position - index) * (self._tail[index + 1] - low)
+
+    def _rebuild(self) -> None:
+        """Blend the own counts with the parent's shape into one tail."""
+        weight = SERVICE_WEIGHT if self._parent is not None else PRIOR_WEIGHT
+        base = self._parent._tail if self._parent is not None else _PRIOR_TAIL
+        total = self.total + weight
+        tail = [0.0] * (BINS + 1)
+        above = 0.0
+        for index in range(BINS - 1, -1, -1):
+            above += self._counts[index]
+            tail[index] = (above + weight * base[index]) / total
+        self._tail = tail
+        self._stale = 0
+
+
+class Lengths:
+    """The histograms of all services and workspaces, bounded in number."""
+
+    def __init__(self) -> None:
+        self.by_service: dict[str, LengthHistogram] = {}
+        self.by_service_and_workspace: collections.OrderedDict[
+            tuple[str, str], LengthHistogram
+        ] = collections.OrderedDict()
+
+    def observe(self, service: str, workspace: str, length: int) -> None:
+        """Count one finished answer."""
+        self._service(service).observe(length)
+        self._workspace(service, workspace).observe(length)
+
+    def survival_of(self, service: str, workspace: str) -> LengthHistogram:
+        """The histogram to forecast an answer with."""
+        own = self.by_service_and_workspace.get((service, workspace))
+        return own if own is not None else self._service(service)
+
+    def _service(self, service: str) -> LengthHistogram:
+        found = self.by_service.get(service)
+        if found is None:
+            found = self.by_service[service] = LengthHistogram()
+        return found
+
+    def _workspace(self, service: str, workspace: str) -> LengthHistogram:
+        key = (service, workspace)
+        found = self.by_service_and_workspace.get(key)
+        if found is None:
+            found = LengthHistogram(self._service(service))
+            self.by_service_and_workspace[key] = found
+        self.by_service_and_workspace.move_to_end(key)
+        if len(self.by_service_and_workspace) > MAX_KEYS:
+            self.by_service_and_workspace.popitem(last=False)
+        return found
+
+
+def _bin(length: int) -> int:
+    index = int(math.log2(max(1, length)) * BINS_PER_DOUBLING)
+    return min(BINS - 1, index)
+
+
+def _prior_tail() -> list[float]:
+    """The survival function of a wide lognormal, at the edges of the bins."""
+    tail = []
+    for index in range(BINS + 1):
+        edge = 2 ** (index / BINS_PER_DOUBLING)
+        z = (math.log(edge) - math.log(PRIOR_MEDIAN)) / PRIOR_SIGMA
+        tail.append(0.5 * math.erfc(z / math.sqrt(2)))
+    return tail
+
+
+_PRIOR_TAIL = _prior_tail()
--- /dev/null
+++ b/src/bankrack/scheduling.py
@@ -0,0 +1,315 @@
+"""The queue before a group of engines, and the grants from it.
+
+One scheduler keeps the view of its engines, the waiting requests in priority
+order with ageing and fair shares, and refuses at once what cannot start before
+its deadline.
+"""
+
+import dataclasses
+import math
+import typing as t
+
+from bankrack import policies
+from bankrack.lengths import Lengths
+from bankrack.policies import EngineView
+from bankrack.policies import Granted
+from bankrack.policies import Policy
+from bankrack.policies import Rate
+from bankrack.policies import Request
+
+AGE_SECONDS = 20.0
+BYPASS_SECONDS = 3.0
+MAX_WAITING = 512
+RATE_SECONDS = 5.0
+LEAST_RATE = 0.2
+REFRESH_SECONDS = 0.25
+MAX_PREFIXES = 512
+FIRST_GROWTH_TOKENS = 64
+PEAK_MARGIN = 1.2
+PEAK_DECAY = 0.5 ** (REFRESH_SECONDS / 300.0)
+LEAST_QUEUE_TO_REFUSE = 4
+LEAST_FIRST_RATE = 0.02
+TRIES_BY_PRIORITY = 16
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Grant:
+    """A request may be sent to an engine."""
+
+    request: Request
+    engine: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Refusal:
+    """A request will not be served; ``retry_after`` in seconds."""
+
+    request: Request
+    reason: str
+    retry_after: float
+
+
+Decision = Grant | Refusal
+
+
+class Scheduler:
+    """Decides for one group of engines.
+
+    :param shares_by_workspace: weights of fair shares; 1 where absent.
+    """
+
+    def __init__(
+        self,
+        policy: Policy,
+        *,
+        lengths: Lengths | None = None,
+        shares_by_workspace: t.Mapping[str, float] | None = None,
+        max_waiting: int = MAX_WAITING,
+    ) -> None:
+        self.policy = policy
+        self.lengths = lengths or Lengths()
+        self.engines_by_name: dict[str, EngineView] = {}
+        self.serving_by_service: dict[str, frozenset[str]] = {}
+        self.shares_by_workspace = shares_by_workspace or {}
+        self.waiting_by_id: dict[t.Hashable, Request] = {}
+        self.engine_by_granted: dict[t.Hashable, str] = {}
+        self._max_waiting = max_waiting
+        self._held_by_workspace: dict[str, int] = {}
+        self._turn = 0
+        self._rates_by_priority: dict[int, Rate] = {}
+        self._first_peak = 0.0
+        self._refreshed_at = 0.0
+
+    def set_engine(self, name: str, memory_tokens: int) -> EngineView:
+        """Add an engine, or change its size."""
+        engine = self.engines_by_name.get(name)
+        if engine is None:
+            engine = self.engines_by_name[name] = EngineView(name, memory_tokens)
+        engine.memory_tokens = memory_tokens
+        return engine
+
+    def remove_engine(self, name: str) -> None:
+        """Forget an engine and what was granted there."""
+        engine = self.engines_by_name.pop(name, None)
+        if engine is not None:
+            for granted in list(engine.granted_by_id.values()):
+                self._forget(engine, granted)
+
+    def submit(self, request: Request, now: float) -> Refusal | None:
+        """Queue a request, or refuse it at once."""
+        wait = self.expected_wait(request, now)
+        if len(self.waiting_by_id) >= self._max_waiting:
+            return Refusal(request, "the queue is full", max(1.0, wait))
+        if self.waiting_by_id and now + wait > request.deadline:
+            return Refusal(request, "the queue is longer than the deadline", wait)
+        self.waiting_by_id[request.id] = request
+        return None
+
+    def withdraw(self, request_id: t.Hashable) -> None:
+        """Take a waiting request out of the queue."""
+        self.waiting_by_id.pop(request_id, None)
+
+    def expected_wait(self, request: Request, now: float) -> float:
+        """Seconds until a new request of this priority would start."""
+        ahead = sum(
+            1
+            for other in self.waiting_by_id.values()
+            if other.priority <= request.priority
+        )
+        if ahead < LEAST_QUEUE_TO_REFUSE:
+            return 0.0
+        rate = self._rates_by_priority.get(request.priority)
+        return ahead / max(LEAST_RATE, rate.at(now) if rate else 0.0)
+
+    def ended(self, request_id: t.Hashable, length: int | None) -> None:
+        """A granted request ended; ``length`` if it ran to its end."""
+        name = self.engine_by_granted.get(request_id)
+        if name is None:
+            return
+        engine = self.engines_by_name[name]
+        granted = engine.granted_by_id[request_id]
+        self._forget(engine, granted)
+        if length is not None:
+            request = granted.request
+            self.lengths.observe(request.service, request.workspace, length)
+
+    def progressed(self, request_id: t.Hashable, produced: int, now: float) -> None:
+        """Note how far a granted request is."""
+        name = self.engine_by_granted.get(request_id)
+        if name is not None:
+            granted = self.engines_by_name[name].granted_by_id[request_id]
+            granted.progressed(produced, now)
+
+    def adopt(self, request: Request, engine: str, produced: int, now: float) -> None:
+        """Note a request that another owner granted."""
+        view = self.engines_by_name.get(engine)
+        if view is None or request.id in self.engine_by_granted:
+            return
+        part = policies.part_of(self.policy, request, self.lengths, produced)
+        self._hold(view, request, part, now)
+        view.granted_by_id[request.id].progressed(produced, now)
+
+    def decide(self, now: float) -> list[Decision]:
+        """Grant what fits and refuse what waited for too long."""
+        if now - self._refreshed_at >= REFRESH_SECONDS:
+            self._refresh(now)
+        decisions: list[Decision] = []
+        blocked_from = math.inf
+        failed_by_priority: dict[int, int] = {}
+        for request in self._in_order(now):
+            if now >= request.deadline:
+                decisions.append(self._give_up(request, now))
+                continue
+            failed = failed_by_priority.get(request.priority, 0)
+            if request.priority >= blocked_from or failed >= TRIES_BY_PRIORITY:
+                continue
+            grant = self._try(request, now)
+            if grant is not None:
+                decisions.append(grant)
+                continue
+            failed_by_priority[request.priority] = failed + 1
+            if now - request.submitted > BYPASS_SECONDS:
+                # Smaller requests of its own priority or a later one pass it no
+                # longer, so that it does not starve.
+                blocked_from = min(blocked_from, request.priority)
+        return decisions
+
+    def _give_up(self, request: Request, now: float) -> Refusal:
+        del self.waiting_by_id[request.id]
+        wait = max(1.0, self.expected_wait(request, now))
+        return Refusal(request, "no place in time", wait)
+
+    def _try(self, request: Request, now: float) -> Grant | None:
+        engines = self._candidates(request)
+        if not engines:
+            return None
+        part = policies.part_of(self.policy, request, self.lengths, 0)
+        engine = policies.choose(
+            self.policy, engines, request, part, now=now, turn=self._turn
+        )
+        if engine is None:
+            return None
+        del self.waiting_by_id[request.id]
+        self._hold(engine, request, part, now)
+        self._note_rate(request.priority, now)
+        self._turn += 1
+        return Grant(request, engine.name)
+
+    def _candidates(self, request: Request) -> list[EngineView]:
+        serving = self.serving_by_service.get(request.service)
+        usable = [
+            engine
+            for engine in self.engines_by_name.values()
+            if engine.usable and (serving is None or engine.name in serving)
+        ]
+        fresh = [engine for engine in usable if engine.name not in request.avoid]
+        return fresh or usable
+
+    def _in_order(self, now: float) -> list[Request]:
+        """Waiting requests: by aged priority, fair share and time."""
+        held = self._held_by_workspace
+        shares = self.shares_by_workspace
+
+        def key(request: Request) -> tuple[int, float, float]:
+            aged = int((now - request.submitted) / AGE_SECONDS)
+            used = held.get(request.workspace, 0) / shares.get(request.workspace, 1.0)
+            return (request.priority - aged, used, request.submitted)
+
+        if len(self.waiting_by_id) == 1:
+            return list(self.waiting_by_id.values())
+        return sorted(self.waiting_by_id.values(), key=key)
+
+    def _hold(
+        self,
+        engine: EngineView,
+        request: Request,
+        part: policies.Contribution,
+        now: float,
+    ) -> None:
+        engine.granted_by_id[request.id] = Granted(request, part, now)
+        engine.forecast.add(part)
+        engine.reserved_tokens += request.prompt_tokens + request.max_tokens
+        if request.priority == policies.FIRST_PRIORITY:
+            engine.first_running += 1
+            engine.first_rate.note(now)
+        else:
+            engine.later_running += 1
+        steps = policies.prompt_steps(request.prompt_tokens)
+        if steps:
+            engine.prompt_steps_rate.note(now, steps)
+        if request.prefix:
+            self._note_prefix(engine, request.prefix, now)
+        self.engine_by_granted[request.id] = engine.name
+        held = self._held_by_workspace.get(request.workspace, 0)
+        self._held_by_workspace[request.workspace] = held + request.prompt_tokens
+
+    def _forget(self, engine: EngineView, granted: Granted) -> None:
+        request = granted.request
+        del engine.granted_by_id[request.id]
+        del self.engine_by_granted[request.id]
+        engine.forecast.remove(granted.part)
+        engine.reserved_tokens -= request.prompt_tokens + request.max_tokens
+        if request.priority == policies.FIRST_PRIORITY:
+            engine.first_running -= 1
+        else:
+            engine.later_running -= 1
+        left = self._held_by_workspace[request.workspace] - request.prompt_tokens
+        if left:
+            self._held_by_workspace[request.workspace] = left
+        else:
+            del self._held_by_workspace[request.workspace]
+
+    def _refresh(self, now: float) -> None:
+        """Bring the forecasts up to what the answers have produced."""
+        self._refreshed_at = now
+        self._refresh_reserve(now)
+        match self.policy:
+            case policies.Forecast(conditional=True):
+                for engine in self.engines_by_name.values():
+                    self._refresh_engine(engine, now)
+            case _:
+                return
+
+    def _refresh_reserve(self, now: float) -> None:
+        """Keep as much memory free as first priority needed lately.
+
+        It is kept where those requests went lately.
+        """
+        engines = self.engines_by_name.values()
+        held = 0.0
+        for engine in engines:
+            for granted in engine.granted_by_id.values():
+                if granted.request.priority == policies.FIRST_PRIORITY:
+                    held += granted.part.means[0] + FIRST_GROWTH_TOKENS
+        for request in self.waiting_by_id.values():
+            if request.priority == policies.FIRST_PRIORITY:
+                held += request.prompt_tokens + FIRST_GROWTH_TOKENS
+        self._first_peak = max(held, self._first_peak * PEAK_DECAY)
+        spare = max(0.0, self._first_peak * PEAK_MARGIN - held)
+        recent_by_name = {e.name: e.first_rate.at(now) for e in engines}
+        total = sum(recent_by_name.values())
+        for engine in engines:
+            share = (
+                recent_by_name[engine.name] / total if total > LEAST_FIRST_RATE else 0.0
+            )
+            engine.first_share = share
+            engine.kept_free = min(spare * share, engine.memory_tokens * 0.9)
+
+    def _refresh_engine(self, engine: EngineView, now: float) -> None:
+        engine.forecast = policies.MemoryForecast()
+        for granted in engine.granted_by_id.values():
+            granted.part = policies.part_of(
+                self.policy, granted.request, self.lengths, granted.estimate(now)
+            )
+            engine.forecast.add(granted.part)
+
+    def _note_prefix(self, engine: EngineView, prefix: str, now: float) -> None:
+        engine.prefixes.pop(prefix, None)
+        engine.prefixes[prefix] = now
+        if len(engine.prefixes) > MAX_PREFIXES:
+            del engine.prefixes[next(iter(engine.prefixes))]
+
+    def _note_rate(self, priority: int, now: float) -> None:
+        """Count one grant."""
+        rate = self._rates_by_priority.setdefault(priority, Rate(RATE_SECONDS))
+        rate.note(now)
--- /dev/null
+++ b/src/bankrack/workloads.py
@@ -0,0 +1,167 @@
+"""Seeded workloads of both deployments, for experiments."""
+
+import dataclasses
+import math
+import random
+import typing as t
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Lengths:
+    """A lognormal of tokens, cut at both ends."""
+
+    median: float
+    sigma: float
+    least: int
+    most: int
+
+    def draw(self, chance: random.Random) -> int:
+        """Draw one length."""
+        value = chance.lognormvariate(math.log(self.median), self.sigma)
+        return min(self.most, max(self.least, round(value)))
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Kind:
+    """One kind of request.
+
+    :param share: its share of all requests.
+    :param prefixes: how many different prompt prefixes it has.
+    """
+
+    service: str
+    priority: int
+    share: float
+    prompts: Lengths
+    answers: Lengths
+    max_tokens: int
+    queue_seconds: float
+    prefixes: int = 0
+    prefix_tokens: int = 0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Workload:
+    """Kinds of requests and how their rate varies.
+
+    :param burst: how far the rate rises above its mean in bursts.
+    :param drift: factor on the length of answers in the second half.
+    """
+
+    name: str
+    kinds: tuple[Kind, ...]
+    burst: float = 1.0
+    burst_every: float = 60.0
+    burst_seconds: float = 10.0
+    drift: float = 1.0
+    workspaces: int = 10
+
+
+DERWENT = Workload(
+    "derwent",
+    (
+        Kind(
+            "captions",
+            0,
+            0.6,
+            Lengths(160, 0.4, 20, 1000),
+            Lengths(90, 0.6, 4, 600),
+            1024,
+            5.0,
+            prefixes=12,
+            prefix_tokens=100,
+        ),
+        Kind(
+            "summaries",
+            1,
+            0.4,
+            Lengths(1800, 0.7, 100, 9000),
+            Lengths(320, 0.9, 10, 4000),
+            4096,
+            60.0,
+        ),
+    ),
+    burst=2.0,
+)
+LETTERWERF = Workload(
+    "letterwerf",
+    (
+        Kind(
+            "licence",
+            0,
+            0.5,
+            Lengths(500, 0.5, 50, 3000),
+            Lengths(24, 0.7, 1, 300),
+            512,
+            5.0,
+            prefixes=6,
+            prefix_tokens=350,
+        ),
+        Kind(
+            "specimen",
+            1,
+            0.5,
+            Lengths(700, 0.8, 50, 6000),
+            Lengths(420, 1.1, 10, 6000),
+            8192,
+            60.0,
+        ),
+    ),
+    burst=3.0,
+    burst_every=30.0,
+    burst_seconds=4.0,
+)
+DRIFT = dataclasses.replace(DERWENT, name="drift", drift=2.5)
+WORKLOADS_BY_NAME = {w.name: w for w in (DERWENT, LETTERWERF, DRIFT)}
+
+
+class Arrival:
+    """One request of a workload; ``at`` in seconds from the start."""
+
+    __slots__ = ("at", "kind", "length", "node", "prefix", "prompt_tokens", "workspace")
+
+    def __init__(self, at: float, kind: Kind) -> None:
+        self.at = at
+        self.kind = kind
+        self.prompt_tokens = 0
+        self.length = 0
+        self.workspace = ""
+        self.prefix = ""
+        self.node = 0
+
+
+def arrivals(
+    workload: Workload, *, rate: float, seconds: float, seed: int, nodes: int = 1
+) -> t.Iterator[Arrival]:
+    """Draw the requests of one run, by time.
+
+    :param rate: mean requests a second, bursts included.
+    """
+    chance = random.Random(seed)
+    calm = _calm_rate(workload, rate)
+    weights = [kind.share for kind in workload.kinds]
+    at = 0.0
+    while True:
+        in_burst = at % workload.burst_every < workload.burst_seconds
+        at += chance.expovariate(calm * (workload.burst if in_burst else 1.0))
+        if at >= seconds:
+            return
+        kind = chance.choices(workload.kinds, weights)[0]
+        arrival = Arrival(at, kind)
+        arrival.prompt_tokens = kind.prompts.draw(chance)
+        length = kind.answers.draw(chance)
+        if at > seconds / 2:
+            length = round(length * workload.drift)
+        arrival.length = max(1, min(kind.max_tokens, length))
+        # A few workspaces are large.
+        number = int(workload.workspaces * chance.random() ** 2)
+        arrival.workspace = f"workspace-{number}"
+        if kind.prefixes:
+            arrival.prefix = f"{kind.service}-{chance.randrange(kind.prefixes)}"
+        arrival.node = chance.randrange(nodes)
+        yield arrival
+
+
+def _calm_rate(workload: Workload, rate: float) -> float:
+    share = workload.burst_seconds / workload.burst_every
+    return rate / (1 + share * (workload.burst - 1))
