Owners grant places; a cut stream resumes before its first token too

Cause: a request whose connection broke before its first token failed where no second engine was left, though the same generation still ran there. Now the generation is found again first; only then may a repeatable request move. Also found by reading: tokens accepted in the same chunk as garbage behind them were lost, and the next check would have ended the stream. The failure is now raised after they are delivered.

--- a/src/bankrack/admission.py
+++ b/src/bankrack/admission.py
@@ -1,17 +1,54 @@
-"""Choosing the upstream for a request and holding its place there."""
+"""Asking for a place on an engine, and holding it.
 
+Each group of engines has one owner among the live nodes, by rendezvous.  A
+node asks the owner; when the owner does not answer it decides alone, within
+its share of the group's memory, until the owner is back or another one is
+known.  No promise rests on the owner: it only makes better decisions.
+"""
+
+import asyncio
+import hashlib
 import itertools
+import logging
+import time
 import typing as t
 
 import msgspec
 
+from bankrack import groups
+from bankrack import logs
 from bankrack.exceptions import NoUpstream
+from bankrack.exceptions import Overloaded
+from bankrack.exceptions import PeerUnavailable
+from bankrack.groups import Group
 from bankrack.health import Health
 from bankrack.intent import Intent
 from bankrack.intent import Service
 from bankrack.intent import Upstream
+from bankrack.membership import rendezvous
+from bankrack.messages import Body
+from bankrack.messages import Details
+from bankrack.messages import DetailsAsk
+from bankrack.messages import DetailsReply
+from bankrack.messages import Ended
+from bankrack.messages import Held
+from bankrack.messages import MemberRecord
+from bankrack.messages import PlaceAsk
+from bankrack.messages import PlaceReply
+from bankrack.messages import Progress
+from bankrack.owner import Owner
+from bankrack.peers import Peers
+from bankrack.scheduling import Scheduler
 
 NO_UPSTREAM_RETRY_AFTER = 2.0
+ASK_TIMEOUT = 0.25
+ASK_AGAIN_SECONDS = 1.0
+SUSPECT_SECONDS = 2.0
+PROGRESS_SECONDS = 1.0
+TICK_SECONDS = 0.1
+ALONE_SHARE = 2.0
+PREFIX_BYTES = 6
+_logger = logging.getLogger(__name__)
 
 
 class Ask(msgspec.Struct, frozen=True):
@@ -25,53 +62,419 @@
     prefix: str = ""
 
 
-class Placement(msgspec.Struct, frozen=True):
-    """A place on an upstream, held until released."""
+class Placement:
+    """A place on an upstream, held until released.
 
-    id: int
-    upstream: Upstream
-    ask: Ask
+    :param owner: the node that granted it; empty when decided alone.
+    """
 
+    __slots__ = ("ask", "group", "id", "owner", "produced", "upstream")
 
-class Admission(t.Protocol):
-    """Grants places on upstreams."""
+    def __init__(
+        self, number: int, upstream: Upstream, ask: Ask, *, group: str, owner: str
+    ) -> None:
+        self.id = number
+        self.upstream = upstream
+        self.ask = ask
+        self.group = group
+        self.owner = owner
+        self.produced = 0
 
-    async def place(self, ask: Ask, *, avoid: tuple[str, ...] = ()) -> Placement:
-        """Wait for a place; raises a typed error when there will be none."""
-        ...
 
-    def release(self, placement: Placement, *, produced: int, finished: bool) -> None:
-        """Give a place back."""
-        ...
+class Waiting:
+    """A request that its group's owner has queued."""
 
+    __slots__ = ("ask", "future", "group", "id")
 
-class FewestInFlight:
-    """Grants at once, on the upstream with the fewest own requests."""
+    def __init__(self, number: int, ask: Ask, group: str) -> None:
+        self.id = number
+        self.ask = ask
+        self.group = group
+        loop = asyncio.get_running_loop()
+        self.future: asyncio.Future[PlaceReply] = loop.create_future()
 
-    def __init__(self, intent: t.Callable[[], Intent], health: Health) -> None:
-        self._intent = intent
+
+class Admission:
+    """Grants places to this node's requests, and to others' where it owns.
+
+    :param candidates: the nodes that may own a group, this one included.
+    :param alone: never ask owners; for comparison.
+    """
+
+    def __init__(
+        self,
+        *,
+        peers: Peers,
+        health: Health,
+        hall: str,
+        candidates: t.Callable[[], t.Sequence[MemberRecord]],
+        is_leaving: t.Callable[[Upstream], bool],
+        alone: bool = False,
+        clock: t.Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.groups_by_name: dict[str, Group] = {}
+        self.owners_by_group: dict[str, Owner] = {}
+        self.placements_by_id: dict[int, Placement] = {}
+        self.waiting_by_id: dict[int, Waiting] = {}
+        self.owner_by_group: dict[str, str] = {}
+        self.owner_changes = 0
+        self.decided_alone = 0
+        self._suspects: dict[str, float] = {}
+        self._peers = peers
         self._health = health
+        self._hall = hall
+        self._candidates = candidates
+        self._is_leaving = is_leaving
+        self._alone = alone
+        self._clock = clock
+        self._intent = Intent()
         self._ids = itertools.count(1)
-        self.in_flight_by_upstream: dict[str, int] = {}
+        peers.handle(PlaceAsk, self._take_ask)
+        peers.handle(PlaceReply, self._take_reply)
+        peers.handle(Progress, self._take_progress)
+        peers.handle(DetailsAsk, self._take_details_ask)
+        peers.handle(DetailsReply, self._take_details)
+        peers.handle(Ended, self._take_ended)
+
+    # Commands
+
+    def configure(self, intent: Intent) -> None:
+        """Take a new intent."""
+        self._intent = intent
+        self.groups_by_name = groups.group_engines(intent)
+        for name in list(self.owners_by_group):
+            if name not in self.groups_by_name:
+                del self.owners_by_group[name]
+        for name, owner in self.owners_by_group.items():
+            owner.configure(self.groups_by_name[name], intent)
 
     async def place(self, ask: Ask, *, avoid: tuple[str, ...] = ()) -> Placement:
-        """Choose the usable upstream with the fewest requests in flight."""
-        candidates = [
+        """Wait for a place.
+
+        :raises Overloaded: none will be free in time.
+        :raises NoUpstream: nothing serves the request.
+        """
+        deadline = self._clock() + ask.service.queue_seconds
+        group = self._choose_group(ask, avoid)
+        number = next(self._ids)
+        waiting = Waiting(number, ask, group.name)
+        self.waiting_by_id[number] = waiting
+        placement: Placement | None = None
+        try:
+            placement = await self._place(waiting, group, deadline, avoid)
+            return placement
+        finally:
+            del self.waiting_by_id[number]
+            if placement is None:
+                self._tell_ended(group.name, number, -1)
+
+    def adopt(self, ask: Ask, upstream: Upstream, produced: int) -> Placement | None:
+        """Hold a place for a generation that another node began."""
+        for group in self.groups_by_name.values():
+            if upstream.name in group.upstreams_by_name:
+                number = next(self._ids)
+                return self._hold(number, upstream, ask, group.name, "", produced)
+        return None
+
+    def release(self, placement: Placement, *, produced: int, finished: bool) -> None:
+        """Give a place back."""
+        del self.placements_by_id[placement.id]
+        length = produced if finished else -1
+        self._tell_ended(placement.group, placement.id, length)
+
+    async def run(self) -> None:
+        """Report progress and let the own groups decide, until cancelled."""
+        reported_at = 0.0
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            now = self._clock()
+            live = {record.name for record in self._candidates()}
+            live.add(self._peers.name)
+            for name in list(self.owners_by_group):
+                self._tick_owner(name, live)
+            if now - reported_at >= PROGRESS_SECONDS:
+                reported_at = now
+                self._report()
+
+    def _tick_owner(self, name: str, live: set[str]) -> None:
+        owner = self.owners_by_group[name]
+        if self._owner_of(self.groups_by_name[name]) != self._peers.name:
+            # Whoever asked here asks the new owner; what runs is told to it.
+            del self.owners_by_group[name]
+            return
+        for upstream in owner.group.upstreams_by_name.values():
+            engine = owner.scheduler.engines_by_name[upstream.name]
+            engine.usable = not self._is_leaving(upstream)
+        owner.forget_nodes(live)
+        owner.decide()
+
+    async def _place(
+        self,
+        waiting: Waiting,
+        group: Group,
+        deadline: float,
+        avoid: tuple[str, ...],
+    ) -> Placement:
+        while True:
+            name = "" if self._alone else self._owner_of(group)
+            reply = await self._ask_owner(name, waiting, deadline, avoid)
+            if reply is None:
+                return self._decide_alone(waiting, group, avoid)
+            if reply.queued:
+                reply = await self._wait(waiting, deadline)
+            if reply is None:
+                if self._clock() >= deadline:
+                    raise _overloaded(waiting.ask.service, "no place in time", 1.0)
+                continue
+            if not reply.upstream:
+                raise _overloaded(waiting.ask.service, reply.reason, reply.retry_after)
+            upstream = group.upstreams_by_name.get(reply.upstream)
+            if upstream is None:
+                raise no_upstream(waiting.ask.service)
+            return self._hold(waiting.id, upstream, waiting.ask, group.name, name, 0)
+
+    async def _ask_owner(
+        self, name: str, waiting: Waiting, deadline: float, avoid: tuple[str, ...]
+    ) -> PlaceReply | None:
+        """Ask an owner; ``None`` when there is none or it does not answer."""
+        ask = self._message(waiting, deadline, avoid)
+        if name == self._peers.name:
+            return self._own(waiting.group).ask(name, ask)
+        if not name:
+            return None
+        try:
+            reply = await self._peers.ask(name, ask, timeout=ASK_TIMEOUT)
+        except PeerUnavailable:
+            self._suspects[name] = self._clock() + SUSPECT_SECONDS
+            logs.event(
+                _logger,
+                "owner_silent",
+                level=logging.WARNING,
+                group=waiting.group,
+                owner=name,
+            )
+            return None
+        return reply if isinstance(reply, PlaceReply) else None
+
+    async def _wait(self, waiting: Waiting, deadline: float) -> PlaceReply | None:
+        """Wait for a queued request's answer, but ask again from time to time."""
+        left = min(ASK_AGAIN_SECONDS, max(0.0, deadline - self._clock()))
+        done, _ = await asyncio.wait([waiting.future], timeout=left)
+        return waiting.future.result() if done else None
+
+    def _decide_alone(
+        self, waiting: Waiting, group: Group, avoid: tuple[str, ...]
+    ) -> Placement:
+        """Choose the engine with the least of this node's own load.
+
+        Nothing queues here: beyond the node's share of the memory the request
+        is refused, so that many nodes deciding alone do not fill an engine.
+        """
+        self.decided_alone += 1
+        ask = waiting.ask
+        usable = [
             upstream
-            for upstream in self._intent().upstreams_of(ask.service)
-            if upstream.name not in avoid and self._health.usable(upstream.name)
+            for upstream in group.upstreams_by_name.values()
+            if upstream.name not in avoid
+            and not self._is_leaving(upstream)
+            and self._health.usable(upstream.name)
         ]
-        if not candidates:
+        if not usable:
             raise no_upstream(ask.service)
-        counts = self.in_flight_by_upstream
-        chosen = min(candidates, key=lambda u: counts.get(u.name, 0))
-        counts[chosen.name] = counts.get(chosen.name, 0) + 1
-        self._health.started(chosen.name)
-        return Placement(next(self._ids), chosen, ask)
+        held = self._held_by_upstream()
+        chosen = min(usable, key=lambda u: held.get(u.name, 0) / u.memory_tokens)
+        nodes = max(1, len(self._candidates()))
+        share = min(1.0, ALONE_SHARE / nodes) * chosen.memory_tokens
+        mine = held.get(chosen.name, 0)
+        if mine and mine + ask.prompt_tokens > share:
+            raise _overloaded(ask.service, "the group's owner is silent", 1.0)
+        return self._hold(waiting.id, chosen, ask, group.name, "", 0)
 
-    def release(self, placement: Placement, *, produced: int, finished: bool) -> None:
-        """Give a place back."""
-        self.in_flight_by_upstream[placement.upstream.name] -= 1
+    def _hold(
+        self,
+        number: int,
+        upstream: Upstream,
+        ask: Ask,
+        group: str,
+        owner: str,
+        produced: int,
+    ) -> Placement:
+        placement = Placement(number, upstream, ask, group=group, owner=owner)
+        placement.produced = produced
+        self.placements_by_id[number] = placement
+        self._health.started(upstream.name)
+        return placement
+
+    def _report(self) -> None:
+        """Tell each owner what this node holds and waits for."""
+        held_by_group: dict[str, list[Held]] = {}
+        waiting_by_group: dict[str, list[int]] = {}
+        for placement in self.placements_by_id.values():
+            held = held_by_group.setdefault(placement.group, [])
+            held.append(Held(placement.id, placement.produced))
+        for waiting in self.waiting_by_id.values():
+            waiting_by_group.setdefault(waiting.group, []).append(waiting.id)
+        for name in held_by_group.keys() | waiting_by_group.keys():
+            message = Progress(
+                name, held_by_group.get(name, []), waiting_by_group.get(name, [])
+            )
+            self._send_owner(name, message)
+
+    def _tell_ended(self, group: str, number: int, length: int) -> None:
+        self._send_owner(group, Ended(group, number, length))
+
+    def _send_owner(self, group_name: str, body: Body) -> None:
+        group = self.groups_by_name.get(group_name)
+        if group is None or self._alone:
+            return
+        self._send(self._owner_of(group), body)
+
+    def _send(self, node: str, body: Body) -> None:
+        """Send to a node; to itself without a detour."""
+        if node != self._peers.name:
+            self._peers.send(node, body)
+            return
+        match body:
+            case PlaceReply():
+                self._resolve(body)
+            case Progress():
+                self._own(body.group).progress(node, body)
+            case DetailsAsk():
+                self._own(body.group).take_details(node, self._details(body))
+            case Ended():
+                self._own(body.group).ended(node, body)
+            case _:
+                raise AssertionError(f"{type(body).__name__} is never sent to itself")
+
+    def _own(self, name: str) -> Owner:
+        """The own state of a group that this node owns, made at first use."""
+        owner = self.owners_by_group.get(name)
+        if owner is None:
+            group = self.groups_by_name[name]
+            owner = Owner(group, send=self._send, is_leaving=self._is_leaving)
+            owner.configure(group, self._intent)
+            self.owners_by_group[name] = owner
+            logs.event(_logger, "owner_began", group=name)
+        return owner
+
+    def _resolve(self, reply: PlaceReply) -> None:
+        waiting = self.waiting_by_id.get(reply.id)
+        if waiting is not None and not waiting.future.done():
+            waiting.future.set_result(reply)
+
+    # Queries
+
+    def _owner_of(self, group: Group) -> str:
+        """The group's owner: a node of its hall if one lives, else any."""
+        now = self._clock()
+        records = [
+            record
+            for record in self._candidates()
+            if self._suspects.get(record.name, 0.0) <= now
+        ]
+        near = [record for record in records if record.hall == group.hall]
+        name = rendezvous(group.name, [r.name for r in near or records])
+        if self.owner_by_group.get(group.name) != name:
+            self.owner_by_group[group.name] = name
+            self.owner_changes += 1
+            logs.event(_logger, "owner_changed", group=group.name, owner=name)
+        return name
+
+    def _choose_group(self, ask: Ask, avoid: tuple[str, ...]) -> Group:
+        """Choose a group: the own hall's first, spread by the prompt's prefix."""
+        serving = [
+            group
+            for group in groups.groups_of(self.groups_by_name, ask.service)
+            if any(
+                name not in avoid and not self._is_leaving(upstream)
+                for name, upstream in group.upstreams_by_name.items()
+            )
+        ]
+        if not serving:
+            raise no_upstream(ask.service)
+        near = [group for group in serving if group.hall == self._hall]
+        choices = {group.name: group for group in near or serving}
+        key = ask.prefix or ask.request_id
+        return choices[rendezvous(key, choices)]
+
+    def _message(
+        self, waiting: Waiting, deadline: float, avoid: tuple[str, ...]
+    ) -> PlaceAsk:
+        ask = waiting.ask
+        group = self.groups_by_name[waiting.group]
+        ejected = [
+            name for name in group.upstreams_by_name if not self._health.usable(name)
+        ]
+        return PlaceAsk(
+            group=waiting.group,
+            id=waiting.id,
+            workspace=ask.workspace,
+            service=ask.service.name,
+            prompt_tokens=ask.prompt_tokens,
+            max_tokens=ask.max_tokens,
+            prefix=_prefix_hash(ask.prefix),
+            wait_seconds=max(0.0, deadline - self._clock()),
+            avoid=sorted({*avoid, *ejected}),
+        )
+
+    def _held_by_upstream(self) -> dict[str, int]:
+        held: dict[str, int] = {}
+        for placement in self.placements_by_id.values():
+            tokens = placement.ask.prompt_tokens + placement.produced
+            name = placement.upstream.name
+            held[name] = held.get(name, 0) + tokens
+        return held
+
+    def _details(self, ask: DetailsAsk) -> DetailsReply:
+        places = []
+        for number in ask.ids:
+            placement = self.placements_by_id.get(number)
+            if placement is None or placement.group != ask.group:
+                continue
+            known = placement.ask
+            places.append(
+                Details(
+                    id=number,
+                    upstream=placement.upstream.name,
+                    workspace=known.workspace,
+                    service=known.service.name,
+                    prompt_tokens=known.prompt_tokens,
+                    max_tokens=known.max_tokens,
+                    produced=placement.produced,
+                )
+            )
+        return DetailsReply(ask.group, places)
+
+    def scheduler_of(self, group: str) -> Scheduler | None:
+        """The scheduler of a group that this node owns."""
+        owner = self.owners_by_group.get(group)
+        return owner.scheduler if owner is not None else None
+
+    # Messages of peers
+
+    async def _take_ask(self, sender: str, ask: PlaceAsk) -> PlaceReply:
+        if ask.group not in self.groups_by_name:
+            raise PeerUnavailable("the group is not known here yet", retry_after=1.0)
+        return self._own(ask.group).ask(sender, ask)
+
+    async def _take_reply(self, sender: str, reply: PlaceReply) -> None:
+        self._resolve(reply)
+
+    async def _take_progress(self, sender: str, message: Progress) -> None:
+        if message.group in self.groups_by_name:
+            self._own(message.group).progress(sender, message)
+
+    async def _take_details_ask(self, sender: str, ask: DetailsAsk) -> None:
+        self._peers.send(sender, self._details(ask))
+
+    async def _take_details(self, sender: str, message: DetailsReply) -> None:
+        if message.group in self.groups_by_name:
+            self._own(message.group).take_details(sender, message)
+
+    async def _take_ended(self, sender: str, message: Ended) -> None:
+        owner = self.owners_by_group.get(message.group)
+        if owner is not None:
+            owner.ended(sender, message)
 
 
 def no_upstream(service: Service) -> NoUpstream:
@@ -80,3 +483,18 @@
         f"no upstream serves {service.name} now; try again",
         retry_after=NO_UPSTREAM_RETRY_AFTER,
     )
+
+
+def _overloaded(service: Service, reason: str, retry_after: float) -> Overloaded:
+    return Overloaded(
+        f"{service.name} has no place in time ({reason}); try again after the time "
+        "that Retry-After gives",
+        retry_after=retry_after,
+    )
+
+
+def _prefix_hash(prefix: str) -> str:
+    if not prefix:
+        return ""
+    digest = hashlib.blake2b(prefix.encode(), digest_size=PREFIX_BYTES)
+    return digest.hexdigest()
--- a/src/bankrack/callers.py
+++ b/src/bankrack/callers.py
@@ -191,7 +191,7 @@
             raise StreamInterrupted(
                 "the upstream of this generation is gone; send the request anew"
             )
-        ask = Ask(_request_id(), workspace.name, service, 0, 0)
+        ask = Ask(_request_id(), workspace.name, service, 0, service.max_output_tokens)
         job = Job(ask.request_id, ask, handle.kind, b"")
         check = StreamCheck(handle.generation, offset=offset)
         with self._node.in_flight.enter(workspace):
--- a/src/bankrack/forecast.py
+++ b/src/bankrack/forecast.py
@@ -12,6 +12,9 @@
 
 HORIZONS = (0, 16, 32, 48, 64, 96, 128, 192, 256, 384, 512, 768, 1024, 1536, 2048, 4096)
 _COUNT = len(HORIZONS)
+# Memory is taken at the end of each interval, so that no peak lies between two
+# horizons.  Taken at its start, even an oracle preempted 0.017 times a request.
+_AHEAD = (*HORIZONS[1:], HORIZONS[-1])
 
 
 class Contribution:
@@ -43,14 +46,14 @@
     variances = []
     expected = 0.0
     before = 0
-    for horizon in HORIZONS:
+    for horizon, ahead in zip(HORIZONS, _AHEAD, strict=True):
         reached = produced + horizon
         chance = 0.0
         if reached < max_tokens:
             chance = min(1.0, lengths.survival(reached) / alive_now)
         elif horizon == 0:
             chance = 1.0
-        memory = held + horizon
+        memory = held + min(ahead, max(0, max_tokens - produced))
         mean = chance * memory
         means.append(mean)
         variances.append(mean * (1.0 - chance) * memory)
--- a/src/bankrack/generation.py
+++ b/src/bankrack/generation.py
@@ -38,6 +38,8 @@
 
 MAX_ATTEMPTS = 4
 RESUME_PAUSE = 0.1
+MOVABLE_RESUME_WINDOW = 0.5
+MAX_FRUITLESS_RESUMES = 4
 _logger = logging.getLogger(__name__)
 
 
@@ -109,6 +111,8 @@
         self.upstream: Upstream | None = None
         self.check = StreamCheck("")
         self.resumes = 0
+        self._resumed_offset = -1
+        self._fruitless_resumes = 0
 
     @classmethod
     def continued(
@@ -118,6 +122,7 @@
         generation = cls(engines, job)
         generation.upstream = upstream
         generation.check = check
+        generation.placement = engines.admission.adopt(job.ask, upstream, check.offset)
         return generation
 
     async def batches(self) -> t.AsyncIterator[list[Token]]:
@@ -125,8 +130,14 @@
         try:
             if self.upstream is None:
                 yield await self._start()
+            elif self.placement is None:
+                self.placement = self._engines.admission.adopt(
+                    self._job.ask, self.upstream, self.check.offset
+                )
             while self.check.ending is not Ending.DONE:
                 tokens = await self._next()
+                if self.placement is not None:
+                    self.placement.produced = self.check.offset
                 if tokens:
                     yield tokens
         finally:
@@ -165,6 +176,7 @@
         upstream = self._upstream()
         generation = f"g-{uuid.uuid4().hex}"
         self.check = StreamCheck(generation)
+        self._resumed_offset = -1
         self._count_dispatch()
         job = self._job
         attempt = Attempt(
@@ -173,13 +185,20 @@
         limits = self._engines.limits
         try:
             async with asyncio.timeout(limits.first_token_timeout):
-                self._response = await self._engines.client.open(upstream, attempt)
+                await self._open(upstream, attempt)
                 return await self._read_first()
         except TimeoutError as error:
             raise UpstreamFailed(
                 f"upstream {upstream.name} sent no token in time; it may still run"
             ) from error
 
+    async def _open(self, upstream: Upstream, attempt: Attempt) -> None:
+        """Send the request; if the answer is cut, find the generation again."""
+        try:
+            self._response = await self._engines.client.open(upstream, attempt)
+        except UpstreamFailed as failure:
+            await self._resume_or(failure)
+
     def _count_dispatch(self) -> None:
         if self._uncertain and not self._job.repeatable:
             raise InvariantViolated("a request with a key may be sent twice")
@@ -189,11 +208,12 @@
         while True:
             try:
                 tokens = await self._read()
-            except (aiohttp.ClientError, OSError, UpstreamFailed) as error:
-                if self._job.repeatable:
-                    raise _cut(self._upstream()) from error
+            except (aiohttp.ClientError, OSError, UpstreamFailed):
                 await self._resume_or(_cut(self._upstream()))
                 continue
+            except InvalidUpstreamData as error:
+                await self._resume_or(error)
+                continue
             if tokens:
                 return tokens
 
@@ -216,17 +236,26 @@
 
     async def _read(self) -> list[Token]:
         assert self._response is not None
+        self.check.raise_failure()
         chunk = await self._response.content.readany()
         if not chunk:
             raise _cut(self._upstream())
         return self.check.feed(chunk)
 
     async def _resume_or(self, failure: BankrackError) -> None:
-        """Reconnect to the same generation, or raise ``failure``."""
+        """Reconnect to the same generation, or raise ``failure``.
+
+        A repeatable request without a token gives up early, since it may
+        still move to another engine.
+        """
         self._drop_response()
         upstream = self._upstream()
         loop = asyncio.get_running_loop()
-        deadline = loop.time() + self._engines.limits.resume_window
+        window = self._engines.limits.resume_window
+        if self._job.repeatable and self.check.offset == 0:
+            window = min(window, MOVABLE_RESUME_WINDOW)
+        deadline = loop.time() + window
+        self._note_resume(failure)
         while loop.time() < deadline:
             self.resumes += 1
             self.check.reconnect()
@@ -250,6 +279,15 @@
             return
         raise failure
 
+    def _note_resume(self, failure: BankrackError) -> None:
+        """Bound the resumes that bring no token."""
+        if self.check.offset != self._resumed_offset:
+            self._resumed_offset = self.check.offset
+            self._fruitless_resumes = 0
+        self._fruitless_resumes += 1
+        if self._fruitless_resumes > MAX_FRUITLESS_RESUMES:
+            raise failure
+
     def _may_move(self, error: BankrackError, tries: int) -> bool:
         certain = error.outcome is Outcome.NOT_RUN
         if not certain and not self._job.repeatable:
--- a/src/bankrack/messages.py
+++ b/src/bankrack/messages.py
@@ -1,7 +1,5 @@
 """Messages between nodes, encoded with MessagePack."""
 
-import typing as t
-
 import msgspec
 
 from bankrack.configuration import Document
@@ -60,14 +58,18 @@
 
 
 class PlaceAsk(msgspec.Struct, frozen=True, array_like=True, tag="place?"):
-    """Asks the group's owner for a place.
+    """Asks the owner of a group for a place.
+
+    The same id may be asked again: a place granted is granted again.
 
     :param id: the asker's own number for it.
-    :param wait_seconds: how long the request may wait.
+    :param prefix: hash of the prompt's beginning.
+    :param wait_seconds: how long the request may still wait.
+    :param avoid: upstreams that failed it.
     """
 
+    group: str
     id: int
-    request_id: str
     workspace: str
     service: str
     prompt_tokens: int
@@ -92,8 +94,33 @@
     reason: str = ""
 
 
-class Running(msgspec.Struct, frozen=True, array_like=True, tag="r"):
-    """One request that holds a place, as its node tells the owner."""
+class Held(msgspec.Struct, frozen=True, array_like=True):
+    """How far one request is that holds a place."""
+
+    id: int
+    produced: int
+
+
+class Progress(msgspec.Struct, frozen=True, array_like=True, tag="progress"):
+    """All places that the sender holds or waits for in one group.
+
+    It replaces what the owner knew of the sender.
+    """
+
+    group: str
+    held: list[Held]
+    waiting: list[int]
+
+
+class DetailsAsk(msgspec.Struct, frozen=True, array_like=True, tag="details?"):
+    """An owner asks for what it does not know of places held from others."""
+
+    group: str
+    ids: list[int]
+
+
+class Details(msgspec.Struct, frozen=True, array_like=True, tag="d"):
+    """One request that holds a place."""
 
     id: int
     upstream: str
@@ -104,25 +131,20 @@
     produced: int
 
 
-class Progress(msgspec.Struct, frozen=True, array_like=True, tag="progress"):
-    """All places that the sender holds from the receiver.
-
-    It replaces what the receiver knew of the sender, so that an owner that
-    just took over learns the state within one interval.
-
-    :param waiting: ids still queued at the sender.
-    """
+class DetailsReply(msgspec.Struct, frozen=True, array_like=True, tag="details"):
+    """Answers a :class:`DetailsAsk`."""
 
-    running: list[Running]
-    waiting: list[int]
+    group: str
+    places: list[Details]
 
 
 class Ended(msgspec.Struct, frozen=True, array_like=True, tag="ended"):
-    """A place is given back.
+    """A place is given back, or no longer waited for.
 
     :param length: tokens produced, or -1 when it did not run to its end.
     """
 
+    group: str
     id: int
     length: int
 
@@ -144,6 +166,8 @@
     | PlaceAsk
     | PlaceReply
     | Progress
+    | DetailsAsk
+    | DetailsReply
     | Ended
     | Failure
 )
@@ -186,6 +210,3 @@
 def decode(data: bytes) -> Envelope:
     """Decode an envelope; raises :class:`msgspec.DecodeError`."""
     return _DECODER.decode(data)
-
-
-B = t.TypeVar("B")
--- a/src/bankrack/node.py
+++ b/src/bankrack/node.py
@@ -15,7 +15,7 @@
 from aiohttp import web
 
 from bankrack import logs
-from bankrack.admission import FewestInFlight
+from bankrack.admission import Admission
 from bankrack.auth import Workspaces
 from bankrack.callers import Callers
 from bankrack.claims import Claims
@@ -85,6 +85,7 @@
         await self.follower.refresh()
         self._spawn(self.follower.run())
         self._spawn(self._beat())
+        self._spawn(self.admission.run())
         self._spawn(self.claims.keep_floor())
         settings = self.settings
         callers = Callers(self).application()
@@ -126,7 +127,14 @@
         self.claims = Claims(
             platform=self.platform, peers=self.peers, writers=self._writers
         )
-        self.admission = FewestInFlight(lambda: self.configuration.intent, self.health)
+        self.admission = Admission(
+            peers=self.peers,
+            health=self.health,
+            hall=settings.hall,
+            candidates=self._candidates,
+            is_leaving=self.is_leaving,
+            alone=settings.admission == "alone",
+        )
         self.engines = Engines(
             client=EngineClient(
                 engine_session, connect_timeout=settings.limits.connect_timeout
@@ -204,8 +212,7 @@
         self.follower.adopt(document, source="confirm")
         self._send_heartbeats()
 
-    def own_record(self) -> MemberRecord:
-        """What this node tells of itself."""
+    def _own_record(self, *, counter: int) -> MemberRecord:
         settings = self.settings
         return MemberRecord(
             name=settings.name,
@@ -213,14 +220,17 @@
             region=settings.region,
             hall=settings.hall,
             incarnation=self.peers.incarnation,
-            counter=next(self._counter),
+            counter=counter,
             revision=self.configuration.revision,
             draining=self.in_flight.draining,
         )
 
+    def _candidates(self) -> list[MemberRecord]:
+        """The nodes that may own groups or write claims for others."""
+        return self.membership.candidates(self._own_record(counter=0))
+
     def _writers(self) -> list[str]:
-        own = self.own_record()
-        return [record.name for record in self.membership.candidates(own)]
+        return [record.name for record in self._candidates()]
 
     async def _beat(self) -> None:
         while True:
@@ -231,8 +241,9 @@
 
     def _send_heartbeats(self) -> None:
         known = self.peers.peers_by_name
+        own = self._own_record(counter=next(self._counter))
         for name in self.membership.targets(known):
-            records = [self.own_record(), *self.membership.digest()]
+            records = [own, *self.membership.digest()]
             self.peers.send(name, Heartbeat(records))
 
     async def _take_heartbeat(self, sender: str, heartbeat: Heartbeat) -> None:
@@ -244,12 +255,13 @@
 
     def _configuration_changed(self, intent: Intent) -> None:
         self.workspaces.replace(intent)
+        self.admission.configure(intent)
 
     def overview(self) -> Overview:
         """Summarise nodes and upstreams."""
         live = {record.name for record in self.membership.live()}
         records = [m.record for m in self.membership.members_by_name.values()]
-        own = self.own_record()
+        own = self._own_record(counter=0)
         live.add(own.name)
         nodes = [
             NodeSummary(r.name, r.hall, r.revision, r.draining, r.name in live)
@@ -309,12 +321,39 @@
                 "writes": self.platform.writes,
                 "failures": self.platform.failures,
             },
+            "admission": {
+                "owner_by_group": self.admission.owner_by_group,
+                "owner_changes": self.admission.owner_changes,
+                "decided_alone": self.admission.decided_alone,
+                "held": len(self.admission.placements_by_id),
+                "waiting": len(self.admission.waiting_by_id),
+                "owned": [self._owned(name) for name in self.admission.owners_by_group],
+            },
             "claims": {
                 "commits": sum(w.commits for w in self.claims.shard_writers),
                 "conflicts": sum(w.conflicts for w in self.claims.shard_writers),
             },
         }
 
+    def _owned(self, name: str) -> dict[str, t.Any]:
+        """One group that this node owns, for the dump."""
+        scheduler = self.admission.owners_by_group[name].scheduler
+        engines = [
+            {
+                "name": engine.name,
+                "usable": engine.usable,
+                "granted": len(engine.granted_by_id),
+                "forecast_tokens": round(engine.forecast.peak(0.0)),
+                "memory_tokens": engine.memory_tokens,
+            }
+            for engine in scheduler.engines_by_name.values()
+        ]
+        return {
+            "group": name,
+            "waiting": len(scheduler.waiting_by_id),
+            "engines": engines,
+        }
+
     def update_gauges(self) -> None:
         """Bring the gauges up to date before they are scraped."""
         age = time.monotonic() - self.follower.confirmed_current_at
@@ -323,6 +362,9 @@
             "configuration_age_seconds": age,
             "requests_in_flight": self.in_flight.total,
             "members_live": len(self.membership.live()) + 1,
+            "requests_waiting": len(self.admission.waiting_by_id),
+            "owner_changes": self.admission.owner_changes,
+            "decided_alone": self.admission.decided_alone,
             "retries_taken": self.engines.retries.taken,
             "retries_refused": self.engines.retries.refused,
         }
--- a/src/bankrack/policies.py
+++ b/src/bankrack/policies.py
@@ -64,11 +64,11 @@
     :param oracle: whether the true length is used, as a bound.
     """
 
-    z: float = 1.4
+    z: float = 1.5
     first_z: float = 0.7
     reserve: bool = True
     separate: bool = True
-    patience: float = 6.0
+    patience: float = 10.0
     conditional: bool = True
     affinity: bool = True
     oracle: bool = False
--- a/src/bankrack/standin_engine.py
+++ b/src/bankrack/standin_engine.py
@@ -252,6 +252,8 @@
             await response.prepare(request)
             await self._send_events(request, response, name, offset)
             await response.write_eof()
+        except ConnectionError:
+            pass  # The reader is gone; the generation waits to be resumed.
         finally:
             generation.readers -= 1
             generation.released_at = time.monotonic()
--- a/src/bankrack/stream.py
+++ b/src/bankrack/stream.py
@@ -50,6 +50,7 @@
     __slots__ = (
         "_buffer",
         "_expected",
+        "_failure",
         "_prefix",
         "discarded",
         "ending",
@@ -67,6 +68,7 @@
         self.usage: Usage | None = None
         self.discarded = 0
         self._buffer = b""
+        self._failure: InvalidUpstreamData | None = None
         self._prefix = b"id: " + generation.encode() + b":"
         self._expected = b""
         self._advance(offset)
@@ -83,16 +85,29 @@
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise _broken("an event exceeds its bound")
         tokens: list[Token] = []
-        for event in events:
-            if event.startswith(self._expected):
-                self._accept(event, tokens)
-            else:
-                self._reject(event)
+        try:
+            for event in events:
+                if event.startswith(self._expected):
+                    self._accept(event, tokens)
+                else:
+                    self._reject(event)
+        except InvalidUpstreamData as error:
+            if not tokens:
+                raise
+            # The tokens before it are accepted and must be delivered first.
+            self._failure = error
         return tokens
 
+    def raise_failure(self) -> None:
+        """Raise what was wrong behind the tokens last returned, if anything."""
+        if self._failure is not None:
+            failure, self._failure = self._failure, None
+            raise failure
+
     def reconnect(self) -> None:
         """Forget half an event, before reading on over a new connection."""
         self._buffer = b""
+        self._failure = None
 
     def _accept(self, event: bytes, tokens: list[Token]) -> None:
         data = event[len(self._expected) :]
