--- /dev/null
+++ b/soak/buggy_node.py
@@ -0,0 +1,71 @@
+"""A node with one known bug put back, to show that the soak finds it.
+
+``python -m soak.buggy_node BUG node --settings FILE``
+"""
+
+import sys
+import typing as t
+
+from bankrack import claims
+from bankrack import cli
+from bankrack import configuration
+from bankrack import generation
+from bankrack import stream
+from bankrack.exceptions import Outcome
+
+
+def claim_without_read_back() -> None:
+    """Take every claim as granted, whoever holds it."""
+    original = claims.Waiting.resolve
+
+    def resolve(self: claims.Waiting, granted: bool) -> None:
+        original(self, True)
+
+    claims.Waiting.resolve = resolve  # type: ignore[method-assign]
+
+
+def resume_one_late() -> None:
+    """Resume one token too far."""
+    original = stream.StreamCheck.reconnect
+
+    def reconnect(self: stream.StreamCheck) -> None:
+        original(self)
+        if self.offset:
+            self._advance(self.offset + 1)
+
+    stream.StreamCheck.reconnect = reconnect  # type: ignore[method-assign]
+
+
+def adopt_any_revision() -> None:
+    """Put any document in force, older ones too."""
+
+    def adopt(self: t.Any, document: t.Any) -> bool:
+        self.document = document
+        self.intent = configuration.join(document)
+        self._on_change(self.intent)
+        return True
+
+    configuration.Configuration.adopt = adopt  # type: ignore[method-assign]
+
+
+def unknown_as_not_run() -> None:
+    """Tell every failure of an upstream as not run."""
+    generation.UpstreamFailed.outcome = Outcome.NOT_RUN
+
+
+BUGS = {
+    "claim": claim_without_read_back,
+    "resume": resume_one_late,
+    "adopt": adopt_any_revision,
+    "outcome": unknown_as_not_run,
+}
+
+
+def main() -> None:
+    """Put the bug in and run the command line."""
+    BUGS[sys.argv[1]]()
+    cli.main(sys.argv[2:])
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/soak/fleet.py
@@ -0,0 +1,203 @@
+"""The processes of a soak and the faults put upon them."""
+
+import asyncio
+import pathlib
+import random
+import signal
+import sys
+import time
+import typing as t
+
+import aiohttp
+from benchmarks.processes import free_address
+from benchmarks.processes import Process
+from tests.fakes import settings_text
+
+from soak.ledger import Ledger
+from soak.links import Link
+
+ENGINES = 3
+NODES = 4
+PLAIN = 2
+
+
+class Fleet:
+    """Platform, engines, plain services and nodes, each a process."""
+
+    def __init__(
+        self, folder: pathlib.Path, ledger: Ledger, seed: int, bug: str
+    ) -> None:
+        self.folder = folder
+        self.ledger = ledger
+        self.chance = random.Random(seed)
+        self.bug = bug
+        self.processes_by_name: dict[str, Process] = {}
+        self.commands_by_name: dict[str, list[str]] = {}
+        self.links_by_name: dict[str, Link] = {}
+        self.journals: dict[str, pathlib.Path] = {}
+        self.callers: dict[str, str] = {}
+        self.operators: dict[str, str] = {}
+        self.platform = free_address()
+        self.disturbed_until: dict[str, float] = {}
+        self.killed_at: dict[str, list[float]] = {}
+        self.draining: set[str] = set()
+        self.session: aiohttp.ClientSession | None = None
+
+    async def start(self) -> None:
+        """Start everything and wait until it listens."""
+        self.session = aiohttp.ClientSession()
+        bankrack = ["-m", "bankrack"]
+        self._command(
+            "platform", [*bankrack, "standin-platform", "--listen", self.platform]
+        )
+        for number in range(ENGINES):
+            await self._upstream(f"engine-{number}", "standin-engine", "--model", "m")
+        for number in range(PLAIN):
+            await self._upstream(f"plain-{number}", "standin-plain")
+        await asyncio.sleep(1.5)
+        self._commands_of_nodes()
+        await asyncio.sleep(3.0)
+
+    async def _upstream(self, name: str, command: str, *options: str) -> None:
+        address = free_address()
+        journal = self.folder / f"{name}.journal"
+        self.journals[name] = journal
+        arguments = ["-m", "bankrack", command, "--listen", address, *options]
+        arguments += ["--journal", str(journal)]
+        if command == "standin-engine":
+            arguments += ["--speed", "2", "--memory", "12000"]
+        self._command(name, arguments)
+        link = Link(free_address(), address)
+        await link.start()
+        self.links_by_name[name] = link
+
+    def _commands_of_nodes(self) -> None:
+        seeds: list[str] = []
+        for number in range(NODES):
+            name = f"node-{number}"
+            text = settings_text(name, self.platform, seeds=seeds)
+            addresses = _addresses(text)
+            seeds.append(addresses["peers"])
+            self.callers[name] = addresses["callers"]
+            self.operators[name] = addresses["operators"]
+            path = self.folder / f"{name}.toml"
+            path.write_text(text, encoding="utf-8")
+            module = ["-m", "soak.buggy_node", self.bug] if self.bug else []
+            command = [*(module or ["-m", "bankrack"]), "node", "--settings", str(path)]
+            self._command(name, command)
+
+    def _command(self, name: str, arguments: list[str]) -> None:
+        self.commands_by_name[name] = arguments
+        self.launch(name)
+
+    def launch(self, name: str) -> None:
+        """Start a process, or its replacement."""
+        log = str(self.folder / f"{name}.log")
+        self.processes_by_name[name] = Process(
+            name, self.commands_by_name[name], log=log
+        )
+
+    def stop(self) -> None:
+        """End all processes, each by its own id."""
+        for process in self.processes_by_name.values():
+            process.signal(signal.SIGCONT)
+            process.stop()
+
+    def disturbed(self, name: str) -> bool:
+        """Whether a process is or lately was under a fault."""
+        return time.monotonic() < self.disturbed_until.get(name, 0.0)
+
+    def _disturb(self, name: str, seconds: float) -> None:
+        until = time.monotonic() + seconds
+        self.disturbed_until[name] = max(until, self.disturbed_until.get(name, 0.0))
+
+    # Faults; each ends by itself.
+
+    async def kill(self, name: str) -> None:
+        """End a process without warning and replace it."""
+        if name in self.draining:
+            return
+        self.killed_at.setdefault(name, []).append(time.monotonic())
+        pause = self.chance.uniform(0.2, 2.5)
+        self._disturb(name, pause + 6.0)
+        self.processes_by_name[name].stop()
+        await asyncio.sleep(pause)
+        self.launch(name)
+
+    async def freeze(self, name: str) -> None:
+        """Stop a process for a while, unaware."""
+        if name in self.draining:
+            return
+        seconds = self.chance.uniform(0.5, 8.0)
+        self._disturb(name, seconds + 6.0)
+        self.killed_at.setdefault(name, []).append(time.monotonic() + seconds)
+        process = self.processes_by_name[name]
+        process.signal(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        process.signal(signal.SIGCONT)
+
+    async def cut(self, name: str) -> None:
+        """Reset all connections to an upstream."""
+        self.links_by_name[name].cut()
+
+    async def stall(self, name: str) -> None:
+        """Let nothing pass to or from an upstream for a while."""
+        link = self.links_by_name[name]
+        link.stall()
+        await asyncio.sleep(self.chance.uniform(0.5, 6.0))
+        link.heal()
+
+    async def platform_fault(self, kind: str) -> None:
+        """Put the platform down, slow it or let it lose answers."""
+        seconds = self.chance.uniform(1.0, 10.0)
+        for name in self.callers:
+            self._disturb(name, seconds + 6.0)
+        faults: dict[str, t.Any] = {
+            "down": {"down": True},
+            "slow": {"slow_seconds": 0.7},
+            "lossy": {"lose_answers": 0.4},
+        }[kind]
+        await self._post_platform(faults)
+        await asyncio.sleep(seconds)
+        await self._post_platform({})
+
+    async def drain(self, name: str) -> None:
+        """Stop a node in order and replace it; it must cut nothing."""
+        if name in self.draining or self.disturbed(name):
+            return
+        self.draining.add(name)
+        self._disturb(name, 60.0)
+        process = self.processes_by_name[name]
+        process.signal(signal.SIGTERM)
+        for _ in range(600):
+            if not process.alive:
+                break
+            await asyncio.sleep(0.1)
+        else:
+            self.ledger.violation(f"{name} did not end its drain")
+            process.stop()
+        # Its last answers may still be on their way to the callers.
+        await asyncio.sleep(0.5)
+        self.draining.discard(name)
+        self.launch(name)
+        self.disturbed_until[name] = time.monotonic() + 6.0
+
+    async def _post_platform(self, faults: dict[str, t.Any]) -> None:
+        assert self.session is not None
+        url = f"http://{self.platform}/faults"
+        async with self.session.post(url, json=faults) as response:
+            await response.read()
+
+
+def _addresses(text: str) -> dict[str, str]:
+    found = {}
+    for line in text.splitlines():
+        key, separator, value = line.partition(" = ")
+        if separator and key in ("callers", "operators", "peers"):
+            found[key] = value.strip('"')
+    return found
+
+
+def python() -> str:
+    """The interpreter in use."""
+    return sys.executable
--- /dev/null
+++ b/soak/operators.py
@@ -0,0 +1,142 @@
+"""Operators that race each other, and a watch on what is in force."""
+
+import asyncio
+import contextlib
+import itertools
+import json
+import random
+import time
+import typing as t
+
+from tests.fakes import intent_text
+from tests.fakes import OPERATORS
+
+from bankrack.exceptions import BankrackError
+from bankrack.operatorclient import OperatorClient
+from soak.fleet import ENGINES
+from soak.fleet import Fleet
+from soak.fleet import PLAIN
+from soak.ledger import Ledger
+
+WATCH_SECONDS = 0.4
+IN_FORCE_SECONDS = 8.0
+LEAVING_GRACE = 5.0
+
+
+class Confirmed(t.NamedTuple):
+    """One plan that was confirmed."""
+
+    revision: int
+    plan: str
+    at: float
+    leaving: str
+
+
+class OperatorsAtWork:
+    """Confirms plans in races and checks what follows."""
+
+    def __init__(self, fleet: Fleet, ledger: Ledger, seed: int) -> None:
+        self.fleet = fleet
+        self.ledger = ledger
+        self.chance = random.Random(seed)
+        self.numbers = itertools.count(1)
+        self.plans_by_revision: dict[int, str] = {}
+        self.revisions_by_node: dict[str, int] = {}
+        self.leaving = ""
+
+    async def begin(self) -> None:
+        """Confirm the first intent."""
+        while await self._confirm("alice", "", "node-0") is None:
+            await asyncio.sleep(0.5)
+
+    async def race(self) -> None:
+        """Let two operators confirm at once, at times with a leaving engine."""
+        leaving = self.chance.choice(["", "", "engine-0", "engine-1"])
+        nodes = [self.chance.choice(sorted(self.fleet.operators)) for _ in range(2)]
+        results = await asyncio.gather(
+            self._confirm("alice", leaving, nodes[0]),
+            self._confirm("bob", leaving, nodes[1]),
+        )
+        for confirmed in results:
+            if confirmed is not None:
+                await self._follow(confirmed)
+
+    async def _confirm(
+        self, operator: str, leaving: str, node: str
+    ) -> Confirmed | None:
+        client = OperatorClient(self.fleet.operators[node], OPERATORS[operator])
+        links = self.fleet.links_by_name
+        engines = [links[f"engine-{n}"].listen for n in range(ENGINES)]
+        plain = [links[f"plain-{n}"].listen for n in range(PLAIN)]
+        text = intent_text(engines, plain)
+        text = text.replace(
+            'name = "south"', f'name = "south"\nshare = {next(self.numbers)}.0'
+        )
+        text = text.replace('models = ["m"]', 'models = ["m"]\nmemory_tokens = 12000')
+        if leaving:
+            text = text.replace(
+                f'name = "{leaving}"', f'name = "{leaving}"\nleaving = true'
+            )
+        try:
+            plan = await client.post("/v1/plan", text.encode())
+            answer = await client.post("/v1/confirm", json.dumps(plan).encode())
+        except (BankrackError, OSError):
+            self.ledger.outcomes["confirm refused"] += 1
+            return None
+        self.ledger.outcomes["confirm done"] += 1
+        confirmed = Confirmed(answer["revision"], answer["plan"], time.time(), leaving)
+        known = self.plans_by_revision.setdefault(confirmed.revision, confirmed.plan)
+        if known != confirmed.plan:
+            self.ledger.violation(f"two plans won revision {confirmed.revision}")
+        return confirmed
+
+    async def _follow(self, confirmed: Confirmed) -> None:
+        """Wait until the revision is in force on all undisturbed nodes."""
+        start = time.monotonic()
+        while time.monotonic() - start < IN_FORCE_SECONDS:
+            behind = [
+                name
+                for name in self.fleet.callers
+                if self.revisions_by_node.get(name, 0) < confirmed.revision
+                and not self.fleet.disturbed(name)
+            ]
+            if not behind:
+                self.ledger.convergence.append(time.monotonic() - start)
+                break
+            await asyncio.sleep(0.1)
+        else:
+            self.ledger.violation(f"{behind} behind revision {confirmed.revision}")
+        if confirmed.leaving:
+            await self._let_leave(confirmed)
+
+    async def _let_leave(self, confirmed: Confirmed) -> None:
+        """Keep the engine leaving for a while; note when no work may come."""
+        await asyncio.sleep(LEAVING_GRACE + 4.0)
+        end = time.time()
+        await self._confirm("alice", "", self.chance.choice(sorted(self.fleet.callers)))
+        start = confirmed.at + LEAVING_GRACE
+        self.ledger.leaving_spans.append((confirmed.leaving, start, end))
+
+    async def watch(self) -> None:
+        """Check that no node's revision ever goes back while it lives."""
+        lives: dict[str, int] = {}
+        while True:
+            for name, address in self.fleet.operators.items():
+                process = self.fleet.processes_by_name[name]
+                if lives.get(name) != process.pid:
+                    lives[name] = process.pid
+                    self.revisions_by_node[name] = 0
+                with contextlib.suppress(BankrackError, OSError, TimeoutError):
+                    async with asyncio.timeout(1.0):
+                        await self._look(name, address, process.pid)
+            await asyncio.sleep(WATCH_SECONDS)
+
+    async def _look(self, name: str, address: str, pid: int) -> None:
+        client = OperatorClient(address, OPERATORS["bob"])
+        state = await client.get("/v1/state")
+        if self.fleet.processes_by_name[name].pid != pid:
+            return
+        revision = state["configuration"]["revision"]
+        if revision < self.revisions_by_node.get(name, 0):
+            self.ledger.violation(f"{name} went back to revision {revision}")
+        self.revisions_by_node[name] = revision
--- a/src/bankrack/following.py
+++ b/src/bankrack/following.py
@@ -29,6 +29,7 @@
 
 POLL_SECONDS = 2.0
 PEER_TIMEOUT = 1.0
+HELD_UP_SECONDS = 4.5
 VM_PREFIX = "vms/"
 LEAVING = "leaving"
 ENTRY = "entry"
@@ -98,9 +99,18 @@
         self._head_revision = 0
         self._wanted = asyncio.Event()
         self.confirmed_current_at = 0.0
+        self.looked_at = 0.0
         self.platform_up = False
         peers.handle(DocumentAsk, self._give_document)
 
+    async def ensure_looked(self) -> None:
+        """Read before going on, if this process was held up since the last read.
+
+        A node that was frozen would else act on a configuration long replaced.
+        """
+        if time.monotonic() - self.looked_at > HELD_UP_SECONDS:
+            await self.refresh()
+
     def look_now(self) -> None:
         """Read the platform without waiting for the next poll."""
         self._wanted.set()
@@ -117,6 +127,7 @@
 
     async def refresh(self) -> None:
         """Read once: from the platform, else from the best peer."""
+        self.looked_at = time.monotonic()
         try:
             await self._read_head()
             await self._read_vms()
--- a/src/bankrack/generation.py
+++ b/src/bankrack/generation.py
@@ -70,7 +70,12 @@
 
 
 class Engines:
-    """What all generations of a node share."""
+    """What all generations of a node share.
+
+    :param ensure_looked: reads the configuration anew if the process was held
+        up since it last did.
+    :param is_leaving: tells whether an upstream is to get no new work.
+    """
 
     def __init__(
         self,
@@ -80,7 +85,11 @@
         health: Health,
         retries: RetryBudget,
         limits: Limits,
+        ensure_looked: t.Callable[[], t.Awaitable[None]],
+        is_leaving: t.Callable[[Upstream], bool],
     ) -> None:
+        self.ensure_looked = ensure_looked
+        self.is_leaving = is_leaving
         self.client = client
         self.admission = admission
         self.health = health
@@ -213,6 +222,7 @@
             tried.append(self.upstream.name)
             try:
                 await self._claim_once()
+                await self._check_still_wanted()
                 return await self._first_batch()
             except (
                 NoUpstream,
@@ -231,6 +241,15 @@
             claim, self._claim = self._claim, None
             await claim()
 
+    async def _check_still_wanted(self) -> None:
+        """Refuse to send to an upstream that leaves, by the latest known."""
+        await self._engines.ensure_looked()
+        if self._engines.is_leaving(self._upstream()):
+            raise UpstreamRefused(
+                f"upstream {self._upstream().name} is leaving; try again",
+                retry_after=1.0,
+            )
+
     async def _first_batch(self) -> list[Token]:
         upstream = self._upstream()
         generation = f"g-{uuid.uuid4().hex}"
--- a/src/bankrack/node.py
+++ b/src/bankrack/node.py
@@ -144,6 +144,8 @@
             health=self.health,
             retries=RetryBudget(),
             limits=settings.limits,
+            ensure_looked=self.follower.ensure_looked,
+            is_leaving=self.is_leaving,
         )
         self.plain = PlainServices(
             plain_session,
--- a/src/bankrack/standin_engine.py
+++ b/src/bankrack/standin_engine.py
@@ -23,9 +23,11 @@
 from bankrack.enginemodel import EngineCosts
 from bankrack.enginemodel import EngineModel
 from bankrack.enginemodel import Sequence
+from bankrack.journal import Journal
 
 KEEP_ALIVE_SECONDS = 1.0
 ORPHAN_SECONDS = 10.0
+TAG_DIRECTIVE = re.compile(r"\[\[tag=([\w.-]+)\]\]")
 LENGTH_DIRECTIVE = re.compile(r"\[\[length=(\d+)\]\]")
 WORDS = ("the", "lecture", "turns", "now", "to", "rivers", "and", "their", "mouths")
 
@@ -41,10 +43,12 @@
         "readers",
         "released_at",
         "sequence",
+        "tag",
         "tokens",
     )
 
-    def __init__(self, sequence: Sequence, kind: str) -> None:
+    def __init__(self, sequence: Sequence, kind: str, tag: str) -> None:
+        self.tag = tag
         self.sequence = sequence
         self.kind = kind
         self.prompt_tokens = sequence.prompt_tokens
@@ -57,7 +61,8 @@
     def advance(self, finished: bool) -> None:
         """Append one token and wake the readers."""
         number = len(self.tokens)
-        self.tokens.append(WORDS[number % len(WORDS)] + f"-{number} ")
+        word = self.tag or WORDS[number % len(WORDS)]
+        self.tokens.append(f"{word}-{number} ")
         self.finished = finished
         self.wake()
 
@@ -100,7 +105,9 @@
         report_lag: float = 1.0,
         speed: float = 1.0,
         seed: int = 0,
+        journal: str = "",
     ) -> None:
+        self._journal = Journal(journal)
         costs = EngineCosts(base=0.012 / speed, per_sequence=0.0002 / speed)
         self.model = EngineModel(memory_tokens, costs=costs)
         self.models = set(models)
@@ -215,13 +222,15 @@
             prefix_tokens=len(prefix) // completions.CHARACTERS_PER_TOKEN,
             token=name,
         )
-        generation = Generation(sequence, kind)
+        tag = TAG_DIRECTIVE.search(text)
+        generation = Generation(sequence, kind, tag.group(1) if tag else "")
         self.generations_by_id[name] = generation
         _count(self.runs_by_generation, name)
         _count(self.runs_by_request, request.headers.get("X-Trace-Id", ""))
         key = request.headers.get("Idempotency-Key")
         if key:
             _count(self.runs_by_key, key)
+        self._journal.note(generation.tag, key or "")
         self.model.add(sequence)
         self._work.set()
 
@@ -404,6 +413,7 @@
     parser.add_argument("--memory", type=int, default=24000, help="tokens")
     parser.add_argument("--lag", type=float, default=1.0, help="seconds of report lag")
     parser.add_argument("--speed", type=float, default=1.0)
+    parser.add_argument("--journal", default="", help="file to note true runs in")
     parser.add_argument("--no-fence", action="store_true")
 
 
@@ -417,6 +427,7 @@
         checks_fence=not arguments.no_fence,
         report_lag=arguments.lag,
         speed=arguments.speed,
+        journal=arguments.journal,
     )
     await serve_application(stand_in.application(), arguments.listen)
     await asyncio.Event().wait()
--- a/src/bankrack/standin_plain.py
+++ b/src/bankrack/standin_plain.py
@@ -9,11 +9,14 @@
 
 from aiohttp import web
 
+from bankrack.journal import Journal
+
 
 class PlainStandIn:
     """The stand-in's counts and HTTP application."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, journal: str = "") -> None:
+        self._journal = Journal(journal)
         self.runs_by_key: dict[str, int] = {}
         self.runs = 0
 
@@ -28,6 +31,7 @@
         body = await request.read()
         self.runs += 1
         key = request.headers.get("Idempotency-Key")
+        self._journal.note(request.headers.get("X-Tag", ""), key or "")
         if key:
             self.runs_by_key[key] = self.runs_by_key.get(key, 0) + 1
         headers = {"X-Method": request.method, "X-Path": request.path_qs}
@@ -44,11 +48,14 @@
 def add_arguments(parser: argparse.ArgumentParser) -> None:
     """Add the stand-in's command line options."""
     parser.add_argument("--listen", default="127.0.0.1:9101", help="ip:port")
+    parser.add_argument("--journal", default="", help="file to note true runs in")
 
 
 async def run(arguments: argparse.Namespace) -> None:
     """Serve until cancelled."""
     from bankrack.serving import serve_application  # Avoids an import cycle.
 
-    await serve_application(PlainStandIn().application(), arguments.listen)
+    await serve_application(
+        PlainStandIn(journal=arguments.journal).application(), arguments.listen
+    )
     await asyncio.Event().wait()
