Outcomes over several tries, readiness and drain, found by the soak

Also: a node without a configuration answered 401, and a drained node reset kept connections; now it answers 503, keeps serving through a notice, and answers with Connection: close.

--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,6 @@
 
 clean:
 	rm -rf $(VENV) dist build
+
+soak: $(VENV)/.dev
+	$(BIN)/python -m soak --seed $(SEED) --minutes $(MINUTES) $(if $(BUG),--bug $(BUG))
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -22,7 +22,6 @@
 WORKERS = 24
 FAULT_PAUSE = (1.0, 5.0)
 SETTLE_SECONDS = 12.0
-DRAIN_SLACK = 1.0
 
 
 class Faults:
@@ -67,11 +66,11 @@
 
 def check_drains(callers: Callers, fleet: Fleet, ledger: Ledger) -> None:
     """A connection may break only where its node was killed or frozen."""
-    for node, at in callers.broken_by_node:
-        killed = fleet.killed_at.get(node, [])
+    for broken in callers.broken_by_node:
+        killed = fleet.killed_at.get(broken.node, [])
         # A frozen or killed node breaks calls for as long as their time limit.
-        if not any(when - 10.0 < at < when + 45.0 for when in killed):
-            ledger.violation(f"a call to {node} broke though nobody killed it")
+        if not any(when - 10.0 < broken.at < when + 45.0 for when in killed):
+            ledger.violation(f"a call to {broken.node} broke: {broken.error}")
 
 
 async def soak(seed: int, minutes: float, bug: str, folder: pathlib.Path) -> int:
@@ -123,7 +122,7 @@
     arguments = parser.parse_args()
     with tempfile.TemporaryDirectory() as scratch:
         folder = pathlib.Path(arguments.keep or scratch)
-        folder.mkdir(parents=True, exist_ok=True)
+        folder.mkdir(parents=True, exist_ok=not arguments.keep)
         return asyncio.run(
             soak(arguments.seed, arguments.minutes, arguments.bug, folder)
         )
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -18,6 +18,14 @@
 RESUME_PAUSE = 0.3
 
 
+class Broken(t.NamedTuple):
+    """A call that was cut."""
+
+    node: str
+    at: float
+    error: str
+
+
 class Reading:
     """What one caller has read of its stream."""
 
@@ -34,7 +42,6 @@
     """Sends requests of all kinds to all nodes.
 
     :param addresses: the nodes' callers' listeners, by node name.
-    :param drained: names of nodes that stop in order, by time of the signal.
     """
 
     def __init__(self, addresses: dict[str, str], ledger: Ledger, seed: int) -> None:
@@ -42,7 +49,7 @@
         self.ledger = ledger
         self.chance = random.Random(seed)
         self.numbers = itertools.count()
-        self.broken_by_node: list[tuple[str, float]] = []
+        self.broken_by_node: list[Broken] = []
         self.session: aiohttp.ClientSession | None = None
 
     async def run(self, until: float, workers: int) -> None:
@@ -69,6 +76,14 @@
     def _node(self) -> str:
         return self.chance.choice(sorted(self.addresses))
 
+    def _broke(self, node: str, error: Exception) -> None:
+        """Note a call that was cut; one that found nobody there was not."""
+        if isinstance(error, aiohttp.ClientConnectorError):
+            return
+        if isinstance(error, aiohttp.ConnectionTimeoutError):
+            return
+        self.broken_by_node.append(Broken(node, time.monotonic(), repr(error)))
+
     def _tag(self) -> str:
         return f"t{next(self.numbers)}"
 
@@ -117,8 +132,8 @@
                 if response.status != 200:
                     return await self._refused(reading, response)
                 await self._read_events(reading, response, hang_up=hang_up)
-        except (aiohttp.ClientError, TimeoutError, OSError):
-            self.broken_by_node.append((node, time.monotonic()))
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            self._broke(node, error)
             return False
         return reading.done or bool(reading.error) or hang_up
 
@@ -199,8 +214,8 @@
         try:
             async with self.session.post(url, json=body, headers=headers) as response:
                 answer = await response.json()
-        except (aiohttp.ClientError, TimeoutError, OSError):
-            self.broken_by_node.append((node, time.monotonic()))
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            self._broke(node, error)
             self.ledger.outcomes[f"{kind} cut"] += 1
             return
         if response.status != 200:
@@ -228,8 +243,8 @@
             try:
                 async with self.session.post(url, data=body, headers=sent) as response:
                     data = await response.read()
-            except (aiohttp.ClientError, TimeoutError, OSError):
-                self.broken_by_node.append((node, time.monotonic()))
+            except (aiohttp.ClientError, TimeoutError, OSError) as error:
+                self._broke(node, error)
                 self.ledger.outcomes["plain cut"] += 1
                 return
             if response.status == 200:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -4,7 +4,6 @@
 import pathlib
 import random
 import signal
-import sys
 import time
 import typing as t
 
@@ -76,6 +75,7 @@
         for number in range(NODES):
             name = f"node-{number}"
             text = settings_text(name, self.platform, seeds=seeds)
+            text = text.replace("drain_notice = 0.5", "drain_notice = 3.0")
             addresses = _addresses(text)
             seeds.append(addresses["peers"])
             self.callers[name] = addresses["callers"]
@@ -196,8 +196,3 @@
         if separator and key in ("callers", "operators", "peers"):
             found[key] = value.strip('"')
     return found
-
-
-def python() -> str:
-    """The interpreter in use."""
-    return sys.executable
--- a/soak/links.py
+++ b/soak/links.py
@@ -51,6 +51,8 @@
             await asyncio.gather(
                 self._pump(reader, far_writer), self._pump(far_reader, writer)
             )
+        except asyncio.CancelledError:
+            return  # The soak ends.
         finally:
             self._writers -= {writer, far_writer}
             writer.transport.abort()
--- a/soak/operators.py
+++ b/soak/operators.py
@@ -32,6 +32,13 @@
     leaving: str
 
 
+class Attempt(t.NamedTuple):
+    """One try to confirm; it may have taken effect from ``started`` on."""
+
+    started: float
+    leaving: str
+
+
 class OperatorsAtWork:
     """Confirms plans in races and checks what follows."""
 
@@ -42,7 +49,7 @@
         self.numbers = itertools.count(1)
         self.plans_by_revision: dict[int, str] = {}
         self.revisions_by_node: dict[str, int] = {}
-        self.leaving = ""
+        self.attempts: list[Attempt] = []
 
     async def begin(self) -> None:
         """Confirm the first intent."""
@@ -79,6 +86,7 @@
             )
         try:
             plan = await client.post("/v1/plan", text.encode())
+            self.attempts.append(Attempt(time.time(), leaving))
             answer = await client.post("/v1/confirm", json.dumps(plan).encode())
         except (BankrackError, OSError):
             self.ledger.outcomes["confirm refused"] += 1
@@ -111,11 +119,18 @@
 
     async def _let_leave(self, confirmed: Confirmed) -> None:
         """Keep the engine leaving for a while; note when no work may come."""
+        start = confirmed.at + LEAVING_GRACE
         await asyncio.sleep(LEAVING_GRACE + 4.0)
         end = time.time()
+        others = [
+            attempt.started
+            for attempt in self.attempts
+            if attempt.started > confirmed.at and attempt.leaving != confirmed.leaving
+        ]
+        self.ledger.leaving_spans.append(
+            (confirmed.leaving, start, min([end, *others]))
+        )
         await self._confirm("alice", "", self.chance.choice(sorted(self.fleet.callers)))
-        start = confirmed.at + LEAVING_GRACE
-        self.ledger.leaving_spans.append((confirmed.leaving, start, end))
 
     async def watch(self) -> None:
         """Check that no node's revision ever goes back while it lives."""
--- a/src/bankrack/callers.py
+++ b/src/bankrack/callers.py
@@ -20,6 +20,7 @@
 from bankrack.exceptions import BankrackError
 from bankrack.exceptions import InvalidRequest
 from bankrack.exceptions import InvariantViolated
+from bankrack.exceptions import NodeNotReady
 from bankrack.exceptions import NotFound
 from bankrack.exceptions import Outcome
 from bankrack.exceptions import RequestTooLarge
@@ -52,6 +53,7 @@
         """Make the HTTP application."""
         limit = self._node.settings.limits.body_bytes
         app = web.Application(client_max_size=limit)
+        app.on_response_prepare.append(self._close_when_draining)
         app.router.add_get("/healthz", self._health)
         app.router.add_get("/v1/models", self._guarded(self._models))
         text = self._guarded(self._completion(completions.TEXT))
@@ -69,6 +71,7 @@
 
         async def handle(request: web.Request) -> web.StreamResponse:
             try:
+                self._check_ready()
                 workspace = self._node.workspaces.authenticate(request)
                 return t.cast(web.StreamResponse, await handler(request, workspace))
             except BankrackError as error:
@@ -84,6 +87,22 @@
 
         return handle
 
+    async def _close_when_draining(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        """Let a caller's kept connection end here, so that it goes elsewhere."""
+        if self._node.draining:
+            response.headers["Connection"] = "close"
+            response.force_close()
+
+    def _check_ready(self) -> None:
+        """Refuse before a configuration is in force: no token is known yet."""
+        if not self._node.configuration.revision:
+            raise NodeNotReady(
+                "this node has just started and has no configuration yet; try again",
+                retry_after=1.0,
+            )
+
     def _unexpected(self, error: Exception) -> BankrackError:
         if isinstance(error, InvariantViolated):
             self._node.metrics.violations.inc({"kind": "callers"})
--- a/src/bankrack/engine.py
+++ b/src/bankrack/engine.py
@@ -12,9 +12,9 @@
 
 from bankrack import completions
 from bankrack.exceptions import InvalidRequest
-from bankrack.exceptions import NoUpstream
 from bankrack.exceptions import UpstreamFailed
 from bankrack.exceptions import UpstreamRefused
+from bankrack.exceptions import UpstreamUnreachable
 from bankrack.intent import Service
 from bankrack.intent import Upstream
 
@@ -71,7 +71,7 @@
     ) -> aiohttp.ClientResponse:
         """Send a request; the answer's events can then be read.
 
-        :raises NoUpstream: nothing was sent.
+        :raises UpstreamUnreachable: nothing was sent.
         :raises UpstreamRefused: the engine did not run it.
         :raises UpstreamFailed: it is unknown whether it runs.
         """
@@ -127,7 +127,7 @@
                 method, url, timeout=self._timeout, **options
             )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            raise NoUpstream(
+            raise UpstreamUnreachable(
                 f"upstream {upstream.name} cannot be reached; try again",
                 retry_after=1.0,
             ) from error
--- a/src/bankrack/exceptions.py
+++ b/src/bankrack/exceptions.py
@@ -106,6 +106,13 @@
     status = 503
 
 
+class NodeNotReady(BankrackError):
+    """The node has no configuration in force yet."""
+
+    code = "node_not_ready"
+    status = 503
+
+
 class NodeDraining(BankrackError):
     """The node is stopping and takes no new requests."""
 
@@ -113,6 +120,13 @@
     status = 503
 
 
+class UpstreamUnreachable(BankrackError):
+    """No connection to the upstream could be made, so nothing was sent."""
+
+    code = "upstream_unreachable"
+    status = 503
+
+
 class UpstreamRefused(BankrackError):
     """The upstream answered that it did not run the request."""
 
--- a/src/bankrack/generation.py
+++ b/src/bankrack/generation.py
@@ -25,11 +25,11 @@
 from bankrack.exceptions import BankrackError
 from bankrack.exceptions import InvalidUpstreamData
 from bankrack.exceptions import InvariantViolated
-from bankrack.exceptions import NoUpstream
 from bankrack.exceptions import Outcome
 from bankrack.exceptions import StreamInterrupted
 from bankrack.exceptions import UpstreamFailed
 from bankrack.exceptions import UpstreamRefused
+from bankrack.exceptions import UpstreamUnreachable
 from bankrack.health import Health
 from bankrack.intent import Upstream
 from bankrack.retries import RetryBudget
@@ -44,6 +44,12 @@
 WATCH_SECONDS = 0.25
 MOVABLE_RESUME_WINDOW = 0.5
 MAX_FRUITLESS_RESUMES = 4
+_MOVABLE = (
+    UpstreamUnreachable,
+    UpstreamRefused,
+    UpstreamFailed,
+    InvalidUpstreamData,
+)
 _logger = logging.getLogger(__name__)
 
 
@@ -135,6 +141,7 @@
         self._job = job
         self._claim = claim
         self._uncertain = False
+        self._may_have_run = False
         self._response: aiohttp.ClientResponse | None = None
         self.placement: Placement | None = None
         self.upstream: Upstream | None = None
@@ -215,26 +222,35 @@
         """Find an engine that sends a first token."""
         tried: list[str] = []
         while True:
-            self.placement = await self._engines.admission.place(
-                self._job.ask, avoid=tuple(tried)
-            )
-            self.upstream = self.placement.upstream
-            tried.append(self.upstream.name)
             try:
-                await self._claim_once()
-                await self._check_still_wanted()
-                return await self._first_batch()
-            except (
-                NoUpstream,
-                UpstreamRefused,
-                UpstreamFailed,
-                InvalidUpstreamData,
-            ) as e:
+                return await self._try_engine(tried)
+            except _MOVABLE as error:
                 self._give_back()
-                self._note_failure(e)
-                self._uncertain = e.outcome is not Outcome.NOT_RUN
-                if not self._may_move(e, len(tried)):
+                self._note_failure(error)
+                self._uncertain = error.outcome is not Outcome.NOT_RUN
+                self._may_have_run = self._may_have_run or self._uncertain
+                if not self._may_move(error, len(tried)):
+                    self._correct_outcome(error)
                     raise
+            except BankrackError as error:
+                self._correct_outcome(error)
+                raise
+
+    async def _try_engine(self, tried: list[str]) -> list[Token]:
+        self.upstream = None
+        self.placement = await self._engines.admission.place(
+            self._job.ask, avoid=tuple(tried)
+        )
+        self.upstream = self.placement.upstream
+        tried.append(self.upstream.name)
+        await self._claim_once()
+        await self._check_still_wanted()
+        return await self._first_batch()
+
+    def _correct_outcome(self, error: BankrackError) -> None:
+        """Never tell "not run" once an earlier try may have run."""
+        if self._may_have_run and error.outcome is Outcome.NOT_RUN:
+            error.outcome = Outcome.UNKNOWN
 
     async def _claim_once(self) -> None:
         if self._claim is not None:
--- a/src/bankrack/limits.py
+++ b/src/bankrack/limits.py
@@ -16,7 +16,7 @@
     def __init__(self, *, most: int) -> None:
         self.by_workspace: dict[str, int] = {}
         self.total = 0
-        self.draining = False
+        self.closed = False
         self._most = most
 
     @contextlib.contextmanager
@@ -40,7 +40,7 @@
             del self.by_workspace[name]
 
     def _check(self, workspace: Workspace) -> None:
-        if self.draining:
+        if self.closed:
             raise NodeDraining(
                 "this node is stopping; send the request again", retry_after=0.1
             )
--- a/src/bankrack/node.py
+++ b/src/bankrack/node.py
@@ -45,7 +45,7 @@
 from bankrack.settings import Settings
 
 DRAIN_POLL_SECONDS = 0.05
-DRAIN_NOTICE_SECONDS = 1.5
+DRAIN_LINGER_SECONDS = 0.3
 _logger = logging.getLogger(__name__)
 
 
@@ -68,6 +68,7 @@
         self.peers = Peers(
             name=settings.name, address=settings.peers, key=settings.peer_key
         )
+        self.draining = False
         self.stopped = asyncio.Event()
         self._counter = itertools.count(1)
         self._tasks: list[asyncio.Task[t.Any]] = []
@@ -184,13 +185,16 @@
     @property
     def ready(self) -> bool:
         """Whether callers may be sent here."""
-        return self.configuration.revision > 0 and not self.in_flight.draining
+        return self.configuration.revision > 0 and not self.draining
 
     def begin_drain(self, reason: str) -> None:
-        """Take no new requests, finish those in flight, then stop."""
+        """Leave the balancer, finish what is in flight, then stop.
+
+        Requests that still arrive while the balancer learns of it are served.
+        """
         if self._stopping is not None:
             return
-        self.in_flight.draining = True
+        self.draining = True
         logs.event(
             _logger, "drain_began", reason=reason, in_flight=self.in_flight.total
         )
@@ -198,11 +202,14 @@
 
     async def _drain(self) -> None:
         self._send_heartbeats()
-        await asyncio.sleep(DRAIN_NOTICE_SECONDS)
+        await asyncio.sleep(self.settings.limits.drain_notice)
+        self.in_flight.closed = True
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(self.settings.limits.drain_timeout):
                 while self.in_flight.total:
                     await asyncio.sleep(DRAIN_POLL_SECONDS)
+        # Whoever sent on a kept connection meanwhile gets its refusal.
+        await asyncio.sleep(DRAIN_LINGER_SECONDS)
         logs.event(_logger, "drain_ended", cut=self.in_flight.total)
         await self.close()
 
@@ -225,7 +232,7 @@
             incarnation=self.peers.incarnation,
             counter=counter,
             revision=self.configuration.revision,
-            draining=self.in_flight.draining,
+            draining=self.draining,
         )
 
     def _candidates(self) -> list[MemberRecord]:
@@ -291,7 +298,7 @@
         return {
             "node": self.settings.name,
             "ready": self.ready,
-            "draining": self.in_flight.draining,
+            "draining": self.draining,
             "configuration": {
                 "revision": self.configuration.revision,
                 "plan": document.head.plan_id if document else None,
--- a/src/bankrack/plain.py
+++ b/src/bankrack/plain.py
@@ -17,6 +17,7 @@
 from bankrack.exceptions import Outcome
 from bankrack.exceptions import RequestTooLarge
 from bankrack.exceptions import UpstreamFailed
+from bankrack.exceptions import UpstreamUnreachable
 from bankrack.health import Health
 from bankrack.intent import Intent
 from bankrack.intent import Service
@@ -90,18 +91,27 @@
         repeatable = repeatable and not request.can_read_body
         self._retries.earn()
         tried: list[str] = []
+        may_have_run = False
         started = time.monotonic()
         while True:
-            upstream = self._choose(service, tried)
+            try:
+                upstream = self._choose(service, tried)
+            except NoUpstream as error:
+                if may_have_run:
+                    error.outcome = Outcome.UNKNOWN
+                raise
             tried.append(upstream.name)
             if claim is not None:
                 await claim()
                 claim = None
             try:
                 response = await self._attempt(request, upstream)
-            except (NoUpstream, UpstreamFailed) as error:
+            except (UpstreamUnreachable, UpstreamFailed) as error:
                 self._health.failed(upstream.name)
                 movable = error.outcome is Outcome.NOT_RUN or repeatable
+                may_have_run = may_have_run or error.outcome is not Outcome.NOT_RUN
+                if may_have_run:
+                    error.outcome = Outcome.UNKNOWN
                 if not movable or len(tried) >= MAX_ATTEMPTS:
                     raise
                 if not self._retries.take():
@@ -160,7 +170,7 @@
                 allow_redirects=False,
             )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            raise NoUpstream(
+            raise UpstreamUnreachable(
                 f"upstream {upstream.name} cannot be reached; try again",
                 retry_after=1.0,
             ) from error
--- a/src/bankrack/settings.py
+++ b/src/bankrack/settings.py
@@ -25,7 +25,11 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Limits:
-    """Bounds of one node; times in seconds, sizes in bytes."""
+    """Bounds of one node; times in seconds, sizes in bytes.
+
+    :param drain_notice: how long a stopping node still takes new requests,
+        until the balancer has learned that it is not ready.
+    """
 
     body_bytes: int = 4 * 1024 * 1024
     requests_in_flight: int = 4000
@@ -33,6 +37,7 @@
     token_timeout: float = 10.0
     first_token_timeout: float = 30.0
     resume_window: float = 8.0
+    drain_notice: float = 5.0
     drain_timeout: float = 3600.0
 
 
--- a/src/bankrack/standin_engine.py
+++ b/src/bankrack/standin_engine.py
@@ -82,6 +82,7 @@
     :param skip_at: leave the event at this offset out, once.
     :param foreign_at: send another generation's event first, once.
     :param cut_before_answer: run the request but cut before any answer.
+    :param forget: then forget that it ran.
     """
 
     refuse: bool = False
@@ -91,6 +92,7 @@
     skip_at: int = -1
     foreign_at: int = -1
     cut_before_answer: bool = False
+    forget: bool = False
 
 
 class EngineStandIn:
@@ -193,6 +195,8 @@
             if not name or name in self.generations_by_id:
                 return _refusal(409, "X-Request-Id is missing or was used")
             self._start(name, kind, body, request)
+            if self.faults.forget:
+                self._drop(name)
             if self.faults.cut_before_answer:
                 assert request.transport is not None
                 request.transport.abort()
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -49,6 +49,7 @@
 first_token_timeout = 5.0
 token_timeout = 3.0
 resume_window = 2.0
+drain_notice = 0.5
 [operators.tokens]
 {operators}
 """
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -1,6 +1,7 @@
 import json
 
 from tests.base import TestCase
+from tests.fakes import Bed
 from tests.fakes import bed
 
 
@@ -79,3 +80,17 @@
                 data = await response.read()
             self.assertEqual("/a/b?c=1", response.headers["X-Path"])
             self.assertEqual(b"x" * 200000, data)
+
+
+class TestReadiness(TestCase):
+    async def test_a_node_without_configuration_says_so_and_not_401(self):
+        async with Bed() as b:
+            b.platform.faults.down = True
+            await b.add_node()
+            async with b.post(body()) as response:
+                answer = await response.json()
+            url = f"http://{b.nodes[0].settings.callers}/healthz"
+            async with b.session.get(url) as health:
+                self.assertEqual(503, health.status)
+        self.assertEqual(503, response.status)
+        self.assertEqual("node_not_ready", answer["error"]["code"])
--- a/tests/test_generation.py
+++ b/tests/test_generation.py
@@ -32,6 +32,24 @@
                     answer = await response.json()
                 self.assertEqual(WHOLE, answer["usage"]["completion_tokens"])
 
+    async def test_a_refusal_after_an_uncertain_try_is_told_unknown(self):
+        async with bed(engines=2) as b:
+            for engine in b.engines:
+                engine.faults.cut_before_answer = True
+                engine.faults.forget = True
+            async with b.post(body()) as response:
+                answer = await response.json()
+            self.assertEqual("unknown", answer["error"]["outcome"])
+            for engine in b.engines:
+                engine.faults.refuse = True
+            b.engines[0].faults.refuse = False
+            for _ in range(4):
+                async with b.post(body()) as response:
+                    answer = await response.json()
+                ran = sum(len(e.runs_by_generation) for e in b.engines)
+                told = answer["error"]["outcome"]
+                self.assertEqual("unknown", told, f"{ran} runs: {answer}")
+
     async def test_no_engine_is_a_typed_answer_at_once(self):
         async with bed(engines=1) as b:
             b.engines[0].faults.refuse = True
