--- /dev/null
+++ b/tests/test_models.py
@@ -0,0 +1,79 @@
+"""Model checks: each model passes, and fails with each known bug put back."""
+
+import os
+import pathlib
+import re
+import shutil
+import subprocess
+import tempfile
+import typing as t
+
+from tests.base import TestCase
+
+MODELS = pathlib.Path(__file__).parent.parent / "models"
+SEARCH_DEPTH = "-m200000"
+
+
+class Verdict(t.NamedTuple):
+    errors: int
+    states: int
+    depth_reached: bool
+
+
+def check(model: str, bug: str = "") -> Verdict:
+    with tempfile.TemporaryDirectory() as folder:
+        options = [f"-D{bug}"] if bug else []
+        run(["spin", "-a", *options, str(MODELS / f"{model}.pml")], folder)
+        compile_options = ["-O2", "-DSAFETY", "-o", "pan", "pan.c"]
+        run(["gcc", *compile_options], folder)
+        output = run(["./pan", SEARCH_DEPTH], folder)
+    errors = re.search(r"errors: (\d+)", output)
+    states = re.search(r"(\d+) states, stored", output)
+    assert errors is not None and states is not None, output
+    truncated = "max search depth too small" in output
+    return Verdict(int(errors.group(1)), int(states.group(1)), not truncated)
+
+
+def run(command: list[str], folder: str) -> str:
+    done = subprocess.run(
+        command, cwd=folder, capture_output=True, text=True, timeout=300
+    )
+    assert done.returncode == 0, done.stdout + done.stderr
+    return done.stdout
+
+
+class TestModels(TestCase):
+    def setUp(self):
+        super().setUp()
+        if shutil.which("spin") is None and not os.environ.get("CI"):
+            self.skipTest("spin is not installed; .ci/run installs it")
+
+    def passes(self, model):
+        verdict = check(model)
+        print(f"model {model}: {verdict.states} states")
+        self.assertEqual(0, verdict.errors)
+        self.assertTrue(verdict.depth_reached)
+
+    def finds(self, model, bug):
+        self.assertEqual(1, check(model, bug).errors, f"{model} misses {bug}")
+
+    def test_claim(self):
+        self.passes("claim")
+        self.finds("claim", "BUG_NO_READ_BACK")
+        self.finds("claim", "BUG_NO_FLOOR")
+
+    def test_confirm(self):
+        self.passes("confirm")
+        self.finds("confirm", "BUG_ADOPT_ANY")
+        self.finds("confirm", "BUG_NO_READ_BACK")
+
+    def test_order(self):
+        self.passes("order")
+        self.finds("order", "BUG_NO_FENCE")
+        self.finds("order", "BUG_NO_WAIT")
+
+    def test_resume(self):
+        self.passes("resume")
+        self.finds("resume", "BUG_ANY_OFFSET")
+        self.finds("resume", "BUG_RESUME_LATE")
+        self.finds("resume", "BUG_ANY_GENERATION")
