--- a/Makefile
+++ b/Makefile
@@ -30,3 +30,15 @@
 
 soak: $(VENV)/.dev
 	$(BIN)/python -m soak --seed $(SEED) --minutes $(MINUTES) $(if $(BUG),--bug $(BUG))
+
+SEEDS ?= 1 2 3 4 5 6 7 8 9 10
+BENCHES := policies ablations views overload
+REPORTS := $(foreach w,derwent letterwerf,$(foreach e,$(BENCHES),$(foreach s,$(SEEDS),reports/$(w)-$(e)-$(s).json)))
+
+# Use -j to run several seeds beside each other.
+bench: $(REPORTS)
+
+reports/%.json: $(VENV)/.run
+	$(BIN)/bankrack bench run --output $@ \
+	  --workload $(word 1,$(subst -, ,$*)) --experiment $(word 2,$(subst -, ,$*)) \
+	  --seed $(word 3,$(subst -, ,$*))
--- a/src/bankrack/admission.py
+++ b/src/bankrack/admission.py
@@ -38,6 +38,7 @@
 from bankrack.messages import Progress
 from bankrack.owner import Owner
 from bankrack.peers import Peers
+from bankrack.placement import place
 from bankrack.scheduling import Scheduler
 
 NO_UPSTREAM_RETRY_AFTER = 2.0
@@ -128,6 +129,7 @@
         self._alone = alone
         self._clock = clock
         self._intent = Intent()
+        self.placement = place(self._intent)
         self._ids = itertools.count(1)
         peers.handle(PlaceAsk, self._take_ask)
         peers.handle(PlaceReply, self._take_reply)
@@ -141,12 +143,13 @@
     def configure(self, intent: Intent) -> None:
         """Take a new intent."""
         self._intent = intent
+        self.placement = place(intent)
         self.groups_by_name = groups.group_engines(intent)
         for name in list(self.owners_by_group):
             if name not in self.groups_by_name:
                 del self.owners_by_group[name]
         for name, owner in self.owners_by_group.items():
-            owner.configure(self.groups_by_name[name], intent)
+            owner.configure(self.groups_by_name[name], intent, self.placement)
 
     async def place(self, ask: Ask, *, avoid: tuple[str, ...] = ()) -> Placement:
         """Wait for a place.
@@ -276,6 +279,7 @@
             upstream
             for upstream in group.upstreams_by_name.values()
             if upstream.name not in avoid
+            and self.placement.serves(upstream.name, ask.service)
             and not self._is_leaving(upstream)
             and self._health.usable(upstream.name)
         ]
@@ -352,7 +356,7 @@
         if owner is None:
             group = self.groups_by_name[name]
             owner = Owner(group, send=self._send, is_leaving=self._is_leaving)
-            owner.configure(group, self._intent)
+            owner.configure(group, self._intent, self.placement)
             self.owners_by_group[name] = owner
             logs.event(_logger, "owner_began", group=name)
         return owner
@@ -386,7 +390,9 @@
             group
             for group in groups.groups_of(self.groups_by_name, ask.service)
             if any(
-                name not in avoid and not self._is_leaving(upstream)
+                name not in avoid
+                and self.placement.serves(name, ask.service)
+                and not self._is_leaving(upstream)
                 for name, upstream in group.upstreams_by_name.items()
             )
         ]
--- /dev/null
+++ b/src/bankrack/bench.py
@@ -0,0 +1,263 @@
+"""Experiments in virtual time, and their report.
+
+``bankrack bench run`` measures one seed of one experiment and writes JSON;
+``bankrack bench report`` puts the files of many seeds together.  One process
+runs one seed, so that a caller may run several seeds beside each other.
+"""
+
+import argparse
+import dataclasses
+import pathlib
+import statistics
+import time
+import typing as t
+
+import msgspec
+
+from bankrack.experiment import ALONE
+from bankrack.experiment import Experiment
+from bankrack.experiment import OWNER
+from bankrack.experiment import percentile
+from bankrack.experiment import Result
+from bankrack.experiment import Setup
+from bankrack.experiment import SHARED
+from bankrack.policies import FewestInFlight
+from bankrack.policies import Forecast
+from bankrack.policies import LeastReported
+from bankrack.policies import ReserveMaximum
+from bankrack.policies import RoundRobin
+from bankrack.workloads import WORKLOADS_BY_NAME
+
+# Requests a second at which the oracle's tokens a second stop to grow, with
+# five engines of 24,000 tokens; measured with `bankrack bench capacity`.
+CAPACITY_BY_WORKLOAD = {"derwent": 11.5, "letterwerf": 17.0, "drift": 8.0}
+ORACLE = Forecast(z=0.0, first_z=0.0, oracle=True)
+PLAIN_ORACLE = dataclasses.replace(ORACLE, separate=False, reserve=False)
+POLICIES: dict[str, t.Any] = {
+    "round robin": RoundRobin(),
+    "fewest in flight": FewestInFlight(),
+    "least reported": LeastReported(),
+    "reserve maximum": ReserveMaximum(),
+    "forecast": Forecast(),
+    "oracle": PLAIN_ORACLE,
+    "oracle, separate": ORACLE,
+}
+ABLATIONS: dict[str, t.Any] = {
+    "forecast": Forecast(),
+    "without separation": Forecast(separate=False),
+    "without reserve": Forecast(reserve=False),
+    "without patience": Forecast(patience=0.0),
+    "without condition": Forecast(conditional=False),
+    "without affinity": Forecast(affinity=False),
+    "z 1.0": Forecast(z=1.0),
+    "z 2.0": Forecast(z=2.0),
+}
+LOADS = (0.9, 1.1)
+OVERLOADS = (0.5, 0.9, 1.2, 2.0, 4.0)
+LAGS = (0.5, 1.0, 5.0)
+PHASE_SECONDS = 60.0
+
+
+class Row(msgspec.Struct):
+    """One run's figures; times in seconds.
+
+    :param variant: what was varied: policy, view or load.
+    """
+
+    experiment: str
+    workload: str
+    variant: str
+    load: float
+    seed: int
+    preemptions: float
+    stall: float
+    first_stall: float
+    first_p99_gap: float
+    first_p95_wait: float
+    tokens_per_second: float
+    refused: float
+    first_refused: float
+    late: float
+    run_seconds: float
+
+
+def measure(experiment: str, variant: str, load: float, setup: Setup) -> Row:
+    """Run once and sum up."""
+    started = time.monotonic()
+    result = Experiment(setup).run()
+    first = [
+        result.by_service[kind.service]
+        for kind in setup.workload.kinds
+        if kind.priority == 0 and kind.service in result.by_service
+    ]
+    ran = max(1, sum(s.total - s.refused for s in first))
+    gaps = [gap for service in first for gap in service.gaps]
+    waits = [wait for service in first for wait in service.first_tokens]
+    return Row(
+        experiment=experiment,
+        workload=setup.workload.name,
+        variant=variant,
+        load=load,
+        seed=setup.seed,
+        preemptions=result.preemptions_per_request,
+        stall=result.stall_per_request,
+        first_stall=sum(s.stall for s in first) / ran,
+        first_p99_gap=percentile(gaps, 0.99),
+        first_p95_wait=percentile(waits, 0.95),
+        tokens_per_second=result.tokens_per_second,
+        refused=result.refused / max(1, result.total),
+        first_refused=sum(s.refused for s in first) / max(1, ran),
+        late=_late(result),
+        run_seconds=time.monotonic() - started,
+    )
+
+
+def _late(result: Result) -> float:
+    return sum(s.late for s in result.by_service.values()) / max(1, result.total)
+
+
+def runs(
+    experiment: str, workload: str, seed: int, seconds: float
+) -> t.Iterator[tuple[str, float, Setup]]:
+    """The runs of one experiment, as variant, load and setup."""
+    capacity = CAPACITY_BY_WORKLOAD[workload]
+    shape = WORKLOADS_BY_NAME[workload]
+    base = Setup(shape, Forecast(), capacity, seconds=seconds, seed=seed)
+    match experiment:
+        case "policies" | "ablations":
+            variants = POLICIES if experiment == "policies" else ABLATIONS
+            for load in LOADS:
+                for name, policy in variants.items():
+                    rate = capacity * load
+                    yield (
+                        name,
+                        load,
+                        dataclasses.replace(base, policy=policy, rate=rate),
+                    )
+        case "views":
+            rate = capacity * 0.9
+            for lag in LAGS:
+                for view in (OWNER, SHARED, ALONE):
+                    name = f"{view}, lag {lag:g} s"
+                    yield (
+                        name,
+                        0.9,
+                        dataclasses.replace(base, rate=rate, view=view, lag=lag),
+                    )
+            lost = dataclasses.replace(base, rate=rate, owner_lost_at=seconds / 2)
+            yield "owner lost halfway", 0.9, lost
+            fewest = dataclasses.replace(
+                base, rate=rate, view=ALONE, policy=FewestInFlight()
+            )
+            yield "fewest in flight, alone", 0.9, fewest
+        case "overload":
+            for load in OVERLOADS:
+                rate = capacity * load
+                yield "forecast", load, dataclasses.replace(base, rate=rate)
+                fewest = dataclasses.replace(base, rate=rate, policy=FewestInFlight())
+                yield "fewest in flight", load, fewest
+        case "capacity":
+            for load in (0.8, 1.0, 1.2, 1.5):
+                rate = capacity * load
+                setup = dataclasses.replace(base, rate=rate, policy=PLAIN_ORACLE)
+                yield "oracle", load, setup
+        case _:
+            raise ValueError(f"unknown experiment {experiment}")
+
+
+EXPERIMENTS = ("policies", "ablations", "views", "overload", "capacity")
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Add the subcommands of ``bankrack bench``."""
+    subparsers = parser.add_subparsers(required=True, metavar="WHAT")
+    run = subparsers.add_parser("run", help="measure one seed")
+    run.add_argument("--experiment", choices=EXPERIMENTS, default="policies")
+    run.add_argument("--workload", choices=sorted(WORKLOADS_BY_NAME), default="derwent")
+    run.add_argument("--seed", type=int, default=1)
+    run.add_argument("--seconds", type=float, default=240.0, help="virtual seconds")
+    run.add_argument("--output", default="", help="JSON file; else a table is printed")
+    run.set_defaults(bench=_run)
+    report = subparsers.add_parser("report", help="put the files of seeds together")
+    report.add_argument("files", nargs="+")
+    report.add_argument("--plot", default="", help="SVG file; needs matplotlib")
+    report.set_defaults(bench=_report)
+
+
+def run(arguments: argparse.Namespace) -> int:
+    """Run the chosen subcommand."""
+    return t.cast(int, arguments.bench(arguments))
+
+
+def _run(arguments: argparse.Namespace) -> int:
+    rows = [
+        measure(arguments.experiment, variant, load, setup)
+        for variant, load, setup in runs(
+            arguments.experiment,
+            arguments.workload,
+            arguments.seed,
+            arguments.seconds,
+        )
+    ]
+    if arguments.output:
+        path = pathlib.Path(arguments.output)
+        path.parent.mkdir(parents=True, exist_ok=True)
+        path.write_bytes(msgspec.json.encode(rows))
+    else:
+        print(table(rows))
+    return 0
+
+
+def _report(arguments: argparse.Namespace) -> int:
+    rows: list[Row] = []
+    for name in arguments.files:
+        rows += msgspec.json.decode(pathlib.Path(name).read_bytes(), type=list[Row])
+    print(table(rows))
+    if arguments.plot:
+        from bankrack import plots  # Needs matplotlib, which nothing else does.
+
+        plots.draw(rows, arguments.plot)
+    return 0
+
+
+Key = tuple[str, str, float, str]
+COLUMNS: tuple[tuple[str, str, str], ...] = (
+    ("preemptions", "preemptions a request", "{:.4f}"),
+    ("stall", "stall (s)", "{:.3f}"),
+    ("first_stall", "first's stall (s)", "{:.3f}"),
+    ("first_p99_gap", "first's p99 gap (s)", "{:.3f}"),
+    ("first_p95_wait", "first's p95 first token (s)", "{:.2f}"),
+    ("tokens_per_second", "tokens/s", "{:.0f}"),
+    ("refused", "refused", "{:.3f}"),
+    ("first_refused", "first's refused", "{:.3f}"),
+    ("late", "late", "{:.3f}"),
+)
+
+
+def grouped(rows: t.Iterable[Row]) -> dict[Key, list[Row]]:
+    """Group the rows of all seeds by what they measured."""
+    groups: dict[Key, list[Row]] = {}
+    for row in rows:
+        key = (row.experiment, row.workload, row.load, row.variant)
+        groups.setdefault(key, []).append(row)
+    return groups
+
+
+def table(rows: t.Iterable[Row]) -> str:
+    """A table in Markdown: medians, with the spread of all seeds behind them."""
+    titles = [title for _, title, _ in COLUMNS]
+    header = ["experiment", "workload", "load", "variant", "seeds", *titles]
+    lines = ["| " + " | ".join(header) + " |", "|" + " --- |" * len(header)]
+    for (experiment, workload, load, variant), group in grouped(rows).items():
+        cells = [experiment, workload, f"{load:g}", variant, str(len(group))]
+        cells += [_cell(group, name, form) for name, _, form in COLUMNS]
+        lines.append("| " + " | ".join(cells) + " |")
+    return "\n".join(lines)
+
+
+def _cell(group: list[Row], name: str, form: str) -> str:
+    values = [getattr(row, name) for row in group]
+    middle = form.format(statistics.median(values))
+    if len(values) == 1:
+        return middle
+    return f"{middle} ({form.format(min(values))} to {form.format(max(values))})"
--- a/src/bankrack/cli.py
+++ b/src/bankrack/cli.py
@@ -10,6 +10,7 @@
 from expression import Result
 
 from bankrack import auth
+from bankrack import bench
 from bankrack import commands
 from bankrack import demo
 from bankrack import intent
@@ -75,6 +76,7 @@
     commands_parser = parser.add_subparsers(required=True, metavar="COMMAND")
     _add_daemon_commands(commands_parser)
     _add_operator_commands(commands_parser)
+    _add_bench(commands_parser)
     _add_stand_ins(commands_parser)
     return parser
 
@@ -119,6 +121,17 @@
     parser.set_defaults(run=_run_demo)
 
 
+def _add_bench(subparsers: t.Any) -> None:
+    parser = _add(
+        subparsers,
+        "bench",
+        "compare policies in virtual time",
+        "bench run --workload derwent --seed 1",
+    )
+    bench.add_arguments(parser)
+    parser.set_defaults(run=bench.run)
+
+
 def _add_operator_commands(subparsers: t.Any) -> None:
     parser = _operator(
         subparsers, "plan", "show what an intent would change", "plan intent.toml"
--- a/src/bankrack/intent.py
+++ b/src/bankrack/intent.py
@@ -33,6 +33,7 @@
     :param kind: ``model`` for generations, ``plain`` for ordinary HTTP.
     :param priority: 0 comes first.
     :param queue_seconds: how long a request may wait for an upstream.
+    :param demand: weight for placing its model on engines.
     """
 
     name: str
@@ -43,6 +44,7 @@
     priority: int = 1
     queue_seconds: float = 10.0
     max_output_tokens: int = 4096
+    demand: float = 1.0
     workspaces: tuple[str, ...] = (ANY,)
 
     @property
@@ -58,6 +60,7 @@
     """One engine or plain server.
 
     :param memory_tokens: size of the engine's cache, in tokens.
+    :param model_slots: how many models and adapters it loads at once.
     :param checks_fence: whether it refuses orders with an older fence.
     :param leaving: whether the operator takes it out of service.
     """
@@ -70,6 +73,7 @@
     services: tuple[str, ...] = ()
     models: tuple[str, ...] = ()
     memory_tokens: int = 24000
+    model_slots: int = 8
     checks_fence: bool = True
     leaving: bool = False
 
@@ -173,6 +177,7 @@
         max_output_tokens=table.integer(
             "max_output_tokens", 4096, least=1, most=1000000
         ),
+        demand=table.number("demand", 1.0, least=0.0, most=1000000.0),
         workspaces=table.names("workspaces", (ANY,)),
     )
     if service.kind == "model" and not service.model:
@@ -191,6 +196,7 @@
         services=table.names("services"),
         models=table.names("models"),
         memory_tokens=table.integer("memory_tokens", 24000, least=100, most=100000000),
+        model_slots=table.integer("model_slots", 8, least=1, most=10000),
         checks_fence=table.flag("checks_fence", True),
         leaving=table.flag("leaving", False),
     )
--- a/src/bankrack/node.py
+++ b/src/bankrack/node.py
@@ -37,6 +37,7 @@
 from bankrack.operators import NodeSummary
 from bankrack.operators import Operators
 from bankrack.operators import Overview
+from bankrack.orders import Orderer
 from bankrack.peers import Peers
 from bankrack.plain import PlainServices
 from bankrack.platform import Platform
@@ -88,6 +89,7 @@
         self._spawn(self._beat())
         self._spawn(self.admission.run())
         self._spawn(self.engines.watch())
+        self._spawn(self.orderer.run())
         self._spawn(self.claims.keep_floor())
         settings = self.settings
         callers = Callers(self).application()
@@ -148,6 +150,15 @@
             ensure_looked=self.follower.ensure_looked,
             is_leaving=self.is_leaving,
         )
+        self.orderer = Orderer(
+            engine_session,
+            self.platform,
+            name=settings.name,
+            holders=self._writers,
+            groups=lambda: self.admission.groups_by_name,
+            placement=lambda: self.admission.placement,
+            revision=lambda: self.configuration.revision,
+        )
         self.plain = PlainServices(
             plain_session,
             intent=lambda: self.configuration.intent,
@@ -339,6 +350,13 @@
                 "waiting": len(self.admission.waiting_by_id),
                 "owned": [self._owned(name) for name in self.admission.owners_by_group],
             },
+            "orders": {
+                "fence_by_group": {
+                    name: lease.fence
+                    for name, lease in self.orderer.leases_by_group.items()
+                },
+                "sent": self.orderer.sent,
+            },
             "claims": {
                 "commits": sum(w.commits for w in self.claims.shard_writers),
                 "conflicts": sum(w.conflicts for w in self.claims.shard_writers),
--- a/src/bankrack/owner.py
+++ b/src/bankrack/owner.py
@@ -20,6 +20,7 @@
 from bankrack.messages import PlaceAsk
 from bankrack.messages import PlaceReply
 from bankrack.messages import Progress
+from bankrack.placement import Placement
 from bankrack.policies import Forecast
 from bankrack.policies import Policy
 from bankrack.policies import Request
@@ -63,8 +64,8 @@
         self._since_by_place: dict[PlaceId, float] = {}
         self._priorities_by_service: dict[str, int] = {}
 
-    def configure(self, group: Group, intent: Intent) -> None:
-        """Take the engines, services and shares of an intent."""
+    def configure(self, group: Group, intent: Intent, placement: Placement) -> None:
+        """Take the engines, services, shares and placement of an intent."""
         self.group = group
         scheduler = self.scheduler
         for name in list(scheduler.engines_by_name):
@@ -77,6 +78,14 @@
             workspace.name: workspace.share
             for workspace in intent.workspaces_by_name.values()
         }
+        scheduler.serving_by_service = {
+            service.name: frozenset(
+                name
+                for name in group.upstreams_by_name
+                if placement.serves(name, service)
+            )
+            for service in intent.services_by_name.values()
+        }
         self._priorities_by_service = {
             service.name: service.priority
             for service in intent.services_by_name.values()
--- a/src/bankrack/plans.py
+++ b/src/bankrack/plans.py
@@ -21,6 +21,7 @@
 from bankrack.exceptions import ConfirmUnknown
 from bankrack.exceptions import PlatformUnavailable
 from bankrack.intent import Intent
+from bankrack.placement import place
 from bankrack.platform import Change
 from bankrack.platform import Platform
 from bankrack.platform import Put
@@ -69,6 +70,7 @@
     if current.handle_key != intent.handle_key:
         detail = "streams begun before cannot be resumed after"
         effects.append(Effect("change", "security", "handle_key", detail))
+    effects += _placement_changes(current, intent)
     effects += _unserved(intent)
     return Plan(uuid.uuid4().hex, revision, operator, effects, intent)
 
@@ -209,6 +211,25 @@
     return ", ".join(names)
 
 
+def _placement_changes(current: Intent, intent: Intent) -> list[Effect]:
+    """What engines would load anew or no longer."""
+    before = place(current).models_by_upstream
+    placement = place(intent)
+    effects = []
+    for name, models in sorted(placement.models_by_upstream.items()):
+        added = sorted(models - before.get(name, frozenset()))
+        removed = sorted(before.get(name, frozenset()) - models)
+        parts = [f"+{model}" for model in added] + [f"-{model}" for model in removed]
+        if parts:
+            effects.append(Effect("load", "upstream", name, " ".join(parts)))
+    effects += [
+        Effect("warn", "service", name, "no engine has room for its model")
+        for name in placement.unplaced
+        if intent.upstreams_of(intent.services_by_name[name])
+    ]
+    return effects
+
+
 def _unserved(intent: Intent) -> list[Effect]:
     return [
         Effect("warn", "service", service.name, "no upstream that stays serves it")
--- /dev/null
+++ b/src/bankrack/plots.py
@@ -0,0 +1,40 @@
+"""Plots of experiments; the only module that needs matplotlib."""
+
+import statistics
+import typing as t
+
+import matplotlib
+
+from bankrack.bench import grouped
+from bankrack.bench import Row
+
+matplotlib.use("Agg")
+
+PANELS = (
+    ("preemptions", "preemptions a request"),
+    ("stall", "stall a request (s)"),
+    ("first_stall", "first-served stall (s)"),
+    ("first_p99_gap", "first-served p99 gap (s)"),
+    ("tokens_per_second", "tokens a second"),
+    ("refused", "share refused"),
+)
+
+
+def draw(rows: t.Sequence[Row], path: str) -> None:
+    """Draw medians with their spread, a panel a measure, into an SVG file."""
+    from matplotlib import pyplot  # Import after the backend is chosen.
+
+    groups = grouped(rows)
+    figure, axes = pyplot.subplots(2, 3, figsize=(15, 9))
+    for axis, (name, title) in zip(axes.flat, PANELS, strict=True):
+        labels = [f"{k[3]} @{k[2]:g}" for k in groups]
+        values = [[getattr(row, name) for row in group] for group in groups.values()]
+        middles = [statistics.median(v) for v in values]
+        low = [m - min(v) for m, v in zip(middles, values, strict=True)]
+        high = [max(v) - m for m, v in zip(middles, values, strict=True)]
+        axis.barh(labels, middles, xerr=[low, high], color="#4477aa", ecolor="#555555")
+        axis.set_title(title)
+        axis.invert_yaxis()
+        axis.tick_params(axis="y", labelsize=7)
+    figure.tight_layout()
+    figure.savefig(path)
--- a/src/bankrack/standin_engine.py
+++ b/src/bankrack/standin_engine.py
@@ -136,6 +136,7 @@
         app.router.add_get("/v1/generations/{id}", self._resume)
         app.router.add_delete("/v1/generations/{id}", self._cancel)
         app.router.add_get("/metrics", self._metrics)
+        app.router.add_get("/v1/models", self._list_models)
         app.router.add_post("/v1/orders", self._order)
         app.router.add_post("/faults", self._set_faults)
         app.router.add_get("/counts", self._counts)
@@ -359,6 +360,10 @@
         text = self._reports[0][1] if self._reports else self._report()
         return web.Response(text=text)
 
+    async def _list_models(self, request: web.Request) -> web.Response:
+        data = [{"id": name, "object": "model"} for name in sorted(self.models)]
+        return web.json_response({"object": "list", "data": data})
+
     async def _order(self, request: web.Request) -> web.Response:
         order = msgspec.json.decode(await request.read())
         fence = int(order.get("fence", 0))
--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,90 @@
+import asyncio
+import time
+
+from bankrack import orders
+from bankrack.exceptions import InvariantViolated
+from bankrack.orders import Lease
+from tests.base import TestCase
+from tests.fakes import bed
+
+ADAPTED = """
+[[services]]
+name = "adapted"
+model = "m"
+adapter = "lecture"
+"""
+
+
+class TestOrders(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.patch(orders, "ROUND_SECONDS", 0.05)
+        self.patch(orders, "LOADS_PER_SECOND", 100.0)
+
+    async def until(self, check):
+        for _ in range(200):
+            if check():
+                return
+            await asyncio.sleep(0.05)
+        self.fail("it did not come about")
+
+    async def test_engines_load_what_a_confirmed_intent_asks_for(self):
+        async with bed(engines=2, nodes=2) as b:
+            await b.confirm(ADAPTED)
+            for engine in b.engines:
+                await self.until(lambda e=engine: e.models == {"m", "lecture"})
+
+    async def test_orders_carry_one_fence_of_one_holder(self):
+        async with bed(engines=2, nodes=3) as b:
+            await b.confirm(ADAPTED)
+            await self.until(lambda: all(e.orders for e in b.engines))
+            holders = [n for n in b.nodes if n.orderer.leases_by_group]
+            fences = {o["fence"] for e in b.engines for o in e.orders}
+        self.assertEqual(1, len(holders))
+        self.assertEqual(1, len(fences))
+
+    async def test_a_checking_engine_refuses_an_older_fence(self):
+        async with bed(engines=1) as b:
+            engine = b.engines[0]
+            engine.fence = 10**9
+            await b.confirm(ADAPTED)
+            await self.until(lambda: b.nodes[0].orderer.sent > 0)
+            self.assertEqual({"m"}, engine.models)
+
+    async def test_loads_are_paced(self):
+        self.patch(orders, "LOADS_PER_SECOND", 4.0)
+        async with bed(engines=3) as b:
+            start = time.monotonic()
+            await b.confirm(ADAPTED)
+            await self.until(lambda: all(len(e.models) == 2 for e in b.engines))
+            sent = b.nodes[0].orderer.sent
+            # The first goes at once; no more than the rate allows after it.
+            self.assertLessEqual(sent, 1 + (time.monotonic() - start) * 4.0)
+
+
+class TestLeases(TestCase):
+    async def test_an_order_never_outlasts_its_lease(self):
+        async with bed(engines=1) as b:
+            node = b.nodes[0]
+            upstream = node.configuration.intent.upstreams_by_name["engine-0"]
+            group = next(iter(node.admission.groups_by_name.values()))
+            lapsed = Lease(1, 5, time.monotonic() + 0.1)
+            await node.orderer._order(lapsed, upstream, group)
+            self.assertEqual([], b.engines[0].orders)
+            node.orderer._may_send = lambda *args: True
+            try:
+                await node.orderer._order(lapsed, upstream, group)
+            except InvariantViolated:
+                return
+        self.fail("an order left on a lapsed lease")
+
+    async def test_a_new_holder_waits_before_an_engine_that_does_not_check(self):
+        async with bed(engines=1) as b:
+            node = b.nodes[0]
+            upstream = node.configuration.intent.upstreams_by_name["engine-0"]
+            lease = Lease(1, 5, time.monotonic() + 100.0)
+            self.assertTrue(node.orderer._may_send(lease, upstream))
+            unchecked = type(upstream)("u", "127.0.0.1:1", checks_fence=False)
+            self.assertFalse(node.orderer._may_send(lease, unchecked))
+            lease.acquired_at -= orders.LEASE_SECONDS + orders.ORDER_SECONDS
+            self.assertTrue(node.orderer._may_send(lease, unchecked))
