--- a/src/bankrack/experiment.py
+++ b/src/bankrack/experiment.py
@@ -20,6 +20,7 @@
 from bankrack.scheduling import Scheduler
 from bankrack.workloads import Arrival
 from bankrack.workloads import arrivals
+from bankrack.workloads import Phase
 from bankrack.workloads import Workload
 
 STALL_THRESHOLD = 0.1
@@ -27,6 +28,7 @@
 PROGRESS_SECONDS = 1.0
 DECIDE_SECONDS = 0.1
 REPORT_SECONDS = 0.2
+GOOD_SECONDS = 60.0
 OWNER = "owner"
 SHARED = "shared"
 ALONE = "alone"
@@ -40,7 +42,7 @@
     :param view: who decides: one owner, every node with shared counts, or
         every node alone with the engines' reports.
     :param lag: seconds by which reports and shared counts lag.
-    :param phases: changes of the rate, as (from second, factor) pairs.
+    :param phases: changes of the rate, by time.
     """
 
     workload: Workload
@@ -54,6 +56,7 @@
     view: str = OWNER
     lag: float = 1.0
     owner_lost_at: float = 0.0
+    phases: tuple[Phase, ...] = ()
 
 
 class ServiceResult:
@@ -82,14 +85,20 @@
 class Result:
     """What one run gave."""
 
-    __slots__ = ("by_service", "finished_by_second", "preemptions", "seconds", "tokens")
+    __slots__ = (
+        "by_service",
+        "good_tokens_by_second",
+        "preemptions",
+        "seconds",
+        "tokens",
+    )
 
     def __init__(self, seconds: float) -> None:
         self.by_service: dict[str, ServiceResult] = {}
         self.preemptions = 0
         self.tokens = 0
         self.seconds = seconds
-        self.finished_by_second: dict[int, int] = {}
+        self.good_tokens_by_second: dict[int, int] = {}
 
     @property
     def total(self) -> int:
@@ -142,6 +151,7 @@
         names = [f"engine-{n}" for n in range(setup.engines)]
         self._models_by_name = {n: EngineModel(setup.memory_tokens) for n in names}
         self._stepping: set[str] = set()
+        self._reported = 0
         self._running_by_id: dict[int, Running] = {}
         count = 1 if setup.view == OWNER else setup.nodes
         self.schedulers = [self._scheduler(names) for _ in range(count)]
@@ -154,6 +164,7 @@
             seconds=setup.seconds,
             seed=setup.seed,
             nodes=setup.nodes,
+            phases=setup.phases,
         )
 
     def _scheduler(self, names: t.Sequence[str]) -> Scheduler:
@@ -296,9 +307,11 @@
     def _finish(self, number: int) -> None:
         running = self._running_by_id.pop(number)
         running.service.finished += 1
-        second = int(self.now)
-        counts = self.result.finished_by_second
-        counts[second] = counts.get(second, 0) + 1
+        if self.now - running.arrival.at <= GOOD_SECONDS:
+            second = int(self.now)
+            counts = self.result.good_tokens_by_second
+            tokens = counts.get(second, 0) + running.arrival.length
+            counts[second] = tokens
         scheduler = self.schedulers[running.node]
         length = running.arrival.length
 
@@ -337,9 +350,13 @@
     def _report(self) -> None:
         """Let the engines' reports arrive, late."""
         used_by_name = {n: m.used for n, m in self._models_by_name.items()}
+        preemptions = sum(m.preemptions for m in self._models_by_name.values())
+        fresh, self._reported = preemptions - self._reported, preemptions
 
         def take() -> None:
             for scheduler in self.schedulers:
+                if fresh:
+                    scheduler.preempted(fresh, self.now)
                 for name, engine in scheduler.engines_by_name.items():
                     engine.reported_tokens = used_by_name[name]
                     if self.setup.view == ALONE:
--- a/src/bankrack/policies.py
+++ b/src/bankrack/policies.py
@@ -61,6 +61,7 @@
     :param patience: seconds that a long prompt waits for an engine without
         first-priority answers.
     :param conditional: whether what an answer has produced is used.
+    :param cautious: whether preemptions seen make it leave more room.
     :param oracle: whether the true length is used, as a bound.
     """
 
@@ -68,9 +69,10 @@
     first_z: float = 0.7
     reserve: bool = True
     separate: bool = True
-    patience: float = 10.0
+    patience: float = 6.0
     conditional: bool = True
     affinity: bool = True
+    cautious: bool = True
     oracle: bool = False
 
 
@@ -233,11 +235,13 @@
     *,
     now: float,
     turn: int,
+    caution: float = 0.0,
 ) -> EngineView | None:
     """Choose an engine, or ``None`` to let the request wait.
 
     :param engines: those that serve the request and are usable, never empty.
     :param turn: counts grants, for policies that take turns.
+    :param caution: deviations added after preemptions were seen.
     """
     match policy:
         case RoundRobin():
@@ -250,7 +254,7 @@
             need = request.prompt_tokens + request.max_tokens
             return _reserving(engines, need)
         case Forecast():
-            return _forecasting(policy, engines, request, part, now)
+            return _forecasting(policy, engines, request, part, now, caution)
 
 
 def survival_for(policy: Policy, request: Request, lengths: Lengths) -> Survival:
@@ -287,11 +291,14 @@
     request: Request,
     part: Contribution,
     now: float,
+    caution: float,
 ) -> EngineView | None:
     best: EngineView | None = None
     best_cost = 0.0
     waited = now - request.submitted
-    z = policy.z if request.priority > FIRST_PRIORITY else policy.first_z
+    z = policy.first_z
+    if request.priority > FIRST_PRIORITY:
+        z = policy.z + (caution if policy.cautious else 0.0)
     for engine in engines:
         full = engine.forecast.peak_with(part, z) + engine.others_tokens
         limit = float(engine.memory_tokens)
--- a/src/bankrack/scheduling.py
+++ b/src/bankrack/scheduling.py
@@ -30,6 +30,9 @@
 LEAST_QUEUE_TO_REFUSE = 4
 LEAST_FIRST_RATE = 0.02
 TRIES_BY_PRIORITY = 16
+CAUTION_STEP = 0.08
+MOST_CAUTION = 1.5
+CAUTION_SECONDS = 180.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -78,6 +81,8 @@
         self._turn = 0
         self._rates_by_priority: dict[int, Rate] = {}
         self._first_peak = 0.0
+        self._caution = 0.0
+        self._caution_at = 0.0
         self._refreshed_at = 0.0
 
     def set_engine(self, name: str, memory_tokens: int) -> EngineView:
@@ -140,6 +145,21 @@
             granted = self.engines_by_name[name].granted_by_id[request_id]
             granted.progressed(produced, now)
 
+    def preempted(self, count: int, now: float) -> None:
+        """Leave more room for a while, since engines preempted.
+
+        Where lengths have a heavier tail than the normal approximation of the
+        forecast allows for, preemptions show it.
+        """
+        caution = self.caution(now) + CAUTION_STEP * count
+        self._caution = min(MOST_CAUTION, caution)
+        self._caution_at = now
+
+    def caution(self, now: float) -> float:
+        """Deviations of the forecast to leave free beyond the policy's own."""
+        elapsed = max(0.0, now - self._caution_at)
+        return self._caution * 2 ** (-elapsed / CAUTION_SECONDS)
+
     def adopt(self, request: Request, engine: str, produced: int, now: float) -> None:
         """Note a request that another owner granted."""
         view = self.engines_by_name.get(engine)
@@ -185,7 +205,13 @@
             return None
         part = policies.part_of(self.policy, request, self.lengths, 0)
         engine = policies.choose(
-            self.policy, engines, request, part, now=now, turn=self._turn
+            self.policy,
+            engines,
+            request,
+            part,
+            now=now,
+            turn=self._turn,
+            caution=self.caution(now),
         )
         if engine is None:
             return None
--- a/src/bankrack/workloads.py
+++ b/src/bankrack/workloads.py
@@ -115,6 +115,14 @@
 WORKLOADS_BY_NAME = {w.name: w for w in (DERWENT, LETTERWERF, DRIFT)}
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Phase:
+    """From ``start`` seconds on the rate is multiplied by ``factor``."""
+
+    start: float
+    factor: float
+
+
 class Arrival:
     """One request of a workload; ``at`` in seconds from the start."""
 
@@ -131,7 +139,13 @@
 
 
 def arrivals(
-    workload: Workload, *, rate: float, seconds: float, seed: int, nodes: int = 1
+    workload: Workload,
+    *,
+    rate: float,
+    seconds: float,
+    seed: int,
+    nodes: int = 1,
+    phases: tuple[Phase, ...] = (),
 ) -> t.Iterator[Arrival]:
     """Draw the requests of one run, by time.
 
@@ -142,8 +156,13 @@
     weights = [kind.share for kind in workload.kinds]
     at = 0.0
     while True:
+        phase_factor = 1.0
         in_burst = at % workload.burst_every < workload.burst_seconds
-        at += chance.expovariate(calm * (workload.burst if in_burst else 1.0))
+        factor = workload.burst if in_burst else 1.0
+        for phase in phases:
+            if at >= phase.start:
+                phase_factor = phase.factor
+        at += chance.expovariate(calm * factor * phase_factor)
         if at >= seconds:
             return
         kind = chance.choices(workload.kinds, weights)[0]
