--- a/src/bankrack/admission.py
+++ b/src/bankrack/admission.py
@@ -17,6 +17,7 @@
 
 from bankrack import groups
 from bankrack import logs
+from bankrack.engine import LoadReport
 from bankrack.exceptions import NoUpstream
 from bankrack.exceptions import Overloaded
 from bankrack.exceptions import PeerUnavailable
@@ -47,6 +48,7 @@
 SUSPECT_SECONDS = 2.0
 PROGRESS_SECONDS = 1.0
 TICK_SECONDS = 0.1
+REPORT_SECONDS = 5.0
 ALONE_SHARE = 2.0
 PREFIX_BYTES = 6
 _logger = logging.getLogger(__name__)
@@ -110,6 +112,7 @@
         hall: str,
         candidates: t.Callable[[], t.Sequence[MemberRecord]],
         is_leaving: t.Callable[[Upstream], bool],
+        read_report: t.Callable[[Upstream], t.Awaitable[LoadReport | None]],
         alone: bool = False,
         clock: t.Callable[[], float] = time.monotonic,
     ) -> None:
@@ -126,6 +129,7 @@
         self._hall = hall
         self._candidates = candidates
         self._is_leaving = is_leaving
+        self._read_report = read_report
         self._alone = alone
         self._clock = clock
         self._intent = Intent()
@@ -199,6 +203,16 @@
                 reported_at = now
                 self._report()
 
+    async def follow_reports(self) -> None:
+        """Read the load reports of the engines of owned groups, until cancelled."""
+        while True:
+            await asyncio.sleep(REPORT_SECONDS)
+            for owner in list(self.owners_by_group.values()):
+                for upstream in list(owner.group.upstreams_by_name.values()):
+                    report = await self._read_report(upstream)
+                    if report is not None:
+                        owner.take_report(upstream.name, report)
+
     def _tick_owner(self, name: str, live: set[str]) -> None:
         owner = self.owners_by_group[name]
         if self._owner_of(self.groups_by_name[name]) != self._peers.name:
--- a/src/bankrack/node.py
+++ b/src/bankrack/node.py
@@ -88,6 +88,7 @@
         self._spawn(self.follower.run())
         self._spawn(self._beat())
         self._spawn(self.admission.run())
+        self._spawn(self.admission.follow_reports())
         self._spawn(self.engines.watch())
         self._spawn(self.orderer.run())
         self._spawn(self.claims.keep_floor())
@@ -131,18 +132,20 @@
         self.claims = Claims(
             platform=self.platform, peers=self.peers, writers=self._writers
         )
+        engine_client = EngineClient(
+            engine_session, connect_timeout=settings.limits.connect_timeout
+        )
         self.admission = Admission(
             peers=self.peers,
             health=self.health,
             hall=settings.hall,
             candidates=self._candidates,
             is_leaving=self.is_leaving,
+            read_report=engine_client.report,
             alone=settings.admission == "alone",
         )
         self.engines = Engines(
-            client=EngineClient(
-                engine_session, connect_timeout=settings.limits.connect_timeout
-            ),
+            client=engine_client,
             admission=self.admission,
             health=self.health,
             retries=RetryBudget(),
@@ -393,6 +396,9 @@
             "requests_waiting": len(self.admission.waiting_by_id),
             "owner_changes": self.admission.owner_changes,
             "decided_alone": self.admission.decided_alone,
+            "preemptions_seen": sum(
+                owner.preemptions for owner in self.admission.owners_by_group.values()
+            ),
             "retries_taken": self.engines.retries.taken,
             "retries_refused": self.engines.retries.refused,
         }
--- a/src/bankrack/owner.py
+++ b/src/bankrack/owner.py
@@ -9,6 +9,7 @@
 import typing as t
 
 from bankrack import logs
+from bankrack.engine import LoadReport
 from bankrack.groups import Group
 from bankrack.intent import Intent
 from bankrack.intent import Upstream
@@ -63,6 +64,8 @@
         self._clock = clock
         self._since_by_place: dict[PlaceId, float] = {}
         self._priorities_by_service: dict[str, int] = {}
+        self._preemptions_by_upstream: dict[str, int] = {}
+        self.preemptions = 0
 
     def configure(self, group: Group, intent: Intent, placement: Placement) -> None:
         """Take the engines, services, shares and placement of an intent."""
@@ -127,6 +130,20 @@
         for decision in self.scheduler.decide(self._clock()):
             self._tell(decision)
 
+    def take_report(self, upstream: str, report: LoadReport) -> None:
+        """Take an engine's own report; new preemptions make for caution."""
+        engine = self.scheduler.engines_by_name.get(upstream)
+        if engine is None:
+            return
+        engine.reported_tokens = report.memory_share * engine.memory_tokens
+        before = self._preemptions_by_upstream.get(upstream, report.preemptions)
+        self._preemptions_by_upstream[upstream] = report.preemptions
+        fresh = report.preemptions - before
+        if fresh > 0:
+            self.preemptions += fresh
+            self.scheduler.preempted(fresh, self._clock())
+            logs.event(_logger, "preempted", upstream=upstream, count=fresh)
+
     def progress(self, node: str, message: Progress) -> None:
         """Take all that a node holds; drop what it no longer does."""
         now = self._clock()
