Peers: no envelope refused as a replay of another way; close that ends

Cause of owners called silent: a node known as a seed and by its name was dialled twice, each way counted envelopes from 1, and the receiver refused the lower numbers as replays (4 of 12 requests were decided alone). Ruled out: the time of a round trip, 3 to 9 ms. Now a node counts once for all, a window admits overtaking, and a seed gives way to the name behind it. Cause of a close that hung: a pynng call that completes as it is cancelled swallows the cancellation. The loops look at a flag and cancelling repeats. Both tests failed first.

--- a/src/bankrack/messages.py
+++ b/src/bankrack/messages.py
@@ -188,7 +188,7 @@
 class Envelope(msgspec.Struct, frozen=True, array_like=True):
     """All messages that left one node for another together.
 
-    :param sequence: grows with each envelope of that incarnation to that peer.
+    :param sequence: grows with each envelope of that incarnation.
     """
 
     sender: str
--- a/src/bankrack/node.py
+++ b/src/bankrack/node.py
@@ -82,8 +82,6 @@
         self._connect()
         await self.peers.start()
         self.peers.handle(Heartbeat, self._take_heartbeat)
-        for seed in self.settings.seeds:
-            self.peers.learn(f"seed-{seed}", seed)
         await self.follower.refresh()
         self._spawn(self.follower.run())
         self._spawn(self._beat())
@@ -258,6 +256,9 @@
 
     async def _beat(self) -> None:
         while True:
+            if not self.membership.live():
+                for seed in self.settings.seeds:
+                    self.peers.learn_seed(seed)
             self._send_heartbeats()
             for name in self.membership.forget_old():
                 self.peers.forget(name)
--- a/src/bankrack/peers.py
+++ b/src/bankrack/peers.py
@@ -31,6 +31,8 @@
 FLUSH_SECONDS = 0.001
 SEND_TIMEOUT_MS = 500
 OUTBOX_LIMIT = 2000
+REPLAY_WINDOW = 256
+CLOSE_SECONDS = 2.0
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 _logger = logging.getLogger(__name__)
 
@@ -40,17 +42,41 @@
 class Peer:
     """The way to one peer."""
 
-    __slots__ = ("address", "name", "outbox", "sequence", "task", "wake")
+    __slots__ = ("address", "name", "outbox", "task", "wake")
 
     def __init__(self, name: str, address: str) -> None:
         self.name = name
         self.address = address
         self.outbox: list[Item] = []
-        self.sequence = 0
         self.wake = asyncio.Event()
         self.task: asyncio.Task[None] | None = None
 
 
+class Received:
+    """Which envelopes of one sender's life have come, to refuse replays.
+
+    Envelopes may overtake each other, as when a sender dials twice.
+    """
+
+    __slots__ = ("_highest", "_seen", "incarnation")
+
+    def __init__(self, incarnation: int) -> None:
+        self.incarnation = incarnation
+        self._highest = 0
+        self._seen: set[int] = set()
+
+    def take(self, sequence: int) -> bool:
+        """Note one envelope; tell whether it is new."""
+        if sequence in self._seen or sequence <= self._highest - REPLAY_WINDOW:
+            return False
+        self._seen.add(sequence)
+        self._highest = max(self._highest, sequence)
+        if len(self._seen) > 2 * REPLAY_WINDOW:
+            oldest = self._highest - REPLAY_WINDOW
+            self._seen = {number for number in self._seen if number > oldest}
+        return True
+
+
 class Peers:
     """Sends messages to peers and hands theirs to handlers.
 
@@ -73,7 +99,9 @@
         self._handlers_by_kind: dict[type, Handler] = {}
         self._futures_by_ask: dict[int, asyncio.Future[Body]] = {}
         self._asks = itertools.count(1)
-        self._last_by_sender: dict[str, tuple[int, int]] = {}
+        self._received_by_sender: dict[str, Received] = {}
+        self._sequence = itertools.count(1)
+        self._closing = False
         self._listener: pynng.Pull0 | None = None
         self._tasks: set[asyncio.Task[t.Any]] = set()
 
@@ -89,13 +117,19 @@
         self._spawn(self._receive(self._listener))
 
     async def close(self) -> None:
-        """Stop listening and sending."""
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        """Stop listening and sending.
+
+        A pynng call that completes as it is cancelled swallows the
+        cancellation, so the loops look at a flag and cancelling is repeated.
+        """
+        self._closing = True
         if self._listener is not None:
             self._listener.close()
+        deadline = time.monotonic() + CLOSE_SECONDS
+        while self._tasks and time.monotonic() < deadline:
+            for task in self._tasks:
+                task.cancel()
+            await asyncio.wait(self._tasks, timeout=0.1)
 
     def learn(self, name: str, address: str) -> None:
         """Note where a peer listens."""
@@ -107,13 +141,23 @@
         if peer is not None and peer.task is not None:
             peer.task.cancel()
         self.peers_by_name[name] = Peer(name, address)
+        for other in [p for p in self.peers_by_name.values() if p.name != name]:
+            if other.address == address:
+                # It was known by its address only, or has been renamed.
+                self.forget(other.name)
+
+    def learn_seed(self, address: str) -> None:
+        """Note an address whose node's name is not known yet."""
+        known = {peer.address for peer in self.peers_by_name.values()}
+        if address not in known and address != self.address:
+            self.learn(f"seed-{address}", address)
 
     def forget(self, name: str) -> None:
         """Drop a peer that is gone."""
         peer = self.peers_by_name.pop(name, None)
         if peer is not None and peer.task is not None:
             peer.task.cancel()
-        self._last_by_sender.pop(name, None)
+        self._received_by_sender.pop(name, None)
 
     def send(self, name: str, body: Body) -> None:
         """Send a message without an answer; it may be lost."""
@@ -158,12 +202,12 @@
         address = f"tcp://{peer.address}"
         with pynng.Push0(send_timeout=SEND_TIMEOUT_MS) as socket:
             socket.dial(address, block=False)
-            while True:
+            while not self._closing:
                 await peer.wake.wait()
                 await asyncio.sleep(FLUSH_SECONDS)
                 peer.wake.clear()
                 items, peer.outbox = peer.outbox, []
-                data = self._seal(self._envelope(peer, items))
+                data = self._seal(self._envelope(items))
                 try:
                     await socket.asend(data)
                 except pynng.NNGException:
@@ -172,14 +216,14 @@
                 self.bytes_sent += len(data)
                 self.envelopes_sent += 1
 
-    def _envelope(self, peer: Peer, items: list[Item]) -> bytes:
-        peer.sequence += 1
+    def _envelope(self, items: list[Item]) -> bytes:
+        sequence = next(self._sequence)
         return messages.encode(
-            Envelope(self.name, self.address, self.incarnation, peer.sequence, items)
+            Envelope(self.name, self.address, self.incarnation, sequence, items)
         )
 
     async def _receive(self, listener: pynng.Pull0) -> None:
-        while True:
+        while not self._closing:
             data = await listener.arecv()
             self.bytes_received += len(data)
             try:
@@ -196,13 +240,11 @@
                 self._take(envelope.sender, item)
 
     def _is_replay(self, envelope: Envelope) -> bool:
-        last = self._last_by_sender.get(envelope.sender)
-        current = (envelope.incarnation, envelope.sequence)
-        same_life = last is not None and last[0] == envelope.incarnation
-        if same_life and last is not None and current <= last:
-            return True
-        self._last_by_sender[envelope.sender] = current
-        return False
+        received = self._received_by_sender.get(envelope.sender)
+        if received is None or received.incarnation != envelope.incarnation:
+            received = Received(envelope.incarnation)
+            self._received_by_sender[envelope.sender] = received
+        return not received.take(envelope.sequence)
 
     def _take(self, sender: str, item: Item) -> None:
         if item.reply:
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,106 @@
+import asyncio
+
+from bankrack import admission
+from tests.base import TestCase
+from tests.fakes import bed
+from tests.test_callers import body
+
+
+class TestOwners(TestCase):
+    async def settle(self, b):
+        """Wait until every node knows every other."""
+        for _ in range(100):
+            known = [len(node.membership.live()) for node in b.nodes]
+            if known == [len(b.nodes) - 1] * len(b.nodes):
+                return
+            await asyncio.sleep(0.05)
+        self.fail(f"nodes do not find each other: {known}")
+
+    def owner(self, b):
+        names = {
+            n.admission._owner_of(n.admission.groups_by_name["m"]) for n in b.nodes
+        }
+        self.assertEqual(1, len(names))
+        name = names.pop()
+        return next(n for n in b.nodes if n.settings.name == name)
+
+    async def ask(self, b, node, length=5):
+        async with b.post(body(length), node=node) as response:
+            return response.status
+
+    async def test_all_nodes_ask_one_owner(self):
+        async with bed(engines=2, nodes=3) as b:
+            await self.settle(b)
+            owner = self.owner(b)
+            statuses = await asyncio.gather(
+                *(self.ask(b, node, 60) for node in (0, 1, 2) * 4)
+            )
+            self.assertEqual([200] * 12, statuses)
+            self.assertEqual({"m"}, set(owner.admission.owners_by_group))
+            self.assertEqual(0, sum(n.admission.decided_alone for n in b.nodes))
+            scheduler = owner.admission.scheduler_of("m")
+            for _ in range(100):
+                if not scheduler.engine_by_granted:
+                    break
+                await asyncio.sleep(0.02)
+            self.assertEqual({}, scheduler.engine_by_granted)
+
+    async def test_requests_go_on_when_the_owner_dies(self):
+        async with bed(engines=2, nodes=3) as b:
+            await self.settle(b)
+            owner = self.owner(b)
+            b.nodes.remove(owner)
+            await owner.close()
+            for _ in range(3):
+                statuses = await asyncio.gather(*(self.ask(b, n) for n in (0, 1)))
+                self.assertEqual([200, 200], statuses)
+
+    async def test_a_new_owner_learns_what_runs(self):
+        self.patch(admission, "PROGRESS_SECONDS", 0.1)
+        async with bed(engines=2, nodes=3) as b:
+            await self.settle(b)
+            owner = self.owner(b)
+            others = [i for i, n in enumerate(b.nodes) if n is not owner]
+            running = [
+                asyncio.ensure_future(self.ask(b, others[0], 400)) for _ in range(3)
+            ]
+            await asyncio.sleep(0.3)
+            owner.draining = True
+            owner._send_heartbeats()
+            for _ in range(100):
+                found = [n for n in b.nodes if n is not owner]
+                known = [
+                    len(n.admission.scheduler_of("m").engine_by_granted)
+                    for n in found
+                    if n.admission.scheduler_of("m")
+                ]
+                if 3 in known:
+                    break
+                await asyncio.sleep(0.05)
+            self.assertIn(3, known)
+            await asyncio.gather(*running)
+
+    async def test_a_node_alone_keeps_to_its_share(self):
+        async with bed(engines=1, nodes=1) as b:
+            node = b.nodes[0]
+            node.admission._alone = True
+            self.assertEqual(200, await self.ask(b, 0))
+            self.assertEqual(1, node.admission.decided_alone)
+
+
+class TestOverload(TestCase):
+    async def test_what_cannot_start_in_time_is_told_at_once_with_a_time(self):
+        async with bed(engines=0) as b:
+            await b.add_engine(memory=300, speed=0.5)
+            await b.confirm()
+            service = b.nodes[0].configuration.intent.services_by_name["captions"]
+            self.assertEqual(10.0, service.queue_seconds)
+            group = b.nodes[0].admission.groups_by_name["m"]
+            scheduler = b.nodes[0].admission._own("m").scheduler
+            scheduler._max_waiting = 0
+            async with b.post(body()) as response:
+                answer = await response.json()
+        self.assertEqual("m", group.name)
+        self.assertEqual("overloaded", answer["error"]["code"])
+        self.assertEqual("not_run", answer["error"]["outcome"])
+        self.assertGreaterEqual(int(response.headers["Retry-After"]), 1)
--- /dev/null
+++ b/tests/test_health.py
@@ -0,0 +1,64 @@
+from bankrack.exceptions import LimitExceeded
+from bankrack.health import FAILURES_TO_EJECT
+from bankrack.health import Health
+from bankrack.intent import Workspace
+from bankrack.limits import InFlight
+from bankrack.retries import RetryBudget
+from tests.base import TestCase
+
+
+class TestEjection(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.now = 0.0
+        self.health = Health(clock=lambda: self.now, seed=1)
+
+    def fail(self, times=FAILURES_TO_EJECT):
+        for _ in range(times):
+            self.health.failed("e")
+
+    def test_failures_in_a_row_eject_and_one_probe_may_return(self):
+        self.fail()
+        self.assertFalse(self.health.usable("e"))
+        self.now += 2.0
+        self.assertTrue(self.health.usable("e"))
+        self.health.started("e")
+        self.assertFalse(self.health.usable("e"))
+        self.health.succeeded("e")
+        self.assertTrue(self.health.usable("e"))
+
+    def test_each_ejection_lasts_longer(self):
+        self.fail()
+        first = self.health.by_upstream["e"].ejected_until
+        self.now = first
+        self.fail(1)
+        self.assertGreater(self.health.by_upstream["e"].ejected_until - first, 1.5)
+
+    def test_an_orderly_refusal_never_ejects(self):
+        for _ in range(10):
+            self.health.failed("e", definite=False)
+        self.assertTrue(self.health.usable("e"))
+
+
+class TestRetryBudget(TestCase):
+    def test_retries_stay_a_share_of_requests(self):
+        budget = RetryBudget(ratio=0.1, reserve=5)
+        taken = 0
+        for _ in range(1000):
+            budget.earn()
+            taken += budget.take()
+        self.assertLessEqual(taken, 5 + 100)
+        self.assertGreater(budget.refused, 800)
+
+
+class TestInFlight(TestCase):
+    def test_a_workspace_over_its_limit_is_told(self):
+        in_flight = InFlight(most=10)
+        workspace = Workspace("w", "", max_in_flight=1)
+        with in_flight.enter(workspace):
+            try:
+                with in_flight.enter(workspace):
+                    raise AssertionError
+            except LimitExceeded as error:
+                self.assertIn("w", error.message)
+        self.assertEqual({}, in_flight.by_workspace)
--- /dev/null
+++ b/tests/test_lengths.py
@@ -0,0 +1,65 @@
+import random
+
+from bankrack.forecast import contribution
+from bankrack.forecast import HORIZONS
+from bankrack.forecast import MemoryForecast
+from bankrack.lengths import KnownLength
+from bankrack.lengths import LengthHistogram
+from bankrack.lengths import Lengths
+from bankrack.lengths import MAX_KEYS
+from tests.base import TestCase
+
+
+class TestHistogram(TestCase):
+    def test_survival_never_rises(self):
+        histogram = LengthHistogram()
+        for length in (1, 5, 80, 80, 300, 9000):
+            histogram.observe(length)
+        values = [histogram.survival(tokens) for tokens in range(0, 20000, 37)]
+        self.assertEqual(sorted(values, reverse=True), values)
+        self.assertEqual(1.0, values[0])
+
+    def test_it_learns_and_follows_drift(self):
+        chance = random.Random(3)
+        histogram = LengthHistogram()
+        for _ in range(1000):
+            histogram.observe(round(chance.lognormvariate(4.0, 0.5)))
+        short = histogram.survival(200)
+        for _ in range(1000):
+            histogram.observe(round(chance.lognormvariate(6.0, 0.5)))
+        self.assertLess(short, 0.1)
+        self.assertGreater(histogram.survival(200), 0.7)
+
+    def test_a_new_workspace_leans_on_its_service(self):
+        lengths = Lengths()
+        for _ in range(200):
+            lengths.observe("captions", "old", 20)
+        lengths.observe("captions", "new", 20)
+        self.assertLess(lengths.survival_of("captions", "new").survival(100), 0.15)
+
+    def test_the_number_of_histograms_is_bounded(self):
+        lengths = Lengths()
+        for number in range(MAX_KEYS + 50):
+            lengths.observe("captions", f"w{number}", 20)
+        self.assertEqual(MAX_KEYS, len(lengths.by_service_and_workspace))
+
+
+class TestForecast(TestCase):
+    def test_a_known_length_is_forecast_without_doubt(self):
+        part = contribution(
+            KnownLength(100), prompt_tokens=50, produced=0, max_tokens=1000
+        )
+        self.assertEqual(0.0, sum(part.variances))
+        self.assertGreaterEqual(max(part.means), 150)
+        beyond = [m for h, m in zip(HORIZONS, part.means, strict=True) if h >= 100]
+        self.assertEqual(0.0, sum(beyond))
+
+    def test_adding_and_removing_leaves_nothing(self):
+        forecast = MemoryForecast()
+        part = contribution(
+            LengthHistogram(), prompt_tokens=50, produced=7, max_tokens=400
+        )
+        forecast.add(part)
+        self.assertGreater(forecast.peak(2.0), forecast.peak(0.0))
+        forecast.remove(part)
+        self.assertAlmostEqual(0.0, forecast.peak(2.0), places=3)
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,146 @@
+import asyncio
+import json
+import time
+
+from bankrack import node as node_module
+from bankrack.following import POLL_SECONDS
+from bankrack.operatorclient import OperatorClient
+from tests.base import TestCase
+from tests.fakes import bed
+from tests.fakes import intent_text
+from tests.fakes import OPERATORS
+from tests.test_callers import body
+from tests.test_callers import texts
+
+
+def operator(b, node=0, who="alice"):
+    return OperatorClient(b.nodes[node].settings.operators, OPERATORS[who])
+
+
+class TestDrain(TestCase):
+    async def test_a_drained_node_finishes_its_streams(self):
+        self.patch(node_module, "DRAIN_LINGER_SECONDS", 0.0)
+        async with bed(engines=1) as b:
+            node = b.nodes[0]
+            async with b.post(body(300, stream=True)) as response:
+                await response.content.readline()
+                await operator(b).post("/v1/drain")
+                self.assertFalse(node.ready)
+                words = texts(await b.events(response))
+            self.assertEqual("299", words[-1].rpartition("-")[2].strip())
+            async with asyncio.timeout(10):
+                await node.stopped.wait()
+
+    async def test_it_refuses_new_work_after_the_notice(self):
+        async with bed(engines=1) as b:
+            b.nodes[0].draining = True
+            b.nodes[0].in_flight.closed = True
+            async with b.post(body()) as response:
+                answer = await response.json()
+        self.assertEqual("node_draining", answer["error"]["code"])
+        self.assertEqual("close", response.headers["Connection"])
+
+
+class TestLeaving(TestCase):
+    async def test_an_upstream_that_the_platform_lists_as_leaving_gets_nothing(self):
+        async with bed(engines=2) as b:
+            record = json.dumps({"role": "upstream", "state": "leaving"}).encode()
+            b.platform.put("bankrack/vms/engine-0", record)
+            await b.nodes[0].follower.refresh()
+            for _ in range(6):
+                async with b.post(body(2)) as response:
+                    self.assertEqual(200, response.status)
+        self.assertEqual(0, len(b.engines[0].runs_by_generation))
+        self.assertEqual(6, len(b.engines[1].runs_by_generation))
+
+    async def test_its_running_stream_is_finished(self):
+        async with bed(engines=1) as b, b.post(body(200, stream=True)) as response:
+            await response.content.readline()
+            record = json.dumps({"role": "upstream", "state": "leaving"}).encode()
+            b.platform.put("bankrack/vms/engine-0", record)
+            await b.nodes[0].follower.refresh()
+            words = texts(await b.events(response))
+        self.assertEqual(200, len(words))
+
+    async def test_a_node_that_was_held_up_looks_before_it_sends(self):
+        async with bed(engines=2) as b:
+            node = b.nodes[0]
+            await self.leave(b, "engine-0")
+            # As after a freeze: the node has not looked for long.
+            node.follower.looked_at = time.monotonic() - 100.0
+            for _ in range(4):
+                async with b.post(body(2)) as response:
+                    self.assertEqual(200, response.status)
+        self.assertEqual(0, len(b.engines[0].runs_by_generation))
+
+    async def leave(self, b, name):
+        record = json.dumps({"role": "upstream", "state": "leaving"}).encode()
+        b.platform.put(f"bankrack/vms/{name}", record)
+
+
+class TestConfiguration(TestCase):
+    async def test_it_is_in_force_on_all_nodes_soon(self):
+        async with bed(engines=1, nodes=3) as b:
+            text = intent_text(b.engine_addresses, [], "")
+            text = text.replace('name = "south"', 'name = "south"\nshare = 2.0')
+            client = operator(b, 1)
+            plan = await client.post("/v1/plan", text.encode())
+            self.assertEqual(["south"], [e["name"] for e in plan["effects"][:1]])
+            answer = await client.post("/v1/confirm", json.dumps(plan).encode())
+            self.assertEqual(2, answer["revision"])
+            for _ in range(int(2 * POLL_SECONDS / 0.05)):
+                held = [node.configuration.revision for node in b.nodes]
+                if held == [2, 2, 2]:
+                    break
+                await asyncio.sleep(0.05)
+            overview = await client.get("/v1/overview")
+            history = await client.get("/v1/history")
+        self.assertEqual([2, 2, 2], held)
+        self.assertEqual(3, len(overview["nodes"]))
+        self.assertEqual([1, 2], [line["revision"] for line in history])
+
+    async def test_a_node_started_in_an_outage_takes_it_from_its_peers(self):
+        async with bed(engines=1, nodes=2) as b:
+            b.platform.faults.down = True
+            late = await b.add_node(name="late")
+            self.assertFalse(late.ready)
+            for _ in range(200):
+                if late.ready:
+                    break
+                await asyncio.sleep(0.05)
+            self.assertEqual(1, late.configuration.revision)
+            async with b.post(body(3), node=2) as response:
+                self.assertEqual(200, response.status)
+
+    async def test_a_platform_value_that_does_not_decode_loses_nothing(self):
+        async with bed(engines=1) as b:
+            b.platform.put("bankrack/config/current", b"garbage")
+            b.platform.put("bankrack/vms/x", b"{")
+            await b.nodes[0].follower.refresh()
+            self.assertEqual(1, b.nodes[0].configuration.revision)
+            async with b.post(body(3)) as response:
+                self.assertEqual(200, response.status)
+
+
+class TestOperators(TestCase):
+    async def test_callers_tokens_are_not_operators_tokens(self):
+        async with bed(engines=0) as b:
+            url = f"http://{b.nodes[0].settings.operators}/v1/state"
+            headers = {"Authorization": "Bearer token-of-north"}
+            async with b.session.get(url, headers=headers) as response:
+                self.assertEqual(401, response.status)
+            async with b.post(body(), workspace="north") as response:
+                self.assertNotEqual(401, response.status)
+
+    async def test_dump_and_metrics_hold_no_secret(self):
+        async with bed(engines=1) as b:
+            async with b.post(body(3)) as response:
+                await response.read()
+            state = json.dumps(await operator(b).get("/v1/state"))
+            url = f"http://{b.nodes[0].settings.operators}/metrics"
+            headers = {"Authorization": f"Bearer {OPERATORS['bob']}"}
+            async with b.session.get(url, headers=headers) as response:
+                page = await response.text()
+        self.assertIn("bankrack_requests", page)
+        for secret in ("token-of", "handle-key", "peer-key"):
+            self.assertNotIn(secret, state + page)
