--- a/Makefile
+++ b/Makefile
@@ -42,3 +42,11 @@
 	$(BIN)/bankrack bench run --output $@ \
 	  --workload $(word 1,$(subst -, ,$*)) --experiment $(word 2,$(subst -, ,$*)) \
 	  --seed $(word 3,$(subst -, ,$*))
+
+# One file; it unpacks to SHIV_ROOT, which belongs on memory (about 20 MB).
+dist: $(VENV)/.dev
+	rm -rf dist/site && mkdir -p dist/site
+	$(BIN)/pip install -q --disable-pip-version-check -r requirements/run.txt --target dist/site
+	$(BIN)/pip install -q --disable-pip-version-check --no-deps --no-build-isolation --target dist/site .
+	$(BIN)/shiv --site-packages dist/site -c bankrack -p "/usr/bin/env python3" -o dist/bankrack
+	rm -rf dist/site build
--- a/src/bankrack/forecast.py
+++ b/src/bankrack/forecast.py
@@ -40,24 +40,27 @@
 
     :param max_tokens: the answer ends there at the latest.
     """
-    alive_now = max(1e-9, lengths.survival(produced))
+    chances = lengths.survivals(produced, HORIZONS)
+    alive_now = max(1e-9, chances[0])
     held = prompt_tokens + produced
+    left = max(0, max_tokens - produced)
     means = []
     variances = []
     expected = 0.0
     before = 0
-    for horizon, ahead in zip(HORIZONS, _AHEAD, strict=True):
-        reached = produced + horizon
-        chance = 0.0
-        if reached < max_tokens:
-            chance = min(1.0, lengths.survival(reached) / alive_now)
+    for horizon, ahead, chance in zip(HORIZONS, _AHEAD, chances, strict=True):
+        alive = 0.0
+        if horizon < left:
+            alive = chance / alive_now
+            if alive > 1.0:
+                alive = 1.0
         elif horizon == 0:
-            chance = 1.0
-        memory = held + min(ahead, max(0, max_tokens - produced))
-        mean = chance * memory
+            alive = 1.0
+        memory = held + (ahead if ahead < left else left)
+        mean = alive * memory
         means.append(mean)
-        variances.append(mean * (1.0 - chance) * memory)
-        expected += chance * (horizon - before)
+        variances.append(mean * (1.0 - alive) * memory)
+        expected += alive * (horizon - before)
         before = horizon
     return Contribution(means, variances, expected)
 
--- a/src/bankrack/lengths.py
+++ b/src/bankrack/lengths.py
@@ -29,6 +29,10 @@
         """Chance that an answer has more than ``tokens`` tokens."""
         ...
 
+    def survivals(self, start: int, steps: t.Sequence[int]) -> list[float]:
+        """The chances at ``start`` plus each step."""
+        ...
+
 
 class KnownLength:
     """The survival function of a length that is known."""
@@ -42,6 +46,10 @@
         """Chance, 0 or 1, that the length is above ``tokens``."""
         return 1.0 if tokens < self._length else 0.0
 
+    def survivals(self, start: int, steps: t.Sequence[int]) -> list[float]:
+        """The chances, 0 or 1, at ``start`` plus each step."""
+        return [self.survival(start + step) for step in steps]
+
 
 class LengthHistogram:
     """Lengths seen lately, leaning on a parent while they are few.
@@ -81,6 +89,23 @@
         low = self._tail[index]
         return low + (position - index) * (self._tail[index + 1] - low)
 
+    def survivals(self, start: int, steps: t.Sequence[int]) -> list[float]:
+        """The chances at ``start`` plus each step, all at once for speed."""
+        tail = self._tail
+        log2 = math.log2
+        found = []
+        for step in steps:
+            position = log2(start + step + 1) * BINS_PER_DOUBLING
+            index = int(position)
+            if index >= BINS:
+                found.append(0.0)
+                continue
+            low = tail[index]
+            found.append(low + (position - index) * (tail[index + 1] - low))
+        if start <= 0 and steps[0] == 0:
+            found[0] = 1.0
+        return found
+
     def _rebuild(self) -> None:
         """Blend the own counts with the parent's shape into one tail."""
         weight = SERVICE_WEIGHT if self._parent is not None else PRIOR_WEIGHT
--- a/src/bankrack/placement.py
+++ b/src/bankrack/placement.py
@@ -28,25 +28,42 @@
 
 def place(intent: Intent) -> Placement:
     """Place all services of an intent on its engines."""
-    chosen: dict[str, set[str]] = {
-        upstream.name: set()
-        for upstream in intent.upstreams_by_name.values()
-        if upstream.kind == "engine"
-    }
-    unplaced = []
     wanted = _demand_by_model(intent)
-    first_round = sorted(wanted.values(), key=lambda s: (-s.demand, s.engine_model))
-    for service in first_round:
-        upstream = _best_engine(intent, service, chosen)
-        if upstream is None:
-            unplaced.append(service.name)
+    chosen: dict[str, set[str]] = {}
+    crowded: list[Upstream] = []
+    for upstream in intent.upstreams_by_name.values():
+        if upstream.kind != "engine":
+            continue
+        asked = _asked_of(upstream, wanted)
+        if len(asked) <= upstream.model_slots:
+            chosen[upstream.name] = asked
         else:
-            chosen[upstream.name].add(service.engine_model)
-    _fill(intent, first_round, chosen)
+            chosen[upstream.name] = set()
+            crowded.append(upstream)
+    copies = {model: 0 for model in wanted}
+    for models in chosen.values():
+        for model in models:
+            copies[model] += 1
+    if crowded:
+        _share_out(crowded, list(wanted.values()), chosen, copies)
     placed = {name: frozenset(models) for name, models in chosen.items()}
+    missing = {model for model, count in copies.items() if count == 0}
+    unplaced = sorted(
+        service.name
+        for service in intent.services_by_name.values()
+        if service.kind == "model" and service.engine_model in missing
+    )
     return Placement(placed, tuple(unplaced))
 
 
+def _asked_of(upstream: Upstream, wanted: dict[str, Service]) -> set[str]:
+    if upstream.leaving:
+        return set()
+    return {
+        name for name, service in wanted.items() if service.model in upstream.models
+    }
+
+
 def _demand_by_model(intent: Intent) -> dict[str, Service]:
     """One service for each model to load, with the demand of all that need it."""
     found: dict[str, Service] = {}
@@ -59,14 +76,42 @@
     return found
 
 
-def _best_engine(
-    intent: Intent, service: Service, chosen: dict[str, set[str]]
+def _share_out(
+    engines: list[Upstream],
+    services: list[Service],
+    chosen: dict[str, set[str]],
+    copies: dict[str, int],
+) -> None:
+    """Share the room of engines out among more models than fit.
+
+    What has no copy yet comes first; after that what has the most demand for
+    each of its copies.
+    """
+    open_services = list(services)
+    while open_services:
+        service = max(open_services, key=lambda s: _need(s, copies))
+        upstream = _roomiest(engines, service, chosen)
+        if upstream is None:
+            open_services.remove(service)
+            continue
+        chosen[upstream.name].add(service.engine_model)
+        copies[service.engine_model] += 1
+
+
+def _need(service: Service, copies: dict[str, int]) -> tuple[bool, float, str]:
+    count = copies[service.engine_model]
+    return (count == 0, service.demand / max(1, count), service.name)
+
+
+def _roomiest(
+    engines: list[Upstream], service: Service, chosen: dict[str, set[str]]
 ) -> Upstream | None:
-    """The engine with the most room that does not have it yet."""
+    """The engine with the most room that does not have the model yet."""
     candidates = [
         upstream
-        for upstream in intent.upstreams_of(service)
-        if service.engine_model not in chosen[upstream.name]
+        for upstream in engines
+        if service.model in upstream.models
+        and service.engine_model not in chosen[upstream.name]
         and len(chosen[upstream.name]) < upstream.model_slots
     ]
     return min(
@@ -74,19 +119,3 @@
         key=lambda u: (len(chosen[u.name]) - u.model_slots, u.name),
         default=None,
     )
-
-
-def _fill(intent: Intent, services: list[Service], chosen: dict[str, set[str]]) -> None:
-    """Give the engines' remaining room to what has the most demand a copy."""
-    copies = {service.engine_model: 1 for service in services}
-    open_services = list(services)
-    while open_services:
-        service = max(
-            open_services, key=lambda s: (s.demand / copies[s.engine_model], s.name)
-        )
-        upstream = _best_engine(intent, service, chosen)
-        if upstream is None:
-            open_services.remove(service)
-            continue
-        chosen[upstream.name].add(service.engine_model)
-        copies[service.engine_model] += 1
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,78 @@
+import contextlib
+import io
+import pathlib
+import subprocess
+import sys
+import tempfile
+
+from bankrack import cli
+from tests.base import TestCase
+from tests.fakes import intent_text
+from tests.fakes import settings_text
+
+
+def call(*arguments: str) -> tuple[int, str, str]:
+    out, err = io.StringIO(), io.StringIO()
+    code = 0
+    with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+        try:
+            cli.main(arguments)
+        except SystemExit as done:
+            code = int(done.code or 0)
+    return code, out.getvalue(), err.getvalue()
+
+
+class TestCommandLine(TestCase):
+    def test_every_command_has_help_with_an_example(self):
+        for command in [
+            "node",
+            "check",
+            "hash-token",
+            "demo",
+            "bench",
+            "plan",
+            "confirm",
+            "show",
+            "history",
+            "state",
+            "drain",
+        ]:
+            code, out, _ = call(command, "--help")
+            self.assertEqual(0, code)
+            self.assertIn("example:", out)
+
+    def test_check_tells_all_problems_and_exits_3(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "intent.toml"
+            path.write_text("[security]\n[[services]]\nkind = 'x'\n", encoding="utf-8")
+            code, _, err = call("check", str(path))
+            self.assertEqual(cli.EXIT_INVALID, code)
+            self.assertGreaterEqual(len(err.splitlines()), 3)
+            path.write_text(intent_text([], []), encoding="utf-8")
+            self.assertEqual(0, call("check", str(path))[0])
+            path.write_text(settings_text("n", "127.0.0.1:1"), encoding="utf-8")
+            self.assertEqual(0, call("check", str(path))[0])
+
+    def test_a_node_that_is_not_there_is_a_plain_message(self):
+        code, _, err = call("show", "--node", "127.0.0.1:1")
+        self.assertEqual(cli.EXIT_FAILED, code)
+        self.assertIn("name another with --node", err)
+        self.assertNotIn("Traceback", err)
+
+    def test_a_missing_file_is_a_plain_message(self):
+        code, _, err = call("check", "/nowhere.toml")
+        self.assertEqual(cli.EXIT_FAILED, code)
+        self.assertNotIn("Traceback", err)
+
+
+class TestDemo(TestCase):
+    def test_it_shows_a_caption_and_a_billed_summary(self):
+        done = subprocess.run(
+            [sys.executable, "-m", "bankrack", "demo", "--once", "--port", "19580"],
+            capture_output=True,
+            text=True,
+            timeout=60,
+        )
+        self.assertEqual(0, done.returncode, done.stderr)
+        self.assertIn("mouths-35 the-36 lecture-37 turns-38 now-39", done.stdout)
+        self.assertIn("answered 409", done.stdout)
--- /dev/null
+++ b/tests/test_dist.py
@@ -0,0 +1,62 @@
+"""The shipped file: one process, no child, nothing written but its root."""
+
+import os
+import pathlib
+import signal
+import subprocess
+import tempfile
+import time
+
+from benchmarks.processes import free_address
+from benchmarks.processes import wait_until_listening
+
+from tests.base import TestCase
+from tests.fakes import settings_text
+
+ROOT = pathlib.Path(__file__).parent.parent
+DIST = ROOT / "dist" / "bankrack"
+MEMORY = pathlib.Path("/dev/shm")
+
+
+def children(pid: int) -> str:
+    text = pathlib.Path(f"/proc/{pid}/task/{pid}/children").read_text(encoding="ascii")
+    return text.strip()
+
+
+class TestDist(TestCase):
+    def setUp(self):
+        super().setUp()
+        subprocess.run(
+            ["make", "dist"], cwd=ROOT, check=True, capture_output=True, timeout=300
+        )
+
+    def test_a_node_runs_in_one_process_with_its_root_on_memory(self):
+        memory = MEMORY if MEMORY.is_dir() else None
+        with tempfile.TemporaryDirectory(dir=memory) as folder:
+            path = pathlib.Path(folder) / "node.toml"
+            text = settings_text("n", free_address())
+            path.write_text(text, encoding="utf-8")
+            lines = dict(
+                line.split(" = ") for line in text.splitlines() if " = " in line
+            )
+            root = pathlib.Path(folder) / "root"
+            process = subprocess.Popen(
+                [DIST, "node", "--settings", path],
+                env={**os.environ, "SHIV_ROOT": str(root)},
+                cwd="/",
+                stderr=subprocess.PIPE,
+                text=True,
+            )
+            try:
+                wait_until_listening(lines["operators"].strip('"'))
+                time.sleep(0.5)
+                self.assertEqual("", children(process.pid))
+                written = sum(f.stat().st_size for f in root.rglob("*") if f.is_file())
+                self.assertLess(written, 64 * 1024 * 1024)
+                process.send_signal(signal.SIGTERM)
+                self.assertEqual(0, process.wait(30))
+                self.assertIn("event=drain_ended", process.stderr.read())
+            finally:
+                process.kill()
+                process.wait()
+                process.stderr.close()
