--- a/tests/test_generation.py
+++ b/tests/test_generation.py
@@ -157,3 +157,35 @@
             self.assertTrue(engine.model.idle)
             self.assertEqual(0, b.nodes[0].in_flight.total)
             self.assertEqual({}, b.nodes[0].admission.placements_by_id)
+
+
+class TestHeldUp(TestCase):
+    async def test_a_connection_that_falls_silent_is_resumed(self):
+        async with bed(engines=1) as b:
+            engine = b.engines[0]
+            node = b.nodes[0]
+            async with b.post(body(400, stream=True)) as response:
+                await response.content.readline()
+                # The node finds nothing on the line for longer than it waits.
+                generation = next(iter(node.engines.reading))
+                generation.interrupt()
+                words = texts(await b.events(response))
+            self.assertGreaterEqual(generation.resumes, 1)
+            self.assertEqual("399", words[-1].rpartition("-")[2].strip())
+            self.assertEqual([1], list(engine.runs_by_generation.values()))
+
+    async def test_a_slow_caller_is_held_back_with_bounded_memory(self):
+        async with bed(engines=1) as b:
+            async with b.post(body(3000, stream=True)) as response:
+                await response.content.readline()
+                await asyncio.sleep(1.0)
+                words = texts(await b.events(response))
+            self.assertEqual("2999", words[-1].rpartition("-")[2].strip())
+
+    async def test_a_caller_that_reads_nothing_does_not_count_as_a_silent_engine(self):
+        async with bed(engines=1) as b:
+            async with b.post(body(40, stream=True)) as response:
+                await response.content.readline()
+                generations = list(b.nodes[0].engines.reading)
+                await b.events(response)
+            self.assertEqual([0], [generation.resumes for generation in generations])
