--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 MINUTES ?= 5
 
-.PHONY: demo test lint models unit dist soak bench clean
+.PHONY: demo test dist soak bench clean
 
 $(VENV)/.run: requirements/run.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -20,8 +20,8 @@
 	$(BIN)/bankrack demo $(DEMO)
 
 test: $(VENV)/.dev
-	$(BIN)/ruff format --check src tests
-	$(BIN)/ruff check src tests
+	$(BIN)/ruff format --check src tests soak benchmarks
+	$(BIN)/ruff check src tests soak benchmarks
 	$(BIN)/mypy
 	$(BIN)/python -m tests
 
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -173,7 +173,8 @@
     for result in results:
         print(
             f"{result.name:20s} {result.microseconds_a_token:7.1f} us/token "
-            f"({result.user_microseconds:.1f} in user mode) ratio {result.microseconds_a_token / base:.2f} "
+            f"({result.user_microseconds:.1f} in user mode) "
+            f"ratio {result.microseconds_a_token / base:.2f} "
             f"p99 gap {result.p99_gap_ms:.1f} ms "
             f"events {result.events} whole {result.whole}"
         )
