--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -13,6 +13,7 @@
 
 import aiohttp
 from tests.fakes import intent_text
+from tests.fakes import listen_addresses
 from tests.fakes import OPERATORS
 from tests.fakes import settings_text
 
@@ -22,7 +23,6 @@
 from benchmarks.processes import wait_until_listening
 
 SETTLE_SECONDS = 6.0
-FIELDS = ("callers", "operators", "peers")
 
 
 class Node(t.NamedTuple):
@@ -51,8 +51,7 @@
         text = settings_text(f"node-{number}", platform, seeds=seeds)
         path = folder / f"node-{number}.toml"
         path.write_text(text, encoding="utf-8")
-        lines = dict(line.split(" = ") for line in text.splitlines() if " = " in line)
-        addresses = {name: lines[name].strip('"') for name in FIELDS}
+        addresses = listen_addresses(text)
         command = ["-m", "bankrack", "node", "--settings", str(path)]
         process = Process(f"node-{number}", command)
         nodes.append(Node(process, addresses["operators"], addresses["peers"]))
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -13,6 +13,7 @@
 import typing as t
 
 from tests.fakes import intent_text
+from tests.fakes import listen_addresses
 from tests.fakes import OPERATORS
 from tests.fakes import settings_text
 from tests.fakes import TOKENS
@@ -103,7 +104,7 @@
         text = settings_text("node-0", platform)
         path = self.folder / "node.toml"
         path.write_text(text, encoding="utf-8")
-        addresses = _addresses(text)
+        addresses = listen_addresses(text)
         process = self.start(
             "node",
             addresses["operators"],
@@ -132,15 +133,6 @@
             process.stop()
 
 
-def _addresses(text: str) -> dict[str, str]:
-    found = {}
-    for line in text.splitlines():
-        key, separator, value = line.partition(" = ")
-        if separator and key in ("callers", "operators", "peers"):
-            found[key] = value.strip('"')
-    return found
-
-
 def main() -> None:
     """Measure and print a table."""
     parser = argparse.ArgumentParser()
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -10,6 +10,7 @@
 import aiohttp
 from benchmarks.processes import free_address
 from benchmarks.processes import Process
+from tests.fakes import listen_addresses
 from tests.fakes import settings_text
 
 from soak.ledger import Ledger
@@ -76,7 +77,7 @@
             name = f"node-{number}"
             text = settings_text(name, self.platform, seeds=seeds)
             text = text.replace("drain_notice = 0.5", "drain_notice = 3.0")
-            addresses = _addresses(text)
+            addresses = listen_addresses(text)
             seeds.append(addresses["peers"])
             self.callers[name] = addresses["callers"]
             self.operators[name] = addresses["operators"]
@@ -187,12 +188,3 @@
         url = f"http://{self.platform}/faults"
         async with self.session.post(url, json=faults) as response:
             await response.read()
-
-
-def _addresses(text: str) -> dict[str, str]:
-    found = {}
-    for line in text.splitlines():
-        key, separator, value = line.partition(" = ")
-        if separator and key in ("callers", "operators", "peers"):
-            found[key] = value.strip('"')
-    return found
--- a/src/bankrack/admission.py
+++ b/src/bankrack/admission.py
@@ -13,18 +13,13 @@
 import time
 import typing as t
 
-import msgspec
-
 from bankrack import groups
 from bankrack import logs
 from bankrack.engine import LoadReport
-from bankrack.exceptions import NoUpstream
-from bankrack.exceptions import Overloaded
 from bankrack.exceptions import PeerUnavailable
 from bankrack.groups import Group
 from bankrack.health import Health
 from bankrack.intent import Intent
-from bankrack.intent import Service
 from bankrack.intent import Upstream
 from bankrack.membership import rendezvous
 from bankrack.messages import Body
@@ -40,9 +35,13 @@
 from bankrack.owner import Owner
 from bankrack.peers import Peers
 from bankrack.placement import place
+from bankrack.places import Ask
+from bankrack.places import no_upstream
+from bankrack.places import overloaded
+from bankrack.places import Placement
+from bankrack.places import Waiting
 from bankrack.scheduling import Scheduler
 
-NO_UPSTREAM_RETRY_AFTER = 2.0
 ASK_TIMEOUT = 0.25
 ASK_AGAIN_SECONDS = 1.0
 SUSPECT_SECONDS = 2.0
@@ -54,49 +53,6 @@
 _logger = logging.getLogger(__name__)
 
 
-class Ask(msgspec.Struct, frozen=True):
-    """What is known of a request when it asks for a place."""
-
-    request_id: str
-    workspace: str
-    service: Service
-    prompt_tokens: int
-    max_tokens: int
-    prefix: str = ""
-
-
-class Placement:
-    """A place on an upstream, held until released.
-
-    :param owner: the node that granted it; empty when decided alone.
-    """
-
-    __slots__ = ("ask", "group", "id", "owner", "produced", "upstream")
-
-    def __init__(
-        self, number: int, upstream: Upstream, ask: Ask, *, group: str, owner: str
-    ) -> None:
-        self.id = number
-        self.upstream = upstream
-        self.ask = ask
-        self.group = group
-        self.owner = owner
-        self.produced = 0
-
-
-class Waiting:
-    """A request that its group's owner has queued."""
-
-    __slots__ = ("ask", "future", "group", "id")
-
-    def __init__(self, number: int, ask: Ask, group: str) -> None:
-        self.id = number
-        self.ask = ask
-        self.group = group
-        loop = asyncio.get_running_loop()
-        self.future: asyncio.Future[PlaceReply] = loop.create_future()
-
-
 class Admission:
     """Grants places to this node's requests, and to others' where it owns.
 
@@ -241,10 +197,10 @@
                 reply = await self._wait(waiting, deadline)
             if reply is None:
                 if self._clock() >= deadline:
-                    raise _overloaded(waiting.ask.service, "no place in time", 1.0)
+                    raise overloaded(waiting.ask.service, "no place in time", 1.0)
                 continue
             if not reply.upstream:
-                raise _overloaded(waiting.ask.service, reply.reason, reply.retry_after)
+                raise overloaded(waiting.ask.service, reply.reason, reply.retry_after)
             upstream = group.upstreams_by_name.get(reply.upstream)
             if upstream is None:
                 raise no_upstream(waiting.ask.service)
@@ -305,7 +261,7 @@
         share = min(1.0, ALONE_SHARE / nodes) * chosen.memory_tokens
         mine = held.get(chosen.name, 0)
         if mine and mine + ask.prompt_tokens > share:
-            raise _overloaded(ask.service, "the group's owner is silent", 1.0)
+            raise overloaded(ask.service, "the group's owner is silent", 1.0)
         return self._hold(waiting.id, chosen, ask, group.name, "", 0)
 
     def _hold(
@@ -497,22 +453,6 @@
             owner.ended(sender, message)
 
 
-def no_upstream(service: Service) -> NoUpstream:
-    """Make the error for a service that nothing serves now."""
-    return NoUpstream(
-        f"no upstream serves {service.name} now; try again",
-        retry_after=NO_UPSTREAM_RETRY_AFTER,
-    )
-
-
-def _overloaded(service: Service, reason: str, retry_after: float) -> Overloaded:
-    return Overloaded(
-        f"{service.name} has no place in time ({reason}); try again after the time "
-        "that Retry-After gives",
-        retry_after=retry_after,
-    )
-
-
 def _prefix_hash(prefix: str) -> str:
     if not prefix:
         return ""
--- /dev/null
+++ b/src/bankrack/answers.py
@@ -0,0 +1,233 @@
+"""Delivering one generation to its caller, streamed or whole."""
+
+import asyncio
+import logging
+import time
+import typing as t
+
+from aiohttp import web
+
+from bankrack import completions
+from bankrack import handles
+from bankrack import logs
+from bankrack.completions import ChunkWriter
+from bankrack.completions import Usage
+from bankrack.exceptions import BankrackError
+from bankrack.exceptions import InvariantViolated
+from bankrack.exceptions import Outcome
+from bankrack.generation import Generation
+from bankrack.handles import Handle
+from bankrack.intent import Workspace
+from bankrack.jobs import Job
+from bankrack.metrics import GapRecorder
+from bankrack.stream import Token
+
+if t.TYPE_CHECKING:
+    from bankrack.node import Node
+
+ERROR_WRITE_TIMEOUT = 60.0
+_logger = logging.getLogger(__name__)
+
+
+class Answer:
+    """Delivers one generation to its caller."""
+
+    def __init__(
+        self,
+        node: "Node",
+        workspace: Workspace,
+        job: Job,
+        generation: Generation,
+        *,
+        started: float,
+    ) -> None:
+        self._node = node
+        self._workspace = workspace
+        self._job = job
+        self._generation = generation
+        self._started = started
+        self._gaps = GapRecorder()
+        self._delivered = 0
+        self._first_offset = generation.check.offset
+
+    async def whole(self) -> web.Response:
+        """Collect the answer and return it whole, or a typed error."""
+        parts: list[str] = []
+
+        async def collect(tokens: list[Token]) -> None:
+            parts.extend(token.text for token in tokens)
+            self._delivered += len(tokens)
+            self._note_tokens()
+
+        try:
+            await self._generation.run(collect)
+        except BankrackError as error:
+            self._finish(error)
+            raise
+        except BaseException:
+            self._finish_cancelled()
+            raise
+        self._finish(None)
+        check = self._generation.check
+        data = completions.whole_response(
+            kind=self._job.kind,
+            request_id=self._job.request_id,
+            created=int(time.time()),
+            service=self._job.ask.service.name,
+            text="".join(parts),
+            finish_reason=check.finish_reason or "",
+            usage=self._usage(),
+        )
+        return web.Response(body=data, content_type="application/json")
+
+    async def stream(
+        self, request: web.Request, *, with_usage: bool
+    ) -> web.StreamResponse:
+        """Pass the answer on as it arrives."""
+        response = web.StreamResponse(
+            headers={
+                "Content-Type": "text/event-stream",
+                "Cache-Control": "no-store",
+                "X-Request-Id": self._job.request_id,
+            }
+        )
+        writer: ChunkWriter | None = None
+
+        async def deliver(tokens: list[Token]) -> None:
+            nonlocal writer
+            if writer is None:
+                writer = self._writer()
+                await response.prepare(request)
+            await response.write(self._encode(writer, tokens))
+
+        try:
+            await self._generation.run(deliver)
+        except BankrackError as error:
+            self._finish(error)
+            if writer is None:
+                raise
+            await _write_error(response, error)
+            return response
+        except BaseException:
+            self._finish_cancelled()
+            raise
+        self._finish(None)
+        if writer is None:
+            writer = self._writer()
+            await response.prepare(request)
+        await self._write_end(response, writer, with_usage=with_usage)
+        return response
+
+    def _encode(self, writer: ChunkWriter, tokens: list[Token]) -> bytes:
+        first = tokens[0]
+        if first.offset != self._first_offset + self._delivered:
+            raise InvariantViolated("a token was skipped or repeated")
+        self._delivered += len(tokens)
+        self._note_tokens()
+        if len(tokens) == 1:
+            return writer.token(first.offset, first.text, first.finish_reason)
+        return b"".join(
+            writer.token(token.offset, token.text, token.finish_reason)
+            for token in tokens
+        )
+
+    async def _write_end(
+        self, response: web.StreamResponse, writer: ChunkWriter, *, with_usage: bool
+    ) -> None:
+        offset = self._first_offset + self._delivered
+        data = b""
+        if with_usage:
+            data = writer.usage(offset, self._usage())
+        await response.write(data + writer.done(offset + 1))
+        await response.write_eof()
+
+    def _writer(self) -> ChunkWriter:
+        upstream = self._generation.upstream
+        assert upstream is not None
+        handle = Handle(
+            self._workspace.name,
+            self._job.ask.service.name,
+            upstream.name,
+            self._generation.check.generation,
+            self._job.kind,
+        )
+        return ChunkWriter(
+            handle=handles.sign(handle, self._node.configuration.intent.handle_key),
+            kind=self._job.kind,
+            request_id=self._job.request_id,
+            created=int(time.time()),
+            service=self._job.ask.service.name,
+        )
+
+    def _note_tokens(self) -> None:
+        now = time.monotonic()
+        if self._gaps.record(now):
+            labels = {"service": self._job.ask.service.name}
+            self._node.metrics.first_token.observe(labels, now - self._started)
+
+    def _usage(self) -> Usage:
+        check = self._generation.check
+        if check.usage is not None:
+            return check.usage
+        prompt = self._job.ask.prompt_tokens
+        return Usage(prompt, self._delivered, prompt + self._delivered)
+
+    def _finish_cancelled(self) -> None:
+        self._note_end("cancelled", Outcome.RAN.value)
+
+    def _finish(self, error: BankrackError | None) -> None:
+        code = error.code if error else "ok"
+        outcome = error.outcome if error else Outcome.RAN
+        if error is not None and self._delivered:
+            outcome = Outcome.RAN
+        self._note_end(code, outcome.value)
+
+    def _note_end(self, code: str, outcome: str) -> None:
+        node = self._node
+        service = self._job.ask.service.name
+        check = self._generation.check
+        node.metrics.requests.inc({"outcome": outcome, "code": code})
+        node.metrics.stream_ended(service, self._gaps, self._delivered)
+        if check.discarded:
+            node.metrics.discarded.add({"service": service}, check.discarded)
+        if self._generation.resumes:
+            node.metrics.resumes.add({"service": service}, self._generation.resumes)
+        upstream = self._generation.upstream
+        logs.event(
+            _logger,
+            "request_ended",
+            request=self._job.request_id,
+            workspace=self._workspace.name,
+            service=service,
+            upstream=upstream.name if upstream else None,
+            generation=check.generation or None,
+            code=code,
+            outcome=outcome,
+            tokens=self._delivered,
+            seconds=time.monotonic() - self._started,
+            stall=self._gaps.stall,
+        )
+
+
+def error_response(error: BankrackError) -> web.Response:
+    """Make the answer for an error before any event was sent."""
+    headers = {"X-Outcome": error.outcome.value}
+    if error.retry_after is not None:
+        headers["Retry-After"] = str(max(1, round(error.retry_after)))
+    if error.status == 401:
+        headers["WWW-Authenticate"] = "Bearer"
+    return web.Response(
+        status=error.status,
+        body=completions.error_envelope(error),
+        headers=headers,
+        content_type="application/json",
+    )
+
+
+async def _write_error(response: web.StreamResponse, error: BankrackError) -> None:
+    """End a stream with an error event; it has no ``[DONE]``."""
+    error.outcome = Outcome.RAN
+    body = completions.error_envelope(error)
+    async with asyncio.timeout(ERROR_WRITE_TIMEOUT):
+        await response.write(b"event: error\ndata: " + body + b"\n\n")
+        await response.write_eof()
--- a/src/bankrack/engine.py
+++ b/src/bankrack/engine.py
@@ -127,12 +127,9 @@
                 method, url, timeout=self._timeout, **options
             )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            raise UpstreamUnreachable(
-                f"upstream {upstream.name} cannot be reached; try again",
-                retry_after=1.0,
-            ) from error
+            raise unreachable(upstream) from error
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
-            raise _failed(upstream, type(error).__name__) from error
+            raise failed(upstream, type(error).__name__) from error
         if response.status == 200:
             return response
         raise await _refusal(upstream, response)
@@ -171,7 +168,7 @@
             f"upstream {upstream.name} refused with status {status}; try again",
             retry_after=REFUSED_RETRY_AFTER,
         )
-    return _failed(upstream, f"status {status}")
+    return failed(upstream, f"status {status}")
 
 
 def _says_not_run(data: bytes) -> bool:
@@ -182,7 +179,15 @@
         return False
 
 
-def _failed(upstream: Upstream, reason: str) -> UpstreamFailed:
+def unreachable(upstream: Upstream) -> UpstreamUnreachable:
+    """Make the error for an upstream to which no connection could be made."""
+    return UpstreamUnreachable(
+        f"upstream {upstream.name} cannot be reached; try again", retry_after=1.0
+    )
+
+
+def failed(upstream: Upstream, reason: str) -> UpstreamFailed:
+    """Make the error for an upstream that failed after the request was sent."""
     return UpstreamFailed(
         f"upstream {upstream.name} failed ({reason}) after the request was sent; "
         "it may have run, so repeat it only if that does no harm"
--- a/src/bankrack/generation.py
+++ b/src/bankrack/generation.py
@@ -14,14 +14,9 @@
 import uuid
 
 import aiohttp
-import msgspec
 
 from bankrack import logs
-from bankrack.admission import Admission
-from bankrack.admission import Ask
-from bankrack.admission import Placement
 from bankrack.engine import Attempt
-from bankrack.engine import EngineClient
 from bankrack.exceptions import BankrackError
 from bankrack.exceptions import InvalidUpstreamData
 from bankrack.exceptions import InvariantViolated
@@ -30,10 +25,10 @@
 from bankrack.exceptions import UpstreamFailed
 from bankrack.exceptions import UpstreamRefused
 from bankrack.exceptions import UpstreamUnreachable
-from bankrack.health import Health
 from bankrack.intent import Upstream
-from bankrack.retries import RetryBudget
-from bankrack.settings import Limits
+from bankrack.jobs import Engines
+from bankrack.jobs import Job
+from bankrack.places import Placement
 from bankrack.stream import Ending
 from bankrack.stream import StreamCheck
 from bankrack.stream import Token
@@ -41,7 +36,6 @@
 MAX_ATTEMPTS = 4
 RESUME_PAUSE = 0.1
 RESUME_TIMEOUT = 2.0
-WATCH_SECONDS = 0.25
 MOVABLE_RESUME_WINDOW = 0.5
 MAX_FRUITLESS_RESUMES = 4
 _MOVABLE = (
@@ -56,73 +50,6 @@
 Deliver = t.Callable[[list[Token]], t.Awaitable[None]]
 
 
-class Job(msgspec.Struct, frozen=True):
-    """A request ready to run.
-
-    :param body: what is sent to the engine.
-    :param key: the caller's idempotency key, empty when repeatable.
-    """
-
-    request_id: str
-    ask: Ask
-    kind: str
-    body: bytes
-    key: str = ""
-
-    @property
-    def repeatable(self) -> bool:
-        """Whether it may run more than once."""
-        return not self.key
-
-
-class Engines:
-    """What all generations of a node share.
-
-    :param ensure_looked: reads the configuration anew if the process was held
-        up since it last did.
-    :param is_leaving: tells whether an upstream is to get no new work.
-    """
-
-    def __init__(
-        self,
-        *,
-        client: EngineClient,
-        admission: Admission,
-        health: Health,
-        retries: RetryBudget,
-        limits: Limits,
-        ensure_looked: t.Callable[[], t.Awaitable[None]],
-        is_leaving: t.Callable[[Upstream], bool],
-    ) -> None:
-        self.ensure_looked = ensure_looked
-        self.is_leaving = is_leaving
-        self.client = client
-        self.admission = admission
-        self.health = health
-        self.retries = retries
-        self.limits = limits
-        self.reading: set[Generation] = set()
-        self._cancellations: set[asyncio.Task[bool]] = set()
-
-    async def watch(self) -> None:
-        """Break connections on which nothing arrives, until cancelled.
-
-        One task for all streams: a timer for each read cost 15 us a token.
-        """
-        while True:
-            await asyncio.sleep(WATCH_SECONDS)
-            oldest = time.monotonic() - self.limits.token_timeout
-            for generation in list(self.reading):
-                if generation.reading_since < oldest:
-                    generation.interrupt()
-
-    def cancel_soon(self, upstream: Upstream, generation: str) -> None:
-        """Cancel a generation without waiting for the answer."""
-        task = asyncio.create_task(self.client.cancel(upstream, generation))
-        self._cancellations.add(task)
-        task.add_done_callback(self._cancellations.discard)
-
-
 class Generation:
     """Runs one job and hands over its tokens, each once and in order.
 
--- /dev/null
+++ b/src/bankrack/jobs.py
@@ -0,0 +1,97 @@
+"""Jobs, and what all generations of a node share to run them."""
+
+import asyncio
+import time
+import typing as t
+
+import msgspec
+
+from bankrack.admission import Admission
+from bankrack.engine import EngineClient
+from bankrack.health import Health
+from bankrack.intent import Upstream
+from bankrack.places import Ask
+from bankrack.retries import RetryBudget
+from bankrack.settings import Limits
+
+WATCH_SECONDS = 0.25
+
+
+class Reader(t.Protocol):
+    """A generation that reads from an engine.
+
+    :param reading_since: monotonic seconds; infinite while it does not read.
+    """
+
+    reading_since: float
+
+    def interrupt(self) -> None:
+        """Break the connection, so that the reader resumes on a new one."""
+        ...
+
+
+class Job(msgspec.Struct, frozen=True):
+    """A request ready to run.
+
+    :param body: what is sent to the engine.
+    :param key: the caller's idempotency key, empty when repeatable.
+    """
+
+    request_id: str
+    ask: Ask
+    kind: str
+    body: bytes
+    key: str = ""
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether it may run more than once."""
+        return not self.key
+
+
+class Engines:
+    """What all generations of a node share.
+
+    :param ensure_looked: reads the configuration anew if the process was held
+        up since it last did.
+    :param is_leaving: tells whether an upstream is to get no new work.
+    """
+
+    def __init__(
+        self,
+        *,
+        client: EngineClient,
+        admission: Admission,
+        health: Health,
+        retries: RetryBudget,
+        limits: Limits,
+        ensure_looked: t.Callable[[], t.Awaitable[None]],
+        is_leaving: t.Callable[[Upstream], bool],
+    ) -> None:
+        self.ensure_looked = ensure_looked
+        self.is_leaving = is_leaving
+        self.client = client
+        self.admission = admission
+        self.health = health
+        self.retries = retries
+        self.limits = limits
+        self.reading: set[Reader] = set()
+        self._cancellations: set[asyncio.Task[bool]] = set()
+
+    async def watch(self) -> None:
+        """Break connections on which nothing arrives, until cancelled.
+
+        One task for all streams: a timer for each read cost 15 us a token.
+        """
+        while True:
+            await asyncio.sleep(WATCH_SECONDS)
+            oldest = time.monotonic() - self.limits.token_timeout
+            for generation in list(self.reading):
+                if generation.reading_since < oldest:
+                    generation.interrupt()
+
+    def cancel_soon(self, upstream: Upstream, generation: str) -> None:
+        """Cancel a generation without waiting for the answer."""
+        task = asyncio.create_task(self.client.cancel(upstream, generation))
+        self._cancellations.add(task)
+        task.add_done_callback(self._cancellations.discard)
--- a/src/bankrack/node.py
+++ b/src/bankrack/node.py
@@ -24,10 +24,10 @@
 from bankrack.engine import EngineClient
 from bankrack.following import Follower
 from bankrack.following import Vms
-from bankrack.generation import Engines
 from bankrack.health import Health
 from bankrack.intent import Intent
 from bankrack.intent import Upstream
+from bankrack.jobs import Engines
 from bankrack.limits import InFlight
 from bankrack.membership import HEARTBEAT_SECONDS
 from bankrack.membership import Membership
--- a/src/bankrack/operators.py
+++ b/src/bankrack/operators.py
@@ -10,7 +10,7 @@
 from bankrack import configuration
 from bankrack import intent as intents
 from bankrack import plans
-from bankrack.callers import error_response
+from bankrack.answers import error_response
 from bankrack.configuration import Head
 from bankrack.exceptions import BankrackError
 from bankrack.exceptions import InvalidRequest
--- /dev/null
+++ b/src/bankrack/places.py
@@ -0,0 +1,73 @@
+"""Places on engines: what is asked for, waited for and held."""
+
+import asyncio
+
+import msgspec
+
+from bankrack.exceptions import NoUpstream
+from bankrack.exceptions import Overloaded
+from bankrack.intent import Service
+from bankrack.intent import Upstream
+from bankrack.messages import PlaceReply
+
+NO_UPSTREAM_RETRY_AFTER = 2.0
+
+
+class Ask(msgspec.Struct, frozen=True):
+    """What is known of a request when it asks for a place."""
+
+    request_id: str
+    workspace: str
+    service: Service
+    prompt_tokens: int
+    max_tokens: int
+    prefix: str = ""
+
+
+class Placement:
+    """A place on an upstream, held until released.
+
+    :param owner: the node that granted it; empty when decided alone.
+    """
+
+    __slots__ = ("ask", "group", "id", "owner", "produced", "upstream")
+
+    def __init__(
+        self, number: int, upstream: Upstream, ask: Ask, *, group: str, owner: str
+    ) -> None:
+        self.id = number
+        self.upstream = upstream
+        self.ask = ask
+        self.group = group
+        self.owner = owner
+        self.produced = 0
+
+
+class Waiting:
+    """A request that its group's owner has queued."""
+
+    __slots__ = ("ask", "future", "group", "id")
+
+    def __init__(self, number: int, ask: Ask, group: str) -> None:
+        self.id = number
+        self.ask = ask
+        self.group = group
+        loop = asyncio.get_running_loop()
+        self.future: asyncio.Future[PlaceReply] = loop.create_future()
+
+
+def no_upstream(service: Service) -> NoUpstream:
+    """Make the error for a service that nothing serves now."""
+    return NoUpstream(
+        f"no upstream serves {service.name} now; try again",
+        retry_after=NO_UPSTREAM_RETRY_AFTER,
+    )
+
+
+def overloaded(service: Service, reason: str, retry_after: float) -> Overloaded:
+    """Make the error for a request that gets no place in time."""
+    return Overloaded(
+        f"{service.name} has no place in time ({reason}); try again after the time "
+        "that Retry-After gives",
+        retry_after=retry_after,
+    )
--- a/src/bankrack/plain.py
+++ b/src/bankrack/plain.py
@@ -11,7 +11,8 @@
 
 from bankrack import logs
 from bankrack import requestkeys
-from bankrack.admission import no_upstream
+from bankrack.engine import failed
+from bankrack.engine import unreachable
 from bankrack.exceptions import BankrackError
 from bankrack.exceptions import NoUpstream
 from bankrack.exceptions import Outcome
@@ -24,6 +25,7 @@
 from bankrack.intent import Upstream
 from bankrack.intent import Workspace
 from bankrack.metrics import Metrics
+from bankrack.places import no_upstream
 from bankrack.retries import RetryBudget
 from bankrack.settings import Limits
 
@@ -170,17 +172,11 @@
                 allow_redirects=False,
             )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            raise UpstreamUnreachable(
-                f"upstream {upstream.name} cannot be reached; try again",
-                retry_after=1.0,
-            ) from error
+            raise unreachable(upstream) from error
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             if isinstance(error.__cause__, BankrackError):
                 raise error.__cause__ from error
-            raise UpstreamFailed(
-                f"upstream {upstream.name} failed ({type(error).__name__}) after the "
-                "request was sent; repeat it only if that does no harm"
-            ) from error
+            raise failed(upstream, type(error).__name__) from error
         async with answer:
             return await self._relay(request, answer)
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import socket
+import tomllib
 import typing as t
 
 import aiohttp
@@ -55,6 +56,12 @@
 """
 
 
+def listen_addresses(text: str) -> dict[str, str]:
+    """The addresses of settings given as text, by listener."""
+    listen = tomllib.loads(text)["listen"]
+    return {name: str(address) for name, address in listen.items()}
+
+
 def intent_text(
     engines: t.Sequence[str], plain: t.Sequence[str], extra: str = ""
 ) -> str:
--- a/tests/test_dist.py
+++ b/tests/test_dist.py
@@ -11,6 +11,7 @@
 from benchmarks.processes import wait_until_listening
 
 from tests.base import TestCase
+from tests.fakes import listen_addresses
 from tests.fakes import settings_text
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -36,9 +37,7 @@
             path = pathlib.Path(folder) / "node.toml"
             text = settings_text("n", free_address())
             path.write_text(text, encoding="utf-8")
-            lines = dict(
-                line.split(" = ") for line in text.splitlines() if " = " in line
-            )
+            addresses = listen_addresses(text)
             root = pathlib.Path(folder) / "root"
             process = subprocess.Popen(
                 [DIST, "node", "--settings", path],
@@ -48,7 +47,7 @@
                 text=True,
             )
             try:
-                wait_until_listening(lines["operators"].strip('"'))
+                wait_until_listening(addresses["operators"])
                 time.sleep(0.5)
                 self.assertEqual("", children(process.pid))
                 written = sum(f.stat().st_size for f in root.rglob("*") if f.is_file())
