--- a/src/bankrack/peers.py
+++ b/src/bankrack/peers.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import contextlib
 import hashlib
 import hmac
 import itertools
@@ -277,16 +276,16 @@
         return hashlib.blake2b(data, key=self._key, digest_size=SEAL_BYTES).digest()
 
     def _spawn(self, work: t.Coroutine[t.Any, t.Any, None]) -> asyncio.Task[None]:
-        task = asyncio.create_task(self._logged(work))
+        task = asyncio.create_task(work)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._ended)
         return task
 
-    async def _logged(self, work: t.Coroutine[t.Any, t.Any, None]) -> None:
-        with contextlib.suppress(pynng.Closed):
-            try:
-                await work
-            except (asyncio.CancelledError, pynng.Closed):
-                raise
-            except Exception:
-                _logger.exception("event=peer_task_failed")
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        """Log why a task ended, unless it was to end."""
+        self._tasks.discard(task)
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None and not isinstance(error, pynng.Closed):
+            _logger.error("event=peer_task_failed", exc_info=error)
