--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -10,7 +10,7 @@
 import time
 import typing as t
 
-START_SECONDS = 60.0
+START_SECONDS = 30.0
 TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
 
 
@@ -82,13 +82,6 @@
         return 0
 
 
-def free_address() -> str:
-    """Find an unused address on loopback."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 def wait_until_listening(address: str) -> None:
     """Wait until something accepts connections at ``address``."""
     host, _, port = address.rpartition(":")
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -12,13 +12,13 @@
 import tempfile
 import typing as t
 
+from tests.fakes import free_address
 from tests.fakes import intent_text
 from tests.fakes import listen_addresses
 from tests.fakes import OPERATORS
 from tests.fakes import settings_text
 from tests.fakes import TOKENS
 
-from benchmarks.processes import free_address
 from benchmarks.processes import Process
 from benchmarks.processes import wait_until_listening
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -8,8 +8,8 @@
 import typing as t
 
 import aiohttp
-from benchmarks.processes import free_address
 from benchmarks.processes import Process
+from tests.fakes import free_address
 from tests.fakes import listen_addresses
 from tests.fakes import settings_text
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,6 +1,7 @@
 """Nodes and stand-ins in one process, for tests of the whole path."""
 
 import contextlib
+import random
 import socket
 import tomllib
 import typing as t
@@ -18,14 +19,18 @@
 from bankrack.standin_plain import PlainStandIn
 from bankrack.standin_platform import PlatformStandIn
 
+PORTS = (20000, 32000)
 TOKENS = {"north": "token-of-north", "south": "token-of-south"}
 OPERATORS = {"alice": "token-of-alice", "bob": "token-of-bob"}
 
 
 def free_address() -> str:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Find an unused address below the ports that outgoing connections take."""
+    while True:
+        port = random.randrange(*PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            return f"127.0.0.1:{port}"
 
 
 def settings_text(name: str, platform: str, *, seeds: t.Sequence[str] = ()) -> str:
--- a/tests/test_dist.py
+++ b/tests/test_dist.py
@@ -7,10 +7,10 @@
 import tempfile
 import time
 
-from benchmarks.processes import free_address
 from benchmarks.processes import wait_until_listening
 
 from tests.base import TestCase
+from tests.fakes import free_address
 from tests.fakes import listen_addresses
 from tests.fakes import settings_text
 
