A write to a caller that hung up is no cut of the engine

Found by reading: aiohttp raises the same kinds of error when a caller is gone as when an upstream is cut, so the relay took the one for the other and resumed the generation for nobody, 133 times in the test, until the handler was cancelled. Ruled out: the cancellation by aiohttp, which comes later. Now such a write ends the generation and cancels it; the test failed first.

--- a/src/bankrack/answers.py
+++ b/src/bankrack/answers.py
@@ -13,6 +13,7 @@
 from bankrack.completions import ChunkWriter
 from bankrack.completions import Usage
 from bankrack.exceptions import BankrackError
+from bankrack.exceptions import CallerGone
 from bankrack.exceptions import InvariantViolated
 from bankrack.exceptions import Outcome
 from bankrack.generation import Generation
@@ -98,10 +99,17 @@
             if writer is None:
                 writer = self._writer()
                 await response.prepare(request)
-            await response.write(self._encode(writer, tokens))
+            try:
+                await response.write(self._encode(writer, tokens))
+            except ConnectionError as error:
+                # aiohttp raises the same kinds when an upstream is cut.
+                raise CallerGone("the caller hung up") from error
 
         try:
             await self._generation.run(deliver)
+        except CallerGone:
+            self._finish_cancelled()
+            return response
         except BankrackError as error:
             self._finish(error)
             if writer is None:
--- a/src/bankrack/exceptions.py
+++ b/src/bankrack/exceptions.py
@@ -158,6 +158,14 @@
     outcome = Outcome.RAN
 
 
+class CallerGone(BankrackError):
+    """The caller hung up while its answer was written."""
+
+    code = "caller_gone"
+    status = 499
+    outcome = Outcome.RAN
+
+
 class PlatformUnavailable(BankrackError):
     """The platform's key-value service did not answer in time."""
 
--- a/src/bankrack/following.py
+++ b/src/bankrack/following.py
@@ -56,6 +56,7 @@
         self.records_by_name: dict[str, VmRecord] = {}
         self.revision = 0
         self.invalid = 0
+        self._leaving_addresses: frozenset[str] = frozenset()
 
     def leaving(self, name: str, address: str) -> bool:
         """Tell whether the list has this VM leaving, by name or address."""
@@ -64,8 +65,6 @@
             return True
         return address in self._leaving_addresses
 
-    _leaving_addresses: frozenset[str] = frozenset()
-
     def merge(self, name: str, data: bytes) -> None:
         """Take one record; one that does not decode is counted and left out."""
         try:
--- a/tests/test_generation.py
+++ b/tests/test_generation.py
@@ -1,12 +1,16 @@
 import asyncio
 import json
 
+import aiohttp
+
+from bankrack import answers
 from tests.base import TestCase
 from tests.fakes import bed
 from tests.test_callers import body
 from tests.test_callers import texts
 
 WHOLE = 12
+ORIGINAL_WRITE = answers.web.StreamResponse.write
 
 
 def is_whole(words, length=WHOLE):
@@ -159,6 +163,28 @@
             self.assertEqual({}, b.nodes[0].admission.placements_by_id)
 
 
+class TestCallersGone(TestCase):
+    async def test_a_write_to_a_caller_that_is_gone_is_no_cut_of_the_engine(self):
+        """It once was taken for one, and the generation was resumed for nobody."""
+        async with bed(engines=1) as b:
+            node = b.nodes[0]
+            generations = []
+            async with b.post(body(400, stream=True)) as response:
+                await response.content.readline()
+                generations += node.engines.reading
+                self.patch(answers.web.StreamResponse, "write", gone)
+                await asyncio.sleep(0.5)
+            self.assertEqual([0], [generation.resumes for generation in generations])
+            self.assertEqual(1, b.engines[0].cancelled)
+
+
+async def gone(response, data):
+    """A write that fails on the node's answers, but not on the engine's."""
+    if "X-Request-Id" in response.headers:
+        raise aiohttp.ClientConnectionResetError("Cannot write to closing transport")
+    await ORIGINAL_WRITE(response, data)
+
+
 class TestHeldUp(TestCase):
     async def test_a_connection_that_falls_silent_is_resumed(self):
         async with bed(engines=1) as b:
