A generation is watched from its start

A test failed once in five: it looked for the generation among those watched right after the first token had left, and it was added only after that write returned.

--- a/src/bankrack/generation.py
+++ b/src/bankrack/generation.py
@@ -93,6 +93,7 @@
 
         It returns when the answer is whole; else it raises a typed error.
         """
+        self._engines.reading.add(self)
         try:
             if self.upstream is None:
                 await deliver(await self._start())
@@ -100,7 +101,6 @@
                 self.placement = self._engines.admission.adopt(
                     self._job.ask, self.upstream, self.check.offset
                 )
-            self._engines.reading.add(self)
             while self.check.ending is not Ending.DONE:
                 if self._response is None:
                     await self._resume_or(self._interrupted("the connection was cut"))
