Background tasks go on after an error; a queued request outlives its group

Found by reading: an error in a node's background loop ended that loop silently, and a request queued when a new configuration removed its group ended as an internal error (KeyError) with outcome unknown. Loops are now started again and counted as violations; the request chooses another group or is told no_upstream, not_run. Unused code removed.

--- a/src/bankrack/admission.py
+++ b/src/bankrack/admission.py
@@ -129,7 +129,7 @@
         finally:
             del self.waiting_by_id[number]
             if placement is None:
-                self._tell_ended(group.name, number, -1)
+                self._tell_ended(waiting.group, number, -1)
 
     def adopt(self, ask: Ask, upstream: Upstream, produced: int) -> Placement | None:
         """Hold a place for a generation that another node began."""
@@ -189,6 +189,7 @@
         avoid: tuple[str, ...],
     ) -> Placement:
         while True:
+            group = self._current(group, waiting, avoid)
             name = "" if self._alone else self._owner_of(group)
             reply = await self._ask_owner(name, waiting, deadline, avoid)
             if reply is None:
@@ -206,6 +207,14 @@
                 raise no_upstream(waiting.ask.service)
             return self._hold(waiting.id, upstream, waiting.ask, group.name, name, 0)
 
+    def _current(self, group: Group, waiting: Waiting, avoid: tuple[str, ...]) -> Group:
+        """The group as now configured; another one when it is gone."""
+        current = self.groups_by_name.get(group.name)
+        if current is None:
+            current = self._choose_group(waiting.ask, avoid)
+            waiting.group = current.name
+        return current
+
     async def _ask_owner(
         self, name: str, waiting: Waiting, deadline: float, avoid: tuple[str, ...]
     ) -> PlaceReply | None:
--- a/src/bankrack/cli.py
+++ b/src/bankrack/cli.py
@@ -28,7 +28,6 @@
 
 EXIT_OK = 0
 EXIT_FAILED = 1
-EXIT_USAGE = 2
 EXIT_INVALID = 3
 EXIT_CONFLICT = 4
 EXIT_UNKNOWN = 5
--- a/src/bankrack/experiment.py
+++ b/src/bankrack/experiment.py
@@ -32,7 +32,6 @@
 OWNER = "owner"
 SHARED = "shared"
 ALONE = "alone"
-VIEWS = (OWNER, SHARED, ALONE)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/bankrack/node.py
+++ b/src/bankrack/node.py
@@ -46,9 +46,12 @@
 from bankrack.settings import Settings
 
 DRAIN_POLL_SECONDS = 0.05
+RESTART_SECONDS = 1.0
 DRAIN_LINGER_SECONDS = 0.3
 _logger = logging.getLogger(__name__)
 
+Work = t.Callable[[], t.Coroutine[t.Any, t.Any, None]]
+
 
 class Node:
     """One node, from its settings.
@@ -83,13 +86,13 @@
         await self.peers.start()
         self.peers.handle(Heartbeat, self._take_heartbeat)
         await self.follower.refresh()
-        self._spawn(self.follower.run())
-        self._spawn(self._beat())
-        self._spawn(self.admission.run())
-        self._spawn(self.admission.follow_reports())
-        self._spawn(self.engines.watch())
-        self._spawn(self.orderer.run())
-        self._spawn(self.claims.keep_floor())
+        self._spawn(self.follower.run)
+        self._spawn(self._beat)
+        self._spawn(self.admission.run)
+        self._spawn(self.admission.follow_reports)
+        self._spawn(self.engines.watch)
+        self._spawn(self.orderer.run)
+        self._spawn(self.claims.keep_floor)
         settings = self.settings
         callers = Callers(self).application()
         operators = Operators(self).application()
@@ -406,8 +409,19 @@
         for name, value in values.items():
             self.metrics.values.set({"name": name}, value)
 
-    def _spawn(self, work: t.Coroutine[t.Any, t.Any, None]) -> None:
-        self._tasks.append(asyncio.create_task(work))
+    def _spawn(self, work: Work) -> None:
+        self._tasks.append(asyncio.create_task(self._supervise(work)))
+
+    async def _supervise(self, work: Work) -> None:
+        """Keep a background task going: a node without one is half dead."""
+        while True:
+            try:
+                await work()
+                return
+            except Exception:
+                self.metrics.violations.inc({"kind": "background"})
+                _logger.exception("event=background_failed task=%s", work.__qualname__)
+                await asyncio.sleep(RESTART_SECONDS)
 
 
 async def run(settings: Settings) -> None:
--- a/src/bankrack/platform.py
+++ b/src/bankrack/platform.py
@@ -141,11 +141,6 @@
         result = answer.get("result", {})
         return _integer(result, "TTL") if isinstance(result, dict) else 0
 
-    async def revoke_lease(self, lease: int) -> None:
-        """End a lease and remove its keys."""
-        self.writes += 1
-        await self._call("/v3/lease/revoke", {"ID": str(lease)})
-
     async def _range(self, body: dict[str, str]) -> list[KeyValue]:
         self.reads += 1
         answer = await self._call("/v3/kv/range", body)
--- a/src/bankrack/standin_platform.py
+++ b/src/bankrack/standin_platform.py
@@ -90,7 +90,6 @@
         app.router.add_post("/v3/kv/txn", self._writing(self._transact))
         app.router.add_post("/v3/lease/grant", self._writing(self._grant))
         app.router.add_post("/v3/lease/keepalive", self._writing(self._keep_alive))
-        app.router.add_post("/v3/lease/revoke", self._writing(self._revoke))
         app.router.add_post("/faults", self._set_faults)
         app.router.add_get("/counts", self._counts)
         app.cleanup_ctx.append(self._lease_expiry)
@@ -198,10 +197,6 @@
         self.deadlines_by_lease[lease] = time.monotonic() + seconds
         return {"result": {"ID": str(lease), "TTL": str(seconds)}}
 
-    def _revoke(self, body: dict[str, t.Any]) -> dict[str, t.Any]:
-        self._expire(int(body["ID"]))
-        return {"header": self._header()}
-
     def _expire(self, lease: int) -> None:
         self.deadlines_by_lease.pop(lease, None)
         self.revision += 1
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -1,6 +1,7 @@
 import asyncio
 
 from bankrack import admission
+from bankrack.intent import Intent
 from tests.base import TestCase
 from tests.fakes import bed
 from tests.test_callers import body
@@ -88,6 +89,28 @@
             self.assertEqual(1, node.admission.decided_alone)
 
 
+class TestRegrouping(TestCase):
+    async def test_a_queued_request_whose_group_goes_gets_a_typed_answer(self):
+        """Its group's name once was looked up for ever, and raised KeyError."""
+        async with bed(engines=1) as b:
+            node = b.nodes[0]
+            scheduler = node.admission._own("m").scheduler
+            scheduler.engines_by_name["engine-0"].memory_tokens = 10
+            long = asyncio.ensure_future(self.ask(b, 400))
+            await asyncio.sleep(0.2)
+            queued = asyncio.ensure_future(self.ask(b, 5))
+            await asyncio.sleep(0.2)
+            self.assertEqual(1, len(node.admission.waiting_by_id))
+            node.admission.configure(Intent())
+            status, answer = await queued
+            self.assertEqual("no_upstream", answer["error"]["code"])
+            self.assertEqual((503, 200), (status, (await long)[0]))
+
+    async def ask(self, b, length):
+        async with b.post(body(length)) as response:
+            return response.status, await response.json()
+
+
 class TestOverload(TestCase):
     async def test_what_cannot_start_in_time_is_told_at_once_with_a_time(self):
         async with bed(engines=0) as b:
