--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -69,8 +69,8 @@
 
         The journals tell when it arrived, which a stalled link may delay.
         """
-        text = path.read_text(encoding="utf-8", errors="replace")
-        for moment, upstream in SENT.findall(text):
+        log = path.read_text(encoding="utf-8", errors="replace")
+        for moment, upstream in SENT.findall(log):
             at = datetime.datetime.fromisoformat(moment.replace(",", ".")).timestamp()
             for leaving, start, end in self.leaving_spans:
                 if upstream == leaving and start < at < end:
