A look at the platform counts when it ends, not when it begins

Ruled out: a stalled link (the nodes' own logs judge), a failed look (it succeeded). Before: 6 of 6 requests of the new test went to the left engine; after: none. Looks now also wait for each other, so a thawed node asks the platform once.

--- a/src/bankrack/following.py
+++ b/src/bankrack/following.py
@@ -99,6 +99,7 @@
         self._wanted = asyncio.Event()
         self.confirmed_current_at = 0.0
         self.looked_at = 0.0
+        self._looking = asyncio.Lock()
         self.platform_up = False
         peers.handle(DocumentAsk, self._give_document)
 
@@ -107,8 +108,14 @@
 
         A node that was frozen would else act on a configuration long replaced.
         """
-        if time.monotonic() - self.looked_at > HELD_UP_SECONDS:
-            await self.refresh()
+        if not self._was_held_up():
+            return
+        async with self._looking:
+            if self._was_held_up():
+                await self._look()
+
+    def _was_held_up(self) -> bool:
+        return time.monotonic() - self.looked_at > HELD_UP_SECONDS
 
     def look_now(self) -> None:
         """Read the platform without waiting for the next poll."""
@@ -126,7 +133,16 @@
 
     async def refresh(self) -> None:
         """Read once: from the platform, else from the best peer."""
-        self.looked_at = time.monotonic()
+        async with self._looking:
+            await self._look()
+
+    async def _look(self) -> None:
+        started = time.monotonic()
+        await self._read()
+        # Noted only now: whoever was held up must wait for the answer.
+        self.looked_at = started
+
+    async def _read(self) -> None:
         try:
             await self._read_head()
             await self._read_vms()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -73,6 +73,23 @@
                     self.assertEqual(200, response.status)
         self.assertEqual(0, len(b.engines[0].runs_by_generation))
 
+    async def test_it_waits_for_a_look_that_is_under_way(self):
+        """A thawed node once sent to a left engine while its look was still out."""
+        async with bed(engines=2) as b:
+            node = b.nodes[0]
+            await self.leave(b, "engine-0")
+            b.platform.faults.slow_seconds = 0.3
+            node.follower.looked_at = time.monotonic() - 100.0
+            look = asyncio.ensure_future(node.follower.refresh())
+            await asyncio.sleep(0.05)
+            await asyncio.gather(*(self.ask(b) for _ in range(6)))
+            await look
+        self.assertEqual(0, len(b.engines[0].runs_by_generation))
+
+    async def ask(self, b):
+        async with b.post(body(2)) as response:
+            await response.read()
+
     async def leave(self, b, name):
         record = json.dumps({"role": "upstream", "state": "leaving"}).encode()
         b.platform.put(f"bankrack/vms/{name}", record)
