Regroup the package by subsystem

Cause: 57 modules lay flat in one package, and a newcomer could not see the subsystems. Each subsystem is a flat package now; tests mirror it. Only names of modules and imports change. Circles between front and generations, and between control and scheduling, are still there.

--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -10,8 +10,8 @@
 
 from tests.fakes import bed
 
-from bankrack import requestkeys
 from bankrack.exceptions import BankrackError
+from bankrack.front import requestkeys
 
 STEP_SECONDS = 0.01
 
--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -18,7 +18,7 @@
 from tests.fakes import OPERATORS
 from tests.fakes import settings_text
 
-from bankrack.operatorclient import OperatorClient
+from bankrack.operator.client import OperatorClient
 from benchmarks.processes import Process
 from benchmarks.processes import wait_until_listening
 
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -116,7 +116,7 @@
 
     async def confirm(self, operators: str) -> None:
         """Put the source in force as an engine with ample memory."""
-        from bankrack.operatorclient import OperatorClient
+        from bankrack.operator.client import OperatorClient
 
         text = intent_text([self.source], [])
         text = text.replace(
--- a/benchmarks/tables.py
+++ b/benchmarks/tables.py
@@ -8,20 +8,20 @@
 import tracemalloc
 import typing as t
 
-from bankrack import claims
-from bankrack import configuration
-from bankrack import groups
-from bankrack.configuration import Document
-from bankrack.configuration import Head
-from bankrack.intent import Intent
-from bankrack.intent import Service
-from bankrack.intent import Upstream
-from bankrack.intent import Workspace
-from bankrack.lengths import Lengths
-from bankrack.placement import place
-from bankrack.policies import Forecast
-from bankrack.policies import Request
-from bankrack.scheduling import Scheduler
+from bankrack.control import claims
+from bankrack.control import configuration
+from bankrack.control.configuration import Document
+from bankrack.control.configuration import Head
+from bankrack.control.intent import Intent
+from bankrack.control.intent import Service
+from bankrack.control.intent import Upstream
+from bankrack.control.intent import Workspace
+from bankrack.scheduling import groups
+from bankrack.scheduling.lengths import Lengths
+from bankrack.scheduling.placement import place
+from bankrack.scheduling.policies import Forecast
+from bankrack.scheduling.policies import Request
+from bankrack.scheduling.scheduler import Scheduler
 
 MODELS = 4
 HALLS = 10
--- a/soak/buggy_node.py
+++ b/soak/buggy_node.py
@@ -6,12 +6,12 @@
 import sys
 import typing as t
 
-from bankrack import claims
 from bankrack import cli
-from bankrack import configuration
-from bankrack import generation
-from bankrack import stream
+from bankrack.control import claims
+from bankrack.control import configuration
 from bankrack.exceptions import Outcome
+from bankrack.generations import generation
+from bankrack.generations import stream
 
 
 def claim_without_read_back() -> None:
--- a/soak/operators.py
+++ b/soak/operators.py
@@ -12,7 +12,7 @@
 from tests.fakes import OPERATORS
 
 from bankrack.exceptions import BankrackError
-from bankrack.operatorclient import OperatorClient
+from bankrack.operator.client import OperatorClient
 from soak.fleet import ENGINES
 from soak.fleet import Fleet
 from soak.fleet import PLAIN
--- a/src/bankrack/__init__.py
+++ b/src/bankrack/__init__.py
@@ -1,8 +1,8 @@
 """Bankrack serves generations of unknown length from crowded model engines."""
 
+from bankrack.control.intent import Intent as Intent
 from bankrack.exceptions import BankrackError as BankrackError
 from bankrack.exceptions import Outcome as Outcome
-from bankrack.intent import Intent as Intent
 from bankrack.node import Node as Node
 from bankrack.settings import Settings as Settings
 
--- a/src/bankrack/cli.py
+++ b/src/bankrack/cli.py
@@ -9,22 +9,22 @@
 
 from expression import Result
 
-from bankrack import auth
-from bankrack import bench
-from bankrack import commands
 from bankrack import demo
-from bankrack import intent
 from bankrack import logs
 from bankrack import node
-from bankrack import queries
 from bankrack import settings
-from bankrack import standin_engine
-from bankrack import standin_plain
-from bankrack import standin_platform
+from bankrack.control import intent
 from bankrack.exceptions import BankrackError
 from bankrack.exceptions import InvalidDocument
-from bankrack.operatorclient import OperatorClient
-from bankrack.operatorclient import OperatorRefusal
+from bankrack.front import auth
+from bankrack.lab import bench
+from bankrack.operator import commands
+from bankrack.operator import queries
+from bankrack.operator.client import OperatorClient
+from bankrack.operator.client import OperatorRefusal
+from bankrack.standins import engine as standin_engine
+from bankrack.standins import keyvalue as standin_platform
+from bankrack.standins import plain as standin_plain
 
 EXIT_OK = 0
 EXIT_FAILED = 1
--- /dev/null
+++ b/src/bankrack/control/__init__.py
@@ -0,0 +1,1 @@
+"""What nodes share: intents, configuration, claims, leases, peers."""
--- a/src/bankrack/claims.py
+++ b/src/bankrack/control/claims.py
@@ -21,7 +21,17 @@
 import msgspec
 
 from bankrack import logs
-from bankrack import requestkeys
+from bankrack.control.keyvalue import Change
+from bankrack.control.keyvalue import Condition
+from bankrack.control.keyvalue import Delete
+from bankrack.control.keyvalue import Platform
+from bankrack.control.keyvalue import Put
+from bankrack.control.keyvalue import Unchanged
+from bankrack.control.keyvalue import ValueBelow
+from bankrack.control.membership import rendezvous
+from bankrack.control.messages import ClaimAsk
+from bankrack.control.messages import ClaimReply
+from bankrack.control.peers import Peers
 from bankrack.exceptions import AlreadyClaimed
 from bankrack.exceptions import InvariantViolated
 from bankrack.exceptions import LimitExceeded
@@ -29,17 +39,7 @@
 from bankrack.exceptions import PlatformDataInvalid
 from bankrack.exceptions import PlatformUnavailable
 from bankrack.exceptions import RequestKeyRefused
-from bankrack.membership import rendezvous
-from bankrack.messages import ClaimAsk
-from bankrack.messages import ClaimReply
-from bankrack.peers import Peers
-from bankrack.platform import Change
-from bankrack.platform import Condition
-from bankrack.platform import Delete
-from bankrack.platform import Platform
-from bankrack.platform import Put
-from bankrack.platform import Unchanged
-from bankrack.platform import ValueBelow
+from bankrack.front import requestkeys
 
 PREFIX = "claims/"
 FLOOR_KEY = "claims/floor"
--- a/src/bankrack/configuration.py
+++ b/src/bankrack/control/configuration.py
@@ -11,12 +11,12 @@
 
 import msgspec
 
+from bankrack.control.intent import Intent
+from bankrack.control.intent import Service
+from bankrack.control.intent import Upstream
+from bankrack.control.intent import Workspace
 from bankrack.exceptions import InvariantViolated
 from bankrack.exceptions import PlatformDataInvalid
-from bankrack.intent import Intent
-from bankrack.intent import Service
-from bankrack.intent import Upstream
-from bankrack.intent import Workspace
 
 CURRENT_KEY = "config/current"
 SECTION_PREFIX = "config/sections/"
--- a/src/bankrack/following.py
+++ b/src/bankrack/control/following.py
@@ -13,19 +13,19 @@
 
 import msgspec
 
-from bankrack import configuration
 from bankrack import logs
-from bankrack.configuration import Configuration
-from bankrack.configuration import Document
-from bankrack.configuration import Head
+from bankrack.control import configuration
+from bankrack.control.configuration import Configuration
+from bankrack.control.configuration import Document
+from bankrack.control.configuration import Head
+from bankrack.control.keyvalue import Platform
+from bankrack.control.membership import Membership
+from bankrack.control.messages import DocumentAsk
+from bankrack.control.messages import DocumentReply
+from bankrack.control.peers import Peers
 from bankrack.exceptions import BankrackError
 from bankrack.exceptions import PlatformDataInvalid
 from bankrack.exceptions import PlatformUnavailable
-from bankrack.membership import Membership
-from bankrack.messages import DocumentAsk
-from bankrack.messages import DocumentReply
-from bankrack.peers import Peers
-from bankrack.platform import Platform
 
 POLL_SECONDS = 2.0
 PEER_TIMEOUT = 1.0
--- a/src/bankrack/intent.py
+++ b/src/bankrack/control/intent.py
@@ -11,7 +11,7 @@
 from expression import Ok
 from expression import Result
 
-from bankrack import documents
+from bankrack.control import documents
 from bankrack.exceptions import InvalidDocument
 from bankrack.settings import check_token_hash
 
--- a/src/bankrack/membership.py
+++ b/src/bankrack/control/membership.py
@@ -12,7 +12,7 @@
 import time
 import typing as t
 
-from bankrack.messages import MemberRecord
+from bankrack.control.messages import MemberRecord
 
 HEARTBEAT_SECONDS = 1.0
 FANOUT = 3
--- a/src/bankrack/messages.py
+++ b/src/bankrack/control/messages.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from bankrack.configuration import Document
+from bankrack.control.configuration import Document
 
 
 class MemberRecord(msgspec.Struct, frozen=True, array_like=True, tag="m"):
--- a/src/bankrack/orders.py
+++ b/src/bankrack/control/orders.py
@@ -20,15 +20,15 @@
 import msgspec
 
 from bankrack import logs
+from bankrack.control.intent import Upstream
+from bankrack.control.keyvalue import Platform
+from bankrack.control.keyvalue import Put
+from bankrack.control.keyvalue import Unchanged
+from bankrack.control.membership import rendezvous
 from bankrack.exceptions import BankrackError
 from bankrack.exceptions import InvariantViolated
-from bankrack.groups import Group
-from bankrack.intent import Upstream
-from bankrack.membership import rendezvous
-from bankrack.placement import Placement
-from bankrack.platform import Platform
-from bankrack.platform import Put
-from bankrack.platform import Unchanged
+from bankrack.scheduling.groups import Group
+from bankrack.scheduling.placement import Placement
 
 PREFIX = "orders/"
 LEASE_SECONDS = 10
--- a/src/bankrack/peers.py
+++ b/src/bankrack/control/peers.py
@@ -18,13 +18,13 @@
 import pynng
 
 from bankrack import logs
-from bankrack import messages
+from bankrack.control import messages
+from bankrack.control.messages import Body
+from bankrack.control.messages import Envelope
+from bankrack.control.messages import Failure
+from bankrack.control.messages import Item
 from bankrack.exceptions import BankrackError
 from bankrack.exceptions import PeerUnavailable
-from bankrack.messages import Body
-from bankrack.messages import Envelope
-from bankrack.messages import Failure
-from bankrack.messages import Item
 
 SEAL_BYTES = 16
 FLUSH_SECONDS = 0.001
--- a/src/bankrack/plans.py
+++ b/src/bankrack/control/plans.py
@@ -13,19 +13,19 @@
 from expression import Ok
 from expression import Result
 
-from bankrack import configuration
-from bankrack.configuration import Document
-from bankrack.configuration import Head
+from bankrack.control import configuration
+from bankrack.control.configuration import Document
+from bankrack.control.configuration import Head
+from bankrack.control.intent import Intent
+from bankrack.control.keyvalue import Change
+from bankrack.control.keyvalue import Platform
+from bankrack.control.keyvalue import Put
+from bankrack.control.keyvalue import Unchanged
 from bankrack.exceptions import BankrackError
 from bankrack.exceptions import ConfirmConflict
 from bankrack.exceptions import ConfirmUnknown
 from bankrack.exceptions import PlatformUnavailable
-from bankrack.intent import Intent
-from bankrack.placement import place
-from bankrack.platform import Change
-from bankrack.platform import Platform
-from bankrack.platform import Put
-from bankrack.platform import Unchanged
+from bankrack.scheduling.placement import place
 
 MAX_BATCH_BYTES = 512 * 1024
 MAX_BATCH_SECTIONS = 32
--- /dev/null
+++ b/src/bankrack/front/__init__.py
@@ -0,0 +1,1 @@
+"""What callers and operators speak to: listeners, codecs, authentication, limits."""
--- a/src/bankrack/answers.py
+++ b/src/bankrack/front/answers.py
@@ -7,21 +7,21 @@
 
 from aiohttp import web
 
-from bankrack import completions
-from bankrack import handles
 from bankrack import logs
-from bankrack.completions import ChunkWriter
-from bankrack.completions import Usage
+from bankrack.control.intent import Workspace
 from bankrack.exceptions import BankrackError
 from bankrack.exceptions import CallerGone
 from bankrack.exceptions import InvariantViolated
 from bankrack.exceptions import Outcome
-from bankrack.generation import Generation
-from bankrack.handles import Handle
-from bankrack.intent import Workspace
-from bankrack.jobs import Job
+from bankrack.front import completions
+from bankrack.front import handles
+from bankrack.front.completions import ChunkWriter
+from bankrack.front.completions import Usage
+from bankrack.front.handles import Handle
+from bankrack.generations.generation import Generation
+from bankrack.generations.jobs import Job
+from bankrack.generations.stream import Token
 from bankrack.metrics import GapRecorder
-from bankrack.stream import Token
 
 if t.TYPE_CHECKING:
     from bankrack.node import Node
--- a/src/bankrack/auth.py
+++ b/src/bankrack/front/auth.py
@@ -6,9 +6,9 @@
 
 from aiohttp import web
 
+from bankrack.control.intent import Intent
+from bankrack.control.intent import Workspace
 from bankrack.exceptions import AuthenticationFailed
-from bankrack.intent import Intent
-from bankrack.intent import Workspace
 
 BEARER = "bearer "
 
--- a/src/bankrack/callers.py
+++ b/src/bankrack/front/callers.py
@@ -8,13 +8,10 @@
 import msgspec
 from aiohttp import web
 
-from bankrack import completions
-from bankrack import handles
 from bankrack import logs
-from bankrack import requestkeys
-from bankrack.answers import Answer
-from bankrack.answers import error_response
-from bankrack.completions import CompletionRequest
+from bankrack.control.intent import ANY
+from bankrack.control.intent import Service
+from bankrack.control.intent import Workspace
 from bankrack.exceptions import BankrackError
 from bankrack.exceptions import InvalidRequest
 from bankrack.exceptions import InvariantViolated
@@ -23,13 +20,16 @@
 from bankrack.exceptions import Outcome
 from bankrack.exceptions import RequestTooLarge
 from bankrack.exceptions import StreamInterrupted
-from bankrack.generation import Generation
-from bankrack.intent import ANY
-from bankrack.intent import Service
-from bankrack.intent import Workspace
-from bankrack.jobs import Job
-from bankrack.places import Ask
-from bankrack.stream import StreamCheck
+from bankrack.front import completions
+from bankrack.front import handles
+from bankrack.front import requestkeys
+from bankrack.front.answers import Answer
+from bankrack.front.answers import error_response
+from bankrack.front.completions import CompletionRequest
+from bankrack.generations.generation import Generation
+from bankrack.generations.jobs import Job
+from bankrack.generations.places import Ask
+from bankrack.generations.stream import StreamCheck
 
 if t.TYPE_CHECKING:
     from bankrack.node import Node
--- a/src/bankrack/limits.py
+++ b/src/bankrack/front/limits.py
@@ -3,9 +3,9 @@
 import contextlib
 import typing as t
 
+from bankrack.control.intent import Workspace
 from bankrack.exceptions import LimitExceeded
 from bankrack.exceptions import NodeDraining
-from bankrack.intent import Workspace
 
 RETRY_AFTER = 1.0
 
--- a/src/bankrack/operators.py
+++ b/src/bankrack/front/operators.py
@@ -6,15 +6,15 @@
 from aiohttp import web
 from expression import Result
 
-from bankrack import auth
-from bankrack import configuration
-from bankrack import intent as intents
-from bankrack import plans
-from bankrack.answers import error_response
-from bankrack.configuration import Head
+from bankrack.control import configuration
+from bankrack.control import intent as intents
+from bankrack.control import plans
+from bankrack.control.configuration import Head
+from bankrack.control.plans import Plan
 from bankrack.exceptions import BankrackError
 from bankrack.exceptions import InvalidRequest
-from bankrack.plans import Plan
+from bankrack.front import auth
+from bankrack.front.answers import error_response
 
 if t.TYPE_CHECKING:
     from bankrack.node import Node
--- a/src/bankrack/engine.py
+++ b/src/bankrack/generations/engine.py
@@ -10,13 +10,13 @@
 import aiohttp
 import msgspec
 
-from bankrack import completions
+from bankrack.control.intent import Service
+from bankrack.control.intent import Upstream
 from bankrack.exceptions import InvalidRequest
 from bankrack.exceptions import UpstreamFailed
 from bankrack.exceptions import UpstreamRefused
 from bankrack.exceptions import UpstreamUnreachable
-from bankrack.intent import Service
-from bankrack.intent import Upstream
+from bankrack.front import completions
 
 NOT_RUN_CODE = "not_run"
 CANCEL_TIMEOUT = 2.0
--- a/src/bankrack/generation.py
+++ b/src/bankrack/generations/generation.py
@@ -16,7 +16,7 @@
 import aiohttp
 
 from bankrack import logs
-from bankrack.engine import Attempt
+from bankrack.control.intent import Upstream
 from bankrack.exceptions import BankrackError
 from bankrack.exceptions import InvalidUpstreamData
 from bankrack.exceptions import InvariantViolated
@@ -25,13 +25,13 @@
 from bankrack.exceptions import UpstreamFailed
 from bankrack.exceptions import UpstreamRefused
 from bankrack.exceptions import UpstreamUnreachable
-from bankrack.intent import Upstream
-from bankrack.jobs import Engines
-from bankrack.jobs import Job
-from bankrack.places import Placement
-from bankrack.stream import Ending
-from bankrack.stream import StreamCheck
-from bankrack.stream import Token
+from bankrack.generations.engine import Attempt
+from bankrack.generations.jobs import Engines
+from bankrack.generations.jobs import Job
+from bankrack.generations.places import Placement
+from bankrack.generations.stream import Ending
+from bankrack.generations.stream import StreamCheck
+from bankrack.generations.stream import Token
 
 MAX_ATTEMPTS = 4
 RESUME_PAUSE = 0.1
--- a/src/bankrack/jobs.py
+++ b/src/bankrack/generations/jobs.py
@@ -6,12 +6,12 @@
 
 import msgspec
 
-from bankrack.admission import Admission
-from bankrack.engine import EngineClient
-from bankrack.health import Health
-from bankrack.intent import Upstream
-from bankrack.places import Ask
-from bankrack.retries import RetryBudget
+from bankrack.control.intent import Upstream
+from bankrack.generations.engine import EngineClient
+from bankrack.generations.health import Health
+from bankrack.generations.places import Ask
+from bankrack.generations.retries import RetryBudget
+from bankrack.scheduling.admission import Admission
 from bankrack.settings import Limits
 
 WATCH_SECONDS = 0.25
--- a/src/bankrack/places.py
+++ b/src/bankrack/generations/places.py
@@ -4,11 +4,11 @@
 
 import msgspec
 
+from bankrack.control.intent import Service
+from bankrack.control.intent import Upstream
+from bankrack.control.messages import PlaceReply
 from bankrack.exceptions import NoUpstream
 from bankrack.exceptions import Overloaded
-from bankrack.intent import Service
-from bankrack.intent import Upstream
-from bankrack.messages import PlaceReply
 
 NO_UPSTREAM_RETRY_AFTER = 2.0
 
--- a/src/bankrack/plain.py
+++ b/src/bankrack/generations/plain.py
@@ -10,23 +10,23 @@
 from multidict import CIMultiDict
 
 from bankrack import logs
-from bankrack import requestkeys
-from bankrack.engine import failed
-from bankrack.engine import unreachable
+from bankrack.control.intent import Intent
+from bankrack.control.intent import Service
+from bankrack.control.intent import Upstream
+from bankrack.control.intent import Workspace
 from bankrack.exceptions import BankrackError
 from bankrack.exceptions import NoUpstream
 from bankrack.exceptions import Outcome
 from bankrack.exceptions import RequestTooLarge
 from bankrack.exceptions import UpstreamFailed
 from bankrack.exceptions import UpstreamUnreachable
-from bankrack.health import Health
-from bankrack.intent import Intent
-from bankrack.intent import Service
-from bankrack.intent import Upstream
-from bankrack.intent import Workspace
+from bankrack.front import requestkeys
+from bankrack.generations.engine import failed
+from bankrack.generations.engine import unreachable
+from bankrack.generations.health import Health
+from bankrack.generations.places import no_upstream
+from bankrack.generations.retries import RetryBudget
 from bankrack.metrics import Metrics
-from bankrack.places import no_upstream
-from bankrack.retries import RetryBudget
 from bankrack.settings import Limits
 
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
--- a/src/bankrack/stream.py
+++ b/src/bankrack/generations/stream.py
@@ -9,11 +9,11 @@
 
 import msgspec
 
-from bankrack.completions import Choice
-from bankrack.completions import Chunk
-from bankrack.completions import Usage
 from bankrack.exceptions import InvalidUpstreamData
 from bankrack.exceptions import InvariantViolated
+from bankrack.front.completions import Choice
+from bankrack.front.completions import Chunk
+from bankrack.front.completions import Usage
 
 EVENT_END = b"\n\n"
 MAX_EVENT_BYTES = 256 * 1024
--- /dev/null
+++ b/src/bankrack/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments in virtual time: workloads, runs, tables and plots."""
--- a/src/bankrack/bench.py
+++ b/src/bankrack/lab/bench.py
@@ -14,20 +14,20 @@
 
 import msgspec
 
-from bankrack.experiment import ALONE
-from bankrack.experiment import Experiment
-from bankrack.experiment import OWNER
-from bankrack.experiment import percentile
-from bankrack.experiment import Result
-from bankrack.experiment import Setup
-from bankrack.experiment import SHARED
-from bankrack.policies import FewestInFlight
-from bankrack.policies import Forecast
-from bankrack.policies import LeastReported
-from bankrack.policies import ReserveMaximum
-from bankrack.policies import RoundRobin
-from bankrack.workloads import Phase
-from bankrack.workloads import WORKLOADS_BY_NAME
+from bankrack.lab.experiment import ALONE
+from bankrack.lab.experiment import Experiment
+from bankrack.lab.experiment import OWNER
+from bankrack.lab.experiment import percentile
+from bankrack.lab.experiment import Result
+from bankrack.lab.experiment import Setup
+from bankrack.lab.experiment import SHARED
+from bankrack.lab.workloads import Phase
+from bankrack.lab.workloads import WORKLOADS_BY_NAME
+from bankrack.scheduling.policies import FewestInFlight
+from bankrack.scheduling.policies import Forecast
+from bankrack.scheduling.policies import LeastReported
+from bankrack.scheduling.policies import ReserveMaximum
+from bankrack.scheduling.policies import RoundRobin
 
 # Requests a second at which the oracle's tokens a second stop to grow, with
 # five engines of 24,000 tokens; measured with `bankrack bench capacity`.
@@ -237,7 +237,7 @@
     print()
     print(phase_table(rows))
     if arguments.plot:
-        from bankrack import plots  # Needs matplotlib, which nothing else does.
+        from bankrack.lab import plots  # Needs matplotlib, which nothing else does.
 
         plots.draw(rows, arguments.plot)
     return 0
--- a/src/bankrack/experiment.py
+++ b/src/bankrack/lab/experiment.py
@@ -10,18 +10,18 @@
 import itertools
 import typing as t
 
-from bankrack.enginemodel import EngineModel
-from bankrack.enginemodel import Sequence
-from bankrack.policies import Policy
-from bankrack.policies import Request
-from bankrack.scheduling import Decision
-from bankrack.scheduling import Grant
-from bankrack.scheduling import Refusal
-from bankrack.scheduling import Scheduler
-from bankrack.workloads import Arrival
-from bankrack.workloads import arrivals
-from bankrack.workloads import Phase
-from bankrack.workloads import Workload
+from bankrack.lab.workloads import Arrival
+from bankrack.lab.workloads import arrivals
+from bankrack.lab.workloads import Phase
+from bankrack.lab.workloads import Workload
+from bankrack.scheduling.enginemodel import EngineModel
+from bankrack.scheduling.enginemodel import Sequence
+from bankrack.scheduling.policies import Policy
+from bankrack.scheduling.policies import Request
+from bankrack.scheduling.scheduler import Decision
+from bankrack.scheduling.scheduler import Grant
+from bankrack.scheduling.scheduler import Refusal
+from bankrack.scheduling.scheduler import Scheduler
 
 STALL_THRESHOLD = 0.1
 MESSAGE_SECONDS = 0.0015
--- a/src/bankrack/plots.py
+++ b/src/bankrack/lab/plots.py
@@ -5,8 +5,8 @@
 
 import matplotlib
 
-from bankrack.bench import grouped
-from bankrack.bench import Row
+from bankrack.lab.bench import grouped
+from bankrack.lab.bench import Row
 
 matplotlib.use("Agg")
 
--- /dev/null
+++ b/src/bankrack/operator/__init__.py
@@ -0,0 +1,1 @@
+"""The command line's client of the operators' interface."""
--- a/src/bankrack/commands.py
+++ b/src/bankrack/operator/commands.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
-from bankrack.operatorclient import OperatorClient
-from bankrack.queries import print_json
-from bankrack.queries import print_table
+from bankrack.operator.client import OperatorClient
+from bankrack.operator.queries import print_json
+from bankrack.operator.queries import print_table
 
 
 async def plan(client: OperatorClient, arguments: argparse.Namespace) -> None:
--- a/src/bankrack/queries.py
+++ b/src/bankrack/operator/queries.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from bankrack.operatorclient import OperatorClient
+from bankrack.operator.client import OperatorClient
 
 
 async def show(client: OperatorClient, arguments: argparse.Namespace) -> None:
--- /dev/null
+++ b/src/bankrack/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions: lengths, forecasts, policies, placement and group owners."""
--- a/src/bankrack/admission.py
+++ b/src/bankrack/scheduling/admission.py
@@ -13,34 +13,34 @@
 import time
 import typing as t
 
-from bankrack import groups
 from bankrack import logs
-from bankrack.engine import LoadReport
+from bankrack.control.intent import Intent
+from bankrack.control.intent import Upstream
+from bankrack.control.membership import rendezvous
+from bankrack.control.messages import Body
+from bankrack.control.messages import Details
+from bankrack.control.messages import DetailsAsk
+from bankrack.control.messages import DetailsReply
+from bankrack.control.messages import Ended
+from bankrack.control.messages import Held
+from bankrack.control.messages import MemberRecord
+from bankrack.control.messages import PlaceAsk
+from bankrack.control.messages import PlaceReply
+from bankrack.control.messages import Progress
+from bankrack.control.peers import Peers
 from bankrack.exceptions import PeerUnavailable
-from bankrack.groups import Group
-from bankrack.health import Health
-from bankrack.intent import Intent
-from bankrack.intent import Upstream
-from bankrack.membership import rendezvous
-from bankrack.messages import Body
-from bankrack.messages import Details
-from bankrack.messages import DetailsAsk
-from bankrack.messages import DetailsReply
-from bankrack.messages import Ended
-from bankrack.messages import Held
-from bankrack.messages import MemberRecord
-from bankrack.messages import PlaceAsk
-from bankrack.messages import PlaceReply
-from bankrack.messages import Progress
-from bankrack.owner import Owner
-from bankrack.peers import Peers
-from bankrack.placement import place
-from bankrack.places import Ask
-from bankrack.places import no_upstream
-from bankrack.places import overloaded
-from bankrack.places import Placement
-from bankrack.places import Waiting
-from bankrack.scheduling import Scheduler
+from bankrack.generations.engine import LoadReport
+from bankrack.generations.health import Health
+from bankrack.generations.places import Ask
+from bankrack.generations.places import no_upstream
+from bankrack.generations.places import overloaded
+from bankrack.generations.places import Placement
+from bankrack.generations.places import Waiting
+from bankrack.scheduling import groups
+from bankrack.scheduling.groups import Group
+from bankrack.scheduling.owner import Owner
+from bankrack.scheduling.placement import place
+from bankrack.scheduling.scheduler import Scheduler
 
 ASK_TIMEOUT = 0.25
 ASK_AGAIN_SECONDS = 1.0
--- a/src/bankrack/forecast.py
+++ b/src/bankrack/scheduling/forecast.py
@@ -8,7 +8,7 @@
 
 import math
 
-from bankrack.lengths import Survival
+from bankrack.scheduling.lengths import Survival
 
 HORIZONS = (0, 16, 32, 48, 64, 96, 128, 192, 256, 384, 512, 768, 1024, 1536, 2048, 4096)
 _COUNT = len(HORIZONS)
--- a/src/bankrack/groups.py
+++ b/src/bankrack/scheduling/groups.py
@@ -10,9 +10,9 @@
 
 import msgspec
 
-from bankrack.intent import Intent
-from bankrack.intent import Service
-from bankrack.intent import Upstream
+from bankrack.control.intent import Intent
+from bankrack.control.intent import Service
+from bankrack.control.intent import Upstream
 
 GROUP_SIZE = 16
 
--- a/src/bankrack/owner.py
+++ b/src/bankrack/scheduling/owner.py
@@ -9,26 +9,26 @@
 import typing as t
 
 from bankrack import logs
-from bankrack.engine import LoadReport
-from bankrack.groups import Group
-from bankrack.intent import Intent
-from bankrack.intent import Upstream
-from bankrack.messages import Body
-from bankrack.messages import Details
-from bankrack.messages import DetailsAsk
-from bankrack.messages import DetailsReply
-from bankrack.messages import Ended
-from bankrack.messages import PlaceAsk
-from bankrack.messages import PlaceReply
-from bankrack.messages import Progress
-from bankrack.placement import Placement
-from bankrack.policies import Forecast
-from bankrack.policies import Policy
-from bankrack.policies import Request
-from bankrack.scheduling import Decision
-from bankrack.scheduling import Grant
-from bankrack.scheduling import Refusal
-from bankrack.scheduling import Scheduler
+from bankrack.control.intent import Intent
+from bankrack.control.intent import Upstream
+from bankrack.control.messages import Body
+from bankrack.control.messages import Details
+from bankrack.control.messages import DetailsAsk
+from bankrack.control.messages import DetailsReply
+from bankrack.control.messages import Ended
+from bankrack.control.messages import PlaceAsk
+from bankrack.control.messages import PlaceReply
+from bankrack.control.messages import Progress
+from bankrack.generations.engine import LoadReport
+from bankrack.scheduling.groups import Group
+from bankrack.scheduling.placement import Placement
+from bankrack.scheduling.policies import Forecast
+from bankrack.scheduling.policies import Policy
+from bankrack.scheduling.policies import Request
+from bankrack.scheduling.scheduler import Decision
+from bankrack.scheduling.scheduler import Grant
+from bankrack.scheduling.scheduler import Refusal
+from bankrack.scheduling.scheduler import Scheduler
 
 UNSEEN_SECONDS = 1.5
 _logger = logging.getLogger(__name__)
--- a/src/bankrack/placement.py
+++ b/src/bankrack/scheduling/placement.py
@@ -7,9 +7,9 @@
 
 import msgspec
 
-from bankrack.intent import Intent
-from bankrack.intent import Service
-from bankrack.intent import Upstream
+from bankrack.control.intent import Intent
+from bankrack.control.intent import Service
+from bankrack.control.intent import Upstream
 
 
 class Placement(msgspec.Struct, frozen=True):
--- a/src/bankrack/policies.py
+++ b/src/bankrack/scheduling/policies.py
@@ -8,12 +8,12 @@
 import math
 import typing as t
 
-from bankrack.forecast import Contribution
-from bankrack.forecast import contribution
-from bankrack.forecast import MemoryForecast
-from bankrack.lengths import KnownLength
-from bankrack.lengths import Lengths
-from bankrack.lengths import Survival
+from bankrack.scheduling.forecast import Contribution
+from bankrack.scheduling.forecast import contribution
+from bankrack.scheduling.forecast import MemoryForecast
+from bankrack.scheduling.lengths import KnownLength
+from bankrack.scheduling.lengths import Lengths
+from bankrack.scheduling.lengths import Survival
 
 FIRST_PRIORITY = 0
 MAX_ESTIMATE_SECONDS = 1.0
--- a/src/bankrack/scheduling.py
+++ b/src/bankrack/scheduling/scheduler.py
@@ -9,13 +9,13 @@
 import math
 import typing as t
 
-from bankrack import policies
-from bankrack.lengths import Lengths
-from bankrack.policies import EngineView
-from bankrack.policies import Granted
-from bankrack.policies import Policy
-from bankrack.policies import Rate
-from bankrack.policies import Request
+from bankrack.scheduling import policies
+from bankrack.scheduling.lengths import Lengths
+from bankrack.scheduling.policies import EngineView
+from bankrack.scheduling.policies import Granted
+from bankrack.scheduling.policies import Policy
+from bankrack.scheduling.policies import Rate
+from bankrack.scheduling.policies import Request
 
 AGE_SECONDS = 20.0
 BYPASS_SECONDS = 3.0
--- a/src/bankrack/settings.py
+++ b/src/bankrack/settings.py
@@ -8,7 +8,7 @@
 from expression import Ok
 from expression import Result
 
-from bankrack import documents
+from bankrack.control import documents
 from bankrack.exceptions import InvalidDocument
 
 LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
--- /dev/null
+++ b/src/bankrack/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the outside systems, for demo, tests and soak."""
--- a/src/bankrack/standin_engine.py
+++ b/src/bankrack/standins/engine.py
@@ -19,11 +19,11 @@
 import msgspec
 from aiohttp import web
 
-from bankrack import completions
-from bankrack.enginemodel import EngineCosts
-from bankrack.enginemodel import EngineModel
-from bankrack.enginemodel import Sequence
-from bankrack.journal import Journal
+from bankrack.front import completions
+from bankrack.scheduling.enginemodel import EngineCosts
+from bankrack.scheduling.enginemodel import EngineModel
+from bankrack.scheduling.enginemodel import Sequence
+from bankrack.standins.journal import Journal
 
 KEEP_ALIVE_SECONDS = 1.0
 ORPHAN_SECONDS = 10.0
@@ -428,7 +428,7 @@
 
 async def run(arguments: argparse.Namespace) -> None:
     """Serve until cancelled."""
-    from bankrack.serving import serve_application  # Avoids an import cycle.
+    from bankrack.front.listeners import serve_application  # Avoids an import cycle.
 
     stand_in = EngineStandIn(
         models=arguments.model or ["demo-7b"],
--- a/src/bankrack/standin_platform.py
+++ b/src/bankrack/standins/keyvalue.py
@@ -248,7 +248,7 @@
 
 async def run(arguments: argparse.Namespace) -> None:
     """Serve until cancelled."""
-    from bankrack.serving import serve_application  # Avoids an import cycle.
+    from bankrack.front.listeners import serve_application  # Avoids an import cycle.
 
     stand_in = PlatformStandIn(seed=arguments.seed)
     for item in arguments.vm:
--- a/src/bankrack/standin_plain.py
+++ b/src/bankrack/standins/plain.py
@@ -9,7 +9,7 @@
 
 from aiohttp import web
 
-from bankrack.journal import Journal
+from bankrack.standins.journal import Journal
 
 
 class PlainStandIn:
@@ -53,7 +53,7 @@
 
 async def run(arguments: argparse.Namespace) -> None:
     """Serve until cancelled."""
-    from bankrack.serving import serve_application  # Avoids an import cycle.
+    from bankrack.front.listeners import serve_application  # Avoids an import cycle.
 
     await serve_application(
         PlainStandIn(journal=arguments.journal).application(), arguments.listen
--- a/tests/test_claims.py
+++ b/tests/control/test_claims.py
@@ -2,14 +2,14 @@
 import random
 import time
 
-from bankrack import claims
-from bankrack import requestkeys
+from bankrack.control import claims
 from bankrack.exceptions import AlreadyClaimed
 from bankrack.exceptions import BankrackError
 from bankrack.exceptions import RequestKeyRefused
+from bankrack.front import requestkeys
 from tests.base import TestCase
 from tests.fakes import bed
-from tests.test_callers import body
+from tests.front.test_callers import body
 
 
 def new_key(age: float = 0.0) -> str:
--- a/tests/test_configuration.py
+++ b/tests/control/test_configuration.py
@@ -2,14 +2,14 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from bankrack import configuration
-from bankrack.configuration import Configuration
-from bankrack.configuration import Document
-from bankrack.configuration import Head
+from bankrack.control import configuration
+from bankrack.control.configuration import Configuration
+from bankrack.control.configuration import Document
+from bankrack.control.configuration import Head
+from bankrack.control.intent import Intent
+from bankrack.control.intent import Upstream
 from bankrack.exceptions import InvariantViolated
 from bankrack.exceptions import PlatformDataInvalid
-from bankrack.intent import Intent
-from bankrack.intent import Upstream
 from tests.base import TestCase
 
 
--- a/tests/test_orders.py
+++ b/tests/control/test_orders.py
@@ -1,9 +1,9 @@
 import asyncio
 import time
 
-from bankrack import orders
+from bankrack.control import orders
+from bankrack.control.orders import Lease
 from bankrack.exceptions import InvariantViolated
-from bankrack.orders import Lease
 from tests.base import TestCase
 from tests.fakes import bed
 
--- a/tests/test_peers.py
+++ b/tests/control/test_peers.py
@@ -1,15 +1,15 @@
 import asyncio
 
-from bankrack import messages
+from bankrack.control import messages
+from bankrack.control.membership import Membership
+from bankrack.control.membership import rendezvous
+from bankrack.control.messages import DocumentAsk
+from bankrack.control.messages import DocumentReply
+from bankrack.control.messages import Heartbeat
+from bankrack.control.messages import MemberRecord
+from bankrack.control.peers import Peers
+from bankrack.control.peers import Received
 from bankrack.exceptions import PeerUnavailable
-from bankrack.membership import Membership
-from bankrack.membership import rendezvous
-from bankrack.messages import DocumentAsk
-from bankrack.messages import DocumentReply
-from bankrack.messages import Heartbeat
-from bankrack.messages import MemberRecord
-from bankrack.peers import Peers
-from bankrack.peers import Received
 from tests.base import TestCase
 from tests.fakes import free_address
 
--- a/tests/test_plans.py
+++ b/tests/control/test_plans.py
@@ -2,7 +2,7 @@
 
 from expression import Result
 
-from bankrack import plans
+from bankrack.control import plans
 from bankrack.exceptions import ConfirmConflict
 from bankrack.exceptions import ConfirmUnknown
 from bankrack.exceptions import PlatformUnavailable
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -9,15 +9,15 @@
 import aiohttp
 from expression import Result
 
-from bankrack import auth
-from bankrack import intent as intents
-from bankrack import plans
 from bankrack import settings as settings_module
+from bankrack.control import intent as intents
+from bankrack.control import plans
+from bankrack.front import auth
+from bankrack.front.listeners import serve_application
 from bankrack.node import Node
-from bankrack.serving import serve_application
-from bankrack.standin_engine import EngineStandIn
-from bankrack.standin_plain import PlainStandIn
-from bankrack.standin_platform import PlatformStandIn
+from bankrack.standins.engine import EngineStandIn
+from bankrack.standins.keyvalue import PlatformStandIn
+from bankrack.standins.plain import PlainStandIn
 
 PORTS = (20000, 32000)
 TOKENS = {"north": "token-of-north", "south": "token-of-south"}
--- a/tests/test_serving.py
+++ b/tests/front/test_listeners.py
@@ -10,7 +10,7 @@
 from cryptography.hazmat.primitives.asymmetric import ec
 from cryptography.x509.oid import NameOID
 
-from bankrack.operatorclient import OperatorClient
+from bankrack.operator.client import OperatorClient
 from tests.base import TestCase
 from tests.fakes import Bed
 from tests.fakes import OPERATORS
--- a/tests/test_generation.py
+++ b/tests/generations/test_generation.py
@@ -3,11 +3,11 @@
 
 import aiohttp
 
-from bankrack import answers
+from bankrack.front import answers
 from tests.base import TestCase
 from tests.fakes import bed
-from tests.test_callers import body
-from tests.test_callers import texts
+from tests.front.test_callers import body
+from tests.front.test_callers import texts
 
 WHOLE = 12
 ORIGINAL_WRITE = answers.web.StreamResponse.write
--- a/tests/test_health.py
+++ b/tests/generations/test_health.py
@@ -1,9 +1,9 @@
+from bankrack.control.intent import Workspace
 from bankrack.exceptions import LimitExceeded
-from bankrack.health import FAILURES_TO_EJECT
-from bankrack.health import Health
-from bankrack.intent import Workspace
-from bankrack.limits import InFlight
-from bankrack.retries import RetryBudget
+from bankrack.front.limits import InFlight
+from bankrack.generations.health import FAILURES_TO_EJECT
+from bankrack.generations.health import Health
+from bankrack.generations.retries import RetryBudget
 from tests.base import TestCase
 
 
--- a/tests/test_stream.py
+++ b/tests/generations/test_stream.py
@@ -5,8 +5,8 @@
 from hypothesis import strategies as st
 
 from bankrack.exceptions import InvalidUpstreamData
-from bankrack.stream import Ending
-from bankrack.stream import StreamCheck
+from bankrack.generations.stream import Ending
+from bankrack.generations.stream import StreamCheck
 from tests.base import TestCase
 
 
--- a/tests/test_admission.py
+++ b/tests/scheduling/test_admission.py
@@ -1,10 +1,10 @@
 import asyncio
 
-from bankrack import admission
-from bankrack.intent import Intent
+from bankrack.control.intent import Intent
+from bankrack.scheduling import admission
 from tests.base import TestCase
 from tests.fakes import bed
-from tests.test_callers import body
+from tests.front.test_callers import body
 
 
 class TestOwners(TestCase):
--- a/tests/test_lengths.py
+++ b/tests/scheduling/test_lengths.py
@@ -1,12 +1,12 @@
 import random
 
-from bankrack.forecast import contribution
-from bankrack.forecast import HORIZONS
-from bankrack.forecast import MemoryForecast
-from bankrack.lengths import KnownLength
-from bankrack.lengths import LengthHistogram
-from bankrack.lengths import Lengths
-from bankrack.lengths import MAX_KEYS
+from bankrack.scheduling.forecast import contribution
+from bankrack.scheduling.forecast import HORIZONS
+from bankrack.scheduling.forecast import MemoryForecast
+from bankrack.scheduling.lengths import KnownLength
+from bankrack.scheduling.lengths import LengthHistogram
+from bankrack.scheduling.lengths import Lengths
+from bankrack.scheduling.lengths import MAX_KEYS
 from tests.base import TestCase
 
 
--- a/tests/test_placement.py
+++ b/tests/scheduling/test_placement.py
@@ -1,7 +1,7 @@
-from bankrack.intent import Intent
-from bankrack.intent import Service
-from bankrack.intent import Upstream
-from bankrack.placement import place
+from bankrack.control.intent import Intent
+from bankrack.control.intent import Service
+from bankrack.control.intent import Upstream
+from bankrack.scheduling.placement import place
 from tests.base import TestCase
 
 
--- a/tests/test_scheduling.py
+++ b/tests/scheduling/test_scheduler.py
@@ -1,13 +1,13 @@
 import random
 
-from bankrack.policies import FewestInFlight
-from bankrack.policies import Forecast
-from bankrack.policies import Request
-from bankrack.scheduling import AGE_SECONDS
-from bankrack.scheduling import Grant
-from bankrack.scheduling import Refusal
-from bankrack.scheduling import Scheduler
-from bankrack.scheduling import TRIES_BY_PRIORITY
+from bankrack.scheduling.policies import FewestInFlight
+from bankrack.scheduling.policies import Forecast
+from bankrack.scheduling.policies import Request
+from bankrack.scheduling.scheduler import AGE_SECONDS
+from bankrack.scheduling.scheduler import Grant
+from bankrack.scheduling.scheduler import Refusal
+from bankrack.scheduling.scheduler import Scheduler
+from bankrack.scheduling.scheduler import TRIES_BY_PRIORITY
 from tests.base import TestCase
 
 
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -8,15 +8,15 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from bankrack import completions
-from bankrack import handles
-from bankrack import messages
+from bankrack.control import messages
 from bankrack.exceptions import BankrackError
 from bankrack.exceptions import InvalidRequest
 from bankrack.exceptions import NotFound
+from bankrack.front import completions
+from bankrack.front import handles
 from tests.base import TestCase
 from tests.fakes import bed
-from tests.test_callers import body
+from tests.front.test_callers import body
 
 JSON = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -3,14 +3,14 @@
 import time
 
 from bankrack import node as node_module
-from bankrack.following import POLL_SECONDS
-from bankrack.operatorclient import OperatorClient
+from bankrack.control.following import POLL_SECONDS
+from bankrack.operator.client import OperatorClient
 from tests.base import TestCase
 from tests.fakes import bed
 from tests.fakes import intent_text
 from tests.fakes import OPERATORS
-from tests.test_callers import body
-from tests.test_callers import texts
+from tests.front.test_callers import body
+from tests.front.test_callers import texts
 
 
 def operator(b, node=0, who="alice"):
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -5,8 +5,8 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
-from bankrack import intent
 from bankrack import settings
+from bankrack.control import intent
 from bankrack.exceptions import InvalidDocument
 from tests.base import TestCase
 from tests.fakes import intent_text
