Ask engines to keep a place before a run is sent; draw their order by room

Cause: all nodes chose the emptiest engine by reports a second old; a new engine was filled from 0 to 32 of 34 thousand tokens in 2 s, and runs waited 4 s in its queue. Change: the order of engines is drawn with the square of their room as weight, and the first that keeps a slot and memory gets the run. Engines are asked for reports only while a node has traffic.

--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -251,6 +251,7 @@
             raise NodeNotReady(
                 "this node has no configuration yet; try again", retry_after=0.5
             )
+        self.reports.used_at = time.monotonic()
         await self.dispatcher.serve(job, reply)
 
     def _limits(self) -> CallerLimits:
--- a/src/bankrack/serving/choice.py
+++ b/src/bankrack/serving/choice.py
@@ -24,6 +24,10 @@
 FIRST_SUSPICION_SECONDS = 0.5
 LONGEST_SUSPICION_SECONDS = 4.0
 COLD_WEIGHT = 0.5
+MIN_WEIGHT = 1e-4
+"""Weight of an engine without room, against up to 1 for an empty one."""
+NEAR_FACTOR = 1.3
+SUSPECT_FACTOR = 1e-6
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -89,6 +93,45 @@
 
         return self._least(upstreams, avoid, score)
 
+    def engines_by_room(
+        self,
+        upstreams: t.Iterable[Upstream],
+        demand: Demand,
+        *,
+        memory: int,
+        near: str | None = None,
+    ) -> list[Upstream]:
+        """Order engines for a run, those with much room more often first.
+
+        Nodes see the same reports; were each to take the emptiest engine, all
+        of them would fill it at once.  So the order is drawn, with the square
+        of the room as weight.
+        """
+        hall = near or self._hall
+        keyed = []
+        for upstream in upstreams:
+            weight = self._room_weight(upstream, demand, memory, hall)
+            # Drawing without replacement: the largest u ** (1 / weight) first.
+            key = self._rng.random() ** (1.0 / weight)
+            keyed.append((key, upstream))
+        keyed.sort(key=lambda pair: pair[0], reverse=True)
+        return [upstream for _, upstream in keyed]
+
+    def _room_weight(
+        self, upstream: Upstream, demand: Demand, memory: int, hall: str
+    ) -> float:
+        view = self.view(upstream, memory)
+        room = MEMORY_HEADROOM * view.total - view.used - demand.expected
+        weight = max(0.0, room / max(1, view.total)) ** 2 + MIN_WEIGHT
+        weight /= 1.0 + view.queued
+        weight /= 1.0 + 2.0 * view.prompt_backlog / PROMPT_TOKENS_PER_SECOND
+        weight /= 1.0 + FAILURE_WEIGHT * upstream.failure_rate
+        if upstream.record.hall == hall:
+            weight *= NEAR_FACTOR
+        if self._clock() < upstream.suspect_until:
+            weight *= SUSPECT_FACTOR
+        return weight
+
     def view(self, upstream: Upstream, memory: int) -> EngineView:
         """Reckon an engine's state from its report and what was sent since."""
         now = self._clock()
--- a/src/bankrack/serving/client.py
+++ b/src/bankrack/serving/client.py
@@ -54,6 +54,7 @@
 
     :param time_left: seconds until the answer is of no more use.
     :param backup: address of the upstream that keeps a copy of the run.
+    :param hold: names the place that the upstream keeps for it.
     """
 
     job: Job
@@ -62,6 +63,7 @@
     priority: int
     time_left: float
     backup: str | None = None
+    hold: str | None = None
     resume: Resume | None = None
 
 
--- a/src/bankrack/serving/reports.py
+++ b/src/bankrack/serving/reports.py
@@ -13,6 +13,8 @@
 
 REPORT_SECONDS = 1.0
 """Rest between two reports of an engine; each is priced as a probe."""
+IDLE_SECONDS = 5.0
+"""Engines are not asked after a node sent them nothing for so long."""
 REPORT_TIMEOUT_SECONDS = 0.5
 
 _logger = logging.getLogger(__name__)
@@ -28,6 +30,7 @@
         self._chooser = chooser
         self._control = control
         self._services: set[str] = set()
+        self.used_at = 0.0
 
     def follow(self, services: set[str]) -> None:
         """Set the services whose upstreams are engines."""
@@ -36,10 +39,17 @@
     async def run(self) -> None:
         """Ask all engines again and again."""
         while True:
+            if not self._in_use():
+                await asyncio.sleep(REPORT_SECONDS)
+                continue
             engines = [u for name in self._services for u in self._upstreams.of(name)]
             await asyncio.gather(*(self._ask(engine) for engine in engines))
             await asyncio.sleep(REPORT_SECONDS)
 
+    def _in_use(self) -> bool:
+        """Whether anything was sent to an engine of late."""
+        return time.monotonic() - self.used_at < IDLE_SECONDS
+
     async def _ask(self, engine: Upstream) -> None:
         was_leaving = engine.leaving
         try:
--- a/src/bankrack/serving/routing.py
+++ b/src/bankrack/serving/routing.py
@@ -45,6 +45,7 @@
     """What the engines of a service can do; sizes in tokens, times in seconds.
 
     :param copy_keep: how long an engine keeps a copy of a run that nobody uses.
+    :param hold: longest time that an engine keeps a place; 0 where it keeps none.
     """
 
     slots: int
@@ -54,6 +55,7 @@
     backups: bool = False
     moves: bool = False
     copy_keep: float = 0.0
+    hold: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/bankrack/serving/streams.py
+++ b/src/bankrack/serving/streams.py
@@ -42,6 +42,8 @@
 """Time for a copy to go on; it reads what it lacks in some hundred ms."""
 BACKUP_FILL = 0.75
 """Part of an engine's memory up to which it takes backups; the rest is for runs."""
+HOLD_ASK_SECONDS = 0.15
+"""An engine answers in a few ms whether it keeps a place."""
 COPY_CHECK_SECONDS = 0.1
 COPY_REFRESH_SECONDS = 2.0
 """A copy that nobody uses is kept for 5 s; it is made again well before."""
@@ -58,6 +60,13 @@
         """Ask an engine how it is; raises :exc:`UpstreamFailed`."""
         ...
 
+    async def hold(self, engine: Upstream, tokens: int, ttl: float) -> str | None:
+        """Have a slot and memory kept; ``None`` when there is no room.
+
+        Raises :exc:`UpstreamFailed`.
+        """
+        ...
+
     async def copy(self, source: Upstream, run_id: str, target: Upstream) -> str:
         """Copy a run's memory while it goes on; returns the copy's handle.
 
@@ -156,9 +165,9 @@
         Returns a whole answer where that is final instead of a stream.
         """
         while True:
-            engine = self._next_engine()
+            engine, hold = await self._place()
             try:
-                exchange = await self._open(engine, resume=None)
+                exchange = await self._open(engine, hold=hold)
             except UpstreamUnreachable as error:
                 self._relay.chooser.suspect(engine)
                 self._tried.add(engine.id)
@@ -178,12 +187,18 @@
             self._exchange = exchange
             return None
 
-    def _next_engine(self) -> Upstream:
+    async def _place(self) -> tuple[Upstream, str | None]:
+        """Find an engine with room, and have it keep a place.
+
+        Engines are asked because reports are old when they come.  Where none
+        has room the run waits in the queue of one, by its priority.
+        """
         work = self._work
         relay = self._relay
-        open_engines = relay.upstreams.open_of(work.service.name)
-        untried = [u for u in open_engines if u.id not in self._tried]
-        if self._sends >= MAX_SENDS or not untried:
+        engines = relay.chooser.engines_by_room(
+            self._untried(), work.job.demand, memory=self._traits.memory
+        )
+        if self._sends >= MAX_SENDS or not engines:
             raise Overloaded(
                 f"no engine of {work.service.name} takes the run now; try again",
                 retry_after=RETRY_AFTER_SECONDS,
@@ -193,11 +208,30 @@
                 "engines rejected the run and the retry budget is used up; try again",
                 retry_after=RETRY_AFTER_SECONDS,
             )
-        engine = relay.chooser.engine(
-            untried, work.job.demand, memory=self._traits.memory
-        )
-        assert engine is not None
-        return engine
+        for engine in engines if self._traits.hold else ():
+            hold = await self._hold(engine)
+            if hold is not None:
+                return engine, hold
+        return engines[0], None
+
+    def _untried(self) -> list[Upstream]:
+        engines = self._relay.upstreams.open_of(self._work.service.name)
+        return [u for u in engines if u.id not in self._tried]
+
+    async def _hold(self, engine: Upstream) -> str | None:
+        demand = self._work.job.demand
+        try:
+            async with asyncio.timeout(HOLD_ASK_SECONDS):
+                hold = await self._relay.control.hold(
+                    engine, demand.expected, self._traits.hold
+                )
+        except (BankrackError, TimeoutError) as error:
+            self._relay.chooser.suspect(engine)
+            self._log("hold_failed", engine, "failed", repr(error))
+            return None
+        if hold is None:
+            self._log("hold_refused", engine, "no room", "")
+        return hold
 
     async def _whole(self, exchange: Exchange) -> Answer:
         body = await exchange.read()
@@ -206,7 +240,13 @@
             raise UpstreamFailed("the engine's answer carries no proof of origin")
         return Answer(head.status, head.headers, body)
 
-    async def _open(self, engine: Upstream, *, resume: Resume | None) -> Exchange:
+    async def _open(
+        self,
+        engine: Upstream,
+        *,
+        hold: str | None = None,
+        resume: Resume | None = None,
+    ) -> Exchange:
         """Send to ``engine``; it holds the run from now on."""
         work = self._work
         now = time.monotonic()
@@ -218,6 +258,7 @@
             priority=work.priority,
             time_left=work.time_left(),
             backup=backup.address if backup else None,
+            hold=hold,
             resume=resume,
         )
         self._engine = engine
@@ -246,18 +287,14 @@
 
     def _choose_target(self, engine: Upstream) -> Upstream | None:
         """Choose an engine for a copy of what runs on ``engine``."""
-        relay = self._relay
-        others = [
-            u
-            for u in relay.upstreams.open_of(self._work.service.name)
-            if u is not engine and u.id not in self._tried
-        ]
-        return relay.chooser.engine(
+        others = [u for u in self._untried() if u is not engine]
+        order = self._relay.chooser.engines_by_room(
             others,
             self._work.job.demand,
             memory=self._traits.memory,
             near=engine.record.hall,
         )
+        return order[0] if order else None
 
     def _choose_backup(self, engine: Upstream) -> Upstream | None:
         """Choose where a copy is kept from the start; none while memory is short."""
