Runs wait at the node for a place; copies near, refreshed, freed

Change: a run waits at the node until an engine keeps a place; copies prefer the hall of their source, are tried at the next engine at once where there is no room, are refreshed each 0.4 s, and freed when the run ends. An engine that is silent is left only once a copy has taken over.

--- a/src/bankrack/serving/choice.py
+++ b/src/bankrack/serving/choice.py
@@ -100,6 +100,7 @@
         *,
         memory: int,
         near: str | None = None,
+        near_factor: float = NEAR_FACTOR,
     ) -> list[Upstream]:
         """Order engines for a run, those with much room more often first.
 
@@ -110,24 +111,22 @@
         hall = near or self._hall
         keyed = []
         for upstream in upstreams:
-            weight = self._room_weight(upstream, demand, memory, hall)
+            weight = self._room_weight(upstream, demand, memory)
+            if upstream.record.hall == hall:
+                weight *= near_factor
             # Drawing without replacement: the largest u ** (1 / weight) first.
             key = self._rng.random() ** (1.0 / weight)
             keyed.append((key, upstream))
         keyed.sort(key=lambda pair: pair[0], reverse=True)
         return [upstream for _, upstream in keyed]
 
-    def _room_weight(
-        self, upstream: Upstream, demand: Demand, memory: int, hall: str
-    ) -> float:
+    def _room_weight(self, upstream: Upstream, demand: Demand, memory: int) -> float:
         view = self.view(upstream, memory)
         room = MEMORY_HEADROOM * view.total - view.used - demand.expected
         weight = max(0.0, room / max(1, view.total)) ** 2 + MIN_WEIGHT
         weight /= 1.0 + view.queued
         weight /= 1.0 + 2.0 * view.prompt_backlog / PROMPT_TOKENS_PER_SECOND
         weight /= 1.0 + FAILURE_WEIGHT * upstream.failure_rate
-        if upstream.record.hall == hall:
-            weight *= NEAR_FACTOR
         if self._clock() < upstream.suspect_until:
             weight *= SUSPECT_FACTOR
         return weight
--- a/src/bankrack/serving/streams.py
+++ b/src/bankrack/serving/streams.py
@@ -9,6 +9,7 @@
 import asyncio
 import dataclasses
 import logging
+import random
 import time
 import typing as t
 
@@ -42,11 +43,18 @@
 """Time for a copy to go on; it reads what it lacks in some hundred ms."""
 BACKUP_FILL = 0.75
 """Part of an engine's memory up to which it takes backups; the rest is for runs."""
+WAIT_FOR_PLACE = 0.7
+"""Part of the target latency that a run waits for a place; the rest is for
+reading its prompt."""
+PLACE_POLL_SECONDS = 0.08
+"""Rest between two rounds of asking; each question is priced as a probe."""
 HOLD_ASK_SECONDS = 0.15
 """An engine answers in a few ms whether it keeps a place."""
 COPY_CHECK_SECONDS = 0.1
-COPY_REFRESH_SECONDS = 2.0
-"""A copy that nobody uses is kept for 5 s; it is made again well before."""
+COPY_REFRESH_SECONDS = 0.4
+"""What a copy lacks is read anew when the run goes on there, which is a pause."""
+COPY_NEAR_FACTOR = 4.0
+"""A copy within the hall takes half the time of one to another hall."""
 COPY_SECONDS = 2.0
 RETRY_AFTER_SECONDS = 0.5
 
@@ -93,6 +101,10 @@
     backup: bool
 
 
+class _EngineSilent(UpstreamFailed):
+    """An engine that made events makes none; it may still be at work."""
+
+
 class StreamRelay:
     """Carries streams to engines and their events back."""
 
@@ -129,6 +141,7 @@
         self._reply = reply
         self._traits = work.service.engine or EngineTraits(slots=0, memory=0)
         self._order = EventOrder()
+        self._splitter = EventSplitter()
         self._engine: Upstream | None = None
         self._exchange: Exchange | None = None
         self._copies: list[Copy] = []
@@ -146,6 +159,8 @@
             try:
                 await self._pass_events()
                 break
+            except _EngineSilent as error:
+                await self._switch(error)
             except UpstreamFailed as error:
                 await self._resume(error)
         await self._reply.end()
@@ -155,6 +170,7 @@
         """Free what the run holds."""
         if self._keeper is not None:
             self._keeper.cancel()
+        await self._drop_copies()
         self._leave_engine()
 
     # Starting
@@ -166,6 +182,7 @@
         """
         while True:
             engine, hold = await self._place()
+            self._take_from_budget()
             try:
                 exchange = await self._open(engine, hold=hold)
             except UpstreamUnreachable as error:
@@ -190,9 +207,25 @@
     async def _place(self) -> tuple[Upstream, str | None]:
         """Find an engine with room, and have it keep a place.
 
-        Engines are asked because reports are old when they come.  Where none
-        has room the run waits in the queue of one, by its priority.
+        Engines are asked because reports are old when they come.  A run that
+        waits here can still go to any engine, and a refusal is true; one that
+        waits in an engine's queue is lost with it.  So it is put into a queue
+        only once it would be late anyway.
         """
+        patience = WAIT_FOR_PLACE * self._work.route.target_latency
+        until = time.monotonic() + min(patience, self._work.time_left() / 2)
+        while True:
+            engines = self._candidates()
+            for engine in engines if self._traits.hold else ():
+                hold = await self._hold(engine)
+                if hold is not None:
+                    return engine, hold
+            if not self._traits.hold or time.monotonic() >= until:
+                return engines[0], None
+            await asyncio.sleep(PLACE_POLL_SECONDS * (0.5 + random.random()))
+
+    def _candidates(self) -> list[Upstream]:
+        """Engines to send to, in the order to ask them; raises without any."""
         work = self._work
         relay = self._relay
         engines = relay.chooser.engines_by_room(
@@ -203,21 +236,21 @@
                 f"no engine of {work.service.name} takes the run now; try again",
                 retry_after=RETRY_AFTER_SECONDS,
             )
-        if self._sends > 0 and not relay.budget.take(work.service.name):
-            raise Overloaded(
-                "engines rejected the run and the retry budget is used up; try again",
-                retry_after=RETRY_AFTER_SECONDS,
-            )
-        for engine in engines if self._traits.hold else ():
-            hold = await self._hold(engine)
-            if hold is not None:
-                return engine, hold
-        return engines[0], None
+        return engines
 
     def _untried(self) -> list[Upstream]:
         engines = self._relay.upstreams.open_of(self._work.service.name)
         return [u for u in engines if u.id not in self._tried]
 
+    def _take_from_budget(self) -> None:
+        """Account for a send that is not the first."""
+        service = self._work.service.name
+        if self._sends > 0 and not self._relay.budget.take(service):
+            raise Overloaded(
+                "engines rejected the run and the retry budget is used up; try again",
+                retry_after=RETRY_AFTER_SECONDS,
+            )
+
     async def _hold(self, engine: Upstream) -> str | None:
         demand = self._work.job.demand
         try:
@@ -262,6 +295,7 @@
             resume=resume,
         )
         self._engine = engine
+        self._splitter = EventSplitter()
         engine.in_flight += 1
         try:
             exchange = await self._relay.client.open(send)
@@ -285,27 +319,27 @@
         )
         return exchange
 
-    def _choose_target(self, engine: Upstream) -> Upstream | None:
-        """Choose an engine for a copy of what runs on ``engine``."""
+    def _copy_targets(self, engine: Upstream) -> list[Upstream]:
+        """Order the engines for a copy of what runs on ``engine``."""
         others = [u for u in self._untried() if u is not engine]
-        order = self._relay.chooser.engines_by_room(
+        return self._relay.chooser.engines_by_room(
             others,
             self._work.job.demand,
             memory=self._traits.memory,
             near=engine.record.hall,
+            near_factor=COPY_NEAR_FACTOR,
         )
-        return order[0] if order else None
 
     def _choose_backup(self, engine: Upstream) -> Upstream | None:
         """Choose where a copy is kept from the start; none while memory is short."""
-        backup = self._choose_target(engine) if self._traits.backups else None
-        if backup is None:
+        targets = self._copy_targets(engine) if self._traits.backups else []
+        if not targets:
             return None
         demand = self._work.job.demand
-        view = self._relay.chooser.view(backup, self._traits.memory)
+        view = self._relay.chooser.view(targets[0], self._traits.memory)
         if view.used + demand.expected > BACKUP_FILL * view.total:
             return None
-        return backup
+        return targets[0]
 
     def _remember_backup(self, backup: Upstream | None) -> None:
         self._copies = []
@@ -329,7 +363,7 @@
         """Pass whole events on until the stream's end."""
         assert self._exchange is not None
         exchange = self._exchange
-        splitter = EventSplitter()
+        splitter = self._splitter
         while True:
             data = await self._read(exchange)
             if not data:
@@ -349,7 +383,7 @@
             async with asyncio.timeout(SILENCE_SECONDS):
                 return await exchange.read_some()
         except TimeoutError as error:
-            raise UpstreamFailed(
+            raise _EngineSilent(
                 f"the engine made no event for {SILENCE_SECONDS} s"
             ) from error
 
@@ -364,6 +398,29 @@
 
     # Going on elsewhere
 
+    async def _switch(self, error: BankrackError) -> None:
+        """Go on at a copy if one can; else stay with the engine that is silent.
+
+        It may only be crowded.  Its connection is dropped once the copy has
+        taken over, well before both could be at work for long.
+        """
+        silent, exchange, copies = self._engine, self._exchange, self._copies
+        splitter = self._splitter
+        assert silent is not None and exchange is not None
+        self._log("stream_silent", silent, "asking copies", error.message)
+        for copy in copies:
+            if copy.holder is silent or copy.holder.gone_at:
+                continue
+            self._engine, self._exchange = None, None
+            if await self._resume_at(copy):
+                self._resumes += 1
+                exchange.close()
+                silent.in_flight -= 1
+                self._relay.chooser.suspect(silent)
+                return
+        self._engine, self._exchange, self._copies = silent, exchange, copies
+        self._splitter = splitter
+
     async def _resume(self, error: BankrackError) -> None:
         """Go on at a copy; raises :exc:`StreamInterrupted` where none does."""
         broken = self._engine
@@ -406,7 +463,6 @@
 
     async def _keep_copy(self) -> None:
         """Copy the run elsewhere when its engine leaves and no backup is kept."""
-        refreshed = 0.0
         while True:
             await asyncio.sleep(COPY_CHECK_SECONDS)
             engine = self._engine
@@ -414,16 +470,15 @@
                 continue
             if any(c.backup and not c.holder.leaving for c in self._copies):
                 continue
-            now = time.monotonic()
             kept = [c for c in self._copies if not c.backup and not c.holder.leaving]
-            if kept and now - refreshed < COPY_REFRESH_SECONDS:
-                continue
-            refreshed = now
-            target = kept[0].holder if kept else self._choose_target(engine)
-            if target is not None:
-                await self._copy_to(engine, target)
-
-    async def _copy_to(self, engine: Upstream, target: Upstream) -> None:
+            targets = [c.holder for c in kept] or self._copy_targets(engine)
+            for target in targets:
+                if await self._copy_to(engine, target):
+                    await asyncio.sleep(COPY_REFRESH_SECONDS)
+                    break
+
+    async def _copy_to(self, engine: Upstream, target: Upstream) -> bool:
+        """Copy the run; what was copied before is only brought up to date."""
         try:
             async with asyncio.timeout(COPY_SECONDS):
                 handle = await self._relay.control.copy(
@@ -431,12 +486,24 @@
                 )
         except (BankrackError, TimeoutError) as error:
             self._log("copy_failed", target, "failed", repr(error))
-            return
-        if engine is not self._engine:
-            return
-        copy = Copy(target, engine.address, handle, backup=False)
-        self._copies = [copy, *[c for c in self._copies if c.backup]]
-        self._log("copy_made", target, "ok", handle)
+            return False
+        if engine is self._engine:
+            copy = Copy(target, engine.address, handle, backup=False)
+            self._copies = [copy, *[c for c in self._copies if c.backup]]
+            self._log("copy_made", target, "ok", handle)
+        return True
+
+    async def _drop_copies(self) -> None:
+        """Free copies that the run no longer needs."""
+        engine = self._engine
+        for copy in self._copies:
+            if copy.backup or engine is None or copy.source != engine.address:
+                continue
+            try:
+                async with asyncio.timeout(HOLD_ASK_SECONDS):
+                    await self._relay.control.drop_copy(engine, copy.handle)
+            except (BankrackError, TimeoutError) as error:
+                self._log("copy_not_freed", copy.holder, "failed", repr(error))
 
     def _log(
         self,
