--- a/src/bankrack/serving/streams.py
+++ b/src/bankrack/serving/streams.py
@@ -41,7 +41,7 @@
 """An engine that made events and then none for so long is given up."""
 RESUME_SECONDS = 2.0
 """Time for a copy to go on; it reads what it lacks in some hundred ms."""
-BACKUP_FILL = 0.75
+BACKUP_FILL = 0.55
 """Part of an engine's memory up to which it takes backups; the rest is for runs."""
 WAIT_FOR_PLACE = 0.7
 """Part of the target latency that a run waits for a place; the rest is for
