--- a/src/bankrack/serving/streams.py
+++ b/src/bankrack/serving/streams.py
@@ -41,8 +41,9 @@
 """An engine that made events and then none for so long is given up."""
 RESUME_SECONDS = 2.0
 """Time for a copy to go on; it reads what it lacks in some hundred ms."""
-BACKUP_FILL = 0.55
-"""Part of an engine's memory up to which it takes backups; the rest is for runs."""
+BACKUP_FILL = 0.45
+"""Part of the memory of all engines up to which backups are made; the rest is for
+runs."""
 WAIT_FOR_PLACE = 0.7
 """Part of the target latency that a run waits for a place; the rest is for
 reading its prompt."""
@@ -208,19 +209,20 @@
         """Find an engine with room, and have it keep a place.
 
         Engines are asked because reports are old when they come.  A run that
-        waits here can still go to any engine, and a refusal is true; one that
-        waits in an engine's queue is lost with it.  So it is put into a queue
-        only once it would be late anyway.
+        waits here can still go to any engine; one that waits in an engine's
+        queue is lost with it, so it goes there only once it would be late anyway.
         """
         patience = WAIT_FOR_PLACE * self._work.route.target_latency
         until = time.monotonic() + min(patience, self._work.time_left() / 2)
         while True:
             engines = self._candidates()
-            for engine in engines if self._traits.hold else ():
+            if not self._traits.hold:
+                return engines[0], None
+            for engine in engines:
                 hold = await self._hold(engine)
                 if hold is not None:
                     return engine, hold
-            if not self._traits.hold or time.monotonic() >= until:
+            if time.monotonic() >= until:
                 return engines[0], None
             await asyncio.sleep(PLACE_POLL_SECONDS * (0.5 + random.random()))
 
@@ -256,7 +258,7 @@
         try:
             async with asyncio.timeout(HOLD_ASK_SECONDS):
                 hold = await self._relay.control.hold(
-                    engine, demand.expected, self._traits.hold
+                    engine, demand.prompt + 150, self._traits.hold
                 )
         except (BankrackError, TimeoutError) as error:
             self._relay.chooser.suspect(engine)
@@ -335,11 +337,10 @@
         targets = self._copy_targets(engine) if self._traits.backups else []
         if not targets:
             return None
-        demand = self._work.job.demand
-        view = self._relay.chooser.view(targets[0], self._traits.memory)
-        if view.used + demand.expected > BACKUP_FILL * view.total:
-            return None
-        return targets[0]
+        engines = self._relay.upstreams.open_of(self._work.service.name)
+        pool = self._relay.chooser.pool_fill(engines, self._traits.memory)
+        both = 2 * self._work.job.demand.expected
+        return targets[0] if pool.fits(both, fill=BACKUP_FILL) else None
 
     def _remember_backup(self, backup: Upstream | None) -> None:
         self._copies = []
