One node of a hall reads the store and the engines' reports; the others follow it

Change: of a hall's members, ordered by the hash of their names, the first reads; the others ask it and hear of changes at once. A leader that fails, or whose view is over 1.2 s old, is passed over; after two deputies a node reads for itself.

--- a/src/bankrack/fleet/follower.py
+++ b/src/bankrack/fleet/follower.py
@@ -1,104 +1,92 @@
-"""Keeping the view true: watch, bounded re-read, and peers when both fail.
+"""Keeping the view true: from the store, or from a node of the hall that reads it.
 
-A watch tells of changes at once but can fall silent without a sign, so the
-whole state is read again all the while.  A node that the store turns away
-asks its peers, who may still reach it.
+A watch tells of changes at once but can fall silent without a sign, so those
+who read the store read the whole state again all the while.  The others follow
+them, and read for themselves once their leaders fail or are out of date.
 """
 
 import asyncio
+import contextlib
 import logging
 import random
 import time
-import typing as t
 
 from bankrack import logs
-from bankrack.exceptions import BankrackError
 from bankrack.exceptions import HistoryForgotten
+from bankrack.exceptions import PeerUnavailable
 from bankrack.exceptions import PlatformUnavailable
-from bankrack.fleet.store import Snapshot
+from bankrack.fleet.peers import LeaderClient
+from bankrack.fleet.roster import Roster
 from bankrack.fleet.store import Store
 from bankrack.fleet.view import View
 
-CONFIRM_SECONDS = 1.0
+CONFIRM_SECONDS = 0.8
 """Longest rest between two readings; a change must be in force within 2 s even
-where the watch is silent."""
+where the watch is silent and the reader is cut off next."""
 WATCH_SECONDS = 10.0
 """Longest wait of one watch; each return is a call that costs."""
-READ_SECONDS = 0.5
+WATCH_PAUSE_SECONDS = 0.03
+"""Changes that come together are fetched together."""
+READ_SECONDS = 0.4
 """A reading takes some 10 ms; on a store that is slow the time is doubled."""
 MAX_READ_SECONDS = 2.0
 RETRY_SECONDS = 0.1
-MAX_RETRY_SECONDS = 0.5
+MAX_RETRY_SECONDS = 0.6
+SLOW_RETRY_SECONDS = 2.0
+"""Rest of nodes that are not readers while nobody reaches the store, so that a
+large fleet does not wear it out."""
+STALE_SECONDS = 1.2
+"""A leader whose view is older can't reach the store."""
 AWAY_SECONDS = 1.5
-"""Without a confirmation for so long the peers are asked."""
-PEER_SECONDS = 0.5
+"""After so long without the store its return counts as the end of an outage."""
+SETTLE_SECONDS = 1.0
+"""Time for the nodes of a fleet that starts at once to learn of each other."""
 DENIAL_SECONDS = 0.8
 """Longest wait for a confirmation before a request is denied."""
 
 _logger = logging.getLogger(__name__)
 
 
-class PeerView(t.Protocol):
-    """Asks peers for their view of the store."""
-
-    async def ask(self, *, timeout: float) -> tuple[Snapshot, float] | None:
-        """Get the freshest view of some peers, and its age in seconds."""
-        ...
-
-
 class Follower:
-    """Follows the store for one node."""
+    """Keeps one node's view."""
 
-    def __init__(self, store: Store, view: View, peers: PeerView) -> None:
+    def __init__(
+        self, store: Store, view: View, roster: Roster, leaders: LeaderClient
+    ) -> None:
         self._store = store
         self._view = view
-        self._peers = peers
+        self._roster = roster
+        self._leaders = leaders
         self._read_seconds = READ_SECONDS
         self.reachable = True
         self._reading: asyncio.Task[bool] | None = None
-        self.confirmed_first = asyncio.Event()
         self.store_confirmed_at = 0.0
+        self.leader: str | None = None
 
     @property
     def store_age(self) -> float:
         """Seconds since the store itself last confirmed the view."""
         return time.monotonic() - self.store_confirmed_at
 
-    async def keep_confirming(self) -> None:
-        """Read the whole state again and again."""
-        failures = 0
+    async def run(self) -> None:
+        """Follow the store for ever."""
+        await self._begin()
         while True:
-            if await self._read():
-                failures = 0
-                await asyncio.sleep(CONFIRM_SECONDS)
+            leader = self._roster.leader()
+            if leader is None:
+                self._note_leader(None)
+                await self._read_while_leading()
                 continue
-            failures += 1
-            if self._view.age > AWAY_SECONDS or not self.confirmed_first.is_set():
-                await self._ask_peers()
-            rest = min(MAX_RETRY_SECONDS, RETRY_SECONDS * 2**failures)
-            await asyncio.sleep(rest * (0.5 + random.random()))
-
-    async def keep_watching(self) -> None:
-        """Take in changes as they come."""
-        await self.confirmed_first.wait()
-        failures = 0
-        while True:
+            self._note_leader(leader.name)
             try:
-                changes = await self._store.watch(
-                    self._view.revision, wait=WATCH_SECONDS
-                )
-            except HistoryForgotten:
-                logs.event(_logger, "history_forgotten", revision=self._view.revision)
-                await self.confirm(within=0.0)
-                await asyncio.sleep(RETRY_SECONDS)
+                age = await self._leaders.ask(leader)
+            except PeerUnavailable as error:
+                logs.event(_logger, "leader_lost", reason=error.message)
+                self._roster.distrust(leader)
                 continue
-            except PlatformUnavailable:
-                failures += 1
-                rest = min(MAX_RETRY_SECONDS, RETRY_SECONDS * 2**failures)
-                await asyncio.sleep(rest * (0.5 + random.random()))
-                continue
-            failures = 0
-            self._view.change(changes, source="watch")
+            if age > STALE_SECONDS:
+                logs.event(_logger, "leader_stale", leader=leader.name, age=age)
+                self._roster.distrust(leader)
 
     async def keep_sweeping(self) -> None:
         """Drop entries that stayed away after an outage, in time."""
@@ -118,12 +106,68 @@
             async with asyncio.timeout(DENIAL_SECONDS):
                 while self._view.confirmed_at < asked - within:
                     if not await self._read():
-                        await self._ask_peers()
                         break
         except TimeoutError:
             logs.event(_logger, "confirmation_timed_out", age=self._view.age)
         return self._view.confirmed_at >= asked - within
 
+    async def _begin(self) -> None:
+        """Get a first view, from the store or from any seed that has one."""
+        failures = 0
+        while not await self._read():
+            failures += 1
+            for seed in self._roster.seeds():
+                with contextlib.suppress(PeerUnavailable):
+                    await self._leaders.ask(seed)
+                if self._view.table is not None:
+                    return
+            await self._rest(failures)
+        await asyncio.sleep(SETTLE_SECONDS)
+        await self._read()
+
+    async def _read_while_leading(self) -> None:
+        """Read and watch the store until another node is to be followed."""
+        watching = asyncio.create_task(self._watch())
+        failures = 0
+        try:
+            while self._roster.leader() is None:
+                if await self._read():
+                    failures = 0
+                    await asyncio.sleep(CONFIRM_SECONDS)
+                    continue
+                failures += 1
+                await self._rest(failures)
+        finally:
+            watching.cancel()
+            await asyncio.gather(watching, return_exceptions=True)
+
+    async def _rest(self, failures: int) -> None:
+        rest = min(MAX_RETRY_SECONDS, RETRY_SECONDS * 2**failures)
+        if not self._roster.reads() and self._view.table is not None:
+            rest = SLOW_RETRY_SECONDS
+        await asyncio.sleep(rest * (0.5 + random.random()))
+
+    async def _watch(self) -> None:
+        """Take in changes as they come."""
+        failures = 0
+        while True:
+            try:
+                changes = await self._store.watch(
+                    self._view.revision, wait=WATCH_SECONDS
+                )
+            except HistoryForgotten:
+                logs.event(_logger, "history_forgotten", revision=self._view.revision)
+                await self._read()
+                await asyncio.sleep(RETRY_SECONDS)
+                continue
+            except PlatformUnavailable:
+                failures += 1
+                await self._rest(failures)
+                continue
+            failures = 0
+            self._view.change(changes, source="watch")
+            await asyncio.sleep(WATCH_PAUSE_SECONDS)
+
     async def _read(self) -> bool:
         """Read once; concurrent callers share one reading."""
         if self._reading is None or self._reading.done():
@@ -144,27 +188,13 @@
         if not self.reachable:
             self.reachable = True
             logs.event(_logger, "store_regained", away=self.store_age)
-        if self.store_age > AWAY_SECONDS and self.store_confirmed_at:
+        if self._view.age > AWAY_SECONDS and self._view.confirmed_at:
             self._view.store_was_away()
         self.store_confirmed_at = asked
         self._view.confirm(snapshot, asked_at=asked, source="store")
-        self.confirmed_first.set()
         return True
 
-    async def _ask_peers(self) -> None:
-        asked = time.monotonic()
-        try:
-            found = await self._peers.ask(timeout=PEER_SECONDS)
-        except BankrackError as error:
-            logs.event(_logger, "peers_silent", reason=error.message)
-            return
-        if found is None:
-            return
-        snapshot, age = found
-        if asked - age <= self._view.confirmed_at:
-            return
-        self._view.confirm(snapshot, asked_at=asked - age, source="peer")
-        self.confirmed_first.set()
-        logs.event(
-            _logger, "view_from_peer", revision=snapshot.revision, peer_view_age=age
-        )
+    def _note_leader(self, name: str | None) -> None:
+        if name != self.leader:
+            self.leader = name
+            logs.event(_logger, "leader_chosen", leader=name or "self")
--- a/src/bankrack/fleet/peers.py
+++ b/src/bankrack/fleet/peers.py
@@ -1,12 +1,12 @@
-"""The view of the store, told from node to node.
+"""The view of the store, and reports of engines, told from node to node.
 
-Plain HTTP on each node's inner address: the same listener carries the state
-dump and the metrics, and a question is asked only while the store is out of
-reach, so a lasting connection between each two nodes would bring nothing.
+Plain HTTP on each node's inner address, which the state dump and the metrics
+share: a follower asks, and its leader answers when something changed or after
+a moment, so each answer also proves that the leader lives.
 """
 
 import asyncio
-import random
+import contextlib
 import time
 import typing as t
 
@@ -14,74 +14,199 @@
 import msgspec
 from aiohttp import web
 
+from bankrack.exceptions import PeerUnavailable
+from bankrack.fleet.documents import Member
 from bankrack.fleet.store import Item
 from bankrack.fleet.store import Snapshot
 from bankrack.fleet.view import View
+from bankrack.serving.upstreams import EngineReport
+from bankrack.serving.upstreams import Upstreams
 
-PEERS_ASKED = 3
-"""Peers asked at once; each answers with its whole view."""
-VIEW_PATH = "/peer/view"
+UPDATES_PATH = "/peer/updates"
+TICK_SECONDS = 0.25
+"""A leader answers at least so often, and tells how old its view is."""
+ANSWER_SECONDS = 0.35
+"""Longest time for an answer beyond the tick; a hall is some ms wide."""
 
 
-class ViewMessage(msgspec.Struct):
-    """A view of the store as a peer tells it; ``age`` in seconds."""
+class ReportMessage(msgspec.Struct, array_like=True):
+    """An engine's report; ``age`` and ``leaves_in`` in seconds."""
 
-    items: list[tuple[str, bytes, int]]
-    revision: int
+    id: str
+    running: int
+    queued: int
+    used: int
+    total: int
     age: float
+    leaving: bool
+    leaves_in: float | None
 
 
-def view_response(view: View, age: float) -> web.Response:
-    """Answer a peer's question."""
-    items = [
-        (item.key, item.value, item.revision)
-        for item in view.items
-        if item.value is not None
-    ]
-    message = ViewMessage(items, view.revision, age)
-    return web.Response(body=msgspec.msgpack.encode(message))
+class UpdateMessage(msgspec.Struct):
+    """What a leader tells.
+
+    :param keys: all keys that are in force; none where nothing changed.
+    :param items: items that changed since the revision asked for.
+    :param serial: changes with each change of the leader's view.
+    :param age: seconds since the store confirmed the leader's view.
+    """
 
+    serial: str
+    revision: int
+    age: float
+    keys: list[str] | None
+    items: list[tuple[str, bytes, int]]
+    reports: list[ReportMessage]
 
-class Peers:
-    """Asks peers for their view.
 
-    :param addresses: gives the inner addresses of the other nodes known now.
+class UpdateServer:
+    """Answers followers.
+
+    :param name: this life of the node; a new one starts its serials anew.
+    :param note_engines: called when a follower uses engines.
     """
 
+    def __init__(
+        self,
+        view: View,
+        upstreams: Upstreams,
+        *,
+        name: str,
+        note_engines: t.Callable[[], None],
+    ) -> None:
+        self._view = view
+        self._upstreams = upstreams
+        self._name = name
+        self._note_engines = note_engines
+
+    async def handle(self, request: web.Request) -> web.Response:
+        """Answer once something changed, or after a tick."""
+        view = self._view
+        if view.table is None:
+            return web.Response(status=503)
+        if request.query.get("engines") == "1":
+            self._note_engines()
+        known = request.query.get("serial", "")
+        if known == self._serial():
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(view.changed.wait(), TICK_SECONDS)
+        changed = known != self._serial()
+        since = int(request.query.get("since", "0")) if known else 0
+        message = UpdateMessage(
+            serial=self._serial(),
+            revision=view.revision,
+            age=view.age,
+            keys=view.keys() if changed else None,
+            items=self._items(since) if changed else [],
+            reports=self._reports(),
+        )
+        return web.Response(body=msgspec.msgpack.encode(message))
+
+    def _serial(self) -> str:
+        return f"{self._name}-{self._view.serial}"
+
+    def _items(self, since: int) -> list[tuple[str, bytes, int]]:
+        return [
+            (item.key, item.value, item.revision)
+            for item in self._view.items
+            if item.value is not None and item.revision > since
+        ]
+
+    def _reports(self) -> list[ReportMessage]:
+        now = time.monotonic()
+        return [
+            ReportMessage(
+                upstream.id,
+                report.running,
+                report.queued,
+                report.used,
+                report.total,
+                now - report.taken,
+                report.leaving,
+                report.leaves_in,
+            )
+            for upstream in self._upstreams.by_id.values()
+            if (report := upstream.report) is not None
+        ]
+
+
+class LeaderClient:
+    """Asks one leader, again and again."""
+
     def __init__(
         self,
         session: aiohttp.ClientSession,
-        addresses: t.Callable[[], list[str]],
+        view: View,
+        upstreams: Upstreams,
         *,
-        rng: random.Random | None = None,
+        uses_engines: t.Callable[[], bool],
     ) -> None:
         self._session = session
-        self._addresses = addresses
-        self._rng = rng or random.Random()
-
-    async def ask(self, *, timeout: float) -> tuple[Snapshot, float] | None:
-        """Ask some peers; returns the freshest view and its age in seconds."""
-        addresses = self._addresses()
-        chosen = self._rng.sample(addresses, min(PEERS_ASKED, len(addresses)))
-        answers = await asyncio.gather(*(self._ask_one(a, timeout) for a in chosen))
-        found = [answer for answer in answers if answer is not None]
-        return min(found, key=lambda answer: answer[1], default=None)
-
-    async def _ask_one(
-        self, address: str, timeout: float
-    ) -> tuple[Snapshot, float] | None:
-        began = time.monotonic()
-        limit = aiohttp.ClientTimeout(total=timeout)
+        self._view = view
+        self._upstreams = upstreams
+        self._uses_engines = uses_engines
+        self._serial_by_name: dict[str, str] = {}
+
+    async def ask(self, leader: Member) -> float:
+        """Ask once and take in the answer; returns the age of its view.
+
+        Raises :exc:`PeerUnavailable`.
+        """
+        asked = time.monotonic()
+        serial = self._serial_by_name.get(leader.name, "")
+        query = {
+            "serial": serial,
+            "since": str(self._view.revision),
+            "engines": "1" if self._uses_engines() else "0",
+        }
+        limit = aiohttp.ClientTimeout(total=TICK_SECONDS + ANSWER_SECONDS)
+        url = f"http://{leader.address}{UPDATES_PATH}"
         try:
-            url = f"http://{address}{VIEW_PATH}"
-            async with self._session.get(url, timeout=limit) as response:
+            async with self._session.get(url, params=query, timeout=limit) as response:
                 if response.status != 200:
-                    return None
+                    raise PeerUnavailable(f"{leader.name} answered {response.status}")
                 body = await response.read()
-            message = msgspec.msgpack.decode(body, type=ViewMessage)
-        except (aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError):
-            # A peer that can't tell is one answer less; the caller logs none.
-            return None
-        items = tuple(Item(key, value, rev) for key, value, rev in message.items)
-        age = message.age + time.monotonic() - began
-        return Snapshot(items, message.revision), age
+            message = msgspec.msgpack.decode(body, type=UpdateMessage)
+        except (aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError) as e:
+            self._serial_by_name.pop(leader.name, None)
+            raise PeerUnavailable(f"{leader.name}: {e!r}") from e
+        self._take(leader, message, asked)
+        return message.age
+
+    def _take(self, leader: Member, message: UpdateMessage, asked: float) -> None:
+        view = self._view
+        confirmed_at = asked - message.age
+        if message.keys is not None:
+            items = [Item(key, value, rev) for key, value, rev in message.items]
+            snapshot = view.complete(message.keys, items)
+            if snapshot is None:
+                # Something that this node lacks is older than what it asked for.
+                self._serial_by_name.pop(leader.name, None)
+                return
+            whole = Snapshot(snapshot.items, message.revision)
+            view.confirm(whole, asked_at=confirmed_at, source=leader.name)
+        else:
+            view.confirmed_at = max(view.confirmed_at, confirmed_at)
+        self._serial_by_name[leader.name] = message.serial
+        self._take_reports(message.reports)
+
+    def _take_reports(self, reports: list[ReportMessage]) -> None:
+        now = time.monotonic()
+        for found in reports:
+            upstream = self._upstreams.by_id.get(found.id)
+            if upstream is None:
+                continue
+            taken = now - found.age
+            if upstream.report is not None and upstream.report.taken >= taken:
+                continue
+            upstream.note_report(
+                EngineReport(
+                    running=found.running,
+                    queued=found.queued,
+                    used=found.used,
+                    total=found.total,
+                    taken=taken,
+                    leaving=found.leaving,
+                    leaves_in=found.leaves_in,
+                )
+            )
--- a/src/bankrack/fleet/view.py
+++ b/src/bankrack/fleet/view.py
@@ -1,5 +1,6 @@
 """What this node believes: configuration, upstreams and members, with its age."""
 
+import asyncio
 import dataclasses
 import logging
 import time
@@ -56,6 +57,8 @@
         self._lapsed_at_by_key: dict[str, float] = {}
         self._gone_revision_by_key: dict[str, int] = {}
         self._lenient_until = 0.0
+        self.serial = 0
+        self.changed = asyncio.Event()
 
     @property
     def age(self) -> float:
@@ -82,6 +85,27 @@
         self.revision = max(self.revision, snapshot.revision)
         self.confirmed_at = max(self.confirmed_at, asked_at)
 
+    def keys(self) -> list[str]:
+        """Keys of all items."""
+        return list(self._entry_by_key)
+
+    def complete(
+        self, keys: t.Iterable[str], items: t.Iterable[Item]
+    ) -> Snapshot | None:
+        """Add the items known here to those that a peer sent.
+
+        Returns ``None`` when one of ``keys`` is in neither.
+        """
+        by_key = {item.key: item for item in items}
+        for key in keys:
+            if key in by_key:
+                continue
+            entry = self._entry_by_key.get(key)
+            if entry is None:
+                return None
+            by_key[key] = entry.item
+        return Snapshot(tuple(by_key.values()), 0)
+
     def change(self, changes: Snapshot, *, source: str) -> None:
         """Take in single changes, in their order."""
         for item in changes.items:
@@ -117,6 +141,13 @@
         else:
             self._adopt(document, item, source)
         self._entry_by_key[item.key] = _Entry(item, document)
+        self._note_change()
+
+    def _note_change(self) -> None:
+        """Count a change and wake whoever waits for one."""
+        self.serial += 1
+        self.changed.set()
+        self.changed = asyncio.Event()
 
     def _adopt(self, document: Document | None, item: Item, source: str) -> None:
         match document:
@@ -190,6 +221,7 @@
                 self.members_by_name.pop(name, None)
                 logs.event(_logger, "member_left", member=name, source=source)
         del self._entry_by_key[key]
+        self._note_change()
 
     def sweep(self) -> None:
         """Drop entries that stayed away after an outage."""
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -19,9 +19,10 @@
 from bankrack.fleet.documents import Member
 from bankrack.fleet.follower import Follower
 from bankrack.fleet.membership import Announcer
-from bankrack.fleet.peers import Peers
-from bankrack.fleet.peers import VIEW_PATH
-from bankrack.fleet.peers import view_response
+from bankrack.fleet.peers import LeaderClient
+from bankrack.fleet.peers import UPDATES_PATH
+from bankrack.fleet.peers import UpdateServer
+from bankrack.fleet.roster import Roster
 from bankrack.fleet.store import Store
 from bankrack.fleet.view import View
 from bankrack.front.relayfront import CallerDialect
@@ -120,15 +121,20 @@
         self._sending = new_session(reuse=False)
         self._asking = new_session(reuse=True)
         store = dialect.store(self._asking)
-        peers = Peers(self._asking, self._peer_addresses)
-        self.follower = Follower(store, self.view, peers)
         own = Member(settings.name, settings.inner, settings.hall)
+        roster = Roster(own, self.view.members_by_name.values, seeds=settings.seeds)
+        leaders = LeaderClient(
+            self._asking, self.view, self.upstreams, uses_engines=self._uses_engines
+        )
+        self.follower = Follower(store, self.view, roster, leaders)
         self.announcer = Announcer(store, own)
         self.chooser = Chooser(hall=settings.hall)
         self.budget = SharedRetryBudget(settings.budget, nodes=self._count_nodes)
         client = UpstreamClient(self._sending, dialect.upstreams)
         control = dialect.control(self._asking)
-        self.reports = ReportFollower(self.upstreams, self.chooser, control)
+        self.reports = ReportFollower(
+            self.upstreams, self.chooser, control, reads=self._reads_store
+        )
         self.dispatcher = Dispatcher(
             directory=self,
             upstreams=self.upstreams,
@@ -152,18 +158,23 @@
     async def start(self) -> None:
         """Open the listeners and begin to follow the store."""
         settings = self.settings
-        self._spawn(self.follower.keep_confirming)
+        self._spawn(self.follower.run)
         await self.front.start(settings.front)
         await self._listen(settings.ready, {settings.ready_path: self._answer_ready})
+        updates = UpdateServer(
+            self.view,
+            self.upstreams,
+            name=f"{settings.name}-{time.monotonic_ns()}",
+            note_engines=self.reports.note_use,
+        )
         await self._listen(
             settings.inner,
             {
-                VIEW_PATH: self._answer_view,
+                UPDATES_PATH: updates.handle,
                 "/metrics": self._answer_metrics,
                 "/state": self._answer_state,
             },
         )
-        self._spawn(self.follower.keep_watching)
         self._spawn(self.follower.keep_sweeping)
         self._spawn(self.announcer.run)
         self._spawn(self.reports.run)
@@ -251,7 +262,7 @@
             raise NodeNotReady(
                 "this node has no configuration yet; try again", retry_after=0.5
             )
-        self.reports.used_at = time.monotonic()
+        self.reports.note_use()
         await self.dispatcher.serve(job, reply)
 
     def _limits(self) -> CallerLimits:
@@ -260,11 +271,11 @@
     def _count_nodes(self) -> int:
         return max(MIN_NODES, len(self.view.members_by_name))
 
-    def _peer_addresses(self) -> list[str]:
-        known = {member.address for member in self.view.members_by_name.values()}
-        known.update(self.settings.seeds)
-        known.discard(self.settings.inner)
-        return sorted(known)
+    def _reads_store(self) -> bool:
+        return self.follower.leader is None
+
+    def _uses_engines(self) -> bool:
+        return self.reports.in_use()
 
     async def _keep_applying(self) -> None:
         """Hand on what follows from the configuration in force."""
@@ -292,11 +303,6 @@
     async def _answer_ready(self, request: web.Request) -> web.Response:
         return web.Response(status=200 if self.ready else 503)
 
-    async def _answer_view(self, request: web.Request) -> web.Response:
-        if self.view.table is None:
-            return web.Response(status=503)
-        return view_response(self.view, self.follower.store_age)
-
     async def _answer_metrics(self, request: web.Request) -> web.Response:
         content, headers = self.metrics.page(request.headers.getall("Accept", []))
         return web.Response(body=content, headers=headers)
--- a/src/bankrack/serving/reports.py
+++ b/src/bankrack/serving/reports.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import time
+import typing as t
 
 from bankrack import logs
 from bankrack.exceptions import BankrackError
@@ -14,23 +15,32 @@
 REPORT_SECONDS = 1.0
 """Rest between two reports of an engine; each is priced as a probe."""
 IDLE_SECONDS = 5.0
-"""Engines are not asked after a node sent them nothing for so long."""
+"""Engines are not asked after nobody sent them anything for so long."""
 REPORT_TIMEOUT_SECONDS = 0.5
 
 _logger = logging.getLogger(__name__)
 
 
 class ReportFollower:
-    """Asks the engines for their reports."""
+    """Asks the engines for their reports.
+
+    :param reads: tells whether this node asks for its hall.
+    """
 
     def __init__(
-        self, upstreams: Upstreams, chooser: Chooser, control: EngineControl
+        self,
+        upstreams: Upstreams,
+        chooser: Chooser,
+        control: EngineControl,
+        *,
+        reads: t.Callable[[], bool],
     ) -> None:
         self._upstreams = upstreams
         self._chooser = chooser
         self._control = control
         self._services: set[str] = set()
-        self.used_at = 0.0
+        self._reads = reads
+        self._used_at = 0.0
 
     def follow(self, services: set[str]) -> None:
         """Set the services whose upstreams are engines."""
@@ -39,16 +49,20 @@
     async def run(self) -> None:
         """Ask all engines again and again."""
         while True:
-            if not self._in_use():
+            if not self._reads() or not self.in_use():
                 await asyncio.sleep(REPORT_SECONDS)
                 continue
             engines = [u for name in self._services for u in self._upstreams.of(name)]
             await asyncio.gather(*(self._ask(engine) for engine in engines))
             await asyncio.sleep(REPORT_SECONDS)
 
-    def _in_use(self) -> bool:
-        """Whether anything was sent to an engine of late."""
-        return time.monotonic() - self.used_at < IDLE_SECONDS
+    def note_use(self) -> None:
+        """Note that this node, or one that follows it, uses engines."""
+        self._used_at = time.monotonic()
+
+    def in_use(self) -> bool:
+        """Whether engines were used of late."""
+        return time.monotonic() - self._used_at < IDLE_SECONDS
 
     async def _ask(self, engine: Upstream) -> None:
         was_leaving = engine.leaving
