--- a/Makefile
+++ b/Makefile
@@ -20,8 +20,8 @@
 	$(BIN)/bankrack demo $(DEMO)
 
 test: $(VENV)/.dev
-	$(BIN)/ruff format --check src tests soak benchmarks
-	$(BIN)/ruff check src tests soak benchmarks
+	$(BIN)/ruff format --check src platform tests soak benchmarks
+	$(BIN)/ruff check src platform tests soak benchmarks
 	$(BIN)/mypy
 	$(BIN)/python -m tests
 
--- a/src/bankrack/fleet/roster.py
+++ b/src/bankrack/fleet/roster.py
@@ -24,6 +24,10 @@
     return hashlib.blake2b(name.encode(), digest_size=8).digest()
 
 
+def _count_readers(ranked: t.Sequence[Member]) -> int:
+    return 1 + (len(ranked) - 1) // NODES_PER_READER
+
+
 class Roster:
     """Order of the members of one hall.
 
@@ -47,9 +51,11 @@
 
     def leader(self) -> Member | None:
         """Whom to follow; ``None`` when this node reads the store itself."""
+        if self.reads():
+            return None
         now = self._clock()
         ranked = self._ranked()
-        readers = 1 + (len(ranked) - 1) // NODES_PER_READER
+        readers = _count_readers(ranked)
         offset = int.from_bytes(_rank(self._own.name)) % readers
         first = ranked[offset:readers] + ranked[:offset]
         for member in [*first, *ranked[readers : readers + DEPUTIES]]:
@@ -62,8 +68,8 @@
     def reads(self) -> bool:
         """Whether this node is one of those that are to read the store."""
         ranked = self._ranked()
-        readers = 1 + (len(ranked) - 1) // NODES_PER_READER
-        return any(member.name == self._own.name for member in ranked[:readers])
+        readers = ranked[: _count_readers(ranked)]
+        return any(member.name == self._own.name for member in readers)
 
     def seeds(self) -> list[Member]:
         """Nodes to ask when nothing is known yet; they may be gone."""
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -86,9 +86,20 @@
 class GatewayDialect(t.Protocol):
     """Everything that speaks the outside's language."""
 
-    callers: CallerDialect
-    upstreams: UpstreamDialect
-    decode: Decoder
+    @property
+    def callers(self) -> CallerDialect:
+        """How callers speak."""
+        ...
+
+    @property
+    def upstreams(self) -> UpstreamDialect:
+        """How upstreams are spoken to."""
+        ...
+
+    @property
+    def decode(self) -> Decoder:
+        """Decodes items of the store."""
+        ...
 
     def control(self, session: aiohttp.ClientSession) -> EngineControl:
         """Make the client for orders to engines."""
@@ -209,6 +220,7 @@
         self.stopping = True
         self.front.closing = True
         last = began + self.settings.grace - STOP_MARGIN_SECONDS
+        self.dispatcher.stop_at(last)
         in_flight = self.dispatcher.in_flight
         logs.event(_logger, "stop_began", reason=reason, in_flight=in_flight)
         while time.monotonic() < last:
--- a/src/bankrack/serving/dispatch.py
+++ b/src/bankrack/serving/dispatch.py
@@ -10,6 +10,7 @@
 from bankrack.exceptions import AuthenticationFailed
 from bankrack.exceptions import BankrackError
 from bankrack.exceptions import DeadlineExceeded
+from bankrack.exceptions import NodeDraining
 from bankrack.exceptions import NodeNotReady
 from bankrack.exceptions import NotFound
 from bankrack.exceptions import Outcome
@@ -28,6 +29,11 @@
 
 STARTING_SECONDS = 0.5
 """When to come back to a node that has no configuration yet."""
+STREAMS_AFTER_STOP_SECONDS = 2.5
+"""Streams are taken for so long after a stop began; the balancer needs some 2 s."""
+SECONDS_PER_TOKEN = 0.009
+"""An engine's step, measured with about ten runs beside each other."""
+STOPPING_RETRY_SECONDS = 0.02
 DEADLINE_SLACK_SECONDS = 0.03
 """The final answer leaves this long before it is due."""
 
@@ -76,6 +82,13 @@
         self._streams = streams
         self._rng = rng or random.Random()
         self.in_flight = 0
+        self._stops_at: float | None = None
+        self._streams_until = 0.0
+
+    def stop_at(self, stops_at: float) -> None:
+        """Take only what should end before ``stops_at``, monotonic seconds."""
+        self._stops_at = stops_at
+        self._streams_until = time.monotonic() + STREAMS_AFTER_STOP_SECONDS
 
     async def serve(self, job: Job, reply: Reply) -> None:
         """Serve one job; raises a typed error where no answer was begun."""
@@ -122,6 +135,8 @@
         priority = route.priority
         if workspace is not None and workspace.priority is not None:
             priority = workspace.priority
+        if self._stops_at is not None:
+            self._refuse_if_cut(job, route, self._stops_at)
         service = self._pick_service(table, route)
         self._budget.earn(service.name)
         return Assignment(
@@ -133,6 +148,21 @@
             deadline=job.arrived + timeout - DEADLINE_SLACK_SECONDS,
         )
 
+    def _refuse_if_cut(self, job: Job, route: Route, stops_at: float) -> None:
+        """Refuse what the end of this node would cut off; another node is there."""
+        now = time.monotonic()
+        if route.kind is Kind.STREAM:
+            tokens = job.demand.length_hint or job.demand.output_limit
+            ends = now + route.target_latency + tokens * SECONDS_PER_TOKEN
+            fits = now < self._streams_until and ends < stops_at
+        else:
+            fits = now + route.timeout < stops_at
+        if not fits:
+            raise NodeDraining(
+                "this node is stopping; send the request again",
+                retry_after=STOPPING_RETRY_SECONDS,
+            )
+
     def _pick_service(self, table: RoutingTable, route: Route) -> Service:
         """Pick a backend by weight, of those that have upstreams if any has."""
         staffed = [b for b in route.backends if self._upstreams.open_of(b.service)]
--- a/src/bankrack/serving/routing.py
+++ b/src/bankrack/serving/routing.py
@@ -11,7 +11,7 @@
     """A service that takes a share of a route's requests."""
 
     service: str
-    weight: int
+    weight: float
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- /dev/null
+++ b/tests/fleet/test_view.py
@@ -0,0 +1,109 @@
+"""Tests of what a node believes."""
+
+import typing as t
+
+from bankrack.exceptions import PlatformDataInvalid
+from bankrack.fleet.documents import Document
+from bankrack.fleet.documents import Member
+from bankrack.fleet.store import Item
+from bankrack.fleet.store import Snapshot
+from bankrack.fleet.view import LAPSE_GRACE_SECONDS
+from bankrack.fleet.view import View
+from bankrack.serving.routing import CallerLimits
+from bankrack.serving.routing import RoutingTable
+from bankrack.serving.upstreams import UpstreamRecord
+from bankrack.serving.upstreams import Upstreams
+from tests.base import TestCase
+
+
+def decode(item: Item) -> Document | None:
+    kind, _, rest = item.key.partition("/")
+    if item.value == b"broken":
+        raise PlatformDataInvalid("it does not decode")
+    if kind == "config":
+        return RoutingTable(
+            version=int(item.value or b"0"),
+            routes=[],
+            services=[],
+            workspaces_by_key={},
+            keyed=False,
+            limits=CallerLimits(),
+        )
+    if kind == "up":
+        return UpstreamRecord(rest, "s", rest, "a", 1, leaving=item.value == b"leaving")
+    return Member(rest, rest, "a")
+
+
+class Believing(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.now = 10.0
+        self.upstreams = Upstreams(clock=lambda: self.now)
+        self.view = View(decode, self.upstreams, clock=lambda: self.now)
+
+    def confirm(self, revision: int, **items: tuple[bytes, int]) -> None:
+        found = [
+            Item(key.replace("_", "/"), value, rev)
+            for key, (value, rev) in items.items()
+        ]
+        snapshot = Snapshot(tuple(found), revision)
+        self.view.confirm(snapshot, asked_at=self.now, source="test")
+
+    def change(self, *items: Item) -> None:
+        snapshot = Snapshot(items, max(item.revision for item in items))
+        self.view.change(snapshot, source="test")
+
+    def ids(self) -> set[str]:
+        return set(self.upstreams.by_id)
+
+    def test_a_whole_reading_shows_what_a_watch_missed(self):
+        self.confirm(3, up_x=(b"1", 2), up_y=(b"1", 3))
+        self.view.revision = 9  # A watch that is blind still counts on.
+        self.confirm(9, up_y=(b"1", 3), up_z=(b"1", 5))
+        self.assertEqual({"y", "z"}, self.ids())
+
+    def test_an_old_reading_brings_nothing_back(self):
+        self.confirm(3, up_x=(b"1", 2))
+        self.change(Item("up/x", None, 5))
+        self.confirm(3, up_x=(b"1", 2))
+        self.assertEqual(set(), self.ids())
+
+    def test_an_old_reading_takes_nothing_away(self):
+        self.change(Item("up/x", b"1", 7))
+        self.confirm(6)
+        self.assertEqual({"x"}, self.ids())
+
+    def test_a_lower_version_is_not_adopted(self):
+        self.confirm(3, config_c=(b"7", 3))
+        self.confirm(5, config_c=(b"6", 5))
+        self.assertEqual(7, t.cast(RoutingTable, self.view.table).version)
+
+    def test_the_last_good_document_stays(self):
+        self.confirm(3, up_x=(b"leaving", 3), config_c=(b"7", 3))
+        self.confirm(5, up_x=(b"broken", 5), config_c=(b"broken", 5))
+        self.assertTrue(self.upstreams.by_id["x"].leaving)
+        self.assertEqual(7, t.cast(RoutingTable, self.view.table).version)
+
+    def test_entries_that_lapsed_in_an_outage_may_come_back(self):
+        self.confirm(3, up_x=(b"1", 3), up_y=(b"1", 3))
+        self.view.store_was_away()
+        self.confirm(5)
+        self.assertEqual({"x", "y"}, self.ids())
+        self.confirm(7, up_x=(b"1", 6))
+        self.now += LAPSE_GRACE_SECONDS + 0.1
+        self.view.sweep()
+        self.assertEqual({"x"}, self.ids())
+
+    def test_an_entry_that_goes_in_calm_is_gone_at_once(self):
+        self.confirm(3, up_x=(b"1", 3))
+        self.confirm(5)
+        self.assertEqual(set(), self.ids())
+
+    def test_a_peer_tells_only_what_changed(self):
+        self.confirm(3, up_x=(b"1", 2), up_y=(b"1", 3))
+        newer = Item("up/z", b"1", 5)
+        whole = self.view.complete(["up/x", "up/z"], [newer])
+        assert whole is not None
+        self.view.confirm(Snapshot(whole.items, 5), asked_at=self.now, source="peer")
+        self.assertEqual({"x", "z"}, self.ids())
+        self.assertIsNone(self.view.complete(["up/unknown"], []))
--- /dev/null
+++ b/tests/platform/world.py
@@ -0,0 +1,363 @@
+"""Small stand-ins of the platform: its store, a plain server and an engine.
+
+They speak the platform's dialect on loopback and misbehave on demand.
+"""
+
+import asyncio
+import base64
+import contextlib
+import dataclasses
+import json
+import typing as t
+
+import aiohttp
+from aiohttp import web
+
+HOST = "127.0.0.1"
+
+
+class Served:
+    """Something that listens on a port of its own."""
+
+    def __init__(self) -> None:
+        self.address = ""
+        self._runner: web.ServerRunner | None = None
+
+    async def start(self) -> None:
+        server = web.Server(self.handle, handler_cancellation=True)
+        self._runner = web.ServerRunner(server, shutdown_timeout=0.05)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, HOST, 0)
+        await site.start()
+        port = site._server.sockets[0].getsockname()[1]
+        self.address = f"{HOST}:{port}"
+
+    async def stop(self) -> None:
+        if self._runner is not None:
+            await self._runner.cleanup()
+            self._runner = None
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        raise NotImplementedError
+
+
+@dataclasses.dataclass
+class StoredItem:
+    value: bytes
+    revision: int
+    lease: int
+
+
+class FakeStore(Served):
+    """The platform's metadata store.
+
+    ``status`` refuses every call, ``silent`` answers none, ``watch_blind`` makes
+    watches miss changes, and ``forgotten`` is the oldest revision still known.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.item_by_key: dict[str, StoredItem] = {}
+        self.events: list[tuple[int, str, bytes | None]] = []
+        self.revision = 1
+        self.forgotten = 0
+        self.status = 0
+        self.silent = False
+        self.watch_blind = False
+        self.page = 500
+        self.leases: set[int] = set()
+        self.calls: list[str] = []
+        self._changed = asyncio.Event()
+
+    def put(self, key: str, value: t.Any, lease: int = 0) -> None:
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self.revision += 1
+        self.item_by_key[key] = StoredItem(data, self.revision, lease)
+        self._note(key, data)
+
+    def remove(self, key: str) -> None:
+        self.revision += 1
+        del self.item_by_key[key]
+        self._note(key, None)
+
+    def _note(self, key: str, data: bytes | None) -> None:
+        self.events.append((self.revision, key, data))
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        path = request.path.removeprefix("/v1/")
+        self.calls.append(path)
+        if self.silent:
+            await asyncio.sleep(60)
+        if self.status:
+            return web.Response(status=self.status)
+        body = await request.read()
+        order = json.loads(body) if body else {}
+        name, _, lease_id = path.partition("/")
+        match name:
+            case "kv-range":
+                return self._range(request.query)
+            case "kv-watch":
+                return await self._watch(request.query)
+            case "kv-lease":
+                self.leases.add(len(self.leases) + 1)
+                lease = len(self.leases)
+                return web.json_response({"lease": lease, "ttl_ms": order["ttl_ms"]})
+            case "kv-keep":
+                known = int(lease_id) in self.leases
+                return web.json_response({}, status=200 if known else 404)
+            case "kv-lease-end":
+                return web.json_response({})
+            case "kv-txn":
+                for put in order["put"]:
+                    value = base64.b64decode(put["value"])
+                    self.put(put["tlsKey"], value, put["lease"])
+                return web.json_response({"revision": self.revision})
+        return web.Response(status=404)
+
+    def _range(self, query: t.Mapping[str, str]) -> web.Response:
+        after = query.get("sinceRevision", "")
+        keys = sorted(key for key in self.item_by_key if key > after)
+        page = keys[: self.page]
+        items = [self._item(key) for key in page]
+        more = len(keys) > len(page)
+        return web.json_response({"items": items, "more": more, "at": self.revision})
+
+    def _item(self, key: str) -> dict[str, t.Any]:
+        item = self.item_by_key[key]
+        value = base64.b64encode(item.value).decode()
+        return {"tlsKey": key, "value": value, "revision": item.revision}
+
+    async def _watch(self, query: t.Mapping[str, str]) -> web.Response:
+        since = int(query["sinceRevision"])
+        if since < self.forgotten:
+            return web.Response(status=410)
+        wait = int(query["waitMs"]) / 1000
+        if not self._since(since):
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._changed.wait(), wait)
+        events = [] if self.watch_blind else self._since(since)
+        found = []
+        for revision, key, data in events:
+            event: dict[str, t.Any] = {"tlsKey": key, "revision": revision}
+            if data is None:
+                event["gone"] = True
+            else:
+                event["value"] = base64.b64encode(data).decode()
+            found.append(event)
+        return web.json_response({"events": found, "at": self.revision})
+
+    def _since(self, since: int) -> list[tuple[int, str, bytes | None]]:
+        return [event for event in self.events if event[0] > since]
+
+
+@dataclasses.dataclass
+class Arrival:
+    """A request as a server saw it."""
+
+    method: str
+    target: str
+    headers: list[tuple[str, str]]
+    body: bytes
+
+    def get(self, name: str) -> str | None:
+        found = [v for k, v in self.headers if k.lower() == name.lower()]
+        return found[0] if found else None
+
+
+class FakeServer(Served):
+    """A plain server; ``behave`` may answer instead of it."""
+
+    def __init__(self, server_id: str) -> None:
+        super().__init__()
+        self.id = server_id
+        self.arrivals: list[Arrival] = []
+        self.cancelled = 0
+        self.behave: t.Callable[[web.BaseRequest], t.Awaitable[t.Any]] | None = None
+
+    def entry(self, service: str, **more: t.Any) -> dict[str, t.Any]:
+        entry = {"service": service, "address": self.address, "zone": "a", "slots": 6}
+        return {**entry, "state": "ready", **more}
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.path.startswith("/v1/"):
+            return await self.control(request)
+        body = await request.read()
+        headers = [(k.decode(), v.decode()) for k, v in request.raw_headers]
+        arrival = Arrival(request.method, request.raw_path, headers, body)
+        self.arrivals.append(arrival)
+        expected = request.headers.get("Bankrack-Expect-Instance")
+        if expected not in (None, self.id):
+            return web.Response(status=421, headers={"Bankrack-Instance-Id": self.id})
+        try:
+            if self.behave is not None:
+                found = await self.behave(request)
+                if found is not None:
+                    return t.cast(web.StreamResponse, found)
+            return await self.run(request)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+
+    async def control(self, request: web.BaseRequest) -> web.StreamResponse:
+        return web.Response(status=404)
+
+    async def run(self, request: web.BaseRequest) -> web.StreamResponse:
+        return web.Response(body=b"whole", headers=self.sealed(request))
+
+    def sealed(self, request: web.BaseRequest) -> dict[str, str]:
+        return {
+            "Bankrack-Request-Id": request.headers.get("Bankrack-Request-Id", ""),
+            "Bankrack-Response-Seal": "seal",
+        }
+
+
+class FakeEngine(FakeServer):
+    """An engine that streams ``events`` events.
+
+    ``cut_after`` breaks the stream off after so many events; ``torn`` leaves
+    a piece of the next one behind.  Copies are known by their handles.
+    """
+
+    def __init__(self, server_id: str, *, events: int = 5) -> None:
+        super().__init__(server_id)
+        self.events = events
+        self.cut_after = -1
+        self.torn = False
+        self.pause = 0.0
+        self.room = True
+        self.handles: set[str] = set()
+        self.orders: list[tuple[str, dict[str, t.Any]]] = []
+        self.engine_by_address: dict[str, FakeEngine] = {}
+
+    async def control(self, request: web.BaseRequest) -> web.StreamResponse:
+        body = await request.read()
+        order = json.loads(body) if body else {}
+        self.orders.append((request.path, order))
+        if request.path == "/v1/report":
+            report = {"running": 0, "queued": 0, "kvUsed": 0, "kvTotal": 30000}
+            return web.json_response(report)
+        if not self.room:
+            return web.Response(status=503)
+        if request.path == "/v1/hold-take":
+            return web.json_response({"hold": "h-1"})
+        if request.path == "/v1/kv-move":
+            target = self.engine_by_address[order["targetVersion"]]
+            target.handles.add(f"{self.address}/copy")
+            return web.json_response({"handle": "copy", "made": 1})
+        return web.json_response({})
+
+    async def run(self, request: web.BaseRequest) -> web.StreamResponse:
+        first = 0
+        place = request.headers.get("Kv-From")
+        if place is not None:
+            if place not in self.handles:
+                return web.Response(status=503, headers={"Bankrack-Not-Executed": "1"})
+            first = int(request.headers.get("Last-Event-Id", "-1")) + 1
+        backup = request.headers.get("Kv-Backup")
+        if backup in self.engine_by_address:
+            run_id = request.headers["Bankrack-Request-Id"]
+            self.engine_by_address[backup].handles.add(f"{backup}/{run_id}")
+        response = web.StreamResponse(headers=self.sealed(request))
+        response.content_type = "text/event-stream"
+        response.enable_chunked_encoding()
+        await response.prepare(request)
+        for number in range(first, self.events):
+            if number == self.cut_after:
+                if self.torn:
+                    await response.write(b"id: %d\ndata: to" % number)
+                assert request.transport is not None
+                request.transport.abort()
+                return response
+            await response.write(b"id: %d\ndata: token%d\n\n" % (number, number))
+            await asyncio.sleep(self.pause)
+        await response.write_eof()
+        return response
+
+
+def configuration(version: int = 1, **more: t.Any) -> dict[str, t.Any]:
+    """A configuration with a plain, a billed and a streamed route."""
+
+    def route(name: str, kind: str, service: str, **extra: t.Any) -> dict[str, t.Any]:
+        return {
+            "name": name,
+            "hostname": "h.example",
+            "pathPrefix": f"/{name}/",
+            "kind": kind,
+            "timeoutMs": 2000,
+            "targetLatencyMs": 400,
+            "priority": 1,
+            "service": service,
+            "maxAttempts": 1,
+            **extra,
+        }
+
+    engine = {
+        "slots": 8,
+        "kvCapacity": 30000,
+        "kvTokenBytes": 1000,
+        "linkMbps": 1000,
+        "moves": True,
+        "backups": True,
+        "holdMs": 2000,
+        "handleS": 5,
+    }
+    return {
+        "configVersion": version,
+        "routes": [
+            route("look", "idempotent", "plain", maxAttempts=2),
+            route("bill", "non_idempotent", "plain"),
+            route("talk", "streaming", "engines", timeoutMs=5000),
+        ],
+        "services": [
+            {"name": "plain", "maxConnections": 10},
+            {"name": "engines", "maxConnections": 10, "engine": engine},
+        ],
+        "limits": {"maxHeaderBytes": 8000, "maxBodyBytes": 100000},
+        "tenants": [{"name": "tutors", "apiKeys": ["key-1"]}],
+        **more,
+    }
+
+
+@dataclasses.dataclass
+class Found:
+    """An answer as a caller saw it; ``whole`` is false when it was cut."""
+
+    status: int
+    headers: t.Mapping[str, str]
+    body: bytes
+    whole: bool
+
+
+async def call(
+    address: str,
+    path: str,
+    *,
+    method: str = "POST",
+    body: bytes | None = b"question",
+    headers: dict[str, str] | None = None,
+) -> Found:
+    """Send one request as the platform's callers do."""
+    sent = {
+        "Host": "h.example",
+        "Bankrack-Request-Id": "r-1",
+        "Bankrack-Deadline-Ms": "3000",
+        "Bankrack-Key": "key-1",
+        **(headers or {}),
+    }
+    async with (
+        aiohttp.ClientSession(auto_decompress=False) as session,
+        session.request(
+            method, f"http://{address}{path}", data=body, headers=sent
+        ) as response,
+    ):
+        parts = []
+        try:
+            async for part in response.content.iter_any():
+                parts.append(part)
+        except aiohttp.ClientError:
+            whole = False
+        else:
+            whole = True
+        return Found(response.status, response.headers, b"".join(parts), whole)
--- /dev/null
+++ b/tests/serving/test_budget.py
@@ -0,0 +1,56 @@
+"""Tests of a node's share of the common retry budget."""
+
+from bankrack.serving.budget import BudgetTerms
+from bankrack.serving.budget import SAFETY
+from bankrack.serving.budget import SharedRetryBudget
+from tests.base import TestCase
+
+TERMS = BudgetTerms(ratio=0.2, reserve=56, window=10.0)
+
+
+class Shares(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.now = 0.0
+
+    def budget(self, nodes: int) -> SharedRetryBudget:
+        return SharedRetryBudget(TERMS, nodes=lambda: nodes, clock=lambda: self.now)
+
+    def spend(self, budget: SharedRetryBudget) -> int:
+        taken = 0
+        while budget.take("s"):
+            taken += 1
+        return taken
+
+    def test_all_nodes_together_keep_the_common_budget(self):
+        for nodes in (1, 3, 8, 78):
+            budgets = [self.budget(nodes) for _ in range(nodes)]
+            for budget in budgets:
+                for _ in range(7):
+                    budget.earn("s")
+            allowed = TERMS.ratio * 7 * nodes + TERMS.reserve
+            self.assertLessEqual(sum(self.spend(b) for b in budgets), allowed)
+
+    def test_requests_earn_repeats(self):
+        budget = self.budget(8)
+        before = budget.allowed("s")
+        for _ in range(10):
+            budget.earn("s")
+        self.assertAlmostEqual(before + SAFETY * 2.0, budget.allowed("s"))
+
+    def test_services_are_apart(self):
+        budget = self.budget(8)
+        self.spend(budget)
+        self.assertTrue(budget.take("other"))
+
+    def test_any_window_holds_no_more_than_is_allowed(self):
+        budget = self.budget(8)
+        taken = []
+        for step in range(600):
+            self.now = step * 0.1
+            if budget.take("s"):
+                taken.append(self.now)
+        share = TERMS.reserve / 8
+        for start in taken:
+            within = [at for at in taken if start <= at < start + TERMS.window]
+            self.assertLessEqual(len(within), share)
--- /dev/null
+++ b/tests/serving/test_choice.py
@@ -0,0 +1,76 @@
+"""Tests of choosing upstreams."""
+
+import collections
+import random
+
+from bankrack.serving.choice import Chooser
+from bankrack.serving.choice import PoolFill
+from bankrack.serving.job import Demand
+from bankrack.serving.upstreams import EngineReport
+from bankrack.serving.upstreams import Upstream
+from bankrack.serving.upstreams import UpstreamRecord
+from tests.base import TestCase
+
+MEMORY = 30_000
+
+
+class Choices(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.now = 100.0
+        self.chooser = Chooser(hall="a", clock=lambda: self.now, rng=random.Random(1))
+
+    def upstream(self, name: str, *, used: int = 0, hall: str = "a") -> Upstream:
+        record = UpstreamRecord(name, "s", f"10.0.0.1:{len(name)}", hall, slots=8)
+        upstream = Upstream(record, self.now - 50)
+        upstream.note_report(EngineReport(0, 0, used, MEMORY, taken=self.now))
+        return upstream
+
+    def first_choices(self, engines: list[Upstream]) -> collections.Counter[str]:
+        demand = Demand(prompt=2000, output_limit=500)
+        return collections.Counter(
+            self.chooser.engines_by_room(engines, demand, memory=MEMORY)[0].id
+            for _ in range(300)
+        )
+
+    def test_an_engine_with_room_goes_before_a_full_one(self):
+        engines = [self.upstream("full", used=29_000), self.upstream("free")]
+        self.assertGreater(self.first_choices(engines)["free"], 290)
+
+    def test_nodes_with_the_same_reports_do_not_all_take_the_emptiest(self):
+        engines = [self.upstream("one", used=8000), self.upstream("other", used=6000)]
+        self.assertGreater(min(self.first_choices(engines).values()), 60)
+
+    def test_what_was_sent_since_the_report_counts(self):
+        engine = self.upstream("one")
+        engine.note_sent(5000, self.now)
+        self.assertEqual(5000, self.chooser.view(engine, MEMORY).used)
+        self.now += 2.0
+        engine.note_report(EngineReport(1, 0, 5000, MEMORY, taken=self.now))
+        self.assertEqual(5000, self.chooser.view(engine, MEMORY).used)
+
+    def test_a_suspect_is_passed_over_and_comes_back(self):
+        upstreams = [self.upstream("bad"), self.upstream("good")]
+        self.chooser.suspect(upstreams[0])
+        chosen = {self.chooser.plain(upstreams).id for _ in range(50)}
+        self.assertEqual({"good"}, chosen)
+        self.now += 1.0
+        chosen = {self.chooser.plain(upstreams).id for _ in range(50)}
+        self.assertIn("bad", chosen)
+
+    def test_a_suspect_is_better_than_nothing(self):
+        upstream = self.upstream("only")
+        self.chooser.suspect(upstream)
+        self.assertIs(upstream, self.chooser.plain([upstream]))
+
+    def test_what_is_to_be_avoided_is_taken_when_there_is_no_other(self):
+        upstream = self.upstream("only")
+        self.assertIs(upstream, self.chooser.plain([upstream], avoid={"only"}))
+        self.assertIsNone(self.chooser.plain([]))
+
+
+class Pools(TestCase):
+    def test_fill(self):
+        pool = PoolFill(used=400, total=1000)
+        self.assertTrue(pool.fits(50, fill=0.45))
+        self.assertFalse(pool.fits(51, fill=0.45))
--- a/tests/test_dist.py
+++ b/tests/test_dist.py
@@ -43,7 +43,7 @@
                 [DIST, "node", "--settings", path],
                 env={**os.environ, "SHIV_ROOT": str(root)},
                 cwd="/",
-                stderr=subprocess.PIPE,
+                stdout=subprocess.PIPE,
                 text=True,
             )
             try:
@@ -54,8 +54,8 @@
                 self.assertLess(written, 64 * 1024 * 1024)
                 process.send_signal(signal.SIGTERM)
                 self.assertEqual(0, process.wait(30))
-                self.assertIn("event=drain_ended", process.stderr.read())
+                self.assertIn("event=drain_ended", process.stdout.read())
             finally:
                 process.kill()
                 process.wait()
-                process.stderr.close()
+                process.stdout.close()
