--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,85 @@
+"""Tests of the store's client against the stand-in."""
+
+from bankrack.exceptions import HistoryForgotten
+from bankrack.exceptions import LeaseOver
+from bankrack.exceptions import PlatformUnavailable
+from bankrack.fleet.store import Lease
+from bankrack.serving.client import new_session
+from store import PlatformStore
+from tests.base import TestCase
+from tests.platform.world import FakeStore
+
+
+class Calls(TestCase):
+    async def check(self, work) -> None:
+        fake = FakeStore()
+        await fake.start()
+        session = new_session(reuse=True)
+        try:
+            await work(fake, PlatformStore(session, fake.address))
+        finally:
+            await session.close()
+            await fake.stop()
+
+    async def test_pages_are_read_to_the_end(self):
+        async def work(fake: FakeStore, store: PlatformStore) -> None:
+            fake.page = 3
+            for number in range(8):
+                fake.put(f"servers/{number}", b"x")
+            snapshot = await store.read(members=True, timeout=1.0)
+            self.assertEqual(8, len(snapshot.items))
+            self.assertEqual(fake.revision, snapshot.revision)
+            self.assertIsNone(snapshot.until)
+
+        await self.check(work)
+
+    async def test_reading_ends_at_the_members(self):
+        async def work(fake: FakeStore, store: PlatformStore) -> None:
+            fake.page = 3
+            fake.put("servers/a", b"x")
+            for number in range(8):
+                fake.put(f"system/nodes/{number}", b"x")
+            snapshot = await store.read(members=False, timeout=1.0)
+            self.assertEqual(3, len(snapshot.items))
+            self.assertEqual("system/nodes/1", snapshot.until)
+
+        await self.check(work)
+
+    async def test_watching(self):
+        async def work(fake: FakeStore, store: PlatformStore) -> None:
+            since = fake.revision
+            fake.put("servers/a", b"x")
+            fake.remove("servers/a")
+            changes = await store.watch(since, wait=1.0)
+            self.assertEqual([b"x", None], [item.value for item in changes.items])
+            again = await store.watch(changes.revision, wait=0.05)
+            self.assertEqual((), again.items)
+            fake.forgotten = fake.revision + 1
+            with self.assertRaises(HistoryForgotten):
+                await store.watch(changes.revision, wait=0.05)
+
+        await self.check(work)
+
+    async def test_leases(self):
+        async def work(fake: FakeStore, store: PlatformStore) -> None:
+            lease = await store.grant(3.0)
+            await store.announce("n", b"{}", lease)
+            self.assertEqual(b"{}", fake.item_by_key["system/nodes/n"].value)
+            await store.keep(lease)
+            with self.assertRaises(LeaseOver):
+                await store.keep(Lease(99, 3.0))
+            await store.end(lease)
+
+        await self.check(work)
+
+    async def test_refusals_and_silence_are_one_typed_error(self):
+        async def work(fake: FakeStore, store: PlatformStore) -> None:
+            for status in (429, 503, 500, 404):
+                fake.status = status
+                with self.assertRaises(PlatformUnavailable):
+                    await store.read(members=True, timeout=1.0)
+            fake.silent = True
+            with self.assertRaises(PlatformUnavailable):
+                await store.read(members=True, timeout=0.1)
+
+        await self.check(work)
