--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -14,6 +14,7 @@
 import time
 import typing as t
 
+from soak.buggy_node import BUGS
 from soak.callers import Callers
 from soak.fleet import Fleet
 from soak.ledger import Ledger
@@ -118,7 +119,9 @@
     parser = argparse.ArgumentParser(prog="soak")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--minutes", type=float, default=5.0)
-    parser.add_argument("--bug", default="", help="put one known bug back")
+    parser.add_argument(
+        "--bug", default="", choices=["", *BUGS], help="put one known bug back"
+    )
     parser.add_argument("--keep", default="", help="folder to keep the logs in")
     arguments = parser.parse_args()
     with tempfile.TemporaryDirectory() as scratch:
