--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -4,6 +4,7 @@
 
 from bankrack import node as node_module
 from bankrack.control.following import POLL_SECONDS
+from bankrack.control.membership import HEARTBEAT_SECONDS
 from bankrack.operator.client import OperatorClient
 from tests.base import TestCase
 from tests.fakes import bed
@@ -110,7 +111,13 @@
                 if held == [2, 2, 2]:
                     break
                 await asyncio.sleep(0.05)
-            overview = await client.get("/v1/overview")
+            # Nodes hear of the configuration from the platform and of each other
+            # by heartbeats; one may come before the other.
+            for _ in range(int(3 * HEARTBEAT_SECONDS / 0.05)):
+                overview = await client.get("/v1/overview")
+                if len(overview["nodes"]) == 3:
+                    break
+                await asyncio.sleep(0.05)
             history = await client.get("/v1/history")
         self.assertEqual([2, 2, 2], held)
         self.assertEqual(3, len(overview["nodes"]))
