What stays away after an outage of the store is gone 3 s after its return

Cause: the two spans of leniency added up (first miss + 1.5 s, when the first miss came at the end of the other 1.5 s), and a node that is no reader rested up to 3 s before it read, passed its leader over for 3 s meanwhile, and was lenient from its own late reading on. Ruled out: the readers themselves, which notice the return within 0.9 s. Change: the leniency ends at one moment, 1.5 s after the return was noticed; a stale leader is asked again after 0.5 s; a node that is no reader puts off its own readings only.

--- a/src/bankrack/fleet/follower.py
+++ b/src/bankrack/fleet/follower.py
@@ -36,8 +36,11 @@
 RETRY_SECONDS = 0.1
 MAX_RETRY_SECONDS = 0.6
 SLOW_RETRY_SECONDS = 2.0
-"""Rest of nodes that are not readers while nobody reaches the store, so that a
-large fleet does not wear it out."""
+"""Rest between two readings of a node that is no reader while nobody reaches the
+store, so that a large fleet does not wear it out.  It asks the readers meanwhile."""
+STALE_DISTRUST_SECONDS = 0.5
+"""A reader that can't reach the store is asked again so soon: it learns of the
+store's return first, and all must know within 3 s what did not come back."""
 STALE_SECONDS = 1.2
 """A leader whose view is older can't reach the store."""
 AWAY_SECONDS = 1.5
@@ -64,8 +67,10 @@
         self.reachable = True
         self._reading: asyncio.Task[bool] | None = None
         self._members_due = 0.0
+        self._own_reading_due = 0.0
         self.store_confirmed_at = 0.0
         self.leader: str | None = None
+        self._stale_leader: str | None = None
 
     @property
     def store_age(self) -> float:
@@ -88,9 +93,11 @@
                 logs.event(_logger, "leader_lost", reason=error.message)
                 self._roster.distrust(leader)
                 continue
-            if age > STALE_SECONDS:
-                logs.event(_logger, "leader_stale", leader=leader.name, age=age)
-                self._roster.distrust(leader)
+            if age <= STALE_SECONDS:
+                self._stale_leader = None
+            else:
+                self._note_stale(leader.name, age)
+                self._roster.distrust(leader, seconds=STALE_DISTRUST_SECONDS)
 
     async def keep_sweeping(self) -> None:
         """Drop entries that stayed away after an outage, in time."""
@@ -140,11 +147,15 @@
         failures = 0
         try:
             while self._roster.leader() is None:
+                if self._leaves_reading_to_others():
+                    await asyncio.sleep(RETRY_SECONDS)
+                    continue
                 if await self._read():
                     failures = 0
                     await asyncio.sleep(CONFIRM_SECONDS)
                     continue
                 failures += 1
+                self._put_off_own_reading()
                 await self._rest(failures)
         finally:
             watching.cancel()
@@ -152,10 +163,18 @@
 
     async def _rest(self, failures: int) -> None:
         rest = min(MAX_RETRY_SECONDS, RETRY_SECONDS * 2**failures)
-        if not self._roster.reads() and self._view.table is not None:
-            rest = SLOW_RETRY_SECONDS
         await asyncio.sleep(rest * (0.5 + random.random()))
 
+    def _leaves_reading_to_others(self) -> bool:
+        """Whether a node that is no reader waits for those that are."""
+        if self._roster.reads() or self._view.table is None:
+            return False
+        return time.monotonic() < self._own_reading_due
+
+    def _put_off_own_reading(self) -> None:
+        rest = SLOW_RETRY_SECONDS * (0.5 + random.random())
+        self._own_reading_due = time.monotonic() + rest
+
     async def _watch_while_reader(self) -> None:
         """Take in changes as they come."""
         failures = 0
@@ -210,6 +229,12 @@
         self._view.confirm(snapshot, asked_at=asked, source="store")
         return True
 
+    def _note_stale(self, name: str, age: float) -> None:
+        """Log once that a leader's view is old, not each time it is asked."""
+        if self._stale_leader != name:
+            self._stale_leader = name
+            logs.event(_logger, "leader_stale", leader=name, age=age)
+
     def _note_leader(self, name: str | None) -> None:
         if name != self.leader:
             self.leader = name
--- a/src/bankrack/fleet/roster.py
+++ b/src/bankrack/fleet/roster.py
@@ -32,6 +32,11 @@
     return narrow, _rank(member.name), member.name
 
 
+def rank_members(members: t.Iterable[Member]) -> list[Member]:
+    """Sort members into the order that all nodes compute alike, each name once."""
+    return sorted({member.name: member for member in members}.values(), key=_order)
+
+
 def _count_readers(ranked: t.Sequence[Member]) -> int:
     return 1 + (len(ranked) - 1) // NODES_PER_READER
 
@@ -84,11 +89,10 @@
         others = [seed for seed in self._seeds if seed != self._own.address]
         return [Member(seed, seed, "") for seed in others]
 
-    def distrust(self, member: Member) -> None:
+    def distrust(self, member: Member, *, seconds: float = DISTRUST_SECONDS) -> None:
         """Pass a member over for a while."""
-        self._distrusted_until_by_name[member.name] = self._clock() + DISTRUST_SECONDS
+        self._distrusted_until_by_name[member.name] = self._clock() + seconds
 
     def _ranked(self) -> list[Member]:
-        by_name = {m.name: m for m in self._members() if m.hall == self._own.hall}
-        by_name[self._own.name] = self._own
-        return sorted(by_name.values(), key=_order)
+        neighbours = [m for m in self._members() if m.hall == self._own.hall]
+        return rank_members([*neighbours, self._own])
--- a/src/bankrack/fleet/view.py
+++ b/src/bankrack/fleet/view.py
@@ -18,8 +18,9 @@
 from bankrack.serving.upstreams import Upstreams
 
 LAPSE_GRACE_SECONDS = 1.5
-"""After the store was away, entries that lapsed meanwhile may come back for about
-2 s; nothing may be sent to an upstream 2 s after the store said that it went."""
+"""After the store's return, entries that lapsed meanwhile come back within about 2 s;
+its return is noticed up to 0.9 s late, and from 3 s after it on nothing may be sent
+to an upstream whose entry stayed away."""
 
 MAX_GONE_KEYS = 5000
 """Keys that went and whose revision is remembered; readings overlap for seconds."""
@@ -54,7 +55,7 @@
         self._decode = decode
         self._clock = clock
         self._entry_by_key: dict[str, _Entry] = {}
-        self._lapsed_at_by_key: dict[str, float] = {}
+        self._lapsed_until_by_key: dict[str, float] = {}
         self._gone_revision_by_key: dict[str, int] = {}
         self._lenient_until = 0.0
         self.serial = 0
@@ -124,7 +125,7 @@
         if item.revision <= self._gone_revision_by_key.get(item.key, 0):
             # A reading that began before the entry went still shows it.
             return
-        self._lapsed_at_by_key.pop(item.key, None)
+        self._lapsed_until_by_key.pop(item.key, None)
         document = None
         try:
             document = self._decode(item)
@@ -197,15 +198,21 @@
         if len(self._gone_revision_by_key) >= MAX_GONE_KEYS:
             self._gone_revision_by_key.clear()
         self._gone_revision_by_key[key] = revision
+        if not self._may_come_back(key, entry):
+            self._drop(key, entry, source)
+
+    def _may_come_back(self, key: str, entry: _Entry) -> bool:
+        """Whether an entry lapsed with the store; remembers it as missed."""
+        if not isinstance(entry.document, UpstreamRecord):
+            return False
         now = self._clock()
-        if isinstance(entry.document, UpstreamRecord) and now < self._lenient_until:
-            first = self._lapsed_at_by_key.setdefault(key, now)
-            if now - first < LAPSE_GRACE_SECONDS:
-                return
-        self._drop(key, entry, source)
+        if now >= self._lenient_until:
+            return False
+        # Counted from the store's return, whenever the entry is first missed.
+        return now < self._lapsed_until_by_key.setdefault(key, self._lenient_until)
 
     def _drop(self, key: str, entry: _Entry, source: str) -> None:
-        self._lapsed_at_by_key.pop(key, None)
+        self._lapsed_until_by_key.pop(key, None)
         match entry.document:
             case RoutingTable():
                 # The operator never takes the whole configuration away.
@@ -228,6 +235,6 @@
     def sweep(self) -> None:
         """Drop entries that stayed away after an outage."""
         now = self._clock()
-        for key, since in list(self._lapsed_at_by_key.items()):
-            if now - since >= LAPSE_GRACE_SECONDS:
+        for key, until in list(self._lapsed_until_by_key.items()):
+            if now >= until:
                 self._drop(key, self._entry_by_key[key], "lapsed")
--- a/tests/fleet/test_view.py
+++ b/tests/fleet/test_view.py
@@ -94,6 +94,26 @@
         self.view.sweep()
         self.assertEqual({"x"}, self.ids())
 
+    def test_an_entry_missed_late_is_gone_as_soon_as_the_others(self):
+        self.confirm(3, up_x=(b"1", 3))
+        self.view.store_was_away()
+        self.now += LAPSE_GRACE_SECONDS - 0.1
+        self.confirm(5)
+        self.assertEqual({"x"}, self.ids())
+        self.now += 0.2
+        self.view.sweep()
+        self.assertEqual(set(), self.ids())
+
+    def test_a_second_outage_does_not_keep_what_lapsed_in_the_first(self):
+        self.confirm(3, up_x=(b"1", 3))
+        self.view.store_was_away()
+        self.confirm(5)
+        self.now += LAPSE_GRACE_SECONDS - 0.1
+        self.view.store_was_away()
+        self.now += 0.2
+        self.view.sweep()
+        self.assertEqual(set(), self.ids())
+
     def test_an_entry_that_goes_in_calm_is_gone_at_once(self):
         self.confirm(3, up_x=(b"1", 3))
         self.confirm(5)
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -23,6 +23,9 @@
 from tests.platform.world import FakeServer
 from tests.platform.world import FakeStore
 
+LATEST_GONE_SECONDS = 2.9
+"""Nothing may be sent to an upstream that stayed away from 3 s after an outage."""
+
 
 class World:
     """A store, two plain servers, three engines and some gateways."""
@@ -401,6 +404,19 @@
                 lambda: all(g.view.table.version == 4 for g in gateways), seconds=0.5
             )
 
+    async def test_what_stays_away_after_an_outage_is_gone_everywhere_in_time(self):
+        async with running() as world:
+            nodes = [await world.ready_gateway(f"n-{n}") for n in range(3)]
+            await until(lambda: all(len(n.view.members_by_name) == 3 for n in nodes))
+            await until(lambda: sum(n.follower.leader is None for n in nodes) == 1)
+            world.store.status = 503
+            await asyncio.sleep(2.5)
+            world.store.remove("servers/p-1")
+            world.store.status = 0
+            returned = time.monotonic()
+            await until(lambda: all("p-1" not in n.upstreams.by_id for n in nodes))
+            self.assertLess(time.monotonic() - returned, LATEST_GONE_SECONDS)
+
     async def test_a_follower_reads_for_itself_once_its_leader_dies(self):
         async with running() as world:
             gateways = [await world.ready_gateway(f"n-{n}") for n in range(2)]
