One node keeps a ledger of placements; the others ask it where runs go

An engine reads some 7 prompt tokens a ms while it decodes, so seven prompts are 3 s; reports are 0.5 to 1.5 s old and tell nothing of prompts, and each node drew by memory alone. Ruled out: want of memory (places were kept at once). Change: all nodes ask the first member of one common order, which hears of each placement, start and end, and orders engines by prompts unread, memory that runs will need, hall and failures.

--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -19,6 +19,10 @@
 from bankrack.fleet.documents import Member
 from bankrack.fleet.follower import Follower
 from bankrack.fleet.membership import Announcer
+from bankrack.fleet.owners import Ledgers
+from bankrack.fleet.owners import NOTES_PATH
+from bankrack.fleet.owners import OwnerClient
+from bankrack.fleet.owners import PLACE_PATH
 from bankrack.fleet.peers import LeaderClient
 from bankrack.fleet.peers import UPDATES_PATH
 from bankrack.fleet.peers import UpdateServer
@@ -146,6 +150,14 @@
         self.budget = SharedRetryBudget(settings.budget, nodes=self._count_nodes)
         client = UpstreamClient(self._sending, dialect.upstreams)
         control = dialect.control(self._asking)
+        self.ledgers = Ledgers(self.upstreams)
+        self.owners = OwnerClient(
+            self._asking,
+            own,
+            self.view.members_by_name.values,
+            self.ledgers,
+            self.upstreams,
+        )
         self.reports = ReportFollower(
             self.upstreams, self.chooser, control, reads=self._reads_store
         )
@@ -167,6 +179,7 @@
                 upstreams=self.upstreams,
                 budget=self.budget,
                 control=control,
+                advisor=self.owners,
                 metrics=self.metrics,
             ),
         )
@@ -188,6 +201,8 @@
             settings.inner,
             {
                 UPDATES_PATH: updates.handle,
+                PLACE_PATH: self.ledgers.handle_ask,
+                NOTES_PATH: self.ledgers.handle_notes,
                 "/metrics": self._answer_metrics,
                 "/state": self._answer_state,
             },
@@ -195,6 +210,7 @@
         self._spawn(self.follower.keep_sweeping)
         self._spawn(self.announcer.run)
         self._spawn(self.reports.run)
+        self._spawn(self.owners.run)
         self._spawn(self._keep_applying)
         logs.event(
             _logger,
@@ -290,7 +306,7 @@
         return max(MIN_NODES, len(self.view.members_by_name))
 
     def _reads_store(self) -> bool:
-        return self.follower.leader is None
+        return self.follower.leader is None or self.owners.owns
 
     def _uses_engines(self) -> bool:
         return self.reports.in_use()
@@ -310,7 +326,7 @@
     async def _listen(self, address: str, handler_by_path: dict[str, t.Any]) -> None:
         application = web.Application()
         for path, handler in handler_by_path.items():
-            application.router.add_get(path, handler)
+            application.router.add_route("*", path, handler)
         runner = web.AppRunner(application, access_log=None, shutdown_timeout=0.1)
         await runner.setup()
         host, _, port = address.rpartition(":")
--- /dev/null
+++ b/src/bankrack/serving/advice.py
@@ -0,0 +1,31 @@
+"""What a node asks of, and tells, whoever keeps a service's ledger."""
+
+import typing as t
+
+from bankrack.serving.assignment import Assignment
+from bankrack.serving.upstreams import Upstream
+
+
+class PlacementAdvisor(t.Protocol):
+    """Knows more of the engines of a service than their reports tell."""
+
+    async def order(
+        self, work: Assignment, *, memory: int, avoid: t.Collection[str]
+    ) -> list[Upstream] | None:
+        """Order engines for a run; ``None`` where nobody can tell.
+
+        The run counts as placed on the first one until another is told of.
+        """
+        ...
+
+    def placed(self, work: Assignment, engine: Upstream) -> None:
+        """Tell that a run goes to an engine that was not the first."""
+        ...
+
+    def began(self, work: Assignment, engine: Upstream) -> None:
+        """Tell that a run makes events, on ``engine``."""
+        ...
+
+    def ended(self, work: Assignment) -> None:
+        """Tell that a run ended."""
+        ...
--- /dev/null
+++ b/src/bankrack/serving/ledger.py
@@ -0,0 +1,159 @@
+"""What runs were lately placed on the engines of a service, by all nodes.
+
+Reports of engines are more than half a second old when they come, and every node
+reads the same ones.  The node that keeps a service's ledger hears of each placement
+at once, so it knows how many prompt tokens an engine still has to read and what
+memory its runs will come to need.
+"""
+
+import dataclasses
+import random
+import time
+import typing as t
+
+from bankrack.serving.job import Demand
+from bankrack.serving.upstreams import EngineReport
+from bankrack.serving.upstreams import Upstream
+
+PROMPT_TOKENS_PER_SECOND = 7_000.0
+"""Rate at which an engine reads prompts while other runs decode; half of what it
+reads alone, since each step then does both (users' bench: 14 tokens/ms alone)."""
+SECONDS_PER_TOKEN = 0.009
+"""An engine's step, measured with about ten runs beside each other."""
+REPORT_LAG_SECONDS = 0.6
+"""How old an engine's report is when it comes, measured at 0.5 s on the bench."""
+PROMPT_SECONDS = 3.0
+"""A prompt that was placed so long ago counts as read though nobody told of it."""
+RUN_SECONDS = 60.0
+"""A run that was placed so long ago has ended; the note of its end was lost."""
+MEMORY_LIMIT = 0.95
+"""Part of an engine's memory that the runs there may come to need."""
+FULL_SECONDS = 4.0
+"""How long a prompt may rather wait for another engine than go to one whose memory
+is short by all that it has; preempted runs wait that long and longer."""
+FILL_SECONDS = 0.15
+"""What a full engine weighs against an empty one when both have room."""
+FAR_SECONDS = 0.01
+"""What an engine in another hall weighs; bytes between halls are priced."""
+SUSPECT_SECONDS = 10.0
+"""Puts an engine that just failed behind all others."""
+JITTER_SECONDS = 0.01
+
+
+@dataclasses.dataclass(slots=True)
+class Placement:
+    """One run on one engine.
+
+    :param began: monotonic seconds at which its first event was told of, if it was.
+    """
+
+    engine: str
+    prompt: int
+    output: int
+    placed: float
+    began: float | None = None
+
+    def unread(self, now: float) -> int:
+        """Prompt tokens that the engine still has to read."""
+        waiting = self.began is None and now < self.placed + PROMPT_SECONDS
+        return self.prompt if waiting else 0
+
+    def growth(self, now: float) -> float:
+        """Tokens by which the run is still expected to grow."""
+        if self.began is None:
+            return float(self.output)
+        return max(0.0, self.output - (now - self.began) / SECONDS_PER_TOKEN)
+
+
+class Ledger:
+    """The placements of one service, as far as this node was told of them."""
+
+    def __init__(
+        self,
+        *,
+        clock: t.Callable[[], float] = time.monotonic,
+        rng: random.Random | None = None,
+    ) -> None:
+        self._clock = clock
+        self._rng = rng or random.Random()
+        self._placement_by_run: dict[str, Placement] = {}
+
+    def place(self, run: str, engine: str, demand: Demand) -> None:
+        """Note that a run was sent to ``engine``."""
+        output = demand.expected - demand.prompt
+        self._placement_by_run[run] = Placement(
+            engine, demand.prompt, output, self._clock()
+        )
+
+    def begin(self, run: str, engine: str) -> None:
+        """Note that a run makes events, on ``engine``."""
+        placement = self._placement_by_run.get(run)
+        if placement is None:
+            return
+        placement.engine = engine
+        if placement.began is None:
+            placement.began = self._clock()
+
+    def end(self, run: str) -> None:
+        """Note that a run ended, wherever it was."""
+        self._placement_by_run.pop(run, None)
+
+    def order(
+        self, engines: t.Iterable[Upstream], demand: Demand, *, memory: int, hall: str
+    ) -> list[Upstream]:
+        """Order engines for a run, the one that begins it soonest first.
+
+        :param memory: tokens that an engine holds where no report tells.
+        :param hall: where the node is that asks.
+        """
+        self._forget()
+        by_engine: dict[str, list[Placement]] = {}
+        for placement in self._placement_by_run.values():
+            by_engine.setdefault(placement.engine, []).append(placement)
+
+        def cost(engine: Upstream) -> float:
+            placements = by_engine.get(engine.id, [])
+            return self._cost(engine, placements, demand, memory, hall)
+
+        return sorted(engines, key=cost)
+
+    def _forget(self) -> None:
+        oldest = self._clock() - RUN_SECONDS
+        for run, placement in list(self._placement_by_run.items()):
+            if placement.placed < oldest:
+                del self._placement_by_run[run]
+
+    def _cost(
+        self,
+        engine: Upstream,
+        placements: list[Placement],
+        demand: Demand,
+        memory: int,
+        hall: str,
+    ) -> float:
+        """Seconds until a run would begin there, and what else speaks against it."""
+        now = self._clock()
+        unread = sum(placement.unread(now) for placement in placements)
+        cost = unread / PROMPT_TOKENS_PER_SECOND
+        total = engine.report.total if engine.report else memory
+        used = _used(engine.report, placements)
+        growth = sum(placement.growth(now) for placement in placements)
+        short = used + growth + demand.expected - MEMORY_LIMIT * total
+        cost += FILL_SECONDS * used / max(1, total)
+        cost += FULL_SECONDS * max(0.0, short) / max(1, total)
+        if engine.record.hall != hall:
+            cost += FAR_SECONDS
+        if now < engine.suspect_until:
+            cost += SUSPECT_SECONDS
+        return cost + JITTER_SECONDS * self._rng.random()
+
+
+def _used(report: EngineReport | None, placements: list[Placement]) -> float:
+    """Reckon an engine's memory from its report and what was placed since."""
+    if report is None:
+        return float(sum(placement.prompt for placement in placements))
+    seen = report.taken - REPORT_LAG_SECONDS
+    recent = sum(
+        placement.prompt for placement in placements if placement.placed > seen
+    )
+    return report.used + recent
--- a/src/bankrack/serving/placing.py
+++ b/src/bankrack/serving/placing.py
@@ -7,6 +7,7 @@
 
 from bankrack.exceptions import BankrackError
 from bankrack.exceptions import Overloaded
+from bankrack.serving.advice import PlacementAdvisor
 from bankrack.serving.assignment import Assignment
 from bankrack.serving.choice import Chooser
 from bankrack.serving.enginecontrol import EngineControl
@@ -32,8 +33,14 @@
     """Has engines keep places for runs."""
 
     def __init__(
-        self, *, chooser: Chooser, upstreams: Upstreams, control: EngineControl
+        self,
+        *,
+        chooser: Chooser,
+        upstreams: Upstreams,
+        control: EngineControl,
+        advisor: PlacementAdvisor,
     ) -> None:
+        self._advisor = advisor
         self._chooser = chooser
         self._upstreams = upstreams
         self._control = control
@@ -55,21 +62,26 @@
         patience = WAIT_FOR_PLACE * work.route.target_latency
         until = time.monotonic() + min(patience, work.time_left() / 2)
         while True:
-            engines = self._candidates(work, traits, tried)
+            engines = await self._candidates(work, traits, tried)
             if not traits.hold:
                 return engines[0], None
             for engine in engines:
                 hold = await self._ask(engine, work, traits, log)
                 if hold is not None:
+                    if engine is not engines[0]:
+                        self._advisor.placed(work, engine)
                     return engine, hold
             if time.monotonic() >= until:
                 return engines[0], None
             await asyncio.sleep(PLACE_POLL_SECONDS * (0.5 + random.random()))
 
-    def _candidates(
+    async def _candidates(
         self, work: Assignment, traits: EngineTraits, tried: t.Collection[str]
     ) -> list[Upstream]:
         """Engines in the order to ask them; raises :exc:`Overloaded` without any."""
+        advised = await self._advisor.order(work, memory=traits.memory, avoid=tried)
+        if advised:
+            return advised
         engines = self._upstreams.open_of(work.service.name)
         untried = [engine for engine in engines if engine.id not in tried]
         if not untried:
--- a/src/bankrack/serving/streams.py
+++ b/src/bankrack/serving/streams.py
@@ -15,6 +15,7 @@
 from bankrack.exceptions import UpstreamFailed
 from bankrack.exceptions import UpstreamUnreachable
 from bankrack.metrics import GatewayMetrics
+from bankrack.serving.advice import PlacementAdvisor
 from bankrack.serving.assignment import Assignment
 from bankrack.serving.budget import SharedRetryBudget
 from bankrack.serving.choice import Chooser
@@ -59,15 +60,19 @@
         upstreams: Upstreams,
         budget: SharedRetryBudget,
         control: EngineControl,
+        advisor: PlacementAdvisor,
         metrics: GatewayMetrics,
     ) -> None:
+        self.advisor = advisor
         self.metrics = metrics
         self.client = client
         self.chooser = chooser
         self.upstreams = upstreams
         self.budget = budget
         self.control = control
-        self.placer = Placer(chooser=chooser, upstreams=upstreams, control=control)
+        self.placer = Placer(
+            chooser=chooser, upstreams=upstreams, control=control, advisor=advisor
+        )
 
     async def serve(self, work: Assignment, reply: Reply) -> str:
         """Serve one stream; returns the outcome for the log."""
@@ -127,6 +132,7 @@
             self._keeper.cancel()
         await self._copies.drop()
         self._leave_engine()
+        self._relay.advisor.ended(self._work)
 
     # Starting
 
@@ -217,6 +223,7 @@
         self._sends += 1
         if not exchange.head.not_run:
             engine.note_sent(work.job.demand.prompt, now)
+            self._relay.advisor.began(work, engine)
             self._copies.start_with(backup)
         self._log.write(
             "run_sent",
--- /dev/null
+++ b/tests/fleet/test_owners.py
@@ -0,0 +1,162 @@
+"""Tests of asking the node that keeps the ledgers."""
+
+import asyncio
+import contextlib
+import typing as t
+
+import aiohttp
+from aiohttp import web
+
+from bankrack.fleet.documents import Member
+from bankrack.fleet.owners import DISTRUST_SECONDS
+from bankrack.fleet.owners import FLUSH_SECONDS
+from bankrack.fleet.owners import Ledgers
+from bankrack.fleet.owners import NOTES_PATH
+from bankrack.fleet.owners import OwnerClient
+from bankrack.fleet.owners import PLACE_PATH
+from bankrack.fleet.roster import rank_members
+from bankrack.serving.assignment import Assignment
+from bankrack.serving.job import Demand
+from bankrack.serving.job import Job
+from bankrack.serving.job import Kind
+from bankrack.serving.routing import Route
+from bankrack.serving.routing import Service
+from bankrack.serving.upstreams import UpstreamRecord
+from bankrack.serving.upstreams import Upstreams
+from tests.base import TestCase
+from tests.fakes import free_address
+
+MEMORY = 30_000
+
+
+def assignment(run: str) -> Assignment:
+    job = Job(
+        id=run,
+        method="POST",
+        host="h",
+        target="/",
+        headers=[],
+        body=b"",
+        key=None,
+        arrived=0.0,
+        patience=None,
+        demand=Demand(prompt=3000, output_limit=500),
+    )
+    route = Route("r", "h", "/", (), Kind.STREAM, 30.0, 1.0)
+    return Assignment(job, route, Service("s"), None, 0, 1e9)
+
+
+class Node:
+    """What one node knows of engines and owners."""
+
+    def __init__(self, member: Member, members: list[Member]) -> None:
+        self.now = 100.0
+        self.upstreams = Upstreams()
+        for name in ("one", "two", "three"):
+            self.upstreams.put(UpstreamRecord(name, "s", "10.0.0.1:1", "a", slots=8))
+        self.ledgers = Ledgers(self.upstreams)
+        self.session = aiohttp.ClientSession()
+        self.client = OwnerClient(
+            self.session,
+            member,
+            lambda: members,
+            self.ledgers,
+            self.upstreams,
+            clock=lambda: self.now,
+        )
+        self.address = member.address
+        self._runner: web.AppRunner | None = None
+
+    async def start(self) -> None:
+        application = web.Application()
+        application.router.add_post(PLACE_PATH, self.ledgers.handle_ask)
+        application.router.add_post(NOTES_PATH, self.ledgers.handle_notes)
+        self._runner = web.AppRunner(application, shutdown_timeout=0.05)
+        await self._runner.setup()
+        host, _, port = self.address.rpartition(":")
+        await web.TCPSite(self._runner, host, int(port)).start()
+
+    async def stop(self) -> None:
+        await self.session.close()
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def order(self, run: str) -> list[str] | None:
+        found = await self.client.order(assignment(run), memory=MEMORY, avoid=())
+        return None if found is None else [engine.id for engine in found]
+
+
+@contextlib.asynccontextmanager
+async def two_nodes() -> t.AsyncIterator[tuple[Node, Node]]:
+    """The owner, and a node that asks it; only the owner listens."""
+    members = [Member(f"n-{n}", free_address(), "a", 1000.0) for n in range(2)]
+    owning, asking = rank_members(members)
+    nodes = Node(owning, members), Node(asking, members)
+    await nodes[0].start()
+    try:
+        yield nodes
+    finally:
+        for node in nodes:
+            await node.stop()
+
+
+class Owning(TestCase):
+    async def test_all_nodes_name_the_same_owner(self):
+        async with two_nodes() as (owner, other):
+            self.assertTrue(owner.client.owns)
+            self.assertFalse(other.client.owns)
+
+    def test_a_wide_link_goes_first(self):
+        narrow = [Member(f"n-{n}", "", "a", 10.0) for n in range(8)]
+        wide = Member("w", "", "b", 1000.0)
+        self.assertEqual("w", rank_members([*narrow, wide])[0].name)
+
+
+class Asking(TestCase):
+    async def test_prompts_of_all_nodes_are_spread_over_the_engines(self):
+        async with two_nodes() as (owner, other):
+            firsts = []
+            for number in range(3):
+                node = (owner, other)[number % 2]
+                ordered = await node.order(f"r-{number}")
+                assert ordered is not None
+                firsts.append(ordered[0])
+            self.assertEqual({"one", "two", "three"}, set(firsts))
+
+    async def test_an_engine_that_leaves_is_not_advised(self):
+        async with two_nodes() as (_, other):
+            other.upstreams.put(
+                UpstreamRecord("two", "s", "10.0.0.1:1", "a", slots=8, leaving=True)
+            )
+            self.assertNotIn("two", await other.order("r-1") or [])
+
+    async def test_a_dead_owner_is_passed_over_for_a_while(self):
+        async with two_nodes() as (owner, other):
+            await owner.stop()
+            self.assertIsNone(await other.order("r-1"))
+            self.assertTrue(other.client.owns)
+            self.assertIsNotNone(await other.order("r-2"))
+            other.now += DISTRUST_SECONDS + 0.1
+            self.assertFalse(other.client.owns)
+
+    async def test_notes_reach_the_owner(self):
+        async with two_nodes() as (owner, other):
+            work = assignment("r-1")
+            sending = asyncio.create_task(other.client.run())
+            other.client.placed(work, other.upstreams.by_id["one"])
+            await asyncio.sleep(3 * FLUSH_SECONDS)
+            self.assertNotEqual("one", (await owner.order("r-2") or [""])[0])
+            other.client.ended(work)
+            other.client.ended(assignment("r-2"))
+            await asyncio.sleep(3 * FLUSH_SECONDS)
+            ledger = owner.ledgers._ledger("s")
+            self.assertEqual({}, ledger._placement_by_run)
+            sending.cancel()
+
+    async def test_a_malformed_message_is_refused_and_changes_nothing(self):
+        async with two_nodes() as (owner, other):
+            for path in (PLACE_PATH, NOTES_PATH):
+                url = f"http://{owner.address}{path}"
+                async with other.session.post(url, data=b"\xc1nonsense") as response:
+                    self.assertEqual(400, response.status)
+            self.assertIsNotNone(await other.order("r-1"))
--- /dev/null
+++ b/tests/serving/test_ledger.py
@@ -0,0 +1,103 @@
+"""Tests of the ledger of placements."""
+
+import random
+
+from bankrack.serving.job import Demand
+from bankrack.serving.ledger import Ledger
+from bankrack.serving.ledger import PROMPT_SECONDS
+from bankrack.serving.ledger import RUN_SECONDS
+from bankrack.serving.upstreams import EngineReport
+from bankrack.serving.upstreams import Upstream
+from bankrack.serving.upstreams import UpstreamRecord
+from tests.base import TestCase
+
+MEMORY = 30_000
+SHORT = Demand(prompt=3000, output_limit=100)
+LONG = Demand(prompt=3000, output_limit=6000)
+
+
+class Placements(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.now = 100.0
+        self.ledger = Ledger(clock=lambda: self.now, rng=random.Random(1))
+        self.engines = [self.engine("one"), self.engine("two")]
+
+    def engine(self, name: str, *, used: int = 0, hall: str = "a") -> Upstream:
+        record = UpstreamRecord(name, "s", f"10.0.0.1:{len(name)}", hall, slots=8)
+        upstream = Upstream(record, self.now - 50)
+        upstream.note_report(EngineReport(0, 0, used, MEMORY, taken=self.now))
+        return upstream
+
+    def first(self, demand: Demand = SHORT) -> str:
+        ordered = self.ledger.order(self.engines, demand, memory=MEMORY, hall="a")
+        return ordered[0].id
+
+    def test_prompts_that_are_still_read_put_an_engine_behind(self):
+        self.ledger.place("r-1", "one", SHORT)
+        self.assertEqual({"two"}, {self.first() for _ in range(20)})
+        self.ledger.place("r-2", "two", SHORT)
+        self.ledger.place("r-3", "two", SHORT)
+        self.assertEqual({"one"}, {self.first() for _ in range(20)})
+
+    def test_a_run_that_began_holds_nobody_up(self):
+        self.ledger.place("r-1", "one", SHORT)
+        self.ledger.begin("r-1", "one")
+        self.ledger.place("r-2", "two", SHORT)
+        self.assertEqual("one", self.first())
+
+    def test_a_run_counts_where_it_went_on(self):
+        self.ledger.place("r-1", "one", LONG)
+        self.ledger.begin("r-1", "two")
+        self.now += 1.0
+        self.assertEqual("one", self.first())
+
+    def test_what_runs_will_grow_to_counts(self):
+        self.engines = [
+            self.engine("one", used=18_000),
+            self.engine("two", used=20_000),
+        ]
+        for run in ("r-1", "r-2"):
+            self.ledger.place(run, "one", LONG)
+            self.ledger.begin(run, "one")
+        self.now += 2.0
+        for engine in self.engines:
+            used = engine.report.used if engine.report else 0
+            engine.note_report(EngineReport(2, 0, used, MEMORY, taken=self.now))
+        self.assertEqual("two", self.first(LONG))
+        for run in ("r-1", "r-2"):
+            self.ledger.end(run)
+        self.assertEqual("one", self.first(LONG))
+
+    def test_a_prompt_placed_since_the_report_takes_memory(self):
+        self.engines = [
+            self.engine("one", used=24_000),
+            self.engine("two", used=25_000),
+        ]
+        self.ledger.place("r-1", "one", SHORT)
+        self.ledger.begin("r-1", "one")
+        self.assertEqual("two", self.first())
+
+    def test_a_start_that_nobody_told_of_is_forgotten(self):
+        for number in range(4):
+            self.ledger.place(f"r-{number}", "one", SHORT)
+        self.ledger.place("r-9", "two", SHORT)
+        self.assertEqual("two", self.first())
+        self.now += PROMPT_SECONDS + 0.1
+        self.ledger.place("r-10", "two", SHORT)
+        self.assertEqual("one", self.first())
+
+    def test_an_end_that_nobody_told_of_is_forgotten(self):
+        self.ledger.place("r-1", "one", LONG)
+        self.now += RUN_SECONDS + 1.0
+        self.first()
+        self.assertEqual({}, self.ledger._placement_by_run)
+
+    def test_a_suspect_comes_last(self):
+        self.engines[0].suspect_until = self.now + 1.0
+        self.assertEqual({"two"}, {self.first() for _ in range(20)})
+
+    def test_a_near_engine_goes_before_a_far_one_when_both_are_free(self):
+        self.engines = [self.engine("far", hall="b"), self.engine("near")]
+        ordered = [self.first() for _ in range(50)]
+        self.assertGreater(ordered.count("near"), 40)
