soak.gateway: real gateways in the platform's dialect under faults, five bugs put back

Judged: answers whole and one's own, told not run is true, denials, planned stops, at most once, two engines at once, leaving upstreams, the shared budget.

--- /dev/null
+++ b/soak/gateway/buggy.py
@@ -0,0 +1,84 @@
+"""A gateway with one known bug put back, to show that the soak finds it.
+
+``python -m soak.gateway.buggy BUG SETTINGS``; the bug ``none`` changes nothing.
+"""
+
+import os
+import pathlib
+import sys
+import typing as t
+
+sys.path.insert(0, str(pathlib.Path(__file__).parents[2] / "platform"))
+
+import serve
+from bankrack.exceptions import Outcome
+from bankrack.exceptions import UpstreamFailed
+from bankrack.fleet.view import View
+from bankrack.serving.events import EventOrder
+from bankrack.serving.job import Kind
+from bankrack.serving.plain import PlainRelay
+from bankrack.serving.upstreams import Upstream
+
+
+def pass_events_twice() -> None:
+    """Pass on events that the caller has already."""
+    original = EventOrder.accept
+
+    def accept(self: EventOrder, event: t.Any) -> bool:
+        if event.id is not None and self.last is not None and event.id <= self.last:
+            return True
+        return original(self, event)
+
+    EventOrder.accept = accept  # type: ignore[method-assign]
+
+
+def tell_not_run() -> None:
+    """Tell every failure of an upstream as not run."""
+    UpstreamFailed.outcome = Outcome.NOT_RUN
+    UpstreamFailed.status = 503
+
+
+def repeat_anything() -> None:
+    """Send requests again that may have run."""
+
+    def may_repeat(self: PlainRelay, work: t.Any, sends: t.Any) -> bool:
+        return work.route.kind is not Kind.STREAM and sends.runs < 3
+
+    PlainRelay._may_repeat = may_repeat  # type: ignore[method-assign]
+
+
+def ignore_leaving() -> None:
+    """Send new work to upstreams that leave."""
+    Upstream.leaving = property(lambda self: False)  # type: ignore[method-assign,assignment]
+
+
+def keep_first_table() -> None:
+    """Never adopt a newer configuration."""
+    original = View._adopt_table
+
+    def adopt(self: View, table: t.Any, item: t.Any, source: str) -> None:
+        if self.table is None:
+            original(self, table, item, source)
+
+    View._adopt_table = adopt  # type: ignore[method-assign]
+
+
+BUGS = {
+    "none": lambda: None,
+    "events": pass_events_twice,
+    "outcome": tell_not_run,
+    "repeat": repeat_anything,
+    "leaving": ignore_leaving,
+    "table": keep_first_table,
+}
+
+
+def main() -> int:
+    """Put the bug in and run the gateway."""
+    BUGS[sys.argv[1]]()
+    os.environ[serve.SETTINGS_VARIABLE] = sys.argv[2]
+    return serve.main()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/soak/gateway/judge.py
@@ -0,0 +1,151 @@
+"""The promises, judged from what callers and servers saw."""
+
+import collections
+import itertools
+import time
+
+from soak.gateway.callers import Call
+from soak.gateway.callers import Callers
+from soak.gateway.processes import Gateway
+from soak.gateway.processes import GRACE_SECONDS
+from soak.gateway.world import Journal
+
+PROMISES_NOT_RUN = frozenset({408, 421, 429, 503})
+DENIALS = frozenset({401, 403, 404})
+DRAIN_SECONDS = 2.0
+APPLY_SECONDS = 2.0
+SLACK_SECONDS = 0.4
+"""Late timers of a busy machine; the promises' own bounds are whole seconds."""
+OVERLAP_SECONDS = 1.0
+"""An engine may work so long beside the one that went on with its run."""
+BUDGET_WINDOW = 10.0
+BUDGET_RATIO = 0.2
+BUDGET_RESERVE = 56
+
+
+class Judge:
+    """Collects what broke."""
+
+    def __init__(self, callers: Callers, journal: Journal) -> None:
+        self.violations: list[str] = []
+        self._callers = callers
+        self._journal = journal
+        self.left_at_by_server: dict[str, float] = {}
+        self.added_at_by_path: dict[str, float] = {}
+        self.store_trouble: list[tuple[float, float]] = []
+
+    def violation(self, text: str) -> None:
+        """Note a broken promise."""
+        self.violations.append(text)
+        print(f"VIOLATION {text}", flush=True)
+
+    def judge(self, gateways: list[Gateway]) -> None:
+        """Judge the whole soak; called once all has ended."""
+        calls = self._callers.calls
+        runs = collections.Counter(r.request for r in self._journal.runs)
+        for call in calls:
+            self._judge_answer(call, ran=runs[call.request] > 0)
+            self._judge_denial(call)
+            self._judge_cut(call)
+        self._judge_repeats({call.request: call.path for call in calls})
+        self._judge_leaving()
+        self._judge_budget(calls)
+        for gateway in gateways:
+            text = gateway.log.read_text(encoding="utf-8", errors="replace")
+            for word in ("request_crashed", "background task failed", "Traceback"):
+                if word in text:
+                    self.violation(f"{gateway.log.name} has {word!r}")
+
+    def _judge_answer(self, call: Call, *, ran: bool) -> None:
+        if spoiled := call.spoiled():
+            self.violation(f"{call.request} ({call.path}): {spoiled}")
+        if call.status in PROMISES_NOT_RUN and ran:
+            self.violation(f"{call.request} was told {call.status} and ran")
+
+    def _judge_denial(self, call: Call) -> None:
+        """A proper request may be denied only while its route is new."""
+        if call.status not in DENIALS:
+            return
+        added = self.added_at_by_path.get(call.path, 0.0)
+        fresh = call.sent < added + APPLY_SECONDS + SLACK_SECONDS
+        if added and (fresh or not call.calm or self._store_troubled(call.sent)):
+            return
+        self.violation(f"{call.request} ({call.path}) was denied with {call.status}")
+
+    def _judge_cut(self, call: Call) -> None:
+        """A planned stop cuts nothing off that servers would have answered."""
+        if not call.calm or not call.node.stop_asked or not call.connected:
+            return
+        if call.status == 0 and call.ended < call.sent + 2.0:
+            self.violation(f"{call.request}: {call.node.name} closed without an answer")
+
+    def _judge_repeats(self, path_by_request: dict[str, str]) -> None:
+        runs_by_request = collections.defaultdict(list)
+        for run in self._journal.runs:
+            runs_by_request[run.request].append(run)
+        for request, runs in runs_by_request.items():
+            path = path_by_request.get(request)
+            if path is None:
+                self.violation(f"{request} ran and nobody sent it")
+                continue
+            starts = [run for run in runs if not run.resumed]
+            if not path.startswith("look") and len(starts) > 1:
+                self.violation(f"{request} ({path}) ran {len(starts)} times")
+            for earlier, later in itertools.pairwise(runs):
+                ended = earlier.ended or time.monotonic()
+                if path == "talk" and ended > later.began + OVERLAP_SECONDS:
+                    self.violation(f"{request} ran on two engines at once")
+
+    def _judge_leaving(self) -> None:
+        node_by_request = {call.request: call for call in self._callers.calls}
+        for arrival in self._journal.arrivals:
+            left = self.left_at_by_server.get(arrival.server)
+            call = node_by_request.get(arrival.request)
+            if left is None or call is None or not call.calm:
+                continue
+            late = arrival.at - left
+            if late > DRAIN_SECONDS + SLACK_SECONDS and not self._store_troubled(left):
+                self.violation(
+                    f"{arrival.request} reached {arrival.server} {late:.1f} s after it "
+                    "said that it leaves"
+                )
+
+    def _judge_budget(self, calls: list[Call]) -> None:
+        """Repeats of all gateways together in any window."""
+        service_by_path = {"talk": "engines"}
+        asked = [(c.sent, service_by_path.get(c.path, "plain")) for c in calls]
+        seen: set[str] = set()
+        repeats: list[tuple[float, str]] = []
+        for arrival in self._journal.arrivals:
+            if arrival.request in seen:
+                repeats.append((arrival.at, arrival.service))
+            seen.add(arrival.request)
+        for at, service in repeats:
+            count = _count(repeats, service, at, BUDGET_WINDOW)
+            requests = _count(asked, service, at, 2 * BUDGET_WINDOW)
+            if count > BUDGET_RATIO * requests + BUDGET_RESERVE:
+                self.violation(f"{count} repeats at {service} for {requests} requests")
+                return
+
+    def _store_troubled(self, at: float) -> bool:
+        """Whether the store was in trouble around ``at``, or just before."""
+        return any(
+            began - 3.0 < at < ended + 3.0 for began, ended in self.store_trouble
+        )
+
+    def note_route(self, path: str) -> None:
+        """Have callers use a route that was just added."""
+        self._callers.paths = [*self._callers.paths[-3:], path]
+
+    def note_stop(self, gateway: Gateway, *, in_time: bool) -> None:
+        """Take in how a planned stop went."""
+        if not in_time:
+            self.violation(f"{gateway.name} ran on {GRACE_SECONDS} s after SIGTERM")
+
+
+def _count(
+    moments: list[tuple[float, str]], service: str, until: float, span: float
+) -> int:
+    return sum(
+        1 for at, name in moments if name == service and until - span < at <= until
+    )
--- /dev/null
+++ b/soak/gateway/processes.py
@@ -0,0 +1,113 @@
+"""The gateways of a soak: real processes, started, stopped and disturbed by signals."""
+
+import asyncio
+import pathlib
+import signal
+import time
+
+from benchmarks.processes import Process
+from tests.fakes import free_address
+
+from soak.links import Link
+
+GRACE_SECONDS = 8
+START_SECONDS = 3.0
+"""A gateway that was started or woken is not judged for so long."""
+
+SETTINGS = """\
+nodeName = "{name}"
+role = "gateway"
+ip = "127.0.0.1"
+zone = "{hall}"
+portRange = [1, 2]
+seeds = []
+[listen]
+front = "{front}"
+ready = "{ready}"
+control = "{inner}"
+[platform]
+address = "{store}"
+[bounds]
+graceS = {grace}
+retryBudgetRatio = 0.2
+budgetWindowS = 10
+budgetSlack = 56
+"""
+
+
+class Gateway:
+    """One gateway, through all its lives."""
+
+    def __init__(
+        self, name: str, hall: str, store: str, folder: pathlib.Path, bug: str
+    ) -> None:
+        self.name = name
+        self.front = free_address()
+        self.ready = free_address()
+        self.log = folder / f"{name}.log"
+        self.store_link = Link(free_address(), store)
+        self.calm_from = 0.0
+        self.stop_asked = 0.0
+        self.busy = False
+        self._bug = bug
+        self._folder = folder
+        self._settings = folder / f"{name}.toml"
+        text = SETTINGS.format(
+            name=name,
+            hall=hall,
+            front=self.front,
+            ready=self.ready,
+            inner=free_address(),
+            store=self.store_link.listen,
+            grace=GRACE_SECONDS,
+        )
+        self._settings.write_text(text, encoding="utf-8")
+        self._process: Process | None = None
+
+    @property
+    def process(self) -> Process:
+        """The process of its present life."""
+        assert self._process is not None
+        return self._process
+
+    def launch(self) -> None:
+        """Start it; it is calm once it had time to come up."""
+        script = ["-m", "soak.gateway.buggy", self._bug, str(self._settings)]
+        self._process = Process(self.name, script, log=str(self.log))
+        self.stop_asked = 0.0
+        self.disturb(START_SECONDS)
+
+    def disturb(self, seconds: float) -> None:
+        """Note that it may break promises with a time bound for ``seconds``."""
+        self.calm_from = max(self.calm_from, time.monotonic() + seconds)
+
+    async def kill(self, down: float) -> None:
+        """Kill it and start it again."""
+        self.process.stop()
+        self.disturb(down + START_SECONDS)
+        await asyncio.sleep(down)
+        self.launch()
+
+    async def freeze(self, seconds: float) -> None:
+        """Let it stand still for a while."""
+        self.disturb(seconds + START_SECONDS)
+        self.process.signal(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        self.process.signal(signal.SIGCONT)
+        self.disturb(START_SECONDS)
+
+    async def stop(self) -> bool:
+        """Stop it as planned and start it again; tells whether it ended in time."""
+        self.stop_asked = time.monotonic()
+        self.process.signal(signal.SIGTERM)
+        limit = self.stop_asked + GRACE_SECONDS
+        while self.process.alive and time.monotonic() < limit:
+            await asyncio.sleep(0.05)
+        in_time = not self.process.alive
+        self.process.stop()
+        self.launch()
+        return in_time
+
+    def reload(self) -> None:
+        """Tell it that its settings changed."""
+        self.process.signal(signal.SIGHUP)
--- /dev/null
+++ b/soak/gateway/troubles.py
@@ -0,0 +1,275 @@
+"""Faults put upon gateways, the store, servers and the links between them."""
+
+import asyncio
+import collections
+import itertools
+import random
+import time
+import typing as t
+
+from tests.platform.world import configuration
+
+from soak.gateway.judge import Judge
+from soak.gateway.processes import Gateway
+from soak.gateway.world import close
+from soak.gateway.world import Journal
+from soak.gateway.world import SoakEngine
+from soak.gateway.world import SoakServer
+from soak.gateway.world import SoakStore
+
+PAUSE_SECONDS = (0.3, 2.0)
+ENGINE_NOTICE_SECONDS = 1.8
+"""Engines are reclaimed so soon after they said so, as on the platform."""
+SERVE_ON_SECONDS = 4.0
+"""Plain servers serve on for so long after they said that they leave."""
+STORE_TROUBLES = ("busy", "silent", "slow", "lost", "blind", "forgetful")
+LINK_TROUBLES = ("reset", "silent", "slow", "one way")
+SPOILS = ("error", "reset", "foreign", "torn")
+
+
+class Troubles:
+    """Draws faults by chance; series of them overlap."""
+
+    def __init__(
+        self,
+        gateways: list[Gateway],
+        store: SoakStore,
+        journal: Journal,
+        judge: Judge,
+        chance: random.Random,
+    ) -> None:
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.servers: list[SoakServer] = []
+        self.engines: list[SoakEngine] = []
+        self._gateways = gateways
+        self._store = store
+        self._journal = journal
+        self._judge = judge
+        self._chance = chance
+        self._numbers = itertools.count()
+        self._version = 1
+        self._added: list[str] = []
+
+    async def begin(self) -> None:
+        """Open the first servers and write the first configuration."""
+        for _ in range(3):
+            await self._open_server()
+            await self._open_engine()
+        self._store.put("op/config", configuration(self._version))
+
+    async def run(self, until: float) -> None:
+        """Go on until monotonic time ``until``, then heal everything."""
+        tasks: set[asyncio.Task[None]] = set()
+        while time.monotonic() < until:
+            await asyncio.sleep(self._chance.uniform(*PAUSE_SECONDS))
+            name, make = self._chance.choice(self._choices())
+            self.counts[name] += 1
+            print(f"fault {name}", flush=True)
+            tasks.add(asyncio.create_task(make()))
+        await asyncio.gather(*tasks)
+
+    async def end(self) -> None:
+        """Close all servers."""
+        await close([*self.servers, *self.engines])
+
+    def _choices(self) -> list[tuple[str, t.Callable[[], t.Awaitable[None]]]]:
+        gateway = self._chance.choice(self._gateways)
+        store = self._chance.choice(STORE_TROUBLES)
+        link = self._chance.choice(LINK_TROUBLES)
+        return [
+            ("gateway killed", lambda: self._alone(gateway, self._kill)),
+            ("gateway frozen", lambda: self._alone(gateway, self._freeze)),
+            ("gateway stopped", lambda: self._alone(gateway, self._stop)),
+            ("gateway reloaded", lambda: self._reload(gateway)),
+            (f"store {store}", lambda: self._trouble_store(store)),
+            (f"store link {link}", lambda: self._trouble_store_link(gateway, link)),
+            ("server leaves", self._server_leaves),
+            ("server spoils answers", self._spoil),
+            ("server link", lambda: self._trouble_server_link(link)),
+            ("engine reclaimed", self._engine_reclaimed),
+            ("engine reclaimed", self._engine_reclaimed),
+            ("engine crashes", self._engine_crashes),
+            ("engine stalls", self._engine_stalls),
+            ("configuration changed", self._change),
+        ]
+
+    # Gateways
+
+    async def _alone(
+        self, gateway: Gateway, work: t.Callable[[Gateway], t.Awaitable[None]]
+    ) -> None:
+        """One signal at a time for a gateway; several gateways at once."""
+        if gateway.busy:
+            return
+        gateway.busy = True
+        try:
+            await work(gateway)
+        finally:
+            gateway.busy = False
+
+    async def _kill(self, gateway: Gateway) -> None:
+        await gateway.kill(self._chance.uniform(0.2, 2.0))
+
+    async def _freeze(self, gateway: Gateway) -> None:
+        await gateway.freeze(self._chance.uniform(0.3, 3.0))
+
+    async def _stop(self, gateway: Gateway) -> None:
+        calm = time.monotonic() > gateway.calm_from
+        in_time = await gateway.stop()
+        if calm:
+            self._judge.note_stop(gateway, in_time=in_time)
+
+    async def _reload(self, gateway: Gateway) -> None:
+        gateway.reload()
+
+    # The store
+
+    async def _trouble_store(self, trouble: str) -> None:
+        store = self._store
+        began = time.monotonic()
+        if trouble == "forgetful":
+            store.forgotten = store.revision + 1
+            store.put("op/other", {})
+            return
+        match trouble:
+            case "busy":
+                store.status = self._chance.choice([429, 503])
+            case "silent":
+                store.silent = True
+            case "slow":
+                store.delay = 0.3
+            case "lost":
+                store.lost_share = 0.4
+            case "blind":
+                store.watch_blind = True
+        await asyncio.sleep(self._chance.uniform(1.0, 6.0))
+        store.status = 0
+        store.silent = store.watch_blind = False
+        store.delay = store.lost_share = 0.0
+        if trouble != "blind":
+            self._judge.store_trouble.append((began, time.monotonic()))
+
+    async def _trouble_store_link(self, gateway: Gateway, trouble: str) -> None:
+        seconds = self._chance.uniform(0.5, 5.0)
+        gateway.disturb(seconds + 4.0)
+        await self._trouble_link(gateway.store_link, trouble, seconds)
+
+    async def _trouble_link(self, link: t.Any, trouble: str, seconds: float) -> None:
+        match trouble:
+            case "reset":
+                link.cut()
+                return
+            case "silent":
+                link.stall()
+            case "slow":
+                link.delay = 0.2
+            case "one way":
+                link.stall_answers()
+        await asyncio.sleep(seconds)
+        link.heal()
+
+    # Servers
+
+    async def _open_server(self) -> SoakServer:
+        server = SoakServer(f"p-{next(self._numbers)}", self._journal, self._chance)
+        await server.open()
+        self.servers.append(server)
+        self._store.put(f"servers/{server.id}", server.entry("plain"))
+        return server
+
+    async def _server_leaves(self) -> None:
+        """One leaves as planned once another has come."""
+        leaving = self._chance.choice(self.servers)
+        await self._open_server()
+        if leaving not in self.servers:
+            return
+        self.servers.remove(leaving)
+        if self._chance.random() < 0.5:
+            entry = leaving.entry("plain", state="draining")
+            self._store.put(f"servers/{leaving.id}", entry)
+            self._judge.left_at_by_server[leaving.id] = time.monotonic()
+            await asyncio.sleep(SERVE_ON_SECONDS)
+            self._store.remove(f"servers/{leaving.id}")
+        else:
+            self._store.remove(f"servers/{leaving.id}")
+            self._judge.left_at_by_server[leaving.id] = time.monotonic()
+            await asyncio.sleep(SERVE_ON_SECONDS)
+        await leaving.stop()
+
+    async def _spoil(self) -> None:
+        server = self._chance.choice(self.servers)
+        server.trouble = self._chance.choice(SPOILS)
+        await asyncio.sleep(self._chance.uniform(1.0, 4.0))
+        server.trouble = ""
+
+    async def _trouble_server_link(self, trouble: str) -> None:
+        server = self._chance.choice([*self.servers, *self.engines])
+        for gateway in self._gateways:
+            gateway.disturb(0.0)
+        await self._trouble_link(server.link, trouble, self._chance.uniform(0.5, 3.0))
+
+    # Engines
+
+    async def _open_engine(self) -> None:
+        engine = SoakEngine(f"e-{next(self._numbers)}", self._journal, self._chance)
+        await engine.open()
+        self.engines.append(engine)
+        for known in self.engines:
+            known.engine_by_address = {e.address: e for e in self.engines}
+        self._store.put(f"servers/{engine.id}", engine.entry("engines"))
+
+    def _take_engine(self) -> SoakEngine | None:
+        """Take one away from those that stay, never the last but one."""
+        if len(self.engines) <= 2:
+            return None
+        engine = self._chance.choice(self.engines)
+        self.engines.remove(engine)
+        return engine
+
+    async def _engine_reclaimed(self) -> None:
+        """One says that it leaves and is gone soon after; another comes."""
+        engine = self._take_engine()
+        if engine is None:
+            return
+        entry = engine.entry("engines", state="draining")
+        self._store.put(f"servers/{engine.id}", entry)
+        self._judge.left_at_by_server[engine.id] = time.monotonic()
+        await asyncio.sleep(ENGINE_NOTICE_SECONDS)
+        await self._end_engine(engine)
+
+    async def _engine_crashes(self) -> None:
+        engine = self._take_engine()
+        if engine is not None:
+            await self._end_engine(engine)
+
+    async def _end_engine(self, engine: SoakEngine) -> None:
+        engine.ends = True
+        engine.stalled = False
+        await asyncio.sleep(0.1)
+        await engine.stop()
+        self._store.remove(f"servers/{engine.id}")
+        await asyncio.sleep(1.0)
+        await self._open_engine()
+
+    async def _engine_stalls(self) -> None:
+        engine = self._chance.choice(self.engines)
+        engine.stalled = True
+        await asyncio.sleep(self._chance.uniform(0.3, 1.5))
+        engine.stalled = False
+
+    # Configuration
+
+    async def _change(self) -> None:
+        """Add a route; versions climb in uneven steps."""
+        self._version += self._chance.randint(1, 5)
+        path = f"look{self._version}"
+        self._added.append(path)
+        document = configuration(self._version)
+        template = document["routes"][0]
+        for added in self._added:
+            document["routes"].append(
+                {**template, "name": added, "pathPrefix": f"/{added}/"}
+            )
+        self._store.put("op/config", document)
+        self._judge.added_at_by_path[path] = time.monotonic()
+        self._judge.note_route(path)
--- /dev/null
+++ b/soak/gateway/world.py
@@ -0,0 +1,257 @@
+"""What stands around the gateways: the store, plain servers and engines.
+
+They run in the soak's own process and keep a journal of all that reached them.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import random
+import time
+import typing as t
+
+from aiohttp import web
+from tests.fakes import free_address
+from tests.platform.world import FakeEngine
+from tests.platform.world import FakeServer
+from tests.platform.world import FakeStore
+
+from soak.links import Link
+
+SWEEP_SECONDS = 0.2
+EVENT_SECONDS = 0.03
+"""Time between two events of a stream; the platform's engines take some 36 ms."""
+REQUEST_ID = "Bankrack-Request-Id"
+
+
+@dataclasses.dataclass(slots=True)
+class Run:
+    """A request that a server began to work on.
+
+    :param resumed: it went on from a copy and counts as the same run.
+    """
+
+    request: str
+    server: str
+    service: str
+    began: float
+    resumed: bool
+    ended: float | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Arrival:
+    """A request that reached a server, run or not."""
+
+    request: str
+    server: str
+    service: str
+    at: float
+
+
+class Journal:
+    """All that reached the servers, in order."""
+
+    def __init__(self) -> None:
+        self.runs: list[Run] = []
+        self.arrivals: list[Arrival] = []
+
+    def begin(self, run: Run) -> Run:
+        """Note that a run began."""
+        self.runs.append(run)
+        return run
+
+
+class SoakStore(FakeStore):
+    """The platform's store, with leases that run out and answers that get lost."""
+
+    def __init__(self, chance: random.Random) -> None:
+        super().__init__()
+        self.chance = chance
+        self.lost_share = 0.0
+        self.delay = 0.0
+        self.disturbed_until = 0.0
+        self._ends_by_lease: dict[int, float] = {}
+        self._ttl_by_lease: dict[int, float] = {}
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer a call, late, or not at all though it took effect."""
+        if self.delay:
+            await asyncio.sleep(self.delay)
+        name, _, lease = request.path.removeprefix("/v1/").partition("/")
+        response = await super().handle(request)
+        if response.status == 200 and name == "kv-lease":
+            number = len(self.leases)
+            self._ttl_by_lease[number] = 12.0
+            self._ends_by_lease[number] = time.monotonic() + 12.0
+        if response.status == 200 and name == "kv-keep":
+            number = int(lease)
+            self._ends_by_lease[number] = time.monotonic() + self._ttl_by_lease[number]
+        if response.status == 200 and name == "kv-lease-end":
+            self._ends_by_lease[int(lease)] = 0.0
+        if self.lost_share and self.chance.random() < self.lost_share:
+            assert request.transport is not None
+            request.transport.abort()
+        return response
+
+    async def expire(self) -> None:
+        """Take away the keys of leases that ran out, for ever."""
+        while True:
+            await asyncio.sleep(SWEEP_SECONDS)
+            now = time.monotonic()
+            over = {n for n, end in self._ends_by_lease.items() if end < now}
+            self.leases -= over
+            for key, item in list(self.item_by_key.items()):
+                if item.lease in over:
+                    self.remove(key)
+
+
+class _Journaled(FakeServer):
+    """Common parts of servers that keep a journal and misbehave."""
+
+    service = ""
+
+    def __init__(self, server_id: str, journal: Journal, chance: random.Random) -> None:
+        super().__init__(server_id)
+        self.journal = journal
+        self.chance = chance
+        self.trouble = ""
+        self.link: Link | None = None
+
+    async def open(self) -> None:
+        """Listen, behind a link of its own."""
+        await self.start()
+        self.link = Link(free_address(), self.address)
+        await self.link.start()
+        self.address = self.link.listen
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Note what arrives before it is served."""
+        request_id = request.headers.get(REQUEST_ID)
+        if request_id is not None and not request.path.startswith("/v1/"):
+            arrival = Arrival(request_id, self.id, self.service, time.monotonic())
+            self.journal.arrivals.append(arrival)
+        return await super().handle(request)
+
+    def _begin(self, request: web.BaseRequest) -> Run:
+        request_id = request.headers[REQUEST_ID]
+        resumed = "Kv-From" in request.headers
+        run = Run(request_id, self.id, self.service, time.monotonic(), resumed)
+        return self.journal.begin(run)
+
+    def _abort(self, request: web.BaseRequest) -> web.Response:
+        assert request.transport is not None
+        request.transport.abort()
+        return web.Response()
+
+
+class SoakServer(_Journaled):
+    """A plain server; ``trouble`` says how it spoils answers."""
+
+    service = "plain"
+
+    async def run(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer a plain request."""
+        if self.chance.random() < 0.02:
+            return web.Response(status=503, headers={"Bankrack-Not-Executed": "1"})
+        run = self._begin(request)
+        await asyncio.sleep(self.chance.uniform(0.01, 0.12))
+        run.ended = time.monotonic()
+        spoil = bool(self.trouble) and self.chance.random() < 0.4
+        if spoil and self.trouble == "error":
+            return web.Response(status=500, headers=self.sealed(request))
+        if spoil and self.trouble == "reset":
+            return self._abort(request)
+        if spoil and self.trouble == "foreign":
+            headers = {**self.sealed(request), REQUEST_ID: "another"}
+            return web.Response(body=b"not yours", headers=headers)
+        if spoil and self.trouble == "torn":
+            return await self._tear(request)
+        body = answer_to(run.request)
+        return web.Response(body=body, headers=self.sealed(request))
+
+    async def _tear(self, request: web.BaseRequest) -> web.StreamResponse:
+        response = web.StreamResponse(headers=self.sealed(request))
+        response.content_length = 1000
+        await response.prepare(request)
+        await response.write(b"the first bytes")
+        self._abort(request)
+        return response
+
+
+class SoakEngine(FakeEngine, _Journaled):
+    """An engine whose events name their request."""
+
+    service = "engines"
+
+    def __init__(self, server_id: str, journal: Journal, chance: random.Random) -> None:
+        _Journaled.__init__(self, server_id, journal, chance)
+        self.events = 0
+        self.cut_after = -1
+        self.torn = self.ends = False
+        self.pause = EVENT_SECONDS
+        self.room = True
+        self.handles = set()
+        self.orders = []
+        self.engine_by_address = {}
+        self.stalled = False
+
+    async def run(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Stream a run, from its first event or from a copy."""
+        request_id = request.headers[REQUEST_ID]
+        first = 0
+        place = request.headers.get("Kv-From")
+        if place is not None:
+            if place not in self.handles:
+                return web.Response(status=503, headers={"Bankrack-Not-Executed": "1"})
+            self.handles.discard(place)
+            first = int(request.headers.get("Last-Event-Id", "-1")) + 1
+        backup = request.headers.get("Kv-Backup")
+        if backup in self.engine_by_address:
+            self.engine_by_address[backup].handles.add(f"{backup}/{request_id}")
+        run = self._begin(request)
+        try:
+            return await self._stream(request, request_id, first)
+        finally:
+            run.ended = time.monotonic()
+
+    async def _stream(
+        self, request: web.BaseRequest, request_id: str, first: int
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(headers=self.sealed(request))
+        response.content_type = "text/event-stream"
+        response.enable_chunked_encoding()
+        await response.prepare(request)
+        for number in range(first, events_of(request_id)):
+            if self.ends:
+                await response.write(b"id: %d\ndata: to" % number)
+                self._abort(request)
+                return response
+            while self.stalled:
+                await asyncio.sleep(EVENT_SECONDS)
+            await response.write(event_of(request_id, number))
+            await asyncio.sleep(self.pause)
+        await response.write_eof()
+        return response
+
+
+def answer_to(request_id: str) -> bytes:
+    """The one right answer to a plain request."""
+    return f"answer to {request_id}".encode()
+
+
+def events_of(request_id: str) -> int:
+    """How many events the stream of a request has."""
+    return 3 + sum(request_id.encode()) % 60
+
+
+def event_of(request_id: str, number: int) -> bytes:
+    """One event of the one right stream."""
+    return f"id: {number}\ndata: {request_id} {number}\n\n".encode()
+
+
+async def close(servers: t.Iterable[FakeServer]) -> None:
+    """End all servers."""
+    for server in servers:
+        with contextlib.suppress(OSError):
+            await server.stop()
--- a/soak/links.py
+++ b/soak/links.py
@@ -1,4 +1,4 @@
-"""TCP links that can be cut, stalled or closed to new connections."""
+"""TCP links that can be cut, stalled, delayed or cut one way."""
 
 import asyncio
 import contextlib
@@ -14,6 +14,9 @@
         self.target = target
         self._flowing = asyncio.Event()
         self._flowing.set()
+        self._answering = asyncio.Event()
+        self._answering.set()
+        self.delay = 0.0
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
 
@@ -26,9 +29,15 @@
         """Let nothing pass, but keep all connections."""
         self._flowing.clear()
 
+    def stall_answers(self) -> None:
+        """Let nothing come back, while everything still goes out."""
+        self._answering.clear()
+
     def heal(self) -> None:
         """Let everything pass again, what was held back first."""
+        self.delay = 0.0
         self._flowing.set()
+        self._answering.set()
 
     def cut(self) -> None:
         """Reset all connections."""
@@ -49,7 +58,8 @@
         self._writers |= {writer, far_writer}
         try:
             await asyncio.gather(
-                self._pump(reader, far_writer), self._pump(far_reader, writer)
+                self._pump(reader, far_writer, self._flowing),
+                self._pump(far_reader, writer, self._answering),
             )
         except asyncio.CancelledError:
             return  # The soak ends.
@@ -59,11 +69,16 @@
             far_writer.transport.abort()
 
     async def _pump(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        way: asyncio.Event,
     ) -> None:
         try:
             while data := await reader.read(CHUNK):
+                await asyncio.sleep(self.delay)
                 await self._flowing.wait()
+                await way.wait()
                 writer.write(data)
                 await writer.drain()
             writer.close()
