A repeatable request that may have run is never told that it has not

Cause: when a first send failed after it may have run and the next upstreams only rejected it, the refusal of the last send (503, not run) was given. Found by reading, after the soak's bug 'repeat' showed the same answer. Change: the earlier answer is given, or a 502 that leaves it open. The test failed first (503), then passed.

--- a/soak/gateway/buggy.py
+++ b/soak/gateway/buggy.py
@@ -10,6 +10,8 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).parents[2] / "platform"))
 
+import engines
+import names
 import serve
 from bankrack.exceptions import Outcome
 from bankrack.exceptions import UpstreamFailed
@@ -20,16 +22,16 @@
 from bankrack.serving.upstreams import Upstream
 
 
-def pass_events_twice() -> None:
-    """Pass on events that the caller has already."""
-    original = EventOrder.accept
+def resume_from_the_start() -> None:
+    """Have copies go on at the first event, and pass everything on."""
+    original = engines.Upstreams.request_headers
 
-    def accept(self: EventOrder, event: t.Any) -> bool:
-        if event.id is not None and self.last is not None and event.id <= self.last:
-            return True
-        return original(self, event)
+    def request_headers(self: engines.Upstreams, send: t.Any) -> t.Any:
+        found = original(self, send)
+        return [header for header in found if header[0] != names.LAST_EVENT_ID]
 
-    EventOrder.accept = accept  # type: ignore[method-assign]
+    engines.Upstreams.request_headers = request_headers  # type: ignore[method-assign]
+    EventOrder.accept = lambda self, event: True  # type: ignore[method-assign]
 
 
 def tell_not_run() -> None:
@@ -65,7 +67,7 @@
 
 BUGS = {
     "none": lambda: None,
-    "events": pass_events_twice,
+    "resume": resume_from_the_start,
     "outcome": tell_not_run,
     "repeat": repeat_anything,
     "leaving": ignore_leaving,
--- a/soak/gateway/troubles.py
+++ b/soak/gateway/troubles.py
@@ -84,6 +84,7 @@
             (f"store {store}", lambda: self._trouble_store(store)),
             (f"store link {link}", lambda: self._trouble_store_link(gateway, link)),
             ("server leaves", self._server_leaves),
+            ("server leaves", self._server_leaves),
             ("server spoils answers", self._spoil),
             ("server link", lambda: self._trouble_server_link(link)),
             ("engine reclaimed", self._engine_reclaimed),
@@ -184,7 +185,7 @@
         if leaving not in self.servers:
             return
         self.servers.remove(leaving)
-        if self._chance.random() < 0.5:
+        if self._chance.random() < 0.7:
             entry = leaving.entry("plain", state="draining")
             self._store.put(f"servers/{leaving.id}", entry)
             self._judge.left_at_by_server[leaving.id] = time.monotonic()
--- a/src/bankrack/serving/plain.py
+++ b/src/bankrack/serving/plain.py
@@ -54,7 +54,14 @@
         """Serve one request; returns the outcome for the log."""
         sends = _Sends(work)
         while True:
-            upstream = self._next(work, sends)
+            try:
+                upstream = self._next(work, sends)
+            except Overloaded as error:
+                if sends.runs == 0:
+                    raise
+                answer = _answer_after_runs(sends, error)
+                await reply.answer(answer)
+                return f"{answer.status} after {sends.count} sends"
             try:
                 answer = await self._send(work, upstream, sends)
             except UpstreamUnreachable as error:
@@ -180,6 +187,18 @@
         )
 
 
+def _answer_after_runs(sends: "_Sends", error: Overloaded) -> Answer:
+    """Give the answer of an earlier send; raises where there was none.
+
+    A request that may have run must not be told that it has not.
+    """
+    if sends.last_answer is not None:
+        return sends.last_answer
+    raise UpstreamFailed(
+        f"an upstream failed after it may have run the request ({error.message})"
+    ) from error
+
+
 class _Sends:
     """What became of the sends of one request."""
 
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -186,6 +186,24 @@
                 found = await call(gateway.settings.front, "/bill/x")
                 self.assertEqual(200, found.status)
 
+    async def test_one_that_may_have_run_is_never_told_that_it_has_not(self):
+        async with running() as world:
+            gateway = await world.ready_gateway()
+
+            async def drop(request: web.BaseRequest) -> web.Response:
+                assert request.transport is not None
+                request.transport.abort()
+                return web.Response()
+
+            async def shed(request: web.BaseRequest) -> web.Response:
+                return not_run()
+
+            world.plain[0].behave = drop
+            world.plain[1].behave = shed
+            for _ in range(4):
+                found = await call(gateway.settings.front, "/look/x", method="GET")
+                self.assertEqual(502, found.status)
+
     async def test_a_refusal_says_when_to_come_back(self):
         async with running() as world:
             gateway = await world.ready_gateway()
