One supervisor of background tasks, one set of relay parts; unused fields go; tests by feature

The supervisor stood in gateway.py and node.py, the relays repeated a constructor; EngineReport.leaves_in and Load.slots were not used. GatewayMetrics.values now tells readiness, version, age of the view, members, upstreams and requests in flight.

--- /dev/null
+++ b/src/bankrack/background.py
@@ -0,0 +1,53 @@
+"""Background tasks that are kept going until the process stops."""
+
+import asyncio
+import logging
+import typing as t
+
+from bankrack import logs
+
+RESTART_SECONDS = 0.2
+"""Rest before a task that failed begins again, so that it does not spin."""
+
+Work = t.Callable[[], t.Coroutine[t.Any, t.Any, None]]
+
+_logger = logging.getLogger(__name__)
+
+
+class BackgroundTasks:
+    """The tasks of one process; one that fails is logged and begun again.
+
+    :param on_failure: called for each failure, for a metric.
+    """
+
+    def __init__(self, on_failure: t.Callable[[], None] = lambda: None) -> None:
+        self._on_failure = on_failure
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def spawn(self, work: Work) -> None:
+        """Begin a task."""
+        self._tasks.append(asyncio.create_task(self._supervise(work)))
+
+    async def stop(self) -> None:
+        """Cancel all tasks and wait for their ends."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _supervise(self, work: Work) -> None:
+        while True:
+            try:
+                await work()
+                return
+            except Exception as error:
+                self._on_failure()
+                name = work.__qualname__
+                logs.event(
+                    _logger,
+                    "background_failed",
+                    level=logging.ERROR,
+                    task=name,
+                    reason=repr(error),
+                )
+                _logger.exception("background task failed: %s", name)
+            await asyncio.sleep(RESTART_SECONDS)
--- a/src/bankrack/fleet/peers.py
+++ b/src/bankrack/fleet/peers.py
@@ -30,7 +30,7 @@
 
 
 class ReportMessage(msgspec.Struct, array_like=True):
-    """An engine's report; ``age`` and ``leaves_in`` in seconds."""
+    """An engine's report; ``age`` in seconds."""
 
     id: str
     running: int
@@ -39,7 +39,6 @@
     total: int
     age: float
     leaving: bool
-    leaves_in: float | None
 
 
 class UpdateMessage(msgspec.Struct):
@@ -127,7 +126,6 @@
                 report.total,
                 now - report.taken,
                 report.leaving,
-                report.leaves_in,
             )
             for upstream in self._upstreams.by_id.values()
             if (report := upstream.report) is not None and report.taken > taken_after
@@ -214,6 +212,5 @@
                     total=found.total,
                     taken=taken,
                     leaving=found.leaving,
-                    leaves_in=found.leaves_in,
                 )
             )
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -14,6 +14,7 @@
 from aiohttp import web
 
 from bankrack import logs
+from bankrack.background import BackgroundTasks
 from bankrack.exceptions import NodeNotReady
 from bankrack.fleet.documents import Decoder
 from bankrack.fleet.documents import Member
@@ -43,6 +44,7 @@
 from bankrack.serving.job import Job
 from bankrack.serving.job import Reply
 from bankrack.serving.plain import PlainRelay
+from bankrack.serving.relay import RelayParts
 from bankrack.serving.reports import ReportFollower
 from bankrack.serving.routing import CallerLimits
 from bankrack.serving.routing import RoutingTable
@@ -62,7 +64,6 @@
 """Time kept for closing down before the process would be killed."""
 STOP_POLL_SECONDS = 0.05
 LIMITS_SECONDS = 0.5
-RESTART_SECONDS = 0.2
 
 _logger = logging.getLogger(__name__)
 
@@ -128,7 +129,7 @@
         self.stopping = False
         self.stopped = asyncio.Event()
         self._dialect = dialect
-        self._tasks: list[asyncio.Task[None]] = []
+        self._tasks = BackgroundTasks()
         self._runners: list[web.AppRunner] = []
         self._connect()
 
@@ -161,34 +162,23 @@
         self.reports = ReportFollower(
             self.upstreams, self.chooser, control, reads=self._reads_store
         )
+        parts = RelayParts(
+            client, self.chooser, self.upstreams, self.budget, self.metrics
+        )
         self.dispatcher = Dispatcher(
             directory=self,
             upstreams=self.upstreams,
             budget=self.budget,
-            plain=PlainRelay(
-                client=client,
-                chooser=self.chooser,
-                upstreams=self.upstreams,
-                budget=self.budget,
-                metrics=self.metrics,
-            ),
             metrics=self.metrics,
-            streams=StreamRelay(
-                client=client,
-                chooser=self.chooser,
-                upstreams=self.upstreams,
-                budget=self.budget,
-                control=control,
-                advisor=self.owners,
-                metrics=self.metrics,
-            ),
+            plain=PlainRelay(parts),
+            streams=StreamRelay(parts, control=control, advisor=self.owners),
         )
         self.front = RelayFront(dialect.callers, self._serve, self._limits)
 
     async def start(self) -> None:
         """Open the listeners and begin to follow the store."""
         settings = self.settings
-        self._spawn(self.follower.run)
+        self._tasks.spawn(self.follower.run)
         await self.front.start(settings.front)
         await self._listen(settings.ready, {settings.ready_path: self._answer_ready})
         updates = UpdateServer(
@@ -207,11 +197,11 @@
                 "/state": self._answer_state,
             },
         )
-        self._spawn(self.follower.keep_sweeping)
-        self._spawn(self.announcer.run)
-        self._spawn(self.reports.run)
-        self._spawn(self.owners.run)
-        self._spawn(self._keep_applying)
+        self._tasks.spawn(self.follower.keep_sweeping)
+        self._tasks.spawn(self.announcer.run)
+        self._tasks.spawn(self.reports.run)
+        self._tasks.spawn(self.owners.run)
+        self._tasks.spawn(self._keep_applying)
         logs.event(
             _logger,
             "gateway_started",
@@ -259,9 +249,7 @@
         await self.front.stop()
         await self.announcer.leave()
         await asyncio.sleep(STOP_POLL_SECONDS)
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._tasks.stop()
         for runner in self._runners:
             await runner.cleanup()
         await self._sending.close()
@@ -319,8 +307,24 @@
                 services = table.services_by_name.values()
                 self.reports.follow({s.name for s in services if s.engine})
                 self.front.renew_limits()
+            self._set_gauges()
             await asyncio.sleep(LIMITS_SECONDS)
 
+    def _set_gauges(self) -> None:
+        """Tell on the metrics page what this node believes now."""
+        table = self.view.table
+        value_by_name = {
+            "ready": float(self.ready),
+            "version": float(table.version if table else 0),
+            "view_age_seconds": self.view.age,
+            "members": float(len(self.view.members_by_name)),
+            "upstreams": float(len(self.upstreams.by_id)),
+            "in_flight": float(self.dispatcher.in_flight),
+            "keeps_ledgers": float(self.owners.owns),
+        }
+        for name, value in value_by_name.items():
+            self.metrics.values.set({"name": name}, value)
+
     # Listeners
 
     async def _listen(self, address: str, handler_by_path: dict[str, t.Any]) -> None:
@@ -366,20 +370,3 @@
             ],
         }
         return web.json_response(state)
-
-    # Tasks
-
-    def _spawn(self, work: t.Callable[[], t.Coroutine[t.Any, t.Any, None]]) -> None:
-        self._tasks.append(asyncio.create_task(self._supervise(work)))
-
-    async def _supervise(
-        self, work: t.Callable[[], t.Coroutine[t.Any, t.Any, None]]
-    ) -> None:
-        """Run a background task; one that fails is logged and begun again."""
-        while True:
-            try:
-                await work()
-                return
-            except Exception:
-                _logger.exception("background task failed: %s", work.__qualname__)
-            await asyncio.sleep(RESTART_SECONDS)
--- a/src/bankrack/node.py
+++ b/src/bankrack/node.py
@@ -15,6 +15,7 @@
 from aiohttp import web
 
 from bankrack import logs
+from bankrack.background import BackgroundTasks
 from bankrack.control.claims import Claims
 from bankrack.control.configuration import Configuration
 from bankrack.control.configuration import Document
@@ -46,12 +47,9 @@
 from bankrack.settings import Settings
 
 DRAIN_POLL_SECONDS = 0.05
-RESTART_SECONDS = 1.0
 DRAIN_LINGER_SECONDS = 0.3
 _logger = logging.getLogger(__name__)
 
-Work = t.Callable[[], t.Coroutine[t.Any, t.Any, None]]
-
 
 class Node:
     """One node, from its settings.
@@ -75,7 +73,7 @@
         self.draining = False
         self.stopped = asyncio.Event()
         self._counter = itertools.count(1)
-        self._tasks: list[asyncio.Task[t.Any]] = []
+        self._tasks = BackgroundTasks(self._count_failure)
         self._runners: list[web.AppRunner] = []
         self._sessions: list[aiohttp.ClientSession] = []
         self._stopping: asyncio.Task[None] | None = None
@@ -86,13 +84,13 @@
         await self.peers.start()
         self.peers.handle(Heartbeat, self._take_heartbeat)
         await self.follower.refresh()
-        self._spawn(self.follower.run)
-        self._spawn(self._beat)
-        self._spawn(self.admission.run)
-        self._spawn(self.admission.follow_reports)
-        self._spawn(self.engines.watch)
-        self._spawn(self.orderer.run)
-        self._spawn(self.claims.keep_floor)
+        self._tasks.spawn(self.follower.run)
+        self._tasks.spawn(self._beat)
+        self._tasks.spawn(self.admission.run)
+        self._tasks.spawn(self.admission.follow_reports)
+        self._tasks.spawn(self.engines.watch)
+        self._tasks.spawn(self.orderer.run)
+        self._tasks.spawn(self.claims.keep_floor)
         settings = self.settings
         callers = Callers(self).application()
         operators = Operators(self).application()
@@ -185,11 +183,12 @@
         self._sessions.append(session)
         return session
 
+    def _count_failure(self) -> None:
+        self.metrics.violations.inc({"kind": "background"})
+
     async def close(self) -> None:
         """Close everything at once."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._tasks.stop()
         for runner in self._runners:
             await runner.cleanup()
         await self.peers.close()
@@ -409,20 +408,6 @@
         for name, value in values.items():
             self.metrics.values.set({"name": name}, value)
 
-    def _spawn(self, work: Work) -> None:
-        self._tasks.append(asyncio.create_task(self._supervise(work)))
-
-    async def _supervise(self, work: Work) -> None:
-        """Keep a background task going: a node without one is half dead."""
-        while True:
-            try:
-                await work()
-                return
-            except Exception:
-                self.metrics.violations.inc({"kind": "background"})
-                _logger.exception("event=background_failed task=%s", work.__qualname__)
-                await asyncio.sleep(RESTART_SECONDS)
-
 
 async def run(settings: Settings) -> None:
     """Run a node until it is drained by signal or by an operator."""
--- a/src/bankrack/serving/client.py
+++ b/src/bankrack/serving/client.py
@@ -67,15 +67,6 @@
     resume: Resume | None = None
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Load:
-    """Load that an upstream told with an answer."""
-
-    running: int
-    waiting: int
-    slots: int
-
-
 @dataclasses.dataclass(slots=True, frozen=True)
 class Head:
     """Beginning of an answer.
@@ -84,6 +75,7 @@
     :param not_run: the upstream says that it did not run the job.
     :param run_id: the job that the answer belongs to, if it says so.
     :param sealed: whether it carries the upstream's proof of origin.
+    :param waiting: requests that wait at the upstream, if it says so.
     """
 
     status: int
@@ -91,7 +83,7 @@
     not_run: bool
     run_id: str | None
     sealed: bool
-    load: Load | None = None
+    waiting: int | None = None
 
 
 class UpstreamDialect(t.Protocol):
--- a/src/bankrack/serving/plain.py
+++ b/src/bankrack/serving/plain.py
@@ -8,18 +8,14 @@
 from bankrack.exceptions import Overloaded
 from bankrack.exceptions import UpstreamFailed
 from bankrack.exceptions import UpstreamUnreachable
-from bankrack.metrics import GatewayMetrics
 from bankrack.serving.assignment import Assignment
-from bankrack.serving.budget import SharedRetryBudget
-from bankrack.serving.choice import Chooser
 from bankrack.serving.client import Exchange
 from bankrack.serving.client import Send
-from bankrack.serving.client import UpstreamClient
 from bankrack.serving.job import Answer
 from bankrack.serving.job import Kind
 from bankrack.serving.job import Reply
+from bankrack.serving.relay import RelayParts
 from bankrack.serving.upstreams import Upstream
-from bankrack.serving.upstreams import Upstreams
 
 MAX_SENDS = 4
 """Sends of one request in all, rejected ones included."""
@@ -35,20 +31,8 @@
 class PlainRelay:
     """Carries plain requests to upstreams and their answers back."""
 
-    def __init__(
-        self,
-        *,
-        client: UpstreamClient,
-        chooser: Chooser,
-        upstreams: Upstreams,
-        budget: SharedRetryBudget,
-        metrics: GatewayMetrics,
-    ) -> None:
-        self._metrics = metrics
-        self._client = client
-        self._chooser = chooser
-        self._upstreams = upstreams
-        self._budget = budget
+    def __init__(self, parts: RelayParts) -> None:
+        self._parts = parts
 
     async def serve(self, work: Assignment, reply: Reply) -> str:
         """Serve one request; returns the outcome for the log."""
@@ -59,18 +43,18 @@
             except Overloaded as error:
                 if sends.runs == 0:
                     raise
-                answer = _answer_after_runs(sends, error)
-                await reply.answer(answer)
-                return f"{answer.status} after {sends.count} sends"
+                earlier = _answer_after_runs(sends, error)
+                await reply.answer(earlier)
+                return f"{earlier.status} after {sends.count} sends"
             try:
                 answer = await self._send(work, upstream, sends)
             except UpstreamUnreachable as error:
-                self._chooser.suspect(upstream)
+                self._parts.chooser.suspect(upstream)
                 sends.unreachable(upstream)
                 self._log(work, upstream, "unreachable", error.message)
                 continue
             except UpstreamFailed as error:
-                self._chooser.suspect(upstream)
+                self._parts.chooser.suspect(upstream)
                 sends.ran(upstream)
                 self._log(work, upstream, "failed", error.message)
                 if self._may_repeat(work, sends):
@@ -83,7 +67,7 @@
                 self._log(work, upstream, "rejected", "")
                 continue
             failed = answer.status >= 500
-            self._chooser.answered(upstream, failed=failed)
+            self._parts.chooser.answered(upstream, failed=failed)
             if failed:
                 sends.ran(upstream)
                 sends.last_answer = answer
@@ -100,16 +84,16 @@
                 "no upstream took the request; try again",
                 retry_after=RETRY_AFTER_SECONDS,
             )
-        candidates = self._upstreams.open_of(work.service.name)
+        candidates = self._parts.upstreams.open_of(work.service.name)
         if len(sends.ran_ids) >= work.route.max_upstreams:
             candidates = [u for u in candidates if u.id in sends.ran_ids] or candidates
-        upstream = self._chooser.plain(candidates, avoid=sends.avoid)
+        upstream = self._parts.chooser.plain(candidates, avoid=sends.avoid)
         if upstream is None:
             raise Overloaded(
                 f"service {work.service.name} has no upstream; try again",
                 retry_after=RETRY_AFTER_SECONDS,
             )
-        if sends.count > 0 and not self._budget.take(work.service.name):
+        if sends.count > 0 and not self._parts.budget.take(work.service.name):
             raise Overloaded(
                 "upstreams rejected the request and the retry budget is used up; "
                 "try again",
@@ -121,7 +105,7 @@
         self, work: Assignment, upstream: Upstream, sends: "_Sends"
     ) -> Answer | None:
         """Send once; ``None`` when the upstream says that it did not run it."""
-        self._metrics.sends.inc({"service": work.service.name, "kind": "plain"})
+        self._parts.metrics.sends.inc({"service": work.service.name, "kind": "plain"})
         send = Send(
             job=work.job,
             upstream=upstream,
@@ -133,11 +117,11 @@
         exchange: Exchange | None = None
         try:
             async with asyncio.timeout(self._attempt_seconds(work, sends)):
-                exchange = await self._client.open(send)
+                exchange = await self._parts.client.open(send)
                 sends.count += 1
                 head = exchange.head
-                if head.load is not None:
-                    upstream.load_waiting = head.load.waiting
+                if head.waiting is not None:
+                    upstream.load_waiting = head.waiting
                 if head.not_run:
                     return None
                 body = await exchange.read()
@@ -169,7 +153,7 @@
             work.route.kind is Kind.REPEATABLE
             and sends.runs < work.route.max_upstreams
             and work.time_left() > work.route.target_latency / 4
-            and self._budget.allowed(work.service.name) >= 1.0
+            and self._parts.budget.allowed(work.service.name) >= 1.0
         )
 
     def _log(
--- /dev/null
+++ b/src/bankrack/serving/relay.py
@@ -0,0 +1,20 @@
+"""What the relays of all kinds of requests work with."""
+
+import dataclasses
+
+from bankrack.metrics import GatewayMetrics
+from bankrack.serving.budget import SharedRetryBudget
+from bankrack.serving.choice import Chooser
+from bankrack.serving.client import UpstreamClient
+from bankrack.serving.upstreams import Upstreams
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RelayParts:
+    """The parts that plain requests and streams share."""
+
+    client: UpstreamClient
+    chooser: Chooser
+    upstreams: Upstreams
+    budget: SharedRetryBudget
+    metrics: GatewayMetrics
--- a/src/bankrack/serving/streams.py
+++ b/src/bankrack/serving/streams.py
@@ -14,15 +14,11 @@
 from bankrack.exceptions import StreamInterrupted
 from bankrack.exceptions import UpstreamFailed
 from bankrack.exceptions import UpstreamUnreachable
-from bankrack.metrics import GatewayMetrics
 from bankrack.serving.advice import PlacementAdvisor
 from bankrack.serving.assignment import Assignment
-from bankrack.serving.budget import SharedRetryBudget
-from bankrack.serving.choice import Chooser
 from bankrack.serving.client import Exchange
 from bankrack.serving.client import Resume
 from bankrack.serving.client import Send
-from bankrack.serving.client import UpstreamClient
 from bankrack.serving.copies import Copies
 from bankrack.serving.copies import Copy
 from bankrack.serving.enginecontrol import EngineControl
@@ -31,10 +27,10 @@
 from bankrack.serving.job import Answer
 from bankrack.serving.job import Reply
 from bankrack.serving.placing import Placer
+from bankrack.serving.relay import RelayParts
 from bankrack.serving.routing import EngineTraits
 from bankrack.serving.runlog import RunLog
 from bankrack.serving.upstreams import Upstream
-from bankrack.serving.upstreams import Upstreams
 
 MAX_SENDS = 5
 """Engines asked before a stream that has not begun is refused."""
@@ -53,25 +49,16 @@
     """Carries streams to engines and their events back."""
 
     def __init__(
-        self,
-        *,
-        client: UpstreamClient,
-        chooser: Chooser,
-        upstreams: Upstreams,
-        budget: SharedRetryBudget,
-        control: EngineControl,
-        advisor: PlacementAdvisor,
-        metrics: GatewayMetrics,
+        self, parts: RelayParts, *, control: EngineControl, advisor: PlacementAdvisor
     ) -> None:
-        self.advisor = advisor
-        self.metrics = metrics
-        self.client = client
-        self.chooser = chooser
-        self.upstreams = upstreams
-        self.budget = budget
+        self.parts = parts
         self.control = control
+        self.advisor = advisor
         self.placer = Placer(
-            chooser=chooser, upstreams=upstreams, control=control, advisor=advisor
+            chooser=parts.chooser,
+            upstreams=parts.upstreams,
+            control=control,
+            advisor=advisor,
         )
 
     async def serve(self, work: Assignment, reply: Reply) -> str:
@@ -88,6 +75,7 @@
 
     def __init__(self, relay: StreamRelay, work: Assignment, reply: Reply) -> None:
         self._relay = relay
+        self._parts = relay.parts
         self._work = work
         self._reply = reply
         self._traits = work.service.engine or EngineTraits(slots=0, memory=0)
@@ -104,8 +92,8 @@
             work,
             self._traits,
             self._log,
-            chooser=relay.chooser,
-            upstreams=relay.upstreams,
+            chooser=relay.parts.chooser,
+            upstreams=relay.parts.upstreams,
             control=relay.control,
             engine=lambda: self._engine if self._exchange is not None else None,
         )
@@ -149,7 +137,7 @@
             try:
                 exchange = await self._open(engine, hold=hold)
             except UpstreamUnreachable as error:
-                self._relay.chooser.suspect(engine)
+                self._parts.chooser.suspect(engine)
                 self._tried.add(engine.id)
                 self._log.write("attempt_ended", engine, "unreachable", error.message)
                 continue
@@ -172,7 +160,7 @@
         if self._sends == 0:
             return
         service = self._work.service.name
-        if self._sends >= MAX_SENDS or not self._relay.budget.take(service):
+        if self._sends >= MAX_SENDS or not self._parts.budget.take(service):
             raise Overloaded(
                 "engines rejected the run and no more may be asked; try again",
                 retry_after=RETRY_AFTER_SECONDS,
@@ -196,7 +184,7 @@
         work = self._work
         now = time.monotonic()
         kind = "resume" if resume else "first"
-        self._relay.metrics.sends.inc({"service": work.service.name, "kind": kind})
+        self._parts.metrics.sends.inc({"service": work.service.name, "kind": kind})
         backup = self._copies.choose_backup(engine, tried=self._tried)
         send = Send(
             job=work.job,
@@ -212,7 +200,7 @@
         self._splitter = EventSplitter()
         engine.in_flight += 1
         try:
-            exchange = await self._relay.client.open(send)
+            exchange = await self._parts.client.open(send)
         except UpstreamUnreachable:
             self._leave_engine()
             raise
@@ -304,7 +292,7 @@
                 self._resumes += 1
                 exchange.close()
                 silent.in_flight -= 1
-                self._relay.chooser.suspect(silent)
+                self._parts.chooser.suspect(silent)
                 return
         self._engine, self._exchange = silent, exchange
         self._copies.found = copies
@@ -314,10 +302,10 @@
         """Go on at a copy; raises :exc:`StreamInterrupted` where none does."""
         broken = self._engine
         copies = self._copies.found
-        counted = self._relay.metrics.resumes
+        counted = self._parts.metrics.resumes
         self._leave_engine()
         if broken is not None:
-            self._relay.chooser.suspect(broken)
+            self._parts.chooser.suspect(broken)
             self._tried.add(broken.id)
             self._log.write("stream_broke", broken, "resuming", error.message)
         for copy in copies:
@@ -333,7 +321,7 @@
 
     async def _resume_at(self, copy: Copy) -> bool:
         holder = copy.holder
-        if not self._relay.budget.take(self._work.service.name):
+        if not self._parts.budget.take(self._work.service.name):
             self._log.write("resume_refused", holder, "budget")
             return False
         last = self._order.last
--- a/src/bankrack/serving/upstreams.py
+++ b/src/bankrack/serving/upstreams.py
@@ -29,7 +29,6 @@
 
     :param used: memory that can't give way, in tokens.
     :param taken: monotonic seconds at which the answer came.
-    :param leaves_in: seconds until it ends, when it knows.
     """
 
     running: int
@@ -38,7 +37,6 @@
     total: int
     taken: float
     leaving: bool = False
-    leaves_in: float | None = None
 
 
 class Upstream:
--- /dev/null
+++ b/tests/platform/deployment.py
@@ -0,0 +1,95 @@
+"""A store, servers and gateways of the platform, in one process."""
+
+import asyncio
+import contextlib
+import time
+import typing as t
+
+from aiohttp import web
+
+from bankrack.gateway import Gateway
+from bankrack.gateway import GatewaySettings
+from bankrack.serving.budget import BudgetTerms
+from serve import PlatformDialect
+from tests.fakes import free_address
+from tests.platform.world import configuration
+from tests.platform.world import FakeEngine
+from tests.platform.world import FakeServer
+from tests.platform.world import FakeStore
+
+
+class World:
+    """A store, two plain servers, three engines and some gateways."""
+
+    def __init__(self) -> None:
+        self.store = FakeStore()
+        self.plain = [FakeServer("p-1"), FakeServer("p-2")]
+        self.engines = [FakeEngine(f"e-{n}") for n in range(3)]
+        self.gateways: list[Gateway] = []
+
+    async def start(self, *, configured: bool = True) -> None:
+        for served in [self.store, *self.plain, *self.engines]:
+            await served.start()
+        for engine in self.engines:
+            engine.engine_by_address = {e.address: e for e in self.engines}
+        if configured:
+            self.store.put("op/config", configuration())
+        for server in self.plain:
+            self.store.put(f"servers/{server.id}", server.entry("plain"))
+        for engine in self.engines:
+            self.store.put(f"servers/{engine.id}", engine.entry("engines"))
+
+    async def gateway(self, name: str = "n-1", *, grace: float = 8.0) -> Gateway:
+        settings = GatewaySettings(
+            name=name,
+            hall="a",
+            front=free_address(),
+            ready=free_address(),
+            inner=free_address(),
+            ready_path="/v1/readyz",
+            seeds=(),
+            grace=grace,
+            budget=BudgetTerms(ratio=0.2, reserve=60, window=10.0),
+        )
+        gateway = Gateway(settings, PlatformDialect(self.store.address))
+        await gateway.start()
+        self.gateways.append(gateway)
+        return gateway
+
+    async def ready_gateway(self, name: str = "n-1", **more: t.Any) -> Gateway:
+        gateway = await self.gateway(name, **more)
+        await until(lambda: gateway.ready)
+        return gateway
+
+    async def stop(self) -> None:
+        for gateway in self.gateways:
+            if not gateway.stopped.is_set():
+                await gateway._close()
+        for served in [self.store, *self.plain, *self.engines]:
+            await served.stop()
+
+    def arrivals(self) -> list[t.Any]:
+        servers = [*self.plain, *self.engines]
+        return [arrival for server in servers for arrival in server.arrivals]
+
+
+@contextlib.asynccontextmanager
+async def running(*, configured: bool = True) -> t.AsyncIterator[World]:
+    world = World()
+    try:
+        await world.start(configured=configured)
+        yield world
+    finally:
+        await world.stop()
+
+
+async def until(condition: t.Callable[[], bool], *, seconds: float = 5.0) -> None:
+    limit = time.monotonic() + seconds
+    while not condition():
+        if time.monotonic() > limit:
+            raise AssertionError("the condition did not come true in time")
+        await asyncio.sleep(0.01)
+
+
+def not_run(status: int = 503) -> web.Response:
+    return web.Response(status=status, headers={"Bankrack-Not-Executed": "1"})
--- /dev/null
+++ b/tests/platform/test_following.py
@@ -0,0 +1,115 @@
+"""Configuration, upstreams and members, followed through the store."""
+
+import asyncio
+import time
+
+from tests.base import TestCase
+from tests.platform.deployment import running
+from tests.platform.deployment import until
+from tests.platform.world import call
+from tests.platform.world import configuration
+
+LATEST_GONE_SECONDS = 2.9
+"""Nothing may be sent to an upstream that stayed away from 3 s after an outage."""
+
+
+class Following(TestCase):
+    async def test_a_change_that_the_watch_missed_is_in_force_within_two_seconds(self):
+        async with running() as world:
+            gateway = await world.ready_gateway()
+            await asyncio.sleep(1.2)
+            world.store.watch_blind = True
+            world.store.put("op/config", configuration(2))
+            table = gateway.view.table
+            assert table is not None
+            await until(lambda: gateway.view.table.version == 2, seconds=1.8)
+
+    async def test_forgotten_history_is_read_anew(self):
+        async with running() as world:
+            gateway = await world.ready_gateway()
+            await asyncio.sleep(1.2)
+            world.store.forgotten = world.store.revision + 100
+            world.store.put("op/config", configuration(3))
+            await until(lambda: gateway.view.table.version == 3, seconds=1.8)
+
+    async def test_an_older_version_never_comes_back(self):
+        async with running() as world:
+            world.store.put("op/config", configuration(7))
+            gateway = await world.ready_gateway()
+            world.store.put("op/config", configuration(5))
+            await asyncio.sleep(1.2)
+            self.assertEqual(7, gateway.view.table.version)
+
+    async def test_a_broken_configuration_leaves_the_last_good_one_in_force(self):
+        async with running() as world:
+            gateway = await world.ready_gateway()
+            world.store.put("op/config", b"{broken")
+            world.store.put("servers/x", b"[]")
+            await asyncio.sleep(1.2)
+            self.assertEqual(
+                200, (await call(gateway.settings.front, "/bill/x")).status
+            )
+
+    async def test_a_leaving_server_gets_nothing_new(self):
+        async with running() as world:
+            gateway = await world.ready_gateway()
+            leaving = world.plain[0]
+            entry = leaving.entry("plain", state="draining")
+            world.store.put(f"servers/{leaving.id}", entry)
+            await until(lambda: gateway.upstreams.by_id[leaving.id].leaving)
+            for _ in range(5):
+                await call(gateway.settings.front, "/bill/x")
+            self.assertEqual([], leaving.arrivals)
+
+    async def test_one_node_of_a_hall_reads_and_tells_the_other(self):
+        async with running() as world:
+            gateways = [await world.ready_gateway(f"n-{n}") for n in range(3)]
+            await until(
+                lambda: sum(g.follower.leader is None for g in gateways) == 1,
+                seconds=6.0,
+            )
+            world.store.put("op/config", configuration(4))
+            await until(
+                lambda: all(g.view.table.version == 4 for g in gateways), seconds=0.5
+            )
+
+    async def test_what_stays_away_after_an_outage_is_gone_everywhere_in_time(self):
+        async with running() as world:
+            nodes = [await world.ready_gateway(f"n-{n}") for n in range(3)]
+            await until(lambda: all(len(n.view.members_by_name) == 3 for n in nodes))
+            await until(lambda: sum(n.follower.leader is None for n in nodes) == 1)
+            world.store.status = 503
+            await asyncio.sleep(2.5)
+            world.store.remove("servers/p-1")
+            world.store.status = 0
+            returned = time.monotonic()
+            await until(lambda: all("p-1" not in n.upstreams.by_id for n in nodes))
+            self.assertLess(time.monotonic() - returned, LATEST_GONE_SECONDS)
+
+    async def test_a_follower_reads_for_itself_once_its_leader_dies(self):
+        async with running() as world:
+            gateways = [await world.ready_gateway(f"n-{n}") for n in range(2)]
+            await until(
+                lambda: sum(g.follower.leader is None for g in gateways) == 1,
+                seconds=6.0,
+            )
+            [leader] = [g for g in gateways if g.follower.leader is None]
+            [follower] = [g for g in gateways if g is not leader]
+            await leader._close()
+            world.store.put("op/config", configuration(4))
+            await until(lambda: follower.view.table.version == 4, seconds=1.8)
+
+
+class Paging(TestCase):
+    async def test_members_beyond_the_first_page_are_read_seldom(self):
+        async with running() as world:
+            for number in range(30):
+                member = {"name": f"m{number}", "address": "127.0.0.1:1", "hall": "b"}
+                world.store.put(f"system/nodes/m{number}", member)
+            world.store.page = 12
+            gateway = await world.ready_gateway()
+            await until(lambda: len(gateway.view.members_by_name) > 30)
+            world.store.calls.clear()
+            await asyncio.sleep(2.0)
+            self.assertLessEqual(world.store.calls.count("kv-range"), 3)
+            self.assertGreater(len(gateway.view.members_by_name), 30)
--- /dev/null
+++ b/tests/platform/test_refusals.py
@@ -0,0 +1,67 @@
+"""What is refused or denied, and with which answer."""
+
+import asyncio
+
+from bankrack.gateway import DENIAL_AGE_SECONDS
+from tests.base import TestCase
+from tests.platform.deployment import running
+from tests.platform.deployment import until
+from tests.platform.world import call
+from tests.platform.world import configuration
+
+
+class Refusals(TestCase):
+    async def test_nothing_is_denied_before_a_configuration_is_known(self):
+        async with running(configured=False) as world:
+            gateway = await world.gateway()
+            await asyncio.sleep(0.2)
+            self.assertFalse(gateway.ready)
+            found = await call(gateway.settings.front, "/bill/x")
+            self.assertEqual(503, found.status)
+
+    async def test_unknown_keys_and_routes_are_denied(self):
+        async with running() as world:
+            gateway = await world.ready_gateway()
+            front = gateway.settings.front
+            found = await call(front, "/bill/x", headers={"Bankrack-Key": "no"})
+            self.assertEqual(401, found.status)
+            self.assertEqual(404, (await call(front, "/none/x")).status)
+            self.assertEqual([], world.arrivals())
+
+    async def test_a_key_that_was_added_unseen_is_not_denied(self):
+        async with running() as world:
+            gateway = await world.ready_gateway()
+            await until(
+                lambda: gateway.follower.leader is None and gateway.view.age < 1
+            )
+            world.store.watch_blind = True
+            added = [{"name": "tutors", "apiKeys": ["key-1", "key-2"]}]
+            world.store.put("op/config", configuration(2, tenants=added))
+            # A denial may rest on a reading that is a moment old.
+            await asyncio.sleep(DENIAL_AGE_SECONDS)
+            found = await call(
+                gateway.settings.front, "/bill/x", headers={"Bankrack-Key": "key-2"}
+            )
+            self.assertEqual(200, found.status)
+
+    async def test_nothing_is_denied_while_the_store_can_not_be_asked(self):
+        async with running() as world:
+            gateway = await world.ready_gateway()
+            world.store.status = 503
+            await asyncio.sleep(DENIAL_AGE_SECONDS + 0.2)
+            found = await call(gateway.settings.front, "/none/x")
+            self.assertEqual(503, found.status)
+            self.assertEqual(
+                200, (await call(gateway.settings.front, "/bill/x")).status
+            )
+
+    async def test_malformed_requests_get_a_typed_error(self):
+        async with running() as world:
+            gateway = await world.ready_gateway()
+            front = gateway.settings.front
+            bad = {"Bankrack-Deadline-Ms": "soon"}
+            self.assertEqual(400, (await call(front, "/bill/x", headers=bad)).status)
+            big = {"X-Big": "x" * 9000}
+            self.assertEqual(431, (await call(front, "/bill/x", headers=big)).status)
+            body = b"x" * 100_001
+            self.assertEqual(413, (await call(front, "/bill/x", body=body)).status)
--- /dev/null
+++ b/tests/platform/test_streams.py
@@ -0,0 +1,136 @@
+"""Streams through the whole path, in the platform's dialect."""
+
+import asyncio
+
+from aiohttp import web
+
+from bankrack.serving import copies as copies_module
+from bankrack.serving import streams as streams_module
+from tests.base import TestCase
+from tests.platform.deployment import not_run
+from tests.platform.deployment import running
+from tests.platform.deployment import until
+from tests.platform.world import call
+
+
+class Streams(TestCase):
+    def want(self, count: int = 5) -> bytes:
+        return b"".join(b"id: %d\ndata: token%d\n\n" % (n, n) for n in range(count))
+
+    async def test_it_is_passed_on_whole(self):
+        async with running() as world:
+            gateway = await world.ready_gateway()
+            found = await call(gateway.settings.front, "/talk/x")
+            self.assertTrue(found.whole)
+            self.assertEqual(self.want(), found.body)
+            [arrival] = world.arrivals()
+            self.assertEqual("h-1", arrival.get("Hold"))
+            self.assertIsNotNone(arrival.get("Kv-Backup"))
+
+    async def test_it_outlives_its_engine(self):
+        await self.check_cut_stream_goes_on(torn=False)
+
+    async def test_it_outlives_its_engine_that_broke_off_inside_an_event(self):
+        await self.check_cut_stream_goes_on(torn=True)
+
+    async def check_cut_stream_goes_on(self, *, torn: bool) -> None:
+        async with running() as world:
+            gateway = await world.ready_gateway()
+
+            async def cut_first(request: web.BaseRequest) -> None:
+                first = "Kv-From" not in request.headers
+                for engine in world.engines:
+                    engine.cut_after = 2 if first else -1
+                    engine.torn = torn
+
+            for engine in world.engines:
+                engine.behave = cut_first
+            found = await call(gateway.settings.front, "/talk/x")
+            self.assertTrue(found.whole)
+            self.assertEqual(self.want(), found.body)
+            self.assertEqual(2, len(world.arrivals()))
+
+    async def test_it_is_cut_visibly_where_no_copy_is_left(self):
+        async with running() as world:
+            gateway = await world.ready_gateway()
+
+            async def cut(request: web.BaseRequest) -> web.Response | None:
+                for engine in world.engines:
+                    engine.cut_after = 2
+                return not_run() if "Kv-From" in request.headers else None
+
+            for engine in world.engines:
+                engine.behave = cut
+            found = await call(gateway.settings.front, "/talk/x")
+            self.assertFalse(found.whole)
+            self.assertEqual(self.want(2), found.body)
+
+    async def test_one_that_broke_before_its_first_event_is_never_run_twice(self):
+        async with running() as world:
+            gateway = await world.ready_gateway()
+
+            async def cut(request: web.BaseRequest) -> web.Response | None:
+                for engine in world.engines:
+                    engine.cut_after = 0
+                return not_run() if "Kv-From" in request.headers else None
+
+            for engine in world.engines:
+                engine.behave = cut
+            found = await call(gateway.settings.front, "/talk/x")
+            self.assertEqual(502, found.status)
+            fresh = [a for a in world.arrivals() if a.get("Kv-From") is None]
+            self.assertEqual(1, len(fresh))
+
+    async def test_a_run_is_copied_when_its_engine_leaves(self):
+        self.patch(copies_module, "BACKUP_FILL", -1.0)
+        async with running() as world:
+            gateway = await world.ready_gateway()
+            for engine in world.engines:
+                engine.events, engine.pause = 200, 0.02
+            patient = {"Bankrack-Deadline-Ms": "20000"}
+            task = asyncio.create_task(
+                call(gateway.settings.front, "/talk/x", headers=patient)
+            )
+            await until(lambda: len(world.arrivals()) == 1)
+            [home] = [e for e in world.engines if e.arrivals]
+            entry = home.entry("engines", state="draining")
+            world.store.put(f"servers/{home.id}", entry)
+            # The copy is known once it is ordered again to be brought up to date.
+            await until(lambda: [p for p, _ in home.orders].count("/v1/kv-move") > 1)
+            home.ends = True
+            found = await task
+            self.assertTrue(found.whole)
+            self.assertEqual(self.want(200), found.body)
+            self.assertEqual(2, len(world.arrivals()))
+
+    async def test_an_engine_that_falls_silent_is_left_for_a_copy(self):
+        async with running() as world:
+            gateway = await world.ready_gateway()
+
+            async def stall(request: web.BaseRequest) -> None:
+                first = "Kv-From" not in request.headers
+                for engine in world.engines:
+                    engine.pause = 30.0 if first else 0.0
+
+            for engine in world.engines:
+                engine.behave = stall
+            found = await call(gateway.settings.front, "/talk/x")
+            self.assertTrue(found.whole)
+            self.assertEqual(self.want(), found.body)
+            self.assertEqual(1, sum(e.cancelled for e in world.engines))
+
+    async def test_a_silent_engine_is_kept_where_no_copy_can_go_on(self):
+        async with running() as world:
+            gateway = await world.ready_gateway()
+
+            async def stall(request: web.BaseRequest) -> web.Response | None:
+                for engine in world.engines:
+                    engine.pause = 0.35
+                return not_run() if "Kv-From" in request.headers else None
+
+            self.patch(streams_module, "SILENCE_SECONDS", 0.2)
+            for engine in world.engines:
+                engine.behave = stall
+            found = await call(gateway.settings.front, "/talk/x")
+            self.assertTrue(found.whole)
+            self.assertEqual(self.want(), found.body)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -146,22 +146,6 @@
                 self.assertEqual(200, response.status)
 
 
-class TestBackground(TestCase):
-    async def test_a_failing_background_task_is_started_again(self):
-        self.patch(node_module, "RESTART_SECONDS", 0.01)
-        calls = []
-
-        async def work():
-            calls.append(len(calls))
-            if len(calls) < 3:
-                raise ValueError
-
-        async with bed(engines=0) as b:
-            b.nodes[0]._spawn(work)
-            await asyncio.sleep(0.3)
-        self.assertEqual([0, 1, 2], calls)
-
-
 class TestOperators(TestCase):
     async def test_callers_tokens_are_not_operators_tokens(self):
         async with bed(engines=0) as b:
