Settings are read again with and without a signal; placements are logged and bounded

A settings file that changed without a signal was not read again, and one with a signal was only noted. The bounds (grace, retry budget) are put in force at once; what holds for the life of a process is logged as waiting. A place that is kept is logged with what the order of engines rested on. A ledger that is told much and never asked is bounded.

--- a/soak/gateway/processes.py
+++ b/soak/gateway/processes.py
@@ -108,6 +108,9 @@
         self.launch()
         return in_time
 
-    def reload(self) -> None:
-        """Tell it that its settings changed."""
-        self.process.signal(signal.SIGHUP)
+    def reload(self, *, told: bool) -> None:
+        """Write its settings anew, with a signal or without."""
+        text = self._settings.read_text(encoding="utf-8")
+        self._settings.write_text(text, encoding="utf-8")
+        if told:
+            self.process.signal(signal.SIGHUP)
--- a/soak/gateway/troubles.py
+++ b/soak/gateway/troubles.py
@@ -121,7 +121,7 @@
             self._judge.note_stop(gateway, in_time=in_time)
 
     async def _reload(self, gateway: Gateway) -> None:
-        gateway.reload()
+        gateway.reload(told=self._chance.random() < 0.5)
 
     # The store
 
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -64,6 +64,8 @@
 """Time kept for closing down before the process would be killed."""
 STOP_POLL_SECONDS = 0.05
 LIMITS_SECONDS = 0.5
+BOUNDS = frozenset({"grace", "budget"})
+"""Settings that can change while a process runs."""
 
 _logger = logging.getLogger(__name__)
 
@@ -216,13 +218,28 @@
         """Whether callers may be sent here."""
         return self.view.table is not None and not self.stopping
 
-    def reload(self) -> None:
-        """Note a change of the settings file.
+    def reload(self, settings: GatewaySettings) -> None:
+        """Put the bounds of new settings in force.
 
-        Addresses and bounds hold for the life of a process; what changes while
-        it runs is in the store.
+        What a process is and where it listens holds for its life; a change of that
+        is logged and waits for the next start.
         """
-        logs.event(_logger, "settings_reloaded", node=self.settings.name, changed=0)
+        old = self.settings
+        changed = [
+            field.name
+            for field in dataclasses.fields(settings)
+            if getattr(settings, field.name) != getattr(old, field.name)
+        ]
+        applied = {name: getattr(settings, name) for name in changed if name in BOUNDS}
+        self.settings = dataclasses.replace(old, **applied)
+        self.budget.change_terms(self.settings.budget)
+        logs.event(
+            _logger,
+            "settings_reloaded",
+            node=old.name,
+            applied=",".join(applied) or "none",
+            waiting=",".join(name for name in changed if name not in applied) or "none",
+        )
 
     async def stop(self, reason: str) -> None:
         """Leave the balancer, finish what is in flight, then close."""
--- a/src/bankrack/serving/budget.py
+++ b/src/bankrack/serving/budget.py
@@ -59,6 +59,10 @@
         self._clock = clock
         self._tally_by_service: dict[str, _Tally] = {}
 
+    def change_terms(self, terms: BudgetTerms) -> None:
+        """Keep to other terms from now on; what was counted stays."""
+        self._terms = terms
+
     def earn(self, service: str) -> None:
         """Count one request for ``service``."""
         self._tally(service).requests.append(self._clock())
--- a/src/bankrack/serving/ledger.py
+++ b/src/bankrack/serving/ledger.py
@@ -26,6 +26,8 @@
 """A prompt that was placed so long ago counts as read though nobody told of it."""
 RUN_SECONDS = 60.0
 """A run that was placed so long ago has ended; the note of its end was lost."""
+MAX_PLACEMENTS = 20_000
+"""Some 100 bytes each; far more than the engines of a service can run at once."""
 MEMORY_LIMIT = 0.95
 """Part of an engine's memory that the runs there may come to need."""
 FULL_SECONDS = 4.0
@@ -80,6 +82,9 @@
 
     def place(self, run: str, engine: str, demand: Demand) -> None:
         """Note that a run was sent to ``engine``."""
+        if len(self._placement_by_run) >= MAX_PLACEMENTS:
+            # A node that is told much but never asked holds only the newest.
+            del self._placement_by_run[next(iter(self._placement_by_run))]
         output = demand.expected - demand.prompt
         self._placement_by_run[run] = Placement(
             engine, demand.prompt, output, self._clock()
--- a/src/bankrack/serving/placing.py
+++ b/src/bankrack/serving/placing.py
@@ -62,12 +62,13 @@
         patience = WAIT_FOR_PLACE * work.route.target_latency
         until = time.monotonic() + min(patience, work.time_left() / 2)
         while True:
-            engines = await self._candidates(work, traits, tried)
+            engines, source = await self._candidates(work, traits, tried)
             if not traits.hold:
                 return engines[0], None
             for engine in engines:
                 hold = await self._ask(engine, work, traits, log)
                 if hold is not None:
+                    log.write("place_kept", engine, "ok", f"ordered by {source}")
                     if engine is not engines[0]:
                         self._advisor.placed(work, engine)
                     return engine, hold
@@ -77,11 +78,14 @@
 
     async def _candidates(
         self, work: Assignment, traits: EngineTraits, tried: t.Collection[str]
-    ) -> list[Upstream]:
-        """Engines in the order to ask them; raises :exc:`Overloaded` without any."""
+    ) -> tuple[list[Upstream], str]:
+        """Engines in the order to ask them, and what the order rests on.
+
+        Raises :exc:`Overloaded` without any.
+        """
         advised = await self._advisor.order(work, memory=traits.memory, avoid=tried)
         if advised:
-            return advised
+            return advised, "owner"
         engines = self._upstreams.open_of(work.service.name)
         untried = [engine for engine in engines if engine.id not in tried]
         if not untried:
@@ -89,9 +93,10 @@
                 f"no engine of {work.service.name} takes the run now; try again",
                 retry_after=RETRY_AFTER_SECONDS,
             )
-        return self._chooser.engines_by_room(
+        by_room = self._chooser.engines_by_room(
             untried, work.job.demand, memory=traits.memory
         )
+        return by_room, "reports"
 
     async def _ask(
         self, engine: Upstream, work: Assignment, traits: EngineTraits, log: RunLog
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -1,15 +1,34 @@
 """A gateway that stops, and what it tells of itself."""
 
 import asyncio
+import dataclasses
+import pathlib
+import tempfile
 import time
 
 import aiohttp
 
+import serve
+from bankrack.serving.budget import BudgetTerms
 from tests.base import TestCase
 from tests.platform.deployment import running
 from tests.platform.deployment import until
 from tests.platform.world import call
 
+SETTINGS = """
+nodeName = "n-1"
+ip = "127.0.0.1"
+zone = "a"
+portRange = [7000, 7001]
+[listen]
+front = "127.0.0.1:1"
+ready = "127.0.0.1:2"
+[platform]
+address = "127.0.0.1:3"
+[bounds]
+graceS = {grace}
+"""
+
 
 class Stopping(TestCase):
     async def test_it_is_unready_at_once_and_finishes_what_it_has(self):
@@ -55,6 +74,38 @@
             self.assertEqual([], world.arrivals())
 
 
+class Reloading(TestCase):
+    async def test_bounds_are_in_force_at_once_and_addresses_wait(self):
+        async with running() as world:
+            gateway = await world.ready_gateway()
+            old = gateway.settings
+            terms = BudgetTerms(ratio=0.2, reserve=0, window=10.0)
+            gateway.reload(
+                dataclasses.replace(old, grace=3.0, budget=terms, front="127.0.0.1:1")
+            )
+            self.assertEqual(3.0, gateway.settings.grace)
+            self.assertEqual(old.front, gateway.settings.front)
+            self.assertFalse(gateway.budget.take("plain"))
+
+    async def test_a_file_that_changes_without_a_signal_is_read_again(self):
+        self.patch(serve, "LOOK_SECONDS", 0.02)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = pathlib.Path(folder.name) / "settings.toml"
+        path.write_text(SETTINGS.format(grace=8))
+        async with running() as world:
+            gateway = await world.ready_gateway()
+            watching = asyncio.create_task(
+                serve.SettingsFile(str(path), gateway).watch()
+            )
+            path.write_text("nonsense [")
+            await asyncio.sleep(0.1)
+            self.assertEqual(8.0, gateway.settings.grace)
+            path.write_text(SETTINGS.format(grace=5))
+            await until(lambda: gateway.settings.grace == 5.0)
+            watching.cancel()
+
+
 class Watching(TestCase):
     async def test_metrics_and_state_tell_what_was_served(self):
         async with running() as world:
--- a/tests/serving/test_ledger.py
+++ b/tests/serving/test_ledger.py
@@ -2,6 +2,7 @@
 
 import random
 
+from bankrack.serving import ledger as ledger_module
 from bankrack.serving.job import Demand
 from bankrack.serving.ledger import Ledger
 from bankrack.serving.ledger import PROMPT_SECONDS
@@ -93,6 +94,12 @@
         self.first()
         self.assertEqual({}, self.ledger._placement_by_run)
 
+    def test_a_ledger_that_nobody_asks_stays_bounded(self):
+        self.patch(ledger_module, "MAX_PLACEMENTS", 3)
+        for number in range(10):
+            self.ledger.place(f"r-{number}", "one", SHORT)
+        self.assertEqual(["r-7", "r-8", "r-9"], list(self.ledger._placement_by_run))
+
     def test_a_suspect_comes_last(self):
         self.engines[0].suspect_until = self.now + 1.0
         self.assertEqual({"two"}, {self.first() for _ in range(20)})
