--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 MINUTES ?= 5
 
-.PHONY: demo test dist soak bench clean
+.PHONY: demo test dist soak soak-gateway bench clean
 
 $(VENV)/.run: requirements/run.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -31,6 +31,9 @@
 soak: $(VENV)/.dev
 	$(BIN)/python -m soak --seed $(SEED) --minutes $(MINUTES) $(if $(BUG),--bug $(BUG))
 
+soak-gateway: $(VENV)/.dev
+	$(BIN)/python -m soak.gateway --seed $(SEED) --minutes $(MINUTES) $(if $(BUG),--bug $(BUG))
+
 SEEDS ?= 1 2 3 4 5 6 7 8 9 10
 BENCHES := policies ablations views overload
 REPORTS := $(foreach w,derwent letterwerf,$(foreach e,$(BENCHES),$(foreach s,$(SEEDS),reports/$(w)-$(e)-$(s).json)))
