--- a/tests/platform/test_following.py
+++ b/tests/platform/test_following.py
@@ -73,6 +73,27 @@
                 lambda: all(g.view.table.version == 4 for g in gateways), seconds=0.5
             )
 
+    async def test_nodes_that_start_at_once_agree_on_readers_and_owner(self):
+        async with running() as world:
+            nodes = await asyncio.gather(
+                *(world.ready_gateway(f"n-{n}") for n in range(4))
+            )
+            await until(lambda: all(len(n.view.members_by_name) == 4 for n in nodes))
+            await until(lambda: sum(n.follower.leader is None for n in nodes) == 1)
+            owners = {node.owners.owner().name for node in nodes}
+            self.assertEqual(1, len(owners))
+
+    async def test_a_jump_of_the_time_of_day_changes_nothing(self):
+        async with running() as world:
+            gateway = await world.ready_gateway()
+            real = time.time
+            self.patch(time, "time", lambda: real() - 2400.0)
+            world.store.put("op/config", configuration(2))
+            await until(lambda: gateway.view.table.version == 2, seconds=2.0)
+            self.assertLess(gateway.view.age, 2.0)
+            found = await call(gateway.settings.front, "/bill/x")
+            self.assertEqual(200, found.status)
+
     async def test_what_stays_away_after_an_outage_is_gone_everywhere_in_time(self):
         async with running() as world:
             nodes = [await world.ready_gateway(f"n-{n}") for n in range(3)]
