--- /dev/null
+++ b/tests/platform/test_fuzz.py
@@ -0,0 +1,114 @@
+"""Whatever the platform sends, only typed errors come of it."""
+
+import json
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+import documents
+import engines
+from bankrack.exceptions import BankrackError
+from bankrack.exceptions import InvalidRequest
+from bankrack.exceptions import InvalidUpstreamData
+from bankrack.exceptions import PlatformDataInvalid
+from bankrack.fleet.store import Item
+from bankrack.front.relayfront import RequestHead
+from bankrack.serving.events import EventSplitter
+from callers import Callers
+from tests.base import TestCase
+from tests.platform.world import configuration
+
+KEYS = ("op/config", "servers/x", "system/nodes/n", "else")
+NAMES = (
+    "Host",
+    "Bankrack-Request-Id",
+    "Bankrack-Deadline-Ms",
+    "Bankrack-Token-Usage",
+    "Bankrack-Prompt-Prefix",
+    "Length-Hint",
+    "Connection",
+)
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=9),
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(st.text(max_size=9), inner, max_size=4)
+    ),
+    max_leaves=12,
+)
+HEADER = st.tuples(st.sampled_from(NAMES), st.text(max_size=40))
+quick = settings(derandomize=True, max_examples=150, deadline=None)
+
+
+class Documents(TestCase):
+    @quick
+    @given(st.sampled_from(KEYS), st.binary(max_size=200))
+    def test_any_bytes(self, key, value):
+        self.decode(key, value)
+
+    @quick
+    @given(st.sampled_from(KEYS), JSON)
+    def test_any_json(self, key, found):
+        self.decode(key, json.dumps(found).encode())
+
+    @quick
+    @given(st.sampled_from(sorted(configuration())), JSON)
+    def test_a_configuration_with_one_field_spoiled(self, name, found):
+        spoiled = {**configuration(), name: found}
+        self.decode("op/config", json.dumps(spoiled).encode())
+
+    def decode(self, key: str, value: bytes) -> None:
+        try:
+            documents.decode(Item(key, value, 1))
+        except PlatformDataInvalid as error:
+            self.assertIn(key, error.message)
+
+
+class CallersHeaders(TestCase):
+    @quick
+    @given(st.lists(HEADER, max_size=8), st.text(max_size=30))
+    def test_any_headers(self, headers, target):
+        head = RequestHead("POST", target, headers, 0.0)
+        try:
+            job = Callers().decode(head, b"")
+        except InvalidRequest as error:
+            self.assertEqual(400, error.status)
+        else:
+            self.assertGreaterEqual(job.demand.prompt, 0)
+
+
+class UpstreamAnswers(TestCase):
+    @quick
+    @given(
+        st.integers(100, 599),
+        st.lists(st.tuples(st.text(max_size=20), st.text(max_size=40)), max_size=8),
+        st.text(max_size=20),
+    )
+    def test_any_head(self, status, headers, load):
+        sent = [*headers, ("Bankrack-Server-Load", load)]
+        head = engines.Upstreams().read_head(status, sent)
+        self.assertEqual(status, head.status)
+
+    @quick
+    @given(st.binary(max_size=300))
+    def test_any_report(self, body):
+        try:
+            engines._decode(body, engines._Report)
+        except BankrackError as error:
+            self.assertIn("decode", error.message)
+
+    @quick
+    @given(st.binary(max_size=400), st.lists(st.integers(1, 40), max_size=20))
+    def test_a_stream_cut_anywhere_loses_nothing(self, data, sizes):
+        splitter = EventSplitter()
+        events = []
+        rest = data
+        try:
+            for size in [*sizes, len(data) + 1]:
+                events += splitter.feed(rest[:size])
+                rest = rest[size:]
+        except InvalidUpstreamData:
+            return
+        whole = b"".join(event.data for event in events) + splitter.rest
+        self.assertEqual(data, whole)
