Ports of tests and soaks are given out once

Ruled out: a port left by an earlier soak (ports below those of outgoing connections, each soak ends its processes). The test failed first.

--- a/soak/gateway/__main__.py
+++ b/soak/gateway/__main__.py
@@ -56,7 +56,7 @@
         )
     finally:
         for gateway in gateways:
-            gateway.process.stop()
+            gateway.end()
         expiring.cancel()
         await troubles.end()
         await store.stop()
--- a/soak/gateway/processes.py
+++ b/soak/gateway/processes.py
@@ -70,6 +70,11 @@
         assert self._process is not None
         return self._process
 
+    def end(self) -> None:
+        """End its process, if it was ever started."""
+        if self._process is not None:
+            self._process.stop()
+
     def launch(self) -> None:
         """Start it; it is calm once it had time to come up."""
         script = ["-m", "soak.gateway.buggy", self._bug, str(self._settings)]
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -24,10 +24,17 @@
 OPERATORS = {"alice": "token-of-alice", "bob": "token-of-bob"}
 
 
+_given_ports: set[int] = set()
+"""Ports given out by this process; some are bound only later, by other processes."""
+
+
 def free_address() -> str:
     """Find an unused address below the ports that outgoing connections take."""
     while True:
         port = random.randrange(*PORTS)
+        if port in _given_ports:
+            continue
+        _given_ports.add(port)
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.bind(("127.0.0.1", port))
             return f"127.0.0.1:{port}"
--- a/tests/test_base.py
+++ b/tests/test_base.py
@@ -1,5 +1,6 @@
 import unittest
 
+from tests import fakes
 from tests.base import TestCase
 
 
@@ -27,3 +28,10 @@
         result = self.run_case(Passing)
         self.assertTrue(result.wasSuccessful())
         self.assertEqual([True], ran)
+
+
+class Addresses(TestCase):
+    def test_no_address_is_given_out_twice(self):
+        self.patch(fakes, "PORTS", (20000, 20060))
+        found = [fakes.free_address() for _ in range(30)]
+        self.assertEqual(30, len(set(found)))
