--- a/soak/gateway/judge.py
+++ b/soak/gateway/judge.py
@@ -18,6 +18,8 @@
 """Late timers of a busy machine; the promises' own bounds are whole seconds."""
 OVERLAP_SECONDS = 1.0
 """An engine may work so long beside the one that went on with its run."""
+LOG_EXCERPT = 3000
+"""Characters of a log that are shown from the first sign of a failure on."""
 BUDGET_WINDOW = 10.0
 BUDGET_RATIO = 0.2
 BUDGET_RESERVE = 56
@@ -54,7 +56,8 @@
             text = gateway.log.read_text(encoding="utf-8", errors="replace")
             for word in ("request_crashed", "background task failed", "Traceback"):
                 if word in text:
-                    self.violation(f"{gateway.log.name} has {word!r}")
+                    around = text[text.index(word) :][:LOG_EXCERPT]
+                    self.violation(f"{gateway.log.name} has {around}")
 
     def _judge_answer(self, call: Call, *, ran: bool) -> None:
         if spoiled := call.spoiled():
