A seed's faults hang on the seed alone; ports are taken by whole blocks

Cause: faults were drawn from the generator that the stand-in servers drew from too, so traffic decided which faults came, and on that machine no configuration was changed at all (the counts it printed have no 'configuration changed'). Ruled out: the judge (188 violations of the same bug here) and the bug itself.

Seeds 136 and 156 (a gateway logged a traceback and was not reachable): a port that was free while its process was between two lives could be given to another soak. Shown by a test that failed first: four processes taking 300 addresses each were given 44 of 1,200 twice. Each process now holds blocks of ports. Whether this was the cause of the two seeds is not shown, their logs were not kept.

--- a/soak/gateway/__main__.py
+++ b/soak/gateway/__main__.py
@@ -17,6 +17,7 @@
 from soak.gateway.callers import Callers
 from soak.gateway.judge import Judge
 from soak.gateway.processes import Gateway
+from soak.gateway.troubles import plan
 from soak.gateway.troubles import Troubles
 from soak.gateway.world import Journal
 from soak.gateway.world import SoakStore
@@ -30,7 +31,6 @@
     seed: int, minutes: float, bug: str, count: int, workers: int, folder: pathlib.Path
 ) -> int:
     """Run one soak; returns the exit code."""
-    chance = random.Random(seed)
     store = SoakStore(random.Random(seed + 1))
     await store.start()
     names = [f"gateway-{number}" for number in range(count)]
@@ -42,7 +42,7 @@
     callers = Callers(gateways, random.Random(seed + 2))
     judge = Judge(callers, journal)
     callers.calm = lambda gateway: time.monotonic() > gateway.calm_from
-    troubles = Troubles(gateways, store, journal, judge, chance)
+    troubles = Troubles(gateways, store, journal, judge, random.Random(seed + 3))
     expiring = asyncio.create_task(store.expire())
     try:
         await troubles.begin()
@@ -50,9 +50,10 @@
             await gateway.store_link.start()
             gateway.launch()
         await asyncio.sleep(COME_UP_SECONDS)
-        until = time.monotonic() + minutes * 60.0
+        seconds = minutes * 60.0
+        until = time.monotonic() + seconds + SETTLE_SECONDS
         await asyncio.gather(
-            troubles.run(until), callers.run(until + SETTLE_SECONDS, workers)
+            troubles.run(plan(seed, seconds)), callers.run(until, workers)
         )
     finally:
         for gateway in gateways:
--- a/soak/gateway/troubles.py
+++ b/soak/gateway/troubles.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import dataclasses
 import itertools
 import random
 import time
@@ -25,10 +26,58 @@
 STORE_TROUBLES = ("busy", "silent", "slow", "lost", "blind", "forgetful")
 LINK_TROUBLES = ("reset", "silent", "slow", "one way")
 SPOILS = ("error", "reset", "foreign", "torn")
+KINDS = (
+    "gateway killed",
+    "gateway frozen",
+    "gateway stopped",
+    "gateway reloaded",
+    *[f"store {trouble}" for trouble in STORE_TROUBLES],
+    *[f"store link {trouble}" for trouble in LINK_TROUBLES],
+    *[f"server link {trouble}" for trouble in LINK_TROUBLES],
+    *["server leaves"] * 4,
+    *["server spoils answers"] * 2,
+    *["engine reclaimed"] * 4,
+    "engine crashes",
+    "engine stalls",
+    *["configuration changed"] * 3,
+)
+"""Kinds of faults, each as often as it is to be drawn."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Fault:
+    """A fault that is to come.
+
+    :param at: seconds from the beginning of the soak.
+    :param chance: draws the details, so that these hang on nothing else.
+    """
+
+    at: float
+    kind: str
+    chance: random.Random
+
+
+def plan(seed: int, seconds: float) -> list[Fault]:
+    """Draw the faults of a soak; series of them overlap.
+
+    The plan hangs on the seed alone, so that a seed meets the same faults at the same
+    moments however much traffic the machine bears.
+    """
+    chance = random.Random(seed)
+    faults: list[Fault] = []
+    at = chance.uniform(*PAUSE_SECONDS)
+    while at < seconds:
+        details = random.Random(chance.getrandbits(64))
+        faults.append(Fault(at, chance.choice(KINDS), details))
+        at += chance.uniform(*PAUSE_SECONDS)
+    return faults
 
 
 class Troubles:
-    """Draws faults by chance; series of them overlap."""
+    """Puts the faults of a plan upon what runs.
+
+    :param chance: for what servers do by themselves, as their traffic asks for it.
+    """
 
     def __init__(
         self,
@@ -57,75 +106,86 @@
             await self._open_engine()
         self._store.put("op/config", configuration(self._version))
 
-    async def run(self, until: float) -> None:
-        """Go on until monotonic time ``until``, then heal everything."""
+    async def run(self, faults: t.Sequence[Fault]) -> None:
+        """Put ``faults`` on, each at its moment, then heal everything."""
+        began = time.monotonic()
         tasks: set[asyncio.Task[None]] = set()
-        while time.monotonic() < until:
-            await asyncio.sleep(self._chance.uniform(*PAUSE_SECONDS))
-            name, make = self._chance.choice(self._choices())
-            self.counts[name] += 1
-            print(f"fault {name}", flush=True)
-            tasks.add(asyncio.create_task(make()))
+        for fault in faults:
+            await asyncio.sleep(began + fault.at - time.monotonic())
+            self.counts[fault.kind] += 1
+            print(f"fault {fault.kind}", flush=True)
+            tasks.add(asyncio.create_task(self._put(fault)))
         await asyncio.gather(*tasks)
 
     async def end(self) -> None:
         """Close all servers."""
         await close([*self.servers, *self.engines])
 
-    def _choices(self) -> list[tuple[str, t.Callable[[], t.Awaitable[None]]]]:
-        gateway = self._chance.choice(self._gateways)
-        store = self._chance.choice(STORE_TROUBLES)
-        link = self._chance.choice(LINK_TROUBLES)
-        return [
-            ("gateway killed", lambda: self._alone(gateway, self._kill)),
-            ("gateway frozen", lambda: self._alone(gateway, self._freeze)),
-            ("gateway stopped", lambda: self._alone(gateway, self._stop)),
-            ("gateway reloaded", lambda: self._reload(gateway)),
-            (f"store {store}", lambda: self._trouble_store(store)),
-            (f"store link {link}", lambda: self._trouble_store_link(gateway, link)),
-            ("server leaves", self._server_leaves),
-            ("server leaves", self._server_leaves),
-            ("server spoils answers", self._spoil),
-            ("server link", lambda: self._trouble_server_link(link)),
-            ("engine reclaimed", self._engine_reclaimed),
-            ("engine reclaimed", self._engine_reclaimed),
-            ("engine crashes", self._engine_crashes),
-            ("engine stalls", self._engine_stalls),
-            ("configuration changed", self._change),
-        ]
+    async def _put(self, fault: Fault) -> None:
+        chance = fault.chance
+        gateway = chance.choice(self._gateways)
+        match fault.kind.split():
+            case ["gateway", trouble]:
+                await self._trouble_gateway(gateway, trouble, chance)
+            case ["store", "link", *trouble]:
+                await self._trouble_store_link(gateway, " ".join(trouble), chance)
+            case ["store", trouble]:
+                await self._trouble_store(trouble, chance)
+            case ["server", "link", *trouble]:
+                await self._trouble_server_link(" ".join(trouble), chance)
+            case ["server", "leaves"]:
+                await self._server_leaves(chance)
+            case ["server", "spoils", "answers"]:
+                await self._spoil(chance)
+            case ["engine", "reclaimed"]:
+                await self._engine_reclaimed(chance)
+            case ["engine", "crashes"]:
+                await self._engine_crashes(chance)
+            case ["engine", "stalls"]:
+                await self._engine_stalls(chance)
+            case ["configuration", "changed"]:
+                await self._change(chance)
+            case _:
+                raise ValueError(f"no fault is called {fault.kind}")
 
     # Gateways
 
+    async def _trouble_gateway(
+        self, gateway: Gateway, trouble: str, chance: random.Random
+    ) -> None:
+        match trouble:
+            case "killed":
+                down = chance.uniform(0.2, 2.0)
+                await self._alone(gateway, lambda: gateway.kill(down))
+            case "frozen":
+                still = chance.uniform(0.3, 3.0)
+                await self._alone(gateway, lambda: gateway.freeze(still))
+            case "stopped":
+                await self._alone(gateway, lambda: self._stop(gateway))
+            case "reloaded":
+                gateway.reload(told=chance.random() < 0.5)
+
     async def _alone(
-        self, gateway: Gateway, work: t.Callable[[Gateway], t.Awaitable[None]]
+        self, gateway: Gateway, work: t.Callable[[], t.Awaitable[None]]
     ) -> None:
         """One signal at a time for a gateway; several gateways at once."""
         if gateway.busy:
             return
         gateway.busy = True
         try:
-            await work(gateway)
+            await work()
         finally:
             gateway.busy = False
 
-    async def _kill(self, gateway: Gateway) -> None:
-        await gateway.kill(self._chance.uniform(0.2, 2.0))
-
-    async def _freeze(self, gateway: Gateway) -> None:
-        await gateway.freeze(self._chance.uniform(0.3, 3.0))
-
     async def _stop(self, gateway: Gateway) -> None:
         calm = time.monotonic() > gateway.calm_from
         in_time = await gateway.stop()
         if calm:
             self._judge.note_stop(gateway, in_time=in_time)
 
-    async def _reload(self, gateway: Gateway) -> None:
-        gateway.reload(told=self._chance.random() < 0.5)
-
     # The store
 
-    async def _trouble_store(self, trouble: str) -> None:
+    async def _trouble_store(self, trouble: str, chance: random.Random) -> None:
         store = self._store
         began = time.monotonic()
         if trouble == "forgetful":
@@ -134,7 +194,7 @@
             return
         match trouble:
             case "busy":
-                store.status = self._chance.choice([429, 503])
+                store.status = chance.choice([429, 503])
             case "silent":
                 store.silent = True
             case "slow":
@@ -143,15 +203,17 @@
                 store.lost_share = 0.4
             case "blind":
                 store.watch_blind = True
-        await asyncio.sleep(self._chance.uniform(1.0, 6.0))
+        await asyncio.sleep(chance.uniform(1.0, 6.0))
         store.status = 0
         store.silent = store.watch_blind = False
         store.delay = store.lost_share = 0.0
         if trouble != "blind":
             self._judge.store_trouble.append((began, time.monotonic()))
 
-    async def _trouble_store_link(self, gateway: Gateway, trouble: str) -> None:
-        seconds = self._chance.uniform(0.5, 5.0)
+    async def _trouble_store_link(
+        self, gateway: Gateway, trouble: str, chance: random.Random
+    ) -> None:
+        seconds = chance.uniform(0.5, 5.0)
         gateway.disturb(seconds + 4.0)
         await self._trouble_link(gateway.store_link, trouble, seconds)
 
@@ -178,14 +240,14 @@
         self._store.put(f"servers/{server.id}", server.entry("plain"))
         return server
 
-    async def _server_leaves(self) -> None:
+    async def _server_leaves(self, chance: random.Random) -> None:
         """One leaves as planned once another has come."""
-        leaving = self._chance.choice(self.servers)
+        leaving = chance.choice(self.servers)
         await self._open_server()
         if leaving not in self.servers:
             return
         self.servers.remove(leaving)
-        if self._chance.random() < 0.7:
+        if chance.random() < 0.7:
             entry = leaving.entry("plain", state="draining")
             self._store.put(f"servers/{leaving.id}", entry)
             self._judge.left_at_by_server[leaving.id] = time.monotonic()
@@ -197,17 +259,17 @@
             await asyncio.sleep(SERVE_ON_SECONDS)
         await leaving.stop()
 
-    async def _spoil(self) -> None:
-        server = self._chance.choice(self.servers)
-        server.trouble = self._chance.choice(SPOILS)
-        await asyncio.sleep(self._chance.uniform(1.0, 4.0))
+    async def _spoil(self, chance: random.Random) -> None:
+        server = chance.choice(self.servers)
+        server.trouble = chance.choice(SPOILS)
+        await asyncio.sleep(chance.uniform(1.0, 4.0))
         server.trouble = ""
 
-    async def _trouble_server_link(self, trouble: str) -> None:
-        server = self._chance.choice([*self.servers, *self.engines])
+    async def _trouble_server_link(self, trouble: str, chance: random.Random) -> None:
+        server = chance.choice([*self.servers, *self.engines])
         for gateway in self._gateways:
             gateway.disturb(0.0)
-        await self._trouble_link(server.link, trouble, self._chance.uniform(0.5, 3.0))
+        await self._trouble_link(server.link, trouble, chance.uniform(0.5, 3.0))
 
     # Engines
 
@@ -219,17 +281,17 @@
             known.engine_by_address = {e.address: e for e in self.engines}
         self._store.put(f"servers/{engine.id}", engine.entry("engines"))
 
-    def _take_engine(self) -> SoakEngine | None:
+    def _take_engine(self, chance: random.Random) -> SoakEngine | None:
         """Take one away from those that stay, never the last but one."""
         if len(self.engines) <= 2:
             return None
-        engine = self._chance.choice(self.engines)
+        engine = chance.choice(self.engines)
         self.engines.remove(engine)
         return engine
 
-    async def _engine_reclaimed(self) -> None:
+    async def _engine_reclaimed(self, chance: random.Random) -> None:
         """One says that it leaves and is gone soon after; another comes."""
-        engine = self._take_engine()
+        engine = self._take_engine(chance)
         if engine is None:
             return
         entry = engine.entry("engines", state="draining")
@@ -238,8 +300,8 @@
         await asyncio.sleep(ENGINE_NOTICE_SECONDS)
         await self._end_engine(engine)
 
-    async def _engine_crashes(self) -> None:
-        engine = self._take_engine()
+    async def _engine_crashes(self, chance: random.Random) -> None:
+        engine = self._take_engine(chance)
         if engine is not None:
             await self._end_engine(engine)
 
@@ -252,17 +314,17 @@
         await asyncio.sleep(1.0)
         await self._open_engine()
 
-    async def _engine_stalls(self) -> None:
-        engine = self._chance.choice(self.engines)
+    async def _engine_stalls(self, chance: random.Random) -> None:
+        engine = chance.choice(self.engines)
         engine.stalled = True
-        await asyncio.sleep(self._chance.uniform(0.3, 1.5))
+        await asyncio.sleep(chance.uniform(0.3, 1.5))
         engine.stalled = False
 
     # Configuration
 
-    async def _change(self) -> None:
+    async def _change(self, chance: random.Random) -> None:
         """Add a route; versions climb in uneven steps."""
-        self._version += self._chance.randint(1, 5)
+        self._version += chance.randint(1, 5)
         path = f"look{self._version}"
         self._added.append(path)
         document = configuration(self._version)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -19,25 +19,57 @@
 from bankrack.standins.keyvalue import PlatformStandIn
 from bankrack.standins.plain import PlainStandIn
 
-PORTS = (20000, 32000)
+PORTS = (10000, 32000)
+"""Below the ports that outgoing connections take."""
+BLOCK_PORTS = 100
 TOKENS = {"north": "token-of-north", "south": "token-of-south"}
 OPERATORS = {"alice": "token-of-alice", "bob": "token-of-bob"}
 
 
-_given_ports: set[int] = set()
-"""Ports given out by this process; some are bound only later, by other processes."""
+class AddressPool:
+    """Gives out each port of this machine to one process only, and once.
+
+    A port may be unbound for a while, as between two lives of a process, so that it
+    looks free to others.  The pool takes whole blocks of ports; a block is its own for
+    as long as it holds the first port of it, which is never given out.
+    """
+
+    def __init__(self) -> None:
+        self._holds: list[socket.socket] = []
+        self._left: list[int] = []
+
+    def take(self) -> str:
+        """Take the next free address, of a new block where the last is used up."""
+        while True:
+            if not self._left:
+                self._left = self._take_block()
+            port = self._left.pop()
+            with socket.socket() as probe, contextlib.suppress(OSError):
+                probe.bind(("127.0.0.1", port))
+                return f"127.0.0.1:{port}"
+
+    def _take_block(self) -> list[int]:
+        starts = list(range(*PORTS, BLOCK_PORTS))
+        random.shuffle(starts)
+        for start in starts:
+            hold = socket.socket()
+            try:
+                hold.bind(("127.0.0.1", start))
+            except OSError:
+                # Another process holds it; so does this one, for blocks it used up.
+                hold.close()
+                continue
+            self._holds.append(hold)
+            return list(range(start + 1, min(start + BLOCK_PORTS, PORTS[1])))
+        raise RuntimeError("all blocks of ports are taken; run fewer tests at once")
+
+
+_addresses = AddressPool()
 
 
 def free_address() -> str:
-    """Find an unused address below the ports that outgoing connections take."""
-    while True:
-        port = random.randrange(*PORTS)
-        if port in _given_ports:
-            continue
-        _given_ports.add(port)
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind(("127.0.0.1", port))
-            return f"127.0.0.1:{port}"
+    """Take an address that no other test, soak or benchmark is given."""
+    return _addresses.take()
 
 
 def settings_text(name: str, platform: str, *, seeds: t.Sequence[str] = ()) -> str:
--- a/tests/test_base.py
+++ b/tests/test_base.py
@@ -1,3 +1,5 @@
+import subprocess
+import sys
 import unittest
 
 from tests import fakes
@@ -30,8 +32,40 @@
         self.assertEqual([True], ran)
 
 
+TAKE_MANY = """
+import sys
+from tests import fakes
+print(*(fakes.free_address() for _ in range(300)), flush=True)
+sys.stdin.read()
+"""
+
+
 class Addresses(TestCase):
     def test_no_address_is_given_out_twice(self):
-        self.patch(fakes, "PORTS", (20000, 20060))
-        found = [fakes.free_address() for _ in range(30)]
-        self.assertEqual(30, len(set(found)))
+        pool = fakes.AddressPool()
+        found = [pool.take() for _ in range(2 * fakes.BLOCK_PORTS)]
+        self.assertEqual(len(found), len(set(found)))
+
+    def test_processes_beside_each_other_are_given_different_ones(self):
+        processes = [
+            subprocess.Popen(
+                [sys.executable, "-c", TAKE_MANY],
+                stdin=subprocess.PIPE,
+                stdout=subprocess.PIPE,
+                text=True,
+            )
+            for _ in range(4)
+        ]
+        found = [process.stdout.readline().split() for process in processes]
+        for process in processes:
+            process.communicate()
+        given = [address for addresses in found for address in addresses]
+        self.assertEqual(1200, len(given))
+        self.assertEqual(1200, len(set(given)))
+
+    def test_running_out_of_ports_is_told(self):
+        self.patch(fakes, "PORTS", (31900, 32000))
+        pool = fakes.AddressPool()
+        with self.assertRaisesRegex(RuntimeError, "run fewer"):
+            for _ in range(fakes.BLOCK_PORTS):
+                pool.take()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,6 +4,8 @@
 import subprocess
 import sys
 
+from soak.gateway.troubles import plan
+
 from tests.base import TestCase
 
 ROOT = pathlib.Path(__file__).parents[1]
@@ -28,6 +30,20 @@
     return [int(line.split()[0]) for line in lines if line and line[0] != "#"]
 
 
+class Planning(TestCase):
+    def planned(self, seed: int, seconds: float) -> list[tuple[float, str, float]]:
+        found = plan(seed, seconds)
+        return [(fault.at, fault.kind, fault.chance.random()) for fault in found]
+
+    def test_a_seed_always_draws_the_same_faults(self):
+        self.assertEqual(self.planned(7, 60.0), self.planned(7, 60.0))
+        self.assertNotEqual(self.planned(7, 60.0), self.planned(8, 60.0))
+
+    def test_a_longer_soak_begins_like_a_shorter_one(self):
+        short = self.planned(7, 20.0)
+        self.assertEqual(short, self.planned(7, 60.0)[: len(short)])
+
+
 class Soaking(TestCase):
     def test_a_short_soak_breaks_no_promise(self):
         found = soak(1, 0.25)
