--- a/src/bankrack/fleet/follower.py
+++ b/src/bankrack/fleet/follower.py
@@ -70,7 +70,7 @@
         self._own_reading_due = 0.0
         self.store_confirmed_at = 0.0
         self.leader: str | None = None
-        self._stale_leader: str | None = None
+        self._stale_leaders: set[str] = set()
 
     @property
     def store_age(self) -> float:
@@ -94,7 +94,7 @@
                 self._roster.distrust(leader)
                 continue
             if age <= STALE_SECONDS:
-                self._stale_leader = None
+                self._stale_leaders.discard(leader.name)
             else:
                 self._note_stale(leader.name, age)
                 self._roster.distrust(leader, seconds=STALE_DISTRUST_SECONDS)
@@ -231,8 +231,8 @@
 
     def _note_stale(self, name: str, age: float) -> None:
         """Log once that a leader's view is old, not each time it is asked."""
-        if self._stale_leader != name:
-            self._stale_leader = name
+        if name not in self._stale_leaders:
+            self._stale_leaders.add(name)
             logs.event(_logger, "leader_stale", leader=name, age=age)
 
     def _note_leader(self, name: str | None) -> None:
--- a/src/bankrack/fleet/owners.py
+++ b/src/bankrack/fleet/owners.py
@@ -33,7 +33,7 @@
 DISTRUST_SECONDS = 3.0
 """How long an owner that did not answer is passed over."""
 MAX_NOTES = 500
-"""Notes kept while the owner can't be reached; older ones are dropped."""
+"""Notes kept between two flushes; what comes beyond them is not told."""
 
 _logger = logging.getLogger(__name__)
 
--- a/src/bankrack/fleet/peers.py
+++ b/src/bankrack/fleet/peers.py
@@ -7,6 +7,8 @@
 
 import asyncio
 import contextlib
+import dataclasses
+import logging
 import time
 import typing as t
 
@@ -14,6 +16,7 @@
 import msgspec
 from aiohttp import web
 
+from bankrack import logs
 from bankrack.exceptions import PeerUnavailable
 from bankrack.fleet.documents import Member
 from bankrack.fleet.store import Item
@@ -28,6 +31,8 @@
 ANSWER_SECONDS = 0.45
 """Longest time for an answer beyond the tick; a hall is some ms wide."""
 
+_logger = logging.getLogger(__name__)
+
 
 class ReportMessage(msgspec.Struct, array_like=True):
     """An engine's report; ``age`` in seconds."""
@@ -61,6 +66,36 @@
     reports: list[ReportMessage]
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Question:
+    """What a follower knows already.
+
+    :param serial: of the view that it was told last; empty for none.
+    :param since: revision of its own view.
+    :param sent: the leader's clock at its last answer.
+    :param engines: whether the follower uses engines.
+    """
+
+    serial: str
+    since: int
+    sent: float
+    engines: bool
+
+
+def _parse_question(query: t.Mapping[str, str]) -> _Question:
+    """Decode a question; a malformed one is refused and logged."""
+    try:
+        return _Question(
+            serial=query.get("serial", ""),
+            since=int(query.get("since", "0")),
+            sent=float(query.get("sent", "0")),
+            engines=query.get("engines") == "1",
+        )
+    except ValueError as error:
+        logs.event(_logger, "peer_message_invalid", reason=str(error))
+        raise web.HTTPBadRequest(text=str(error)) from error
+
+
 class UpdateServer:
     """Answers followers.
 
@@ -86,14 +121,14 @@
         view = self._view
         if not view.confirmed_at:
             return web.Response(status=503)
-        if request.query.get("engines") == "1":
+        question = _parse_question(request.query)
+        if question.engines:
             self._note_engines()
-        known = request.query.get("serial", "")
-        if known == self._serial():
+        if question.serial == self._serial():
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(view.changed.wait(), TICK_SECONDS)
-        changed = known != self._serial()
-        since = int(request.query.get("since", "0")) if known else 0
+        changed = question.serial != self._serial()
+        since = question.since if question.serial else 0
         message = UpdateMessage(
             serial=self._serial(),
             revision=view.revision,
@@ -101,7 +136,7 @@
             sent=time.monotonic(),
             keys=view.keys() if changed else None,
             items=self._items(since) if changed else [],
-            reports=self._reports(taken_after=float(request.query.get("sent", "0"))),
+            reports=self._reports(taken_after=question.sent),
         )
         return web.Response(body=msgspec.msgpack.encode(message))
 
--- a/src/bankrack/serving/client.py
+++ b/src/bankrack/serving/client.py
@@ -192,6 +192,7 @@
         Raises :exc:`UpstreamUnreachable` when nothing was sent, and
         :exc:`UpstreamFailed` when the job may have run.
         """
+        _refuse_if_leaving(send)
         job = send.job
         url = _url(send.upstream.address, job.target)
         try:
@@ -222,6 +223,18 @@
         return Exchange(response, head)
 
 
+def _refuse_if_leaving(send: Send) -> None:
+    """Keep new work from an upstream that leaves, whoever chose it.
+
+    The last check before a send: an upstream may begin to leave between its choice
+    and this moment, as while an engine was asked for a place.
+    """
+    if send.resume is None and send.upstream.leaving:
+        raise UpstreamUnreachable(
+            f"{send.upstream.id} began to leave; nothing was sent, try another"
+        )
+
+
 def _pairs(response: aiohttp.ClientResponse) -> list[Header]:
     return [
         (name.decode("latin-1"), value.decode("latin-1"))
--- a/src/bankrack/serving/ledger.py
+++ b/src/bankrack/serving/ledger.py
@@ -110,6 +110,7 @@
         output = demand.expected - demand.prompt
         placement = Placement(engine, demand.prompt, output, self._clock())
         if placement.short and run not in self._placement_by_run:
+            self._forget_prompts()
             self._short_prompts.append((placement.placed, placement.prompt))
         self._placement_by_run[run] = placement
 
@@ -170,6 +171,9 @@
         for run, placement in list(self._placement_by_run.items()):
             if placement.placed < oldest:
                 del self._placement_by_run[run]
+        self._forget_prompts()
+
+    def _forget_prompts(self) -> None:
         since = self._clock() - RATE_WINDOW_SECONDS
         while self._short_prompts and self._short_prompts[0][0] < since:
             self._short_prompts.popleft()
--- a/tests/serving/test_ledger.py
+++ b/tests/serving/test_ledger.py
@@ -6,6 +6,7 @@
 from bankrack.serving.job import Demand
 from bankrack.serving.ledger import Ledger
 from bankrack.serving.ledger import PROMPT_SECONDS
+from bankrack.serving.ledger import RATE_WINDOW_SECONDS
 from bankrack.serving.ledger import RUN_SECONDS
 from bankrack.serving.upstreams import EngineReport
 from bankrack.serving.upstreams import Upstream
@@ -122,6 +123,14 @@
             self.ledger.place(f"r-{number}", "one", SHORT)
         self.assertEqual(["r-7", "r-8", "r-9"], list(self.ledger._placement_by_run))
 
+    def test_prompts_that_nobody_asks_about_are_forgotten(self):
+        for number in range(100):
+            self.now += 1.0
+            demand = Demand(prompt=3000, output_limit=9)
+            self.ledger.place(f"r-{number}", "one", demand)
+        oldest = self.ledger._short_prompts[0][0]
+        self.assertLessEqual(self.now - oldest, RATE_WINDOW_SECONDS)
+
     def test_a_suspect_comes_last(self):
         self.engines[0].suspect_until = self.now + 1.0
         self.assertEqual({"two"}, {self.first() for _ in range(20)})
