The soak cuts halls apart, replaces all gateways, has slow callers, and voids itself

- Nodes are told of each other's links instead of addresses, so that what is told to the nodes of a hall can be reset, silenced, delayed or cut one way.
With the bug 'stop' (end at once) it is noticed.
- Some callers read nothing for up to 3 s.
A soak whose sources change meanwhile is void now (exit code 3).
- The test of the known bug takes a seed whose plan has what it needs.

--- a/soak/gateway/__main__.py
+++ b/soak/gateway/__main__.py
@@ -25,12 +25,33 @@
 COME_UP_SECONDS = 4.0
 SETTLE_SECONDS = 8.0
 HALLS = ("a", "b")
+ROOT = pathlib.Path(__file__).parents[2]
+SOURCES = ("src", "platform", "soak", "tests")
+VOID = 3
+"""Exit code of a soak that tells nothing."""
+
+
+def sources_stamp() -> dict[str, int]:
+    """When each source file was changed, by its path."""
+    files = (path for name in SOURCES for path in (ROOT / name).rglob("*.py"))
+    return {str(path): path.stat().st_mtime_ns for path in files}
 
 
 async def soak(
-    seed: int, minutes: float, bug: str, count: int, workers: int, folder: pathlib.Path
+    seed: int,
+    minutes: float,
+    bug: str,
+    count: int,
+    workers: int,
+    folder: pathlib.Path,
+    *,
+    replacing: bool = False,
 ) -> int:
-    """Run one soak; returns the exit code."""
+    """Run one soak; returns the exit code.
+
+    :param replacing: replace all gateways in turn instead of drawing faults.
+    """
+    stamp = sources_stamp()
     store = SoakStore(random.Random(seed + 1))
     await store.start()
     names = [f"gateway-{number}" for number in range(count)]
@@ -38,6 +59,10 @@
         Gateway(name, HALLS[number % len(HALLS)], store.address, folder, bug)
         for number, name in enumerate(names)
     ]
+    store.link_by_address = {
+        gateway.inner.encode(): gateway.inner_link.listen.encode()
+        for gateway in gateways
+    }
     journal = Journal()
     callers = Callers(gateways, random.Random(seed + 2))
     judge = Judge(callers, journal)
@@ -48,13 +73,17 @@
         await troubles.begin()
         for gateway in gateways:
             await gateway.store_link.start()
+            await gateway.inner_link.start()
             gateway.launch()
         await asyncio.sleep(COME_UP_SECONDS)
-        seconds = minutes * 60.0
-        until = time.monotonic() + seconds + SETTLE_SECONDS
-        await asyncio.gather(
-            troubles.run(plan(seed, seconds)), callers.run(until, workers)
-        )
+        calling = asyncio.create_task(callers.run(workers))
+        if replacing:
+            await troubles.replace_all()
+        else:
+            await troubles.run(plan(seed, minutes * 60.0))
+        await asyncio.sleep(SETTLE_SECONDS)
+        callers.ended = True
+        await calling
     finally:
         for gateway in gateways:
             gateway.end()
@@ -62,8 +91,13 @@
         await troubles.end()
         await store.stop()
     judge.judge(gateways)
+    if replacing:
+        judge.judge_replacing()
     print(f"seed {seed}, {minutes} minutes, bug {bug}, {count} gateways")
     _report(callers, troubles, journal, judge)
+    if sources_stamp() != stamp:
+        print("void: sources were changed meanwhile, so restarted gateways differ")
+        return VOID
     return 1 if judge.violations else 0
 
 
@@ -91,6 +125,9 @@
     parser.add_argument("--gateways", type=int, default=4)
     parser.add_argument("--workers", type=int, default=24)
     parser.add_argument("--bug", default="none", choices=list(BUGS))
+    parser.add_argument(
+        "--replacing", action="store_true", help="replace all gateways, no other fault"
+    )
     parser.add_argument("--keep", default="", help="folder to keep the logs in")
     options = parser.parse_args()
     with tempfile.TemporaryDirectory() as scratch:
@@ -104,6 +141,7 @@
                 options.gateways,
                 options.workers,
                 folder,
+                replacing=options.replacing,
             )
         )
 
--- a/soak/gateway/buggy.py
+++ b/soak/gateway/buggy.py
@@ -16,6 +16,7 @@
 from bankrack.exceptions import Outcome
 from bankrack.exceptions import UpstreamFailed
 from bankrack.fleet.view import View
+from bankrack.gateway import Gateway
 from bankrack.serving.events import EventOrder
 from bankrack.serving.job import Kind
 from bankrack.serving.plain import PlainRelay
@@ -65,6 +66,15 @@
     View._adopt_table = adopt  # type: ignore[method-assign]
 
 
+def stop_at_once() -> None:
+    """End without finishing what is in flight."""
+
+    async def stop(self: Gateway, reason: str) -> None:
+        await self._close()
+
+    Gateway.stop = stop  # type: ignore[method-assign]
+
+
 BUGS = {
     "none": lambda: None,
     "resume": resume_from_the_start,
@@ -72,6 +82,7 @@
     "repeat": repeat_anything,
     "leaving": ignore_leaving,
     "table": keep_first_table,
+    "stop": stop_at_once,
 }
 
 
--- a/soak/gateway/callers.py
+++ b/soak/gateway/callers.py
@@ -17,6 +17,11 @@
 KINDS = ("look", "look", "bill", "bill", "talk")
 PATIENCE_SECONDS = 6.0
 PAUSE_SECONDS = 0.08
+LEAVES_SHARE = 0.03
+"""Part of the callers that hang up in the middle of an answer."""
+DAWDLES_SHARE = 0.03
+DAWDLE_SECONDS = (0.5, 3.0)
+"""Some callers read nothing for so long once their answer began."""
 KEY = "key-1"
 
 
@@ -26,7 +31,7 @@
 
     :param path: ``look`` may be repeated, ``bill`` not, ``talk`` is a stream.
     :param status: of the answer; 0 where there was none.
-    :param reused: whether it was sent on a connection that had served another.
+    :param leaves: its caller hung up before the end.
     """
 
     request: str
@@ -40,6 +45,7 @@
     body: bytes = b""
     ended: float = 0.0
     connected: bool = True
+    leaves: bool = False
 
     def spoiled(self) -> str:
         """Say what is wrong with a success; empty when nothing is."""
@@ -67,27 +73,25 @@
     def __init__(self, gateways: list[Gateway], chance: random.Random) -> None:
         self.calls: list[Call] = []
         self.paths: list[str] = []
+        self.ended = False
         self.calm: t.Callable[[Gateway], bool] = lambda gateway: True
         self._gateways = gateways
         self._chance = chance
         self._numbers = itertools.count()
 
-    async def run(self, until: float, workers: int) -> None:
-        """Send until monotonic time ``until``."""
-        await asyncio.gather(*(self._work(until) for _ in range(workers)))
+    async def run(self, workers: int) -> None:
+        """Send until told that the soak ended."""
+        await asyncio.gather(*(self._work() for _ in range(workers)))
 
-    async def _work(self, until: float) -> None:
+    async def _work(self) -> None:
         timeout = aiohttp.ClientTimeout(total=PATIENCE_SECONDS + 2, sock_connect=1.0)
         async with aiohttp.ClientSession(timeout=timeout) as session:
-            while time.monotonic() < until:
+            while not self.ended:
                 path = self._chance.choice([*KINDS, *self.paths])
-                leaves = self._chance.random() < 0.03
-                await self.call(session, path, leaves=leaves)
+                await self.call(session, path)
                 await asyncio.sleep(self._chance.expovariate(1 / PAUSE_SECONDS))
 
-    async def call(
-        self, session: aiohttp.ClientSession, path: str, *, leaves: bool = False
-    ) -> Call:
+    async def call(self, session: aiohttp.ClientSession, path: str) -> Call:
         """Send one request to a gateway that was not told to stop."""
         open_to_calls = [g for g in self._gateways if self._takes_calls(g)]
         node = self._chance.choice(open_to_calls or self._gateways)
@@ -107,7 +111,7 @@
         try:
             async with session.request(method, url, headers=headers) as response:
                 call.status = response.status
-                await self._read(call, response, leaves=leaves)
+                await self._read(call, response)
         except aiohttp.ClientConnectorError:
             call.connected = False
         except (aiohttp.ClientError, TimeoutError, OSError):
@@ -120,12 +124,13 @@
         asked = gateway.stop_asked
         return not asked or time.monotonic() < asked + 2.0
 
-    async def _read(
-        self, call: Call, response: aiohttp.ClientResponse, *, leaves: bool
-    ) -> None:
+    async def _read(self, call: Call, response: aiohttp.ClientResponse) -> None:
+        call.leaves = self._chance.random() < LEAVES_SHARE
+        if self._chance.random() < DAWDLES_SHARE:
+            await asyncio.sleep(self._chance.uniform(*DAWDLE_SECONDS))
         async for part in response.content.iter_any():
             call.body += part
-            if leaves:
+            if call.leaves:
                 response.close()
                 call.calm = False
                 return
--- a/soak/gateway/judge.py
+++ b/soak/gateway/judge.py
@@ -59,6 +59,18 @@
                     around = text[text.index(word) :][:LOG_EXCERPT]
                     self.violation(f"{gateway.log.name} has {around}")
 
+    def judge_replacing(self) -> None:
+        """Nobody who reached a node may notice that all were replaced."""
+        for call in self._callers.calls:
+            served = call.whole and (
+                call.status == 200 or call.status in PROMISES_NOT_RUN
+            )
+            if call.connected and not call.leaves and not served:
+                self.violation(
+                    f"{call.request} ({call.path}) ended with {call.status} at "
+                    f"{call.node.name} while nodes were replaced"
+                )
+
     def _judge_answer(self, call: Call, *, ran: bool) -> None:
         if spoiled := call.spoiled():
             self.violation(f"{call.request} ({call.path}): {spoiled}")
--- a/soak/gateway/processes.py
+++ b/soak/gateway/processes.py
@@ -1,16 +1,21 @@
 """The gateways of a soak: real processes, started, stopped and disturbed by signals."""
 
 import asyncio
+import contextlib
 import pathlib
 import signal
 import time
 
+import aiohttp
 from benchmarks.processes import Process
 from tests.fakes import free_address
 
 from soak.links import Link
 
 GRACE_SECONDS = 8
+READY_PATH = "/v1/readyz"
+READY_SECONDS = 20.0
+READY_POLL_SECONDS = 0.1
 START_SECONDS = 3.0
 """A gateway that was started or woken is not judged for so long."""
 
@@ -42,6 +47,9 @@
         self, name: str, hall: str, store: str, folder: pathlib.Path, bug: str
     ) -> None:
         self.name = name
+        self.hall = hall
+        self.inner = free_address()
+        self.inner_link = Link(free_address(), self.inner)
         self.front = free_address()
         self.ready = free_address()
         self.log = folder / f"{name}.log"
@@ -57,7 +65,7 @@
             hall=hall,
             front=self.front,
             ready=self.ready,
-            inner=free_address(),
+            inner=self.inner,
             store=self.store_link.listen,
             grace=GRACE_SECONDS,
         )
@@ -113,6 +121,18 @@
         self.launch()
         return in_time
 
+    async def until_ready(self) -> None:
+        """Wait until the balancer would send callers here."""
+        limit = time.monotonic() + READY_SECONDS
+        async with aiohttp.ClientSession() as session:
+            while time.monotonic() < limit:
+                with contextlib.suppress(aiohttp.ClientError):
+                    async with session.get(f"http://{self.ready}{READY_PATH}") as found:
+                        if found.status == 200:
+                            return
+                await asyncio.sleep(READY_POLL_SECONDS)
+        raise TimeoutError(f"{self.name} is not ready after {READY_SECONDS} s")
+
     def reload(self, *, told: bool) -> None:
         """Write its settings anew, with a signal or without."""
         text = self._settings.read_text(encoding="utf-8")
--- a/soak/gateway/troubles.py
+++ b/soak/gateway/troubles.py
@@ -34,6 +34,7 @@
     *[f"store {trouble}" for trouble in STORE_TROUBLES],
     *[f"store link {trouble}" for trouble in LINK_TROUBLES],
     *[f"server link {trouble}" for trouble in LINK_TROUBLES],
+    *[f"hall cut {trouble}" for trouble in LINK_TROUBLES],
     *["server leaves"] * 4,
     *["server spoils answers"] * 2,
     *["engine reclaimed"] * 4,
@@ -117,6 +118,14 @@
             tasks.add(asyncio.create_task(self._put(fault)))
         await asyncio.gather(*tasks)
 
+    async def replace_all(self) -> None:
+        """Stop each gateway as planned, start it again, and go on to the next."""
+        for gateway in self._gateways:
+            self.counts["gateway replaced"] += 1
+            print(f"replacing {gateway.name}", flush=True)
+            await self._stop(gateway)
+            await gateway.until_ready()
+
     async def end(self) -> None:
         """Close all servers."""
         await close([*self.servers, *self.engines])
@@ -131,6 +140,8 @@
                 await self._trouble_store_link(gateway, " ".join(trouble), chance)
             case ["store", trouble]:
                 await self._trouble_store(trouble, chance)
+            case ["hall", "cut", *trouble]:
+                await self._cut_hall(gateway.hall, " ".join(trouble), chance)
             case ["server", "link", *trouble]:
                 await self._trouble_server_link(" ".join(trouble), chance)
             case ["server", "leaves"]:
@@ -217,6 +228,14 @@
         gateway.disturb(seconds + 4.0)
         await self._trouble_link(gateway.store_link, trouble, seconds)
 
+    async def _cut_hall(self, hall: str, trouble: str, chance: random.Random) -> None:
+        """Disturb what all nodes tell those of one hall; no promise rests on it."""
+        seconds = chance.uniform(0.5, 5.0)
+        links = [g.inner_link for g in self._gateways if g.hall == hall]
+        await asyncio.gather(
+            *(self._trouble_link(link, trouble, seconds) for link in links)
+        )
+
     async def _trouble_link(self, link: t.Any, trouble: str, seconds: float) -> None:
         match trouble:
             case "reset":
--- a/soak/gateway/world.py
+++ b/soak/gateway/world.py
@@ -70,10 +70,17 @@
         self.chance = chance
         self.lost_share = 0.0
         self.delay = 0.0
-        self.disturbed_until = 0.0
+        self.link_by_address: dict[bytes, bytes] = {}
         self._ends_by_lease: dict[int, float] = {}
         self._ttl_by_lease: dict[int, float] = {}
 
+    def put(self, key: str, value: t.Any, lease: int = 0) -> None:
+        """Store a value; nodes are told of each other's links, not addresses."""
+        if isinstance(value, bytes):
+            for address, link in self.link_by_address.items():
+                value = value.replace(address, link)
+        super().put(key, value, lease)
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer a call, late, or not at all though it took effect."""
         if self.delay:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,9 +1,13 @@
 """A short soak of real gateways, and proof that it would find a known bug."""
 
+import itertools
+import os
 import pathlib
 import subprocess
 import sys
+import tempfile
 
+from soak.gateway import __main__ as command
 from soak.gateway.troubles import plan
 
 from tests.base import TestCase
@@ -27,7 +31,16 @@
 def known_seeds() -> list[int]:
     """Seeds that failed once, each with a line on its cause."""
     lines = SEEDS.read_text(encoding="utf-8").splitlines()
-    return [int(line.split()[0]) for line in lines if line and line[0] != "#"]
+    return [int(line.split()[0]) for line in lines if line[:1].isdigit()]
+
+
+def seed_that_draws(kind: str, *, before: float) -> int:
+    """The first seed whose plan has a fault of ``kind`` in its first seconds."""
+    return next(
+        seed
+        for seed in itertools.count(1)
+        if any(fault.kind == kind for fault in plan(seed, before))
+    )
 
 
 class Planning(TestCase):
@@ -44,6 +57,20 @@
         self.assertEqual(short, self.planned(7, 60.0)[: len(short)])
 
 
+class Sources(TestCase):
+    def test_a_change_of_any_source_is_seen(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.patch(command, "ROOT", pathlib.Path(folder.name))
+        source = pathlib.Path(folder.name) / "src" / "part.py"
+        source.parent.mkdir()
+        source.write_text("first")
+        stamp = command.sources_stamp()
+        self.assertEqual(stamp, command.sources_stamp())
+        os.utime(source, (0, 0))
+        self.assertNotEqual(stamp, command.sources_stamp())
+
+
 class Soaking(TestCase):
     def test_a_short_soak_breaks_no_promise(self):
         found = soak(1, 0.25)
@@ -56,10 +83,21 @@
             self.assertEqual(0, found.returncode, found.stdout + found.stderr)
 
     def test_a_known_bug_is_found(self):
-        found = soak(3, 0.4, "--bug", "table")
+        seed = seed_that_draws("configuration changed", before=5.0)
+        found = soak(seed, 0.4, "--bug", "table")
         self.assertEqual(1, found.returncode, found.stdout + found.stderr)
         self.assertIn("was denied with 404", found.stdout)
 
+    def test_nobody_notices_that_all_gateways_are_replaced(self):
+        found = soak(1, 0.1, "--replacing", "--gateways", "3")
+        self.assertEqual(0, found.returncode, found.stdout + found.stderr)
+        self.assertIn("gateway replaced: 3", found.stdout)
+
+    def test_a_gateway_that_stops_at_once_is_noticed(self):
+        found = soak(1, 0.1, "--replacing", "--gateways", "2", "--bug", "stop")
+        self.assertEqual(1, found.returncode, found.stdout + found.stderr)
+        self.assertIn("while nodes were replaced", found.stdout)
+
     def test_an_unknown_bug_is_refused_with_the_names_there_are(self):
         found = soak(1, 0.1, "--bug", "nonsense")
         self.assertEqual(2, found.returncode)
