--- a/src/bankrack/fleet/roster.py
+++ b/src/bankrack/fleet/roster.py
@@ -1,9 +1,10 @@
 """Which nodes read the store, and whom the others ask.
 
 Every node reading the store for itself costs more calls the more nodes there
-are.  So in each hall a few read it, and the others follow one of them.  The
-order is computed from the members that live; nodes that disagree about it for
-a moment only read more often than needed.
+are.  So in each hall a few are heads, and the others follow one of them.  In a
+small fleet all heads read the store; in a large one the first of them does, and
+the others follow it.  The order is computed from the members that live; nodes
+that disagree about it for a moment only read more often than needed.
 """
 
 import hashlib
@@ -12,8 +13,11 @@
 
 from bankrack.fleet.documents import Member
 
-NODES_PER_READER = 30
-"""A reader answers each of its followers some four times a second."""
+NODES_PER_HEAD = 30
+"""A head answers each of its followers some four times a second."""
+LARGE_FLEET = 24
+"""Members from which on one head reads for all halls.  Calls to the store are then
+worth more than news that come a step sooner, and than a hall that needs no other."""
 WIDE_LINK_MBPS = 40.0
 """A leader of 30 sends some 3 Mbit/s while much changes, in bursts."""
 DEPUTIES = 2
@@ -37,12 +41,14 @@
     return sorted({member.name: member for member in members}.values(), key=_order)
 
 
-def _count_readers(ranked: t.Sequence[Member]) -> int:
-    return 1 + (len(ranked) - 1) // NODES_PER_READER
+def _heads(members: t.Iterable[Member]) -> list[Member]:
+    """The members of a hall whom its others follow, of its ranked members."""
+    ranked = rank_members(members)
+    return ranked[: 1 + (len(ranked) - 1) // NODES_PER_HEAD]
 
 
 class Roster:
-    """Order of the members of one hall.
+    """Whom one node follows.
 
     :param members: gives the members that live, this node among them or not.
     :param seeds: inner addresses of some nodes, perhaps out of date.
@@ -64,25 +70,45 @@
 
     def leader(self) -> Member | None:
         """Whom to follow; ``None`` when this node reads the store itself."""
-        if self.reads():
-            return None
+        hall = self._members_of(self._own.hall)
+        heads = _heads(hall)
+        if self._is_among(heads):
+            return self._first_trusted(self._readers_and_deputies())
+        offset = int.from_bytes(_rank(self._own.name)) % len(heads)
+        own_first = heads[offset:] + heads[:offset]
+        deputies = rank_members(hall)[len(heads) : len(heads) + DEPUTIES]
+        return self._first_trusted([*own_first, *deputies])
+
+    def reads(self) -> bool:
+        """Whether this node is one of those that are to read the store."""
+        heads = _heads(self._members_of(self._own.hall))
+        if not self._is_among(heads):
+            return False
+        return self._readers_and_deputies()[0].name == self._own.name
+
+    def _readers_and_deputies(self) -> list[Member]:
+        """Whom a head follows before it reads for itself, the reader first."""
+        members = rank_members([*self._members(), self._own])
+        if len(members) < LARGE_FLEET:
+            return [self._own]
+        by_hall: dict[str, list[Member]] = {}
+        for member in members:
+            by_hall.setdefault(member.hall, []).append(member)
+        of_all = [head for hall in by_hall.values() for head in _heads(hall)]
+        return rank_members(of_all)[: 1 + DEPUTIES]
+
+    def _first_trusted(self, candidates: t.Iterable[Member]) -> Member | None:
+        """The first candidate that answers, if it comes before this node."""
         now = self._clock()
-        ranked = self._ranked()
-        readers = _count_readers(ranked)
-        offset = int.from_bytes(_rank(self._own.name)) % readers
-        first = ranked[offset:readers] + ranked[:offset]
-        for member in [*first, *ranked[readers : readers + DEPUTIES]]:
+        for member in candidates:
             if member.name == self._own.name:
                 return None
             if now >= self._distrusted_until_by_name.get(member.name, 0.0):
                 return member
         return None
 
-    def reads(self) -> bool:
-        """Whether this node is one of those that are to read the store."""
-        ranked = self._ranked()
-        readers = ranked[: _count_readers(ranked)]
-        return any(member.name == self._own.name for member in readers)
+    def _is_among(self, members: t.Iterable[Member]) -> bool:
+        return any(member.name == self._own.name for member in members)
 
     def seeds(self) -> list[Member]:
         """Nodes to ask when nothing is known yet; they may be gone."""
@@ -93,6 +119,6 @@
         """Pass a member over for a while."""
         self._distrusted_until_by_name[member.name] = self._clock() + seconds
 
-    def _ranked(self) -> list[Member]:
-        neighbours = [m for m in self._members() if m.hall == self._own.hall]
-        return rank_members([*neighbours, self._own])
+    def _members_of(self, hall: str) -> list[Member]:
+        neighbours = [m for m in self._members() if m.hall == hall]
+        return [*neighbours, self._own]
--- a/tests/fleet/test_roster.py
+++ b/tests/fleet/test_roster.py
@@ -3,7 +3,7 @@
 from bankrack.fleet.documents import Member
 from bankrack.fleet.roster import DEPUTIES
 from bankrack.fleet.roster import DISTRUST_SECONDS
-from bankrack.fleet.roster import NODES_PER_READER
+from bankrack.fleet.roster import NODES_PER_HEAD
 from bankrack.fleet.roster import Roster
 from tests.base import TestCase
 
@@ -20,19 +20,58 @@
     def roster(self, own: Member, known: list[Member]) -> Roster:
         return Roster(own, lambda: known, clock=lambda: self.now)
 
+    def halls(self, *sizes: int) -> list[Member]:
+        return [m for n, size in enumerate(sizes) for m in members(size, f"hall-{n}")]
+
+    def leaders(self, known: list[Member]) -> dict[str, Member | None]:
+        return {m.name: self.roster(m, known).leader() for m in known}
+
+    def test_halls_of_a_small_fleet_each_have_a_reader(self):
+        leaders = self.leaders(self.halls(3, 3, 2))
+        self.assertEqual(3, list(leaders.values()).count(None))
+
+    def test_a_large_fleet_has_one_reader(self):
+        known = self.halls(26, 26, 26)
+        leaders = self.leaders(known)
+        self.assertEqual(1, list(leaders.values()).count(None))
+        reading = [m for m in known if self.roster(m, known).reads()]
+        self.assertEqual(
+            [n for n, leader in leaders.items() if not leader],
+            [m.name for m in reading],
+        )
+
+    def test_only_heads_follow_another_hall(self):
+        known = self.halls(26, 26, 26)
+        hall_by_name = {m.name: m.hall for m in known}
+        abroad = [
+            name
+            for name, leader in self.leaders(known).items()
+            if leader and leader.hall != hall_by_name[name]
+        ]
+        self.assertEqual(2, len(abroad))
+
+    def test_a_head_reads_for_itself_once_the_readers_fail(self):
+        known = self.halls(26, 26, 26)
+        for member in known:
+            roster = self.roster(member, known)
+            tried = []
+            while (leader := roster.leader()) is not None:
+                tried.append(leader.name)
+                roster.distrust(leader)
+            self.assertLessEqual(len(tried), 1 + DEPUTIES)
+
     def test_a_small_hall_has_one_reader_that_all_follow(self):
         known = members(8)
         leaders = [self.roster(member, known).leader() for member in known]
         self.assertEqual(1, leaders.count(None))
         self.assertEqual(1, len({leader.name for leader in leaders if leader}))
 
-    def test_readers_grow_with_the_hall(self):
-        known = members(3 * NODES_PER_READER)
-        leaders = [self.roster(member, known).leader() for member in known]
-        self.assertEqual(3, leaders.count(None))
-        followed = [leader.name for leader in leaders if leader]
+    def test_heads_grow_with_the_hall(self):
+        known = members(3 * NODES_PER_HEAD)
+        followed = [leader.name for leader in self.leaders(known).values() if leader]
         counts = [followed.count(name) for name in set(followed)]
-        self.assertLess(max(counts), 2 * NODES_PER_READER)
+        self.assertEqual(3, len(counts))
+        self.assertLess(max(counts), 2 * NODES_PER_HEAD)
 
     def test_halls_are_apart(self):
         own = members(1, "b")[0]
@@ -52,14 +91,12 @@
         self.assertEqual(tried[:1], [back.name] if back else [])
 
     def test_nobody_follows_in_a_circle(self):
-        known = members(40)
-        leader_by_name = {}
-        for member in known:
-            leader = self.roster(member, known).leader()
-            leader_by_name[member.name] = leader.name if leader else None
-        for name in leader_by_name:
+        leaders = self.leaders([*members(40), *members(35, "b")])
+        for name in leaders:
             seen = set()
-            while name is not None:
-                self.assertNotIn(name, seen)
-                seen.add(name)
-                name = leader_by_name[name]
+            follower: str | None = name
+            while follower is not None:
+                self.assertNotIn(follower, seen)
+                seen.add(follower)
+                leader = leaders[follower]
+                follower = leader.name if leader else None
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -39,10 +39,12 @@
         for engine in self.engines:
             self.store.put(f"servers/{engine.id}", engine.entry("engines"))
 
-    async def gateway(self, name: str = "n-1", *, grace: float = 8.0) -> Gateway:
+    async def gateway(
+        self, name: str = "n-1", *, grace: float = 8.0, hall: str = "a"
+    ) -> Gateway:
         settings = GatewaySettings(
             name=name,
-            hall="a",
+            hall=hall,
             front=free_address(),
             ready=free_address(),
             inner=free_address(),
--- a/tests/platform/test_following.py
+++ b/tests/platform/test_following.py
@@ -3,9 +3,12 @@
 import asyncio
 import time
 
+from bankrack.fleet import roster
+from bankrack.gateway import Gateway
 from tests.base import TestCase
 from tests.platform.deployment import running
 from tests.platform.deployment import until
+from tests.platform.deployment import World
 from tests.platform.world import call
 from tests.platform.world import configuration
 
@@ -121,6 +124,52 @@
             await until(lambda: follower.view.table.version == 4, seconds=1.8)
 
 
+class LargeFleets(TestCase):
+    async def begin(self, world: World) -> list[Gateway]:
+        """Two halls of two nodes each, as if they were many."""
+        self.patch(roster, "LARGE_FLEET", 4)
+        nodes = [
+            await world.ready_gateway(f"n-{n}", hall="ab"[n % 2]) for n in range(4)
+        ]
+        await until(lambda: all(len(n.view.members_by_name) == 4 for n in nodes))
+        await until(lambda: sum(n.follower.leader is None for n in nodes) == 1)
+        return nodes
+
+    async def test_one_node_reads_for_all_halls(self):
+        async with running() as world:
+            nodes = await self.begin(world)
+            calls = len(world.store.calls)
+            world.store.put("op/config", configuration(4))
+            await until(
+                lambda: all(n.view.table.version == 4 for n in nodes), seconds=0.5
+            )
+            [reader] = [n for n in nodes if n.follower.leader is None]
+            self.assertTrue(reader.owners.owns)
+            self.assertLess(len(world.store.calls) - calls, 6)
+
+    async def test_all_halls_learn_of_a_change_in_time_once_the_reader_died(self):
+        async with running() as world:
+            nodes = await self.begin(world)
+            [reader] = [n for n in nodes if n.follower.leader is None]
+            others = [n for n in nodes if n is not reader]
+            await reader._close()
+            world.store.put("op/config", configuration(4))
+            await until(
+                lambda: all(n.view.table.version == 4 for n in others), seconds=1.8
+            )
+
+    async def test_what_stays_away_after_an_outage_is_gone_in_all_halls_in_time(self):
+        async with running() as world:
+            nodes = await self.begin(world)
+            world.store.status = 503
+            await asyncio.sleep(2.5)
+            world.store.remove("servers/p-1")
+            world.store.status = 0
+            returned = time.monotonic()
+            await until(lambda: all("p-1" not in n.upstreams.by_id for n in nodes))
+            self.assertLess(time.monotonic() - returned, LATEST_GONE_SECONDS)
+
+
 class Paging(TestCase):
     async def test_members_beyond_the_first_page_are_read_seldom(self):
         async with running() as world:
