Of those who lose the reader, few read for themselves

Cause: with one reader for all halls, its cut left 50 of 78 nodes with a view older than 1.2 s at once; each read the store, and each asked all engines for their reports. Change: only the heads and deputies of a hall go on at 1.2 s, the others wait until 2.0 s, and without a leader only the former ask engines.

--- a/src/bankrack/fleet/follower.py
+++ b/src/bankrack/fleet/follower.py
@@ -42,7 +42,9 @@
 """A reader that can't reach the store is asked again so soon: it learns of the
 store's return first, and all must know within 3 s what did not come back."""
 STALE_SECONDS = 1.2
-"""A leader whose view is older can't reach the store."""
+"""A leader whose view is older can't reach the store.  Those who stand by then read."""
+LATE_SECONDS = 2.0
+"""The others wait so long, until one who stood by reads, or else read themselves."""
 AWAY_SECONDS = 1.5
 """After so long without the store its return counts as the end of an outage."""
 SETTLE_SECONDS = 1.0
@@ -93,7 +95,7 @@
                 logs.event(_logger, "leader_lost", reason=error.message)
                 self._roster.distrust(leader)
                 continue
-            if age <= STALE_SECONDS:
+            if age <= self._patience():
                 self._stale_leaders.discard(leader.name)
             else:
                 self._note_stale(leader.name, age)
@@ -229,6 +231,10 @@
         self._view.confirm(snapshot, asked_at=asked, source="store")
         return True
 
+    def _patience(self) -> float:
+        """Age of a leader's view, in seconds, from which on it is passed over."""
+        return STALE_SECONDS if self._roster.stands_by() else LATE_SECONDS
+
     def _note_stale(self, name: str, age: float) -> None:
         """Log once that a leader's view is old, not each time it is asked."""
         if name not in self._stale_leaders:
--- a/src/bankrack/fleet/roster.py
+++ b/src/bankrack/fleet/roster.py
@@ -86,6 +86,12 @@
             return False
         return self._readers_and_deputies()[0].name == self._own.name
 
+    def stands_by(self) -> bool:
+        """Whether this node is one of the first to read for its hall if need be."""
+        hall = self._members_of(self._own.hall)
+        first = len(_heads(hall)) + DEPUTIES
+        return self._is_among(rank_members(hall)[:first])
+
     def _readers_and_deputies(self) -> list[Member]:
         """Whom a head follows before it reads for itself, the reader first."""
         members = rank_members([*self._members(), self._own])
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -143,11 +143,13 @@
         self._asking = new_session(reuse=True)
         store = dialect.store(self._asking)
         own = Member(settings.name, settings.inner, settings.hall, settings.link_mbps)
-        roster = Roster(own, self.view.members_by_name.values, seeds=settings.seeds)
+        self.roster = Roster(
+            own, self.view.members_by_name.values, seeds=settings.seeds
+        )
         leaders = LeaderClient(
             self._asking, self.view, self.upstreams, uses_engines=self._uses_engines
         )
-        self.follower = Follower(store, self.view, roster, leaders)
+        self.follower = Follower(store, self.view, self.roster, leaders)
         self.announcer = Announcer(store, own)
         self.chooser = Chooser(hall=settings.hall)
         self.budget = SharedRetryBudget(settings.budget, nodes=self._count_nodes)
@@ -162,7 +164,7 @@
             self.upstreams,
         )
         self.reports = ReportFollower(
-            self.upstreams, self.chooser, control, reads=self._reads_store
+            self.upstreams, self.chooser, control, reads=self._reads_reports
         )
         parts = RelayParts(
             client, self.chooser, self.upstreams, self.budget, self.metrics
@@ -310,8 +312,15 @@
     def _count_nodes(self) -> int:
         return max(MIN_NODES, len(self.view.members_by_name))
 
-    def _reads_store(self) -> bool:
-        return self.follower.leader is None or self.owners.owns
+    def _reads_reports(self) -> bool:
+        """Whether this node asks the engines; the others are told by their leader.
+
+        In a large fleet that has lost the store, only some of those who then have no
+        leader do; each question is priced.
+        """
+        if self.owners.owns:
+            return True
+        return self.follower.leader is None and self.roster.stands_by()
 
     def _uses_engines(self) -> bool:
         return self.reports.in_use()
--- a/tests/fleet/test_follower.py
+++ b/tests/fleet/test_follower.py
@@ -22,6 +22,9 @@
     def leader(self) -> Member:
         return next(self._turns)
 
+    def stands_by(self) -> bool:
+        return True
+
     def distrust(self, member: Member, *, seconds: float) -> None:
         pass
 
--- a/tests/fleet/test_roster.py
+++ b/tests/fleet/test_roster.py
@@ -50,6 +50,12 @@
         ]
         self.assertEqual(2, len(abroad))
 
+    def test_few_of_a_large_hall_stand_by(self):
+        known = self.halls(26, 26, 26)
+        standing_by = [m.hall for m in known if self.roster(m, known).stands_by()]
+        self.assertEqual(3 * (1 + DEPUTIES), len(standing_by))
+        self.assertEqual(3, len(set(standing_by)))
+
     def test_a_head_reads_for_itself_once_the_readers_fail(self):
         known = self.halls(26, 26, 26)
         for member in known:
