Followers are told what changed, not all keys

A leader told each follower all keys at each change, and the reports of all engines each second; this mends the first. A follower that was confirmed by another meanwhile, or asks a new life of the leader, is still told all keys.

--- a/src/bankrack/fleet/peers.py
+++ b/src/bankrack/fleet/peers.py
@@ -28,6 +28,8 @@
 UPDATES_PATH = "/peer/updates"
 TICK_SECONDS = 0.25
 """A leader answers at least so often, and tells how old its view is."""
+NO_SERIAL = "none"
+"""Stands for a view that was confirmed by another than the leader that is asked."""
 ANSWER_SECONDS = 0.45
 """Longest time for an answer beyond the tick; a hall is some ms wide."""
 
@@ -49,8 +51,10 @@
 class UpdateMessage(msgspec.Struct):
     """What a leader tells.
 
-    :param keys: all keys that are in force; none where nothing changed.
-    :param items: items that changed since the revision asked for.
+    :param keys: all keys that are in force; none where the follower's serial is known,
+        and only what changed since then is told.
+    :param items: items that changed since that serial, or the revision asked for.
+    :param gone: keys of items that went since that serial.
     :param serial: changes with each change of the leader's view.
     :param age: seconds since the store confirmed the leader's view.
     :param sent: the leader's clock; the next question names it.
@@ -63,6 +67,7 @@
     sent: float
     keys: list[str] | None
     items: list[tuple[str, bytes, int]]
+    gone: list[str]
     reports: list[ReportMessage]
 
 
@@ -127,28 +132,44 @@
         if question.serial == self._serial():
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(view.changed.wait(), TICK_SECONDS)
-        changed = question.serial != self._serial()
-        since = question.since if question.serial else 0
+        message = self._answer(question)
+        return web.Response(body=msgspec.msgpack.encode(message))
+
+    def _serial(self) -> str:
+        return f"{self._name}/{self._view.serial}"
+
+    def _answer(self, question: _Question) -> UpdateMessage:
+        view = self._view
+        changed = self._keys_changed_since(question.serial)
         message = UpdateMessage(
             serial=self._serial(),
             revision=view.revision,
             age=view.age,
             sent=time.monotonic(),
-            keys=view.keys() if changed else None,
-            items=self._items(since) if changed else [],
+            keys=None,
+            items=[],
+            gone=[],
             reports=self._reports(taken_after=question.sent),
         )
-        return web.Response(body=msgspec.msgpack.encode(message))
-
-    def _serial(self) -> str:
-        return f"{self._name}-{self._view.serial}"
-
-    def _items(self, since: int) -> list[tuple[str, bytes, int]]:
-        return [
-            (item.key, item.value, item.revision)
-            for item in self._view.items
-            if item.value is not None and item.revision > since
-        ]
+        if changed is None:
+            message.keys = view.keys()
+            since = question.since if question.serial else 0
+            message.items = [_pack(i) for i in view.items if i.revision > since]
+            return message
+        for key in changed:
+            item = view.item(key)
+            if item is None:
+                message.gone.append(key)
+            else:
+                message.items.append(_pack(item))
+        return message
+
+    def _keys_changed_since(self, serial: str) -> set[str] | None:
+        """Keys that changed since a serial; ``None`` where all must be told."""
+        name, _, number = serial.rpartition("/")
+        if name != self._name or not number.isdigit():
+            return None
+        return self._view.keys_changed_since(int(number))
 
     def _reports(self, *, taken_after: float) -> list[ReportMessage]:
         now = time.monotonic()
@@ -167,6 +188,10 @@
         ]
 
 
+def _pack(item: Item) -> tuple[str, bytes, int]:
+    return item.key, item.value or b"", item.revision
+
+
 class LeaderClient:
     """Asks one leader, again and again."""
 
@@ -191,7 +216,7 @@
         Raises :exc:`PeerUnavailable`.
         """
         asked = time.monotonic()
-        serial = self._serial_by_name.get(leader.name, "")
+        serial = self._serial_of(leader)
         query = {
             "serial": serial,
             "since": str(self._view.revision),
@@ -212,11 +237,22 @@
         self._take(leader, message, asked)
         return message.age
 
+    def _serial_of(self, leader: Member) -> str:
+        """The serial that this node's view is built on.
+
+        Empty asks for all items, and one that the leader can't know for those that
+        are newer than this node's revision.
+        """
+        serial = self._serial_by_name.get(leader.name, "")
+        if serial and self._view.confirmed_by != leader.name:
+            return NO_SERIAL
+        return serial
+
     def _take(self, leader: Member, message: UpdateMessage, asked: float) -> None:
         view = self._view
         confirmed_at = asked - message.age
+        items = [Item(key, value, rev) for key, value, rev in message.items]
         if message.keys is not None:
-            items = [Item(key, value, rev) for key, value, rev in message.items]
             snapshot = view.complete(message.keys, items)
             if snapshot is None:
                 # Something that this node lacks is older than what it asked for.
@@ -225,6 +261,9 @@
             whole = Snapshot(snapshot.items, message.revision)
             view.confirm(whole, asked_at=confirmed_at, source=leader.name)
         else:
+            gone = [Item(key, None, message.revision) for key in message.gone]
+            changes = Snapshot((*items, *gone), message.revision)
+            view.change(changes, source=leader.name)
             view.confirmed_at = max(view.confirmed_at, confirmed_at)
         self._serial_by_name[leader.name] = message.serial
         self._sent_by_name[leader.name] = message.sent
--- a/src/bankrack/fleet/view.py
+++ b/src/bankrack/fleet/view.py
@@ -1,7 +1,9 @@
 """What this node believes: configuration, upstreams and members, with its age."""
 
 import asyncio
+import collections
 import dataclasses
+import itertools
 import logging
 import time
 import typing as t
@@ -22,6 +24,8 @@
 its return is noticed up to 0.9 s late, and from 3 s after it on nothing may be sent
 to an upstream whose entry stayed away."""
 
+MAX_CHANGES = 5000
+"""Newest changes that followers may ask for; the platform changes some a second."""
 MAX_GONE_KEYS = 5000
 """Keys that went and whose revision is remembered; readings overlap for seconds."""
 
@@ -59,6 +63,10 @@
         self._gone_revision_by_key: dict[str, int] = {}
         self._lenient_until = 0.0
         self.serial = 0
+        self.confirmed_by = ""
+        self._changed_keys: collections.deque[str] = collections.deque(
+            maxlen=MAX_CHANGES
+        )
         self.changed = asyncio.Event()
 
     @property
@@ -87,6 +95,7 @@
                 self._missing(key, snapshot.revision, source)
         self.revision = max(self.revision, snapshot.revision)
         self.confirmed_at = max(self.confirmed_at, asked_at)
+        self.confirmed_by = source
 
     def keys(self) -> list[str]:
         """Keys of all items."""
@@ -115,12 +124,29 @@
             self._take(item, source)
         self.revision = max(self.revision, changes.revision)
 
+    def item(self, key: str) -> Item | None:
+        """The item under a key."""
+        entry = self._entry_by_key.get(key)
+        return entry.item if entry else None
+
+    def keys_changed_since(self, serial: int) -> set[str] | None:
+        """Keys whose items changed or went after ``serial``.
+
+        ``None`` where that is too long ago to be known.
+        """
+        count = self.serial - serial
+        if not 0 <= count <= len(self._changed_keys):
+            return None
+        newest = itertools.islice(reversed(self._changed_keys), count)
+        return set(newest)
+
     def _take(self, item: Item, source: str) -> None:
         known = self._entry_by_key.get(item.key)
-        if known is not None and known.item.revision >= item.revision:
-            return
         if item.value is None:
-            self._missing(item.key, item.revision, source)
+            if known is not None and known.item.revision <= item.revision:
+                self._missing(item.key, item.revision, source)
+            return
+        if known is not None and known.item.revision >= item.revision:
             return
         if item.revision <= self._gone_revision_by_key.get(item.key, 0):
             # A reading that began before the entry went still shows it.
@@ -144,11 +170,12 @@
         else:
             self._adopt(document, item, source)
         self._entry_by_key[item.key] = _Entry(item, document)
-        self._note_change()
+        self._note_change(item.key)
 
-    def _note_change(self) -> None:
+    def _note_change(self, key: str) -> None:
         """Count a change and wake whoever waits for one."""
         self.serial += 1
+        self._changed_keys.append(key)
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -230,7 +257,7 @@
                 self.members_by_name.pop(name, None)
                 logs.event(_logger, "member_left", member=name, source=source)
         del self._entry_by_key[key]
-        self._note_change()
+        self._note_change(key)
 
     def sweep(self) -> None:
         """Drop entries that stayed away after an outage."""
--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -1,21 +1,145 @@
 """Tests of what nodes tell each other of their views."""
 
+import contextlib
 import time
 
 import aiohttp
+import msgspec
 from aiohttp import web
 
+from bankrack.fleet import view as view_module
+from bankrack.fleet.documents import Member
+from bankrack.fleet.peers import LeaderClient
+from bankrack.fleet.peers import UpdateMessage
 from bankrack.fleet.peers import UPDATES_PATH
 from bankrack.fleet.peers import UpdateServer
+from bankrack.fleet.store import Item
+from bankrack.fleet.store import Snapshot
 from bankrack.fleet.view import View
 from bankrack.front.listeners import serve_application
 from bankrack.serving.upstreams import Upstreams
 from tests.base import TestCase
 from tests.fakes import free_address
+from tests.fleet.test_view import decode
 
 MALFORMED = ("since=x", "serial=s&since=x", "sent=y", "sent=nan-", "since=1.5")
 
 
+LEADER = "leader"
+
+
+class Pair:
+    """A leader, and a follower that asks it."""
+
+    def __init__(self) -> None:
+        self.leader = View(decode, Upstreams())
+        self.follower = View(decode, Upstreams())
+        self.address = free_address()
+        self.answers: list[UpdateMessage] = []
+        self._stack = contextlib.AsyncExitStack()
+
+    async def __aenter__(self) -> "Pair":
+        session = await self._stack.enter_async_context(aiohttp.ClientSession())
+        self._client = LeaderClient(
+            session, self.follower, self.follower.upstreams, uses_engines=lambda: False
+        )
+        await self.begin_leader("first")
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        await self._stack.aclose()
+
+    async def begin_leader(self, name: str) -> None:
+        """Let a life of the leader begin."""
+        self._server = UpdateServer(
+            self.leader, self.leader.upstreams, name=name, note_engines=lambda: None
+        )
+        if name == "first":
+            application = web.Application()
+            application.router.add_get(UPDATES_PATH, self._handle)
+            runner = await serve_application(application, self.address)
+            self._stack.push_async_callback(runner.cleanup)
+
+    async def _handle(self, request: web.Request) -> web.Response:
+        response = await self._server.handle(request)
+        assert isinstance(response.body, bytes)
+        self.answers.append(msgspec.msgpack.decode(response.body, type=UpdateMessage))
+        return response
+
+    async def ask(self) -> UpdateMessage:
+        await self._client.ask(Member(LEADER, self.address, "a"))
+        return self.answers[-1]
+
+    def read(self, view: View, revision: int, *keys: str) -> None:
+        """Let a view read the store, whose items are as old as their key tells."""
+        items = [Item(key, b"1", int(key.rpartition("-")[2])) for key in keys]
+        snapshot = Snapshot(tuple(items), revision)
+        view.confirm(snapshot, asked_at=time.monotonic(), source="store")
+
+
+class Updates(TestCase):
+    def assert_same(self, pair: Pair) -> None:
+        self.assertEqual(set(pair.leader.keys()), set(pair.follower.keys()))
+
+    async def test_only_what_changed_is_told(self):
+        async with Pair() as pair:
+            pair.read(pair.leader, 3, "up/x-1", "up/y-2", "up/z-3")
+            self.assertEqual(3, len((await pair.ask()).items))
+            pair.read(pair.leader, 5, "up/x-1", "up/z-3", "up/w-5")
+            told = await pair.ask()
+            self.assertEqual([("up/w-5", b"1", 5)], told.items)
+            self.assertEqual(["up/y-2"], told.gone)
+            self.assertIsNone(told.keys)
+            self.assert_same(pair)
+
+    async def test_nothing_is_told_where_nothing_changed(self):
+        async with Pair() as pair:
+            pair.read(pair.leader, 1, "up/x-1")
+            await pair.ask()
+            told = await pair.ask()
+            self.assertEqual(([], [], None), (told.items, told.gone, told.keys))
+
+    async def test_a_follower_that_read_for_itself_meanwhile_is_told_all_keys(self):
+        async with Pair() as pair:
+            pair.read(pair.leader, 1, "up/x-1")
+            await pair.ask()
+            pair.read(pair.follower, 4, "up/x-1", "up/v-4")
+            pair.read(pair.leader, 5, "up/x-1", "up/w-5")
+            told = await pair.ask()
+            self.assertEqual({"up/x-1", "up/w-5"}, set(told.keys or ()))
+            self.assertEqual([("up/w-5", b"1", 5)], told.items)
+            self.assert_same(pair)
+            self.assertIsNone((await pair.ask()).keys)
+
+    async def test_a_new_life_of_the_leader_tells_all_keys(self):
+        async with Pair() as pair:
+            pair.read(pair.leader, 1, "up/x-1")
+            await pair.ask()
+            pair.leader = View(decode, Upstreams())
+            await pair.begin_leader("second")
+            pair.read(pair.leader, 4, "up/w-4")
+            self.assertEqual(["up/w-4"], (await pair.ask()).keys)
+            self.assert_same(pair)
+
+    async def test_more_changes_than_are_remembered_are_told_as_all_keys(self):
+        self.patch(view_module, "MAX_CHANGES", 2)
+        async with Pair() as pair:
+            pair.read(pair.leader, 1, "up/x-1")
+            await pair.ask()
+            pair.read(pair.leader, 5, "up/a-2", "up/b-3", "up/c-4", "up/d-5")
+            self.assertEqual(4, len((await pair.ask()).keys or ()))
+            self.assert_same(pair)
+
+    async def test_an_item_that_went_and_came_back_is_told(self):
+        async with Pair() as pair:
+            pair.read(pair.leader, 2, "up/x-1", "up/y-2")
+            await pair.ask()
+            pair.read(pair.leader, 3, "up/y-2")
+            pair.read(pair.leader, 4, "up/y-2", "up/x-4")
+            await pair.ask()
+            self.assert_same(pair)
+
+
 class MalformedQuestions(TestCase):
     async def test_they_are_refused_without_a_crash(self):
         upstreams = Upstreams()
