Pools of engines, each with an owner of its own

Change: services of more than 48 engines are split into pools by hash; the pools' ledgers are kept by the members in turn, which ask only their own engines and send the reports with their advice. Sites of 24 engines have one pool and work as before.

--- a/src/bankrack/fleet/owners.py
+++ b/src/bankrack/fleet/owners.py
@@ -1,8 +1,9 @@
-"""Which node keeps the ledger of a service's engines, and how it is asked.
+"""Which node keeps the ledger of a pool of engines, and how it is asked.
 
-All nodes compute the same order of the members and ask the first one that answers.
-Nodes that disagree for a moment only choose with less knowledge; what they rely on
-is the engine's own word that it keeps a place.
+All nodes compute the same order of the members; the ledger of the first pool is kept by
+the first member that answers, that of the second by the next.  Nodes that disagree for
+a moment only choose with less knowledge; what they rely on is the engine's own word
+that it keeps a place.
 """
 
 import asyncio
@@ -16,10 +17,16 @@
 
 from bankrack import logs
 from bankrack.fleet.documents import Member
+from bankrack.fleet.reports import pack_reports
+from bankrack.fleet.reports import ReportMessage
+from bankrack.fleet.reports import take_reports
 from bankrack.fleet.roster import rank_members
 from bankrack.serving.assignment import Assignment
 from bankrack.serving.job import Demand
 from bankrack.serving.ledger import Ledger
+from bankrack.serving.pools import count_pools
+from bankrack.serving.pools import pool_of
+from bankrack.serving.pools import select_pool
 from bankrack.serving.upstreams import Upstream
 from bankrack.serving.upstreams import Upstreams
 
@@ -39,9 +46,14 @@
 
 
 class AskMessage(msgspec.Struct, array_like=True):
-    """Asks where a run should go; sizes in tokens."""
+    """Asks where a run should go; sizes in tokens.
+
+    :param pool: that the run begins in, of ``pools``.
+    """
 
     service: str
+    pool: int
+    pools: int
     run: str
     prompt: int
     output: int
@@ -50,6 +62,17 @@
     avoid: list[str]
 
 
+class AdviceMessage(msgspec.Struct, array_like=True):
+    """Where a run should go.
+
+    :param ids: of engines, the best first.
+    :param reports: of these, where followers are not told them anyway.
+    """
+
+    ids: list[str]
+    reports: list[ReportMessage]
+
+
 class NoteMessage(msgspec.Struct, array_like=True):
     """Tells what became of a run.
 
@@ -57,6 +80,7 @@
     """
 
     service: str
+    pool: int
     run: str
     what: t.Literal["placed", "began", "ended"]
     engine: str = ""
@@ -65,21 +89,25 @@
 
 
 class Ledgers:
-    """The ledgers that this node keeps, by service, and their listener."""
+    """The ledgers that this node keeps, by service and pool, and their listener.
 
-    def __init__(self, upstreams: Upstreams) -> None:
+    :param note_use: called when another node asks; reports are read while some do.
+    """
+
+    def __init__(
+        self, upstreams: Upstreams, *, note_use: t.Callable[[], None] = lambda: None
+    ) -> None:
         self._upstreams = upstreams
-        self._ledger_by_service: dict[str, Ledger] = {}
+        self._note_use = note_use
+        self._ledger_by_pool: dict[tuple[str, int], Ledger] = {}
 
     def order(self, ask: AskMessage) -> list[Upstream]:
         """Order the engines for a run and count it as placed on the first."""
-        ledger = self._ledger(ask.service)
+        ledger = self._ledger(ask.service, ask.pool)
         demand = Demand(prompt=ask.prompt, output_limit=ask.output)
-        engines = [
-            engine
-            for engine in self._upstreams.open_of(ask.service)
-            if engine.id not in ask.avoid
-        ]
+        of_service = self._upstreams.open_of(ask.service)
+        of_pool = select_pool(of_service, ask.pool, ask.pools)
+        engines = [engine for engine in of_pool if engine.id not in ask.avoid]
         ordered = ledger.order(engines, demand, memory=ask.memory, hall=ask.hall)
         if ordered:
             ledger.place(ask.run, ordered[0].id, demand)
@@ -87,7 +115,7 @@
 
     def take(self, note: NoteMessage) -> None:
         """Take in what became of a run."""
-        ledger = self._ledger(note.service)
+        ledger = self._ledger(note.service, note.pool)
         match note.what:
             case "placed":
                 demand = Demand(prompt=note.prompt, output_limit=note.output)
@@ -100,8 +128,11 @@
     async def handle_ask(self, request: web.Request) -> web.Response:
         """Answer another node that asks."""
         ask = _decode(await request.read(), AskMessage)
-        ids = [engine.id for engine in self.order(ask)]
-        return web.Response(body=msgspec.msgpack.encode(ids))
+        self._note_use()
+        ordered = self.order(ask)
+        reports = pack_reports(ordered) if ask.pools > 1 else []
+        advice = AdviceMessage([engine.id for engine in ordered], reports)
+        return web.Response(body=msgspec.msgpack.encode(advice))
 
     async def handle_notes(self, request: web.Request) -> web.Response:
         """Take in notes of another node."""
@@ -110,8 +141,8 @@
             self.take(note)
         return web.Response()
 
-    def _ledger(self, service: str) -> Ledger:
-        return self._ledger_by_service.setdefault(service, Ledger())
+    def _ledger(self, service: str, pool: int) -> Ledger:
+        return self._ledger_by_pool.setdefault((service, pool), Ledger())
 
 
 class OwnerClient:
@@ -139,33 +170,55 @@
         self._distrusted_until_by_name: dict[str, float] = {}
         self._notes: list[NoteMessage] = []
         self._noted = asyncio.Event()
-        self._owner_name = ""
-
-    def owner(self) -> Member:
-        """The first member in the common order that answers."""
-        now = self._clock()
-        for member in rank_members([*self._members(), self._own]):
-            if now >= self._distrusted_until_by_name.get(member.name, 0.0):
-                break
-        else:
-            member = self._own
-        if member.name != self._owner_name:
-            self._owner_name = member.name
-            logs.event(_logger, "owner_chosen", owner=member.name)
+        self._owner_name_by_pool: dict[int, str] = {}
+
+    def owner(self, pool: int) -> Member:
+        """The member that keeps the ledgers of a pool: the first that answers."""
+        member = self._owner_of(pool, self._ranked())
+        if member.name != self._owner_name_by_pool.get(pool):
+            self._owner_name_by_pool[pool] = member.name
+            logs.event(_logger, "owner_chosen", pool=pool, owner=member.name)
         return member
 
+    def owned(self, service: str) -> list[Upstream]:
+        """The engines of a service whose ledger this node keeps."""
+        engines = self._upstreams.of(service)
+        pools = count_pools(len(engines))
+        ranked = self._ranked()
+        own = {
+            pool
+            for pool in range(pools)
+            if self._owner_of(pool, ranked).name == self._own.name
+        }
+        return [engine for engine in engines if pool_of(engine.id, pools) in own]
+
     @property
     def owns(self) -> bool:
-        """Whether this node keeps the ledgers."""
-        return self.owner().name == self._own.name
+        """Whether this node keeps the ledgers of the first pool."""
+        return self.owner(0).name == self._own.name
+
+    def _ranked(self) -> list[Member]:
+        return rank_members([*self._members(), self._own])
+
+    def _owner_of(self, pool: int, ranked: list[Member]) -> Member:
+        now = self._clock()
+        start = pool % len(ranked)
+        for member in [*ranked[start:], *ranked[:start]]:
+            if now >= self._distrusted_until_by_name.get(member.name, 0.0):
+                return member
+        return self._own
 
     async def order(
         self, work: Assignment, *, memory: int, avoid: t.Collection[str]
     ) -> list[Upstream] | None:
         """Order engines for a run; ``None`` where the owner does not answer."""
         demand = work.job.demand
+        service = work.service.name
+        pools = count_pools(len(self._upstreams.of(service)))
         ask = AskMessage(
-            service=work.service.name,
+            service=service,
+            pool=pool_of(work.job.id, pools),
+            pools=pools,
             run=work.job.id,
             prompt=demand.prompt,
             output=demand.expected - demand.prompt,
@@ -173,18 +226,20 @@
             hall=self._own.hall,
             avoid=list(avoid),
         )
-        owner = self.owner()
+        owner = self.owner(ask.pool)
         if owner.name == self._own.name:
             return self._ledgers.order(ask)
         body = await self._post(owner, PLACE_PATH, ask, ASK_SECONDS)
         if body is None:
             return None
         try:
-            ids = msgspec.msgpack.decode(body, type=list[str])
+            advice = msgspec.msgpack.decode(body, type=AdviceMessage)
         except msgspec.MsgspecError as error:
             self._distrust(owner, f"its answer does not decode: {error}")
             return None
-        found = [self._upstreams.by_id[i] for i in ids if i in self._upstreams.by_id]
+        take_reports(self._upstreams, advice.reports)
+        by_id = self._upstreams.by_id
+        found = [by_id[i] for i in advice.ids if i in by_id]
         return [engine for engine in found if not engine.leaving]
 
     def placed(self, work: Assignment, engine: Upstream) -> None:
@@ -208,12 +263,19 @@
             await asyncio.sleep(FLUSH_SECONDS)
             self._noted.clear()
             notes, self._notes = self._notes, []
-            owner = self.owner()
-            if owner.name != self._own.name:
-                await self._post(owner, NOTES_PATH, notes, NOTES_SECONDS)
-                continue
+            notes_by_pool: dict[int, list[NoteMessage]] = {}
             for note in notes:
-                self._ledgers.take(note)
+                notes_by_pool.setdefault(note.pool, []).append(note)
+            for pool, of_pool in notes_by_pool.items():
+                await self._tell(pool, of_pool)
+
+    async def _tell(self, pool: int, notes: list[NoteMessage]) -> None:
+        owner = self.owner(pool)
+        if owner.name != self._own.name:
+            await self._post(owner, NOTES_PATH, notes, NOTES_SECONDS)
+            return
+        for note in notes:
+            self._ledgers.take(note)
 
     def _note(
         self,
@@ -223,7 +285,10 @@
         prompt: int = 0,
         output: int = 0,
     ) -> None:
-        note = NoteMessage(work.service.name, work.job.id, what, engine, prompt, output)
+        service = work.service.name
+        pool = pool_of(work.job.id, count_pools(len(self._upstreams.of(service))))
+        run = work.job.id
+        note = NoteMessage(service, pool, run, what, engine, prompt, output)
         if len(self._notes) < MAX_NOTES:
             self._notes.append(note)
         self._noted.set()
--- a/src/bankrack/fleet/peers.py
+++ b/src/bankrack/fleet/peers.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 import contextlib
 import dataclasses
 import logging
@@ -19,10 +20,14 @@
 from bankrack import logs
 from bankrack.exceptions import PeerUnavailable
 from bankrack.fleet.documents import Member
+from bankrack.fleet.reports import pack_reports
+from bankrack.fleet.reports import ReportMessage
+from bankrack.fleet.reports import take_reports
 from bankrack.fleet.store import Item
 from bankrack.fleet.store import Snapshot
 from bankrack.fleet.view import View
-from bankrack.serving.upstreams import EngineReport
+from bankrack.serving.pools import count_pools
+from bankrack.serving.upstreams import Upstream
 from bankrack.serving.upstreams import Upstreams
 
 UPDATES_PATH = "/peer/updates"
@@ -36,18 +41,6 @@
 _logger = logging.getLogger(__name__)
 
 
-class ReportMessage(msgspec.Struct, array_like=True):
-    """An engine's report; ``age`` in seconds."""
-
-    id: str
-    running: int
-    queued: int
-    used: int
-    total: int
-    age: float
-    leaving: bool
-
-
 class UpdateMessage(msgspec.Struct):
     """What a leader tells.
 
@@ -120,6 +113,8 @@
         self._upstreams = upstreams
         self._name = name
         self._note_engines = note_engines
+        self._told: list[Upstream] = []
+        self._told_at = -1
 
     async def handle(self, request: web.Request) -> web.Response:
         """Answer once something changed, or after a tick."""
@@ -149,7 +144,7 @@
             keys=None,
             items=[],
             gone=[],
-            reports=self._reports(taken_after=question.sent),
+            reports=pack_reports(self._engines_told(), taken_after=question.sent),
         )
         if changed is None:
             message.keys = view.keys()
@@ -171,21 +166,16 @@
             return None
         return self._view.keys_changed_since(int(number))
 
-    def _reports(self, *, taken_after: float) -> list[ReportMessage]:
-        now = time.monotonic()
-        return [
-            ReportMessage(
-                upstream.id,
-                report.running,
-                report.queued,
-                report.used,
-                report.total,
-                now - report.taken,
-                report.leaving,
-            )
-            for upstream in self._upstreams.by_id.values()
-            if (report := upstream.report) is not None and report.taken > taken_after
-        ]
+    def _engines_told(self) -> list[Upstream]:
+        """Upstreams of services with one pool; of others, owners tell with advice."""
+        if self._told_at != self._view.serial:
+            upstreams = self._upstreams.by_id.values()
+            counts = collections.Counter(u.record.service for u in upstreams)
+            self._told = [
+                u for u in upstreams if count_pools(counts[u.record.service]) == 1
+            ]
+            self._told_at = self._view.serial
+        return self._told
 
 
 def _pack(item: Item) -> tuple[str, bytes, int]:
@@ -267,24 +257,4 @@
             view.confirmed_at = max(view.confirmed_at, confirmed_at)
         self._serial_by_name[leader.name] = message.serial
         self._sent_by_name[leader.name] = message.sent
-        self._take_reports(message.reports)
-
-    def _take_reports(self, reports: list[ReportMessage]) -> None:
-        now = time.monotonic()
-        for found in reports:
-            upstream = self._upstreams.by_id.get(found.id)
-            if upstream is None:
-                continue
-            taken = now - found.age
-            if upstream.report is not None and upstream.report.taken >= taken:
-                continue
-            upstream.note_report(
-                EngineReport(
-                    running=found.running,
-                    queued=found.queued,
-                    used=found.used,
-                    total=found.total,
-                    taken=taken,
-                    leaving=found.leaving,
-                )
-            )
+        take_reports(self._upstreams, message.reports)
--- /dev/null
+++ b/src/bankrack/fleet/reports.py
@@ -0,0 +1,64 @@
+"""Reports of engines, told from node to node."""
+
+import time
+import typing as t
+
+import msgspec
+
+from bankrack.serving.upstreams import EngineReport
+from bankrack.serving.upstreams import Upstream
+from bankrack.serving.upstreams import Upstreams
+
+
+class ReportMessage(msgspec.Struct, array_like=True):
+    """An engine's report; ``age`` in seconds."""
+
+    id: str
+    running: int
+    queued: int
+    used: int
+    total: int
+    age: float
+    leaving: bool
+
+
+def pack_reports(
+    engines: t.Iterable[Upstream], *, taken_after: float = 0.0
+) -> list[ReportMessage]:
+    """Encode the engines' reports that were taken after a moment, in seconds."""
+    now = time.monotonic()
+    return [
+        ReportMessage(
+            engine.id,
+            report.running,
+            report.queued,
+            report.used,
+            report.total,
+            now - report.taken,
+            report.leaving,
+        )
+        for engine in engines
+        if (report := engine.report) is not None and report.taken > taken_after
+    ]
+
+
+def take_reports(upstreams: Upstreams, reports: t.Iterable[ReportMessage]) -> None:
+    """Take in reports, where they are newer than what is known."""
+    now = time.monotonic()
+    for found in reports:
+        upstream = upstreams.by_id.get(found.id)
+        if upstream is None:
+            continue
+        taken = now - found.age
+        if upstream.report is not None and upstream.report.taken >= taken:
+            continue
+        upstream.note_report(
+            EngineReport(
+                running=found.running,
+                queued=found.queued,
+                used=found.used,
+                total=found.total,
+                taken=taken,
+                leaving=found.leaving,
+            )
+        )
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -44,11 +44,13 @@
 from bankrack.serving.job import Job
 from bankrack.serving.job import Reply
 from bankrack.serving.plain import PlainRelay
+from bankrack.serving.pools import count_pools
 from bankrack.serving.relay import RelayParts
 from bankrack.serving.reports import ReportFollower
 from bankrack.serving.routing import CallerLimits
 from bankrack.serving.routing import RoutingTable
 from bankrack.serving.streams import StreamRelay
+from bankrack.serving.upstreams import Upstream
 from bankrack.serving.upstreams import Upstreams
 
 MIN_NODES = 3
@@ -155,7 +157,7 @@
         self.budget = SharedRetryBudget(settings.budget, nodes=self._count_nodes)
         client = UpstreamClient(self._sending, dialect.upstreams)
         control = dialect.control(self._asking)
-        self.ledgers = Ledgers(self.upstreams)
+        self.ledgers = Ledgers(self.upstreams, note_use=self._note_use)
         self.owners = OwnerClient(
             self._asking,
             own,
@@ -164,7 +166,7 @@
             self.upstreams,
         )
         self.reports = ReportFollower(
-            self.upstreams, self.chooser, control, reads=self._reads_reports
+            self.chooser, control, select=self._engines_to_ask
         )
         parts = RelayParts(
             client, self.chooser, self.upstreams, self.budget, self.metrics
@@ -312,15 +314,20 @@
     def _count_nodes(self) -> int:
         return max(MIN_NODES, len(self.view.members_by_name))
 
-    def _reads_reports(self) -> bool:
-        """Whether this node asks the engines; the others are told by their leader.
+    def _engines_to_ask(self, service: str) -> list[Upstream]:
+        """Engines whose reports this node asks for; others are told by its leader.
 
-        In a large fleet that has lost the store, only some of those who then have no
-        leader do; each question is priced.
+        In a fleet that has lost the store, only some of those who then have no leader
+        ask for all; each question is priced.
         """
-        if self.owners.owns:
-            return True
-        return self.follower.leader is None and self.roster.stands_by()
+        engines = self.upstreams.of(service)
+        alone = self.follower.leader is None and self.roster.stands_by()
+        if alone and count_pools(len(engines)) == 1:
+            return engines
+        return self.owners.owned(service)
+
+    def _note_use(self) -> None:
+        self.reports.note_use()
 
     def _uses_engines(self) -> bool:
         return self.reports.in_use()
--- a/src/bankrack/serving/copies.py
+++ b/src/bankrack/serving/copies.py
@@ -13,6 +13,7 @@
 from bankrack.serving.assignment import Assignment
 from bankrack.serving.choice import Chooser
 from bankrack.serving.enginecontrol import EngineControl
+from bankrack.serving.pools import neighbours
 from bankrack.serving.routing import EngineTraits
 from bankrack.serving.runlog import RunLog
 from bankrack.serving.upstreams import Upstream
@@ -78,7 +79,7 @@
         targets = self._targets(engine, tried) if self._traits.backups else []
         if not targets:
             return None
-        engines = self._upstreams.open_of(self._work.service.name)
+        engines = neighbours(engine, self._upstreams.of(self._work.service.name))
         pool = self._chooser.pool_fill(engines, self._traits.memory)
         both = 2 * self._work.job.demand.expected
         return targets[0] if pool.fits(both, fill=BACKUP_FILL) else None
@@ -121,9 +122,10 @@
 
     def _targets(self, engine: Upstream, tried: t.Collection[str]) -> list[Upstream]:
         """Order the engines for a copy of what runs on ``engine``."""
+        engines = self._upstreams.of(self._work.service.name)
         others = [
             u
-            for u in self._upstreams.open_of(self._work.service.name)
+            for u in neighbours(engine, engines)
             if u is not engine and u.id not in tried
         ]
         return self._chooser.engines_by_room(
--- a/src/bankrack/serving/placing.py
+++ b/src/bankrack/serving/placing.py
@@ -11,6 +11,9 @@
 from bankrack.serving.assignment import Assignment
 from bankrack.serving.choice import Chooser
 from bankrack.serving.enginecontrol import EngineControl
+from bankrack.serving.pools import count_pools
+from bankrack.serving.pools import pool_of
+from bankrack.serving.pools import select_pool
 from bankrack.serving.routing import EngineTraits
 from bankrack.serving.runlog import RunLog
 from bankrack.serving.upstreams import Upstream
@@ -86,8 +89,10 @@
         advised = await self._advisor.order(work, memory=traits.memory, avoid=tried)
         if advised:
             return advised, "owner"
-        engines = self._upstreams.open_of(work.service.name)
-        untried = [engine for engine in engines if engine.id not in tried]
+        name = work.service.name
+        pools = count_pools(len(self._upstreams.of(name)))
+        untried = [u for u in self._upstreams.open_of(name) if u.id not in tried]
+        untried = select_pool(untried, pool_of(work.job.id, pools), pools) or untried
         if not untried:
             raise Overloaded(
                 f"no engine of {work.service.name} takes the run now; try again",
--- a/src/bankrack/serving/reports.py
+++ b/src/bankrack/serving/reports.py
@@ -10,7 +10,6 @@
 from bankrack.serving.choice import Chooser
 from bankrack.serving.enginecontrol import EngineControl
 from bankrack.serving.upstreams import Upstream
-from bankrack.serving.upstreams import Upstreams
 
 REPORT_SECONDS = 1.0
 """Rest between two reports of an engine; each is priced as a probe."""
@@ -24,22 +23,20 @@
 class ReportFollower:
     """Asks the engines for their reports.
 
-    :param reads: tells whether this node asks for its hall.
+    :param select: gives the engines of a service that this node is to ask.
     """
 
     def __init__(
         self,
-        upstreams: Upstreams,
         chooser: Chooser,
         control: EngineControl,
         *,
-        reads: t.Callable[[], bool],
+        select: t.Callable[[str], list[Upstream]],
     ) -> None:
-        self._upstreams = upstreams
         self._chooser = chooser
         self._control = control
         self._services: set[str] = set()
-        self._reads = reads
+        self._select = select
         self._used_at = 0.0
 
     def follow(self, services: set[str]) -> None:
@@ -47,13 +44,11 @@
         self._services = services
 
     async def run(self) -> None:
-        """Ask all engines again and again."""
+        """Ask again and again while engines are in use."""
         while True:
-            if not self._reads() or not self.in_use():
-                await asyncio.sleep(REPORT_SECONDS)
-                continue
-            engines = [u for name in self._services for u in self._upstreams.of(name)]
-            await asyncio.gather(*(self._ask(engine) for engine in engines))
+            if self.in_use():
+                engines = [u for name in self._services for u in self._select(name)]
+                await asyncio.gather(*(self._ask(engine) for engine in engines))
             await asyncio.sleep(REPORT_SECONDS)
 
     def note_use(self) -> None:
--- a/tests/fleet/test_owners.py
+++ b/tests/fleet/test_owners.py
@@ -149,7 +149,7 @@
             other.client.ended(work)
             other.client.ended(assignment("r-2"))
             await asyncio.sleep(3 * FLUSH_SECONDS)
-            ledger = owner.ledgers._ledger("s")
+            ledger = owner.ledgers._ledger("s", 0)
             self.assertEqual({}, ledger._placement_by_run)
             sending.cancel()
 
--- a/tests/platform/test_following.py
+++ b/tests/platform/test_following.py
@@ -5,6 +5,7 @@
 
 from bankrack.fleet import roster
 from bankrack.gateway import Gateway
+from bankrack.serving import pools
 from tests.base import TestCase
 from tests.platform.deployment import running
 from tests.platform.deployment import until
@@ -83,7 +84,7 @@
             )
             await until(lambda: all(len(n.view.members_by_name) == 4 for n in nodes))
             await until(lambda: sum(n.follower.leader is None for n in nodes) == 1)
-            owners = {node.owners.owner().name for node in nodes}
+            owners = {node.owners.owner(0).name for node in nodes}
             self.assertEqual(1, len(owners))
 
     async def test_a_jump_of_the_time_of_day_changes_nothing(self):
@@ -170,6 +171,31 @@
             self.assertLess(time.monotonic() - returned, LATEST_GONE_SECONDS)
 
 
+class Pools(TestCase):
+    async def test_nodes_keep_the_ledgers_of_different_pools(self):
+        self.patch(pools, "POOL_ENGINES", 1)
+        async with running() as world:
+            nodes = [await world.ready_gateway(f"n-{n}") for n in range(3)]
+            await until(lambda: all(len(n.view.members_by_name) == 3 for n in nodes))
+            owned = [{u.id for u in node.owners.owned("engines")} for node in nodes]
+            ids = {engine.id for engine in world.engines}
+            self.assertEqual(ids, set().union(*owned))
+            self.assertEqual(3, sum(len(found) for found in owned))
+
+    async def test_streams_are_served_and_reports_told_with_advice(self):
+        self.patch(pools, "POOL_ENGINES", 1)
+        async with running() as world:
+            nodes = [await world.ready_gateway(f"n-{n}") for n in range(2)]
+            await until(lambda: all(len(n.view.members_by_name) == 2 for n in nodes))
+            for _ in range(10):
+                for node in nodes:
+                    found = await call(node.settings.front, "/talk/x")
+                    self.assertTrue(found.whole)
+                await asyncio.sleep(0.15)
+            told = [u.report for n in nodes for u in n.upstreams.of("engines")]
+            self.assertGreater(len([r for r in told if r is not None]), 3)
+
+
 class Paging(TestCase):
     async def test_members_beyond_the_first_page_are_read_seldom(self):
         async with running() as world:
--- /dev/null
+++ b/tests/serving/test_pools.py
@@ -0,0 +1,37 @@
+"""Tests of splitting engines into pools."""
+
+import collections
+
+from bankrack.serving.pools import count_pools
+from bankrack.serving.pools import neighbours
+from bankrack.serving.pools import POOL_ENGINES
+from bankrack.serving.pools import pool_of
+from bankrack.serving.upstreams import Upstream
+from bankrack.serving.upstreams import UpstreamRecord
+from tests.base import TestCase
+
+
+def engines(count: int, *, leaving: bool = False) -> list[Upstream]:
+    return [
+        Upstream(UpstreamRecord(f"e-{n}", "s", "10.0.0.1:1", "a", 8, leaving), 1.0)
+        for n in range(count)
+    ]
+
+
+class Pools(TestCase):
+    def test_the_sites_of_today_have_one_pool(self):
+        self.assertEqual(1, count_pools(24))
+        self.assertEqual(0, pool_of("any", 1))
+
+    def test_pools_are_about_equal(self):
+        pools = count_pools(20 * POOL_ENGINES)
+        sizes = collections.Counter(pool_of(f"e-{n}", pools) for n in range(960))
+        self.assertEqual(pools, len(sizes))
+        self.assertLess(max(sizes.values()), 2 * POOL_ENGINES)
+
+    def test_neighbours_are_of_the_same_pool_and_stay(self):
+        known = engines(4 * POOL_ENGINES)
+        found = neighbours(known[0], known)
+        self.assertIn(known[0], found)
+        self.assertEqual({pool_of("e-0", 4)}, {pool_of(u.id, 4) for u in found})
+        self.assertEqual([], neighbours(known[0], engines(5, leaving=True)))
