A signal to reload is borne while a gateway starts

SIGHUP ended a process that still loaded its parts (some 0.6 s), since no handler was set; it is ignored from the first line of platform/serve.py on. A settings file that changed between its first reading and the watch's first look was not read again; its time is taken before the first reading now.

--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -2,7 +2,10 @@
 
 import asyncio
 import dataclasses
+import os
 import pathlib
+import subprocess
+import sys
 import tempfile
 import time
 
@@ -15,6 +18,18 @@
 from tests.platform.deployment import until
 from tests.platform.world import call
 
+ROOT = pathlib.Path(__file__).parents[2]
+START_WITHOUT_AIOHTTP = """
+import runpy
+import signal
+import sys
+sys.modules["aiohttp"] = None
+try:
+    runpy.run_path("platform/serve.py", run_name="__main__")
+except ImportError:
+    print(repr(signal.getsignal(signal.SIGHUP)))
+"""
+"""Ends where the first large library would be imported; tells what a signal does."""
 SETTINGS = """
 nodeName = "n-1"
 ip = "127.0.0.1"
@@ -95,9 +110,8 @@
         path.write_text(SETTINGS.format(grace=8))
         async with running() as world:
             gateway = await world.ready_gateway()
-            watching = asyncio.create_task(
-                serve.SettingsFile(str(path), gateway).watch()
-            )
+            file = serve.SettingsFile(str(path), gateway, read_at=1)
+            watching = asyncio.create_task(file.watch())
             path.write_text("nonsense [")
             await asyncio.sleep(0.1)
             self.assertEqual(8.0, gateway.settings.grace)
@@ -106,6 +120,28 @@
             watching.cancel()
 
 
+class Starting(TestCase):
+    def test_a_signal_to_reload_is_borne_before_all_is_imported(self):
+        found = subprocess.run(
+            [sys.executable, "-c", START_WITHOUT_AIOHTTP],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            check=True,
+        )
+        self.assertIn("SIG_IGN", found.stdout)
+
+    def test_settings_that_change_while_it_starts_are_read_again(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = pathlib.Path(folder.name) / "settings.toml"
+        path.write_text(SETTINGS.format(grace=8))
+        stamp = serve.changed_at(path)
+        os.utime(path, (1, 1))
+        self.assertNotEqual(stamp, serve.changed_at(path))
+        self.assertEqual(0, serve.changed_at(path.with_name("missing")))
+
+
 class Watching(TestCase):
     async def test_metrics_and_state_tell_what_was_served(self):
         async with running() as world:
