One reader of the store whatever the fleet's size

The rule that spared fleets under 24 nodes is gone.

Owners and leaders share one list of whom not to trust (fleet/trust.py).

--- a/src/bankrack/fleet/owners.py
+++ b/src/bankrack/fleet/owners.py
@@ -21,6 +21,7 @@
 from bankrack.fleet.reports import ReportMessage
 from bankrack.fleet.reports import take_reports
 from bankrack.fleet.roster import rank_members
+from bankrack.fleet.trust import Trust
 from bankrack.serving.assignment import Assignment
 from bankrack.serving.job import Demand
 from bankrack.serving.ledger import Ledger
@@ -37,8 +38,6 @@
 FLUSH_SECONDS = 0.1
 """Notes are sent together; what they tell is used within about a second."""
 NOTES_SECONDS = 0.5
-DISTRUST_SECONDS = 3.0
-"""How long an owner that did not answer is passed over."""
 MAX_NOTES = 500
 """Notes kept between two flushes; what comes beyond them is not told."""
 
@@ -166,8 +165,7 @@
         self._members = members
         self._ledgers = ledgers
         self._upstreams = upstreams
-        self._clock = clock
-        self._distrusted_until_by_name: dict[str, float] = {}
+        self._trust = Trust(clock=clock)
         self._notes: list[NoteMessage] = []
         self._noted = asyncio.Event()
         self._owner_name_by_pool: dict[int, str] = {}
@@ -201,10 +199,9 @@
         return rank_members([*self._members(), self._own])
 
     def _owner_of(self, pool: int, ranked: list[Member]) -> Member:
-        now = self._clock()
         start = pool % len(ranked)
         for member in [*ranked[start:], *ranked[:start]]:
-            if now >= self._distrusted_until_by_name.get(member.name, 0.0):
+            if self._trust.trusts(member):
                 return member
         return self._own
 
@@ -314,8 +311,7 @@
         return body
 
     def _distrust(self, owner: Member, reason: str) -> None:
-        until = self._clock() + DISTRUST_SECONDS
-        self._distrusted_until_by_name[owner.name] = until
+        self._trust.distrust(owner)
         logs.event(_logger, "owner_lost", owner=owner.name, reason=reason)
 
 
--- a/src/bankrack/fleet/roster.py
+++ b/src/bankrack/fleet/roster.py
@@ -1,10 +1,10 @@
 """Which nodes read the store, and whom the others ask.
 
 Every node reading the store for itself costs more calls the more nodes there
-are.  So in each hall a few are heads, and the others follow one of them.  In a
-small fleet all heads read the store; in a large one the first of them does, and
-the others follow it.  The order is computed from the members that live; nodes
-that disagree about it for a moment only read more often than needed.
+are.  So in each hall a few are heads, and the others follow one of them.  The
+first of all heads reads the store, and the other heads follow it.  The order is
+computed from the members that live; nodes that disagree about it for a moment
+only read more often than needed.
 """
 
 import hashlib
@@ -12,18 +12,15 @@
 import typing as t
 
 from bankrack.fleet.documents import Member
+from bankrack.fleet.trust import DISTRUST_SECONDS
+from bankrack.fleet.trust import Trust
 
 NODES_PER_HEAD = 30
 """A head answers each of its followers some four times a second."""
-LARGE_FLEET = 24
-"""Members from which on one head reads for all halls.  Calls to the store are then
-worth more than news that come a step sooner, and than a hall that needs no other."""
 WIDE_LINK_MBPS = 40.0
 """A leader of 30 sends some 3 Mbit/s while much changes, in bursts."""
 DEPUTIES = 2
 """Members after the readers who are asked before a node reads for itself."""
-DISTRUST_SECONDS = 3.0
-"""How long a reader that failed, or whose view was old, is passed over."""
 
 
 def _rank(name: str) -> bytes:
@@ -65,8 +62,7 @@
         self._own = own
         self._seeds = seeds
         self._members = members
-        self._clock = clock
-        self._distrusted_until_by_name: dict[str, float] = {}
+        self._trust = Trust(clock=clock)
 
     def leader(self) -> Member | None:
         """Whom to follow; ``None`` when this node reads the store itself."""
@@ -94,22 +90,18 @@
 
     def _readers_and_deputies(self) -> list[Member]:
         """Whom a head follows before it reads for itself, the reader first."""
-        members = rank_members([*self._members(), self._own])
-        if len(members) < LARGE_FLEET:
-            return [self._own]
         by_hall: dict[str, list[Member]] = {}
-        for member in members:
+        for member in [*self._members(), self._own]:
             by_hall.setdefault(member.hall, []).append(member)
         of_all = [head for hall in by_hall.values() for head in _heads(hall)]
         return rank_members(of_all)[: 1 + DEPUTIES]
 
     def _first_trusted(self, candidates: t.Iterable[Member]) -> Member | None:
         """The first candidate that answers, if it comes before this node."""
-        now = self._clock()
         for member in candidates:
             if member.name == self._own.name:
                 return None
-            if now >= self._distrusted_until_by_name.get(member.name, 0.0):
+            if self._trust.trusts(member):
                 return member
         return None
 
@@ -123,7 +115,7 @@
 
     def distrust(self, member: Member, *, seconds: float = DISTRUST_SECONDS) -> None:
         """Pass a member over for a while."""
-        self._distrusted_until_by_name[member.name] = self._clock() + seconds
+        self._trust.distrust(member, seconds=seconds)
 
     def _members_of(self, hall: str) -> list[Member]:
         neighbours = [m for m in self._members() if m.hall == hall]
--- /dev/null
+++ b/src/bankrack/fleet/trust.py
@@ -0,0 +1,25 @@
+"""Which members are passed over for a while, since they did not answer."""
+
+import time
+import typing as t
+
+from bankrack.fleet.documents import Member
+
+DISTRUST_SECONDS = 3.0
+"""How long a member that failed is passed over; its lease runs out after 12 s."""
+
+
+class Trust:
+    """The members that one node passes over, for one purpose."""
+
+    def __init__(self, *, clock: t.Callable[[], float] = time.monotonic) -> None:
+        self._clock = clock
+        self._distrusted_until_by_name: dict[str, float] = {}
+
+    def distrust(self, member: Member, *, seconds: float = DISTRUST_SECONDS) -> None:
+        """Pass a member over for a while."""
+        self._distrusted_until_by_name[member.name] = self._clock() + seconds
+
+    def trusts(self, member: Member) -> bool:
+        """Whether a member may be asked."""
+        return self._clock() >= self._distrusted_until_by_name.get(member.name, 0.0)
--- a/tests/fleet/test_owners.py
+++ b/tests/fleet/test_owners.py
@@ -8,13 +8,13 @@
 from aiohttp import web
 
 from bankrack.fleet.documents import Member
-from bankrack.fleet.owners import DISTRUST_SECONDS
 from bankrack.fleet.owners import FLUSH_SECONDS
 from bankrack.fleet.owners import Ledgers
 from bankrack.fleet.owners import NOTES_PATH
 from bankrack.fleet.owners import OwnerClient
 from bankrack.fleet.owners import PLACE_PATH
 from bankrack.fleet.roster import rank_members
+from bankrack.fleet.trust import DISTRUST_SECONDS
 from bankrack.serving.assignment import Assignment
 from bankrack.serving.job import Demand
 from bankrack.serving.job import Job
