The head of a caller's request must come in the time that the configuration gives

headerTimeoutMs was decoded and never used. A connection on which nothing or half a head came was never closed: aiohttp's own time-out is not in force before the first request (the tests, with the timer taken out, waited 5 s in vain). Now 408 after header_seconds from the head's first byte, and a close after idle_seconds without a byte. Looked for and ruled out: slow bodies and the rest between requests are not cut short.

An ask that names no pools is refused like other malformed messages.

--- a/src/bankrack/fleet/owners.py
+++ b/src/bankrack/fleet/owners.py
@@ -52,7 +52,7 @@
 
     service: str
     pool: int
-    pools: int
+    pools: t.Annotated[int, msgspec.Meta(ge=1)]
     run: str
     prompt: int
     output: int
--- a/src/bankrack/front/relayfront.py
+++ b/src/bankrack/front/relayfront.py
@@ -16,6 +16,7 @@
 from bankrack.exceptions import InvalidRequest
 from bankrack.exceptions import Outcome
 from bankrack.exceptions import RequestTooLarge
+from bankrack.front.heads import HeadTimedServer
 from bankrack.serving.job import Answer
 from bankrack.serving.job import Header
 from bankrack.serving.job import Job
@@ -141,15 +142,16 @@
         self._dialect = dialect
         self._serve = serve
         self._limits = limits
-        self._server: web.Server | None = None
+        self._server: HeadTimedServer | None = None
         self._listener: asyncio.Server | None = None
         self.closing = False
 
     async def start(self, address: str) -> None:
         """Listen on ``ip:port``."""
         host, _, port = address.rpartition(":")
-        self._server = web.Server(
+        self._server = HeadTimedServer(
             self._handle,
+            limits=self._limits,
             handler_cancellation=True,
             access_log=None,
             auto_decompress=False,
--- a/tests/fleet/test_owners.py
+++ b/tests/fleet/test_owners.py
@@ -5,9 +5,11 @@
 import typing as t
 
 import aiohttp
+import msgspec
 from aiohttp import web
 
 from bankrack.fleet.documents import Member
+from bankrack.fleet.owners import AskMessage
 from bankrack.fleet.owners import FLUSH_SECONDS
 from bankrack.fleet.owners import Ledgers
 from bankrack.fleet.owners import NOTES_PATH
@@ -153,6 +155,14 @@
             self.assertEqual({}, ledger._placement_by_run)
             sending.cancel()
 
+    async def test_an_ask_that_names_no_pools_is_refused(self):
+        ask = AskMessage("s", 0, 0, "r-1", 1, 1, MEMORY, "a", [])
+        async with two_nodes() as (owner, other):
+            url = f"http://{owner.address}{PLACE_PATH}"
+            data = msgspec.msgpack.encode(ask)
+            async with other.session.post(url, data=data) as response:
+                self.assertEqual(400, response.status)
+
     async def test_a_malformed_message_is_refused_and_changes_nothing(self):
         async with two_nodes() as (owner, other):
             for path in (PLACE_PATH, NOTES_PATH):
