Followers' views are as old as the reader's, not older by a tick a step

Cause: with one reader for all halls an age grew by a tick of 0.25 s at each step, and by the time that an answer was held back, since it was counted from the question. Change: a view that was confirmed anew is told at once, and an answer tells how long it was held back. The test failed first for both.

--- a/src/bankrack/fleet/peers.py
+++ b/src/bankrack/fleet/peers.py
@@ -50,6 +50,7 @@
     :param gone: keys of items that went since that serial.
     :param serial: changes with each change of the leader's view.
     :param age: seconds since the store confirmed the leader's view.
+    :param waited: seconds that the answer was held back for news.
     :param sent: the leader's clock; the next question names it.
     :param reports: of engines, those taken since the last answer.
     """
@@ -57,6 +58,7 @@
     serial: str
     revision: int
     age: float
+    waited: float
     sent: float
     keys: list[str] | None
     items: list[tuple[str, bytes, int]]
@@ -117,29 +119,31 @@
         self._told_at = -1
 
     async def handle(self, request: web.Request) -> web.Response:
-        """Answer once something changed, or after a tick."""
+        """Answer once something changed or was confirmed anew, or after a tick."""
         view = self._view
         if not view.confirmed_at:
             return web.Response(status=503)
+        began = time.monotonic()
         question = _parse_question(request.query)
         if question.engines:
             self._note_engines()
         if question.serial == self._serial():
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(view.changed.wait(), TICK_SECONDS)
-        message = self._answer(question)
+                await asyncio.wait_for(view.news.wait(), TICK_SECONDS)
+        message = self._answer(question, waited=time.monotonic() - began)
         return web.Response(body=msgspec.msgpack.encode(message))
 
     def _serial(self) -> str:
         return f"{self._name}/{self._view.serial}"
 
-    def _answer(self, question: _Question) -> UpdateMessage:
+    def _answer(self, question: _Question, *, waited: float) -> UpdateMessage:
         view = self._view
         changed = self._keys_changed_since(question.serial)
         message = UpdateMessage(
             serial=self._serial(),
             revision=view.revision,
             age=view.age,
+            waited=waited,
             sent=time.monotonic(),
             keys=None,
             items=[],
@@ -240,7 +244,8 @@
 
     def _take(self, leader: Member, message: UpdateMessage, asked: float) -> None:
         view = self._view
-        confirmed_at = asked - message.age
+        # The question arrived after it was asked, so this is never too late.
+        confirmed_at = asked + message.waited - message.age
         items = [Item(key, value, rev) for key, value, rev in message.items]
         if message.keys is not None:
             snapshot = view.complete(message.keys, items)
@@ -254,7 +259,7 @@
             gone = [Item(key, None, message.revision) for key in message.gone]
             changes = Snapshot((*items, *gone), message.revision)
             view.change(changes, source=leader.name)
-            view.confirmed_at = max(view.confirmed_at, confirmed_at)
+            view.note_confirmed(confirmed_at)
         self._serial_by_name[leader.name] = message.serial
         self._sent_by_name[leader.name] = message.sent
         take_reports(self._upstreams, message.reports)
--- a/src/bankrack/fleet/view.py
+++ b/src/bankrack/fleet/view.py
@@ -24,6 +24,9 @@
 its return is noticed up to 0.9 s late, and from 3 s after it on nothing may be sent
 to an upstream whose entry stayed away."""
 
+FRESHER_SECONDS = 0.1
+"""A view that was confirmed so much later is news for followers: each step from reader
+to head to follower would otherwise add a tick to its age."""
 MAX_CHANGES = 5000
 """Newest changes that followers may ask for; the platform changes some a second."""
 MAX_GONE_KEYS = 5000
@@ -67,7 +70,7 @@
         self._changed_keys: collections.deque[str] = collections.deque(
             maxlen=MAX_CHANGES
         )
-        self.changed = asyncio.Event()
+        self.news = asyncio.Event()
 
     @property
     def age(self) -> float:
@@ -94,9 +97,15 @@
             if key not in keys and entry.item.revision <= snapshot.revision:
                 self._missing(key, snapshot.revision, source)
         self.revision = max(self.revision, snapshot.revision)
-        self.confirmed_at = max(self.confirmed_at, asked_at)
+        self.note_confirmed(asked_at)
         self.confirmed_by = source
 
+    def note_confirmed(self, at: float) -> None:
+        """Note that the view was the newest state at a moment; wakes who waits."""
+        if at > self.confirmed_at + FRESHER_SECONDS:
+            self._wake()
+        self.confirmed_at = max(self.confirmed_at, at)
+
     def keys(self) -> list[str]:
         """Keys of all items."""
         return list(self._entry_by_key)
@@ -176,8 +185,11 @@
         """Count a change and wake whoever waits for one."""
         self.serial += 1
         self._changed_keys.append(key)
-        self.changed.set()
-        self.changed = asyncio.Event()
+        self._wake()
+
+    def _wake(self) -> None:
+        self.news.set()
+        self.news = asyncio.Event()
 
     def _adopt(self, document: Document | None, item: Item, source: str) -> None:
         match document:
--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -1,5 +1,6 @@
 """Tests of what nodes tell each other of their views."""
 
+import asyncio
 import contextlib
 import time
 
@@ -7,6 +8,7 @@
 import msgspec
 from aiohttp import web
 
+from bankrack.fleet import peers
 from bankrack.fleet import view as view_module
 from bankrack.fleet.documents import Member
 from bankrack.fleet.peers import LeaderClient
@@ -130,6 +132,20 @@
             self.assertEqual(4, len((await pair.ask()).keys or ()))
             self.assert_same(pair)
 
+    async def test_a_view_that_is_confirmed_anew_is_told_at_once(self):
+        self.patch(peers, "TICK_SECONDS", 5.0)
+        async with Pair() as pair:
+            pair.leader.confirmed_at = time.monotonic() - 1.0
+            await pair.ask()
+            waiting = asyncio.create_task(pair.ask())
+            await asyncio.sleep(0.4)
+            pair.read(pair.leader, 1)
+            async with asyncio.timeout(0.5):
+                told = await waiting
+            self.assertLess(told.age, 0.1)
+            self.assertLess(pair.follower.age, 0.3)
+            self.assertGreaterEqual(pair.follower.age, pair.leader.age)
+
     async def test_an_item_that_went_and_came_back_is_told(self):
         async with Pair() as pair:
             pair.read(pair.leader, 2, "up/x-1", "up/y-2")
