--- a/soak/gateway/__main__.py
+++ b/soak/gateway/__main__.py
@@ -22,7 +22,8 @@
 from soak.gateway.world import Journal
 from soak.gateway.world import SoakStore
 
-COME_UP_SECONDS = 4.0
+SETTLE_BEFORE_SECONDS = 3.0
+"""Gateways that began together need a moment to agree on whom to follow."""
 SETTLE_SECONDS = 8.0
 HALLS = ("a", "b")
 ROOT = pathlib.Path(__file__).parents[2]
@@ -75,7 +76,8 @@
             await gateway.store_link.start()
             await gateway.inner_link.start()
             gateway.launch()
-        await asyncio.sleep(COME_UP_SECONDS)
+        await asyncio.gather(*(gateway.until_ready() for gateway in gateways))
+        await asyncio.sleep(SETTLE_BEFORE_SECONDS)
         calling = asyncio.create_task(callers.run(workers))
         if replacing:
             await troubles.replace_all()
--- a/soak/gateway/processes.py
+++ b/soak/gateway/processes.py
@@ -14,7 +14,8 @@
 
 GRACE_SECONDS = 8
 READY_PATH = "/v1/readyz"
-READY_SECONDS = 20.0
+READY_SECONDS = 90.0
+"""Hundreds of gateways that start at once on one machine take that long."""
 READY_POLL_SECONDS = 0.1
 START_SECONDS = 3.0
 """A gateway that was started or woken is not judged for so long."""
