--- a/tests/platform/test_fuzz.py
+++ b/tests/platform/test_fuzz.py
@@ -1,6 +1,7 @@
 """Whatever the platform sends, only typed errors come of it."""
 
 import json
+import os
 
 from hypothesis import given
 from hypothesis import settings
@@ -37,7 +38,9 @@
     max_leaves=12,
 )
 HEADER = st.tuples(st.sampled_from(NAMES), st.text(max_size=40))
-quick = settings(derandomize=True, max_examples=150, deadline=None)
+EXAMPLES = int(os.environ.get("FUZZ_EXAMPLES", "0"))
+"""Examples of a long run by hand, drawn anew each time; CI takes the same few."""
+quick = settings(derandomize=not EXAMPLES, max_examples=EXAMPLES or 150, deadline=None)
 
 
 class Documents(TestCase):
