Reports of engines pass from node to node however old they are when they come

Cause: a leader told its follower the reports taken after its last answer. With one reader for all halls a report comes to the head of a hall some time after it was taken, mostly before that moment, so halls without the reader got few reports (ages of 3.7 s in an incident). Ruled out: the retry budget (no resume_refused). Change: what counts is when a node learned of a report. The test failed first.

--- a/src/bankrack/fleet/peers.py
+++ b/src/bankrack/fleet/peers.py
@@ -52,7 +52,7 @@
     :param age: seconds since the store confirmed the leader's view.
     :param waited: seconds that the answer was held back for news.
     :param sent: the leader's clock; the next question names it.
-    :param reports: of engines, those taken since the last answer.
+    :param reports: of engines, those learned of since the last answer.
     """
 
     serial: str
@@ -148,7 +148,7 @@
             keys=None,
             items=[],
             gone=[],
-            reports=pack_reports(self._engines_told(), taken_after=question.sent),
+            reports=pack_reports(self._engines_told(), learned_after=question.sent),
         )
         if changed is None:
             message.keys = view.keys()
--- a/src/bankrack/fleet/reports.py
+++ b/src/bankrack/fleet/reports.py
@@ -23,9 +23,13 @@
 
 
 def pack_reports(
-    engines: t.Iterable[Upstream], *, taken_after: float = 0.0
+    engines: t.Iterable[Upstream], *, learned_after: float = 0.0
 ) -> list[ReportMessage]:
-    """Encode the engines' reports that were taken after a moment, in seconds."""
+    """Encode the engines' reports that this node learned of after a moment.
+
+    Not those taken after it: a report that comes from node to node is older than the
+    moment at which the next node was last told.
+    """
     now = time.monotonic()
     return [
         ReportMessage(
@@ -38,7 +42,8 @@
             report.leaving,
         )
         for engine in engines
-        if (report := engine.report) is not None and report.taken > taken_after
+        if (report := engine.report) is not None
+        and engine.report_learned > learned_after
     ]
 
 
@@ -60,5 +65,6 @@
                 total=found.total,
                 taken=taken,
                 leaving=found.leaving,
-            )
+            ),
+            learned=now,
         )
--- a/src/bankrack/serving/upstreams.py
+++ b/src/bankrack/serving/upstreams.py
@@ -52,6 +52,7 @@
         "load_waiting",
         "record",
         "report",
+        "report_learned",
         "sent",
         "suspect_until",
     )
@@ -63,6 +64,7 @@
         self.failures = 0
         self.sent: list[tuple[float, int]] = []
         self.report: EngineReport | None = None
+        self.report_learned = 0.0
         self.load_waiting = 0
         self.failure_rate = 0.0
         self.suspect_until = 0.0
@@ -84,9 +86,15 @@
         """Whether it takes no new work."""
         return self.leaving_at > 0.0 or self.gone_at > 0.0
 
-    def note_report(self, report: EngineReport) -> None:
-        """Take in a report; what was sent before it is contained in it."""
+    def note_report(
+        self, report: EngineReport, *, learned: float | None = None
+    ) -> None:
+        """Take in a report; what was sent before it is contained in it.
+
+        :param learned: when this node was told of it, where it did not ask itself.
+        """
         self.report = report
+        self.report_learned = report.taken if learned is None else learned
         if report.leaving and not self.leaving_at:
             self.leaving_at = report.taken
 
--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -15,6 +15,8 @@
 from bankrack.fleet.peers import UpdateMessage
 from bankrack.fleet.peers import UPDATES_PATH
 from bankrack.fleet.peers import UpdateServer
+from bankrack.fleet.reports import ReportMessage
+from bankrack.fleet.reports import take_reports
 from bankrack.fleet.store import Item
 from bankrack.fleet.store import Snapshot
 from bankrack.fleet.view import View
@@ -146,6 +148,19 @@
             self.assertLess(pair.follower.age, 0.3)
             self.assertGreaterEqual(pair.follower.age, pair.leader.age)
 
+    async def test_a_report_that_is_old_when_it_comes_is_passed_on(self):
+        async with Pair() as pair:
+            pair.read(pair.leader, 1, "up/x-1")
+            await pair.ask()
+            taken = time.monotonic() - 0.6
+            old = ReportMessage("x-1", 1, 0, 500, 1000, 0.6, False)
+            take_reports(pair.leader.upstreams, [old])
+            await pair.ask()
+            found = pair.follower.upstreams.by_id["x-1"].report
+            assert found is not None
+            self.assertAlmostEqual(taken, found.taken, delta=0.2)
+            self.assertEqual([], (await pair.ask()).reports)
+
     async def test_an_item_that_went_and_came_back_is_told(self):
         async with Pair() as pair:
             pair.read(pair.leader, 2, "up/x-1", "up/y-2")
