--- /dev/null
+++ b/benchmarks/losses.py
@@ -0,0 +1,180 @@
+"""Why attempts of a day's requests were lost, from the gateways' logs.
+
+``python -m benchmarks.losses LOG...`` reads what all gateways of one day wrote, a line
+each beginning with the time in seconds and the node's name, and prints one row a cause
+with the number of attempts on each day and in all.  A loss is *avoidable* unless every
+upstream that may be asked failed the request, or its caller's connection ended with the
+node.  Attempts that are denied or that ran are not losses.
+"""
+
+import argparse
+import collections
+import dataclasses
+import re
+import statistics
+import typing as t
+
+_PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S+)')
+SLOW_FIRST_EVENT_SECONDS = 1.5
+"""Streams that begin later than the strictest target latency of streams met so far."""
+LONG_EVENTS = 50
+"""Streams of fewer events tell little of an engine's pace."""
+OUT_OF_TIME = "its time ran out at its upstream"
+"""Plain requests only: a gateway sends them on at once, or refuses them."""
+UNAVOIDABLE = frozenset({"upstreams failed it", "node ended under it", OUT_OF_TIME})
+LATE = "late: "
+"""Prefix of causes of attempts that were served, but after their target."""
+
+
+@dataclasses.dataclass(slots=True)
+class Attempt:
+    """What the logs tell of one attempt of a caller.
+
+    :param sent: seconds from arrival to the head of the first answer, if any.
+    :param kept: seconds from arrival until an engine kept a place.
+    :param backed: whether its engine was told where to keep a copy.
+    :param between_events: seconds, on average, of a stream that was served whole.
+    """
+
+    node: str
+    stream: bool = False
+    sent: float | None = None
+    kept: float | None = None
+    backed: bool = False
+    copied: bool = False
+    refused_resume: str | None = None
+    events: int = 0
+    between_events: float = 0.0
+    outcome: str | None = None
+
+
+def read_fields(line: str) -> dict[str, str]:
+    """Read the pairs of one line."""
+    return {name: value.strip('"') for name, value in _PAIR.findall(line)}
+
+
+class Day:
+    """The attempts of one day, by request id."""
+
+    def __init__(self, lines: t.Iterable[str]) -> None:
+        self.attempts_by_id: dict[str, Attempt] = {}
+        for line in lines:
+            self._take(line)
+
+    def _take(self, line: str) -> None:
+        fields = read_fields(line)
+        request = fields.get("request")
+        event = fields.get("event")
+        if request is None or event is None:
+            return
+        node = line.split(maxsplit=2)[1]
+        attempt = self.attempts_by_id.setdefault(request, Attempt(node))
+        elapsed = float(fields.get("elapsed", "0"))
+        match event:
+            case "place_kept":
+                attempt.kept = elapsed
+            case "run_sent":
+                attempt.stream = True
+                attempt.backed = "backup" in fields
+                if attempt.sent is None:
+                    attempt.sent = elapsed
+            case "copy_made":
+                attempt.copied = True
+            case "resume_refused":
+                attempt.refused_resume = fields.get("reason") or fields["outcome"]
+            case "stream_paced":
+                attempt.events = int(fields["events"])
+                attempt.between_events = float(fields["between_events"])
+            case "request_ended":
+                attempt.outcome = fields.get("outcome", "")
+
+    def paces(self) -> list[float]:
+        """Seconds between the events of each long stream, sorted."""
+        long = (a for a in self.attempts_by_id.values() if a.events >= LONG_EVENTS)
+        return sorted(attempt.between_events for attempt in long)
+
+    def causes(self) -> collections.Counter[str]:
+        """Count attempts by what became of them, where they were lost or late."""
+        found = (_cause(attempt) for attempt in self.attempts_by_id.values())
+        return collections.Counter(cause for cause in found if cause)
+
+
+def _cause(attempt: Attempt) -> str | None:
+    """Name the cause of a loss; ``None`` for attempts served in time or denied."""
+    outcome = attempt.outcome
+    if outcome is None:
+        return "node ended under it"
+    code = outcome.split(" ")[0].rstrip(",")
+    if code.startswith("5") and code.isdigit():
+        return "upstreams failed it"
+    match code:
+        case "whole" | "200" | "authentication_failed" | "not_found" | "cancelled":
+            return _late_cause(attempt)
+        case "stream_interrupted":
+            return _lost_stream_cause(attempt)
+        case "node_not_ready":
+            return "no configuration, store away"
+        case "deadline_exceeded":
+            streamed = attempt.stream or attempt.kept is not None
+            return "its time ran out" if streamed else OUT_OF_TIME
+        case "node_draining":
+            return "sent to a node that stops"
+    return code
+
+
+def _late_cause(attempt: Attempt) -> str | None:
+    if attempt.sent is None or attempt.sent < SLOW_FIRST_EVENT_SECONDS:
+        return None
+    waited = attempt.kept is not None and attempt.kept > attempt.sent / 2
+    return LATE + ("waited for a place" if waited else "its engine was slow")
+
+
+def _lost_stream_cause(attempt: Attempt) -> str:
+    if attempt.refused_resume is not None:
+        return f"engine ended, copy refused ({attempt.refused_resume[:40]})"
+    if attempt.backed or attempt.copied:
+        return "engine ended, its copy's engine too"
+    return "engine ended without a copy"
+
+
+def _print_causes(counts: list[collections.Counter[str]], attempts: int) -> None:
+    total = sum(counts, collections.Counter())
+    for cause, count in total.most_common():
+        row = " ".join(f"{day[cause]:5d}" for day in counts)
+        print(f"{count:6d}  {row}  {cause}")
+    avoidable = sum(
+        count
+        for cause, count in total.items()
+        if cause not in UNAVOIDABLE and not cause.startswith(LATE)
+    )
+    share = 1000 * avoidable / max(1, attempts)
+    print(f"{avoidable} avoidable of {attempts} attempts, {share:.1f} in 1,000")
+
+
+def _print_paces(paces: list[float]) -> None:
+    if not paces:
+        return
+    middle = 1000 * statistics.median(paces)
+    ninth = 1000 * sorted(paces)[len(paces) * 9 // 10]
+    print(
+        f"between events of {len(paces)} long streams: median {middle:.1f} ms, "
+        f"nine in ten within {ninth:.1f} ms"
+    )
+
+
+def main(arguments: t.Sequence[str] | None = None) -> int:
+    """Print the table; returns the exit code."""
+    parser = argparse.ArgumentParser(description="Why requests of a day were lost")
+    parser.add_argument("logs", nargs="+", metavar="LOG")
+    days = []
+    for name in parser.parse_args(arguments).logs:
+        with open(name, encoding="utf-8", errors="replace") as file:
+            days.append(Day(file))
+    attempts = sum(len(day.attempts_by_id) for day in days)
+    _print_causes([day.causes() for day in days], attempts)
+    _print_paces([pace for day in days for pace in day.paces()])
+    return 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- a/src/bankrack/serving/runlog.py
+++ b/src/bankrack/serving/runlog.py
@@ -54,3 +54,17 @@
             used=report.used if report else None,
             elapsed=now - self._work.job.arrived,
         )
+
+    def write_pace(self, *, began: float, last: float, events: int) -> None:
+        """Write how fast a whole stream was made.
+
+        :param began: monotonic seconds of the first event, ``last`` of the last one.
+        """
+        logs.event(
+            _logger,
+            "stream_paced",
+            request=self._work.job.id,
+            first_event=began - self._work.job.arrived,
+            events=events,
+            between_events=(last - began) / max(1, events - 1),
+        )
--- a/src/bankrack/serving/streams.py
+++ b/src/bankrack/serving/streams.py
@@ -87,6 +87,9 @@
         self._tried: set[str] = set()
         self._sends = 0
         self._resumes = 0
+        self._began_at = 0.0
+        self._last_event_at = 0.0
+        self._events = 0
         self._keeper: asyncio.Task[None] | None = None
         self._copies = Copies(
             work,
@@ -112,6 +115,9 @@
             except UpstreamFailed as error:
                 await self._resume(error)
         await self._reply.end()
+        self._log.write_pace(
+            began=self._began_at, last=self._last_event_at, events=self._events
+        )
         return f"whole, {self._sends} sends, {self._resumes} resumes"
 
     async def close(self) -> None:
@@ -262,7 +268,10 @@
             ) from error
 
     async def _write(self, exchange: Exchange, data: bytes) -> None:
+        self._last_event_at = time.monotonic()
+        self._events += 1
         if not self._reply.started:
+            self._began_at = self._last_event_at
             if not exchange.head.sealed:
                 raise UpstreamFailed("the engine's answer carries no proof of origin")
             await self._reply.begin(exchange.head.status, exchange.head.headers)
--- /dev/null
+++ b/tests/test_losses.py
@@ -0,0 +1,64 @@
+"""The table of lost requests, from logs."""
+
+from benchmarks.losses import Day
+from benchmarks.losses import OUT_OF_TIME
+
+from tests.base import TestCase
+
+LINE = "  1.5 n-1 time=2026-01-01 level=INFO event=%s request=%s %s"
+
+
+class Causes(TestCase):
+    def causes(self, *rows: tuple[str, str, str]) -> dict[str, int]:
+        return dict(Day(LINE % row for row in rows).causes())
+
+    def test_a_run_without_an_end_went_with_its_node(self):
+        found = self.causes(("run_sent", "r", "outcome=200 elapsed=0.1"))
+        self.assertEqual({"node ended under it": 1}, found)
+
+    def test_a_stream_that_was_cut_tells_whether_a_copy_was_there(self):
+        cut = 'outcome="stream_interrupted (ran): gone" elapsed=3'
+        found = self.causes(
+            ("run_sent", "a", "outcome=200 elapsed=0.1"),
+            ("request_ended", "a", cut),
+            ("run_sent", "b", "outcome=200 backup=e-2 elapsed=0.1"),
+            ("resume_refused", "b", "outcome=budget elapsed=3"),
+            ("request_ended", "b", cut),
+        )
+        wanted = {
+            "engine ended without a copy": 1,
+            "engine ended, copy refused (budget)": 1,
+        }
+        self.assertEqual(wanted, found)
+
+    def test_answers_of_upstreams_and_denials_are_told_apart(self):
+        found = self.causes(
+            ("request_ended", "a", 'outcome="200 after 1 sends" elapsed=0.1'),
+            ("request_ended", "b", 'outcome="500 after 2 sends" elapsed=0.1'),
+            ("request_ended", "c", 'outcome="not_found (not_run): x" elapsed=0.1'),
+            ("request_ended", "d", 'outcome="deadline_exceeded (unknown): x"'),
+        )
+        self.assertEqual({"upstreams failed it": 1, OUT_OF_TIME: 1}, found)
+
+    def test_a_late_beginning_tells_where_the_time_went(self):
+        whole = 'outcome="whole, 1 sends, 0 resumes" elapsed=9'
+        found = self.causes(
+            ("place_kept", "a", "outcome=ok elapsed=1.6"),
+            ("run_sent", "a", "outcome=200 elapsed=2.0"),
+            ("request_ended", "a", whole),
+            ("place_kept", "b", "outcome=ok elapsed=0.1"),
+            ("run_sent", "b", "outcome=200 elapsed=2.0"),
+            ("request_ended", "b", whole),
+        )
+        wanted = {"late: waited for a place": 1, "late: its engine was slow": 1}
+        self.assertEqual(wanted, found)
+
+
+class Paces(TestCase):
+    def test_only_long_streams_count(self):
+        fields = "first_event=0.4 events=%d between_events=0.03"
+        day = Day(
+            LINE % ("stream_paced", name, fields % events)
+            for name, events in (("a", 3), ("b", 90))
+        )
+        self.assertEqual([0.03], day.paces())
