A gateway that starts keeps its callers waiting instead of turning them away

While the store is silent, seeds are asked beside the reading, and a node that asks one without a view is asked back. Tests failed first: tests/platform/test_starting.py.

--- a/src/bankrack/fleet/follower.py
+++ b/src/bankrack/fleet/follower.py
@@ -15,6 +15,7 @@
 from bankrack.exceptions import HistoryForgotten
 from bankrack.exceptions import PeerUnavailable
 from bankrack.exceptions import PlatformUnavailable
+from bankrack.fleet.documents import Member
 from bankrack.fleet.peers import LeaderClient
 from bankrack.fleet.roster import Roster
 from bankrack.fleet.store import Store
@@ -47,6 +48,9 @@
 """The others wait so long, until one who stood by reads, or else read themselves."""
 AWAY_SECONDS = 1.5
 """After so long without the store its return counts as the end of an outage."""
+SEED_DELAY_SECONDS = 0.05
+"""A node that starts gives the store, which takes some 10 ms, so long before it also
+asks other nodes."""
 SETTLE_SECONDS = 1.0
 """Time for the nodes of a fleet that starts at once to learn of each other."""
 DENIAL_SECONDS = 0.8
@@ -68,6 +72,7 @@
         self._read_seconds = READ_SECONDS
         self.reachable = True
         self._reading: asyncio.Task[bool] | None = None
+        self._first_answer = asyncio.Event()
         self._members_due = 0.0
         self._own_reading_due = 0.0
         self.store_confirmed_at = 0.0
@@ -124,21 +129,53 @@
             logs.event(_logger, "confirmation_timed_out", age=self._view.age)
         return self._view.confirmed_at >= asked - within
 
+    async def wait_for_first_answer(self, seconds: float) -> None:
+        """Wait until the first question of this life is answered or has failed."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._first_answer.wait()
+
     async def _begin(self) -> None:
-        """Get a first view, from the store or from any seed that has one."""
+        """Get a first view, from the store or from any node that has one."""
         failures = 0
-        while not await self._read():
+        while not await self._read_or_ask_seeds():
+            self._first_answer.set()
             failures += 1
-            for seed in self._roster.seeds():
-                with contextlib.suppress(PeerUnavailable):
-                    await self._leaders.ask(seed)
-                if self._view.table is not None:
-                    return
             await self._rest(failures)
+        self._first_answer.set()
+        if not self.store_confirmed_at:
+            return
         await asyncio.sleep(SETTLE_SECONDS)
         # Who takes itself for a reader reads the members anew, and tells the others.
         self._members_due = 0.0
 
+    async def _read_or_ask_seeds(self) -> bool:
+        """Read once, and ask the seeds beside it; tells whether there is a view.
+
+        A store that is silent takes a reading's whole time to be noticed, and longer
+        each time, while a node that has a view answers in some ms.
+        """
+        reading = asyncio.create_task(self._read())
+        done, _ = await asyncio.wait({reading}, timeout=SEED_DELAY_SECONDS)
+        if done and reading.result():
+            return True
+        asked = [asyncio.create_task(self._ask(seed)) for seed in self._roster.seeds()]
+        try:
+            for answer in asyncio.as_completed([reading, *asked]):
+                await answer
+                if self._view.table is not None:
+                    return True
+        finally:
+            for task in asked:
+                task.cancel()
+            await asyncio.gather(*asked, return_exceptions=True)
+        return False
+
+    async def _ask(self, seed: Member) -> None:
+        """Take in a seed's view, if it has one; most do not when a fleet starts."""
+        with contextlib.suppress(PeerUnavailable):
+            await self._leaders.ask(seed)
+
     async def _read_while_leading(self) -> None:
         """Read the store until another node is to be followed.
 
--- a/src/bankrack/fleet/peers.py
+++ b/src/bankrack/fleet/peers.py
@@ -101,6 +101,8 @@
 
     :param name: this life of the node; a new one starts its serials anew.
     :param note_engines: called when a follower uses engines.
+    :param note_asker: called with the address of a node that asks while there is no
+        view to tell it of.
     """
 
     def __init__(
@@ -110,11 +112,13 @@
         *,
         name: str,
         note_engines: t.Callable[[], None],
+        note_asker: t.Callable[[str], None],
     ) -> None:
         self._view = view
         self._upstreams = upstreams
         self._name = name
         self._note_engines = note_engines
+        self._note_asker = note_asker
         self._told: list[Upstream] = []
         self._told_at = -1
 
@@ -122,6 +126,8 @@
         """Answer once something changed or was confirmed anew, or after a tick."""
         view = self._view
         if not view.confirmed_at:
+            if address := request.query.get("address"):
+                self._note_asker(address)
             return web.Response(status=503)
         began = time.monotonic()
         question = _parse_question(request.query)
@@ -187,7 +193,10 @@
 
 
 class LeaderClient:
-    """Asks one leader, again and again."""
+    """Asks one leader, again and again.
+
+    :param address: this node's own, for a leader that begins anew and asks back.
+    """
 
     def __init__(
         self,
@@ -195,9 +204,11 @@
         view: View,
         upstreams: Upstreams,
         *,
+        address: str,
         uses_engines: t.Callable[[], bool],
     ) -> None:
         self._session = session
+        self._address = address
         self._view = view
         self._upstreams = upstreams
         self._uses_engines = uses_engines
@@ -216,6 +227,7 @@
             "since": str(self._view.revision),
             "sent": str(self._sent_by_name.get(leader.name, 0.0) if serial else 0.0),
             "engines": "1" if self._uses_engines() else "0",
+            "address": self._address,
         }
         limit = aiohttp.ClientTimeout(total=TICK_SECONDS + ANSWER_SECONDS)
         url = f"http://{leader.address}{UPDATES_PATH}"
--- a/src/bankrack/fleet/roster.py
+++ b/src/bankrack/fleet/roster.py
@@ -7,6 +7,7 @@
 only read more often than needed.
 """
 
+import collections
 import time
 import typing as t
 
@@ -19,6 +20,8 @@
 """A head answers each of its followers some four times a second."""
 WIDE_LINK_MBPS = 40.0
 """A leader of 30 sends some 3 Mbit/s while much changes, in bursts."""
+MAX_ASKERS = 3
+"""Nodes that asked this one, kept to be asked in turn; as many as there are seeds."""
 DEPUTIES = 2
 """Members after the readers who are asked before a node reads for itself."""
 
@@ -59,6 +62,7 @@
         self._seeds = seeds
         self._members = members
         self._trust = Trust(clock=clock)
+        self._askers: collections.deque[str] = collections.deque(maxlen=MAX_ASKERS)
 
     def leader(self) -> Member | None:
         """Whom to follow; ``None`` when this node reads the store itself."""
@@ -106,9 +110,18 @@
 
     def seeds(self) -> list[Member]:
         """Nodes to ask when nothing is known yet; they may be gone."""
-        others = [seed for seed in self._seeds if seed != self._own.address]
+        known = dict.fromkeys([*self._seeds, *self._askers])
+        others = [seed for seed in known if seed != self._own.address]
         return [Member(seed, seed, "") for seed in others]
 
+    def note_asker(self, address: str) -> None:
+        """Note a node that asked this one before it had a view; it may have one.
+
+        The seeds may all be gone, or have begun anew like this node.
+        """
+        if address not in self._askers:
+            self._askers.append(address)
+
     def distrust(self, member: Member, *, seconds: float = DISTRUST_SECONDS) -> None:
         """Pass a member over for a while."""
         self._trust.distrust(member, seconds=seconds)
--- a/src/bankrack/front/relayfront.py
+++ b/src/bankrack/front/relayfront.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import logging
+import socket
 import time
 import typing as t
 
@@ -24,6 +25,8 @@
 
 MAX_LINE_BYTES = 64 * 1024
 """Bound of the parser for one line; the limit of the configuration goes before."""
+BACKLOG = 1024
+"""Connections that may wait to be accepted; some seconds of a busy node's."""
 BODY_SECONDS = 30.0
 """Longest time for a request's body to come."""
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -146,9 +149,10 @@
         self._listener: asyncio.Server | None = None
         self.closing = False
 
-    async def start(self, address: str) -> None:
-        """Listen on ``ip:port``."""
-        host, _, port = address.rpartition(":")
+    async def start(
+        self, address: str, *, listening: socket.socket | None = None
+    ) -> None:
+        """Listen on ``ip:port``, or on a socket that listens there already."""
         self._server = HeadTimedServer(
             self._handle,
             limits=self._limits,
@@ -161,8 +165,14 @@
             lingering_time=0.0,
         )
         loop = asyncio.get_running_loop()
+        if listening is not None:
+            self._listener = await loop.create_server(
+                self._server, sock=listening, backlog=BACKLOG
+            )
+            return
+        host, _, port = address.rpartition(":")
         self._listener = await loop.create_server(
-            self._server, host, int(port), backlog=1024, reuse_address=True
+            self._server, host, int(port), backlog=BACKLOG, reuse_address=True
         )
 
     async def stop(self) -> None:
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -7,6 +7,7 @@
 import asyncio
 import dataclasses
 import logging
+import socket
 import time
 import typing as t
 
@@ -60,6 +61,8 @@
 DENIAL_AGE_SECONDS = 1.3
 """A request is denied only on a configuration confirmed so lately.  Followers are
 at most about 1.1 s behind the store, and a change is due within 2 s."""
+FIRST_ANSWER_SECONDS = 0.1
+"""Longest that a request waits for the first configuration; the store takes 10 ms."""
 BALANCER_SECONDS = 3.0
 """The balancer looks each second and takes a node out at the second miss."""
 STOP_MARGIN_SECONDS = 0.6
@@ -149,7 +152,11 @@
             own, self.view.members_by_name.values, seeds=settings.seeds
         )
         leaders = LeaderClient(
-            self._asking, self.view, self.upstreams, uses_engines=self._uses_engines
+            self._asking,
+            self.view,
+            self.upstreams,
+            address=settings.inner,
+            uses_engines=self._uses_engines,
         )
         self.follower = Follower(store, self.view, self.roster, leaders)
         self.announcer = Announcer(store, own)
@@ -181,17 +188,21 @@
         )
         self.front = RelayFront(dialect.callers, self._serve, self._limits)
 
-    async def start(self) -> None:
-        """Open the listeners and begin to follow the store."""
+    async def start(self, *, listening: socket.socket | None = None) -> None:
+        """Open the listeners and begin to follow the store.
+
+        :param listening: a socket that listens at the callers' address already.
+        """
         settings = self.settings
         self._tasks.spawn(self.follower.run)
-        await self.front.start(settings.front)
+        await self.front.start(settings.front, listening=listening)
         await self._listen(settings.ready, {settings.ready_path: self._answer_ready})
         updates = UpdateServer(
             self.view,
             self.upstreams,
             name=f"{settings.name}-{time.monotonic_ns()}",
             note_engines=self.reports.note_use,
+            note_asker=self.roster.note_asker,
         )
         await self._listen(
             settings.inner,
@@ -301,6 +312,8 @@
     # Serving
 
     async def _serve(self, job: Job, reply: Reply) -> None:
+        if self.view.table is None:
+            await self.follower.wait_for_first_answer(FIRST_ANSWER_SECONDS)
         if self.view.table is None:
             raise NodeNotReady(
                 "this node has no configuration yet; try again", retry_after=0.5
--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -45,7 +45,11 @@
     async def __aenter__(self) -> "Pair":
         session = await self._stack.enter_async_context(aiohttp.ClientSession())
         self._client = LeaderClient(
-            session, self.follower, self.follower.upstreams, uses_engines=lambda: False
+            session,
+            self.follower,
+            self.follower.upstreams,
+            address="10.0.0.9:1",
+            uses_engines=lambda: False,
         )
         await self.begin_leader("first")
         return self
@@ -56,7 +60,11 @@
     async def begin_leader(self, name: str) -> None:
         """Let a life of the leader begin."""
         self._server = UpdateServer(
-            self.leader, self.leader.upstreams, name=name, note_engines=lambda: None
+            self.leader,
+            self.leader.upstreams,
+            name=name,
+            note_engines=lambda: None,
+            note_asker=lambda address: None,
         )
         if name == "first":
             application = web.Application()
@@ -176,7 +184,13 @@
         upstreams = Upstreams()
         view = View(lambda item: None, upstreams)
         view.confirmed_at = time.monotonic()
-        server = UpdateServer(view, upstreams, name="n", note_engines=lambda: None)
+        server = UpdateServer(
+            view,
+            upstreams,
+            name="n",
+            note_engines=lambda: None,
+            note_asker=lambda address: None,
+        )
         application = web.Application()
         application.router.add_get(UPDATES_PATH, server.handle)
         address = free_address()
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 import time
 import typing as t
 
@@ -40,23 +41,30 @@
             self.store.put(f"servers/{engine.id}", engine.entry("engines"))
 
     async def gateway(
-        self, name: str = "n-1", *, grace: float = 8.0, hall: str = "a"
+        self,
+        name: str = "n-1",
+        *,
+        grace: float = 8.0,
+        hall: str = "a",
+        seeds: tuple[str, ...] = (),
+        inner: str | None = None,
+        listening: socket.socket | None = None,
     ) -> Gateway:
         settings = GatewaySettings(
             name=name,
             hall=hall,
             front=free_address(),
             ready=free_address(),
-            inner=free_address(),
+            inner=inner or free_address(),
             ready_path="/v1/readyz",
-            seeds=(),
+            seeds=seeds,
             grace=grace,
             budget=BudgetTerms(ratio=0.2, reserve=75, window=10.0),
         )
         gateway = Gateway(settings, PlatformDialect(self.store.address))
         # As if it had lived for a while: a young one may repeat little.
         gateway.budget._began -= 60.0
-        await gateway.start()
+        await gateway.start(listening=listening)
         self.gateways.append(gateway)
         return gateway
 
--- /dev/null
+++ b/tests/platform/test_starting.py
@@ -0,0 +1,89 @@
+"""A gateway that starts, alone or while the store is away."""
+
+import asyncio
+import pathlib
+import tempfile
+import time
+
+import early
+from bankrack.fleet import follower
+from tests.base import TestCase
+from tests.fakes import free_address
+from tests.platform.deployment import running
+from tests.platform.deployment import until
+from tests.platform.world import call
+
+SETTINGS = """
+[listen]
+front = "{front}"
+"""
+
+
+class FirstView(TestCase):
+    async def test_a_request_waits_for_the_first_reading(self):
+        async with running() as world:
+            world.store.pause = 0.05
+            gateway = await world.gateway()
+            found = await call(gateway.settings.front, "/bill/x")
+            self.assertEqual(200, found.status)
+
+    async def test_a_request_is_refused_once_the_first_reading_failed(self):
+        async with running() as world:
+            world.store.status = 503
+            gateway = await world.gateway()
+            began = time.monotonic()
+            found = await call(gateway.settings.front, "/bill/x")
+            self.assertEqual(503, found.status)
+            self.assertLess(time.monotonic() - began, 0.08)
+
+    async def test_another_node_is_asked_while_the_store_is_silent(self):
+        async with running() as world:
+            first = await world.ready_gateway("n-1")
+            world.store.silent = True
+            began = time.monotonic()
+            await world.ready_gateway("n-2", seeds=(first.settings.inner,))
+            self.assertLess(time.monotonic() - began, follower.READ_SECONDS)
+
+    async def test_a_node_that_asks_is_asked_back(self):
+        async with running() as world:
+            nodes = [await world.ready_gateway(name) for name in ("n-1", "n-2")]
+            await until(lambda: any(node.follower.leader for node in nodes))
+            [leader] = [node for node in nodes if node.follower.leader is None]
+            world.store.silent = True
+            await leader._close()
+            again = await world.gateway(
+                leader.settings.name, inner=leader.settings.inner
+            )
+            await until(lambda: again.ready)
+
+
+class EarlySocket(TestCase):
+    def settings_file(self, text: str) -> str:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = pathlib.Path(folder.name) / "settings.toml"
+        path.write_text(text)
+        return str(path)
+
+    async def test_a_caller_that_connects_before_the_start_is_served(self):
+        front = free_address()
+        listening = early.listen(self.settings_file(SETTINGS.format(front=front)))
+        assert listening is not None
+        calling = asyncio.create_task(call(front, "/bill/x"))
+        await asyncio.sleep(0.1)
+        self.assertFalse(calling.done())
+        async with running() as world:
+            await world.ready_gateway(listening=listening)
+            self.assertEqual(200, (await calling).status)
+
+    def test_settings_that_do_not_fit_are_left_to_the_program(self):
+        for text in ("nonsense [", "[listen]\n", "[listen]\nfront = 'x:y'\n"):
+            self.assertIsNone(early.listen(self.settings_file(text)))
+        self.assertIsNone(early.listen("/nowhere/settings.toml"))
+
+    def test_an_address_in_use_is_left_to_the_program(self):
+        path = self.settings_file(SETTINGS.format(front=free_address()))
+        taken = early.listen(path)
+        assert taken is not None
+        self.addCleanup(taken.close)
+        self.assertIsNone(early.listen(path))
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -51,7 +51,8 @@
 class FakeStore(Served):
     """The platform's metadata store.
 
-    ``status`` refuses every call, ``silent`` answers none, ``watch_blind`` makes
+    ``status`` refuses every call, ``silent`` answers none, ``pause`` makes every answer
+    late by so many seconds, ``watch_blind`` makes
     watches miss changes, and ``forgotten`` is the oldest revision still known.
     """
 
@@ -63,6 +64,7 @@
         self.forgotten = 0
         self.status = 0
         self.silent = False
+        self.pause = 0.0
         self.watch_blind = False
         self.page = 500
         self.leases: set[int] = set()
@@ -90,6 +92,7 @@
         self.calls.append(path)
         if self.silent:
             await asyncio.sleep(60)
+        await asyncio.sleep(self.pause)
         if self.status:
             return web.Response(status=self.status)
         body = await request.read()
