Runs that may be repeated begin anew; an engine that fails one node is known to all

Cause: routes say which streams may be resumed, and nothing read it: a note whose engine broke off or began nothing was lost without a copy. And the owner ordered engines by its own suspicions only, so each node had to meet a bad engine for itself; one that hangs was suspected by nobody. Short runs no longer have backups: they end before one is whole, and what it holds is missed by long ones. Now: sent again behind the last event, on as many engines as the route allows; an engine that began nothing within the target latency is suspected, and the owner told (failed).

--- a/src/bankrack/fleet/owners.py
+++ b/src/bankrack/fleet/owners.py
@@ -23,6 +23,7 @@
 from bankrack.fleet.roster import rank_members
 from bankrack.fleet.trust import Trust
 from bankrack.serving.assignment import Assignment
+from bankrack.serving.choice import Chooser
 from bankrack.serving.job import Demand
 from bankrack.serving.ledger import Ledger
 from bankrack.serving.pools import count_pools
@@ -41,6 +42,8 @@
 MAX_NOTES = 500
 """Notes kept between two flushes; what comes beyond them is not told."""
 
+NoteKind = t.Literal["placed", "began", "failed", "ended"]
+
 _logger = logging.getLogger(__name__)
 
 
@@ -75,13 +78,13 @@
 class NoteMessage(msgspec.Struct, array_like=True):
     """Tells what became of a run.
 
-    :param what: ``placed``, ``began`` or ``ended``.
+    :param what: ``placed``, ``began``, ``failed`` (of the engine) or ``ended``.
     """
 
     service: str
     pool: int
     run: str
-    what: t.Literal["placed", "began", "ended"]
+    what: NoteKind
     engine: str = ""
     prompt: int = 0
     output: int = 0
@@ -94,9 +97,14 @@
     """
 
     def __init__(
-        self, upstreams: Upstreams, *, note_use: t.Callable[[], None] = lambda: None
+        self,
+        upstreams: Upstreams,
+        chooser: Chooser,
+        *,
+        note_use: t.Callable[[], None] = lambda: None,
     ) -> None:
         self._upstreams = upstreams
+        self._chooser = chooser
         self._note_use = note_use
         self._ledger_by_pool: dict[tuple[str, int], Ledger] = {}
 
@@ -121,6 +129,12 @@
                 ledger.place(note.run, note.engine, demand)
             case "began":
                 ledger.begin(note.run, note.engine)
+                if engine := self._upstreams.by_id.get(note.engine):
+                    self._chooser.answered(engine, failed=False)
+            case "failed":
+                if engine := self._upstreams.by_id.get(note.engine):
+                    self._chooser.suspect(engine)
+                    self._chooser.answered(engine, failed=True)
             case "ended":
                 ledger.end(note.run)
 
@@ -218,7 +232,7 @@
             pools=pools,
             run=work.job.id,
             prompt=demand.prompt,
-            output=demand.expected - demand.prompt,
+            output=demand.output,
             memory=memory,
             hall=self._own.hall,
             avoid=list(avoid),
@@ -242,13 +256,20 @@
     def placed(self, work: Assignment, engine: Upstream) -> None:
         """Tell that a run goes to an engine that was not the first."""
         demand = work.job.demand
-        output = demand.expected - demand.prompt
-        self._note(work, "placed", engine.id, prompt=demand.prompt, output=output)
+        self._note(
+            work, "placed", engine.id, prompt=demand.prompt, output=demand.output
+        )
 
     def began(self, work: Assignment, engine: Upstream) -> None:
         """Tell that a run makes events, on ``engine``."""
         self._note(work, "began", engine.id)
 
+    def failed(self, work: Assignment, engine: Upstream) -> None:
+        """Tell that an engine could not be reached, broke off or began nothing."""
+        pools = count_pools(len(self._upstreams.of(work.service.name)))
+        if self.owner(pool_of(work.job.id, pools)).name != self._own.name:
+            self._note(work, "failed", engine.id)
+
     def ended(self, work: Assignment) -> None:
         """Tell that a run ended."""
         self._note(work, "ended", "")
@@ -277,7 +298,7 @@
     def _note(
         self,
         work: Assignment,
-        what: t.Literal["placed", "began", "ended"],
+        what: NoteKind,
         engine: str,
         prompt: int = 0,
         output: int = 0,
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -164,7 +164,7 @@
         self.budget = SharedRetryBudget(settings.budget, nodes=self._count_nodes)
         client = UpstreamClient(self._sending, dialect.upstreams)
         control = dialect.control(self._asking)
-        self.ledgers = Ledgers(self.upstreams, note_use=self._note_use)
+        self.ledgers = Ledgers(self.upstreams, self.chooser, note_use=self._note_use)
         self.owners = OwnerClient(
             self._asking,
             own,
--- a/src/bankrack/serving/advice.py
+++ b/src/bankrack/serving/advice.py
@@ -26,6 +26,10 @@
         """Tell that a run makes events, on ``engine``."""
         ...
 
+    def failed(self, work: Assignment, engine: Upstream) -> None:
+        """Tell that an engine could not be reached, broke off or began nothing."""
+        ...
+
     def ended(self, work: Assignment) -> None:
         """Tell that a run ended."""
         ...
--- a/src/bankrack/serving/client.py
+++ b/src/bankrack/serving/client.py
@@ -40,12 +40,10 @@
 
     :param source: address that the copy is named after.
     :param handle: names the copy there.
-    :param last_event: id of the last event that the caller has, if any.
     """
 
     source: str
     handle: str
-    last_event: str | None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -55,6 +53,7 @@
     :param time_left: seconds until the answer is of no more use.
     :param backup: address of the upstream that keeps a copy of the run.
     :param hold: names the place that the upstream keeps for it.
+    :param last_event: id of the last event that the caller has, if any.
     """
 
     job: Job
@@ -65,6 +64,7 @@
     backup: str | None = None
     hold: str | None = None
     resume: Resume | None = None
+    last_event: int | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/bankrack/serving/copies.py
+++ b/src/bankrack/serving/copies.py
@@ -75,7 +75,12 @@
     def choose_backup(
         self, engine: Upstream, *, tried: t.Collection[str]
     ) -> Upstream | None:
-        """Choose where a backup is kept; none while memory is short."""
+        """Choose where a backup is kept; none while memory is short.
+
+        A short run ends about when its first backup would be complete.
+        """
+        if self._work.job.demand.short:
+            return None
         targets = self._targets(engine, tried) if self._traits.backups else []
         if not targets:
             return None
--- a/src/bankrack/serving/dispatch.py
+++ b/src/bankrack/serving/dispatch.py
@@ -157,7 +157,7 @@
         """Refuse what the end of this node would cut off; another node is there."""
         now = time.monotonic()
         if route.kind is Kind.STREAM:
-            tokens = job.demand.length_hint or job.demand.output_limit
+            tokens = job.demand.output
             ends = now + route.target_latency + tokens * SECONDS_PER_TOKEN
             fits = now < self._streams_until and ends < stops_at
         else:
--- a/src/bankrack/serving/job.py
+++ b/src/bankrack/serving/job.py
@@ -7,6 +7,10 @@
 Header = tuple[str, str]
 
 
+SHORT_TOKENS = 100
+"""Runs that make fewer tokens are short: reading their prompt is most of their work."""
+
+
 class Kind(enum.Enum):
     """What may be done with a request besides sending it once."""
 
@@ -39,7 +43,17 @@
     @property
     def expected(self) -> int:
         """Tokens that the run is expected to hold when it ends."""
-        return self.prompt + (self.length_hint or self.output_limit)
+        return self.prompt + self.output
+
+    @property
+    def output(self) -> int:
+        """Tokens that are expected to come out."""
+        return self.length_hint or self.output_limit
+
+    @property
+    def short(self) -> bool:
+        """Whether reading the prompt is most of the work, as far as it is told."""
+        return 0 < self.output < SHORT_TOKENS
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/bankrack/serving/ledger.py
+++ b/src/bankrack/serving/ledger.py
@@ -41,8 +41,6 @@
 """What an engine in another hall weighs; bytes between halls are priced."""
 READ_TOKENS_PER_SECOND = 14_000.0
 """Rate at which an engine reads prompts when no other runs decode."""
-SHORT_TOKENS = 100
-"""Runs that make fewer tokens are short: reading their prompt is most of their work."""
 MIN_ENGINES_TO_SPLIT = 12
 """A smaller pool needs the memory of all its engines for long runs; on the users'
 sites of five engines keeping short runs apart brought nothing in 24 days."""
@@ -55,6 +53,9 @@
 """How long a run may rather wait than go to an engine for runs of the other kind."""
 SUSPECT_SECONDS = 10.0
 """Puts an engine that just failed behind all others."""
+FAILURE_SECONDS = 2.0
+"""How long a run may rather wait than go to an engine that fails all runs; one that
+fails a part of them counts for that part."""
 JITTER_SECONDS = 0.01
 
 
@@ -71,11 +72,6 @@
     placed: float
     began: float | None = None
 
-    @property
-    def short(self) -> bool:
-        """Whether reading its prompt is most of its work."""
-        return self.output < SHORT_TOKENS
-
     def unread(self, now: float) -> int:
         """Prompt tokens that the engine still has to read."""
         waiting = self.began is None and now < self.placed + PROMPT_SECONDS
@@ -107,9 +103,9 @@
         if len(self._placement_by_run) >= MAX_PLACEMENTS:
             # A node that is told much but never asked holds only the newest.
             del self._placement_by_run[next(iter(self._placement_by_run))]
-        output = demand.expected - demand.prompt
-        placement = Placement(engine, demand.prompt, output, self._clock())
-        if placement.short and run not in self._placement_by_run:
+        now = self._clock()
+        placement = Placement(engine, demand.prompt, demand.output, now)
+        if demand.short and run not in self._placement_by_run:
             self._forget_prompts()
             self._short_prompts.append((placement.placed, placement.prompt))
         self._placement_by_run[run] = placement
@@ -146,7 +142,7 @@
             placements = by_engine.get(engine.id, [])
             apart = engine.id in short_ids
             cost = self._cost(engine, placements, demand, memory, hall, apart=apart)
-            if short_ids and apart != (demand.expected - demand.prompt < SHORT_TOKENS):
+            if short_ids and apart != demand.short:
                 cost += APART_SECONDS
             return cost
 
@@ -201,6 +197,7 @@
         cost += FULL_SECONDS * max(0.0, short) / max(1, total)
         if engine.record.hall != hall:
             cost += FAR_SECONDS
+        cost += FAILURE_SECONDS * engine.failure_rate
         if now < engine.suspect_until:
             cost += SUSPECT_SECONDS
         return cost + JITTER_SECONDS * self._rng.random()
--- a/src/bankrack/serving/placing.py
+++ b/src/bankrack/serving/placing.py
@@ -112,6 +112,7 @@
                 hold = await self._control.hold(engine, tokens, traits.hold)
         except (BankrackError, TimeoutError) as error:
             self._chooser.suspect(engine)
+            self._advisor.failed(work, engine)
             log.write("hold_failed", engine, "failed", repr(error))
             return None
         if hold is None:
--- a/src/bankrack/serving/streams.py
+++ b/src/bankrack/serving/streams.py
@@ -86,6 +86,7 @@
         self._log = RunLog(work, self._order)
         self._tried: set[str] = set()
         self._sends = 0
+        self._runs = 0
         self._resumes = 0
         self._began_at = 0.0
         self._last_event_at = 0.0
@@ -103,17 +104,17 @@
 
     async def serve(self) -> str:
         answer = await self._start()
-        if answer is not None:
-            await self._reply.answer(answer)
-            return f"{answer.status} after {self._sends} sends"
-        while True:
+        while answer is None:
             try:
                 await self._pass_events()
                 break
             except _EngineSilent as error:
                 await self._switch(error)
             except UpstreamFailed as error:
-                await self._resume(error)
+                self._lose_engine(error)
+                answer = await self._go_on(error)
+        if answer is not None:
+            return await self._answer(answer)
         await self._reply.end()
         self._log.write_pace(
             began=self._began_at, last=self._last_event_at, events=self._events
@@ -136,20 +137,29 @@
         Returns a whole answer where that is final instead of a stream.
         """
         while True:
-            engine, hold = await self._relay.placer.find(
-                self._work, self._traits, self._log, tried=self._tried
-            )
-            self._take_from_budget()
             try:
-                exchange = await self._open(engine, hold=hold)
+                engine, hold = await self._relay.placer.find(
+                    self._work, self._traits, self._log, tried=self._tried
+                )
+                self._take_from_budget()
+            except Overloaded as error:
+                if self._runs == 0:
+                    raise
+                raise _interrupted(error) from error
+            try:
+                exchange = await self._open_first(engine, hold)
             except UpstreamUnreachable as error:
-                self._parts.chooser.suspect(engine)
+                self._suspect(engine)
                 self._tried.add(engine.id)
                 self._log.write("attempt_ended", engine, "unreachable", error.message)
                 continue
             except UpstreamFailed as error:
-                await self._resume(error)
-                return None
+                self._lose_engine(error)
+                if await self._resume():
+                    return None
+                if self._may_run_again():
+                    continue
+                raise _interrupted(error) from error
             if exchange.head.not_run:
                 exchange.close()
                 self._leave_engine()
@@ -161,6 +171,43 @@
             self._exchange = exchange
             return None
 
+    async def _open_first(self, engine: Upstream, hold: str | None) -> Exchange:
+        """Send a run that no engine holds yet.
+
+        An engine that has not begun it within the target latency is suspected; a run
+        that may be repeated then goes to another one.
+        """
+        route = self._work.route
+        patience = route.target_latency if self._may_run_again(after=1) else None
+        loop = asyncio.get_running_loop()
+        overdue = loop.call_later(route.target_latency, self._suspect, engine)
+        try:
+            async with asyncio.timeout(patience) as limit:
+                return await self._open(engine, hold=hold)
+        except TimeoutError as error:
+            if not limit.expired():
+                raise
+            raise UpstreamFailed(
+                f"the engine began nothing within {patience} s"
+            ) from error
+        finally:
+            overdue.cancel()
+
+    def _may_run_again(self, *, after: int = 0) -> bool:
+        """Whether the run may begin anew, after ``after`` further sends that failed."""
+        route = self._work.route
+        return (
+            route.resumable
+            and self._runs + after < route.max_upstreams
+            and self._work.time_left() > route.target_latency / 4
+        )
+
+    def _suspect(self, engine: Upstream) -> None:
+        """Pass an engine over for a while, here and where its ledger is kept."""
+        self._parts.chooser.suspect(engine)
+        self._parts.chooser.answered(engine, failed=True)
+        self._relay.advisor.failed(self._work, engine)
+
     def _take_from_budget(self) -> None:
         """Account for a send that is not the first."""
         if self._sends == 0:
@@ -172,6 +219,16 @@
                 retry_after=RETRY_AFTER_SECONDS,
             )
 
+    async def _answer(self, answer: Answer) -> str:
+        """Give a whole answer in place of a stream; one that began is cut."""
+        if self._reply.started:
+            raise StreamInterrupted(
+                f"the run could not go on elsewhere: status {answer.status}; send a "
+                "new request"
+            )
+        await self._reply.answer(answer)
+        return f"{answer.status} after {self._sends} sends"
+
     async def _whole(self, exchange: Exchange) -> Answer:
         body = await exchange.read()
         head = exchange.head
@@ -201,6 +258,7 @@
             backup=backup.address if backup else None,
             hold=hold,
             resume=resume,
+            last_event=self._order.last,
         )
         self._engine = engine
         self._splitter = EventSplitter()
@@ -212,11 +270,14 @@
             raise
         except BaseException:
             self._sends += 1
+            self._runs += resume is None
             self._copies.start_with(backup)
             raise
         self._sends += 1
         if not exchange.head.not_run:
+            self._runs += resume is None
             engine.note_sent(work.job.demand.prompt, now)
+            self._parts.chooser.answered(engine, failed=False)
             self._relay.advisor.began(work, engine)
             self._copies.start_with(backup)
         self._log.write(
@@ -301,40 +362,50 @@
                 self._resumes += 1
                 exchange.close()
                 silent.in_flight -= 1
-                self._parts.chooser.suspect(silent)
+                self._suspect(silent)
                 return
         self._engine, self._exchange = silent, exchange
         self._copies.found = copies
         self._splitter = splitter
 
-    async def _resume(self, error: BankrackError) -> None:
-        """Go on at a copy; raises :exc:`StreamInterrupted` where none does."""
+    def _lose_engine(self, error: BankrackError) -> None:
+        """Leave an engine that broke the run off."""
         broken = self._engine
-        copies = self._copies.found
-        counted = self._parts.metrics.resumes
         self._leave_engine()
         if broken is not None:
-            self._parts.chooser.suspect(broken)
+            self._suspect(broken)
             self._tried.add(broken.id)
             self._log.write("stream_broke", broken, "resuming", error.message)
-        for copy in copies:
+
+    async def _go_on(self, error: BankrackError) -> Answer | None:
+        """Go on at a copy, or else anew behind the last event where that is allowed.
+
+        Returns a whole answer where an engine gives one instead of a stream; raises
+        :exc:`StreamInterrupted` where the run can't go on.
+        """
+        if await self._resume():
+            return None
+        if self._may_run_again():
+            return await self._start()
+        raise _interrupted(error) from error
+
+    async def _resume(self) -> bool:
+        """Go on at a copy; tells whether one could."""
+        counted = self._parts.metrics.resumes
+        for copy in self._copies.found:
             if await self._resume_at(copy):
                 self._resumes += 1
                 counted.inc({"outcome": "ok"})
-                return
+                return True
         counted.inc({"outcome": "lost"})
-        raise StreamInterrupted(
-            "the engine broke off and no copy of the run could go on; send a new "
-            f"request ({error.message})"
-        )
+        return False
 
     async def _resume_at(self, copy: Copy) -> bool:
         holder = copy.holder
         if not self._parts.budget.take(self._work.service.name):
             self._log.write("resume_refused", holder, "budget")
             return False
-        last = self._order.last
-        resume = Resume(copy.source, copy.handle, None if last is None else str(last))
+        resume = Resume(copy.source, copy.handle)
         try:
             async with asyncio.timeout(RESUME_SECONDS):
                 exchange = await self._open(holder, resume=resume)
@@ -349,3 +420,10 @@
             return False
         self._exchange = exchange
         return True
+
+
+def _interrupted(error: BankrackError) -> StreamInterrupted:
+    return StreamInterrupted(
+        "the engine broke off and no copy of the run could go on; send a new "
+        f"request ({error.message})"
+    )
--- a/tests/fleet/test_owners.py
+++ b/tests/fleet/test_owners.py
@@ -18,6 +18,7 @@
 from bankrack.fleet.roster import rank_members
 from bankrack.fleet.trust import DISTRUST_SECONDS
 from bankrack.serving.assignment import Assignment
+from bankrack.serving.choice import Chooser
 from bankrack.serving.job import Demand
 from bankrack.serving.job import Job
 from bankrack.serving.job import Kind
@@ -56,7 +57,7 @@
         self.upstreams = Upstreams()
         for name in ("one", "two", "three"):
             self.upstreams.put(UpstreamRecord(name, "s", "10.0.0.1:1", "a", slots=8))
-        self.ledgers = Ledgers(self.upstreams)
+        self.ledgers = Ledgers(self.upstreams, Chooser(hall="a"))
         self.session = aiohttp.ClientSession()
         self.client = OwnerClient(
             self.session,
--- a/tests/platform/test_sending.py
+++ b/tests/platform/test_sending.py
@@ -59,6 +59,6 @@
         self.assertEqual(0, arrivals)
 
     async def test_a_run_may_go_on_there_at_its_copy(self):
-        found, arrivals = await self.send(resume=Resume("10.0.0.1:1", "h", None))
+        found, arrivals = await self.send(resume=Resume("10.0.0.1:1", "h"))
         self.assertEqual(200, found.head.status)
         self.assertEqual(1, arrivals)
--- a/tests/platform/test_streams.py
+++ b/tests/platform/test_streams.py
@@ -1,6 +1,8 @@
 """Streams through the whole path, in the platform's dialect."""
 
 import asyncio
+import time
+from types import MappingProxyType
 
 from aiohttp import web
 
@@ -10,6 +12,7 @@
 from tests.platform.deployment import not_run
 from tests.platform.deployment import running
 from tests.platform.deployment import until
+from tests.platform.world import Arrival
 from tests.platform.world import call
 
 
@@ -81,6 +84,15 @@
             fresh = [a for a in world.arrivals() if a.get("Kv-From") is None]
             self.assertEqual(1, len(fresh))
 
+    async def test_a_short_one_has_no_copy(self):
+        async with running() as world:
+            gateway = await world.ready_gateway()
+            short = {"Bankrack-Token-Usage": "2000,20"}
+            found = await call(gateway.settings.front, "/talk/x", headers=short)
+            self.assertTrue(found.whole)
+            [arrival] = world.arrivals()
+            self.assertIsNone(arrival.get("Kv-Backup"))
+
     async def test_a_run_is_copied_when_its_engine_leaves(self):
         self.patch(copies_module, "BACKUP_FILL", -1.0)
         async with running() as world:
@@ -134,3 +146,83 @@
             found = await call(gateway.settings.front, "/talk/x")
             self.assertTrue(found.whole)
             self.assertEqual(self.want(), found.body)
+
+
+class RepeatableStreams(TestCase):
+    """Streams that may run more than once."""
+
+    SHORT = MappingProxyType({"Bankrack-Token-Usage": "2000,20"})
+
+    async def test_one_that_broke_before_its_first_event_begins_anew(self):
+        await self.check_first_run_is_cut(after=0)
+
+    async def test_one_that_broke_midway_goes_on_behind_its_last_event(self):
+        arrivals = await self.check_first_run_is_cut(after=2)
+        last_events = {arrival.get("Last-Event-Id") for arrival in arrivals}
+        self.assertEqual({None, "1"}, last_events)
+
+    async def check_first_run_is_cut(self, *, after: int) -> list[Arrival]:
+        async with running() as world:
+            gateway = await world.ready_gateway()
+
+            async def cut_first(request: web.BaseRequest) -> None:
+                for engine in world.engines:
+                    engine.cut_after = after if len(world.arrivals()) == 1 else -1
+
+            for engine in world.engines:
+                engine.behave = cut_first
+            found = await call(
+                gateway.settings.front, "/note/x", headers=dict(self.SHORT)
+            )
+            self.assertTrue(found.whole)
+            self.assertEqual(5, found.body.count(b"data:"))
+            self.assertEqual(2, len([e for e in world.engines if e.arrivals]))
+            return [arrival for e in world.engines for arrival in e.arrivals]
+
+    async def test_it_never_runs_on_more_engines_than_allowed(self):
+        async with running() as world:
+            gateway = await world.ready_gateway()
+            for engine in world.engines:
+                engine.cut_after = 0
+            found = await call(
+                gateway.settings.front, "/note/x", headers=dict(self.SHORT)
+            )
+            self.assertEqual(502, found.status)
+            self.assertEqual(2, len(world.arrivals()))
+
+    async def test_one_that_an_engine_does_not_begin_goes_to_another(self):
+        async with running() as world:
+            gateway = await world.ready_gateway()
+
+            async def hang_first(request: web.BaseRequest) -> None:
+                if len(world.arrivals()) == 1:
+                    await asyncio.sleep(30.0)
+
+            for engine in world.engines:
+                engine.behave = hang_first
+            found = await call(
+                gateway.settings.front, "/note/x", headers=dict(self.SHORT)
+            )
+            self.assertTrue(found.whole)
+            self.assertEqual(1, sum(e.cancelled for e in world.engines))
+
+
+class Suspicion(TestCase):
+    async def test_an_engine_that_begins_nothing_is_passed_over_by_all(self):
+        async with running() as world:
+            nodes = [await world.ready_gateway(name) for name in ("n-1", "n-2")]
+            await until(lambda: sum(node.owners.owns for node in nodes) == 1)
+            [other] = [node for node in nodes if not node.owners.owns]
+            [owner] = [node for node in nodes if node.owners.owns]
+
+            async def hang(request: web.BaseRequest) -> None:
+                await asyncio.sleep(1.0)
+
+            for engine in world.engines:
+                engine.behave = hang
+            calling = asyncio.create_task(call(other.settings.front, "/talk/x"))
+            await until(lambda: len(world.arrivals()) == 1)
+            [home] = [engine for engine in world.engines if engine.arrivals]
+            known = owner.upstreams.by_id[home.id]
+            await until(lambda: known.suspect_until > time.monotonic())
+            await calling
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -254,12 +254,10 @@
         return web.json_response({})
 
     async def run(self, request: web.BaseRequest) -> web.StreamResponse:
-        first = 0
+        first = int(request.headers.get("Last-Event-Id", "-1")) + 1
         place = request.headers.get("Kv-From")
-        if place is not None:
-            if place not in self.handles:
-                return web.Response(status=503, headers={"Bankrack-Not-Executed": "1"})
-            first = int(request.headers.get("Last-Event-Id", "-1")) + 1
+        if place is not None and place not in self.handles:
+            return web.Response(status=503, headers={"Bankrack-Not-Executed": "1"})
         backup = request.headers.get("Kv-Backup")
         if backup in self.engine_by_address:
             run_id = request.headers["Bankrack-Request-Id"]
@@ -314,6 +312,7 @@
             route("look", "idempotent", "plain", maxAttempts=2),
             route("bill", "non_idempotent", "plain"),
             route("talk", "streaming", "engines", timeoutMs=20000),
+            route("note", "streaming", "engines", resumable=True, maxAttempts=2),
         ],
         "services": [
             {"name": "plain", "maxConnections": 10},
