Speeds of engines are learned; any pool with memory to spare keeps short runs apart

Cause: the ledger, the choice by reports and the end of a stop rested on one engine's 14,000 and 7,000 prompt tokens a second and 9 ms a token, and pools of under 12 engines were never split, whatever their memory held.

--- a/src/bankrack/fleet/owners.py
+++ b/src/bankrack/fleet/owners.py
@@ -79,6 +79,7 @@
     """Tells what became of a run.
 
     :param what: ``placed``, ``began``, ``failed`` (of the engine) or ``ended``.
+    :param took: seconds from the send to the first event, or from there to the last.
     """
 
     service: str
@@ -88,6 +89,7 @@
     engine: str = ""
     prompt: int = 0
     output: int = 0
+    took: float = 0.0
 
 
 class Ledgers:
@@ -128,7 +130,7 @@
                 demand = Demand(prompt=note.prompt, output_limit=note.output)
                 ledger.place(note.run, note.engine, demand)
             case "began":
-                ledger.begin(note.run, note.engine)
+                ledger.begin(note.run, note.engine, took=note.took)
                 if engine := self._upstreams.by_id.get(note.engine):
                     self._chooser.answered(engine, failed=False)
             case "failed":
@@ -136,7 +138,7 @@
                     self._chooser.suspect(engine)
                     self._chooser.answered(engine, failed=True)
             case "ended":
-                ledger.end(note.run)
+                ledger.end(note.run, took=note.took)
 
     async def handle_ask(self, request: web.Request) -> web.Response:
         """Answer another node that asks."""
@@ -260,9 +262,9 @@
             work, "placed", engine.id, prompt=demand.prompt, output=demand.output
         )
 
-    def began(self, work: Assignment, engine: Upstream) -> None:
+    def began(self, work: Assignment, engine: Upstream, *, took: float) -> None:
         """Tell that a run makes events, on ``engine``."""
-        self._note(work, "began", engine.id)
+        self._note(work, "began", engine.id, took=took)
 
     def failed(self, work: Assignment, engine: Upstream) -> None:
         """Tell that an engine could not be reached, broke off or began nothing."""
@@ -270,9 +272,9 @@
         if self.owner(pool_of(work.job.id, pools)).name != self._own.name:
             self._note(work, "failed", engine.id)
 
-    def ended(self, work: Assignment) -> None:
+    def ended(self, work: Assignment, *, took: float) -> None:
         """Tell that a run ended."""
-        self._note(work, "ended", "")
+        self._note(work, "ended", "", took=took)
 
     async def run(self) -> None:
         """Send the notes for ever."""
@@ -302,11 +304,12 @@
         engine: str,
         prompt: int = 0,
         output: int = 0,
+        took: float = 0.0,
     ) -> None:
         service = work.service.name
         pool = pool_of(work.job.id, count_pools(len(self._upstreams.of(service))))
         run = work.job.id
-        note = NoteMessage(service, pool, run, what, engine, prompt, output)
+        note = NoteMessage(service, pool, run, what, engine, prompt, output, took)
         if len(self._notes) < MAX_NOTES:
             self._notes.append(note)
         self._noted.set()
--- a/src/bankrack/serving/advice.py
+++ b/src/bankrack/serving/advice.py
@@ -22,14 +22,20 @@
         """Tell that a run goes to an engine that was not the first."""
         ...
 
-    def began(self, work: Assignment, engine: Upstream) -> None:
-        """Tell that a run makes events, on ``engine``."""
+    def began(self, work: Assignment, engine: Upstream, *, took: float) -> None:
+        """Tell that a run makes events, on ``engine``.
+
+        :param took: seconds from its send to the first event; 0 where it went on.
+        """
         ...
 
     def failed(self, work: Assignment, engine: Upstream) -> None:
         """Tell that an engine could not be reached, broke off or began nothing."""
         ...
 
-    def ended(self, work: Assignment) -> None:
-        """Tell that a run ended."""
+    def ended(self, work: Assignment, *, took: float) -> None:
+        """Tell that a run ended.
+
+        :param took: seconds from its first event to its last; 0 unless it was whole.
+        """
         ...
--- a/src/bankrack/serving/choice.py
+++ b/src/bankrack/serving/choice.py
@@ -6,12 +6,11 @@
 import typing as t
 
 from bankrack.serving.job import Demand
+from bankrack.serving.pace import Pace
 from bankrack.serving.upstreams import Upstream
 
 REPORT_LAG_SECONDS = 0.6
 """How old an engine's report is when it comes, measured at 0.5 s on the bench."""
-PROMPT_TOKENS_PER_SECOND = 14_000.0
-"""Prompt reading rate of the engines met so far."""
 MEMORY_HEADROOM = 0.92
 """Part of an engine's memory that new work may fill; the rest is for growth."""
 JITTER = 0.04
@@ -65,6 +64,11 @@
         self._hall = hall
         self._clock = clock
         self._rng = rng or random.Random()
+        self._pace_by_service: dict[str, Pace] = {}
+
+    def pace_of(self, service: str) -> Pace:
+        """The speeds of a service's engines, as this node's own runs tell."""
+        return self._pace_by_service.setdefault(service, Pace())
 
     def plain(
         self, upstreams: t.Iterable[Upstream], *, avoid: t.Collection[str] = ()
@@ -104,10 +108,11 @@
 
     def _room_weight(self, upstream: Upstream, demand: Demand, memory: int) -> float:
         view = self.view(upstream, memory)
+        read_rate = self.pace_of(upstream.record.service).read_rate()
         room = MEMORY_HEADROOM * view.total - view.used - demand.expected
         weight = max(0.0, room / max(1, view.total)) ** 2 + MIN_WEIGHT
         weight /= 1.0 + view.queued
-        weight /= 1.0 + 2.0 * view.prompt_backlog / PROMPT_TOKENS_PER_SECOND
+        weight /= 1.0 + 2.0 * view.prompt_backlog / read_rate
         weight /= 1.0 + FAILURE_WEIGHT * upstream.failure_rate
         if self._clock() < upstream.suspect_until:
             weight *= SUSPECT_FACTOR
--- a/src/bankrack/serving/dispatch.py
+++ b/src/bankrack/serving/dispatch.py
@@ -20,7 +20,6 @@
 from bankrack.serving.job import Job
 from bankrack.serving.job import Kind
 from bankrack.serving.job import Reply
-from bankrack.serving.ledger import SECONDS_PER_TOKEN
 from bankrack.serving.plain import PlainRelay
 from bankrack.serving.routing import Route
 from bankrack.serving.routing import RoutingTable
@@ -140,9 +139,9 @@
         priority = route.priority
         if workspace is not None and workspace.priority is not None:
             priority = workspace.priority
-        if self._stops_at is not None:
-            self._refuse_if_cut(job, route, self._stops_at)
         service = self._pick_service(table, route)
+        if self._stops_at is not None:
+            self._refuse_if_cut(job, route, service, self._stops_at)
         self._budget.earn(service.name)
         return Assignment(
             job=job,
@@ -153,12 +152,14 @@
             deadline=job.arrived + timeout - DEADLINE_SLACK_SECONDS,
         )
 
-    def _refuse_if_cut(self, job: Job, route: Route, stops_at: float) -> None:
+    def _refuse_if_cut(
+        self, job: Job, route: Route, service: Service, stops_at: float
+    ) -> None:
         """Refuse what the end of this node would cut off; another node is there."""
         now = time.monotonic()
         if route.kind is Kind.STREAM:
-            tokens = job.demand.output
-            ends = now + route.target_latency + tokens * SECONDS_PER_TOKEN
+            seconds = self._streams.expected_seconds(service.name, job.demand)
+            ends = now + route.target_latency + seconds
             fits = now < self._streams_until and ends < stops_at
         else:
             fits = now + route.timeout < stops_at
--- a/src/bankrack/serving/ledger.py
+++ b/src/bankrack/serving/ledger.py
@@ -15,15 +15,11 @@
 
 from bankrack.serving.choice import REPORT_LAG_SECONDS
 from bankrack.serving.job import Demand
+from bankrack.serving.pace import Pace
 from bankrack.serving.upstreams import EngineReport
 from bankrack.serving.upstreams import Upstream
 from bankrack.utils import stable_digest
 
-PROMPT_TOKENS_PER_SECOND = 7_000.0
-"""Rate at which an engine reads prompts while other runs decode; half of what it
-reads alone, since each step then does both (users' bench: 14 tokens/ms alone)."""
-SECONDS_PER_TOKEN = 0.009
-"""An engine's step, measured with about ten runs beside each other."""
 PROMPT_SECONDS = 3.0
 """A prompt that was placed so long ago counts as read though nobody told of it."""
 RUN_SECONDS = 60.0
@@ -39,11 +35,9 @@
 """What a full engine weighs against an empty one when both have room."""
 FAR_SECONDS = 0.01
 """What an engine in another hall weighs; bytes between halls are priced."""
-READ_TOKENS_PER_SECOND = 14_000.0
-"""Rate at which an engine reads prompts when no other runs decode."""
-MIN_ENGINES_TO_SPLIT = 12
-"""A smaller pool needs the memory of all its engines for long runs; on the users'
-sites of five engines keeping short runs apart brought nothing in 24 days."""
+SPLIT_FILL = 0.5
+"""Part of the memory of the other engines that long runs may come to need where some
+engines are kept for short ones; a fuller pool needs the memory of all."""
 SPLIT_LOAD = 0.5
 """Part of their time that engines for short runs may spend reading prompts."""
 MOST_SPLIT = 0.25
@@ -63,25 +57,34 @@
 class Placement:
     """One run on one engine.
 
+    :param ahead: prompt tokens that the engine had to read before this run's.
+    :param apart: the engine was kept for short runs then.
     :param began: monotonic seconds at which its first event was told of, if it was.
     """
 
     engine: str
-    prompt: int
-    output: int
+    demand: Demand
     placed: float
+    ahead: int = 0
+    apart: bool = False
     began: float | None = None
 
+    @property
+    def prompt(self) -> int:
+        """Tokens of its prompt."""
+        return self.demand.prompt
+
     def unread(self, now: float) -> int:
         """Prompt tokens that the engine still has to read."""
         waiting = self.began is None and now < self.placed + PROMPT_SECONDS
         return self.prompt if waiting else 0
 
-    def growth(self, now: float) -> float:
+    def growth(self, now: float, token_seconds: float) -> float:
         """Tokens by which the run is still expected to grow."""
+        output = self.demand.output
         if self.began is None:
-            return float(self.output)
-        return max(0.0, self.output - (now - self.began) / SECONDS_PER_TOKEN)
+            return float(output)
+        return max(0.0, output - (now - self.began) / token_seconds)
 
 
 class Ledger:
@@ -95,6 +98,8 @@
     ) -> None:
         self._clock = clock
         self._rng = rng or random.Random()
+        self._pace = Pace()
+        self._short_ids: set[str] = set()
         self._placement_by_run: dict[str, Placement] = {}
         self._short_prompts: collections.deque[tuple[float, int]] = collections.deque()
 
@@ -104,24 +109,38 @@
             # A node that is told much but never asked holds only the newest.
             del self._placement_by_run[next(iter(self._placement_by_run))]
         now = self._clock()
-        placement = Placement(engine, demand.prompt, demand.output, now)
+        there = [p for p in self._placement_by_run.values() if p.engine == engine]
+        ahead = sum(placement.unread(now) for placement in there)
+        apart = engine in self._short_ids
+        placement = Placement(engine, demand, now, ahead, apart)
         if demand.short and run not in self._placement_by_run:
             self._forget_prompts()
             self._short_prompts.append((placement.placed, placement.prompt))
         self._placement_by_run[run] = placement
 
-    def begin(self, run: str, engine: str) -> None:
-        """Note that a run makes events, on ``engine``."""
+    def begin(self, run: str, engine: str, *, took: float = 0.0) -> None:
+        """Note that a run makes events, on ``engine``.
+
+        :param took: seconds from its send to the first event; 0 where not known.
+        """
         placement = self._placement_by_run.get(run)
         if placement is None:
             return
-        placement.engine = engine
         if placement.began is None:
             placement.began = self._clock()
+            if placement.engine == engine:
+                tokens = placement.ahead + placement.prompt
+                self._pace.began(tokens, took, apart=placement.apart)
+        placement.engine = engine
 
-    def end(self, run: str) -> None:
-        """Note that a run ended, wherever it was."""
-        self._placement_by_run.pop(run, None)
+    def end(self, run: str, *, took: float = 0.0) -> None:
+        """Note that a run ended, wherever it was.
+
+        :param took: seconds from its first event to its last; 0 unless it was whole.
+        """
+        placement = self._placement_by_run.pop(run, None)
+        if placement is not None:
+            self._pace.ended(placement.demand, took)
 
     def order(
         self, engines: t.Iterable[Upstream], demand: Demand, *, memory: int, hall: str
@@ -133,7 +152,8 @@
         """
         self._forget()
         engines = list(engines)
-        short_ids = self._engines_for_short(engines)
+        short_ids = self._engines_for_short(engines, memory=memory)
+        self._short_ids = short_ids
         by_engine: dict[str, list[Placement]] = {}
         for placement in self._placement_by_run.values():
             by_engine.setdefault(placement.engine, []).append(placement)
@@ -148,19 +168,27 @@
 
         return sorted(engines, key=cost)
 
-    def _engines_for_short(self, engines: list[Upstream]) -> set[str]:
+    def _engines_for_short(self, engines: list[Upstream], *, memory: int) -> set[str]:
         """Ids of the engines that short runs have for themselves.
 
-        A prompt that is read holds up all long runs beside it, so in a large pool
-        short runs gather on as few engines as read their prompts in time.
+        A prompt that is read holds up all long runs beside it, so where there is memory
+        to spare short runs gather on as few engines as read their prompts in time.
         """
-        if len(engines) < MIN_ENGINES_TO_SPLIT:
-            return set()
         tokens = sum(prompt for _, prompt in self._short_prompts)
         rate = tokens / RATE_WINDOW_SECONDS
-        wanted = math.ceil(rate / (SPLIT_LOAD * READ_TOKENS_PER_SECOND))
+        wanted = math.ceil(rate / (SPLIT_LOAD * self._pace.read_rate(apart=True)))
         count = min(wanted, int(MOST_SPLIT * len(engines)))
-        return set(sorted((engine.id for engine in engines), key=stable_digest)[:count])
+        ordered = sorted(engines, key=lambda engine: stable_digest(engine.id))
+        rest = ordered[count:]
+        room = sum(e.report.total if e.report else memory for e in rest)
+        if self._long_tokens() > SPLIT_FILL * room:
+            return set()
+        return {engine.id for engine in ordered[:count]}
+
+    def _long_tokens(self) -> int:
+        """Tokens that the long runs will hold at their ends."""
+        placements = self._placement_by_run.values()
+        return sum(p.demand.expected for p in placements if not p.demand.short)
 
     def _forget(self) -> None:
         oldest = self._clock() - RUN_SECONDS
@@ -187,11 +215,11 @@
         """Seconds until a run would begin there, and what else speaks against it."""
         now = self._clock()
         unread = sum(placement.unread(now) for placement in placements)
-        rate = READ_TOKENS_PER_SECOND if apart else PROMPT_TOKENS_PER_SECOND
-        cost = unread / rate
+        cost = unread / self._pace.read_rate(apart=apart)
         total = engine.report.total if engine.report else memory
         used = _used(engine.report, placements)
-        growth = sum(placement.growth(now) for placement in placements)
+        token_seconds = self._pace.token_seconds
+        growth = sum(p.growth(now, token_seconds) for p in placements)
         short = used + growth + demand.expected - MEMORY_LIMIT * total
         cost += FILL_SECONDS * used / max(1, total)
         cost += FULL_SECONDS * max(0.0, short) / max(1, total)
--- a/src/bankrack/serving/streams.py
+++ b/src/bankrack/serving/streams.py
@@ -25,6 +25,7 @@
 from bankrack.serving.events import EventOrder
 from bankrack.serving.events import EventSplitter
 from bankrack.serving.job import Answer
+from bankrack.serving.job import Demand
 from bankrack.serving.job import Reply
 from bankrack.serving.placing import Placer
 from bankrack.serving.relay import RelayParts
@@ -61,6 +62,10 @@
             advisor=advisor,
         )
 
+    def expected_seconds(self, service: str, demand: Demand) -> float:
+        """How long a run is expected to make events."""
+        return demand.output * self.parts.chooser.pace_of(service).token_seconds
+
     async def serve(self, work: Assignment, reply: Reply) -> str:
         """Serve one stream; returns the outcome for the log."""
         run = _Run(self, work, reply)
@@ -84,6 +89,7 @@
         self._engine: Upstream | None = None
         self._exchange: Exchange | None = None
         self._log = RunLog(work, self._order)
+        self._pace = relay.parts.chooser.pace_of(work.service.name)
         self._tried: set[str] = set()
         self._sends = 0
         self._runs = 0
@@ -91,6 +97,7 @@
         self._began_at = 0.0
         self._last_event_at = 0.0
         self._events = 0
+        self._whole_seconds = 0.0
         self._keeper: asyncio.Task[None] | None = None
         self._copies = Copies(
             work,
@@ -116,6 +123,8 @@
         if answer is not None:
             return await self._answer(answer)
         await self._reply.end()
+        self._whole_seconds = self._last_event_at - self._began_at
+        self._pace.ended(self._work.job.demand, self._whole_seconds)
         self._log.write_pace(
             began=self._began_at, last=self._last_event_at, events=self._events
         )
@@ -127,7 +136,7 @@
             self._keeper.cancel()
         await self._copies.drop()
         self._leave_engine()
-        self._relay.advisor.ended(self._work)
+        self._relay.advisor.ended(self._work, took=self._whole_seconds)
 
     # Starting
 
@@ -276,9 +285,12 @@
         self._sends += 1
         if not exchange.head.not_run:
             self._runs += resume is None
-            engine.note_sent(work.job.demand.prompt, now)
+            prompt = work.job.demand.prompt
+            took = time.monotonic() - now if resume is None else 0.0
+            engine.note_sent(prompt, now)
+            self._pace.began(prompt, took)
             self._parts.chooser.answered(engine, failed=False)
-            self._relay.advisor.began(work, engine)
+            self._relay.advisor.began(work, engine, took=took)
             self._copies.start_with(backup)
         self._log.write(
             "run_sent",
--- a/tests/serving/test_ledger.py
+++ b/tests/serving/test_ledger.py
@@ -112,10 +112,24 @@
         self.assertLessEqual(len(used[True]), 5)
         self.assertEqual(set(), used[True] & used[False])
 
+    def split(self) -> set[str]:
+        return self.ledger._engines_for_short(self.engines, memory=MEMORY)
+
     def test_a_small_pool_is_not_split(self):
         for number in range(20):
             self.ledger.place(f"r-{number}", "one", Demand(prompt=2500, output_limit=9))
-        self.assertEqual(set(), self.ledger._engines_for_short(self.engines))
+        self.assertEqual(set(), self.split())
+
+    def test_a_pool_is_split_only_while_its_memory_is_not_needed(self):
+        self.engines = [self.engine(f"e-{number}") for number in range(8)]
+        for number in range(20):
+            self.ledger.place(f"s-{number}", "e-1", Demand(prompt=2500, output_limit=9))
+        self.assertEqual(2, len(self.split()))
+        for number in range(10):
+            self.ledger.place(f"l-{number}", "e-2", LONG)
+        self.assertEqual(2, len(self.split()))
+        self.ledger.place("l-10", "e-2", LONG)
+        self.assertEqual(set(), self.split())
 
     def test_a_ledger_that_nobody_asks_stays_bounded(self):
         self.patch(ledger_module, "MAX_PLACEMENTS", 3)
--- /dev/null
+++ b/tests/serving/test_pace.py
@@ -0,0 +1,53 @@
+"""Tests of learning how fast engines are."""
+
+from bankrack.serving.job import Demand
+from bankrack.serving.pace import FIRST_READ_RATE
+from bankrack.serving.pace import FIRST_TOKEN_SECONDS
+from bankrack.serving.pace import MIN_SAMPLES
+from bankrack.serving.pace import Pace
+from tests.base import TestCase
+
+LONG = Demand(prompt=1000, output_limit=500)
+
+
+class Learning(TestCase):
+    def test_a_few_runs_change_nothing(self):
+        pace = Pace()
+        for _ in range(MIN_SAMPLES - 1):
+            pace.began(1000, 10.0)
+            pace.ended(LONG, 100.0)
+        self.assertEqual(FIRST_READ_RATE, pace.read_rate())
+        self.assertEqual(FIRST_TOKEN_SECONDS, pace.token_seconds)
+
+    def test_engines_of_another_speed_are_known_after_some_runs(self):
+        pace = Pace()
+        with self.assertLogs("bankrack.serving.pace") as found:
+            for _ in range(MIN_SAMPLES):
+                pace.began(1000, 0.5)
+                pace.ended(LONG, 20.0)
+        self.assertEqual(2000.0, pace.read_rate())
+        self.assertEqual(0.04, pace.token_seconds)
+        self.assertEqual(2, len(found.output))
+
+    def test_engines_for_short_runs_are_told_apart(self):
+        pace = Pace()
+        for _ in range(MIN_SAMPLES):
+            pace.began(1000, 0.5, apart=True)
+        self.assertEqual(FIRST_READ_RATE, pace.read_rate())
+        self.assertEqual(2000.0, pace.read_rate(apart=True))
+
+    def test_one_odd_run_does_not_count(self):
+        pace = Pace()
+        for _ in range(20):
+            pace.began(1000, 0.1)
+        pace.began(1000, 60.0)
+        self.assertEqual(10_000.0, pace.read_rate())
+
+    def test_runs_without_a_time_or_of_a_few_tokens_tell_nothing(self):
+        pace = Pace()
+        for _ in range(20):
+            pace.began(1000, 0.0)
+            pace.ended(LONG, 0.0)
+            pace.ended(Demand(prompt=1000, output_limit=10), 5.0)
+        self.assertEqual(FIRST_READ_RATE, pace.read_rate())
+        self.assertEqual(FIRST_TOKEN_SECONDS, pace.token_seconds)
