A caller is told to come back by the time it has, not by a fixed half second

Now a quarter of the caller's time, 0.25 to 5 s. A node that stops still says 0.02 s: another node is there.

--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -316,7 +316,8 @@
             await self.follower.wait_for_first_answer(FIRST_ANSWER_SECONDS)
         if self.view.table is None:
             raise NodeNotReady(
-                "this node has no configuration yet; try again", retry_after=0.5
+                "this node has no configuration yet; try again",
+                retry_after=job.retry_after,
             )
         self.reports.note_use()
         await self.dispatcher.serve(job, reply)
--- a/src/bankrack/serving/dispatch.py
+++ b/src/bankrack/serving/dispatch.py
@@ -28,8 +28,6 @@
 from bankrack.serving.streams import StreamRelay
 from bankrack.serving.upstreams import Upstreams
 
-STARTING_SECONDS = 0.5
-"""When to come back to a node that has no configuration yet."""
 STREAMS_AFTER_STOP_SECONDS = 2.5
 """Streams are taken for so long after a stop began; the balancer needs some 2 s."""
 STOPPING_RETRY_SECONDS = 0.02
@@ -121,7 +119,7 @@
                 return self._assign(job)
             raise NodeNotReady(
                 "the configuration can't be confirmed now; try again",
-                retry_after=STARTING_SECONDS,
+                retry_after=job.retry_after,
             ) from error
 
     def _assign(self, job: Job) -> Assignment:
@@ -129,7 +127,7 @@
         if table is None:
             raise NodeNotReady(
                 "this node has no configuration yet; try again",
-                retry_after=STARTING_SECONDS,
+                retry_after=job.retry_after,
             )
         route = table.match(job.host, job.target.partition("?")[0])
         if route is None:
--- a/src/bankrack/serving/job.py
+++ b/src/bankrack/serving/job.py
@@ -11,6 +11,14 @@
 """Runs that make fewer tokens are short: reading their prompt is most of their work."""
 
 
+RETRY_PART = 0.25
+"""Part of its time after which a caller should come back where it can't be known when
+it can be served.  Callers come back once or twice and wait a third of their time at
+most, so a patient one should outlast more than the next moment."""
+MIN_RETRY_SECONDS = 0.25
+MAX_RETRY_SECONDS = 5.0
+
+
 class Kind(enum.Enum):
     """What may be done with a request besides sending it once."""
 
@@ -79,6 +87,12 @@
     patience: float | None
     demand: Demand = dataclasses.field(default_factory=Demand)
 
+    @property
+    def retry_after(self) -> float:
+        """Seconds after which to come back where it isn't known when to."""
+        wanted = RETRY_PART * (self.patience or 0.0)
+        return min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, wanted))
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Answer:
--- a/src/bankrack/serving/placing.py
+++ b/src/bankrack/serving/placing.py
@@ -29,7 +29,6 @@
 PLACE_GROWTH_TOKENS = 150
 """Tokens kept beside the prompt; keeping all that is expected let fewer runs in, and
 worth over 24 days was 14.106 instead of 14.351."""
-RETRY_AFTER_SECONDS = 0.5
 
 
 class Placer:
@@ -96,7 +95,7 @@
         if not untried:
             raise Overloaded(
                 f"no engine of {work.service.name} takes the run now; try again",
-                retry_after=RETRY_AFTER_SECONDS,
+                retry_after=work.job.retry_after,
             )
         by_room = self._chooser.engines_by_room(
             untried, work.job.demand, memory=traits.memory
--- a/src/bankrack/serving/plain.py
+++ b/src/bankrack/serving/plain.py
@@ -23,7 +23,6 @@
 """Upstreams that could not be reached before the request is refused."""
 IMPATIENCE = 1.5
 """A repeatable request is sent again after this many target latencies."""
-RETRY_AFTER_SECONDS = 0.3
 
 _logger = logging.getLogger(__name__)
 
@@ -82,7 +81,7 @@
         if sends.dials_left <= 0 or sends.count >= MAX_SENDS:
             raise Overloaded(
                 "no upstream took the request; try again",
-                retry_after=RETRY_AFTER_SECONDS,
+                retry_after=work.job.retry_after,
             )
         candidates = self._parts.upstreams.open_of(work.service.name)
         if len(sends.ran_ids) >= work.route.max_upstreams:
@@ -91,13 +90,13 @@
         if upstream is None:
             raise Overloaded(
                 f"service {work.service.name} has no upstream; try again",
-                retry_after=RETRY_AFTER_SECONDS,
+                retry_after=work.job.retry_after,
             )
         if sends.count > 0 and not self._parts.budget.take(work.service.name):
             raise Overloaded(
                 "upstreams rejected the request and the retry budget is used up; "
                 "try again",
-                retry_after=RETRY_AFTER_SECONDS,
+                retry_after=work.job.retry_after,
             )
         return upstream
 
--- a/src/bankrack/serving/streams.py
+++ b/src/bankrack/serving/streams.py
@@ -39,7 +39,6 @@
 """An engine that made events and then none for so long is given up."""
 RESUME_SECONDS = 2.0
 """Time for a copy to go on; it reads what it lacks in some hundred ms."""
-RETRY_AFTER_SECONDS = 0.5
 
 
 class _EngineSilent(UpstreamFailed):
@@ -225,7 +224,7 @@
         if self._sends >= MAX_SENDS or not self._parts.budget.take(service):
             raise Overloaded(
                 "engines rejected the run and no more may be asked; try again",
-                retry_after=RETRY_AFTER_SECONDS,
+                retry_after=self._work.job.retry_after,
             )
 
     async def _answer(self, answer: Answer) -> str:
--- a/tests/platform/test_refusals.py
+++ b/tests/platform/test_refusals.py
@@ -19,6 +19,15 @@
             found = await call(gateway.settings.front, "/bill/x")
             self.assertEqual(503, found.status)
 
+    async def test_a_patient_caller_is_told_to_come_back_later(self):
+        async with running(configured=False) as world:
+            gateway = await world.gateway()
+            for patience, wanted in (("1000", 0.25), ("6000", 1.5), ("39000", 5.0)):
+                headers = {"Bankrack-Deadline-Ms": patience}
+                found = await call(gateway.settings.front, "/talk/x", headers=headers)
+                self.assertEqual(503, found.status)
+                self.assertEqual(wanted, float(found.headers["Retry-After"]))
+
     async def test_unknown_keys_and_routes_are_denied(self):
         async with running() as world:
             gateway = await world.ready_gateway()
