Servers whose entries lapsed with the store are not dropped when a watch tells of it first

The return is noted by whichever answers first. A first store_regained no longer tells the uptime of the machine as the time away.

--- a/src/bankrack/fleet/follower.py
+++ b/src/bankrack/fleet/follower.py
@@ -51,6 +51,8 @@
 SEED_DELAY_SECONDS = 0.05
 """A node that starts gives the store, which takes some 10 ms, so long before it also
 asks other nodes."""
+SEED_PAUSE_SECONDS = 0.2
+"""Rest between two rounds of asking them; a question takes a node well under 1 ms."""
 SETTLE_SECONDS = 1.0
 """Time for the nodes of a fleet that starts at once to learn of each other."""
 DENIAL_SECONDS = 0.8
@@ -136,12 +138,17 @@
                 await self._first_answer.wait()
 
     async def _begin(self) -> None:
-        """Get a first view, from the store or from any node that has one."""
-        failures = 0
-        while not await self._read_or_ask_seeds():
-            self._first_answer.set()
-            failures += 1
-            await self._rest(failures)
+        """Get a first view, from the store or from any node that has one.
+
+        A store that is silent takes a reading's whole time to be noticed, and longer
+        each time, while a node that has a view answers in some ms.
+        """
+        asking = asyncio.create_task(self._keep_asking_seeds())
+        try:
+            await self._read_first_view()
+        finally:
+            asking.cancel()
+            await asyncio.gather(asking, return_exceptions=True)
         self._first_answer.set()
         if not self.store_confirmed_at:
             return
@@ -149,27 +156,33 @@
         # Who takes itself for a reader reads the members anew, and tells the others.
         self._members_due = 0.0
 
-    async def _read_or_ask_seeds(self) -> bool:
-        """Read once, and ask the seeds beside it; tells whether there is a view.
+    async def _read_first_view(self) -> None:
+        """Read until there is a view, be it a seed's."""
+        failures = 0
+        while self._view.table is None:
+            reading = asyncio.create_task(self._read())
+            told = asyncio.create_task(self._wait_for_view())
+            await asyncio.wait({reading, told}, return_when=asyncio.FIRST_COMPLETED)
+            told.cancel()
+            if not reading.done() or reading.result():
+                return
+            self._first_answer.set()
+            failures += 1
+            with contextlib.suppress(TimeoutError):
+                rest = self._rest_seconds(failures)
+                await asyncio.wait_for(self._wait_for_view(), rest)
 
-        A store that is silent takes a reading's whole time to be noticed, and longer
-        each time, while a node that has a view answers in some ms.
-        """
-        reading = asyncio.create_task(self._read())
-        done, _ = await asyncio.wait({reading}, timeout=SEED_DELAY_SECONDS)
-        if done and reading.result():
-            return True
-        asked = [asyncio.create_task(self._ask(seed)) for seed in self._roster.seeds()]
-        try:
-            for answer in asyncio.as_completed([reading, *asked]):
-                await answer
-                if self._view.table is not None:
-                    return True
-        finally:
-            for task in asked:
-                task.cancel()
-            await asyncio.gather(*asked, return_exceptions=True)
-        return False
+    async def _wait_for_view(self) -> None:
+        while self._view.table is None:
+            await self._view.news.wait()
+
+    async def _keep_asking_seeds(self) -> None:
+        """Ask the seeds for a view, again and again, until there is one."""
+        await asyncio.sleep(SEED_DELAY_SECONDS)
+        while self._view.table is None:
+            asked = (self._ask(seed) for seed in self._roster.seeds())
+            await asyncio.gather(*asked)
+            await asyncio.sleep(SEED_PAUSE_SECONDS)
 
     async def _ask(self, seed: Member) -> None:
         """Take in a seed's view, if it has one; most do not when a fleet starts."""
@@ -201,8 +214,11 @@
             await asyncio.gather(watching, return_exceptions=True)
 
     async def _rest(self, failures: int) -> None:
+        await asyncio.sleep(self._rest_seconds(failures))
+
+    def _rest_seconds(self, failures: int) -> float:
         rest = min(MAX_RETRY_SECONDS, RETRY_SECONDS * 2**failures)
-        await asyncio.sleep(rest * (0.5 + random.random()))
+        return rest * (0.5 + random.random())
 
     def _leaves_reading_to_others(self) -> bool:
         """Whether a node that is no reader waits for those that are."""
@@ -235,6 +251,7 @@
                 await self._rest(failures)
                 continue
             failures = 0
+            self._note_return()
             self._view.change(changes, source="watch")
             await asyncio.sleep(WATCH_PAUSE_SECONDS)
 
@@ -259,15 +276,24 @@
         self._read_seconds = READ_SECONDS
         if snapshot.until is None:
             self._members_due = asked + MEMBERS_SECONDS
+        self._note_return()
         if not self.reachable:
             self.reachable = True
-            logs.event(_logger, "store_regained", away=self.store_age)
-        if self._view.age > AWAY_SECONDS and self._view.confirmed_at:
-            self._view.store_was_away()
+            away = self.store_age if self.store_confirmed_at else None
+            logs.event(_logger, "store_regained", away=away)
         self.store_confirmed_at = asked
         self._view.confirm(snapshot, asked_at=asked, source="store")
         return True
 
+    def _note_return(self) -> None:
+        """Note that the store answers, before what it tells is taken in.
+
+        Entries that lapsed while it was away will come back, so they must not count as
+        gone at once; a watch often tells of them before the first reading does.
+        """
+        if self._view.age > AWAY_SECONDS and self._view.confirmed_at:
+            self._view.store_was_away()
+
     def _patience(self) -> float:
         """Age of a leader's view, in seconds, from which on it is passed over."""
         return STALE_SECONDS if self._roster.stands_by() else LATE_SECONDS
--- a/tests/platform/test_following.py
+++ b/tests/platform/test_following.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 
+from bankrack.fleet.follower import AWAY_SECONDS
 from bankrack.gateway import Gateway
 from bankrack.serving import pools
 from tests.base import TestCase
@@ -30,6 +31,25 @@
     return time.monotonic() - returned
 
 
+class Outages(TestCase):
+    async def test_what_a_watch_tells_first_of_a_return_is_borne_too(self):
+        async with running() as world:
+            gateway = await world.ready_gateway()
+            await until(lambda: "n-1" in gateway.view.members_by_name)
+            await until(lambda: world.store.calls[-1] == "kv-watch")
+            world.store.status = 503
+            await until(lambda: gateway.view.age > AWAY_SECONDS + 0.2)
+            # The watch that waits tells of this before any reading works again.
+            entry = world.store.item_by_key["servers/p-1"].value
+            world.store.remove("servers/p-1")
+            await asyncio.sleep(0.2)
+            self.assertIn("p-1", gateway.upstreams.by_id)
+            world.store.put("servers/p-1", entry)
+            world.store.status = 0
+            await until(lambda: gateway.view.age < 1.0)
+            self.assertIn("p-1", gateway.upstreams.by_id)
+
+
 class Following(TestCase):
     async def test_a_change_that_the_watch_missed_is_in_force_within_two_seconds(self):
         async with running() as world:
