--- a/src/bankrack/serving/choice.py
+++ b/src/bankrack/serving/choice.py
@@ -10,7 +10,8 @@
 from bankrack.serving.upstreams import Upstream
 
 REPORT_LAG_SECONDS = 0.6
-"""How old an engine's report is when it comes, measured at 0.5 s on the bench."""
+"""How old an engine's report is when it comes: some hundred ms by its own word, which
+were 0.5 s, and the way."""
 MEMORY_HEADROOM = 0.92
 """Part of an engine's memory that new work may fill; the rest is for growth."""
 JITTER = 0.04
