Silence is judged by how far apart events usually are

Cause: 0.6 s without an event meant silence on any engine; where events are 0.3 s apart by nature a stall of two of them would have moved the run to a copy. Now eight times the usual time between events, which is learned, where that is longer; with 36 ms nothing changes.

--- a/src/bankrack/serving/pace.py
+++ b/src/bankrack/serving/pace.py
@@ -19,6 +19,8 @@
 that was observed: each of its steps then does one thing instead of two."""
 FIRST_TOKEN_SECONDS = 0.009
 """Seconds a token, until some were observed, with about ten runs beside each other."""
+FIRST_EVENT_SECONDS = 0.035
+"""Seconds between two events, until some were observed."""
 SAMPLES = 64
 """Runs that an estimate is the median of; a busy pool has so many in some 10 s."""
 MIN_SAMPLES = 8
@@ -105,12 +107,14 @@
 class Pace:
     """The speeds of the engines of one service."""
 
-    __slots__ = ("_apart", "_beside", "_runs", "_token")
+    __slots__ = ("_apart", "_beside", "_gap", "_gaps", "_runs", "_token")
 
     def __init__(self) -> None:
         self._beside = ReadRate("read_rate", FIRST_READ_RATE)
         self._apart = ReadRate("read_rate_apart", APART_FACTOR * FIRST_READ_RATE)
         self._token = Estimate("token_seconds", FIRST_TOKEN_SECONDS)
+        self._gap = Estimate("event_seconds", FIRST_EVENT_SECONDS)
+        self._gaps: collections.deque[float] = collections.deque(maxlen=SAMPLES)
         self._runs: collections.deque[float] = collections.deque(maxlen=SAMPLES)
 
     @property
@@ -118,6 +122,11 @@
         """Seconds that a run takes for each token that it is expected to make."""
         return self._token.value
 
+    @property
+    def event_seconds(self) -> float:
+        """Seconds from one event of a stream to the next."""
+        return self._gap.value
+
     def read_rate(self, *, apart: bool = False) -> float:
         """Prompt tokens that an engine reads in a second.
 
@@ -135,6 +144,13 @@
             rate = self._apart if apart else self._beside
             rate.observe(tokens, seconds)
 
+    def spaced(self, seconds: float) -> None:
+        """Take in how far apart the events of a whole stream were."""
+        self._gaps.append(seconds)
+        if len(self._gaps) >= MIN_SAMPLES:
+            value = statistics.median(self._gaps)
+            self._gap.change(value, samples=len(self._gaps))
+
     def ended(self, demand: Demand, seconds: float) -> None:
         """Take in how long a whole run made events.
 
--- a/src/bankrack/serving/passing.py
+++ b/src/bankrack/serving/passing.py
@@ -35,6 +35,11 @@
         """Time from the first event to the newest."""
         return self.last_at - self.began_at
 
+    @property
+    def gap(self) -> float:
+        """Seconds from one event to the next, on average; 0 after the first."""
+        return self.seconds / max(1, self.count - 1)
+
     def change_engine(self) -> EventSplitter:
         """Forget what the last engine left unfinished; returns that."""
         left, self._splitter = self._splitter, EventSplitter()
--- a/src/bankrack/serving/run.py
+++ b/src/bankrack/serving/run.py
@@ -34,6 +34,8 @@
 200)."""
 SILENCE_SECONDS = 0.6
 """An engine that made events and then none for so long is given up."""
+SILENCE_EVENTS = 8.0
+"""The same, in usual times between two events, for engines that make them slowly."""
 RESUME_SECONDS = 2.0
 """Time for a copy to go on; it reads what it lacks in some hundred ms."""
 
@@ -99,6 +101,8 @@
         await self._reply.end()
         self._whole_seconds = self._passer.seconds
         self._pace.ended(self._work.job.demand, self._whole_seconds)
+        if self._passer.count > 1:
+            self._pace.spaced(self._passer.gap)
         self._log.write_pace(self._passer)
         return f"whole, {self._sends} sends, {self._resumes} resumes"
 
@@ -297,12 +301,13 @@
     async def _read(self, exchange: Exchange) -> bytes:
         if not self._reply.started or not self._copies.found:
             return await exchange.read_some()
+        silence = max(SILENCE_SECONDS, SILENCE_EVENTS * self._pace.event_seconds)
         try:
-            async with asyncio.timeout(SILENCE_SECONDS):
+            async with asyncio.timeout(silence):
                 return await exchange.read_some()
         except TimeoutError as error:
             raise _EngineSilent(
-                f"the engine made no event for {SILENCE_SECONDS} s"
+                f"the engine made no event for {silence:.2f} s"
             ) from error
 
     def _keep_copied(self) -> None:
--- a/src/bankrack/serving/runlog.py
+++ b/src/bankrack/serving/runlog.py
@@ -64,5 +64,5 @@
             request=self._work.job.id,
             first_event=passed.began_at - self._work.job.arrived,
             events=passed.count,
-            between_events=passed.seconds / max(1, passed.count - 1),
+            between_events=passed.gap,
         )
--- a/tests/platform/test_streams.py
+++ b/tests/platform/test_streams.py
@@ -8,6 +8,7 @@
 
 from bankrack.serving import copies as copies_module
 from bankrack.serving import run as run_module
+from bankrack.serving.pace import MIN_SAMPLES
 from tests.base import TestCase
 from tests.platform.deployment import not_run
 from tests.platform.deployment import running
@@ -131,6 +132,19 @@
             self.assertEqual(self.want(), found.body)
             self.assertEqual(1, sum(e.cancelled for e in world.engines))
 
+    async def test_engines_that_make_events_slowly_are_not_left(self):
+        async with running() as world:
+            gateway = await world.ready_gateway()
+            pace = gateway.chooser.pace_of("engines")
+            for _ in range(MIN_SAMPLES):
+                pace.spaced(0.3)
+            self.patch(run_module, "SILENCE_SECONDS", 0.1)
+            for engine in world.engines:
+                engine.pause = 0.3
+            found = await call(gateway.settings.front, "/talk/x")
+            self.assertTrue(found.whole)
+            self.assertEqual(1, len(world.arrivals()))
+
     async def test_a_silent_engine_is_kept_where_no_copy_can_go_on(self):
         async with running() as world:
             gateway = await world.ready_gateway()
