--- a/benchmarks/losses.py
+++ b/benchmarks/losses.py
@@ -21,7 +21,11 @@
 """Streams of fewer events tell little of an engine's pace."""
 OUT_OF_TIME = "its time ran out at its upstream"
 """Plain requests only: a gateway sends them on at once, or refuses them."""
-UNAVOIDABLE = frozenset({"upstreams failed it", "node ended under it", OUT_OF_TIME})
+UNSURE = "a denial that could not be confirmed"
+"""What a node would deny is refused while it can't ask the store; it is seldom owed."""
+UNAVOIDABLE = frozenset(
+    {"upstreams failed it", "node ended under it", OUT_OF_TIME, UNSURE}
+)
 LATE = "late: "
 """Prefix of causes of attempts that were served, but after their target."""
 
@@ -113,7 +117,8 @@
         case "stream_interrupted":
             return _lost_stream_cause(attempt)
         case "node_not_ready":
-            return "no configuration, store away"
+            unsure = "can't be confirmed" in outcome
+            return UNSURE if unsure else "no configuration, store away"
         case "deadline_exceeded":
             streamed = attempt.stream or attempt.kept is not None
             return "its time ran out" if streamed else OUT_OF_TIME
