A store that is away is left alone; one log line for what comes together

Change: renewals wait while the view is old, then spread over 1.5 s; a node that alone is turned away asks half as often each time, up to 4 s; nodes that nobody waits for let the readers try first and back off; a denial that can't be confirmed is told at once while the store is known to be away. Shares of the retry budget rest on the most members of the last 10 s: entries lapse in an outage, and a share of fewer would be too large after it. Logs: members that come or go within a second share a line, upstreams of one reading too (ids kept), and a leader is logged once it serves, not at each vain question.

--- /dev/null
+++ b/src/bankrack/fleet/changelog.py
@@ -0,0 +1,110 @@
+"""Log lines on members and upstreams that come and go, one for what comes together.
+
+A fleet that starts tells each of its nodes of each other one: with a line for each, 195
+nodes write 38,025 lines.
+"""
+
+import logging
+import time
+import typing as t
+
+from bankrack import logs
+
+MEMBERS_SECONDS = 1.0
+"""Members that come or go within so long share a line."""
+MAX_NAMED_MEMBERS = 8
+"""Members named in a line; the entry of each is in the log of the node itself."""
+MAX_SINGLE_UPSTREAMS = 3
+"""More upstreams than that, of one reading, share a line that names them all."""
+
+_logger = logging.getLogger(__name__)
+
+
+class MemberLog:
+    """Counts members that come and go, and writes a line now and then."""
+
+    __slots__ = ("_clock", "_due", "_joined", "_left", "_source")
+
+    def __init__(self, *, clock: t.Callable[[], float] = time.monotonic) -> None:
+        self._clock = clock
+        self._due = 0.0
+        self._joined: list[str] = []
+        self._left: list[str] = []
+        self._source = ""
+
+    def joined(self, name: str, source: str) -> None:
+        """Note a member that came."""
+        self._note(self._joined, name, source)
+
+    def left(self, name: str, source: str) -> None:
+        """Note a member that went."""
+        self._note(self._left, name, source)
+
+    def flush(self, *, members: int) -> None:
+        """Write the line if it is due.
+
+        :param members: how many there are now.
+        """
+        if not (self._joined or self._left) or self._clock() < self._due:
+            return
+        logs.event(
+            _logger,
+            "members_changed",
+            joined=len(self._joined),
+            left=len(self._left),
+            members=members,
+            names_joined=_some(self._joined),
+            names_left=_some(self._left),
+            source=self._source,
+        )
+        self._joined, self._left = [], []
+
+    def _note(self, names: list[str], name: str, source: str) -> None:
+        if not (self._joined or self._left):
+            self._due = self._clock() + MEMBERS_SECONDS
+        names.append(name)
+        self._source = source
+
+
+def _some(names: list[str]) -> str | None:
+    """Name the first of some members; ``None`` where there are none."""
+    return ",".join(names[:MAX_NAMED_MEMBERS]) or None
+
+
+class UpstreamLog:
+    """Collects what one reading tells of upstreams, and writes it."""
+
+    __slots__ = ("_fields_by_id_by_event",)
+
+    def __init__(self) -> None:
+        self._fields_by_id_by_event: dict[str, dict[str, dict[str, t.Any]]] = {}
+
+    def note(self, event: str, upstream: str, **fields: t.Any) -> None:
+        """Note what became of an upstream."""
+        by_id = self._fields_by_id_by_event.setdefault(event, {})
+        by_id[upstream] = fields
+
+    def flush(self) -> None:
+        """Write what was noted."""
+        for event, fields_by_id in self._fields_by_id_by_event.items():
+            if len(fields_by_id) > MAX_SINGLE_UPSTREAMS:
+                _write_together(event, fields_by_id)
+                continue
+            for upstream, fields in fields_by_id.items():
+                logs.event(_logger, event, upstream=upstream, **fields)
+        self._fields_by_id_by_event = {}
+
+
+def _write_together(event: str, fields_by_id: dict[str, dict[str, t.Any]]) -> None:
+    names = ",".join(
+        f"{upstream}@{fields.get('address')}"
+        for upstream, fields in fields_by_id.items()
+    )
+    last = next(reversed(fields_by_id.values()))
+    logs.event(
+        _logger,
+        event,
+        count=len(fields_by_id),
+        upstreams=names,
+        source=last.get("source"),
+    )
--- a/src/bankrack/fleet/follower.py
+++ b/src/bankrack/fleet/follower.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import logging
+import math
 import random
 import time
 
@@ -37,8 +38,12 @@
 RETRY_SECONDS = 0.1
 MAX_RETRY_SECONDS = 0.6
 SLOW_RETRY_SECONDS = 2.0
+MAX_SLOW_RETRY_SECONDS = 4.0
 """Rest between two readings of a node that is no reader while nobody reaches the
 store, so that a large fleet does not wear it out.  It asks the readers meanwhile."""
+KNOWN_AWAY_SECONDS = 1.0
+"""A reading that failed so lately tells that the next one would fail too; what hangs on
+it is refused at once."""
 STALE_DISTRUST_SECONDS = 0.5
 """A reader that can't reach the store is asked again so soon: it learns of the
 store's return first, and all must know within 3 s what did not come back."""
@@ -77,6 +82,9 @@
         self._first_answer = asyncio.Event()
         self._members_due = 0.0
         self._own_reading_due = 0.0
+        self._own_failures = 0
+        self._failed_at = -math.inf
+        self._logged_leader: str | None = ""
         self.store_confirmed_at = 0.0
         self.leader: str | None = None
         self._stale_leaders: set[str] = set()
@@ -92,10 +100,10 @@
         while True:
             leader = self._roster.leader()
             if leader is None:
-                self._note_leader(None)
+                self.leader = None
                 await self._read_while_leading()
                 continue
-            self._note_leader(leader.name)
+            self.leader = leader.name
             try:
                 age = await self._leaders.ask(leader)
             except PeerUnavailable as error:
@@ -104,6 +112,8 @@
                 continue
             if age <= self._patience():
                 self._stale_leaders.discard(leader.name)
+                self._own_failures = 0
+                self._log_leader(leader.name)
             else:
                 self._note_stale(leader.name, age)
                 self._roster.distrust(leader, seconds=STALE_DISTRUST_SECONDS)
@@ -122,6 +132,8 @@
         if self._view.age <= within:
             return True
         asked = time.monotonic()
+        if self._view.confirmed_at and asked < self._failed_at + KNOWN_AWAY_SECONDS:
+            return False
         try:
             async with asyncio.timeout(DENIAL_SECONDS):
                 while self._view.confirmed_at < asked - within:
@@ -203,7 +215,8 @@
                     await asyncio.sleep(RETRY_SECONDS)
                     continue
                 if await self._read():
-                    failures = 0
+                    failures = self._own_failures = 0
+                    self._log_leader(None)
                     await asyncio.sleep(CONFIRM_SECONDS)
                     continue
                 failures += 1
@@ -227,8 +240,9 @@
         return time.monotonic() < self._own_reading_due
 
     def _put_off_own_reading(self) -> None:
-        rest = SLOW_RETRY_SECONDS * (0.5 + random.random())
-        self._own_reading_due = time.monotonic() + rest
+        rest = min(MAX_SLOW_RETRY_SECONDS, SLOW_RETRY_SECONDS * 2**self._own_failures)
+        self._own_failures += 1
+        self._own_reading_due = time.monotonic() + rest * (0.5 + random.random())
 
     async def _watch_while_reader(self) -> None:
         """Take in changes as they come."""
@@ -268,6 +282,7 @@
                 members=asked > self._members_due, timeout=self._read_seconds
             )
         except PlatformUnavailable as error:
+            self._failed_at = time.monotonic()
             self._read_seconds = min(MAX_READ_SECONDS, 2 * self._read_seconds)
             if self.reachable:
                 self.reachable = False
@@ -299,12 +314,21 @@
         return STALE_SECONDS if self._roster.stands_by() else LATE_SECONDS
 
     def _note_stale(self, name: str, age: float) -> None:
-        """Log once that a leader's view is old, not each time it is asked."""
+        """Log once that a leader's view is old, not each time it is asked.
+
+        A node that none of the others waits for then lets the readers try first.
+        """
+        if not self._stale_leaders and not self._roster.stands_by():
+            self._put_off_own_reading()
         if name not in self._stale_leaders:
             self._stale_leaders.add(name)
             logs.event(_logger, "leader_stale", leader=name, age=age)
 
-    def _note_leader(self, name: str | None) -> None:
-        if name != self.leader:
-            self.leader = name
+    def _log_leader(self, name: str | None) -> None:
+        """Log who keeps this node's view true, once it does.
+
+        While the store is away whom to ask changes twice a second, without effect.
+        """
+        if name != self._logged_leader:
+            self._logged_leader = name
             logs.event(_logger, "leader_chosen", leader=name or "self")
--- a/src/bankrack/fleet/membership.py
+++ b/src/bankrack/fleet/membership.py
@@ -1,9 +1,12 @@
 """This node's own entry in the store, kept by a lease."""
 
 import asyncio
+import collections
 import contextlib
 import logging
 import random
+import time
+import typing as t
 
 import msgspec
 
@@ -18,21 +21,70 @@
 """A dead node counts for so long; counting too many is the safe side."""
 RENEWALS_PER_LEASE = 3.0
 RETRY_SECONDS = 0.5
+MAX_RETRY_SECONDS = 4.0
+"""A node that the store turns away asks less and less often: its lease is seldom worth
+more than a few calls, each of which is priced."""
+AWAY_SECONDS = 2.0
+"""From a view so old on, the store counts as away for all; a follower's is 1.3 s old at
+most.  With 195 nodes that ask on, an outage of 8 s costs 3,000 calls; those that read
+for the others find out when it ends."""
+AWAY_POLL_SECONDS = 0.2
+SPREAD_SECONDS = 1.5
+"""All renew within so long of the store's return, not at once: 195 in 1.5 s are a tenth
+of the calls that it takes."""
 
 _logger = logging.getLogger(__name__)
 
 
+class PeakCount:
+    """The largest of a number's values in the last ``window`` seconds.
+
+    Entries of nodes that live lapse while the store is away, so the newest number of
+    members is too small just after its return; a share of the retry budget that rested
+    on it would be too large.
+    """
+
+    __slots__ = ("_clock", "_seen", "_window")
+
+    def __init__(
+        self, window: float, *, clock: t.Callable[[], float] = time.monotonic
+    ) -> None:
+        self._window = window
+        self._clock = clock
+        self._seen: collections.deque[tuple[float, int]] = collections.deque()
+
+    def observe(self, value: int) -> int:
+        """Take in the newest value; returns the largest one."""
+        now = self._clock()
+        while self._seen and self._seen[-1][1] <= value:
+            self._seen.pop()
+        self._seen.append((now, value))
+        while self._seen[0][0] < now - self._window:
+            self._seen.popleft()
+        return self._seen[0][1]
+
+
 class Announcer:
-    """Keeps a node's entry alive."""
+    """Keeps a node's entry alive.
+
+    :param view_age: gives how many seconds ago the store confirmed this node's view, to
+        it or to the node that it follows.
+    """
 
-    def __init__(self, store: Store, own: Member) -> None:
+    def __init__(
+        self, store: Store, own: Member, *, view_age: t.Callable[[], float]
+    ) -> None:
         self._store = store
         self._own = own
+        self._view_age = view_age
         self._lease: Lease | None = None
 
     async def run(self) -> None:
         """Announce the node and renew its lease for ever."""
+        failures = 0
         while True:
+            if failures or self._lease is not None:
+                await self._wait_while_away()
             try:
                 await self._renew_or_announce()
             except LeaseOver:
@@ -41,10 +93,22 @@
                 continue
             except PlatformUnavailable as error:
                 logs.event(_logger, "lease_not_renewed", reason=error.message)
-                await asyncio.sleep(RETRY_SECONDS * (0.5 + random.random()))
+                rest = min(MAX_RETRY_SECONDS, RETRY_SECONDS * 2**failures)
+                failures += 1
+                await asyncio.sleep(rest * (0.5 + random.random()))
                 continue
+            failures = 0
             await asyncio.sleep(LEASE_SECONDS / RENEWALS_PER_LEASE)
 
+    async def _wait_while_away(self) -> None:
+        """Wait for the end of an outage, then for this node's turn."""
+        if self._view_age() < AWAY_SECONDS:
+            return
+        logs.event(_logger, "lease_waits", view_age=self._view_age())
+        while self._view_age() >= AWAY_SECONDS:
+            await asyncio.sleep(AWAY_POLL_SECONDS)
+        await asyncio.sleep(SPREAD_SECONDS * random.random())
+
     async def leave(self) -> None:
         """Take the entry back."""
         if self._lease is not None:
--- a/src/bankrack/fleet/view.py
+++ b/src/bankrack/fleet/view.py
@@ -10,6 +10,8 @@
 
 from bankrack import logs
 from bankrack.exceptions import PlatformDataInvalid
+from bankrack.fleet.changelog import MemberLog
+from bankrack.fleet.changelog import UpstreamLog
 from bankrack.fleet.documents import Decoder
 from bankrack.fleet.documents import Document
 from bankrack.fleet.documents import Member
@@ -71,6 +73,8 @@
             maxlen=MAX_CHANGES
         )
         self.news = asyncio.Event()
+        self._member_log = MemberLog(clock=clock)
+        self._upstream_log = UpstreamLog()
 
     @property
     def age(self) -> float:
@@ -96,6 +100,7 @@
                 continue
             if key not in keys and entry.item.revision <= snapshot.revision:
                 self._missing(key, snapshot.revision, source)
+        self._upstream_log.flush()
         self.revision = max(self.revision, snapshot.revision)
         self.note_confirmed(asked_at)
         self.confirmed_by = source
@@ -131,6 +136,7 @@
         """Take in single changes, in their order."""
         for item in changes.items:
             self._take(item, source)
+        self._upstream_log.flush()
         self.revision = max(self.revision, changes.revision)
 
     def item(self, key: str) -> Item | None:
@@ -199,9 +205,7 @@
                 self._adopt_upstream(document, item, source)
             case Member():
                 if document.name not in self.members_by_name:
-                    logs.event(
-                        _logger, "member_joined", member=document.name, source=source
-                    )
+                    self._member_log.joined(document.name, source)
                 self.members_by_name[document.name] = document
 
     def _adopt_table(self, table: RoutingTable, item: Item, source: str) -> None:
@@ -219,10 +223,9 @@
     def _adopt_upstream(self, record: UpstreamRecord, item: Item, source: str) -> None:
         change = self.upstreams.put(record)
         if change is not None:
-            logs.event(
-                _logger,
+            self._upstream_log.note(
                 "upstream_" + change,
-                upstream=record.id,
+                record.id,
                 address=record.address,
                 service=record.service,
                 revision=item.revision,
@@ -258,22 +261,20 @@
                 return
             case UpstreamRecord(id=upstream_id, address=address):
                 if self.upstreams.remove(upstream_id):
-                    logs.event(
-                        _logger,
-                        "upstream_gone",
-                        upstream=upstream_id,
-                        address=address,
-                        source=source,
+                    self._upstream_log.note(
+                        "upstream_gone", upstream_id, address=address, source=source
                     )
             case Member(name=name):
                 self.members_by_name.pop(name, None)
-                logs.event(_logger, "member_left", member=name, source=source)
+                self._member_log.left(name, source)
         del self._entry_by_key[key]
         self._note_change(key)
 
     def sweep(self) -> None:
-        """Drop entries that stayed away after an outage."""
+        """Drop entries that stayed away after an outage; log who came and went."""
         now = self._clock()
         for key, until in list(self._lapsed_until_by_key.items()):
             if now >= until:
                 self._drop(key, self._entry_by_key[key], "lapsed")
+        self._upstream_log.flush()
+        self._member_log.flush(members=len(self.members_by_name))
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -23,6 +23,7 @@
 from bankrack.fleet.lending import LEND_PATH
 from bankrack.fleet.lending import Lender
 from bankrack.fleet.membership import Announcer
+from bankrack.fleet.membership import PeakCount
 from bankrack.fleet.owners import Ledgers
 from bankrack.fleet.owners import NOTES_PATH
 from bankrack.fleet.owners import OwnerClient
@@ -58,6 +59,9 @@
 
 MIN_NODES = 3
 """Nodes that share the retry budget at least; entries of others may be missing."""
+MEMBERS_PEAK_SECONDS = 10.0
+"""Entries that lapsed in an outage are back within some 3 s of the store's return; what
+was taken of the retry budget before counts for 10 s."""
 MAX_AGE_SECONDS = 3.0
 """A configuration older than this is confirmed before it is used."""
 DENIAL_AGE_SECONDS = 1.3
@@ -139,6 +143,7 @@
         self.stopped = asyncio.Event()
         self._dialect = dialect
         self._tasks = BackgroundTasks()
+        self._most_members = PeakCount(MEMBERS_PEAK_SECONDS)
         self._runners: list[web.AppRunner] = []
         self._connect()
 
@@ -161,7 +166,7 @@
             uses_engines=self._uses_engines,
         )
         self.follower = Follower(store, self.view, self.roster, leaders)
-        self.announcer = Announcer(store, own)
+        self.announcer = Announcer(store, own, view_age=lambda: self.view.age)
         self.chooser = Chooser(hall=settings.hall)
         self.budget = SharedRetryBudget(settings.budget, nodes=self._count_nodes)
         members = self.view.members_by_name.values
@@ -332,7 +337,8 @@
         return self.view.table.limits if self.view.table else CallerLimits()
 
     def _count_nodes(self) -> int:
-        return max(MIN_NODES, len(self.view.members_by_name))
+        count = self._most_members.observe(len(self.view.members_by_name))
+        return max(MIN_NODES, count)
 
     def _engines_to_ask(self, service: str) -> list[Upstream]:
         """Engines whose reports this node asks for; others are told by its leader.
--- a/tests/platform/test_following.py
+++ b/tests/platform/test_following.py
@@ -4,6 +4,7 @@
 import time
 
 from bankrack.fleet.follower import AWAY_SECONDS
+from bankrack.gateway import DENIAL_AGE_SECONDS
 from bankrack.gateway import Gateway
 from bankrack.serving import pools
 from tests.base import TestCase
@@ -49,6 +50,19 @@
             await until(lambda: gateway.view.age < 1.0)
             self.assertIn("p-1", gateway.upstreams.by_id)
 
+    async def test_what_hangs_on_a_store_known_to_be_away_is_told_at_once(self):
+        async with running() as world:
+            gateway = await world.ready_gateway()
+            world.store.status = 503
+            await until(lambda: gateway.view.age > DENIAL_AGE_SECONDS)
+            await until(lambda: not gateway.follower.reachable)
+            calls = len(world.store.calls)
+            began = time.monotonic()
+            confirmed = [await gateway.confirm() for _ in range(50)]
+            self.assertFalse(any(confirmed))
+            self.assertLess(time.monotonic() - began, 0.3)
+            self.assertLess(len(world.store.calls) - calls, 5)
+
 
 class Following(TestCase):
     async def test_a_change_that_the_watch_missed_is_in_force_within_two_seconds(self):
