--- /dev/null
+++ b/src/bankrack/decisions/admission.py
@@ -0,0 +1,107 @@
+"""Whether a run goes to an engine now, waits in line, or is refused at once.
+
+Load pattern: the runs of a pool come to need more memory than its engines have.  Sent on
+all the same they preempt each other, and what was read of them is read again.
+"""
+
+import dataclasses
+import typing as t
+
+from bankrack.decisions.line import Candidate
+from bankrack.decisions.line import total_need
+
+MIN_PAUSE_SECONDS = 0.05
+MAX_PAUSE_SECONDS = 0.3
+"""Rest until a run that waits asks again; an answer costs the node that keeps the line
+well under 1 ms."""
+PAUSE_PART = 0.2
+"""Part of the expected wait after which a run asks again."""
+UNKNOWN_PAUSE_SECONDS = 0.1
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Admit:
+    """The run may go to any of these engines, the best one first.
+
+    :param engines: ids.
+    """
+
+    engines: tuple[str, ...]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Wait:
+    """No engine has room for the run, or others go first.
+
+    :param seconds: after which to ask again.
+    :param ahead: how many runs go first.
+    :param expected: seconds until there is a place, if that can be told.
+    """
+
+    seconds: float
+    ahead: int
+    expected: float | None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Refuse:
+    """The run can't begin while that is of any use.
+
+    :param expected: seconds until there is a place.
+    """
+
+    ahead: int
+    expected: float
+
+
+Verdict = Admit | Wait | Refuse
+
+
+def decide(
+    candidate: Candidate,
+    *,
+    free_by_engine: t.Mapping[str, float],
+    ahead: t.Sequence[Candidate],
+    freed_rate: float,
+    now: float,
+) -> Verdict:
+    """Decide on a run.
+
+    :param free_by_engine: tokens of memory that stay free when all runs there are at
+        their largest, in the order in which engines are preferred.
+    :param ahead: runs that go first, the first one first.
+    :param freed_rate: tokens a second that runs of the pool gave back lately.
+    """
+    free = dict(free_by_engine)
+    if _seat(ahead, free):
+        found = tuple(name for name, room in free.items() if room >= candidate.need)
+        if found:
+            return Admit(found)
+    expected = None
+    if freed_rate > 0.0:
+        expected = (total_need(ahead) + candidate.need) / freed_rate
+        if now + expected > candidate.ends:
+            return Refuse(len(ahead), expected)
+    elif now > candidate.ends:
+        return Refuse(len(ahead), MAX_PAUSE_SECONDS)
+    return Wait(_pause(expected), len(ahead), expected)
+
+
+def _seat(ahead: t.Iterable[Candidate], free: dict[str, float]) -> bool:
+    """Set aside room for those who go first; tells whether there is room for all.
+
+    One that fits nowhere holds up those behind it, or small runs would take bit by bit
+    what a large one waits for.
+    """
+    for other in ahead:
+        name = max(free, key=lambda engine: free[engine], default=None)
+        if name is None or free[name] < other.need:
+            return False
+        free[name] -= other.need
+    return True
+
+
+def _pause(expected: float | None) -> float:
+    if expected is None:
+        return UNKNOWN_PAUSE_SECONDS
+    return min(MAX_PAUSE_SECONDS, max(MIN_PAUSE_SECONDS, PAUSE_PART * expected))
--- /dev/null
+++ b/src/bankrack/decisions/comeback.py
@@ -0,0 +1,23 @@
+"""When a caller that was refused should come back.
+
+Load pattern: many callers are refused in one moment.  Told the same time they return
+together and are refused again; told less than the line in front of them lasts, they
+return in vain.
+"""
+
+OBEYED_PART = 1 / 3
+"""Callers wait for that part of their time at most, whatever they are told."""
+SPREAD_PART = 0.3
+"""By so much of it the time differs from caller to caller."""
+MIN_SECONDS = 0.1
+
+
+def come_back_after(expected: float, *, left: float, draw: float) -> float:
+    """Seconds after which to come back.
+
+    :param expected: seconds until there should be a place.
+    :param left: seconds that the caller still has.
+    :param draw: from 0 to 1, another one for each caller.
+    """
+    wanted = expected * (1.0 + SPREAD_PART * draw)
+    return max(MIN_SECONDS, min(wanted, OBEYED_PART * left))
--- /dev/null
+++ b/src/bankrack/decisions/line.py
@@ -0,0 +1,86 @@
+"""The line of runs that wait for a place in one pool of engines.
+
+Load pattern: more runs come than the pool has memory for, urgent ones among them.
+Without a line each node asks engines by turns, and whoever asks in the moment in which
+memory comes free gets it: less urgent runs, which need less, most often.
+"""
+
+import dataclasses
+import typing as t
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Candidate:
+    """A run that wants a place.
+
+    :param rank: 0 is served first.
+    :param need: tokens that it will come to hold.
+    :param due: seconds, on the line's clock, until which it begins in time.
+    :param ends: until which it is worth beginning at all.
+    """
+
+    run: str
+    rank: int
+    need: float
+    due: float
+    ends: float
+
+
+@dataclasses.dataclass(slots=True)
+class _Waiting:
+    candidate: Candidate
+    until: float
+
+
+class Line:
+    """Who waits; a run stays in it for as long as it asks again in time."""
+
+    __slots__ = ("_waiting_by_run",)
+
+    def __init__(self) -> None:
+        self._waiting_by_run: dict[str, _Waiting] = {}
+
+    def __len__(self) -> int:
+        return len(self._waiting_by_run)
+
+    def wait(self, candidate: Candidate, *, until: float) -> None:
+        """Keep a run in the line until then; it asks again before."""
+        self._waiting_by_run[candidate.run] = _Waiting(candidate, until)
+
+    def leave(self, run: str) -> None:
+        """Take a run out."""
+        self._waiting_by_run.pop(run, None)
+
+    def ahead(self, candidate: Candidate, now: float) -> list[Candidate]:
+        """Who goes before a run, the first one first."""
+        self._forget(now)
+        own = _key(candidate, now)
+        others = [
+            waiting.candidate
+            for run, waiting in self._waiting_by_run.items()
+            if run != candidate.run
+        ]
+        return sorted(
+            (other for other in others if _key(other, now) < own),
+            key=lambda other: _key(other, now),
+        )
+
+    def _forget(self, now: float) -> None:
+        for run, waiting in list(self._waiting_by_run.items()):
+            if waiting.until < now:
+                del self._waiting_by_run[run]
+
+
+def _key(candidate: Candidate, now: float) -> tuple[int, bool, float, str]:
+    """Urgent runs first; of these, whoever can still begin in time, the oldest first.
+
+    Who is late already stays late, however soon it begins: with the oldest first of all,
+    a line longer than the target latency makes every run late.
+    """
+    late = now > candidate.due
+    return candidate.rank, late, candidate.due, candidate.run
+
+
+def total_need(candidates: t.Iterable[Candidate]) -> float:
+    """Tokens that runs will come to hold together."""
+    return sum(candidate.need for candidate in candidates)
--- a/src/bankrack/fleet/owners.py
+++ b/src/bankrack/fleet/owners.py
@@ -16,6 +16,13 @@
 from aiohttp import web
 
 from bankrack import logs
+from bankrack.decisions.admission import Admit
+from bankrack.decisions.admission import decide
+from bankrack.decisions.admission import Refuse
+from bankrack.decisions.admission import Verdict
+from bankrack.decisions.admission import Wait
+from bankrack.decisions.line import Candidate
+from bankrack.decisions.line import Line
 from bankrack.fleet.documents import Member
 from bankrack.fleet.reports import pack_reports
 from bankrack.fleet.reports import ReportMessage
@@ -39,6 +46,10 @@
 FLUSH_SECONDS = 0.1
 """Notes are sent together; what they tell is used within about a second."""
 NOTES_SECONDS = 0.5
+LATE_ASK_SECONDS = 0.3
+"""A run that waits and asks so much later than it was told has gone elsewhere."""
+BEGIN_PART = 0.5
+"""Part of its time within which a run must begin to be of use."""
 MAX_NOTES = 500
 """Notes kept between two flushes; what comes beyond them is not told."""
 
@@ -51,6 +62,9 @@
     """Asks where a run should go; sizes in tokens.
 
     :param pool: that the run begins in, of ``pools``.
+    :param rank: 0 is served first.
+    :param due: seconds until which it begins in time; below 0 when it is late.
+    :param left: seconds until which it is worth beginning.
     """
 
     service: str
@@ -62,17 +76,48 @@
     memory: int
     hall: str
     avoid: list[str]
+    rank: int = 0
+    due: float = 0.0
+    left: float = 0.0
 
 
 class AdviceMessage(msgspec.Struct, array_like=True):
-    """Where a run should go.
+    """Where a run should go, or when to ask again.
 
     :param ids: of engines, the best first.
     :param reports: of these, where followers are not told them anyway.
+    :param verdict: ``admit``, ``wait`` or ``refuse``.
+    :param seconds: until the run should ask again, where it waits.
+    :param ahead: runs that go first.
+    :param expected: seconds until there is a place, where that can be told.
     """
 
     ids: list[str]
     reports: list[ReportMessage]
+    verdict: t.Literal["admit", "wait", "refuse"] = "admit"
+    seconds: float = 0.0
+    ahead: int = 0
+    expected: float | None = None
+
+
+def _pack_verdict(verdict: Verdict, reports: list[ReportMessage]) -> AdviceMessage:
+    match verdict:
+        case Admit(engines):
+            return AdviceMessage(list(engines), reports)
+        case Wait(seconds, ahead, expected):
+            return AdviceMessage([], [], "wait", seconds, ahead, expected)
+        case Refuse(ahead, expected):
+            return AdviceMessage([], [], "refuse", 0.0, ahead, expected)
+
+
+def _read_verdict(message: AdviceMessage) -> Verdict:
+    match message.verdict:
+        case "admit":
+            return Admit(tuple(message.ids))
+        case "wait":
+            return Wait(message.seconds, message.ahead, message.expected)
+        case "refuse":
+            return Refuse(message.ahead, message.expected or 0.0)
 
 
 class NoteMessage(msgspec.Struct, array_like=True):
@@ -104,23 +149,53 @@
         chooser: Chooser,
         *,
         note_use: t.Callable[[], None] = lambda: None,
+        clock: t.Callable[[], float] = time.monotonic,
     ) -> None:
         self._upstreams = upstreams
         self._chooser = chooser
         self._note_use = note_use
+        self._clock = clock
         self._ledger_by_pool: dict[tuple[str, int], Ledger] = {}
+        self._line_by_pool: dict[tuple[str, int], Line] = {}
 
-    def order(self, ask: AskMessage) -> list[Upstream]:
-        """Order the engines for a run and count it as placed on the first."""
+    def decide(self, ask: AskMessage) -> Verdict:
+        """Decide on a run; an admitted one counts as placed on the first engine."""
+        now = self._clock()
         ledger = self._ledger(ask.service, ask.pool)
+        ledger.withdraw(ask.run)
+        line = self._line_by_pool.setdefault((ask.service, ask.pool), Line())
+        ordered = self._order(ask, ledger)
+        if not ordered:
+            return Admit(())
+        need = float(ask.prompt + ask.output)
+        due, ends = now + ask.due, now + ask.left
+        candidate = Candidate(ask.run, ask.rank, need, due, ends)
+        free = ledger.free_by_engine(ordered, memory=ask.memory)
+        verdict = decide(
+            candidate,
+            free_by_engine=free,
+            ahead=line.ahead(candidate, now),
+            freed_rate=ledger.freed_rate(),
+            now=now,
+        )
+        match verdict:
+            case Admit(engines):
+                line.leave(ask.run)
+                demand = Demand(prompt=ask.prompt, output_limit=ask.output)
+                ledger.place(ask.run, engines[0], demand)
+            case Wait(seconds):
+                line.wait(candidate, until=now + seconds + LATE_ASK_SECONDS)
+            case Refuse():
+                line.leave(ask.run)
+        return verdict
+
+    def _order(self, ask: AskMessage, ledger: Ledger) -> list[Upstream]:
+        """Order the engines for a run, the one that begins it soonest first."""
         demand = Demand(prompt=ask.prompt, output_limit=ask.output)
         of_service = self._upstreams.open_of(ask.service)
         of_pool = select_pool(of_service, ask.pool, ask.pools)
         engines = [engine for engine in of_pool if engine.id not in ask.avoid]
-        ordered = ledger.order(engines, demand, memory=ask.memory, hall=ask.hall)
-        if ordered:
-            ledger.place(ask.run, ordered[0].id, demand)
-        return ordered
+        return ledger.order(engines, demand, memory=ask.memory, hall=ask.hall)
 
     def take(self, note: NoteMessage) -> None:
         """Take in what became of a run."""
@@ -144,9 +219,12 @@
         """Answer another node that asks."""
         ask = _decode(await request.read(), AskMessage)
         self._note_use()
-        ordered = self.order(ask)
-        reports = pack_reports(ordered) if ask.pools > 1 else []
-        advice = AdviceMessage([engine.id for engine in ordered], reports)
+        verdict = self.decide(ask)
+        reports: list[ReportMessage] = []
+        if ask.pools > 1 and isinstance(verdict, Admit):
+            by_id = self._upstreams.by_id
+            reports = pack_reports(by_id[name] for name in verdict.engines)
+        advice = _pack_verdict(verdict, reports)
         return web.Response(body=msgspec.msgpack.encode(advice))
 
     async def handle_notes(self, request: web.Request) -> web.Response:
@@ -221,10 +299,10 @@
                 return member
         return self._own
 
-    async def order(
+    async def decide(
         self, work: Assignment, *, memory: int, avoid: t.Collection[str]
-    ) -> list[Upstream] | None:
-        """Order engines for a run; ``None`` where the owner does not answer."""
+    ) -> Verdict | None:
+        """Have the owner decide on a run; ``None`` where it does not answer."""
         demand = work.job.demand
         service = work.service.name
         pools = count_pools(len(self._upstreams.of(service)))
@@ -238,10 +316,13 @@
             memory=memory,
             hall=self._own.hall,
             avoid=list(avoid),
+            rank=work.priority,
+            due=work.job.arrived + work.route.target_latency - time.monotonic(),
+            left=BEGIN_PART * work.time_left(),
         )
         owner = self.owner(ask.pool)
         if owner.name == self._own.name:
-            return self._ledgers.order(ask)
+            return self._ledgers.decide(ask)
         body = await self._post(owner, PLACE_PATH, ask, ASK_SECONDS)
         if body is None:
             return None
@@ -251,9 +332,7 @@
             self._distrust(owner, f"its answer does not decode: {error}")
             return None
         take_reports(self._upstreams, advice.reports)
-        by_id = self._upstreams.by_id
-        found = [by_id[i] for i in advice.ids if i in by_id]
-        return [engine for engine in found if not engine.leaving]
+        return _read_verdict(advice)
 
     def placed(self, work: Assignment, engine: Upstream) -> None:
         """Tell that a run goes to an engine that was not the first."""
--- a/src/bankrack/serving/advice.py
+++ b/src/bankrack/serving/advice.py
@@ -2,6 +2,7 @@
 
 import typing as t
 
+from bankrack.decisions.admission import Verdict
 from bankrack.serving.assignment import Assignment
 from bankrack.serving.upstreams import Upstream
 
@@ -9,12 +10,12 @@
 class PlacementAdvisor(t.Protocol):
     """Knows more of the engines of a service than their reports tell."""
 
-    async def order(
+    async def decide(
         self, work: Assignment, *, memory: int, avoid: t.Collection[str]
-    ) -> list[Upstream] | None:
-        """Order engines for a run; ``None`` where nobody can tell.
+    ) -> Verdict | None:
+        """Admit a run, have it wait or refuse it; ``None`` where nobody can tell.
 
-        The run counts as placed on the first one until another is told of.
+        An admitted run counts as placed on the first engine until another is told of.
         """
         ...
 
--- a/src/bankrack/serving/ledger.py
+++ b/src/bankrack/serving/ledger.py
@@ -13,6 +13,8 @@
 import time
 import typing as t
 
+from bankrack.decisions.memory import Holding
+from bankrack.decisions.memory import peak
 from bankrack.serving.choice import REPORT_LAG_SECONDS
 from bankrack.serving.job import Demand
 from bankrack.serving.pace import Pace
@@ -63,6 +65,12 @@
 """How long a run may rather wait than go to an engine that fails all runs; one that
 fails a part of them counts for that part."""
 JITTER_SECONDS = 0.01
+ROOM_PART = 0.95
+"""Part of an engine's memory that its runs may need when they are largest."""
+FREED_WINDOW_SECONDS = 4.0
+"""Over so long it is counted what memory comes free."""
+REPORT_SECONDS = 2.5
+"""An ended run may still be in a report that is used for so long after its end."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -100,6 +108,12 @@
         read_by = WAITS_TO_READ * (self.ahead + self.prompt) / wait_rate
         return 0 if read_by < age < read_by + NOTE_SECONDS else self.prompt
 
+    def tokens(self, now: float, token_seconds: float) -> float:
+        """Tokens that it holds, its prompt in full, as far as can be told."""
+        if self.began is None or now < self.began:
+            return float(self.prompt)
+        return self.prompt + (now - self.began) / token_seconds
+
     def growth(self, now: float, token_seconds: float) -> float:
         """Tokens by which the run is still expected to grow."""
         output = self.demand.output
@@ -108,6 +122,14 @@
         return max(0.0, output - (now - self.began) / token_seconds)
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Ended:
+    """A run that ended, and when that was told."""
+
+    at: float
+    placement: Placement
+
+
 class Ledger:
     """The placements of one service, as far as this node was told of them."""
 
@@ -123,6 +145,7 @@
         self._short_ids: set[str] = set()
         self._placement_by_run: dict[str, Placement] = {}
         self._short_prompts: collections.deque[tuple[float, int]] = collections.deque()
+        self._ended: collections.deque[_Ended] = collections.deque()
 
     def place(self, run: str, engine: str, demand: Demand) -> None:
         """Note that a run was sent to ``engine``."""
@@ -162,6 +185,77 @@
         placement = self._placement_by_run.pop(run, None)
         if placement is not None:
             self._pace.ended(placement.demand, took)
+            self._ended.append(_Ended(self._clock(), placement))
+
+    def withdraw(self, run: str) -> None:
+        """Forget a placement that came to nothing."""
+        self._placement_by_run.pop(run, None)
+
+    def freed_rate(self) -> float:
+        """Tokens a second that runs gave back of late; 0 where none ended."""
+        now = self._clock()
+        since = now - FREED_WINDOW_SECONDS
+        token_seconds = self._pace.token_seconds
+        freed = sum(
+            ended.placement.tokens(ended.at, token_seconds)
+            for ended in self._ended
+            if ended.at > since
+        )
+        return freed / FREED_WINDOW_SECONDS
+
+    def free_by_engine(
+        self, engines: t.Iterable[Upstream], *, memory: int
+    ) -> dict[str, float]:
+        """Tokens of each engine that stay free when all its runs are at their largest.
+
+        An engine that is suspected, or whose slots are all taken, has none.
+        """
+        now = self._clock()
+        self._forget()
+        by_engine: dict[str, list[Placement]] = {}
+        for placement in self._placement_by_run.values():
+            by_engine.setdefault(placement.engine, []).append(placement)
+        free = {}
+        for engine in engines:
+            placements = by_engine.get(engine.id, [])
+            full = len(placements) >= engine.record.slots
+            if full or now < engine.suspect_until:
+                free[engine.id] = 0.0
+                continue
+            free[engine.id] = self._free(engine, placements, memory)
+        return free
+
+    def _free(
+        self, engine: Upstream, placements: list[Placement], memory: int
+    ) -> float:
+        now = self._clock()
+        token_seconds = self._pace.token_seconds
+        holdings = [
+            Holding(p.tokens(now, token_seconds), p.growth(now, token_seconds))
+            for p in placements
+        ]
+        total = engine.report.total if engine.report else memory
+        other = self._held_otherwise(engine, placements)
+        return ROOM_PART * total - other - peak(holdings)
+
+    def _held_otherwise(self, engine: Upstream, placements: list[Placement]) -> float:
+        """Memory by the engine's report that is not its runs': copies, above all."""
+        report = engine.report
+        if report is None:
+            return 0.0
+        seen = report.taken - REPORT_LAG_SECONDS
+        token_seconds = self._pace.token_seconds
+        ended = (
+            e.placement
+            for e in self._ended
+            if e.placement.engine == engine.id and e.at > seen
+        )
+        known = sum(
+            p.tokens(seen, token_seconds)
+            for p in (*placements, *ended)
+            if p.placed <= seen
+        )
+        return max(0.0, report.used - known)
 
     def order(
         self, engines: t.Iterable[Upstream], demand: Demand, *, memory: int, hall: str
@@ -218,6 +312,9 @@
         for run, placement in list(self._placement_by_run.items()):
             if placement.placed < oldest:
                 del self._placement_by_run[run]
+        since = self._clock() - max(REPORT_SECONDS, FREED_WINDOW_SECONDS)
+        while self._ended and self._ended[0].at < since:
+            self._ended.popleft()
         self._forget_prompts()
 
     def _forget_prompts(self) -> None:
--- a/src/bankrack/serving/placing.py
+++ b/src/bankrack/serving/placing.py
@@ -5,6 +5,10 @@
 import time
 import typing as t
 
+from bankrack.decisions.admission import Admit
+from bankrack.decisions.admission import Refuse
+from bankrack.decisions.admission import Wait
+from bankrack.decisions.comeback import come_back_after
 from bankrack.exceptions import BankrackError
 from bankrack.exceptions import Overloaded
 from bankrack.serving.advice import PlacementAdvisor
@@ -24,6 +28,8 @@
 reading its prompt."""
 PLACE_POLL_SECONDS = 0.08
 """Rest between two rounds of asking; each question is priced as a probe."""
+MOST_ASKED = 6
+"""Engines asked for a place in one round."""
 HOLD_ASK_SECONDS = 0.15
 """An engine answers in a few ms whether it keeps a place."""
 PLACE_GROWTH_TOKENS = 150
@@ -63,11 +69,36 @@
         """
         patience = WAIT_FOR_PLACE * work.route.target_latency
         until = time.monotonic() + min(patience, work.time_left() / 2)
+        waiting = False
         while True:
-            engines, source = await self._candidates(work, traits, tried)
+            verdict = await self._advisor.decide(
+                work, memory=traits.memory, avoid=tried
+            )
+            match verdict:
+                case Wait(seconds):
+                    if not waiting:
+                        log.write_verdict("place_waits", verdict)
+                    waiting = True
+                    await asyncio.sleep(seconds * (0.75 + random.random() / 2))
+                    continue
+                case Refuse(expected=expected):
+                    log.write_verdict("place_refused", verdict)
+                    raise Overloaded(
+                        "the run can't begin in time behind those that go first; "
+                        "come back later",
+                        retry_after=come_back_after(
+                            expected, left=work.time_left(), draw=random.random()
+                        ),
+                    )
+                case Admit(engines=names):
+                    engines, source = self._known(names), "owner"
+                case None:
+                    engines, source = [], "reports"
+            if not engines:
+                engines, source = self._by_reports(work, traits, tried), "reports"
             if not traits.hold:
                 return engines[0], None
-            for engine in engines:
+            for engine in engines[:MOST_ASKED]:
                 hold = await self._ask(engine, work, traits, log)
                 if hold is not None:
                     log.write("place_kept", engine, "ok", f"ordered by {source}")
@@ -78,16 +109,18 @@
                 return engines[0], None
             await asyncio.sleep(PLACE_POLL_SECONDS * (0.5 + random.random()))
 
-    async def _candidates(
+    def _known(self, names: t.Iterable[str]) -> list[Upstream]:
+        by_id = self._upstreams.by_id
+        found = (by_id[name] for name in names if name in by_id)
+        return [engine for engine in found if not engine.leaving]
+
+    def _by_reports(
         self, work: Assignment, traits: EngineTraits, tried: t.Collection[str]
-    ) -> tuple[list[Upstream], str]:
-        """Engines in the order to ask them, and what the order rests on.
+    ) -> list[Upstream]:
+        """Engines in the order to ask them, by what this node knows alone.
 
         Raises :exc:`Overloaded` without any.
         """
-        advised = await self._advisor.order(work, memory=traits.memory, avoid=tried)
-        if advised:
-            return advised, "owner"
         name = work.service.name
         pools = count_pools(len(self._upstreams.of(name)))
         untried = [u for u in self._upstreams.open_of(name) if u.id not in tried]
@@ -97,10 +130,9 @@
                 f"no engine of {work.service.name} takes the run now; try again",
                 retry_after=work.job.retry_after,
             )
-        by_room = self._chooser.engines_by_room(
+        return self._chooser.engines_by_room(
             untried, work.job.demand, memory=traits.memory
         )
-        return by_room, "reports"
 
     async def _ask(
         self, engine: Upstream, work: Assignment, traits: EngineTraits, log: RunLog
--- a/src/bankrack/serving/runlog.py
+++ b/src/bankrack/serving/runlog.py
@@ -4,6 +4,8 @@
 import time
 
 from bankrack import logs
+from bankrack.decisions.admission import Refuse
+from bankrack.decisions.admission import Wait
 from bankrack.serving.assignment import Assignment
 from bankrack.serving.events import EventOrder
 from bankrack.serving.passing import EventPasser
@@ -56,6 +58,19 @@
             elapsed=now - self._work.job.arrived,
         )
 
+    def write_verdict(self, name: str, verdict: Wait | Refuse) -> None:
+        """Write that the run waits in line or is refused, and why."""
+        logs.event(
+            _logger,
+            name,
+            request=self._work.job.id,
+            rank=self._work.priority,
+            ahead=verdict.ahead,
+            expected=verdict.expected,
+            time_left=self._work.time_left(),
+            elapsed=time.monotonic() - self._work.job.arrived,
+        )
+
     def write_pace(self, passed: EventPasser) -> None:
         """Write how fast a whole stream was made."""
         logs.event(
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -11,7 +11,7 @@
 SOURCE = pathlib.Path(__file__).parents[1] / "src" / "bankrack"
 LAYERS = (
     ("exceptions", "logs", "utils"),
-    ("background", "metrics", "tables"),
+    ("background", "decisions", "metrics", "tables"),
     ("settings", "wire"),
     ("control", "serving"),
     ("fleet", "scheduling"),
