--- a/src/bankrack/decisions/line.py
+++ b/src/bankrack/decisions/line.py
@@ -13,14 +13,14 @@
 class Candidate:
     """A run that wants a place.
 
-    :param rank: 0 is served first.
+    :param rank: of its workspace, then of its route; the smallest is served first.
     :param need: tokens that it will come to hold.
     :param due: seconds, on the line's clock, until which it begins in time.
     :param ends: until which it is worth beginning at all.
     """
 
     run: str
-    rank: int
+    rank: tuple[int, int]
     need: float
     due: float
     ends: float
@@ -71,11 +71,11 @@
                 del self._waiting_by_run[run]
 
 
-def _key(candidate: Candidate, now: float) -> tuple[int, bool, float, str]:
+def _key(candidate: Candidate, now: float) -> tuple[t.Any, ...]:
     """Urgent runs first; of these, whoever can still begin in time, the oldest first.
 
-    Who is late already stays late, however soon it begins: with the oldest first of all,
-    a line longer than the target latency makes every run late.
+    Who is late already stays late, however soon it begins: with the oldest first of
+    all, a line longer than the target latency makes every run late.
     """
     late = now > candidate.due
     return candidate.rank, late, candidate.due, candidate.run
--- a/src/bankrack/fleet/owners.py
+++ b/src/bankrack/fleet/owners.py
@@ -62,7 +62,7 @@
     """Asks where a run should go; sizes in tokens.
 
     :param pool: that the run begins in, of ``pools``.
-    :param rank: 0 is served first.
+    :param rank: of the workspace, then of the route; the smallest is served first.
     :param due: seconds until which it begins in time; below 0 when it is late.
     :param left: seconds until which it is worth beginning.
     """
@@ -76,7 +76,7 @@
     memory: int
     hall: str
     avoid: list[str]
-    rank: int = 0
+    rank: tuple[int, int] = (0, 0)
     due: float = 0.0
     left: float = 0.0
 
@@ -316,7 +316,7 @@
             memory=memory,
             hall=self._own.hall,
             avoid=list(avoid),
-            rank=work.priority,
+            rank=(work.priority, work.route.priority),
             due=work.job.arrived + work.route.target_latency - time.monotonic(),
             left=BEGIN_PART * work.time_left(),
         )
--- a/src/bankrack/serving/runlog.py
+++ b/src/bankrack/serving/runlog.py
@@ -64,7 +64,7 @@
             _logger,
             name,
             request=self._work.job.id,
-            rank=self._work.priority,
+            rank=f"{self._work.priority}.{self._work.route.priority}",
             ahead=verdict.ahead,
             expected=verdict.expected,
             time_left=self._work.time_left(),
