--- a/src/bankrack/decisions/admission.py
+++ b/src/bankrack/decisions/admission.py
@@ -74,11 +74,10 @@
     :param ahead: runs that go first, the first one first.
     :param releases: what the runs of the pool are expected to give back.
     """
-    free = dict(free_by_engine)
-    if _seat(ahead, free):
-        found = tuple(name for name, room in free.items() if room >= candidate.need)
-        if found:
-            return Admit(found)
+    free = _left_by(ahead, free_by_engine)
+    found = tuple(name for name, room in free.items() if room >= candidate.need)
+    if found:
+        return Admit(found)
     wanted = total_need(ahead) + candidate.need
     expected = seconds_until_freed(wanted, releases)
     if now + (expected or 0.0) > candidate.ends:
@@ -86,18 +85,22 @@
     return Wait(_pause(expected), len(ahead), expected)
 
 
-def _seat(ahead: t.Iterable[Candidate], free: dict[str, float]) -> bool:
-    """Set aside room for those who go first; tells whether there is room for all.
+def _left_by(
+    ahead: t.Iterable[Candidate], free_by_engine: t.Mapping[str, float]
+) -> dict[str, float]:
+    """What those who go first leave free.
 
-    One that fits nowhere holds up those behind it, or small runs would take bit by bit
-    what a large one waits for.
+    One that fits nowhere has the emptiest engine kept for itself until it does: without
+    that small runs would take bit by bit what a large one waits for, and with all
+    engines kept one run of 33,000 tokens stops a pool of 5 x 34,000 for seconds.
     """
+    free = dict(free_by_engine)
     for other in ahead:
-        name = max(free, key=lambda engine: free[engine], default=None)
-        if name is None or free[name] < other.need:
-            return False
-        free[name] -= other.need
-    return True
+        if not free:
+            break
+        name = max(free, key=lambda engine: free[engine])
+        free[name] = max(0.0, free[name] - other.need)
+    return free
 
 
 def _pause(expected: float | None) -> float:
--- a/src/bankrack/fleet/owners.py
+++ b/src/bankrack/fleet/owners.py
@@ -167,7 +167,8 @@
         ordered = self._order(ask, ledger)
         if not ordered:
             return Admit(())
-        need = float(ask.prompt + ask.output)
+        demand = Demand(prompt=ask.prompt, output_limit=ask.output)
+        need = ledger.need(demand, memory=ask.memory, seconds=ask.left / BEGIN_PART)
         due, ends = now + ask.due, now + ask.left
         candidate = Candidate(ask.run, ask.rank, need, due, ends)
         free = ledger.free_by_engine(ordered, memory=ask.memory)
@@ -181,7 +182,6 @@
         match verdict:
             case Admit(engines):
                 line.leave(ask.run)
-                demand = Demand(prompt=ask.prompt, output_limit=ask.output)
                 ledger.place(ask.run, engines[0], demand)
             case Wait(seconds):
                 line.wait(candidate, until=now + seconds + LATE_ASK_SECONDS)
--- a/src/bankrack/serving/ledger.py
+++ b/src/bankrack/serving/ledger.py
@@ -193,6 +193,15 @@
         """Forget a placement that came to nothing."""
         self._placement_by_run.pop(run, None)
 
+    def need(self, demand: Demand, *, memory: int, seconds: float) -> float:
+        """Tokens that a run will come to hold, at most.
+
+        :param memory: tokens that an engine holds.
+        :param seconds: that the run has; guesses at its length are often far beyond.
+        """
+        output = min(float(demand.output), seconds / self._pace.token_seconds)
+        return min(demand.prompt + output, ROOM_PART * memory)
+
     def releases(self, engines: t.Iterable[Upstream]) -> list[Release]:
         """What the runs on these engines are expected to give back, and when."""
         now = self._clock()
