--- a/src/bankrack/fleet/owners.py
+++ b/src/bankrack/fleet/owners.py
@@ -17,18 +17,17 @@
 
 from bankrack import logs
 from bankrack.decisions.admission import Admit
-from bankrack.decisions.admission import decide
 from bankrack.decisions.admission import Refuse
 from bankrack.decisions.admission import Verdict
 from bankrack.decisions.admission import Wait
-from bankrack.decisions.line import Candidate
-from bankrack.decisions.line import Line
 from bankrack.fleet.documents import Member
 from bankrack.fleet.reports import pack_reports
 from bankrack.fleet.reports import ReportMessage
 from bankrack.fleet.reports import take_reports
 from bankrack.fleet.roster import rank_members
 from bankrack.fleet.trust import Trust
+from bankrack.serving.allocation import Allocator
+from bankrack.serving.allocation import Wish
 from bankrack.serving.assignment import Assignment
 from bankrack.serving.choice import Chooser
 from bankrack.serving.job import Demand
@@ -46,10 +45,6 @@
 FLUSH_SECONDS = 0.1
 """Notes are sent together; what they tell is used within about a second."""
 NOTES_SECONDS = 0.5
-LATE_ASK_SECONDS = 0.3
-"""A run that waits and asks so much later than it was told has gone elsewhere."""
-BEGIN_PART = 0.5
-"""Part of its time within which a run must begin to be of use."""
 MAX_NOTES = 500
 """Notes kept between two flushes; what comes beyond them is not told."""
 
@@ -64,7 +59,7 @@
     :param pool: that the run begins in, of ``pools``.
     :param rank: of the workspace, then of the route; the smallest is served first.
     :param due: seconds until which it begins in time; below 0 when it is late.
-    :param left: seconds until which it is worth beginning.
+    :param left: seconds until its final answer is due.
     """
 
     service: str
@@ -149,53 +144,29 @@
         chooser: Chooser,
         *,
         note_use: t.Callable[[], None] = lambda: None,
-        clock: t.Callable[[], float] = time.monotonic,
     ) -> None:
         self._upstreams = upstreams
         self._chooser = chooser
         self._note_use = note_use
-        self._clock = clock
-        self._ledger_by_pool: dict[tuple[str, int], Ledger] = {}
-        self._line_by_pool: dict[tuple[str, int], Line] = {}
+        self._allocator_by_pool: dict[tuple[str, int], Allocator] = {}
 
     def decide(self, ask: AskMessage) -> Verdict:
         """Decide on a run; an admitted one counts as placed on the first engine."""
-        now = self._clock()
-        ledger = self._ledger(ask.service, ask.pool)
-        ledger.withdraw(ask.run)
-        line = self._line_by_pool.setdefault((ask.service, ask.pool), Line())
-        ordered = self._order(ask, ledger)
-        if not ordered:
-            return Admit(())
-        demand = Demand(prompt=ask.prompt, output_limit=ask.output)
-        need = ledger.need(demand, memory=ask.memory, seconds=ask.left / BEGIN_PART)
-        due, ends = now + ask.due, now + ask.left
-        candidate = Candidate(ask.run, ask.rank, need, due, ends)
-        free = ledger.free_by_engine(ordered, memory=ask.memory)
-        verdict = decide(
-            candidate,
-            free_by_engine=free,
-            ahead=line.ahead(candidate, now),
-            releases=ledger.releases(ordered),
-            now=now,
-        )
-        match verdict:
-            case Admit(engines):
-                line.leave(ask.run)
-                ledger.place(ask.run, engines[0], demand)
-            case Wait(seconds):
-                line.wait(candidate, until=now + seconds + LATE_ASK_SECONDS)
-            case Refuse():
-                line.leave(ask.run)
-        return verdict
-
-    def _order(self, ask: AskMessage, ledger: Ledger) -> list[Upstream]:
-        """Order the engines for a run, the one that begins it soonest first."""
-        demand = Demand(prompt=ask.prompt, output_limit=ask.output)
         of_service = self._upstreams.open_of(ask.service)
         of_pool = select_pool(of_service, ask.pool, ask.pools)
         engines = [engine for engine in of_pool if engine.id not in ask.avoid]
-        return ledger.order(engines, demand, memory=ask.memory, hall=ask.hall)
+        if not engines:
+            return Admit(())
+        wish = Wish(
+            run=ask.run,
+            demand=Demand(prompt=ask.prompt, output_limit=ask.output),
+            memory=ask.memory,
+            hall=ask.hall,
+            rank=ask.rank,
+            due=ask.due,
+            left=ask.left,
+        )
+        return self._allocator(ask.service, ask.pool).decide(engines, wish)
 
     def take(self, note: NoteMessage) -> None:
         """Take in what became of a run."""
@@ -234,8 +205,11 @@
             self.take(note)
         return web.Response()
 
+    def _allocator(self, service: str, pool: int) -> Allocator:
+        return self._allocator_by_pool.setdefault((service, pool), Allocator())
+
     def _ledger(self, service: str, pool: int) -> Ledger:
-        return self._ledger_by_pool.setdefault((service, pool), Ledger())
+        return self._allocator(service, pool).ledger
 
 
 class OwnerClient:
@@ -318,7 +292,7 @@
             avoid=list(avoid),
             rank=(work.priority, work.route.priority),
             due=work.job.arrived + work.route.target_latency - time.monotonic(),
-            left=BEGIN_PART * work.time_left(),
+            left=work.time_left(),
         )
         owner = self.owner(ask.pool)
         if owner.name == self._own.name:
@@ -332,7 +306,15 @@
             self._distrust(owner, f"its answer does not decode: {error}")
             return None
         take_reports(self._upstreams, advice.reports)
-        return _read_verdict(advice)
+        verdict = _read_verdict(advice)
+        if isinstance(verdict, Admit):
+            return Admit(tuple(self._open_here(verdict.engines)))
+        return verdict
+
+    def _open_here(self, ids: t.Iterable[str]) -> t.Iterator[str]:
+        """Of some engines those that take new work by this node's own view."""
+        by_id = self._upstreams.by_id
+        return (i for i in ids if i in by_id and not by_id[i].leaving)
 
     def placed(self, work: Assignment, engine: Upstream) -> None:
         """Tell that a run goes to an engine that was not the first."""
--- /dev/null
+++ b/src/bankrack/serving/allocation.py
@@ -0,0 +1,89 @@
+"""Where the runs of one pool begin, and in which order: its ledger and its line."""
+
+import dataclasses
+import random
+import time
+import typing as t
+
+from bankrack.decisions.admission import Admit
+from bankrack.decisions.admission import decide
+from bankrack.decisions.admission import Refuse
+from bankrack.decisions.admission import Verdict
+from bankrack.decisions.admission import Wait
+from bankrack.decisions.line import Candidate
+from bankrack.decisions.line import Line
+from bankrack.serving.job import Demand
+from bankrack.serving.ledger import Ledger
+from bankrack.serving.upstreams import Upstream
+
+LATE_ASK_SECONDS = 0.3
+"""A run that waits and asks so much later than it was told has gone elsewhere."""
+BEGIN_PART = 0.5
+"""Part of its time within which a run must begin to be of use."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Wish:
+    """A run that wants a place.
+
+    :param memory: tokens that an engine holds where no report tells.
+    :param hall: where the node is that asks.
+    :param rank: of the workspace, then of the route; the smallest is served first.
+    :param due: seconds until which it begins in time; below 0 when it is late.
+    :param left: seconds until its final answer is due.
+    """
+
+    run: str
+    demand: Demand
+    memory: int
+    hall: str
+    rank: tuple[int, int]
+    due: float
+    left: float
+
+
+class Allocator:
+    """Decides on the runs of one pool."""
+
+    def __init__(
+        self,
+        *,
+        clock: t.Callable[[], float] = time.monotonic,
+        rng: random.Random | None = None,
+    ) -> None:
+        self.ledger = Ledger(clock=clock, rng=rng)
+        self.line = Line()
+        self._clock = clock
+
+    def decide(self, engines: t.Sequence[Upstream], wish: Wish) -> Verdict:
+        """Decide on a run; an admitted one counts as placed on the first engine.
+
+        :param engines: those that it may go to; there is at least one.
+        """
+        now = self._clock()
+        ledger, line = self.ledger, self.line
+        ledger.withdraw(wish.run)
+        ordered = ledger.order(engines, wish.demand, memory=wish.memory, hall=wish.hall)
+        candidate = Candidate(
+            run=wish.run,
+            rank=wish.rank,
+            need=ledger.need(wish.demand, memory=wish.memory, seconds=wish.left),
+            due=now + wish.due,
+            ends=now + BEGIN_PART * wish.left,
+        )
+        verdict = decide(
+            candidate,
+            free_by_engine=ledger.free_by_engine(ordered, memory=wish.memory),
+            ahead=line.ahead(candidate, now),
+            releases=ledger.releases(ordered),
+            now=now,
+        )
+        match verdict:
+            case Admit(names):
+                line.leave(wish.run)
+                ledger.place(wish.run, names[0], wish.demand)
+            case Wait(seconds):
+                line.wait(candidate, until=now + seconds + LATE_ASK_SECONDS)
+            case Refuse():
+                line.leave(wish.run)
+        return verdict
--- a/src/bankrack/serving/ledger.py
+++ b/src/bankrack/serving/ledger.py
@@ -71,8 +71,6 @@
 OVERDUE_PART = 0.2
 """Part of what was expected of a run that it still makes when it has made all of it;
 half of all runs make more than their callers guess."""
-REPORT_SECONDS = 2.5
-"""An ended run may still be in a report that is used for so long after its end."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -110,11 +108,14 @@
         read_by = WAITS_TO_READ * (self.ahead + self.prompt) / wait_rate
         return 0 if read_by < age < read_by + NOTE_SECONDS else self.prompt
 
-    def tokens(self, now: float, token_seconds: float) -> float:
-        """Tokens that it holds, its prompt in full, as far as can be told."""
+    def tokens(self, now: float, made_seconds: float) -> float:
+        """Tokens that it holds, its prompt in full, as far as can be told.
+
+        :param made_seconds: that it takes for each token.
+        """
         if self.began is None or now < self.began:
             return float(self.prompt)
-        return self.prompt + (now - self.began) / token_seconds
+        return self.prompt + (now - self.began) / made_seconds
 
     def growth(self, now: float, token_seconds: float) -> float:
         """Tokens by which the run is still expected to grow."""
@@ -124,14 +125,6 @@
         return max(0.0, output - (now - self.began) / token_seconds)
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class _Ended:
-    """A run that ended, and when that was told."""
-
-    at: float
-    placement: Placement
-
-
 class Ledger:
     """The placements of one service, as far as this node was told of them."""
 
@@ -147,7 +140,7 @@
         self._short_ids: set[str] = set()
         self._placement_by_run: dict[str, Placement] = {}
         self._short_prompts: collections.deque[tuple[float, int]] = collections.deque()
-        self._ended: collections.deque[_Ended] = collections.deque()
+        self._report_by_engine: dict[str, EngineReport] = {}
 
     def place(self, run: str, engine: str, demand: Demand) -> None:
         """Note that a run was sent to ``engine``."""
@@ -187,7 +180,6 @@
         placement = self._placement_by_run.pop(run, None)
         if placement is not None:
             self._pace.ended(placement.demand, took)
-            self._ended.append(_Ended(self._clock(), placement))
 
     def withdraw(self, run: str) -> None:
         """Forget a placement that came to nothing."""
@@ -199,22 +191,24 @@
         :param memory: tokens that an engine holds.
         :param seconds: that the run has; guesses at its length are often far beyond.
         """
-        output = min(float(demand.output), seconds / self._pace.token_seconds)
+        output = self._pace.output_ratio * demand.output
+        output = min(output, seconds / self._pace.made_seconds)
         return min(demand.prompt + output, ROOM_PART * memory)
 
     def releases(self, engines: t.Iterable[Upstream]) -> list[Release]:
         """What the runs on these engines are expected to give back, and when."""
         now = self._clock()
-        token_seconds = self._pace.token_seconds
-        ids = {engine.id for engine in engines if now >= engine.suspect_until}
+        pace = self._pace
+        open_ids = {engine.id for engine in engines if now >= engine.suspect_until}
         found = []
         for placement in self._placement_by_run.values():
-            if placement.engine not in ids:
+            if placement.engine not in open_ids:
                 continue
-            growth = placement.growth(now, token_seconds)
+            growth = placement.growth(now, pace.token_seconds)
             growth = max(growth, OVERDUE_PART * placement.demand.output)
-            held = placement.tokens(now, token_seconds) + growth
-            found.append(Release(growth * token_seconds, held))
+            held = placement.tokens(now, pace.made_seconds)
+            held += growth * pace.output_ratio
+            found.append(Release(growth * pace.token_seconds, held))
         return found
 
     def free_by_engine(
@@ -226,6 +220,10 @@
         """
         now = self._clock()
         self._forget()
+        engines = list(engines)
+        ids = {engine.id for engine in engines}
+        for gone in self._report_by_engine.keys() - ids:
+            del self._report_by_engine[gone]
         by_engine: dict[str, list[Placement]] = {}
         for placement in self._placement_by_run.values():
             by_engine.setdefault(placement.engine, []).append(placement)
@@ -243,10 +241,14 @@
         self, engine: Upstream, placements: list[Placement], memory: int
     ) -> float:
         now = self._clock()
-        token_seconds = self._pace.token_seconds
+        pace = self._pace
+        self._learn_growth(engine)
         holdings = [
-            Holding(p.tokens(now, token_seconds), p.growth(now, token_seconds))
-            for p in placements
+            Holding(
+                placement.tokens(now, pace.made_seconds),
+                placement.growth(now, pace.token_seconds) * pace.output_ratio,
+            )
+            for placement in placements
         ]
         total = engine.report.total if engine.report else memory
         other = self._held_otherwise(engine, placements)
@@ -257,20 +259,34 @@
         report = engine.report
         if report is None:
             return 0.0
+        if report.tokens_by_run:
+            return max(0.0, report.used - sum(report.tokens_by_run.values()))
         seen = report.taken - REPORT_LAG_SECONDS
-        token_seconds = self._pace.token_seconds
-        ended = (
-            e.placement
-            for e in self._ended
-            if e.placement.engine == engine.id and e.at > seen
-        )
         known = sum(
-            p.tokens(seen, token_seconds)
-            for p in (*placements, *ended)
-            if p.placed <= seen
+            placement.tokens(seen, self._pace.made_seconds)
+            for placement in placements
+            if placement.placed <= seen
         )
         return max(0.0, report.used - known)
 
+    def _learn_growth(self, engine: Upstream) -> None:
+        """Learn from two reports how fast the runs in both of them grew."""
+        newest = engine.report
+        last = self._report_by_engine.get(engine.id)
+        if newest is None or last is newest:
+            return
+        self._report_by_engine[engine.id] = newest
+        if last is None:
+            return
+        seconds = newest.taken - last.taken
+        for run, tokens in newest.tokens_by_run.items():
+            placement = self._placement_by_run.get(run)
+            grown = tokens - last.tokens_by_run.get(run, tokens)
+            if placement is None or placement.began is None or grown <= 0:
+                continue
+            if placement.began < last.taken - REPORT_LAG_SECONDS:
+                self._pace.grew(seconds / grown)
+
     def order(
         self, engines: t.Iterable[Upstream], demand: Demand, *, memory: int, hall: str
     ) -> list[Upstream]:
@@ -326,9 +342,6 @@
         for run, placement in list(self._placement_by_run.items()):
             if placement.placed < oldest:
                 del self._placement_by_run[run]
-        since = self._clock() - REPORT_SECONDS
-        while self._ended and self._ended[0].at < since:
-            self._ended.popleft()
         self._forget_prompts()
 
     def _forget_prompts(self) -> None:
--- a/src/bankrack/serving/pace.py
+++ b/src/bankrack/serving/pace.py
@@ -25,6 +25,8 @@
 """Runs that an estimate is the median of; a busy pool has so many in some 10 s."""
 MIN_SAMPLES = 8
 """Fewer prompts tell less than the first figure."""
+MAX_OUTPUT_RATIO = 2.0
+"""Bound on how far what comes out may be taken to exceed what callers expect."""
 MIN_RUNS = 32
 """Fewer whole runs tell less than the first figure: of those that begin together, the
 shortest end first."""
@@ -111,13 +113,24 @@
 class Pace:
     """The speeds of the engines of one service."""
 
-    __slots__ = ("_apart", "_beside", "_gap", "_gaps", "_runs", "_token")
+    __slots__ = (
+        "_apart",
+        "_beside",
+        "_gap",
+        "_gaps",
+        "_growth",
+        "_made",
+        "_runs",
+        "_token",
+    )
 
     def __init__(self) -> None:
         self._beside = ReadRate("read_rate", FIRST_READ_RATE)
         self._apart = ReadRate("read_rate_apart", APART_FACTOR * FIRST_READ_RATE)
         self._token = Estimate("token_seconds", FIRST_TOKEN_SECONDS)
         self._gap = Estimate("event_seconds", FIRST_EVENT_SECONDS)
+        self._made = Estimate("made_seconds", FIRST_TOKEN_SECONDS)
+        self._growth: collections.deque[float] = collections.deque(maxlen=SAMPLES)
         self._gaps: collections.deque[float] = collections.deque(maxlen=SAMPLES)
         self._runs: collections.deque[float] = collections.deque(maxlen=SAMPLES)
 
@@ -126,6 +139,16 @@
         """Seconds that a run takes for each token that it is expected to make."""
         return self._token.value
 
+    @property
+    def made_seconds(self) -> float:
+        """Seconds that a run takes for each token that it makes."""
+        return self._made.value
+
+    @property
+    def output_ratio(self) -> float:
+        """Tokens that runs make for each one that is expected of them."""
+        return min(MAX_OUTPUT_RATIO, self._token.value / self._made.value)
+
     @property
     def event_seconds(self) -> float:
         """Seconds from one event of a stream to the next."""
@@ -156,6 +179,13 @@
             rate = self._apart if apart else self._beside
             rate.observe(tokens, seconds)
 
+    def grew(self, seconds: float) -> None:
+        """Take in how long a run took for each token that it made."""
+        self._growth.append(seconds)
+        if len(self._growth) >= MIN_RUNS:
+            value = statistics.median(self._growth)
+            self._made.change(value, samples=len(self._growth))
+
     def spaced(self, seconds: float) -> None:
         """Take in how far apart the events of a whole stream were."""
         self._gaps.append(seconds)
--- a/src/bankrack/serving/placing.py
+++ b/src/bankrack/serving/placing.py
@@ -69,18 +69,46 @@
         """
         patience = WAIT_FOR_PLACE * work.route.target_latency
         until = time.monotonic() + min(patience, work.time_left() / 2)
-        waiting = False
+        while True:
+            engines, source = await self._wait_in_line(work, traits, log, tried)
+            if not traits.hold:
+                return engines[0], None
+            for engine in engines[:MOST_ASKED]:
+                hold = await self._ask(engine, work, traits, log)
+                if hold is not None:
+                    log.write("place_kept", engine, "ok", f"ordered by {source}")
+                    if engine is not engines[0]:
+                        self._advisor.placed(work, engine)
+                    return engine, hold
+            if time.monotonic() >= until:
+                return engines[0], None
+            await asyncio.sleep(PLACE_POLL_SECONDS * (0.5 + random.random()))
+
+    async def _wait_in_line(
+        self,
+        work: Assignment,
+        traits: EngineTraits,
+        log: RunLog,
+        tried: t.Collection[str],
+    ) -> tuple[list[Upstream], str]:
+        """Wait until the run is admitted.
+
+        Returns engines in the order to ask them, and what the order rests on; by
+        reports where nobody keeps the line.  Raises :exc:`Overloaded`.
+        """
+        told = False
         while True:
             verdict = await self._advisor.decide(
                 work, memory=traits.memory, avoid=tried
             )
             match verdict:
+                case Admit(engines=names) if names:
+                    return [self._upstreams.by_id[name] for name in names], "owner"
                 case Wait(seconds):
-                    if not waiting:
+                    if not told:
                         log.write_verdict("place_waits", verdict)
-                    waiting = True
+                    told = True
                     await asyncio.sleep(seconds * (0.75 + random.random() / 2))
-                    continue
                 case Refuse(expected=expected):
                     log.write_verdict("place_refused", verdict)
                     raise Overloaded(
@@ -90,29 +118,8 @@
                             expected, left=work.time_left(), draw=random.random()
                         ),
                     )
-                case Admit(engines=names):
-                    engines, source = self._known(names), "owner"
-                case None:
-                    engines, source = [], "reports"
-            if not engines:
-                engines, source = self._by_reports(work, traits, tried), "reports"
-            if not traits.hold:
-                return engines[0], None
-            for engine in engines[:MOST_ASKED]:
-                hold = await self._ask(engine, work, traits, log)
-                if hold is not None:
-                    log.write("place_kept", engine, "ok", f"ordered by {source}")
-                    if engine is not engines[0]:
-                        self._advisor.placed(work, engine)
-                    return engine, hold
-            if time.monotonic() >= until:
-                return engines[0], None
-            await asyncio.sleep(PLACE_POLL_SECONDS * (0.5 + random.random()))
-
-    def _known(self, names: t.Iterable[str]) -> list[Upstream]:
-        by_id = self._upstreams.by_id
-        found = (by_id[name] for name in names if name in by_id)
-        return [engine for engine in found if not engine.leaving]
+                case _:
+                    return self._by_reports(work, traits, tried), "reports"
 
     def _by_reports(
         self, work: Assignment, traits: EngineTraits, tried: t.Collection[str]
--- a/src/bankrack/serving/upstreams.py
+++ b/src/bankrack/serving/upstreams.py
@@ -29,6 +29,8 @@
 
     :param used: memory that can't give way, in tokens.
     :param taken: monotonic seconds at which the answer came.
+    :param tokens_by_run: what each run holds, its prompt among it; empty where the
+        engine does not tell, or the report came from another node.
     """
 
     running: int
@@ -37,6 +39,7 @@
     total: int
     taken: float
     leaving: bool = False
+    tokens_by_run: t.Mapping[str, int] = dataclasses.field(default_factory=dict)
 
 
 class Upstream:
--- a/tests/fleet/test_owners.py
+++ b/tests/fleet/test_owners.py
@@ -8,6 +8,7 @@
 import msgspec
 from aiohttp import web
 
+from bankrack.decisions.admission import Admit
 from bankrack.fleet.documents import Member
 from bankrack.fleet.owners import AskMessage
 from bankrack.fleet.owners import FLUSH_SECONDS
@@ -85,8 +86,12 @@
             await self._runner.cleanup()
 
     async def order(self, run: str) -> list[str] | None:
-        found = await self.client.order(assignment(run), memory=MEMORY, avoid=())
-        return None if found is None else [engine.id for engine in found]
+        """Ask where a run may go; ``None`` where nobody can tell."""
+        verdict = await self.client.decide(assignment(run), memory=MEMORY, avoid=())
+        if verdict is None:
+            return None
+        assert isinstance(verdict, Admit), verdict
+        return list(verdict.engines)
 
 
 @contextlib.asynccontextmanager
