--- a/src/bankrack/serving/ledger.py
+++ b/src/bankrack/serving/ledger.py
@@ -68,6 +68,7 @@
 JITTER_SECONDS = 0.01
 ROOM_PART = 0.95
 """Part of an engine's memory that its runs may need when they are largest."""
+FORESIGHT_SECONDS = 3.0
 OVERDUE_PART = 0.2
 """Part of what was expected of a run that it still makes when it has made all of it;
 half of all runs make more than their callers guess."""
@@ -192,6 +193,7 @@
         :param seconds: that the run has; guesses at its length are often far beyond.
         """
         output = self._pace.output_ratio * demand.output
+        seconds = min(seconds, FORESIGHT_SECONDS)
         output = min(output, seconds / self._pace.made_seconds)
         return min(demand.prompt + output, ROOM_PART * memory)
 
@@ -243,10 +245,14 @@
         now = self._clock()
         pace = self._pace
         self._learn_growth(engine)
+        most_growth = FORESIGHT_SECONDS / pace.made_seconds
         holdings = [
             Holding(
                 placement.tokens(now, pace.made_seconds),
-                placement.growth(now, pace.token_seconds) * pace.output_ratio,
+                min(
+                    most_growth,
+                    placement.growth(now, pace.token_seconds) * pace.output_ratio,
+                ),
             )
             for placement in placements
         ]
