--- a/src/bankrack/serving/ledger.py
+++ b/src/bankrack/serving/ledger.py
@@ -66,9 +66,9 @@
 """How long a run may rather wait than go to an engine that fails all runs; one that
 fails a part of them counts for that part."""
 JITTER_SECONDS = 0.01
-ROOM_PART = 0.95
+ROOM_PART = 1.0
 """Part of an engine's memory that its runs may need when they are largest."""
-FORESIGHT_SECONDS = 3.0
+FORESIGHT_SECONDS = 0.8
 OVERDUE_PART = 0.2
 """Part of what was expected of a run that it still makes when it has made all of it;
 half of all runs make more than their callers guess."""
