Ledger: a run that went on elsewhere is not dropped by a report from before

Cause: the report of the engine that a run moved to may be of a moment before it came; the run was old, so it counted as ended there. Test failed first. Scenario moved to examples/lab, since examples/*.toml are settings and intents (a test of these failed).

--- a/src/bankrack/cli.py
+++ b/src/bankrack/cli.py
@@ -127,7 +127,7 @@
         subparsers,
         "lab",
         "play a pool of engines under load, in virtual time",
-        "lab run examples/overload.toml --seeds 1 2 3",
+        "lab run examples/lab/overload.toml --seeds 1 2 3",
     )
     poolreport.add_arguments(parser)
     parser.set_defaults(run=poolreport.run_command)
--- a/src/bankrack/lab/poolreport.py
+++ b/src/bankrack/lab/poolreport.py
@@ -46,7 +46,7 @@
     """Add the subcommands of ``bankrack lab``."""
     subparsers = parser.add_subparsers(required=True, metavar="WHAT")
     run = subparsers.add_parser("run", help="play a scenario over several seeds")
-    run.add_argument("scenario", help="TOML file, as examples/overload.toml")
+    run.add_argument("scenario", help="TOML file, as examples/lab/overload.toml")
     run.add_argument("--seeds", type=int, nargs="+", default=[1, 2, 3])
     run.add_argument("--output", default="", help="JSON file; a table is printed too")
     run.add_argument(
--- a/src/bankrack/serving/ledger.py
+++ b/src/bankrack/serving/ledger.py
@@ -90,6 +90,7 @@
     :param ahead: prompt tokens that the engine had to read before this run's.
     :param apart: the engine was kept for short runs then.
     :param began: monotonic seconds at which its first event was told of, if it was.
+    :param told: seconds at which it was last told of that the run is on this engine.
     """
 
     engine: str
@@ -98,6 +99,7 @@
     ahead: int = 0
     apart: bool = False
     began: float | None = None
+    told: float = 0.0
 
     @property
     def prompt(self) -> int:
@@ -161,7 +163,7 @@
         apart = engine in self._short_ids
         there = [p for p in self._placement_by_run.values() if p.engine == engine]
         ahead = self._unread(there, apart=apart)
-        placement = Placement(engine, demand, now, ahead, apart)
+        placement = Placement(engine, demand, now, ahead, apart, told=now)
         if demand.short and run not in self._placement_by_run:
             self._forget_prompts()
             self._short_prompts.append((placement.placed, placement.prompt))
@@ -181,6 +183,7 @@
                 tokens = placement.ahead + placement.prompt
                 self._pace.began(tokens, took, apart=placement.apart)
         placement.engine = engine
+        placement.told = self._clock()
 
     def end(self, run: str, *, took: float = 0.0) -> None:
         """Note that a run ended, wherever it was.
@@ -313,8 +316,7 @@
         for run, placement in list(self._placement_by_run.items()):
             if placement.engine != engine or run in report.tokens_by_run:
                 continue
-            since = placement.placed if placement.began is None else placement.began
-            if since < before:
+            if placement.told < before:
                 del self._placement_by_run[run]
 
     def _learn_growth(self, last: EngineReport, newest: EngineReport) -> None:
--- a/tests/lab/test_poolplay.py
+++ b/tests/lab/test_poolplay.py
@@ -11,7 +11,7 @@
 from bankrack.lab.poolscenario import Scenario
 from tests.base import TestCase
 
-OVERLOAD = pathlib.Path(__file__).parents[2] / "examples" / "overload.toml"
+OVERLOAD = pathlib.Path(__file__).parents[2] / "examples" / "lab" / "overload.toml"
 SEEDS = range(10, 15)
 
 
--- a/tests/serving/test_allocation.py
+++ b/tests/serving/test_allocation.py
@@ -157,6 +157,17 @@
         self.assertIsInstance(self.ask("new"), Wait)
         self.assertLessEqual(set(placed), set(self.allocator.ledger._placement_by_run))
 
+    def test_a_run_that_just_went_on_elsewhere_keeps_its_place_there(self):
+        """Its new engine's report is of a moment before it came."""
+        self.ask("moved")
+        self.begin(["moved"])
+        self.now += 5.0
+        self.allocator.ledger.begin("moved", "two")
+        self.now += 0.3
+        self.report()
+        self.ask("new")
+        self.assertIn("moved", self.allocator.ledger._placement_by_run)
+
     def test_the_pace_of_growth_is_learned_from_two_reports(self):
         self.engines = [self.engine(f"e-{n}") for n in range(20)]
         placed = [f"r-{n}" for n in range(40)]
