--- /dev/null
+++ b/src/bankrack/fleet/messages.py
@@ -0,0 +1,94 @@
+"""What nodes and the owner of a pool tell each other."""
+
+import typing as t
+
+import msgspec
+
+from bankrack.decisions.admission import Admit
+from bankrack.decisions.admission import Refuse
+from bankrack.decisions.admission import Verdict
+from bankrack.decisions.admission import Wait
+from bankrack.fleet.reports import ReportMessage
+
+NoteKind = t.Literal["placed", "began", "failed", "ended"]
+
+
+class AskMessage(msgspec.Struct, array_like=True):
+    """Asks where a run should go; sizes in tokens.
+
+    :param pool: that the run begins in, of ``pools``.
+    :param rank: of the workspace, then of the route; the smallest is served first.
+    :param due: seconds until which it begins in time; below 0 when it is late.
+    :param left: seconds until its final answer is due.
+    """
+
+    service: str
+    pool: int
+    pools: t.Annotated[int, msgspec.Meta(ge=1)]
+    run: str
+    prompt: int
+    output: int
+    memory: int
+    hall: str
+    avoid: list[str]
+    rank: tuple[int, int] = (0, 0)
+    due: float = 0.0
+    left: float = 0.0
+
+
+class AdviceMessage(msgspec.Struct, array_like=True):
+    """Where a run should go, or when to ask again.
+
+    :param ids: of engines, the best first.
+    :param reports: of these, where followers are not told them anyway.
+    :param verdict: ``admit``, ``wait`` or ``refuse``.
+    :param seconds: until the run should ask again, where it waits.
+    :param ahead: runs that go first.
+    :param expected: seconds until there is a place, where that can be told.
+    """
+
+    ids: list[str]
+    reports: list[ReportMessage]
+    verdict: t.Literal["admit", "wait", "refuse"] = "admit"
+    seconds: float = 0.0
+    ahead: int = 0
+    expected: float | None = None
+
+
+def pack_verdict(verdict: Verdict, reports: list[ReportMessage]) -> AdviceMessage:
+    """Encode a verdict, with the reports that go with it."""
+    match verdict:
+        case Admit(engines):
+            return AdviceMessage(list(engines), reports)
+        case Wait(seconds, ahead, expected):
+            return AdviceMessage([], [], "wait", seconds, ahead, expected)
+        case Refuse(ahead, expected):
+            return AdviceMessage([], [], "refuse", 0.0, ahead, expected)
+
+
+def read_verdict(message: AdviceMessage) -> Verdict:
+    """Decode a verdict."""
+    match message.verdict:
+        case "admit":
+            return Admit(tuple(message.ids))
+        case "wait":
+            return Wait(message.seconds, message.ahead, message.expected)
+        case "refuse":
+            return Refuse(message.ahead, message.expected or 0.0)
+
+
+class NoteMessage(msgspec.Struct, array_like=True):
+    """Tells what became of a run.
+
+    :param what: ``placed``, ``began``, ``failed`` (of the engine) or ``ended``.
+    :param took: seconds from the send to the first event, or from there to the last.
+    """
+
+    service: str
+    pool: int
+    run: str
+    what: NoteKind
+    engine: str = ""
+    prompt: int = 0
+    output: int = 0
+    took: float = 0.0
--- a/src/bankrack/fleet/owners.py
+++ b/src/bankrack/fleet/owners.py
@@ -17,10 +17,14 @@
 
 from bankrack import logs
 from bankrack.decisions.admission import Admit
-from bankrack.decisions.admission import Refuse
 from bankrack.decisions.admission import Verdict
-from bankrack.decisions.admission import Wait
 from bankrack.fleet.documents import Member
+from bankrack.fleet.messages import AdviceMessage
+from bankrack.fleet.messages import AskMessage
+from bankrack.fleet.messages import NoteKind
+from bankrack.fleet.messages import NoteMessage
+from bankrack.fleet.messages import pack_verdict
+from bankrack.fleet.messages import read_verdict
 from bankrack.fleet.reports import pack_reports
 from bankrack.fleet.reports import ReportMessage
 from bankrack.fleet.reports import take_reports
@@ -48,90 +52,9 @@
 MAX_NOTES = 500
 """Notes kept between two flushes; what comes beyond them is not told."""
 
-NoteKind = t.Literal["placed", "began", "failed", "ended"]
-
 _logger = logging.getLogger(__name__)
 
 
-class AskMessage(msgspec.Struct, array_like=True):
-    """Asks where a run should go; sizes in tokens.
-
-    :param pool: that the run begins in, of ``pools``.
-    :param rank: of the workspace, then of the route; the smallest is served first.
-    :param due: seconds until which it begins in time; below 0 when it is late.
-    :param left: seconds until its final answer is due.
-    """
-
-    service: str
-    pool: int
-    pools: t.Annotated[int, msgspec.Meta(ge=1)]
-    run: str
-    prompt: int
-    output: int
-    memory: int
-    hall: str
-    avoid: list[str]
-    rank: tuple[int, int] = (0, 0)
-    due: float = 0.0
-    left: float = 0.0
-
-
-class AdviceMessage(msgspec.Struct, array_like=True):
-    """Where a run should go, or when to ask again.
-
-    :param ids: of engines, the best first.
-    :param reports: of these, where followers are not told them anyway.
-    :param verdict: ``admit``, ``wait`` or ``refuse``.
-    :param seconds: until the run should ask again, where it waits.
-    :param ahead: runs that go first.
-    :param expected: seconds until there is a place, where that can be told.
-    """
-
-    ids: list[str]
-    reports: list[ReportMessage]
-    verdict: t.Literal["admit", "wait", "refuse"] = "admit"
-    seconds: float = 0.0
-    ahead: int = 0
-    expected: float | None = None
-
-
-def _pack_verdict(verdict: Verdict, reports: list[ReportMessage]) -> AdviceMessage:
-    match verdict:
-        case Admit(engines):
-            return AdviceMessage(list(engines), reports)
-        case Wait(seconds, ahead, expected):
-            return AdviceMessage([], [], "wait", seconds, ahead, expected)
-        case Refuse(ahead, expected):
-            return AdviceMessage([], [], "refuse", 0.0, ahead, expected)
-
-
-def _read_verdict(message: AdviceMessage) -> Verdict:
-    match message.verdict:
-        case "admit":
-            return Admit(tuple(message.ids))
-        case "wait":
-            return Wait(message.seconds, message.ahead, message.expected)
-        case "refuse":
-            return Refuse(message.ahead, message.expected or 0.0)
-
-
-class NoteMessage(msgspec.Struct, array_like=True):
-    """Tells what became of a run.
-
-    :param what: ``placed``, ``began``, ``failed`` (of the engine) or ``ended``.
-    :param took: seconds from the send to the first event, or from there to the last.
-    """
-
-    service: str
-    pool: int
-    run: str
-    what: NoteKind
-    engine: str = ""
-    prompt: int = 0
-    output: int = 0
-    took: float = 0.0
-
-
 class Ledgers:
     """The ledgers that this node keeps, by service and pool, and their listener.
 
@@ -195,7 +118,7 @@
         if ask.pools > 1 and isinstance(verdict, Admit):
             by_id = self._upstreams.by_id
             reports = pack_reports(by_id[name] for name in verdict.engines)
-        advice = _pack_verdict(verdict, reports)
+        advice = pack_verdict(verdict, reports)
         return web.Response(body=msgspec.msgpack.encode(advice))
 
     async def handle_notes(self, request: web.Request) -> web.Response:
@@ -306,7 +229,7 @@
             self._distrust(owner, f"its answer does not decode: {error}")
             return None
         take_reports(self._upstreams, advice.reports)
-        verdict = _read_verdict(advice)
+        verdict = read_verdict(advice)
         if isinstance(verdict, Admit):
             return Admit(tuple(self._open_here(verdict.engines)))
         return verdict
--- a/src/bankrack/serving/allocation.py
+++ b/src/bankrack/serving/allocation.py
@@ -62,17 +62,19 @@
         """
         now = self._clock()
         ledger, line = self.ledger, self.line
+        occupancy = ledger.occupancy
+        ledger.forget()
         ledger.withdraw(wish.run)
         candidate = Candidate(
             run=wish.run,
             rank=wish.rank,
-            need=ledger.need(wish.demand, memory=wish.memory, seconds=wish.left),
+            need=occupancy.need(wish.demand, memory=wish.memory, seconds=wish.left),
             due=now + wish.due,
             ends=now + BEGIN_PART * wish.left,
         )
         verdict = decide(
             candidate,
-            free_by_engine=ledger.free_by_engine(
+            free_by_engine=occupancy.free_by_engine(
                 engines,
                 memory=wish.memory,
                 # Late runs may try what is suspected: it may be the way to it, not the
@@ -80,7 +82,7 @@
                 suspects=wish.due < 0.0,
             ),
             ahead=line.ahead(candidate, now),
-            releases=ledger.releases(engines),
+            releases=occupancy.releases(engines),
             now=now,
         )
         match verdict:
--- a/src/bankrack/serving/ledger.py
+++ b/src/bankrack/serving/ledger.py
@@ -7,31 +7,20 @@
 """
 
 import collections
-import dataclasses
 import math
 import random
 import time
 import typing as t
 
-from bankrack.decisions.memory import Holding
-from bankrack.decisions.memory import peak
-from bankrack.decisions.memory import Release
 from bankrack.serving.choice import REPORT_LAG_SECONDS
 from bankrack.serving.job import Demand
+from bankrack.serving.occupancy import Occupancy
 from bankrack.serving.pace import Pace
+from bankrack.serving.placement import Placement
 from bankrack.serving.upstreams import EngineReport
 from bankrack.serving.upstreams import Upstream
 from bankrack.utils import stable_digest
 
-PROMPT_SECONDS = 3.0
-"""A prompt that was placed so long ago counts as read though nobody told of it."""
-WAITS_TO_READ = 2.0
-"""Usual waits after which a prompt should be read.  Counted as read bit by bit instead,
-crowded engines that had not begun were given more: worth of four crowded days 0.490
-instead of 0.540."""
-NOTE_SECONDS = 0.25
-"""Within so long it is told that a run began; a prompt of which nothing is heard later
-than that is still unread, since its engine is slower than was believed."""
 RUN_SECONDS = 60.0
 """A run that was placed so long ago has ended; the note of its end was lost."""
 MAX_PLACEMENTS = 20_000
@@ -66,80 +55,6 @@
 """How long a run may rather wait than go to an engine that fails all runs; one that
 fails a part of them counts for that part."""
 JITTER_SECONDS = 0.01
-ROOM_PART = 0.97
-"""Part of an engine's memory that its runs may need within the foresight.  On eight
-emulated plays of an overloaded pool 127,000 prompt tokens were read in vain with 0.95,
-252,000 with 0.97 and 456,000 with 1.0, of 786,000 without any bound; with less, runs
-wait that would fit."""
-FORESIGHT_SECONDS = 1.5
-"""How far ahead the growth of runs is counted.  Until they end others end, move or are
-cut: with growth to their ends 42 of 59 long runs began in time on a crowded day, with
-none at all 50."""
-UNLISTED_SECONDS = 0.5
-"""An engine that does not list a run so long after it was placed does not have it; the
-note of its end was lost with its node."""
-FRESH_SECONDS = 0.05
-"""What an engine has free is reckoned anew after so long, and when its runs change.
-Runs that wait ask several times a second each; reckoned anew for each question, 24
-engines took 0.41 ms of it.
-"""
-OVERDUE_PART = 0.2
-"""Part of what was expected of a run that it still makes when it has made all of it;
-half of all runs make more than their callers guess."""
-
-
-@dataclasses.dataclass(slots=True)
-class Placement:
-    """One run on one engine.
-
-    :param ahead: prompt tokens that the engine had to read before this run's.
-    :param apart: the engine was kept for short runs then.
-    :param began: monotonic seconds at which its first event was told of, if it was.
-    :param told: seconds at which it was last told of that the run is on this engine.
-    """
-
-    engine: str
-    demand: Demand
-    placed: float
-    ahead: int = 0
-    apart: bool = False
-    began: float | None = None
-    told: float = 0.0
-
-    @property
-    def prompt(self) -> int:
-        """Tokens of its prompt."""
-        return self.demand.prompt
-
-    def unread(self, now: float, wait_rate: float) -> int:
-        """Prompt tokens that the engine still has to read, as far as can be told.
-
-        Where engines read faster than notes come, a prompt counts as read once it
-        should long be, until a note of that is overdue.
-
-        :param wait_rate: tokens a second, counted over the whole wait of a run.
-        """
-        age = now - self.placed
-        if self.began is not None or age > PROMPT_SECONDS:
-            return 0
-        read_by = WAITS_TO_READ * (self.ahead + self.prompt) / wait_rate
-        return 0 if read_by < age < read_by + NOTE_SECONDS else self.prompt
-
-    def tokens(self, now: float, made_seconds: float) -> float:
-        """Tokens that it holds, its prompt in full, as far as can be told.
-
-        :param made_seconds: that it takes for each token.
-        """
-        if self.began is None or now < self.began:
-            return float(self.prompt)
-        return self.prompt + (now - self.began) / made_seconds
-
-    def growth(self, now: float, token_seconds: float) -> float:
-        """Tokens by which the run is still expected to grow."""
-        output = self.demand.output
-        if self.began is None:
-            return float(output)
-        return max(0.0, output - (now - self.began) / token_seconds)
 
 
 class Ledger:
@@ -157,9 +72,7 @@
         self._short_ids: set[str] = set()
         self._placement_by_run: dict[str, Placement] = {}
         self._short_prompts: collections.deque[tuple[float, int]] = collections.deque()
-        self._report_by_engine: dict[str, EngineReport] = {}
-        self._free_by_engine: dict[str, tuple[float, float]] = {}
-        self._releases: tuple[float, list[Release]] = (-math.inf, [])
+        self.occupancy = Occupancy(self._placement_by_run, self._pace, clock=clock)
 
     def place(self, run: str, engine: str, demand: Demand) -> None:
         """Note that a run was sent to ``engine``."""
@@ -176,7 +89,7 @@
             self._short_prompts.append((placement.placed, placement.prompt))
         self.withdraw(run)
         self._placement_by_run[run] = placement
-        self._reckon_anew(engine)
+        self.occupancy.reckon_anew(engine)
 
     def begin(self, run: str, engine: str, *, took: float = 0.0) -> None:
         """Note that a run makes events, on ``engine``.
@@ -191,7 +104,7 @@
             if placement.engine == engine:
                 tokens = placement.ahead + placement.prompt
                 self._pace.began(tokens, took, apart=placement.apart)
-        self._reckon_anew(placement.engine, engine)
+        self.occupancy.reckon_anew(placement.engine, engine)
         placement.engine = engine
         placement.told = self._clock()
 
@@ -208,175 +121,9 @@
         """Forget a placement, as of a run that came to nothing; returns it."""
         placement = self._placement_by_run.pop(run, None)
         if placement is not None:
-            self._reckon_anew(placement.engine)
+            self.occupancy.reckon_anew(placement.engine)
         return placement
 
-    def _reckon_anew(self, *engines: str) -> None:
-        """Forget what was reckoned of engines whose runs changed."""
-        for engine in engines:
-            self._free_by_engine.pop(engine, None)
-        self._releases = -math.inf, []
-
-    def need(self, demand: Demand, *, memory: int, seconds: float) -> float:
-        """Tokens that a run will come to hold, at most.
-
-        :param memory: tokens that an engine holds.
-        :param seconds: that the run has; guesses at its length are often far beyond.
-        """
-        output = self._pace.output_ratio * demand.output
-        seconds = min(seconds, FORESIGHT_SECONDS)
-        output = min(output, seconds / self._pace.made_seconds)
-        return min(demand.prompt + output, ROOM_PART * memory)
-
-    def releases(self, engines: t.Iterable[Upstream]) -> list[Release]:
-        """What the runs on these engines are expected to give back, the first first."""
-        now = self._clock()
-        reckoned_at, found = self._releases
-        if now < reckoned_at + FRESH_SECONDS:
-            return found
-        pace = self._pace
-        open_ids = {engine.id for engine in engines if now >= engine.suspect_until}
-        found = []
-        for placement in self._placement_by_run.values():
-            if placement.engine not in open_ids:
-                continue
-            growth = placement.growth(now, pace.token_seconds)
-            growth = max(growth, OVERDUE_PART * placement.demand.output)
-            held = placement.tokens(now, pace.made_seconds)
-            held += growth * pace.output_ratio
-            found.append(Release(growth * pace.token_seconds, held))
-        self._releases = now, found
-        return found
-
-    def free_by_engine(
-        self, engines: t.Sequence[Upstream], *, memory: int, suspects: bool = False
-    ) -> dict[str, float]:
-        """Tokens of each engine that stay free when all its runs are at their largest.
-
-        An engine whose slots are all taken has none.
-
-        :param suspects: count engines that are suspected like the others; they have
-            nothing free otherwise.
-        """
-        now = self._clock()
-        self._take_reports(engines)
-        free = {}
-        stale = []
-        for engine in engines:
-            at, value = self._free_by_engine.get(engine.id, (-math.inf, 0.0))
-            if now >= at + FRESH_SECONDS:
-                stale.append(engine)
-            free[engine.id] = value
-        if stale:
-            self._forget()
-            free.update(self._reckon_free(stale, memory))
-        if not suspects:
-            for engine in engines:
-                if now < engine.suspect_until:
-                    free[engine.id] = 0.0
-        return free
-
-    def _reckon_free(
-        self, engines: t.Sequence[Upstream], memory: int
-    ) -> dict[str, float]:
-        now = self._clock()
-        by_engine: dict[str, list[Placement]] = {e.id: [] for e in engines}
-        for placement in self._placement_by_run.values():
-            if placement.engine in by_engine:
-                by_engine[placement.engine].append(placement)
-        free = {}
-        for engine in engines:
-            placements = by_engine[engine.id]
-            full = len(placements) >= engine.record.slots
-            value = 0.0 if full else self._free(engine, placements, memory)
-            free[engine.id] = value
-            self._free_by_engine[engine.id] = now, value
-        return free
-
-    def _take_reports(self, engines: t.Sequence[Upstream]) -> None:
-        """Learn from reports that are new, and forget those of engines that went."""
-        if len(self._report_by_engine) > 2 * len(engines):
-            ids = {engine.id for engine in engines}
-            for gone in self._report_by_engine.keys() - ids:
-                del self._report_by_engine[gone]
-                self._free_by_engine.pop(gone, None)
-        for engine in engines:
-            self._learn_from_report(engine)
-
-    def _free(
-        self, engine: Upstream, placements: list[Placement], memory: int
-    ) -> float:
-        now = self._clock()
-        pace = self._pace
-        most_growth = FORESIGHT_SECONDS / pace.made_seconds
-        holdings = [
-            Holding(
-                placement.tokens(now, pace.made_seconds),
-                min(
-                    most_growth,
-                    placement.growth(now, pace.token_seconds) * pace.output_ratio,
-                ),
-            )
-            for placement in placements
-        ]
-        total = engine.report.total if engine.report else memory
-        other = self._held_otherwise(engine, placements)
-        return ROOM_PART * total - other - peak(holdings)
-
-    def _held_otherwise(self, engine: Upstream, placements: list[Placement]) -> float:
-        """Memory by the engine's report that is not its runs': copies, above all."""
-        report = engine.report
-        if report is None:
-            return 0.0
-        if report.tokens_by_run:
-            return max(0.0, report.used - sum(report.tokens_by_run.values()))
-        seen = report.taken - REPORT_LAG_SECONDS
-        known = sum(
-            placement.tokens(seen, self._pace.made_seconds)
-            for placement in placements
-            if placement.placed <= seen
-        )
-        return max(0.0, report.used - known)
-
-    def _learn_from_report(self, engine: Upstream) -> None:
-        """Take in a new report: what grew since the last one, and what is gone."""
-        newest = engine.report
-        last = self._report_by_engine.get(engine.id)
-        if newest is None or last is newest:
-            return
-        self._report_by_engine[engine.id] = newest
-        self._free_by_engine.pop(engine.id, None)
-        self._drop_unlisted(engine.id, newest)
-        if last is not None:
-            self._learn_growth(last, newest)
-
-    def _drop_unlisted(self, engine: str, report: EngineReport) -> None:
-        """Drop placements that an engine does not have any more.
-
-        Notes of runs whose node died never come; their places would count as taken for
-        a minute.  One that waits at its engine may not be listed, so nothing is dropped
-        while some do.
-        """
-        if report.queued or not (report.tokens_by_run or report.running == 0):
-            return
-        before = report.taken - REPORT_LAG_SECONDS - UNLISTED_SECONDS
-        for run, placement in list(self._placement_by_run.items()):
-            if placement.engine != engine or run in report.tokens_by_run:
-                continue
-            if placement.told < before:
-                del self._placement_by_run[run]
-
-    def _learn_growth(self, last: EngineReport, newest: EngineReport) -> None:
-        """Learn from two reports how fast the runs in both of them grew."""
-        seconds = newest.taken - last.taken
-        for run, tokens in newest.tokens_by_run.items():
-            placement = self._placement_by_run.get(run)
-            grown = tokens - last.tokens_by_run.get(run, tokens)
-            if placement is None or placement.began is None or grown <= 0:
-                continue
-            if placement.began < last.taken - REPORT_LAG_SECONDS:
-                self._pace.grew(seconds / grown)
-
     def order(
         self, engines: t.Iterable[Upstream], demand: Demand, *, memory: int, hall: str
     ) -> list[Upstream]:
@@ -385,7 +132,7 @@
         :param memory: tokens that an engine holds where no report tells.
         :param hall: where the node is that asks.
         """
-        self._forget()
+        self.forget()
         engines = list(engines)
         short_ids = self._engines_for_short(engines, memory=memory)
         self._short_ids = short_ids
@@ -427,11 +174,12 @@
         placements = self._placement_by_run.values()
         return sum(p.demand.expected for p in placements if not p.demand.short)
 
-    def _forget(self) -> None:
+    def forget(self) -> None:
+        """Drop what is too old to be true."""
         oldest = self._clock() - RUN_SECONDS
         for run, placement in list(self._placement_by_run.items()):
             if placement.placed < oldest:
-                del self._placement_by_run[run]
+                self.withdraw(run)
         self._forget_prompts()
 
     def _forget_prompts(self) -> None:
--- a/tests/fleet/test_owners.py
+++ b/tests/fleet/test_owners.py
@@ -10,7 +10,7 @@
 
 from bankrack.decisions.admission import Admit
 from bankrack.fleet.documents import Member
-from bankrack.fleet.owners import AskMessage
+from bankrack.fleet.messages import AskMessage
 from bankrack.fleet.owners import FLUSH_SECONDS
 from bankrack.fleet.owners import Ledgers
 from bankrack.fleet.owners import NOTES_PATH
--- a/tests/platform/test_refusals.py
+++ b/tests/platform/test_refusals.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 
-from bankrack.fleet.owners import NoteMessage
+from bankrack.fleet.messages import NoteMessage
 from bankrack.gateway import DENIAL_AGE_SECONDS
 from tests.base import TestCase
 from tests.platform.deployment import running
--- a/tests/serving/test_allocation.py
+++ b/tests/serving/test_allocation.py
@@ -10,8 +10,8 @@
 from bankrack.serving.allocation import Wish
 from bankrack.serving.choice import REPORT_LAG_SECONDS
 from bankrack.serving.job import Demand
-from bankrack.serving.ledger import ROOM_PART
-from bankrack.serving.ledger import UNLISTED_SECONDS
+from bankrack.serving.occupancy import ROOM_PART
+from bankrack.serving.occupancy import UNLISTED_SECONDS
 from bankrack.serving.upstreams import EngineReport
 from bankrack.serving.upstreams import Upstream
 from bankrack.serving.upstreams import UpstreamRecord
--- a/tests/serving/test_ledger.py
+++ b/tests/serving/test_ledger.py
@@ -5,9 +5,9 @@
 from bankrack.serving import ledger as ledger_module
 from bankrack.serving.job import Demand
 from bankrack.serving.ledger import Ledger
-from bankrack.serving.ledger import PROMPT_SECONDS
 from bankrack.serving.ledger import RATE_WINDOW_SECONDS
 from bankrack.serving.ledger import RUN_SECONDS
+from bankrack.serving.placement import PROMPT_SECONDS
 from bankrack.serving.upstreams import EngineReport
 from bankrack.serving.upstreams import Upstream
 from bankrack.serving.upstreams import UpstreamRecord
