--- a/benchmarks/ledger.py
+++ b/benchmarks/ledger.py
@@ -59,7 +59,9 @@
         engines = make_engines(count)
         allocator = make_allocator(engines)
         demand = Demand(prompt=3000, output_limit=700)
-        wish = Wish("r-0", demand, MEMORY, "a", (0, 1), due=1.0, left=30.0)
+        wish = Wish(
+            "r-0", demand, MEMORY, "a", (0, 1), due=1.0, left=30.0, silence_left=30.0
+        )
         order = median_microseconds(
             lambda: allocator.ledger.order(engines, demand, memory=MEMORY, hall="a")  # noqa: B023
         )
--- a/src/bankrack/fleet/messages.py
+++ b/src/bankrack/fleet/messages.py
@@ -20,6 +20,7 @@
     :param rank: of the workspace, then of the route; the smallest is served first.
     :param due: seconds until which it begins in time; below 0 when it is late.
     :param left: seconds until its final answer is due.
+    :param silence_left: until its caller gives it up if nothing comes.
     """
 
     service: str
@@ -34,6 +35,7 @@
     rank: tuple[int, int] = (0, 0)
     due: float = 0.0
     left: float = 0.0
+    silence_left: float = 0.0
 
 
 class AdviceMessage(msgspec.Struct, array_like=True):
--- a/src/bankrack/fleet/owners.py
+++ b/src/bankrack/fleet/owners.py
@@ -88,6 +88,7 @@
             rank=ask.rank,
             due=ask.due,
             left=ask.left,
+            silence_left=ask.silence_left,
         )
         return self._allocator(ask.service, ask.pool).decide(engines, wish)
 
@@ -216,6 +217,7 @@
             rank=(work.priority, work.route.priority),
             due=work.job.arrived + work.route.target_latency - time.monotonic(),
             left=work.time_left(),
+            silence_left=work.silence_left(),
         )
         owner = self.owner(ask.pool)
         if owner.name == self._own.name:
--- a/src/bankrack/lab/poolplay.py
+++ b/src/bankrack/lab/poolplay.py
@@ -227,8 +227,14 @@
             asked_since=self.now,
         )
         self._later(caller.ends, lambda: self._settle(caller, Fate.EXPIRED))
+        self._later(self.now + stream.silence, lambda: self._give_up(caller))
         self._ask(caller)
 
+    def _give_up(self, caller: _Caller) -> None:
+        """Leave if nothing came; one that was told to come back waits on."""
+        if caller.began is None and caller.tried == 0:
+            self._settle(caller, Fate.EXPIRED)
+
     def _ask(self, caller: _Caller) -> None:
         if caller.settled:
             return
@@ -246,6 +252,7 @@
             rank=(0, caller.stream.rank),
             due=caller.came + caller.stream.target - now,
             left=caller.ends - now,
+            silence_left=caller.came + caller.stream.silence - now,
         )
         match self._allocator.decide(upstreams, wish):
             case Admit(names):
--- a/src/bankrack/lab/poolscenario.py
+++ b/src/bankrack/lab/poolscenario.py
@@ -26,6 +26,7 @@
     :param rank: of the route; 0 goes first.
     :param prompt: tokens, on average; ``output`` likewise.
     :param target: seconds to the first token; ``patience`` to the last.
+    :param silence: seconds after which callers leave if nothing came.
     """
 
     name: str
@@ -35,6 +36,7 @@
     output: int
     target: float
     patience: float
+    silence: float
     bursts: tuple[Burst, ...] = ()
 
 
@@ -110,6 +112,7 @@
         output=table.integer("output", None, least=1, most=10_000_000),
         target=table.number("target", None, least=0.01, most=600.0),
         patience=table.number("patience", None, least=0.01, most=3600.0),
+        silence=table.number("silence", 3600.0, least=0.01, most=3600.0),
         bursts=bursts,
     )
     table.finish()
--- a/src/bankrack/serving/allocation.py
+++ b/src/bankrack/serving/allocation.py
@@ -31,6 +31,7 @@
     :param rank: of the workspace, then of the route; the smallest is served first.
     :param due: seconds until which it begins in time; below 0 when it is late.
     :param left: seconds until its final answer is due.
+    :param silence_left: seconds until its caller gives it up if nothing comes.
     """
 
     run: str
@@ -40,6 +41,7 @@
     rank: tuple[int, int]
     due: float
     left: float
+    silence_left: float
 
 
 class Allocator:
@@ -70,7 +72,7 @@
             rank=wish.rank,
             need=occupancy.need(wish.demand, memory=wish.memory, seconds=wish.left),
             due=now + wish.due,
-            ends=now + BEGIN_PART * wish.left,
+            ends=now + self._seconds_to_begin(wish),
         )
         verdict = decide(
             candidate,
@@ -97,6 +99,11 @@
                 line.leave(wish.run)
         return verdict
 
+    def _seconds_to_begin(self, wish: Wish) -> float:
+        """Seconds within which a run must get its place to be of any use."""
+        reading = self.ledger.read_seconds(wish.demand)
+        return min(BEGIN_PART * wish.left, wish.silence_left - reading)
+
     def _order(
         self, engines: t.Sequence[Upstream], wish: Wish, names: t.Collection[str]
     ) -> tuple[str, ...]:
--- a/src/bankrack/serving/assignment.py
+++ b/src/bankrack/serving/assignment.py
@@ -7,6 +7,13 @@
 from bankrack.serving.routing import Route
 from bankrack.serving.routing import Service
 
+MIN_SILENCE_SECONDS = 2.0
+SILENT_TARGETS = 4.0
+SILENT_GAPS = 8.0
+"""For how long a caller waits for the first event of a stream: so many times the target
+latency or the target between events, whichever is longest, as the users' pages say.
+Runs that waited in line beyond it were held in vain (19 on an overloaded day)."""
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Assignment:
@@ -27,3 +34,13 @@
     def time_left(self) -> float:
         """Seconds until the final answer is due."""
         return self.deadline - time.monotonic()
+
+    def silence_left(self) -> float:
+        """Seconds until the caller gives up a stream of which nothing came."""
+        route = self.route
+        bearable = max(
+            MIN_SILENCE_SECONDS,
+            SILENT_TARGETS * route.target_latency,
+            SILENT_GAPS * route.gap_target,
+        )
+        return self.job.arrived + bearable - time.monotonic()
--- a/src/bankrack/serving/ledger.py
+++ b/src/bankrack/serving/ledger.py
@@ -17,6 +17,7 @@
 from bankrack.serving.occupancy import Occupancy
 from bankrack.serving.pace import Pace
 from bankrack.serving.placement import Placement
+from bankrack.serving.placement import WAITS_TO_READ
 from bankrack.serving.upstreams import EngineReport
 from bankrack.serving.upstreams import Upstream
 from bankrack.utils import stable_digest
@@ -124,6 +125,10 @@
             self.occupancy.reckon_anew(placement.engine)
         return placement
 
+    def read_seconds(self, demand: Demand) -> float:
+        """Seconds from a run's place to its first event, at most as a rule."""
+        return WAITS_TO_READ * demand.prompt / self._pace.wait_rate()
+
     def order(
         self, engines: t.Iterable[Upstream], demand: Demand, *, memory: int, hall: str
     ) -> list[Upstream]:
--- a/tests/serving/test_allocation.py
+++ b/tests/serving/test_allocation.py
@@ -44,8 +44,9 @@
         rank: int = 1,
         due: float = 2.0,
         left: float = 30.0,
+        silence_left: float = 30.0,
     ) -> Verdict:
-        wish = Wish(run, demand, MEMORY, "a", (0, rank), due, left)
+        wish = Wish(run, demand, MEMORY, "a", (0, rank), due, left, silence_left)
         return self.allocator.decide(self.engines, wish)
 
     def fill(self) -> list[str]:
@@ -105,6 +106,12 @@
         assert isinstance(found, Refuse)
         self.assertGreater(found.expected, 1.5)
 
+    def test_nobody_waits_longer_than_callers_bear_silence(self):
+        """A patient caller still leaves a stream of which nothing comes for long."""
+        self.begin(self.fill())
+        self.assertIsInstance(self.ask("new", silence_left=30.0), Wait)
+        self.assertIsInstance(self.ask("new", silence_left=7.2), Refuse)
+
     def test_it_is_told_when_the_first_runs_should_have_ended(self):
         self.begin(self.fill())
         token_seconds = self.allocator.ledger._pace.token_seconds
