--- a/models/budget.pml
+++ b/models/budget.pml
@@ -7,9 +7,13 @@
  * life takes at most its share, one part in as many nodes as it knows, of most of the
  * reserve, and while it is young of the rest.
  *
+ * Node 0 may lend node 1 a repeat: it counts it as its own before it answers, and node 1
+ * sends it within the tick, or never.  A repeat that is put together from parts of several
+ * shares is counted part by part, so one whole stands for all.
+ *
  * Seeded bugs: -DBUG_NEVER_YOUNG gives a new life its whole share at once; -DBUG_NO_SHARE
- * lets each node take what all share; -DBUG_START_OFTEN lets nodes start at any moment,
- * which shows what the bound rests on.
+ * lets each node take what all share; -DBUG_LEND_UNCOUNTED lends without counting;
+ * -DBUG_START_OFTEN lets nodes start at any moment, which shows what the bound rests on.
  */
 #define WINDOW 3
 #define YOUNG (WINDOW + 1)
@@ -25,6 +29,7 @@
 byte member_for = 2 * WINDOW;  /* ticks since node 1 joined, at most two windows */
 bool joined = false;       /* node 1 is a member */
 bool known = false;        /* node 0 knows that it is */
+bool lent = false;         /* a repeat that node 0 counted is on its way to node 1 */
 
 #define SUM(a) (a[0] + a[1] + a[2])
 #ifdef BUG_NEVER_YOUNG
@@ -50,6 +55,12 @@
 #define FORGET(history) \
     history[0] = 0; history[1] = 0; history[2] = 0
 
+#ifdef BUG_LEND_UNCOUNTED
+#define LEND_COUNTS skip
+#else
+#define LEND_COUNTS own0[0]++
+#endif
+
 active proctype Fleet() {
     do
     :: atomic { SUM(own0) < SHARE0 ->
@@ -58,7 +69,12 @@
     :: atomic { joined && SUM(own1) < SHARE1 ->
         own1[0]++; used[0]++;
         assert(SUM(used) <= RESERVE) }
-    :: atomic { true ->                        /* a tick */
+    :: atomic { !lent && joined && SUM(own0) < SHARE0 ->    /* node 0 lends one */
+        LEND_COUNTS; lent = true }
+    :: atomic { lent -> lent = false; used[0]++;            /* node 1 sends it */
+        assert(SUM(used) <= RESERVE) }
+    :: lent -> lent = false                    /* the answer was lost */
+    :: atomic { !lent ->                       /* a tick */
         SHIFT(used); SHIFT(own0); SHIFT(own1);
         if :: lived0 < YOUNG -> lived0++ :: else fi;
         if :: lived1 < YOUNG -> lived1++ :: else fi;
--- a/tests/test_models.py
+++ b/tests/test_models.py
@@ -83,6 +83,7 @@
         self.finds("budget", "BUG_NEVER_YOUNG")
         self.finds("budget", "BUG_NO_SHARE")
         self.finds("budget", "BUG_START_OFTEN")
+        self.finds("budget", "BUG_LEND_UNCOUNTED")
 
     def test_handover(self):
         self.passes("handover")
