Members are counted all the while, not only when a repeat is asked for

Found on reading: a node that took no repeat in the 10 s before an outage had seen no number of members, so its share afterwards rested on the few that had not lapsed. Test failed first.

--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -361,6 +361,8 @@
     async def _keep_applying(self) -> None:
         """Hand on what follows from the configuration in force."""
         while True:
+            # Seen all the while: the first repeat after an outage rests on it.
+            self._count_nodes()
             table = self.view.table
             if table is not None:
                 services = table.services_by_name.values()
--- a/tests/platform/test_following.py
+++ b/tests/platform/test_following.py
@@ -3,9 +3,11 @@
 import asyncio
 import time
 
+from bankrack.fleet.documents import Member
 from bankrack.fleet.follower import AWAY_SECONDS
 from bankrack.gateway import DENIAL_AGE_SECONDS
 from bankrack.gateway import Gateway
+from bankrack.gateway import LIMITS_SECONDS
 from bankrack.serving import pools
 from tests.base import TestCase
 from tests.platform.deployment import running
@@ -50,6 +52,17 @@
             await until(lambda: gateway.view.age < 1.0)
             self.assertIn("p-1", gateway.upstreams.by_id)
 
+    async def test_members_that_lapse_do_not_raise_the_share_of_a_node_at_rest(self):
+        """No repeat was asked for before the outage, so nothing else counted them."""
+        async with running() as world:
+            gateway = await world.ready_gateway()
+            own = gateway.view.members_by_name
+            others = {n: Member(n, "10.0.0.1:1", "a") for n in "bcdefgh"}
+            gateway.view.members_by_name = {**own, **others}
+            await asyncio.sleep(2 * LIMITS_SECONDS)
+            gateway.view.members_by_name = {}
+            self.assertGreaterEqual(gateway._count_nodes(), 7)
+
     async def test_what_hangs_on_a_store_known_to_be_away_is_told_at_once(self):
         async with running() as world:
             gateway = await world.ready_gateway()
