--- a/src/bankrack/fleet/follower.py
+++ b/src/bankrack/fleet/follower.py
@@ -21,6 +21,7 @@
 from bankrack.fleet.roster import Roster
 from bankrack.fleet.store import Store
 from bankrack.fleet.view import View
+from bankrack.utils import backoff_seconds
 
 CONFIRM_SECONDS = 0.8
 """Longest rest between two readings; a change must be in force within 2 s even
@@ -230,7 +231,7 @@
         await asyncio.sleep(self._rest_seconds(failures))
 
     def _rest_seconds(self, failures: int) -> float:
-        rest = min(MAX_RETRY_SECONDS, RETRY_SECONDS * 2**failures)
+        rest = backoff_seconds(failures, first=RETRY_SECONDS, most=MAX_RETRY_SECONDS)
         return rest * (0.5 + random.random())
 
     def _leaves_reading_to_others(self) -> bool:
@@ -240,7 +241,9 @@
         return time.monotonic() < self._own_reading_due
 
     def _put_off_own_reading(self) -> None:
-        rest = min(MAX_SLOW_RETRY_SECONDS, SLOW_RETRY_SECONDS * 2**self._own_failures)
+        rest = backoff_seconds(
+            self._own_failures, first=SLOW_RETRY_SECONDS, most=MAX_SLOW_RETRY_SECONDS
+        )
         self._own_failures += 1
         self._own_reading_due = time.monotonic() + rest * (0.5 + random.random())
 
--- a/src/bankrack/fleet/membership.py
+++ b/src/bankrack/fleet/membership.py
@@ -16,6 +16,7 @@
 from bankrack.fleet.documents import Member
 from bankrack.fleet.store import Lease
 from bankrack.fleet.store import Store
+from bankrack.utils import backoff_seconds
 
 LEASE_SECONDS = 12.0
 """A dead node counts for so long; counting too many is the safe side."""
@@ -93,7 +94,9 @@
                 continue
             except PlatformUnavailable as error:
                 logs.event(_logger, "lease_not_renewed", reason=error.message)
-                rest = min(MAX_RETRY_SECONDS, RETRY_SECONDS * 2**failures)
+                rest = backoff_seconds(
+                    failures, first=RETRY_SECONDS, most=MAX_RETRY_SECONDS
+                )
                 failures += 1
                 await asyncio.sleep(rest * (0.5 + random.random()))
                 continue
--- /dev/null
+++ b/tests/test_utils.py
@@ -0,0 +1,14 @@
+"""Tests of small helpers."""
+
+from bankrack.utils import backoff_seconds
+from tests.base import TestCase
+
+
+class Backoff(TestCase):
+    def test_rests_double_up_to_their_bound(self):
+        rests = [backoff_seconds(n, first=0.5, most=4.0) for n in range(5)]
+        self.assertEqual([0.5, 1.0, 2.0, 4.0, 4.0], rests)
+
+    def test_thousands_of_failures_in_a_row_are_borne(self):
+        """A store that is away for an hour."""
+        self.assertEqual(4.0, backoff_seconds(5000, first=0.5, most=4.0))
