--- /dev/null
+++ b/src/bankrack/serving/coldshares.py
@@ -0,0 +1,84 @@
+"""What this node may send to upstreams that are cold."""
+
+import collections
+import time
+import typing as t
+
+from bankrack.decisions.cold import ColdTerms
+from bankrack.decisions.cold import NO_QUOTA
+from bankrack.decisions.cold import Quota
+from bankrack.decisions.cold import share_of
+from bankrack.serving.routing import Service
+from bankrack.serving.upstreams import Upstream
+
+SHARE_SECONDS = 0.5
+"""A share is reckoned anew after so long; ranking 200 members takes some 0.2 ms."""
+OWNER_PART = 0.5
+"""Part of an engine's rate that the owner of its pool hands out, which counts each run
+that it places; the rest is for runs that nobody placed there."""
+MAX_UPSTREAMS = 2_000
+"""Upstreams whose sends are remembered; those of one fleet that are cold at once."""
+
+
+class ColdShares:
+    """Counts this node's own sends to cold upstreams.
+
+    :param members: gives the names of the nodes that live.
+    """
+
+    def __init__(
+        self,
+        own: str,
+        members: t.Callable[[], t.Collection[str]],
+        terms: ColdTerms,
+        *,
+        clock: t.Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.terms = terms
+        self._own = own
+        self._members = members
+        self._clock = clock
+        self._share_by_id: dict[str, tuple[float, Quota]] = {}
+        self._sent_by_id: dict[str, collections.deque[float]] = {}
+
+    def allows(self, upstream: Upstream, service: Service) -> bool:
+        """Whether this node may send there now."""
+        now = self._clock()
+        if service.cold_rate <= 0.0 or not upstream.cold(now):
+            return True
+        quota = self._share(upstream, service, now)
+        return self._count(upstream, quota, now) < quota.count
+
+    def take(self, upstream: Upstream, service: Service) -> bool:
+        """Count a send that is made now; ``False`` where it may not be made."""
+        if not self.allows(upstream, service):
+            return False
+        now = self._clock()
+        if service.cold_rate > 0.0 and upstream.cold(now):
+            self._sent_by_id.setdefault(upstream.id, collections.deque()).append(now)
+        return True
+
+    def owner_rate(self, service: Service) -> float:
+        """Runs a second that the owner of a pool may place on a cold engine."""
+        return OWNER_PART * self.terms.fleet_rate(service.cold_rate)
+
+    def _share(self, upstream: Upstream, service: Service, now: float) -> Quota:
+        until, quota = self._share_by_id.get(upstream.id, (0.0, NO_QUOTA))
+        if now < until:
+            return quota
+        if len(self._share_by_id) >= MAX_UPSTREAMS:
+            self._share_by_id.clear()
+            self._sent_by_id.clear()
+        rate = self.terms.fleet_rate(service.cold_rate)
+        if service.engine is not None:
+            rate *= 1.0 - OWNER_PART
+        quota = share_of(self._own, self._members(), upstream.id, rate=rate)
+        self._share_by_id[upstream.id] = now + SHARE_SECONDS, quota
+        return quota
+
+    def _count(self, upstream: Upstream, quota: Quota, now: float) -> int:
+        """How many of this node's sends still count."""
+        sent = self._sent_by_id.get(upstream.id)
+        while sent and sent[0] <= now - quota.seconds:
+            sent.popleft()
+        return len(sent) if sent else 0
