Evacuated halls, upstreams born again, entries of other writers, cold upstreams

Change: - a hall's evacuation is a document, followed like the rest (watch, readings, peers, first reading of a new life). Its upstreams take nothing new: choice, placement, backups and copies pass them over, reports are not asked for, and the last check before a send refuses them also to runs that go on. Runs there are neither broken off nor copied away. - an upstream's id names one life (name and start), so that whatever is kept by id ends with it: failures, reports, placements, notes of other nodes. Reports that tell another start are left. On the wire the name is sent as before. A run does not try to go on at a copy in a life that is over, and no copy is ordered from one. - an entry names an upstream or a member only if it is whole; each item of a reading is decoded by itself; one log line for a revision. The configuration keeps its last good one. - the owner of a pool counts runs that it places on a cold engine, each node has a share for plain requests and runs that nobody placed; Bankrack-Cold-Ms is read in any answer.

--- a/src/bankrack/exceptions.py
+++ b/src/bankrack/exceptions.py
@@ -127,6 +127,12 @@
     status = 503
 
 
+class UpstreamClosed(UpstreamUnreachable):
+    """The upstream takes nothing new now, so nothing was sent; it did not fail."""
+
+    code = "upstream_closed"
+
+
 class UpstreamRefused(BankrackError):
     """The upstream answered that it did not run the request."""
 
--- a/src/bankrack/fleet/documents.py
+++ b/src/bankrack/fleet/documents.py
@@ -22,7 +22,14 @@
     link_mbps: float = 0.0
 
 
-Document = RoutingTable | UpstreamRecord | Member
+@dataclasses.dataclass(slots=True, frozen=True)
+class Evacuation:
+    """A hall whose upstreams take nothing new for as long as the item is there."""
+
+    hall: str
+
+
+Document = RoutingTable | UpstreamRecord | Member | Evacuation
 
 
 class Decoder(t.Protocol):
--- a/src/bankrack/fleet/messages.py
+++ b/src/bankrack/fleet/messages.py
@@ -21,6 +21,8 @@
     :param due: seconds until which it begins in time; below 0 when it is late.
     :param left: seconds until its final answer is due.
     :param silence_left: until its caller gives it up if nothing comes.
+    :param cold_rate: runs a second that the owner may place on an engine while it is
+        cold; 0 where there is no bound.
     """
 
     service: str
@@ -36,6 +38,7 @@
     due: float = 0.0
     left: float = 0.0
     silence_left: float = 0.0
+    cold_rate: float = 0.0
 
 
 class AdviceMessage(msgspec.Struct, array_like=True):
--- a/src/bankrack/fleet/owners.py
+++ b/src/bankrack/fleet/owners.py
@@ -34,6 +34,7 @@
 from bankrack.serving.allocation import Wish
 from bankrack.serving.assignment import Assignment
 from bankrack.serving.choice import Chooser
+from bankrack.serving.coldshares import ColdShares
 from bankrack.serving.job import Demand
 from bankrack.serving.ledger import Ledger
 from bankrack.serving.pools import count_pools
@@ -89,6 +90,7 @@
             due=ask.due,
             left=ask.left,
             silence_left=ask.silence_left,
+            cold_rate=ask.cold_rate,
         )
         return self._allocator(ask.service, ask.pool).decide(engines, wish)
 
@@ -149,9 +151,11 @@
         members: t.Callable[[], t.Iterable[Member]],
         ledgers: Ledgers,
         upstreams: Upstreams,
+        cold: ColdShares,
         *,
         clock: t.Callable[[], float] = time.monotonic,
     ) -> None:
+        self._cold = cold
         self._session = session
         self._own = own
         self._members = members
@@ -218,6 +222,7 @@
             due=work.job.arrived + work.route.target_latency - time.monotonic(),
             left=work.time_left(),
             silence_left=work.silence_left(),
+            cold_rate=self._cold.owner_rate(work.service),
         )
         owner = self.owner(ask.pool)
         if owner.name == self._own.name:
@@ -239,7 +244,7 @@
     def _open_here(self, ids: t.Iterable[str]) -> t.Iterator[str]:
         """Of some engines those that take new work by this node's own view."""
         by_id = self._upstreams.by_id
-        return (i for i in ids if i in by_id and not by_id[i].leaving)
+        return (i for i in ids if i in by_id and by_id[i].open)
 
     def placed(self, work: Assignment, engine: Upstream) -> None:
         """Tell that a run goes to an engine that was not the first."""
--- a/src/bankrack/fleet/view.py
+++ b/src/bankrack/fleet/view.py
@@ -14,6 +14,7 @@
 from bankrack.fleet.changelog import UpstreamLog
 from bankrack.fleet.documents import Decoder
 from bankrack.fleet.documents import Document
+from bankrack.fleet.documents import Evacuation
 from bankrack.fleet.documents import Member
 from bankrack.fleet.store import Item
 from bankrack.fleet.store import Snapshot
@@ -167,26 +168,47 @@
             # A reading that began before the entry went still shows it.
             return
         self._lapsed_until_by_key.pop(item.key, None)
-        document = None
+        last = known.document if known else None
         try:
             document = self._decode(item)
         except PlatformDataInvalid as error:
-            # The last good document of this key stays in force.
-            document = known.document if known else None
-            logs.event(
-                _logger,
-                "item_invalid",
-                level=logging.WARNING,
-                key=item.key,
-                revision=item.revision,
-                reason=error.message,
-                source=source,
-            )
+            document = self._document_without(last, item, source, error)
         else:
+            if _names_another(last, document):
+                if isinstance(last, UpstreamRecord):
+                    self.upstreams.end_life(last.id)
+                self._withdraw(last, source)
             self._adopt(document, item, source)
         self._entry_by_key[item.key] = _Entry(item, document)
         self._note_change(item.key)
 
+    def _document_without(
+        self,
+        last: Document | None,
+        item: Item,
+        source: str,
+        error: PlatformDataInvalid,
+    ) -> Document | None:
+        """What is in force in place of an item that can't be decoded.
+
+        The last good configuration stays.  An upstream or a member is named by its
+        entry as it is now, and this one names none.
+        """
+        logs.event(
+            _logger,
+            "item_invalid",
+            level=logging.WARNING,
+            key=item.key,
+            revision=item.revision,
+            reason=error.message,
+            source=source,
+            remedy="have the writer of this key write it anew, or remove it",
+        )
+        if isinstance(last, RoutingTable):
+            return last
+        self._withdraw(last, source)
+        return None
+
     def _note_change(self, key: str) -> None:
         """Count a change and wake whoever waits for one."""
         self.serial += 1
@@ -207,6 +229,15 @@
                 if document.name not in self.members_by_name:
                     self._member_log.joined(document.name, source)
                 self.members_by_name[document.name] = document
+            case Evacuation(hall):
+                self.upstreams.evacuate(hall)
+                logs.event(
+                    _logger,
+                    "hall_evacuated",
+                    hall=hall,
+                    revision=item.revision,
+                    source=source,
+                )
 
     def _adopt_table(self, table: RoutingTable, item: Item, source: str) -> None:
         if self.table is not None and table.version <= self.table.version:
@@ -255,10 +286,16 @@
 
     def _drop(self, key: str, entry: _Entry, source: str) -> None:
         self._lapsed_until_by_key.pop(key, None)
-        match entry.document:
-            case RoutingTable():
-                # The operator never takes the whole configuration away.
-                return
+        if isinstance(entry.document, RoutingTable):
+            # The operator never takes the whole configuration away.
+            return
+        self._withdraw(entry.document, source)
+        del self._entry_by_key[key]
+        self._note_change(key)
+
+    def _withdraw(self, document: Document | None, source: str) -> None:
+        """Undo what a document brought that is not in force any more."""
+        match document:
             case UpstreamRecord(id=upstream_id, address=address):
                 if self.upstreams.remove(upstream_id):
                     self._upstream_log.note(
@@ -267,8 +304,9 @@
             case Member(name=name):
                 self.members_by_name.pop(name, None)
                 self._member_log.left(name, source)
-        del self._entry_by_key[key]
-        self._note_change(key)
+            case Evacuation(hall):
+                self.upstreams.take_back(hall)
+                logs.event(_logger, "hall_taken_back", hall=hall, source=source)
 
     def sweep(self) -> None:
         """Drop entries that stayed away after an outage; log who came and went."""
@@ -278,3 +316,18 @@
                 self._drop(key, self._entry_by_key[key], "lapsed")
         self._upstream_log.flush()
         self._member_log.flush(members=len(self.members_by_name))
+
+
+def _names_another(last: Document | None, document: Document | None) -> bool:
+    """Whether the next document under a key is of another upstream or member.
+
+    An upstream that started again keeps its key; its new life is another upstream.
+    """
+    match last, document:
+        case UpstreamRecord(id=before), UpstreamRecord(id=now):
+            return before != now
+        case Member(name=before), Member(name=now):
+            return before != now
+        case ((UpstreamRecord() | Member()), None):
+            return True
+    return False
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -16,6 +16,7 @@
 
 from bankrack import logs
 from bankrack.background import BackgroundTasks
+from bankrack.decisions.cold import ColdTerms
 from bankrack.exceptions import NodeNotReady
 from bankrack.fleet.documents import Decoder
 from bankrack.fleet.documents import Member
@@ -43,6 +44,7 @@
 from bankrack.serving.client import new_session
 from bankrack.serving.client import UpstreamClient
 from bankrack.serving.client import UpstreamDialect
+from bankrack.serving.coldshares import ColdShares
 from bankrack.serving.dispatch import Dispatcher
 from bankrack.serving.enginecontrol import EngineControl
 from bankrack.serving.job import Job
@@ -75,7 +77,7 @@
 """Time kept for closing down before the process would be killed."""
 STOP_POLL_SECONDS = 0.05
 LIMITS_SECONDS = 0.5
-BOUNDS = frozenset({"grace", "budget"})
+BOUNDS = frozenset({"grace", "budget", "cold"})
 """Settings that can change while a process runs."""
 
 _logger = logging.getLogger(__name__)
@@ -90,6 +92,7 @@
     :param seeds: inner addresses of other nodes, perhaps out of date.
     :param grace: seconds from SIGTERM until the process is killed.
     :param link_mbps: rate of the VM's link.
+    :param cold: how far beyond its rate a cold upstream may be sent requests.
     """
 
     name: str
@@ -102,6 +105,7 @@
     grace: float
     budget: BudgetTerms
     link_mbps: float = 0.0
+    cold: ColdTerms = dataclasses.field(default_factory=ColdTerms)
 
 
 class GatewayDialect(t.Protocol):
@@ -172,6 +176,9 @@
         members = self.view.members_by_name.values
         self.lender = Lender(self._asking, own, members, self.budget)
         self.budget.borrow_with(self.lender.borrow)
+        self.cold = ColdShares(
+            settings.name, self.view.members_by_name.keys, settings.cold
+        )
         client = UpstreamClient(self._sending, dialect.upstreams)
         control = dialect.control(self._asking)
         self.ledgers = Ledgers(self.upstreams, self.chooser, note_use=self._note_use)
@@ -181,12 +188,18 @@
             self.view.members_by_name.values,
             self.ledgers,
             self.upstreams,
+            self.cold,
         )
         self.reports = ReportFollower(
             self.chooser, control, select=self._engines_to_ask
         )
         parts = RelayParts(
-            client, self.chooser, self.upstreams, self.budget, self.metrics
+            client,
+            self.chooser,
+            self.upstreams,
+            self.budget,
+            self.metrics,
+            self.cold,
         )
         self.dispatcher = Dispatcher(
             directory=self,
@@ -259,6 +272,7 @@
         applied = {name: getattr(settings, name) for name in changed if name in BOUNDS}
         self.settings = dataclasses.replace(old, **applied)
         self.budget.change_terms(self.settings.budget)
+        self.cold.terms = self.settings.cold
         logs.event(
             _logger,
             "settings_reloaded",
@@ -346,11 +360,12 @@
         In a fleet that has lost the store, only some of those who then have no leader
         ask for all; each question is priced.
         """
-        engines = self.upstreams.of(service)
+        # Nothing is sent to an evacuated hall, questions among it.
+        engines = [e for e in self.upstreams.of(service) if not e.evacuated]
         alone = self.follower.leader is None and self.roster.stands_by()
         if alone and count_pools(len(engines)) == 1:
             return engines
-        return self.owners.owned(service)
+        return [e for e in self.owners.owned(service) if not e.evacuated]
 
     def _note_use(self) -> None:
         self.reports.note_use()
--- a/src/bankrack/lab/poolplay.py
+++ b/src/bankrack/lab/poolplay.py
@@ -30,6 +30,7 @@
 from bankrack.serving.placing import PLACE_POLL_SECONDS
 from bankrack.serving.placing import SILENT_RETRY_SECONDS
 from bankrack.serving.placing import WAIT_FOR_PLACE
+from bankrack.serving.upstreams import EngineReport
 from bankrack.serving.upstreams import Upstream
 from bankrack.serving.upstreams import UpstreamRecord
 
@@ -181,7 +182,7 @@
             report = engine.report(self.now)
             come = self.now + REPORT_LAG_SECONDS
             aged = dataclasses.replace(report, taken=come)
-            self._later(come, functools.partial(upstream.note_report, aged))
+            self._later(come, lambda: _note(upstream, aged))
         if self.now < self.scenario.seconds + LATEST_SECONDS:
             self._later(self.now + REPORT_SECONDS, lambda: self._take_report(name))
 
@@ -355,3 +356,7 @@
                 caller.name, took=took if whole else 0.0
             ),
         )
+
+
+def _note(upstream: Upstream, report: EngineReport) -> None:
+    upstream.note_report(report)
--- a/src/bankrack/serving/allocation.py
+++ b/src/bankrack/serving/allocation.py
@@ -10,6 +10,7 @@
 from bankrack.decisions.admission import Refuse
 from bankrack.decisions.admission import Verdict
 from bankrack.decisions.admission import Wait
+from bankrack.decisions.cold import quota_of
 from bankrack.decisions.line import Candidate
 from bankrack.decisions.line import Line
 from bankrack.serving.job import Demand
@@ -32,6 +33,8 @@
     :param due: seconds until which it begins in time; below 0 when it is late.
     :param left: seconds until its final answer is due.
     :param silence_left: seconds until its caller gives it up if nothing comes.
+    :param cold_rate: runs a second that may be placed on an engine while it is cold; 0
+        where there is no bound.
     """
 
     run: str
@@ -42,6 +45,7 @@
     due: float
     left: float
     silence_left: float
+    cold_rate: float = 0.0
 
 
 class Allocator:
@@ -56,6 +60,7 @@
         self.ledger = Ledger(clock=clock, rng=rng)
         self.line = Line()
         self._clock = clock
+        self._grants_by_id: dict[str, list[float]] = {}
 
     def decide(self, engines: t.Sequence[Upstream], wish: Wish) -> Verdict:
         """Decide on a run; an admitted one counts as placed on the first engine.
@@ -74,15 +79,20 @@
             due=now + wish.due,
             ends=now + self._seconds_to_begin(wish),
         )
+        free_by_engine = occupancy.free_by_engine(
+            engines,
+            memory=wish.memory,
+            # Late runs may try what is suspected: it may be the way to it, not the
+            # engine, that failed, and the engine itself says whether it has room.
+            suspects=wish.due < 0.0,
+        )
+        cold_ids = {e.id for e in engines if wish.cold_rate > 0.0 and e.cold(now)}
+        for name in cold_ids:
+            if not self._may_grant(name, wish.cold_rate, now):
+                free_by_engine[name] = 0.0
         verdict = decide(
             candidate,
-            free_by_engine=occupancy.free_by_engine(
-                engines,
-                memory=wish.memory,
-                # Late runs may try what is suspected: it may be the way to it, not the
-                # engine, that failed, and the engine itself says whether it has room.
-                suspects=wish.due < 0.0,
-            ),
+            free_by_engine=free_by_engine,
             ahead=line.ahead(candidate, now),
             releases=occupancy.releases(engines),
             now=now,
@@ -90,15 +100,27 @@
         match verdict:
             case Admit(names):
                 line.leave(wish.run)
-                ordered = self._order(engines, wish, names)
-                ledger.place(wish.run, ordered[0], wish.demand)
-                return Admit(ordered)
+                first, *others = self._order(engines, wish, names)
+                ledger.place(wish.run, first, wish.demand)
+                if first in cold_ids:
+                    self._grants_by_id.setdefault(first, []).append(now)
+                # A cold engine that it tried next would not be counted here.
+                return Admit((first, *(i for i in others if i not in cold_ids)))
             case Wait(seconds):
                 line.wait(candidate, until=now + seconds + LATE_ASK_SECONDS)
             case Refuse():
                 line.leave(wish.run)
         return verdict
 
+    def _may_grant(self, engine: str, rate: float, now: float) -> bool:
+        """Whether a cold engine may get one more run of this pool."""
+        quota = quota_of(rate)
+        last = now - quota.seconds
+        counted = [at for at in self._grants_by_id.pop(engine, []) if at > last]
+        if counted:
+            self._grants_by_id[engine] = counted
+        return len(counted) < quota.count
+
     def _seconds_to_begin(self, wish: Wish) -> float:
         """Seconds within which a run must get its place to be of any use."""
         reading = self.ledger.read_seconds(wish.demand)
--- a/src/bankrack/serving/choice.py
+++ b/src/bankrack/serving/choice.py
@@ -179,6 +179,6 @@
         score = FAILURE_WEIGHT * upstream.failure_rate + JITTER * self._rng.random()
         if now < upstream.suspect_until:
             score += SUSPECT_PENALTY
-        if now < upstream.first_seen + upstream.record.cold_seconds:
+        if upstream.cold(now):
             score += COLD_WEIGHT
         return score
--- a/src/bankrack/serving/client.py
+++ b/src/bankrack/serving/client.py
@@ -18,6 +18,7 @@
 
 from bankrack.exceptions import InvalidRequest
 from bankrack.exceptions import Outcome
+from bankrack.exceptions import UpstreamClosed
 from bankrack.exceptions import UpstreamFailed
 from bankrack.exceptions import UpstreamUnreachable
 from bankrack.serving.job import Header
@@ -76,6 +77,7 @@
     :param run_id: the job that the answer belongs to, if it says so.
     :param sealed: whether it carries the upstream's proof of origin.
     :param waiting: requests that wait at the upstream, if it says so.
+    :param cold_seconds: how much longer the upstream is cold, if it says so.
     """
 
     status: int
@@ -84,6 +86,7 @@
     run_id: str | None
     sealed: bool
     waiting: int | None = None
+    cold_seconds: float | None = None
 
 
 class UpstreamDialect(t.Protocol):
@@ -192,7 +195,7 @@
         Raises :exc:`UpstreamUnreachable` when nothing was sent, and
         :exc:`UpstreamFailed` when the job may have run.
         """
-        _refuse_if_leaving(send)
+        _refuse_if_closed(send)
         job = send.job
         url = _url(send.upstream.address, job.target)
         try:
@@ -223,15 +226,22 @@
         return Exchange(response, head)
 
 
-def _refuse_if_leaving(send: Send) -> None:
-    """Keep new work from an upstream that leaves, whoever chose it.
+def _refuse_if_closed(send: Send) -> None:
+    """Keep work from an upstream that is not to get it, whoever chose it.
 
-    The last check before a send: an upstream may begin to leave between its choice
-    and this moment, as while an engine was asked for a place.
+    The last check before a send: an upstream may begin to leave, or its hall may be
+    evacuated, between its choice and this moment, as while it was asked for a place.
+    A leaving one still takes runs whose copy it holds, an evacuated one nothing.
     """
-    if send.resume is None and send.upstream.leaving:
-        raise UpstreamUnreachable(
-            f"{send.upstream.id} began to leave; nothing was sent, try another"
+    upstream = send.upstream
+    if upstream.evacuated:
+        raise UpstreamClosed(
+            f"hall {upstream.record.hall} of {upstream.id} is evacuated; nothing was "
+            "sent, try another"
+        )
+    if send.resume is None and upstream.leaving:
+        raise UpstreamClosed(
+            f"{upstream.id} began to leave; nothing was sent, try another"
         )
 
 
--- a/src/bankrack/serving/copies.py
+++ b/src/bankrack/serving/copies.py
@@ -102,11 +102,11 @@
         while True:
             await asyncio.sleep(COPY_CHECK_SECONDS)
             engine = self._engine()
-            if engine is None or not engine.leaving:
+            if engine is None or not engine.leaving or engine.ended:
                 continue
-            if any(c.backup and not c.holder.leaving for c in self.found):
+            if any(c.backup and c.holder.open for c in self.found):
                 continue
-            kept = [c for c in self.found if not c.backup and not c.holder.leaving]
+            kept = [c for c in self.found if not c.backup and c.holder.open]
             targets = [c.holder for c in kept] or self._targets(engine, tried)
             for target in targets:
                 if await self._copy(engine, target):
--- a/src/bankrack/serving/placing.py
+++ b/src/bankrack/serving/placing.py
@@ -1,6 +1,7 @@
 """Finding an engine with room for a run."""
 
 import asyncio
+import dataclasses
 import random
 import time
 import typing as t
@@ -14,6 +15,7 @@
 from bankrack.serving.advice import PlacementAdvisor
 from bankrack.serving.assignment import Assignment
 from bankrack.serving.choice import Chooser
+from bankrack.serving.coldshares import ColdShares
 from bankrack.serving.enginecontrol import EngineControl
 from bankrack.serving.pools import count_pools
 from bankrack.serving.pools import pool_of
@@ -34,11 +36,28 @@
 """An engine answers in a few ms whether it keeps a place."""
 SILENT_RETRY_SECONDS = 0.1
 """Another node, which the caller reaches next, may have a way to the engines."""
+OWNER = "owner"
+REPORTS = "reports"
+"""What the order of engines rests on."""
 PLACE_GROWTH_TOKENS = 150
 """Tokens kept beside the prompt; keeping all that is expected let fewer runs in, and
 worth over 24 days was 14.106 instead of 14.351."""
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Place:
+    """Where a run begins.
+
+    :param hold: names the place that the engine keeps, if it does.
+    :param granted: the owner of the pool chose this engine and counted the run, so it
+        takes nothing of this node's share of a cold one.
+    """
+
+    engine: Upstream
+    hold: str | None
+    granted: bool
+
+
 class Placer:
     """Has engines keep places for runs."""
 
@@ -49,8 +68,10 @@
         upstreams: Upstreams,
         control: EngineControl,
         advisor: PlacementAdvisor,
+        cold: ColdShares,
     ) -> None:
         self._advisor = advisor
+        self._cold = cold
         self._chooser = chooser
         self._upstreams = upstreams
         self._control = control
@@ -62,8 +83,8 @@
         log: RunLog,
         *,
         tried: t.Collection[str],
-    ) -> tuple[Upstream, str | None]:
-        """Find an engine, and the name of the place that it keeps, if any.
+    ) -> Place:
+        """Find an engine that has room for a run.
 
         Engines are asked because reports are old when they come.  A run that
         waits here can still go to any engine; one that waits in an engine's
@@ -74,17 +95,22 @@
         silent: set[str] = set()
         while True:
             engines, source = await self._wait_in_line(work, traits, log, tried)
+            owner_chose = source == OWNER
             if not traits.hold:
-                return engines[0], None
+                return Place(engines[0], None, owner_chose)
             for engine in engines[:MOST_ASKED]:
+                if not engine.open:
+                    # That came to be while others were asked.
+                    continue
                 hold = await self._ask(engine, work, traits, log, silent=silent)
                 if hold is not None:
                     log.write("place_kept", engine, "ok", f"ordered by {source}")
                     if engine is not engines[0]:
                         self._advisor.placed(work, engine)
-                    return engine, hold
+                    return Place(engine, hold, owner_chose and engine is engines[0])
             if time.monotonic() >= until:
-                return _first_that_answers(work, engines, silent), None
+                engine = _first_that_answers(work, engines, silent)
+                return Place(engine, None, owner_chose and engine is engines[0])
             await asyncio.sleep(PLACE_POLL_SECONDS * (0.5 + random.random()))
 
     async def _wait_in_line(
@@ -106,7 +132,7 @@
             )
             match verdict:
                 case Admit(engines=names) if names:
-                    return [self._upstreams.by_id[name] for name in names], "owner"
+                    return [self._upstreams.by_id[name] for name in names], OWNER
                 case Wait(seconds):
                     if not told:
                         log.write_verdict("place_waits", verdict)
@@ -122,7 +148,7 @@
                         ),
                     )
                 case _:
-                    return self._by_reports(work, traits, tried), "reports"
+                    return self._by_reports(work, traits, tried), REPORTS
 
     def _by_reports(
         self, work: Assignment, traits: EngineTraits, tried: t.Collection[str]
@@ -133,7 +159,11 @@
         """
         name = work.service.name
         pools = count_pools(len(self._upstreams.of(name)))
-        untried = [u for u in self._upstreams.open_of(name) if u.id not in tried]
+        untried = [
+            engine
+            for engine in self._upstreams.open_of(name)
+            if engine.id not in tried and self._cold.allows(engine, work.service)
+        ]
         untried = select_pool(untried, pool_of(work.job.id, pools), pools) or untried
         if not untried:
             raise Overloaded(
--- a/src/bankrack/serving/plain.py
+++ b/src/bankrack/serving/plain.py
@@ -6,6 +6,7 @@
 
 from bankrack import logs
 from bankrack.exceptions import Overloaded
+from bankrack.exceptions import UpstreamClosed
 from bankrack.exceptions import UpstreamFailed
 from bankrack.exceptions import UpstreamUnreachable
 from bankrack.serving.assignment import Assignment
@@ -48,7 +49,8 @@
             try:
                 answer = await self._send(work, upstream, sends)
             except UpstreamUnreachable as error:
-                self._parts.chooser.suspect(upstream)
+                if not isinstance(error, UpstreamClosed):
+                    self._parts.chooser.suspect(upstream)
                 sends.unreachable(upstream)
                 self._log(work, upstream, "unreachable", error.message)
                 continue
@@ -83,13 +85,16 @@
                 "no upstream took the request; try again",
                 retry_after=work.job.retry_after,
             )
-        candidates = self._parts.upstreams.open_of(work.service.name)
+        cold = self._parts.cold
+        open_ones = self._parts.upstreams.open_of(work.service.name)
+        candidates = [u for u in open_ones if cold.allows(u, work.service)]
         if len(sends.ran_ids) >= work.route.max_upstreams:
             candidates = [u for u in candidates if u.id in sends.ran_ids] or candidates
         upstream = self._parts.chooser.plain(candidates, avoid=sends.avoid)
         if upstream is None:
             raise Overloaded(
-                f"service {work.service.name} has no upstream; try again",
+                f"service {work.service.name} has no upstream that takes requests of "
+                f"this node now ({len(open_ones)} are cold); try again",
                 retry_after=work.job.retry_after,
             )
         budget = self._parts.budget
@@ -113,6 +118,8 @@
             priority=work.priority,
             time_left=work.time_left(),
         )
+        if not self._parts.cold.take(upstream, work.service):
+            raise UpstreamClosed(f"{upstream.id} became cold; try another")
         upstream.in_flight += 1
         exchange: Exchange | None = None
         try:
@@ -122,6 +129,8 @@
                 head = exchange.head
                 if head.waiting is not None:
                     upstream.load_waiting = head.waiting
+                if head.cold_seconds is not None:
+                    upstream.note_cold(head.cold_seconds, time.monotonic())
                 if head.not_run:
                     return None
                 body = await exchange.read()
--- a/src/bankrack/serving/pools.py
+++ b/src/bankrack/serving/pools.py
@@ -38,4 +38,4 @@
     """
     pools = count_pools(len(engines))
     same = select_pool(engines, pool_of(engine.id, pools), pools)
-    return [other for other in same if not other.leaving]
+    return [other for other in same if other.open]
--- a/src/bankrack/serving/relay.py
+++ b/src/bankrack/serving/relay.py
@@ -6,6 +6,7 @@
 from bankrack.serving.budget import SharedRetryBudget
 from bankrack.serving.choice import Chooser
 from bankrack.serving.client import UpstreamClient
+from bankrack.serving.coldshares import ColdShares
 from bankrack.serving.upstreams import Upstreams
 
 
@@ -18,3 +19,4 @@
     upstreams: Upstreams
     budget: SharedRetryBudget
     metrics: GatewayMetrics
+    cold: ColdShares
--- a/src/bankrack/serving/reports.py
+++ b/src/bankrack/serving/reports.py
@@ -63,7 +63,7 @@
         was_leaving = engine.leaving
         try:
             async with asyncio.timeout(REPORT_TIMEOUT_SECONDS):
-                engine.note_report(await self._control.report(engine))
+                report = await self._control.report(engine)
         except (BankrackError, TimeoutError) as error:
             self._chooser.suspect(engine)
             logs.event(
@@ -77,5 +77,13 @@
                 else None,
             )
             return
+        if not engine.note_report(report):
+            logs.event(
+                _logger,
+                "report_of_another_life",
+                upstream=engine.id,
+                born=engine.record.born,
+                told=report.born,
+            )
         if engine.leaving and not was_leaving:
             logs.event(_logger, "upstream_leaving", upstream=engine.id, source="report")
--- a/src/bankrack/serving/routing.py
+++ b/src/bankrack/serving/routing.py
@@ -60,11 +60,16 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Service:
-    """A group of like upstreams."""
+    """A group of like upstreams.
+
+    :param cold_rate: requests a second, of all nodes, that one of them bears while it
+        is cold; 0 where there is no bound.
+    """
 
     name: str
     max_connections: int = 0
     engine: EngineTraits | None = None
+    cold_rate: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/bankrack/serving/run.py
+++ b/src/bankrack/serving/run.py
@@ -7,6 +7,7 @@
 from bankrack.exceptions import BankrackError
 from bankrack.exceptions import Overloaded
 from bankrack.exceptions import StreamInterrupted
+from bankrack.exceptions import UpstreamClosed
 from bankrack.exceptions import UpstreamFailed
 from bankrack.exceptions import UpstreamUnreachable
 from bankrack.serving.advice import PlacementAdvisor
@@ -20,6 +21,7 @@
 from bankrack.serving.job import Answer
 from bankrack.serving.job import Reply
 from bankrack.serving.passing import EventPasser
+from bankrack.serving.placing import Place
 from bankrack.serving.placing import Placer
 from bankrack.serving.relay import RelayParts
 from bankrack.serving.routing import EngineTraits
@@ -123,7 +125,7 @@
         """
         while True:
             try:
-                engine, hold = await self._means.placer.find(
+                place = await self._means.placer.find(
                     self._work, self._traits, self._log, tried=self._tried
                 )
                 await self._take_from_budget()
@@ -132,9 +134,11 @@
                     raise
                 raise _interrupted(error) from error
             try:
-                exchange = await self._open_first(engine, hold)
+                engine = place.engine
+                exchange = await self._open_first(place)
             except UpstreamUnreachable as error:
-                self._suspect(engine)
+                if not isinstance(error, UpstreamClosed):
+                    self._suspect(engine)
                 self._tried.add(engine.id)
                 self._log.write("attempt_ended", engine, "unreachable", error.message)
                 continue
@@ -156,19 +160,22 @@
             self._exchange = exchange
             return None
 
-    async def _open_first(self, engine: Upstream, hold: str | None) -> Exchange:
+    async def _open_first(self, place: Place) -> Exchange:
         """Send a run that no engine holds yet.
 
         An engine that has begun nothing for long is suspected; a run that may be
         repeated then goes to another one.
         """
+        engine = place.engine
+        if not place.granted:
+            self._take_cold_share(engine)
         patience = PATIENCE * self._work.route.target_latency
         limit_seconds = patience if self._may_run_again(after=1) else None
         loop = asyncio.get_running_loop()
         overdue = loop.call_later(patience, self._suspect, engine)
         try:
             async with asyncio.timeout(limit_seconds) as limit:
-                return await self._open(engine, hold=hold)
+                return await self._open(engine, hold=place.hold)
         except TimeoutError as error:
             if not limit.expired():
                 raise
@@ -178,6 +185,11 @@
         finally:
             overdue.cancel()
 
+    def _take_cold_share(self, engine: Upstream) -> None:
+        """Count a send to an engine that nobody counts otherwise."""
+        if not self._parts.cold.take(engine, self._work.service):
+            raise UpstreamClosed(f"{engine.id} is cold; nothing was sent, try another")
+
     def _may_run_again(self, *, after: int = 0) -> bool:
         """Whether the run may begin anew, after ``after`` further sends that failed."""
         route = self._work.route
@@ -267,6 +279,8 @@
             engine.note_sent(prompt, now)
             self._pace.began(prompt, took)
             self._parts.chooser.answered(engine, failed=False)
+            if exchange.head.cold_seconds is not None:
+                engine.note_cold(exchange.head.cold_seconds, time.monotonic())
             self._means.advisor.began(work, engine, took=took)
             self._copies.start_with(backup)
         self._log.write(
@@ -379,6 +393,13 @@
 
     async def _resume_at(self, copy: Copy) -> bool:
         holder = copy.holder
+        if holder.evacuated or holder.ended:
+            reason = "evacuated" if holder.evacuated else "began a new life"
+            self._log.write("resume_refused", holder, reason)
+            return False
+        if not self._parts.cold.take(holder, self._work.service):
+            self._log.write("resume_refused", holder, "cold")
+            return False
         if not await self._parts.budget.take_or_borrow(self._work.service.name):
             self._log.write("resume_refused", holder, "budget")
             return False
--- a/src/bankrack/serving/streams.py
+++ b/src/bankrack/serving/streams.py
@@ -29,6 +29,7 @@
             upstreams=parts.upstreams,
             control=control,
             advisor=advisor,
+            cold=parts.cold,
         )
         self._means = StreamMeans(parts, control, advisor, placer)
 
--- a/src/bankrack/serving/upstreams.py
+++ b/src/bankrack/serving/upstreams.py
@@ -11,7 +11,9 @@
 
     :param id: names one life of the process; a restart has a new one.
     :param leaving: it ends soon and takes no new work.
-    :param cold_seconds: how long after its start it is slow.
+    :param cold_seconds: how much longer it is cold, which bounds what it is sent.
+    :param name: what the upstream calls itself in all its lives; its id if empty.
+    :param born: Unix milliseconds of the start of this life, where that is told.
     """
 
     id: str
@@ -21,6 +23,8 @@
     slots: int
     leaving: bool = False
     cold_seconds: float = 0.0
+    name: str = ""
+    born: int | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -31,6 +35,7 @@
     :param taken: monotonic seconds at which the answer came.
     :param tokens_by_run: what each run holds, its prompt among it; empty where the
         engine does not tell, or the report came from another node.
+    :param born: of the life that it tells of, where that is told.
     """
 
     running: int
@@ -40,15 +45,18 @@
     taken: float
     leaving: bool = False
     tokens_by_run: t.Mapping[str, int] = dataclasses.field(default_factory=dict)
+    born: int | None = None
 
 
 class Upstream:
     """One upstream and what this node knows of it."""
 
     __slots__ = (
+        "cold_until",
+        "ended",
+        "evacuated",
         "failure_rate",
         "failures",
-        "first_seen",
         "gone_at",
         "in_flight",
         "leaving_at",
@@ -62,7 +70,9 @@
 
     def __init__(self, record: UpstreamRecord, now: float) -> None:
         self.record = record
-        self.first_seen = now
+        self.cold_until = now + record.cold_seconds
+        self.evacuated = False
+        self.ended = False
         self.in_flight = 0
         self.failures = 0
         self.sent: list[tuple[float, int]] = []
@@ -79,6 +89,11 @@
         """The id of this life of the upstream."""
         return self.record.id
 
+    @property
+    def name(self) -> str:
+        """What the upstream calls itself, in all its lives."""
+        return self.record.name or self.record.id
+
     @property
     def address(self) -> str:
         """Where it listens, as ``ip:port``."""
@@ -86,9 +101,22 @@
 
     @property
     def leaving(self) -> bool:
-        """Whether it takes no new work."""
+        """Whether it ends soon: it takes no new work, and its runs go on elsewhere."""
         return self.leaving_at > 0.0 or self.gone_at > 0.0
 
+    @property
+    def open(self) -> bool:
+        """Whether it takes new work; in an evacuated hall what runs there goes on."""
+        return not self.leaving and not self.evacuated
+
+    def cold(self, now: float) -> bool:
+        """Whether what all nodes send it is bounded by its service's rate."""
+        return now < self.cold_until
+
+    def note_cold(self, seconds: float, now: float) -> None:
+        """Take in how much longer it is cold, as it said itself just now."""
+        self.cold_until = now + seconds
+
     def describe(self) -> dict[str, t.Any]:
         """What this node believes of it, for the state dump."""
         return {
@@ -96,6 +124,8 @@
             "address": self.address,
             "service": self.record.service,
             "leaving": self.leaving,
+            "evacuated": self.evacuated,
+            "cold_until": self.cold_until,
             "in_flight": self.in_flight,
             "failure_rate": self.failure_rate,
             "used": self.report.used if self.report else None,
@@ -103,15 +133,22 @@
 
     def note_report(
         self, report: EngineReport, *, learned: float | None = None
-    ) -> None:
+    ) -> bool:
         """Take in a report; what was sent before it is contained in it.
 
+        One that tells of another life is left: it is late, or this life is over and
+        the entry of the next one is not known yet.
+
         :param learned: when this node was told of it, where it did not ask itself.
+        :return: whether it was taken in.
         """
+        if report.born is not None and self.record.born not in (None, report.born):
+            return False
         self.report = report
         self.report_learned = report.taken if learned is None else learned
         if report.leaving and not self.leaving_at:
             self.leaving_at = report.taken
+        return True
 
     def note_sent(self, tokens: int, now: float) -> None:
         """Remember that a run of ``tokens`` went there, until reports hold it."""
@@ -129,6 +166,7 @@
 
     def __init__(self, *, clock: t.Callable[[], float] = time.monotonic) -> None:
         self.by_id: dict[str, Upstream] = {}
+        self.evacuated_halls: set[str] = set()
         self._clock = clock
 
     def put(self, record: UpstreamRecord) -> str | None:
@@ -136,10 +174,13 @@
         now = self._clock()
         known = self.by_id.get(record.id)
         if known is None:
-            self.by_id[record.id] = Upstream(record, now)
+            added = self.by_id[record.id] = Upstream(record, now)
+            added.evacuated = record.hall in self.evacuated_halls
             return "leaving" if record.leaving else "joined"
         if known.gone_at:
             known.gone_at = 0.0
+        # It may become cold at any moment of its life, also for as long as before.
+        known.note_cold(record.cold_seconds, now)
         if known.record == record:
             return None
         known.record = record
@@ -159,10 +200,31 @@
         known.gone_at = self._clock()
         return True
 
+    def end_life(self, upstream_id: str) -> None:
+        """Note that an upstream started again: what it held is lost."""
+        known = self.by_id.get(upstream_id)
+        if known is not None:
+            known.ended = True
+
+    def evacuate(self, hall: str) -> None:
+        """Let the upstreams of a hall take nothing new."""
+        self.evacuated_halls.add(hall)
+        self._mark(hall, evacuated=True)
+
+    def take_back(self, hall: str) -> None:
+        """Use the upstreams of a hall again."""
+        self.evacuated_halls.discard(hall)
+        self._mark(hall, evacuated=False)
+
+    def _mark(self, hall: str, *, evacuated: bool) -> None:
+        for upstream in self.by_id.values():
+            if upstream.record.hall == hall:
+                upstream.evacuated = evacuated
+
     def of(self, service: str) -> list[Upstream]:
         """All upstreams of a service, leaving ones too."""
         return [u for u in self.by_id.values() if u.record.service == service]
 
     def open_of(self, service: str) -> list[Upstream]:
         """The upstreams of a service that take new work."""
-        return [u for u in self.of(service) if not u.leaving]
+        return [u for u in self.of(service) if u.open]
--- /dev/null
+++ b/tests/platform/test_entries.py
@@ -0,0 +1,149 @@
+"""Tests of entries that another writer left in the store."""
+
+import json
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+import documents
+from bankrack.exceptions import PlatformDataInvalid
+from bankrack.fleet.store import Item
+from bankrack.fleet.view import View
+from bankrack.serving.client import new_session
+from bankrack.serving.upstreams import UpstreamRecord
+from bankrack.serving.upstreams import Upstreams
+from store import PlatformStore
+from tests.base import TestCase
+from tests.platform.deployment import running
+from tests.platform.deployment import until
+from tests.platform.test_fuzz import JSON
+from tests.platform.test_fuzz import quick
+from tests.platform.world import call
+from tests.platform.world import FakeStore
+
+ENTRY = {
+    "service": "plain",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "slots": 6,
+    "state": "ready",
+    "coldRemainingMs": 0,
+    "born": 1790000000000,
+    "sequence": 4,
+}
+NAMED_BY = ("service", "address", "zone", "slots", "state")
+
+
+def decode(entry: object) -> object:
+    return documents.decode(Item("servers/x", json.dumps(entry).encode(), 1))
+
+
+class OneEntry(TestCase):
+    def test_a_whole_entry_names_a_server(self):
+        found = decode(ENTRY)
+        assert isinstance(found, UpstreamRecord)
+        self.assertEqual(("x", "x.1790000000000"), (found.name, found.id))
+
+    def test_one_without_a_field_names_none(self):
+        for name in NAMED_BY:
+            less = {key: value for key, value in ENTRY.items() if key != name}
+            with self.assertRaises(PlatformDataInvalid):
+                decode(less)
+
+    def test_one_with_a_field_of_another_type_names_none(self):
+        spoiled = [
+            {"service": 7},
+            {"address": "somewhere"},
+            {"address": 80},
+            {"zone": None},
+            {"slots": "6"},
+            {"slots": -1},
+            {"state": "resting"},
+            {"state": True},
+            {"coldRemainingMs": "0"},
+            {"coldRemainingMs": -5},
+            {"born": 1.5},
+            {"born": "1790000000000"},
+            {"sequence": []},
+        ]
+        for change in spoiled:
+            with self.assertRaises(PlatformDataInvalid):
+                decode({**ENTRY, **change})
+
+    def test_bytes_that_cannot_be_read_name_none(self):
+        deep = b"[" * 100_000
+        for value in (
+            b"",
+            b"\xff\xfe",
+            b"null",
+            b"[]",
+            b'"x"',
+            deep,
+            b'{"service":"\xff"}',
+        ):
+            with self.assertRaises(PlatformDataInvalid):
+                documents.decode(Item("servers/x", value, 1))
+
+    def test_a_member_under_another_key_is_none(self):
+        value = b'{"name":"m","address":"127.0.0.1:1","hall":"a"}'
+        self.assertIsNotNone(documents.decode(Item("system/nodes/m", value, 1)))
+        with self.assertRaises(PlatformDataInvalid):
+            documents.decode(Item("system/nodes/other", value, 1))
+
+    @quick
+    @given(st.sampled_from(sorted(ENTRY)), JSON)
+    def test_an_entry_with_one_field_spoiled_voids_nothing(self, name, found):
+        view = View(documents.decode, Upstreams())
+        spoiled = json.dumps({**ENTRY, name: found}).encode()
+        items = [
+            Item("servers/w", json.dumps(ENTRY).encode(), 2),
+            Item("servers/x", spoiled, 3),
+            Item("servers/y", json.dumps(ENTRY).encode(), 4),
+        ]
+        for item in items:
+            view._take(item, "test")
+        names = {upstream.name for upstream in view.upstreams.by_id.values()}
+        self.assertLessEqual({"w", "y"}, names)
+
+
+class Answers(TestCase):
+    async def test_one_bad_item_costs_only_itself(self):
+        fake = FakeStore()
+        await fake.start()
+        session = new_session(reuse=True)
+        try:
+            store = PlatformStore(session, fake.address)
+            for number in range(3):
+                fake.put(f"servers/{number}", b"x")
+            good = fake._item
+            bad = {
+                "servers/0": {"value": "not base64!", "tlsKey": "servers/0"},
+                "servers/1": {"value": 17, "tlsKey": 5},
+            }
+            fake._item = lambda key: {**good(key), **bad.get(key, {})}
+            for _ in range(3):
+                snapshot = await store.read(members=True, timeout=1.0)
+                found = {item.key: item.value for item in snapshot.items}
+                self.assertEqual({"servers/0": b"", "servers/2": b"x"}, found)
+        finally:
+            await session.close()
+            await fake.stop()
+
+
+class Gateways(TestCase):
+    async def test_they_serve_on_beside_entries_of_another_writer(self):
+        async with running() as world:
+            gateway = await world.ready_gateway()
+            strange = [b"\x00\xff", b"{}", b'{"service":"plain"}', b"[" * 5000]
+            for number, value in enumerate(strange):
+                world.store.put(f"servers/strange-{number}", value)
+                world.store.put(f"system/nodes/strange-{number}", value)
+            spoiled = {**world.plain[0].entry("plain"), "state": "asleep"}
+            world.store.put("servers/p-1", spoiled)
+            await until(lambda: "p-1" not in gateway.upstreams.by_id)
+            for _ in range(6):
+                found = await call(gateway.settings.front, "/bill/x")
+                self.assertEqual(200, found.status)
+            self.assertEqual([], world.plain[0].arrivals)
+            world.store.put("servers/p-1", world.plain[0].entry("plain"))
+            await until(lambda: "p-1" in gateway.upstreams.by_id)
--- /dev/null
+++ b/tests/platform/test_lives.py
@@ -0,0 +1,52 @@
+"""Tests of servers that start again under the id that they had."""
+
+from tests.base import TestCase
+from tests.platform.deployment import running
+from tests.platform.deployment import until
+from tests.platform.world import call
+
+
+class BornAgain(TestCase):
+    async def test_one_that_left_and_started_again_is_used(self):
+        async with running() as world:
+            server = world.plain[0]
+            world.store.remove("servers/p-2")
+            entry = server.entry("plain", born=1000)
+            world.store.put("servers/p-1", entry)
+            gateway = await world.ready_gateway()
+            world.store.put("servers/p-1", {**entry, "state": "draining"})
+            await until(lambda: not gateway.upstreams.open_of("plain"))
+            world.store.put("servers/p-1", {**entry, "born": 2000})
+            await until(lambda: bool(gateway.upstreams.open_of("plain")))
+            found = await call(gateway.settings.front, "/bill/x")
+            self.assertEqual(200, found.status)
+            [arrival] = server.arrivals
+            self.assertEqual("p-1", arrival.get("Bankrack-Expect-Instance"))
+
+    async def test_failures_of_the_old_life_are_not_held_against_the_new_one(self):
+        async with running() as world:
+            entry = world.plain[0].entry("plain", born=1000)
+            world.store.put("servers/p-1", entry)
+            gateway = await world.ready_gateway()
+            old = next(u for u in gateway.upstreams.of("plain") if u.name == "p-1")
+            for _ in range(8):
+                gateway.chooser.suspect(old)
+                gateway.chooser.answered(old, failed=True)
+            world.store.put("servers/p-1", {**entry, "born": 2000})
+            await until(lambda: old.ended)
+            new = next(u for u in gateway.upstreams.of("plain") if u.name == "p-1")
+            self.assertEqual(
+                (0, 0.0, 0.0), (new.failures, new.failure_rate, new.suspect_until)
+            )
+            # An answer that the old life still owed changes nothing in the new one.
+            gateway.chooser.answered(old, failed=True)
+            self.assertEqual(0.0, new.failure_rate)
+
+    async def test_a_note_on_the_old_life_says_nothing_of_the_new_one(self):
+        async with running() as world:
+            entry = world.engines[0].entry("engines", born=1000)
+            world.store.put("servers/e-0", entry)
+            gateway = await world.ready_gateway()
+            world.store.put("servers/e-0", {**entry, "born": 2000})
+            await until(lambda: "e-0.2000" in gateway.upstreams.by_id)
+            self.assertNotIn("e-0.1000", gateway.upstreams.by_id)
--- a/tests/serving/test_allocation.py
+++ b/tests/serving/test_allocation.py
@@ -203,3 +203,41 @@
 
     def test_one_that_is_late_may_try_them(self):
         self.assertIsInstance(self.ask("new", due=-0.1), Admit)
+
+
+class Cold(Pool):
+    """Both engines are empty, one of them has just come back cold."""
+
+    def cold_wish(self, run: str, rate: float) -> Wish:
+        return Wish(run, LONG, MEMORY, "a", (0, 1), 2.0, 30.0, 30.0, cold_rate=rate)
+
+    def test_a_cold_engine_gets_no_more_than_its_rate(self):
+        self.engines = [self.engine("one", slots=99)]
+        self.engines[0].note_cold(60.0, self.now)
+        small = Demand(prompt=10, output_limit=10)
+        admitted_at = []
+        for number in range(400):
+            wish = Wish(
+                f"r-{number}", small, MEMORY, "a", (0, 1), 2.0, 30.0, 30.0, cold_rate=4
+            )
+            if isinstance(self.allocator.decide(self.engines, wish), Admit):
+                admitted_at.append(self.now)
+                self.allocator.ledger.end(f"r-{number}")
+            self.now += 0.02
+        most = max(sum(a <= b < a + 1.0 for b in admitted_at) for a in admitted_at)
+        self.assertLessEqual(most, 4)
+        self.assertGreater(len(admitted_at), 20)
+
+    def test_only_the_engine_that_was_counted_may_be_cold(self):
+        for engine in self.engines:
+            engine.note_cold(60.0, self.now)
+        verdict = self.allocator.decide(self.engines, self.cold_wish("r", 5.0))
+        assert isinstance(verdict, Admit)
+        self.assertEqual(1, len(verdict.engines))
+
+    def test_without_a_bound_cold_engines_are_like_the_others(self):
+        for engine in self.engines:
+            engine.note_cold(60.0, self.now)
+        verdict = self.allocator.decide(self.engines, self.cold_wish("r", 0.0))
+        assert isinstance(verdict, Admit)
+        self.assertEqual(2, len(verdict.engines))
--- /dev/null
+++ b/tests/serving/test_upstreams.py
@@ -0,0 +1,74 @@
+"""Tests of the upstreams that are known."""
+
+from bankrack.serving.upstreams import EngineReport
+from bankrack.serving.upstreams import UpstreamRecord
+from bankrack.serving.upstreams import Upstreams
+from tests.base import TestCase
+
+
+def record(upstream_id: str, hall: str = "a", **more) -> UpstreamRecord:
+    return UpstreamRecord(upstream_id, "s", "10.0.0.1:1", hall, slots=8, **more)
+
+
+class Halls(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.now = 1.0
+        self.upstreams = Upstreams(clock=lambda: self.now)
+        self.upstreams.put(record("x", "a"))
+        self.upstreams.put(record("y", "b"))
+
+    def open_ids(self) -> set[str]:
+        return {upstream.id for upstream in self.upstreams.open_of("s")}
+
+    def test_an_evacuated_hall_takes_nothing_new(self):
+        self.upstreams.evacuate("a")
+        self.assertEqual({"y"}, self.open_ids())
+
+    def test_its_runs_are_not_taken_for_leaving(self):
+        self.upstreams.evacuate("a")
+        self.assertFalse(self.upstreams.by_id["x"].leaving)
+
+    def test_one_that_joins_an_evacuated_hall_takes_nothing_either(self):
+        self.upstreams.evacuate("a")
+        self.upstreams.put(record("z", "a"))
+        self.assertEqual({"y"}, self.open_ids())
+
+    def test_a_hall_that_is_taken_back_is_used(self):
+        self.upstreams.evacuate("a")
+        self.upstreams.take_back("a")
+        self.assertEqual({"x", "y"}, self.open_ids())
+
+
+class Lives(TestCase):
+    def report(self, born: int | None) -> EngineReport:
+        return EngineReport(1, 0, 500, 1000, taken=2.0, born=born)
+
+    def test_a_report_of_another_life_changes_nothing(self):
+        upstreams = Upstreams(clock=lambda: 1.0)
+        upstreams.put(record("x.2", name="x", born=2))
+        engine = upstreams.by_id["x.2"]
+        self.assertFalse(engine.note_report(self.report(1)))
+        self.assertIsNone(engine.report)
+        self.assertTrue(engine.note_report(self.report(2)))
+        self.assertEqual(500, engine.report.used)
+
+    def test_reports_of_upstreams_that_tell_no_start_are_taken(self):
+        upstreams = Upstreams(clock=lambda: 1.0)
+        upstreams.put(record("x"))
+        self.assertTrue(upstreams.by_id["x"].note_report(self.report(None)))
+
+
+class Coldness(TestCase):
+    def test_an_entry_that_is_written_anew_counts_from_then(self):
+        now = [1.0]
+        upstreams = Upstreams(clock=lambda: now[0])
+        upstreams.put(record("x", cold_seconds=2.0))
+        engine = upstreams.by_id["x"]
+        self.assertTrue(engine.cold(2.9))
+        self.assertFalse(engine.cold(3.1))
+        now[0] = 10.0
+        upstreams.put(record("x", cold_seconds=2.0))
+        self.assertTrue(engine.cold(11.0))
+        upstreams.put(record("x"))
+        self.assertFalse(engine.cold(11.0))
