Streams tell their longest pause, where it was and how long they stood still

Change: for each stream that began, whole or not, the longest pause, the event before it, whether the run changed its engine in it, and the seconds beyond the route's target between events.

--- a/benchmarks/losses.py
+++ b/benchmarks/losses.py
@@ -86,7 +86,7 @@
                 attempt.copied = True
             case "resume_refused":
                 attempt.refused_resume = fields.get("reason") or fields["outcome"]
-            case "stream_paced":
+            case "stream_paced" if fields.get("whole", "True") == "True":
                 attempt.events = int(fields["events"])
                 attempt.between_events = float(fields["between_events"])
             case "request_ended":
--- a/src/bankrack/serving/run.py
+++ b/src/bankrack/serving/run.py
@@ -65,7 +65,7 @@
         self._work = work
         self._reply = reply
         self._traits = work.service.engine or EngineTraits(slots=0, memory=0)
-        self._passer = EventPasser(reply)
+        self._passer = EventPasser(reply, gap_target=work.route.gap_target)
         self._engine: Upstream | None = None
         self._exchange: Exchange | None = None
         self._log = RunLog(work, self._passer.order)
@@ -74,6 +74,7 @@
         self._sends = 0
         self._runs = 0
         self._resumes = 0
+        self._ended_whole = False
         self._whole_seconds = 0.0
         self._keeper: asyncio.Task[None] | None = None
         self._copies = Copies(
@@ -101,11 +102,12 @@
         if answer is not None:
             return await self._answer(answer)
         await self._reply.end()
+        self._ended_whole = True
         self._whole_seconds = self._passer.seconds
         self._pace.ended(self._work.job.demand, self._whole_seconds)
         if self._passer.count > 1:
             self._pace.spaced(self._passer.gap)
-        self._log.write_pace(self._passer)
+        self._log.write_pace(self._passer, whole=True)
         return f"whole, {self._sends} sends, {self._resumes} resumes"
 
     async def close(self) -> None:
@@ -114,6 +116,8 @@
             self._keeper.cancel()
         await self._copies.drop()
         self._leave_engine()
+        if self._passer.began and not self._ended_whole:
+            self._log.write_pace(self._passer, whole=False)
         self._means.advisor.ended(self._work, took=self._whole_seconds)
 
     # Starting
--- a/src/bankrack/serving/runlog.py
+++ b/src/bankrack/serving/runlog.py
@@ -71,13 +71,18 @@
             elapsed=time.monotonic() - self._work.job.arrived,
         )
 
-    def write_pace(self, passed: EventPasser) -> None:
-        """Write how fast a whole stream was made."""
+    def write_pace(self, passed: EventPasser, *, whole: bool) -> None:
+        """Write how fast a stream was made and where it stood still the longest."""
         logs.event(
             _logger,
             "stream_paced",
             request=self._work.job.id,
+            whole=whole,
             first_event=passed.began_at - self._work.job.arrived,
             events=passed.count,
             between_events=passed.gap,
+            longest_pause=passed.longest_pause.seconds,
+            pause_after=passed.longest_pause.event,
+            pause_moved=passed.longest_pause.moved,
+            stood_still=passed.still_seconds,
         )
--- /dev/null
+++ b/tests/serving/test_passing.py
@@ -0,0 +1,57 @@
+"""Tests of passing events on, and of what is noted of a stream's pauses."""
+
+import time
+
+from bankrack.serving.client import Head
+from bankrack.serving.passing import EventPasser
+from tests.base import TestCase
+
+HEAD = Head(status=200, headers=[], not_run=False, run_id="r", sealed=True)
+
+
+class Caller:
+    """A reply that takes everything."""
+
+    def __init__(self) -> None:
+        self.started = False
+
+    async def begin(self, status, headers) -> None:
+        self.started = True
+
+    async def write(self, data) -> None:
+        assert self.started
+
+
+class Pauses(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.now = 50.0
+        self.patch(time, "monotonic", lambda: self.now)
+        self.passer = EventPasser(Caller(), gap_target=0.18)
+
+    async def event(self, number: int, *, after: float) -> None:
+        self.now += after
+        await self.passer.feed(b"id: %d\ndata: x\n\n" % number, HEAD)
+
+    async def test_the_longest_one_and_where_it_was(self):
+        for number, after in enumerate([2.0, 0.04, 0.5, 0.04, 0.2]):
+            await self.event(number, after=after)
+        pause = self.passer.longest_pause
+        self.assertEqual(
+            (0.5, 2, False), (round(pause.seconds, 3), pause.event, pause.moved)
+        )
+        self.assertAlmostEqual(0.34, self.passer.still_seconds, places=3)
+
+    async def test_one_in_which_the_run_changed_its_engine(self):
+        await self.event(0, after=1.0)
+        self.passer.change_engine()
+        await self.event(1, after=0.3)
+        await self.event(2, after=0.1)
+        self.assertTrue(self.passer.longest_pause.moved)
+
+    async def test_an_engine_that_is_kept_after_all_is_no_change(self):
+        await self.event(0, after=1.0)
+        left = self.passer.change_engine()
+        self.passer.keep_engine(left)
+        await self.event(1, after=0.3)
+        self.assertFalse(self.passer.longest_pause.moved)
