Overdue runs are taken to grow on; half of a run's time counts from its first question

A run that had made all that its caller guessed counted as one that grows no more, though half of all make more than that. Change: an overdue run is taken to make a fifth of what was expected once more, as it was in the forecast of releases already; the end of a wait is set at the first question. An entry that moves to another hall follows that hall's evacuation. Tests failed before: Overdue, and a run that was told after 2.8 s of 6 instead of 1.4.

--- a/src/bankrack/decisions/line.py
+++ b/src/bankrack/decisions/line.py
@@ -49,6 +49,11 @@
         """Keep a run in the line until then; it asks again before."""
         self._waiting_by_run[candidate.run] = _Waiting(candidate, until)
 
+    def ends(self, run: str, ends: float) -> float:
+        """Until when a run is worth beginning: what it was at its first question."""
+        waiting = self._waiting_by_run.get(run)
+        return ends if waiting is None else min(ends, waiting.candidate.ends)
+
     def leave(self, run: str) -> None:
         """Take a run out."""
         self._waiting_by_run.pop(run, None)
--- a/src/bankrack/serving/allocation.py
+++ b/src/bankrack/serving/allocation.py
@@ -115,7 +115,8 @@
             rank=wish.rank,
             need=occupancy.need(wish.demand, memory=wish.memory, seconds=wish.left),
             due=now + wish.due - READ_PART * ledger.read_seconds(wish.demand),
-            ends=now + self._seconds_to_begin(wish),
+            # Half of what is left now would never be over.
+            ends=line.ends(wish.run, now + self._seconds_to_begin(wish)),
             prompt=wish.demand.prompt,
         )
         free_by_engine = occupancy.free_by_engine(
--- a/src/bankrack/serving/occupancy.py
+++ b/src/bankrack/serving/occupancy.py
@@ -92,11 +92,16 @@
         if running is None:
             return min(float(demand.expected), ROOM_PART * memory)
         now = self._clock()
-        growth = running.growth(now, self._pace.token_seconds) * self._pace.output_ratio
+        growth = self._growth(running, now) * self._pace.output_ratio
         growth = min(growth, _foresight(long=True) / self._pace.made_seconds)
         tokens = running.tokens(now, self._pace.made_seconds) + growth
         return min(tokens, ROOM_PART * memory)
 
+    def _growth(self, placement: Placement, now: float) -> float:
+        """Tokens that a run is still expected to make; one that is overdue goes on."""
+        growth = placement.growth(now, self._pace.token_seconds)
+        return max(growth, OVERDUE_PART * placement.demand.output)
+
     def releases(self, engines: t.Iterable[Upstream]) -> list[Release]:
         """What the runs on these engines are expected to give back, in no order."""
         now = self._clock()
@@ -109,8 +114,7 @@
         for placement in self._placement_by_run.values():
             if placement.engine not in open_ids:
                 continue
-            growth = placement.growth(now, pace.token_seconds)
-            growth = max(growth, OVERDUE_PART * placement.demand.output)
+            growth = self._growth(placement, now)
             held = placement.tokens(now, pace.made_seconds)
             held += growth * pace.output_ratio
             found.append(Release(growth * pace.token_seconds, held))
@@ -192,10 +196,7 @@
         holdings = [
             Holding(
                 placement.tokens(now, pace.made_seconds),
-                min(
-                    most_growth,
-                    placement.growth(now, pace.token_seconds) * pace.output_ratio,
-                ),
+                min(most_growth, self._growth(placement, now) * pace.output_ratio),
             )
             for placement in placements
         ]
--- a/src/bankrack/serving/upstreams.py
+++ b/src/bankrack/serving/upstreams.py
@@ -184,6 +184,7 @@
         if known.record == record:
             return None
         known.record = record
+        known.evacuated = record.hall in self.evacuated_halls
         if record.leaving and not known.leaving_at:
             known.leaving_at = now
             return "leaving"
--- a/tests/serving/test_allocation.py
+++ b/tests/serving/test_allocation.py
@@ -112,6 +112,23 @@
         assert isinstance(found, Refuse)
         self.assertGreater(found.expected, 1.5)
 
+    def test_a_run_is_told_once_half_of_its_time_is_sure_to_be_over(self):
+        """Not half of what is left, which is never over before the end.
+
+        The runs that are there are overdue, so each should always end in 1.6 s.
+        """
+        self.begin(self.fill())
+        self.now += LONG.output * self.allocator.ledger._pace.token_seconds + 1.0
+        began = self.now
+        while isinstance(self.ask_since(began, 6.0), Wait):
+            self.now += 0.1
+        self.assertLess(self.now - began, 6.0 / 2 - 1.5)
+
+    def ask_since(self, began: float, seconds: float) -> Verdict:
+        """Ask for a run that first asked at a moment and has so many seconds in all."""
+        left = seconds - (self.now - began)
+        return self.ask("new", due=left - 4.5, left=left, silence_left=left)
+
     def test_nobody_waits_longer_than_callers_bear_silence(self):
         """A patient caller still leaves a stream of which nothing comes for long."""
         self.begin(self.fill())
@@ -367,3 +384,17 @@
         verdict = self.allocator.decide(self.engines, self.cold_wish("r", 0.0))
         assert isinstance(verdict, Admit)
         self.assertEqual(2, len(verdict.engines))
+
+
+class Overdue(Pool):
+    def test_a_run_that_made_all_that_was_expected_is_taken_to_grow_on(self):
+        self.engines = self.engines[:1]
+        for run in ("a", "b"):
+            self.allocator.ledger.place(run, "one", LONG)
+            self.allocator.ledger.begin(run, "one")
+        free = self.allocator.ledger.occupancy.free_by_engine
+        pace = self.allocator.ledger._pace
+        self.now += LONG.output * pace.made_seconds + 1.0
+        held = 2 * (LONG.prompt + LONG.output + 1.0 / pace.made_seconds)
+        room = ROOM_PART * MEMORY - held
+        self.assertLess(free(self.engines, memory=MEMORY)["one"], room - 100)
