--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -1,6 +1,7 @@
 """Tests of entries that another writer left in the store."""
 
 import json
+import logging
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -39,6 +40,12 @@
 
 
 class OneEntry(TestCase):
+    def setUp(self):
+        super().setUp()
+        # Each of the drawn entries would write a line.
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+
     def test_a_whole_entry_names_a_server(self):
         found = decode(ENTRY)
         assert isinstance(found, UpstreamRecord)
