--- a/src/bankrack/serving/placing.py
+++ b/src/bankrack/serving/placing.py
@@ -102,7 +102,7 @@
                 return Place(engines[0], None, owner_chose, spare)
             for engine in engines[:MOST_ASKED]:
                 if not engine.open:
-                    # That came to be while others were asked.
+                    # It was closed while others were asked.
                     continue
                 hold = await self._ask(engine, work, traits, log, silent=silent)
                 if hold is not None:
