--- a/tests/test_models.py
+++ b/tests/test_models.py
@@ -90,3 +90,9 @@
         self.finds("handover", "BUG_ANY_EVENT")
         self.finds("handover", "BUG_CUT_IS_END")
         self.finds("handover", "BUG_KEEP_OLD")
+
+    def test_cold(self):
+        self.passes("cold")
+        self.finds("cold", "BUG_WHOLE_BOUND")
+        self.finds("cold", "BUG_NO_SHARE")
+        self.finds("cold", "BUG_UNCOUNTED")
