The soak tells for how long its own process was held up

A soak hosts the store, all upstreams and its callers in one process; when that stands still gateways answer 504.

--- a/soak/gateway/__main__.py
+++ b/soak/gateway/__main__.py
@@ -16,6 +16,7 @@
 from soak.gateway.buggy import BUGS
 from soak.gateway.callers import Callers
 from soak.gateway.judge import Judge
+from soak.gateway.lag import Lag
 from soak.gateway.processes import Gateway
 from soak.gateway.troubles import plan
 from soak.gateway.troubles import Troubles
@@ -70,6 +71,8 @@
     callers.calm = lambda gateway: time.monotonic() > gateway.calm_from
     troubles = Troubles(gateways, store, journal, judge, random.Random(seed + 3))
     expiring = asyncio.create_task(store.expire())
+    lag = Lag()
+    watching = asyncio.create_task(lag.watch())
     try:
         await troubles.begin()
         for gateway in gateways:
@@ -90,6 +93,7 @@
         for gateway in gateways:
             gateway.end()
         expiring.cancel()
+        watching.cancel()
         await troubles.end()
         await store.stop()
     judge.judge(gateways)
@@ -97,6 +101,7 @@
         judge.judge_replacing()
     print(f"seed {seed}, {minutes} minutes, bug {bug}, {count} gateways")
     _report(callers, troubles, journal, judge)
+    print(lag)
     if sources_stamp() != stamp:
         print("void: sources were changed meanwhile, so restarted gateways differ")
         return VOID
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,13 +1,16 @@
 """A short soak of real gateways, and proof that it would find a known bug."""
 
+import asyncio
 import itertools
 import os
 import pathlib
 import subprocess
 import sys
 import tempfile
+import time
 
 from soak.gateway import __main__ as command
+from soak.gateway.lag import Lag
 from soak.gateway.troubles import plan
 
 from tests.base import TestCase
@@ -71,6 +74,18 @@
         self.assertNotEqual(stamp, command.sources_stamp())
 
 
+class Lagging(TestCase):
+    async def test_a_soak_that_is_held_up_itself_tells(self):
+        lag = Lag()
+        watching = asyncio.create_task(lag.watch())
+        await asyncio.sleep(0.1)
+        time.sleep(0.5)
+        await asyncio.sleep(0.1)
+        watching.cancel()
+        self.assertEqual(1, len(lag.held_up))
+        self.assertIn("held up itself 1 times", str(lag))
+
+
 class Soaking(TestCase):
     def test_a_short_soak_breaks_no_promise(self):
         found = soak(1, 0.25)
