Placing a copy and placing a run share their steps

Read once more before the landing: the name of a copy stood in the ledger and in the allocator, keeping or taking a candidate out of the line stood twice, what a run holds and by how much it grows was reckoned in two places, and two tests began their stream with the same lines. One piece each now (copy_name, _note_in_line, Occupancy._holding, begin_stream).

--- a/src/bankrack/serving/allocation.py
+++ b/src/bankrack/serving/allocation.py
@@ -8,7 +8,6 @@
 from bankrack.decisions.admission import Admit
 from bankrack.decisions.admission import decide
 from bankrack.decisions.admission import Reading
-from bankrack.decisions.admission import Refuse
 from bankrack.decisions.admission import Room
 from bankrack.decisions.admission import Verdict
 from bankrack.decisions.admission import Wait
@@ -16,6 +15,7 @@
 from bankrack.decisions.line import Candidate
 from bankrack.decisions.line import Line
 from bankrack.serving.job import Demand
+from bankrack.serving.ledger import copy_name
 from bankrack.serving.ledger import Ledger
 from bankrack.serving.occupancy import ROOM_PART
 from bankrack.serving.upstreams import Upstream
@@ -145,9 +145,9 @@
             releases=occupancy.releases(engines),
             now=now,
         )
+        self._note_in_line(candidate, verdict, now)
         match verdict:
             case Admit(names):
-                line.leave(wish.run)
                 first, *others = self._order(engines, wish, names)
                 ledger.place(wish.run, first, wish.demand)
                 if first in cold_ids:
@@ -155,12 +155,16 @@
                 # A cold engine that it tried next would not be counted here.
                 names = (first, *(i for i in others if i not in cold_ids))
                 return Admit(names, spare=spare)
-            case Wait(seconds):
-                line.wait(candidate, until=now + seconds + LATE_ASK_SECONDS)
-            case Refuse():
-                line.leave(wish.run)
         return verdict
 
+    def _note_in_line(self, candidate: Candidate, verdict: Verdict, now: float) -> None:
+        """Keep who waits in the line, and take out who does not any more."""
+        if isinstance(verdict, Wait):
+            until = now + verdict.seconds + LATE_ASK_SECONDS
+            self.line.wait(candidate, until=until)
+        else:
+            self.line.leave(candidate.run)
+
     def _spares(self, engines: t.Sequence[Upstream], wish: Wish) -> bool:
         """Whether there is memory for a backup too, for as long as the run lasts."""
         now = self._clock()
@@ -189,7 +193,7 @@
         ledger, line = self.ledger, self.line
         ledger.drop_copy(wish.run)
         candidate = Candidate(
-            run=f"{wish.run}/copy",
+            run=copy_name(wish.run),
             rank=(wish.rank[0], COPY_RANK),
             need=ledger.occupancy.need_now(
                 ledger.running(wish.run), wish.demand, memory=wish.memory
@@ -208,16 +212,12 @@
             releases=ledger.occupancy.releases(engines),
             now=now,
         )
+        self._note_in_line(candidate, verdict, now)
         match verdict:
             case Admit(names):
-                line.leave(candidate.run)
                 first = self._order(engines, wish, names)[0]
                 ledger.place_copy(wish.run, first, wish.demand)
                 return Admit((first,))
-            case Wait(seconds):
-                line.wait(candidate, until=now + seconds + LATE_ASK_SECONDS)
-            case Refuse():
-                line.leave(candidate.run)
         return verdict
 
     def _may_grant(self, engine: str, rate: float, now: float) -> bool:
--- a/src/bankrack/serving/ledger.py
+++ b/src/bankrack/serving/ledger.py
@@ -102,12 +102,12 @@
         running = self._placement_by_run.get(run)
         began = now if running is None or running.began is None else running.began
         placement = Placement(engine, demand, now, began=began, told=now)
-        self._placement_by_run[_copy_of(run)] = placement
+        self._placement_by_run[copy_name(run)] = placement
         self.occupancy.reckon_anew(engine)
 
     def drop_copy(self, run: str) -> None:
         """Forget the copy of a run: it was used, or there is none."""
-        self.withdraw(_copy_of(run))
+        self.withdraw(copy_name(run))
 
     def begin(self, run: str, engine: str, *, took: float = 0.0) -> None:
         """Note that a run makes events, on ``engine``.
@@ -273,6 +273,6 @@
     return report.used + recent
 
 
-def _copy_of(run: str) -> str:
+def copy_name(run: str) -> str:
     """The name under which a run's copy is placed."""
     return f"{run}/copy"
--- a/src/bankrack/serving/occupancy.py
+++ b/src/bankrack/serving/occupancy.py
@@ -92,10 +92,17 @@
         if running is None:
             return min(float(demand.expected), ROOM_PART * memory)
         now = self._clock()
-        growth = self._growth(running, now) * self._pace.output_ratio
-        growth = min(growth, _foresight(long=True) / self._pace.made_seconds)
-        tokens = running.tokens(now, self._pace.made_seconds) + growth
-        return min(tokens, ROOM_PART * memory)
+        holding = self._holding(running, now, _foresight(long=True))
+        return min(holding.tokens + holding.growth, ROOM_PART * memory)
+
+    def _holding(self, placement: Placement, now: float, foresight: float) -> Holding:
+        """What a run holds, and by how much it grows within the foresight."""
+        pace = self._pace
+        growth = self._growth(placement, now) * pace.output_ratio
+        return Holding(
+            placement.tokens(now, pace.made_seconds),
+            min(growth, foresight / pace.made_seconds),
+        )
 
     def _growth(self, placement: Placement, now: float) -> float:
         """Tokens that a run is still expected to make; one that is overdue goes on."""
@@ -191,15 +198,7 @@
         foresight: float,
     ) -> float:
         now = self._clock()
-        pace = self._pace
-        most_growth = foresight / pace.made_seconds
-        holdings = [
-            Holding(
-                placement.tokens(now, pace.made_seconds),
-                min(most_growth, self._growth(placement, now) * pace.output_ratio),
-            )
-            for placement in placements
-        ]
+        holdings = [self._holding(run, now, foresight) for run in placements]
         total = engine.report.total if engine.report else memory
         other = self._held_otherwise(engine, placements)
         return ROOM_PART * total - other - peak(holdings)
--- a/tests/platform/test_halls.py
+++ b/tests/platform/test_halls.py
@@ -3,12 +3,14 @@
 import asyncio
 import time
 
+from bankrack.gateway import Gateway
 from tests.base import TestCase
 from tests.platform.deployment import running
 from tests.platform.deployment import until
 from tests.platform.deployment import World
 from tests.platform.world import call
 from tests.platform.world import FakeEngine
+from tests.platform.world import Found
 
 
 def spread_over_halls(world: World) -> None:
@@ -23,6 +25,18 @@
     return len(engine.arrivals)
 
 
+async def begin_stream(
+    world: World, gateway: Gateway, *, events: int
+) -> tuple[asyncio.Task[Found], FakeEngine]:
+    """Begin a stream of an event each 0.05 s; gives the engine that makes it too."""
+    for engine in world.engines:
+        engine.events, engine.pause = events, 0.05
+    stream = asyncio.create_task(call(gateway.settings.front, "/talk/x"))
+    await until(lambda: any(engine.arrivals for engine in world.engines))
+    [busy] = [engine for engine in world.engines if engine.arrivals]
+    return stream, busy
+
+
 class Evacuated(TestCase):
     async def test_nothing_new_goes_there_and_the_others_serve(self):
         async with running() as world:
@@ -95,12 +109,8 @@
     async def test_a_run_that_is_there_goes_on_and_is_not_copied_away(self):
         async with running() as world:
             spread_over_halls(world)
-            for engine in world.engines:
-                engine.events, engine.pause = 20, 0.05
             gateway = await world.ready_gateway()
-            stream = asyncio.create_task(call(gateway.settings.front, "/talk/x"))
-            await until(lambda: any(engine.arrivals for engine in world.engines))
-            [busy] = [engine for engine in world.engines if engine.arrivals]
+            stream, busy = await begin_stream(world, gateway, events=20)
             hall = "ab"[world.engines.index(busy) % 2]
             world.store.put(f"op/evacuate/{hall}", {})
             found = await stream
@@ -112,12 +122,8 @@
     async def test_a_stream_does_not_go_on_at_a_copy_in_an_evacuated_hall(self):
         async with running() as world:
             spread_over_halls(world)
-            for engine in world.engines:
-                engine.events, engine.pause = 30, 0.05
             gateway = await world.ready_gateway()
-            stream = asyncio.create_task(call(gateway.settings.front, "/talk/x"))
-            await until(lambda: any(engine.arrivals for engine in world.engines))
-            [busy] = [engine for engine in world.engines if engine.arrivals]
+            stream, busy = await begin_stream(world, gateway, events=30)
             others = [engine for engine in world.engines if engine is not busy]
             for hall in "ab":
                 world.store.put(f"op/evacuate/{hall}", {})
