Sight: the same request told without showing it, and whether an upstream ended

Cause: not known yet; the logs could not tell whether the eight requests were the same, nor whether an engine ended or only a connection did. Change: request_ended carries a fingerprint of path, caller and body (96 bits, no body or key in it); a broken connection is followed by one connection to the upstream's listener, and upstream_checked says whether it refuses, listens or is silent, and how long the run had been going. No decision changes. Ruled out as a sign: report_missing, which one node writes, up to 1 s later. Tests: fingerprints, the three listeners.

--- a/src/bankrack/exceptions.py
+++ b/src/bankrack/exceptions.py
@@ -148,6 +148,10 @@
     outcome = Outcome.UNKNOWN
 
 
+class UpstreamBroke(UpstreamFailed):
+    """The connection ended before the answer did; the upstream may have ended too."""
+
+
 class RunNotThere(UpstreamFailed):
     """The engine does not run what an order names: it waits there, or it ended."""
 
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -39,6 +39,7 @@
 from bankrack.serving.client import new_session
 from bankrack.serving.client import UpstreamClient
 from bankrack.serving.coldshares import ColdShares
+from bankrack.serving.crashes import CrashWatch
 from bankrack.serving.dispatch import Dispatcher
 from bankrack.serving.job import Job
 from bankrack.serving.job import Reply
@@ -143,6 +144,7 @@
             self.budget,
             self.metrics,
             self.cold,
+            CrashWatch(),
         )
         self.dispatcher = Dispatcher(
             directory=self,
--- a/src/bankrack/serving/assignment.py
+++ b/src/bankrack/serving/assignment.py
@@ -22,6 +22,7 @@
     :param service: where it goes, of the route's backends.
     :param workspace: who calls; none on a public route.
     :param deadline: monotonic seconds at which the final answer is due.
+    :param fingerprint: the same for each request with this path, caller and body.
     """
 
     job: Job
@@ -30,6 +31,7 @@
     workspace: str | None
     priority: int
     deadline: float
+    fingerprint: str = ""
 
     def time_left(self) -> float:
         """Seconds until the final answer is due."""
--- a/src/bankrack/serving/dispatch.py
+++ b/src/bankrack/serving/dispatch.py
@@ -17,6 +17,7 @@
 from bankrack.metrics import GatewayMetrics
 from bankrack.serving.assignment import Assignment
 from bankrack.serving.budget import SharedRetryBudget
+from bankrack.serving.fingerprint import fingerprint
 from bankrack.serving.job import Job
 from bankrack.serving.job import Kind
 from bankrack.serving.job import Reply
@@ -148,6 +149,7 @@
             workspace=workspace.name if workspace else None,
             priority=priority,
             deadline=job.arrived + timeout - DEADLINE_SLACK_SECONDS,
+            fingerprint=fingerprint(job, workspace.name if workspace else None),
         )
 
     def _refuse_if_cut(
@@ -204,6 +206,7 @@
             route=work.route.name if work else None,
             service=work.service.name if work else None,
             workspace=work.workspace if work else None,
+            fingerprint=work.fingerprint if work else None,
             outcome=outcome,
             elapsed=time.monotonic() - job.arrived,
             version=table.version if table else None,
--- a/src/bankrack/serving/plain.py
+++ b/src/bankrack/serving/plain.py
@@ -58,6 +58,7 @@
                 self._parts.chooser.suspect(upstream)
                 sends.ran(upstream)
                 self._log(work, upstream, "failed", error.message)
+                self._parts.crashes.note_break(work, upstream, error, ran=None)
                 if self._may_repeat(work, sends):
                     continue
                 if sends.last_answer is None:
--- a/src/bankrack/serving/relay.py
+++ b/src/bankrack/serving/relay.py
@@ -7,6 +7,7 @@
 from bankrack.serving.choice import Chooser
 from bankrack.serving.client import UpstreamClient
 from bankrack.serving.coldshares import ColdShares
+from bankrack.serving.crashes import CrashWatch
 from bankrack.serving.upstreams import Upstreams
 
 
@@ -20,3 +21,4 @@
     budget: SharedRetryBudget
     metrics: GatewayMetrics
     cold: ColdShares
+    crashes: CrashWatch
--- a/src/bankrack/serving/run.py
+++ b/src/bankrack/serving/run.py
@@ -76,6 +76,7 @@
         self._spare = False
         self._resumes = 0
         self._ended_whole = False
+        self._began_at: float | None = None
         self._whole_seconds = 0.0
         self._keeper: asyncio.Task[None] | None = None
         self._copies = Copies(
@@ -282,6 +283,7 @@
             raise
         self._sends += 1
         if not exchange.head.not_run:
+            self._began_at = self._began_at or time.monotonic()
             self._runs += resume is None
             prompt = work.job.demand.prompt
             took = time.monotonic() - now if resume is None else 0.0
@@ -376,6 +378,12 @@
             self._suspect(broken)
             self._tried.add(broken.id)
             self._log.write("stream_broke", broken, "resuming", error.message)
+            crashes = self._parts.crashes
+            crashes.note_break(self._work, broken, error, ran=self._ran())
+
+    def _ran(self) -> float | None:
+        """Seconds since the run first began anywhere; ``None`` when it never did."""
+        return None if self._began_at is None else time.monotonic() - self._began_at
 
     async def _go_on(self, error: BankrackError) -> Answer | None:
         """Go on at a copy, or else anew behind the last event where that is allowed.
