Requests that end upstreams are remembered by all nodes, and refused

Cause: what the end of an upstream tells was used against that upstream and forgotten with the try. Nothing knew the request that was aboard: a repeat, a copy or the same request at another node began from zero. Class: knowledge kept with the wrong owner and for too short a time; the cause is the request, its owner the fleet. Ruled out: engines that end for reasons of their own (their ports refuse, no notice, one pair of workspace and route in all eight); resumed runs in the incident itself (one send each), though the test shows that copies carry the crash on too. Change: a run that breaks off has its upstream's listener checked once; if it refuses and had not told that it leaves, the end is noted by the request's fingerprint and told to all members within some ms. Two early ends (or four of long runs) with nothing served between them put it in quarantine: refused at once with 502, outcome `ran`, and kept from each send, repeat and resumed run. Being served clears it, everywhere; what is served all the while is let off once; another version of the upstreams' software is given one try. Quarantines are kept in the store for 10 minutes by a lease, so that nodes that start know them; three members at most write one. Also found: a resumed run that broke off before its head was no break to anyone, so a second and third copy were tried after it.

--- a/src/bankrack/exceptions.py
+++ b/src/bankrack/exceptions.py
@@ -189,6 +189,14 @@
     outcome = Outcome.RAN
 
 
+class RequestQuarantined(BankrackError):
+    """The same request ended upstreams before; it is not sent to further ones."""
+
+    code = "request_quarantined"
+    status = 502
+    outcome = Outcome.RAN
+
+
 class CallerGone(BankrackError):
     """The caller hung up while its answer was written."""
 
--- /dev/null
+++ b/src/bankrack/fleet/crashnews.py
@@ -0,0 +1,148 @@
+"""What nodes tell each other of requests that end upstreams, and keep in the store.
+
+Each node sees the ends of its own runs only, and a request comes again at any node.  So
+an end is told to all members at once, which costs the store nothing; and a request that
+is in quarantine is written to the store, where nodes that start or were cut off find it
+in the state that they follow anyway.
+"""
+
+import asyncio
+import logging
+import random
+import typing as t
+
+import aiohttp
+import msgspec
+from aiohttp import web
+
+from bankrack import logs
+from bankrack.exceptions import BankrackError
+from bankrack.fleet.documents import Member
+from bankrack.fleet.documents import Quarantine
+from bankrack.fleet.messages import decode_message
+from bankrack.fleet.store import Store
+from bankrack.serving.crashregister import CrashRegister
+from bankrack.serving.crashregister import REMEMBER_SECONDS
+from bankrack.utils import stable_digest
+
+CRASHES_PATH = "/peer/crashes"
+GATHER_SECONDS = 0.005
+"""The streams that one node had on an upstream break off within some ms."""
+TELL_SECONDS = 0.3
+"""Longest wait for one member; halls are some ms apart."""
+TELL_TRIES = 3
+TELL_REST_SECONDS = 0.2
+MOST_TOLD_AT_ONCE = 32
+SAVE_SECONDS = 0.5
+"""Rest between two looks for quarantines that the store lacks.  A request may be sent
+on for 3 s after its third upstream ended, by nodes that were not told."""
+SAVERS = 3
+"""Members that write one quarantine if those before them did not."""
+STORE_AGE_SECONDS = 1.5
+"""A view this old tells that the store is away: nothing is written until it is back."""
+
+_logger = logging.getLogger(__name__)
+
+
+class CrashNews:
+    """Tells and saves what the register of this node gains.
+
+    :param members: gives the members that live, this node among them or not.
+    :param view_age: gives the seconds since the store confirmed this node's view.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        own: Member,
+        members: t.Callable[[], t.Iterable[Member]],
+        register: CrashRegister,
+        store: Store,
+        *,
+        view_age: t.Callable[[], float],
+    ) -> None:
+        self._session = session
+        self._own = own
+        self._members = members
+        self._register = register
+        self._store = store
+        self._view_age = view_age
+        self._telling: set[asyncio.Task[None]] = set()
+
+    async def handle(self, request: web.Request) -> web.Response:
+        """Take in what another node tells."""
+        body = await request.read()
+        for found in decode_message(body, list[Quarantine]):
+            source = request.query.get("from", "")
+            self._register.take(found.fingerprint, found.crashes, source=source)
+        return web.Response()
+
+    async def run(self) -> None:
+        """Tell all members what this node notes, for ever."""
+        while True:
+            await self._register.news.wait()
+            await asyncio.sleep(GATHER_SECONDS)
+            told = [Quarantine(f, c) for f, c in self._register.take_news().items()]
+            telling = asyncio.create_task(self._tell_all(msgspec.msgpack.encode(told)))
+            self._telling.add(telling)
+            telling.add_done_callback(self._telling.discard)
+
+    async def _tell_all(self, body: bytes) -> None:
+        """Tell all other members; those who don't answer are asked again."""
+        missing = [m for m in self._members() if m.name != self._own.name]
+        slots = asyncio.Semaphore(MOST_TOLD_AT_ONCE)
+        for _ in range(TELL_TRIES):
+            took = await asyncio.gather(*(self._tell(m, body, slots) for m in missing))
+            missing = [m for m, done in zip(missing, took, strict=True) if not done]
+            if not missing:
+                return
+            await asyncio.sleep(TELL_REST_SECONDS)
+        logs.event(_logger, "crashes_untold", members=",".join(m.name for m in missing))
+
+    async def _tell(
+        self, member: Member, body: bytes, slots: asyncio.Semaphore
+    ) -> bool:
+        url = f"http://{member.address}{CRASHES_PATH}"
+        query = {"from": self._own.name}
+        try:
+            async with (
+                slots,
+                asyncio.timeout(TELL_SECONDS),
+                self._session.post(url, params=query, data=body) as response,
+            ):
+                return response.status == 200
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            # Who stays silent is named once all tries are over.
+            return False
+
+    async def keep_saving(self) -> None:
+        """Write quarantines that the store lacks, for ever."""
+        while True:
+            await asyncio.sleep(SAVE_SECONDS * (0.5 + random.random()))
+            if self._view_age() > STORE_AGE_SECONDS:
+                continue
+            for fingerprint in self._register.unsaved():
+                if self._rank(fingerprint) < SAVERS:
+                    await self._save(fingerprint)
+
+    def _rank(self, fingerprint: str) -> int:
+        """How many members come before this node in an order that all compute alike."""
+        names = {m.name for m in self._members()} | {self._own.name}
+        ranked = sorted(names, key=lambda name: stable_digest(fingerprint + name))
+        return ranked.index(self._own.name)
+
+    async def _save(self, fingerprint: str) -> None:
+        found = Quarantine(fingerprint, self._register.crashes(fingerprint))
+        try:
+            lease = await self._store.grant(REMEMBER_SECONDS)
+            value = msgspec.json.encode(found)
+            await self._store.save_quarantine(fingerprint, value, lease)
+        except BankrackError as error:
+            logs.event(
+                _logger,
+                "quarantine_not_saved",
+                fingerprint=fingerprint,
+                reason=error.message,
+            )
+            return
+        logs.event(_logger, "quarantine_saved", fingerprint=fingerprint)
--- a/src/bankrack/fleet/documents.py
+++ b/src/bankrack/fleet/documents.py
@@ -3,6 +3,7 @@
 import dataclasses
 import typing as t
 
+from bankrack.decisions.poison import Crash
 from bankrack.fleet.store import Item
 from bankrack.serving.routing import RoutingTable
 from bankrack.serving.upstreams import UpstreamRecord
@@ -29,7 +30,18 @@
     hall: str
 
 
-Document = RoutingTable | UpstreamRecord | Member | Evacuation
+@dataclasses.dataclass(slots=True, frozen=True)
+class Quarantine:
+    """The upstreams that ended while a request was aboard.
+
+    :param fingerprint: of the request.
+    """
+
+    fingerprint: str
+    crashes: list[Crash]
+
+
+Document = RoutingTable | UpstreamRecord | Member | Evacuation | Quarantine
 
 
 class Decoder(t.Protocol):
--- a/src/bankrack/fleet/messages.py
+++ b/src/bankrack/fleet/messages.py
@@ -1,15 +1,20 @@
 """What nodes and the owner of a pool tell each other."""
 
+import logging
 import typing as t
 
 import msgspec
+from aiohttp import web
 
+from bankrack import logs
 from bankrack.decisions.admission import Admit
 from bankrack.decisions.admission import Refuse
 from bankrack.decisions.admission import Verdict
 from bankrack.decisions.admission import Wait
 from bankrack.fleet.reports import ReportMessage
 
+_logger = logging.getLogger(__name__)
+
 NoteKind = t.Literal["placed", "began", "failed", "ended", "copy_dropped"]
 
 
@@ -102,3 +107,12 @@
     prompt: int = 0
     output: int = 0
     took: float = 0.0
+
+
+def decode_message(body: bytes, kind: t.Any) -> t.Any:
+    """Decode a message of another node; a malformed one is refused and logged."""
+    try:
+        return msgspec.msgpack.decode(body, type=kind)
+    except msgspec.MsgspecError as error:
+        logs.event(_logger, "peer_message_invalid", reason=str(error))
+        raise web.HTTPBadRequest(text=str(error)) from error
--- a/src/bankrack/fleet/owners.py
+++ b/src/bankrack/fleet/owners.py
@@ -21,6 +21,7 @@
 from bankrack.fleet.documents import Member
 from bankrack.fleet.messages import AdviceMessage
 from bankrack.fleet.messages import AskMessage
+from bankrack.fleet.messages import decode_message
 from bankrack.fleet.messages import NoteKind
 from bankrack.fleet.messages import NoteMessage
 from bankrack.fleet.messages import pack_verdict
@@ -121,7 +122,7 @@
 
     async def handle_ask(self, request: web.Request) -> web.Response:
         """Answer another node that asks."""
-        ask = _decode(await request.read(), AskMessage)
+        ask = decode_message(await request.read(), AskMessage)
         self._note_use()
         verdict = self.decide(ask)
         reports: list[ReportMessage] = []
@@ -134,7 +135,7 @@
     async def handle_notes(self, request: web.Request) -> web.Response:
         """Take in notes of another node."""
         body = await request.read()
-        for note in _decode(body, list[NoteMessage]):
+        for note in decode_message(body, list[NoteMessage]):
             self.take(note)
         return web.Response()
 
@@ -355,12 +356,3 @@
     def _distrust(self, owner: Member, reason: str) -> None:
         self._trust.distrust(owner)
         logs.event(_logger, "owner_lost", owner=owner.name, reason=reason)
-
-
-def _decode(body: bytes, kind: t.Any) -> t.Any:
-    """Decode a message of another node; a malformed one is refused and logged."""
-    try:
-        return msgspec.msgpack.decode(body, type=kind)
-    except msgspec.MsgspecError as error:
-        logs.event(_logger, "peer_message_invalid", reason=str(error))
-        raise web.HTTPBadRequest(text=str(error)) from error
--- a/src/bankrack/fleet/store.py
+++ b/src/bankrack/fleet/store.py
@@ -75,3 +75,9 @@
     async def announce(self, name: str, value: bytes, lease: Lease) -> None:
         """Write this node's own entry under a lease."""
         ...
+
+    async def save_quarantine(
+        self, fingerprint: str, value: bytes, lease: Lease
+    ) -> None:
+        """Write under a lease which upstreams a request ended."""
+        ...
--- a/src/bankrack/fleet/view.py
+++ b/src/bankrack/fleet/view.py
@@ -16,8 +16,10 @@
 from bankrack.fleet.documents import Document
 from bankrack.fleet.documents import Evacuation
 from bankrack.fleet.documents import Member
+from bankrack.fleet.documents import Quarantine
 from bankrack.fleet.store import Item
 from bankrack.fleet.store import Snapshot
+from bankrack.serving.crashregister import CrashRegister
 from bankrack.serving.routing import RoutingTable
 from bankrack.serving.upstreams import UpstreamRecord
 from bankrack.serving.upstreams import Upstreams
@@ -48,6 +50,7 @@
     """The newest state that this node has seen.
 
     :param upstreams: filled from here.
+    :param crashes: likewise, with the requests that are in quarantine.
     """
 
     def __init__(
@@ -55,6 +58,7 @@
         decode: Decoder,
         upstreams: Upstreams,
         *,
+        crashes: CrashRegister | None = None,
         clock: t.Callable[[], float] = time.monotonic,
     ) -> None:
         self.table: RoutingTable | None = None
@@ -62,6 +66,7 @@
         self.members_by_name: dict[str, Member] = {}
         self.revision = 0
         self.confirmed_at = 0.0
+        self._crashes = crashes or CrashRegister(clock=clock)
         self._decode = decode
         self._clock = clock
         self._entry_by_key: dict[str, _Entry] = {}
@@ -238,6 +243,8 @@
                     revision=item.revision,
                     source=source,
                 )
+            case Quarantine(fingerprint, crashes):
+                self._crashes.take_stored(fingerprint, crashes)
 
     def _adopt_table(self, table: RoutingTable, item: Item, source: str) -> None:
         if self.table is not None and table.version <= self.table.version:
@@ -307,6 +314,8 @@
             case Evacuation(hall):
                 self.upstreams.take_back(hall)
                 logs.event(_logger, "hall_taken_back", hall=hall, source=source)
+            case Quarantine(fingerprint):
+                self._crashes.note_unstored(fingerprint)
 
     def sweep(self) -> None:
         """Drop entries that stayed away after an outage; log who came and went."""
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -18,6 +18,8 @@
 from bankrack.embedding import GatewayDialect
 from bankrack.embedding import GatewaySettings
 from bankrack.exceptions import NodeNotReady
+from bankrack.fleet.crashnews import CRASHES_PATH
+from bankrack.fleet.crashnews import CrashNews
 from bankrack.fleet.documents import Member
 from bankrack.fleet.follower import Follower
 from bankrack.fleet.lending import LEND_PATH
@@ -40,6 +42,7 @@
 from bankrack.serving.client import UpstreamClient
 from bankrack.serving.coldshares import ColdShares
 from bankrack.serving.crashes import CrashWatch
+from bankrack.serving.crashregister import CrashRegister
 from bankrack.serving.dispatch import Dispatcher
 from bankrack.serving.job import Job
 from bankrack.serving.job import Reply
@@ -86,7 +89,8 @@
         self.settings = settings
         self.metrics = GatewayMetrics()
         self.upstreams = Upstreams()
-        self.view = View(dialect.decode, self.upstreams)
+        self.crashes = CrashRegister()
+        self.view = View(dialect.decode, self.upstreams, crashes=self.crashes)
         self.stopping = False
         self.stopped = asyncio.Event()
         self._dialect = dialect
@@ -144,7 +148,15 @@
             self.budget,
             self.metrics,
             self.cold,
-            CrashWatch(),
+            CrashWatch(self.crashes),
+        )
+        self.crash_news = CrashNews(
+            self._asking,
+            own,
+            members,
+            self.crashes,
+            store,
+            view_age=lambda: self.view.age,
         )
         self.dispatcher = Dispatcher(
             directory=self,
@@ -153,6 +165,7 @@
             metrics=self.metrics,
             plain=PlainRelay(parts),
             streams=StreamRelay(parts, control=control, advisor=self.owners),
+            crashes=parts.crashes,
         )
         self.front = RelayFront(dialect.callers, self._serve, self._limits)
 
@@ -179,6 +192,7 @@
                 PLACE_PATH: self.ledgers.handle_ask,
                 NOTES_PATH: self.ledgers.handle_notes,
                 LEND_PATH: self.lender.handle,
+                CRASHES_PATH: self.crash_news.handle,
                 "/metrics": self._answer_metrics,
                 "/state": self._answer_state,
             },
@@ -187,6 +201,8 @@
         self._tasks.spawn(self.announcer.run)
         self._tasks.spawn(self.reports.run)
         self._tasks.spawn(self.owners.run)
+        self._tasks.spawn(self.crash_news.run)
+        self._tasks.spawn(self.crash_news.keep_saving)
         self._tasks.spawn(self._keep_applying)
         logs.event(
             _logger,
@@ -342,6 +358,7 @@
             "upstreams": float(len(self.upstreams.by_id)),
             "in_flight": float(self.dispatcher.in_flight),
             "keeps_ledgers": float(self.owners.owns),
+            "quarantined": float(len(self.crashes.quarantined())),
         }
         for name, value in value_by_name.items():
             self.metrics.values.set({"name": name}, value)
@@ -377,6 +394,7 @@
             "revision": self.view.revision,
             "in_flight": self.dispatcher.in_flight,
             "members": sorted(self.view.members_by_name),
+            "quarantined": self.crashes.quarantined(),
             "upstreams": [u.describe() for u in self.upstreams.by_id.values()],
         }
         return web.json_response(state)
--- a/src/bankrack/serving/crashes.py
+++ b/src/bankrack/serving/crashes.py
@@ -1,14 +1,23 @@
-"""Whether an upstream ended when a run there broke off."""
+"""What the end of an upstream tells of the requests that were aboard.
+
+A request may end each upstream that begins to run it, and its caller sends it again, at
+any node.  What is known of it must outlive the try and the node, or each try costs all
+that runs on one more upstream.
+"""
 
 import asyncio
 import enum
 import logging
 import time
+import typing as t
 
 from bankrack import logs
-from bankrack.exceptions import BankrackError
+from bankrack.decisions.poison import Crash
+from bankrack.decisions.poison import is_early
+from bankrack.exceptions import RequestQuarantined
 from bankrack.exceptions import UpstreamBroke
 from bankrack.serving.assignment import Assignment
+from bankrack.serving.crashregister import CrashRegister
 from bankrack.serving.upstreams import Upstream
 
 CHECK_SECONDS = 0.3
@@ -44,21 +53,57 @@
 
 
 class CrashWatch:
-    """Looks after upstreams whose runs broke off."""
+    """Sees which upstreams end under runs, and keeps from them what ends them."""
 
-    def __init__(self) -> None:
+    def __init__(self, register: CrashRegister) -> None:
+        self.register = register
         self._checks: set[asyncio.Task[None]] = set()
 
-    def note_break(
+    def refuse_everywhere(
+        self, fingerprint: str, upstreams: t.Sequence[Upstream]
+    ) -> None:
+        """Refuse a request that none of some upstreams may be sent.
+
+        Raises :exc:`RequestQuarantined`.
+        """
+        may_run_on = self.register.may_run_on
+        if upstreams and not any(
+            may_run_on(fingerprint, upstream.record.software) for upstream in upstreams
+        ):
+            raise self._refusal(fingerprint)
+
+    def refuse(self, fingerprint: str, upstream: Upstream) -> None:
+        """Keep a request from an upstream that it would end; the last look at it.
+
+        Raises :exc:`RequestQuarantined`.
+        """
+        if not self.register.may_run_on(fingerprint, upstream.record.software):
+            raise self._refusal(fingerprint)
+
+    def _refusal(self, fingerprint: str) -> RequestQuarantined:
+        crashes = self.register.crashes(fingerprint)
+        return RequestQuarantined(
+            f"this request ended {len(crashes)} upstreams that ran it, so it is not "
+            f"sent on; change it, or have its engines mended ({fingerprint})"
+        )
+
+    def note_served(self, work: Assignment, upstream: Upstream) -> None:
+        """Note that an upstream served a request to its end and goes on."""
+        self.register.note_served(work.fingerprint, upstream.record.software)
+
+    async def note_break(
         self,
         work: Assignment,
         upstream: Upstream,
-        error: BankrackError,
+        error: Exception,
         *,
         ran: float | None,
     ) -> None:
         """Note that a request failed at an upstream, which may have ended.
 
+        Returns at once, unless the request is suspected already: before it is sent
+        anywhere again, it must be known whether it ended this one too.
+
         :param ran: seconds since its run began; ``None`` when it had not.
         """
         if not isinstance(error, UpstreamBroke):
@@ -66,11 +111,12 @@
         check = asyncio.create_task(self._check(work, upstream, ran))
         self._checks.add(check)
         check.add_done_callback(self._checks.discard)
+        if self.register.suspects(work.fingerprint):
+            await asyncio.shield(check)
 
     async def _check(
         self, work: Assignment, upstream: Upstream, ran: float | None
     ) -> None:
-        leaving = upstream.leaving
         began = time.monotonic()
         listener = await check_listener(upstream.address)
         logs.event(
@@ -79,8 +125,12 @@
             request=work.job.id,
             fingerprint=work.fingerprint,
             upstream=upstream.id,
-            leaving=leaving,
+            leaving=upstream.leaving,
             listener=listener.value,
             ran=ran,
             took=time.monotonic() - began,
         )
+        # One that had told that it leaves ended as planned.
+        if listener is Listener.REFUSES and not upstream.leaving:
+            crash = Crash(upstream.id, upstream.record.software, is_early(ran))
+            self.register.note_crash(work.fingerprint, crash)
--- /dev/null
+++ b/src/bankrack/serving/crashregister.py
@@ -0,0 +1,193 @@
+"""Which requests were aboard upstreams that ended, as all nodes together saw it."""
+
+import asyncio
+import collections
+import dataclasses
+import logging
+import time
+import typing as t
+
+from bankrack import logs
+from bankrack.decisions.poison import Crash
+from bankrack.decisions.poison import is_poison
+from bankrack.decisions.poison import may_run_on
+from bankrack.decisions.poison import merge
+
+REMEMBER_SECONDS = 600.0
+"""Also how long a quarantine lies in the store, whose leases last no longer; after it a
+request is tried again."""
+MAX_HISTORIES = 4096
+"""Requests remembered, some 400 bytes each; an end adds a few dozens at most."""
+MAX_CRASHES = 16
+"""Ends remembered of one request; it is in quarantine long before."""
+MAX_SERVED = 4096
+"""Requests remembered as served; what comes often is served often."""
+
+_logger = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(slots=True)
+class _History:
+    """The ends that one request was aboard."""
+
+    changed_at: float
+    crash_by_upstream: dict[str, Crash]
+
+
+class CrashRegister:
+    """Ends by the fingerprints of the requests aboard.
+
+    Accounts of several nodes may come in any order and more than once.
+
+    :ivar news: set when this node noted something that the others are to be told.
+    """
+
+    def __init__(self, *, clock: t.Callable[[], float] = time.monotonic) -> None:
+        self.news = asyncio.Event()
+        self._clock = clock
+        self._history_by_fingerprint: collections.OrderedDict[str, _History] = (
+            collections.OrderedDict()
+        )
+        self._software_by_served: collections.OrderedDict[str, str] = (
+            collections.OrderedDict()
+        )
+        self._untold: set[str] = set()
+        self._in_store: dict[str, bool] = {}
+
+    def may_run_on(self, fingerprint: str, software: str) -> bool:
+        """Whether a request may be sent to an upstream of some software."""
+        return may_run_on(software, self.crashes(fingerprint))
+
+    def suspects(self, fingerprint: str) -> bool:
+        """Whether a request was aboard an end for which it may be to blame."""
+        return any(not crash.cleared for crash in self.crashes(fingerprint))
+
+    def quarantined(self) -> list[str]:
+        """Fingerprints of requests that are not sent on."""
+        return [f for f in self._history_by_fingerprint if self._is_poison(f)]
+
+    def crashes(self, fingerprint: str) -> list[Crash]:
+        """The ends that a request was aboard."""
+        history = self._history_by_fingerprint.get(fingerprint)
+        return list(history.crash_by_upstream.values()) if history else []
+
+    def unsaved(self) -> list[str]:
+        """Fingerprints whose quarantine, or its end, the store doesn't show yet."""
+        return [
+            fingerprint
+            for fingerprint in self._history_by_fingerprint
+            if self._is_poison(fingerprint) != self._in_store.get(fingerprint, False)
+        ]
+
+    def _is_poison(self, fingerprint: str) -> bool:
+        return is_poison(self.crashes(fingerprint))
+
+    def note_crash(self, fingerprint: str, crash: Crash) -> None:
+        """Note an end that this node saw.
+
+        A request that the same software served just before is let off once: of those
+        that come often, some are aboard whatever ends.
+        """
+        served_by = self._software_by_served.get(fingerprint)
+        if served_by == crash.software:
+            crash = dataclasses.replace(crash, cleared=True)
+        if self.take(fingerprint, [crash], source="own"):
+            self._tell(fingerprint)
+
+    def note_served(self, fingerprint: str, software: str) -> None:
+        """Note that an upstream served a request and goes on."""
+        served = self._software_by_served
+        served[fingerprint] = software
+        served.move_to_end(fingerprint)
+        if len(served) > MAX_SERVED:
+            served.popitem(last=False)
+        cleared = [
+            dataclasses.replace(crash, cleared=True)
+            for crash in self.crashes(fingerprint)
+            if crash.software == software and not crash.cleared
+        ]
+        if cleared and self.take(fingerprint, cleared, source="served"):
+            self._tell(fingerprint)
+
+    def take(
+        self, fingerprint: str, crashes: t.Iterable[Crash], *, source: str
+    ) -> bool:
+        """Take in an account of ends; tells whether it held anything new.
+
+        :param source: whose account it is, for the log.
+        """
+        before = self.crashes(fingerprint)
+        now = self._clock()
+        history = self._history_by_fingerprint.get(fingerprint)
+        if history is None:
+            history = _History(now, {})
+        by_upstream = history.crash_by_upstream
+        for crash in crashes:
+            known = by_upstream.get(crash.upstream)
+            if known is not None:
+                by_upstream[crash.upstream] = merge(known, crash)
+            elif len(by_upstream) < MAX_CRASHES:
+                by_upstream[crash.upstream] = crash
+        after = list(by_upstream.values())
+        if after == before:
+            return False
+        history.changed_at = now
+        self._history_by_fingerprint[fingerprint] = history
+        self._history_by_fingerprint.move_to_end(fingerprint)
+        # Let off once among all nodes, not once at each.
+        self._software_by_served.pop(fingerprint, None)
+        self._log_change(fingerprint, before, after, source)
+        self._forget()
+        return True
+
+    def _log_change(
+        self,
+        fingerprint: str,
+        before: t.Collection[Crash],
+        after: t.Collection[Crash],
+        source: str,
+    ) -> None:
+        was_poison, is_now = is_poison(before), is_poison(after)
+        name = "crash_noted"
+        if was_poison != is_now:
+            name = "request_quarantined" if is_now else "quarantine_ended"
+        logs.event(
+            _logger,
+            name,
+            fingerprint=fingerprint,
+            upstreams=",".join(crash.upstream for crash in after),
+            early=sum(crash.early for crash in after),
+            cleared=sum(crash.cleared for crash in after),
+            source=source,
+        )
+
+    def take_stored(self, fingerprint: str, crashes: t.Collection[Crash]) -> None:
+        """Take in what the store holds of a request."""
+        self._in_store[fingerprint] = is_poison(crashes)
+        self.take(fingerprint, crashes, source="store")
+
+    def note_unstored(self, fingerprint: str) -> None:
+        """Note that the store holds nothing of a request any more."""
+        self._in_store.pop(fingerprint, None)
+
+    def take_news(self) -> dict[str, list[Crash]]:
+        """What this node noted since the last time, by fingerprint."""
+        told = {fingerprint: self.crashes(fingerprint) for fingerprint in self._untold}
+        self._untold.clear()
+        self.news.clear()
+        return told
+
+    def _tell(self, fingerprint: str) -> None:
+        self._untold.add(fingerprint)
+        self.news.set()
+
+    def _forget(self) -> None:
+        """Drop what is old, and the oldest of too many."""
+        histories = self._history_by_fingerprint
+        too_old = self._clock() - REMEMBER_SECONDS
+        while histories:
+            fingerprint, oldest = next(iter(histories.items()))
+            if len(histories) <= MAX_HISTORIES and oldest.changed_at > too_old:
+                return
+            del histories[fingerprint]
+            self._untold.discard(fingerprint)
--- a/src/bankrack/serving/dispatch.py
+++ b/src/bankrack/serving/dispatch.py
@@ -17,6 +17,7 @@
 from bankrack.metrics import GatewayMetrics
 from bankrack.serving.assignment import Assignment
 from bankrack.serving.budget import SharedRetryBudget
+from bankrack.serving.crashes import CrashWatch
 from bankrack.serving.fingerprint import fingerprint
 from bankrack.serving.job import Job
 from bankrack.serving.job import Kind
@@ -71,6 +72,7 @@
         budget: SharedRetryBudget,
         plain: PlainRelay,
         streams: StreamRelay,
+        crashes: CrashWatch,
         metrics: GatewayMetrics,
         rng: random.Random | None = None,
     ) -> None:
@@ -79,6 +81,7 @@
         self._budget = budget
         self._plain = plain
         self._streams = streams
+        self._crashes = crashes
         self._metrics = metrics
         self._rng = rng or random.Random()
         self.in_flight = 0
@@ -139,6 +142,9 @@
         if workspace is not None and workspace.priority is not None:
             priority = workspace.priority
         service = self._pick_service(table, route)
+        caller = workspace.name if workspace else None
+        same = fingerprint(job, caller)
+        self._crashes.refuse_everywhere(same, self._upstreams.open_of(service.name))
         if self._stops_at is not None:
             self._refuse_if_cut(job, route, service, self._stops_at)
         self._budget.earn(service.name)
@@ -146,10 +152,10 @@
             job=job,
             route=route,
             service=service,
-            workspace=workspace.name if workspace else None,
+            workspace=caller,
             priority=priority,
             deadline=job.arrived + timeout - DEADLINE_SLACK_SECONDS,
-            fingerprint=fingerprint(job, workspace.name if workspace else None),
+            fingerprint=same,
         )
 
     def _refuse_if_cut(
--- a/src/bankrack/serving/plain.py
+++ b/src/bankrack/serving/plain.py
@@ -58,7 +58,7 @@
                 self._parts.chooser.suspect(upstream)
                 sends.ran(upstream)
                 self._log(work, upstream, "failed", error.message)
-                self._parts.crashes.note_break(work, upstream, error, ran=None)
+                await self._parts.crashes.note_break(work, upstream, error, ran=None)
                 if self._may_repeat(work, sends):
                     continue
                 if sends.last_answer is None:
@@ -68,6 +68,7 @@
                 sends.rejected(upstream)
                 self._log(work, upstream, "rejected", "")
                 continue
+            self._parts.crashes.note_served(work, upstream)
             failed = answer.status >= 500
             self._parts.chooser.answered(upstream, failed=failed)
             if failed:
@@ -111,6 +112,7 @@
         self, work: Assignment, upstream: Upstream, sends: "_Sends"
     ) -> Answer | None:
         """Send once; ``None`` when the upstream says that it did not run it."""
+        self._parts.crashes.refuse(work.fingerprint, upstream)
         self._parts.metrics.sends.inc({"service": work.service.name, "kind": "plain"})
         send = Send(
             job=work.job,
--- a/src/bankrack/serving/run.py
+++ b/src/bankrack/serving/run.py
@@ -76,6 +76,7 @@
         self._spare = False
         self._resumes = 0
         self._ended_whole = False
+        # A run that has gone on anywhere is no first suspect where it goes on next.
         self._began_at: float | None = None
         self._whole_seconds = 0.0
         self._keeper: asyncio.Task[None] | None = None
@@ -100,12 +101,14 @@
             except _EngineSilent as error:
                 await self._switch(error)
             except UpstreamFailed as error:
-                self._lose_engine(error)
+                await self._lose_engine(error)
                 answer = await self._go_on(error)
         if answer is not None:
             return await self._answer(answer)
         await self._reply.end()
         self._ended_whole = True
+        if self._engine is not None:
+            self._parts.crashes.note_served(self._work, self._engine)
         self._whole_seconds = self._passer.seconds
         self._pace.ended(self._work.job.demand, self._whole_seconds)
         if self._passer.count > 1:
@@ -150,7 +153,7 @@
                 self._log.write("attempt_ended", engine, "unreachable", error.message)
                 continue
             except UpstreamFailed as error:
-                self._lose_engine(error)
+                await self._lose_engine(error)
                 if await self._resume():
                     return None
                 if self._may_run_again():
@@ -251,6 +254,7 @@
     ) -> Exchange:
         """Send to ``engine``; it holds the run from now on."""
         work = self._work
+        self._parts.crashes.refuse(work.fingerprint, engine)
         now = time.monotonic()
         kind = "resume" if resume else "first"
         self._parts.metrics.sends.inc({"service": work.service.name, "kind": kind})
@@ -370,7 +374,7 @@
         self._copies.found = copies
         self._passer.keep_engine(left)
 
-    def _lose_engine(self, error: BankrackError) -> None:
+    async def _lose_engine(self, error: BankrackError) -> None:
         """Leave an engine that broke the run off."""
         broken = self._engine
         self._leave_engine()
@@ -378,12 +382,13 @@
             self._suspect(broken)
             self._tried.add(broken.id)
             self._log.write("stream_broke", broken, "resuming", error.message)
-            crashes = self._parts.crashes
-            crashes.note_break(self._work, broken, error, ran=self._ran())
+            await self._note_break(broken, error)
 
-    def _ran(self) -> float | None:
-        """Seconds since the run first began anywhere; ``None`` when it never did."""
-        return None if self._began_at is None else time.monotonic() - self._began_at
+    async def _note_break(self, engine: Upstream, error: Exception) -> None:
+        """Note that the run broke off, as far as it had come anywhere."""
+        began = self._began_at
+        ran = None if began is None else time.monotonic() - began
+        await self._parts.crashes.note_break(self._work, engine, error, ran=ran)
 
     async def _go_on(self, error: BankrackError) -> Answer | None:
         """Go on at a copy, or else anew behind the last event where that is allowed.
@@ -427,6 +432,7 @@
         except (BankrackError, TimeoutError) as error:
             self._leave_engine()
             self._log.write("resume_refused", holder, "failed", repr(error))
+            await self._note_break(holder, error)
             return False
         if exchange.head.status != 200:
             exchange.close()
--- a/src/bankrack/serving/upstreams.py
+++ b/src/bankrack/serving/upstreams.py
@@ -14,6 +14,7 @@
     :param cold_seconds: how much longer it is cold, which bounds what it is sent.
     :param name: what the upstream calls itself in all its lives; its id if empty.
     :param born: Unix milliseconds of the start of this life, where that is told.
+    :param software: version of its software, where that is told.
     """
 
     id: str
@@ -25,6 +26,7 @@
     cold_seconds: float = 0.0
     name: str = ""
     born: int | None = None
+    software: str = ""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- /dev/null
+++ b/tests/fleet/test_crashnews.py
@@ -0,0 +1,177 @@
+"""Tests of what nodes tell each other of requests that end upstreams."""
+
+import asyncio
+import contextlib
+import typing as t
+
+import aiohttp
+import msgspec
+from aiohttp import web
+
+from bankrack.decisions.poison import Crash
+from bankrack.exceptions import PlatformUnavailable
+from bankrack.fleet import crashnews
+from bankrack.fleet.crashnews import CRASHES_PATH
+from bankrack.fleet.crashnews import CrashNews
+from bankrack.fleet.documents import Member
+from bankrack.fleet.documents import Quarantine
+from bankrack.fleet.store import Lease
+from bankrack.serving.crashregister import CrashRegister
+from tests.base import TestCase
+from tests.fakes import free_address
+from tests.platform.deployment import until
+
+
+class FakeStore:
+    """Keeps what is saved; ``away`` refuses all calls."""
+
+    def __init__(self) -> None:
+        self.value_by_fingerprint: dict[str, bytes] = {}
+        self.calls = 0
+        self.away = False
+
+    async def grant(self, ttl: float) -> Lease:
+        self.calls += 1
+        if self.away:
+            raise PlatformUnavailable("away")
+        return Lease(1, ttl)
+
+    async def save_quarantine(
+        self, fingerprint: str, value: bytes, lease: Lease
+    ) -> None:
+        self.value_by_fingerprint[fingerprint] = value
+
+
+class Node:
+    """One node that tells and is told."""
+
+    def __init__(self, name: str, fleet: "Fleet") -> None:
+        self.member = Member(name, free_address(), "a")
+        self.register = CrashRegister()
+        self.age = 0.0
+        self.news = CrashNews(
+            fleet.session,
+            self.member,
+            lambda: fleet.members,
+            self.register,
+            t.cast(t.Any, fleet.store),
+            view_age=lambda: self.age,
+        )
+
+    async def listen(self) -> web.AppRunner:
+        application = web.Application()
+        application.router.add_post(CRASHES_PATH, self.news.handle)
+        runner = web.AppRunner(application, shutdown_timeout=0.05)
+        await runner.setup()
+        host, _, port = self.member.address.partition(":")
+        await web.TCPSite(runner, host, int(port)).start()
+        return runner
+
+
+class Fleet:
+    """Some nodes, a store and the tasks of the first node."""
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        self.session = session
+        self.store = FakeStore()
+        self.nodes: list[Node] = []
+        self.members: list[Member] = []
+
+    def add(self, name: str) -> Node:
+        node = Node(name, self)
+        self.nodes.append(node)
+        self.members.append(node.member)
+        return node
+
+
+@contextlib.asynccontextmanager
+async def running(*, nodes: int = 3, silent: int = 0) -> t.AsyncIterator[Fleet]:
+    """A fleet whose last ``silent`` nodes don't listen."""
+    async with aiohttp.ClientSession() as session:
+        fleet = Fleet(session)
+        for number in range(nodes):
+            fleet.add(f"n-{number}")
+        runners = [await node.listen() for node in fleet.nodes[: nodes - silent]]
+        news = fleet.nodes[0].news
+        tasks = [asyncio.create_task(w()) for w in (news.run, news.keep_saving)]
+        try:
+            yield fleet
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            for runner in runners:
+                await runner.cleanup()
+
+
+def crash(upstream: str) -> Crash:
+    return Crash(upstream, "1", early=True)
+
+
+class Telling(TestCase):
+    async def test_all_members_are_told_at_once(self):
+        async with running() as fleet:
+            fleet.nodes[0].register.note_crash("f", crash("a"))
+            for node in fleet.nodes:
+                await until(lambda n=node: n.register.suspects("f"), seconds=1.0)
+
+    async def test_one_that_does_not_answer_is_told_once_it_does(self):
+        async with running(silent=1) as fleet:
+            fleet.nodes[0].register.note_crash("f", crash("a"))
+            await until(lambda: fleet.nodes[1].register.suspects("f"), seconds=1.0)
+            runner = await fleet.nodes[2].listen()
+            await until(lambda: fleet.nodes[2].register.suspects("f"), seconds=1.5)
+            await runner.cleanup()
+
+    async def test_a_malformed_account_is_refused(self):
+        async with running(nodes=1) as fleet:
+            url = f"http://{fleet.nodes[0].member.address}{CRASHES_PATH}"
+            body = msgspec.msgpack.encode([{"fingerprint": 7}])
+            async with fleet.session.post(url, data=body) as response:
+                self.assertEqual(400, response.status)
+
+
+class Saving(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.patch(crashnews, "SAVE_SECONDS", 0.02)
+
+    def quarantine(self, fleet: Fleet) -> None:
+        for upstream in ("a", "b"):
+            fleet.nodes[0].register.note_crash("f", crash(upstream))
+
+    async def test_a_quarantine_is_saved_for_nodes_that_start_later(self):
+        async with running(nodes=1) as fleet:
+            self.quarantine(fleet)
+            saved = fleet.store.value_by_fingerprint
+            await until(lambda: "f" in saved, seconds=1.0)
+            found = msgspec.json.decode(saved["f"], type=Quarantine)
+            self.assertEqual(Quarantine("f", [crash("a"), crash("b")]), found)
+
+    async def test_nothing_is_written_while_the_store_is_away(self):
+        async with running(nodes=1) as fleet:
+            fleet.nodes[0].age = 5.0
+            self.quarantine(fleet)
+            await asyncio.sleep(0.2)
+            self.assertEqual(0, fleet.store.calls)
+            fleet.nodes[0].age = 0.0
+            await until(lambda: "f" in fleet.store.value_by_fingerprint, seconds=1.0)
+
+    async def test_a_store_that_refuses_is_asked_again(self):
+        async with running(nodes=1) as fleet:
+            fleet.store.away = True
+            self.quarantine(fleet)
+            await until(lambda: fleet.store.calls > 1, seconds=1.0)
+            fleet.store.away = False
+            await until(lambda: "f" in fleet.store.value_by_fingerprint, seconds=1.0)
+
+    async def test_of_many_members_few_write(self):
+        async with running(nodes=1) as fleet:
+            for number in range(1, 50):
+                fleet.members.append(Member(f"n-{number}", "127.0.0.1:1", "a"))
+            names = [member.name for member in fleet.members]
+            ranks = []
+            for member in fleet.members:
+                fleet.nodes[0].news._own = member
+                ranks.append(fleet.nodes[0].news._rank("f"))
+            self.assertEqual(list(range(len(names))), sorted(ranks))
--- a/tests/platform/test_crashing.py
+++ b/tests/platform/test_crashing.py
@@ -104,3 +104,123 @@
                 self.assertNotEqual(200, found.status)
                 await fleet.restarted()
             self.assertLessEqual(len(fleet.ended), 3)
+
+    async def test_it_is_refused_at_once_and_told_that_it_ran(self):
+        async with running() as world:
+            fleet = Fleet(world)
+            await fleet.start()
+            for _ in range(2):
+                await fleet.call("/note/x")
+                await fleet.restarted()
+            arrivals = len(world.arrivals())
+            found = await fleet.call("/note/x", node=1)
+            self.assertEqual(502, found.status)
+            self.assertIn(b"request_quarantined", found.body)
+            self.assertNotIn("Retry-After", found.headers)
+            self.assertEqual(arrivals, len(world.arrivals()))
+
+    async def test_a_repeat_or_a_copy_does_not_carry_it_on(self):
+        """A try sends it once more at most: by then it is known to have ended two."""
+        for path in ("/look/x", "/talk/x", "/note/x"):
+            async with running() as world:
+                fleet = Fleet(world)
+                await fleet.start(nodes=1)
+                for _ in range(4):
+                    await fleet.call(path)
+                    await fleet.restarted()
+                self.assertEqual(2, len(fleet.ended), path)
+
+    async def test_others_are_served_meanwhile(self):
+        async with running() as world:
+            fleet = Fleet(world)
+            await fleet.start()
+            for number in range(4):
+                await fleet.call("/talk/x", node=number % 2)
+                await fleet.restarted()
+                found = await fleet.call("/talk/x", body=b"question", node=number % 2)
+                self.assertEqual((200, True), (found.status, found.whole))
+
+    async def test_a_node_that_starts_later_knows(self):
+        async with running() as world:
+            fleet = Fleet(world)
+            await fleet.start()
+            for number in range(2):
+                await fleet.call("/talk/x", node=number)
+                await fleet.restarted()
+            saved = "system/blocked/"
+            await until(
+                lambda: any(k.startswith(saved) for k in world.store.item_by_key)
+            )
+            for gateway in world.gateways:
+                await gateway._close()
+            world.gateways.clear()
+            await world.ready_gateway("n-9")
+            ended = len(fleet.ended)
+            found = await fleet.call("/talk/x")
+            self.assertIn(b"request_quarantined", found.body)
+            self.assertEqual(ended, len(fleet.ended))
+
+    async def test_it_is_counted_while_the_store_is_away(self):
+        async with running() as world:
+            fleet = Fleet(world)
+            await fleet.start()
+            world.store.status = 503
+            for number in range(3):
+                await fleet.call("/note/x", node=number % 2)
+            self.assertEqual(2, len(fleet.ended))
+
+    async def test_new_software_is_given_a_try(self):
+        async with running() as world:
+            fleet = Fleet(world)
+            await fleet.start(nodes=1)
+            for _ in range(2):
+                await fleet.call("/talk/x")
+                await fleet.restarted()
+            for engine in world.engines:
+                engine.behave = None
+                entry = engine.entry("engines", configVersion=2)
+                world.store.put(f"servers/{engine.id}", entry)
+            upstreams = world.gateways[0].upstreams.of("engines")
+            await until(lambda: all(u.record.software == "2" for u in upstreams))
+            found = await fleet.call("/talk/x")
+            self.assertEqual((200, True), (found.status, found.whole))
+
+
+class OtherEnds(TestCase):
+    async def test_a_broken_connection_ends_no_upstream(self):
+        async def drop(request: web.BaseRequest) -> web.Response:
+            assert request.transport is not None
+            request.transport.abort()
+            return web.Response()
+
+        async with running() as world:
+            gateway = await world.ready_gateway()
+            for server in world.plain:
+                server.behave = drop
+            for _ in range(4):
+                found = await call(gateway.settings.front, "/bill/x")
+                self.assertEqual(502, found.status)
+                self.assertIn(b"upstream_", found.body)
+            self.assertEqual([], gateway.crashes.quarantined())
+
+    async def test_an_upstream_that_had_told_that_it_leaves_ended_as_planned(self):
+        async with running() as world:
+            fleet = Fleet(world)
+            await fleet.start(nodes=1)
+            gateway = world.gateways[0]
+            for server in world.plain:
+                upstream = gateway.upstreams.by_id[server.id]
+
+                async def leave(
+                    request: web.BaseRequest,
+                    server: FakeServer = server,
+                    upstream: t.Any = upstream,
+                ) -> None:
+                    upstream.leaving_at = 1.0
+                    server.crash()
+                    await asyncio.sleep(60)
+
+                server.behave = leave
+            await fleet.call("/look/x", body=b"question")
+            self.assertEqual([], gateway.crashes.quarantined())
+            self.assertEqual({}, gateway.crashes.take_news())
