The register keeps which requests are in quarantine instead of counting anew

Cause: twice a second the metrics and the writer went through all histories, up to 4,096, and an entry that was too old went only when the next end came. Change: two sets are kept as accounts come in; what is too old goes at each look. Figures: not measured; the work at each look falls from all histories to those in quarantine. Tests of the register pass (13), one now asks for the set after its time. Conclusion: same decisions, less work.

--- a/src/bankrack/serving/crashregister.py
+++ b/src/bankrack/serving/crashregister.py
@@ -52,7 +52,8 @@
             collections.OrderedDict()
         )
         self._untold: set[str] = set()
-        self._in_store: dict[str, bool] = {}
+        self._quarantined: set[str] = set()
+        self._quarantined_in_store: set[str] = set()
 
     def may_run_on(self, fingerprint: str, software: str) -> bool:
         """Whether a request may be sent to an upstream of some software."""
@@ -64,7 +65,8 @@
 
     def quarantined(self) -> list[str]:
         """Fingerprints of requests that are not sent on."""
-        return [f for f in self._history_by_fingerprint if self._is_poison(f)]
+        self._forget()
+        return sorted(self._quarantined)
 
     def crashes(self, fingerprint: str) -> list[Crash]:
         """The ends that a request was aboard."""
@@ -73,14 +75,9 @@
 
     def unsaved(self) -> list[str]:
         """Fingerprints whose quarantine, or its end, the store doesn't show yet."""
-        return [
-            fingerprint
-            for fingerprint in self._history_by_fingerprint
-            if self._is_poison(fingerprint) != self._in_store.get(fingerprint, False)
-        ]
-
-    def _is_poison(self, fingerprint: str) -> bool:
-        return is_poison(self.crashes(fingerprint))
+        self._forget()
+        known = self._history_by_fingerprint
+        return [f for f in self._quarantined ^ self._quarantined_in_store if f in known]
 
     def note_crash(self, fingerprint: str, crash: Crash) -> None:
         """Note an end that this node saw.
@@ -136,6 +133,10 @@
         self._history_by_fingerprint.move_to_end(fingerprint)
         # Let off once among all nodes, not once at each.
         self._software_by_served.pop(fingerprint, None)
+        if is_poison(after):
+            self._quarantined.add(fingerprint)
+        else:
+            self._quarantined.discard(fingerprint)
         self._log_change(fingerprint, before, after, source)
         self._forget()
         return True
@@ -163,12 +164,15 @@
 
     def take_stored(self, fingerprint: str, crashes: t.Collection[Crash]) -> None:
         """Take in what the store holds of a request."""
-        self._in_store[fingerprint] = is_poison(crashes)
+        if is_poison(crashes):
+            self._quarantined_in_store.add(fingerprint)
+        else:
+            self._quarantined_in_store.discard(fingerprint)
         self.take(fingerprint, crashes, source="store")
 
     def note_unstored(self, fingerprint: str) -> None:
         """Note that the store holds nothing of a request any more."""
-        self._in_store.pop(fingerprint, None)
+        self._quarantined_in_store.discard(fingerprint)
 
     def take_news(self) -> dict[str, list[Crash]]:
         """What this node noted since the last time, by fingerprint."""
@@ -190,4 +194,5 @@
             if len(histories) <= MAX_HISTORIES and oldest.changed_at > too_old:
                 return
             del histories[fingerprint]
+            self._quarantined.discard(fingerprint)
             self._untold.discard(fingerprint)
--- a/tests/serving/test_crashregister.py
+++ b/tests/serving/test_crashregister.py
@@ -89,7 +89,7 @@
     def test_it_is_tried_again_after_a_while(self):
         self.register.take("f", [crash("a"), crash("b")], source="n")
         self.now += REMEMBER_SECONDS + 1.0
-        self.register.note_crash("g", crash("c"))
+        self.assertEqual([], self.register.quarantined())
         self.assertTrue(self.register.may_run_on("f", "1"))
 
     def test_it_stays_small(self):
