A refused request's last line names its route, service and fingerprint

Cause: a request in quarantine was refused before it had an assignment, so its request_ended said neither what it was nor where it would have gone, and the metrics counted it under no service. Ruled out: the same for other refusals at this point: those have no route. Change: it is refused right after it was assigned, before anything is sent or asked. Figures: the test fails before (no route, no fingerprint in the line) and passes now.

--- a/src/bankrack/serving/dispatch.py
+++ b/src/bankrack/serving/dispatch.py
@@ -100,6 +100,8 @@
         assignment: Assignment | None = None
         try:
             assignment = await self._admit(job)
+            upstreams = self._upstreams.open_of(assignment.service.name)
+            self._crashes.refuse_everywhere(assignment.fingerprint, upstreams)
             outcome = await self._relay(assignment, reply)
             code = outcome.partition(" ")[0].rstrip(",")
         except BankrackError as error:
@@ -143,8 +145,6 @@
             priority = workspace.priority
         service = self._pick_service(table, route)
         caller = workspace.name if workspace else None
-        same = fingerprint(job, caller)
-        self._crashes.refuse_everywhere(same, self._upstreams.open_of(service.name))
         if self._stops_at is not None:
             self._refuse_if_cut(job, route, service, self._stops_at)
         self._budget.earn(service.name)
@@ -155,7 +155,7 @@
             workspace=caller,
             priority=priority,
             deadline=job.arrived + timeout - DEADLINE_SLACK_SECONDS,
-            fingerprint=same,
+            fingerprint=fingerprint(job, caller),
         )
 
     def _refuse_if_cut(
--- a/tests/platform/test_crashing.py
+++ b/tests/platform/test_crashing.py
@@ -113,7 +113,10 @@
                 await fleet.call("/note/x")
                 await fleet.restarted()
             arrivals = len(world.arrivals())
-            found = await fleet.call("/note/x", node=1)
+            with self.assertLogs("bankrack", "INFO") as lines:
+                found = await fleet.call("/note/x", node=1)
+            [line] = [r for r in lines.output if "event=request_ended" in r]
+            self.assertRegex(line, "route=note service=engines .*fingerprint=[0-9a-f]")
             self.assertEqual(502, found.status)
             self.assertIn(b"request_quarantined", found.body)
             self.assertNotIn("Retry-After", found.headers)
