--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -37,6 +37,7 @@
 from bankrack.fleet.view import View
 from bankrack.front.relayfront import RelayFront
 from bankrack.metrics import GatewayMetrics
+from bankrack.nodestate import NodeState
 from bankrack.serving.budget import SharedRetryBudget
 from bankrack.serving.choice import Chooser
 from bankrack.serving.client import new_session
@@ -119,7 +120,7 @@
             self.view,
             self.upstreams,
             address=settings.inner,
-            uses_engines=self._uses_engines,
+            uses_engines=lambda: self.reports.in_use(),
         )
         self.follower = Follower(store, self.view, self.roster, leaders)
         self.announcer = Announcer(store, own, view_age=lambda: self.view.age)
@@ -133,7 +134,9 @@
         )
         client = UpstreamClient(self._sending, dialect.upstreams)
         control = dialect.control(self._asking)
-        self.ledgers = Ledgers(self.upstreams, self.chooser, note_use=self._note_use)
+        self.ledgers = Ledgers(
+            self.upstreams, self.chooser, note_use=lambda: self.reports.note_use()
+        )
         self.owners = OwnerClient(
             self._asking,
             own,
@@ -222,6 +225,23 @@
         """Whether callers may be sent here."""
         return self.view.table is not None and not self.stopping
 
+    def state(self) -> NodeState:
+        """What this node believes now."""
+        table = self.view.table
+        return NodeState(
+            node=self.settings.name,
+            ready=self.ready,
+            version=table.version if table else None,
+            view_age=self.view.age,
+            store_age=self.follower.store_age,
+            revision=self.view.revision,
+            in_flight=self.dispatcher.in_flight,
+            members=list(self.view.members_by_name),
+            upstreams=list(self.upstreams.by_id.values()),
+            keeps_ledgers=self.owners.owns,
+            quarantined=self.crashes.quarantined(),
+        )
+
     def reload(self, settings: GatewaySettings) -> None:
         """Put the bounds of new settings in force.
 
@@ -329,12 +349,6 @@
             return engines
         return [e for e in self.owners.owned(service) if not e.evacuated]
 
-    def _note_use(self) -> None:
-        self.reports.note_use()
-
-    def _uses_engines(self) -> bool:
-        return self.reports.in_use()
-
     async def _keep_applying(self) -> None:
         """Hand on what follows from the configuration in force."""
         while True:
@@ -358,18 +372,7 @@
 
     def _set_gauges(self) -> None:
         """Tell on the metrics page what this node believes now."""
-        table = self.view.table
-        value_by_name = {
-            "ready": float(self.ready),
-            "version": float(table.version if table else 0),
-            "view_age_seconds": self.view.age,
-            "members": float(len(self.view.members_by_name)),
-            "upstreams": float(len(self.upstreams.by_id)),
-            "in_flight": float(self.dispatcher.in_flight),
-            "keeps_ledgers": float(self.owners.owns),
-            "quarantined": float(len(self.crashes.quarantined())),
-        }
-        for name, value in value_by_name.items():
+        for name, value in self.state().gauges().items():
             self.metrics.values.set({"name": name}, value)
 
     # Listeners
@@ -393,17 +396,4 @@
         return web.Response(body=content, headers=headers)
 
     async def _answer_state(self, request: web.Request) -> web.Response:
-        table = self.view.table
-        state = {
-            "node": self.settings.name,
-            "ready": self.ready,
-            "version": table.version if table else None,
-            "view_age": self.view.age,
-            "store_age": self.follower.store_age,
-            "revision": self.view.revision,
-            "in_flight": self.dispatcher.in_flight,
-            "members": sorted(self.view.members_by_name),
-            "quarantined": self.crashes.quarantined(),
-            "upstreams": [u.describe() for u in self.upstreams.by_id.values()],
-        }
-        return web.json_response(state)
+        return web.json_response(self.state().describe())
--- /dev/null
+++ b/src/bankrack/nodestate.py
@@ -0,0 +1,58 @@
+"""What a gateway believes at a moment, for its metrics and its state dump."""
+
+import dataclasses
+import typing as t
+
+from bankrack.serving.upstreams import Upstream
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class NodeState:
+    """What one gateway believes.
+
+    :param version: of the configuration in force; ``None`` before the first one.
+    :param view_age: seconds since the view was confirmed.
+    :param store_age: seconds since the store itself did that.
+    :param keeps_ledgers: it keeps the ledgers of the first pool.
+    :param quarantined: fingerprints of requests that are not sent on.
+    """
+
+    node: str
+    ready: bool
+    version: int | None
+    view_age: float
+    store_age: float
+    revision: int
+    in_flight: int
+    members: list[str]
+    upstreams: list[Upstream]
+    keeps_ledgers: bool
+    quarantined: list[str]
+
+    def gauges(self) -> dict[str, float]:
+        """Values for the metrics page, by name."""
+        return {
+            "ready": float(self.ready),
+            "version": float(self.version or 0),
+            "view_age_seconds": self.view_age,
+            "members": float(len(self.members)),
+            "upstreams": float(len(self.upstreams)),
+            "in_flight": float(self.in_flight),
+            "keeps_ledgers": float(self.keeps_ledgers),
+            "quarantined": float(len(self.quarantined)),
+        }
+
+    def describe(self) -> dict[str, t.Any]:
+        """The state dump."""
+        return {
+            "node": self.node,
+            "ready": self.ready,
+            "version": self.version,
+            "view_age": self.view_age,
+            "store_age": self.store_age,
+            "revision": self.revision,
+            "in_flight": self.in_flight,
+            "members": sorted(self.members),
+            "quarantined": self.quarantined,
+            "upstreams": [upstream.describe() for upstream in self.upstreams],
+        }
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -17,7 +17,7 @@
     ("control", "serving"),
     ("fleet", "scheduling"),
     ("generations",),
-    ("front",),
+    ("front", "nodestate"),
     ("embedding",),
     ("gateway", "node", "operator", "standins"),
     ("demo", "lab"),
