Soak: a request that ends engines, sent all the while between the drawn faults

Cause: the mend was shown by tests with two gateways in one process and by no run of real processes under kills, cuts, freezes and outages of the store. More than six ends (three, and three further sends) break a promise. The bug `forget` switches the memory off.

--- a/soak/gateway/__main__.py
+++ b/soak/gateway/__main__.py
@@ -48,10 +48,12 @@
     folder: pathlib.Path,
     *,
     replacing: bool = False,
+    poison: bool = False,
 ) -> int:
     """Run one soak; returns the exit code.
 
     :param replacing: replace all gateways in turn instead of drawing faults.
+    :param poison: a request that ends engines is sent all the while.
     """
     stamp = sources_stamp()
     store = SoakStore(random.Random(seed + 1))
@@ -82,6 +84,7 @@
         await asyncio.gather(*(gateway.until_ready() for gateway in gateways))
         await asyncio.sleep(SETTLE_BEFORE_SECONDS)
         calling = asyncio.create_task(callers.run(workers))
+        poisoning = asyncio.create_task(callers.poison()) if poison else None
         if replacing:
             await troubles.replace_all()
         else:
@@ -89,6 +92,8 @@
         await asyncio.sleep(SETTLE_SECONDS)
         callers.ended = True
         await calling
+        if poisoning is not None:
+            await poisoning
     finally:
         for gateway in gateways:
             gateway.end()
@@ -99,6 +104,7 @@
     judge.judge(gateways)
     if replacing:
         judge.judge_replacing()
+    judge.judge_poison(troubles.poisoned)
     print(f"seed {seed}, {minutes} minutes, bug {bug}, {count} gateways")
     _report(callers, troubles, journal, judge)
     print(lag)
@@ -119,6 +125,7 @@
     )
     for name, number in sorted(outcomes.items()):
         print(f"  {name}: {number}")
+    print(f"engines ended by one request: {len(troubles.poisoned)}")
     resumed = sum(run.resumed for run in journal.runs)
     print(f"runs: {len(journal.runs)}, of them gone on from a copy: {resumed}")
     print(f"violations: {len(judge.violations)}")
@@ -135,6 +142,9 @@
     parser.add_argument(
         "--replacing", action="store_true", help="replace all gateways, no other fault"
     )
+    parser.add_argument(
+        "--poison", action="store_true", help="send a request that ends engines"
+    )
     parser.add_argument("--keep", default="", help="folder to keep the logs in")
     options = parser.parse_args()
     with tempfile.TemporaryDirectory() as scratch:
@@ -149,6 +159,7 @@
                 options.workers,
                 folder,
                 replacing=options.replacing,
+                poison=options.poison,
             )
         )
 
--- a/soak/gateway/buggy.py
+++ b/soak/gateway/buggy.py
@@ -17,6 +17,7 @@
 from bankrack.exceptions import UpstreamFailed
 from bankrack.fleet.view import View
 from bankrack.gateway import Gateway
+from bankrack.serving.crashregister import CrashRegister
 from bankrack.serving.events import EventOrder
 from bankrack.serving.job import Kind
 from bankrack.serving.plain import PlainRelay
@@ -66,6 +67,11 @@
     View._adopt_table = adopt  # type: ignore[method-assign]
 
 
+def forget_ends() -> None:
+    """Send on what ended upstreams before."""
+    CrashRegister.may_run_on = lambda self, fingerprint, software: True  # type: ignore[method-assign]
+
+
 def stop_at_once() -> None:
     """End without finishing what is in flight."""
 
@@ -83,6 +89,7 @@
     "leaving": ignore_leaving,
     "table": keep_first_table,
     "stop": stop_at_once,
+    "forget": forget_ends,
 }
 
 
--- a/soak/gateway/callers.py
+++ b/soak/gateway/callers.py
@@ -13,10 +13,12 @@
 from soak.gateway.world import answer_to
 from soak.gateway.world import event_of
 from soak.gateway.world import events_of
+from soak.gateway.world import POISON
 
 KINDS = ("look", "look", "bill", "bill", "talk")
 PATIENCE_SECONDS = 6.0
 PAUSE_SECONDS = 0.08
+POISON_PAUSE_SECONDS = 0.4
 LEAVES_SHARE = 0.03
 """Part of the callers that hang up in the middle of an answer."""
 DAWDLES_SHARE = 0.03
@@ -83,6 +85,14 @@
         """Send until told that the soak ended."""
         await asyncio.gather(*(self._work() for _ in range(workers)))
 
+    async def poison(self) -> None:
+        """Send what ends engines, now and then, until told that the soak ended."""
+        timeout = aiohttp.ClientTimeout(total=PATIENCE_SECONDS + 2, sock_connect=1.0)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            while not self.ended:
+                await self.call(session, "talk", body=POISON)
+                await asyncio.sleep(POISON_PAUSE_SECONDS)
+
     async def _work(self) -> None:
         timeout = aiohttp.ClientTimeout(total=PATIENCE_SECONDS + 2, sock_connect=1.0)
         async with aiohttp.ClientSession(timeout=timeout) as session:
@@ -91,7 +101,9 @@
                 await self.call(session, path)
                 await asyncio.sleep(self._chance.expovariate(1 / PAUSE_SECONDS))
 
-    async def call(self, session: aiohttp.ClientSession, path: str) -> Call:
+    async def call(
+        self, session: aiohttp.ClientSession, path: str, *, body: bytes | None = None
+    ) -> Call:
         """Send one request to a gateway that was not told to stop."""
         open_to_calls = [g for g in self._gateways if self._takes_calls(g)]
         node = self._chance.choice(open_to_calls or self._gateways)
@@ -108,8 +120,9 @@
         }
         url = f"http://{node.front}/{path}/x"
         method = "GET" if path == "look" else "POST"
+        sending = session.request(method, url, headers=headers, data=body)
         try:
-            async with session.request(method, url, headers=headers) as response:
+            async with sending as response:
                 call.status = response.status
                 await self._read(call, response)
         except aiohttp.ClientConnectorError:
--- a/soak/gateway/judge.py
+++ b/soak/gateway/judge.py
@@ -20,6 +20,7 @@
 """An engine may work so long beside the one that went on with its run."""
 LOG_EXCERPT = 3000
 """Characters of a log that are shown from the first sign of a failure on."""
+MOST_POISONED = 6
 BUDGET_WINDOW = 10.0
 BUDGET_RATIO = 0.2
 BUDGET_RESERVE = 56
@@ -71,6 +72,13 @@
                     f"{call.node.name} while nodes were replaced"
                 )
 
+    def judge_poison(self, ended: list[str]) -> None:
+        """A request that ends engines may end three, and be sent three times more."""
+        if len(ended) > MOST_POISONED:
+            self.violation(
+                f"one request ended {len(ended)} engines: {', '.join(ended)}"
+            )
+
     def _judge_answer(self, call: Call, *, ran: bool) -> None:
         if spoiled := call.spoiled():
             self.violation(f"{call.request} ({call.path}): {spoiled}")
--- a/soak/gateway/troubles.py
+++ b/soak/gateway/troubles.py
@@ -89,6 +89,8 @@
         chance: random.Random,
     ) -> None:
         self.counts: collections.Counter[str] = collections.Counter()
+        self.poisoned: list[str] = []
+        self._restarts: set[asyncio.Task[None]] = set()
         self.servers: list[SoakServer] = []
         self.engines: list[SoakEngine] = []
         self._gateways = gateways
@@ -128,6 +130,7 @@
 
     async def end(self) -> None:
         """Close all servers."""
+        await asyncio.gather(*self._restarts)
         await close([*self.servers, *self.engines])
 
     async def _put(self, fault: Fault) -> None:
@@ -295,6 +298,7 @@
     async def _open_engine(self) -> None:
         engine = SoakEngine(f"e-{next(self._numbers)}", self._journal, self._chance)
         await engine.open()
+        engine.on_poison = self._end_poisoned
         self.engines.append(engine)
         for known in self.engines:
             known.engine_by_address = {e.address: e for e in self.engines}
@@ -333,6 +337,20 @@
         await asyncio.sleep(1.0)
         await self._open_engine()
 
+    def _end_poisoned(self, engine: SoakEngine) -> None:
+        """End an engine at once, as its process would; another comes."""
+        if engine.ends:
+            return
+        self.poisoned.append(engine.id)
+        if engine in self.engines:
+            self.engines.remove(engine)
+        engine.ends = True
+        assert engine.link is not None
+        engine.link.end()
+        restart = asyncio.create_task(self._end_engine(engine))
+        self._restarts.add(restart)
+        restart.add_done_callback(self._restarts.discard)
+
     async def _engine_stalls(self, chance: random.Random) -> None:
         engine = chance.choice(self.engines)
         engine.stalled = True
--- a/soak/gateway/world.py
+++ b/soak/gateway/world.py
@@ -22,6 +22,9 @@
 EVENT_SECONDS = 0.03
 """Time between two events of a stream; the platform's engines take some 36 ms."""
 REQUEST_ID = "Bankrack-Request-Id"
+POISON = b"ends whoever runs it"
+POISON_SECONDS = 0.05
+"""From the beginning of a run to the end of its engine."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -202,6 +205,7 @@
         self.orders = []
         self.engine_by_address = {}
         self.stalled = False
+        self.on_poison: t.Callable[[SoakEngine], None] = lambda engine: None
 
     async def run(self, request: web.BaseRequest) -> web.StreamResponse:
         """Stream a run, from its first event or from a copy."""
@@ -229,6 +233,9 @@
         response.content_type = "text/event-stream"
         response.enable_chunked_encoding()
         await response.prepare(request)
+        if await request.read() == POISON:
+            await asyncio.sleep(POISON_SECONDS)
+            self.on_poison(self)
         for number in range(first, events_of(request_id)):
             if self.ends:
                 await response.write(b"id: %d\ndata: to" % number)
--- a/soak/links.py
+++ b/soak/links.py
@@ -39,6 +39,12 @@
         self._flowing.set()
         self._answering.set()
 
+    def end(self) -> None:
+        """Refuse connections from now on, and reset those that are open."""
+        assert self._server is not None
+        self._server.close()
+        self.cut()
+
     def cut(self) -> None:
         """Reset all connections."""
         for writer in list(self._writers):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -113,6 +113,16 @@
         self.assertEqual(1, found.returncode, found.stdout + found.stderr)
         self.assertIn("while nodes were replaced", found.stdout)
 
+    def test_a_request_that_ends_engines_ends_few(self):
+        found = soak(901, 0.15, "--poison")
+        self.assertEqual(0, found.returncode, found.stdout + found.stderr)
+        self.assertRegex(found.stdout, "engines ended by one request: [1-6]\n")
+
+    def test_gateways_that_forget_what_ended_engines_are_found(self):
+        found = soak(901, 0.15, "--poison", "--bug", "forget")
+        self.assertEqual(1, found.returncode, found.stdout + found.stderr)
+        self.assertIn("one request ended", found.stdout)
+
     def test_an_unknown_bug_is_refused_with_the_names_there_are(self):
         found = soak(1, 0.1, "--bug", "nonsense")
         self.assertEqual(2, found.returncode)
