--- /dev/null
+++ b/benchmarks/crashes.py
@@ -0,0 +1,81 @@
+"""What it costs a node to tell requests apart and to remember which upstreams ended.
+
+``python -m benchmarks.crashes``
+"""
+
+import time
+import tracemalloc
+import typing as t
+
+import msgspec
+
+from bankrack.decisions.poison import Crash
+from bankrack.fleet.documents import Quarantine
+from bankrack.serving.crashregister import CrashRegister
+from bankrack.serving.crashregister import MAX_HISTORIES
+from bankrack.serving.crashregister import MAX_SERVED
+from bankrack.serving.fingerprint import fingerprint
+from bankrack.serving.job import Job
+
+ROUNDS = 2000
+BODY_BYTES = (100, 4_000, 100_000)
+ABOARD = 6
+"""Requests of one node that are first suspects of an end."""
+
+
+def median_microseconds(call: t.Callable[[], t.Any]) -> float:
+    """Median processor time of a call."""
+    times = []
+    for _ in range(ROUNDS):
+        began = time.process_time_ns()
+        call()
+        times.append(time.process_time_ns() - began)
+    return sorted(times)[ROUNDS // 2] / 1000
+
+
+def make_job(size: int) -> Job:
+    """A request with a body of ``size`` bytes."""
+    body = b"x" * size
+    return Job("r", "POST", "h", "/talk/x", [], body, "key", 0.0, None)
+
+
+def full_register() -> CrashRegister:
+    """A register that remembers as much as it may, each request aboard two ends."""
+    register = CrashRegister()
+    for number in range(MAX_HISTORIES):
+        for upstream in (f"i-{number:010x}", f"i-{number:09x}b"):
+            crash = Crash(upstream, "1", early=True)
+            register.take(f"{number:024x}", [crash], source="n")
+    for number in range(MAX_SERVED):
+        register.note_served(f"s{number:023x}", "1")
+    return register
+
+
+def main() -> None:
+    """Print the rows."""
+    for size in BODY_BYTES:
+        job = make_job(size)
+        spent = median_microseconds(lambda job=job: fingerprint(job, "tutors"))
+        print(f"fingerprint of a request with {size} bytes: {spent:.1f} us")
+    tracemalloc.start()
+    register = full_register()
+    used, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    print(f"a full register: {used / 1e6:.1f} MB")
+    known, other = f"{7:024x}", "f" * 24
+    for name, one in (("in quarantine", known), ("unknown", other)):
+        spent = median_microseconds(lambda one=one: register.may_run_on(one, "1"))
+        print(f"a look before a send, {name}: {spent:.1f} us")
+    spent = median_microseconds(lambda: register.note_served(other, "1"))
+    print(f"noting that one was served: {spent:.1f} us")
+    spent = median_microseconds(lambda: (register.quarantined(), register.unsaved()))
+    print(f"both looks twice a second, all in quarantine: {spent:.1f} us")
+    told = [
+        Quarantine(f"{n:024x}", [Crash(f"i-{n:010x}", "1", early=True)])
+        for n in range(ABOARD)
+    ]
+    print(f"a message of {ABOARD} suspects: {len(msgspec.msgpack.encode(told))} bytes")
+
+
+if __name__ == "__main__":
+    main()
