Benchmarks share how a call is timed

Cause: the new benchmark wrote the timing of the ledger's again. Change: one function, benchmarks.timing. No change of the program.

--- a/benchmarks/crashes.py
+++ b/benchmarks/crashes.py
@@ -3,9 +3,7 @@
 ``python -m benchmarks.crashes``
 """
 
-import time
 import tracemalloc
-import typing as t
 
 import msgspec
 
@@ -16,6 +14,7 @@
 from bankrack.serving.crashregister import MAX_SERVED
 from bankrack.serving.fingerprint import fingerprint
 from bankrack.serving.job import Job
+from benchmarks.timing import median_microseconds
 
 ROUNDS = 2000
 BODY_BYTES = (100, 4_000, 100_000)
@@ -23,16 +22,6 @@
 """Requests of one node that are first suspects of an end."""
 
 
-def median_microseconds(call: t.Callable[[], t.Any]) -> float:
-    """Median processor time of a call."""
-    times = []
-    for _ in range(ROUNDS):
-        began = time.process_time_ns()
-        call()
-        times.append(time.process_time_ns() - began)
-    return sorted(times)[ROUNDS // 2] / 1000
-
-
 def make_job(size: int) -> Job:
     """A request with a body of ``size`` bytes."""
     body = b"x" * size
@@ -55,7 +44,9 @@
     """Print the rows."""
     for size in BODY_BYTES:
         job = make_job(size)
-        spent = median_microseconds(lambda job=job: fingerprint(job, "tutors"))
+        spent = median_microseconds(
+            lambda job=job: fingerprint(job, "tutors"), rounds=ROUNDS
+        )
         print(f"fingerprint of a request with {size} bytes: {spent:.1f} us")
     tracemalloc.start()
     register = full_register()
@@ -64,11 +55,15 @@
     print(f"a full register: {used / 1e6:.1f} MB")
     known, other = f"{7:024x}", "f" * 24
     for name, one in (("in quarantine", known), ("unknown", other)):
-        spent = median_microseconds(lambda one=one: register.may_run_on(one, "1"))
+        spent = median_microseconds(
+            lambda one=one: register.may_run_on(one, "1"), rounds=ROUNDS
+        )
         print(f"a look before a send, {name}: {spent:.1f} us")
-    spent = median_microseconds(lambda: register.note_served(other, "1"))
+    spent = median_microseconds(lambda: register.note_served(other, "1"), rounds=ROUNDS)
     print(f"noting that one was served: {spent:.1f} us")
-    spent = median_microseconds(lambda: (register.quarantined(), register.unsaved()))
+    spent = median_microseconds(
+        lambda: (register.quarantined(), register.unsaved()), rounds=ROUNDS
+    )
     print(f"both looks twice a second, all in quarantine: {spent:.1f} us")
     told = [
         Quarantine(f"{n:024x}", [Crash(f"i-{n:010x}", "1", early=True)])
--- a/benchmarks/ledger.py
+++ b/benchmarks/ledger.py
@@ -3,8 +3,8 @@
 ``python -m benchmarks.ledger``
 """
 
+import functools
 import time
-import typing as t
 
 from bankrack.serving.allocation import Allocator
 from bankrack.serving.allocation import Wish
@@ -12,6 +12,7 @@
 from bankrack.serving.upstreams import EngineReport
 from bankrack.serving.upstreams import Upstream
 from bankrack.serving.upstreams import UpstreamRecord
+from benchmarks.timing import median_microseconds
 
 ENGINES = (5, 24, 100, 400)
 RUNS_PER_ENGINE = 8
@@ -42,16 +43,6 @@
     return allocator
 
 
-def median_microseconds(call: t.Callable[[], t.Any]) -> float:
-    """Median processor time of a call."""
-    times = []
-    for _ in range(ROUNDS):
-        began = time.process_time_ns()
-        call()
-        times.append(time.process_time_ns() - began)
-    return sorted(times)[ROUNDS // 2] / 1000
-
-
 def main() -> None:
     """Print a row a size."""
     print("| engines | runs | us an order | us a decision |\n| --- | --- | --- | --- |")
@@ -63,9 +54,14 @@
             "r-0", demand, MEMORY, "a", (0, 1), due=1.0, left=30.0, silence_left=30.0
         )
         order = median_microseconds(
-            lambda: allocator.ledger.order(engines, demand, memory=MEMORY, hall="a")  # noqa: B023
+            functools.partial(
+                allocator.ledger.order, engines, demand, memory=MEMORY, hall="a"
+            ),
+            rounds=ROUNDS,
+        )
+        decision = median_microseconds(
+            functools.partial(allocator.decide, engines, wish), rounds=ROUNDS
         )
-        decision = median_microseconds(lambda: allocator.decide(engines, wish))  # noqa: B023
         runs = count * RUNS_PER_ENGINE
         print(f"| {count} | {runs} | {order:.0f} | {decision:.0f} |")
 
