Two figures in comments and the design page corrected by their runs

Each end took three other streams with it in the median (3, 3, 3, 5, 1, 2, 3, 3); four counted the culprit. A full register was measured at 3.7 MB, not reckoned at 400 bytes each. Comments and a page only; no decision changes.

--- a/src/bankrack/decisions/poison.py
+++ b/src/bankrack/decisions/poison.py
@@ -16,8 +16,8 @@
 """A long run may be aboard two ends by chance, resumed from one to the next."""
 SUSPICION_LIMIT = 2.0
 """Two early ends with nothing served between them.  Each further one would cost the
-streams of an upstream, four in the median of eight; a caller whose request was aboard
-twice by chance has spent its retry by then."""
+other streams of an upstream, three in the median of eight; a caller whose request was
+aboard twice by chance has spent its retry by then."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/bankrack/serving/crashregister.py
+++ b/src/bankrack/serving/crashregister.py
@@ -17,7 +17,7 @@
 """Also how long a quarantine lies in the store, whose leases last no longer; after it a
 request is tried again."""
 MAX_HISTORIES = 4096
-"""Requests remembered, some 400 bytes each; an end adds a few dozens at most."""
+"""Requests remembered, 3.7 MB with those served; an end adds a few dozens at most."""
 MAX_CRASHES = 16
 """Ends remembered of one request; it is in quarantine long before."""
 MAX_SERVED = 4096
