Sight: what an answer tells of its upstream, and which one gave a plain answer

The two hypotheses "not read" and "read and undone" of the incident look alike in the logs: no line shows that an upstream's word reached the node, a rejection's line has neither status nor what it asked for, and a plain answer's last line doesn't name who gave it.

Added, without a change of what is decided: one decoder of the headers that concern the upstream itself (platform/answers.py), used for requests, orders and reports alike; one place that takes the result (serving/notices.py); `upstream_told` with status, leaving, rest, what was believed and what could not be read, at most one line a second and upstream; the upstream's id in the outcome of plain requests. Load and cold time are taken in as before.

Ruled out: a line for each answer (8,400 a second at the aimed size).

--- a/src/bankrack/embedding.py
+++ b/src/bankrack/embedding.py
@@ -12,6 +12,7 @@
 from bankrack.serving.budget import BudgetTerms
 from bankrack.serving.client import UpstreamDialect
 from bankrack.serving.enginecontrol import EngineControl
+from bankrack.serving.notices import Notices
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -57,8 +58,13 @@
         """Decodes items of the store."""
         ...
 
-    def control(self, session: aiohttp.ClientSession) -> EngineControl:
-        """Make the client for orders to engines."""
+    def control(
+        self, session: aiohttp.ClientSession, notices: Notices
+    ) -> EngineControl:
+        """Make the client for orders to engines.
+
+        :param notices: takes in what engines tell of themselves beside their answers.
+        """
         ...
 
     def store(self, session: aiohttp.ClientSession) -> Store:
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -48,6 +48,7 @@
 from bankrack.serving.dispatch import Dispatcher
 from bankrack.serving.job import Job
 from bankrack.serving.job import Reply
+from bankrack.serving.notices import Notices
 from bankrack.serving.plain import PlainRelay
 from bankrack.serving.pools import count_pools
 from bankrack.serving.relay import RelayParts
@@ -132,8 +133,9 @@
         self.cold = ColdShares(
             settings.name, self.view.members_by_name.keys, settings.cold
         )
-        client = UpstreamClient(self._sending, dialect.upstreams)
-        control = dialect.control(self._asking)
+        notices = Notices()
+        client = UpstreamClient(self._sending, dialect.upstreams, notices)
+        control = dialect.control(self._asking, notices)
         self.ledgers = Ledgers(
             self.upstreams, self.chooser, note_use=lambda: self.reports.note_use()
         )
--- a/src/bankrack/serving/client.py
+++ b/src/bankrack/serving/client.py
@@ -24,6 +24,8 @@
 from bankrack.exceptions import UpstreamUnreachable
 from bankrack.serving.job import Header
 from bankrack.serving.job import Job
+from bankrack.serving.notices import Notice
+from bankrack.serving.notices import Notices
 from bankrack.serving.upstreams import Upstream
 
 CONNECT_SECONDS = 0.3
@@ -77,8 +79,7 @@
     :param not_run: the upstream says that it did not run the job.
     :param run_id: the job that the answer belongs to, if it says so.
     :param sealed: whether it carries the upstream's proof of origin.
-    :param waiting: requests that wait at the upstream, if it says so.
-    :param cold_seconds: how much longer the upstream is cold, if it says so.
+    :param notice: what it tells of the upstream itself.
     """
 
     status: int
@@ -86,8 +87,7 @@
     not_run: bool
     run_id: str | None
     sealed: bool
-    waiting: int | None = None
-    cold_seconds: float | None = None
+    notice: Notice = dataclasses.field(default_factory=Notice)
 
 
 class UpstreamDialect(t.Protocol):
@@ -184,10 +184,14 @@
     """Sends jobs; one connection a send."""
 
     def __init__(
-        self, session: aiohttp.ClientSession, dialect: UpstreamDialect
+        self,
+        session: aiohttp.ClientSession,
+        dialect: UpstreamDialect,
+        notices: Notices,
     ) -> None:
         self._session = session
         self._dialect = dialect
+        self._notices = notices
         self._timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS)
 
     async def open(self, send: Send) -> Exchange:
@@ -217,6 +221,9 @@
                 f"{send.upstream.address} gave no answer ({error!r}); it may have run"
             ) from error
         head = self._dialect.read_head(response.status, _pairs(response))
+        self._notices.take(
+            send.upstream, head.notice, status=head.status, request=job.id
+        )
         if head.run_id is not None and head.run_id != job.id:
             response.close()
             raise UpstreamFailed(
--- /dev/null
+++ b/src/bankrack/serving/notices.py
@@ -0,0 +1,80 @@
+"""What upstreams tell of themselves beside their answers.
+
+Every answer of an upstream comes through here, whatever it answers and to whom: a
+request, a resumed run, an order, a report.
+"""
+
+import dataclasses
+import logging
+import typing as t
+
+from bankrack import logs
+from bankrack.clock import boottime
+from bankrack.serving.upstreams import Upstream
+
+LOG_SECONDS = 1.0
+"""Rest between two lines on one upstream, which may tell the same with each answer."""
+
+_logger = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Notice:
+    """What an answer tells of the upstream that gave it.
+
+    :param leaving: it ends soon and takes no new work.
+    :param rest_seconds: it turned a request away and wants nothing from this node for
+        so long.
+    :param waiting: requests that wait there.
+    :param cold_seconds: how much longer it is cold.
+    :param unreadable: headers whose values can't be read, each as ``name: value``.
+    """
+
+    leaving: bool = False
+    rest_seconds: float | None = None
+    waiting: int | None = None
+    cold_seconds: float | None = None
+    unreadable: tuple[str, ...] = ()
+
+
+class Notices:
+    """Takes in what upstreams tell of themselves."""
+
+    def __init__(self, *, clock: t.Callable[[], float] = boottime) -> None:
+        self._clock = clock
+
+    def take(
+        self,
+        upstream: Upstream,
+        notice: Notice,
+        *,
+        status: int,
+        request: str | None = None,
+    ) -> None:
+        """Take in what an answer tells.
+
+        :param status: of the answer.
+        :param request: id of the caller's request that was answered, if one was.
+        """
+        if notice.leaving or notice.rest_seconds is not None or notice.unreadable:
+            self._log(upstream, notice, status, request)
+
+    def _log(
+        self, upstream: Upstream, notice: Notice, status: int, request: str | None
+    ) -> None:
+        now = self._clock()
+        if now < upstream.notice_logged_at + LOG_SECONDS:
+            return
+        upstream.notice_logged_at = now
+        logs.event(
+            _logger,
+            "upstream_told",
+            request=request,
+            upstream=upstream.id,
+            address=upstream.address,
+            status=status,
+            leaving=notice.leaving,
+            rest=notice.rest_seconds,
+            believed_leaving=upstream.leaving,
+            unreadable="; ".join(notice.unreadable) or None,
+        )
--- a/src/bankrack/serving/plain.py
+++ b/src/bankrack/serving/plain.py
@@ -78,7 +78,7 @@
                     self._log(work, upstream, "failed", str(answer.status))
                     continue
             await reply.answer(answer)
-            return f"{answer.status} after {sends.count} sends"
+            return f"{answer.status} after {sends.count} sends, by {upstream.id}"
 
     async def _next(self, work: Assignment, sends: "_Sends") -> Upstream:
         """Choose where to send next; raises when there is nowhere."""
@@ -130,10 +130,11 @@
                 exchange = await self._parts.client.open(send)
                 sends.count += 1
                 head = exchange.head
-                if head.waiting is not None:
-                    upstream.load_waiting = head.waiting
-                if head.cold_seconds is not None:
-                    upstream.note_cold(head.cold_seconds, boottime())
+                notice = head.notice
+                if notice.waiting is not None:
+                    upstream.load_waiting = notice.waiting
+                if notice.cold_seconds is not None:
+                    upstream.note_cold(notice.cold_seconds, boottime())
                 if head.not_run:
                     return None
                 body = await exchange.read()
--- a/src/bankrack/serving/upstreams.py
+++ b/src/bankrack/serving/upstreams.py
@@ -1,6 +1,7 @@
 """The upstreams that are known, what each reported and what runs there."""
 
 import dataclasses
+import math
 import typing as t
 
 from bankrack.clock import boottime
@@ -64,6 +65,7 @@
         "in_flight",
         "leaving_at",
         "load_waiting",
+        "notice_logged_at",
         "record",
         "report",
         "report_learned",
@@ -82,6 +84,7 @@
         self.report: EngineReport | None = None
         self.report_learned = 0.0
         self.load_waiting = 0
+        self.notice_logged_at = -math.inf
         self.failure_rate = 0.0
         self.suspect_until = 0.0
         self.leaving_at = now if record.leaving else 0.0
--- /dev/null
+++ b/tests/platform/test_answers.py
@@ -0,0 +1,85 @@
+"""Tests of what the headers of an answer tell of the upstream."""
+
+import email.utils
+import time
+
+from hypothesis import given
+from hypothesis import strategies
+
+from answers import read_notice
+from bankrack.serving.notices import Notice
+from tests.base import TestCase
+
+DATE = "Thu, 01 Jan 2026 00:00:10 GMT"
+
+
+def told(status: int, *headers: tuple[str, str]) -> Notice:
+    return read_notice(status, headers)
+
+
+class Rests(TestCase):
+    def rest(self, *values: str, status: int = 503) -> float | None:
+        return told(status, *(("Retry-After", v) for v in values)).rest_seconds
+
+    def test_seconds_and_fractions(self):
+        self.assertEqual(3.0, self.rest("3"))
+        self.assertEqual(0.25, self.rest("0.25"))
+        self.assertEqual(0.0, self.rest("0"))
+
+    def test_none_is_asked_for_without_the_header(self):
+        self.assertIsNone(self.rest())
+
+    def test_beside_another_status_it_is_for_the_caller(self):
+        for status in (200, 429, 500):
+            self.assertIsNone(self.rest("3", status=status))
+
+    def test_of_two_headers_the_longer_time_holds(self):
+        self.assertEqual(3.0, self.rest("3", "1"))
+        self.assertEqual(3.0, self.rest("1", "3"))
+        self.assertEqual(3.0, self.rest("soon", "3"))
+
+    def test_a_date_counts_by_the_clock_of_who_answered(self):
+        later = "Thu, 01 Jan 2026 00:00:14 GMT"
+        found = told(503, ("Date", DATE), ("Retry-After", later))
+        self.assertEqual(4.0, found.rest_seconds)
+        passed = told(503, ("Date", later), ("Retry-After", DATE))
+        self.assertEqual(0.0, passed.rest_seconds)
+
+    def test_a_date_without_one_counts_by_this_clock(self):
+        rest = self.rest(email.utils.formatdate(time.time() + 5.0, usegmt=True))
+        assert rest is not None
+        self.assertLess(abs(rest - 5.0), 1.5)
+
+    def test_what_cannot_be_read_is_named_and_asks_for_nothing(self):
+        for value in ("-1", "soon", "1e3", "inf", "nan", "", "1,5", "٣", "9" * 400):
+            found = told(503, ("Retry-After", value))
+            self.assertIsNone(found.rest_seconds, value)
+            self.assertEqual((f"Retry-After: {value[:40]}",), found.unreadable)
+
+
+class OtherHeaders(TestCase):
+    def test_that_it_leaves(self):
+        self.assertTrue(told(200, ("server-leaving", "1")).leaving)
+        self.assertTrue(told(503, ("Server-Leaving", " 1 ")).leaving)
+        self.assertFalse(told(200, ("Server-Leaving", "0")).leaving)
+        self.assertFalse(told(200).leaving)
+
+    def test_a_word_that_is_not_known_says_nothing(self):
+        found = told(200, ("Server-Leaving", "maybe"))
+        self.assertFalse(found.leaving)
+        self.assertEqual(("Server-Leaving: maybe",), found.unreadable)
+
+    def test_load_and_cold_time(self):
+        found = told(200, ("Bankrack-Server-Load", "3,1,8"), ("Bankrack-Cold-Ms", "50"))
+        self.assertEqual((1, 0.05), (found.waiting, found.cold_seconds))
+        self.assertEqual((), found.unreadable)
+
+    @given(
+        strategies.sampled_from(
+            ["Retry-After", "Server-Leaving", "Bankrack-Server-Load", "Date"]
+        ),
+        strategies.text(max_size=60),
+    )
+    def test_nonsense_is_left_out(self, name, text):
+        found = told(503, (name, text), ("Retry-After", DATE))
+        self.assertLessEqual(len(found.unreadable), 2)
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -182,7 +182,7 @@
     def test_what_an_answer_says(self):
         head = self.head(503, Bankrack_Not_Executed="1", Bankrack_Server_Load="3,1,8")
         self.assertTrue(head.not_run)
-        self.assertEqual(1, head.waiting)
+        self.assertEqual(1, head.notice.waiting)
         self.assertTrue(self.head(421).not_run)
         self.assertFalse(self.head(503).not_run)
         self.assertTrue(self.head(200, Bankrack_Response_Seal="s").sealed)
--- a/tests/platform/test_sending.py
+++ b/tests/platform/test_sending.py
@@ -11,6 +11,7 @@
 from bankrack.serving.client import UpstreamClient
 from bankrack.serving.job import Demand
 from bankrack.serving.job import Job
+from bankrack.serving.notices import Notices
 from bankrack.serving.upstreams import Upstream
 from bankrack.serving.upstreams import UpstreamRecord
 from engines import Upstreams
@@ -41,7 +42,7 @@
         record = UpstreamRecord("s-1", "s", server.address, "a", slots=1, leaving=True)
         upstream = Upstream(record, boottime())
         session = new_session(reuse=False)
-        client = UpstreamClient(session, Upstreams())
+        client = UpstreamClient(session, Upstreams(), Notices())
         send = Send(job(), upstream, None, 0, 5.0, resume=resume)
         try:
             exchange = await client.open(send)
--- /dev/null
+++ b/tests/serving/test_notices.py
@@ -0,0 +1,42 @@
+"""Tests of what upstreams tell of themselves beside their answers."""
+
+from bankrack.serving.notices import LOG_SECONDS
+from bankrack.serving.notices import Notice
+from bankrack.serving.notices import Notices
+from bankrack.serving.upstreams import Upstream
+from bankrack.serving.upstreams import UpstreamRecord
+from tests.base import TestCase
+
+
+class Lines(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.now = 100.0
+        self.notices = Notices(clock=lambda: self.now)
+        record = UpstreamRecord("u", "s", "10.0.0.1:1", "a", slots=8)
+        self.upstream = Upstream(record, self.now)
+
+    def lines(self, notice: Notice, count: int = 1) -> list[str]:
+        with self.assertLogs("bankrack", "INFO") as found:
+            for _ in range(count):
+                self.notices.take(self.upstream, notice, status=503, request="r")
+        return found.output
+
+    def test_one_says_what_was_told_and_what_was_believed(self):
+        [line] = self.lines(Notice(leaving=True, rest_seconds=3.0))
+        self.assertIn("event=upstream_told request=r upstream=u", line)
+        self.assertIn("status=503 leaving=True rest=3 believed_leaving=False", line)
+
+    def test_one_names_what_could_not_be_read(self):
+        [line] = self.lines(Notice(unreadable=("Retry-After: soon",)))
+        self.assertIn('unreadable="Retry-After: soon"', line)
+
+    def test_they_are_bounded(self):
+        self.assertEqual(1, len(self.lines(Notice(unreadable=("x",)), count=100)))
+        self.now += LOG_SECONDS
+        self.assertEqual(1, len(self.lines(Notice(unreadable=("x",)), count=100)))
+
+    def test_what_is_told_of_load_alone_writes_none(self):
+        with self.assertNoLogs("bankrack", "INFO"):
+            notice = Notice(waiting=3, cold_seconds=1.0)
+            self.notices.take(self.upstream, notice, status=200)
