--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -183,13 +183,19 @@
 
 
 class FakeServer(Served):
-    """A plain server; ``behave`` may answer instead of it."""
+    """A plain server; ``behave`` may answer instead of it.
+
+    One that is ``leaving`` says so in all its answers; with ``rest`` it turns all
+    away and asks for so many seconds without requests.
+    """
 
     def __init__(self, server_id: str) -> None:
         super().__init__()
         self.id = server_id
         self.arrivals: list[Arrival] = []
         self.cancelled = 0
+        self.leaving = False
+        self.rest = ""
         self.behave: t.Callable[[web.BaseRequest], t.Awaitable[t.Any]] | None = None
 
     def entry(self, service: str, **more: t.Any) -> dict[str, t.Any]:
@@ -197,6 +203,17 @@
         return {**entry, "state": "ready", **more}
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        response = await self.answer(request)
+        if not response.prepared:
+            response.headers.update(self.told())
+        return response
+
+    def told(self) -> dict[str, str]:
+        """What each answer says of the server."""
+        told = {"Server-Leaving": "1"} if self.leaving else {}
+        return {**told, "Retry-After": self.rest} if self.rest else told
+
+    async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path.startswith("/v1/"):
             return await self.control(request)
         body = await request.read()
@@ -206,6 +223,8 @@
         expected = request.headers.get("Bankrack-Expect-Instance")
         if expected not in (None, self.id):
             return web.Response(status=421, headers={"Bankrack-Instance-Id": self.id})
+        if self.rest:
+            return web.Response(status=503, headers={"Bankrack-Not-Executed": "1"})
         try:
             if self.behave is not None:
                 found = await self.behave(request)
@@ -226,6 +245,7 @@
         return {
             "Bankrack-Request-Id": request.headers.get("Bankrack-Request-Id", ""),
             "Bankrack-Response-Seal": "seal",
+            **self.told(),
         }
 
 
@@ -257,7 +277,7 @@
         if request.path == "/v1/report":
             report = {"running": 0, "queued": 0, "kvUsed": 0, "kvTotal": 30000}
             return web.json_response(report)
-        if not self.room:
+        if not self.room or self.rest:
             return web.Response(status=503)
         if request.path == "/v1/hold-take":
             return web.json_response({"hold": "h-1"})
