What an upstream says of its leaving in an answer holds for its life

Callers saw: requests sent to an upstream that was ending, some cut off with it, for as long as the store stayed silent (79 of 156 in 12 s). Cause: a node learned that an upstream leaves from its entry in the store alone (engines: from reports too). An answer was decoded for its request; what it told of its upstream was dropped. Class: knowledge kept with the request that met it, where it belongs to the upstream's life. Evidence: both requests of the record were first sends 2.0 and 2.3 s after the word, and no belief had changed at any node. Ruled out: word read and undone (no line of a change), a path past it (single first sends).

Nothing but a new life undoes it: an entry that lapses and returns revives the object of that life instead of a new one that knows nothing (so suspicion, cold time and rests survive an outage as well). A 421 tells nothing: another process answered. Resumed runs go to a leaving upstream only if their request came before the notice; targets that the pool's owner names for a copy are looked at once more. The test of resumed runs now says which came first, and has its counterpart: strict on both sides. Why it holds: one place takes the word in, one check stands before the send.

--- a/src/bankrack/serving/client.py
+++ b/src/bankrack/serving/client.py
@@ -239,7 +239,8 @@
 
     The last check before a send: an upstream may begin to leave, or its hall may be
     evacuated, between its choice and this moment, as while it was asked for a place.
-    A leaving one still takes runs whose copy it holds, an evacuated one nothing.
+    A leaving one still takes runs whose copy it holds, if they came before it told
+    that it leaves; an evacuated one takes nothing.
     """
     upstream = send.upstream
     if upstream.evacuated:
@@ -247,7 +248,8 @@
             f"hall {upstream.record.hall} of {upstream.id} is evacuated; nothing was "
             "sent, try another"
         )
-    if send.resume is None and upstream.leaving:
+    goes_on = send.resume is not None and send.job.arrived <= upstream.leaving_since
+    if upstream.leaving and not goes_on:
         raise UpstreamClosed(
             f"{upstream.id} began to leave; nothing was sent, try another"
         )
--- a/src/bankrack/serving/copies.py
+++ b/src/bankrack/serving/copies.py
@@ -171,7 +171,9 @@
         match verdict:
             case Admit(names) if names:
                 by_id = self._upstreams.by_id
-                return [by_id[name] for name in names if name in by_id]
+                found = [by_id[name] for name in names if name in by_id]
+                # This node may know by an answer what the owner does not yet.
+                return [target for target in found if target.open]
             case None | Admit():
                 return self._targets(engine, tried)[:MOST_TARGETS]
         return []
--- a/src/bankrack/serving/notices.py
+++ b/src/bankrack/serving/notices.py
@@ -14,6 +14,8 @@
 
 LOG_SECONDS = 1.0
 """Rest between two lines on one upstream, which may tell the same with each answer."""
+MISDIRECTED = 421
+"""Status of an answer to a request that was meant for another upstream."""
 
 _logger = logging.getLogger(__name__)
 
@@ -56,14 +58,27 @@
         :param status: of the answer.
         :param request: id of the caller's request that was answered, if one was.
         """
-        if notice.leaving or notice.rest_seconds is not None or notice.unreadable:
-            self._log(upstream, notice, status, request)
+        if status == MISDIRECTED:
+            # Another process listens there now, and tells of itself.
+            return
+        now = self._clock()
+        # Kept with the upstream's life, not with the request that was answered: the
+        # store may be away and tell it only when the upstream has ended.
+        news = notice.leaving and upstream.note_leaving(now)
+        if news or notice.rest_seconds is not None or notice.unreadable:
+            self._log(upstream, notice, status, request, news=news)
 
     def _log(
-        self, upstream: Upstream, notice: Notice, status: int, request: str | None
+        self,
+        upstream: Upstream,
+        notice: Notice,
+        status: int,
+        request: str | None,
+        *,
+        news: bool,
     ) -> None:
         now = self._clock()
-        if now < upstream.notice_logged_at + LOG_SECONDS:
+        if not news and now < upstream.notice_logged_at + LOG_SECONDS:
             return
         upstream.notice_logged_at = now
         logs.event(
@@ -75,6 +90,6 @@
             status=status,
             leaving=notice.leaving,
             rest=notice.rest_seconds,
-            believed_leaving=upstream.leaving,
+            news=news,
             unreadable="; ".join(notice.unreadable) or None,
         )
--- a/src/bankrack/serving/upstreams.py
+++ b/src/bankrack/serving/upstreams.py
@@ -1,11 +1,16 @@
 """The upstreams that are known, what each reported and what runs there."""
 
+import collections
 import dataclasses
 import math
 import typing as t
 
 from bankrack.clock import boottime
 
+MAX_ABSENT = 6_500
+"""Upstreams without an entry that are remembered: all of the largest fleet, whose
+entries lapse together while the store is away."""
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class UpstreamRecord:
@@ -108,7 +113,12 @@
     @property
     def leaving(self) -> bool:
         """Whether it ends soon: it takes no new work, and its runs go on elsewhere."""
-        return self.leaving_at > 0.0 or self.gone_at > 0.0
+        return self.leaving_since > 0.0
+
+    @property
+    def leaving_since(self) -> float:
+        """Boot-time seconds when this node learned that it leaves; 0 if it does not."""
+        return self.leaving_at or self.gone_at
 
     @property
     def open(self) -> bool:
@@ -119,6 +129,17 @@
         """Whether what all nodes send it is bounded by its service's rate."""
         return now < self.cold_until
 
+    def note_leaving(self, now: float) -> bool:
+        """Take in that it ends soon; tells whether that is new.
+
+        Nothing undoes it but a new life, which is another object: an older reading of
+        its entry, or an answer that was under way, may still say the contrary.
+        """
+        if self.leaving_at:
+            return False
+        self.leaving_at = now
+        return True
+
     def note_cold(self, seconds: float, now: float) -> None:
         """Take in how much longer it is cold, as it said itself just now."""
         self.cold_until = now + seconds
@@ -152,8 +173,8 @@
             return False
         self.report = report
         self.report_learned = report.taken if learned is None else learned
-        if report.leaving and not self.leaving_at:
-            self.leaving_at = report.taken
+        if report.leaving:
+            self.note_leaving(report.taken)
         return True
 
     def note_sent(self, tokens: int, now: float) -> None:
@@ -174,37 +195,52 @@
         self.by_id: dict[str, Upstream] = {}
         self.evacuated_halls: set[str] = set()
         self._clock = clock
+        self._absent_by_id: collections.OrderedDict[str, Upstream] = (
+            collections.OrderedDict()
+        )
 
     def put(self, record: UpstreamRecord) -> str | None:
         """Add or update one; returns what changed, if anything did."""
         now = self._clock()
         known = self.by_id.get(record.id)
         if known is None:
-            added = self.by_id[record.id] = Upstream(record, now)
-            added.evacuated = record.hall in self.evacuated_halls
-            return "leaving" if record.leaving else "joined"
-        if known.gone_at:
-            known.gone_at = 0.0
+            return self._join(record, now)
         # It may become cold at any moment of its life, also for as long as before.
         known.note_cold(record.cold_seconds, now)
         if known.record == record:
             return None
         known.record = record
         known.evacuated = record.hall in self.evacuated_halls
-        if record.leaving and not known.leaving_at:
-            known.leaving_at = now
+        if record.leaving and known.note_leaving(now):
             return "leaving"
         return "changed"
 
+    def _join(self, record: UpstreamRecord, now: float) -> str:
+        """Add one, with all that is known of this life if it was here before."""
+        joined = self._absent_by_id.pop(record.id, None) or Upstream(record, now)
+        self.by_id[record.id] = joined
+        joined.record = record
+        joined.gone_at = 0.0
+        joined.evacuated = record.hall in self.evacuated_halls
+        joined.note_cold(record.cold_seconds, now)
+        if record.leaving:
+            joined.note_leaving(now)
+        return "leaving" if joined.leaving else "joined"
+
     def remove(self, upstream_id: str) -> bool:
         """Note that an upstream's entry went; tells whether it was known.
 
-        The object lives on with the streams that still use it.
+        The object lives on with the streams that still use it, and for the entry's
+        return: while the store is away entries lapse, and what the upstream told
+        meanwhile still holds when they are back.
         """
         known = self.by_id.pop(upstream_id, None)
         if known is None:
             return False
         known.gone_at = self._clock()
+        self._absent_by_id[upstream_id] = known
+        if len(self._absent_by_id) > MAX_ABSENT:
+            self._absent_by_id.popitem(last=False)
         return True
 
     def end_life(self, upstream_id: str) -> None:
--- a/tests/platform/test_leaving_answers.py
+++ b/tests/platform/test_leaving_answers.py
@@ -18,6 +18,7 @@
 
 from tests.base import TestCase
 from tests.platform.deployment import running
+from tests.platform.deployment import until
 from tests.platform.world import call
 
 
@@ -35,3 +36,64 @@
                     self.assertEqual((200, True), (found.status, found.whole))
             for server in leaving:
                 self.assertLessEqual(len(server.arrivals), 1)
+
+    async def test_what_an_order_is_answered_counts_too(self):
+        async with running() as world:
+            gateway = await world.ready_gateway()
+            world.store.silent = True
+            engine = world.engines[0]
+            engine.leaving, engine.room = True, False
+            for _ in range(12):
+                found = await call(gateway.settings.front, "/talk/x")
+                self.assertEqual((200, True), (found.status, found.whole))
+            self.assertEqual([], engine.arrivals)
+            holds = [path for path, _ in engine.orders if path == "/v1/hold-take"]
+            self.assertLessEqual(len(holds), 1)
+
+    async def test_its_entry_that_returns_from_an_outage_does_not_undo_it(self):
+        async with running() as world:
+            gateway = await world.ready_gateway()
+            server = world.plain[0]
+            server.leaving = True
+            while not gateway.upstreams.by_id[server.id].leaving:
+                await call(gateway.settings.front, "/bill/x")
+            world.store.remove(f"servers/{server.id}")
+            await until(lambda: server.id not in gateway.upstreams.by_id)
+            world.store.put(f"servers/{server.id}", server.entry("plain"))
+            await until(lambda: server.id in gateway.upstreams.by_id)
+            arrivals = len(server.arrivals)
+            for _ in range(12):
+                found = await call(gateway.settings.front, "/bill/x")
+                self.assertEqual(200, found.status)
+            self.assertEqual(arrivals, len(server.arrivals))
+
+    async def test_when_all_leave_callers_are_refused_at_once(self):
+        async with running() as world:
+            gateway = await world.ready_gateway()
+            for server in world.plain:
+                server.leaving = True
+            for _ in range(2):
+                await call(gateway.settings.front, "/bill/x")
+            found = await call(gateway.settings.front, "/bill/x")
+            self.assertEqual(503, found.status)
+            self.assertIn(b"overloaded", found.body)
+            self.assertGreater(float(found.headers["Retry-After"]), 0.0)
+            self.assertEqual(2, sum(len(server.arrivals) for server in world.plain))
+
+    async def test_a_new_life_under_its_name_is_used(self):
+        async with running() as world:
+            server = world.plain[0]
+            world.store.put(f"servers/{server.id}", server.entry("plain", born=1))
+            gateway = await world.ready_gateway()
+            server.leaving = True
+            first = f"{server.id}.1"
+            await until(lambda: first in gateway.upstreams.by_id)
+            while not gateway.upstreams.by_id[first].leaving:
+                await call(gateway.settings.front, "/bill/x")
+            server.leaving = False
+            world.store.put(f"servers/{server.id}", server.entry("plain", born=2))
+            await until(lambda: len(gateway.upstreams.open_of("plain")) == 2)
+            arrivals = len(server.arrivals)
+            for _ in range(12):
+                await call(gateway.settings.front, "/bill/x")
+            self.assertGreater(len(server.arrivals), arrivals)
--- a/tests/platform/test_sending.py
+++ b/tests/platform/test_sending.py
@@ -35,15 +35,21 @@
 
 
 class Leaving(TestCase):
-    async def send(self, *, resume: Resume | None = None) -> tuple[t.Any, int]:
-        """Send to a server that is known to leave; what came, and what arrived."""
+    async def send(
+        self, *, resume: Resume | None = None, later: bool = False
+    ) -> tuple[t.Any, int]:
+        """Send to a server that is known to leave; what came, and what arrived.
+
+        :param later: the job came after that was known.
+        """
+        sent = job()
         server = FakeServer("s-1")
         await server.start()
         record = UpstreamRecord("s-1", "s", server.address, "a", slots=1, leaving=True)
         upstream = Upstream(record, boottime())
         session = new_session(reuse=False)
         client = UpstreamClient(session, Upstreams(), Notices())
-        send = Send(job(), upstream, None, 0, 5.0, resume=resume)
+        send = Send(job() if later else sent, upstream, None, 0, 5.0, resume=resume)
         try:
             exchange = await client.open(send)
             return exchange, len(server.arrivals)
@@ -63,3 +69,8 @@
         found, arrivals = await self.send(resume=Resume("10.0.0.1:1", "h"))
         self.assertEqual(200, found.head.status)
         self.assertEqual(1, arrivals)
+
+    async def test_one_that_came_after_it_told_may_not(self):
+        found, arrivals = await self.send(resume=Resume("10.0.0.1:1", "h"), later=True)
+        self.assertIsInstance(found, UpstreamUnreachable)
+        self.assertEqual(0, arrivals)
--- a/tests/serving/test_notices.py
+++ b/tests/serving/test_notices.py
@@ -8,7 +8,7 @@
 from tests.base import TestCase
 
 
-class Lines(TestCase):
+class NoticesTestCase(TestCase):
     def setUp(self):
         super().setUp()
         self.now = 100.0
@@ -16,21 +16,43 @@
         record = UpstreamRecord("u", "s", "10.0.0.1:1", "a", slots=8)
         self.upstream = Upstream(record, self.now)
 
+
+class Leaving(NoticesTestCase):
+    def test_it_is_believed_from_the_first_answer_on(self):
+        self.notices.take(self.upstream, Notice(leaving=True), status=200)
+        self.assertTrue(self.upstream.leaving)
+        self.assertEqual(100.0, self.upstream.leaving_at)
+
+    def test_an_answer_that_says_nothing_of_it_does_not_undo_it(self):
+        self.notices.take(self.upstream, Notice(leaving=True), status=500)
+        self.notices.take(self.upstream, Notice(), status=200)
+        self.assertTrue(self.upstream.leaving)
+
+    def test_who_took_over_its_address_tells_of_itself(self):
+        self.notices.take(self.upstream, Notice(leaving=True), status=421)
+        self.assertFalse(self.upstream.leaving)
+
+
+class Lines(NoticesTestCase):
     def lines(self, notice: Notice, count: int = 1) -> list[str]:
         with self.assertLogs("bankrack", "INFO") as found:
             for _ in range(count):
                 self.notices.take(self.upstream, notice, status=503, request="r")
         return found.output
 
-    def test_one_says_what_was_told_and_what_was_believed(self):
+    def test_one_says_what_was_told_and_whether_it_is_news(self):
         [line] = self.lines(Notice(leaving=True, rest_seconds=3.0))
         self.assertIn("event=upstream_told request=r upstream=u", line)
-        self.assertIn("status=503 leaving=True rest=3 believed_leaving=False", line)
+        self.assertIn("status=503 leaving=True rest=3 news=True", line)
 
     def test_one_names_what_could_not_be_read(self):
         [line] = self.lines(Notice(unreadable=("Retry-After: soon",)))
         self.assertIn('unreadable="Retry-After: soon"', line)
 
+    def test_news_is_told_even_right_after_another_line(self):
+        self.lines(Notice(unreadable=("x",)))
+        self.assertEqual(1, len(self.lines(Notice(leaving=True), count=100)))
+
     def test_they_are_bounded(self):
         self.assertEqual(1, len(self.lines(Notice(unreadable=("x",)), count=100)))
         self.now += LOG_SECONDS
--- a/tests/serving/test_upstreams.py
+++ b/tests/serving/test_upstreams.py
@@ -1,6 +1,7 @@
 """Tests of the upstreams that are known."""
 
 from bankrack.serving.upstreams import EngineReport
+from bankrack.serving.upstreams import MAX_ABSENT
 from bankrack.serving.upstreams import UpstreamRecord
 from bankrack.serving.upstreams import Upstreams
 from tests.base import TestCase
@@ -59,6 +60,37 @@
         self.assertTrue(upstreams.by_id["x"].note_report(self.report(None)))
 
 
+class Leaving(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.upstreams = Upstreams(clock=lambda: 1.0)
+        self.upstreams.put(record("x"))
+        self.upstreams.by_id["x"].note_leaving(0.5)
+
+    def test_no_reading_of_its_entry_undoes_it(self):
+        self.upstreams.put(record("x"))
+        self.upstreams.put(record("x", cold_seconds=1.0))
+        self.assertEqual([], self.upstreams.open_of("s"))
+
+    def test_neither_does_its_entry_that_lapses_and_returns(self):
+        self.upstreams.remove("x")
+        self.assertEqual("leaving", self.upstreams.put(record("x")))
+        self.assertEqual([], self.upstreams.open_of("s"))
+        self.assertEqual(0.5, self.upstreams.by_id["x"].leaving_at)
+
+    def test_a_new_life_begins_anew(self):
+        self.upstreams.end_life("x")
+        self.upstreams.remove("x")
+        self.assertEqual("joined", self.upstreams.put(record("x.2", name="x", born=2)))
+        self.assertEqual(1, len(self.upstreams.open_of("s")))
+
+    def test_those_that_went_are_remembered_up_to_a_bound(self):
+        for number in range(MAX_ABSENT + 10):
+            self.upstreams.put(record(f"y{number}"))
+            self.upstreams.remove(f"y{number}")
+        self.assertEqual(MAX_ABSENT, len(self.upstreams._absent_by_id))
+
+
 class Coldness(TestCase):
     def test_an_entry_that_is_written_anew_counts_from_then(self):
         now = [1.0]
