A rest that an upstream asks for is kept, by all that this node sends

Callers saw: every second request made a detour over a server that turned all away (138 first sends in 9 s), and each detour took a repeat from a bounded budget; 17 had to be borrowed. Cause: of a rejection the node read only that the request had not run, and remembered that for that one request. Evidence: sixteen requests, sixteen ids, each turned away in 2 to 8 ms and served by a sibling right after (counts of the log lines match those of the record). Ruled out: falling back for want of another (all were served by a sibling), one request sent there several times.

Choices use takers_of; the last check before a send refuses, also resumed runs; GuardedControl does the same for orders, questions and reports, whose answers are read likewise. The pool's owner is told which engines this node may not use, so that it counts the run where it goes. All at rest: refused at once, with the time until the first rest ends, spread over callers. A stream whose only copy rests waits for it where the caller bears the pause. Why it holds: one decoder, one place that keeps it, one check before each way out.

Left: the other nodes are not told (a rest is asked of one node). Two choices compared for a stream whose copy rests: breaking off, or a pause of the rest's length; the latter serves.

--- a/src/bankrack/fleet/owners.py
+++ b/src/bankrack/fleet/owners.py
@@ -168,6 +168,7 @@
         clock: t.Callable[[], float] = boottime,
     ) -> None:
         self._cold = cold
+        self._clock = clock
         self._session = session
         self._own = own
         self._members = members
@@ -230,7 +231,8 @@
     ) -> Verdict | None:
         demand = work.job.demand
         service = work.service.name
-        pools = count_pools(len(self._upstreams.of(service)))
+        engines = self._upstreams.of(service)
+        pools = count_pools(len(engines))
         ask = AskMessage(
             service=service,
             pool=pool_of(work.job.id, pools),
@@ -240,7 +242,7 @@
             output=demand.output,
             memory=memory,
             hall=self._own.hall,
-            avoid=list(avoid),
+            avoid=[*avoid, *self._closed_here(engines)],
             rank=(work.priority, work.route.priority),
             due=work.job.arrived + work.route.target_latency - boottime(),
             left=work.time_left(),
@@ -268,7 +270,19 @@
     def _open_here(self, ids: t.Iterable[str]) -> t.Iterator[str]:
         """Of some engines those that take new work by this node's own view."""
         by_id = self._upstreams.by_id
-        return (i for i in ids if i in by_id and by_id[i].open)
+        now = self._clock()
+        return (i for i in ids if i in by_id and by_id[i].takes_work(now))
+
+    def _closed_here(self, engines: t.Iterable[Upstream]) -> t.Iterator[str]:
+        """Engines that this node may not send to while the owner may think it could.
+
+        What an engine told this node in an answer, the owner has not heard; naming it
+        again and again, it would use up the run's tries beside free engines.
+        """
+        now = self._clock()
+        for engine in engines:
+            if engine.leaving or engine.resting(now):
+                yield engine.id
 
     def placed(self, work: Assignment, engine: Upstream) -> None:
         """Tell that a run goes to an engine that was not the first."""
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -46,6 +46,7 @@
 from bankrack.serving.crashes import CrashWatch
 from bankrack.serving.crashregister import CrashRegister
 from bankrack.serving.dispatch import Dispatcher
+from bankrack.serving.enginecontrol import GuardedControl
 from bankrack.serving.job import Job
 from bankrack.serving.job import Reply
 from bankrack.serving.notices import Notices
@@ -135,7 +136,7 @@
         )
         notices = Notices()
         client = UpstreamClient(self._sending, dialect.upstreams, notices)
-        control = dialect.control(self._asking, notices)
+        control = GuardedControl(dialect.control(self._asking, notices))
         self.ledgers = Ledgers(
             self.upstreams, self.chooser, note_use=lambda: self.reports.note_use()
         )
@@ -344,12 +345,13 @@
         In a fleet that has lost the store, only some of those who then have no leader
         ask for all; each question is priced.
         """
-        # Nothing is sent to an evacuated hall, questions among it.
-        engines = [e for e in self.upstreams.of(service) if not e.evacuated]
+        engines = self.upstreams.of(service)
         alone = self.follower.leader is None and self.roster.stands_by()
-        if alone and count_pools(len(engines)) == 1:
-            return engines
-        return [e for e in self.owners.owned(service) if not e.evacuated]
+        if not alone or count_pools(len(engines)) > 1:
+            engines = self.owners.owned(service)
+        # Neither an evacuated hall nor an engine that rests is asked anything.
+        now = boottime()
+        return [e for e in engines if not e.evacuated and not e.resting(now)]
 
     async def _keep_applying(self) -> None:
         """Hand on what follows from the configuration in force."""
--- a/src/bankrack/nodestate.py
+++ b/src/bankrack/nodestate.py
@@ -3,6 +3,7 @@
 import dataclasses
 import typing as t
 
+from bankrack.clock import boottime
 from bankrack.serving.upstreams import Upstream
 
 
@@ -31,6 +32,7 @@
 
     def gauges(self) -> dict[str, float]:
         """Values for the metrics page, by name."""
+        now = boottime()
         return {
             "ready": float(self.ready),
             "version": float(self.version or 0),
@@ -40,6 +42,8 @@
             "in_flight": float(self.in_flight),
             "keeps_ledgers": float(self.keeps_ledgers),
             "quarantined": float(len(self.quarantined)),
+            "resting": float(sum(u.resting(now) for u in self.upstreams)),
+            "leaving": float(sum(u.leaving for u in self.upstreams)),
         }
 
     def describe(self) -> dict[str, t.Any]:
--- a/src/bankrack/serving/assignment.py
+++ b/src/bankrack/serving/assignment.py
@@ -1,8 +1,10 @@
 """A job with what the configuration says of it."""
 
 import dataclasses
+import random
 
 from bankrack.clock import boottime
+from bankrack.decisions.comeback import come_back_after
 from bankrack.serving.job import Job
 from bankrack.serving.routing import Route
 from bankrack.serving.routing import Service
@@ -37,12 +39,25 @@
         """Seconds until the final answer is due."""
         return self.deadline - boottime()
 
-    def silence_left(self) -> float:
-        """Seconds until the caller gives up a stream of which nothing came."""
+    def retry_after(self, rest_left: float | None) -> float:
+        """Seconds after which a caller that is refused should come back.
+
+        :param rest_left: until an upstream takes work again, where that is known.
+        """
+        if rest_left is None:
+            return self.job.retry_after
+        return come_back_after(rest_left, left=self.time_left(), draw=random.random())
+
+    @property
+    def bearable_silence(self) -> float:
+        """Seconds without an event after which the caller gives a stream up."""
         route = self.route
-        bearable = max(
+        return max(
             MIN_SILENCE_SECONDS,
             SILENT_TARGETS * route.target_latency,
             SILENT_GAPS * route.gap_target,
         )
-        return self.job.arrived + bearable - boottime()
+
+    def silence_left(self) -> float:
+        """Seconds until the caller gives up a stream of which nothing came."""
+        return self.job.arrived + self.bearable_silence - boottime()
--- a/src/bankrack/serving/client.py
+++ b/src/bankrack/serving/client.py
@@ -16,6 +16,7 @@
 import yarl
 from aiohttp.client_proto import ResponseHandler
 
+from bankrack.clock import boottime
 from bankrack.exceptions import InvalidRequest
 from bankrack.exceptions import Outcome
 from bankrack.exceptions import UpstreamBroke
@@ -200,7 +201,7 @@
         Raises :exc:`UpstreamUnreachable` when nothing was sent, and
         :exc:`UpstreamFailed` when the job may have run.
         """
-        _refuse_if_closed(send)
+        _refuse_if_closed(send, boottime())
         job = send.job
         url = _url(send.upstream.address, job.target)
         try:
@@ -234,15 +235,20 @@
         return Exchange(response, head)
 
 
-def _refuse_if_closed(send: Send) -> None:
+def _refuse_if_closed(send: Send, now: float) -> None:
     """Keep work from an upstream that is not to get it, whoever chose it.
 
     The last check before a send: an upstream may begin to leave, or its hall may be
     evacuated, between its choice and this moment, as while it was asked for a place.
     A leaving one still takes runs whose copy it holds, if they came before it told
-    that it leaves; an evacuated one takes nothing.
+    that it leaves; an evacuated one, and one that asked for a rest, takes nothing.
     """
     upstream = send.upstream
+    if upstream.resting(now):
+        raise UpstreamClosed(
+            f"{upstream.id} wants nothing from this node for "
+            f"{upstream.rest_until - now:.2f} s more; nothing was sent, try another"
+        )
     if upstream.evacuated:
         raise UpstreamClosed(
             f"hall {upstream.record.hall} of {upstream.id} is evacuated; nothing was "
--- a/src/bankrack/serving/dispatch.py
+++ b/src/bankrack/serving/dispatch.py
@@ -176,8 +176,8 @@
             )
 
     def _pick_service(self, table: RoutingTable, route: Route) -> Service:
-        """Pick a backend by weight, of those that have upstreams if any has."""
-        staffed = [b for b in route.backends if self._upstreams.open_of(b.service)]
+        """Pick a backend by weight, of those that can be sent to if any can."""
+        staffed = [b for b in route.backends if self._upstreams.takers_of(b.service)]
         backends = staffed or list(route.backends)
         weights = [backend.weight for backend in backends]
         if not any(weights):
--- a/src/bankrack/serving/notices.py
+++ b/src/bankrack/serving/notices.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import logging
+import random
 import typing as t
 
 from bankrack import logs
@@ -14,6 +15,12 @@
 
 LOG_SECONDS = 1.0
 """Rest between two lines on one upstream, which may tell the same with each answer."""
+LONGEST_REST_SECONDS = 3600.0
+"""A rest of years, as by a wrong unit, would take an upstream out of use for its life;
+one request an hour finds out whether it is meant."""
+RETURN_SPREAD = 0.1
+"""Part of a rest by which nodes return later than asked, each by another time: an
+upstream that turned all of them away at once would meet all of them at once again."""
 MISDIRECTED = 421
 """Status of an answer to a request that was meant for another upstream."""
 
@@ -42,8 +49,14 @@
 class Notices:
     """Takes in what upstreams tell of themselves."""
 
-    def __init__(self, *, clock: t.Callable[[], float] = boottime) -> None:
+    def __init__(
+        self,
+        *,
+        clock: t.Callable[[], float] = boottime,
+        rng: random.Random | None = None,
+    ) -> None:
         self._clock = clock
+        self._rng = rng or random.Random()
 
     def take(
         self,
@@ -65,9 +78,16 @@
         # Kept with the upstream's life, not with the request that was answered: the
         # store may be away and tell it only when the upstream has ended.
         news = notice.leaving and upstream.note_leaving(now)
-        if news or notice.rest_seconds is not None or notice.unreadable:
+        if notice.rest_seconds:
+            news |= upstream.note_rest(now + self._spread(notice.rest_seconds))
+        if news or notice.unreadable:
             self._log(upstream, notice, status, request, news=news)
 
+    def _spread(self, seconds: float) -> float:
+        """How long this node rests that was asked to for so long."""
+        bounded = min(seconds, LONGEST_REST_SECONDS)
+        return bounded * (1.0 + RETURN_SPREAD * self._rng.random())
+
     def _log(
         self,
         upstream: Upstream,
--- a/src/bankrack/serving/placing.py
+++ b/src/bankrack/serving/placing.py
@@ -12,6 +12,7 @@
 from bankrack.decisions.comeback import come_back_after
 from bankrack.exceptions import BankrackError
 from bankrack.exceptions import Overloaded
+from bankrack.exceptions import UpstreamClosed
 from bankrack.serving.advice import PlacementAdvisor
 from bankrack.serving.assignment import Assignment
 from bankrack.serving.choice import Chooser
@@ -101,7 +102,7 @@
             if not traits.hold:
                 return Place(engines[0], None, owner_chose, spare)
             for engine in engines[:MOST_ASKED]:
-                if not engine.open:
+                if not engine.takes_work(boottime()):
                     # It was closed while others were asked.
                     continue
                 hold = await self._ask(engine, work, traits, log, silent=silent)
@@ -112,7 +113,7 @@
                     granted = owner_chose and engine is engines[0]
                     return Place(engine, hold, granted, spare)
             if boottime() >= until:
-                engine = _first_that_answers(work, engines, silent)
+                engine = self._first_that_answers(work, engines, silent)
                 granted = owner_chose and engine is engines[0]
                 return Place(engine, None, granted, spare)
             await asyncio.sleep(PLACE_POLL_SECONDS * (0.5 + random.random()))
@@ -167,14 +168,14 @@
         pools = count_pools(len(self._upstreams.of(name)))
         untried = [
             engine
-            for engine in self._upstreams.open_of(name)
+            for engine in self._upstreams.takers_of(name)
             if engine.id not in tried and self._cold.allows(engine, work.service)
         ]
         untried = select_pool(untried, pool_of(work.job.id, pools), pools) or untried
         if not untried:
             raise Overloaded(
                 f"no engine of {work.service.name} takes the run now; try again",
-                retry_after=work.job.retry_after,
+                retry_after=work.retry_after(self._upstreams.rest_left(name)),
             )
         return self._chooser.engines_by_room(
             untried, work.job.demand, memory=traits.memory
@@ -197,6 +198,9 @@
         try:
             async with asyncio.timeout(HOLD_ASK_SECONDS):
                 hold = await self._control.hold(engine, tokens, traits.hold)
+        except UpstreamClosed as error:
+            log.write("hold_refused", engine, "closed", error.message)
+            return None
         except (BankrackError, TimeoutError) as error:
             self._chooser.suspect(engine)
             self._advisor.failed(work, engine)
@@ -208,19 +212,30 @@
             log.write("hold_refused", engine, "no room")
         return hold
 
-
-def _first_that_answers(
-    work: Assignment, engines: t.Sequence[Upstream], silent: t.Collection[str]
-) -> Upstream:
-    """The engine in whose queue a run waits that found no place.
-
-    Raises :exc:`Overloaded` where none answered this node: sent on, the run would be
-    lost in silence, while another node may reach them.
-    """
-    for engine in engines:
-        if engine.id not in silent:
-            return engine
-    raise Overloaded(
-        f"no engine of {work.service.name} answers this node; try again",
-        retry_after=SILENT_RETRY_SECONDS,
-    )
+    def _first_that_answers(
+        self,
+        work: Assignment,
+        engines: t.Sequence[Upstream],
+        silent: t.Collection[str],
+    ) -> Upstream:
+        """The engine in whose queue a run waits that found no place.
+
+        Raises :exc:`Overloaded` where none answered this node: sent on, the run would
+        be lost in silence, while another node may reach them.  So it does where all
+        that answered want nothing from this node.
+        """
+        answering = [engine for engine in engines if engine.id not in silent]
+        for engine in answering:
+            if engine.takes_work(boottime()):
+                return engine
+        rest_left = self._upstreams.rest_left(work.service.name)
+        if answering and rest_left is not None:
+            raise Overloaded(
+                f"all engines of {work.service.name} asked this node for a rest; "
+                "come back later",
+                retry_after=work.retry_after(rest_left),
+            )
+        raise Overloaded(
+            f"no engine of {work.service.name} answers this node; try again",
+            retry_after=SILENT_RETRY_SECONDS,
+        )
--- a/src/bankrack/serving/plain.py
+++ b/src/bankrack/serving/plain.py
@@ -88,16 +88,18 @@
                 retry_after=work.job.retry_after,
             )
         cold = self._parts.cold
-        open_ones = self._parts.upstreams.open_of(work.service.name)
-        candidates = [u for u in open_ones if cold.allows(u, work.service)]
+        takers = self._parts.upstreams.takers_of(work.service.name)
+        candidates = [u for u in takers if cold.allows(u, work.service)]
         if len(sends.ran_ids) >= work.route.max_upstreams:
             candidates = [u for u in candidates if u.id in sends.ran_ids] or candidates
         upstream = self._parts.chooser.plain(candidates, avoid=sends.avoid)
         if upstream is None:
+            rest_left = self._parts.upstreams.rest_left(work.service.name)
             raise Overloaded(
                 f"service {work.service.name} has no upstream that takes requests of "
-                f"this node now ({len(open_ones)} are cold); try again",
-                retry_after=work.job.retry_after,
+                f"this node now ({len(takers)} are cold, the others rest or leave); "
+                "try again",
+                retry_after=work.retry_after(rest_left),
             )
         budget = self._parts.budget
         if sends.count > 0 and not await budget.take_or_borrow(work.service.name):
--- a/src/bankrack/serving/run.py
+++ b/src/bankrack/serving/run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 
 from bankrack.clock import boottime
 from bankrack.exceptions import BankrackError
@@ -38,6 +39,8 @@
 """An engine that made events and then none for so long is given up."""
 SILENCE_EVENTS = 8.0
 """The same, in usual times between two events, for engines that make them slowly."""
+RESUME_MARGIN_SECONDS = 0.5
+"""Before a caller gives a silent stream up: a copy goes on within some hundred ms."""
 RESUME_SECONDS = 2.0
 """Time for a copy to go on; it reads what it lacks in some hundred ms."""
 
@@ -406,19 +409,38 @@
     async def _resume(self) -> bool:
         """Go on at a copy; tells whether one could."""
         counted = self._parts.metrics.resumes
-        for copy in self._copies.found:
-            if await self._resume_at(copy):
+        copies = self._copies.found
+        broke_at = boottime()
+        for copy in copies:
+            if await self._resume_at(copy) or await self._resume_rested(copy, broke_at):
                 self._resumes += 1
                 counted.inc({"outcome": "ok"})
                 return True
         counted.inc({"outcome": "lost"})
         return False
 
+    async def _resume_rested(self, copy: Copy, broke_at: float) -> bool:
+        """Go on at a copy once its holder's rest is over, if that is in time.
+
+        It is the last way to save the stream: a pause instead of a break.
+        """
+        rest_left = copy.holder.rest_until - boottime()
+        silent_since = self._passer.last_at or self._work.job.arrived
+        lasts_until = min(
+            silent_since + self._work.bearable_silence,
+            broke_at + (self._traits.copy_keep or math.inf),
+        )
+        in_time = boottime() + rest_left < lasts_until - RESUME_MARGIN_SECONDS
+        if rest_left <= 0.0 or not in_time:
+            return False
+        await asyncio.sleep(rest_left)
+        return await self._resume_at(copy)
+
     async def _resume_at(self, copy: Copy) -> bool:
         holder = copy.holder
-        if holder.evacuated or holder.ended:
-            reason = "evacuated" if holder.evacuated else "began a new life"
-            self._log.write("resume_refused", holder, reason)
+        closed = _why_closed(holder)
+        if closed is not None:
+            self._log.write("resume_refused", holder, closed)
             return False
         if not self._parts.cold.take(holder, self._work.service):
             self._log.write("resume_refused", holder, "cold")
@@ -444,6 +466,17 @@
         return True
 
 
+def _why_closed(holder: Upstream) -> str | None:
+    """Why a run may not go on there now, in a word for the log, if it may not."""
+    if holder.evacuated:
+        return "evacuated"
+    if holder.ended:
+        return "began a new life"
+    if holder.resting(boottime()):
+        return "rests"
+    return None
+
+
 def _interrupted(error: BankrackError) -> StreamInterrupted:
     return StreamInterrupted(
         "the engine broke off and no copy of the run could go on; send a new "
--- a/src/bankrack/serving/upstreams.py
+++ b/src/bankrack/serving/upstreams.py
@@ -74,6 +74,7 @@
         "record",
         "report",
         "report_learned",
+        "rest_until",
         "sent",
         "suspect_until",
     )
@@ -91,6 +92,7 @@
         self.load_waiting = 0
         self.notice_logged_at = -math.inf
         self.failure_rate = 0.0
+        self.rest_until = 0.0
         self.suspect_until = 0.0
         self.leaving_at = now if record.leaving else 0.0
         self.gone_at = 0.0
@@ -125,6 +127,14 @@
         """Whether it takes new work; in an evacuated hall what runs there goes on."""
         return not self.leaving and not self.evacuated
 
+    def resting(self, now: float) -> bool:
+        """Whether it asked this node, for this moment, to send it nothing."""
+        return now < self.rest_until
+
+    def takes_work(self, now: float) -> bool:
+        """Whether this node may send it new work now."""
+        return self.open and not self.resting(now)
+
     def cold(self, now: float) -> bool:
         """Whether what all nodes send it is bounded by its service's rate."""
         return now < self.cold_until
@@ -140,6 +150,13 @@
         self.leaving_at = now
         return True
 
+    def note_rest(self, until: float) -> bool:
+        """Take in that this node is to send nothing; tells whether it is for longer."""
+        if until <= self.rest_until:
+            return False
+        self.rest_until = until
+        return True
+
     def note_cold(self, seconds: float, now: float) -> None:
         """Take in how much longer it is cold, as it said itself just now."""
         self.cold_until = now + seconds
@@ -153,6 +170,7 @@
             "leaving": self.leaving,
             "evacuated": self.evacuated,
             "cold_until": self.cold_until,
+            "rest_until": self.rest_until,
             "in_flight": self.in_flight,
             "failure_rate": self.failure_rate,
             "used": self.report.used if self.report else None,
@@ -269,5 +287,19 @@
         return [u for u in self.by_id.values() if u.record.service == service]
 
     def open_of(self, service: str) -> list[Upstream]:
-        """The upstreams of a service that take new work."""
+        """The upstreams of a service that take new work, if not from this node now."""
         return [u for u in self.of(service) if u.open]
+
+    def takers_of(self, service: str) -> list[Upstream]:
+        """The upstreams of a service that this node may send new work now."""
+        now = self._clock()
+        return [u for u in self.of(service) if u.takes_work(now)]
+
+    def rest_left(self, service: str) -> float | None:
+        """Seconds until the first of a service's upstreams takes work again.
+
+        ``None`` where that does not hang on a rest alone.
+        """
+        now = self._clock()
+        rests = [u.rest_until - now for u in self.open_of(service)]
+        return min(rests) if rests and min(rests) > 0.0 else None
--- a/tests/fleet/test_owners.py
+++ b/tests/fleet/test_owners.py
@@ -141,6 +141,21 @@
             )
             self.assertNotIn("two", await other.order("r-1") or [])
 
+    async def test_what_only_the_asking_node_was_told_counts(self):
+        """The owner counts the run where it goes, and others still get the engine."""
+        async with two_nodes() as (owner, other):
+            other.upstreams.by_id["one"].note_leaving(1.0)
+            other.upstreams.by_id["two"].note_rest(other.now + 3.0)
+            self.assertEqual(["three"], await other.order("r-1"))
+            placed = owner.ledgers._ledger("s", 0)._placement_by_run
+            self.assertEqual(["three"], [p.engine for p in placed.values()])
+            others_get = await owner.order("r-2") or []
+            self.assertLessEqual({"one", "two"}, set(others_get))
+            engines = other.upstreams.of("s")
+            self.assertEqual(["one", "two"], list(other.client._closed_here(engines)))
+            other.now += 3.5
+            self.assertEqual(["one"], list(other.client._closed_here(engines)))
+
     async def test_a_dead_owner_is_passed_over_for_a_while(self):
         async with two_nodes() as (owner, other):
             await owner.stop()
--- a/tests/platform/test_rests.py
+++ b/tests/platform/test_rests.py
@@ -15,8 +15,14 @@
     event=request_ended outcome="200 after 2 sends" elapsed=0.0435176
 """
 
+import asyncio
+
+from aiohttp import web
+
+from bankrack.clock import boottime
 from tests.base import TestCase
 from tests.platform.deployment import running
+from tests.platform.deployment import until
 from tests.platform.world import call
 
 MOST_IN_A_REST = 2
@@ -36,3 +42,84 @@
                     self.assertEqual((200, True), (found.status, found.whole))
             for server in resting:
                 self.assertLessEqual(len(server.arrivals), MOST_IN_A_REST)
+
+    async def test_what_an_order_is_answered_counts_too(self):
+        async with running() as world:
+            gateway = await world.ready_gateway()
+            engine = world.engines[0]
+            engine.rest = "30"
+            for _ in range(12):
+                found = await call(gateway.settings.front, "/talk/x")
+                self.assertEqual((200, True), (found.status, found.whole))
+            orders = len(engine.orders)
+            await asyncio.sleep(2.5)
+            # Reports are asked for once a second.
+            self.assertLessEqual(orders, MOST_IN_A_REST)
+            self.assertEqual(orders, len(engine.orders))
+            self.assertEqual([], engine.arrivals)
+
+    async def test_when_it_is_over_the_upstream_is_used_again(self):
+        async with running() as world:
+            gateway = await world.ready_gateway()
+            server = world.plain[0]
+            server.rest = "0.5"
+            known = gateway.upstreams.by_id[server.id]
+            while not known.rest_until:
+                await call(gateway.settings.front, "/bill/x")
+            server.rest = ""
+            arrivals = len(server.arrivals)
+            await until(lambda: not known.resting(boottime()))
+            for _ in range(12):
+                await call(gateway.settings.front, "/bill/x")
+            self.assertGreater(len(server.arrivals), arrivals)
+
+    async def test_when_all_rest_callers_are_told_at_once_when_to_come_back(self):
+        for path, servers in (("/bill/x", "plain"), ("/talk/x", "engines")):
+            async with running() as world:
+                gateway = await world.ready_gateway()
+                resting = getattr(world, servers)
+                for server in resting:
+                    server.rest = "30"
+                patient = {"Bankrack-Deadline-Ms": "20000"}
+                await call(gateway.settings.front, path, headers=patient)
+                asked = sum(len(s.arrivals) for s in resting)
+                began = boottime()
+                found = await call(gateway.settings.front, path, headers=patient)
+                self.assertLess(boottime() - began, 0.3)
+                self.assertEqual(503, found.status)
+                self.assertGreater(float(found.headers["Retry-After"]), 0.3)
+                self.assertEqual(asked, sum(len(s.arrivals) for s in resting))
+
+    async def test_those_told_to_come_back_do_not_come_at_one_moment(self):
+        async with running() as world:
+            gateway = await world.ready_gateway()
+            for server in world.plain:
+                server.rest = "0.4"
+            told = set()
+            for _ in range(8):
+                found = await call(gateway.settings.front, "/bill/x")
+                told.add(found.headers["Retry-After"])
+            self.assertGreater(len(told), 3)
+
+
+class Streams(TestCase):
+    async def test_one_whose_only_copy_rests_goes_on_after_the_rest(self):
+        async with running() as world:
+            gateway = await world.ready_gateway()
+
+            async def cut_first(request: web.BaseRequest) -> None:
+                first = "Kv-From" not in request.headers
+                for engine in world.engines:
+                    engine.cut_after = 2 if first else -1
+                backup = request.headers.get("Kv-Backup")
+                for known in gateway.upstreams.of("engines"):
+                    if first and known.address == backup:
+                        known.note_rest(boottime() + 0.6)
+
+            for engine in world.engines:
+                engine.behave = cut_first
+            began = boottime()
+            found = await call(gateway.settings.front, "/talk/x")
+            self.assertEqual((200, True), (found.status, found.whole))
+            self.assertGreater(boottime() - began, 0.5)
+            self.assertEqual(2, len(world.arrivals()))
--- a/tests/serving/test_notices.py
+++ b/tests/serving/test_notices.py
@@ -1,10 +1,15 @@
 """Tests of what upstreams tell of themselves beside their answers."""
 
+import dataclasses
+
 from bankrack.serving.notices import LOG_SECONDS
+from bankrack.serving.notices import LONGEST_REST_SECONDS
 from bankrack.serving.notices import Notice
 from bankrack.serving.notices import Notices
+from bankrack.serving.notices import RETURN_SPREAD
 from bankrack.serving.upstreams import Upstream
 from bankrack.serving.upstreams import UpstreamRecord
+from bankrack.serving.upstreams import Upstreams
 from tests.base import TestCase
 
 
@@ -33,6 +38,52 @@
         self.assertFalse(self.upstream.leaving)
 
 
+class Rests(NoticesTestCase):
+    def rest(self, seconds: float) -> float:
+        """Ask for a rest; gives until when it lasts, from the first moment on."""
+        self.notices.take(self.upstream, Notice(rest_seconds=seconds), status=503)
+        return self.upstream.rest_until - 100.0
+
+    def test_it_lasts_at_least_as_long_as_asked_and_little_longer(self):
+        for _ in range(50):
+            self.upstream.rest_until = 0.0
+            lasts = self.rest(3.0)
+            self.assertGreaterEqual(lasts, 3.0)
+            self.assertLessEqual(lasts, 3.0 * (1.0 + RETURN_SPREAD))
+
+    def test_a_shorter_one_does_not_end_it(self):
+        lasts = self.rest(3.0)
+        self.now += 1.0
+        self.assertEqual(lasts, self.rest(0.5))
+        self.assertGreaterEqual(self.rest(5.0), 6.0)
+
+    def test_a_success_does_not_end_it(self):
+        lasts = self.rest(3.0)
+        self.notices.take(self.upstream, Notice(), status=200)
+        self.assertEqual(100.0 + lasts, self.upstream.rest_until)
+
+    def test_none_at_all_and_years(self):
+        self.assertEqual(-100.0, self.rest(0.0))
+        self.assertLessEqual(self.rest(1e9), 1.1 * LONGEST_REST_SECONDS)
+
+    def test_it_counts_while_the_vm_is_suspended(self):
+        self.rest(3.0)
+        self.assertTrue(self.upstream.resting(102.9))
+        self.assertFalse(self.upstream.resting(160.0))
+
+    def test_it_is_of_one_life(self):
+        self.rest(30.0)
+        upstreams = Upstreams(clock=lambda: self.now)
+        upstreams.by_id["u"] = self.upstream
+        upstreams.remove("u")
+        upstreams.put(self.upstream.record)
+        self.assertEqual([], upstreams.takers_of("s"))
+        self.assertEqual(1, len(upstreams.open_of("s")))
+        born = dataclasses.replace(self.upstream.record, id="u.2", born=2)
+        upstreams.put(born)
+        self.assertEqual(["u.2"], [u.id for u in upstreams.takers_of("s")])
+
+
 class Lines(NoticesTestCase):
     def lines(self, notice: Notice, count: int = 1) -> list[str]:
         with self.assertLogs("bankrack", "INFO") as found:
