Telling all members has a class of its own

Crash news told all members by code of its own; that an upstream leaves is to be told the same way, so the telling (tries, waits, how many at once) moves to fleet/broadcast.py unchanged.

--- a/src/bankrack/fleet/crashnews.py
+++ b/src/bankrack/fleet/crashnews.py
@@ -11,13 +11,13 @@
 import random
 import typing as t
 
-import aiohttp
 import msgspec
 from aiohttp import web
 
 from bankrack import logs
 from bankrack.decisions.poison import Crash
 from bankrack.exceptions import BankrackError
+from bankrack.fleet.broadcast import Broadcast
 from bankrack.fleet.documents import Member
 from bankrack.fleet.documents import Quarantine
 from bankrack.fleet.messages import decode_message
@@ -29,11 +29,6 @@
 CRASHES_PATH = "/peer/crashes"
 GATHER_SECONDS = 0.005
 """The streams that one node had on an upstream break off within some ms."""
-TELL_SECONDS = 0.3
-"""Longest wait for one member; halls are some ms apart."""
-TELL_TRIES = 3
-TELL_REST_SECONDS = 0.2
-MOST_TOLD_AT_ONCE = 32
 SAVE_SECONDS = 0.5
 """Rest between two looks for quarantines that the store lacks.  A request may be sent
 on for 3 s after its third upstream ended, by nodes that were not told."""
@@ -54,7 +49,7 @@
 
     def __init__(
         self,
-        session: aiohttp.ClientSession,
+        broadcast: Broadcast,
         own: Member,
         members: t.Callable[[], t.Iterable[Member]],
         register: CrashRegister,
@@ -62,7 +57,7 @@
         *,
         view_age: t.Callable[[], float],
     ) -> None:
-        self._session = session
+        self._broadcast = broadcast
         self._own = own
         self._members = members
         self._register = register
@@ -98,32 +93,10 @@
         """
         accounts = [Quarantine(name, crashes) for name, crashes in news.items()]
         body = msgspec.msgpack.encode(accounts)
-        missing = [m for m in self._members() if m.name != self._own.name]
-        slots = asyncio.Semaphore(MOST_TOLD_AT_ONCE)
-        for _ in range(TELL_TRIES):
-            took = await asyncio.gather(*(self._tell(m, body, slots) for m in missing))
-            missing = [m for m, done in zip(missing, took, strict=True) if not done]
-            told.set()
-            if not missing:
-                return
-            await asyncio.sleep(TELL_REST_SECONDS)
-        logs.event(_logger, "crashes_untold", members=",".join(m.name for m in missing))
-
-    async def _tell(
-        self, member: Member, body: bytes, slots: asyncio.Semaphore
-    ) -> bool:
-        url = f"http://{member.address}{CRASHES_PATH}"
-        query = {"from": self._own.name}
-        try:
-            async with (
-                slots,
-                asyncio.timeout(TELL_SECONDS),
-                self._session.post(url, params=query, data=body) as response,
-            ):
-                return response.status == 200
-        except (aiohttp.ClientError, OSError, TimeoutError):
-            # Who stays silent is named once all tries are over.
-            return False
+        missing = await self._broadcast.tell(CRASHES_PATH, body, asked_once=told.set)
+        if missing:
+            names = ",".join(member.name for member in missing)
+            logs.event(_logger, "crashes_untold", members=names)
 
     async def keep_saving(self) -> None:
         """Write quarantines that the store lacks, for ever."""
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -19,6 +19,7 @@
 from bankrack.embedding import GatewayDialect
 from bankrack.embedding import GatewaySettings
 from bankrack.exceptions import NodeNotReady
+from bankrack.fleet.broadcast import Broadcast
 from bankrack.fleet.crashnews import CRASHES_PATH
 from bankrack.fleet.crashnews import CrashNews
 from bankrack.fleet.documents import Member
@@ -160,8 +161,9 @@
             self.cold,
             CrashWatch(self.crashes),
         )
+        broadcast = Broadcast(self._asking, own, members)
         self.crash_news = CrashNews(
-            self._asking,
+            broadcast,
             own,
             members,
             self.crashes,
--- a/tests/fleet/test_crashnews.py
+++ b/tests/fleet/test_crashnews.py
@@ -11,6 +11,7 @@
 from bankrack.decisions.poison import Crash
 from bankrack.exceptions import PlatformUnavailable
 from bankrack.fleet import crashnews
+from bankrack.fleet.broadcast import Broadcast
 from bankrack.fleet.crashnews import CRASHES_PATH
 from bankrack.fleet.crashnews import CrashNews
 from bankrack.fleet.documents import Member
@@ -50,7 +51,7 @@
         self.register = CrashRegister()
         self.age = 0.0
         self.news = CrashNews(
-            fleet.session,
+            Broadcast(fleet.session, self.member, lambda: fleet.members),
             self.member,
             lambda: fleet.members,
             self.register,
