A node that is told by an answer that an upstream leaves tells the others

While the store takes no writes, each node learned of a leaving upstream only by a request of its own sent there, which may be cut off with it; and the owner of a pool went on placing runs of all nodes on an engine that had told another node.

Two ways weighed: the followers' updates, which only go from readers down and carry what the store or a report said; and a direct word to all members, as for requests that end upstreams. The second: it needs no leader, which an outage takes away. Rests are not told: they are asked of one node.

--- /dev/null
+++ b/src/bankrack/fleet/leavingnews.py
@@ -0,0 +1,68 @@
+"""What nodes tell each other of upstreams that leave while the store can't.
+
+An upstream says in its answers that it leaves, to whichever nodes it answers.  While
+the store takes no writes the others would learn it only by sending there too.
+"""
+
+import asyncio
+import logging
+
+import msgspec
+from aiohttp import web
+
+from bankrack import logs
+from bankrack.fleet.broadcast import Broadcast
+from bankrack.fleet.messages import decode_message
+from bankrack.serving.notices import Notices
+from bankrack.serving.upstreams import Upstreams
+
+LEAVING_PATH = "/peer/leaving"
+WAIT_SECONDS = 0.05
+"""Time for the store to tell it to all, which takes it some ms when it works; then
+nothing is told from node to node."""
+
+_logger = logging.getLogger(__name__)
+
+
+class LeavingNews:
+    """Tells what this node's answers told, and takes in what others tell."""
+
+    def __init__(
+        self, broadcast: Broadcast, notices: Notices, upstreams: Upstreams
+    ) -> None:
+        self._broadcast = broadcast
+        self._notices = notices
+        self._upstreams = upstreams
+
+    async def handle(self, request: web.Request) -> web.Response:
+        """Take in the ids of upstreams that leave; unknown ones are passed over."""
+        source = request.query.get("from", "")
+        for upstream_id in decode_message(await request.read(), list[str]):
+            if self._upstreams.note_leaving(upstream_id):
+                logs.event(
+                    _logger, "upstream_leaving", upstream=upstream_id, source=source
+                )
+        return web.Response()
+
+    async def run(self) -> None:
+        """Tell all members, for ever."""
+        while True:
+            await self._notices.news.wait()
+            await asyncio.sleep(WAIT_SECONDS)
+            ids = [i for i in self._notices.take_news() if not self._told_by_store(i)]
+            if ids:
+                await self._tell(ids)
+
+    def _told_by_store(self, upstream_id: str) -> bool:
+        upstream = self._upstreams.by_id.get(upstream_id)
+        return upstream is not None and upstream.record.leaving
+
+    async def _tell(self, ids: list[str]) -> None:
+        body = msgspec.msgpack.encode(ids)
+        missing = await self._broadcast.tell(LEAVING_PATH, body)
+        logs.event(
+            _logger,
+            "leaving_told",
+            upstreams=",".join(ids),
+            untold=",".join(member.name for member in missing) or None,
+        )
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -24,6 +24,8 @@
 from bankrack.fleet.crashnews import CrashNews
 from bankrack.fleet.documents import Member
 from bankrack.fleet.follower import Follower
+from bankrack.fleet.leavingnews import LEAVING_PATH
+from bankrack.fleet.leavingnews import LeavingNews
 from bankrack.fleet.lending import LEND_PATH
 from bankrack.fleet.lending import Lender
 from bankrack.fleet.membership import Announcer
@@ -135,9 +137,9 @@
         self.cold = ColdShares(
             settings.name, self.view.members_by_name.keys, settings.cold
         )
-        notices = Notices()
-        client = UpstreamClient(self._sending, dialect.upstreams, notices)
-        control = GuardedControl(dialect.control(self._asking, notices))
+        self.notices = Notices()
+        client = UpstreamClient(self._sending, dialect.upstreams, self.notices)
+        control = GuardedControl(dialect.control(self._asking, self.notices))
         self.ledgers = Ledgers(
             self.upstreams, self.chooser, note_use=lambda: self.reports.note_use()
         )
@@ -162,6 +164,7 @@
             CrashWatch(self.crashes),
         )
         broadcast = Broadcast(self._asking, own, members)
+        self.leaving_news = LeavingNews(broadcast, self.notices, self.upstreams)
         self.crash_news = CrashNews(
             broadcast,
             own,
@@ -205,6 +208,7 @@
                 NOTES_PATH: self.ledgers.handle_notes,
                 LEND_PATH: self.lender.handle,
                 CRASHES_PATH: self.crash_news.handle,
+                LEAVING_PATH: self.leaving_news.handle,
                 "/metrics": self._answer_metrics,
                 "/state": self._answer_state,
             },
@@ -214,6 +218,7 @@
         self._tasks.spawn(self.reports.run)
         self._tasks.spawn(self.owners.run)
         self._tasks.spawn(self.crash_news.run)
+        self._tasks.spawn(self.leaving_news.run)
         self._tasks.spawn(self.crash_news.keep_saving)
         self._tasks.spawn(self._keep_applying)
         logs.event(
--- a/src/bankrack/serving/notices.py
+++ b/src/bankrack/serving/notices.py
@@ -4,6 +4,7 @@
 request, a resumed run, an order, a report.
 """
 
+import asyncio
 import dataclasses
 import logging
 import random
@@ -47,7 +48,10 @@
 
 
 class Notices:
-    """Takes in what upstreams tell of themselves."""
+    """Takes in what upstreams tell of themselves.
+
+    :ivar news: set when one told that it leaves, which other nodes may not know.
+    """
 
     def __init__(
         self,
@@ -55,6 +59,8 @@
         clock: t.Callable[[], float] = boottime,
         rng: random.Random | None = None,
     ) -> None:
+        self.news = asyncio.Event()
+        self._left: set[str] = set()
         self._clock = clock
         self._rng = rng or random.Random()
 
@@ -78,11 +84,20 @@
         # Kept with the upstream's life, not with the request that was answered: the
         # store may be away and tell it only when the upstream has ended.
         news = notice.leaving and upstream.note_leaving(now)
+        if news:
+            self._left.add(upstream.id)
+            self.news.set()
         if notice.rest_seconds:
             news |= upstream.note_rest(now + self._spread(notice.rest_seconds))
         if news or notice.unreadable:
             self._log(upstream, notice, status, request, news=news)
 
+    def take_news(self) -> list[str]:
+        """Ids of the upstreams that told that they leave, since the last time."""
+        left, self._left = self._left, set()
+        self.news.clear()
+        return sorted(left)
+
     def _spread(self, seconds: float) -> float:
         """How long this node rests that was asked to for so long."""
         bounded = min(seconds, LONGEST_REST_SECONDS)
--- a/src/bankrack/serving/upstreams.py
+++ b/src/bankrack/serving/upstreams.py
@@ -261,6 +261,11 @@
             self._absent_by_id.popitem(last=False)
         return True
 
+    def note_leaving(self, upstream_id: str) -> bool:
+        """Note that one leaves, with an entry or without; tells whether it is new."""
+        known = self.by_id.get(upstream_id) or self._absent_by_id.get(upstream_id)
+        return known is not None and known.note_leaving(self._clock())
+
     def end_life(self, upstream_id: str) -> None:
         """Note that an upstream started again: what it held is lost."""
         known = self.by_id.get(upstream_id)
--- /dev/null
+++ b/tests/fleet/test_leavingnews.py
@@ -0,0 +1,98 @@
+"""Tests of telling other nodes that an upstream leaves."""
+
+import asyncio
+import typing as t
+
+import msgspec
+from aiohttp import web
+from aiohttp.test_utils import make_mocked_request
+
+from bankrack.fleet.documents import Member
+from bankrack.fleet.leavingnews import LEAVING_PATH
+from bankrack.fleet.leavingnews import LeavingNews
+from bankrack.fleet.leavingnews import WAIT_SECONDS
+from bankrack.serving.notices import Notice
+from bankrack.serving.notices import Notices
+from bankrack.serving.upstreams import UpstreamRecord
+from bankrack.serving.upstreams import Upstreams
+from tests.base import TestCase
+
+
+class Told:
+    """Takes what is told, in place of the members."""
+
+    def __init__(self) -> None:
+        self.bodies: list[list[str]] = []
+
+    async def tell(self, path: str, body: bytes) -> list[Member]:
+        assert path == LEAVING_PATH
+        self.bodies.append(msgspec.msgpack.decode(body, type=list[str]))
+        return []
+
+
+class LeavingNewsTestCase(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.upstreams = Upstreams()
+        for name in ("x", "y"):
+            self.put(name)
+        self.notices = Notices()
+        self.told = Told()
+        self.news = LeavingNews(t.cast(t.Any, self.told), self.notices, self.upstreams)
+
+    def put(self, name: str, *, leaving: bool = False) -> None:
+        record = UpstreamRecord(name, "s", "10.0.0.1:1", "a", slots=1, leaving=leaving)
+        self.upstreams.put(record)
+
+    def hear(self, name: str) -> None:
+        notice = Notice(leaving=True)
+        self.notices.take(self.upstreams.by_id[name], notice, status=200)
+
+    async def run_for_a_while(self) -> None:
+        task = asyncio.create_task(self.news.run())
+        await asyncio.sleep(3 * WAIT_SECONDS)
+        task.cancel()
+
+
+class Telling(LeavingNewsTestCase):
+    async def test_what_several_answers_told_is_told_once_and_together(self):
+        for name in ("x", "y", "x", "y"):
+            self.hear(name)
+        await self.run_for_a_while()
+        self.assertEqual([["x", "y"]], self.told.bodies)
+
+    async def test_what_the_store_tells_anyway_is_not_told(self):
+        self.hear("x")
+        self.put("x", leaving=True)
+        await self.run_for_a_while()
+        self.assertEqual([], self.told.bodies)
+
+    async def test_what_another_node_told_is_not_told_on(self):
+        self.upstreams.note_leaving("x")
+        self.hear("x")
+        await self.run_for_a_while()
+        self.assertEqual([], self.told.bodies)
+
+
+class BeingTold(LeavingNewsTestCase):
+    async def take(self, body: bytes) -> None:
+        async def read() -> bytes:
+            return body
+
+        request = make_mocked_request("POST", f"{LEAVING_PATH}?from=n-2")
+        request.read = read
+        await self.news.handle(request)
+
+    async def test_it_holds_for_those_without_an_entry_too(self):
+        self.upstreams.remove("y")
+        with self.assertLogs("bankrack", "INFO") as lines:
+            await self.take(msgspec.msgpack.encode(["x", "y", "nobody"]))
+        self.assertEqual(2, len(lines.output))
+        self.assertIn("event=upstream_leaving upstream=x source=n-2", lines.output[0])
+        self.put("y")
+        self.assertEqual([], self.upstreams.open_of("s"))
+
+    async def test_nonsense_is_refused_and_changes_nothing(self):
+        with self.assertLogs("bankrack"), self.assertRaises(web.HTTPBadRequest):
+            await self.take(b"\xc1")
+        self.assertEqual(2, len(self.upstreams.open_of("s")))
--- a/tests/platform/test_leaving_answers.py
+++ b/tests/platform/test_leaving_answers.py
@@ -16,6 +16,8 @@
     event=request_ended outcome="200 after 1 sends" version_age=2.9
 """
 
+import asyncio
+
 from tests.base import TestCase
 from tests.platform.deployment import running
 from tests.platform.deployment import until
@@ -97,3 +99,20 @@
             for _ in range(12):
                 await call(gateway.settings.front, "/bill/x")
             self.assertGreater(len(server.arrivals), arrivals)
+
+
+class Fleet(TestCase):
+    async def test_what_one_node_was_told_all_know_while_the_store_is_away(self):
+        async with running() as world:
+            gateways = [await world.ready_gateway(f"n-{n}") for n in range(2)]
+            await until(lambda: all(len(g.view.members_by_name) == 2 for g in gateways))
+            world.store.silent = True
+            server = world.plain[0]
+            server.leaving = True
+            while not gateways[0].upstreams.by_id[server.id].leaving:
+                await call(gateways[0].settings.front, "/bill/x")
+            await asyncio.sleep(0.5)
+            arrivals = len(server.arrivals)
+            for _ in range(12):
+                await call(gateways[1].settings.front, "/bill/x")
+            self.assertEqual(arrivals, len(server.arrivals))
