Load and cold time are taken in where the other notices are

Same class, found by reading: a plain request noted both whatever the status, a run only where it was run, orders and reports neither, and a 421 counted for an upstream that had not answered. They are notices like leaving and rest, so Notices.take keeps them all; who takes over an address tells of itself.

--- a/src/bankrack/serving/notices.py
+++ b/src/bankrack/serving/notices.py
@@ -81,6 +81,10 @@
             # Another process listens there now, and tells of itself.
             return
         now = self._clock()
+        if notice.waiting is not None:
+            upstream.load_waiting = notice.waiting
+        if notice.cold_seconds is not None:
+            upstream.note_cold(notice.cold_seconds, now)
         # Kept with the upstream's life, not with the request that was answered: the
         # store may be away and tell it only when the upstream has ended.
         news = notice.leaving and upstream.note_leaving(now)
--- a/src/bankrack/serving/plain.py
+++ b/src/bankrack/serving/plain.py
@@ -132,11 +132,6 @@
                 exchange = await self._parts.client.open(send)
                 sends.count += 1
                 head = exchange.head
-                notice = head.notice
-                if notice.waiting is not None:
-                    upstream.load_waiting = notice.waiting
-                if notice.cold_seconds is not None:
-                    upstream.note_cold(notice.cold_seconds, boottime())
                 if head.not_run:
                     return None
                 body = await exchange.read()
--- a/src/bankrack/serving/run.py
+++ b/src/bankrack/serving/run.py
@@ -297,9 +297,6 @@
             engine.note_sent(prompt, now)
             self._pace.began(prompt, took)
             self._parts.chooser.answered(engine, failed=False)
-            cold_seconds = exchange.head.notice.cold_seconds
-            if cold_seconds is not None:
-                engine.note_cold(cold_seconds, boottime())
             self._means.advisor.began(work, engine, took=took)
             self._copies.start_with(backup)
         self._log.write(
--- a/tests/serving/test_notices.py
+++ b/tests/serving/test_notices.py
@@ -38,6 +38,26 @@
         self.assertFalse(self.upstream.leaving)
 
 
+class LoadAndColdTime(NoticesTestCase):
+    def test_they_are_noted_whatever_the_answer_is(self):
+        for status, waiting in ((200, 3), (503, 7), (500, 0)):
+            notice = Notice(waiting=waiting, cold_seconds=1.0 + waiting)
+            self.notices.take(self.upstream, notice, status=status)
+            self.assertEqual(waiting, self.upstream.load_waiting)
+            self.assertEqual(101.0 + waiting, self.upstream.cold_until)
+
+    def test_those_of_who_took_over_the_address_are_not(self):
+        notice = Notice(waiting=7, cold_seconds=9.0)
+        self.notices.take(self.upstream, notice, status=421)
+        self.assertEqual(0, self.upstream.load_waiting)
+        self.assertFalse(self.upstream.cold(100.0))
+
+    def test_an_answer_that_tells_neither_changes_neither(self):
+        self.notices.take(self.upstream, Notice(waiting=3), status=200)
+        self.notices.take(self.upstream, Notice(), status=200)
+        self.assertEqual(3, self.upstream.load_waiting)
+
+
 class Rests(NoticesTestCase):
     def rest(self, seconds: float) -> float:
         """Ask for a rest; gives until when it lasts, from the first moment on."""
