Soak: upstreams that tell that they leave and ask for rests

Servers and engines that leave say so in their answers now, one in a hundred plain requests is turned away with 1.5 s of rest, and the judge holds each gateway to what an answer told it: no request that its caller sent 2 s later reaches a server that leaves, no more than two in a rest after its first half second (0.4 s of slack as elsewhere; a gateway or server in trouble meanwhile is excused).

--- a/soak/gateway/buggy.py
+++ b/soak/gateway/buggy.py
@@ -20,6 +20,7 @@
 from bankrack.serving.crashregister import CrashRegister
 from bankrack.serving.events import EventOrder
 from bankrack.serving.job import Kind
+from bankrack.serving.notices import Notices
 from bankrack.serving.plain import PlainRelay
 from bankrack.serving.upstreams import Upstream
 
@@ -72,6 +73,11 @@
     CrashRegister.may_run_on = lambda self, fingerprint, software: True  # type: ignore[method-assign]
 
 
+def hear_nothing() -> None:
+    """Read nothing of what an answer tells of its upstream."""
+    Notices.take = lambda self, *found, **more: None  # type: ignore[method-assign]
+
+
 def stop_at_once() -> None:
     """End without finishing what is in flight."""
 
@@ -90,6 +96,7 @@
     "table": keep_first_table,
     "stop": stop_at_once,
     "forget": forget_ends,
+    "deaf": hear_nothing,
 }
 
 
--- a/soak/gateway/judge.py
+++ b/soak/gateway/judge.py
@@ -8,6 +8,7 @@
 from soak.gateway.callers import Callers
 from soak.gateway.processes import Gateway
 from soak.gateway.processes import GRACE_SECONDS
+from soak.gateway.world import Arrival
 from soak.gateway.world import Journal
 
 PROMISES_NOT_RUN = frozenset({408, 421, 429, 503})
@@ -20,6 +21,11 @@
 """An engine may work so long beside the one that went on with its run."""
 LOG_EXCERPT = 3000
 """Characters of a log that are shown from the first sign of a failure on."""
+REST_GRACE_SECONDS = 0.5
+"""What was under way when a server asked for a rest may still arrive."""
+MOST_IN_A_REST = 2
+LINK_SECONDS = 3.0
+"""A server's link is in trouble for so long at most."""
 MOST_POISONED = 6
 BUDGET_WINDOW = 10.0
 BUDGET_RATIO = 0.2
@@ -52,6 +58,7 @@
             self._judge_cut(call)
         self._judge_repeats({call.request: call.path for call in calls})
         self._judge_leaving()
+        self._judge_told()
         self._judge_budget(calls)
         for gateway in gateways:
             text = gateway.log.read_text(encoding="utf-8", errors="replace")
@@ -133,6 +140,51 @@
                     "said that it leaves"
                 )
 
+    def _judge_told(self) -> None:
+        """What an answer told a gateway of its server binds that gateway."""
+        call_by_request = {call.request: call for call in self._callers.calls}
+        arrivals_by_way = collections.defaultdict(list)
+        for arrival in self._journal.arrivals:
+            call = call_by_request.get(arrival.request)
+            if call is not None:
+                way = arrival.server, call.node
+                arrivals_by_way[way].append((arrival, call))
+        for (server, node), found in arrivals_by_way.items():
+            for told, call in found:
+                if told.leaving and call.status == 200 and call.whole:
+                    self._judge_told_leaving(server, node, told.answered, found)
+                if told.rest:
+                    self._judge_rest(server, node, told, found)
+
+    def _judge_told_leaving(
+        self, server: str, node: Gateway, told: float, found: list[tuple[Arrival, Call]]
+    ) -> None:
+        for arrival, call in found:
+            late = call.sent - told
+            excused = node.disturbed_between(told, arrival.at)
+            if late > DRAIN_SECONDS + SLACK_SECONDS and not excused:
+                self.violation(
+                    f"{call.request} reached {server} from {node.name} {late:.1f} s "
+                    "after an answer had told it that the server leaves"
+                )
+
+    def _judge_rest(
+        self,
+        server: str,
+        node: Gateway,
+        told: Arrival,
+        found: list[tuple[Arrival, Call]],
+    ) -> None:
+        since = told.answered + REST_GRACE_SECONDS + SLACK_SECONDS
+        until = told.answered + told.rest
+        count = sum(since < arrival.at < until for arrival, _ in found)
+        excused = node.disturbed_between(told.answered - LINK_SECONDS, until)
+        if count > MOST_IN_A_REST and not excused:
+            self.violation(
+                f"{server} had asked {node.name} for {told.rest} s of rest and got "
+                f"{count} requests from it"
+            )
+
     def _judge_budget(self, calls: list[Call]) -> None:
         """Repeats of all gateways together in any window."""
         service_by_path = {"talk": "engines"}
--- a/soak/gateway/processes.py
+++ b/soak/gateway/processes.py
@@ -56,6 +56,7 @@
         self.log = folder / f"{name}.log"
         self.store_link = Link(free_address(), store)
         self.calm_from = 0.0
+        self.disturbed_at: list[float] = []
         self.stop_asked = 0.0
         self.busy = False
         self._bug = bug
@@ -93,8 +94,13 @@
 
     def disturb(self, seconds: float) -> None:
         """Note that it may break promises with a time bound for ``seconds``."""
+        self.disturbed_at.append(time.monotonic())
         self.calm_from = max(self.calm_from, time.monotonic() + seconds)
 
+    def disturbed_between(self, since: float, until: float) -> bool:
+        """Whether it was in trouble at any moment of some time."""
+        return any(since <= at <= until for at in self.disturbed_at)
+
     async def kill(self, down: float) -> None:
         """Kill it and start it again."""
         self.process.stop()
--- a/soak/gateway/troubles.py
+++ b/soak/gateway/troubles.py
@@ -269,6 +269,7 @@
         if leaving not in self.servers:
             return
         self.servers.remove(leaving)
+        leaving.leaving = True
         if chance.random() < 0.7:
             entry = leaving.entry("plain", state="draining")
             self._store.put(f"servers/{leaving.id}", entry)
@@ -317,6 +318,7 @@
         engine = self._take_engine(chance)
         if engine is None:
             return
+        engine.leaving = True
         entry = engine.entry("engines", state="draining")
         self._store.put(f"servers/{engine.id}", entry)
         self._judge.left_at_by_server[engine.id] = time.monotonic()
--- a/soak/gateway/world.py
+++ b/soak/gateway/world.py
@@ -22,6 +22,9 @@
 EVENT_SECONDS = 0.03
 """Time between two events of a stream; the platform's engines take some 36 ms."""
 REQUEST_ID = "Bankrack-Request-Id"
+RESTS_SHARE = 0.01
+"""Part of the requests at a plain server that it turns away and asks for a rest."""
+REST_SECONDS = 1.5
 POISON = b"ends whoever runs it"
 POISON_SECONDS = 0.05
 """From the beginning of a run to the end of its engine."""
@@ -44,12 +47,20 @@
 
 @dataclasses.dataclass(slots=True)
 class Arrival:
-    """A request that reached a server, run or not."""
+    """A request that reached a server, run or not.
+
+    :param answered: when its answer left; 0 where there was none.
+    :param leaving: the answer said that the server leaves.
+    :param rest: seconds for which the answer asked the gateway to send nothing.
+    """
 
     request: str
     server: str
     service: str
     at: float
+    answered: float = 0.0
+    leaving: bool = False
+    rest: float = 0.0
 
 
 class Journal:
@@ -138,10 +149,16 @@
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Note what arrives before it is served."""
         request_id = request.headers.get(REQUEST_ID)
-        if request_id is not None and not request.path.startswith("/v1/"):
-            arrival = Arrival(request_id, self.id, self.service, time.monotonic())
-            self.journal.arrivals.append(arrival)
-        return await super().handle(request)
+        if request_id is None or request.path.startswith("/v1/"):
+            return await super().handle(request)
+        arrival = Arrival(request_id, self.id, self.service, time.monotonic())
+        self.journal.arrivals.append(arrival)
+        response = await super().handle(request)
+        if request.transport is not None and not request.transport.is_closing():
+            arrival.answered = time.monotonic()
+            arrival.leaving = "Server-Leaving" in response.headers
+            arrival.rest = float(response.headers.get("Retry-After", 0.0))
+        return response
 
     def _begin(self, request: web.BaseRequest) -> Run:
         request_id = request.headers[REQUEST_ID]
@@ -162,8 +179,12 @@
 
     async def run(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer a plain request."""
-        if self.chance.random() < 0.02:
-            return web.Response(status=503, headers={"Bankrack-Not-Executed": "1"})
+        draw = self.chance.random()
+        if draw < 0.02:
+            rejected = web.Response(status=503, headers={"Bankrack-Not-Executed": "1"})
+            if draw < RESTS_SHARE:
+                rejected.headers["Retry-After"] = str(REST_SECONDS)
+            return rejected
         run = self._begin(request)
         await asyncio.sleep(self.chance.uniform(0.01, 0.12))
         run.ended = time.monotonic()
