--- /dev/null
+++ b/src/bankrack/decisions/rests.py
@@ -0,0 +1,23 @@
+"""Whether a stream waits for the upstream that holds its only copy.
+
+Load pattern: an engine breaks off while the one with the copy turns requests away and
+asked for a rest.  To break the stream off loses all of it; to wait is a pause, which
+the caller bears up to a limit of its own.
+"""
+
+RESUME_MARGIN_SECONDS = 0.5
+"""Kept before the caller gives up: a copy goes on within some hundred ms."""
+
+
+def waits_for_rest(
+    rest_left: float, *, silent_for: float, bearable: float, copy_kept: float
+) -> bool:
+    """Whether going on after the rest is still in time.
+
+    :param rest_left: seconds until the upstream takes requests again.
+    :param silent_for: seconds since the caller got anything.
+    :param bearable: seconds without anything after which the caller gives up.
+    :param copy_kept: seconds for which the copy is still there.
+    """
+    in_time = silent_for + rest_left < bearable - RESUME_MARGIN_SECONDS
+    return 0.0 < rest_left < copy_kept and in_time
--- /dev/null
+++ b/src/bankrack/front/innerpaths.py
@@ -0,0 +1,27 @@
+"""Listeners of a gateway's own paths: for peers, the balancer and operators."""
+
+import typing as t
+
+from aiohttp import web
+
+Handler = t.Callable[[web.Request], t.Awaitable[web.StreamResponse]]
+
+SHUTDOWN_SECONDS = 0.1
+"""Peers ask again elsewhere, so nothing is waited for."""
+
+
+async def serve_paths(
+    address: str, handler_by_path: t.Mapping[str, Handler]
+) -> web.AppRunner:
+    """Listen on ``ip:port``; the runner's ``cleanup`` stops it."""
+    application = web.Application()
+    for path, handler in handler_by_path.items():
+        application.router.add_route("*", path, handler)
+    runner = web.AppRunner(
+        application, access_log=None, shutdown_timeout=SHUTDOWN_SECONDS
+    )
+    await runner.setup()
+    host, _, port = address.rpartition(":")
+    site = web.TCPSite(runner, host, int(port), reuse_address=True)
+    await site.start()
+    return runner
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -8,7 +8,6 @@
 import dataclasses
 import logging
 import socket
-import typing as t
 
 from aiohttp import web
 
@@ -38,6 +37,7 @@
 from bankrack.fleet.peers import UpdateServer
 from bankrack.fleet.roster import Roster
 from bankrack.fleet.view import View
+from bankrack.front.innerpaths import serve_paths
 from bankrack.front.relayfront import RelayFront
 from bankrack.metrics import GatewayMetrics
 from bankrack.nodestate import NodeState
@@ -192,7 +192,8 @@
         settings = self.settings
         self._tasks.spawn(self.follower.run)
         await self.front.start(settings.front, listening=listening)
-        await self._listen(settings.ready, {settings.ready_path: self._answer_ready})
+        ready = {settings.ready_path: self._answer_ready}
+        self._runners.append(await serve_paths(settings.ready, ready))
         updates = UpdateServer(
             self.view,
             self.upstreams,
@@ -200,19 +201,17 @@
             note_engines=self.reports.note_use,
             note_asker=self.roster.note_asker,
         )
-        await self._listen(
-            settings.inner,
-            {
-                UPDATES_PATH: updates.handle,
-                PLACE_PATH: self.ledgers.handle_ask,
-                NOTES_PATH: self.ledgers.handle_notes,
-                LEND_PATH: self.lender.handle,
-                CRASHES_PATH: self.crash_news.handle,
-                LEAVING_PATH: self.leaving_news.handle,
-                "/metrics": self._answer_metrics,
-                "/state": self._answer_state,
-            },
-        )
+        inner = {
+            UPDATES_PATH: updates.handle,
+            PLACE_PATH: self.ledgers.handle_ask,
+            NOTES_PATH: self.ledgers.handle_notes,
+            LEND_PATH: self.lender.handle,
+            CRASHES_PATH: self.crash_news.handle,
+            LEAVING_PATH: self.leaving_news.handle,
+            "/metrics": self._answer_metrics,
+            "/state": self._answer_state,
+        }
+        self._runners.append(await serve_paths(settings.inner, inner))
         self._tasks.spawn(self.follower.keep_sweeping)
         self._tasks.spawn(self.announcer.run)
         self._tasks.spawn(self.reports.run)
@@ -388,17 +387,6 @@
 
     # Listeners
 
-    async def _listen(self, address: str, handler_by_path: dict[str, t.Any]) -> None:
-        application = web.Application()
-        for path, handler in handler_by_path.items():
-            application.router.add_route("*", path, handler)
-        runner = web.AppRunner(application, access_log=None, shutdown_timeout=0.1)
-        await runner.setup()
-        host, _, port = address.rpartition(":")
-        site = web.TCPSite(runner, host, int(port), reuse_address=True)
-        await site.start()
-        self._runners.append(runner)
-
     async def _answer_ready(self, request: web.Request) -> web.Response:
         return web.Response(status=200 if self.ready else 503)
 
--- a/src/bankrack/serving/client.py
+++ b/src/bankrack/serving/client.py
@@ -23,6 +23,7 @@
 from bankrack.exceptions import UpstreamClosed
 from bankrack.exceptions import UpstreamFailed
 from bankrack.exceptions import UpstreamUnreachable
+from bankrack.serving.job import Answer
 from bankrack.serving.job import Header
 from bankrack.serving.job import Job
 from bankrack.serving.notices import Notice
@@ -181,6 +182,13 @@
         self._response.close()
 
 
+def whole_answer(head: Head, body: bytes) -> Answer:
+    """Join an answer that was read whole; raises :exc:`UpstreamFailed`."""
+    if head.status < 300 and not head.sealed:
+        raise UpstreamFailed("the upstream's answer carries no proof of origin")
+    return Answer(head.status, head.headers, body)
+
+
 class UpstreamClient:
     """Sends jobs; one connection a send."""
 
--- /dev/null
+++ b/src/bankrack/serving/enginelink.py
@@ -0,0 +1,141 @@
+"""The engine that a run is on: sending the run there and leaving it."""
+
+from bankrack.clock import boottime
+from bankrack.exceptions import UpstreamUnreachable
+from bankrack.serving.advice import PlacementAdvisor
+from bankrack.serving.assignment import Assignment
+from bankrack.serving.client import Exchange
+from bankrack.serving.client import Resume
+from bankrack.serving.client import Send
+from bankrack.serving.copies import Copies
+from bankrack.serving.passing import EventPasser
+from bankrack.serving.relay import RelayParts
+from bankrack.serving.runlog import RunLog
+from bankrack.serving.upstreams import Upstream
+
+
+class EngineLink:
+    """The engine that holds a run, its answer, and the sends so far.
+
+    :ivar engine: that holds the run, from the moment on at which it is sent there.
+    :ivar exchange: its answer, once that has begun.
+    :ivar sends: how often the run was sent anywhere.
+    :ivar runs: how often it may have begun anew, not counting where it went on.
+    """
+
+    def __init__(
+        self,
+        parts: RelayParts,
+        advisor: PlacementAdvisor,
+        work: Assignment,
+        log: RunLog,
+        passer: EventPasser,
+    ) -> None:
+        self.engine: Upstream | None = None
+        self.exchange: Exchange | None = None
+        self.sends = 0
+        self.runs = 0
+        self._parts = parts
+        self._advisor = advisor
+        self._work = work
+        self._log = log
+        self._passer = passer
+        # A run that has gone on anywhere is no first suspect where it goes on next.
+        self._began_at: float | None = None
+
+    @property
+    def running(self) -> Upstream | None:
+        """The engine that makes the run's events now, if any."""
+        return self.engine if self.exchange is not None else None
+
+    async def open(
+        self,
+        engine: Upstream,
+        copies: Copies,
+        *,
+        backup: Upstream | None = None,
+        hold: str | None = None,
+        resume: Resume | None = None,
+    ) -> Exchange:
+        """Send to ``engine``; it holds the run from now on.
+
+        :param copies: start anew with ``backup`` where the run may have begun.
+        """
+        work = self._work
+        self._parts.crashes.refuse(work.fingerprint, engine)
+        now = boottime()
+        kind = "resume" if resume else "first"
+        self._parts.metrics.sends.inc({"service": work.service.name, "kind": kind})
+        send = Send(
+            job=work.job,
+            upstream=engine,
+            workspace=work.workspace,
+            priority=work.priority,
+            time_left=work.time_left(),
+            backup=backup.address if backup else None,
+            hold=hold,
+            resume=resume,
+            last_event=self._passer.order.last,
+        )
+        self.engine = engine
+        self._passer.change_engine()
+        engine.in_flight += 1
+        try:
+            exchange = await self._parts.client.open(send)
+        except UpstreamUnreachable:
+            self.leave()
+            raise
+        except BaseException:
+            self.sends += 1
+            self.runs += resume is None
+            copies.start_with(backup)
+            raise
+        self.sends += 1
+        if not exchange.head.not_run:
+            self.runs += resume is None
+            took = boottime() - now if resume is None else 0.0
+            self._note_begun(engine, sent_at=now, took=took)
+            copies.start_with(backup)
+        self._log.write(
+            "run_sent",
+            engine,
+            str(exchange.head.status),
+            kind,
+            backup=backup.id if backup else None,
+        )
+        return exchange
+
+    def _note_begun(self, engine: Upstream, *, sent_at: float, took: float) -> None:
+        """Note that an engine runs it.
+
+        :param took: seconds from the send to the answer; 0 where the run went on.
+        """
+        work = self._work
+        prompt = work.job.demand.prompt
+        chooser = self._parts.chooser
+        self._began_at = self._began_at or boottime()
+        engine.note_sent(prompt, sent_at)
+        chooser.pace_of(work.service.name).began(prompt, took)
+        chooser.answered(engine, failed=False)
+        self._advisor.began(work, engine, took=took)
+
+    def leave(self) -> None:
+        """Stop the run where it is; the engine drops it with its connection."""
+        if self.exchange is not None:
+            self.exchange.close()
+            self.exchange = None
+        if self.engine is not None:
+            self.engine.in_flight -= 1
+            self.engine = None
+
+    def suspect(self, engine: Upstream) -> None:
+        """Pass an engine over for a while, here and where its ledger is kept."""
+        self._parts.chooser.suspect(engine)
+        self._parts.chooser.answered(engine, failed=True)
+        self._advisor.failed(self._work, engine)
+
+    async def note_break(self, engine: Upstream, error: Exception) -> None:
+        """Note that the run broke off, as far as it had come anywhere."""
+        began = self._began_at
+        ran = None if began is None else boottime() - began
+        await self._parts.crashes.note_break(self._work, engine, error, ran=ran)
--- a/src/bankrack/serving/plain.py
+++ b/src/bankrack/serving/plain.py
@@ -12,6 +12,7 @@
 from bankrack.serving.assignment import Assignment
 from bankrack.serving.client import Exchange
 from bankrack.serving.client import Send
+from bankrack.serving.client import whole_answer
 from bankrack.serving.job import Answer
 from bankrack.serving.job import Kind
 from bankrack.serving.job import Reply
@@ -148,9 +149,7 @@
             upstream.in_flight -= 1
             if exchange is not None:
                 exchange.close()
-        if head.status < 300 and not head.sealed:
-            raise UpstreamFailed("the upstream's answer carries no proof of origin")
-        return Answer(head.status, head.headers, body)
+        return whole_answer(head, body)
 
     def _attempt_seconds(self, work: Assignment, sends: "_Sends") -> float:
         left = work.time_left()
--- a/src/bankrack/serving/run.py
+++ b/src/bankrack/serving/run.py
@@ -5,6 +5,7 @@
 import math
 
 from bankrack.clock import boottime
+from bankrack.decisions.rests import waits_for_rest
 from bankrack.exceptions import BankrackError
 from bankrack.exceptions import Overloaded
 from bankrack.exceptions import StreamInterrupted
@@ -15,10 +16,11 @@
 from bankrack.serving.assignment import Assignment
 from bankrack.serving.client import Exchange
 from bankrack.serving.client import Resume
-from bankrack.serving.client import Send
+from bankrack.serving.client import whole_answer
 from bankrack.serving.copies import Copies
 from bankrack.serving.copies import Copy
 from bankrack.serving.enginecontrol import EngineControl
+from bankrack.serving.enginelink import EngineLink
 from bankrack.serving.job import Answer
 from bankrack.serving.job import Reply
 from bankrack.serving.passing import EventPasser
@@ -39,8 +41,6 @@
 """An engine that made events and then none for so long is given up."""
 SILENCE_EVENTS = 8.0
 """The same, in usual times between two events, for engines that make them slowly."""
-RESUME_MARGIN_SECONDS = 0.5
-"""Before a caller gives a silent stream up: a copy goes on within some hundred ms."""
 RESUME_SECONDS = 2.0
 """Time for a copy to go on; it reads what it lacks in some hundred ms."""
 
@@ -69,20 +69,17 @@
         self._reply = reply
         self._traits = work.service.engine or EngineTraits(slots=0, memory=0)
         self._passer = EventPasser(reply, gap_target=work.route.gap_target)
-        self._engine: Upstream | None = None
-        self._exchange: Exchange | None = None
         self._log = RunLog(work, self._passer.order)
         self._pace = means.parts.chooser.pace_of(work.service.name)
         self._tried: set[str] = set()
-        self._sends = 0
-        self._runs = 0
         self._spare = False
         self._resumes = 0
         self._ended_whole = False
-        # A run that has gone on anywhere is no first suspect where it goes on next.
-        self._began_at: float | None = None
         self._whole_seconds = 0.0
         self._keeper: asyncio.Task[None] | None = None
+        self._link = EngineLink(
+            means.parts, means.advisor, work, self._log, self._passer
+        )
         self._copies = Copies(
             work,
             self._traits,
@@ -91,7 +88,7 @@
             upstreams=means.parts.upstreams,
             control=means.control,
             advisor=means.advisor,
-            engine=lambda: self._engine if self._exchange is not None else None,
+            engine=lambda: self._link.running,
         )
 
     async def serve(self) -> str:
@@ -110,21 +107,21 @@
             return await self._answer(answer)
         await self._reply.end()
         self._ended_whole = True
-        if self._engine is not None:
-            self._parts.crashes.note_served(self._work, self._engine)
+        if self._link.engine is not None:
+            self._parts.crashes.note_served(self._work, self._link.engine)
         self._whole_seconds = self._passer.seconds
         self._pace.ended(self._work.job.demand, self._whole_seconds)
         if self._passer.count > 1:
             self._pace.spaced(self._passer.gap)
         self._log.write_pace(self._passer, whole=True)
-        return f"whole, {self._sends} sends, {self._resumes} resumes"
+        return f"whole, {self._link.sends} sends, {self._resumes} resumes"
 
     async def close(self) -> None:
         """Free what the run holds."""
         if self._keeper is not None:
             self._keeper.cancel()
         await self._copies.drop()
-        self._leave_engine()
+        self._link.leave()
         if self._passer.began and not self._ended_whole:
             self._log.write_pace(self._passer, whole=False)
         self._means.advisor.ended(self._work, took=self._whole_seconds)
@@ -143,7 +140,7 @@
                 )
                 await self._take_from_budget()
             except Overloaded as error:
-                if self._runs == 0:
+                if self._link.runs == 0:
                     raise
                 raise _interrupted(error) from error
             try:
@@ -151,7 +148,7 @@
                 exchange = await self._open_first(place)
             except UpstreamUnreachable as error:
                 if not isinstance(error, UpstreamClosed):
-                    self._suspect(engine)
+                    self._link.suspect(engine)
                 self._tried.add(engine.id)
                 self._log.write("attempt_ended", engine, "unreachable", error.message)
                 continue
@@ -164,13 +161,13 @@
                 raise _interrupted(error) from error
             if exchange.head.not_run:
                 exchange.close()
-                self._leave_engine()
+                self._link.leave()
                 self._tried.add(engine.id)
                 self._log.write("attempt_ended", engine, "rejected")
                 continue
             if exchange.head.status != 200:
-                return await self._whole(exchange)
-            self._exchange = exchange
+                return whole_answer(exchange.head, await exchange.read())
+            self._link.exchange = exchange
             return None
 
     async def _open_first(self, place: Place) -> Exchange:
@@ -186,7 +183,7 @@
         patience = PATIENCE * self._work.route.target_latency
         limit_seconds = patience if self._may_run_again(after=1) else None
         loop = asyncio.get_running_loop()
-        overdue = loop.call_later(patience, self._suspect, engine)
+        overdue = loop.call_later(patience, self._link.suspect, engine)
         try:
             async with asyncio.timeout(limit_seconds) as limit:
                 return await self._open(engine, hold=place.hold)
@@ -209,23 +206,17 @@
         route = self._work.route
         return (
             route.resumable
-            and self._runs + after < route.max_upstreams
+            and self._link.runs + after < route.max_upstreams
             and self._work.time_left() > route.target_latency / 4
         )
 
-    def _suspect(self, engine: Upstream) -> None:
-        """Pass an engine over for a while, here and where its ledger is kept."""
-        self._parts.chooser.suspect(engine)
-        self._parts.chooser.answered(engine, failed=True)
-        self._means.advisor.failed(self._work, engine)
-
     async def _take_from_budget(self) -> None:
         """Account for a send that is not the first."""
-        if self._sends == 0:
+        if self._link.sends == 0:
             return
         service = self._work.service.name
         budget = self._parts.budget
-        if self._sends >= MAX_SENDS or not await budget.take_or_borrow(service):
+        if self._link.sends >= MAX_SENDS or not await budget.take_or_borrow(service):
             raise Overloaded(
                 "engines rejected the run and no more may be asked; try again",
                 retry_after=self._work.job.retry_after,
@@ -239,14 +230,7 @@
                 "new request"
             )
         await self._reply.answer(answer)
-        return f"{answer.status} after {self._sends} sends"
-
-    async def _whole(self, exchange: Exchange) -> Answer:
-        body = await exchange.read()
-        head = exchange.head
-        if head.status < 300 and not head.sealed:
-            raise UpstreamFailed("the engine's answer carries no proof of origin")
-        return Answer(head.status, head.headers, body)
+        return f"{answer.status} after {self._link.sends} sends"
 
     async def _open(
         self,
@@ -255,74 +239,20 @@
         hold: str | None = None,
         resume: Resume | None = None,
     ) -> Exchange:
-        """Send to ``engine``; it holds the run from now on."""
-        work = self._work
-        self._parts.crashes.refuse(work.fingerprint, engine)
-        now = boottime()
-        kind = "resume" if resume else "first"
-        self._parts.metrics.sends.inc({"service": work.service.name, "kind": kind})
+        """Send to ``engine``, with a backup elsewhere where the pool has memory."""
         backup = None
         if self._spare:
             backup = self._copies.choose_backup(engine, tried=self._tried)
-        send = Send(
-            job=work.job,
-            upstream=engine,
-            workspace=work.workspace,
-            priority=work.priority,
-            time_left=work.time_left(),
-            backup=backup.address if backup else None,
-            hold=hold,
-            resume=resume,
-            last_event=self._passer.order.last,
-        )
-        self._engine = engine
-        self._passer.change_engine()
-        engine.in_flight += 1
-        try:
-            exchange = await self._parts.client.open(send)
-        except UpstreamUnreachable:
-            self._leave_engine()
-            raise
-        except BaseException:
-            self._sends += 1
-            self._runs += resume is None
-            self._copies.start_with(backup)
-            raise
-        self._sends += 1
-        if not exchange.head.not_run:
-            self._began_at = self._began_at or boottime()
-            self._runs += resume is None
-            prompt = work.job.demand.prompt
-            took = boottime() - now if resume is None else 0.0
-            engine.note_sent(prompt, now)
-            self._pace.began(prompt, took)
-            self._parts.chooser.answered(engine, failed=False)
-            self._means.advisor.began(work, engine, took=took)
-            self._copies.start_with(backup)
-        self._log.write(
-            "run_sent",
-            engine,
-            str(exchange.head.status),
-            kind,
-            backup=backup.id if backup else None,
+        return await self._link.open(
+            engine, self._copies, backup=backup, hold=hold, resume=resume
         )
-        return exchange
-
-    def _leave_engine(self) -> None:
-        """Stop the run where it is; the engine drops it with its connection."""
-        if self._exchange is not None:
-            self._exchange.close()
-            self._exchange = None
-        if self._engine is not None:
-            self._engine.in_flight -= 1
-            self._engine = None
 
     # Passing events on
 
     async def _pass_events(self) -> None:
         """Pass whole events on until the stream's end."""
-        assert self._exchange is not None
-        exchange = self._exchange
+        assert self._link.exchange is not None
+        exchange = self._link.exchange
         while data := await self._read(exchange):
             await self._passer.feed(data, exchange.head)
             if self._passer.began:
@@ -355,7 +285,7 @@
         It may only be crowded.  Its connection is dropped once the copy has
         taken over, well before both could be at work for long.
         """
-        silent, exchange = self._engine, self._exchange
+        silent, exchange = self._link.engine, self._link.exchange
         copies = self._copies.found
         left = self._passer.change_engine()
         assert silent is not None and exchange is not None
@@ -363,7 +293,7 @@
         for copy in copies:
             if copy.holder is silent or copy.holder.gone_at:
                 continue
-            self._engine, self._exchange = None, None
+            self._link.engine, self._link.exchange = None, None
             if await self._resume_at(copy):
                 self._resumes += 1
                 exchange.close()
@@ -371,25 +301,19 @@
                 # It may only be crowded, so this stays with this node.
                 self._parts.chooser.suspect(silent)
                 return
-        self._engine, self._exchange = silent, exchange
+        self._link.engine, self._link.exchange = silent, exchange
         self._copies.found = copies
         self._passer.keep_engine(left)
 
     async def _lose_engine(self, error: BankrackError) -> None:
         """Leave an engine that broke the run off."""
-        broken = self._engine
-        self._leave_engine()
+        broken = self._link.engine
+        self._link.leave()
         if broken is not None:
-            self._suspect(broken)
+            self._link.suspect(broken)
             self._tried.add(broken.id)
             self._log.write("stream_broke", broken, "resuming", error.message)
-            await self._note_break(broken, error)
-
-    async def _note_break(self, engine: Upstream, error: Exception) -> None:
-        """Note that the run broke off, as far as it had come anywhere."""
-        began = self._began_at
-        ran = None if began is None else boottime() - began
-        await self._parts.crashes.note_break(self._work, engine, error, ran=ran)
+            await self._link.note_break(broken, error)
 
     async def _go_on(self, error: BankrackError) -> Answer | None:
         """Go on at a copy, or else anew behind the last event where that is allowed.
@@ -421,21 +345,22 @@
 
         It is the last way to save the stream: a pause instead of a break.
         """
-        rest_left = copy.holder.rest_until - boottime()
-        silent_since = self._passer.last_at or self._work.job.arrived
-        lasts_until = min(
-            silent_since + self._work.bearable_silence,
-            broke_at + (self._traits.copy_keep or math.inf),
-        )
-        in_time = boottime() + rest_left < lasts_until - RESUME_MARGIN_SECONDS
-        if rest_left <= 0.0 or not in_time:
+        now = boottime()
+        rest_left = copy.holder.rest_until - now
+        kept = self._traits.copy_keep or math.inf
+        if not waits_for_rest(
+            rest_left,
+            silent_for=now - (self._passer.last_at or self._work.job.arrived),
+            bearable=self._work.bearable_silence,
+            copy_kept=broke_at + kept - now,
+        ):
             return False
         await asyncio.sleep(rest_left)
         return await self._resume_at(copy)
 
     async def _resume_at(self, copy: Copy) -> bool:
         holder = copy.holder
-        closed = _why_closed(holder)
+        closed = holder.why_closed_to_copies(boottime())
         if closed is not None:
             self._log.write("resume_refused", holder, closed)
             return False
@@ -450,30 +375,19 @@
             async with asyncio.timeout(RESUME_SECONDS):
                 exchange = await self._open(holder, resume=resume)
         except (BankrackError, TimeoutError) as error:
-            self._leave_engine()
+            self._link.leave()
             self._log.write("resume_refused", holder, "failed", repr(error))
-            await self._note_break(holder, error)
+            await self._link.note_break(holder, error)
             return False
         if exchange.head.status != 200:
             exchange.close()
-            self._leave_engine()
+            self._link.leave()
             self._log.write("resume_refused", holder, str(exchange.head.status), "")
             return False
-        self._exchange = exchange
+        self._link.exchange = exchange
         return True
 
 
-def _why_closed(holder: Upstream) -> str | None:
-    """Why a run may not go on there now, in a word for the log, if it may not."""
-    if holder.evacuated:
-        return "evacuated"
-    if holder.ended:
-        return "began a new life"
-    if holder.resting(boottime()):
-        return "rests"
-    return None
-
-
 def _interrupted(error: BankrackError) -> StreamInterrupted:
     return StreamInterrupted(
         "the engine broke off and no copy of the run could go on; send a new "
--- a/src/bankrack/serving/upstreams.py
+++ b/src/bankrack/serving/upstreams.py
@@ -139,6 +139,17 @@
         """Whether this node may send it new work now."""
         return self.open and not self.resting(now)
 
+    def why_closed_to_copies(self, now: float) -> str | None:
+        """Why no run may go on there at its copy now, for the log; ``None`` if it may.
+
+        That it leaves is no reason: it serves on while copies can still be used.
+        """
+        if self.evacuated:
+            return "evacuated"
+        if self.ended:
+            return "began a new life"
+        return "rests" if self.resting(now) else None
+
     def cold(self, now: float) -> bool:
         """Whether what all nodes send it is bounded by its service's rate."""
         return now < self.cold_until
--- /dev/null
+++ b/tests/decisions/test_rests.py
@@ -0,0 +1,26 @@
+"""Tests of waiting for the upstream that holds a stream's only copy."""
+
+from bankrack.decisions.rests import RESUME_MARGIN_SECONDS
+from bankrack.decisions.rests import waits_for_rest
+from tests.base import TestCase
+
+
+class Waiting(TestCase):
+    def waits(self, rest_left: float, **more: float) -> bool:
+        bounds = {"silent_for": 0.5, "bearable": 7.2, "copy_kept": 5.0, **more}
+        return waits_for_rest(rest_left, **bounds)
+
+    def test_a_pause_that_the_caller_bears_saves_the_stream(self):
+        self.assertTrue(self.waits(3.0))
+
+    def test_a_longer_one_does_not(self):
+        self.assertFalse(self.waits(3.0, bearable=3.5 + RESUME_MARGIN_SECONDS))
+        self.assertTrue(self.waits(3.0, bearable=3.6 + RESUME_MARGIN_SECONDS))
+        self.assertFalse(self.waits(3.0, silent_for=4.0))
+
+    def test_the_copy_has_to_be_there_still(self):
+        self.assertFalse(self.waits(3.0, copy_kept=2.0))
+
+    def test_without_a_rest_there_is_nothing_to_wait_for(self):
+        self.assertFalse(self.waits(0.0))
+        self.assertFalse(self.waits(-1.0))
