--- a/tests/platform/test_answers.py
+++ b/tests/platform/test_answers.py
@@ -74,6 +74,13 @@
         self.assertEqual((1, 0.05), (found.waiting, found.cold_seconds))
         self.assertEqual((), found.unreadable)
 
+    def test_a_load_with_the_pace_of_the_upstream(self):
+        self.assertEqual(2, told(200, ("Bankrack-Server-Load", "3,2,8,140")).waiting)
+        for text in ("3", "3,2", "3,2,8,1,1", "3,x,8"):
+            found = told(200, ("Bankrack-Server-Load", text))
+            self.assertIsNone(found.waiting)
+            self.assertEqual(1, len(found.unreadable))
+
     @given(
         strategies.sampled_from(
             ["Retry-After", "Server-Leaving", "Bankrack-Server-Load", "Date"]
