--- a/soak/gateway/judge.py
+++ b/soak/gateway/judge.py
@@ -21,9 +21,9 @@
 """An engine may work so long beside the one that went on with its run."""
 LOG_EXCERPT = 3000
 """Characters of a log that are shown from the first sign of a failure on."""
-REST_GRACE_SECONDS = 0.5
-"""What was under way when a server asked for a rest may still arrive."""
-MOST_IN_A_REST = 2
+BACKOFF_GRACE_SECONDS = 0.5
+"""What was under way when a server asked for a back-off may still arrive."""
+MOST_IN_A_BACKOFF = 2
 LINK_SECONDS = 3.0
 """A server's link is in trouble for so long at most."""
 MOST_POISONED = 6
@@ -153,8 +153,8 @@
             for told, call in found:
                 if told.leaving and call.status == 200 and call.whole:
                     self._judge_told_leaving(server, node, told.answered, found)
-                if told.rest:
-                    self._judge_rest(server, node, told, found)
+                if told.backoff:
+                    self._judge_backoff(server, node, told, found)
 
     def _judge_told_leaving(
         self, server: str, node: Gateway, told: float, found: list[tuple[Arrival, Call]]
@@ -168,21 +168,21 @@
                     "after an answer had told it that the server leaves"
                 )
 
-    def _judge_rest(
+    def _judge_backoff(
         self,
         server: str,
         node: Gateway,
         told: Arrival,
         found: list[tuple[Arrival, Call]],
     ) -> None:
-        since = told.answered + REST_GRACE_SECONDS + SLACK_SECONDS
-        until = told.answered + told.rest
+        since = told.answered + BACKOFF_GRACE_SECONDS + SLACK_SECONDS
+        until = told.answered + told.backoff
         count = sum(since < arrival.at < until for arrival, _ in found)
         excused = node.disturbed_between(told.answered - LINK_SECONDS, until)
-        if count > MOST_IN_A_REST and not excused:
+        if count > MOST_IN_A_BACKOFF and not excused:
             self.violation(
-                f"{server} had asked {node.name} for {told.rest} s of rest and got "
-                f"{count} requests from it"
+                f"{server} had asked {node.name} for {told.backoff} s of back-off "
+                f"and got {count} requests from it"
             )
 
     def _judge_budget(self, calls: list[Call]) -> None:
--- a/soak/gateway/world.py
+++ b/soak/gateway/world.py
@@ -22,9 +22,9 @@
 EVENT_SECONDS = 0.03
 """Time between two events of a stream; the platform's engines take some 36 ms."""
 REQUEST_ID = "Bankrack-Request-Id"
-RESTS_SHARE = 0.01
-"""Part of the requests at a plain server that it turns away and asks for a rest."""
-REST_SECONDS = 1.5
+BACKOFF_SHARE = 0.01
+"""Part of the requests that a plain server turns away and asks to back off."""
+BACKOFF_SECONDS = 1.5
 POISON = b"ends whoever runs it"
 POISON_SECONDS = 0.05
 """From the beginning of a run to the end of its engine."""
@@ -51,7 +51,7 @@
 
     :param answered: when its answer left; 0 where there was none.
     :param leaving: the answer said that the server leaves.
-    :param rest: seconds for which the answer asked the gateway to send nothing.
+    :param backoff: seconds for which the answer asked the gateway to send nothing.
     """
 
     request: str
@@ -60,7 +60,7 @@
     at: float
     answered: float = 0.0
     leaving: bool = False
-    rest: float = 0.0
+    backoff: float = 0.0
 
 
 class Journal:
@@ -157,7 +157,7 @@
         if request.transport is not None and not request.transport.is_closing():
             arrival.answered = time.monotonic()
             arrival.leaving = "Server-Leaving" in response.headers
-            arrival.rest = float(response.headers.get("Retry-After", 0.0))
+            arrival.backoff = float(response.headers.get("Retry-After", 0.0))
         return response
 
     def _begin(self, request: web.BaseRequest) -> Run:
@@ -182,8 +182,8 @@
         draw = self.chance.random()
         if draw < 0.02:
             rejected = web.Response(status=503, headers={"Bankrack-Not-Executed": "1"})
-            if draw < RESTS_SHARE:
-                rejected.headers["Retry-After"] = str(REST_SECONDS)
+            if draw < BACKOFF_SHARE:
+                rejected.headers["Retry-After"] = str(BACKOFF_SECONDS)
             return rejected
         run = self._begin(request)
         await asyncio.sleep(self.chance.uniform(0.01, 0.12))
--- a/src/bankrack/decisions/rests.py
+++ b/src/bankrack/decisions/backoff.py
@@ -1,7 +1,7 @@
 """Whether a stream waits for the upstream that holds its only copy.
 
 Load pattern: an engine breaks off while the one with the copy turns requests away and
-asked for a rest.  To break the stream off loses all of it; to wait is a pause, which
+asked to back off.  To break the stream off loses all of it; to wait is a pause, which
 the caller bears up to a limit of its own.
 """
 
@@ -9,15 +9,15 @@
 """Kept before the caller gives up: a copy goes on within some hundred ms."""
 
 
-def waits_for_rest(
-    rest_left: float, *, silent_for: float, bearable: float, copy_kept: float
+def waits_out_backoff(
+    backoff_left: float, *, silent_for: float, bearable: float, copy_kept: float
 ) -> bool:
-    """Whether going on after the rest is still in time.
+    """Whether going on after the back-off is still in time.
 
-    :param rest_left: seconds until the upstream takes requests again.
+    :param backoff_left: seconds until the upstream takes requests again.
     :param silent_for: seconds since the caller got anything.
     :param bearable: seconds without anything after which the caller gives up.
     :param copy_kept: seconds for which the copy is still there.
     """
-    in_time = silent_for + rest_left < bearable - RESUME_MARGIN_SECONDS
-    return 0.0 < rest_left < copy_kept and in_time
+    in_time = silent_for + backoff_left < bearable - RESUME_MARGIN_SECONDS
+    return 0.0 < backoff_left < copy_kept and in_time
--- a/src/bankrack/fleet/owners.py
+++ b/src/bankrack/fleet/owners.py
@@ -281,7 +281,7 @@
         """
         now = self._clock()
         for engine in engines:
-            if engine.leaving or engine.resting(now):
+            if engine.leaving or engine.backing_off(now):
                 yield engine.id
 
     def placed(self, work: Assignment, engine: Upstream) -> None:
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -355,9 +355,9 @@
         alone = self.follower.leader is None and self.roster.stands_by()
         if not alone or count_pools(len(engines)) > 1:
             engines = self.owners.owned(service)
-        # Neither an evacuated hall nor an engine that rests is asked anything.
+        # Neither an evacuated hall nor one that asked to back off is asked anything.
         now = boottime()
-        return [e for e in engines if not e.evacuated and not e.resting(now)]
+        return [e for e in engines if not e.evacuated and not e.backing_off(now)]
 
     async def _keep_applying(self) -> None:
         """Hand on what follows from the configuration in force."""
--- a/src/bankrack/nodestate.py
+++ b/src/bankrack/nodestate.py
@@ -42,7 +42,7 @@
             "in_flight": float(self.in_flight),
             "keeps_ledgers": float(self.keeps_ledgers),
             "quarantined": float(len(self.quarantined)),
-            "resting": float(sum(u.resting(now) for u in self.upstreams)),
+            "backing_off": float(sum(u.backing_off(now) for u in self.upstreams)),
             "leaving": float(sum(u.leaving for u in self.upstreams)),
         }
 
--- a/src/bankrack/serving/assignment.py
+++ b/src/bankrack/serving/assignment.py
@@ -39,14 +39,16 @@
         """Seconds until the final answer is due."""
         return self.deadline - boottime()
 
-    def retry_after(self, rest_left: float | None) -> float:
+    def retry_after(self, backoff_left: float | None) -> float:
         """Seconds after which a caller that is refused should come back.
 
-        :param rest_left: until an upstream takes work again, where that is known.
+        :param backoff_left: until an upstream takes work again, where that is known.
         """
-        if rest_left is None:
+        if backoff_left is None:
             return self.job.retry_after
-        return come_back_after(rest_left, left=self.time_left(), draw=random.random())
+        return come_back_after(
+            backoff_left, left=self.time_left(), draw=random.random()
+        )
 
     @property
     def bearable_silence(self) -> float:
--- a/src/bankrack/serving/client.py
+++ b/src/bankrack/serving/client.py
@@ -249,13 +249,13 @@
     The last check before a send: an upstream may begin to leave, or its hall may be
     evacuated, between its choice and this moment, as while it was asked for a place.
     A leaving one still takes runs whose copy it holds, if they came before it told
-    that it leaves; an evacuated one, and one that asked for a rest, takes nothing.
+    that it leaves; an evacuated one, and one that asked to back off, takes nothing.
     """
     upstream = send.upstream
-    if upstream.resting(now):
+    if upstream.backing_off(now):
         raise UpstreamClosed(
             f"{upstream.id} wants nothing from this node for "
-            f"{upstream.rest_until - now:.2f} s more; nothing was sent, try another"
+            f"{upstream.backoff_until - now:.2f} s more; nothing was sent, try another"
         )
     if upstream.evacuated:
         raise UpstreamClosed(
--- a/src/bankrack/serving/enginecontrol.py
+++ b/src/bankrack/serving/enginecontrol.py
@@ -36,7 +36,7 @@
 
 
 class GuardedControl:
-    """Orders and questions, of which none goes to an engine that asked for a rest.
+    """Orders and questions, of which none goes to an engine that asked to back off.
 
     The last check before they are sent; each raises :exc:`UpstreamClosed` then.
     """
@@ -49,26 +49,26 @@
 
     async def report(self, engine: Upstream) -> EngineReport:
         """Ask an engine how it is."""
-        self._refuse_if_resting(engine)
+        self._refuse_if_backing_off(engine)
         return await self._control.report(engine)
 
     async def hold(self, engine: Upstream, tokens: int, ttl: float) -> str | None:
         """Have a slot and memory kept; ``None`` when there is no room."""
-        self._refuse_if_resting(engine)
+        self._refuse_if_backing_off(engine)
         return await self._control.hold(engine, tokens, ttl)
 
     async def copy(self, source: Upstream, run_id: str, target: Upstream) -> str:
         """Copy a run's memory while it goes on; returns the copy's handle."""
-        self._refuse_if_resting(source)
+        self._refuse_if_backing_off(source)
         return await self._control.copy(source, run_id, target)
 
     async def drop_copy(self, source: Upstream, handle: str) -> None:
         """Free a copy that is not needed; it lapses by itself where that is refused."""
-        self._refuse_if_resting(source)
+        self._refuse_if_backing_off(source)
         await self._control.drop_copy(source, handle)
 
-    def _refuse_if_resting(self, engine: Upstream) -> None:
-        if engine.resting(self._clock()):
+    def _refuse_if_backing_off(self, engine: Upstream) -> None:
+        if engine.backing_off(self._clock()):
             raise UpstreamClosed(
                 f"{engine.id} wants nothing from this node now; ask another, or later"
             )
--- a/src/bankrack/serving/notices.py
+++ b/src/bankrack/serving/notices.py
@@ -16,11 +16,11 @@
 
 LOG_SECONDS = 1.0
 """Rest between two lines on one upstream, which may tell the same with each answer."""
-LONGEST_REST_SECONDS = 3600.0
-"""A rest of years, as by a wrong unit, would take an upstream out of use for its life;
-one request an hour finds out whether it is meant."""
+LONGEST_BACKOFF_SECONDS = 3600.0
+"""A back-off of years, as by a wrong unit, would take an upstream out of use for its
+life; one request an hour finds out whether it is meant."""
 RETURN_SPREAD = 0.1
-"""Part of a rest by which nodes return later than asked, each by another time: an
+"""Part of a back-off by which nodes return later than asked, each by another time: an
 upstream that turned all of them away at once would meet all of them at once again."""
 MISDIRECTED = 421
 """Status of an answer to a request that was meant for another upstream."""
@@ -33,15 +33,15 @@
     """What an answer tells of the upstream that gave it.
 
     :param leaving: it ends soon and takes no new work.
-    :param rest_seconds: it turned a request away and wants nothing from this node for
-        so long.
+    :param backoff_seconds: it turned a request away and wants nothing from this node
+        for so long.
     :param waiting: requests that wait there.
     :param cold_seconds: how much longer it is cold.
     :param unreadable: headers whose values can't be read, each as ``name: value``.
     """
 
     leaving: bool = False
-    rest_seconds: float | None = None
+    backoff_seconds: float | None = None
     waiting: int | None = None
     cold_seconds: float | None = None
     unreadable: tuple[str, ...] = ()
@@ -91,8 +91,8 @@
         if news:
             self._left.add(upstream.id)
             self.news.set()
-        if notice.rest_seconds:
-            news |= upstream.note_rest(now + self._spread(notice.rest_seconds))
+        if notice.backoff_seconds:
+            news |= upstream.note_backoff(now + self._spread(notice.backoff_seconds))
         if news or notice.unreadable:
             self._log(upstream, notice, status, request, news=news)
 
@@ -103,8 +103,8 @@
         return sorted(left)
 
     def _spread(self, seconds: float) -> float:
-        """How long this node rests that was asked to for so long."""
-        bounded = min(seconds, LONGEST_REST_SECONDS)
+        """How long this node backs off that was asked to for so long."""
+        bounded = min(seconds, LONGEST_BACKOFF_SECONDS)
         return bounded * (1.0 + RETURN_SPREAD * self._rng.random())
 
     def _log(
@@ -128,7 +128,7 @@
             address=upstream.address,
             status=status,
             leaving=notice.leaving,
-            rest=notice.rest_seconds,
+            backoff=notice.backoff_seconds,
             news=news,
             unreadable="; ".join(notice.unreadable) or None,
         )
--- a/src/bankrack/serving/placing.py
+++ b/src/bankrack/serving/placing.py
@@ -175,7 +175,7 @@
         if not untried:
             raise Overloaded(
                 f"no engine of {work.service.name} takes the run now; try again",
-                retry_after=work.retry_after(self._upstreams.rest_left(name)),
+                retry_after=work.retry_after(self._upstreams.backoff_left(name)),
             )
         return self._chooser.engines_by_room(
             untried, work.job.demand, memory=traits.memory
@@ -228,12 +228,12 @@
         for engine in answering:
             if engine.takes_work(boottime()):
                 return engine
-        rest_left = self._upstreams.rest_left(work.service.name)
-        if answering and rest_left is not None:
+        backoff_left = self._upstreams.backoff_left(work.service.name)
+        if answering and backoff_left is not None:
             raise Overloaded(
-                f"all engines of {work.service.name} asked this node for a rest; "
+                f"all engines of {work.service.name} asked this node to back off; "
                 "come back later",
-                retry_after=work.retry_after(rest_left),
+                retry_after=work.retry_after(backoff_left),
             )
         raise Overloaded(
             f"no engine of {work.service.name} answers this node; try again",
--- a/src/bankrack/serving/plain.py
+++ b/src/bankrack/serving/plain.py
@@ -96,12 +96,12 @@
             candidates = [u for u in candidates if u.id in sends.ran_ids] or candidates
         upstream = self._parts.chooser.plain(candidates, avoid=sends.avoid)
         if upstream is None:
-            rest_left = self._parts.upstreams.rest_left(work.service.name)
+            backoff_left = self._parts.upstreams.backoff_left(work.service.name)
             raise Overloaded(
                 f"service {work.service.name} has no upstream that takes requests of "
-                f"this node now ({len(takers)} are cold, the others rest or leave); "
-                "try again",
-                retry_after=work.retry_after(rest_left),
+                f"this node now ({len(takers)} are cold, the others leave or asked it "
+                "to back off); try again",
+                retry_after=work.retry_after(backoff_left),
             )
         budget = self._parts.budget
         if sends.count > 0 and not await budget.take_or_borrow(work.service.name):
--- a/src/bankrack/serving/run.py
+++ b/src/bankrack/serving/run.py
@@ -5,7 +5,7 @@
 import math
 
 from bankrack.clock import boottime
-from bankrack.decisions.rests import waits_for_rest
+from bankrack.decisions.backoff import waits_out_backoff
 from bankrack.exceptions import BankrackError
 from bankrack.exceptions import Overloaded
 from bankrack.exceptions import StreamInterrupted
@@ -333,29 +333,31 @@
         copies = self._copies.found
         broke_at = boottime()
         for copy in copies:
-            if await self._resume_at(copy) or await self._resume_rested(copy, broke_at):
+            if await self._resume_at(copy) or await self._resume_after_backoff(
+                copy, broke_at
+            ):
                 self._resumes += 1
                 counted.inc({"outcome": "ok"})
                 return True
         counted.inc({"outcome": "lost"})
         return False
 
-    async def _resume_rested(self, copy: Copy, broke_at: float) -> bool:
-        """Go on at a copy once its holder's rest is over, if that is in time.
+    async def _resume_after_backoff(self, copy: Copy, broke_at: float) -> bool:
+        """Go on at a copy once its holder takes requests again, if that is in time.
 
         It is the last way to save the stream: a pause instead of a break.
         """
         now = boottime()
-        rest_left = copy.holder.rest_until - now
+        backoff_left = copy.holder.backoff_until - now
         kept = self._traits.copy_keep or math.inf
-        if not waits_for_rest(
-            rest_left,
+        if not waits_out_backoff(
+            backoff_left,
             silent_for=now - (self._passer.last_at or self._work.job.arrived),
             bearable=self._work.bearable_silence,
             copy_kept=broke_at + kept - now,
         ):
             return False
-        await asyncio.sleep(rest_left)
+        await asyncio.sleep(backoff_left)
         return await self._resume_at(copy)
 
     async def _resume_at(self, copy: Copy) -> bool:
--- a/src/bankrack/serving/upstreams.py
+++ b/src/bankrack/serving/upstreams.py
@@ -61,6 +61,7 @@
     """One upstream and what this node knows of it."""
 
     __slots__ = (
+        "backoff_until",
         "cold_until",
         "ended",
         "evacuated",
@@ -76,7 +77,6 @@
         "rejections",
         "report",
         "report_learned",
-        "rest_until",
         "sent",
         "suspect_until",
     )
@@ -94,7 +94,7 @@
         self.load_waiting = 0
         self.notice_logged_at = -math.inf
         self.failure_rate = 0.0
-        self.rest_until = 0.0
+        self.backoff_until = 0.0
         self.rejections = 0
         self.full_until = 0.0
         self.suspect_until = 0.0
@@ -131,13 +131,13 @@
         """Whether it takes new work; in an evacuated hall what runs there goes on."""
         return not self.leaving and not self.evacuated
 
-    def resting(self, now: float) -> bool:
+    def backing_off(self, now: float) -> bool:
         """Whether it asked this node, for this moment, to send it nothing."""
-        return now < self.rest_until
+        return now < self.backoff_until
 
     def takes_work(self, now: float) -> bool:
         """Whether this node may send it new work now."""
-        return self.open and not self.resting(now)
+        return self.open and not self.backing_off(now)
 
     def why_closed_to_copies(self, now: float) -> str | None:
         """Why no run may go on there at its copy now, for the log; ``None`` if it may.
@@ -148,7 +148,7 @@
             return "evacuated"
         if self.ended:
             return "began a new life"
-        return "rests" if self.resting(now) else None
+        return "back-off" if self.backing_off(now) else None
 
     def cold(self, now: float) -> bool:
         """Whether what all nodes send it is bounded by its service's rate."""
@@ -165,11 +165,11 @@
         self.leaving_at = now
         return True
 
-    def note_rest(self, until: float) -> bool:
+    def note_backoff(self, until: float) -> bool:
         """Take in that this node is to send nothing; tells whether it is for longer."""
-        if until <= self.rest_until:
+        if until <= self.backoff_until:
             return False
-        self.rest_until = until
+        self.backoff_until = until
         return True
 
     def note_cold(self, seconds: float, now: float) -> None:
@@ -185,7 +185,7 @@
             "leaving": self.leaving,
             "evacuated": self.evacuated,
             "cold_until": self.cold_until,
-            "rest_until": self.rest_until,
+            "backoff_until": self.backoff_until,
             "in_flight": self.in_flight,
             "failure_rate": self.failure_rate,
             "used": self.report.used if self.report else None,
@@ -315,11 +315,11 @@
         now = self._clock()
         return [u for u in self.of(service) if u.takes_work(now)]
 
-    def rest_left(self, service: str) -> float | None:
+    def backoff_left(self, service: str) -> float | None:
         """Seconds until the first of a service's upstreams takes work again.
 
-        ``None`` where that does not hang on a rest alone.
+        ``None`` where that does not hang on back-offs alone.
         """
         now = self._clock()
-        rests = [u.rest_until - now for u in self.open_of(service)]
-        return min(rests) if rests and min(rests) > 0.0 else None
+        left = [u.backoff_until - now for u in self.open_of(service)]
+        return min(left) if left and min(left) > 0.0 else None
--- a/tests/decisions/test_rests.py
+++ b/tests/decisions/test_backoff.py
@@ -1,14 +1,14 @@
 """Tests of waiting for the upstream that holds a stream's only copy."""
 
-from bankrack.decisions.rests import RESUME_MARGIN_SECONDS
-from bankrack.decisions.rests import waits_for_rest
+from bankrack.decisions.backoff import RESUME_MARGIN_SECONDS
+from bankrack.decisions.backoff import waits_out_backoff
 from tests.base import TestCase
 
 
 class Waiting(TestCase):
-    def waits(self, rest_left: float, **more: float) -> bool:
+    def waits(self, backoff_left: float, **more: float) -> bool:
         bounds = {"silent_for": 0.5, "bearable": 7.2, "copy_kept": 5.0, **more}
-        return waits_for_rest(rest_left, **bounds)
+        return waits_out_backoff(backoff_left, **bounds)
 
     def test_a_pause_that_the_caller_bears_saves_the_stream(self):
         self.assertTrue(self.waits(3.0))
--- a/tests/fleet/test_owners.py
+++ b/tests/fleet/test_owners.py
@@ -145,7 +145,7 @@
         """The owner counts the run where it goes, and others still get the engine."""
         async with two_nodes() as (owner, other):
             other.upstreams.by_id["one"].note_leaving(1.0)
-            other.upstreams.by_id["two"].note_rest(other.now + 3.0)
+            other.upstreams.by_id["two"].note_backoff(other.now + 3.0)
             self.assertEqual(["three"], await other.order("r-1"))
             placed = owner.ledgers._ledger("s", 0)._placement_by_run
             self.assertEqual(["three"], [p.engine for p in placed.values()])
--- a/tests/platform/test_answers.py
+++ b/tests/platform/test_answers.py
@@ -17,43 +17,43 @@
     return read_notice(status, headers)
 
 
-class Rests(TestCase):
-    def rest(self, *values: str, status: int = 503) -> float | None:
-        return told(status, *(("Retry-After", v) for v in values)).rest_seconds
+class BackOffs(TestCase):
+    def backoff(self, *values: str, status: int = 503) -> float | None:
+        return told(status, *(("Retry-After", v) for v in values)).backoff_seconds
 
     def test_seconds_and_fractions(self):
-        self.assertEqual(3.0, self.rest("3"))
-        self.assertEqual(0.25, self.rest("0.25"))
-        self.assertEqual(0.0, self.rest("0"))
+        self.assertEqual(3.0, self.backoff("3"))
+        self.assertEqual(0.25, self.backoff("0.25"))
+        self.assertEqual(0.0, self.backoff("0"))
 
     def test_none_is_asked_for_without_the_header(self):
-        self.assertIsNone(self.rest())
+        self.assertIsNone(self.backoff())
 
     def test_beside_another_status_it_is_for_the_caller(self):
         for status in (200, 429, 500):
-            self.assertIsNone(self.rest("3", status=status))
+            self.assertIsNone(self.backoff("3", status=status))
 
     def test_of_two_headers_the_longer_time_holds(self):
-        self.assertEqual(3.0, self.rest("3", "1"))
-        self.assertEqual(3.0, self.rest("1", "3"))
-        self.assertEqual(3.0, self.rest("soon", "3"))
+        self.assertEqual(3.0, self.backoff("3", "1"))
+        self.assertEqual(3.0, self.backoff("1", "3"))
+        self.assertEqual(3.0, self.backoff("soon", "3"))
 
     def test_a_date_counts_by_the_clock_of_who_answered(self):
         later = "Thu, 01 Jan 2026 00:00:14 GMT"
         found = told(503, ("Date", DATE), ("Retry-After", later))
-        self.assertEqual(4.0, found.rest_seconds)
+        self.assertEqual(4.0, found.backoff_seconds)
         passed = told(503, ("Date", later), ("Retry-After", DATE))
-        self.assertEqual(0.0, passed.rest_seconds)
+        self.assertEqual(0.0, passed.backoff_seconds)
 
     def test_a_date_without_one_counts_by_this_clock(self):
-        rest = self.rest(email.utils.formatdate(time.time() + 5.0, usegmt=True))
-        assert rest is not None
-        self.assertLess(abs(rest - 5.0), 1.5)
+        found = self.backoff(email.utils.formatdate(time.time() + 5.0, usegmt=True))
+        assert found is not None
+        self.assertLess(abs(found - 5.0), 1.5)
 
     def test_what_cannot_be_read_is_named_and_asks_for_nothing(self):
         for value in ("-1", "soon", "1e3", "inf", "nan", "", "1,5", "٣", "9" * 400):
             found = told(503, ("Retry-After", value))
-            self.assertIsNone(found.rest_seconds, value)
+            self.assertIsNone(found.backoff_seconds, value)
             self.assertEqual((f"Retry-After: {value[:40]}",), found.unreadable)
 
 
--- a/tests/platform/test_rests.py
+++ b/tests/platform/test_upstream_backoff.py
@@ -1,11 +1,11 @@
-"""Upstreams that turn requests away and ask for some seconds without any.
+"""Upstreams that turn requests away and ask to be sent none for some seconds.
 
-One of three portal servers turned all away for 9 s, and asked each node for 3 s of
-rest. The nodes read no more of that than that the request had not run, and remembered
-it for that request alone.  The next request began anew; and since a server that turns
-all away has nothing under way, it looked the least loaded of the three.  So it got 138
-requests first in those 9 s, where its two siblings together served 144, and each cost
-its caller a detour and the service a repeat, which are bounded.
+One of three portal servers turned all away for 9 s, and asked each node to send nothing
+for 3 s.  The nodes read no more of that than that the request had not run, and
+remembered it for that request alone.  The next request began anew; and since a server
+that turns all away has nothing under way, it looked the least loaded of the three.  So
+it got 138 requests first in those 9 s, where its two siblings together served 144, and
+each cost its caller a detour and the service a repeat, which are bounded.
 
 What settled it: each of the sixteen requests that two nodes sent there within the 3 s
 was another one, was turned away within 2 to 8 ms, and was served by a sibling right
@@ -25,36 +25,36 @@
 from tests.platform.deployment import until
 from tests.platform.world import call
 
-MOST_IN_A_REST = 2
+MOST_IN_A_BACKOFF = 2
 """Requests that an upstream bears from one node in the time that it asked for."""
 
 
 class Asked(TestCase):
-    async def test_a_resting_upstream_is_left_alone_by_all_that_follows(self):
+    async def test_one_that_asked_is_left_alone_by_all_that_follows(self):
         async with running() as world:
             gateway = await world.ready_gateway()
-            resting = (world.plain[0], world.engines[0])
-            for server in resting:
-                server.rest = "30"
+            backing_off = (world.plain[0], world.engines[0])
+            for server in backing_off:
+                server.backoff = "30"
             for path in ("/bill/x", "/talk/x"):
                 for _ in range(30):
                     found = await call(gateway.settings.front, path)
                     self.assertEqual((200, True), (found.status, found.whole))
-            for server in resting:
-                self.assertLessEqual(len(server.arrivals), MOST_IN_A_REST)
+            for server in backing_off:
+                self.assertLessEqual(len(server.arrivals), MOST_IN_A_BACKOFF)
 
     async def test_what_an_order_is_answered_counts_too(self):
         async with running() as world:
             gateway = await world.ready_gateway()
             engine = world.engines[0]
-            engine.rest = "30"
+            engine.backoff = "30"
             for _ in range(12):
                 found = await call(gateway.settings.front, "/talk/x")
                 self.assertEqual((200, True), (found.status, found.whole))
             orders = len(engine.orders)
             await asyncio.sleep(2.5)
             # Reports are asked for once a second.
-            self.assertLessEqual(orders, MOST_IN_A_REST)
+            self.assertLessEqual(orders, MOST_IN_A_BACKOFF)
             self.assertEqual(orders, len(engine.orders))
             self.assertEqual([], engine.arrivals)
 
@@ -62,13 +62,13 @@
         async with running() as world:
             gateway = await world.ready_gateway()
             server = world.plain[0]
-            server.rest = "0.5"
+            server.backoff = "0.5"
             known = gateway.upstreams.by_id[server.id]
-            while not known.rest_until:
+            while not known.backoff_until:
                 await call(gateway.settings.front, "/bill/x")
-            server.rest = ""
+            server.backoff = ""
             arrivals = len(server.arrivals)
-            await until(lambda: not known.resting(boottime()))
+            await until(lambda: not known.backing_off(boottime()))
             for _ in range(12):
                 await call(gateway.settings.front, "/bill/x")
             self.assertGreater(len(server.arrivals), arrivals)
@@ -77,24 +77,24 @@
         for path, servers in (("/bill/x", "plain"), ("/talk/x", "engines")):
             async with running() as world:
                 gateway = await world.ready_gateway()
-                resting = getattr(world, servers)
-                for server in resting:
-                    server.rest = "30"
+                backing_off = getattr(world, servers)
+                for server in backing_off:
+                    server.backoff = "30"
                 patient = {"Bankrack-Deadline-Ms": "20000"}
                 await call(gateway.settings.front, path, headers=patient)
-                asked = sum(len(s.arrivals) for s in resting)
+                asked = sum(len(s.arrivals) for s in backing_off)
                 began = boottime()
                 found = await call(gateway.settings.front, path, headers=patient)
                 self.assertLess(boottime() - began, 0.3)
                 self.assertEqual(503, found.status)
                 self.assertGreater(float(found.headers["Retry-After"]), 0.3)
-                self.assertEqual(asked, sum(len(s.arrivals) for s in resting))
+                self.assertEqual(asked, sum(len(s.arrivals) for s in backing_off))
 
     async def test_those_told_to_come_back_do_not_come_at_one_moment(self):
         async with running() as world:
             gateway = await world.ready_gateway()
             for server in world.plain:
-                server.rest = "0.4"
+                server.backoff = "0.4"
             told = set()
             for _ in range(8):
                 found = await call(gateway.settings.front, "/bill/x")
@@ -103,7 +103,7 @@
 
 
 class Streams(TestCase):
-    async def test_one_whose_only_copy_rests_goes_on_after_the_rest(self):
+    async def test_one_whose_only_copy_is_there_goes_on_afterwards(self):
         async with running() as world:
             gateway = await world.ready_gateway()
 
@@ -114,7 +114,7 @@
                 backup = request.headers.get("Kv-Backup")
                 for known in gateway.upstreams.of("engines"):
                     if first and known.address == backup:
-                        known.note_rest(boottime() + 0.6)
+                        known.note_backoff(boottime() + 0.6)
 
             for engine in world.engines:
                 engine.behave = cut_first
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -185,7 +185,7 @@
 class FakeServer(Served):
     """A plain server; ``behave`` may answer instead of it.
 
-    One that is ``leaving`` says so in all its answers; with ``rest`` it turns all
+    One that is ``leaving`` says so in all its answers; with ``backoff`` it turns all
     away and asks for so many seconds without requests.
     """
 
@@ -195,7 +195,7 @@
         self.arrivals: list[Arrival] = []
         self.cancelled = 0
         self.leaving = False
-        self.rest = ""
+        self.backoff = ""
         self.behave: t.Callable[[web.BaseRequest], t.Awaitable[t.Any]] | None = None
 
     def entry(self, service: str, **more: t.Any) -> dict[str, t.Any]:
@@ -211,7 +211,7 @@
     def told(self) -> dict[str, str]:
         """What each answer says of the server."""
         told = {"Server-Leaving": "1"} if self.leaving else {}
-        return {**told, "Retry-After": self.rest} if self.rest else told
+        return {**told, "Retry-After": self.backoff} if self.backoff else told
 
     async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path.startswith("/v1/"):
@@ -223,7 +223,7 @@
         expected = request.headers.get("Bankrack-Expect-Instance")
         if expected not in (None, self.id):
             return web.Response(status=421, headers={"Bankrack-Instance-Id": self.id})
-        if self.rest:
+        if self.backoff:
             return web.Response(status=503, headers={"Bankrack-Not-Executed": "1"})
         try:
             if self.behave is not None:
@@ -277,7 +277,7 @@
         if request.path == "/v1/report":
             report = {"running": 0, "queued": 0, "kvUsed": 0, "kvTotal": 30000}
             return web.json_response(report)
-        if not self.room or self.rest:
+        if not self.room or self.backoff:
             return web.Response(status=503)
         if request.path == "/v1/hold-take":
             return web.json_response({"hold": "h-1"})
--- a/tests/serving/test_notices.py
+++ b/tests/serving/test_notices.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from bankrack.serving.notices import LOG_SECONDS
-from bankrack.serving.notices import LONGEST_REST_SECONDS
+from bankrack.serving.notices import LONGEST_BACKOFF_SECONDS
 from bankrack.serving.notices import Notice
 from bankrack.serving.notices import Notices
 from bankrack.serving.notices import RETURN_SPREAD
@@ -58,41 +58,41 @@
         self.assertEqual(3, self.upstream.load_waiting)
 
 
-class Rests(NoticesTestCase):
-    def rest(self, seconds: float) -> float:
-        """Ask for a rest; gives until when it lasts, from the first moment on."""
-        self.notices.take(self.upstream, Notice(rest_seconds=seconds), status=503)
-        return self.upstream.rest_until - 100.0
+class BackOffs(NoticesTestCase):
+    def backoff(self, seconds: float) -> float:
+        """Ask to back off; gives until when it lasts, from the first moment on."""
+        self.notices.take(self.upstream, Notice(backoff_seconds=seconds), status=503)
+        return self.upstream.backoff_until - 100.0
 
     def test_it_lasts_at_least_as_long_as_asked_and_little_longer(self):
         for _ in range(50):
-            self.upstream.rest_until = 0.0
-            lasts = self.rest(3.0)
+            self.upstream.backoff_until = 0.0
+            lasts = self.backoff(3.0)
             self.assertGreaterEqual(lasts, 3.0)
             self.assertLessEqual(lasts, 3.0 * (1.0 + RETURN_SPREAD))
 
     def test_a_shorter_one_does_not_end_it(self):
-        lasts = self.rest(3.0)
+        lasts = self.backoff(3.0)
         self.now += 1.0
-        self.assertEqual(lasts, self.rest(0.5))
-        self.assertGreaterEqual(self.rest(5.0), 6.0)
+        self.assertEqual(lasts, self.backoff(0.5))
+        self.assertGreaterEqual(self.backoff(5.0), 6.0)
 
     def test_a_success_does_not_end_it(self):
-        lasts = self.rest(3.0)
+        lasts = self.backoff(3.0)
         self.notices.take(self.upstream, Notice(), status=200)
-        self.assertEqual(100.0 + lasts, self.upstream.rest_until)
+        self.assertEqual(100.0 + lasts, self.upstream.backoff_until)
 
     def test_none_at_all_and_years(self):
-        self.assertEqual(-100.0, self.rest(0.0))
-        self.assertLessEqual(self.rest(1e9), 1.1 * LONGEST_REST_SECONDS)
+        self.assertEqual(-100.0, self.backoff(0.0))
+        self.assertLessEqual(self.backoff(1e9), 1.1 * LONGEST_BACKOFF_SECONDS)
 
     def test_it_counts_while_the_vm_is_suspended(self):
-        self.rest(3.0)
-        self.assertTrue(self.upstream.resting(102.9))
-        self.assertFalse(self.upstream.resting(160.0))
+        self.backoff(3.0)
+        self.assertTrue(self.upstream.backing_off(102.9))
+        self.assertFalse(self.upstream.backing_off(160.0))
 
     def test_it_is_of_one_life(self):
-        self.rest(30.0)
+        self.backoff(30.0)
         upstreams = Upstreams(clock=lambda: self.now)
         upstreams.by_id["u"] = self.upstream
         upstreams.remove("u")
@@ -112,9 +112,9 @@
         return found.output
 
     def test_one_says_what_was_told_and_whether_it_is_news(self):
-        [line] = self.lines(Notice(leaving=True, rest_seconds=3.0))
+        [line] = self.lines(Notice(leaving=True, backoff_seconds=3.0))
         self.assertIn("event=upstream_told request=r upstream=u", line)
-        self.assertIn("status=503 leaving=True rest=3 news=True", line)
+        self.assertIn("status=503 leaving=True backoff=3 news=True", line)
 
     def test_one_names_what_could_not_be_read(self):
         [line] = self.lines(Notice(unreadable=("Retry-After: soon",)))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -126,7 +126,7 @@
     def test_gateways_that_do_not_read_what_answers_tell_are_found(self):
         found = soak(1, 0.3, "--bug", "deaf")
         self.assertEqual(1, found.returncode, found.stdout + found.stderr)
-        self.assertRegex(found.stdout, r"had asked gateway-\d for 1.5 s of rest")
+        self.assertRegex(found.stdout, r"had asked gateway-\d for 1.5 s of back-off")
 
     def test_an_unknown_bug_is_refused_with_the_names_there_are(self):
         found = soak(1, 0.1, "--bug", "nonsense")
