Copies that can go on at once come before one whose holder asked to back off

Cause: the wait stood inside the loop over copies, where it is the last resort. Changed: all copies are tried first, then the waits.

Test first: an engine ends whose copy's holder asked for 1.2 s while the backup was free; it failed (nothing within 0.8 s) and passes, four runs.

--- a/src/bankrack/serving/run.py
+++ b/src/bankrack/serving/run.py
@@ -329,19 +329,23 @@
 
     async def _resume(self) -> bool:
         """Go on at a copy; tells whether one could."""
-        counted = self._parts.metrics.resumes
         copies = self._copies.found
         broke_at = boottime()
         for copy in copies:
-            if await self._resume_at(copy) or await self._resume_after_backoff(
-                copy, broke_at
-            ):
-                self._resumes += 1
-                counted.inc({"outcome": "ok"})
-                return True
-        counted.inc({"outcome": "lost"})
+            if await self._resume_at(copy):
+                return self._note_resumed()
+        # Only then a pause: another copy may go on at once.
+        for copy in copies:
+            if await self._resume_after_backoff(copy, broke_at):
+                return self._note_resumed()
+        self._parts.metrics.resumes.inc({"outcome": "lost"})
         return False
 
+    def _note_resumed(self) -> bool:
+        self._resumes += 1
+        self._parts.metrics.resumes.inc({"outcome": "ok"})
+        return True
+
     async def _resume_after_backoff(self, copy: Copy, broke_at: float) -> bool:
         """Go on at a copy once its holder takes requests again, if that is in time.
 
@@ -349,12 +353,11 @@
         """
         now = boottime()
         backoff_left = copy.holder.backoff_until - now
-        kept = self._traits.copy_keep or math.inf
         if not waits_out_backoff(
             backoff_left,
             silent_for=now - (self._passer.last_at or self._work.job.arrived),
             bearable=self._work.bearable_silence,
-            copy_kept=broke_at + kept - now,
+            copy_kept=broke_at + (self._traits.copy_keep or math.inf) - now,
         ):
             return False
         await asyncio.sleep(backoff_left)
--- a/tests/platform/test_upstream_backoff.py
+++ b/tests/platform/test_upstream_backoff.py
@@ -103,6 +103,36 @@
 
 
 class Streams(TestCase):
+    async def test_another_copy_is_used_before_one_whose_holder_asked(self):
+        """The engine leaves, so a copy was made beside the backup."""
+        async with running() as world:
+            gateway = await world.ready_gateway()
+            for engine in world.engines:
+                engine.events, engine.pause = 200, 0.02
+            patient = {"Bankrack-Deadline-Ms": "20000"}
+            stream = asyncio.create_task(
+                call(gateway.settings.front, "/talk/x", headers=patient)
+            )
+            await until(lambda: len(world.arrivals()) == 1)
+            [home] = [e for e in world.engines if e.arrivals]
+            backup = home.arrivals[0].get("Kv-Backup")
+            [other] = [
+                e for e in world.engines if e is not home and e.address != backup
+            ]
+            # The backup's holder leaves too, so the copy is made at the third.
+            for engine in world.engines:
+                if engine is not other:
+                    entry = engine.entry("engines", state="draining")
+                    world.store.put(f"servers/{engine.id}", entry)
+            await until(lambda: [p for p, _ in home.orders].count("/v1/kv-move") > 1)
+            gateway.upstreams.by_id[other.id].note_backoff(boottime() + 1.2)
+            began = boottime()
+            home.ends = True
+            await until(lambda: len(world.arrivals()) == 2, seconds=0.8)
+            self.assertLess(boottime() - began, 0.8)
+            found = await stream
+            self.assertEqual((200, True), (found.status, found.whole))
+
     async def test_one_whose_only_copy_is_there_goes_on_afterwards(self):
         async with running() as world:
             gateway = await world.ready_gateway()
