What an answer says of the rate that its upstream takes is decoded and logged

An answer's word is kept with the upstream as an observation (rate, when its request was sent, when it came), so that answers which overtake each other can be told apart: a lower rate is believed unless it must be the older word, a higher one or none only where it must be the newer. `upstream_told` gains `limit=`, one line for each change. Values that can't be read are named in the bounded line and change nothing; 0 stands for a tenth of a request a second.

--- a/benchmarks/answers.py
+++ b/benchmarks/answers.py
@@ -50,7 +50,7 @@
     upstream: Upstream = upstreams.by_id["i-0"]
     notice = Notice(waiting=0)
     spent = median_microseconds(
-        lambda: notices.take(upstream, notice, status=200), rounds=ROUNDS
+        lambda: notices.take(upstream, notice, status=200, sent_at=0.0), rounds=ROUNDS
     )
     print(f"taking in what it tells: {spent:.1f} us")
     for name, look in (
--- a/src/bankrack/serving/client.py
+++ b/src/bankrack/serving/client.py
@@ -209,7 +209,8 @@
         Raises :exc:`UpstreamUnreachable` when nothing was sent, and
         :exc:`UpstreamFailed` when the job may have run.
         """
-        _refuse_if_closed(send, boottime())
+        sent_at = boottime()
+        _refuse_if_closed(send, sent_at)
         job = send.job
         url = _url(send.upstream.address, job.target)
         try:
@@ -231,7 +232,11 @@
             ) from error
         head = self._dialect.read_head(response.status, _pairs(response))
         self._notices.take(
-            send.upstream, head.notice, status=head.status, request=job.id
+            send.upstream,
+            head.notice,
+            status=head.status,
+            sent_at=sent_at,
+            request=job.id,
         )
         if head.run_id is not None and head.run_id != job.id:
             response.close()
--- a/src/bankrack/serving/notices.py
+++ b/src/bankrack/serving/notices.py
@@ -12,6 +12,7 @@
 
 from bankrack import logs
 from bankrack.clock import boottime
+from bankrack.serving.ratelimit import RateLimit
 from bankrack.serving.upstreams import Upstream
 
 LOG_SECONDS = 1.0
@@ -22,6 +23,9 @@
 RETURN_SPREAD = 0.1
 """Part of a back-off by which nodes return later than asked, each by another time: an
 upstream that turned all of them away at once would meet all of them at once again."""
+LEAST_RATE = 0.1
+"""Requests a second that go to an upstream which names a lower limit, or 0: only an
+answer can tell that the limit is over."""
 MISDIRECTED = 421
 """Status of an answer to a request that was meant for another upstream."""
 
@@ -37,6 +41,8 @@
         for so long.
     :param waiting: requests that wait there.
     :param cold_seconds: how much longer it is cold.
+    :param rate_limit: requests a second that it takes from all nodes; infinite where it
+        names no limit, ``None`` where what it names can't be read.
     :param unreadable: headers whose values can't be read, each as ``name: value``.
     """
 
@@ -44,6 +50,7 @@
     backoff_seconds: float | None = None
     waiting: int | None = None
     cold_seconds: float | None = None
+    rate_limit: float | None = None
     unreadable: tuple[str, ...] = ()
 
 
@@ -70,11 +77,13 @@
         notice: Notice,
         *,
         status: int,
+        sent_at: float,
         request: str | None = None,
     ) -> None:
         """Take in what an answer tells.
 
         :param status: of the answer.
+        :param sent_at: boot-time seconds when what it answers was sent.
         :param request: id of the caller's request that was answered, if one was.
         """
         if status == MISDIRECTED:
@@ -91,6 +100,7 @@
         if news:
             self._left.add(upstream.id)
             self.news.set()
+        news |= self._take_limit(upstream, notice, sent_at, request)
         if notice.backoff_seconds:
             news |= upstream.note_backoff(now + self._spread(notice.backoff_seconds))
         if news or notice.unreadable:
@@ -102,6 +112,19 @@
         self.news.clear()
         return sorted(left)
 
+    def _take_limit(
+        self, upstream: Upstream, notice: Notice, sent_at: float, request: str | None
+    ) -> bool:
+        """Take in the rate that it takes; tells whether that is another now."""
+        rate = notice.rate_limit
+        if rate is None:
+            return False
+        limit = RateLimit(max(rate, LEAST_RATE), sent_at, self._clock())
+        # Orders are answered past what counts requests, so their silence ends nothing.
+        if request is None and not limit.bounded:
+            return False
+        return upstream.note_limit(limit)
+
     def _spread(self, seconds: float) -> float:
         """How long this node backs off that was asked to for so long."""
         bounded = min(seconds, LONGEST_BACKOFF_SECONDS)
@@ -129,6 +152,7 @@
             status=status,
             leaving=notice.leaving,
             backoff=notice.backoff_seconds,
+            limit=notice.rate_limit,
             news=news,
             unreadable="; ".join(notice.unreadable) or None,
         )
--- /dev/null
+++ b/src/bankrack/serving/ratelimit.py
@@ -0,0 +1,39 @@
+"""What an upstream says of the requests a second that it takes from all nodes."""
+
+import dataclasses
+import math
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RateLimit:
+    """What one answer of an upstream said, or that it said nothing of it.
+
+    :param rate: requests a second, of all nodes together; infinite where it named none.
+    :param sent_at: boot-time seconds when the request was sent that was answered.
+    :param heard_at: when the answer came.
+    """
+
+    rate: float
+    sent_at: float
+    heard_at: float
+
+    @property
+    def bounded(self) -> bool:
+        """Whether there is a limit at all."""
+        return self.rate < math.inf
+
+    def gives_way_to(self, other: "RateLimit") -> bool:
+        """Whether ``other`` is believed from now on.
+
+        Answers overtake each other, and two nodes hear different ones.  A lower rate is
+        believed unless it must be the older word; a higher one, or none, only where it
+        must be the newer one.  So a doubt is never decided against the upstream.
+        """
+        if other.rate < self.rate:
+            return other.heard_at >= self.sent_at
+        if other.rate == self.rate:
+            return other.heard_at > self.heard_at
+        return other.sent_at >= self.heard_at
+
+
+UNLIMITED = RateLimit(rate=math.inf, sent_at=-math.inf, heard_at=-math.inf)
--- a/src/bankrack/serving/upstreams.py
+++ b/src/bankrack/serving/upstreams.py
@@ -6,6 +6,8 @@
 import typing as t
 
 from bankrack.clock import boottime
+from bankrack.serving.ratelimit import RateLimit
+from bankrack.serving.ratelimit import UNLIMITED
 
 MAX_ABSENT = 6_500
 """Upstreams without an entry that are remembered: all of the largest fleet, whose
@@ -71,6 +73,7 @@
         "gone_at",
         "in_flight",
         "leaving_at",
+        "limit",
         "load_waiting",
         "notice_logged_at",
         "record",
@@ -91,6 +94,7 @@
         self.sent: list[tuple[float, int]] = []
         self.report: EngineReport | None = None
         self.report_learned = 0.0
+        self.limit = UNLIMITED
         self.load_waiting = 0
         self.notice_logged_at = -math.inf
         self.failure_rate = 0.0
@@ -172,6 +176,14 @@
         self.backoff_until = until
         return True
 
+    def note_limit(self, limit: RateLimit) -> bool:
+        """Take in what it said of its rate; tells whether the rate is another now."""
+        last = self.limit
+        if not last.gives_way_to(limit):
+            return False
+        self.limit = limit
+        return limit.rate != last.rate
+
     def note_cold(self, seconds: float, now: float) -> None:
         """Take in how much longer it is cold, as it said itself just now."""
         self.cold_until = now + seconds
@@ -186,6 +198,7 @@
             "evacuated": self.evacuated,
             "cold_until": self.cold_until,
             "backoff_until": self.backoff_until,
+            "rate_limit": self.limit.rate if self.limit.bounded else None,
             "in_flight": self.in_flight,
             "failure_rate": self.failure_rate,
             "used": self.report.used if self.report else None,
--- a/tests/fleet/test_leavingnews.py
+++ b/tests/fleet/test_leavingnews.py
@@ -46,7 +46,7 @@
 
     def hear(self, name: str) -> None:
         notice = Notice(leaving=True)
-        self.notices.take(self.upstreams.by_id[name], notice, status=200)
+        self.notices.take(self.upstreams.by_id[name], notice, status=200, sent_at=0.0)
 
     async def run_for_a_while(self) -> None:
         task = asyncio.create_task(self.news.run())
--- a/tests/platform/test_answers.py
+++ b/tests/platform/test_answers.py
@@ -1,6 +1,7 @@
 """Tests of what the headers of an answer tell of the upstream."""
 
 import email.utils
+import math
 import time
 
 from hypothesis import given
@@ -57,6 +58,29 @@
             self.assertEqual((f"Retry-After: {value[:40]}",), found.unreadable)
 
 
+class RateLimits(TestCase):
+    def limit(self, *values: str) -> float | None:
+        return told(200, *(("Server-Limit", v) for v in values)).rate_limit
+
+    def test_whole_numbers_and_fractions(self):
+        self.assertEqual(3.0, self.limit("3"))
+        self.assertEqual(1.8, self.limit(" 1.8 "))
+        self.assertEqual(0.0, self.limit("0"))
+
+    def test_an_answer_without_the_header_names_none(self):
+        self.assertEqual(math.inf, self.limit())
+
+    def test_of_two_headers_the_lower_one_holds(self):
+        self.assertEqual(1.8, self.limit("2.7", "1.8"))
+        self.assertEqual(2.7, self.limit("2.7", "many"))
+
+    def test_what_cannot_be_read_is_named_and_is_no_word_that_there_is_none(self):
+        for value in ("-1", "", "two", "inf", "nan", "1e9", "1,8", "1.", "٣", "9" * 99):
+            found = told(200, ("Server-Limit", value))
+            self.assertIsNone(found.rate_limit, value)
+            self.assertEqual((f"Server-Limit: {value[:40]}",), found.unreadable)
+
+
 class OtherHeaders(TestCase):
     def test_that_it_leaves(self):
         self.assertTrue(told(200, ("server-leaving", "1")).leaving)
@@ -83,7 +107,13 @@
 
     @given(
         strategies.sampled_from(
-            ["Retry-After", "Server-Leaving", "Bankrack-Server-Load", "Date"]
+            [
+                "Retry-After",
+                "Server-Leaving",
+                "Server-Limit",
+                "Bankrack-Server-Load",
+                "Date",
+            ]
         ),
         strategies.text(max_size=60),
     )
--- a/tests/serving/test_notices.py
+++ b/tests/serving/test_notices.py
@@ -1,12 +1,15 @@
 """Tests of what upstreams tell of themselves beside their answers."""
 
 import dataclasses
+import math
 
+from bankrack.serving.notices import LEAST_RATE
 from bankrack.serving.notices import LOG_SECONDS
 from bankrack.serving.notices import LONGEST_BACKOFF_SECONDS
 from bankrack.serving.notices import Notice
 from bankrack.serving.notices import Notices
 from bankrack.serving.notices import RETURN_SPREAD
+from bankrack.serving.ratelimit import RateLimit
 from bankrack.serving.upstreams import Upstream
 from bankrack.serving.upstreams import UpstreamRecord
 from bankrack.serving.upstreams import Upstreams
@@ -24,17 +27,17 @@
 
 class Leaving(NoticesTestCase):
     def test_it_is_believed_from_the_first_answer_on(self):
-        self.notices.take(self.upstream, Notice(leaving=True), status=200)
+        self.notices.take(self.upstream, Notice(leaving=True), status=200, sent_at=0.0)
         self.assertTrue(self.upstream.leaving)
         self.assertEqual(100.0, self.upstream.leaving_at)
 
     def test_an_answer_that_says_nothing_of_it_does_not_undo_it(self):
-        self.notices.take(self.upstream, Notice(leaving=True), status=500)
-        self.notices.take(self.upstream, Notice(), status=200)
+        self.notices.take(self.upstream, Notice(leaving=True), status=500, sent_at=0.0)
+        self.notices.take(self.upstream, Notice(), status=200, sent_at=0.0)
         self.assertTrue(self.upstream.leaving)
 
     def test_who_took_over_its_address_tells_of_itself(self):
-        self.notices.take(self.upstream, Notice(leaving=True), status=421)
+        self.notices.take(self.upstream, Notice(leaving=True), status=421, sent_at=0.0)
         self.assertFalse(self.upstream.leaving)
 
 
@@ -42,26 +45,28 @@
     def test_they_are_noted_whatever_the_answer_is(self):
         for status, waiting in ((200, 3), (503, 7), (500, 0)):
             notice = Notice(waiting=waiting, cold_seconds=1.0 + waiting)
-            self.notices.take(self.upstream, notice, status=status)
+            self.notices.take(self.upstream, notice, status=status, sent_at=0.0)
             self.assertEqual(waiting, self.upstream.load_waiting)
             self.assertEqual(101.0 + waiting, self.upstream.cold_until)
 
     def test_those_of_who_took_over_the_address_are_not(self):
         notice = Notice(waiting=7, cold_seconds=9.0)
-        self.notices.take(self.upstream, notice, status=421)
+        self.notices.take(self.upstream, notice, status=421, sent_at=0.0)
         self.assertEqual(0, self.upstream.load_waiting)
         self.assertFalse(self.upstream.cold(100.0))
 
     def test_an_answer_that_tells_neither_changes_neither(self):
-        self.notices.take(self.upstream, Notice(waiting=3), status=200)
-        self.notices.take(self.upstream, Notice(), status=200)
+        self.notices.take(self.upstream, Notice(waiting=3), status=200, sent_at=0.0)
+        self.notices.take(self.upstream, Notice(), status=200, sent_at=0.0)
         self.assertEqual(3, self.upstream.load_waiting)
 
 
 class BackOffs(NoticesTestCase):
     def backoff(self, seconds: float) -> float:
         """Ask to back off; gives until when it lasts, from the first moment on."""
-        self.notices.take(self.upstream, Notice(backoff_seconds=seconds), status=503)
+        self.notices.take(
+            self.upstream, Notice(backoff_seconds=seconds), status=503, sent_at=0.0
+        )
         return self.upstream.backoff_until - 100.0
 
     def test_it_lasts_at_least_as_long_as_asked_and_little_longer(self):
@@ -79,7 +84,7 @@
 
     def test_a_success_does_not_end_it(self):
         lasts = self.backoff(3.0)
-        self.notices.take(self.upstream, Notice(), status=200)
+        self.notices.take(self.upstream, Notice(), status=200, sent_at=0.0)
         self.assertEqual(100.0 + lasts, self.upstream.backoff_until)
 
     def test_none_at_all_and_years(self):
@@ -104,11 +109,83 @@
         self.assertEqual(["u.2"], [u.id for u in upstreams.takers_of("s")])
 
 
+class RateLimits(NoticesTestCase):
+    def told(
+        self, rate: float | None, *, took: float = 0.1, request: str | None = "r"
+    ) -> float:
+        """Take in an answer that came now; gives the rate that is believed then."""
+        self.notices.take(
+            self.upstream,
+            Notice(rate_limit=rate),
+            status=200,
+            sent_at=self.now - took,
+            request=request,
+        )
+        return self.upstream.limit.rate
+
+    def test_none_is_believed_before_one_is_named(self):
+        self.assertEqual(math.inf, self.told(math.inf))
+        self.assertFalse(self.upstream.limit.bounded)
+
+    def test_it_holds_until_an_answer_to_a_later_request_names_none(self):
+        self.assertEqual(1.8, self.told(1.8))
+        self.now += 0.05
+        self.assertEqual(1.8, self.told(math.inf, took=0.1))
+        self.now += 60.0
+        self.assertEqual(1.8, self.told(math.inf, took=60.1))
+        self.assertEqual(math.inf, self.told(math.inf, took=59.9))
+
+    def test_a_lower_one_holds_at_once_and_a_higher_one_by_a_later_request(self):
+        self.assertEqual(2.7, self.told(2.7))
+        self.now += 0.05
+        self.assertEqual(1.8, self.told(1.8, took=0.2))
+        self.assertEqual(1.8, self.told(2.7, took=0.2))
+        self.now += 0.1
+        self.assertEqual(2.7, self.told(2.7, took=0.05))
+
+    def test_an_answer_that_came_before_the_last_word_was_asked_for_is_older(self):
+        self.told(1.8)
+        self.now += 1.0
+        self.assertEqual(math.inf, self.told(math.inf, took=0.5))
+        late = RateLimit(rate=1.8, sent_at=99.9, heard_at=100.0)
+        self.assertFalse(self.upstream.note_limit(late))
+        self.assertEqual(math.inf, self.upstream.limit.rate)
+
+    def test_one_that_cannot_be_read_changes_nothing(self):
+        self.told(1.8)
+        self.now += 1.0
+        self.assertEqual(1.8, self.told(None))
+
+    def test_what_an_order_is_answered_may_name_one_but_ends_none(self):
+        self.assertEqual(1.8, self.told(1.8, request=None))
+        self.now += 1.0
+        self.assertEqual(1.8, self.told(math.inf, request=None))
+
+    def test_none_at_all_leaves_some_that_find_out_when_it_is_over(self):
+        self.assertEqual(LEAST_RATE, self.told(0.0))
+
+    def test_who_took_over_the_address_tells_of_itself(self):
+        notice = Notice(rate_limit=1.8)
+        self.notices.take(self.upstream, notice, status=421, sent_at=0.0, request="r")
+        self.assertFalse(self.upstream.limit.bounded)
+
+    def test_a_line_tells_each_change_and_no_more(self):
+        with self.assertLogs("bankrack", "INFO") as found:
+            for rate in (1.8, 1.8, math.inf, math.inf):
+                self.told(rate, took=0.0)
+                self.now += 1.0
+        self.assertEqual(2, len(found.output))
+        self.assertIn("limit=1.8 news=True", found.output[0])
+        self.assertIn("limit=inf news=True", found.output[1])
+
+
 class Lines(NoticesTestCase):
     def lines(self, notice: Notice, count: int = 1) -> list[str]:
         with self.assertLogs("bankrack", "INFO") as found:
             for _ in range(count):
-                self.notices.take(self.upstream, notice, status=503, request="r")
+                self.notices.take(
+                    self.upstream, notice, status=503, sent_at=0.0, request="r"
+                )
         return found.output
 
     def test_one_says_what_was_told_and_whether_it_is_news(self):
@@ -132,4 +209,4 @@
     def test_what_is_told_of_load_alone_writes_none(self):
         with self.assertNoLogs("bankrack", "INFO"):
             notice = Notice(waiting=3, cold_seconds=1.0)
-            self.notices.take(self.upstream, notice, status=200)
+            self.notices.take(self.upstream, notice, status=200, sent_at=0.0)
