--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -13,6 +13,8 @@
 import aiohttp
 from aiohttp import web
 
+from bankrack.clock import boottime
+
 HOST = "127.0.0.1"
 
 
@@ -176,6 +178,7 @@
     target: str
     headers: list[tuple[str, str]]
     body: bytes
+    at: float = dataclasses.field(default_factory=boottime)
 
     def get(self, name: str) -> str | None:
         found = [v for k, v in self.headers if k.lower() == name.lower()]
@@ -186,7 +189,8 @@
     """A plain server; ``behave`` may answer instead of it.
 
     One that is ``leaving`` says so in all its answers; with ``backoff`` it turns all
-    away and asks for so many seconds without requests.
+    away and asks for so many seconds without requests; ``limit`` is the rate that it
+    names.
     """
 
     def __init__(self, server_id: str) -> None:
@@ -196,6 +200,7 @@
         self.cancelled = 0
         self.leaving = False
         self.backoff = ""
+        self.limit = ""
         self.behave: t.Callable[[web.BaseRequest], t.Awaitable[t.Any]] | None = None
 
     def entry(self, service: str, **more: t.Any) -> dict[str, t.Any]:
@@ -210,8 +215,14 @@
 
     def told(self) -> dict[str, str]:
         """What each answer says of the server."""
-        told = {"Server-Leaving": "1"} if self.leaving else {}
-        return {**told, "Retry-After": self.backoff} if self.backoff else told
+        told = {}
+        if self.leaving:
+            told["Server-Leaving"] = "1"
+        if self.backoff:
+            told["Retry-After"] = self.backoff
+        if self.limit:
+            told["Server-Limit"] = self.limit
+        return told
 
     async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path.startswith("/v1/"):
