Callers who can't wait as long as they should come back at different moments too

Where the time until there should be a place is longer than a caller can wait, all were told the same longest time, so those refused in one moment came back in one. Cause: the spread was added before the bound cut it off. Now it is taken off the bound instead.

--- a/src/bankrack/decisions/comeback.py
+++ b/src/bankrack/decisions/comeback.py
@@ -19,5 +19,8 @@
     :param left: seconds that the caller still has.
     :param draw: from 0 to 1, another one for each caller.
     """
-    wanted = expected * (1.0 + SPREAD_PART * draw)
-    return max(MIN_SECONDS, min(wanted, OBEYED_PART * left))
+    longest = OBEYED_PART * left
+    if expected > longest:
+        # They differ below it: beyond it all would come at the same moment.
+        return max(MIN_SECONDS, longest * (1.0 - SPREAD_PART * draw))
+    return max(MIN_SECONDS, min(expected * (1.0 + SPREAD_PART * draw), longest))
--- a/tests/decisions/test_comeback.py
+++ b/tests/decisions/test_comeback.py
@@ -14,3 +14,9 @@
 
     def test_it_is_never_a_time_that_the_caller_does_not_have(self):
         self.assertLessEqual(come_back_after(50.0, left=6.0, draw=1.0), 2.0)
+
+    def test_those_who_would_wait_too_long_differ_too(self):
+        told = {come_back_after(60.0, left=3.0, draw=n / 20) for n in range(20)}
+        self.assertEqual(20, len(told))
+        self.assertLessEqual(max(told), 1.0)
+        self.assertGreaterEqual(min(told), 0.7)
