--- /dev/null
+++ b/benchmarks/shared_rates.py
@@ -0,0 +1,380 @@
+"""How much of a rate that all nodes share is used, and whether it is kept.
+
+``python -m benchmarks.shared_rates``.  Nodes have three times the work that the rate
+allows, at random moments, and share the rate in one of three ways, on the same draws:
+``kept`` as the gateway does it, by one count for each upstream; ``lent``, by equal
+parts that nodes lend each other; ``drawn``, by whole sends drawn for some nodes.
+Figures: part of the rate that was sent from the 10th second on, most sends in any 4 s
+as a part of what is borne (1.5 times the rate and 5), questions and microseconds a
+send.
+"""
+
+import argparse
+import asyncio
+import dataclasses
+import random
+import time
+import typing as t
+
+from bankrack.decisions.cold import share_of
+from bankrack.decisions.permits import Asker
+from bankrack.decisions.permits import SPAN_SECONDS
+from bankrack.fleet.documents import Member
+from bankrack.fleet.keepers import Keepers
+from bankrack.fleet.permits import PermitClient
+from bankrack.fleet.permits import PermitDesk
+from bankrack.metrics import GatewayMetrics
+from bankrack.serving.ratelimit import RateLimit
+from bankrack.serving.sendlog import SendLog
+from bankrack.serving.upstreams import Upstream
+from bankrack.serving.upstreams import UpstreamRecord
+from bankrack.serving.upstreams import Upstreams
+
+OVERSHOOT = 1.5
+SLACK = 5
+DEMAND = 3.0
+"""Work, as a multiple of the rate."""
+SECONDS = 60.0
+WARM_SECONDS = 10.0
+FAULT_AT = 25.0
+LEASE_SECONDS = 12.0
+"""A node that was killed is known to be gone after so long."""
+KNOWN_SECONDS = 1.0
+"""A node that joined is known within so long, at each node at another moment."""
+RESTART_SECONDS = 2.0
+LENT_ASKED = 8
+"""As many as are asked for a repeat."""
+FAULTS = ("none", "cut", "killed", "all killed", "doubled")
+UPSTREAM = "u"
+
+
+class Fleet:
+    """What is the same in all ways: nodes, their views of each other, and a clock."""
+
+    def __init__(self, count: int, rate: float, fault: str, seed: int) -> None:
+        self.now = 1000.0
+        self.rate = rate
+        self.fault = fault
+        self.rng = random.Random(seed)
+        self.members = [Member(f"n-{n}", f"10.0.0.{n}:1", "a") for n in range(count)]
+        joining = count if fault == "doubled" else 0
+        self.joining = [Member(f"j-{n}", f"10.1.0.{n}:1", "a") for n in range(joining)]
+        self.joined_at = {
+            m.name: 1000.0 + FAULT_AT + self.rng.random() * KNOWN_SECONDS
+            for m in self.joining
+        }
+        self.gone_at: dict[str, float] = {}
+        self.sent: list[float] = []
+        self.questions = 0
+
+    def known_to(self, name: str) -> list[Member]:
+        """The members that a node knows now."""
+        offset = random.Random(name).random() * KNOWN_SECONDS
+        joined = [m for m in self.joining if self.now > self.joined_at[m.name] + offset]
+        gone = {
+            n
+            for n, at in self.gone_at.items()
+            if self.now > at + LEASE_SECONDS + offset
+        }
+        return [m for m in [*self.members, *joined] if m.name not in gone]
+
+    def reaches(self, one: str, other: str) -> bool:
+        """Whether a question is answered."""
+        return not {one, other} & self.gone_at.keys()
+
+    def alive(self) -> list[Member]:
+        """The nodes that callers reach now."""
+        joined = [m for m in self.joining if self.now > self.joined_at[m.name]]
+        silent = self.gone_at.keys() if self.fault != "cut" else ()
+        return [m for m in [*self.members, *joined] if m.name not in silent]
+
+
+class Way(t.Protocol):
+    """One way to share the rate."""
+
+    def take(self, name: str) -> bool:
+        """Whether a node may send now."""
+        ...
+
+    def restart(self) -> None:
+        """Lose all that nodes remember."""
+        ...
+
+    def first(self) -> str:
+        """The node that the fault hits."""
+        ...
+
+
+class _LocalClient(PermitClient):
+    """A client whose questions reach the other desks without a network."""
+
+    fleet: Fleet
+    desk_by_name: dict[str, PermitDesk]
+
+    async def _ask(
+        self, member: Member, upstream: Upstream, asker: Asker
+    ) -> float | None:
+        self.fleet.questions += 1
+        if not self.fleet.reaches(asker.node, member.name):
+            self._keepers.distrust(member)
+            return None
+        desk = self.desk_by_name[member.name]
+        wait, _ = desk.grant(upstream.id, upstream.limit, asker)
+        return wait
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Node:
+    client: _LocalClient
+    keepers: Keepers
+    upstream: Upstream
+
+
+class Kept(Way):
+    """One count for each upstream, as the gateway has it."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+        self._node_by_name: dict[str, _Node] = {}
+        self._desk_by_name: dict[str, PermitDesk] = {}
+        for member in [*fleet.members, *fleet.joining]:
+            self._start(member, lived=60.0)
+
+    def _start(self, member: Member, *, lived: float) -> None:
+        fleet = self._fleet
+        upstreams = Upstreams()
+        upstreams.put(UpstreamRecord(UPSTREAM, "s", "10.0.0.9:1", "a", slots=1))
+        upstream = upstreams.by_id[UPSTREAM]
+        upstream.note_limit(RateLimit(fleet.rate, fleet.now, fleet.now))
+        now = fleet.now
+        fleet.now -= lived
+
+        def clock() -> float:
+            return fleet.now
+
+        def members() -> list[Member]:
+            return fleet.known_to(member.name)
+
+        keepers = Keepers(member, members, clock=clock)
+        fleet.now = now
+        desk = PermitDesk(
+            member, keepers, upstreams, view_age=lambda: 0.0, clock=clock, rng=fleet.rng
+        )
+        client = _LocalClient(
+            t.cast(t.Any, None),
+            member,
+            lambda: {m.name for m in members()},
+            keepers,
+            desk,
+            GatewayMetrics(),
+            clock=clock,
+        )
+        client.fleet = fleet
+        client.desk_by_name = self._desk_by_name
+        self._desk_by_name[member.name] = desk
+        self._node_by_name[member.name] = _Node(client, keepers, upstream)
+
+    def take(self, name: str) -> bool:
+        """Send if this way allows it."""
+        node = self._node_by_name[name]
+        now = self._fleet.now
+        if not node.upstream.takes_work(now):
+            return False
+        wait = _finish(node.client.take(node.upstream, rank=0))
+        if wait:
+            node.upstream.note_no_permit(now + wait)
+        return wait == 0.0
+
+    def restart(self) -> None:
+        """Forget all."""
+        for member in self._fleet.members:
+            self._start(member, lived=0.0)
+
+    def first(self) -> str:
+        """Whom the fault hits."""
+        node = next(iter(self._node_by_name.values()))
+        return node.keepers.asked(UPSTREAM)[0].name
+
+
+class Lent(Way):
+    """Equal parts, of which nodes lend what they don't need."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+        self.restart()
+
+    def restart(self) -> None:
+        """Forget all."""
+        self._left: dict[str, float] = {}
+        self._at: dict[str, float] = {}
+
+    def take(self, name: str) -> bool:
+        """Send if this way allows it."""
+        fleet = self._fleet
+        others = [m.name for m in fleet.known_to(name) if m.name != name]
+        missing = 1.0 - self._take_of(name, 1.0)
+        for other in fleet.rng.sample(others, min(LENT_ASKED, len(others))):
+            if missing <= 1e-9:
+                break
+            fleet.questions += 1
+            if fleet.reaches(name, other):
+                missing -= self._take_of(other, missing)
+        if missing > 1e-9:
+            self._left[name] += 1.0 - missing
+            return False
+        return True
+
+    def _take_of(self, name: str, wanted: float) -> float:
+        fleet = self._fleet
+        count = len(fleet.known_to(name))
+        rate = fleet.rate / count
+        burst = max(1.0, 3.0 / count) if count < 2 * fleet.rate + SLACK else 3.0 / count
+        gained = (fleet.now - self._at.get(name, fleet.now)) * rate
+        left = min(burst, self._left.get(name, burst) + gained)
+        taken = min(wanted, left)
+        self._left[name] = left - taken
+        self._at[name] = fleet.now
+        return taken
+
+    def first(self) -> str:
+        """Whom the fault hits."""
+        return self._fleet.members[0].name
+
+
+class Drawn(Way):
+    """Whole sends in windows, drawn for some nodes."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+        self.restart()
+
+    def restart(self) -> None:
+        """Forget all."""
+        self._log_by_name: dict[str, SendLog] = {}
+
+    def take(self, name: str) -> bool:
+        """Send if this way allows it."""
+        fleet = self._fleet
+        names = {m.name for m in fleet.known_to(name)}
+        quota = share_of(name, names, UPSTREAM, rate=fleet.rate)
+        log = self._log_by_name.setdefault(name, SendLog())
+        if not log.allows(UPSTREAM, quota, fleet.now):
+            return False
+        log.note(UPSTREAM, fleet.now)
+        return True
+
+    def first(self) -> str:
+        """Whom the fault hits."""
+        return self._fleet.members[0].name
+
+
+WAYS: dict[str, t.Callable[[Fleet], Way]] = {
+    "kept": Kept,
+    "lent": Lent,
+    "drawn": Drawn,
+}
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Figures:
+    """What one play gave."""
+
+    used: float
+    fullest: float
+    questions: float
+    microseconds: float
+
+
+def play(
+    way_name: str, count: int, rate: float, fault: str, *, uneven: bool, seed: int
+) -> Figures:
+    """Play one minute."""
+    fleet = Fleet(count, rate, fault, seed)
+    way = WAYS[way_name](fleet)
+    began, struck, healed = fleet.now, False, False
+    tries, spent = 0, 0.0
+    while fleet.now < began + SECONDS:
+        fleet.now += fleet.rng.expovariate(DEMAND * rate)
+        passed = fleet.now - began
+        if passed > FAULT_AT and not struck:
+            struck = True
+            _strike(fleet, way)
+        if passed > FAULT_AT + RESTART_SECONDS and struck and not healed:
+            healed = True
+            if fault == "all killed":
+                fleet.gone_at.clear()
+                way.restart()
+        nodes = fleet.alive()
+        if not nodes:
+            continue
+        weights = [1.0 / (1 + n) if uneven else 1.0 for n in range(len(nodes))]
+        name = fleet.rng.choices(nodes, weights)[0].name
+        tries += 1
+        started = time.perf_counter()
+        taken = way.take(name)
+        spent += time.perf_counter() - started
+        if taken:
+            fleet.sent.append(fleet.now)
+    counted = [at for at in fleet.sent if at > began + WARM_SECONDS]
+    borne = OVERSHOOT * rate * SPAN_SECONDS + SLACK
+    return Figures(
+        used=len(counted) / (rate * (SECONDS - WARM_SECONDS)),
+        fullest=_most_in_a_span(fleet.sent) / borne,
+        questions=fleet.questions / max(1, len(fleet.sent)),
+        microseconds=1e6 * spent / max(1, tries),
+    )
+
+
+def _strike(fleet: Fleet, way: Way) -> None:
+    match fleet.fault:
+        case "cut" | "killed":
+            fleet.gone_at[way.first()] = fleet.now
+        case "all killed":
+            fleet.gone_at.update({m.name: fleet.now for m in fleet.members})
+
+
+def _most_in_a_span(sent: list[float]) -> int:
+    most = first = 0
+    for last, at in enumerate(sent):
+        while sent[first] <= at - SPAN_SECONDS:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
+
+
+def _finish(coroutine: t.Coroutine[t.Any, t.Any, float]) -> float:
+    """Run a coroutine that never waits."""
+    try:
+        coroutine.send(None)
+    except StopIteration as done:
+        return t.cast(float, done.value)
+    raise AssertionError("it waited")
+
+
+async def _main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--nodes", type=int, nargs="*", default=[8, 62, 195, 390])
+    parser.add_argument(
+        "--rates", type=float, nargs="*", default=[0.5, 1.8, 10.0, 40.0]
+    )
+    parser.add_argument("--faults", nargs="*", default=list(FAULTS))
+    parser.add_argument("--ways", nargs="*", default=list(WAYS))
+    options = parser.parse_args()
+    print("| way | nodes | rate | fault | arrivals | used | fullest | asked | us |")
+    print("|---|---|---|---|---|---|---|---|---|")
+    for way in options.ways:
+        for count in options.nodes:
+            for rate in options.rates:
+                for fault in options.faults:
+                    for uneven in (False, True):
+                        found = play(way, count, rate, fault, uneven=uneven, seed=1)
+                        arrivals = "uneven" if uneven else "even"
+                        print(
+                            f"| {way} | {count} | {rate} | {fault} | {arrivals} | "
+                            f"{found.used:.2f} | {found.fullest:.2f} | "
+                            f"{found.questions:.2f} | {found.microseconds:.0f} |"
+                        )
+
+
+if __name__ == "__main__":
+    asyncio.run(_main())
--- a/soak/gateway/buggy.py
+++ b/soak/gateway/buggy.py
@@ -15,6 +15,7 @@
 import serve
 from bankrack.exceptions import Outcome
 from bankrack.exceptions import UpstreamFailed
+from bankrack.fleet.keepers import Keepers
 from bankrack.fleet.view import View
 from bankrack.gateway import Gateway
 from bankrack.serving.crashregister import CrashRegister
@@ -78,6 +79,12 @@
     Notices.take = lambda self, *found, **more: None  # type: ignore[method-assign]
 
 
+def limit_alone() -> None:
+    """Keep to a rate limit without the other nodes."""
+    Keepers.asked = lambda self, upstream_id: [self._own]  # type: ignore[method-assign]
+    Keepers.is_first = lambda self, upstream_id: True  # type: ignore[method-assign]
+
+
 def stop_at_once() -> None:
     """End without finishing what is in flight."""
 
@@ -97,6 +104,7 @@
     "stop": stop_at_once,
     "forget": forget_ends,
     "deaf": hear_nothing,
+    "alone": limit_alone,
 }
 
 
--- a/soak/gateway/judge.py
+++ b/soak/gateway/judge.py
@@ -2,6 +2,7 @@
 
 import collections
 import itertools
+import math
 import time
 
 from soak.gateway.callers import Call
@@ -24,6 +25,12 @@
 BACKOFF_GRACE_SECONDS = 0.5
 """What was under way when a server asked for a back-off may still arrive."""
 MOST_IN_A_BACKOFF = 2
+LIMIT_KNOWN_SECONDS = 3.0
+"""A limit binds from so long after it was first named."""
+LIMIT_TOLD_SECONDS = 0.5
+LIMIT_SPAN_SECONDS = 4.0
+LIMIT_OVERSHOOT = 1.5
+LIMIT_SLACK = 5
 LINK_SECONDS = 3.0
 """A server's link is in trouble for so long at most."""
 MOST_POISONED = 6
@@ -59,6 +66,7 @@
         self._judge_repeats({call.request: call.path for call in calls})
         self._judge_leaving()
         self._judge_told()
+        self._judge_limits()
         self._judge_budget(calls)
         for gateway in gateways:
             text = gateway.log.read_text(encoding="utf-8", errors="replace")
@@ -185,6 +193,41 @@
                 f"and got {count} requests from it"
             )
 
+    def _judge_limits(self) -> None:
+        """What gateways together send to a server whose limit they passed on."""
+        call_by_request = {call.request: call for call in self._callers.calls}
+        found_by_server = collections.defaultdict(list)
+        for arrival in self._journal.arrivals:
+            call = call_by_request.get(arrival.request)
+            if call is not None:
+                found_by_server[arrival.server].append((arrival, call.node))
+        for server, found in found_by_server.items():
+            for turn in _turns_in_need(found):
+                self._judge_limit(server, turn)
+
+    def _judge_limit(self, server: str, turn: list[tuple[Arrival, Gateway]]) -> None:
+        told_at_by_node: dict[Gateway, float] = {}
+        for arrival, node in sorted(turn, key=lambda pair: pair[0].answered):
+            if arrival.answered:
+                told_at_by_node.setdefault(node, arrival.answered)
+        began = min(told_at_by_node.values())
+        counted = [
+            arrival.at
+            for arrival, node in turn
+            if arrival.at > told_at_by_node.get(node, math.inf) + LIMIT_TOLD_SECONDS
+            and not node.disturbed_between(began - LINK_SECONDS, arrival.at)
+        ]
+        limit = turn[0][0].limit
+        allowed = LIMIT_OVERSHOOT * limit * LIMIT_SPAN_SECONDS + LIMIT_SLACK
+        for at in counted:
+            count = sum(at - LIMIT_SPAN_SECONDS < other <= at for other in counted)
+            if at > began + LIMIT_KNOWN_SECONDS and count > allowed:
+                self.violation(
+                    f"{server} had named a limit of {limit} a second and got {count} "
+                    f"requests in {LIMIT_SPAN_SECONDS} s; allowed {allowed}"
+                )
+                return
+
     def _judge_budget(self, calls: list[Call]) -> None:
         """Repeats of all gateways together in any window."""
         service_by_path = {"talk": "engines"}
@@ -218,6 +261,14 @@
             self.violation(f"{gateway.name} ran on {GRACE_SECONDS} s after SIGTERM")
 
 
+def _turns_in_need(
+    found: list[tuple[Arrival, Gateway]],
+) -> list[list[tuple[Arrival, Gateway]]]:
+    """Arrivals at one server, in order, by the turns in which it named a limit."""
+    turns = itertools.groupby(found, key=lambda pair: pair[0].limit)
+    return [list(turn) for limit, turn in turns if limit]
+
+
 def _count(
     moments: list[tuple[float, str]], service: str, until: float, span: float
 ) -> int:
--- a/soak/gateway/world.py
+++ b/soak/gateway/world.py
@@ -25,6 +25,13 @@
 BACKOFF_SHARE = 0.01
 """Part of the requests that a plain server turns away and asks to back off."""
 BACKOFF_SECONDS = 1.5
+LIMIT = 4.0
+"""Requests a second that a plain server in need names; usually each gets some 25."""
+LIMIT_EVERY = 3
+"""Each third plain server is in need, in turns of so many seconds after it opened."""
+LIMIT_FROM_SECONDS = 3.0
+LIMIT_FOR_SECONDS = 6.0
+LIMIT_TURN_SECONDS = 12.0
 POISON = b"ends whoever runs it"
 POISON_SECONDS = 0.05
 """From the beginning of a run to the end of its engine."""
@@ -52,6 +59,7 @@
     :param answered: when its answer left; 0 where there was none.
     :param leaving: the answer said that the server leaves.
     :param backoff: seconds for which the answer asked the gateway to send nothing.
+    :param limit: requests a second that the server named then; 0 where it named none.
     """
 
     request: str
@@ -61,6 +69,7 @@
     answered: float = 0.0
     leaving: bool = False
     backoff: float = 0.0
+    limit: float = 0.0
 
 
 class Journal:
@@ -137,6 +146,7 @@
         self.journal = journal
         self.chance = chance
         self.trouble = ""
+        self.opened = time.monotonic()
         self.link: Link | None = None
 
     async def open(self) -> None:
@@ -152,6 +162,7 @@
         if request_id is None or request.path.startswith("/v1/"):
             return await super().handle(request)
         arrival = Arrival(request_id, self.id, self.service, time.monotonic())
+        arrival.limit = float(self.told().get("Server-Limit", 0.0))
         self.journal.arrivals.append(arrival)
         response = await super().handle(request)
         if request.transport is not None and not request.transport.is_closing():
@@ -177,6 +188,14 @@
 
     service = "plain"
 
+    def told(self) -> dict[str, str]:
+        """What each answer says; in need now and then, without a draw of its own."""
+        number = int(self.id.partition("-")[2])
+        age = (time.monotonic() - self.opened) % LIMIT_TURN_SECONDS
+        in_need = 0.0 <= age - LIMIT_FROM_SECONDS < LIMIT_FOR_SECONDS
+        self.limit = str(LIMIT) if in_need and number % LIMIT_EVERY == 0 else ""
+        return super().told()
+
     async def run(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer a plain request."""
         draw = self.chance.random()
--- a/src/bankrack/fleet/broadcast.py
+++ b/src/bankrack/fleet/broadcast.py
@@ -47,7 +47,7 @@
         for attempt in range(TELL_TRIES):
             if attempt:
                 await asyncio.sleep(TELL_REST_SECONDS)
-            telling = (self._post(member, path, body, slots) for member in missing)
+            telling = (self._tell(member, path, body, slots) for member in missing)
             took = await asyncio.gather(*telling)
             missing = [m for m, done in zip(missing, took, strict=True) if not done]
             asked_once()
@@ -55,18 +55,22 @@
                 break
         return missing
 
-    async def _post(
+    async def _tell(
         self, member: Member, path: str, body: bytes, slots: asyncio.Semaphore
     ) -> bool:
+        async with slots:
+            return await self.tell_one(member, path, body)
+
+    async def tell_one(self, member: Member, path: str, body: bytes) -> bool:
+        """Tell one member, once; tells whether it took it in."""
         url = f"http://{member.address}{path}"
         query = {"from": self._own.name}
         try:
             async with (
-                slots,
                 asyncio.timeout(TELL_SECONDS),
                 self._session.post(url, params=query, data=body) as response,
             ):
                 return response.status == 200
         except (aiohttp.ClientError, OSError, TimeoutError):
-            # Who stays silent is returned, and logged, once all tries are over.
+            # Who stays silent is told to the one who asks, who logs it.
             return False
--- /dev/null
+++ b/src/bankrack/fleet/keepers.py
@@ -0,0 +1,89 @@
+"""Which node counts the sends of all nodes to an upstream that named a rate limit."""
+
+import typing as t
+
+from bankrack.clock import boottime
+from bankrack.decisions.permits import ranked_keepers
+from bankrack.decisions.permits import SPAN_SECONDS
+from bankrack.fleet.documents import Member
+from bankrack.fleet.trust import Trust
+
+RANK_SECONDS = 0.5
+"""An order is reckoned anew after so long; ranking 200 members takes some 0.2 ms."""
+MAX_RANKED = 2_000
+"""Upstreams whose order is kept."""
+KNOWN_SECONDS = 3.0
+"""Within so long every node that reaches the store knows of one that joined or left."""
+MOST_ASKED = 2
+"""The first and its deputy.  Were a third to count as well, nodes that are cut into
+three could send more than is borne."""
+
+
+class Keepers:
+    """The members in the order in which they count for an upstream.
+
+    :param members: gives the members that live, this node among them or not.
+    :ivar learn_seconds: for which a node that became the first knows neither all that
+        was granted before it nor who still asks the one before.
+    """
+
+    def __init__(
+        self,
+        own: Member,
+        members: t.Callable[[], t.Iterable[Member]],
+        *,
+        clock: t.Callable[[], float] = boottime,
+    ) -> None:
+        self.learn_seconds = SPAN_SECONDS + KNOWN_SECONDS
+        self._own = own
+        self._members = members
+        self._clock = clock
+        self._trust = Trust(clock=clock)
+        self._names = self._member_names()
+        self._changed_at = clock()
+        self._order_by_id: dict[str, tuple[float, list[Member]]] = {}
+        self._first_since_by_id: dict[str, tuple[str, float]] = {}
+
+    def asked(self, upstream_id: str) -> list[Member]:
+        """Whom to ask, in turn: those that count for an upstream and answer of late."""
+        ranked = self._ranked(upstream_id)[:MOST_ASKED]
+        return [member for member in ranked if self._trust.trusts(member)]
+
+    def distrust(self, member: Member) -> None:
+        """Pass a member over for a while."""
+        self._trust.distrust(member)
+
+    def is_first(self, upstream_id: str) -> bool:
+        """Whether this node counts for all, and has for long enough to know."""
+        self.note_members()
+        first = self._ranked(upstream_id)[0].name
+        if len(self._first_since_by_id) >= MAX_RANKED:
+            self._first_since_by_id.clear()
+        known, since = self._first_since_by_id.get(upstream_id, ("", 0.0))
+        if known != first:
+            since = self._clock() if known else self._changed_at
+            self._first_since_by_id[upstream_id] = first, since
+        settled = self._clock() >= since + self.learn_seconds
+        return first == self._own.name and settled
+
+    def note_members(self) -> None:
+        """Note when the members changed last; called now and then."""
+        names = self._member_names()
+        if names != self._names:
+            self._names = names
+            self._changed_at = self._clock()
+
+    def _member_names(self) -> frozenset[str]:
+        return frozenset(member.name for member in self._members())
+
+    def _ranked(self, upstream_id: str) -> list[Member]:
+        now = self._clock()
+        until, ranked = self._order_by_id.get(upstream_id, (0.0, []))
+        if now < until:
+            return ranked
+        if len(self._order_by_id) >= MAX_RANKED:
+            self._order_by_id.clear()
+        by_name = {member.name: member for member in [*self._members(), self._own]}
+        ranked = [by_name[name] for name in ranked_keepers(by_name, upstream_id)]
+        self._order_by_id[upstream_id] = now + RANK_SECONDS, ranked
+        return ranked
--- a/src/bankrack/fleet/leavingnews.py
+++ b/src/bankrack/fleet/leavingnews.py
@@ -47,9 +47,10 @@
     async def run(self) -> None:
         """Tell all members, for ever."""
         while True:
-            await self._notices.news.wait()
+            await self._notices.left.wait()
             await asyncio.sleep(WAIT_SECONDS)
-            ids = [i for i in self._notices.take_news() if not self._told_by_store(i)]
+            left = await self._notices.left.take()
+            ids = [i for i in left if not self._told_by_store(i)]
             if ids:
                 await self._tell(ids)
 
--- /dev/null
+++ b/src/bankrack/fleet/limitnews.py
@@ -0,0 +1,138 @@
+"""What nodes tell each other of the rates that upstreams name.
+
+A node that sends an upstream nothing hears nothing of it.  So the first answer that
+names a limit, or none any more, is told to the node that counts for the upstream, and
+this one tells all.  A limit that only changes travels with the questions for permits.
+"""
+
+import asyncio
+import logging
+import typing as t
+
+import msgspec
+from aiohttp import web
+
+from bankrack import logs
+from bankrack.clock import boottime
+from bankrack.fleet.broadcast import Broadcast
+from bankrack.fleet.documents import Member
+from bankrack.fleet.keepers import Keepers
+from bankrack.fleet.messages import decode_message
+from bankrack.serving.notices import Notices
+from bankrack.serving.ratelimit import RateLimit
+from bankrack.serving.upstreams import Upstreams
+
+LIMITS_PATH = "/peer/limits"
+REST_SECONDS = 0.2
+"""Rest between two rounds of telling, however often an upstream changes its mind."""
+
+_logger = logging.getLogger(__name__)
+
+
+class LimitMessage(msgspec.Struct, array_like=True):
+    """What an upstream named last; ages in seconds.
+
+    :param rate: requests a second; infinite where it names none any more.
+    """
+
+    id: str
+    rate: t.Annotated[float, msgspec.Meta(gt=0)]
+    sent_age: float
+    heard_age: float
+
+
+def encode_limit(upstream_id: str, limit: RateLimit) -> LimitMessage:
+    """Encode what an upstream named, for another node, whose clock is another one."""
+    now = boottime()
+    return LimitMessage(
+        upstream_id, limit.rate, now - limit.sent_at, now - limit.heard_at
+    )
+
+
+def decode_limit(message: LimitMessage) -> RateLimit:
+    """Decode what another node heard of an upstream."""
+    now = boottime()
+    return RateLimit(message.rate, now - message.sent_age, now - message.heard_age)
+
+
+class LimitNews:
+    """Tells what this node's answers told, and takes in what others tell."""
+
+    def __init__(
+        self,
+        broadcast: Broadcast,
+        own: Member,
+        keepers: Keepers,
+        notices: Notices,
+        upstreams: Upstreams,
+    ) -> None:
+        self._broadcast = broadcast
+        self._own = own
+        self._keepers = keepers
+        self._notices = notices
+        self._upstreams = upstreams
+
+    async def handle(self, request: web.Request) -> web.Response:
+        """Take in limits; those of unknown upstreams are passed over."""
+        source = request.query.get("from", "")
+        for message in decode_message(await request.read(), list[LimitMessage]):
+            if self._take(message, source):
+                self._notices.limits.add(message.id)
+        return web.Response()
+
+    async def run(self) -> None:
+        """Tell what is new, for ever."""
+        while True:
+            ids = await self._notices.limits.take()
+            await asyncio.gather(*(self._tell(upstream_id) for upstream_id in ids))
+            await asyncio.sleep(REST_SECONDS)
+
+    def _take(self, message: LimitMessage, source: str) -> bool:
+        """Take in one; tells whether other nodes are to hear of it from here."""
+        upstream = self._upstreams.find(message.id)
+        if upstream is None:
+            return False
+        was_bounded = upstream.limit.bounded
+        if upstream.note_limit(decode_limit(message)):
+            logs.event(
+                _logger,
+                "rate_limit_heard",
+                upstream=message.id,
+                limit=message.rate,
+                heard_age=message.heard_age,
+                source=source,
+            )
+        changed = upstream.limit.bounded != was_bounded
+        return changed and self._counts(message.id)
+
+    def _counts(self, upstream_id: str) -> bool:
+        asked = self._keepers.asked(upstream_id)
+        return bool(asked) and asked[0].name == self._own.name
+
+    async def _tell(self, upstream_id: str) -> None:
+        """Tell the node that counts for an upstream, or all if that is this one."""
+        upstream = self._upstreams.find(upstream_id)
+        if upstream is None:
+            return
+        body = msgspec.msgpack.encode([encode_limit(upstream_id, upstream.limit)])
+        if self._counts(upstream_id):
+            missing = await self._broadcast.tell(LIMITS_PATH, body)
+        else:
+            missing = await self._tell_keeper(upstream_id, body)
+        logs.event(
+            _logger,
+            "rate_limit_told",
+            upstream=upstream_id,
+            limit=upstream.limit.rate,
+            untold=",".join(member.name for member in missing) or None,
+        )
+
+    async def _tell_keeper(self, upstream_id: str, body: bytes) -> list[Member]:
+        """Tell the first that takes it; returns who did not."""
+        missing: list[Member] = []
+        for member in self._keepers.asked(upstream_id):
+            if await self._broadcast.tell_one(member, LIMITS_PATH, body):
+                break
+            self._keepers.distrust(member)
+            missing.append(member)
+        return missing
--- a/src/bankrack/fleet/owners.py
+++ b/src/bankrack/fleet/owners.py
@@ -281,7 +281,7 @@
         """
         now = self._clock()
         for engine in engines:
-            if engine.leaving or engine.backing_off(now):
+            if not engine.takes_work(now):
                 yield engine.id
 
     def placed(self, work: Assignment, engine: Upstream) -> None:
--- /dev/null
+++ b/src/bankrack/fleet/permits.py
@@ -0,0 +1,250 @@
+"""Permits to send to upstreams that named a rate limit, which one node counts for all.
+
+All nodes compute the same order of the members for an upstream; the first counts.  One
+that does not answer is stood in for by the next, which grants less, and a node that can
+ask neither sends a small part that needs no word from the others.
+"""
+
+import dataclasses
+import logging
+import math
+import random
+import typing as t
+
+import aiohttp
+import msgspec
+from aiohttp import web
+
+from bankrack import logs
+from bankrack.clock import boottime
+from bankrack.decisions.cold import share_of
+from bankrack.decisions.permits import ALONE_PART
+from bankrack.decisions.permits import Asker
+from bankrack.decisions.permits import DEPUTY
+from bankrack.decisions.permits import FIRST
+from bankrack.decisions.permits import PermitCount
+from bankrack.decisions.permits import SPAN_SECONDS
+from bankrack.decisions.permits import Terms
+from bankrack.fleet.documents import Member
+from bankrack.fleet.keepers import Keepers
+from bankrack.fleet.limitnews import decode_limit
+from bankrack.fleet.limitnews import encode_limit
+from bankrack.fleet.limitnews import LimitMessage
+from bankrack.fleet.messages import decode_message
+from bankrack.metrics import GatewayMetrics
+from bankrack.serving.ratelimit import RateLimit
+from bankrack.serving.sendlog import SendLog
+from bankrack.serving.upstreams import Upstream
+from bankrack.serving.upstreams import Upstreams
+
+PERMIT_PATH = "/peer/permit"
+ASK_SECONDS = 0.04
+"""Longest wait for an answer; halls are some ms apart, and a caller waits meanwhile."""
+STALE_SECONDS = 5.0
+"""A node whose view is older may have been taken out of the order by the others."""
+MAX_COUNTS = 2_000
+"""Upstreams that one node counts for; all of one fleet that are in need at once."""
+ALONE_REST_SECONDS = 1.0
+"""Rest of a node that can ask nobody and has sent its part."""
+
+_logger = logging.getLogger(__name__)
+
+
+class PermitQuestion(msgspec.Struct, array_like=True):
+    """Asks for the permit for a send that is made now.
+
+    :param limit: what the asker heard of the upstream's rate.
+    :param rank: of the request; the smallest goes first.
+    """
+
+    limit: LimitMessage
+    node: str
+    rank: int
+
+
+class PermitAnswer(msgspec.Struct, array_like=True):
+    """Grants it, or tells when to ask again.
+
+    :param wait: 0 where it is granted, else seconds.
+    :param limit: what is known of the upstream's rate where that is counted.
+    """
+
+    wait: t.Annotated[float, msgspec.Meta(ge=0)]
+    limit: LimitMessage
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Kept:
+    """A count, and when another node asked for it last."""
+
+    count: PermitCount
+    asked_at: float = -math.inf
+
+
+class PermitDesk:
+    """Counts for the upstreams whose count this node is asked for.
+
+    :param view_age: gives the seconds since this node's view was confirmed.
+    """
+
+    def __init__(
+        self,
+        own: Member,
+        keepers: Keepers,
+        upstreams: Upstreams,
+        *,
+        view_age: t.Callable[[], float],
+        clock: t.Callable[[], float] = boottime,
+        rng: random.Random | None = None,
+    ) -> None:
+        self._own = own
+        self._keepers = keepers
+        self._upstreams = upstreams
+        self._view_age = view_age
+        self._clock = clock
+        self._rng = rng or random.Random()
+        self._kept_by_id: dict[str, _Kept] = {}
+
+    def grant(
+        self, upstream_id: str, heard: RateLimit, asker: Asker
+    ) -> tuple[float, RateLimit]:
+        """Grant a send or tell when to ask again.
+
+        :param heard: what the asker heard of the upstream's rate.
+        :return: 0 or the seconds, and what is known of the rate here.
+        """
+        now = self._clock()
+        limit = self._merge(upstream_id, heard)
+        if not limit.bounded:
+            return 0.0, limit
+        kept = self._kept(upstream_id, now)
+        terms = self._terms(upstream_id, kept, asker, now)
+        draw = self._rng.random()
+        wait = kept.count.ask(asker, terms, limit.rate, now=now, draw=draw)
+        return wait, limit
+
+    async def handle(self, request: web.Request) -> web.Response:
+        """Answer another node that asks."""
+        question = decode_message(await request.read(), PermitQuestion)
+        upstream_id = question.limit.id
+        wait, limit = self.grant(
+            upstream_id,
+            decode_limit(question.limit),
+            Asker(question.node, question.rank),
+        )
+        answer = PermitAnswer(wait, encode_limit(upstream_id, limit))
+        return web.Response(body=msgspec.msgpack.encode(answer))
+
+    def _merge(self, upstream_id: str, heard: RateLimit) -> RateLimit:
+        """What holds of the rate, by what is known here and there."""
+        upstream = self._upstreams.find(upstream_id)
+        if upstream is None:
+            # Its entry comes to this node later than to the one that asks.
+            return heard
+        upstream.note_limit(heard)
+        return upstream.limit
+
+    def _kept(self, upstream_id: str, now: float) -> _Kept:
+        kept = self._kept_by_id.get(upstream_id)
+        if kept is None:
+            if len(self._kept_by_id) >= MAX_COUNTS:
+                self._kept_by_id.clear()
+            kept = self._kept_by_id[upstream_id] = _Kept(PermitCount(now))
+            logs.event(_logger, "permits_counted", upstream=upstream_id)
+        return kept
+
+    def _terms(self, upstream_id: str, kept: _Kept, asker: Asker, now: float) -> Terms:
+        if asker.node != self._own.name:
+            kept.asked_at = now
+        if not self._keepers.is_first(upstream_id):
+            return DEPUTY
+        # Cut off from the store it may be gone for the others, who ask another then.
+        forgotten = now > kept.asked_at + SPAN_SECONDS
+        if forgotten and self._view_age() > STALE_SECONDS:
+            return DEPUTY
+        return FIRST
+
+
+class PermitClient:
+    """Gets permits from whoever counts for an upstream, which may be this node.
+
+    :param members: gives the names of the nodes that live.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        own: Member,
+        members: t.Callable[[], t.Collection[str]],
+        keepers: Keepers,
+        desk: PermitDesk,
+        metrics: GatewayMetrics,
+        *,
+        clock: t.Callable[[], float] = boottime,
+    ) -> None:
+        self._session = session
+        self._own = own
+        self._members = members
+        self._keepers = keepers
+        self._desk = desk
+        self._metrics = metrics
+        self._clock = clock
+        self._sent_alone = SendLog()
+
+    async def take(self, upstream: Upstream, *, rank: int) -> float:
+        """Take the permit for a send that is made now.
+
+        Returns 0 where it is granted, else the seconds for which to ask no more.
+        """
+        wait, source = await self._ask_in_turn(upstream, Asker(self._own.name, rank))
+        outcome = "refused" if wait else "granted"
+        self._metrics.permits.inc({"outcome": outcome, "source": source})
+        return wait
+
+    async def _ask_in_turn(self, upstream: Upstream, asker: Asker) -> tuple[float, str]:
+        """Ask those that count; returns the wait and who decided, for the metrics."""
+        for member in self._keepers.asked(upstream.id):
+            if member.name == self._own.name:
+                wait, _ = self._desk.grant(upstream.id, upstream.limit, asker)
+                return wait, "own count"
+            found = await self._ask(member, upstream, asker)
+            if found is not None:
+                return found, "other node"
+        return self._take_alone(upstream), "alone"
+
+    async def _ask(
+        self, member: Member, upstream: Upstream, asker: Asker
+    ) -> float | None:
+        """Ask one member; ``None`` where it does not answer."""
+        limit = encode_limit(upstream.id, upstream.limit)
+        question = PermitQuestion(limit, asker.node, asker.rank)
+        url = f"http://{member.address}{PERMIT_PATH}"
+        data = msgspec.msgpack.encode(question)
+        timeout = aiohttp.ClientTimeout(total=ASK_SECONDS)
+        try:
+            async with self._session.post(url, data=data, timeout=timeout) as response:
+                body = await response.read()
+                response.raise_for_status()
+            answer = msgspec.msgpack.decode(body, type=PermitAnswer)
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
+            self._keepers.distrust(member)
+            logs.event(
+                _logger,
+                "permit_unanswered",
+                upstream=upstream.id,
+                member=member.name,
+                reason=repr(error),
+            )
+            return None
+        upstream.note_limit(decode_limit(answer.limit))
+        return answer.wait
+
+    def _take_alone(self, upstream: Upstream) -> float:
+        """Take of the part that needs no word from others."""
+        now = self._clock()
+        rate = ALONE_PART * upstream.limit.rate
+        quota = share_of(self._own.name, self._members(), upstream.id, rate=rate)
+        if not self._sent_alone.allows(upstream.id, quota, now):
+            return ALONE_REST_SECONDS
+        self._sent_alone.note(upstream.id, now)
+        return 0.0
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -23,10 +23,13 @@
 from bankrack.fleet.crashnews import CrashNews
 from bankrack.fleet.documents import Member
 from bankrack.fleet.follower import Follower
+from bankrack.fleet.keepers import Keepers
 from bankrack.fleet.leavingnews import LEAVING_PATH
 from bankrack.fleet.leavingnews import LeavingNews
 from bankrack.fleet.lending import LEND_PATH
 from bankrack.fleet.lending import Lender
+from bankrack.fleet.limitnews import LimitNews
+from bankrack.fleet.limitnews import LIMITS_PATH
 from bankrack.fleet.membership import Announcer
 from bankrack.fleet.owners import Ledgers
 from bankrack.fleet.owners import NOTES_PATH
@@ -35,6 +38,9 @@
 from bankrack.fleet.peers import LeaderClient
 from bankrack.fleet.peers import UPDATES_PATH
 from bankrack.fleet.peers import UpdateServer
+from bankrack.fleet.permits import PERMIT_PATH
+from bankrack.fleet.permits import PermitClient
+from bankrack.fleet.permits import PermitDesk
 from bankrack.fleet.roster import Roster
 from bankrack.fleet.view import View
 from bankrack.front.innerpaths import serve_paths
@@ -138,7 +144,19 @@
             settings.name, self.view.members_by_name.keys, settings.cold
         )
         self.notices = Notices()
-        client = UpstreamClient(self._sending, dialect.upstreams, self.notices)
+        self.keepers = Keepers(own, members)
+        self.permits = PermitDesk(
+            own, self.keepers, self.upstreams, view_age=lambda: self.view.age
+        )
+        permits = PermitClient(
+            self._asking,
+            own,
+            self.view.members_by_name.keys,
+            self.keepers,
+            self.permits,
+            self.metrics,
+        )
+        client = UpstreamClient(self._sending, dialect.upstreams, self.notices, permits)
         control = GuardedControl(dialect.control(self._asking, self.notices))
         self.ledgers = Ledgers(
             self.upstreams, self.chooser, note_use=lambda: self.reports.note_use()
@@ -165,6 +183,9 @@
         )
         broadcast = Broadcast(self._asking, own, members)
         self.leaving_news = LeavingNews(broadcast, self.notices, self.upstreams)
+        self.limit_news = LimitNews(
+            broadcast, own, self.keepers, self.notices, self.upstreams
+        )
         self.crash_news = CrashNews(
             broadcast,
             own,
@@ -208,6 +229,8 @@
             LEND_PATH: self.lender.handle,
             CRASHES_PATH: self.crash_news.handle,
             LEAVING_PATH: self.leaving_news.handle,
+            LIMITS_PATH: self.limit_news.handle,
+            PERMIT_PATH: self.permits.handle,
             "/metrics": self._answer_metrics,
             "/state": self._answer_state,
         }
@@ -218,6 +241,7 @@
         self._tasks.spawn(self.owners.run)
         self._tasks.spawn(self.crash_news.run)
         self._tasks.spawn(self.leaving_news.run)
+        self._tasks.spawn(self.limit_news.run)
         self._tasks.spawn(self.crash_news.keep_saving)
         self._tasks.spawn(self._keep_applying)
         logs.event(
@@ -365,6 +389,7 @@
             self._log_suspension()
             # Seen all the while: the first repeat after an outage rests on it.
             self._count_nodes()
+            self.keepers.note_members()
             table = self.view.table
             if table is not None:
                 services = table.services_by_name.values()
--- a/src/bankrack/metrics.py
+++ b/src/bankrack/metrics.py
@@ -73,6 +73,9 @@
         self.requests = self._counter("bankrack_requests", "Requests by outcome")
         self.sends = self._counter("bankrack_sends", "Sends to upstreams by outcome")
         self.resumes = self._counter("bankrack_resumes", "Streams resumed, by outcome")
+        self.permits = self._counter(
+            "bankrack_permits", "Permits under rate limits, by outcome and source"
+        )
         self.latency = self._histogram(
             "bankrack_answer_seconds", "Time to the answer", LATENCY_BUCKETS
         )
--- a/src/bankrack/serving/client.py
+++ b/src/bankrack/serving/client.py
@@ -28,6 +28,7 @@
 from bankrack.serving.job import Job
 from bankrack.serving.notices import Notice
 from bankrack.serving.notices import Notices
+from bankrack.serving.permits import Permits
 from bankrack.serving.upstreams import Upstream
 
 CONNECT_SECONDS = 0.3
@@ -36,6 +37,9 @@
 READ_BYTES = 64 * 1024
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 """Largest answer that is held whole; plain answers are a few kilobytes."""
+GOES_ON_RANK = -1
+"""Rank of a run that goes on elsewhere, before all that begin: its caller has the
+beginning, which is lost otherwise."""
 UNSENT_SECONDS = 3.0
 """After this long without an acknowledgement the kernel gives a connection up."""
 
@@ -197,7 +201,9 @@
         session: aiohttp.ClientSession,
         dialect: UpstreamDialect,
         notices: Notices,
+        permits: Permits,
     ) -> None:
+        self._permits = permits
         self._session = session
         self._dialect = dialect
         self._notices = notices
@@ -209,8 +215,10 @@
         Raises :exc:`UpstreamUnreachable` when nothing was sent, and
         :exc:`UpstreamFailed` when the job may have run.
         """
+        _refuse_if_closed(send, boottime())
+        if send.upstream.limit.bounded:
+            await self._take_permit(send)
         sent_at = boottime()
-        _refuse_if_closed(send, sent_at)
         job = send.job
         url = _url(send.upstream.address, job.target)
         try:
@@ -247,6 +255,22 @@
             )
         return Exchange(response, head)
 
+    async def _take_permit(self, send: Send) -> None:
+        """Share the rate that an upstream named, whoever chose it and for what.
+
+        What each node sends by itself comes to many times of what the upstream takes.
+        """
+        upstream = send.upstream
+        rank = GOES_ON_RANK if send.resume is not None else send.priority
+        wait = await self._permits.take(upstream, rank=rank)
+        if wait:
+            upstream.note_no_permit(boottime() + wait)
+            raise UpstreamClosed(
+                f"{upstream.id} takes {upstream.limit.rate:g} requests a second, of "
+                f"which none is left for {wait:.2f} s; nothing was sent, try another"
+            )
+        _refuse_if_closed(send, boottime())
+
 
 def _refuse_if_closed(send: Send, now: float) -> None:
     """Keep work from an upstream that is not to get it, whoever chose it.
--- a/src/bankrack/serving/coldshares.py
+++ b/src/bankrack/serving/coldshares.py
@@ -1,6 +1,5 @@
 """What this node may send to upstreams that are cold."""
 
-import collections
 import typing as t
 
 from bankrack.clock import boottime
@@ -9,6 +8,8 @@
 from bankrack.decisions.cold import Quota
 from bankrack.decisions.cold import share_of
 from bankrack.serving.routing import Service
+from bankrack.serving.sendlog import MAX_UPSTREAMS
+from bankrack.serving.sendlog import SendLog
 from bankrack.serving.upstreams import Upstream
 
 SHARE_SECONDS = 0.5
@@ -16,8 +17,6 @@
 OWNER_PART = 0.5
 """Part of an engine's rate that the owner of its pool hands out, which counts each run
 that it places; the rest is for runs that nobody placed there."""
-MAX_UPSTREAMS = 2_000
-"""Upstreams whose sends are remembered; those of one fleet that are cold at once."""
 
 
 class ColdShares:
@@ -39,7 +38,7 @@
         self._members = members
         self._clock = clock
         self._share_by_id: dict[str, tuple[float, Quota]] = {}
-        self._sent_by_id: dict[str, collections.deque[float]] = {}
+        self._sent = SendLog()
 
     def allows(self, upstream: Upstream, service: Service) -> bool:
         """Whether this node may send there now."""
@@ -47,7 +46,7 @@
         if service.cold_rate <= 0.0 or not upstream.cold(now):
             return True
         quota = self._share(upstream, service, now)
-        return self._count(upstream, quota, now) < quota.count
+        return self._sent.allows(upstream.id, quota, now)
 
     def take(self, upstream: Upstream, service: Service) -> bool:
         """Count a send that is made now; ``False`` where it may not be made."""
@@ -55,7 +54,7 @@
             return False
         now = self._clock()
         if service.cold_rate > 0.0 and upstream.cold(now):
-            self._sent_by_id.setdefault(upstream.id, collections.deque()).append(now)
+            self._sent.note(upstream.id, now)
         return True
 
     def owner_rate(self, service: Service) -> float:
@@ -68,17 +67,9 @@
             return quota
         if len(self._share_by_id) >= MAX_UPSTREAMS:
             self._share_by_id.clear()
-            self._sent_by_id.clear()
         rate = self.terms.fleet_rate(service.cold_rate)
         if service.engine is not None:
             rate *= 1.0 - OWNER_PART
         quota = share_of(self._own, self._members(), upstream.id, rate=rate)
         self._share_by_id[upstream.id] = now + SHARE_SECONDS, quota
         return quota
-
-    def _count(self, upstream: Upstream, quota: Quota, now: float) -> int:
-        """How many of this node's sends still count."""
-        sent = self._sent_by_id.get(upstream.id)
-        while sent and sent[0] <= now - quota.seconds:
-            sent.popleft()
-        return len(sent) if sent else 0
--- a/src/bankrack/serving/notices.py
+++ b/src/bankrack/serving/notices.py
@@ -54,10 +54,35 @@
     unreadable: tuple[str, ...] = ()
 
 
+class News:
+    """Ids of upstreams that told something which other nodes may not know."""
+
+    def __init__(self) -> None:
+        self._ids: set[str] = set()
+        self._added = asyncio.Event()
+
+    def add(self, upstream_id: str) -> None:
+        """Add one."""
+        self._ids.add(upstream_id)
+        self._added.set()
+
+    async def wait(self) -> None:
+        """Wait until there are some."""
+        await self._added.wait()
+
+    async def take(self) -> list[str]:
+        """Take all there are, once there are some."""
+        await self.wait()
+        taken, self._ids = self._ids, set()
+        self._added.clear()
+        return sorted(taken)
+
+
 class Notices:
     """Takes in what upstreams tell of themselves.
 
-    :ivar news: set when one told that it leaves, which other nodes may not know.
+    :ivar left: those that told that they leave.
+    :ivar limits: those that named a rate limit, or none any more.
     """
 
     def __init__(
@@ -66,8 +91,8 @@
         clock: t.Callable[[], float] = boottime,
         rng: random.Random | None = None,
     ) -> None:
-        self.news = asyncio.Event()
-        self._left: set[str] = set()
+        self.left = News()
+        self.limits = News()
         self._clock = clock
         self._rng = rng or random.Random()
 
@@ -98,20 +123,13 @@
         # store may be away and tell it only when the upstream has ended.
         news = notice.leaving and upstream.note_leaving(now)
         if news:
-            self._left.add(upstream.id)
-            self.news.set()
+            self.left.add(upstream.id)
         news |= self._take_limit(upstream, notice, sent_at, request)
         if notice.backoff_seconds:
             news |= upstream.note_backoff(now + self._spread(notice.backoff_seconds))
         if news or notice.unreadable:
             self._log(upstream, notice, status, request, news=news)
 
-    def take_news(self) -> list[str]:
-        """Ids of the upstreams that told that they leave, since the last time."""
-        left, self._left = self._left, set()
-        self.news.clear()
-        return sorted(left)
-
     def _take_limit(
         self, upstream: Upstream, notice: Notice, sent_at: float, request: str | None
     ) -> bool:
@@ -123,7 +141,11 @@
         # Orders are answered past what counts requests, so their silence ends nothing.
         if request is None and not limit.bounded:
             return False
-        return upstream.note_limit(limit)
+        was_bounded = upstream.limit.bounded
+        changed = upstream.note_limit(limit)
+        if limit.bounded != was_bounded and changed:
+            self.limits.add(upstream.id)
+        return changed
 
     def _spread(self, seconds: float) -> float:
         """How long this node backs off that was asked to for so long."""
--- a/src/bankrack/serving/placing.py
+++ b/src/bankrack/serving/placing.py
@@ -61,6 +61,19 @@
     spare: bool
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Ordered:
+    """Engines in the order to ask them; there is at least one.
+
+    :param by: what the order rests on.
+    :param spare: the pool has memory for a backup of the run.
+    """
+
+    engines: list[Upstream]
+    by: str
+    spare: bool
+
+
 class Placer:
     """Has engines keep places for runs."""
 
@@ -97,25 +110,24 @@
         until = boottime() + min(patience, work.time_left() / 2)
         silent: set[str] = set()
         while True:
-            engines, source, spare = await self._wait_in_line(work, traits, log, tried)
-            owner_chose = source == OWNER
+            ordered = await self._wait_in_line(work, traits, log, tried)
+            engines = ordered.engines
             if not traits.hold:
-                return Place(engines[0], None, owner_chose, spare)
+                return self._place(work, engines[0], None, ordered)
             for engine in engines[:MOST_ASKED]:
                 if not engine.takes_work(boottime()):
                     # It was closed while others were asked.
                     continue
+                if engine.limit.bounded:
+                    # An order for a place would count there beside the run itself.
+                    return self._place(work, engine, None, ordered)
                 hold = await self._ask(engine, work, traits, log, silent=silent)
                 if hold is not None:
-                    log.write("place_kept", engine, "ok", f"ordered by {source}")
-                    if engine is not engines[0]:
-                        self._advisor.placed(work, engine)
-                    granted = owner_chose and engine is engines[0]
-                    return Place(engine, hold, granted, spare)
+                    log.write("place_kept", engine, "ok", f"ordered by {ordered.by}")
+                    return self._place(work, engine, hold, ordered)
             if boottime() >= until:
                 engine = self._first_that_answers(work, engines, silent)
-                granted = owner_chose and engine is engines[0]
-                return Place(engine, None, granted, spare)
+                return self._place(work, engine, None, ordered)
             await asyncio.sleep(PLACE_POLL_SECONDS * (0.5 + random.random()))
 
     async def _wait_in_line(
@@ -124,12 +136,10 @@
         traits: EngineTraits,
         log: RunLog,
         tried: t.Collection[str],
-    ) -> tuple[list[Upstream], str, bool]:
-        """Wait until the run is admitted.
+    ) -> "_Ordered":
+        """Wait until the run is admitted, by reports where nobody keeps the line.
 
-        Returns engines in the order to ask them, what the order rests on, and whether
-        the pool has memory for a backup; by reports where nobody keeps the line, and
-        then without one.  Raises :exc:`Overloaded`.
+        Raises :exc:`Overloaded`.
         """
         told = False
         while True:
@@ -139,7 +149,7 @@
             match verdict:
                 case Admit(engines=names, spare=spare) if names:
                     by_id = self._upstreams.by_id
-                    return [by_id[name] for name in names], OWNER, spare
+                    return _Ordered([by_id[name] for name in names], OWNER, spare)
                 case Wait(seconds):
                     if not told:
                         log.write_verdict("place_waits", verdict)
@@ -155,7 +165,20 @@
                         ),
                     )
                 case _:
-                    return self._by_reports(work, traits, tried), REPORTS, False
+                    engines = self._by_reports(work, traits, tried)
+                    return _Ordered(engines, REPORTS, spare=False)
+
+    def _place(
+        self,
+        work: Assignment,
+        engine: Upstream,
+        hold: str | None,
+        ordered: "_Ordered",
+    ) -> Place:
+        first = engine is ordered.engines[0]
+        if not first:
+            self._advisor.placed(work, engine)
+        return Place(engine, hold, first and ordered.by == OWNER, ordered.spare)
 
     def _by_reports(
         self, work: Assignment, traits: EngineTraits, tried: t.Collection[str]
--- a/src/bankrack/serving/plain.py
+++ b/src/bankrack/serving/plain.py
@@ -49,9 +49,13 @@
                 return f"{earlier.status} after {sends.count} sends"
             try:
                 answer = await self._send(work, upstream, sends)
+            except UpstreamClosed as error:
+                # It is no candidate any more until it is open to this node again.
+                sends.avoid.add(upstream.id)
+                self._log(work, upstream, "closed", error.message)
+                continue
             except UpstreamUnreachable as error:
-                if not isinstance(error, UpstreamClosed):
-                    self._parts.chooser.suspect(upstream)
+                self._parts.chooser.suspect(upstream)
                 sends.unreachable(upstream)
                 self._log(work, upstream, "unreachable", error.message)
                 continue
--- a/src/bankrack/serving/ratelimit.py
+++ b/src/bankrack/serving/ratelimit.py
@@ -3,6 +3,10 @@
 import dataclasses
 import math
 
+LINGER_SECONDS = 0.5
+"""A limit is over where a request that was sent so much later is answered without one;
+some answers of an upstream in need may leave it out."""
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class RateLimit:
@@ -33,7 +37,8 @@
             return other.heard_at >= self.sent_at
         if other.rate == self.rate:
             return other.heard_at > self.heard_at
-        return other.sent_at >= self.heard_at
+        linger = 0.0 if other.bounded else LINGER_SECONDS
+        return other.sent_at >= self.heard_at + linger
 
 
 UNLIMITED = RateLimit(rate=math.inf, sent_at=-math.inf, heard_at=-math.inf)
--- a/src/bankrack/serving/run.py
+++ b/src/bankrack/serving/run.py
@@ -352,7 +352,7 @@
         It is the last way to save the stream: a pause instead of a break.
         """
         now = boottime()
-        backoff_left = copy.holder.backoff_until - now
+        backoff_left = copy.holder.closed_until - now
         if not waits_out_backoff(
             backoff_left,
             silent_for=now - (self._passer.last_at or self._work.job.arrived),
--- a/src/bankrack/serving/upstreams.py
+++ b/src/bankrack/serving/upstreams.py
@@ -80,6 +80,7 @@
         "rejections",
         "report",
         "report_learned",
+        "rest_until",
         "sent",
         "suspect_until",
     )
@@ -94,6 +95,7 @@
         self.sent: list[tuple[float, int]] = []
         self.report: EngineReport | None = None
         self.report_learned = 0.0
+        self.rest_until = 0.0
         self.limit = UNLIMITED
         self.load_waiting = 0
         self.notice_logged_at = -math.inf
@@ -141,7 +143,15 @@
 
     def takes_work(self, now: float) -> bool:
         """Whether this node may send it new work now."""
-        return self.open and not self.backing_off(now)
+        return self.open and now >= self.closed_until
+
+    @property
+    def closed_until(self) -> float:
+        """Boot-time seconds until which this node sends it no new work.
+
+        It asked for that, or its rate is used up by what all nodes send.
+        """
+        return max(self.backoff_until, self.rest_until)
 
     def why_closed_to_copies(self, now: float) -> str | None:
         """Why no run may go on there at its copy now, for the log; ``None`` if it may.
@@ -182,7 +192,14 @@
         if not last.gives_way_to(limit):
             return False
         self.limit = limit
-        return limit.rate != last.rate
+        if limit.rate == last.rate:
+            return False
+        self.rest_until = 0.0
+        return True
+
+    def note_no_permit(self, until: float) -> None:
+        """Take in that the rate it named is used up until a moment."""
+        self.rest_until = max(self.rest_until, until)
 
     def note_cold(self, seconds: float, now: float) -> None:
         """Take in how much longer it is cold, as it said itself just now."""
@@ -198,6 +215,7 @@
             "evacuated": self.evacuated,
             "cold_until": self.cold_until,
             "backoff_until": self.backoff_until,
+            "rest_until": self.rest_until,
             "rate_limit": self.limit.rate if self.limit.bounded else None,
             "in_flight": self.in_flight,
             "failure_rate": self.failure_rate,
@@ -289,9 +307,13 @@
             self._absent_by_id.popitem(last=False)
         return True
 
+    def find(self, upstream_id: str) -> Upstream | None:
+        """One by its id, with an entry or without."""
+        return self.by_id.get(upstream_id) or self._absent_by_id.get(upstream_id)
+
     def note_leaving(self, upstream_id: str) -> bool:
         """Note that one leaves, with an entry or without; tells whether it is new."""
-        known = self.by_id.get(upstream_id) or self._absent_by_id.get(upstream_id)
+        known = self.find(upstream_id)
         return known is not None and known.note_leaving(self._clock())
 
     def end_life(self, upstream_id: str) -> None:
@@ -331,8 +353,8 @@
     def backoff_left(self, service: str) -> float | None:
         """Seconds until the first of a service's upstreams takes work again.
 
-        ``None`` where that does not hang on back-offs alone.
+        ``None`` where that does not hang on back-offs and rate limits alone.
         """
         now = self._clock()
-        left = [u.backoff_until - now for u in self.open_of(service)]
+        left = [u.closed_until - now for u in self.open_of(service)]
         return min(left) if left and min(left) > 0.0 else None
--- /dev/null
+++ b/tests/fleet/test_permits.py
@@ -0,0 +1,209 @@
+"""Tests of permits that one node counts for all."""
+
+import asyncio
+import contextlib
+import math
+import typing as t
+
+import aiohttp
+import msgspec
+from aiohttp import web
+
+from bankrack.clock import boottime
+from bankrack.decisions.permits import Asker
+from bankrack.fleet.documents import Member
+from bankrack.fleet.keepers import Keepers
+from bankrack.fleet.permits import PERMIT_PATH
+from bankrack.fleet.permits import PermitClient
+from bankrack.fleet.permits import PermitDesk
+from bankrack.front.innerpaths import serve_paths
+from bankrack.metrics import GatewayMetrics
+from bankrack.serving.ratelimit import RateLimit
+from bankrack.serving.upstreams import UpstreamRecord
+from bankrack.serving.upstreams import Upstreams
+from tests.base import TestCase
+from tests.fakes import free_address
+
+
+def limit(rate: float, *, ago: float = 0.0) -> RateLimit:
+    """What an answer said that came so many seconds ago, and 0.1 s after its send."""
+    heard_at = boottime() - ago
+    return RateLimit(rate, heard_at - 0.1, heard_at)
+
+
+class Node:
+    """What one node knows and counts."""
+
+    def __init__(
+        self, session: aiohttp.ClientSession, own: Member, members: list[Member]
+    ) -> None:
+        self.own = own
+        self.view_age = 0.0
+        self.upstreams = Upstreams()
+        record = UpstreamRecord("u", "s", "10.0.0.1:1", "a", slots=1)
+        self.upstreams.put(record)
+        self.upstream = self.upstreams.by_id["u"]
+        self.keepers = Keepers(own, lambda: members)
+        self.keepers.learn_seconds = 0.0
+        self.desk = PermitDesk(
+            own, self.keepers, self.upstreams, view_age=lambda: self.view_age
+        )
+        names = {member.name for member in members}
+        self.client = PermitClient(
+            session, own, lambda: names, self.keepers, self.desk, GatewayMetrics()
+        )
+        self.runner: web.AppRunner | None = None
+
+    async def take(self, *, rank: int = 0) -> bool:
+        return await self.client.take(self.upstream, rank=rank) == 0.0
+
+    async def start(self) -> None:
+        paths = {PERMIT_PATH: self.desk.handle}
+        self.runner = await serve_paths(self.own.address, paths)
+
+    async def stop(self) -> None:
+        if self.runner is not None:
+            await self.runner.cleanup()
+            self.runner = None
+
+
+@contextlib.asynccontextmanager
+async def fleet(count: int = 4) -> t.AsyncIterator[list[Node]]:
+    """Nodes of which the first two count for the upstream, in that order."""
+    members = [Member(f"n-{n}", free_address(), "a") for n in range(count)]
+    async with aiohttp.ClientSession() as session:
+        nodes = [Node(session, member, members) for member in members]
+        asked = [member.name for member in nodes[0].keepers.asked("u")]
+        others = [node for node in nodes if node.own.name not in asked]
+        by_name = {node.own.name: node for node in nodes}
+        nodes = [*(by_name[name] for name in asked), *others]
+        try:
+            for node in nodes:
+                await node.start()
+                node.upstream.note_limit(limit(2.0, ago=1.0))
+            yield nodes
+        finally:
+            for node in nodes:
+                await node.stop()
+
+
+class Sharing(TestCase):
+    async def test_what_one_node_took_the_others_do_not_get(self):
+        async with fleet() as nodes:
+            taken = [await node.take() for node in reversed(nodes)]
+            self.assertEqual([True, False, False, False], taken)
+
+    async def test_the_deputy_stands_in_for_the_first(self):
+        async with fleet() as nodes:
+            await nodes[0].stop()
+            taken = [await node.take() for node in (nodes[3], nodes[2], nodes[1])]
+            self.assertEqual([True, False, False], taken)
+
+    async def test_one_that_hangs_is_passed_over(self):
+        async with fleet() as nodes:
+
+            async def hang(request: web.Request) -> web.Response:
+                await asyncio.sleep(60)
+                return web.Response()
+
+            await nodes[0].stop()
+            nodes[0].runner = await serve_paths(
+                nodes[0].own.address, {PERMIT_PATH: hang}
+            )
+            began = boottime()
+            self.assertTrue(await nodes[3].take())
+            self.assertLess(boottime() - began, 0.3)
+
+    async def test_nodes_that_can_ask_nobody_share_a_small_part(self):
+        async with fleet() as nodes:
+            for node in nodes[:2]:
+                await node.stop()
+            taken = 0
+            for _ in range(20):
+                for node in nodes[2:]:
+                    taken += await node.take()
+            self.assertLessEqual(taken, 1)
+
+    async def test_one_that_always_refuses_is_not_taken_for_silent(self):
+        async with fleet() as nodes:
+            await nodes[3].take()
+            for _ in range(5):
+                self.assertFalse(await nodes[3].take())
+            self.assertEqual(2, len(nodes[3].keepers.asked("u")))
+
+
+class Knowing(TestCase):
+    async def test_who_counts_learns_the_limit_from_the_question(self):
+        async with fleet() as nodes:
+            nodes[0].upstream.limit = RateLimit(math.inf, -math.inf, -math.inf)
+            self.assertTrue(await nodes[3].take())
+            self.assertEqual(2.0, nodes[0].upstream.limit.rate)
+
+    async def test_the_answer_tells_that_the_limit_is_over(self):
+        async with fleet() as nodes:
+            nodes[0].upstream.note_limit(limit(math.inf))
+            for _ in range(5):
+                self.assertTrue(await nodes[3].take())
+            self.assertFalse(nodes[3].upstream.limit.bounded)
+
+    async def test_an_upstream_whose_entry_comes_later_is_counted_too(self):
+        async with fleet() as nodes:
+            nodes[0].upstreams.by_id.clear()
+            taken = [await nodes[3].take() for _ in range(3)]
+            self.assertEqual([True, False, False], taken)
+
+
+class Standing(TestCase):
+    async def granted(self, node: Node, *, asker: str) -> int:
+        """How many of some questions in a second are granted, at 20 a second."""
+        heard = limit(20.0)
+        node.upstream.note_limit(heard)
+        count = 0
+        began = boottime()
+        while boottime() < began + 1.0:
+            wait, _ = node.desk.grant("u", heard, Asker(asker, 0))
+            count += wait == 0.0
+            await asyncio.sleep(0.005)
+        return count
+
+    async def test_the_first_grants_all_and_the_deputy_a_part(self):
+        async with fleet() as nodes:
+            self.assertGreater(await self.granted(nodes[0], asker="n"), 17)
+            self.assertLess(await self.granted(nodes[1], asker="n"), 8)
+
+    async def test_the_first_grants_a_part_while_nobody_asks_and_its_view_is_old(self):
+        async with fleet() as nodes:
+            nodes[0].view_age = 60.0
+            own = nodes[0].own.name
+            self.assertLess(await self.granted(nodes[0], asker=own), 8)
+            self.assertGreater(await self.granted(nodes[0], asker="n"), 17)
+
+
+class Messages(TestCase):
+    async def test_malformed_ones_are_refused_and_logged(self):
+        async with fleet() as nodes, aiohttp.ClientSession() as session:
+            url = f"http://{nodes[0].own.address}{PERMIT_PATH}"
+            for body in (
+                b"",
+                b"\xc1",
+                msgspec.msgpack.encode([["u", -1.0, 0, 0], "", 0]),
+            ):
+                with self.assertLogs("bankrack", "INFO") as found:
+                    async with session.post(url, data=body) as response:
+                        self.assertEqual(400, response.status)
+                self.assertIn("peer_message_invalid", found.output[0])
+
+    async def test_an_answer_that_does_not_decode_counts_as_none(self):
+        async with fleet() as nodes:
+
+            async def nonsense(request: web.Request) -> web.Response:
+                return web.Response(body=b"\xc1")
+
+            await nodes[0].stop()
+            nodes[0].runner = await serve_paths(
+                nodes[0].own.address, {PERMIT_PATH: nonsense}
+            )
+            with self.assertLogs("bankrack", "INFO") as found:
+                self.assertTrue(await nodes[3].take())
+            self.assertIn("event=permit_unanswered upstream=u", found.output[0])
+            self.assertEqual(1, len(nodes[3].keepers.asked("u")))
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -62,10 +62,11 @@
             budget=BudgetTerms(ratio=0.2, reserve=75, window=10.0),
         )
         gateway = Gateway(settings, PlatformDialect(self.store.address))
-        # As if it had lived for a while: a young one may repeat little, and does not
-        # know whether there is memory for backups.
+        # As if it had lived for a while: a young one may repeat little, does not know
+        # whether there is memory for backups, and grants a part of a rate.
         gateway.budget._began -= 60.0
         gateway.ledgers.learn_seconds = 0.0
+        gateway.keepers.learn_seconds = 0.0
         await gateway.start(listening=listening)
         self.gateways.append(gateway)
         return gateway
