--- a/benchmarks/shared_rates.py
+++ b/benchmarks/shared_rates.py
@@ -163,7 +163,6 @@
         client = _LocalClient(
             t.cast(t.Any, None),
             member,
-            lambda: {m.name for m in members()},
             keepers,
             desk,
             GatewayMetrics(),
--- a/src/bankrack/background.py
+++ b/src/bankrack/background.py
@@ -1,14 +1,18 @@
-"""Background tasks that are kept going until the process stops."""
+"""What goes on in the background: tasks that are kept going, and suspensions."""
 
 import asyncio
 import logging
 import typing as t
 
 from bankrack import logs
+from bankrack.clock import Suspension
 
 RESTART_SECONDS = 0.2
 """Rest before a task that failed begins again, so that it does not spin."""
 
+SUSPENSION_SECONDS = 0.1
+"""Suspensions that are logged; the two clocks are read some microseconds apart."""
+
 Work = t.Callable[[], t.Coroutine[t.Any, t.Any, None]]
 
 _logger = logging.getLogger(__name__)
@@ -51,3 +55,19 @@
                 )
                 _logger.exception("background task failed: %s", name)
             await asyncio.sleep(RESTART_SECONDS)
+
+
+class SuspensionLog:
+    """Tells when this VM was suspended."""
+
+    def __init__(self) -> None:
+        self._suspension = Suspension()
+
+    def log(self, *, view_age: float) -> None:
+        """Write a line if it was since the last call.
+
+        :param view_age: seconds since this node's view was confirmed.
+        """
+        seconds = self._suspension.passed()
+        if seconds >= SUSPENSION_SECONDS:
+            logs.event(_logger, "vm_was_suspended", seconds=seconds, view_age=view_age)
--- a/src/bankrack/fleet/keepers.py
+++ b/src/bankrack/fleet/keepers.py
@@ -39,7 +39,7 @@
         self._members = members
         self._clock = clock
         self._trust = Trust(clock=clock)
-        self._names = self._member_names()
+        self._names = self.names()
         self._changed_at = clock()
         self._order_by_id: dict[str, tuple[float, list[Member]]] = {}
         self._first_since_by_id: dict[str, tuple[str, float]] = {}
@@ -68,12 +68,13 @@
 
     def note_members(self) -> None:
         """Note when the members changed last; called now and then."""
-        names = self._member_names()
+        names = self.names()
         if names != self._names:
             self._names = names
             self._changed_at = self._clock()
 
-    def _member_names(self) -> frozenset[str]:
+    def names(self) -> frozenset[str]:
+        """The members that live."""
         return frozenset(member.name for member in self._members())
 
     def _ranked(self, upstream_id: str) -> list[Member]:
--- a/src/bankrack/fleet/permits.py
+++ b/src/bankrack/fleet/permits.py
@@ -166,16 +166,12 @@
 
 
 class PermitClient:
-    """Gets permits from whoever counts for an upstream, which may be this node.
-
-    :param members: gives the names of the nodes that live.
-    """
+    """Gets permits from whoever counts for an upstream, which may be this node."""
 
     def __init__(
         self,
         session: aiohttp.ClientSession,
         own: Member,
-        members: t.Callable[[], t.Collection[str]],
         keepers: Keepers,
         desk: PermitDesk,
         metrics: GatewayMetrics,
@@ -184,7 +180,6 @@
     ) -> None:
         self._session = session
         self._own = own
-        self._members = members
         self._keepers = keepers
         self._desk = desk
         self._metrics = metrics
@@ -243,7 +238,7 @@
         """Take of the part that needs no word from others."""
         now = self._clock()
         rate = ALONE_PART * upstream.limit.rate
-        quota = share_of(self._own.name, self._members(), upstream.id, rate=rate)
+        quota = share_of(self._own.name, self._keepers.names(), upstream.id, rate=rate)
         if not self._sent_alone.allows(upstream.id, quota, now):
             return ALONE_REST_SECONDS
         self._sent_alone.note(upstream.id, now)
--- /dev/null
+++ b/src/bankrack/fleet/ratelimits.py
@@ -0,0 +1,47 @@
+"""All that a node does for the rates that upstreams name, in one place."""
+
+import typing as t
+
+import aiohttp
+
+from bankrack.fleet.broadcast import Broadcast
+from bankrack.fleet.documents import Member
+from bankrack.fleet.keepers import Keepers
+from bankrack.fleet.limitnews import LimitNews
+from bankrack.fleet.limitnews import LIMITS_PATH
+from bankrack.fleet.permits import PERMIT_PATH
+from bankrack.fleet.permits import PermitClient
+from bankrack.fleet.permits import PermitDesk
+from bankrack.metrics import GatewayMetrics
+from bankrack.serving.notices import Notices
+from bankrack.serving.upstreams import Upstreams
+
+
+class RateLimits:
+    """Gets permits from other nodes, grants them, and tells of limits.
+
+    :param members: gives the members that live, this node among them or not.
+    :param view_age: gives the seconds since this node's view was confirmed.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        own: Member,
+        members: t.Callable[[], t.Iterable[Member]],
+        upstreams: Upstreams,
+        notices: Notices,
+        broadcast: Broadcast,
+        metrics: GatewayMetrics,
+        *,
+        view_age: t.Callable[[], float],
+    ) -> None:
+        self.keepers = Keepers(own, members)
+        desk = PermitDesk(own, self.keepers, upstreams, view_age=view_age)
+        news = LimitNews(broadcast, own, self.keepers, notices, upstreams)
+        self.permits = PermitClient(session, own, self.keepers, desk, metrics)
+        self.handler_by_path = {
+            LIMITS_PATH: news.handle,
+            PERMIT_PATH: desk.handle,
+        }
+        self.run = news.run
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -13,8 +13,8 @@
 
 from bankrack import logs
 from bankrack.background import BackgroundTasks
+from bankrack.background import SuspensionLog
 from bankrack.clock import boottime
-from bankrack.clock import Suspension
 from bankrack.embedding import GatewayDialect
 from bankrack.embedding import GatewaySettings
 from bankrack.exceptions import NodeNotReady
@@ -22,14 +22,12 @@
 from bankrack.fleet.crashnews import CRASHES_PATH
 from bankrack.fleet.crashnews import CrashNews
 from bankrack.fleet.documents import Member
+from bankrack.fleet.fleetsize import FleetSize
 from bankrack.fleet.follower import Follower
-from bankrack.fleet.keepers import Keepers
 from bankrack.fleet.leavingnews import LEAVING_PATH
 from bankrack.fleet.leavingnews import LeavingNews
 from bankrack.fleet.lending import LEND_PATH
 from bankrack.fleet.lending import Lender
-from bankrack.fleet.limitnews import LimitNews
-from bankrack.fleet.limitnews import LIMITS_PATH
 from bankrack.fleet.membership import Announcer
 from bankrack.fleet.owners import Ledgers
 from bankrack.fleet.owners import NOTES_PATH
@@ -38,9 +36,7 @@
 from bankrack.fleet.peers import LeaderClient
 from bankrack.fleet.peers import UPDATES_PATH
 from bankrack.fleet.peers import UpdateServer
-from bankrack.fleet.permits import PERMIT_PATH
-from bankrack.fleet.permits import PermitClient
-from bankrack.fleet.permits import PermitDesk
+from bankrack.fleet.ratelimits import RateLimits
 from bankrack.fleet.roster import Roster
 from bankrack.fleet.view import View
 from bankrack.front.innerpaths import serve_paths
@@ -68,14 +64,7 @@
 from bankrack.serving.streams import StreamRelay
 from bankrack.serving.upstreams import Upstream
 from bankrack.serving.upstreams import Upstreams
-from bankrack.utils import Peak
-
-MIN_NODES = 3
-"""Nodes that share the retry budget at least; entries of others may be missing."""
-MEMBERS_PEAK_SECONDS = 10.0
-"""The newest number of members is too small just after an outage of the store, and a
-share of the retry budget that rested on it too large.  Entries that lapsed are back
-within some 3 s of the store's return; what was taken before counts for 10 s."""
+
 MAX_AGE_SECONDS = 3.0
 """A configuration older than this is confirmed before it is used."""
 DENIAL_AGE_SECONDS = 1.3
@@ -89,8 +78,6 @@
 """Time kept for closing down before the process would be killed."""
 STOP_POLL_SECONDS = 0.05
 LIMITS_SECONDS = 0.5
-SUSPENSION_SECONDS = 0.1
-"""Suspensions that are logged; the two clocks are read some microseconds apart."""
 BOUNDS = frozenset({"grace", "budget", "cold"})
 """Settings that can change while a process runs."""
 
@@ -110,8 +97,8 @@
         self.stopped = asyncio.Event()
         self._dialect = dialect
         self._tasks = BackgroundTasks()
-        self._suspension = Suspension()
-        self._most_members = Peak(MEMBERS_PEAK_SECONDS)
+        self._suspension = SuspensionLog()
+        self.fleet_size = FleetSize(lambda: self.view.members_by_name)
         self._runners: list[web.AppRunner] = []
         self._connect()
 
@@ -136,7 +123,7 @@
         self.follower = Follower(store, self.view, self.roster, leaders)
         self.announcer = Announcer(store, own, view_age=lambda: self.view.age)
         self.chooser = Chooser(hall=settings.hall)
-        self.budget = SharedRetryBudget(settings.budget, nodes=self._count_nodes)
+        self.budget = SharedRetryBudget(settings.budget, nodes=self.fleet_size.count)
         members = self.view.members_by_name.values
         self.lender = Lender(self._asking, own, members, self.budget)
         self.budget.borrow_with(self.lender.borrow)
@@ -144,22 +131,25 @@
             settings.name, self.view.members_by_name.keys, settings.cold
         )
         self.notices = Notices()
-        self.keepers = Keepers(own, members)
-        self.permits = PermitDesk(
-            own, self.keepers, self.upstreams, view_age=lambda: self.view.age
-        )
-        permits = PermitClient(
+        broadcast = Broadcast(self._asking, own, members)
+        self.rate_limits = RateLimits(
             self._asking,
             own,
-            self.view.members_by_name.keys,
-            self.keepers,
-            self.permits,
+            members,
+            self.upstreams,
+            self.notices,
+            broadcast,
             self.metrics,
+            view_age=lambda: self.view.age,
+        )
+        client = UpstreamClient(
+            self._sending, dialect.upstreams, self.notices, self.rate_limits.permits
         )
-        client = UpstreamClient(self._sending, dialect.upstreams, self.notices, permits)
         control = GuardedControl(dialect.control(self._asking, self.notices))
         self.ledgers = Ledgers(
-            self.upstreams, self.chooser, note_use=lambda: self.reports.note_use()
+            self.upstreams,
+            self.chooser,
+            note_use=lambda: self.reports.note_use(),
         )
         self.owners = OwnerClient(
             self._asking,
@@ -181,11 +171,7 @@
             self.cold,
             CrashWatch(self.crashes),
         )
-        broadcast = Broadcast(self._asking, own, members)
         self.leaving_news = LeavingNews(broadcast, self.notices, self.upstreams)
-        self.limit_news = LimitNews(
-            broadcast, own, self.keepers, self.notices, self.upstreams
-        )
         self.crash_news = CrashNews(
             broadcast,
             own,
@@ -229,8 +215,7 @@
             LEND_PATH: self.lender.handle,
             CRASHES_PATH: self.crash_news.handle,
             LEAVING_PATH: self.leaving_news.handle,
-            LIMITS_PATH: self.limit_news.handle,
-            PERMIT_PATH: self.permits.handle,
+            **self.rate_limits.handler_by_path,
             "/metrics": self._answer_metrics,
             "/state": self._answer_state,
         }
@@ -241,7 +226,7 @@
         self._tasks.spawn(self.owners.run)
         self._tasks.spawn(self.crash_news.run)
         self._tasks.spawn(self.leaving_news.run)
-        self._tasks.spawn(self.limit_news.run)
+        self._tasks.spawn(self.rate_limits.run)
         self._tasks.spawn(self.crash_news.keep_saving)
         self._tasks.spawn(self._keep_applying)
         logs.event(
@@ -365,10 +350,6 @@
     def _limits(self) -> CallerLimits:
         return self.view.table.limits if self.view.table else CallerLimits()
 
-    def _count_nodes(self) -> int:
-        count = self._most_members.observe(len(self.view.members_by_name))
-        return max(MIN_NODES, int(count))
-
     def _engines_to_ask(self, service: str) -> list[Upstream]:
         """Engines whose reports this node asks for; others are told by its leader.
 
@@ -386,10 +367,10 @@
     async def _keep_applying(self) -> None:
         """Hand on what follows from the configuration in force."""
         while True:
-            self._log_suspension()
+            self._suspension.log(view_age=self.view.age)
             # Seen all the while: the first repeat after an outage rests on it.
-            self._count_nodes()
-            self.keepers.note_members()
+            self.fleet_size.count()
+            self.rate_limits.keepers.note_members()
             table = self.view.table
             if table is not None:
                 services = table.services_by_name.values()
@@ -398,13 +379,6 @@
             self._set_gauges()
             await asyncio.sleep(LIMITS_SECONDS)
 
-    def _log_suspension(self) -> None:
-        seconds = self._suspension.passed()
-        if seconds >= SUSPENSION_SECONDS:
-            logs.event(
-                _logger, "vm_was_suspended", seconds=seconds, view_age=self.view.age
-            )
-
     def _set_gauges(self) -> None:
         """Tell on the metrics page what this node believes now."""
         for name, value in self.state().gauges().items():
--- a/tests/fleet/test_permits.py
+++ b/tests/fleet/test_permits.py
@@ -48,9 +48,8 @@
         self.desk = PermitDesk(
             own, self.keepers, self.upstreams, view_age=lambda: self.view_age
         )
-        names = {member.name for member in members}
         self.client = PermitClient(
-            session, own, lambda: names, self.keepers, self.desk, GatewayMetrics()
+            session, own, self.keepers, self.desk, GatewayMetrics()
         )
         self.runner: web.AppRunner | None = None
 
--- a/tests/platform/test_following.py
+++ b/tests/platform/test_following.py
@@ -62,7 +62,7 @@
             gateway.view.members_by_name = {**own, **others}
             await asyncio.sleep(2 * LIMITS_SECONDS)
             gateway.view.members_by_name = {}
-            self.assertGreaterEqual(gateway._count_nodes(), 7)
+            self.assertGreaterEqual(gateway.fleet_size.count(), 7)
 
     async def test_what_hangs_on_a_store_known_to_be_away_is_told_at_once(self):
         async with running() as world:
--- a/tests/platform/test_rate_limits.py
+++ b/tests/platform/test_rate_limits.py
@@ -155,7 +155,7 @@
                 press(gateways, "/bill/x", a_second=20, seconds=5.0)
             )
             await asyncio.sleep(1.0)
-            first = gateways[0].keepers.asked(limited.id)[0].name
+            first = gateways[0].rate_limits.keepers.asked(limited.id)[0].name
             [ending] = [g for g in gateways if g.settings.name == first]
             for runner in ending._runners:
                 await runner.cleanup()
