--- a/tests/platform/test_sending.py
+++ b/tests/platform/test_sending.py
@@ -2,6 +2,8 @@
 
 import typing as t
 
+from aiohttp import web
+
 from bankrack.clock import boottime
 from bankrack.exceptions import Outcome
 from bankrack.exceptions import UpstreamUnreachable
@@ -16,6 +18,9 @@
 from bankrack.serving.upstreams import UpstreamRecord
 from engines import Upstreams
 from tests.base import TestCase
+from tests.platform.deployment import not_run
+from tests.platform.deployment import running
+from tests.platform.world import call
 from tests.platform.world import FakeServer
 
 
@@ -74,3 +79,51 @@
         found, arrivals = await self.send(resume=Resume("10.0.0.1:1", "h"), later=True)
         self.assertIsInstance(found, UpstreamUnreachable)
         self.assertEqual(0, arrivals)
+
+
+class Once(TestCase):
+    """A send reaches an upstream once, whatever the caller's method is.
+
+    A look-up was told 503, so not run, although an upstream had run it: that one broke
+    its connection off, the HTTP library sent the same request again by itself, as it
+    does with methods that are safe to repeat, and the second one was turned away.  The
+    node knew of a single send, which its log showed, while two had arrived:
+
+        event=attempt_ended request=r upstream=p outcome=rejected elapsed=0.0314308
+        event=request_ended request=r outcome="overloaded (not_run): ..."
+
+    A billed request by GET would have run twice.
+    """
+
+    async def test_a_connection_that_breaks_off_does_not_send_it_again(self):
+        async with running() as world:
+            gateway = await world.ready_gateway()
+
+            async def break_off(request: web.BaseRequest) -> web.Response:
+                assert request.transport is not None
+                request.transport.abort()
+                return web.Response()
+
+            for server in world.plain:
+                server.behave = break_off
+            for method in ("GET", "PUT", "DELETE", "POST"):
+                for server in world.plain:
+                    server.arrivals.clear()
+                await call(gateway.settings.front, "/bill/x", method=method)
+                self.assertEqual(1, len(world.arrivals()), method)
+
+    async def test_one_that_ran_is_not_told_that_it_did_not(self):
+        async with running() as world:
+            gateway = await world.ready_gateway()
+
+            async def run_once(request: web.BaseRequest) -> web.Response:
+                if len(world.arrivals()) > 1:
+                    return not_run()
+                assert request.transport is not None
+                request.transport.abort()
+                return web.Response()
+
+            for server in world.plain:
+                server.behave = run_once
+            found = await call(gateway.settings.front, "/bill/x", method="GET")
+            self.assertEqual(502, found.status)
