A send reaches an upstream once, whatever the caller's method is

Cause: the HTTP library repeats requests by GET, HEAD, PUT, DELETE, OPTIONS and TRACE by itself when a connection breaks off without an answer, on new connections too. The node counted one send. In the test a GET, PUT or DELETE reached two servers or one twice (2 arrivals for 1), and was told 503 instead of 502. A route whose requests may not be repeated would have run them twice by GET; such repeats went past the retry budget, the bound on upstreams, rate limits, and the look at what ended upstreams.

Ruled out: that the caller sent it twice (one call, one line at one node); a late answer of another request (ids are checked).

The mend: sessions that carry callers' requests don't repeat. Why it holds: each send is now one call of the client, which stands behind all checks. Sessions that ask the store and peers repeat as before, since their GETs only read.

--- a/src/bankrack/serving/client.py
+++ b/src/bankrack/serving/client.py
@@ -142,7 +142,7 @@
     loop = asyncio.get_running_loop()
     factory: t.Any = functools.partial(_ResetAwareHandler, loop=loop)
     connector._factory = factory
-    return aiohttp.ClientSession(
+    session = aiohttp.ClientSession(
         connector=connector,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
@@ -151,6 +151,10 @@
         max_field_size=MAX_HEADER_BYTES,
         read_bufsize=READ_BYTES,
     )
+    # What breaks off may have run, and no check stands before a send that the library
+    # repeats by itself: it was run twice, or told not to have run.
+    session._retry_connection = reuse
+    return session
 
 
 class Exchange:
