Runs have backups by the chance that their engine ends under them

Cause: a pool's owner gave no backups in its first 10 s and then only up to 0.45 of the pool at its fullest of 30 s, whatever ended; where engines crash one after the other, streams were lost with engines although the pool had room.

The change: ends without notice, which all nodes tell each other anyway, are counted for each service over the time that its pool is in use, 60 s at most; the chance that a run's engine ends under it decides how full the pool may be: 0.45 at none, 0.8 from 0.1 on, then also in a young pool. Without an end nothing changes.

--- a/src/bankrack/fleet/owners.py
+++ b/src/bankrack/fleet/owners.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import functools
 import logging
 import typing as t
 
@@ -62,6 +63,7 @@
     """The ledgers that this node keeps, by service and pool, and their listener.
 
     :param note_use: called when another node asks; reports are read while some do.
+    :param ended_since: gives the upstreams that ended without notice after a moment.
     """
 
     def __init__(
@@ -70,7 +72,9 @@
         chooser: Chooser,
         *,
         note_use: t.Callable[[], None] = lambda: None,
+        ended_since: t.Callable[[float], t.Collection[str]] = lambda moment: (),
     ) -> None:
+        self._ended_since = ended_since
         self._upstreams = upstreams
         self._chooser = chooser
         self._note_use = note_use
@@ -142,10 +146,18 @@
     def _allocator(self, service: str, pool: int) -> Allocator:
         key = service, pool
         if key not in self._allocator_by_pool:
-            allocator = Allocator(learn_seconds=self.learn_seconds)
+            allocator = Allocator(
+                learn_seconds=self.learn_seconds,
+                ended_since=functools.partial(self._ended_of, service),
+            )
             self._allocator_by_pool[key] = allocator
         return self._allocator_by_pool[key]
 
+    def _ended_of(self, service: str, moment: float) -> list[str]:
+        """The engines of a service that ended without notice after a moment."""
+        found = [(i, self._upstreams.find(i)) for i in self._ended_since(moment)]
+        return [i for i, known in found if known and known.record.service == service]
+
     def _ledger(self, service: str, pool: int) -> Ledger:
         return self._allocator(service, pool).ledger
 
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -150,6 +150,7 @@
             self.upstreams,
             self.chooser,
             note_use=lambda: self.reports.note_use(),
+            ended_since=self.crashes.ended_since,
         )
         self.owners = OwnerClient(
             self._asking,
--- a/src/bankrack/serving/allocation.py
+++ b/src/bankrack/serving/allocation.py
@@ -11,6 +11,9 @@
 from bankrack.decisions.admission import Room
 from bankrack.decisions.admission import Verdict
 from bankrack.decisions.admission import Wait
+from bankrack.decisions.backups import backup_fill
+from bankrack.decisions.backups import chance_of_end
+from bankrack.decisions.backups import LIKELY_CHANCE
 from bankrack.decisions.cold import quota_of
 from bankrack.decisions.line import Candidate
 from bankrack.decisions.line import Line
@@ -23,15 +26,12 @@
 
 LATE_ASK_SECONDS = 0.3
 """A run that waits and asks so much later than it was told has gone elsewhere."""
-BACKUP_FILL = 0.45
-"""Part of a pool's memory up to which its runs have backups, at its fullest of late.  A
-backup takes as much as its run and as long.  Judged by how full the pool is at the
-moment, runs that began in a lull had one which others were preempted for in the next
-peak: mean worth of five crowded days 0.605 with them, 0.627 without."""
 PEAK_SECONDS = 30.0
 """Several times as long as most runs last."""
 LEARN_SECONDS = 10.0
 """A pool that came into use so lately tells little of how full it gets."""
+ENDS_SECONDS = 60.0
+"""Ends of engines are counted over so long, which is several times their usual rest."""
 READ_AHEAD_SECONDS = 0.4
 """An engine gets another run while what it has still to read takes it no longer.  It
 then reads without a rest, as it takes some 0.2 s until it is known here that a prompt
@@ -80,7 +80,8 @@
     :param read_ahead: seconds for which an engine may have prompts to read and still
         get another run.
     :param learn_seconds: for which the pool must have been in use before its runs have
-        backups.
+        backups, unless engines end under them.
+    :param ended_since: gives the engines that ended without notice after a moment.
     """
 
     def __init__(
@@ -90,7 +91,9 @@
         rng: random.Random | None = None,
         read_ahead: float = READ_AHEAD_SECONDS,
         learn_seconds: float = LEARN_SECONDS,
+        ended_since: t.Callable[[float], t.Collection[str]] = lambda moment: (),
     ) -> None:
+        self._ended_since = ended_since
         self._learn_seconds = learn_seconds
         self._used_since: float | None = None
         self._fullest = Peak(PEAK_SECONDS, clock=clock)
@@ -176,10 +179,25 @@
         )
         free = sum(free_by_engine.values())
         fullest = self._fullest.observe(1.0 - free / max(1.0, ROOM_PART * total))
-        if now < self._used_since + self._learn_seconds:
+        chance = self._chance_of_end(engines, wish, now)
+        learning = now < self._used_since + self._learn_seconds
+        if learning and chance < LIKELY_CHANCE:
             return False
         both = 2 * wish.demand.expected / max(1, total)
-        return fullest + both <= BACKUP_FILL
+        return fullest + both <= backup_fill(chance)
+
+    def _chance_of_end(
+        self, engines: t.Sequence[Upstream], wish: Wish, now: float
+    ) -> float:
+        """Chance that the run's engine ends without notice under it."""
+        since = now if self._used_since is None else self._used_since
+        window = min(ENDS_SECONDS, max(LEARN_SECONDS, now - since))
+        return chance_of_end(
+            len(self._ended_since(now - window)),
+            upstreams=len(engines),
+            window=window,
+            seconds=self.ledger.run_seconds(wish.demand),
+        )
 
     def place_copy(self, engines: t.Sequence[Upstream], wish: Wish) -> Verdict:
         """Find an engine for a copy of a run; an admitted one counts as there.
--- a/src/bankrack/serving/crashregister.py
+++ b/src/bankrack/serving/crashregister.py
@@ -20,6 +20,10 @@
 """Requests remembered, 3.7 MB with those served; an end adds a few dozens at most."""
 MAX_CRASHES = 16
 """Ends remembered of one request; it is in quarantine long before."""
+MAX_ENDED = 512
+"""Upstreams remembered that ended; a hall's at once."""
+STORE = "store"
+"""Source of accounts whose ends may be minutes ago."""
 MAX_SERVED = 4096
 """Requests remembered as served; what comes often is served often."""
 
@@ -53,6 +57,9 @@
         self._software_by_served: collections.OrderedDict[str, str] = (
             collections.OrderedDict()
         )
+        self._ended_at_by_upstream: collections.OrderedDict[str, float] = (
+            collections.OrderedDict()
+        )
         self._untold: set[str] = set()
         self._quarantined: set[str] = set()
         self._quarantined_in_store: set[str] = set()
@@ -75,6 +82,11 @@
         history = self._history_by_fingerprint.get(fingerprint)
         return list(history.crash_by_upstream.values()) if history else []
 
+    def ended_since(self, moment: float) -> list[str]:
+        """Upstreams that ended without notice after a moment, boot-time seconds."""
+        ended = self._ended_at_by_upstream
+        return [upstream for upstream, at in ended.items() if at > moment]
+
     def unsaved(self) -> list[str]:
         """Fingerprints whose quarantine, or its end, the store doesn't show yet."""
         self._forget()
@@ -124,6 +136,8 @@
             history = _History(now, {})
         by_upstream = history.crash_by_upstream
         for crash in crashes:
+            if source != STORE:
+                self._note_end(crash.upstream, now)
             known = by_upstream.get(crash.upstream)
             if known is not None:
                 by_upstream[crash.upstream] = merge(known, crash)
@@ -145,6 +159,12 @@
         self._forget()
         return True
 
+    def _note_end(self, upstream: str, now: float) -> None:
+        ended = self._ended_at_by_upstream
+        ended.setdefault(upstream, now)
+        if len(ended) > MAX_ENDED:
+            ended.popitem(last=False)
+
     def _log_change(
         self,
         fingerprint: str,
@@ -172,7 +192,7 @@
             self._quarantined_in_store.add(fingerprint)
         else:
             self._quarantined_in_store.discard(fingerprint)
-        self.take(fingerprint, crashes, source="store")
+        self.take(fingerprint, crashes, source=STORE)
 
     def note_unstored(self, fingerprint: str) -> None:
         """Note that the store holds nothing of a request any more."""
--- a/src/bankrack/serving/ledger.py
+++ b/src/bankrack/serving/ledger.py
@@ -160,6 +160,11 @@
                 unread[placement.engine] = unread.get(placement.engine, 0.0) + tokens
         return unread
 
+    def run_seconds(self, demand: Demand) -> float:
+        """Seconds from a run's place to its end, as runs go here."""
+        made = demand.output * self._pace.token_seconds
+        return self.read_seconds(demand) + made
+
     def read_seconds(self, demand: Demand) -> float:
         """Seconds from a run's place to its first event, at most as a rule."""
         return WAITS_TO_READ * demand.prompt / self._pace.wait_rate()
