A node that is no member yet neither grants nor asks for permits

Found on reading: nodes that were killed together while the store is away know no members when they are back, took themselves for the only one, and each granted itself a fifth of a named rate: with eight of them 6.4 times it and 8 in any 4 s, where 6 times and 5 are borne. Now who is not among the members sends such an upstream nothing beyond what taught it the limit; its requests go to other upstreams. Two tests (the order of keepers, three nodes through stand-ins: 0 arrivals in 2 s), 51 more of the matter pass.

--- a/src/bankrack/fleet/keepers.py
+++ b/src/bankrack/fleet/keepers.py
@@ -45,7 +45,13 @@
         self._first_since_by_id: dict[str, tuple[str, float]] = {}
 
     def asked(self, upstream_id: str) -> list[Member]:
-        """Whom to ask, in turn: those that count for an upstream and answer of late."""
+        """Whom to ask, in turn: those that count for an upstream and answer of late.
+
+        Nobody while this node is not among the members itself: it may know none of the
+        others then, and all that started with it would count each for itself.
+        """
+        if self._own.name not in self._names:
+            return []
         ranked = self._ranked(upstream_id)[:MOST_ASKED]
         return [member for member in ranked if self._trust.trusts(member)]
 
