--- a/tests/platform/test_streams.py
+++ b/tests/platform/test_streams.py
@@ -6,7 +6,7 @@
 from aiohttp import web
 
 from bankrack.clock import boottime
-from bankrack.serving import allocation
+from bankrack.decisions import backups
 from bankrack.serving import run as run_module
 from bankrack.serving.pace import MIN_SAMPLES
 from tests.base import TestCase
@@ -95,7 +95,7 @@
             self.assertIsNone(arrival.get("Kv-Backup"))
 
     async def test_a_run_is_copied_when_its_engine_leaves(self):
-        self.patch(allocation, "BACKUP_FILL", -1.0)
+        self.patch(backups, "CALM_FILL", -1.0)
         async with running() as world:
             gateway = await world.ready_gateway()
             for engine in world.engines:
@@ -120,7 +120,7 @@
         self,
     ):
         """One that was preempted had copies ordered 247 times in 1.9 s."""
-        self.patch(allocation, "BACKUP_FILL", -1.0)
+        self.patch(backups, "CALM_FILL", -1.0)
         async with running() as world:
             gateway = await world.ready_gateway()
             for engine in world.engines:
