A request with a key runs at most once on the own interface, by any method

What callers saw: nothing that is known of; a GET, PUT or DELETE that names a key could run twice. Cause: the session of plain services let the HTTP library repeat by itself what broke off. It no longer does, and each request has a connection of its own, since a kept one may be closing in that moment (about a millisecond). Why it holds: what may be repeated is decided in PlainServices alone, which repeats only requests without a key. The gateway loads nothing of this module.

--- a/src/bankrack/node.py
+++ b/src/bankrack/node.py
@@ -116,7 +116,7 @@
         """Make the clients; they need a running loop."""
         platform_session = self._session(limit=64)
         engine_session = self._session(limit=0)
-        plain_session = self._session(limit=0, auto_decompress=False)
+        plain_session = self._session(limit=0, auto_decompress=False, repeat=False)
         settings = self.settings
         self.platform = Platform(
             platform_session, settings.platform_urls, prefix=settings.platform_prefix
@@ -173,13 +173,20 @@
         )
 
     def _session(
-        self, *, limit: int, auto_decompress: bool = True
+        self, *, limit: int, auto_decompress: bool = True, repeat: bool = True
     ) -> aiohttp.ClientSession:
+        """Make a client session.
+
+        :param repeat: the library may repeat by itself what broke off, by methods that
+            are safe to repeat; a request that names a key would run twice.  Without it
+            each has a connection of its own, as a kept one may just be closing.
+        """
         session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=limit),
+            connector=aiohttp.TCPConnector(limit=limit, force_close=not repeat),
             auto_decompress=auto_decompress,
             cookie_jar=aiohttp.DummyCookieJar(),
         )
+        session._retry_connection = repeat
         self._sessions.append(session)
         return session
 
