--- a/tests/platform/test_rate_limits.py
+++ b/tests/platform/test_rate_limits.py
@@ -17,6 +17,7 @@
 """
 
 import asyncio
+import contextlib
 import typing as t
 
 from bankrack.clock import boottime
@@ -66,6 +67,19 @@
     return await asyncio.gather(*calls)
 
 
+@contextlib.asynccontextmanager
+async def limited_server(
+    limit: str, *, seconds: float = 1.0
+) -> t.AsyncIterator[tuple[list[Gateway], FakeServer]]:
+    """Three gateways and a plain server whose limit they know."""
+    async with running() as world:
+        gateways = await fleet(world, 3)
+        limited = world.plain[0]
+        limited.limit = limit
+        await press(gateways, "/bill/x", a_second=20, seconds=seconds)
+        yield gateways, limited
+
+
 class Fleet(TestCase):
     async def _all_keep_to_it(self, path: str, servers: str) -> None:
         async with running() as world:
@@ -88,22 +102,14 @@
 
 class Use(TestCase):
     async def test_the_limited_one_is_used_up_to_its_limit(self):
-        async with running() as world:
-            gateways = await fleet(world, 3)
-            limited = world.plain[0]
-            limited.limit = "4"
-            await press(gateways, "/bill/x", a_second=20, seconds=1.0)
+        async with limited_server("4") as (gateways, limited):
             since = boottime()
             await press(gateways, "/bill/x", a_second=20, seconds=4.0)
             served = sum(arrival.at >= since for arrival in limited.arrivals)
             self.assertGreaterEqual(served, 0.8 * 4 * 4.0)
 
     async def test_all_use_it_freely_soon_after_the_limit_is_over(self):
-        async with running() as world:
-            gateways = await fleet(world, 3)
-            limited = world.plain[0]
-            limited.limit = "2"
-            await press(gateways, "/bill/x", a_second=20, seconds=2.0)
+        async with limited_server("2", seconds=2.0) as (gateways, limited):
             limited.limit = ""
             await press(gateways, "/bill/x", a_second=20, seconds=2.0)
             known = [g.upstreams.by_id[limited.id] for g in gateways]
@@ -146,11 +152,7 @@
 class Starts(TestCase):
     async def test_nodes_that_know_no_members_do_not_count_each_for_itself(self):
         """All were killed while the store is away, and know the configuration alone."""
-        async with running() as world:
-            gateways = await fleet(world, 3)
-            limited = world.plain[0]
-            limited.limit = "2"
-            await press(gateways, "/bill/x", a_second=20, seconds=1.0)
+        async with limited_server("2") as (gateways, limited):
             for gateway in gateways:
                 gateway.view.members_by_name.clear()
                 gateway.rate_limits.keepers.note_members()
@@ -162,11 +164,7 @@
 
 class Losses(TestCase):
     async def test_it_is_kept_where_the_node_that_counts_ends(self):
-        async with running() as world:
-            gateways = await fleet(world, 3)
-            limited = world.plain[0]
-            limited.limit = "2"
-            await press(gateways, "/bill/x", a_second=20, seconds=1.0)
+        async with limited_server("2") as (gateways, limited):
             since = boottime()
             pressing = asyncio.create_task(
                 press(gateways, "/bill/x", a_second=20, seconds=5.0)
