Known red: a limit learned from a question first is not told to the others

Found on reading the whole change once more: three places take in a limit (answers, news, questions), and only the first two tell on that it began. Where a question for a permit reaches the counting node before the news, the news is known already and nobody is told; the others learn it from their own first answer, so the bound holds.

--- a/tests/fleet/test_limitnews.py
+++ b/tests/fleet/test_limitnews.py
@@ -8,14 +8,17 @@
 from aiohttp.test_utils import make_mocked_request
 
 from bankrack.clock import boottime
+from bankrack.decisions.permits import Asker
 from bankrack.fleet.documents import Member
 from bankrack.fleet.keepers import Keepers
 from bankrack.fleet.limitnews import LimitMessage
 from bankrack.fleet.limitnews import LimitNews
 from bankrack.fleet.limitnews import LIMITS_PATH
 from bankrack.fleet.limitnews import REST_SECONDS
+from bankrack.fleet.permits import PermitDesk
 from bankrack.serving.notices import Notice
 from bankrack.serving.notices import Notices
+from bankrack.serving.ratelimit import RateLimit
 from bankrack.serving.upstreams import UpstreamRecord
 from bankrack.serving.upstreams import Upstreams
 from tests.base import TestCase
@@ -149,6 +152,16 @@
             await self.run_for_a_while()
         self.assertEqual(1, len(self.told.to_all))
 
+    async def test_who_counts_tells_it_also_where_a_question_came_before_the_news(self):
+        """A question for a permit brings the limit too, and takes the news away."""
+        desk = PermitDesk(OWN, self.keepers, self.upstreams, view_age=lambda: 0.0)
+        now = boottime()
+        heard = RateLimit(rate=1.8, sent_at=now - 0.3, heard_at=now - 0.2)
+        desk.grant(self.own_id, heard, Asker("n-2", 0))
+        await self.receive(LimitMessage(self.own_id, 1.8, 0.3, 0.2))
+        await self.run_for_a_while()
+        self.assertEqual([self.own_id], [m.id for m in self.told.to_all])
+
     async def test_an_older_word_changes_nothing(self):
         self.hear(self.own_id, 1.8)
         await self.receive(LimitMessage(self.own_id, math.inf, 5.0, 4.0))
