The pool owner's state and decisions form the placement package

Cause: serving/ was one flat package of 36 modules; what the owner of a pool keeps and decides is a subject of its own, which the parts for hard load extend.

Change: ledger, allocation, occupancy and placement (now placements) move to bankrack.placement, a layer above serving and below fleet; their tests move along. What nodes use to ask an owner (advisor, enginefinder, pools, pace) stays in serving, as runs there import it. No other change.

--- a/benchmarks/ledger.py
+++ b/benchmarks/ledger.py
@@ -6,8 +6,8 @@
 import functools
 import time
 
-from bankrack.serving.allocation import Allocator
-from bankrack.serving.allocation import PlacementRequest
+from bankrack.placement.allocation import Allocator
+from bankrack.placement.allocation import PlacementRequest
 from bankrack.serving.job import Demand
 from bankrack.serving.upstreams import EngineReport
 from bankrack.serving.upstreams import Upstream
--- a/src/bankrack/lab/poolsimulation.py
+++ b/src/bankrack/lab/poolsimulation.py
@@ -22,9 +22,9 @@
 from bankrack.lab.poolengine import SimulatedEngine
 from bankrack.lab.poolscenario import Scenario
 from bankrack.lab.poolscenario import Stream
-from bankrack.serving.allocation import Allocator
-from bankrack.serving.allocation import PlacementRequest
-from bankrack.serving.allocation import READ_AHEAD_SECONDS
+from bankrack.placement.allocation import Allocator
+from bankrack.placement.allocation import PlacementRequest
+from bankrack.placement.allocation import READ_AHEAD_SECONDS
 from bankrack.serving.choice import Chooser
 from bankrack.serving.enginefinder import MAX_ENGINES_ASKED
 from bankrack.serving.enginefinder import RESERVATION_INTERVAL_SECONDS
--- a/src/bankrack/serving/allocation.py
+++ b/src/bankrack/placement/allocation.py
@@ -17,10 +17,10 @@
 from bankrack.decisions.backups import LIKELY_CRASH_PROBABILITY
 from bankrack.decisions.backups import max_fill_with_backup
 from bankrack.decisions.coldstart import quota_of
+from bankrack.placement.ledger import copy_name
+from bankrack.placement.ledger import Ledger
+from bankrack.placement.occupancy import USABLE_MEMORY_FRACTION
 from bankrack.serving.job import Demand
-from bankrack.serving.ledger import copy_name
-from bankrack.serving.ledger import Ledger
-from bankrack.serving.occupancy import USABLE_MEMORY_FRACTION
 from bankrack.serving.upstreams import Upstream
 from bankrack.utils import WindowMaximum
 
--- a/src/bankrack/serving/ledger.py
+++ b/src/bankrack/placement/ledger.py
@@ -11,12 +11,12 @@
 import typing as t
 
 from bankrack.clock import boottime
+from bankrack.placement.occupancy import Occupancy
+from bankrack.placement.placements import MAX_READ_WAITS
+from bankrack.placement.placements import Placement
 from bankrack.serving.choice import REPORT_LAG_SECONDS
 from bankrack.serving.job import Demand
-from bankrack.serving.occupancy import Occupancy
 from bankrack.serving.pace import Pace
-from bankrack.serving.placement import MAX_READ_WAITS
-from bankrack.serving.placement import Placement
 from bankrack.serving.upstreams import EngineReport
 from bankrack.serving.upstreams import Upstream
 from bankrack.utils import stable_digest
--- a/src/bankrack/serving/occupancy.py
+++ b/src/bankrack/placement/occupancy.py
@@ -11,10 +11,10 @@
 from bankrack.decisions.memory import Holding
 from bankrack.decisions.memory import peak
 from bankrack.decisions.memory import Release
+from bankrack.placement.placements import Placement
 from bankrack.serving.choice import REPORT_LAG_SECONDS
 from bankrack.serving.job import Demand
 from bankrack.serving.pace import Pace
-from bankrack.serving.placement import Placement
 from bankrack.serving.upstreams import EngineReport
 from bankrack.serving.upstreams import Upstream
 
--- a/tests/serving/test_adaptation.py
+++ b/tests/placement/test_adaptation.py
@@ -12,8 +12,8 @@
 import statistics
 import typing as t
 
+from bankrack.placement.ledger import Ledger
 from bankrack.serving.job import Demand
-from bankrack.serving.ledger import Ledger
 from bankrack.serving.upstreams import EngineReport
 from bankrack.serving.upstreams import Upstream
 from bankrack.serving.upstreams import UpstreamRecord
--- a/tests/serving/test_allocation.py
+++ b/tests/placement/test_allocation.py
@@ -6,12 +6,12 @@
 from bankrack.decisions.admission import Refuse
 from bankrack.decisions.admission import Verdict
 from bankrack.decisions.admission import Wait
-from bankrack.serving.allocation import Allocator
-from bankrack.serving.allocation import PlacementRequest
+from bankrack.placement.allocation import Allocator
+from bankrack.placement.allocation import PlacementRequest
+from bankrack.placement.occupancy import UNLISTED_SECONDS
+from bankrack.placement.occupancy import USABLE_MEMORY_FRACTION
 from bankrack.serving.choice import REPORT_LAG_SECONDS
 from bankrack.serving.job import Demand
-from bankrack.serving.occupancy import UNLISTED_SECONDS
-from bankrack.serving.occupancy import USABLE_MEMORY_FRACTION
 from bankrack.serving.upstreams import EngineReport
 from bankrack.serving.upstreams import Upstream
 from bankrack.serving.upstreams import UpstreamRecord
--- a/tests/serving/test_allocation_backups.py
+++ b/tests/placement/test_allocation_backups.py
@@ -3,12 +3,12 @@
 import random
 
 from bankrack.decisions.admission import Admit
-from bankrack.serving.allocation import Allocator
-from bankrack.serving.allocation import CRASH_WINDOW_SECONDS
-from bankrack.serving.allocation import LEARN_SECONDS
-from bankrack.serving.allocation import PEAK_WINDOW_SECONDS
+from bankrack.placement.allocation import Allocator
+from bankrack.placement.allocation import CRASH_WINDOW_SECONDS
+from bankrack.placement.allocation import LEARN_SECONDS
+from bankrack.placement.allocation import PEAK_WINDOW_SECONDS
 from bankrack.serving.job import Demand
-from tests.serving.test_allocation import PoolTestCase
+from tests.placement.test_allocation import PoolTestCase
 
 
 class BackupTest(PoolTestCase):
--- a/tests/serving/test_ledger.py
+++ b/tests/placement/test_ledger.py
@@ -2,12 +2,12 @@
 
 import random
 
-from bankrack.serving import ledger as ledger_module
+from bankrack.placement import ledger as ledger_module
+from bankrack.placement.ledger import Ledger
+from bankrack.placement.ledger import PLACEMENT_TTL_SECONDS
+from bankrack.placement.ledger import RATE_WINDOW_SECONDS
+from bankrack.placement.placements import READ_TIMEOUT_SECONDS
 from bankrack.serving.job import Demand
-from bankrack.serving.ledger import Ledger
-from bankrack.serving.ledger import PLACEMENT_TTL_SECONDS
-from bankrack.serving.ledger import RATE_WINDOW_SECONDS
-from bankrack.serving.placement import READ_TIMEOUT_SECONDS
 from bankrack.serving.upstreams import EngineReport
 from bankrack.serving.upstreams import Upstream
 from bankrack.serving.upstreams import UpstreamRecord
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -15,6 +15,7 @@
     ("background", "decisions", "metrics", "tables"),
     ("settings", "wire"),
     ("control", "serving"),
+    ("placement",),
     ("fleet", "scheduling"),
     ("generations",),
     ("front", "nodestate"),
