Upstreams' load carries how long work takes at this moment

Cause: the fourth figure of a load header was read past, so nothing knew that an upstream is slowed down by its neighbours.

Change: the adapter decodes it to Load.slowdown, a multiple of the usual time; absurd values are reported as unreadable. Upstreams keep the figure with the time at which it was stated. Nothing decides by it yet.

--- a/src/bankrack/serving/notices.py
+++ b/src/bankrack/serving/notices.py
@@ -13,6 +13,7 @@
 from bankrack import logs
 from bankrack.clock import boottime
 from bankrack.serving.ratelimit import RateLimit
+from bankrack.serving.upstreams import Load
 from bankrack.serving.upstreams import Upstream
 
 LOG_INTERVAL_SECONDS = 1.0
@@ -39,7 +40,7 @@
     :param leaving: the upstream is shutting down and accepts no new work.
     :param backoff_seconds: seconds for which a rejecting upstream asks this node to
         send nothing.
-    :param waiting: requests queued at the upstream.
+    :param load: the upstream's load, if stated.
     :param cold_seconds: seconds until the warm-up ends.
     :param rate_limit: requests a second accepted from all nodes together; infinite if
         no limit is stated, ``None`` if the value can't be parsed.
@@ -48,7 +49,7 @@
 
     leaving: bool = False
     backoff_seconds: float | None = None
-    waiting: int | None = None
+    load: Load | None = None
     cold_seconds: float | None = None
     rate_limit: float | None = None
     unreadable: tuple[str, ...] = ()
@@ -116,8 +117,8 @@
             # Another process listens at this address and states its own status.
             return
         now = self._clock()
-        if notice.waiting is not None:
-            upstream.queue_length = notice.waiting
+        if notice.load is not None:
+            upstream.note_load(notice.load, now)
         if notice.cold_seconds is not None:
             upstream.note_cold(notice.cold_seconds, now)
         # Stored with the upstream rather than the request: while the store is
--- a/src/bankrack/serving/upstreams.py
+++ b/src/bankrack/serving/upstreams.py
@@ -61,6 +61,19 @@
     born: int | None = None
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Load:
+    """Load of an upstream, as stated in one of its responses.
+
+    :param queued: requests that wait at the upstream.
+    :param slowdown: how long work takes at this moment, as a multiple of the usual
+        time; ``None`` if not stated.
+    """
+
+    queued: int
+    slowdown: float | None = None
+
+
 class Upstream:
     """An upstream instance and this node's state for it.  Times are boot-time seconds.
 
@@ -71,6 +84,8 @@
     :ivar queue_length: requests queued at the upstream, as last stated by it.
     :ivar rate_limited_until: end of the time without a permit of its rate limit.
     :ivar removed_at: time when its entry was removed from the store; 0 if it was not.
+    :ivar slowdown: how long work took at ``slowdown_at``, as a multiple of the usual
+        time.
     :ivar sent: times and tokens of the runs that reports may not include yet.
     """
 
@@ -94,6 +109,8 @@
         "report",
         "report_received_at",
         "sent",
+        "slowdown",
+        "slowdown_at",
         "suspect_until",
     )
 
@@ -110,6 +127,8 @@
         self.rate_limited_until = 0.0
         self.limit = UNLIMITED
         self.queue_length = 0
+        self.slowdown = 1.0
+        self.slowdown_at = -math.inf
         self.notice_logged_at = -math.inf
         self.failure_rate = 0.0
         self.backoff_until = 0.0
@@ -227,6 +246,13 @@
         """Record that no permit of the rate limit is available before ``until``."""
         self.rate_limited_until = max(self.rate_limited_until, until)
 
+    def note_load(self, load: Load, now: float) -> None:
+        """Record the load that the upstream stated at ``now``."""
+        self.queue_length = load.queued
+        if load.slowdown is not None:
+            self.slowdown = load.slowdown
+            self.slowdown_at = now
+
     def note_cold(self, seconds: float, now: float) -> None:
         """Record the remaining warm-up time in seconds, as stated at ``now``."""
         self.cold_until = now + seconds
--- a/tests/platform/test_responseheaders.py
+++ b/tests/platform/test_responseheaders.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies
 
 from bankrack.serving.notices import Notice
+from bankrack.serving.upstreams import Load
 from responseheaders import read_notice
 from tests.base import TestCase
 
@@ -97,16 +98,19 @@
         found = notice_of(
             200, ("Bankrack-Server-Load", "3,1,8"), ("Bankrack-Cold-Ms", "50")
         )
-        self.assertEqual((1, 0.05), (found.waiting, found.cold_seconds))
+        self.assertEqual((Load(1), 0.05), (found.load, found.cold_seconds))
         self.assertEqual((), found.unreadable)
 
     def test_load_with_the_optional_fourth_figure(self):
-        self.assertEqual(
-            2, notice_of(200, ("Bankrack-Server-Load", "3,2,8,140")).waiting
-        )
-        for text in ("3", "3,2", "3,2,8,1,1", "3,x,8"):
+        found = notice_of(200, ("Bankrack-Server-Load", "3,2,8,140"))
+        self.assertEqual(Load(2, 1.4), found.load)
+
+    def test_malformed_or_absurd_load_is_reported_and_ignored(self):
+        texts = ("3", "3,2", "3,2,8,1,1", "3,x,8")
+        absurd = ("3,2,8,0", "3,2,8,-1", "3,2,8,nan", "3,2,8,1000000000")
+        for text in (*texts, *absurd):
             found = notice_of(200, ("Bankrack-Server-Load", text))
-            self.assertIsNone(found.waiting)
+            self.assertIsNone(found.load)
             self.assertEqual(1, len(found.unreadable))
 
     @given(
--- a/tests/serving/test_notices.py
+++ b/tests/serving/test_notices.py
@@ -10,6 +10,7 @@
 from bankrack.serving.notices import Notice
 from bankrack.serving.notices import NoticeHandler
 from bankrack.serving.ratelimit import RateLimit
+from bankrack.serving.upstreams import Load
 from bankrack.serving.upstreams import Upstream
 from bankrack.serving.upstreams import UpstreamRecord
 from bankrack.serving.upstreams import Upstreams
@@ -44,19 +45,25 @@
 class LoadAndWarmUp(NoticesTestCase):
     def test_values_are_recorded_for_any_status(self):
         for status, waiting in ((200, 3), (503, 7), (500, 0)):
-            notice = Notice(waiting=waiting, cold_seconds=1.0 + waiting)
+            notice = Notice(load=Load(waiting), cold_seconds=1.0 + waiting)
             self.notices.take(self.upstream, notice, status=status, sent_at=0.0)
             self.assertEqual(waiting, self.upstream.queue_length)
             self.assertEqual(101.0 + waiting, self.upstream.cold_until)
 
     def test_values_of_a_misdirected_response_are_ignored(self):
-        notice = Notice(waiting=7, cold_seconds=9.0)
+        notice = Notice(load=Load(7), cold_seconds=9.0)
         self.notices.take(self.upstream, notice, status=421, sent_at=0.0)
         self.assertEqual(0, self.upstream.queue_length)
         self.assertFalse(self.upstream.cold(100.0))
 
+    def test_slowdown_is_recorded_with_its_time(self):
+        notice = Notice(load=Load(0, 2.5))
+        self.notices.take(self.upstream, notice, status=200, sent_at=0.0)
+        self.assertEqual(2.5, self.upstream.slowdown)
+        self.assertEqual(100.0, self.upstream.slowdown_at)
+
     def test_response_without_values_changes_nothing(self):
-        self.notices.take(self.upstream, Notice(waiting=3), status=200, sent_at=0.0)
+        self.notices.take(self.upstream, Notice(load=Load(3)), status=200, sent_at=0.0)
         self.notices.take(self.upstream, Notice(), status=200, sent_at=0.0)
         self.assertEqual(3, self.upstream.queue_length)
 
@@ -212,5 +219,5 @@
 
     def test_load_is_not_logged(self):
         with self.assertNoLogs("bankrack", "INFO"):
-            notice = Notice(waiting=3, cold_seconds=1.0)
+            notice = Notice(load=Load(3), cold_seconds=1.0)
             self.notices.take(self.upstream, notice, status=200, sent_at=0.0)
