--- a/src/bankrack/decisions/backups.py
+++ b/src/bankrack/decisions/backups.py
@@ -7,7 +7,7 @@
 
 import math
 
-CALM_FILL = 0.45
+CALM_BACKUP_FILL = 0.45
 """Fraction of a pool's memory up to which runs get backups when crashes are rare.
 
 It is compared with the recent peak: backups that were granted during a short lull
@@ -38,4 +38,4 @@
     :param probability: that the run's engine crashes before the run ends.
     """
     likely = min(1.0, probability / LIKELY_CRASH_PROBABILITY)
-    return CALM_FILL + (MAX_BACKUP_FILL - CALM_FILL) * likely
+    return CALM_BACKUP_FILL + (MAX_BACKUP_FILL - CALM_BACKUP_FILL) * likely
--- a/src/bankrack/fleet/follower.py
+++ b/src/bankrack/fleet/follower.py
@@ -240,7 +240,9 @@
         await asyncio.sleep(self._backoff_seconds(failures))
 
     def _backoff_seconds(self, failures: int) -> float:
-        delay = backoff_seconds(failures, first=RETRY_SECONDS, most=MAX_RETRY_SECONDS)
+        delay = backoff_seconds(
+            failures, first=RETRY_SECONDS, maximum=MAX_RETRY_SECONDS
+        )
         return delay * (0.5 + random.random())
 
     def _defers_to_readers(self) -> bool:
@@ -251,7 +253,7 @@
 
     def _postpone_own_read(self) -> None:
         delay = backoff_seconds(
-            self._own_failures, first=SLOW_RETRY_SECONDS, most=MAX_SLOW_RETRY_SECONDS
+            self._own_failures, first=SLOW_RETRY_SECONDS, maximum=MAX_SLOW_RETRY_SECONDS
         )
         self._own_failures += 1
         self._own_read_due = boottime() + delay * (0.5 + random.random())
--- a/src/bankrack/fleet/membership.py
+++ b/src/bankrack/fleet/membership.py
@@ -62,7 +62,7 @@
             except PlatformUnavailable as error:
                 logs.event(_logger, "lease_not_renewed", reason=error.message)
                 delay = backoff_seconds(
-                    failures, first=RETRY_SECONDS, most=MAX_RETRY_SECONDS
+                    failures, first=RETRY_SECONDS, maximum=MAX_RETRY_SECONDS
                 )
                 failures += 1
                 await asyncio.sleep(delay * (0.5 + random.random()))
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -287,7 +287,7 @@
         }
         self.settings = dataclasses.replace(old, **applied)
         self.budget.set_policy(self.settings.budget)
-        self.cold.terms = self.settings.cold
+        self.cold.tolerance = self.settings.cold
         logs.event(
             _logger,
             "settings_reloaded",
--- a/src/bankrack/node.py
+++ b/src/bankrack/node.py
@@ -369,7 +369,7 @@
                 "owner_by_group": self.admission.owner_by_group,
                 "owner_changes": self.admission.owner_changes,
                 "decided_alone": self.admission.decided_alone,
-                "held": len(self.admission.placements_by_id),
+                "held": len(self.admission.slots_by_id),
                 "waiting": len(self.admission.waiting_by_id),
                 "owned": [
                     self._describe_owned_group(name)
--- a/src/bankrack/scheduling/admission.py
+++ b/src/bankrack/scheduling/admission.py
@@ -80,7 +80,7 @@
     ) -> None:
         self.groups_by_name: dict[str, Group] = {}
         self.owners_by_group: dict[str, Owner] = {}
-        self.placements_by_id: dict[int, EngineSlot] = {}
+        self.slots_by_id: dict[int, EngineSlot] = {}
         self.waiting_by_id: dict[int, WaitingRequest] = {}
         self.owner_by_group: dict[str, str] = {}
         self.owner_changes = 0
@@ -161,7 +161,7 @@
         :param produced: tokens produced, in total.
         :param finished: whether the run reached its end.
         """
-        del self.placements_by_id[slot.id]
+        del self.slots_by_id[slot.id]
         length = produced if finished else -1
         self._notify_released(slot.group, slot.id, length)
 
@@ -332,7 +332,7 @@
     ) -> EngineSlot:
         slot = EngineSlot(number, upstream, request, group=group, owner=owner)
         slot.produced = produced
-        self.placements_by_id[number] = slot
+        self.slots_by_id[number] = slot
         self._health.started(upstream.name)
         return slot
 
@@ -340,7 +340,7 @@
         """Report held slots and waiting requests to each group's owner."""
         held_by_group: dict[str, list[SlotProgress]] = {}
         waiting_by_group: dict[str, list[int]] = {}
-        for slot in self.placements_by_id.values():
+        for slot in self.slots_by_id.values():
             held = held_by_group.setdefault(slot.group, [])
             held.append(SlotProgress(slot.id, slot.produced))
         for waiting in self.waiting_by_id.values():
@@ -457,7 +457,7 @@
 
     def _tokens_by_upstream(self) -> dict[str, int]:
         held: dict[str, int] = {}
-        for slot in self.placements_by_id.values():
+        for slot in self.slots_by_id.values():
             tokens = slot.request.prompt_tokens + slot.produced
             name = slot.upstream.name
             held[name] = held.get(name, 0) + tokens
@@ -466,7 +466,7 @@
     def _details(self, request: DetailsRequest) -> DetailsReply:
         held_slots = []
         for number in request.ids:
-            slot = self.placements_by_id.get(number)
+            slot = self.slots_by_id.get(number)
             if slot is None or slot.group != request.group:
                 continue
             known = slot.request
--- a/src/bankrack/serving/choice.py
+++ b/src/bankrack/serving/choice.py
@@ -169,7 +169,7 @@
         Without this it would seem the least loaded, as it has no requests in flight.
         """
         seconds = backoff_seconds(
-            upstream.rejections, first=MIN_FULL_SECONDS, most=MAX_FULL_SECONDS
+            upstream.rejections, first=MIN_FULL_SECONDS, maximum=MAX_FULL_SECONDS
         )
         upstream.rejections += 1
         upstream.full_until = self._clock() + seconds
--- a/src/bankrack/serving/coldquotas.py
+++ b/src/bankrack/serving/coldquotas.py
@@ -30,11 +30,11 @@
         self,
         own: str,
         members: t.Callable[[], t.Collection[str]],
-        terms: ColdTolerance,
+        tolerance: ColdTolerance,
         *,
         clock: t.Callable[[], float] = boottime,
     ) -> None:
-        self.terms = terms
+        self.tolerance = tolerance
         self._own = own
         self._members = members
         self._clock = clock
@@ -60,7 +60,7 @@
 
     def owner_rate(self, service: Service) -> float:
         """Runs per second that the owner of a pool may place on a cold engine."""
-        return OWNER_FRACTION * self.terms.fleet_rate(service.cold_rate)
+        return OWNER_FRACTION * self.tolerance.fleet_rate(service.cold_rate)
 
     def _own_quota(self, upstream: Upstream, service: Service, now: float) -> Quota:
         until, quota = self._quota_by_id.get(upstream.id, (0.0, ZERO_QUOTA))
@@ -68,7 +68,7 @@
             return quota
         if len(self._quota_by_id) >= MAX_UPSTREAMS:
             self._quota_by_id.clear()
-        rate = self.terms.fleet_rate(service.cold_rate)
+        rate = self.tolerance.fleet_rate(service.cold_rate)
         if service.engine is not None:
             rate *= 1.0 - OWNER_FRACTION
         quota = node_quota(self._own, self._members(), upstream.id, rate=rate)
--- a/src/bankrack/serving/copies.py
+++ b/src/bankrack/serving/copies.py
@@ -122,7 +122,7 @@
                 backoff_seconds(
                     failures,
                     first=COPY_CHECK_INTERVAL_SECONDS,
-                    most=MAX_COPY_BACKOFF_SECONDS,
+                    maximum=MAX_COPY_BACKOFF_SECONDS,
                 )
             )
             engine = self._engine()
--- a/src/bankrack/utils.py
+++ b/src/bankrack/utils.py
@@ -16,14 +16,14 @@
 """Maximum exponent of a backoff, because larger powers of two overflow a float."""
 
 
-def backoff_seconds(failures: int, *, first: float, most: float) -> float:
+def backoff_seconds(failures: int, *, first: float, maximum: float) -> float:
     """Return the exponential backoff in seconds before the next attempt.
 
     :param failures: consecutive failures before the latest one.
     :param first: backoff after the first failure.
-    :param most: maximum backoff.
+    :param maximum: upper bound of the backoff.
     """
-    return min(most, first * 2 ** min(failures, MAX_DOUBLINGS))
+    return min(maximum, first * 2 ** min(failures, MAX_DOUBLINGS))
 
 
 class WindowMaximum:
--- a/tests/decisions/test_backups.py
+++ b/tests/decisions/test_backups.py
@@ -1,6 +1,6 @@
 """Tests of the memory use up to which runs get backups."""
 
-from bankrack.decisions.backups import CALM_FILL
+from bankrack.decisions.backups import CALM_BACKUP_FILL
 from bankrack.decisions.backups import crash_probability
 from bankrack.decisions.backups import MAX_BACKUP_FILL
 from bankrack.decisions.backups import max_fill_with_backup
@@ -30,10 +30,10 @@
 
 class BackupFillTest(TestCase):
     def test_fill_is_minimal_without_crashes(self):
-        self.assertEqual(CALM_FILL, max_fill_with_backup(0.0))
+        self.assertEqual(CALM_BACKUP_FILL, max_fill_with_backup(0.0))
 
     def test_fill_rises_with_probability_up_to_maximum(self):
-        self.assertLess(CALM_FILL, max_fill_with_backup(0.02))
+        self.assertLess(CALM_BACKUP_FILL, max_fill_with_backup(0.02))
         self.assertLess(max_fill_with_backup(0.02), max_fill_with_backup(0.05))
         self.assertEqual(MAX_BACKUP_FILL, max_fill_with_backup(1.0))
         self.assertLess(MAX_BACKUP_FILL, 1.0)
--- a/tests/generations/test_generation.py
+++ b/tests/generations/test_generation.py
@@ -163,7 +163,7 @@
             self.assertEqual(1, engine.cancelled)
             self.assertTrue(engine.model.idle)
             self.assertEqual(0, b.nodes[0].in_flight.total)
-            self.assertEqual({}, b.nodes[0].admission.placements_by_id)
+            self.assertEqual({}, b.nodes[0].admission.slots_by_id)
 
 
 class TestDisconnectedCallers(TestCase):
--- a/tests/platform/test_streams.py
+++ b/tests/platform/test_streams.py
@@ -95,7 +95,7 @@
             self.assertIsNone(arrival.get("Kv-Backup"))
 
     async def test_run_is_copied_when_its_engine_leaves(self):
-        self.patch(backups, "CALM_FILL", -1.0)
+        self.patch(backups, "CALM_BACKUP_FILL", -1.0)
         async with running() as deployment:
             gateway = await deployment.start_ready_gateway()
             for engine in deployment.engines:
@@ -120,7 +120,7 @@
         self,
     ):
         """A copy of a preempted run fails at once, so retries need pauses."""
-        self.patch(backups, "CALM_FILL", -1.0)
+        self.patch(backups, "CALM_BACKUP_FILL", -1.0)
         async with running() as deployment:
             gateway = await deployment.start_ready_gateway()
             for engine in deployment.engines:
--- a/tests/test_utils.py
+++ b/tests/test_utils.py
@@ -7,12 +7,12 @@
 
 class TestBackoff(TestCase):
     def test_backoff_doubles_up_to_maximum(self):
-        delays = [backoff_seconds(n, first=0.5, most=4.0) for n in range(5)]
+        delays = [backoff_seconds(n, first=0.5, maximum=4.0) for n in range(5)]
         self.assertEqual([0.5, 1.0, 2.0, 4.0, 4.0], delays)
 
     def test_thousands_of_failures_do_not_overflow(self):
         """As while the store is unavailable for an hour."""
-        self.assertEqual(4.0, backoff_seconds(5000, first=0.5, most=4.0))
+        self.assertEqual(4.0, backoff_seconds(5000, first=0.5, maximum=4.0))
 
 
 class TestWindowMaximum(TestCase):
