The dialect's test reads the decoded load

Cause: Notice.waiting became Notice.load, and one test still named the old field. Change: it compares the decoded load, which is as strict.

--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -21,6 +21,7 @@
 from bankrack.serving.job import PromptPart
 from bankrack.serving.job import RequestKind
 from bankrack.serving.routing import RoutingTable
+from bankrack.serving.upstreams import Load
 from bankrack.serving.upstreams import UpstreamRecord
 from tests.base import TestCase
 from tests.platform.fakes import configuration
@@ -182,7 +183,7 @@
     def test_status_and_headers(self):
         head = self.head(503, Bankrack_Not_Executed="1", Bankrack_Server_Load="3,1,8")
         self.assertTrue(head.not_run)
-        self.assertEqual(1, head.notice.waiting)
+        self.assertEqual(Load(1), head.notice.load)
         self.assertTrue(self.head(421).not_run)
         self.assertFalse(self.head(503).not_run)
         self.assertTrue(self.head(200, Bankrack_Response_Seal="s").sealed)
