Nodes exchange failures of upstreams and exclude those that fail

A node now tells all members of a failure at once, their responses state what the upstream served them meanwhile, and two reporters exclude it for all. Repeatable requests of a few nodes retest it; three served ones end the exclusion.

--- /dev/null
+++ b/src/bankrack/decisions/outliers.py
@@ -0,0 +1,135 @@
+"""Decides which upstreams are excluded because they fail requests.
+
+The load: many nodes send few requests each to a service, and one of its upstreams
+resets or fails requests while its health check succeeds.  Each node alone would find
+out by losing a request of its own.  Therefore the nodes exchange the outcomes of
+requests, and exclude an upstream if two of them report failures.
+"""
+
+import dataclasses
+import typing as t
+
+WINDOW_SECONDS = 3.0
+"""Time for which an outcome counts."""
+FAILURE_WEIGHT = 1.0
+SERVED_WEIGHT = 0.4
+"""Weight of a served request against a failure.  The sum rises on average if more than
+two of seven requests fail; one that loses fewer serves callers better than a queue at
+the other upstreams would."""
+EXCLUSION_LIMIT = 2.0
+"""Sum of the weights from which an upstream is excluded: two failures in a row."""
+MIN_REPORTERS = 2
+"""Nodes that must report failures; the link of a single node may be bad."""
+MAX_FAILURES_BY_REPORTER = 2
+"""Failures of one node that count."""
+MIN_SERVED_BY_HALL = 3
+"""Requests of a hall that must have been served there, without a failure, to exempt its
+nodes: the link between two halls may be bad."""
+MIN_RETEST_SECONDS = 0.5
+MAX_RETEST_SECONDS = 4.0
+"""Pause before an excluded upstream is sent requests again.  It doubles with each
+failed retest, as each delays a caller."""
+RETESTS_TO_READMIT = 3
+"""Requests that an upstream must serve in retests, in a row, to be used as before."""
+PROBATION_SECONDS = 10.0
+"""Time of retests after which an upstream is used again in any case, for services
+without requests that can be repeated."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Outcome:
+    """Outcome of a request that was sent to an upstream.
+
+    :param at: time when it was known.
+    :param reporter: node that sent the request.
+    :param hall: of the reporter.
+    """
+
+    at: float
+    reporter: str
+    hall: str
+    failed: bool
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Well:
+    """The upstream may be used."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Exclude:
+    """The upstream fails requests.
+
+    :param reporters: nodes with failures, sorted.
+    :param exempt_halls: halls whose nodes were served meanwhile.
+    """
+
+    reporters: tuple[str, ...]
+    failures: int
+    served: int
+    exempt_halls: frozenset[str] = frozenset()
+
+
+Verdict = Well | Exclude
+
+
+def judge(
+    outcomes: t.Iterable[Outcome], *, now: float, excluded: int, upstreams: int
+) -> Verdict:
+    """Judge an upstream by the outcomes of the requests of all nodes.
+
+    The outcomes are summed as in a CUSUM chart: a failure raises the sum, a served
+    request lowers it, down to zero.
+
+    :param excluded: other upstreams of the service that are excluded already.
+    :param upstreams: open upstreams of the service, including this one.
+    """
+    if excluded >= max_excluded(upstreams):
+        return Well()
+    recent = [o for o in outcomes if now - WINDOW_SECONDS <= o.at <= now]
+    began = min((o.at for o in recent if o.failed), default=now)
+    recent = [o for o in recent if o.at >= began]
+    exempt_halls = _served_halls(recent)
+    total = 0.0
+    run: list[Outcome] = []
+    for outcome in sorted(recent, key=lambda o: (o.at, o.reporter)):
+        if outcome.hall in exempt_halls:
+            continue
+        if not outcome.failed:
+            total -= SERVED_WEIGHT
+        elif _counts(outcome, run):
+            total += FAILURE_WEIGHT
+        run.append(outcome)
+        if total <= 0.0:
+            total, run = 0.0, []
+    failures = [o for o in run if o.failed]
+    reporters = tuple(sorted({o.reporter for o in failures}))
+    if len(reporters) < MIN_REPORTERS or total < EXCLUSION_LIMIT:
+        return Well()
+    return Exclude(reporters, len(failures), len(run) - len(failures), exempt_halls)
+
+
+def _served_halls(outcomes: t.Sequence[Outcome]) -> frozenset[str]:
+    """Return the halls whose nodes were served without a failure."""
+    failing = {o.hall for o in outcomes if o.failed}
+    served = [o.hall for o in outcomes if o.hall not in failing]
+    return frozenset(h for h in served if served.count(h) >= MIN_SERVED_BY_HALL)
+
+
+def _counts(failure: Outcome, run: t.Sequence[Outcome]) -> bool:
+    earlier = sum(o.failed and o.reporter == failure.reporter for o in run)
+    return earlier < MAX_FAILURES_BY_REPORTER
+
+
+def max_excluded(upstreams: int) -> int:
+    """Return how many of a service's upstreams may be excluded together.
+
+    At least half of them remain in use: if more seem ill, the failures have another
+    cause, or the others could not bear the load.
+    """
+    return upstreams // 2
+
+
+def retest_seconds(failed_retests: int) -> float:
+    """Return the pause before an excluded upstream is sent requests again."""
+    return min(MAX_RETEST_SECONDS, MIN_RETEST_SECONDS * 2 ** min(failed_retests, 16))
--- a/src/bankrack/fleet/broadcast.py
+++ b/src/bankrack/fleet/broadcast.py
@@ -14,6 +14,9 @@
 MAX_CONCURRENT_NOTIFICATIONS = 32
 
 
+OnResponse = t.Callable[[Member, bytes], None]
+
+
 class Broadcast:
     """Posts messages to the internal addresses of the live members.
 
@@ -36,10 +39,12 @@
         body: bytes,
         *,
         on_first_round: t.Callable[[], None] = lambda: None,
+        on_response: OnResponse | None = None,
     ) -> list[Member]:
         """Notify all other members, with retries for those that do not respond.
 
         :param on_first_round: called once every member was tried once.
+        :param on_response: called with the body of each member's response.
         :return: the members that were not reached.
         """
         missing = [m for m in self._members() if m.name != self._own.name]
@@ -48,7 +53,8 @@
             if round_number:
                 await asyncio.sleep(NOTIFY_RETRY_SECONDS)
             attempts = (
-                self._notify_with_slot(member, path, body, slots) for member in missing
+                self._notify_with_slot(member, path, body, slots, on_response)
+                for member in missing
             )
             results = await asyncio.gather(*attempts)
             missing = [m for m, done in zip(missing, results, strict=True) if not done]
@@ -58,12 +64,23 @@
         return missing
 
     async def _notify_with_slot(
-        self, member: Member, path: str, body: bytes, slots: asyncio.Semaphore
+        self,
+        member: Member,
+        path: str,
+        body: bytes,
+        slots: asyncio.Semaphore,
+        on_response: OnResponse | None,
     ) -> bool:
         async with slots:
-            return await self.notify_one(member, path, body)
+            return await self.notify_one(member, path, body, on_response)
 
-    async def notify_one(self, member: Member, path: str, body: bytes) -> bool:
+    async def notify_one(
+        self,
+        member: Member,
+        path: str,
+        body: bytes,
+        on_response: OnResponse | None = None,
+    ) -> bool:
         """Notify one member once; returns whether it accepted the message."""
         url = f"http://{member.address}{path}"
         query = {"from": self._own.name}
@@ -72,7 +89,11 @@
                 asyncio.timeout(NOTIFY_TIMEOUT_SECONDS),
                 self._session.post(url, params=query, data=body) as response,
             ):
-                return response.status == 200
+                if response.status != 200:
+                    return False
+                if on_response is not None:
+                    on_response(member, await response.read())
+                return True
         except (aiohttp.ClientError, OSError, TimeoutError):
             # The caller logs the members that were not reached.
             return False
--- /dev/null
+++ b/src/bankrack/fleet/outlierupdates.py
@@ -0,0 +1,226 @@
+"""Exchange of failures and exclusions of upstreams, without the store.
+
+A node whose request failed at an upstream tells all members at once.  Their responses
+state the requests that the upstream served them meanwhile, and an exclusion that the
+node does not know of yet.  The node that then finds the upstream to be ill tells all
+members of its exclusion.
+"""
+
+import asyncio
+import contextlib
+import logging
+import typing as t
+
+import msgspec
+from aiohttp import web
+
+from bankrack import logs
+from bankrack.clock import boottime
+from bankrack.decisions.outliers import Exclude
+from bankrack.decisions.outliers import Outcome
+from bankrack.fleet.broadcast import Broadcast
+from bankrack.fleet.documents import Member
+from bankrack.fleet.messages import decode_message
+from bankrack.serving.outliers import OutlierMonitor
+
+OUTLIERS_PATH = "/peer/outliers"
+BATCH_SECONDS = 0.02
+"""Pause between notifications, to batch failures of requests that break together."""
+GATHER_SECONDS = 0.15
+"""Longest wait for the responses of members before an upstream is judged."""
+LOG_INTERVAL_SECONDS = 1.0
+
+_logger = logging.getLogger(__name__)
+
+_Milliseconds = t.Annotated[int, msgspec.Meta(ge=0, le=10_000)]
+_Count = t.Annotated[int, msgspec.Meta(ge=0, le=10_000)]
+_Names = t.Annotated[list[str], msgspec.Meta(max_length=16)]
+_MAX_ENTRIES = msgspec.Meta(max_length=64)
+
+
+class FailureMessage(msgspec.Struct, array_like=True):
+    """A failed request of the sender.
+
+    :param age_ms: time since the failure.
+    """
+
+    id: str
+    age_ms: _Milliseconds
+
+
+class ExclusionMessage(msgspec.Struct, array_like=True):
+    """An exclusion in force.
+
+    :param retest_ms: time until the upstream is sent requests again.
+    :param reporters: some of the nodes with failures.
+    :param exempt_halls: halls whose nodes go on using the upstream.
+    """
+
+    id: str
+    retest_ms: _Milliseconds
+    failed_retests: _Count
+    reporters: _Names
+    failures: _Count
+    served: _Count
+    exempt_halls: _Names
+
+
+class OutlierMessage(msgspec.Struct, array_like=True):
+    """Notification of all members.
+
+    :param hall: of the sender.
+    :param served: upstreams that served a retest.
+    """
+
+    hall: str
+    failures: t.Annotated[list[FailureMessage], _MAX_ENTRIES]
+    exclusions: t.Annotated[list[ExclusionMessage], _MAX_ENTRIES]
+    served: t.Annotated[list[str], _MAX_ENTRIES]
+
+
+class ServedMessage(msgspec.Struct, array_like=True):
+    """What a member knows of an upstream whose failure it was told of.
+
+    :param ages_ms: times since the upstream served requests of this member.
+    """
+
+    id: str
+    ages_ms: t.Annotated[list[_Milliseconds], _MAX_ENTRIES]
+    exclusion: ExclusionMessage | None = None
+
+
+class OutlierUpdates:
+    """Sends and applies the updates of this node's monitor."""
+
+    def __init__(
+        self, broadcast: Broadcast, own: Member, monitor: OutlierMonitor
+    ) -> None:
+        self._broadcast = broadcast
+        self._own = own
+        self._monitor = monitor
+        self._notifying: set[asyncio.Task[None]] = set()
+        self._logged_at = 0.0
+
+    async def handle(self, request: web.Request) -> web.Response:
+        """Apply the notification of another node."""
+        message = decode_message(await request.read(), OutlierMessage)
+        source = request.query.get("from", "")
+        known = []
+        for failure in message.failures:
+            self._monitor.take_failure(
+                failure.id,
+                age=failure.age_ms / 1000,
+                reporter=source,
+                hall=message.hall,
+            )
+            ages = [int(1000 * age) for age in self._monitor.served_ages(failure.id)]
+            known.append(ServedMessage(failure.id, ages, self._exclusion(failure.id)))
+        for exclusion in message.exclusions:
+            self._apply(exclusion)
+        for upstream_id in message.served:
+            self._monitor.take_served_retest(upstream_id)
+        return web.Response(body=msgspec.msgpack.encode(known))
+
+    async def run(self) -> None:
+        """Notify all members of this node's updates, until cancelled."""
+        while True:
+            await self._monitor.has_updates.wait()
+            notifying = asyncio.create_task(self._notify())
+            self._notifying.add(notifying)
+            notifying.add_done_callback(self._notifying.discard)
+            await asyncio.sleep(BATCH_SECONDS)
+
+    async def _notify(self) -> None:
+        """Notify all members, then judge the upstreams that failed."""
+        failures, message = self._take_updates()
+        served: dict[str, list[Outcome]] = {}
+        responded = asyncio.Event()
+        sending = asyncio.create_task(
+            self._broadcast.notify(
+                OUTLIERS_PATH,
+                msgspec.msgpack.encode(message),
+                on_first_round=responded.set,
+                on_response=lambda member, body: self._gather(served, member, body),
+            )
+        )
+        if failures:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(responded.wait(), GATHER_SECONDS)
+            for upstream_id in failures:
+                self._monitor.judge(upstream_id, served.get(upstream_id, ()))
+        untold = await sending
+        now = boottime()
+        if now > self._logged_at + LOG_INTERVAL_SECONDS:
+            self._logged_at = now
+            logs.event(
+                _logger,
+                "outlier_evidence_sent",
+                failed=",".join(failures) or None,
+                excluded=",".join(e.id for e in message.exclusions) or None,
+                served=",".join(message.served) or None,
+                untold=",".join(member.name for member in untold) or None,
+            )
+
+    def _take_updates(self) -> tuple[list[str], OutlierMessage]:
+        monitor = self._monitor
+        now = boottime()
+        failures = [
+            FailureMessage(upstream_id, int(1000 * max(0.0, now - at)))
+            for upstream_id, at in list(monitor.failed.items())[:64]
+        ]
+        exclusions = [self._exclusion(name) for name in sorted(monitor.changed)[:64]]
+        message = OutlierMessage(
+            self._own.hall,
+            failures,
+            [e for e in exclusions if e is not None],
+            monitor.served[:64],
+        )
+        monitor.failed.clear()
+        monitor.changed.clear()
+        monitor.served.clear()
+        monitor.has_updates.clear()
+        return [failure.id for failure in failures], message
+
+    def _gather(
+        self, served: dict[str, list[Outcome]], member: Member, body: bytes
+    ) -> None:
+        """Record the requests that a member reports as served."""
+        now = boottime()
+        try:
+            answers = decode_message(body, list[ServedMessage])
+        except web.HTTPBadRequest:
+            # It was logged, and the upstream is judged without this member.
+            return
+        for known in answers:
+            served.setdefault(known.id, []).extend(
+                Outcome(now - age / 1000, member.name, member.hall, failed=False)
+                for age in known.ages_ms
+            )
+            if known.exclusion is not None:
+                self._apply(known.exclusion)
+
+    def _apply(self, exclusion: ExclusionMessage) -> None:
+        verdict = Exclude(
+            tuple(exclusion.reporters),
+            exclusion.failures,
+            exclusion.served,
+            frozenset(exclusion.exempt_halls),
+        )
+        self._monitor.take_exclusion(
+            exclusion.id, verdict, exclusion.failed_retests, exclusion.retest_ms / 1000
+        )
+
+    def _exclusion(self, upstream_id: str) -> ExclusionMessage | None:
+        found = self._monitor.exclusion(upstream_id)
+        if found is None:
+            return None
+        verdict, failed_retests, seconds = found
+        return ExclusionMessage(
+            upstream_id,
+            int(1000 * seconds),
+            failed_retests,
+            list(verdict.reporters[:16]),
+            verdict.failures,
+            verdict.served,
+            sorted(verdict.exempt_halls)[:16],
+        )
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -16,13 +16,9 @@
 from bankrack.clock import boottime
 from bankrack.exceptions import NodeNotReady
 from bankrack.fleet.broadcast import Broadcast
-from bankrack.fleet.crashupdates import CRASHES_PATH
-from bankrack.fleet.crashupdates import CrashUpdates
 from bankrack.fleet.documents import Member
 from bankrack.fleet.fleetsize import FleetSize
 from bankrack.fleet.follower import Follower
-from bankrack.fleet.leavingupdates import LEAVING_PATH
-from bankrack.fleet.leavingupdates import LeavingUpdates
 from bankrack.fleet.lending import LEND_PATH
 from bankrack.fleet.lending import Lender
 from bankrack.fleet.membership import Announcer
@@ -35,6 +31,7 @@
 from bankrack.fleet.poolowners import PoolOwnerClient
 from bankrack.fleet.ratelimits import RateLimits
 from bankrack.fleet.roster import Roster
+from bankrack.fleet.updates import FleetUpdates
 from bankrack.fleet.view import View
 from bankrack.front.callerserver import CallerServer
 from bankrack.front.internalserver import serve_paths
@@ -54,6 +51,7 @@
 from bankrack.serving.job import Job
 from bankrack.serving.job import Reply
 from bankrack.serving.notices import NoticeHandler
+from bankrack.serving.outliers import OutlierMonitor
 from bankrack.serving.plain import PlainRelay
 from bankrack.serving.pools import count_pools
 from bankrack.serving.relay import RelayDependencies
@@ -179,14 +177,23 @@
             self.metrics,
             self.cold,
             CrashMonitor(self.crashes),
+            OutlierMonitor(
+                own.name,
+                own.hall,
+                self.view.members_by_name.keys,
+                self.upstreams,
+                self.metrics,
+            ),
         )
-        self.leaving_updates = LeavingUpdates(broadcast, self.notices, self.upstreams)
-        self.crash_updates = CrashUpdates(
+        self.updates = FleetUpdates(
             broadcast,
             own,
             members,
-            self.crashes,
             store,
+            self.upstreams,
+            self.notices,
+            self.crashes,
+            dependencies.outliers,
             view_age=lambda: self.view.age,
         )
         self.dispatcher = Dispatcher(
@@ -222,8 +229,7 @@
             PLACE_PATH: self.ledgers.handle_query,
             NOTES_PATH: self.ledgers.handle_run_updates,
             LEND_PATH: self.lender.handle,
-            CRASHES_PATH: self.crash_updates.handle,
-            LEAVING_PATH: self.leaving_updates.handle,
+            **self.updates.handler_by_path,
             **self.rate_limits.handler_by_path,
             "/metrics": self._handle_metrics,
             "/state": self._handle_state,
@@ -233,10 +239,9 @@
         self._tasks.spawn(self.announcer.run)
         self._tasks.spawn(self.reports.run)
         self._tasks.spawn(self.owners.run)
-        self._tasks.spawn(self.crash_updates.run)
-        self._tasks.spawn(self.leaving_updates.run)
         self._tasks.spawn(self.rate_limits.run)
-        self._tasks.spawn(self.crash_updates.keep_saving)
+        for run in self.updates.tasks:
+            self._tasks.spawn(run)
         self._tasks.spawn(self._apply_loop)
         logs.event(
             _logger,
--- a/src/bankrack/metrics.py
+++ b/src/bankrack/metrics.py
@@ -76,6 +76,9 @@
         self.permits = self._counter(
             "bankrack_permits", "Permits under rate limits, by outcome and source"
         )
+        self.exclusions = self._counter(
+            "bankrack_exclusions", "Exclusions of failing upstreams, by outcome"
+        )
         self.latency = self._histogram(
             "bankrack_answer_seconds", "Time to the answer", LATENCY_BUCKETS
         )
--- a/src/bankrack/serving/choice.py
+++ b/src/bankrack/serving/choice.py
@@ -32,6 +32,9 @@
 MAX_SUSPICION_SECONDS = 4.0
 MAX_DOUBLINGS = 16
 """Failures in a row that are counted; the suspicion time reaches its maximum before."""
+DOUBT_PENALTY = 2.0
+"""Penalty of an upstream at which another node's request failed just before.  One whose
+slots and as many places in its queue are taken is still worse."""
 COLD_PENALTY = 0.5
 """Penalty in the score of a cold upstream."""
 MIN_WEIGHT = 1e-4
@@ -81,13 +84,33 @@
         return self._pace_by_service.setdefault(service, Pace())
 
     def plain(
-        self, upstreams: t.Iterable[Upstream], *, avoid: t.Collection[str] = ()
+        self,
+        upstreams: t.Iterable[Upstream],
+        *,
+        avoid: t.Collection[str] = (),
+        repeatable: bool = False,
+        may_retest: bool = False,
     ) -> Upstream | None:
         """Choose an upstream for a plain request.
 
         :param avoid: ids of upstreams that are used only if there is no other.
+        :param repeatable: the request may run twice.
+        :param may_retest: the request may be sent to an excluded upstream, to see
+            whether it serves again.
         """
-        return self._lowest_score(upstreams, avoid, self._plain_score)
+        now = self._clock()
+        candidates = list(upstreams)
+        if may_retest:
+            for upstream in candidates:
+                if upstream.retest_due(now):
+                    return upstream
+        if repeatable:
+            return self._lowest_score(
+                _not_excluded(candidates, now), avoid, self._plain_score
+            )
+        return self._lowest_score(
+            _not_excluded(candidates, now), avoid, self._unrepeatable_score
+        )
 
     def engines_by_room(
         self,
@@ -193,6 +216,10 @@
             score += FULL_LOAD
         return score + self._penalty(upstream)
 
+    def _unrepeatable_score(self, upstream: Upstream) -> float:
+        score = self._plain_score(upstream)
+        return score + DOUBT_PENALTY * upstream.doubted(self._clock())
+
     def _penalty(self, upstream: Upstream) -> float:
         now = self._clock()
         score = FAILURE_WEIGHT * upstream.failure_rate + JITTER * self._rng.random()
@@ -201,3 +228,8 @@
         if upstream.cold(now):
             score += COLD_PENALTY
         return score
+
+
+def _not_excluded(upstreams: list[Upstream], now: float) -> list[Upstream]:
+    """Return the upstreams that are not excluded, or all if there is no other."""
+    return [u for u in upstreams if not u.excluded(now)] or upstreams
--- /dev/null
+++ b/src/bankrack/serving/outliers.py
@@ -0,0 +1,281 @@
+"""Registry of the outcomes by which failing upstreams are excluded."""
+
+import asyncio
+import collections
+import logging
+import math
+import typing as t
+
+from bankrack import logs
+from bankrack.clock import boottime
+from bankrack.decisions.outliers import Exclude
+from bankrack.decisions.outliers import judge
+from bankrack.decisions.outliers import max_excluded
+from bankrack.decisions.outliers import Outcome
+from bankrack.decisions.outliers import PROBATION_SECONDS
+from bankrack.decisions.outliers import retest_seconds
+from bankrack.decisions.outliers import RETESTS_TO_READMIT
+from bankrack.decisions.outliers import WINDOW_SECONDS
+from bankrack.metrics import GatewayMetrics
+from bankrack.serving.upstreams import Upstream
+from bankrack.serving.upstreams import Upstreams
+from bankrack.utils import stable_digest
+
+MAX_OUTCOMES = 256
+"""Outcomes that are kept for one upstream."""
+MAX_SERVED_AGES = 32
+"""Served requests that one node tells another of."""
+MAX_TRACKED = 1_000
+"""Upstreams with failures that are tracked."""
+MAX_TESTERS = 8
+"""Nodes that send requests to an excluded upstream, to see whether it serves again."""
+DOUBT_SECONDS = 0.5
+"""Time for which the first failure of another node keeps requests that can't be
+repeated away from an upstream.  A second node's failure would show within it."""
+
+_logger = logging.getLogger(__name__)
+
+
+class _Track:
+    """Outcomes of one upstream.
+
+    :ivar exclusion: the last exclusion; ``None`` before the first.
+    :ivar failed_retests: of the current exclusion; ``served_retests`` are in a row.
+    """
+
+    __slots__ = ("exclusion", "failed_retests", "outcomes", "served_retests")
+
+    def __init__(self) -> None:
+        self.outcomes: collections.deque[Outcome] = collections.deque(
+            maxlen=MAX_OUTCOMES
+        )
+        self.exclusion: Exclude | None = None
+        self.failed_retests = 0
+        self.served_retests = 0
+
+
+class OutlierMonitor:
+    """Records outcomes at upstreams and excludes those that fail.
+
+    :param name: name of this node.
+    :param hall: hall of this node.
+    :param names: returns the names of the live members, with or without this node.
+    :ivar has_updates: set while other nodes must be notified.
+    :ivar failed: ages are counted from these times of own failures, by upstream.
+    :ivar changed: upstreams whose exclusion this node began or extended.
+    :ivar served: upstreams that served a retest of this node.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        hall: str,
+        names: t.Callable[[], t.Iterable[str]],
+        upstreams: Upstreams,
+        metrics: GatewayMetrics,
+        *,
+        clock: t.Callable[[], float] = boottime,
+    ) -> None:
+        self._name = name
+        self._hall = hall
+        self._names = names
+        self._upstreams = upstreams
+        self._metrics = metrics
+        self._clock = clock
+        self._track_by_id: collections.OrderedDict[str, _Track] = (
+            collections.OrderedDict()
+        )
+        self.has_updates = asyncio.Event()
+        self.failed: dict[str, float] = {}
+        self.changed: set[str] = set()
+        self.served: list[str] = []
+
+    # Outcomes of this node's requests
+
+    def note_failed(self, upstream: Upstream) -> None:
+        """Record that a request failed here after the upstream may have run it."""
+        now = self._clock()
+        track = self._track(upstream.id)
+        track.outcomes.append(Outcome(now, self._name, self._hall, failed=True))
+        if not upstream.excluded(now):
+            self.failed[upstream.id] = now
+            self.has_updates.set()
+        elif upstream.retest_at <= now and track.exclusion is not None:
+            self._exclude(upstream, track, track.exclusion, track.failed_retests + 1)
+            self.changed.add(upstream.id)
+            self.has_updates.set()
+
+    def note_served(self, upstream: Upstream) -> None:
+        """Record that an upstream served a request of this node."""
+        track = self._track_by_id.get(upstream.id)
+        if track is None:
+            return
+        now = self._clock()
+        track.outcomes.append(Outcome(now, self._name, self._hall, failed=False))
+        if upstream.excluded(now) and upstream.retest_at <= now:
+            self.served.append(upstream.id)
+            self.has_updates.set()
+            self.take_served_retest(upstream.id)
+
+    # Outcomes of other nodes' requests
+
+    def take_failure(
+        self, upstream_id: str, *, age: float, reporter: str, hall: str
+    ) -> None:
+        """Apply another node's failure; requests that can't be repeated go elsewhere.
+
+        A node whose own link is bad keeps them away only once in a while.
+        """
+        upstream = self._upstreams.find(upstream_id)
+        if upstream is None:
+            return
+        now = self._clock()
+        track = self._track(upstream_id)
+        repeated = any(
+            o.failed and o.reporter == reporter and o.at > now - WINDOW_SECONDS
+            for o in track.outcomes
+        )
+        track.outcomes.append(Outcome(now - age, reporter, hall, failed=True))
+        if not repeated and self._may_avoid(upstream, now):
+            upstream.doubted_until = now + DOUBT_SECONDS
+
+    def served_ages(self, upstream_id: str) -> list[float]:
+        """Return the ages of requests that the upstream served this node recently."""
+        track = self._track_by_id.get(upstream_id)
+        if track is None:
+            return []
+        now = self._clock()
+        ages = [
+            now - o.at
+            for o in track.outcomes
+            if not o.failed and o.at > now - WINDOW_SECONDS
+        ]
+        return ages[-MAX_SERVED_AGES:]
+
+    def judge(self, upstream_id: str, served: t.Iterable[Outcome]) -> None:
+        """Exclude an upstream if the outcomes of all nodes demand it.
+
+        :param served: requests that other nodes report as served.
+        """
+        upstream = self._upstreams.find(upstream_id)
+        now = self._clock()
+        if upstream is None or upstream.excluded(now):
+            return
+        track = self._track(upstream_id)
+        service = upstream.record.service
+        verdict = judge(
+            [*track.outcomes, *served],
+            now=now,
+            excluded=self._count_others(upstream, lambda u: u.excluded(now)),
+            upstreams=len(self._upstreams.open_of(service)),
+        )
+        match verdict:
+            case Exclude():
+                self._exclude(upstream, track, verdict, 0)
+                self.changed.add(upstream_id)
+                self.has_updates.set()
+
+    # Exclusions
+
+    def exclusion(self, upstream_id: str) -> tuple[Exclude, int, float] | None:
+        """Return an exclusion in force, its failed retests and the time to the next."""
+        upstream = self._upstreams.find(upstream_id)
+        track = self._track_by_id.get(upstream_id)
+        now = self._clock()
+        if upstream is None or track is None or track.exclusion is None:
+            return None
+        if not upstream.excluded(now):
+            return None
+        left = upstream.excluded_until - PROBATION_SECONDS - now
+        return track.exclusion, track.failed_retests, max(0.0, left)
+
+    def take_exclusion(
+        self, upstream_id: str, verdict: Exclude, failed_retests: int, seconds: float
+    ) -> None:
+        """Apply an exclusion that another node decided."""
+        upstream = self._upstreams.find(upstream_id)
+        if upstream is None or self._hall in verdict.exempt_halls:
+            return
+        now = self._clock()
+        track = self._track(upstream_id)
+        if upstream.excluded(now):
+            if failed_retests <= track.failed_retests:
+                return
+        elif not self._may_avoid(upstream, now):
+            return
+        self._exclude(upstream, track, verdict, failed_retests, seconds=seconds)
+
+    def take_served_retest(self, upstream_id: str) -> None:
+        """Count a retest that was served; enough of them end the exclusion."""
+        upstream = self._upstreams.find(upstream_id)
+        track = self._track_by_id.get(upstream_id)
+        if upstream is None or track is None or not upstream.excluded(self._clock()):
+            return
+        track.served_retests += 1
+        if track.served_retests >= RETESTS_TO_READMIT:
+            upstream.readmit()
+            del self._track_by_id[upstream_id]
+            self._metrics.exclusions.inc({"outcome": "readmitted"})
+            logs.event(
+                _logger,
+                "upstream_readmitted",
+                upstream=upstream_id,
+                reason=f"served {RETESTS_TO_READMIT} retests",
+            )
+
+    def _exclude(
+        self,
+        upstream: Upstream,
+        track: _Track,
+        verdict: Exclude,
+        failed_retests: int,
+        *,
+        seconds: float | None = None,
+    ) -> None:
+        if seconds is None:
+            seconds = retest_seconds(failed_retests)
+        now = self._clock()
+        track.exclusion = verdict
+        track.failed_retests = failed_retests
+        track.served_retests = 0
+        upstream.exclude(
+            now + seconds + PROBATION_SECONDS,
+            retest_at=now + seconds if self._is_tester(upstream.id) else math.inf,
+        )
+        self._metrics.exclusions.inc({"outcome": "excluded"})
+        logs.event(
+            _logger,
+            "upstream_excluded",
+            upstream=upstream.id,
+            reporters=",".join(verdict.reporters),
+            failures=verdict.failures,
+            served=verdict.served,
+            until=upstream.excluded_until,
+            retest=seconds,
+        )
+
+    def _is_tester(self, upstream_id: str) -> bool:
+        names = {*self._names(), self._name}
+        ranked = sorted(names, key=lambda name: stable_digest(upstream_id + name))
+        return ranked.index(self._name) < MAX_TESTERS
+
+    def _may_avoid(self, upstream: Upstream, now: float) -> bool:
+        open_count = len(self._upstreams.open_of(upstream.record.service))
+        avoided = self._count_others(
+            upstream, lambda u: u.excluded(now) or u.doubted(now)
+        )
+        return avoided < max_excluded(open_count)
+
+    def _count_others(
+        self, upstream: Upstream, selects: t.Callable[[Upstream], bool]
+    ) -> int:
+        others = self._upstreams.open_of(upstream.record.service)
+        return sum(u is not upstream and selects(u) for u in others)
+
+    def _track(self, upstream_id: str) -> _Track:
+        track = self._track_by_id.get(upstream_id)
+        if track is None:
+            track = self._track_by_id[upstream_id] = _Track()
+            if len(self._track_by_id) > MAX_TRACKED:
+                self._track_by_id.popitem(last=False)
+        return track
--- a/src/bankrack/serving/plain.py
+++ b/src/bankrack/serving/plain.py
@@ -61,6 +61,7 @@
                 continue
             except UpstreamFailed as error:
                 self._dependencies.chooser.suspect(upstream)
+                self._dependencies.outliers.note_failed(upstream)
                 attempts.ran(upstream)
                 self._log(work, upstream, "failed", error.message)
                 await self._dependencies.crashes.note_failure(
@@ -80,11 +81,14 @@
             failed = answer.status >= 500
             self._dependencies.chooser.answered(upstream, failed=failed)
             if failed:
+                self._dependencies.outliers.note_failed(upstream)
                 attempts.ran(upstream)
                 attempts.last_answer = answer
                 if self._may_repeat(work, attempts):
                     self._log(work, upstream, "failed", str(answer.status))
                     continue
+            else:
+                self._dependencies.outliers.note_served(upstream)
             await reply.answer(answer)
             return f"{answer.status} after {attempts.count} sends, by {upstream.id}"
 
@@ -102,7 +106,15 @@
             candidates = [
                 u for u in candidates if u.id in attempts.ran_ids
             ] or candidates
-        upstream = self._dependencies.chooser.plain(candidates, avoid=attempts.avoid)
+        repeatable = work.route.kind is RequestKind.REPEATABLE
+        upstream = self._dependencies.chooser.plain(
+            candidates,
+            avoid=attempts.avoid,
+            repeatable=repeatable,
+            may_retest=repeatable
+            and attempts.count == 0
+            and work.route.max_upstreams > 1,
+        )
         if upstream is None:
             backoff_left = self._dependencies.upstreams.backoff_left(work.service.name)
             raise Overloaded(
@@ -151,6 +163,7 @@
                 body = await exchange.read()
         except TimeoutError as error:
             if work.time_left() <= 0.0:
+                self._dependencies.outliers.note_failed(upstream)
                 raise
             attempts.count += 1
             raise UpstreamFailed("the upstream did not respond in time") from error
--- a/src/bankrack/serving/relay.py
+++ b/src/bankrack/serving/relay.py
@@ -8,6 +8,7 @@
 from bankrack.serving.client import UpstreamClient
 from bankrack.serving.coldquotas import ColdQuotas
 from bankrack.serving.crashes import CrashMonitor
+from bankrack.serving.outliers import OutlierMonitor
 from bankrack.serving.upstreams import Upstreams
 
 
@@ -22,3 +23,4 @@
     metrics: GatewayMetrics
     cold: ColdQuotas
     crashes: CrashMonitor
+    outliers: OutlierMonitor
--- a/src/bankrack/serving/upstreams.py
+++ b/src/bankrack/serving/upstreams.py
@@ -77,7 +77,11 @@
 class Upstream:
     """An upstream instance and this node's state for it.  Times are boot-time seconds.
 
+    :ivar doubted_until: end of the time for which a failure at another node keeps
+        requests that can't be repeated away.
     :ivar ended: the process was restarted, so this instance's runs are lost.
+    :ivar excluded_until: end of the time without requests that can't be repeated, as
+        several nodes' requests failed.
     :ivar failures: consecutive failures; ``rejections`` are consecutive rejections.
     :ivar failure_rate: moving average of the failures.
     :ivar full_until: end of the time for which a rejecting upstream counts as full.
@@ -86,14 +90,18 @@
     :ivar removed_at: time when its entry was removed from the store; 0 if it was not.
     :ivar slowdown: how long work took at ``slowdown_at``, as a multiple of the usual
         time.
+    :ivar retest_at: time from which this node sends an excluded upstream requests that
+        can be repeated; infinite if it leaves that to other nodes.
     :ivar sent: times and tokens of the runs that reports may not include yet.
     """
 
     __slots__ = (
         "backoff_until",
         "cold_until",
+        "doubted_until",
         "ended",
         "evacuated",
+        "excluded_until",
         "failure_rate",
         "failures",
         "full_until",
@@ -108,6 +116,7 @@
         "removed_at",
         "report",
         "report_received_at",
+        "retest_at",
         "sent",
         "slowdown",
         "slowdown_at",
@@ -135,6 +144,9 @@
         self.rejections = 0
         self.full_until = 0.0
         self.suspect_until = 0.0
+        self.doubted_until = 0.0
+        self.excluded_until = 0.0
+        self.retest_at = math.inf
         self.leaving_at = now if record.leaving else 0.0
         self.removed_at = 0.0
 
@@ -246,6 +258,28 @@
         """Record that no permit of the rate limit is available before ``until``."""
         self.rate_limited_until = max(self.rate_limited_until, until)
 
+    def excluded(self, now: float) -> bool:
+        """Whether the nodes exclude the upstream at ``now``, as it fails requests."""
+        return now < self.excluded_until
+
+    def doubted(self, now: float) -> bool:
+        """Whether another node's request failed here just before ``now``."""
+        return now < self.doubted_until
+
+    def retest_due(self, now: float) -> bool:
+        """Whether this node may send the excluded upstream one request at ``now``."""
+        return self.excluded(now) and now >= self.retest_at and not self.in_flight
+
+    def exclude(self, until: float, *, retest_at: float) -> None:
+        """Exclude the upstream, or extend its exclusion."""
+        self.excluded_until = until
+        self.retest_at = retest_at
+
+    def readmit(self) -> None:
+        """End an exclusion."""
+        self.excluded_until = self.doubted_until = 0.0
+        self.retest_at = math.inf
+
     def note_load(self, load: Load, now: float) -> None:
         """Record the load that the upstream stated at ``now``."""
         self.queue_length = load.queued
@@ -267,6 +301,7 @@
             "evacuated": self.evacuated,
             "cold_until": self.cold_until,
             "backoff_until": self.backoff_until,
+            "excluded_until": self.excluded_until,
             "rest_until": self.rate_limited_until,
             "rate_limit": self.limit.rate if self.limit.bounded else None,
             "in_flight": self.in_flight,
