At the limit of permit counters only the least recently used is dropped

All counters were cleared, so each limited upstream could be sent twice its rate. The new test failed before: a second permit was granted at once.

--- a/src/bankrack/fleet/permits.py
+++ b/src/bankrack/fleet/permits.py
@@ -5,6 +5,7 @@
 that reaches neither is isolated and sends a small fraction without permits.
 """
 
+import collections
 import dataclasses
 import logging
 import math
@@ -43,7 +44,7 @@
 MAX_VIEW_AGE_SECONDS = 5.0
 """Age of the view above which other nodes may no longer count this node as a member."""
 MAX_COUNTERS = 2_000
-"""Upstreams for which one node counts permits."""
+"""Upstreams for which one node counts permits; the least recently used is dropped."""
 ISOLATED_RETRY_SECONDS = 1.0
 """Wait of an isolated node that has used its fraction of the rate."""
 
@@ -104,7 +105,9 @@
         self._view_age = view_age
         self._clock = clock
         self._rng = rng or random.Random()
-        self._entry_by_id: dict[str, _CounterEntry] = {}
+        self._entry_by_id: collections.OrderedDict[str, _CounterEntry] = (
+            collections.OrderedDict()
+        )
 
     def grant(
         self, upstream_id: str, reported: RateLimit, requester: PermitRequester
@@ -149,9 +152,10 @@
         entry = self._entry_by_id.get(upstream_id)
         if entry is None:
             if len(self._entry_by_id) >= MAX_COUNTERS:
-                self._entry_by_id.clear()
+                self._entry_by_id.popitem(last=False)
             entry = self._entry_by_id[upstream_id] = _CounterEntry(PermitCounter(now))
             logs.event(_logger, "permits_counted", upstream=upstream_id)
+        self._entry_by_id.move_to_end(upstream_id)
         return entry
 
     def _terms(
--- a/tests/fleet/test_permits.py
+++ b/tests/fleet/test_permits.py
@@ -11,6 +11,7 @@
 
 from bankrack.clock import boottime
 from bankrack.decisions.permits import PermitRequester
+from bankrack.fleet import permits
 from bankrack.fleet.coordinators import Coordinators
 from bankrack.fleet.documents import Member
 from bankrack.fleet.permits import PERMIT_PATH
@@ -132,6 +133,18 @@
 
 
 class LimitExchangeTest(TestCase):
+    async def test_counters_in_use_are_kept_at_the_limit_of_counters(self):
+        self.patch(permits, "MAX_COUNTERS", 2)
+        async with fleet() as nodes:
+            coordinator = nodes[0].coordinator
+            requester = PermitRequester("n-3", 0)
+            wait, known = coordinator.grant("u", limit(1), requester)
+            self.assertEqual(0.0, wait)
+            for number in range(4):
+                coordinator.grant(f"other-{number}", limit(1), requester)
+                wait, _ = coordinator.grant("u", known, requester)
+                self.assertGreater(wait, 0.0)
+
     async def test_coordinator_learns_limit_from_permit_request(self):
         async with fleet() as nodes:
             nodes[0].upstream.limit = RateLimit(math.inf, -math.inf, -math.inf)
