--- a/src/bankrack/fleet/lending.py
+++ b/src/bankrack/fleet/lending.py
@@ -96,7 +96,9 @@
             ):
                 if response.status != 200:
                     return 0.0, "none to lend"
-                lent = min(amount, float(await response.text()))
+                lent = float(await response.text())
+                if not 0.0 <= lent <= amount:
+                    return 0.0, f"lent {lent:.2f} of {amount:.2f}, which is ignored"
                 return lent, f"lent {lent:.2f}"
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             return 0.0, repr(error)
--- a/tests/fleet/test_lending.py
+++ b/tests/fleet/test_lending.py
@@ -62,6 +62,23 @@
                 total += await budget.take_or_borrow("s")
             self.assertLessEqual(total, sum(int(b.allowed("s")) for b in budgets))
 
+    async def test_malformed_amounts_lend_nothing(self):
+        for text in ("nan", "inf", "-1.0", "2.0", "much"):
+
+            async def respond(request: web.Request, text: str = text) -> web.Response:
+                return web.Response(text=text)
+
+            own, member = (Member(n, free_address(), "a") for n in ("n-0", "n-1"))
+            application = web.Application()
+            application.router.add_post(LEND_PATH, respond)
+            runner = await serve_application(application, member.address)
+            async with aiohttp.ClientSession() as session:
+                lender = Lender(session, own, lambda m=member: [m], self.budget())
+                with self.assertLogs("bankrack") as lines:
+                    self.assertFalse(await lender.borrow("s"), text)
+                self.assertIn("missing=1", lines.output[-1])
+            await runner.cleanup()
+
     async def test_node_reserves_one_retry_for_itself(self):
         budget = self.budget()
         while budget.lend("s"):
