--- a/src/bankrack/fleet/peers.py
+++ b/src/bankrack/fleet/peers.py
@@ -10,6 +10,7 @@
 import contextlib
 import dataclasses
 import logging
+import math
 import typing as t
 
 import aiohttp
@@ -89,7 +90,7 @@
         return _FollowerState(
             serial=query.get("serial", ""),
             since=int(query.get("since", "0")),
-            sent=float(query.get("sent", "0")),
+            sent=_finite(float(query.get("sent", "0"))),
             engines=query.get("engines") == "1",
         )
     except ValueError as error:
@@ -97,6 +98,13 @@
         raise web.HTTPBadRequest(text=str(error)) from error
 
 
+def _finite(seconds: float) -> float:
+    """Return a time as it is; raises :exc:`ValueError` unless it is finite."""
+    if not math.isfinite(seconds):
+        raise ValueError(f"a time must be a finite number, got {seconds}")
+    return seconds
+
+
 class UpdateServer:
     """Answers the requests of followers.
 
--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -26,7 +26,15 @@
 from tests.fakes import free_address
 from tests.fleet.test_view import decode
 
-MALFORMED_QUERIES = ("since=x", "serial=s&since=x", "sent=y", "sent=nan-", "since=1.5")
+MALFORMED_QUERIES = (
+    "since=x",
+    "serial=s&since=x",
+    "sent=y",
+    "sent=nan-",
+    "sent=nan",
+    "sent=inf",
+    "since=1.5",
+)
 
 
 LEADER = "leader"
