A failure after a 5xx is not noted as served, and attempts count once

After a failed retry the earlier 5xx is answered; the upstream that failed last was noted as having served the request, which clears a crash, and its failure was counted twice. An answer that broke off in its body counted as two attempts of four. Both new tests failed before.

--- a/src/bankrack/serving/plain.py
+++ b/src/bankrack/serving/plain.py
@@ -46,7 +46,7 @@
                     raise
                 earlier = _answer_after_runs(attempts, error)
                 await reply.answer(earlier)
-                return f"{earlier.status} after {attempts.count} sends"
+                return attempts.outcome(earlier)
             try:
                 answer = await self._send(work, upstream, attempts)
             except UpstreamClosed as error:
@@ -71,7 +71,8 @@
                     continue
                 if attempts.last_answer is None:
                     raise
-                answer = attempts.last_answer
+                await reply.answer(attempts.last_answer)
+                return attempts.outcome(attempts.last_answer)
             if answer is None:
                 self._dependencies.chooser.rejected(upstream)
                 attempts.rejected(upstream)
@@ -84,6 +85,7 @@
                 self._dependencies.outliers.note_failed(upstream)
                 attempts.ran(upstream)
                 attempts.last_answer = answer
+                attempts.last_answer_by = upstream.id
                 if self._may_repeat(work, attempts):
                     self._log(work, upstream, "failed", str(answer.status))
                     continue
@@ -156,11 +158,8 @@
         try:
             async with asyncio.timeout(self._attempt_seconds(work, attempts)):
                 exchange = await self._dependencies.client.open(send)
-                attempts.count += 1
                 head = exchange.head
-                if head.not_run:
-                    return None
-                body = await exchange.read()
+                body = None if head.not_run else await exchange.read()
         except TimeoutError as error:
             if work.time_left() <= 0.0:
                 self._dependencies.outliers.note_failed(upstream)
@@ -174,7 +173,8 @@
             upstream.in_flight -= 1
             if exchange is not None:
                 exchange.close()
-        return whole_answer(head, body)
+        attempts.count += 1
+        return None if body is None else whole_answer(head, body)
 
     def _attempt_seconds(self, work: Assignment, attempts: "_Attempts") -> float:
         left = work.time_left()
@@ -223,7 +223,15 @@
 class _Attempts:
     """State of the attempts of one request."""
 
-    __slots__ = ("avoid", "count", "last_answer", "ran_ids", "runs", "unreachable_left")
+    __slots__ = (
+        "avoid",
+        "count",
+        "last_answer",
+        "last_answer_by",
+        "ran_ids",
+        "runs",
+        "unreachable_left",
+    )
 
     def __init__(self, work: Assignment) -> None:
         self.avoid: set[str] = set()
@@ -232,6 +240,11 @@
         self.count = 0
         self.unreachable_left = MAX_UNREACHABLE
         self.last_answer: Answer | None = None
+        self.last_answer_by = ""
+
+    def outcome(self, answer: Answer) -> str:
+        """Describe the last answer, for the log."""
+        return f"{answer.status} after {self.count} sends, by {self.last_answer_by}"
 
     def unreachable(self, upstream: Upstream) -> None:
         self.avoid.add(upstream.id)
--- /dev/null
+++ b/tests/serving/test_plain.py
@@ -0,0 +1,127 @@
+"""Tests of the relay of plain requests, with scripted upstreams."""
+
+import types
+import typing as t
+
+from bankrack.clock import boottime
+from bankrack.exceptions import UpstreamFailed
+from bankrack.metrics import GatewayMetrics
+from bankrack.serving.assignment import Assignment
+from bankrack.serving.budget import RetryBudgetPolicy
+from bankrack.serving.budget import SharedRetryBudget
+from bankrack.serving.choice import Chooser
+from bankrack.serving.client import Head
+from bankrack.serving.client import Send
+from bankrack.serving.job import Answer
+from bankrack.serving.job import Job
+from bankrack.serving.job import RequestKind
+from bankrack.serving.plain import PlainRelay
+from bankrack.serving.relay import RelayDependencies
+from bankrack.serving.routing import Route
+from bankrack.serving.routing import Service
+from bankrack.serving.upstreams import UpstreamRecord
+from bankrack.serving.upstreams import Upstreams
+from tests.base import TestCase
+
+BREAKS = 0
+"""Scripted status of an answer that breaks off in its body."""
+NOT_RUN = 503
+
+
+class ScriptedExchange:
+    def __init__(self, status: int) -> None:
+        self._breaks = status == BREAKS
+        self.head = Head(status or 200, [], status == NOT_RUN, None, sealed=True)
+
+    async def read(self) -> bytes:
+        if self._breaks:
+            raise UpstreamFailed("the answer broke off")
+        return b"body"
+
+    def close(self) -> None:
+        pass
+
+
+class ScriptedClient:
+    """Answers the attempts of one request with the scripted statuses, in order."""
+
+    def __init__(self, statuses: t.Iterable[int]) -> None:
+        self._statuses = iter(statuses)
+        self.upstreams: list[str] = []
+
+    async def open(self, send: Send) -> ScriptedExchange:
+        self.upstreams.append(send.upstream.id)
+        return ScriptedExchange(next(self._statuses))
+
+
+class RecordingCrashes:
+    """Records the upstreams that the relay notes as having served a request."""
+
+    def __init__(self) -> None:
+        self.served: list[str] = []
+
+    def refuse_unless_allowed(self, fingerprint: str, upstream: t.Any) -> None:
+        pass
+
+    def note_served(self, work: Assignment, upstream: t.Any) -> None:
+        self.served.append(upstream.id)
+
+    async def note_failure(self, *args: t.Any, ran: float | None) -> None:
+        pass
+
+
+class RecordingReply:
+    def __init__(self) -> None:
+        self.answers: list[Answer] = []
+
+    async def answer(self, answer: Answer) -> None:
+        self.answers.append(answer)
+
+
+class PlainRelayTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.upstreams = Upstreams()
+        for name in ("u-1", "u-2", "u-3", "u-4", "u-5"):
+            self.upstreams.put(UpstreamRecord(name, "s", "10.0.0.1:1", "a", slots=8))
+        self.crashes = RecordingCrashes()
+        self.reply = RecordingReply()
+        policy = RetryBudgetPolicy(ratio=0.2, reserve=1000, window=10.0)
+        self.budget = SharedRetryBudget(policy, nodes=lambda: 1)
+
+    async def serve(self, *statuses: int, max_upstreams: int = 4) -> str:
+        self.client = ScriptedClient(statuses)
+        cold = types.SimpleNamespace(allows=lambda *_: True, take=lambda *_: True)
+        outliers = types.SimpleNamespace(
+            note_failed=lambda upstream: None, note_served=lambda upstream: None
+        )
+        relay = PlainRelay(
+            RelayDependencies(
+                t.cast(t.Any, self.client),
+                Chooser(hall="a"),
+                self.upstreams,
+                self.budget,
+                GatewayMetrics(),
+                t.cast(t.Any, cold),
+                t.cast(t.Any, self.crashes),
+                t.cast(t.Any, outliers),
+            )
+        )
+        job = Job("r", "GET", "h", "/", [], b"", None, boottime(), None)
+        route = Route(
+            "r", "h", "/", (), RequestKind.REPEATABLE, 9.0, 0.3, 1, max_upstreams
+        )
+        work = Assignment(job, route, Service("s"), None, 1, boottime() + 9.0)
+        return await relay.serve(work, t.cast(t.Any, self.reply))
+
+    async def test_failure_after_a_5xx_is_not_noted_as_served(self):
+        outcome = await self.serve(500, BREAKS, max_upstreams=2)
+        self.assertEqual([500], [answer.status for answer in self.reply.answers])
+        self.assertEqual(self.client.upstreams[:1], self.crashes.served)
+        self.assertIn(f"by {self.client.upstreams[0]}", outcome)
+
+    async def test_each_attempt_counts_once(self):
+        """Four attempts are allowed, of which two may run."""
+        outcome = await self.serve(BREAKS, NOT_RUN, NOT_RUN, 200)
+        self.assertEqual([200], [answer.status for answer in self.reply.answers])
+        self.assertTrue(outcome.startswith("200 after 4 sends"))
