Plain upstreams are chosen by load and by how slow each is at the moment

Servers of a service state how long work takes there now, which changes several times a second; the choice went by queue alone. The score weighs the figure by its age.

--- a/src/bankrack/serving/choice.py
+++ b/src/bankrack/serving/choice.py
@@ -5,6 +5,8 @@
 import typing as t
 
 from bankrack.clock import boottime
+from bankrack.decisions.plainchoice import expected_slowdown
+from bankrack.decisions.plainchoice import load_score
 from bankrack.serving.job import Demand
 from bankrack.serving.pace import Pace
 from bankrack.serving.upstreams import Upstream
@@ -210,11 +212,13 @@
         return min(preferred, key=score)
 
     def _plain_score(self, upstream: Upstream) -> float:
+        now = self._clock()
         slots = max(1, upstream.record.slots)
-        score = (upstream.in_flight + upstream.queue_length) / slots
-        if self._clock() < upstream.full_until:
-            score += FULL_LOAD
-        return score + self._penalty(upstream)
+        load = (upstream.in_flight + upstream.queue_length) / slots
+        if now < upstream.full_until:
+            load += FULL_LOAD
+        slowdown = expected_slowdown(upstream.slowdown, age=now - upstream.slowdown_at)
+        return load_score(load, slowdown) + self._penalty(upstream)
 
     def _unrepeatable_score(self, upstream: Upstream) -> float:
         score = self._plain_score(upstream)
