--- /dev/null
+++ b/tests/decisions/test_outliers.py
@@ -0,0 +1,79 @@
+"""Tests of judging upstreams by the outcomes of all nodes' requests."""
+
+import random
+
+from bankrack.decisions.outliers import Exclude
+from bankrack.decisions.outliers import judge
+from bankrack.decisions.outliers import Outcome
+from bankrack.decisions.outliers import Verdict
+from bankrack.decisions.outliers import Well
+from tests.base import TestCase
+
+NODES = 61
+HALLS = ("a", "b", "c")
+
+
+def outcomes(text: str) -> list[Outcome]:
+    """Return outcomes 10 ms apart: ``x1`` for a failure at node 1, ``o1`` if served."""
+    return [
+        Outcome(0.01 * n, name[1:], HALLS[int(name[1:]) % 3], failed=name[0] == "x")
+        for n, name in enumerate(text.split())
+    ]
+
+
+def judged(text: str, *, excluded: int = 0, upstreams: int = 3) -> Verdict:
+    return judge(outcomes(text), now=1.0, excluded=excluded, upstreams=upstreams)
+
+
+class JudgeTest(TestCase):
+    def test_failures_of_two_nodes_exclude_an_upstream(self):
+        self.assertEqual(Exclude(("1", "2"), 2, 0), judged("o3 o4 x1 x2"))
+
+    def test_one_node_does_not_exclude_an_upstream(self):
+        self.assertEqual(Well(), judged("x1 x1 x1 x1 x1 x1"))
+
+    def test_served_requests_outweigh_failures(self):
+        self.assertEqual(Well(), judged("x1 o3 o4 o5 x2 o3 o4 o5 x1"))
+
+    def test_at_most_half_of_the_upstreams_are_excluded(self):
+        self.assertEqual(Well(), judged("x1 x2", excluded=1, upstreams=3))
+        self.assertIsInstance(judged("x1 x2", excluded=1, upstreams=4), Exclude)
+        self.assertEqual(Well(), judged("x1 x2", upstreams=1))
+
+    def test_hall_whose_nodes_are_served_is_exempt(self):
+        """The link between two halls and the upstream is bad."""
+        verdict = judged("x1 o0 x2 o3 x4 o6 x5 o9")
+        self.assertEqual(Exclude(("1", "2", "4", "5"), 4, 0, frozenset("a")), verdict)
+
+    def test_old_outcomes_do_not_count(self):
+        found = judge(outcomes("x1 x2"), now=10.0, excluded=0, upstreams=3)
+        self.assertEqual(Well(), found)
+
+
+class ReplayTest(TestCase):
+    """61 nodes send 20 requests a second to one of three upstreams."""
+
+    def failures_until_excluded(self, fraction: float, *, seed: int) -> int | None:
+        """Return the failures until the exclusion; ``None`` if 20 s pass without."""
+        draw = random.Random(seed)
+        seen: list[Outcome] = []
+        for n in range(400):
+            node = draw.randrange(NODES)
+            failed = draw.random() < fraction
+            seen.append(Outcome(n / 20, f"n-{node}", HALLS[node % 3], failed))
+            verdict = judge(seen, now=n / 20, excluded=0, upstreams=3)
+            if failed and isinstance(verdict, Exclude):
+                return sum(outcome.failed for outcome in seen)
+        return None
+
+    def test_upstream_that_fails_all_is_excluded_after_two_failures(self):
+        found = [self.failures_until_excluded(1.0, seed=seed) for seed in range(50)]
+        self.assertLessEqual(max(found), 3)
+
+    def test_upstream_that_loses_few_answers_is_seldom_excluded(self):
+        found = [self.failures_until_excluded(0.03, seed=seed) for seed in range(50)]
+        self.assertLess(sum(count is not None for count in found), 25)
+
+    def test_upstream_that_fails_two_of_five_is_excluded(self):
+        found = [self.failures_until_excluded(0.4, seed=seed) for seed in range(50)]
+        self.assertNotIn(None, found)
