--- a/src/bankrack/serving/plain.py
+++ b/src/bankrack/serving/plain.py
@@ -82,18 +82,34 @@
             failed = answer.status >= 500
             self._dependencies.chooser.answered(upstream, failed=failed)
             if failed:
-                self._dependencies.outliers.note_failed(upstream)
-                attempts.ran(upstream)
-                attempts.last_answer = answer
-                attempts.last_answer_by = upstream.id
+                attempts.failed_with(upstream, answer)
                 if self._may_repeat(work, attempts):
                     self._log(work, upstream, "failed", str(answer.status))
                     continue
-            else:
-                self._dependencies.outliers.note_served(upstream)
+            self._note_answered(work, upstream, attempts, failed=failed)
             await reply.answer(answer)
             return f"{answer.status} after {attempts.count} sends, by {upstream.id}"
 
+    def _note_answered(
+        self,
+        work: Assignment,
+        upstream: Upstream,
+        attempts: "_Attempts",
+        *,
+        failed: bool,
+    ) -> None:
+        """Record what the last answer tells of the upstreams that were tried.
+
+        A 5xx of several upstreams is due to the request.  It speaks against one if
+        another served the request, or if none other was tried.
+        """
+        outliers = self._dependencies.outliers
+        if not failed:
+            outliers.note_served(upstream)
+        if not failed or work.route.kind is not RequestKind.REPEATABLE:
+            for other in attempts.answered_5xx:
+                outliers.note_failed(other)
+
     async def _next(self, work: Assignment, attempts: "_Attempts") -> Upstream:
         """Choose the next upstream; raises :exc:`Overloaded` if there is none."""
         if attempts.unreachable_left <= 0 or attempts.count >= MAX_SENDS:
@@ -224,6 +240,7 @@
     """State of the attempts of one request."""
 
     __slots__ = (
+        "answered_5xx",
         "avoid",
         "count",
         "last_answer",
@@ -234,6 +251,7 @@
     )
 
     def __init__(self, work: Assignment) -> None:
+        self.answered_5xx: list[Upstream] = []
         self.avoid: set[str] = set()
         self.ran_ids: set[str] = set()
         self.runs = 0
@@ -242,6 +260,13 @@
         self.last_answer: Answer | None = None
         self.last_answer_by = ""
 
+    def failed_with(self, upstream: Upstream, answer: Answer) -> None:
+        """Record a 5xx answer, which is forwarded if no upstream serves the request."""
+        self.ran(upstream)
+        self.answered_5xx.append(upstream)
+        self.last_answer = answer
+        self.last_answer_by = upstream.id
+
     def outcome(self, answer: Answer) -> str:
         """Describe the last answer, for the log."""
         return f"{answer.status} after {self.count} sends, by {self.last_answer_by}"
--- a/tests/serving/test_plain.py
+++ b/tests/serving/test_plain.py
@@ -92,8 +92,10 @@
     async def serve(self, *statuses: int, max_upstreams: int = 4) -> str:
         self.client = ScriptedClient(statuses)
         cold = types.SimpleNamespace(allows=lambda *_: True, take=lambda *_: True)
+        self.failed: list[str] = []
         outliers = types.SimpleNamespace(
-            note_failed=lambda upstream: None, note_served=lambda upstream: None
+            note_failed=lambda upstream: self.failed.append(upstream.id),
+            note_served=lambda upstream: None,
         )
         relay = PlainRelay(
             RelayDependencies(
@@ -120,6 +122,12 @@
         self.assertEqual(self.client.upstreams[:1], self.crashes.served)
         self.assertIn(f"by {self.client.upstreams[0]}", outcome)
 
+    async def test_5xx_speaks_against_an_upstream_if_another_serves(self):
+        await self.serve(500, 500, max_upstreams=2)
+        self.assertEqual([], self.failed)
+        await self.serve(500, 200)
+        self.assertEqual(self.client.upstreams[:1], self.failed)
+
     async def test_each_attempt_counts_once(self):
         """Four attempts are allowed, of which two may run."""
         outcome = await self.serve(BREAKS, NOT_RUN, NOT_RUN, 200)
