--- a/src/bankrack/fleet/updates.py
+++ b/src/bankrack/fleet/updates.py
@@ -11,10 +11,8 @@
 from bankrack.fleet.outlierupdates import OUTLIERS_PATH
 from bankrack.fleet.outlierupdates import OutlierUpdates
 from bankrack.fleet.store import Store
-from bankrack.serving.crashregister import CrashRegister
 from bankrack.serving.notices import NoticeHandler
-from bankrack.serving.outliers import OutlierMonitor
-from bankrack.serving.upstreams import Upstreams
+from bankrack.serving.relay import RelayDependencies
 
 
 class FleetUpdates:
@@ -31,18 +29,17 @@
         own: Member,
         members: t.Callable[[], t.Iterable[Member]],
         store: Store,
-        upstreams: Upstreams,
         notices: NoticeHandler,
-        crashes: CrashRegister,
-        outliers: OutlierMonitor,
+        dependencies: RelayDependencies,
         *,
         view_age: t.Callable[[], float],
     ) -> None:
-        leaving_updates = LeavingUpdates(broadcast, notices, upstreams)
+        crashes = dependencies.crashes.register
+        leaving_updates = LeavingUpdates(broadcast, notices, dependencies.upstreams)
         crash_updates = CrashUpdates(
             broadcast, own, members, crashes, store, view_age=view_age
         )
-        outlier_updates = OutlierUpdates(broadcast, own, outliers)
+        outlier_updates = OutlierUpdates(broadcast, own, dependencies.outliers)
         self.handler_by_path = {
             LEAVING_PATH: leaving_updates.handle,
             CRASHES_PATH: crash_updates.handle,
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -132,9 +132,8 @@
         members = self.view.members_by_name.values
         self.lender = Lender(self._internal_session, own, members, self.budget)
         self.budget.set_borrow(self.lender.borrow)
-        self.cold = ColdQuotas(
-            settings.name, self.view.members_by_name.keys, settings.cold
-        )
+        names = self.view.members_by_name.keys
+        self.cold = ColdQuotas(settings.name, names, settings.cold)
         self.notices = NoticeHandler()
         broadcast = Broadcast(self._internal_session, own, members)
         self.rate_limits = RateLimits(
@@ -177,23 +176,15 @@
             self.metrics,
             self.cold,
             CrashMonitor(self.crashes),
-            OutlierMonitor(
-                own.name,
-                own.hall,
-                self.view.members_by_name.keys,
-                self.upstreams,
-                self.metrics,
-            ),
+            OutlierMonitor(own.name, own.hall, names, self.upstreams, self.metrics),
         )
         self.updates = FleetUpdates(
             broadcast,
             own,
             members,
             store,
-            self.upstreams,
             self.notices,
-            self.crashes,
-            dependencies.outliers,
+            dependencies,
             view_age=lambda: self.view.age,
         )
         self.dispatcher = Dispatcher(
