--- a/src/bankrack/decisions/outliers.py
+++ b/src/bankrack/decisions/outliers.py
@@ -6,6 +6,7 @@
 requests, and exclude an upstream if two of them report failures.
 """
 
+import collections
 import dataclasses
 import typing as t
 
@@ -112,8 +113,12 @@
 def _served_halls(outcomes: t.Sequence[Outcome]) -> frozenset[str]:
     """Return the halls whose nodes were served without a failure."""
     failing = {o.hall for o in outcomes if o.failed}
-    served = [o.hall for o in outcomes if o.hall not in failing]
-    return frozenset(h for h in served if served.count(h) >= MIN_SERVED_BY_HALL)
+    served = collections.Counter(o.hall for o in outcomes if not o.failed)
+    return frozenset(
+        hall
+        for hall, count in served.items()
+        if count >= MIN_SERVED_BY_HALL and hall not in failing
+    )
 
 
 def _counts(failure: Outcome, run: t.Sequence[Outcome]) -> bool:
--- a/src/bankrack/serving/outliers.py
+++ b/src/bankrack/serving/outliers.py
@@ -23,8 +23,11 @@
 
 MAX_OUTCOMES = 256
 """Outcomes that are kept for one upstream."""
-MAX_SERVED_AGES = 32
+MAX_SERVED_AGES = 8
 """Served requests that one node tells another of."""
+MAX_FAILURES_TOLD = 5
+"""Failures a second at one upstream that the nodes tell each other of, approximately.
+More would not change the verdict, but load a large fleet when all upstreams fail."""
 MAX_TRACKED = 1_000
 """Upstreams with failures that are tracked."""
 MAX_TESTERS = 8
@@ -96,10 +99,12 @@
         """Record that a request failed here after the upstream may have run it."""
         now = self._clock()
         track = self._track(upstream.id)
+        is_news = self._is_news(upstream, track, now)
         track.outcomes.append(Outcome(now, self._name, self._hall, failed=True))
         if not upstream.excluded(now):
-            self.failed[upstream.id] = now
-            self.has_updates.set()
+            if is_news:
+                self.failed[upstream.id] = now
+                self.has_updates.set()
         elif upstream.retest_at <= now and track.exclusion is not None:
             self._exclude(upstream, track, track.exclusion, track.failed_retests + 1)
             self.changed.add(upstream.id)
@@ -117,6 +122,14 @@
             self.has_updates.set()
             self.take_served_retest(upstream.id)
 
+    def _is_news(self, upstream: Upstream, track: _Track, now: float) -> bool:
+        """Whether another failure may change the other nodes' verdict."""
+        excluded = self._count_others(upstream, lambda u: u.excluded(now))
+        if excluded >= max_excluded(self._count_open(upstream)):
+            return False
+        told = sum(o.failed and o.at > now - 1.0 for o in track.outcomes)
+        return told < MAX_FAILURES_TOLD
+
     # Outcomes of other nodes' requests
 
     def take_failure(
@@ -162,12 +175,11 @@
         if upstream is None or upstream.excluded(now):
             return
         track = self._track(upstream_id)
-        service = upstream.record.service
         verdict = judge(
             [*track.outcomes, *served],
             now=now,
             excluded=self._count_others(upstream, lambda u: u.excluded(now)),
-            upstreams=len(self._upstreams.open_of(service)),
+            upstreams=self._count_open(upstream),
         )
         match verdict:
             case Exclude():
@@ -260,11 +272,13 @@
         return ranked.index(self._name) < MAX_TESTERS
 
     def _may_avoid(self, upstream: Upstream, now: float) -> bool:
-        open_count = len(self._upstreams.open_of(upstream.record.service))
         avoided = self._count_others(
             upstream, lambda u: u.excluded(now) or u.doubted(now)
         )
-        return avoided < max_excluded(open_count)
+        return avoided < max_excluded(self._count_open(upstream))
+
+    def _count_open(self, upstream: Upstream) -> int:
+        return len(self._upstreams.open_of(upstream.record.service))
 
     def _count_others(
         self, upstream: Upstream, selects: t.Callable[[Upstream], bool]
--- a/src/bankrack/serving/plain.py
+++ b/src/bankrack/serving/plain.py
@@ -176,6 +176,11 @@
                 exchange = await self._dependencies.client.open(send)
                 head = exchange.head
                 body = None if head.not_run else await exchange.read()
+        except asyncio.CancelledError:
+            # The deadline of the whole request may pass first.
+            if work.time_left() <= 0.0:
+                self._dependencies.outliers.note_failed(upstream)
+            raise
         except TimeoutError as error:
             if work.time_left() <= 0.0:
                 self._dependencies.outliers.note_failed(upstream)
