--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -133,6 +133,9 @@
         self.lender = Lender(self._internal_session, own, members, self.budget)
         self.budget.set_borrow(self.lender.borrow)
         names = self.view.members_by_name.keys
+        self.outliers = OutlierMonitor(
+            own.name, own.hall, names, self.upstreams, self.metrics
+        )
         self.cold = ColdQuotas(settings.name, names, settings.cold)
         self.notices = NoticeHandler()
         broadcast = Broadcast(self._internal_session, own, members)
@@ -176,7 +179,7 @@
             self.metrics,
             self.cold,
             CrashMonitor(self.crashes),
-            OutlierMonitor(own.name, own.hall, names, self.upstreams, self.metrics),
+            self.outliers,
         )
         self.updates = FleetUpdates(
             broadcast,
@@ -263,6 +266,7 @@
             upstreams=list(self.upstreams.by_id.values()),
             keeps_ledgers=self.owners.owns_first_pool,
             quarantined=self.crashes.quarantined(),
+            failing=self.outliers.describe(),
         )
 
     def reload(self, settings: GatewaySettings) -> None:
--- a/src/bankrack/nodestate.py
+++ b/src/bankrack/nodestate.py
@@ -16,6 +16,7 @@
     :param store_age: seconds since the store itself last confirmed the view.
     :param keeps_ledgers: whether this node owns the first pool and keeps its ledgers.
     :param quarantined: fingerprints of the quarantined requests.
+    :param failing: upstreams with failures, as known from all nodes.
     """
 
     node: str
@@ -29,6 +30,7 @@
     upstreams: list[Upstream]
     keeps_ledgers: bool
     quarantined: list[str]
+    failing: list[dict[str, t.Any]]
 
     def gauges(self) -> dict[str, float]:
         """Return the values of the gauges by name."""
@@ -44,6 +46,7 @@
             "quarantined": float(len(self.quarantined)),
             "backing_off": float(sum(u.backing_off(now) for u in self.upstreams)),
             "leaving": float(sum(u.leaving for u in self.upstreams)),
+            "excluded": float(sum(u.excluded(now) for u in self.upstreams)),
         }
 
     def describe(self) -> dict[str, t.Any]:
@@ -58,5 +61,6 @@
             "in_flight": self.in_flight,
             "members": sorted(self.members),
             "quarantined": self.quarantined,
+            "failing": self.failing,
             "upstreams": [upstream.describe() for upstream in self.upstreams],
         }
--- a/src/bankrack/serving/outliers.py
+++ b/src/bankrack/serving/outliers.py
@@ -235,6 +235,27 @@
                 reason=f"served {RETESTS_TO_READMIT} retests",
             )
 
+    def describe(self) -> list[dict[str, t.Any]]:
+        """Return the recent failures of upstreams for the state dump."""
+        now = self._clock()
+        found = []
+        for upstream_id, track in self._track_by_id.items():
+            recent = [o for o in track.outcomes if o.at > now - WINDOW_SECONDS]
+            exclusion = self.exclusion(upstream_id)
+            if exclusion is None and not any(o.failed for o in recent):
+                continue
+            found.append(
+                {
+                    "upstream": upstream_id,
+                    "failures": sum(o.failed for o in recent),
+                    "reporters": sorted({o.reporter for o in recent if o.failed}),
+                    "excluded_by": list(exclusion[0].reporters) if exclusion else [],
+                    "failed_retests": exclusion[1] if exclusion else 0,
+                    "retest_in": exclusion[2] if exclusion else None,
+                }
+            )
+        return found
+
     def _exclude(
         self,
         upstream: Upstream,
--- a/tests/platform/test_outliers.py
+++ b/tests/platform/test_outliers.py
@@ -69,6 +69,11 @@
             self.assertEqual(NODES, len(excluding(gateways, deployment.plain[0])))
             self.assertLessEqual(statuses.count(502), 3)
             self.assertEqual({200, 502}, {*statuses, 502})
+            state = gateways[0].state()
+            self.assertEqual(1.0, state.gauges()["excluded"])
+            [failing] = state.describe()["failing"]
+            self.assertEqual(deployment.plain[0].id, failing["upstream"])
+            self.assertGreaterEqual(len(failing["excluded_by"]), 2)
 
     async def test_server_is_used_again_once_it_serves(self):
         async with running() as deployment:
