--- a/soak/gateway/checks.py
+++ b/soak/gateway/checks.py
@@ -36,6 +36,8 @@
 MAX_LINK_FAULT_SECONDS = 3.0
 """Longest fault of a link to a server."""
 MAX_POISONED = 6
+READMISSION_SECONDS = 15.0
+"""Time in which a server that failed requests is used again."""
 BUDGET_WINDOW_SECONDS = 10.0
 BUDGET_RATIO = 0.2
 BUDGET_RESERVE = 56
@@ -53,6 +55,7 @@
         self._callers = callers
         self._journal = journal
         self.left_at_by_server: dict[str, float] = {}
+        self.reset_until_by_server: dict[str, float] = {}
         self.added_at_by_path: dict[str, float] = {}
         self.store_faults: list[tuple[float, float]] = []
 
@@ -73,6 +76,7 @@
         self._check_leaving()
         self._check_notices()
         self._check_limits()
+        self._check_readmission()
         self._check_retry_budget(calls)
         for gateway in gateways:
             text = gateway.log.read_text(encoding="utf-8", errors="replace")
@@ -261,6 +265,23 @@
                 )
                 return
 
+    def _check_readmission(self) -> None:
+        """Check that a server that reset all requests is used again."""
+        ended_at = max((call.sent for call in self._callers.calls), default=0.0)
+        for server, reset_until in self.reset_until_by_server.items():
+            until = reset_until + READMISSION_SECONDS
+            left_at = self.left_at_by_server.get(server, math.inf)
+            if until > min(ended_at, left_at):
+                continue
+            arrivals = self._journal.arrivals
+            if not any(
+                a.server == server and reset_until < a.at < until for a in arrivals
+            ):
+                self.record_violation(
+                    f"{server} got no request for {READMISSION_SECONDS} s after it had "
+                    "stopped resetting requests"
+                )
+
     def _check_retry_budget(self, calls: list[Call]) -> None:
         """Check the retries of all gateways together against the retry budget.
 
--- a/soak/gateway/fakes.py
+++ b/soak/gateway/fakes.py
@@ -153,6 +153,7 @@
         self.journal = journal
         self.rng = rng
         self.response_fault = ""
+        self.resets_all = False
         self.opened = time.monotonic()
         self.link: Link | None = None
 
@@ -191,7 +192,10 @@
 
 
 class SoakServer(_JournalingServer):
-    """A plain server; ``response_fault`` is the kind of its faulty responses."""
+    """A plain server; ``response_fault`` is the kind of its faulty responses.
+
+    One that ``resets_all`` resets each request after it ran.
+    """
 
     service = "plain"
 
@@ -219,6 +223,8 @@
         run = self._begin(request)
         await asyncio.sleep(self.rng.uniform(0.01, 0.12))
         run.ended = time.monotonic()
+        if self.resets_all:
+            return self._abort(request)
         is_faulty = bool(self.response_fault) and self.rng.random() < 0.4
         if is_faulty and self.response_fault == "error":
             return web.Response(status=500, headers=self.sealed(request))
--- a/soak/gateway/faults.py
+++ b/soak/gateway/faults.py
@@ -21,6 +21,9 @@
 PAUSE_SECONDS = (0.3, 2.0)
 ENGINE_NOTICE_SECONDS = 1.8
 """Time from an engine's notice that it is leaving until it ends, as on the platform."""
+RESET_START_SECONDS = 3.0
+RESET_SECONDS = 3.0
+"""Time for which a plain server resets all requests, while its entry is in order."""
 LEAVING_SECONDS = 4.0
 """Time for which plain servers serve requests after they announced that they leave."""
 STORE_FAULTS = ("busy", "silent", "slow", "lost", "blind", "forgetful")
@@ -112,7 +115,7 @@
     async def run(self, faults: t.Sequence[Fault]) -> None:
         """Inject each fault at its time and wait until all have been repaired."""
         began = time.monotonic()
-        tasks: set[asyncio.Task[None]] = set()
+        tasks = {asyncio.create_task(self._reset_requests())}
         for fault in faults:
             await asyncio.sleep(began + fault.at - time.monotonic())
             self.counts[fault.kind] += 1
@@ -291,6 +294,15 @@
         await asyncio.sleep(rng.uniform(1.0, 4.0))
         server.response_fault = ""
 
+    async def _reset_requests(self) -> None:
+        """Let one server reset all requests; the draws of other faults don't change."""
+        await asyncio.sleep(RESET_START_SECONDS)
+        server = self.servers[1]
+        server.resets_all = True
+        await asyncio.sleep(RESET_SECONDS)
+        server.resets_all = False
+        self._checker.reset_until_by_server[server.id] = time.monotonic()
+
     async def _disturb_server_link(self, kind: str, rng: random.Random) -> None:
         server = rng.choice([*self.servers, *self.engines])
         for gateway in self._gateways:
--- a/src/bankrack/serving/outliers.py
+++ b/src/bankrack/serving/outliers.py
@@ -21,14 +21,14 @@
 from bankrack.serving.upstreams import Upstreams
 from bankrack.utils import stable_digest
 
-MAX_OUTCOMES = 256
+MAX_OUTCOMES = 64
 """Outcomes that are kept for one upstream."""
 MAX_SERVED_AGES = 8
 """Served requests that one node tells another of."""
 MAX_FAILURES_TOLD = 5
 """Failures a second at one upstream that the nodes tell each other of, approximately.
 More would not change the verdict, but load a large fleet when all upstreams fail."""
-MAX_TRACKED = 1_000
+MAX_TRACKED = 500
 """Upstreams with failures that are tracked."""
 MAX_TESTERS = 8
 """Nodes that send requests to an excluded upstream, to see whether it serves again."""
