A hall is exempt only by what was served while the failures came

A hall that was served before an upstream began to fail was exempt, as a single earlier failure reached back: half of the nodes took the exclusion a second late. Doubts about another upstream kept nodes from applying it as well.

--- a/src/bankrack/decisions/outliers.py
+++ b/src/bankrack/decisions/outliers.py
@@ -88,14 +88,23 @@
     if excluded >= max_excluded(upstreams):
         return Well()
     recent = [o for o in outcomes if now - WINDOW_SECONDS <= o.at <= now]
-    began = min((o.at for o in recent if o.failed), default=now)
-    recent = [o for o in recent if o.at >= began]
-    exempt_halls = _served_halls(recent)
+    recent.sort(key=lambda o: (o.at, o.reporter))
+    run = _failing_run(recent)
+    exempt_halls = _served_halls(recent if run is None else run)
+    if exempt_halls:
+        run = _failing_run(o for o in run or recent if o.hall not in exempt_halls)
+    if run is None:
+        return Well()
+    failures = [o for o in run if o.failed]
+    reporters = tuple(sorted({o.reporter for o in failures}))
+    return Exclude(reporters, len(failures), len(run) - len(failures), exempt_halls)
+
+
+def _failing_run(outcomes: t.Iterable[Outcome]) -> list[Outcome] | None:
+    """Return the outcomes since the sum last left zero, if it is at the limit."""
     total = 0.0
     run: list[Outcome] = []
-    for outcome in sorted(recent, key=lambda o: (o.at, o.reporter)):
-        if outcome.hall in exempt_halls:
-            continue
+    for outcome in outcomes:
         if not outcome.failed:
             total -= SERVED_WEIGHT
         elif _counts(outcome, run):
@@ -103,17 +112,18 @@
         run.append(outcome)
         if total <= 0.0:
             total, run = 0.0, []
-    failures = [o for o in run if o.failed]
-    reporters = tuple(sorted({o.reporter for o in failures}))
-    if len(reporters) < MIN_REPORTERS or total < EXCLUSION_LIMIT:
-        return Well()
-    return Exclude(reporters, len(failures), len(run) - len(failures), exempt_halls)
+    reporters = {o.reporter for o in run if o.failed}
+    is_failing = len(reporters) >= MIN_REPORTERS and total >= EXCLUSION_LIMIT
+    return run if is_failing else None
 
 
 def _served_halls(outcomes: t.Sequence[Outcome]) -> frozenset[str]:
     """Return the halls whose nodes were served without a failure."""
     failing = {o.hall for o in outcomes if o.failed}
-    served = collections.Counter(o.hall for o in outcomes if not o.failed)
+    began = min((o.at for o in outcomes if o.failed), default=0.0)
+    served = collections.Counter(
+        o.hall for o in outcomes if not o.failed and o.at >= began
+    )
     return frozenset(
         hall
         for hall, count in served.items()
--- a/src/bankrack/serving/outliers.py
+++ b/src/bankrack/serving/outliers.py
@@ -124,8 +124,7 @@
 
     def _is_news(self, upstream: Upstream, track: _Track, now: float) -> bool:
         """Whether another failure may change the other nodes' verdict."""
-        excluded = self._count_others(upstream, lambda u: u.excluded(now))
-        if excluded >= max_excluded(self._count_open(upstream)):
+        if not self._may_exclude(upstream, now):
             return False
         told = sum(o.failed and o.at > now - 1.0 for o in track.outcomes)
         return told < MAX_FAILURES_TOLD
@@ -213,7 +212,7 @@
         if upstream.excluded(now):
             if failed_retests <= track.failed_retests:
                 return
-        elif not self._may_avoid(upstream, now):
+        elif not self._may_exclude(upstream, now):
             return
         self._exclude(upstream, track, verdict, failed_retests, seconds=seconds)
 
@@ -283,6 +282,7 @@
             reporters=",".join(verdict.reporters),
             failures=verdict.failures,
             served=verdict.served,
+            exempt=",".join(sorted(verdict.exempt_halls)) or None,
             until=upstream.excluded_until,
             retest=seconds,
         )
@@ -292,6 +292,10 @@
         ranked = sorted(names, key=lambda name: stable_digest(upstream_id + name))
         return ranked.index(self._name) < MAX_TESTERS
 
+    def _may_exclude(self, upstream: Upstream, now: float) -> bool:
+        excluded = self._count_others(upstream, lambda u: u.excluded(now))
+        return excluded < max_excluded(self._count_open(upstream))
+
     def _may_avoid(self, upstream: Upstream, now: float) -> bool:
         avoided = self._count_others(
             upstream, lambda u: u.excluded(now) or u.doubted(now)
--- a/tests/decisions/test_outliers.py
+++ b/tests/decisions/test_outliers.py
@@ -45,6 +45,10 @@
         verdict = judged("x1 o0 x2 o3 x4 o6 x5 o9")
         self.assertEqual(Exclude(("1", "2", "4", "5"), 4, 0, frozenset("a")), verdict)
 
+    def test_hall_that_was_served_before_the_failures_is_not_exempt(self):
+        verdict = judged("x1 o0 o3 o6 o9 o2 o4 x2 x1")
+        self.assertEqual(Exclude(("1", "2"), 2, 0), verdict)
+
     def test_old_outcomes_do_not_count(self):
         found = judge(outcomes("x1 x2"), now=10.0, excluded=0, upstreams=3)
         self.assertEqual(Well(), found)
