--- a/src/bankrack/decisions/plainchoice.py
+++ b/src/bankrack/decisions/plainchoice.py
@@ -25,7 +25,7 @@
     :param stated: the last figure; 1 if there is none.
     :param age: seconds since it was stated.
     """
-    if not math.isfinite(stated):
+    if stated == 1.0 or not math.isfinite(stated):
         return 1.0
     bounded = min(MAX_SLOWDOWN, max(MIN_SLOWDOWN, stated))
     return 1.0 + (bounded - 1.0) * math.exp(-max(0.0, age) / FIGURE_LIFETIME_SECONDS)
--- a/src/bankrack/fleet/outlierupdates.py
+++ b/src/bankrack/fleet/outlierupdates.py
@@ -42,10 +42,12 @@
     """A failed request of the sender.
 
     :param age_ms: time since the failure.
+    :param answered: the upstream answered with a 5xx.
     """
 
     id: str
     age_ms: _Milliseconds
+    answered: bool = False
 
 
 class ExclusionMessage(msgspec.Struct, array_like=True):
@@ -112,6 +114,7 @@
                 age=failure.age_ms / 1000,
                 reporter=source,
                 hall=message.hall,
+                answered=failure.answered,
             )
             ages = [int(1000 * age) for age in self._monitor.served_ages(failure.id)]
             known.append(ServedMessage(failure.id, ages, self._exclusion(failure.id)))
@@ -165,8 +168,10 @@
         monitor = self._monitor
         now = boottime()
         failures = [
-            FailureMessage(upstream_id, int(1000 * max(0.0, now - at)))
-            for upstream_id, at in list(monitor.failed.items())[:64]
+            FailureMessage(
+                upstream_id, int(1000 * max(0.0, now - failed.at)), failed.answered
+            )
+            for upstream_id, failed in list(monitor.failed_by_id.items())[:64]
         ]
         exclusions = [self._exclusion(name) for name in sorted(monitor.changed)[:64]]
         message = OutlierMessage(
@@ -175,7 +180,7 @@
             [e for e in exclusions if e is not None],
             monitor.served[:64],
         )
-        monitor.failed.clear()
+        monitor.failed_by_id.clear()
         monitor.changed.clear()
         monitor.served.clear()
         monitor.has_updates.clear()
--- a/src/bankrack/serving/choice.py
+++ b/src/bankrack/serving/choice.py
@@ -34,9 +34,9 @@
 MAX_SUSPICION_SECONDS = 4.0
 MAX_DOUBLINGS = 16
 """Failures in a row that are counted; the suspicion time reaches its maximum before."""
-DOUBT_PENALTY = 2.0
-"""Penalty of an upstream at which another node's request failed just before.  One whose
-slots and as many places in its queue are taken is still worse."""
+DOUBT_PENALTY = 0.5
+"""Penalty of an upstream at which another node's request failed just before.  Others
+are preferred until half of their slots are taken."""
 COLD_PENALTY = 0.5
 """Penalty in the score of a cold upstream."""
 MIN_WEIGHT = 1e-4
--- a/src/bankrack/serving/outliers.py
+++ b/src/bankrack/serving/outliers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import dataclasses
 import logging
 import math
 import typing as t
@@ -32,13 +33,24 @@
 """Upstreams with failures that are tracked."""
 MAX_TESTERS = 8
 """Nodes that send requests to an excluded upstream, to see whether it serves again."""
-DOUBT_SECONDS = 0.5
+DOUBT_SECONDS = 0.3
 """Time for which the first failure of another node keeps requests that can't be
 repeated away from an upstream.  A second node's failure would show within it."""
 
 _logger = logging.getLogger(__name__)
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class OwnFailure:
+    """A failed request of this node.
+
+    :param answered: it was answered with a 5xx.
+    """
+
+    at: float
+    answered: bool
+
+
 class _Track:
     """Outcomes of one upstream.
 
@@ -64,7 +76,7 @@
     :param hall: hall of this node.
     :param names: returns the names of the live members, with or without this node.
     :ivar has_updates: set while other nodes must be notified.
-    :ivar failed: ages are counted from these times of own failures, by upstream.
+    :ivar failed_by_id: this node's newest failures to tell.
     :ivar changed: upstreams whose exclusion this node began or extended.
     :ivar served: upstreams that served a retest of this node.
     """
@@ -89,21 +101,24 @@
             collections.OrderedDict()
         )
         self.has_updates = asyncio.Event()
-        self.failed: dict[str, float] = {}
+        self.failed_by_id: dict[str, OwnFailure] = {}
         self.changed: set[str] = set()
         self.served: list[str] = []
 
     # Outcomes of this node's requests
 
-    def note_failed(self, upstream: Upstream) -> None:
-        """Record that a request failed here after the upstream may have run it."""
+    def note_failed(self, upstream: Upstream, *, answered: bool = False) -> None:
+        """Record that a request failed here after the upstream may have run it.
+
+        :param answered: it was answered with a 5xx.
+        """
         now = self._clock()
         track = self._track(upstream.id)
         is_news = self._is_news(upstream, track, now)
         track.outcomes.append(Outcome(now, self._name, self._hall, failed=True))
         if not upstream.excluded(now):
             if is_news:
-                self.failed[upstream.id] = now
+                self.failed_by_id[upstream.id] = OwnFailure(now, answered)
                 self.has_updates.set()
         elif upstream.retest_at <= now and track.exclusion is not None:
             self._exclude(upstream, track, track.exclusion, track.failed_retests + 1)
@@ -132,11 +147,18 @@
     # Outcomes of other nodes' requests
 
     def take_failure(
-        self, upstream_id: str, *, age: float, reporter: str, hall: str
+        self,
+        upstream_id: str,
+        *,
+        age: float,
+        reporter: str,
+        hall: str,
+        answered: bool = False,
     ) -> None:
         """Apply another node's failure; requests that can't be repeated go elsewhere.
 
-        A node whose own link is bad keeps them away only once in a while.
+        A node whose own link is bad keeps them away only once in a while.  Single 5xx
+        answers are frequent at some services and keep none away.
         """
         upstream = self._upstreams.find(upstream_id)
         if upstream is None:
@@ -148,7 +170,7 @@
             for o in track.outcomes
         )
         track.outcomes.append(Outcome(now - age, reporter, hall, failed=True))
-        if not repeated and self._may_avoid(upstream, now):
+        if not answered and not repeated and self._may_avoid(upstream, now):
             upstream.doubted_until = now + DOUBT_SECONDS
 
     def served_ages(self, upstream_id: str) -> list[float]:
--- a/src/bankrack/serving/plain.py
+++ b/src/bankrack/serving/plain.py
@@ -108,7 +108,7 @@
             outliers.note_served(upstream)
         if not failed or work.route.kind is not RequestKind.REPEATABLE:
             for other in attempts.answered_5xx:
-                outliers.note_failed(other)
+                outliers.note_failed(other, answered=True)
 
     async def _next(self, work: Assignment, attempts: "_Attempts") -> Upstream:
         """Choose the next upstream; raises :exc:`Overloaded` if there is none."""
--- a/tests/serving/test_choice.py
+++ b/tests/serving/test_choice.py
@@ -9,6 +9,7 @@
 from bankrack.serving.choice import MIN_FULL_SECONDS
 from bankrack.serving.job import Demand
 from bankrack.serving.upstreams import EngineReport
+from bankrack.serving.upstreams import Load
 from bankrack.serving.upstreams import Upstream
 from bankrack.serving.upstreams import UpstreamRecord
 from tests.base import TestCase
@@ -100,6 +101,27 @@
             self.chooser.suspect(engine)
         self.assertAlmostEqual(self.now + MAX_SUSPICION_SECONDS, engine.suspect_until)
 
+    def test_slow_upstream_is_avoided_while_its_figure_is_new(self):
+        slow, other = self.upstream("slow"), self.upstream("other")
+        slow.note_load(Load(queued=0, slowdown=3.0), self.now)
+        self.assertEqual({"other"}, self.chosen(slow, other))
+        self.now += 2.0
+        self.assertEqual({"slow", "other"}, self.chosen(slow, other))
+
+    def test_excluded_upstream_is_used_only_for_retests_or_alone(self):
+        out, other = self.upstream("out"), self.upstream("other")
+        out.exclude(self.now + 10.0, retest_at=self.now + 1.0)
+        self.assertEqual({"other"}, self.chosen(out, other, may_retest=True))
+        self.assertIs(out, self.chooser.plain([out]))
+        self.now += 1.0
+        self.assertEqual({"other"}, self.chosen(out, other, repeatable=True))
+        self.assertEqual({"out"}, self.chosen(out, other, may_retest=True))
+        out.in_flight = 1
+        self.assertEqual({"other"}, self.chosen(out, other, may_retest=True))
+
+    def chosen(self, *upstreams: Upstream, **options: bool) -> set[str]:
+        return {self.chooser.plain(upstreams, **options).id for _ in range(50)}
+
     def test_only_upstream_is_chosen_though_suspected(self):
         upstream = self.upstream("only")
         self.chooser.suspect(upstream)
--- a/tests/serving/test_plain.py
+++ b/tests/serving/test_plain.py
@@ -94,7 +94,7 @@
         cold = types.SimpleNamespace(allows=lambda *_: True, take=lambda *_: True)
         self.failed: list[str] = []
         outliers = types.SimpleNamespace(
-            note_failed=lambda upstream: self.failed.append(upstream.id),
+            note_failed=lambda upstream, **_: self.failed.append(upstream.id),
             note_served=lambda upstream: None,
         )
         relay = PlainRelay(
