--- a/src/bankrack/decisions/outliers.py
+++ b/src/bankrack/decisions/outliers.py
@@ -13,12 +13,15 @@
 WINDOW_SECONDS = 3.0
 """Time for which an outcome counts."""
 FAILURE_WEIGHT = 1.0
-SERVED_WEIGHT = 0.4
-"""Weight of a served request against a failure.  The sum rises on average if more than
-two of seven requests fail; one that loses fewer serves callers better than a queue at
-the other upstreams would."""
+ANSWERED_WEIGHT = 0.7
+"""Weight of a failure that was answered with a 5xx, which may be due to the request."""
+SERVED_WEIGHT = 0.3
+"""Weight of a served request against a failure.  The sum rises on average if a quarter
+of the requests fail; one that loses fewer serves callers better than a queue at the
+other upstreams would."""
 EXCLUSION_LIMIT = 2.0
-"""Sum of the weights from which an upstream is excluded: two failures in a row."""
+"""Sum of the weights from which an upstream is excluded: two failures in a row, or
+three 5xx answers."""
 MIN_REPORTERS = 2
 """Nodes that must report failures; the link of a single node may be bad."""
 MAX_FAILURES_BY_REPORTER = 2
@@ -44,12 +47,14 @@
     :param at: time when it was known.
     :param reporter: node that sent the request.
     :param hall: of the reporter.
+    :param answered: the failure was a 5xx answer.
     """
 
     at: float
     reporter: str
     hall: str
     failed: bool
+    answered: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -108,7 +113,7 @@
         if not outcome.failed:
             total -= SERVED_WEIGHT
         elif _counts(outcome, run):
-            total += FAILURE_WEIGHT
+            total += ANSWERED_WEIGHT if outcome.answered else FAILURE_WEIGHT
         run.append(outcome)
         if total <= 0.0:
             total, run = 0.0, []
--- a/src/bankrack/serving/outliers.py
+++ b/src/bankrack/serving/outliers.py
@@ -115,7 +115,9 @@
         now = self._clock()
         track = self._track(upstream.id)
         is_news = self._is_news(upstream, track, now)
-        track.outcomes.append(Outcome(now, self._name, self._hall, failed=True))
+        track.outcomes.append(
+            Outcome(now, self._name, self._hall, failed=True, answered=answered)
+        )
         if not upstream.excluded(now):
             if is_news:
                 self.failed_by_id[upstream.id] = OwnFailure(now, answered)
@@ -169,7 +171,9 @@
             o.failed and o.reporter == reporter and o.at > now - WINDOW_SECONDS
             for o in track.outcomes
         )
-        track.outcomes.append(Outcome(now - age, reporter, hall, failed=True))
+        track.outcomes.append(
+            Outcome(now - age, reporter, hall, failed=True, answered=answered)
+        )
         if not answered and not repeated and self._may_avoid(upstream, now):
             upstream.doubted_until = now + DOUBT_SECONDS
 
--- a/tests/decisions/test_outliers.py
+++ b/tests/decisions/test_outliers.py
@@ -14,9 +14,14 @@
 
 
 def outcomes(text: str) -> list[Outcome]:
-    """Return outcomes 10 ms apart: ``x1`` for a failure at node 1, ``o1`` if served."""
+    """Return outcomes 10 ms apart: ``x1`` for a failure at node 1, ``o1`` if served.
+
+    ``e1`` is a 5xx answer.
+    """
     return [
-        Outcome(0.01 * n, name[1:], HALLS[int(name[1:]) % 3], failed=name[0] == "x")
+        Outcome(
+            0.01 * n, name[1:], HALLS[int(name[1:]) % 3], name[0] != "o", name[0] == "e"
+        )
         for n, name in enumerate(text.split())
     ]
 
@@ -29,6 +34,10 @@
     def test_failures_of_two_nodes_exclude_an_upstream(self):
         self.assertEqual(Exclude(("1", "2"), 2, 0), judged("o3 o4 x1 x2"))
 
+    def test_three_5xx_answers_exclude_an_upstream(self):
+        self.assertEqual(Well(), judged("e1 e2"))
+        self.assertEqual(Exclude(("1", "2", "3"), 3, 0), judged("e1 e2 e3"))
+
     def test_one_node_does_not_exclude_an_upstream(self):
         self.assertEqual(Well(), judged("x1 x1 x1 x1 x1 x1"))
 
