--- a/src/bankrack/serving/choice.py
+++ b/src/bankrack/serving/choice.py
@@ -37,6 +37,8 @@
 DOUBT_PENALTY = 0.5
 """Penalty of an upstream at which another node's request failed just before.  Others
 are preferred until half of their slots are taken."""
+CROWDED_LOAD = 0.5
+"""Load of the other upstreams from which an excluded one is retested early."""
 COLD_PENALTY = 0.5
 """Penalty in the score of a cold upstream."""
 MIN_WEIGHT = 1e-4
@@ -102,17 +104,14 @@
         """
         now = self._clock()
         candidates = list(upstreams)
-        if may_retest:
+        in_use = [u for u in candidates if not u.excluded(now)] or candidates
+        if may_retest and len(in_use) < len(candidates):
+            others_full = all(self._load(u) >= CROWDED_LOAD for u in in_use)
             for upstream in candidates:
-                if upstream.retest_due(now):
+                if upstream.retest_due(now, others_full=others_full):
                     return upstream
-        if repeatable:
-            return self._lowest_score(
-                _not_excluded(candidates, now), avoid, self._plain_score
-            )
-        return self._lowest_score(
-            _not_excluded(candidates, now), avoid, self._unrepeatable_score
-        )
+        score = self._plain_score if repeatable else self._unrepeatable_score
+        return self._lowest_score(in_use, avoid, score)
 
     def engines_by_room(
         self,
@@ -212,13 +211,17 @@
         return min(preferred, key=score)
 
     def _plain_score(self, upstream: Upstream) -> float:
-        now = self._clock()
+        age = self._clock() - upstream.slowdown_at
+        slowdown = expected_slowdown(upstream.slowdown, age=age)
+        return load_score(self._load(upstream), slowdown) + self._penalty(upstream)
+
+    def _load(self, upstream: Upstream) -> float:
+        """Return the known requests at an upstream as a fraction of its slots."""
         slots = max(1, upstream.record.slots)
         load = (upstream.in_flight + upstream.queue_length) / slots
-        if now < upstream.full_until:
+        if self._clock() < upstream.full_until:
             load += FULL_LOAD
-        slowdown = expected_slowdown(upstream.slowdown, age=now - upstream.slowdown_at)
-        return load_score(load, slowdown) + self._penalty(upstream)
+        return load
 
     def _unrepeatable_score(self, upstream: Upstream) -> float:
         score = self._plain_score(upstream)
@@ -232,8 +235,3 @@
         if upstream.cold(now):
             score += COLD_PENALTY
         return score
-
-
-def _not_excluded(upstreams: list[Upstream], now: float) -> list[Upstream]:
-    """Return the upstreams that are not excluded, or all if there is no other."""
-    return [u for u in upstreams if not u.excluded(now)] or upstreams
--- a/src/bankrack/serving/outliers.py
+++ b/src/bankrack/serving/outliers.py
@@ -12,6 +12,7 @@
 from bankrack.decisions.outliers import Exclude
 from bankrack.decisions.outliers import judge
 from bankrack.decisions.outliers import max_excluded
+from bankrack.decisions.outliers import MIN_RETEST_SECONDS
 from bankrack.decisions.outliers import Outcome
 from bankrack.decisions.outliers import PROBATION_SECONDS
 from bankrack.decisions.outliers import retest_seconds
@@ -33,6 +34,8 @@
 """Upstreams with failures that are tracked."""
 MAX_TESTERS = 8
 """Nodes that send requests to an excluded upstream, to see whether it serves again."""
+OVERLOADED_QUEUE = 0.5
+"""Requests queued at an overloaded upstream, as a fraction of its slots."""
 DOUBT_SECONDS = 0.3
 """Time for which the first failure of another node keeps requests that can't be
 repeated away from an upstream.  A second node's failure would show within it."""
@@ -113,6 +116,8 @@
         :param answered: it was answered with a 5xx.
         """
         now = self._clock()
+        if not answered and _is_overloaded(upstream, now):
+            return
         track = self._track(upstream.id)
         is_news = self._is_news(upstream, track, now)
         track.outcomes.append(
@@ -122,8 +127,10 @@
             if is_news:
                 self.failed_by_id[upstream.id] = OwnFailure(now, answered)
                 self.has_updates.set()
-        elif upstream.retest_at <= now and track.exclusion is not None:
-            self._exclude(upstream, track, track.exclusion, track.failed_retests + 1)
+        elif upstream.early_retest_at <= now and track.exclusion is not None:
+            # One that served meanwhile fails only some of the requests.
+            failed = 0 if track.served_retests else track.failed_retests
+            self._exclude(upstream, track, track.exclusion, failed + 1)
             self.changed.add(upstream.id)
             self.has_updates.set()
 
@@ -134,7 +141,7 @@
             return
         now = self._clock()
         track.outcomes.append(Outcome(now, self._name, self._hall, failed=False))
-        if upstream.excluded(now) and upstream.retest_at <= now:
+        if upstream.excluded(now) and upstream.early_retest_at <= now:
             self.served.append(upstream.id)
             self.has_updates.set()
             self.take_served_retest(upstream.id)
@@ -237,6 +244,7 @@
         track = self._track(upstream_id)
         if upstream.excluded(now):
             if failed_retests <= track.failed_retests:
+                track.served_retests = 0
                 return
         elif not self._may_exclude(upstream, now):
             return
@@ -296,9 +304,11 @@
         track.exclusion = verdict
         track.failed_retests = failed_retests
         track.served_retests = 0
+        is_tester = self._is_tester(upstream.id)
         upstream.exclude(
             now + seconds + PROBATION_SECONDS,
-            retest_at=now + seconds if self._is_tester(upstream.id) else math.inf,
+            retest_at=now + seconds if is_tester else math.inf,
+            early_retest_at=now + MIN_RETEST_SECONDS if is_tester else math.inf,
         )
         self._metrics.exclusions.inc({"outcome": "excluded"})
         logs.event(
@@ -344,3 +354,9 @@
             if len(self._track_by_id) > MAX_TRACKED:
                 self._track_by_id.popitem(last=False)
         return track
+
+
+def _is_overloaded(upstream: Upstream, now: float) -> bool:
+    """Whether an upstream has too many requests; it then resets some connections."""
+    waits = upstream.queue_length >= OVERLOADED_QUEUE * upstream.record.slots
+    return waits or now < upstream.full_until
--- a/src/bankrack/serving/upstreams.py
+++ b/src/bankrack/serving/upstreams.py
@@ -90,6 +90,7 @@
     :ivar removed_at: time when its entry was removed from the store; 0 if it was not.
     :ivar slowdown: how long work took at ``slowdown_at``, as a multiple of the usual
         time.
+    :ivar early_retest_at: the same as ``retest_at`` while the other upstreams are full.
     :ivar retest_at: time from which this node sends an excluded upstream requests that
         can be repeated; infinite if it leaves that to other nodes.
     :ivar sent: times and tokens of the runs that reports may not include yet.
@@ -99,6 +100,7 @@
         "backoff_until",
         "cold_until",
         "doubted_until",
+        "early_retest_at",
         "ended",
         "evacuated",
         "excluded_until",
@@ -146,6 +148,7 @@
         self.suspect_until = 0.0
         self.doubted_until = 0.0
         self.excluded_until = 0.0
+        self.early_retest_at = math.inf
         self.retest_at = math.inf
         self.leaving_at = now if record.leaving else 0.0
         self.removed_at = 0.0
@@ -266,19 +269,23 @@
         """Whether another node's request failed here just before ``now``."""
         return now < self.doubted_until
 
-    def retest_due(self, now: float) -> bool:
+    def retest_due(self, now: float, *, others_full: bool) -> bool:
         """Whether this node may send the excluded upstream one request at ``now``."""
-        return self.excluded(now) and now >= self.retest_at and not self.in_flight
+        due_at = self.early_retest_at if others_full else self.retest_at
+        return self.excluded(now) and now >= due_at and not self.in_flight
 
-    def exclude(self, until: float, *, retest_at: float) -> None:
+    def exclude(
+        self, until: float, *, retest_at: float, early_retest_at: float
+    ) -> None:
         """Exclude the upstream, or extend its exclusion."""
         self.excluded_until = until
         self.retest_at = retest_at
+        self.early_retest_at = early_retest_at
 
     def readmit(self) -> None:
         """End an exclusion."""
         self.excluded_until = self.doubted_until = 0.0
-        self.retest_at = math.inf
+        self.retest_at = self.early_retest_at = math.inf
 
     def note_load(self, load: Load, now: float) -> None:
         """Record the load that the upstream stated at ``now``."""
--- a/tests/serving/test_choice.py
+++ b/tests/serving/test_choice.py
@@ -110,10 +110,17 @@
 
     def test_excluded_upstream_is_used_only_for_retests_or_alone(self):
         out, other = self.upstream("out"), self.upstream("other")
-        out.exclude(self.now + 10.0, retest_at=self.now + 1.0)
+        out.exclude(
+            self.now + 10.0, retest_at=self.now + 1.0, early_retest_at=self.now + 0.5
+        )
         self.assertEqual({"other"}, self.chosen(out, other, may_retest=True))
         self.assertIs(out, self.chooser.plain([out]))
-        self.now += 1.0
+        self.now += 0.6
+        self.assertEqual({"other"}, self.chosen(out, other, may_retest=True))
+        other.note_load(Load(queued=4), self.now)
+        self.assertEqual({"out"}, self.chosen(out, other, may_retest=True))
+        other.note_load(Load(queued=0), self.now)
+        self.now += 0.4
         self.assertEqual({"other"}, self.chosen(out, other, repeatable=True))
         self.assertEqual({"out"}, self.chosen(out, other, may_retest=True))
         out.in_flight = 1
