--- a/src/bankrack/serving/outliers.py
+++ b/src/bankrack/serving/outliers.py
@@ -116,7 +116,7 @@
         :param answered: it was answered with a 5xx.
         """
         now = self._clock()
-        if not answered and _is_overloaded(upstream, now):
+        if not upstream.open or (not answered and _is_overloaded(upstream, now)):
             return
         track = self._track(upstream.id)
         is_news = self._is_news(upstream, track, now)
