--- a/src/bankrack/decisions/outliers.py
+++ b/src/bankrack/decisions/outliers.py
@@ -28,7 +28,7 @@
 """Failures of one node that count."""
 MIN_SERVED_BY_HALL = 3
 """Requests of a hall that must have been served there, without a failure, to exempt its
-nodes: the link between two halls may be bad."""
+nodes while those of other halls are served nothing: the link may be bad."""
 MIN_RETEST_SECONDS = 0.5
 MAX_RETEST_SECONDS = 4.0
 """Pause before an excluded upstream is sent requests again.  It doubles with each
@@ -96,8 +96,11 @@
     recent.sort(key=lambda o: (o.at, o.reporter))
     run = _failing_run(recent)
     exempt_halls = _served_halls(recent if run is None else run)
-    if exempt_halls:
-        run = _failing_run(o for o in run or recent if o.hall not in exempt_halls)
+    cut_off = _failing_run(o for o in run or recent if o.hall not in exempt_halls)
+    if cut_off is not None and all(o.failed for o in cut_off):
+        run = cut_off
+    else:
+        exempt_halls = frozenset()
     if run is None:
         return Well()
     failures = [o for o in run if o.failed]
--- a/tests/decisions/test_outliers.py
+++ b/tests/decisions/test_outliers.py
@@ -54,6 +54,9 @@
         verdict = judged("x1 o0 x2 o3 x4 o6 x5 o9")
         self.assertEqual(Exclude(("1", "2", "4", "5"), 4, 0, frozenset("a")), verdict)
 
+    def test_hall_is_not_exempt_if_nodes_of_failing_halls_are_served_too(self):
+        self.assertEqual(Well(), judged("x1 o0 o2 o3 o1 x2 o6 o9 x4 o4"))
+
     def test_hall_that_was_served_before_the_failures_is_not_exempt(self):
         verdict = judged("x1 o0 o3 o6 o9 o2 o4 x2 x1")
         self.assertEqual(Exclude(("1", "2"), 2, 0), verdict)
