--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -16,13 +16,9 @@
 from bankrack.clock import boottime
 from bankrack.exceptions import NodeNotReady
 from bankrack.fleet.broadcast import Broadcast
-from bankrack.fleet.crashupdates import CRASHES_PATH
-from bankrack.fleet.crashupdates import CrashUpdates
 from bankrack.fleet.documents import Member
 from bankrack.fleet.fleetsize import FleetSize
 from bankrack.fleet.follower import Follower
-from bankrack.fleet.leavingupdates import LEAVING_PATH
-from bankrack.fleet.leavingupdates import LeavingUpdates
 from bankrack.fleet.lending import LEND_PATH
 from bankrack.fleet.lending import Lender
 from bankrack.fleet.membership import Announcer
@@ -35,6 +31,7 @@
 from bankrack.fleet.poolowners import PoolOwnerClient
 from bankrack.fleet.ratelimits import RateLimits
 from bankrack.fleet.roster import Roster
+from bankrack.fleet.updates import FleetUpdates
 from bankrack.fleet.view import View
 from bankrack.front.callerserver import CallerServer
 from bankrack.front.internalserver import serve_paths
@@ -54,6 +51,7 @@
 from bankrack.serving.job import Job
 from bankrack.serving.job import Reply
 from bankrack.serving.notices import NoticeHandler
+from bankrack.serving.outliers import OutlierMonitor
 from bankrack.serving.plain import PlainRelay
 from bankrack.serving.pools import count_pools
 from bankrack.serving.relay import RelayDependencies
@@ -134,9 +132,11 @@
         members = self.view.members_by_name.values
         self.lender = Lender(self._internal_session, own, members, self.budget)
         self.budget.set_borrow(self.lender.borrow)
-        self.cold = ColdQuotas(
-            settings.name, self.view.members_by_name.keys, settings.cold
+        names = self.view.members_by_name.keys
+        self.outliers = OutlierMonitor(
+            own.name, own.hall, names, self.upstreams, self.metrics
         )
+        self.cold = ColdQuotas(settings.name, names, settings.cold)
         self.notices = NoticeHandler()
         broadcast = Broadcast(self._internal_session, own, members)
         self.rate_limits = RateLimits(
@@ -179,14 +179,15 @@
             self.metrics,
             self.cold,
             CrashMonitor(self.crashes),
+            self.outliers,
         )
-        self.leaving_updates = LeavingUpdates(broadcast, self.notices, self.upstreams)
-        self.crash_updates = CrashUpdates(
+        self.updates = FleetUpdates(
             broadcast,
             own,
             members,
-            self.crashes,
             store,
+            self.notices,
+            dependencies,
             view_age=lambda: self.view.age,
         )
         self.dispatcher = Dispatcher(
@@ -222,8 +223,7 @@
             PLACE_PATH: self.ledgers.handle_query,
             NOTES_PATH: self.ledgers.handle_run_updates,
             LEND_PATH: self.lender.handle,
-            CRASHES_PATH: self.crash_updates.handle,
-            LEAVING_PATH: self.leaving_updates.handle,
+            **self.updates.handler_by_path,
             **self.rate_limits.handler_by_path,
             "/metrics": self._handle_metrics,
             "/state": self._handle_state,
@@ -233,10 +233,9 @@
         self._tasks.spawn(self.announcer.run)
         self._tasks.spawn(self.reports.run)
         self._tasks.spawn(self.owners.run)
-        self._tasks.spawn(self.crash_updates.run)
-        self._tasks.spawn(self.leaving_updates.run)
         self._tasks.spawn(self.rate_limits.run)
-        self._tasks.spawn(self.crash_updates.keep_saving)
+        for run in self.updates.tasks:
+            self._tasks.spawn(run)
         self._tasks.spawn(self._apply_loop)
         logs.event(
             _logger,
@@ -267,6 +266,7 @@
             upstreams=list(self.upstreams.by_id.values()),
             keeps_ledgers=self.owners.owns_first_pool,
             quarantined=self.crashes.quarantined(),
+            failing=self.outliers.describe(),
         )
 
     def reload(self, settings: GatewaySettings) -> None:
--- a/src/bankrack/serving/choice.py
+++ b/src/bankrack/serving/choice.py
@@ -5,6 +5,8 @@
 import typing as t
 
 from bankrack.clock import boottime
+from bankrack.decisions.plainchoice import expected_slowdown
+from bankrack.decisions.plainchoice import load_score
 from bankrack.serving.job import Demand
 from bankrack.serving.pace import Pace
 from bankrack.serving.upstreams import Upstream
@@ -32,6 +34,11 @@
 MAX_SUSPICION_SECONDS = 4.0
 MAX_DOUBLINGS = 16
 """Failures in a row that are counted; the suspicion time reaches its maximum before."""
+DOUBT_PENALTY = 0.5
+"""Penalty of an upstream at which another node's request failed just before.  Others
+are preferred until half of their slots are taken."""
+CROWDED_LOAD = 0.5
+"""Load of the other upstreams from which an excluded one is retested early."""
 COLD_PENALTY = 0.5
 """Penalty in the score of a cold upstream."""
 MIN_WEIGHT = 1e-4
@@ -81,13 +88,30 @@
         return self._pace_by_service.setdefault(service, Pace())
 
     def plain(
-        self, upstreams: t.Iterable[Upstream], *, avoid: t.Collection[str] = ()
+        self,
+        upstreams: t.Iterable[Upstream],
+        *,
+        avoid: t.Collection[str] = (),
+        repeatable: bool = False,
+        may_retest: bool = False,
     ) -> Upstream | None:
         """Choose an upstream for a plain request.
 
         :param avoid: ids of upstreams that are used only if there is no other.
+        :param repeatable: the request may run twice.
+        :param may_retest: the request may be sent to an excluded upstream, to see
+            whether it serves again.
         """
-        return self._lowest_score(upstreams, avoid, self._plain_score)
+        now = self._clock()
+        candidates = list(upstreams)
+        in_use = [u for u in candidates if not u.excluded(now)] or candidates
+        if may_retest and len(in_use) < len(candidates):
+            others_full = all(self._load(u) >= CROWDED_LOAD for u in in_use)
+            for upstream in candidates:
+                if upstream.retest_due(now, others_full=others_full):
+                    return upstream
+        score = self._plain_score if repeatable else self._unrepeatable_score
+        return self._lowest_score(in_use, avoid, score)
 
     def engines_by_room(
         self,
@@ -187,11 +211,21 @@
         return min(preferred, key=score)
 
     def _plain_score(self, upstream: Upstream) -> float:
+        age = self._clock() - upstream.slowdown_at
+        slowdown = expected_slowdown(upstream.slowdown, age=age)
+        return load_score(self._load(upstream), slowdown) + self._penalty(upstream)
+
+    def _load(self, upstream: Upstream) -> float:
+        """Return the known requests at an upstream as a fraction of its slots."""
         slots = max(1, upstream.record.slots)
-        score = (upstream.in_flight + upstream.queue_length) / slots
+        load = (upstream.in_flight + upstream.queue_length) / slots
         if self._clock() < upstream.full_until:
-            score += FULL_LOAD
-        return score + self._penalty(upstream)
+            load += FULL_LOAD
+        return load
+
+    def _unrepeatable_score(self, upstream: Upstream) -> float:
+        score = self._plain_score(upstream)
+        return score + DOUBT_PENALTY * upstream.doubted(self._clock())
 
     def _penalty(self, upstream: Upstream) -> float:
         now = self._clock()
--- a/src/bankrack/serving/plain.py
+++ b/src/bankrack/serving/plain.py
@@ -46,7 +46,7 @@
                     raise
                 earlier = _answer_after_runs(attempts, error)
                 await reply.answer(earlier)
-                return f"{earlier.status} after {attempts.count} sends"
+                return attempts.outcome(earlier)
             try:
                 answer = await self._send(work, upstream, attempts)
             except UpstreamClosed as error:
@@ -61,6 +61,7 @@
                 continue
             except UpstreamFailed as error:
                 self._dependencies.chooser.suspect(upstream)
+                self._dependencies.outliers.note_failed(upstream)
                 attempts.ran(upstream)
                 self._log(work, upstream, "failed", error.message)
                 await self._dependencies.crashes.note_failure(
@@ -70,7 +71,8 @@
                     continue
                 if attempts.last_answer is None:
                     raise
-                answer = attempts.last_answer
+                await reply.answer(attempts.last_answer)
+                return attempts.outcome(attempts.last_answer)
             if answer is None:
                 self._dependencies.chooser.rejected(upstream)
                 attempts.rejected(upstream)
@@ -80,14 +82,34 @@
             failed = answer.status >= 500
             self._dependencies.chooser.answered(upstream, failed=failed)
             if failed:
-                attempts.ran(upstream)
-                attempts.last_answer = answer
+                attempts.failed_with(upstream, answer)
                 if self._may_repeat(work, attempts):
                     self._log(work, upstream, "failed", str(answer.status))
                     continue
+            self._note_answered(work, upstream, attempts, failed=failed)
             await reply.answer(answer)
             return f"{answer.status} after {attempts.count} sends, by {upstream.id}"
 
+    def _note_answered(
+        self,
+        work: Assignment,
+        upstream: Upstream,
+        attempts: "_Attempts",
+        *,
+        failed: bool,
+    ) -> None:
+        """Record what the last answer tells of the upstreams that were tried.
+
+        A 5xx of several upstreams is due to the request.  It speaks against one if
+        another served the request, or if none other was tried.
+        """
+        outliers = self._dependencies.outliers
+        if not failed:
+            outliers.note_served(upstream)
+        if not failed or work.route.kind is not RequestKind.REPEATABLE:
+            for other in attempts.answered_5xx:
+                outliers.note_failed(other, answered=True)
+
     async def _next(self, work: Assignment, attempts: "_Attempts") -> Upstream:
         """Choose the next upstream; raises :exc:`Overloaded` if there is none."""
         if attempts.unreachable_left <= 0 or attempts.count >= MAX_SENDS:
@@ -102,7 +124,15 @@
             candidates = [
                 u for u in candidates if u.id in attempts.ran_ids
             ] or candidates
-        upstream = self._dependencies.chooser.plain(candidates, avoid=attempts.avoid)
+        repeatable = work.route.kind is RequestKind.REPEATABLE
+        upstream = self._dependencies.chooser.plain(
+            candidates,
+            avoid=attempts.avoid,
+            repeatable=repeatable,
+            may_retest=repeatable
+            and attempts.count == 0
+            and work.route.max_upstreams > 1,
+        )
         if upstream is None:
             backoff_left = self._dependencies.upstreams.backoff_left(work.service.name)
             raise Overloaded(
@@ -144,13 +174,16 @@
         try:
             async with asyncio.timeout(self._attempt_seconds(work, attempts)):
                 exchange = await self._dependencies.client.open(send)
-                attempts.count += 1
                 head = exchange.head
-                if head.not_run:
-                    return None
-                body = await exchange.read()
+                body = None if head.not_run else await exchange.read()
+        except asyncio.CancelledError:
+            # The deadline of the whole request may pass first.
+            if work.time_left() <= 0.0:
+                self._dependencies.outliers.note_failed(upstream)
+            raise
         except TimeoutError as error:
             if work.time_left() <= 0.0:
+                self._dependencies.outliers.note_failed(upstream)
                 raise
             attempts.count += 1
             raise UpstreamFailed("the upstream did not respond in time") from error
@@ -161,7 +194,8 @@
             upstream.in_flight -= 1
             if exchange is not None:
                 exchange.close()
-        return whole_answer(head, body)
+        attempts.count += 1
+        return None if body is None else whole_answer(head, body)
 
     def _attempt_seconds(self, work: Assignment, attempts: "_Attempts") -> float:
         left = work.time_left()
@@ -210,15 +244,37 @@
 class _Attempts:
     """State of the attempts of one request."""
 
-    __slots__ = ("avoid", "count", "last_answer", "ran_ids", "runs", "unreachable_left")
+    __slots__ = (
+        "answered_5xx",
+        "avoid",
+        "count",
+        "last_answer",
+        "last_answer_by",
+        "ran_ids",
+        "runs",
+        "unreachable_left",
+    )
 
     def __init__(self, work: Assignment) -> None:
+        self.answered_5xx: list[Upstream] = []
         self.avoid: set[str] = set()
         self.ran_ids: set[str] = set()
         self.runs = 0
         self.count = 0
         self.unreachable_left = MAX_UNREACHABLE
         self.last_answer: Answer | None = None
+        self.last_answer_by = ""
+
+    def failed_with(self, upstream: Upstream, answer: Answer) -> None:
+        """Record a 5xx answer, which is forwarded if no upstream serves the request."""
+        self.ran(upstream)
+        self.answered_5xx.append(upstream)
+        self.last_answer = answer
+        self.last_answer_by = upstream.id
+
+    def outcome(self, answer: Answer) -> str:
+        """Describe the last answer, for the log."""
+        return f"{answer.status} after {self.count} sends, by {self.last_answer_by}"
 
     def unreachable(self, upstream: Upstream) -> None:
         self.avoid.add(upstream.id)
