Hold unread events for slow callers within a bound of the VM's memory

Cause: once a caller left some 64 kB unread, its engine's events waited too, until the engine cut the stream off; nothing counted what all slow callers held, and a caller that never read kept its engine until the deadline.

Change: events that a caller has not read stay in the write buffer of its connection, and the engine is read on and released at its end. A reply whose buffer has grown is watched: its caller is cut if it reads nothing for twice its silence, or earlier, longest stalled first, while the node's share of the memory is full. Callers that still read are never cut; their engine waits at the limit, as before. Without limits.memoryMb nothing changes.

--- a/src/bankrack/exceptions.py
+++ b/src/bankrack/exceptions.py
@@ -99,6 +99,12 @@
     status = 503
 
 
+class BodiesTooLarge(Overloaded):
+    """The node holds as many bytes of request bodies as its memory allows."""
+
+    code = "bodies_too_large"
+
+
 class NoUpstream(BankrackError):
     """No upstream for the requested service exists, or none responds."""
 
@@ -214,6 +220,12 @@
     outcome = Outcome.RAN
 
 
+class CallerTooSlow(CallerDisconnected):
+    """The caller did not read its response in time and was cut off."""
+
+    code = "caller_too_slow"
+
+
 class PlatformUnavailable(BankrackError):
     """The platform's key-value store did not respond in time."""
 
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -14,6 +14,7 @@
 from bankrack.background import BackgroundTasks
 from bankrack.background import SuspensionLog
 from bankrack.clock import boottime
+from bankrack.decisions.buffers import limits_of
 from bankrack.exceptions import NodeNotReady
 from bankrack.fleet.broadcast import Broadcast
 from bankrack.fleet.crashupdates import CRASHES_PATH
@@ -38,6 +39,7 @@
 from bankrack.fleet.view import View
 from bankrack.front.callerserver import CallerServer
 from bankrack.front.internalserver import serve_paths
+from bankrack.front.unreadreplies import UnreadReplies
 from bankrack.integration import GatewayDialect
 from bankrack.integration import GatewaySettings
 from bankrack.metrics import GatewayMetrics
@@ -198,7 +200,13 @@
             streams=StreamRelay(dependencies, control=control, advisor=self.owners),
             crashes=dependencies.crashes,
         )
-        self.front = CallerServer(dialect.callers, self._serve, self._caller_limits)
+        self.unread = UnreadReplies(
+            limits_of(settings.memory_mb),
+            note_cut=lambda reason: self.metrics.cuts.inc({"reason": reason}),
+        )
+        self.front = CallerServer(
+            dialect.callers, self._serve, self._caller_limits, unread=self.unread
+        )
 
     async def start(self, *, listening: socket.socket | None = None) -> None:
         """Open the listeners and start following the store.
@@ -267,6 +275,8 @@
             upstreams=list(self.upstreams.by_id.values()),
             keeps_ledgers=self.owners.owns_first_pool,
             quarantined=self.crashes.quarantined(),
+            unread=self.unread.held,
+            slow_callers=self.unread.describe(),
         )
 
     def reload(self, settings: GatewaySettings) -> None:
--- a/src/bankrack/integration.py
+++ b/src/bankrack/integration.py
@@ -27,6 +27,7 @@
     :param grace: seconds from SIGTERM until the process is killed.
     :param budget: terms of the retry budget.
     :param link_mbps: bandwidth of the VM's network link in Mbit/s.
+    :param memory_mb: memory of the process in MB; 0 if unknown.
     :param cold: by how much requests to a cold upstream may exceed its rate.
     """
 
@@ -40,6 +41,7 @@
     grace: float
     budget: RetryBudgetPolicy
     link_mbps: float = 0.0
+    memory_mb: float = 0.0
     cold: ColdTolerance = dataclasses.field(default_factory=ColdTolerance)
 
 
--- a/src/bankrack/metrics.py
+++ b/src/bankrack/metrics.py
@@ -76,6 +76,9 @@
         self.permits = self._counter(
             "bankrack_permits", "Permits under rate limits, by outcome and source"
         )
+        self.cuts = self._counter(
+            "bankrack_caller_cuts", "Callers cut off as they read too slowly, by reason"
+        )
         self.latency = self._histogram(
             "bankrack_answer_seconds", "Time to the answer", LATENCY_BUCKETS
         )
--- a/src/bankrack/nodestate.py
+++ b/src/bankrack/nodestate.py
@@ -16,6 +16,8 @@
     :param store_age: seconds since the store itself last confirmed the view.
     :param keeps_ledgers: whether this node owns the first pool and keeps its ledgers.
     :param quarantined: fingerprints of the quarantined requests.
+    :param unread: bytes of replies that callers have not read.
+    :param slow_callers: the requests of these callers.
     """
 
     node: str
@@ -29,6 +31,8 @@
     upstreams: list[Upstream]
     keeps_ledgers: bool
     quarantined: list[str]
+    unread: int = 0
+    slow_callers: list[dict[str, t.Any]] = dataclasses.field(default_factory=list)
 
     def gauges(self) -> dict[str, float]:
         """Return the values of the gauges by name."""
@@ -44,6 +48,8 @@
             "quarantined": float(len(self.quarantined)),
             "backing_off": float(sum(u.backing_off(now) for u in self.upstreams)),
             "leaving": float(sum(u.leaving for u in self.upstreams)),
+            "unread_bytes": float(self.unread),
+            "slow_callers": float(len(self.slow_callers)),
         }
 
     def describe(self) -> dict[str, t.Any]:
@@ -58,5 +64,7 @@
             "in_flight": self.in_flight,
             "members": sorted(self.members),
             "quarantined": self.quarantined,
+            "unread": self.unread,
+            "slow_callers": self.slow_callers,
             "upstreams": [upstream.describe() for upstream in self.upstreams],
         }
--- a/src/bankrack/serving/dispatch.py
+++ b/src/bankrack/serving/dispatch.py
@@ -198,11 +198,14 @@
 
     async def _relay(self, work: Assignment, reply: Reply) -> str:
         try:
-            async with asyncio.timeout(max(0.0, work.time_left())):
+            async with asyncio.timeout(max(0.0, work.time_left())) as limit:
+                reply.set_limit(limit, max_silence=work.max_silence)
                 if work.route.kind is RequestKind.STREAM:
                     return await self._streams.serve(work, reply)
                 return await self._plain.serve(work, reply)
         except TimeoutError as error:
+            if reply.cut is not None:
+                raise reply.cut from error
             raise DeadlineExceeded(
                 "no complete response before the deadline; the request may have run",
                 outcome=Outcome.UNKNOWN,
--- a/src/bankrack/serving/job.py
+++ b/src/bankrack/serving/job.py
@@ -1,9 +1,12 @@
 """Requests of callers, independent of any platform's wire dialect."""
 
+import asyncio
 import dataclasses
 import enum
 import typing as t
 
+from bankrack.exceptions import CallerTooSlow
+
 Header = tuple[str, str]
 
 
@@ -111,6 +114,23 @@
         """Whether any part of the response was written."""
         ...
 
+    @property
+    def cut(self) -> CallerTooSlow | None:
+        """Why the caller was cut off, if it was."""
+        ...
+
+    @property
+    def behind(self) -> bool:
+        """Whether the caller has not read all that was written."""
+        ...
+
+    def set_limit(self, limit: asyncio.Timeout, *, max_silence: float) -> None:
+        """Set the timeout that ends the serving of the request.
+
+        :param max_silence: seconds without an event after which the caller gives up.
+        """
+        ...
+
     async def answer(self, answer: Answer) -> None:
         """Write a complete response."""
         ...
--- a/src/bankrack/serving/run.py
+++ b/src/bankrack/serving/run.py
@@ -74,6 +74,7 @@
         self._backup_fits = False
         self._resumes = 0
         self._completed = False
+        self._released = False
         self._stream_seconds = 0.0
         self._copy_task: asyncio.Task[None] | None = None
         self._link = EngineLink(
@@ -104,10 +105,15 @@
                 answer = await self._continue(error)
         if answer is not None:
             return await self._answer(answer)
+        engine = self._link.engine
+        if self._reply.behind:
+            # The rest is sent from this node's memory.
+            self._stream_seconds = self._forwarder.seconds
+            await self._release()
         await self._reply.end()
         self._completed = True
-        if self._link.engine is not None:
-            self._dependencies.crashes.note_served(self._work, self._link.engine)
+        if engine is not None:
+            self._dependencies.crashes.note_served(self._work, engine)
         self._stream_seconds = self._forwarder.seconds
         self._pace.ended(self._work.job.demand, self._stream_seconds)
         if self._forwarder.count > 1:
@@ -117,12 +123,18 @@
 
     async def close(self) -> None:
         """Release all resources of the run."""
+        if not self._released:
+            await self._release()
+        if self._forwarder.began and not self._completed:
+            self._log.write_pace(self._forwarder, whole=False)
+
+    async def _release(self) -> None:
+        """Release the run's engine and copies, and its place in the pool."""
         if self._copy_task is not None:
             self._copy_task.cancel()
         await self._copies.release()
+        self._released = True
         self._link.disconnect()
-        if self._forwarder.began and not self._completed:
-            self._log.write_pace(self._forwarder, whole=False)
         self._context.advisor.ended(self._work, took=self._stream_seconds)
 
     # Starting
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -49,6 +49,7 @@
         seeds: tuple[str, ...] = (),
         inner: str | None = None,
         listening: socket.socket | None = None,
+        memory_mb: float = 0.0,
     ) -> Gateway:
         settings = GatewaySettings(
             name=name,
@@ -59,6 +60,7 @@
             ready_path="/v1/readyz",
             seeds=seeds,
             grace=grace,
+            memory_mb=memory_mb,
             budget=RetryBudgetPolicy(ratio=0.2, reserve=75, window=10.0),
         )
         gateway = Gateway(settings, PlatformDialect(self.store.address))
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -269,6 +269,7 @@
     ``cut_after`` aborts a stream after that many events, with ``cuts_inside_event``
     inside the next one; ``breaks_off`` aborts all streams at once.  ``handles`` names
     the copies that the engine holds.  An engine that ``preempts`` finds no run to copy.
+    ``padding`` is added to each event.
     """
 
     def __init__(self, server_id: str, *, events: int = 5) -> None:
@@ -278,6 +279,7 @@
         self.cuts_inside_event = False
         self.breaks_off = False
         self.pause = 0.0
+        self.padding = b""
         self.has_room = True
         self.preempts = False
         self.handles: set[str] = set()
@@ -323,7 +325,9 @@
                 assert request.transport is not None
                 request.transport.abort()
                 return response
-            await response.write(b"id: %d\ndata: token%d\n\n" % (number, number))
+            await response.write(
+                b"id: %d\ndata: token%d%s\n\n" % (number, number, self.padding)
+            )
             await asyncio.sleep(self.pause)
         await response.write_eof()
         return response
--- /dev/null
+++ b/tests/platform/test_slow_callers.py
@@ -0,0 +1,144 @@
+"""End-to-end tests of callers that read slowly or not at all."""
+
+import asyncio
+import contextlib
+import itertools
+import socket
+import typing as t
+
+from bankrack.clock import boottime
+from bankrack.gateway import Gateway
+from tests.base import TestCase
+from tests.platform.deployment import Deployment
+from tests.platform.deployment import running
+from tests.platform.deployment import until
+from tests.platform.fakes import HOST
+
+SMALL_SOCKET_BYTES = 4096
+"""Size of the kernel's buffers, so that unread bytes stay in the gateway."""
+
+
+class SlowCaller:
+    """A caller that reads only on request."""
+
+    _numbers = itertools.count()
+
+    def __init__(self, front: str) -> None:
+        self._front = front
+        self.request = f"slow-{next(self._numbers)}"
+        self.body = b""
+        self.longest_pause = 0.0
+
+    async def send(self) -> None:
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_SOCKET_BYTES)
+        sock.setblocking(False)
+        host, _, port = self._front.rpartition(":")
+        await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
+        self._reader, self._writer = await asyncio.open_connection(sock=sock, limit=1)
+        self._writer.write(
+            b"POST /talk/x HTTP/1.1\r\nHost: h.example\r\nBankrack-Key: key-1\r\n"
+            b"Bankrack-Request-Id: %b\r\nBankrack-Deadline-Ms: 15000\r\n"
+            b"Content-Length: 0\r\nConnection: close\r\n\r\n" % self.request.encode()
+        )
+
+    async def read(self) -> bytes:
+        """Read the rest; returns the body without the framing of its chunks."""
+        read_at = 0.0
+        with contextlib.suppress(ConnectionError):
+            while part := await self._reader.read(65536):
+                now = boottime()
+                self.longest_pause = max(self.longest_pause, now - (read_at or now))
+                read_at = now
+                self.body += part
+        self._writer.close()
+        chunks, rest = [], self.body.partition(b"\r\n\r\n")[2]
+        while rest:
+            size, _, rest = rest.partition(b"\r\n")
+            chunks.append(rest[: int(size, 16)])
+            rest = rest[int(size, 16) + 2 :]
+        return b"".join(chunks)
+
+    @property
+    def complete(self) -> bool:
+        return self.body.endswith(b"\r\n0\r\n\r\n")
+
+
+@contextlib.asynccontextmanager
+async def serving(
+    *, memory_mb: float, events: int, pause: float
+) -> t.AsyncIterator[tuple[Deployment, Gateway, str]]:
+    """Run a gateway before engines whose events have 2 kB."""
+    listening = socket.create_server((HOST, 0), backlog=100)
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_SOCKET_BYTES)
+    listening.setblocking(False)
+    async with running() as deployment:
+        for engine in deployment.engines:
+            engine.events, engine.pause = events, pause
+            engine.padding = b"." * 2000
+        gateway = await deployment.start_ready_gateway(
+            listening=listening, memory_mb=memory_mb
+        )
+        host, port = listening.getsockname()
+        yield deployment, gateway, f"{host}:{port}"
+
+
+def whole_body(events: int) -> bytes:
+    parts = [
+        b"id: %d\ndata: token%d%s\n\n" % (n, n, b"." * 2000) for n in range(events)
+    ]
+    return b"".join(parts)
+
+
+class SlowCallers(TestCase):
+    async def test_caller_that_reads_again_gets_everything(self):
+        """The engine has ended long before its caller reads."""
+        async with serving(memory_mb=128, events=150, pause=0.002) as found:
+            _, gateway, front = found
+            caller = SlowCaller(front)
+            await caller.send()
+            await until(lambda: gateway.unread.held > 250_000)
+            engines = gateway.upstreams.of("engines")
+            await until(lambda: not any(engine.in_flight for engine in engines))
+            self.assertEqual(1, gateway.dispatcher.in_flight)
+            await asyncio.sleep(2.0)
+            self.assertEqual(whole_body(150), await caller.read())
+            self.assertTrue(caller.complete)
+            await until(lambda: gateway.unread.held == 0 and not len(gateway.unread))
+
+    async def test_caller_that_never_reads_is_cut(self):
+        async with serving(memory_mb=128, events=1000, pause=0.01) as found:
+            deployment, gateway, front = found
+            caller = SlowCaller(front)
+            await caller.send()
+            await until(lambda: gateway.unread.held > 0)
+            await until(lambda: gateway.dispatcher.in_flight == 0)
+            await until(lambda: sum(e.cancelled for e in deployment.engines) == 1)
+            self.assertEqual((0, 0), (gateway.unread.held, len(gateway.unread)))
+            await caller.read()
+            self.assertFalse(caller.complete)
+
+    async def test_many_callers_that_read_nothing(self):
+        """They are cut as the memory fills; a caller beside them notices nothing."""
+        async with serving(memory_mb=8, events=120, pause=0.02) as found:
+            _, gateway, front = found
+            idle = [SlowCaller(front) for _ in range(20)]
+            await asyncio.gather(*(caller.send() for caller in idle))
+            reading = SlowCaller(front)
+            await reading.send()
+            task = asyncio.create_task(reading.read())
+            most = 0
+            while not task.done():
+                most = max(most, gateway.unread.held)
+                await asyncio.sleep(0.01)
+            self.assertEqual(whole_body(120), await task)
+            self.assertLess(reading.longest_pause, 0.2)
+            limit = gateway.unread.limits.replies
+            self.assertGreater(most, limit / 2)
+            self.assertLess(most, limit + 20 * 2100)
+            cuts = gateway.metrics.cuts.get({"reason": "memory"})
+            self.assertGreater(cuts, 0)
+            bodies = await asyncio.gather(*(caller.read() for caller in idle))
+            for caller, body in zip(idle, bodies, strict=True):
+                self.assertEqual(caller.complete, body == whole_body(120))
+            self.assertEqual(cuts, sum(not caller.complete for caller in idle))
