Bound request bodies on a node and on their way to an upstream

Cause: bodies of 4 MB by many callers at once were read and held without a bound, sent to one upstream side by side, and the unsent rest of a request that had been given up stayed in memory until its upstream read it.

Change: an eighth of limits.memoryMb may hold bodies; one that does not fit is refused before it is read, with 503 and a Retry-After, and skipped. Large bodies go to an upstream one after the other, for which they wait a quarter of the target latency. The unsent rest is dropped with the request. Without limits.memoryMb only the latter holds.

--- a/src/bankrack/decisions/buffers.py
+++ b/src/bankrack/decisions/buffers.py
@@ -32,6 +32,11 @@
 callers give up a stream.  A caller may pause for as long as it would wait itself."""
 PRESSED_STALL_SILENCES = 0.25
 """The same while the memory is full.  A caller that reads at all has read within it."""
+SMALL_BODY_BYTES = 16 * 1024
+"""Size up to which bodies are never held back, as the HTTP library holds as much for
+each connection anyway."""
+MIN_UPSTREAM_BYTES = 4 * 1024 * 1024
+"""Size of body that upstreams are expected to take if the configuration allows less."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -144,9 +149,25 @@
 
 
 def may_accept_body(size: int, held: int, limit: float) -> Keep | Refuse:
-    """Decide whether bytes of request bodies may be added to ``held`` others.
+    """Decide whether a request body may be held beside ``held`` bytes of others.
 
-    One body is always accepted where no other is held, so that a limit below the
-    configured size of a body does not refuse such bodies for ever.
+    One body is always accepted where no other is held, or a limit below the configured
+    size of a body would refuse it for ever.
     """
-    return Keep() if not held or held + size <= limit else Refuse()
+    fits = size <= SMALL_BODY_BYTES or not held or held + size <= limit
+    return Keep() if fits else Refuse()
+
+
+def upstream_limit(largest_body: int) -> float:
+    """Bound of the bytes that a node has in flight to one upstream.
+
+    An upstream states no memory.  It must be able to take the largest body that the
+    configuration allows, so several bodies go there at once only if they are together
+    no larger than that one; larger ones go one after the other.
+    """
+    return max(largest_body, MIN_UPSTREAM_BYTES)
+
+
+def may_send_body(size: int, in_flight: int, limit: float) -> bool:
+    """Decide whether a body may be sent beside ``in_flight`` bytes of others."""
+    return size <= SMALL_BODY_BYTES or not in_flight or in_flight + size <= limit
--- a/src/bankrack/front/callerserver.py
+++ b/src/bankrack/front/callerserver.py
@@ -1,6 +1,7 @@
 """HTTP server for callers; the platform's dialect decodes the requests."""
 
 import asyncio
+import contextlib
 import dataclasses
 import logging
 import socket
@@ -12,6 +13,7 @@
 from bankrack import logs
 from bankrack.clock import boottime
 from bankrack.exceptions import BankrackError
+from bankrack.exceptions import BodiesTooLarge
 from bankrack.exceptions import CallerDisconnected
 from bankrack.exceptions import CallerTooSlow
 from bankrack.exceptions import HeadersTooLarge
@@ -19,6 +21,8 @@
 from bankrack.exceptions import Outcome
 from bankrack.exceptions import RequestTooLarge
 from bankrack.front.headertimeout import HeaderTimeoutServer
+from bankrack.front.requestbodies import BodyReservation
+from bankrack.front.requestbodies import RequestBodies
 from bankrack.front.unreadreplies import SLOW_BYTES
 from bankrack.front.unreadreplies import UnreadReplies
 from bankrack.front.unreadreplies import WatchedReply
@@ -34,6 +38,8 @@
 """Maximum number of connections that wait to be accepted."""
 BODY_TIMEOUT_SECONDS = 30.0
 """Maximum time to receive a request body."""
+SKIP_TIMEOUT_SECONDS = 5.0
+"""Maximum time to skip the body of a request that was refused before it was read."""
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 _logger = logging.getLogger(__name__)
@@ -230,6 +236,7 @@
         response was started.
     :param limits: returns the current limits.
     :param unread: accounts for the bytes that callers have not read.
+    :param bodies: accounts for the bytes of requests.
     """
 
     def __init__(
@@ -239,7 +246,9 @@
         limits: t.Callable[[], CallerLimits],
         *,
         unread: UnreadReplies,
+        bodies: RequestBodies,
     ) -> None:
+        self._bodies = bodies
         self._dialect = dialect
         self._serve = serve
         self._limits = limits
@@ -290,14 +299,17 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         arrived = boottime()
         reply = HttpReply(request, closing=self.closing, unread=self._unread)
+        reservation = self._bodies.reservation()
         job: Job | None = None
         try:
-            job = await self._read(request, arrived)
+            job = await self._read(request, arrived, reservation)
             reply.request_id = job.id
             await self._serve(job, reply)
         except CallerDisconnected:
             reply.abort()
             return web.Response()
+        except BodiesTooLarge as error:
+            await self._refuse_body(reply, error, request, arrived)
         except BankrackError as error:
             if not reply.started:
                 await self._refuse(reply, error, job)
@@ -317,8 +329,34 @@
                 await self._refuse(reply, failure, job)
         finally:
             reply.close()
+            reservation.release()
         return reply.response
 
+    async def _refuse_body(
+        self,
+        reply: HttpReply,
+        error: BodiesTooLarge,
+        request: web.BaseRequest,
+        arrived: float,
+    ) -> None:
+        """Refuse a request whose body was not read, and skip the body.
+
+        Closing the connection with unread bytes would reset it, and the caller could
+        lose the refusal.
+        """
+        job: Job | None = None
+        try:
+            job = self._dialect.decode(_request_head(request, arrived), b"")
+            error.retry_after = job.retry_after
+            self._bodies.log_refused(job.id, request.content_length or 0)
+            await self._refuse(reply, error, job)
+        except InvalidRequest as invalid:
+            await self._refuse(reply, invalid, None)
+        with contextlib.suppress(TimeoutError, aiohttp.ClientError, OSError):
+            async with asyncio.timeout(SKIP_TIMEOUT_SECONDS):
+                while await request.content.readany():
+                    pass
+
     async def _refuse(
         self, reply: HttpReply, error: BankrackError, job: Job | None
     ) -> None:
@@ -332,29 +370,33 @@
         except CallerDisconnected:
             reply.abort()
 
-    async def _read(self, request: web.BaseRequest, arrived: float) -> Job:
+    async def _read(
+        self, request: web.BaseRequest, arrived: float, reservation: BodyReservation
+    ) -> Job:
         limits = self._limits()
-        headers = [
-            (name.decode("latin-1"), value.decode("latin-1"))
-            for name, value in request.raw_headers
-        ]
-        size = sum(len(name) + len(value) + 4 for name, value in headers)
+        head = _request_head(request, arrived)
+        size = sum(len(name) + len(value) + 4 for name, value in head.headers)
         if size > limits.header_bytes:
             raise HeadersTooLarge(
                 f"the headers have {size} bytes, the limit is {limits.header_bytes}; "
                 "send fewer"
             )
-        head = RequestHead(request.method, request.raw_path, headers, arrived)
-        body = await self._read_body(request, limits)
+        body = await self._read_body(request, limits, reservation)
         return self._dialect.decode(head, body)
 
-    async def _read_body(self, request: web.BaseRequest, limits: CallerLimits) -> bytes:
+    async def _read_body(
+        self,
+        request: web.BaseRequest,
+        limits: CallerLimits,
+        reservation: BodyReservation,
+    ) -> bytes:
         if not request.body_exists:
             return b""
         if (request.content_length or 0) > limits.body_bytes:
             raise RequestTooLarge(
                 f"the request body exceeds the limit of {limits.body_bytes} bytes"
             )
+        reservation.extend(request.content_length or 0)
         if request.headers.get("Expect", "").lower() == "100-continue":
             await request.writer.write(CONTINUE_RESPONSE)
             request.writer.output_size = 0
@@ -369,6 +411,7 @@
                             "the request body exceeds the limit of "
                             f"{limits.body_bytes} bytes"
                         )
+                    reservation.extend(size)
                     parts.append(part)
         except TimeoutError as error:
             raise InvalidRequest(
@@ -377,3 +420,11 @@
         except (aiohttp.ClientError, aiohttp.web.RequestPayloadError) as error:
             raise InvalidRequest(f"the body is malformed ({error!r})") from error
         return b"".join(parts)
+
+
+def _request_head(request: web.BaseRequest, arrived: float) -> RequestHead:
+    headers = [
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in request.raw_headers
+    ]
+    return RequestHead(request.method, request.raw_path, headers, arrived)
--- a/src/bankrack/nodestate.py
+++ b/src/bankrack/nodestate.py
@@ -18,6 +18,7 @@
     :param quarantined: fingerprints of the quarantined requests.
     :param unread: bytes of replies that callers have not read.
     :param slow_callers: the requests of these callers.
+    :param bodies: bytes of request bodies.
     """
 
     node: str
@@ -32,6 +33,7 @@
     keeps_ledgers: bool
     quarantined: list[str]
     unread: int = 0
+    bodies: int = 0
     slow_callers: list[dict[str, t.Any]] = dataclasses.field(default_factory=list)
 
     def gauges(self) -> dict[str, float]:
@@ -49,6 +51,7 @@
             "backing_off": float(sum(u.backing_off(now) for u in self.upstreams)),
             "leaving": float(sum(u.leaving for u in self.upstreams)),
             "unread_bytes": float(self.unread),
+            "body_bytes": float(self.bodies),
             "slow_callers": float(len(self.slow_callers)),
         }
 
@@ -65,6 +68,7 @@
             "members": sorted(self.members),
             "quarantined": self.quarantined,
             "unread": self.unread,
+            "bodies": self.bodies,
             "slow_callers": self.slow_callers,
             "upstreams": [upstream.describe() for upstream in self.upstreams],
         }
--- a/src/bankrack/serving/client.py
+++ b/src/bankrack/serving/client.py
@@ -28,6 +28,7 @@
 from bankrack.serving.notices import Notice
 from bankrack.serving.notices import NoticeHandler
 from bankrack.serving.permits import Permits
+from bankrack.serving.sending import BodiesInFlight
 from bankrack.serving.upstreams import Upstream
 
 CONNECT_TIMEOUT_SECONDS = 0.3
@@ -110,9 +111,19 @@
 class _ResetAwareHandler(ResponseHandler):
     """Protocol handler that fails a response without length if its connection is reset.
 
-    aiohttp itself treats any end of the connection as the end of such a response.
+    aiohttp itself treats any end of the connection as the end of such a response.  It
+    also keeps the unsent rest of a request whose connection was closed, until the
+    upstream reads it; here the rest is dropped unless a response has begun.
     """
 
+    def close(self) -> None:
+        transport = self.transport
+        unsent = transport.get_write_buffer_size() if transport is not None else 0
+        if unsent and self._payload is None:
+            self.abort()
+        else:
+            super().close()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         payload = self._payload
         if exc is not None and payload is not None and not payload.is_eof():
@@ -197,7 +208,10 @@
 
 
 class UpstreamClient:
-    """Client that sends every job over a connection of its own."""
+    """Client that sends every job over a connection of its own.
+
+    :ivar in_flight: accounts for the bodies that are sent.
+    """
 
     def __init__(
         self,
@@ -205,7 +219,9 @@
         dialect: UpstreamDialect,
         notices: NoticeHandler,
         permits: Permits,
+        in_flight: BodiesInFlight,
     ) -> None:
+        self.in_flight = in_flight
         self._permits = permits
         self._session = session
         self._dialect = dialect
@@ -226,15 +242,22 @@
         sent_at = boottime()
         job = send.job
         url = _url(send.upstream.address, job.target)
-        try:
-            response = await self._session.request(
-                job.method,
-                url,
-                headers=self._dialect.request_headers(send),
-                data=job.body or None,
-                allow_redirects=False,
-                timeout=self._timeout,
+        size = len(job.body)
+        if not self.in_flight.fits(send.upstream.id, size):
+            raise UpstreamClosed(
+                f"as many bytes as upstream {send.upstream.id} must take are in flight "
+                "to it; nothing was sent, use another upstream"
             )
+        try:
+            with self.in_flight.sending(send.upstream.id, size):
+                response = await self._session.request(
+                    job.method,
+                    url,
+                    headers=self._dialect.request_headers(send),
+                    data=job.body or None,
+                    allow_redirects=False,
+                    timeout=self._timeout,
+                )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise UpstreamUnreachable(
                 f"can't connect to {send.upstream.address} ({error!r}); use another "
--- a/src/bankrack/serving/plain.py
+++ b/src/bankrack/serving/plain.py
@@ -102,6 +102,7 @@
             candidates = [
                 u for u in candidates if u.id in attempts.ran_ids
             ] or candidates
+        candidates = await self._with_room(work, candidates)
         upstream = self._dependencies.chooser.plain(candidates, avoid=attempts.avoid)
         if upstream is None:
             backoff_left = self._dependencies.upstreams.backoff_left(work.service.name)
@@ -120,6 +121,28 @@
             )
         return upstream
 
+    async def _with_room(
+        self, work: Assignment, candidates: list[Upstream]
+    ) -> list[Upstream]:
+        """Return the upstreams that the request's body may be sent to now.
+
+        Large bodies wait for each other for a short time.  Raises :exc:`Overloaded`.
+        """
+        in_flight = self._dependencies.client.in_flight
+        size = len(work.job.body)
+        fitting = [u for u in candidates if in_flight.fits(u.id, size)]
+        if fitting or not candidates:
+            return fitting
+        seconds = min(work.time_left(), work.route.target_latency) / 4
+        ids = [upstream.id for upstream in candidates]
+        if not await in_flight.wait_for_room(ids, size, seconds=seconds):
+            raise Overloaded(
+                f"other large bodies are on their way to all upstreams of service "
+                f"{work.service.name}; retry the request",
+                retry_after=work.job.retry_after,
+            )
+        return [u for u in candidates if in_flight.fits(u.id, size)]
+
     async def _send(
         self, work: Assignment, upstream: Upstream, attempts: "_Attempts"
     ) -> Answer | None:
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -230,7 +230,7 @@
     async def respond(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path.startswith("/v1/"):
             return await self.control(request)
-        body = await request.read()
+        body = await request.content.read()
         headers = [(k.decode(), v.decode()) for k, v in request.raw_headers]
         arrival = Arrival(request.method, request.raw_path, headers, body)
         self.arrivals.append(arrival)
--- a/tests/platform/test_sending.py
+++ b/tests/platform/test_sending.py
@@ -1,5 +1,6 @@
 """Tests of sending to upstreams."""
 
+import math
 import typing as t
 
 from aiohttp import web
@@ -14,6 +15,7 @@
 from bankrack.serving.job import Demand
 from bankrack.serving.job import Job
 from bankrack.serving.notices import NoticeHandler
+from bankrack.serving.sending import BodiesInFlight
 from bankrack.serving.upstreams import Upstream
 from bankrack.serving.upstreams import UpstreamRecord
 from engines import PlatformUpstreams
@@ -56,7 +58,11 @@
         upstream = Upstream(record, boottime())
         session = new_session(reuse=False)
         client = UpstreamClient(
-            session, PlatformUpstreams(), NoticeHandler(), t.cast(t.Any, None)
+            session,
+            PlatformUpstreams(),
+            NoticeHandler(),
+            t.cast(t.Any, None),
+            BodiesInFlight(lambda: math.inf),
         )
         send = Send(job() if later else sent, upstream, None, 0, 5.0, resume=resume)
         try:
