--- a/soak/gateway/processes.py
+++ b/soak/gateway/processes.py
@@ -31,6 +31,8 @@
 front = "{front}"
 ready = "{ready}"
 control = "{inner}"
+[limits]
+memoryMb = 128
 [platform]
 address = "{store}"
 [bounds]
--- a/src/bankrack/decisions/buffers.py
+++ b/src/bankrack/decisions/buffers.py
@@ -158,14 +158,14 @@
     return Keep() if fits else Refuse()
 
 
-def upstream_limit(largest_body: int) -> float:
+def upstream_limit(limits: Limits, largest_body: int) -> float:
     """Bound of the bytes that a node has in flight to one upstream.
 
     An upstream states no memory.  It must be able to take the largest body that the
     configuration allows, so several bodies go there at once only if they are together
     no larger than that one; larger ones go one after the other.
     """
-    return max(largest_body, MIN_UPSTREAM_BYTES)
+    return max(largest_body, MIN_UPSTREAM_BYTES) if limits.bounded else math.inf
 
 
 def may_send_body(size: int, in_flight: int, limit: float) -> bool:
--- a/src/bankrack/front/callerserver.py
+++ b/src/bankrack/front/callerserver.py
@@ -21,8 +21,8 @@
 from bankrack.exceptions import Outcome
 from bankrack.exceptions import RequestTooLarge
 from bankrack.front.headertimeout import HeaderTimeoutServer
+from bankrack.front.heldbytes import HeldBytes
 from bankrack.front.requestbodies import BodyReservation
-from bankrack.front.requestbodies import RequestBodies
 from bankrack.front.unreadreplies import SLOW_BYTES
 from bankrack.front.unreadreplies import UnreadReplies
 from bankrack.front.unreadreplies import WatchedReply
@@ -38,6 +38,8 @@
 """Maximum number of connections that wait to be accepted."""
 BODY_TIMEOUT_SECONDS = 30.0
 """Maximum time to receive a request body."""
+LARGE_ANSWER_BYTES = 64 * 1024
+"""Size of an answer that waits for its caller, as asyncio buffers no more."""
 SKIP_TIMEOUT_SECONDS = 5.0
 """Maximum time to skip the body of a request that was refused before it was read."""
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -124,7 +126,7 @@
         response.headers.extend(answer.headers)
         response.content_length = len(answer.body)
         await self._prepare(response)
-        if len(answer.body) > SLOW_BYTES:
+        if len(answer.body) > LARGE_ANSWER_BYTES:
             self._watch()
         try:
             if answer.body:
@@ -235,8 +237,7 @@
     :param serve: serves a job; raises :exc:`BankrackError` if it fails before the
         response was started.
     :param limits: returns the current limits.
-    :param unread: accounts for the bytes that callers have not read.
-    :param bodies: accounts for the bytes of requests.
+    :param held: accounts for the bytes of requests and of unread responses.
     """
 
     def __init__(
@@ -245,14 +246,13 @@
         serve: t.Callable[[Job, HttpReply], t.Awaitable[None]],
         limits: t.Callable[[], CallerLimits],
         *,
-        unread: UnreadReplies,
-        bodies: RequestBodies,
+        held: HeldBytes,
     ) -> None:
-        self._bodies = bodies
         self._dialect = dialect
         self._serve = serve
         self._limits = limits
-        self._unread = unread
+        self._bodies = held.bodies
+        self._unread = held.replies
         self._server: HeaderTimeoutServer | None = None
         self._listener: asyncio.Server | None = None
         self.closing = False
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -6,7 +6,6 @@
 import asyncio
 import dataclasses
 import logging
-import math
 import socket
 
 from aiohttp import web
@@ -15,8 +14,6 @@
 from bankrack.background import BackgroundTasks
 from bankrack.background import SuspensionLog
 from bankrack.clock import boottime
-from bankrack.decisions.buffers import limits_of
-from bankrack.decisions.buffers import upstream_limit
 from bankrack.exceptions import NodeNotReady
 from bankrack.fleet.broadcast import Broadcast
 from bankrack.fleet.crashupdates import CRASHES_PATH
@@ -40,9 +37,8 @@
 from bankrack.fleet.roster import Roster
 from bankrack.fleet.view import View
 from bankrack.front.callerserver import CallerServer
+from bankrack.front.heldbytes import HeldBytes
 from bankrack.front.internalserver import serve_paths
-from bankrack.front.requestbodies import RequestBodies
-from bankrack.front.unreadreplies import UnreadReplies
 from bankrack.integration import GatewayDialect
 from bankrack.integration import GatewaySettings
 from bankrack.metrics import GatewayMetrics
@@ -65,7 +61,6 @@
 from bankrack.serving.reports import ReportPoller
 from bankrack.serving.routing import CallerLimits
 from bankrack.serving.routing import RoutingTable
-from bankrack.serving.sending import BodiesInFlight
 from bankrack.serving.streams import StreamRelay
 from bankrack.serving.upstreams import Upstream
 from bankrack.serving.upstreams import Upstreams
@@ -155,12 +150,13 @@
             self.metrics,
             view_age=lambda: self.view.age,
         )
+        self.held = HeldBytes(settings.memory_mb, self.metrics, self._caller_limits)
         client = UpstreamClient(
             self._upstream_session,
             dialect.upstreams,
             self.notices,
             self.rate_limits.permits,
-            BodiesInFlight(self._upstream_bytes),
+            self.held.in_flight,
         )
         control = GuardedControl(dialect.control(self._internal_session, self.notices))
         self.ledgers = Ledgers(
@@ -205,18 +201,8 @@
             streams=StreamRelay(dependencies, control=control, advisor=self.owners),
             crashes=dependencies.crashes,
         )
-        limits = limits_of(settings.memory_mb)
-        self.bodies = RequestBodies(limits)
-        self.unread = UnreadReplies(
-            limits,
-            note_cut=lambda reason: self.metrics.cuts.inc({"reason": reason}),
-        )
         self.front = CallerServer(
-            dialect.callers,
-            self._serve,
-            self._caller_limits,
-            unread=self.unread,
-            bodies=self.bodies,
+            dialect.callers, self._serve, self._caller_limits, held=self.held
         )
 
     async def start(self, *, listening: socket.socket | None = None) -> None:
@@ -286,9 +272,7 @@
             upstreams=list(self.upstreams.by_id.values()),
             keeps_ledgers=self.owners.owns_first_pool,
             quarantined=self.crashes.quarantined(),
-            unread=self.unread.held,
-            bodies=self.bodies.held,
-            slow_callers=self.unread.describe(),
+            held=self.held.describe(),
         )
 
     def reload(self, settings: GatewaySettings) -> None:
@@ -389,11 +373,6 @@
         self.reports.note_use()
         await self.dispatcher.serve(job, reply)
 
-    def _upstream_bytes(self) -> float:
-        if not self.settings.memory_mb:
-            return math.inf
-        return upstream_limit(self._caller_limits().body_bytes)
-
     def _caller_limits(self) -> CallerLimits:
         return self.view.table.limits if self.view.table else CallerLimits()
 
--- a/src/bankrack/nodestate.py
+++ b/src/bankrack/nodestate.py
@@ -16,9 +16,7 @@
     :param store_age: seconds since the store itself last confirmed the view.
     :param keeps_ledgers: whether this node owns the first pool and keeps its ledgers.
     :param quarantined: fingerprints of the quarantined requests.
-    :param unread: bytes of replies that callers have not read.
-    :param slow_callers: the requests of these callers.
-    :param bodies: bytes of request bodies.
+    :param held: account of the bytes held for callers and upstreams.
     """
 
     node: str
@@ -32,9 +30,7 @@
     upstreams: list[Upstream]
     keeps_ledgers: bool
     quarantined: list[str]
-    unread: int = 0
-    bodies: int = 0
-    slow_callers: list[dict[str, t.Any]] = dataclasses.field(default_factory=list)
+    held: dict[str, t.Any]
 
     def gauges(self) -> dict[str, float]:
         """Return the values of the gauges by name."""
@@ -50,9 +46,9 @@
             "quarantined": float(len(self.quarantined)),
             "backing_off": float(sum(u.backing_off(now) for u in self.upstreams)),
             "leaving": float(sum(u.leaving for u in self.upstreams)),
-            "unread_bytes": float(self.unread),
-            "body_bytes": float(self.bodies),
-            "slow_callers": float(len(self.slow_callers)),
+            "unread_bytes": float(self.held["unread_bytes"]),
+            "slow_callers": float(len(self.held["slow_callers"])),
+            "body_bytes": float(self.held["body_bytes"]),
         }
 
     def describe(self) -> dict[str, t.Any]:
@@ -67,8 +63,6 @@
             "in_flight": self.in_flight,
             "members": sorted(self.members),
             "quarantined": self.quarantined,
-            "unread": self.unread,
-            "bodies": self.bodies,
-            "slow_callers": self.slow_callers,
+            **self.held,
             "upstreams": [upstream.describe() for upstream in self.upstreams],
         }
--- a/src/bankrack/serving/relay.py
+++ b/src/bankrack/serving/relay.py
@@ -3,11 +3,14 @@
 import dataclasses
 
 from bankrack.metrics import GatewayMetrics
+from bankrack.serving.advisor import PlacementAdvisor
 from bankrack.serving.budget import SharedRetryBudget
 from bankrack.serving.choice import Chooser
 from bankrack.serving.client import UpstreamClient
 from bankrack.serving.coldquotas import ColdQuotas
 from bankrack.serving.crashes import CrashMonitor
+from bankrack.serving.enginecontrol import EngineControl
+from bankrack.serving.enginefinder import EngineFinder
 from bankrack.serving.upstreams import Upstreams
 
 
@@ -22,3 +25,13 @@
     metrics: GatewayMetrics
     cold: ColdQuotas
     crashes: CrashMonitor
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RunContext:
+    """Components that all runs share."""
+
+    dependencies: RelayDependencies
+    control: EngineControl
+    advisor: PlacementAdvisor
+    engine_finder: EngineFinder
--- a/src/bankrack/serving/run.py
+++ b/src/bankrack/serving/run.py
@@ -1,7 +1,6 @@
 """A run of a generation, which is resumed on another engine if its engine fails."""
 
 import asyncio
-import dataclasses
 import math
 
 from bankrack.clock import boottime
@@ -12,23 +11,22 @@
 from bankrack.exceptions import UpstreamClosed
 from bankrack.exceptions import UpstreamFailed
 from bankrack.exceptions import UpstreamUnreachable
-from bankrack.serving.advisor import PlacementAdvisor
 from bankrack.serving.assignment import Assignment
 from bankrack.serving.client import Exchange
 from bankrack.serving.client import Resume
 from bankrack.serving.client import whole_answer
 from bankrack.serving.copies import Copies
 from bankrack.serving.copies import Copy
-from bankrack.serving.enginecontrol import EngineControl
 from bankrack.serving.enginefinder import ChosenEngine
-from bankrack.serving.enginefinder import EngineFinder
 from bankrack.serving.enginelink import EngineLink
 from bankrack.serving.forwarding import EventForwarder
 from bankrack.serving.job import Answer
 from bankrack.serving.job import Reply
-from bankrack.serving.relay import RelayDependencies
+from bankrack.serving.relay import RunContext
 from bankrack.serving.routing import EngineTraits
 from bankrack.serving.runlog import RunLog
+from bankrack.serving.silence import EngineSilent
+from bankrack.serving.silence import read_unless_silent
 from bankrack.serving.upstreams import Upstream
 
 MAX_SENDS = 5
@@ -36,28 +34,10 @@
 BEGIN_TIMEOUT_TARGETS = 2.0
 """Timeout for an engine to begin a run, in target latencies.  Shorter timeouts cause
 retries that overload the engines further."""
-SILENCE_TIMEOUT_SECONDS = 0.6
-"""Time without an event after which a stream is resumed at a copy."""
-SILENCE_TIMEOUT_GAPS = 8.0
-"""Lower bound of the same timeout in mean event intervals, for slow engines."""
 RESUME_TIMEOUT_SECONDS = 2.0
 """Timeout for resuming a run at a copy, which first recomputes missing tokens."""
 
 
-class _EngineSilent(UpstreamFailed):
-    """An engine stopped sending events; it may still be running the run."""
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class RunContext:
-    """Components that all runs share."""
-
-    dependencies: RelayDependencies
-    control: EngineControl
-    advisor: PlacementAdvisor
-    engine_finder: EngineFinder
-
-
 class Run:
     """One run of a generation, across all engines that it runs on."""
 
@@ -98,7 +78,7 @@
             try:
                 await self._forward_events()
                 break
-            except _EngineSilent as error:
+            except EngineSilent as error:
                 await self._switch_to_copy(error)
             except UpstreamFailed as error:
                 await self._leave_failed_engine(error)
@@ -282,16 +262,7 @@
     async def _read(self, exchange: Exchange) -> bytes:
         if not self._reply.started or not self._copies.current:
             return await exchange.read_available()
-        silence_timeout = max(
-            SILENCE_TIMEOUT_SECONDS, SILENCE_TIMEOUT_GAPS * self._pace.event_seconds
-        )
-        try:
-            async with asyncio.timeout(silence_timeout):
-                return await exchange.read_available()
-        except TimeoutError as error:
-            raise _EngineSilent(
-                f"the engine sent no event for {silence_timeout:.2f} s"
-            ) from error
+        return await read_unless_silent(exchange, self._pace)
 
     def _start_copying(self) -> None:
         """Start keeping copies after the run's first event, if engines support it."""
--- a/src/bankrack/serving/sending.py
+++ b/src/bankrack/serving/sending.py
@@ -23,9 +23,16 @@
         """Whether a body of ``size`` bytes may be sent to an upstream now."""
         return may_send_body(size, self._bytes_by_id[upstream_id], self._limit())
 
+    def describe(self) -> dict[str, int]:
+        """Return the bytes in flight by upstream."""
+        return dict(self._bytes_by_id)
+
     @contextlib.contextmanager
     def sending(self, upstream_id: str, size: int) -> t.Iterator[None]:
         """Count a body as in flight."""
+        if not size:
+            yield
+            return
         self._bytes_by_id[upstream_id] += size
         try:
             yield
--- a/src/bankrack/serving/streams.py
+++ b/src/bankrack/serving/streams.py
@@ -13,8 +13,8 @@
 from bankrack.serving.job import Demand
 from bankrack.serving.job import Reply
 from bankrack.serving.relay import RelayDependencies
+from bankrack.serving.relay import RunContext
 from bankrack.serving.run import Run
-from bankrack.serving.run import RunContext
 
 
 class StreamRelay:
