Soak: callers that read large streams late, upstreams that read large bodies late

One request in 20 is large: its stream has events of 20 kB, its caller reads after 0.5 to 6 s, and its body is read by the upstream after 0.2 s. Gateways get small send buffers, so that they and not the kernel hold what is unread.

--- a/soak/gateway/buggy.py
+++ b/soak/gateway/buggy.py
@@ -5,6 +5,7 @@
 
 import os
 import pathlib
+import socket
 import sys
 import typing as t
 
@@ -17,6 +18,7 @@
 from bankrack.exceptions import UpstreamFailed
 from bankrack.fleet.coordinators import Coordinators
 from bankrack.fleet.view import View
+from bankrack.front.callerserver import CallerServer
 from bankrack.gateway import Gateway
 from bankrack.serving.crashregister import CrashRegister
 from bankrack.serving.events import EventOrder
@@ -25,6 +27,9 @@
 from bankrack.serving.plain import PlainRelay
 from bankrack.serving.upstreams import Upstream
 
+SEND_BUFFER_BYTES = 4096
+"""Size of the kernel's send buffers of connections to callers."""
+
 
 def resume_from_start() -> None:
     """Resume streams at their first event and relay duplicate events."""
@@ -94,6 +99,19 @@
     Gateway.stop = stop  # type: ignore[method-assign]
 
 
+def keep_send_buffers_small() -> None:
+    """Let the gateway, not the kernel, hold what callers do not read; not a bug."""
+    start = CallerServer.start
+
+    async def start_small(self: CallerServer, address: str, **options: t.Any) -> None:
+        await start(self, address, **options)
+        assert self._listener is not None
+        for listener in self._listener.sockets:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+
+    CallerServer.start = start_small  # type: ignore[method-assign]
+
+
 BUGS = {
     "none": lambda: None,
     "resume": resume_from_start,
@@ -111,6 +129,7 @@
 def main() -> int:
     """Enable the bug and run the gateway."""
     BUGS[sys.argv[1]]()
+    keep_send_buffers_small()
     os.environ[serve.SETTINGS_VARIABLE] = sys.argv[2]
     return serve.main()
 
--- a/soak/gateway/callers.py
+++ b/soak/gateway/callers.py
@@ -12,6 +12,7 @@
 from soak.gateway.fakes import event_count
 from soak.gateway.fakes import expected_body
 from soak.gateway.fakes import expected_event
+from soak.gateway.fakes import is_large
 from soak.gateway.fakes import POISON
 from soak.gateway.processes import Gateway
 
@@ -24,6 +25,11 @@
 SLOW_READER_FRACTION = 0.03
 """Fraction of calls that pause before reading the body of the response."""
 SLOW_READER_SECONDS = (0.5, 3.0)
+VERY_SLOW_READER_SECONDS = (0.5, 6.0)
+"""Pauses of callers with large requests."""
+MAX_PAUSE_SECONDS = 3.0
+"""Longest pause after which a caller must still get its response."""
+LARGE_BODY = b"." * 90_000
 KEY = "key-1"
 
 
@@ -131,6 +137,8 @@
             "Bankrack-Token-Usage": "1000,200",
             "Kv-From": "127.0.0.1:1/stolen",
         }
+        if body is None and is_large(request) and path != "look":
+            body = LARGE_BODY
         url = f"http://{node.front}/{path}/x"
         method = "GET" if path == "look" else "POST"
         sending = session.request(method, url, headers=headers, data=body)
@@ -156,7 +164,11 @@
 
     async def _read(self, call: Call, response: aiohttp.ClientResponse) -> None:
         call.disconnects = self._rng.random() < DISCONNECT_FRACTION
-        if self._rng.random() < SLOW_READER_FRACTION:
+        if is_large(call.request):
+            pause = self._rng.uniform(*VERY_SLOW_READER_SECONDS)
+            call.disconnects |= pause > MAX_PAUSE_SECONDS
+            await asyncio.sleep(pause)
+        elif self._rng.random() < SLOW_READER_FRACTION:
             await asyncio.sleep(self._rng.uniform(*SLOW_READER_SECONDS))
         async for part in response.content.iter_any():
             call.body += part
--- a/soak/gateway/fakes.py
+++ b/soak/gateway/fakes.py
@@ -35,6 +35,11 @@
 """Duration of the announcement within each period."""
 LIMIT_PERIOD_SECONDS = 12.0
 """Length of a period; the first one starts when the server is opened."""
+REQUESTS_PER_LARGE = 20
+"""One in this many requests is large."""
+LARGE_EVENT_BYTES = 20_000
+SLOW_READ_SECONDS = 0.2
+"""Time after which a server begins to read a large body."""
 POISON = b"ends whoever runs it"
 POISON_DELAY_SECONDS = 0.05
 """Time from the start of a run with a ``POISON`` body to the crash of its engine."""
@@ -171,6 +176,8 @@
         arrival = Arrival(request_id, self.id, self.service, time.monotonic())
         arrival.limit = float(self.notice_headers().get("Server-Limit", 0.0))
         self.journal.arrivals.append(arrival)
+        if is_large(request_id):
+            await asyncio.sleep(SLOW_READ_SECONDS)
         response = await super().handle(request)
         if request.transport is not None and not request.transport.is_closing():
             arrival.answered = time.monotonic()
@@ -311,9 +318,17 @@
     return 3 + sum(request_id.encode()) % 60
 
 
+def is_large(request_id: str) -> bool:
+    """Whether a request has a large body and a stream of large events."""
+    return (
+        int(request_id.strip("q") or 0) % REQUESTS_PER_LARGE == REQUESTS_PER_LARGE - 1
+    )
+
+
 def expected_event(request_id: str, number: int) -> bytes:
     """An expected event in the stream of a request."""
-    return f"id: {number}\ndata: {request_id} {number}\n\n".encode()
+    padding = "." * LARGE_EVENT_BYTES if is_large(request_id) else ""
+    return f"id: {number}\ndata: {request_id} {number}{padding}\n\n".encode()
 
 
 async def close(servers: t.Iterable[FakeServer]) -> None:
