--- a/src/bankrack/front/unreadreplies.py
+++ b/src/bankrack/front/unreadreplies.py
@@ -81,7 +81,9 @@
         self._unread = unread
         self._written = 0
 
-    def set_limit(self, high: float | None = None, *, low: int | None = None) -> None:
+    def set_buffer_limit(
+        self, high: float | None = None, *, low: int | None = None
+    ) -> None:
         """Set the buffer size from which writers wait until it is ``low`` again.
 
         :param high: ``None`` for asyncio's own limits.
@@ -125,7 +127,7 @@
 
     def watch(self, reply: WatchedReply) -> None:
         """Watch a reply from now on until its buffer is empty again."""
-        reply.set_limit(self.limits.reply)
+        reply.set_buffer_limit(self.limits.reply)
         self.held += reply.measure()
         self._by_number[next(self._numbers)] = reply
         if self._timer is None:
