--- a/src/bankrack/front/callerserver.py
+++ b/src/bankrack/front/callerserver.py
@@ -1,6 +1,7 @@
 """HTTP server for callers; the platform's dialect decodes the requests."""
 
 import asyncio
+import contextlib
 import dataclasses
 import logging
 import socket
@@ -12,12 +13,16 @@
 from bankrack import logs
 from bankrack.clock import boottime
 from bankrack.exceptions import BankrackError
+from bankrack.exceptions import BodiesTooLarge
 from bankrack.exceptions import CallerDisconnected
 from bankrack.exceptions import HeadersTooLarge
 from bankrack.exceptions import InvalidRequest
 from bankrack.exceptions import Outcome
 from bankrack.exceptions import RequestTooLarge
 from bankrack.front.headertimeout import HeaderTimeoutServer
+from bankrack.front.heldbytes import HeldBytes
+from bankrack.front.httpreply import HttpReply
+from bankrack.front.requestbodies import BodyReservation
 from bankrack.serving.job import Answer
 from bankrack.serving.job import Header
 from bankrack.serving.job import Job
@@ -29,6 +34,8 @@
 """Maximum number of connections that wait to be accepted."""
 BODY_TIMEOUT_SECONDS = 30.0
 """Maximum time to receive a request body."""
+SKIP_TIMEOUT_SECONDS = 5.0
+"""Maximum time to skip the body of a request that was refused before it was read."""
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 _logger = logging.getLogger(__name__)
@@ -62,87 +69,13 @@
         ...
 
 
-class HttpReply:
-    """Writes the response to one request.
-
-    :param closing: whether to close the connection after the response.
-    """
-
-    def __init__(self, request: web.BaseRequest, *, closing: bool) -> None:
-        self._request = request
-        self._closing = closing
-        self._response: web.StreamResponse | None = None
-        self.was_aborted = False
-
-    @property
-    def started(self) -> bool:
-        """Whether the response was started."""
-        return self._response is not None
-
-    @property
-    def response(self) -> web.StreamResponse:
-        """The response to return to the HTTP server."""
-        assert self._response is not None
-        return self._response
-
-    async def answer(self, answer: Answer) -> None:
-        """Write a complete response."""
-        response = web.StreamResponse(status=answer.status)
-        response.headers.extend(answer.headers)
-        response.content_length = len(answer.body)
-        await self._prepare(response)
-        try:
-            if answer.body:
-                await response.write(answer.body)
-            await response.write_eof()
-        except OSError as error:
-            raise CallerDisconnected("the caller closed the connection") from error
-
-    async def begin(self, status: int, headers: t.Sequence[Header]) -> None:
-        """Start a streamed response."""
-        response = web.StreamResponse(status=status)
-        response.headers.extend(headers)
-        if self._request.version >= aiohttp.HttpVersion11:
-            response.enable_chunked_encoding()
-        await self._prepare(response)
-
-    async def write(self, data: bytes) -> None:
-        """Write a chunk of a streamed response."""
-        try:
-            await self.response.write(data)
-        except OSError as error:
-            raise CallerDisconnected("the caller closed the connection") from error
-
-    async def end(self) -> None:
-        """End a streamed response as complete."""
-        try:
-            await self.response.write_eof()
-        except OSError as error:
-            raise CallerDisconnected("the caller closed the connection") from error
-
-    def abort(self) -> None:
-        """Close the connection before the response is complete."""
-        self.was_aborted = True
-        transport = self._request.transport
-        if transport is not None:
-            transport.close()
-
-    async def _prepare(self, response: web.StreamResponse) -> None:
-        if self._closing:
-            response.force_close()
-        self._response = response
-        try:
-            await response.prepare(self._request)
-        except OSError as error:
-            raise CallerDisconnected("the caller closed the connection") from error
-
-
 class CallerServer:
     """HTTP server that decodes callers' requests to jobs and writes the responses.
 
     :param serve: serves a job; raises :exc:`BankrackError` if it fails before the
         response was started.
     :param limits: returns the current limits.
+    :param held: accounts for the bytes of requests and of unread responses.
     """
 
     def __init__(
@@ -150,10 +83,14 @@
         dialect: CallerDialect,
         serve: t.Callable[[Job, HttpReply], t.Awaitable[None]],
         limits: t.Callable[[], CallerLimits],
+        *,
+        held: HeldBytes,
     ) -> None:
         self._dialect = dialect
         self._serve = serve
         self._limits = limits
+        self._bodies = held.bodies
+        self._unread = held.replies
         self._server: HeaderTimeoutServer | None = None
         self._listener: asyncio.Server | None = None
         self.closing = False
@@ -199,14 +136,18 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         arrived = boottime()
-        reply = HttpReply(request, closing=self.closing)
+        reply = HttpReply(request, closing=self.closing, unread=self._unread)
+        reservation = self._bodies.reservation()
         job: Job | None = None
         try:
-            job = await self._read(request, arrived)
+            job = await self._read(request, arrived, reservation)
+            reply.request_id = job.id
             await self._serve(job, reply)
         except CallerDisconnected:
             reply.abort()
             return web.Response()
+        except BodiesTooLarge as error:
+            await self._refuse_body(reply, error, request, arrived)
         except BankrackError as error:
             if not reply.started:
                 await self._refuse(reply, error, job)
@@ -224,8 +165,38 @@
             else:
                 failure = BankrackError("internal error", outcome=Outcome.UNKNOWN)
                 await self._refuse(reply, failure, job)
+        finally:
+            reply.close()
+            reservation.release()
         return reply.response
 
+    async def _refuse_body(
+        self,
+        reply: HttpReply,
+        error: BodiesTooLarge,
+        request: web.BaseRequest,
+        arrived: float,
+    ) -> None:
+        """Refuse a request whose body was not read, and skip the body.
+
+        Closing the connection with unread bytes would reset it, and the caller could
+        lose the refusal.
+        """
+        job: Job | None = None
+        try:
+            job = self._dialect.decode(_request_head(request, arrived), b"")
+            error.retry_after = job.retry_after
+            self._bodies.log_refused(job.id, request.content_length or 0)
+            await self._refuse(reply, error, job)
+        except InvalidRequest as invalid:
+            await self._refuse(reply, invalid, None)
+        with contextlib.suppress(
+            TimeoutError, OSError, aiohttp.ClientError, web.RequestPayloadError
+        ):
+            async with asyncio.timeout(SKIP_TIMEOUT_SECONDS):
+                while await request.content.readany():
+                    pass
+
     async def _refuse(
         self, reply: HttpReply, error: BankrackError, job: Job | None
     ) -> None:
@@ -239,29 +210,33 @@
         except CallerDisconnected:
             reply.abort()
 
-    async def _read(self, request: web.BaseRequest, arrived: float) -> Job:
+    async def _read(
+        self, request: web.BaseRequest, arrived: float, reservation: BodyReservation
+    ) -> Job:
         limits = self._limits()
-        headers = [
-            (name.decode("latin-1"), value.decode("latin-1"))
-            for name, value in request.raw_headers
-        ]
-        size = sum(len(name) + len(value) + 4 for name, value in headers)
+        head = _request_head(request, arrived)
+        size = sum(len(name) + len(value) + 4 for name, value in head.headers)
         if size > limits.header_bytes:
             raise HeadersTooLarge(
                 f"the headers have {size} bytes, the limit is {limits.header_bytes}; "
                 "send fewer"
             )
-        head = RequestHead(request.method, request.raw_path, headers, arrived)
-        body = await self._read_body(request, limits)
+        body = await self._read_body(request, limits, reservation)
         return self._dialect.decode(head, body)
 
-    async def _read_body(self, request: web.BaseRequest, limits: CallerLimits) -> bytes:
+    async def _read_body(
+        self,
+        request: web.BaseRequest,
+        limits: CallerLimits,
+        reservation: BodyReservation,
+    ) -> bytes:
         if not request.body_exists:
             return b""
         if (request.content_length or 0) > limits.body_bytes:
             raise RequestTooLarge(
                 f"the request body exceeds the limit of {limits.body_bytes} bytes"
             )
+        reservation.extend(request.content_length or 0)
         if request.headers.get("Expect", "").lower() == "100-continue":
             await request.writer.write(CONTINUE_RESPONSE)
             request.writer.output_size = 0
@@ -276,6 +251,7 @@
                             "the request body exceeds the limit of "
                             f"{limits.body_bytes} bytes"
                         )
+                    reservation.extend(size)
                     parts.append(part)
         except TimeoutError as error:
             raise InvalidRequest(
@@ -284,3 +260,11 @@
         except (aiohttp.ClientError, aiohttp.web.RequestPayloadError) as error:
             raise InvalidRequest(f"the body is malformed ({error!r})") from error
         return b"".join(parts)
+
+
+def _request_head(request: web.BaseRequest, arrived: float) -> RequestHead:
+    headers = [
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in request.raw_headers
+    ]
+    return RequestHead(request.method, request.raw_path, headers, arrived)
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -34,6 +34,7 @@
 from bankrack.fleet.updates import FleetUpdates
 from bankrack.fleet.view import View
 from bankrack.front.callerserver import CallerServer
+from bankrack.front.heldbytes import HeldBytes
 from bankrack.front.internalserver import serve_paths
 from bankrack.integration import GatewayDialect
 from bankrack.integration import GatewaySettings
@@ -149,11 +150,13 @@
             self.metrics,
             view_age=lambda: self.view.age,
         )
+        self.held = HeldBytes(settings.memory_mb, self.metrics, self._caller_limits)
         client = UpstreamClient(
             self._upstream_session,
             dialect.upstreams,
             self.notices,
             self.rate_limits.permits,
+            self.held.in_flight,
         )
         control = GuardedControl(dialect.control(self._internal_session, self.notices))
         self.ledgers = Ledgers(
@@ -199,7 +202,9 @@
             streams=StreamRelay(dependencies, control=control, advisor=self.owners),
             crashes=dependencies.crashes,
         )
-        self.front = CallerServer(dialect.callers, self._serve, self._caller_limits)
+        self.front = CallerServer(
+            dialect.callers, self._serve, self._caller_limits, held=self.held
+        )
 
     async def start(self, *, listening: socket.socket | None = None) -> None:
         """Open the listeners and start following the store.
@@ -267,6 +272,7 @@
             keeps_ledgers=self.owners.owns_first_pool,
             quarantined=self.crashes.quarantined(),
             failing=self.outliers.describe(),
+            held=self.held.describe(),
         )
 
     def reload(self, settings: GatewaySettings) -> None:
--- a/src/bankrack/metrics.py
+++ b/src/bankrack/metrics.py
@@ -79,6 +79,9 @@
         self.exclusions = self._counter(
             "bankrack_exclusions", "Exclusions of failing upstreams, by outcome"
         )
+        self.cuts = self._counter(
+            "bankrack_caller_cuts", "Callers cut off as they read too slowly, by reason"
+        )
         self.latency = self._histogram(
             "bankrack_answer_seconds", "Time to the answer", LATENCY_BUCKETS
         )
--- a/src/bankrack/nodestate.py
+++ b/src/bankrack/nodestate.py
@@ -17,6 +17,7 @@
     :param keeps_ledgers: whether this node owns the first pool and keeps its ledgers.
     :param quarantined: fingerprints of the quarantined requests.
     :param failing: upstreams with failures, as known from all nodes.
+    :param held: account of the bytes held for callers and upstreams.
     """
 
     node: str
@@ -31,6 +32,7 @@
     keeps_ledgers: bool
     quarantined: list[str]
     failing: list[dict[str, t.Any]]
+    held: dict[str, t.Any]
 
     def gauges(self) -> dict[str, float]:
         """Return the values of the gauges by name."""
@@ -47,6 +49,9 @@
             "backing_off": float(sum(u.backing_off(now) for u in self.upstreams)),
             "leaving": float(sum(u.leaving for u in self.upstreams)),
             "excluded": float(sum(u.excluded(now) for u in self.upstreams)),
+            "unread_bytes": float(self.held["unread_bytes"]),
+            "slow_callers": float(len(self.held["slow_callers"])),
+            "body_bytes": float(self.held["body_bytes"]),
         }
 
     def describe(self) -> dict[str, t.Any]:
@@ -62,5 +67,6 @@
             "members": sorted(self.members),
             "quarantined": self.quarantined,
             "failing": self.failing,
+            **self.held,
             "upstreams": [upstream.describe() for upstream in self.upstreams],
         }
--- a/src/bankrack/serving/relay.py
+++ b/src/bankrack/serving/relay.py
@@ -3,11 +3,14 @@
 import dataclasses
 
 from bankrack.metrics import GatewayMetrics
+from bankrack.serving.advisor import PlacementAdvisor
 from bankrack.serving.budget import SharedRetryBudget
 from bankrack.serving.choice import Chooser
 from bankrack.serving.client import UpstreamClient
 from bankrack.serving.coldquotas import ColdQuotas
 from bankrack.serving.crashes import CrashMonitor
+from bankrack.serving.enginecontrol import EngineControl
+from bankrack.serving.enginefinder import EngineFinder
 from bankrack.serving.outliers import OutlierMonitor
 from bankrack.serving.upstreams import Upstreams
 
@@ -24,3 +27,13 @@
     cold: ColdQuotas
     crashes: CrashMonitor
     outliers: OutlierMonitor
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RunContext:
+    """Components that all runs share."""
+
+    dependencies: RelayDependencies
+    control: EngineControl
+    advisor: PlacementAdvisor
+    engine_finder: EngineFinder
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -230,6 +230,7 @@
     async def respond(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path.startswith("/v1/"):
             return await self.control(request)
+        request._client_max_size = 0  # unlimited
         body = await request.read()
         headers = [(k.decode(), v.decode()) for k, v in request.raw_headers]
         arrival = Arrival(request.method, request.raw_path, headers, body)
@@ -269,6 +270,7 @@
     ``cut_after`` aborts a stream after that many events, with ``cuts_inside_event``
     inside the next one; ``breaks_off`` aborts all streams at once.  ``handles`` names
     the copies that the engine holds.  An engine that ``preempts`` finds no run to copy.
+    ``padding`` is added to each event.
     """
 
     def __init__(self, server_id: str, *, events: int = 5) -> None:
@@ -278,6 +280,7 @@
         self.cuts_inside_event = False
         self.breaks_off = False
         self.pause = 0.0
+        self.padding = b""
         self.has_room = True
         self.preempts = False
         self.handles: set[str] = set()
@@ -323,7 +326,9 @@
                 assert request.transport is not None
                 request.transport.abort()
                 return response
-            await response.write(b"id: %d\ndata: token%d\n\n" % (number, number))
+            await response.write(
+                b"id: %d\ndata: token%d%s\n\n" % (number, number, self.padding)
+            )
             await asyncio.sleep(self.pause)
         await response.write_eof()
         return response
--- /dev/null
+++ b/tests/platform/test_large_bodies.py
@@ -0,0 +1,98 @@
+"""End-to-end tests of large request bodies by many callers."""
+
+import asyncio
+import collections
+import contextlib
+import socket
+import typing as t
+
+from aiohttp import web
+
+from bankrack.gateway import Gateway
+from tests.base import TestCase
+from tests.platform.deployment import Deployment
+from tests.platform.deployment import running
+from tests.platform.deployment import until
+from tests.platform.fakes import call
+from tests.platform.fakes import configuration
+from tests.platform.fakes import HOST
+
+BODY = b"x" * 4_000_000
+
+
+@contextlib.asynccontextmanager
+async def serving(*, memory_mb: float) -> t.AsyncIterator[tuple[Deployment, Gateway]]:
+    """Run a gateway whose configuration allows bodies of 4 MB."""
+    limits = {"maxHeaderBytes": 8000, "maxBodyBytes": 4_194_304}
+    config = configuration(2, limits=limits)
+    for route in config["routes"]:
+        route["targetLatencyMs"] = 1900
+    async with running() as deployment:
+        gateway = await deployment.start_ready_gateway(memory_mb=memory_mb)
+        deployment.store.put("op/config", config)
+        await until(lambda: gateway.view.table.version == 2)
+        yield deployment, gateway
+
+
+class LargeBodies(TestCase):
+    async def test_bodies_beyond_the_memory_are_refused_at_once(self):
+        async with serving(memory_mb=128) as (deployment, gateway):
+            front = gateway.settings.front
+            large = [call(front, "/bill/x", body=BODY) for _ in range(20)]
+            task = asyncio.gather(*large)
+            while not task.done():
+                self.assertLessEqual(gateway.held.bodies.held, 16 * 1024 * 1024)
+                await asyncio.sleep(0.001)
+            statuses = collections.Counter(r.status for r in task.result())
+            self.assertEqual({200, 503}, set(statuses))
+            self.assertEqual(statuses[200], len(deployment.arrivals()))
+            retry_after = {r.headers.get("Retry-After") for r in task.result()}
+            self.assertEqual({None, "0.75"}, retry_after)
+            self.assertEqual(0, gateway.held.bodies.held)
+
+    async def test_large_bodies_go_to_an_upstream_one_after_the_other(self):
+        async with serving(memory_mb=512) as (deployment, gateway):
+            now, most = collections.Counter(), collections.Counter()
+
+            async def hold(request: web.BaseRequest) -> None:
+                assert request.transport is not None
+                address = request.transport.get_extra_info("sockname")
+                kind = (address, request.content_length)
+                now[kind] += 1
+                most[kind] = max(most[kind], now[kind])
+                await asyncio.sleep(0.05)
+                now[kind] -= 1
+
+            for server in deployment.plain:
+                server.custom_handler = hold
+            bodies = [BODY] * 3 + [b"small"] * 20
+            front = gateway.settings.front
+            responses = await asyncio.gather(
+                *(call(front, "/bill/x", body=body) for body in bodies)
+            )
+            self.assertEqual({200}, {response.status for response in responses})
+            for (_, size), count in most.items():
+                self.assertEqual(size == len(BODY), count == 1)
+
+    async def test_unsent_body_is_dropped_at_the_deadline(self):
+        """An upstream that does not read gets no more than the kernel had taken."""
+        async with serving(memory_mb=128) as (deployment, gateway):
+            listener = socket.create_server((HOST, 0))
+            self.addCleanup(listener.close)
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            address = f"{HOST}:{listener.getsockname()[1]}"
+            for server in deployment.plain:
+                deployment.store.remove(f"servers/{server.id}")
+            entry = deployment.plain[0].entry("plain", address=address)
+            deployment.store.put("servers/p-3", entry)
+            available = gateway.upstreams.available_of
+            await until(lambda: [u.id for u in available("plain")] == ["p-3"])
+            response = await call(gateway.settings.front, "/bill/x", body=BODY)
+            self.assertEqual(504, response.status)
+            connection, _ = listener.accept()
+            connection.settimeout(5.0)
+            received = 0
+            with contextlib.suppress(ConnectionResetError), connection:
+                while part := await asyncio.to_thread(connection.recv, 1 << 20):
+                    received += len(part)
+            self.assertLess(received, len(BODY))
