--- a/src/bankrack/fleet/outlierupdates.py
+++ b/src/bankrack/fleet/outlierupdates.py
@@ -21,6 +21,7 @@
 from bankrack.fleet.broadcast import Broadcast
 from bankrack.fleet.documents import Member
 from bankrack.fleet.messages import decode_message
+from bankrack.serving.outliers import Exclusion
 from bankrack.serving.outliers import OutlierMonitor
 
 OUTLIERS_PATH = "/peer/outliers"
@@ -32,7 +33,7 @@
 
 _logger = logging.getLogger(__name__)
 
-_Milliseconds = t.Annotated[int, msgspec.Meta(ge=0, le=10_000)]
+_Milliseconds = t.Annotated[int, msgspec.Meta(ge=0, le=15_000)]
 _Count = t.Annotated[int, msgspec.Meta(ge=0, le=10_000)]
 _Names = t.Annotated[list[str], msgspec.Meta(max_length=16)]
 _MAX_ENTRIES = msgspec.Meta(max_length=64)
@@ -53,13 +54,13 @@
 class ExclusionMessage(msgspec.Struct, array_like=True):
     """An exclusion in force.
 
-    :param retest_ms: time until the upstream is sent requests again.
+    :param left_ms: time until the exclusion ends in any case.
     :param reporters: some of the nodes with failures.
     :param exempt_halls: halls whose nodes go on using the upstream.
     """
 
     id: str
-    retest_ms: _Milliseconds
+    left_ms: _Milliseconds
     failed_retests: _Count
     reporters: _Names
     failures: _Count
@@ -72,12 +73,14 @@
 
     :param hall: of the sender.
     :param served: upstreams that served a retest.
+    :param readmitted: upstreams that served enough of them.
     """
 
     hall: str
     failures: t.Annotated[list[FailureMessage], _MAX_ENTRIES]
     exclusions: t.Annotated[list[ExclusionMessage], _MAX_ENTRIES]
     served: t.Annotated[list[str], _MAX_ENTRIES]
+    readmitted: t.Annotated[list[str], _MAX_ENTRIES]
 
 
 class ServedMessage(msgspec.Struct, array_like=True):
@@ -122,6 +125,8 @@
             self._apply(exclusion)
         for upstream_id in message.served:
             self._monitor.take_served_retest(upstream_id)
+        for upstream_id in message.readmitted:
+            self._monitor.readmit(upstream_id, f"told by {source}")
         return web.Response(body=msgspec.msgpack.encode(known))
 
     async def run(self) -> None:
@@ -160,7 +165,7 @@
                 "outlier_evidence_sent",
                 failed=",".join(failures) or None,
                 excluded=",".join(e.id for e in message.exclusions) or None,
-                served=",".join(message.served) or None,
+                served=",".join(message.served + message.readmitted) or None,
                 untold=",".join(member.name for member in untold) or None,
             )
 
@@ -179,10 +184,12 @@
             failures,
             [e for e in exclusions if e is not None],
             monitor.served[:64],
+            monitor.readmitted[:64],
         )
         monitor.failed_by_id.clear()
         monitor.changed.clear()
         monitor.served.clear()
+        monitor.readmitted.clear()
         monitor.has_updates.clear()
         return [failure.id for failure in failures], message
 
@@ -212,18 +219,19 @@
             frozenset(exclusion.exempt_halls),
         )
         self._monitor.take_exclusion(
-            exclusion.id, verdict, exclusion.failed_retests, exclusion.retest_ms / 1000
+            exclusion.id,
+            Exclusion(verdict, exclusion.failed_retests, exclusion.left_ms / 1000),
         )
 
     def _exclusion(self, upstream_id: str) -> ExclusionMessage | None:
         found = self._monitor.exclusion(upstream_id)
         if found is None:
             return None
-        verdict, failed_retests, seconds = found
+        verdict = found.verdict
         return ExclusionMessage(
             upstream_id,
-            int(1000 * seconds),
-            failed_retests,
+            int(1000 * found.left),
+            found.failed_retests,
             list(verdict.reporters[:16]),
             verdict.failures,
             verdict.served,
--- a/src/bankrack/serving/outliers.py
+++ b/src/bankrack/serving/outliers.py
@@ -54,6 +54,30 @@
     answered: bool
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Exclusion:
+    """An exclusion in force.
+
+    :param failed_retests: in a row.
+    :param left: seconds until it ends in any case.
+    """
+
+    verdict: Exclude
+    failed_retests: int
+    left: float
+
+    @property
+    def retest_in(self) -> float:
+        """Seconds until the upstream is sent requests again."""
+        return max(0.0, self.left - PROBATION_SECONDS)
+
+
+def _exclusion(verdict: Exclude, failed_retests: int) -> Exclusion:
+    """Return an exclusion that begins or is extended now."""
+    left = retest_seconds(failed_retests) + PROBATION_SECONDS
+    return Exclusion(verdict, failed_retests, left)
+
+
 class _Track:
     """Outcomes of one upstream.
 
@@ -82,6 +106,7 @@
     :ivar failed_by_id: this node's newest failures to tell.
     :ivar changed: upstreams whose exclusion this node began or extended.
     :ivar served: upstreams that served a retest of this node.
+    :ivar readmitted: upstreams whose exclusion this node ended.
     """
 
     def __init__(
@@ -107,6 +132,7 @@
         self.failed_by_id: dict[str, OwnFailure] = {}
         self.changed: set[str] = set()
         self.served: list[str] = []
+        self.readmitted: list[str] = []
 
     # Outcomes of this node's requests
 
@@ -130,7 +156,7 @@
         elif upstream.early_retest_at <= now and track.exclusion is not None:
             # One that served meanwhile fails only some of the requests.
             failed = 0 if track.served_retests else track.failed_retests
-            self._exclude(upstream, track, track.exclusion, failed + 1)
+            self._exclude(upstream, track, _exclusion(track.exclusion, failed + 1))
             self.changed.add(upstream.id)
             self.has_updates.set()
 
@@ -142,9 +168,12 @@
         now = self._clock()
         track.outcomes.append(Outcome(now, self._name, self._hall, failed=False))
         if upstream.excluded(now) and upstream.early_retest_at <= now:
-            self.served.append(upstream.id)
             self.has_updates.set()
             self.take_served_retest(upstream.id)
+            if upstream.excluded(now):
+                self.served.append(upstream.id)
+            else:
+                self.readmitted.append(upstream.id)
 
     def _is_news(self, upstream: Upstream, track: _Track, now: float) -> bool:
         """Whether another failure may change the other nodes' verdict."""
@@ -215,14 +244,14 @@
         )
         match verdict:
             case Exclude():
-                self._exclude(upstream, track, verdict, 0)
+                self._exclude(upstream, track, _exclusion(verdict, 0))
                 self.changed.add(upstream_id)
                 self.has_updates.set()
 
     # Exclusions
 
-    def exclusion(self, upstream_id: str) -> tuple[Exclude, int, float] | None:
-        """Return an exclusion in force, its failed retests and the time to the next."""
+    def exclusion(self, upstream_id: str) -> Exclusion | None:
+        """Return the exclusion of an upstream, if it is in force."""
         upstream = self._upstreams.find(upstream_id)
         track = self._track_by_id.get(upstream_id)
         now = self._clock()
@@ -230,25 +259,23 @@
             return None
         if not upstream.excluded(now):
             return None
-        left = upstream.excluded_until - PROBATION_SECONDS - now
-        return track.exclusion, track.failed_retests, max(0.0, left)
+        left = upstream.excluded_until - now
+        return Exclusion(track.exclusion, track.failed_retests, left)
 
-    def take_exclusion(
-        self, upstream_id: str, verdict: Exclude, failed_retests: int, seconds: float
-    ) -> None:
+    def take_exclusion(self, upstream_id: str, exclusion: Exclusion) -> None:
         """Apply an exclusion that another node decided."""
         upstream = self._upstreams.find(upstream_id)
-        if upstream is None or self._hall in verdict.exempt_halls:
+        if upstream is None or self._hall in exclusion.verdict.exempt_halls:
             return
         now = self._clock()
         track = self._track(upstream_id)
         if upstream.excluded(now):
-            if failed_retests <= track.failed_retests:
+            if exclusion.failed_retests <= track.failed_retests:
                 track.served_retests = 0
                 return
         elif not self._may_exclude(upstream, now):
             return
-        self._exclude(upstream, track, verdict, failed_retests, seconds=seconds)
+        self._exclude(upstream, track, exclusion)
 
     def take_served_retest(self, upstream_id: str) -> None:
         """Count a retest that was served; enough of them end the exclusion."""
@@ -258,15 +285,17 @@
             return
         track.served_retests += 1
         if track.served_retests >= RETESTS_TO_READMIT:
-            upstream.readmit()
-            del self._track_by_id[upstream_id]
-            self._metrics.exclusions.inc({"outcome": "readmitted"})
-            logs.event(
-                _logger,
-                "upstream_readmitted",
-                upstream=upstream_id,
-                reason=f"served {RETESTS_TO_READMIT} retests",
-            )
+            self.readmit(upstream_id, f"served {RETESTS_TO_READMIT} retests")
+
+    def readmit(self, upstream_id: str, reason: str) -> None:
+        """End the exclusion of an upstream, if there is one."""
+        upstream = self._upstreams.find(upstream_id)
+        if upstream is None or not upstream.excluded(self._clock()):
+            return
+        upstream.readmit()
+        self._track_by_id.pop(upstream_id, None)
+        self._metrics.exclusions.inc({"outcome": "readmitted"})
+        logs.event(_logger, "upstream_readmitted", upstream=upstream_id, reason=reason)
 
     def describe(self) -> list[dict[str, t.Any]]:
         """Return the recent failures of upstreams for the state dump."""
@@ -282,32 +311,22 @@
                     "upstream": upstream_id,
                     "failures": sum(o.failed for o in recent),
                     "reporters": sorted({o.reporter for o in recent if o.failed}),
-                    "excluded_by": list(exclusion[0].reporters) if exclusion else [],
-                    "failed_retests": exclusion[1] if exclusion else 0,
-                    "retest_in": exclusion[2] if exclusion else None,
+                    "excluded_by": exclusion.verdict.reporters if exclusion else (),
+                    "failed_retests": exclusion.failed_retests if exclusion else 0,
+                    "retest_in": exclusion.retest_in if exclusion else None,
                 }
             )
         return found
 
-    def _exclude(
-        self,
-        upstream: Upstream,
-        track: _Track,
-        verdict: Exclude,
-        failed_retests: int,
-        *,
-        seconds: float | None = None,
-    ) -> None:
-        if seconds is None:
-            seconds = retest_seconds(failed_retests)
+    def _exclude(self, upstream: Upstream, track: _Track, exclusion: Exclusion) -> None:
         now = self._clock()
-        track.exclusion = verdict
-        track.failed_retests = failed_retests
+        verdict = track.exclusion = exclusion.verdict
+        track.failed_retests = exclusion.failed_retests
         track.served_retests = 0
         is_tester = self._is_tester(upstream.id)
         upstream.exclude(
-            now + seconds + PROBATION_SECONDS,
-            retest_at=now + seconds if is_tester else math.inf,
+            now + exclusion.left,
+            retest_at=now + exclusion.retest_in if is_tester else math.inf,
             early_retest_at=now + MIN_RETEST_SECONDS if is_tester else math.inf,
         )
         self._metrics.exclusions.inc({"outcome": "excluded"})
@@ -320,7 +339,7 @@
             served=verdict.served,
             exempt=",".join(sorted(verdict.exempt_halls)) or None,
             until=upstream.excluded_until,
-            retest=seconds,
+            retest=exclusion.retest_in,
         )
 
     def _is_tester(self, upstream_id: str) -> bool:
