--- a/src/bankrack/fleet/peers.py
+++ b/src/bankrack/fleet/peers.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import collections
 import contextlib
 import dataclasses
 import logging
@@ -26,7 +25,6 @@
 from bankrack.fleet.store import Item
 from bankrack.fleet.store import Snapshot
 from bankrack.fleet.view import View
-from bankrack.serving.pools import count_pools
 from bankrack.serving.upstreams import Upstream
 from bankrack.serving.upstreams import Upstreams
 
@@ -121,7 +119,7 @@
         self._note_engines = note_engines
         self._note_requester = note_requester
         self._relayed_engines: list[Upstream] = []
-        self._relayed_engines_serial = -1
+        self._relayed_engines_key: tuple[int, int] | None = None
 
     async def handle(self, request: web.Request) -> web.Response:
         """Respond on a change or a new confirmation, or when the long poll ends."""
@@ -182,13 +180,13 @@
 
         Reports of other engines are sent by the pool owners with their responses.
         """
-        if self._relayed_engines_serial != self._view.serial:
+        key = self._view.serial, self._upstreams.pool_counts.changes
+        if self._relayed_engines_key != key:
             upstreams = self._upstreams.by_id.values()
-            counts = collections.Counter(u.record.service for u in upstreams)
-            self._relayed_engines = [
-                u for u in upstreams if count_pools(counts[u.record.service]) == 1
-            ]
-            self._relayed_engines_serial = self._view.serial
+            services = {u.record.service for u in upstreams}
+            whole = {s for s in services if self._upstreams.pools_of(s) == 1}
+            self._relayed_engines = [u for u in upstreams if u.record.service in whole]
+            self._relayed_engines_key = key
         return self._relayed_engines
 
 
--- a/src/bankrack/fleet/poolowners.py
+++ b/src/bankrack/fleet/poolowners.py
@@ -26,6 +26,7 @@
 from bankrack.fleet.messages import PlacementResponse
 from bankrack.fleet.messages import RunUpdate
 from bankrack.fleet.messages import RunUpdateKind
+from bankrack.fleet.poolrooms import PoolRooms
 from bankrack.fleet.reports import encode_reports
 from bankrack.fleet.reports import merge_reports
 from bankrack.fleet.reports import ReportMessage
@@ -39,8 +40,7 @@
 from bankrack.serving.choice import Chooser
 from bankrack.serving.coldquotas import ColdQuotas
 from bankrack.serving.job import Demand
-from bankrack.serving.pools import count_pools
-from bankrack.serving.pools import pool_of
+from bankrack.serving.pools import pool_of_engine
 from bankrack.serving.pools import select_pool
 from bankrack.serving.upstreams import Upstream
 from bankrack.serving.upstreams import Upstreams
@@ -80,6 +80,7 @@
         self._note_use = note_use
         self.learn_seconds = LEARN_SECONDS
         self._allocator_by_pool: dict[tuple[str, int], Allocator] = {}
+        self._split_services: set[str] = set()
 
     def decide(self, query: PlacementQuery) -> Verdict:
         """Decide on a run; records an admitted run as placed on its first engine."""
@@ -100,13 +101,19 @@
             cold_rate=query.cold_rate,
         )
         allocator = self._allocator(query.service, query.pool)
+        if query.pools > 1:
+            self._split_services.add(query.service)
         if query.copy:
             return allocator.place_copy(engines, placement)
-        return allocator.decide(engines, placement)
+        verdict = allocator.decide(engines, placement)
+        if not query.queue:
+            allocator.queue.remove(query.run)
+        return verdict
 
     def take(self, update: RunUpdate) -> None:
         """Apply an update on a run."""
-        ledger = self._ledger(update.service, update.pool)
+        allocator = self._allocator(update.service, update.pool)
+        ledger = allocator.ledger
         match update.kind:
             case "placed":
                 demand = Demand(prompt=update.prompt, output_limit=update.output)
@@ -121,6 +128,9 @@
                     self._chooser.answered(engine, failed=True)
             case "ended":
                 ledger.end(update.run, took=update.took)
+                if update.service in self._split_services:
+                    # It may have been admitted to another pool.
+                    allocator.queue.remove(update.run)
             case "copy_dropped":
                 ledger.drop_copy(update.run)
 
@@ -177,8 +187,10 @@
         upstreams: Upstreams,
         cold: ColdQuotas,
         *,
+        count_overflow: t.Callable[[str], None] = lambda outcome: None,
         clock: t.Callable[[], float] = boottime,
     ) -> None:
+        self.rooms = PoolRooms(self._left, count=count_overflow, clock=clock)
         self._cold = cold
         self._clock = clock
         self._session = session
@@ -202,14 +214,14 @@
     def owned(self, service: str) -> list[Upstream]:
         """Return the engines of a service whose ledger this node owns."""
         engines = self._upstreams.of(service)
-        pools = count_pools(len(engines))
+        pools = self._upstreams.pools_of(service)
         ranked = self._ranked()
         own = {
             pool
             for pool in range(pools)
             if self._owner_of(pool, ranked).name == self._own.name
         }
-        return [engine for engine in engines if pool_of(engine.id, pools) in own]
+        return [e for e in engines if pool_of_engine(e.id, pools) in own]
 
     @property
     def owns_first_pool(self) -> bool:
@@ -230,24 +242,42 @@
         self, work: Assignment, *, memory: int, avoid: t.Collection[str]
     ) -> Verdict | None:
         """Have the owner decide on a run; ``None`` if it does not respond."""
-        return await self._query(work, memory=memory, avoid=avoid, copy=False)
+        pools = self._upstreams.pools_of(work.service.name)
+
+        async def ask(pool: int, queue: bool) -> Verdict | None:
+            return await self._query(
+                work, pool=pool, pools=pools, memory=memory, avoid=avoid, queue=queue
+            )
+
+        return await self.rooms.decide(work, pools, ask)
 
     async def place_copy(
         self, work: Assignment, *, memory: int, avoid: t.Collection[str]
     ) -> Verdict | None:
         """Have the owner choose engines for a copy of a run."""
-        return await self._query(work, memory=memory, avoid=avoid, copy=True)
+        pools = self._upstreams.pools_of(work.service.name)
+        pool = self.rooms.pool(work, pools)
+        return await self._query(
+            work, pool=pool, pools=pools, memory=memory, avoid=avoid, copy=True
+        )
 
     async def _query(
-        self, work: Assignment, *, memory: int, avoid: t.Collection[str], copy: bool
+        self,
+        work: Assignment,
+        *,
+        pool: int,
+        pools: int,
+        memory: int,
+        avoid: t.Collection[str],
+        copy: bool = False,
+        queue: bool = True,
     ) -> Verdict | None:
         demand = work.job.demand
         service = work.service.name
-        engines = self._upstreams.of(service)
-        pools = count_pools(len(engines))
+        engines = select_pool(self._upstreams.of(service), pool, pools)
         query = PlacementQuery(
             service=service,
-            pool=pool_of(work.job.id, pools),
+            pool=pool,
             pools=pools,
             run=work.job.id,
             prompt=demand.prompt,
@@ -261,6 +291,7 @@
             silence_left=work.silence_left(),
             cold_rate=self._cold.owner_rate(work.service),
             copy=copy,
+            queue=queue,
         )
         owner = self.owner(query.pool)
         if owner.name == self._own.name:
@@ -312,13 +343,20 @@
 
     def failed(self, work: Assignment, engine: Upstream) -> None:
         """Report an engine that was unreachable, disconnected or produced no event."""
-        pools = count_pools(len(self._upstreams.of(work.service.name)))
-        if self.owner(pool_of(work.job.id, pools)).name != self._own.name:
+        if self.owner(self._pool(work)).name != self._own.name:
             self._queue_update(work, "failed", engine.id)
 
     def ended(self, work: Assignment, *, took: float) -> None:
         """Report the end of a run."""
         self._queue_update(work, "ended", "", took=took)
+        self.rooms.forget(work)
+
+    def _left(self, work: Assignment, pool: int) -> None:
+        """Report that a run is no longer placed or queued in a pool."""
+        self._queue_update(work, "ended", "", pool=pool)
+
+    def _pool(self, work: Assignment) -> int:
+        return self.rooms.pool(work, self._upstreams.pools_of(work.service.name))
 
     def copy_dropped(self, work: Assignment) -> None:
         """Report that a run has no copy although one was admitted."""
@@ -353,9 +391,10 @@
         prompt: int = 0,
         output: int = 0,
         took: float = 0.0,
+        pool: int | None = None,
     ) -> None:
         service = work.service.name
-        pool = pool_of(work.job.id, count_pools(len(self._upstreams.of(service))))
+        pool = self._pool(work) if pool is None else pool
         run = work.job.id
         update = RunUpdate(service, pool, run, kind, engine, prompt, output, took)
         if len(self._updates) < MAX_QUEUED_UPDATES:
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -55,7 +55,6 @@
 from bankrack.serving.job import Reply
 from bankrack.serving.notices import NoticeHandler
 from bankrack.serving.plain import PlainRelay
-from bankrack.serving.pools import count_pools
 from bankrack.serving.relay import RelayDependencies
 from bankrack.serving.reports import ReportPoller
 from bankrack.serving.routing import CallerLimits
@@ -169,6 +168,9 @@
             self.ledgers,
             self.upstreams,
             self.cold,
+            count_overflow=lambda outcome: self.metrics.pool_overflows.inc(
+                {"outcome": outcome}
+            ),
         )
         self.reports = ReportPoller(self.chooser, control, select=self._engines_to_poll)
         dependencies = RelayDependencies(
@@ -379,7 +381,7 @@
         """
         engines = self.upstreams.of(service)
         polls_all = self.follower.leader is None and self.roster.is_standby()
-        if not polls_all or count_pools(len(engines)) > 1:
+        if not polls_all or self.upstreams.pools_of(service) > 1:
             engines = self.owners.owned(service)
         # Engines that are evacuated or asked for backoff are not polled.
         now = boottime()
--- a/src/bankrack/metrics.py
+++ b/src/bankrack/metrics.py
@@ -76,6 +76,10 @@
         self.permits = self._counter(
             "bankrack_permits", "Permits under rate limits, by outcome and source"
         )
+        self.pool_overflows = self._counter(
+            "bankrack_pool_overflows",
+            "Runs for which a second pool was asked, by its answer",
+        )
         self.latency = self._histogram(
             "bankrack_answer_seconds", "Time to the answer", LATENCY_BUCKETS
         )
--- a/src/bankrack/serving/copies.py
+++ b/src/bankrack/serving/copies.py
@@ -190,10 +190,12 @@
 
     def _targets(self, engine: Upstream, tried: t.Collection[str]) -> list[Upstream]:
         """Order the candidate engines for a copy of a run on ``engine``."""
-        engines = self._upstreams.of(self._work.service.name)
+        service = self._work.service.name
+        engines = self._upstreams.of(service)
+        pools = self._upstreams.pools_of(service)
         candidates = [
             u
-            for u in open_engines_of_pool(engine, engines)
+            for u in open_engines_of_pool(engine, engines, pools)
             if u is not engine and u.id not in tried
         ]
         return self._chooser.engines_by_room(
--- a/src/bankrack/serving/enginefinder.py
+++ b/src/bankrack/serving/enginefinder.py
@@ -18,7 +18,6 @@
 from bankrack.serving.choice import Chooser
 from bankrack.serving.coldquotas import ColdQuotas
 from bankrack.serving.enginecontrol import EngineControl
-from bankrack.serving.pools import count_pools
 from bankrack.serving.pools import pool_of
 from bankrack.serving.pools import select_pool
 from bankrack.serving.routing import EngineTraits
@@ -196,7 +195,7 @@
         Raises :exc:`Overloaded` if there is none.
         """
         name = work.service.name
-        pools = count_pools(len(self._upstreams.of(name)))
+        pools = self._upstreams.pools_of(name)
         untried = [
             engine
             for engine in self._upstreams.available_of(name)
--- a/src/bankrack/serving/pools.py
+++ b/src/bankrack/serving/pools.py
@@ -4,40 +4,59 @@
 disagree only choose with less information.
 """
 
+import functools
 import typing as t
 
 from bankrack.serving.upstreams import Upstream
 from bankrack.utils import stable_digest
 
-ENGINES_PER_POOL = 48
-"""Approximate number of engines per pool.  It bounds the load of the owner, which
-polls all of them and sorts them for each run (benchmarks/ledger.py)."""
-
-
-def count_pools(engines: int) -> int:
-    """Number of pools for this number of engines, including leaving ones."""
-    return 1 + max(0, engines - 1) // ENGINES_PER_POOL
+MAX_REMEMBERED = 16_384
+"""Engines whose pool is remembered; a fleet has fewer than half of it."""
 
 
 def pool_of(name: str, pools: int) -> int:
-    """Number of the pool of an engine or run with this id."""
+    """Number of the pool of an engine or run with this id.
+
+    This is the consistent hash of Lamping and Veach: one pool more takes over an equal
+    share of each other pool, and all other ids keep their pool.
+    """
     if pools == 1:
         return 0
-    return int.from_bytes(stable_digest(name)) % pools
+    key = int.from_bytes(stable_digest(name))
+    pool = following = 0
+    while following < pools:
+        pool = following
+        key = (key * 2862933555777941757 + 1) % 2**64
+        following = int((pool + 1) * 2**31 / ((key >> 33) + 1))
+    return pool
+
+
+def candidate_pools(run: str, pools: int) -> tuple[int, int]:
+    """The first and the second pool that a run may be placed in, out of at least 2."""
+    first = pool_of(run, pools)
+    other = pool_of(f"{run}/second", pools - 1)
+    return first, other + (other >= first)
 
 
 def select_pool(engines: t.Sequence[Upstream], pool: int, pools: int) -> list[Upstream]:
     """The engines of one pool."""
-    return [engine for engine in engines if pool_of(engine.id, pools) == pool]
+    if pools == 1:
+        return list(engines)
+    return [engine for engine in engines if pool_of_engine(engine.id, pools) == pool]
+
+
+@functools.lru_cache(MAX_REMEMBERED)
+def pool_of_engine(engine: str, pools: int) -> int:
+    """Number of an engine's pool; remembered, as each query selects the engines."""
+    return pool_of(engine, pools)
 
 
 def open_engines_of_pool(
-    engine: Upstream, engines: t.Sequence[Upstream]
+    engine: Upstream, engines: t.Sequence[Upstream], pools: int
 ) -> list[Upstream]:
     """The engines of the same pool that accept new work.
 
     :param engines: all engines of the service, including leaving ones.
     """
-    pools = count_pools(len(engines))
-    same = select_pool(engines, pool_of(engine.id, pools), pools)
+    same = select_pool(engines, pool_of_engine(engine.id, pools), pools)
     return [other for other in same if other.open]
--- a/src/bankrack/serving/upstreams.py
+++ b/src/bankrack/serving/upstreams.py
@@ -6,6 +6,7 @@
 import typing as t
 
 from bankrack.clock import boottime
+from bankrack.decisions.poolcount import PoolCounts
 from bankrack.serving.ratelimit import RateLimit
 from bankrack.serving.ratelimit import UNLIMITED
 
@@ -314,6 +315,7 @@
     def __init__(self, *, clock: t.Callable[[], float] = boottime) -> None:
         self.by_id: dict[str, Upstream] = {}
         self.evacuated_halls: set[str] = set()
+        self.pool_counts = PoolCounts(clock=clock)
         self._clock = clock
         self._removed_by_id: collections.OrderedDict[str, Upstream] = (
             collections.OrderedDict()
@@ -397,6 +399,10 @@
         """Return all upstreams of a service, including those shutting down."""
         return [u for u in self.by_id.values() if u.record.service == service]
 
+    def pools_of(self, service: str) -> int:
+        """Number of pools into which the upstreams of a service are split."""
+        return self.pool_counts.count(service, len(self.of(service)))
+
     def open_of(self, service: str) -> list[Upstream]:
         """Return the upstreams of a service that accept new work.
 
--- a/tests/serving/test_pools.py
+++ b/tests/serving/test_pools.py
@@ -2,8 +2,8 @@
 
 import collections
 
-from bankrack.serving.pools import count_pools
-from bankrack.serving.pools import ENGINES_PER_POOL
+from bankrack.decisions.poolcount import count_pools
+from bankrack.decisions.poolcount import ENGINES_PER_POOL
 from bankrack.serving.pools import open_engines_of_pool
 from bankrack.serving.pools import pool_of
 from bankrack.serving.upstreams import Upstream
@@ -31,7 +31,8 @@
 
     def test_open_engines_of_pool_are_of_same_pool(self):
         known = engines(4 * ENGINES_PER_POOL)
-        found = open_engines_of_pool(known[0], known)
+        found = open_engines_of_pool(known[0], known, 4)
         self.assertIn(known[0], found)
         self.assertEqual({pool_of("e-0", 4)}, {pool_of(u.id, 4) for u in found})
-        self.assertEqual([], open_engines_of_pool(known[0], engines(5, leaving=True)))
+        leaving = engines(5, leaving=True)
+        self.assertEqual([], open_engines_of_pool(known[0], leaving, 1))
