--- a/src/bankrack/fleet/messages.py
+++ b/src/bankrack/fleet/messages.py
@@ -18,6 +18,10 @@
 RunUpdateKind = t.Literal["placed", "began", "failed", "ended", "copy_dropped"]
 
 
+MAX_SECONDS = 86_400.0
+"""Limit on the times in a response; a larger one is an error of its sender."""
+
+
 class PlacementQuery(msgspec.Struct, array_like=True):
     """Asks the pool owner for engines for a run; sizes in tokens.
 
@@ -66,9 +70,9 @@
     ids: list[str]
     reports: list[ReportMessage]
     verdict: t.Literal["admit", "wait", "refuse"] = "admit"
-    seconds: float = 0.0
+    seconds: t.Annotated[float, msgspec.Meta(ge=0.0, le=MAX_SECONDS)] = 0.0
     ahead: int = 0
-    expected: float | None = None
+    expected: t.Annotated[float, msgspec.Meta(ge=0.0, le=MAX_SECONDS)] | None = None
     backup_fits: bool = False
 
 
--- a/src/bankrack/fleet/poolowners.py
+++ b/src/bankrack/fleet/poolowners.py
@@ -41,7 +41,7 @@
 from bankrack.serving.coldquotas import ColdQuotas
 from bankrack.serving.job import Demand
 from bankrack.serving.pools import pool_of_engine
-from bankrack.serving.pools import select_pool
+from bankrack.serving.pools import PoolIndex
 from bankrack.serving.upstreams import Upstream
 from bankrack.serving.upstreams import Upstreams
 
@@ -75,6 +75,7 @@
         crashed_since: t.Callable[[float], t.Collection[str]] = lambda moment: (),
     ) -> None:
         self._ended_since = crashed_since
+        self._pool_index = PoolIndex(upstreams)
         self._upstreams = upstreams
         self._chooser = chooser
         self._note_use = note_use
@@ -84,9 +85,8 @@
 
     def decide(self, query: PlacementQuery) -> Verdict:
         """Decide on a run; records an admitted run as placed on its first engine."""
-        of_service = self._upstreams.open_of(query.service)
-        of_pool = select_pool(of_service, query.pool, query.pools)
-        engines = [engine for engine in of_pool if engine.id not in query.avoid]
+        of_pool = self._pool_index.engines(query.service, query.pool, query.pools)
+        engines = [e for e in of_pool if e.open and e.id not in query.avoid]
         if not engines:
             return Admit(())
         placement = PlacementRequest(
@@ -191,6 +191,7 @@
         clock: t.Callable[[], float] = boottime,
     ) -> None:
         self.rooms = PoolRooms(self._left, count=count_overflow, clock=clock)
+        self._pool_index = PoolIndex(upstreams)
         self._cold = cold
         self._clock = clock
         self._session = session
@@ -258,7 +259,12 @@
         pools = self._upstreams.pools_of(work.service.name)
         pool = self.rooms.pool(work, pools)
         return await self._query(
-            work, pool=pool, pools=pools, memory=memory, avoid=avoid, copy=True
+            work,
+            pool=pool,
+            pools=pools,
+            memory=memory,
+            avoid=avoid,
+            copy=True,
         )
 
     async def _query(
@@ -274,7 +280,7 @@
     ) -> Verdict | None:
         demand = work.job.demand
         service = work.service.name
-        engines = select_pool(self._upstreams.of(service), pool, pools)
+        engines = self._pool_index.engines(service, pool, pools)
         query = PlacementQuery(
             service=service,
             pool=pool,
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -269,6 +269,7 @@
             upstreams=list(self.upstreams.by_id.values()),
             keeps_ledgers=self.owners.owns_first_pool,
             quarantined=self.crashes.quarantined(),
+            full_pools=self.owners.rooms.describe(),
         )
 
     def reload(self, settings: GatewaySettings) -> None:
--- a/src/bankrack/nodestate.py
+++ b/src/bankrack/nodestate.py
@@ -16,6 +16,7 @@
     :param store_age: seconds since the store itself last confirmed the view.
     :param keeps_ledgers: whether this node owns the first pool and keeps its ledgers.
     :param quarantined: fingerprints of the quarantined requests.
+    :param full_pools: pools that had no room for a run, as last told to this node.
     """
 
     node: str
@@ -29,6 +30,7 @@
     upstreams: list[Upstream]
     keeps_ledgers: bool
     quarantined: list[str]
+    full_pools: list[dict[str, t.Any]]
 
     def gauges(self) -> dict[str, float]:
         """Return the values of the gauges by name."""
@@ -58,5 +60,6 @@
             "in_flight": self.in_flight,
             "members": sorted(self.members),
             "quarantined": self.quarantined,
+            "full_pools": self.full_pools,
             "upstreams": [upstream.describe() for upstream in self.upstreams],
         }
--- a/src/bankrack/serving/pools.py
+++ b/src/bankrack/serving/pools.py
@@ -8,6 +8,7 @@
 import typing as t
 
 from bankrack.serving.upstreams import Upstream
+from bankrack.serving.upstreams import Upstreams
 from bankrack.utils import stable_digest
 
 MAX_REMEMBERED = 16_384
@@ -45,9 +46,33 @@
     return [engine for engine in engines if pool_of_engine(engine.id, pools) == pool]
 
 
+class PoolIndex:
+    """The engines of each pool, kept until an upstream joins or is removed."""
+
+    def __init__(self, upstreams: Upstreams) -> None:
+        self._upstreams = upstreams
+        self._serial = upstreams.serial
+        self._by_pool: dict[tuple[str, int], dict[int, list[Upstream]]] = {}
+
+    def engines(self, service: str, pool: int, pools: int) -> list[Upstream]:
+        """The engines of one pool, including leaving ones."""
+        if pools == 1:
+            return self._upstreams.of(service)
+        if self._serial != self._upstreams.serial:
+            self._serial = self._upstreams.serial
+            self._by_pool.clear()
+        by_pool = self._by_pool.get((service, pools))
+        if by_pool is None:
+            by_pool = {}
+            for engine in self._upstreams.of(service):
+                by_pool.setdefault(pool_of_engine(engine.id, pools), []).append(engine)
+            self._by_pool[service, pools] = by_pool
+        return list(by_pool.get(pool, ()))
+
+
 @functools.lru_cache(MAX_REMEMBERED)
 def pool_of_engine(engine: str, pools: int) -> int:
-    """Number of an engine's pool; remembered, as each query selects the engines."""
+    """Number of an engine's pool; remembered, as a change of one asks for all."""
     return pool_of(engine, pools)
 
 
--- a/src/bankrack/serving/upstreams.py
+++ b/src/bankrack/serving/upstreams.py
@@ -310,12 +310,17 @@
 
 
 class Upstreams:
-    """All known upstreams, indexed by id."""
+    """All known upstreams, indexed by id.
+
+    :ivar serial: changes whenever an upstream joins or is removed.
+    """
 
     def __init__(self, *, clock: t.Callable[[], float] = boottime) -> None:
         self.by_id: dict[str, Upstream] = {}
         self.evacuated_halls: set[str] = set()
         self.pool_counts = PoolCounts(clock=clock)
+        self.serial = 0
+        self._of_service: dict[str, list[Upstream]] = {}
         self._clock = clock
         self._removed_by_id: collections.OrderedDict[str, Upstream] = (
             collections.OrderedDict()
@@ -331,6 +336,8 @@
         known.note_cold(record.cold_seconds, now)
         if known.record == record:
             return None
+        if known.record.service != record.service:
+            self._note_changed()
         known.record = record
         known.evacuated = record.hall in self.evacuated_halls
         if record.leaving and known.note_leaving(now):
@@ -341,6 +348,7 @@
         """Add an upstream; an instance that was known before keeps its state."""
         joined = self._removed_by_id.pop(record.id, None) or Upstream(record, now)
         self.by_id[record.id] = joined
+        self._note_changed()
         joined.record = record
         joined.removed_at = 0.0
         joined.evacuated = record.hall in self.evacuated_halls
@@ -359,6 +367,7 @@
         known = self.by_id.pop(upstream_id, None)
         if known is None:
             return False
+        self._note_changed()
         known.removed_at = self._clock()
         self._removed_by_id[upstream_id] = known
         if len(self._removed_by_id) > MAX_REMOVED:
@@ -397,7 +406,17 @@
 
     def of(self, service: str) -> list[Upstream]:
         """Return all upstreams of a service, including those shutting down."""
-        return [u for u in self.by_id.values() if u.record.service == service]
+        found = self._of_service.get(service)
+        if found is None:
+            every = self.by_id.values()
+            found = [u for u in every if u.record.service == service]
+            if found:
+                self._of_service[service] = found
+        return list(found)
+
+    def _note_changed(self) -> None:
+        self.serial += 1
+        self._of_service.clear()
 
     def pools_of(self, service: str) -> int:
         """Number of pools into which the upstreams of a service are split."""
--- a/tests/fleet/test_poolowners.py
+++ b/tests/fleet/test_poolowners.py
@@ -2,16 +2,21 @@
 
 import asyncio
 import contextlib
+import math
 import typing as t
 
 import aiohttp
 import msgspec
 from aiohttp import web
 
+from bankrack.clock import boottime
 from bankrack.decisions.admission import Admit
+from bankrack.decisions.admission import Wait
 from bankrack.decisions.coldstart import ColdTolerance
 from bankrack.fleet.documents import Member
 from bankrack.fleet.messages import PlacementQuery
+from bankrack.fleet.messages import PlacementResponse
+from bankrack.fleet.messages import RunUpdate
 from bankrack.fleet.poolowners import FLUSH_INTERVAL_SECONDS
 from bankrack.fleet.poolowners import Ledgers
 from bankrack.fleet.poolowners import NOTES_PATH
@@ -25,6 +30,7 @@
 from bankrack.serving.job import Demand
 from bankrack.serving.job import Job
 from bankrack.serving.job import RequestKind
+from bankrack.serving.pools import pool_of
 from bankrack.serving.routing import Route
 from bankrack.serving.routing import Service
 from bankrack.serving.upstreams import UpstreamRecord
@@ -189,6 +195,31 @@
             async with other.session.post(url, data=data) as response:
                 self.assertEqual(400, response.status)
 
+    async def test_run_is_queued_only_where_it_asks_for_it(self):
+        async with two_nodes() as (owner, _):
+            for engine in owner.upstreams.of("s"):
+                engine.suspect_until = boottime() + 60.0
+            pool = pool_of("one", 2)
+            query = PlacementQuery("s", pool, 2, "r-1", 100, 1, MEMORY, "a", [])
+            query.left = query.silence_left = 30.0
+            allocator = owner.ledgers._allocator("s", pool)
+            for queue in (False, True):
+                query.queue = queue
+                self.assertIsInstance(owner.ledgers.decide(query), Wait)
+                self.assertEqual(int(queue), len(allocator.queue))
+            owner.ledgers.take(RunUpdate("s", pool, "r-1", "ended"))
+            self.assertEqual(0, len(allocator.queue))
+
+    def test_absurd_times_in_response_are_rejected(self):
+        for value in (-1.0, 1e9, math.nan, math.inf):
+            for response in (
+                PlacementResponse([], [], "wait", value),
+                PlacementResponse([], [], "refuse", expected=value),
+            ):
+                with self.assertRaises(msgspec.ValidationError):
+                    body = msgspec.msgpack.encode(response)
+                    msgspec.msgpack.decode(body, type=PlacementResponse)
+
     async def test_malformed_message_is_rejected_without_effect(self):
         async with two_nodes() as (owner, other):
             for path in (PLACE_PATH, NOTES_PATH):
--- a/tests/serving/test_pools.py
+++ b/tests/serving/test_pools.py
@@ -29,6 +29,12 @@
         self.assertEqual(pools, len(sizes))
         self.assertLess(max(sizes.values()), 2 * ENGINES_PER_POOL)
 
+    def test_one_pool_more_takes_equal_shares_of_the_others(self):
+        ids = [f"e-{n}" for n in range(2_000)]
+        moved = [i for i in ids if pool_of(i, 20) != pool_of(i, 21)]
+        self.assertEqual({20}, {pool_of(i, 21) for i in moved})
+        self.assertLess(len(moved), 150)
+
     def test_open_engines_of_pool_are_of_same_pool(self):
         known = engines(4 * ENGINES_PER_POOL)
         found = open_engines_of_pool(known[0], known, 4)
