Copies stay in the hall of the engine that runs the stream

A copy between halls takes twice as long, of the few seconds that a leaving engine stays.

Change: the query for a copy names the hall of the engine, and the owner takes an engine there if one has room for it, else the best of all. This acts at every deployment with several halls whose engines make copies, with one pool as well.

--- a/src/bankrack/serving/advisor.py
+++ b/src/bankrack/serving/advisor.py
@@ -27,7 +27,7 @@
         ...
 
     async def place_copy(
-        self, work: Assignment, *, memory: int, avoid: t.Collection[str]
+        self, work: Assignment, *, memory: int, avoid: t.Collection[str], hall: str
     ) -> Verdict | None:
         """Select an engine for a copy of a run; ``None`` if no owner answers.
 
@@ -36,6 +36,7 @@
 
         :param memory: memory in tokens of an engine without a report.
         :param avoid: ids of engines that must not be used.
+        :param hall: of the engine that runs it; preferred, as copies are faster there.
         """
         ...
 
