--- a/src/bankrack/fleet/poolowners.py
+++ b/src/bankrack/fleet/poolowners.py
@@ -6,40 +6,29 @@
 """
 
 import asyncio
-import functools
 import logging
 import typing as t
 
 import aiohttp
 import msgspec
-from aiohttp import web
 
 from bankrack import logs
 from bankrack.clock import boottime
 from bankrack.decisions.admission import Admit
 from bankrack.decisions.admission import Verdict
 from bankrack.fleet.documents import Member
-from bankrack.fleet.messages import decode_message
+from bankrack.fleet.ledgers import Ledgers
 from bankrack.fleet.messages import decode_verdict
-from bankrack.fleet.messages import encode_verdict
 from bankrack.fleet.messages import PlacementQuery
 from bankrack.fleet.messages import PlacementResponse
 from bankrack.fleet.messages import RunUpdate
 from bankrack.fleet.messages import RunUpdateKind
 from bankrack.fleet.poolrooms import PoolRooms
-from bankrack.fleet.reports import encode_reports
 from bankrack.fleet.reports import merge_reports
-from bankrack.fleet.reports import ReportMessage
 from bankrack.fleet.roster import rank_members
 from bankrack.fleet.suspects import SuspectList
-from bankrack.placement.allocation import Allocator
-from bankrack.placement.allocation import LEARN_SECONDS
-from bankrack.placement.allocation import PlacementRequest
-from bankrack.placement.ledger import Ledger
 from bankrack.serving.assignment import Assignment
-from bankrack.serving.choice import Chooser
 from bankrack.serving.coldquotas import ColdQuotas
-from bankrack.serving.job import Demand
 from bankrack.serving.pools import pool_of_engine
 from bankrack.serving.pools import PoolIndex
 from bankrack.serving.upstreams import Upstream
@@ -58,120 +47,6 @@
 _logger = logging.getLogger(__name__)
 
 
-class Ledgers:
-    """The ledgers that this node owns, by service and pool, and their HTTP handlers.
-
-    :param note_use: called on queries of other nodes, as engines are polled while in
-        use.
-    :param crashed_since: returns the upstreams that crashed after a given time.
-    """
-
-    def __init__(
-        self,
-        upstreams: Upstreams,
-        chooser: Chooser,
-        *,
-        note_use: t.Callable[[], None] = lambda: None,
-        crashed_since: t.Callable[[float], t.Collection[str]] = lambda moment: (),
-    ) -> None:
-        self._ended_since = crashed_since
-        self._pool_index = PoolIndex(upstreams)
-        self._upstreams = upstreams
-        self._chooser = chooser
-        self._note_use = note_use
-        self.learn_seconds = LEARN_SECONDS
-        self._allocator_by_pool: dict[tuple[str, int], Allocator] = {}
-        self._split_services: set[str] = set()
-
-    def decide(self, query: PlacementQuery) -> Verdict:
-        """Decide on a run; records an admitted run as placed on its first engine."""
-        of_pool = self._pool_index.engines(query.service, query.pool, query.pools)
-        engines = [e for e in of_pool if e.open and e.id not in query.avoid]
-        if not engines:
-            return Admit(())
-        placement = PlacementRequest(
-            run=query.run,
-            demand=Demand(prompt=query.prompt, output_limit=query.output),
-            memory=query.memory,
-            hall=query.hall,
-            rank=query.rank,
-            due=query.due,
-            left=query.left,
-            silence_left=query.silence_left,
-            cold_rate=query.cold_rate,
-        )
-        allocator = self._allocator(query.service, query.pool)
-        if query.pools > 1:
-            self._split_services.add(query.service)
-        if query.copy:
-            return allocator.place_copy(engines, placement)
-        verdict = allocator.decide(engines, placement)
-        if not query.queue:
-            allocator.queue.remove(query.run)
-        return verdict
-
-    def take(self, update: RunUpdate) -> None:
-        """Apply an update on a run."""
-        allocator = self._allocator(update.service, update.pool)
-        ledger = allocator.ledger
-        match update.kind:
-            case "placed":
-                demand = Demand(prompt=update.prompt, output_limit=update.output)
-                ledger.place(update.run, update.engine, demand)
-            case "began":
-                ledger.begin(update.run, update.engine, took=update.took)
-                if engine := self._upstreams.by_id.get(update.engine):
-                    self._chooser.answered(engine, failed=False)
-            case "failed":
-                if engine := self._upstreams.by_id.get(update.engine):
-                    self._chooser.suspect(engine)
-                    self._chooser.answered(engine, failed=True)
-            case "ended":
-                ledger.end(update.run, took=update.took)
-                if update.service in self._split_services:
-                    # It may have been admitted to another pool.
-                    allocator.queue.remove(update.run)
-            case "copy_dropped":
-                ledger.drop_copy(update.run)
-
-    async def handle_query(self, request: web.Request) -> web.Response:
-        """Answer another node's query."""
-        query = decode_message(await request.read(), PlacementQuery)
-        self._note_use()
-        verdict = self.decide(query)
-        reports: list[ReportMessage] = []
-        if query.pools > 1 and isinstance(verdict, Admit):
-            by_id = self._upstreams.by_id
-            reports = encode_reports(by_id[name] for name in verdict.engines)
-        advice = encode_verdict(verdict, reports)
-        return web.Response(body=msgspec.msgpack.encode(advice))
-
-    async def handle_run_updates(self, request: web.Request) -> web.Response:
-        """Apply run updates of another node."""
-        body = await request.read()
-        for update in decode_message(body, list[RunUpdate]):
-            self.take(update)
-        return web.Response()
-
-    def _allocator(self, service: str, pool: int) -> Allocator:
-        key = service, pool
-        if key not in self._allocator_by_pool:
-            allocator = Allocator(
-                learn_seconds=self.learn_seconds,
-                crashed_since=functools.partial(self._crashed_of, service),
-            )
-            self._allocator_by_pool[key] = allocator
-        return self._allocator_by_pool[key]
-
-    def _crashed_of(self, service: str, moment: float) -> list[str]:
-        """Return the engines of a service that crashed after a given time."""
-        found = [(i, self._upstreams.find(i)) for i in self._ended_since(moment)]
-        return [i for i, known in found if known and known.record.service == service]
-
-    def _ledger(self, service: str, pool: int) -> Ledger:
-        return self._allocator(service, pool).ledger
-
-
 class PoolOwnerClient:
     """Queries pool owners, which may be this node itself.
 
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -23,13 +23,13 @@
 from bankrack.fleet.follower import Follower
 from bankrack.fleet.leavingupdates import LEAVING_PATH
 from bankrack.fleet.leavingupdates import LeavingUpdates
+from bankrack.fleet.ledgers import Ledgers
 from bankrack.fleet.lending import LEND_PATH
 from bankrack.fleet.lending import Lender
 from bankrack.fleet.membership import Announcer
 from bankrack.fleet.peers import LeaderClient
 from bankrack.fleet.peers import UPDATES_PATH
 from bankrack.fleet.peers import UpdateServer
-from bankrack.fleet.poolowners import Ledgers
 from bankrack.fleet.poolowners import NOTES_PATH
 from bankrack.fleet.poolowners import PLACE_PATH
 from bankrack.fleet.poolowners import PoolOwnerClient
--- a/tests/fleet/test_poolowners.py
+++ b/tests/fleet/test_poolowners.py
@@ -14,11 +14,11 @@
 from bankrack.decisions.admission import Wait
 from bankrack.decisions.coldstart import ColdTolerance
 from bankrack.fleet.documents import Member
+from bankrack.fleet.ledgers import Ledgers
 from bankrack.fleet.messages import PlacementQuery
 from bankrack.fleet.messages import PlacementResponse
 from bankrack.fleet.messages import RunUpdate
 from bankrack.fleet.poolowners import FLUSH_INTERVAL_SECONDS
-from bankrack.fleet.poolowners import Ledgers
 from bankrack.fleet.poolowners import NOTES_PATH
 from bankrack.fleet.poolowners import PLACE_PATH
 from bankrack.fleet.poolowners import PoolOwnerClient
