--- a/src/bankrack/serving/upstreams.py
+++ b/src/bankrack/serving/upstreams.py
@@ -321,6 +321,7 @@
         self.pool_counts = PoolCounts(clock=clock)
         self.serial = 0
         self._of_service: dict[str, list[Upstream]] = {}
+        self._size_by_service: collections.Counter[str] = collections.Counter()
         self._clock = clock
         self._removed_by_id: collections.OrderedDict[str, Upstream] = (
             collections.OrderedDict()
@@ -336,9 +337,11 @@
         known.note_cold(record.cold_seconds, now)
         if known.record == record:
             return None
-        if known.record.service != record.service:
-            self._note_changed()
+        before = known.record.service
         known.record = record
+        if before != record.service:
+            self._note_changed(before, -1)
+            self._note_changed(record.service, 1)
         known.evacuated = record.hall in self.evacuated_halls
         if record.leaving and known.note_leaving(now):
             return "leaving"
@@ -348,8 +351,8 @@
         """Add an upstream; an instance that was known before keeps its state."""
         joined = self._removed_by_id.pop(record.id, None) or Upstream(record, now)
         self.by_id[record.id] = joined
-        self._note_changed()
         joined.record = record
+        self._note_changed(record.service, 1)
         joined.removed_at = 0.0
         joined.evacuated = record.hall in self.evacuated_halls
         joined.note_cold(record.cold_seconds, now)
@@ -367,7 +370,7 @@
         known = self.by_id.pop(upstream_id, None)
         if known is None:
             return False
-        self._note_changed()
+        self._note_changed(known.record.service, -1)
         known.removed_at = self._clock()
         self._removed_by_id[upstream_id] = known
         if len(self._removed_by_id) > MAX_REMOVED:
@@ -414,13 +417,16 @@
                 self._of_service[service] = found
         return list(found)
 
-    def _note_changed(self) -> None:
+    def _note_changed(self, service: str, difference: int) -> None:
+        """Record that upstreams of a service joined or were removed."""
         self.serial += 1
-        self._of_service.clear()
+        self._of_service.pop(service, None)
+        self._size_by_service[service] += difference
+        self.pool_counts.note(service, self._size_by_service[service])
 
     def pools_of(self, service: str) -> int:
         """Number of pools into which the upstreams of a service are split."""
-        return self.pool_counts.count(service, len(self.of(service)))
+        return self.pool_counts.pools(service)
 
     def open_of(self, service: str) -> list[Upstream]:
         """Return the upstreams of a service that accept new work.
