A run that no owner places is in the pool of its digest

Cause: a run that had changed to its second pool was placed by reports on an engine of its first one, while its updates still went to the second.

Change: without a verdict, or an engine in it, the run counts as in the pool of its digest, in which engines are chosen by reports.

--- a/src/bankrack/fleet/poolrooms.py
+++ b/src/bankrack/fleet/poolrooms.py
@@ -89,10 +89,9 @@
         if pools == 1:
             self._move(work, self._place(work, 0), 0)
             return await ask(0, True)
-        first, second = candidate_pools(work.job.id, pools)
-        place = self._place(work, first)
-        if place.pool == second:
-            first, second = second, first
+        own, other = candidate_pools(work.job.id, pools)
+        place = self._place(work, own)
+        first, second = (other, own) if place.pool == other else (own, other)
         size = Size(work.job.demand.expected, (work.priority, work.route.priority))
         verdict = await ask(first, True)
         self._note(work, first, size, verdict)
@@ -105,12 +104,17 @@
         )
         outcome = Outcome(verdict, second=False)
         if question is not None:
-            other = await self._ask_second(work, second, question.queue, ask)
-            self._note(work, second, size, other)
-            self._log(work, first, second, verdict, other)
-            outcome = settle(verdict, other, may_move=not place.moved)
+            answer = await self._ask_second(work, second, question.queue, ask)
+            self._note(work, second, size, answer)
+            self._log(work, first, second, verdict, answer)
+            outcome = settle(verdict, answer, may_move=not place.moved)
         self._move(work, place, first)
-        self._move(work, place, second if outcome.second else first)
+        match outcome.verdict:
+            case None | Admit(engines=()):
+                # It will be placed by reports, in the pool of its digest.
+                self._move(work, place, own)
+            case _ if outcome.second:
+                self._move(work, place, second)
         waits = isinstance(outcome.verdict, Wait)
         place.moved |= outcome.second and waits
         place.waited |= waits
