A query has the flag for the queue only where a second pool is asked

Cause: the field made each query a byte longer, also with one pool.

Change: OverflowQuery extends PlacementQuery; it is sent to a second pool only. Owners decode both.

--- a/src/bankrack/fleet/ledgers.py
+++ b/src/bankrack/fleet/ledgers.py
@@ -10,6 +10,7 @@
 from bankrack.decisions.admission import Verdict
 from bankrack.fleet.messages import decode_message
 from bankrack.fleet.messages import encode_verdict
+from bankrack.fleet.messages import OverflowQuery
 from bankrack.fleet.messages import PlacementQuery
 from bankrack.fleet.messages import RunUpdate
 from bankrack.fleet.reports import encode_reports
@@ -72,7 +73,7 @@
         if query.copy:
             return allocator.place_copy(engines, placement)
         verdict = allocator.decide(engines, placement)
-        if not query.queue:
+        if isinstance(query, OverflowQuery) and not query.queue:
             allocator.queue.remove(query.run)
         return verdict
 
@@ -102,7 +103,7 @@
 
     async def handle_query(self, request: web.Request) -> web.Response:
         """Answer another node's query."""
-        query = decode_message(await request.read(), PlacementQuery)
+        query = decode_message(await request.read(), OverflowQuery)
         self._note_use()
         verdict = self.decide(query)
         reports: list[ReportMessage] = []
--- a/src/bankrack/fleet/messages.py
+++ b/src/bankrack/fleet/messages.py
@@ -34,7 +34,6 @@
     :param cold_rate: runs per second that the owner may place on a cold engine; 0 if
         unlimited.
     :param copy: whether the query is for a copy of a run that is already placed.
-    :param queue: whether the run is queued if it has to wait.
     """
 
     service: str
@@ -52,6 +51,14 @@
     silence_left: float = 0.0
     cold_rate: float = 0.0
     copy: bool = False
+
+
+class OverflowQuery(PlacementQuery, array_like=True):
+    """A query to the owner of a run's second pool.
+
+    :param queue: whether the run is queued if it has to wait.
+    """
+
     queue: bool = True
 
 
--- a/src/bankrack/fleet/poolowners.py
+++ b/src/bankrack/fleet/poolowners.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import functools
 import logging
 import typing as t
 
@@ -19,6 +20,7 @@
 from bankrack.fleet.documents import Member
 from bankrack.fleet.ledgers import Ledgers
 from bankrack.fleet.messages import decode_verdict
+from bankrack.fleet.messages import OverflowQuery
 from bankrack.fleet.messages import PlacementQuery
 from bankrack.fleet.messages import PlacementResponse
 from bankrack.fleet.messages import RunUpdate
@@ -158,7 +160,10 @@
         demand = work.job.demand
         service = work.service.name
         engines = self._pool_index.engines(service, pool, pools)
-        query = PlacementQuery(
+        make_query: t.Callable[..., PlacementQuery] = PlacementQuery
+        if not queue:
+            make_query = functools.partial(OverflowQuery, queue=False)
+        query = make_query(
             service=service,
             pool=pool,
             pools=pools,
@@ -174,7 +179,6 @@
             silence_left=work.silence_left(),
             cold_rate=self._cold.owner_rate(work.service),
             copy=copy,
-            queue=queue,
         )
         owner = self.owner(query.pool)
         if owner.name == self._own.name:
--- a/tests/fleet/test_poolowners.py
+++ b/tests/fleet/test_poolowners.py
@@ -15,6 +15,7 @@
 from bankrack.decisions.coldstart import ColdTolerance
 from bankrack.fleet.documents import Member
 from bankrack.fleet.ledgers import Ledgers
+from bankrack.fleet.messages import OverflowQuery
 from bankrack.fleet.messages import PlacementQuery
 from bankrack.fleet.messages import PlacementResponse
 from bankrack.fleet.messages import RunUpdate
@@ -200,7 +201,7 @@
             for engine in owner.upstreams.of("s"):
                 engine.suspect_until = boottime() + 60.0
             pool = pool_of("one", 2)
-            query = PlacementQuery("s", pool, 2, "r-1", 100, 1, MEMORY, "a", [])
+            query = OverflowQuery("s", pool, 2, "r-1", 100, 1, MEMORY, "a", [])
             query.left = query.silence_left = 30.0
             allocator = owner.ledgers._allocator("s", pool)
             for queue in (False, True):
