Placement on engines of unequal speed: pauses are part of the cost

Cause: prompts that were read on slow engines paused the long streams there for longer than their callers accept; nothing knew how fast an engine is.

Change: nodes report the gaps of their streams and the slowdown that engines state, the owner keeps a factor for each engine and adds the expected loss by pauses to its cost, the slowest engines are dedicated to short runs, a long run that is not due yet waits for an engine that does not pause it, and nodes pass over engines in a slow moment. All of it takes effect only for services whose engines state a slowdown other than 1. Releases of placements that a report does not list are no longer kept in the cache.

--- a/src/bankrack/fleet/messages.py
+++ b/src/bankrack/fleet/messages.py
@@ -15,7 +15,7 @@
 
 _logger = logging.getLogger(__name__)
 
-RunUpdateKind = t.Literal["placed", "began", "failed", "ended", "copy_dropped"]
+RunUpdateKind = t.Literal["placed", "began", "failed", "ended", "copy_dropped", "paced"]
 
 
 class PlacementQuery(msgspec.Struct, array_like=True):
@@ -110,6 +110,26 @@
     took: float = 0.0
 
 
+class PaceUpdate(RunUpdate, array_like=True):
+    """A run update of a service whose engines are uneven.
+
+    For the kind ``paced``, ``took`` is the usual gap between events in seconds.
+
+    :param events: number of gaps.
+    :param longest: longest gap in seconds.
+    :param gap_target: longest gap in seconds that the caller accepts.
+    :param target_latency: of the run's route, in seconds.
+    :param stated: how long work took on the engine as the run began, as a multiple of
+        the usual; 0 if not stated.
+    """
+
+    events: int = 0
+    longest: float = 0.0
+    gap_target: float = 0.0
+    target_latency: float = 0.0
+    stated: float = 0.0
+
+
 def decode_message(body: bytes, message_type: t.Any) -> t.Any:
     """Decode a message of another node; rejects and logs a malformed one."""
     try:
--- a/src/bankrack/fleet/poolowners.py
+++ b/src/bankrack/fleet/poolowners.py
@@ -18,10 +18,13 @@
 from bankrack.clock import boottime
 from bankrack.decisions.admission import Admit
 from bankrack.decisions.admission import Verdict
+from bankrack.decisions.pauses import FRESH_SECONDS
+from bankrack.decisions.pauses import Stakes
 from bankrack.fleet.documents import Member
 from bankrack.fleet.messages import decode_message
 from bankrack.fleet.messages import decode_verdict
 from bankrack.fleet.messages import encode_verdict
+from bankrack.fleet.messages import PaceUpdate
 from bankrack.fleet.messages import PlacementQuery
 from bankrack.fleet.messages import PlacementResponse
 from bankrack.fleet.messages import RunUpdate
@@ -38,6 +41,7 @@
 from bankrack.serving.assignment import Assignment
 from bankrack.serving.choice import Chooser
 from bankrack.serving.coldquotas import ColdQuotas
+from bankrack.serving.gaps import GapMeter
 from bankrack.serving.job import Demand
 from bankrack.serving.pools import count_pools
 from bankrack.serving.pools import pool_of
@@ -113,6 +117,8 @@
                 ledger.place(update.run, update.engine, demand)
             case "began":
                 ledger.begin(update.run, update.engine, took=update.took)
+                if isinstance(update, PaceUpdate) and update.stated:
+                    ledger.speeds.observe_stated(update.engine, update.stated)
                 if engine := self._upstreams.by_id.get(update.engine):
                     self._chooser.answered(engine, failed=False)
             case "failed":
@@ -123,6 +129,24 @@
                 ledger.end(update.run, took=update.took)
             case "copy_dropped":
                 ledger.drop_copy(update.run)
+            case "paced" if isinstance(update, PaceUpdate):
+                ledger.pace(
+                    update.run,
+                    update.engine,
+                    gap=update.took,
+                    events=update.events,
+                    longest=update.longest,
+                    stakes=Stakes(update.gap_target, update.target_latency),
+                )
+
+    def describe_speeds(self) -> dict[str, dict[str, t.Any]]:
+        """Return the speeds of the engines by service and engine."""
+        found: dict[str, dict[str, t.Any]] = {}
+        for (service, _), allocator in self._allocator_by_pool.items():
+            if allocator.ledger.speeds.active:
+                speeds = allocator.ledger.speeds.describe()
+                found.setdefault(service, {}).update(speeds)
+        return found
 
     async def handle_query(self, request: web.Request) -> web.Response:
         """Answer another node's query."""
@@ -139,7 +163,7 @@
     async def handle_run_updates(self, request: web.Request) -> web.Response:
         """Apply run updates of another node."""
         body = await request.read()
-        for update in decode_message(body, list[RunUpdate]):
+        for update in decode_message(body, list[PaceUpdate]):
             self.take(update)
         return web.Response()
 
@@ -308,7 +332,34 @@
 
     def began(self, work: Assignment, engine: Upstream, *, took: float) -> None:
         """Report that a run produced its first event on ``engine``."""
-        self._queue_update(work, "began", engine.id, took=took)
+        age = self._clock() - engine.slowdown_at
+        if age > FRESH_SECONDS or not self._upstreams.uneven(work.service.name):
+            self._queue_update(work, "began", engine.id, took=took)
+            return
+        self._append_update(
+            PaceUpdate(
+                *self._address_of(work),
+                "began",
+                engine.id,
+                took=took,
+                stated=engine.slowdown,
+            )
+        )
+
+    def paced(self, work: Assignment, gaps: GapMeter) -> None:
+        """Report how far apart the events of a run are on an engine."""
+        self._append_update(
+            PaceUpdate(
+                *self._address_of(work),
+                "paced",
+                gaps.engine,
+                took=gaps.base,
+                events=gaps.events,
+                longest=gaps.longest,
+                gap_target=work.route.gap_target,
+                target_latency=work.route.target_latency,
+            )
+        )
 
     def failed(self, work: Assignment, engine: Upstream) -> None:
         """Report an engine that was unreachable, disconnected or produced no event."""
@@ -354,10 +405,18 @@
         output: int = 0,
         took: float = 0.0,
     ) -> None:
+        service, pool, run = self._address_of(work)
+        self._append_update(
+            RunUpdate(service, pool, run, kind, engine, prompt, output, took)
+        )
+
+    def _address_of(self, work: Assignment) -> tuple[str, int, str]:
+        """Service, pool and id of a run."""
         service = work.service.name
         pool = pool_of(work.job.id, count_pools(len(self._upstreams.of(service))))
-        run = work.job.id
-        update = RunUpdate(service, pool, run, kind, engine, prompt, output, took)
+        return service, pool, work.job.id
+
+    def _append_update(self, update: RunUpdate) -> None:
         if len(self._updates) < MAX_QUEUED_UPDATES:
             self._updates.append(update)
         self._has_updates.set()
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -267,6 +267,7 @@
             upstreams=list(self.upstreams.by_id.values()),
             keeps_ledgers=self.owners.owns_first_pool,
             quarantined=self.crashes.quarantined(),
+            engine_speeds=self.ledgers.describe_speeds(),
         )
 
     def reload(self, settings: GatewaySettings) -> None:
--- a/src/bankrack/nodestate.py
+++ b/src/bankrack/nodestate.py
@@ -15,6 +15,8 @@
     :param view_age: seconds since the view was last confirmed, by any source.
     :param store_age: seconds since the store itself last confirmed the view.
     :param keeps_ledgers: whether this node owns the first pool and keeps its ledgers.
+    :param engine_speeds: speeds of the engines of the pools that this node owns, by
+        service and engine.
     :param quarantined: fingerprints of the quarantined requests.
     """
 
@@ -29,6 +31,7 @@
     upstreams: list[Upstream]
     keeps_ledgers: bool
     quarantined: list[str]
+    engine_speeds: dict[str, dict[str, t.Any]]
 
     def gauges(self) -> dict[str, float]:
         """Return the values of the gauges by name."""
@@ -58,5 +61,6 @@
             "in_flight": self.in_flight,
             "members": sorted(self.members),
             "quarantined": self.quarantined,
+            "engine_speeds": self.engine_speeds,
             "upstreams": [upstream.describe() for upstream in self.upstreams],
         }
--- a/src/bankrack/placement/allocation.py
+++ b/src/bankrack/placement/allocation.py
@@ -39,6 +39,8 @@
 It covers the delay until this node learns that a prompt was read, so that engines do
 not idle; with more, runs would wait on the engine and the newest would be read
 first."""
+PAUSE_RETRY_SECONDS = 0.1
+"""Delay until a run asks again for an engine where it would not be paused too long."""
 COPY_RANK = -1
 """Route rank of a copy: copies go before all runs of a workspace with the same rank."""
 READ_TIME_FRACTION = 0.75
@@ -159,6 +161,12 @@
             releases=occupancy.releases(engines),
             now=now,
         )
+        if (
+            isinstance(verdict, Admit)
+            and candidate.due > now
+            and ledger.pauses_everywhere(engines, verdict.engines, request.demand)
+        ):
+            verdict = Wait(PAUSE_RETRY_SECONDS, 0, None)
         self._update_queue(candidate, verdict, now)
         match verdict:
             case Admit(names):
--- a/src/bankrack/placement/ledger.py
+++ b/src/bankrack/placement/ledger.py
@@ -11,10 +11,14 @@
 import typing as t
 
 from bankrack.clock import boottime
+from bankrack.decisions.enginespeed import Kind
+from bankrack.decisions.pauses import Stakes
 from bankrack.placement.occupancy import Occupancy
+from bankrack.placement.pauserisk import PauseRisk
 from bankrack.placement.placements import MAX_READ_WAITS
 from bankrack.placement.placements import Placement
 from bankrack.serving.choice import REPORT_LAG_SECONDS
+from bankrack.serving.enginespeeds import EngineSpeeds
 from bankrack.serving.job import Demand
 from bankrack.serving.pace import Pace
 from bankrack.serving.upstreams import EngineReport
@@ -71,10 +75,14 @@
         self._clock = clock
         self._rng = rng or random.Random()
         self._pace = Pace()
+        self.speeds = EngineSpeeds()
+        self._pause_risk = PauseRisk(self.speeds, clock=clock)
         self._short_ids: set[str] = set()
         self._placement_by_run: dict[str, Placement] = {}
         self._short_prompts: collections.deque[tuple[float, int]] = collections.deque()
-        self.occupancy = Occupancy(self._placement_by_run, self._pace, clock=clock)
+        self.occupancy = Occupancy(
+            self._placement_by_run, self._pace, self.speeds, clock=clock
+        )
 
     def place(self, run: str, engine: str, demand: Demand) -> None:
         """Record that a run was sent to ``engine``."""
@@ -84,8 +92,9 @@
         now = self._clock()
         short_only = engine in self._short_ids
         others = [p for p in self._placement_by_run.values() if p.engine == engine]
-        ahead = self._unread(others, short_only=short_only)
+        ahead = self._unread(engine, others, short_only=short_only)
         placement = Placement(engine, demand, now, ahead, short_only, confirmed=now)
+        self._pause_risk.note_prompt(others)
         if demand.short and run not in self._placement_by_run:
             self._expire_prompts()
             self._short_prompts.append((placement.placed, placement.prompt))
@@ -102,7 +111,9 @@
         now = self._clock()
         running = self._placement_by_run.get(run)
         began = now if running is None or running.began is None else running.began
-        placement = Placement(engine, demand, now, began=began, confirmed=now)
+        placement = Placement(
+            engine, demand, now, began=began, confirmed=now, copy=True
+        )
         self._placement_by_run[copy_name(run)] = placement
         self.occupancy.invalidate(engine)
 
@@ -123,11 +134,47 @@
             placement.began = self._clock()
             if placement.engine == engine:
                 tokens = placement.ahead + placement.prompt
-                self._pace.began(tokens, took, short_only=placement.short_only)
+                self._observe_first_event(placement, tokens, took)
+        if placement.engine != engine:
+            placement.gap, placement.gaps, placement.longest_pause = 0.0, 0, 0.0
+            placement.prompts_beside = 0
         self.occupancy.invalidate(placement.engine, engine)
         placement.engine = engine
         placement.confirmed = self._clock()
 
+    def _observe_first_event(
+        self, placement: Placement, tokens: int, took: float
+    ) -> None:
+        """Learn from the time in which an engine read prompts."""
+        engine, short_only = placement.engine, placement.short_only
+        if self.speeds.active and tokens > 0 and took > 0.0:
+            rate = self._pace.wait_rate(short_only=short_only)
+            self.speeds.observe(engine, Kind.FIRST_EVENT, took * rate / tokens)
+        factor = self.speeds.factor(engine)
+        self._pace.began(tokens, took / factor, short_only=short_only)
+
+    def pace(
+        self,
+        run: str,
+        engine: str,
+        *,
+        gap: float,
+        events: int,
+        longest: float,
+        stakes: Stakes,
+    ) -> None:
+        """Record how far apart the events of a run are on an engine.
+
+        :param gap: usual seconds between two events.
+        :param events: number of gaps.
+        :param longest: longest gap in seconds.
+        """
+        self.speeds.observe_gaps(engine, gap, stakes)
+        placement = self._placement_by_run.get(run)
+        if placement is not None and placement.engine == engine:
+            placement.gap, placement.gaps = gap, events
+            placement.longest_pause = longest
+
     def end(self, run: str, *, took: float = 0.0) -> None:
         """Record that a run ended, on any engine.
 
@@ -136,7 +183,9 @@
         self.drop_copy(run)
         placement = self.withdraw(run)
         if placement is not None:
-            self._pace.ended(placement.demand, took)
+            factor = self.speeds.factor(placement.engine)
+            self._pace.ended(placement.demand, took / factor)
+            self._pause_risk.note_end(placement, took)
 
     def withdraw(self, run: str) -> Placement | None:
         """Remove and return a placement, for instance of a run that never began."""
@@ -151,14 +200,19 @@
         return self._pace.read_rate()
 
     def unread_by_engine(self) -> dict[str, float]:
-        """Unread prompt tokens by engine, for engines that have any."""
+        """Unread prompt tokens by engine, for engines that have any.
+
+        A slow engine has as many as one of the usual speed reads in the same time.
+        """
         now = self._clock()
         wait_rate = self._pace.wait_rate()
         unread: dict[str, float] = {}
         for placement in self._placement_by_run.values():
             if placement.began is None:
-                tokens = placement.unread(now, wait_rate)
-                unread[placement.engine] = unread.get(placement.engine, 0.0) + tokens
+                engine = placement.engine
+                factor = max(1.0, self.speeds.factor(engine))
+                tokens = factor * placement.unread(now, wait_rate / factor)
+                unread[engine] = unread.get(engine, 0.0) + tokens
         return unread
 
     def run_seconds(self, demand: Demand) -> float:
@@ -180,6 +234,8 @@
         """
         self.forget()
         engines = list(engines)
+        if not self.speeds.active:
+            self.speeds.active = any(engine.uneven for engine in engines)
         short_ids = self._short_run_engines(engines, memory=memory)
         self._short_ids = short_ids
         by_engine: dict[str, list[Placement]] = {}
@@ -190,7 +246,15 @@
             placements = by_engine.get(engine.id, [])
             short_only = engine.id in short_ids
             cost = self._cost(
-                engine, placements, demand, memory, hall, short_only=short_only
+                engine,
+                placements,
+                demand,
+                memory,
+                hall,
+                short_only=short_only,
+            )
+            cost += self._pause_risk.cost(
+                engine.id, placements, demand, engines=len(engines)
             )
             if short_ids and short_only != demand.short:
                 cost += MISMATCH_COST_PROMPTS * demand.prompt / self._pace.read_rate()
@@ -205,14 +269,18 @@
         are placed on as few engines as can read their prompts in time, so that long
         runs elsewhere are not delayed.
         """
-        if len(engines) < MIN_ENGINES_TO_SPLIT:
-            return set()
         tokens = sum(prompt for _, prompt in self._short_prompts)
         rate = tokens / RATE_WINDOW_SECONDS
-        wanted = math.ceil(
-            rate / (SHORT_ENGINE_LOAD * self._pace.read_rate(short_only=True))
-        )
-        count = min(wanted, int(MAX_SPLIT_FRACTION * len(engines)))
+        wanted = rate / (SHORT_ENGINE_LOAD * self._pace.read_rate(short_only=True))
+        if self.speeds.active and (
+            slow_ids := self._pause_risk.engines_for_short_runs(
+                engines, wanted=wanted, long_tokens=self._long_tokens(), memory=memory
+            )
+        ):
+            return slow_ids
+        if len(engines) < MIN_ENGINES_TO_SPLIT:
+            return set()
+        count = min(math.ceil(wanted), int(MAX_SPLIT_FRACTION * len(engines)))
         ordered = sorted(engines, key=lambda engine: stable_digest(engine.id))
         rest = ordered[count:]
         room = sum(e.report.total if e.report else memory for e in rest)
@@ -238,10 +306,13 @@
         while self._short_prompts and self._short_prompts[0][0] < since:
             self._short_prompts.popleft()
 
-    def _unread(self, placements: list[Placement], *, short_only: bool) -> int:
+    def _unread(
+        self, engine: str, placements: list[Placement], *, short_only: bool
+    ) -> int:
         """Unread prompt tokens of an engine's placements."""
         now = self._clock()
         wait_rate = self._pace.wait_rate(short_only=short_only)
+        wait_rate /= self.speeds.factor(engine)
         return sum(placement.unread(now, wait_rate) for placement in placements)
 
     def _cost(
@@ -256,15 +327,19 @@
     ) -> float:
         """Estimated seconds until the run would begin on an engine, plus penalties."""
         now = self._clock()
-        rate = self._pace.read_rate(short_only=short_only)
-        cost = self._unread(placements, short_only=short_only) / rate
+        usual_rate = self._pace.read_rate(short_only=short_only)
+        factor = self.speeds.factor(engine.id)
+        rate = usual_rate / factor
+        cost = self._unread(engine.id, placements, short_only=short_only) / rate
         total = engine.report.total if engine.report else memory
         used = _used(engine.report, placements)
-        token_seconds = self._pace.token_seconds
+        token_seconds = self._pace.token_seconds * factor
         growth = sum(p.growth(now, token_seconds) for p in placements)
         shortfall = used + growth + demand.expected - MAX_MEMORY_FRACTION * total
-        cost += FILL_COST_PROMPTS * demand.prompt / rate * used / max(1, total)
+        cost += FILL_COST_PROMPTS * demand.prompt / usual_rate * used / max(1, total)
         cost += FULL_COST_SECONDS * max(0.0, shortfall) / max(1, total)
+        if demand.short:
+            cost += demand.prompt * (1.0 / rate - 1.0 / usual_rate)
         if engine.record.hall != hall:
             cost += FAR_COST_SECONDS
         cost += FAILURE_COST_SECONDS * engine.failure_rate
@@ -272,6 +347,21 @@
             cost += SUSPECT_COST_SECONDS
         return cost + JITTER_COST_SECONDS * self._rng.random()
 
+    def pauses_everywhere(
+        self, engines: t.Sequence[Upstream], names: t.Collection[str], demand: Demand
+    ) -> bool:
+        """Whether a long run is likely to be paused too long on all of some engines.
+
+        :param names: ids of the engines that have room for the run.
+        """
+        if not self.speeds.active or demand.short:
+            return False
+        return all(
+            self._pause_risk.pauses_streams(engine.id, engines=len(engines))
+            for engine in engines
+            if engine.id in names
+        )
+
 
 def _used(report: EngineReport | None, placements: list[Placement]) -> float:
     """Estimate an engine's memory in use from its report and later placements."""
--- a/src/bankrack/placement/occupancy.py
+++ b/src/bankrack/placement/occupancy.py
@@ -5,14 +5,17 @@
 """
 
 import math
+import statistics
 import typing as t
 
 from bankrack.clock import boottime
+from bankrack.decisions.enginespeed import Kind
 from bankrack.decisions.memory import Holding
 from bankrack.decisions.memory import peak
 from bankrack.decisions.memory import Release
 from bankrack.placement.placements import Placement
 from bankrack.serving.choice import REPORT_LAG_SECONDS
+from bankrack.serving.enginespeeds import EngineSpeeds
 from bankrack.serving.job import Demand
 from bankrack.serving.pace import Pace
 from bankrack.serving.upstreams import EngineReport
@@ -44,18 +47,21 @@
     """The memory of a pool's engines.
 
     :param placement_by_run: placements of the ledger, shared with it.
-    :param pace: speeds of the engines.
+    :param pace: usual speeds of the engines.
+    :param speeds: speed of each engine compared with the usual.
     """
 
     def __init__(
         self,
         placement_by_run: dict[str, Placement],
         pace: Pace,
+        speeds: EngineSpeeds,
         *,
         clock: t.Callable[[], float] = boottime,
     ) -> None:
         self._placement_by_run = placement_by_run
         self._pace = pace
+        self._speeds = speeds
         self._clock = clock
         self._report_by_engine: dict[str, EngineReport] = {}
         # By engine and whether for a long run: time of computation, and tokens.
@@ -97,15 +103,18 @@
     def _holding(self, placement: Placement, now: float, foresight: float) -> Holding:
         """Memory that a run holds, and its growth within the foresight."""
         pace = self._pace
+        token_seconds = pace.generated_token_seconds
+        token_seconds *= self._speeds.factor(placement.engine)
         growth = self._growth(placement, now) * pace.output_ratio
         return Holding(
-            placement.tokens(now, pace.generated_token_seconds),
-            min(growth, foresight / pace.generated_token_seconds),
+            placement.tokens(now, token_seconds),
+            min(growth, foresight / token_seconds),
         )
 
     def _growth(self, placement: Placement, now: float) -> float:
         """Tokens that a run is still expected to generate, even if it is overdue."""
-        growth = placement.growth(now, self._pace.token_seconds)
+        factor = self._speeds.factor(placement.engine)
+        growth = placement.growth(now, self._pace.token_seconds * factor)
         return max(growth, OVERDUE_FRACTION * placement.demand.output)
 
     def releases(self, engines: t.Iterable[Upstream]) -> list[Release]:
@@ -120,10 +129,11 @@
         for placement in self._placement_by_run.values():
             if placement.engine not in open_ids:
                 continue
+            factor = self._speeds.factor(placement.engine)
             growth = self._growth(placement, now)
-            held = placement.tokens(now, pace.generated_token_seconds)
+            held = placement.tokens(now, pace.generated_token_seconds * factor)
             held += growth * pace.output_ratio
-            found.append(Release(growth * pace.token_seconds, held))
+            found.append(Release(growth * pace.token_seconds * factor, held))
         self._releases = now, found
         return found
 
@@ -211,8 +221,10 @@
         if report.tokens_by_run:
             return max(0.0, report.used - sum(report.tokens_by_run.values()))
         seen = report.taken - REPORT_LAG_SECONDS
+        token_seconds = self._pace.generated_token_seconds
+        token_seconds *= self._speeds.factor(engine.id)
         known = sum(
-            placement.tokens(seen, self._pace.generated_token_seconds)
+            placement.tokens(seen, token_seconds)
             for placement in placements
             if placement.placed <= seen
         )
@@ -228,7 +240,7 @@
         self._invalidate_free(engine.id)
         self._drop_unlisted(engine.id, newest)
         if last is not None:
-            self._learn_growth(last, newest)
+            self._learn_growth(engine.id, last, newest)
 
     def _drop_unlisted(self, engine: str, report: EngineReport) -> None:
         """Drop placements of runs that the engine no longer has.
@@ -245,9 +257,13 @@
                 continue
             if placement.confirmed < before:
                 del self._placement_by_run[run]
+                self._releases = -math.inf, []
 
-    def _learn_growth(self, last: EngineReport, newest: EngineReport) -> None:
+    def _learn_growth(
+        self, engine: str, last: EngineReport, newest: EngineReport
+    ) -> None:
         """Learn from two reports how fast the runs in both of them grew."""
+        observed = []
         seconds = newest.taken - last.taken
         for run, tokens in newest.tokens_by_run.items():
             placement = self._placement_by_run.get(run)
@@ -255,7 +271,12 @@
             if placement is None or placement.began is None or grown <= 0:
                 continue
             if placement.began < last.taken - REPORT_LAG_SECONDS:
-                self._pace.grew(seconds / grown)
+                observed.append(seconds / grown)
+                self._pace.grew(seconds / grown / self._speeds.factor(engine))
+        if observed and self._speeds.active:
+            # The runs of an engine share its steps, so they are one observation.
+            ratio = statistics.median(observed) / self._pace.generated_token_seconds
+            self._speeds.observe(engine, Kind.GROWTH, ratio)
 
 
 def _foresight(*, long: bool) -> float:
--- /dev/null
+++ b/src/bankrack/placement/pauserisk.py
@@ -0,0 +1,143 @@
+"""Expected loss by pauses when runs of a pool share engines of unequal speed."""
+
+import collections
+import typing as t
+
+from bankrack.clock import boottime
+from bankrack.decisions.pauses import expected_harm
+from bankrack.decisions.pauses import lifetime_risk
+from bankrack.placement.placements import Placement
+from bankrack.serving.enginespeeds import EngineSpeeds
+from bankrack.serving.job import Demand
+from bankrack.serving.upstreams import Upstream
+
+WINDOW_SECONDS = 4.0
+"""Window over which prompts are counted."""
+INITIAL_STREAM_SECONDS = 5.0
+STREAM_SMOOTHING = 0.1
+"""Initial estimate of a long stream's duration, and weight of the newest."""
+MIN_PAUSE_RISK = 0.1
+"""With a higher risk an engine is one that pauses long streams."""
+
+MAX_LONG_FILL = 0.75
+"""Fraction of the other engines' memory that long runs may need while slow ones are
+dedicated to short runs."""
+
+
+class PauseRisk:
+    """Risk of pauses on each engine of a pool.
+
+    :param speeds: speed of each engine.
+    """
+
+    def __init__(
+        self, speeds: EngineSpeeds, *, clock: t.Callable[[], float] = boottime
+    ) -> None:
+        self._speeds = speeds
+        self._clock = clock
+        self._prompts: collections.deque[float] = collections.deque()
+        self._stream_seconds = INITIAL_STREAM_SECONDS
+
+    def note_prompt(self, beside: t.Iterable[Placement]) -> None:
+        """Record that a prompt was sent to an engine, beside these placements."""
+        if not self._speeds.active:
+            return
+        for placement in beside:
+            placement.prompts_beside += 1
+        self._prompts.append(self._clock())
+        self._expire()
+
+    def note_end(self, placement: Placement, took: float) -> None:
+        """Record the end of a run.
+
+        :param took: seconds from its first to its last event; 0 unless it completed.
+        """
+        if not self._speeds.active or placement.demand.short:
+            return
+        if took > 0.0:
+            usual = took / self._speeds.factor(placement.engine)
+            self._stream_seconds += STREAM_SMOOTHING * (usual - self._stream_seconds)
+        self._speeds.observe_stream(
+            gap=placement.gap,
+            longest_pause=placement.longest_pause,
+            events=placement.gaps,
+            prompts=placement.prompts_beside,
+        )
+
+    def pauses_streams(self, engine: str, *, engines: int) -> bool:
+        """Whether a long stream on an engine is likely to be paused too long.
+
+        :param engines: number of engines that share the prompts.
+        """
+        return self._of_stream(engine, engines) >= MIN_PAUSE_RISK
+
+    def engines_for_short_runs(
+        self,
+        engines: t.Sequence[Upstream],
+        *,
+        wanted: float,
+        long_tokens: int,
+        memory: int,
+    ) -> set[str]:
+        """Ids of the slow engines that are dedicated to short runs.
+
+        Long runs would be paused there, and short runs can't be.  The slowest come
+        first, as many as read the prompts of short runs in time, or as long runs can do
+        without.
+
+        :param wanted: number of engines of the usual speed that short runs need.
+        :param long_tokens: memory that long runs are expected to need.
+        :param memory: memory in tokens of an engine without a report.
+        """
+        factor_by_id = {e.id: self._speeds.factor(e.id) for e in engines}
+        room_by_id = {e.id: e.report.total if e.report else memory for e in engines}
+        room = sum(room_by_id.values())
+        found: set[str] = set()
+        for name in sorted(factor_by_id, key=factor_by_id.__getitem__, reverse=True):
+            room -= room_by_id[name]
+            if wanted <= 0.0 or long_tokens > MAX_LONG_FILL * room:
+                break
+            if not self.pauses_streams(name, engines=len(engines)):
+                break
+            found.add(name)
+            wanted -= 1.0 / factor_by_id[name]
+        return found
+
+    def cost(
+        self,
+        engine: str,
+        placements: t.Iterable[Placement],
+        demand: Demand,
+        *,
+        engines: int,
+    ) -> float:
+        """Expected loss by placing a run, as seconds of delay that cost as much.
+
+        :param placements: placements on the engine.
+        :param engines: number of engines that share the prompts.
+        """
+        stakes = self._speeds.stakes
+        hazard = self._speeds.hazard(engine)
+        if stakes is None or hazard == 0.0:
+            return 0.0
+        streams = sum(
+            not (p.copy or p.demand.short) and p.longest_pause <= stakes.gap_target
+            for p in placements
+        )
+        own = 0.0 if demand.short else self._of_stream(engine, engines)
+        return expected_harm(own=own, others=[hazard] * streams, stakes=stakes)
+
+    def _of_stream(self, engine: str, engines: int) -> float:
+        """Probability that a long stream on an engine is paused too long."""
+        hazard = self._speeds.hazard(engine)
+        if hazard == 0.0:
+            return 0.0
+        self._expire()
+        seconds = self._stream_seconds * self._speeds.factor(engine)
+        rate = len(self._prompts) / WINDOW_SECONDS / max(1, engines)
+        return lifetime_risk(hazard, prompts=1.0 + rate * seconds)
+
+    def _expire(self) -> None:
+        since = self._clock() - WINDOW_SECONDS
+        while self._prompts and self._prompts[0] < since:
+            self._prompts.popleft()
--- a/src/bankrack/placement/placements.py
+++ b/src/bankrack/placement/placements.py
@@ -21,6 +21,11 @@
     :param placed: boot-time seconds at which the run was placed.
     :param ahead: unread prompt tokens of the engine when the run was placed.
     :param short_only: the engine was dedicated to short runs at that time.
+    :param copy: a stored copy of a run, which generates nothing itself.
+    :param gap: usual seconds between its events on the engine; 0 while unknown.
+    :param gaps: number of its gaps on the engine.
+    :param longest_pause: in seconds, on the engine.
+    :param prompts_beside: prompts that were sent to the engine after the run.
     :param began: boot-time seconds at which its first event was reported, if it was.
     :param confirmed: boot-time seconds at which the run was last reported on the
         engine.
@@ -33,6 +38,11 @@
     short_only: bool = False
     began: float | None = None
     confirmed: float = 0.0
+    copy: bool = False
+    gap: float = 0.0
+    gaps: int = 0
+    longest_pause: float = 0.0
+    prompts_beside: int = 0
 
     @property
     def prompt(self) -> int:
--- a/src/bankrack/serving/advisor.py
+++ b/src/bankrack/serving/advisor.py
@@ -4,6 +4,7 @@
 
 from bankrack.decisions.admission import Verdict
 from bankrack.serving.assignment import Assignment
+from bankrack.serving.gaps import GapMeter
 from bankrack.serving.upstreams import Upstream
 
 
@@ -54,6 +55,10 @@
         """
         ...
 
+    def paced(self, work: Assignment, gaps: GapMeter) -> None:
+        """The events of a run are this far apart on an engine."""
+        ...
+
     def failed(self, work: Assignment, engine: Upstream) -> None:
         """An engine was unreachable, broke off the run or did not begin it."""
         ...
--- a/src/bankrack/serving/choice.py
+++ b/src/bankrack/serving/choice.py
@@ -5,6 +5,7 @@
 import typing as t
 
 from bankrack.clock import boottime
+from bankrack.serving.enginespeeds import EngineSpeeds
 from bankrack.serving.job import Demand
 from bankrack.serving.pace import Pace
 from bankrack.serving.upstreams import Upstream
@@ -75,11 +76,16 @@
         self._clock = clock
         self._rng = rng or random.Random()
         self._pace_by_service: dict[str, Pace] = {}
+        self._speeds_by_service: dict[str, EngineSpeeds] = {}
 
     def pace_of(self, service: str) -> Pace:
         """The speeds of a service's engines, learned from this node's own runs."""
         return self._pace_by_service.setdefault(service, Pace())
 
+    def speeds_of(self, service: str) -> EngineSpeeds:
+        """The speed of each of a service's engines, learned from this node's runs."""
+        return self._speeds_by_service.setdefault(service, EngineSpeeds())
+
     def plain(
         self, upstreams: t.Iterable[Upstream], *, avoid: t.Collection[str] = ()
     ) -> Upstream | None:
@@ -124,6 +130,10 @@
         read_rate = self.pace_of(upstream.record.service).read_rate()
         room = MAX_MEMORY_FRACTION * view.total - view.used - demand.expected
         weight = max(0.0, room / max(1, view.total)) ** 2 + MIN_WEIGHT
+        if not demand.short:
+            # Long runs on slow engines are paused by prompts that are read beside them.
+            speeds = self.speeds_of(upstream.record.service)
+            weight /= speeds.factor(upstream.id) ** 2
         weight /= 1.0 + view.queued
         weight /= 1.0 + 2.0 * view.prompt_backlog / read_rate
         weight /= 1.0 + FAILURE_WEIGHT * upstream.failure_rate
--- a/src/bankrack/serving/enginecontrol.py
+++ b/src/bankrack/serving/enginecontrol.py
@@ -25,6 +25,13 @@
         """
         ...
 
+    async def probe(self, engine: Upstream, path: str) -> None:
+        """Ask an engine for its load at this moment; raises :exc:`UpstreamFailed`.
+
+        :param path: health path of the service.
+        """
+        ...
+
     async def copy(self, source: Upstream, run_id: str, target: Upstream) -> str:
         """Copy a running run's memory to ``target``; returns the copy's handle.
 
@@ -62,6 +69,11 @@
         self._refuse_if_backing_off(engine)
         return await self._control.reserve(engine, tokens, ttl)
 
+    async def probe(self, engine: Upstream, path: str) -> None:
+        """Ask an engine for its load at this moment."""
+        self._refuse_if_backing_off(engine)
+        await self._control.probe(engine, path)
+
     async def copy(self, source: Upstream, run_id: str, target: Upstream) -> str:
         """Copy a running run's memory to ``target``; returns the copy's handle."""
         self._refuse_if_backing_off(source)
--- a/src/bankrack/serving/enginefinder.py
+++ b/src/bankrack/serving/enginefinder.py
@@ -1,6 +1,7 @@
 """Finds an engine with room for a run, and reserves it."""
 
 import asyncio
+import contextlib
 import dataclasses
 import random
 import typing as t
@@ -9,6 +10,8 @@
 from bankrack.decisions.admission import Admit
 from bankrack.decisions.admission import Refuse
 from bankrack.decisions.admission import Wait
+from bankrack.decisions.pauses import FRESH_SECONDS
+from bankrack.decisions.pauses import is_slow_moment
 from bankrack.decisions.retryafter import retry_after_seconds
 from bankrack.exceptions import BankrackError
 from bankrack.exceptions import Overloaded
@@ -32,6 +35,10 @@
 RESERVATION_INTERVAL_SECONDS = 0.08
 """Mean pause between two rounds of requests for a reservation, each of which is
 charged."""
+MAX_PROBED = 3
+"""Limit on engines that are asked how long work takes there at this moment."""
+PROBE_TIMEOUT_SECONDS = 0.05
+"""Longest wait for that answer, which engines give at once."""
 MAX_ENGINES_ASKED = 6
 """Limit on engines that are asked for a reservation in one round."""
 RESERVATION_TIMEOUT_SECONDS = 0.15
@@ -115,7 +122,7 @@
         unreachable: set[str] = set()
         while True:
             ordered = await self._wait_for_admission(work, traits, log, tried)
-            engines = ordered.engines
+            engines = await self._avoid_slow_moments(ordered.engines, work, traits)
             if not traits.max_reservation_seconds:
                 return self._choose(work, engines[0], None, ordered)
             for engine in engines[:MAX_ENGINES_ASKED]:
@@ -128,14 +135,48 @@
                 reservation = await self._reserve(
                     engine, work, traits, log, unreachable=unreachable
                 )
-                if reservation is not None:
-                    log.write("place_kept", engine, "ok", f"ordered by {ordered.by}")
-                    return self._choose(work, engine, reservation, ordered)
+                if reservation is None:
+                    continue
+                log.write("place_kept", engine, "ok", f"ordered by {ordered.by}")
+                return self._choose(work, engine, reservation, ordered)
             if boottime() >= deadline:
                 engine = self._fallback_engine(work, engines, unreachable)
                 return self._choose(work, engine, None, ordered)
             await asyncio.sleep(RESERVATION_INTERVAL_SECONDS * (0.5 + random.random()))
 
+    async def _avoid_slow_moments(
+        self, engines: list[Upstream], work: Assignment, traits: EngineTraits
+    ) -> list[Upstream]:
+        """Move the first engine that is not slow at this moment to the front.
+
+        Engines are asked for their load only if those of the service are uneven.
+        """
+        if not traits.health_path or not self._upstreams.uneven(work.service.name):
+            return engines
+        for engine in engines[:MAX_PROBED]:
+            if not await self._is_slow_now(engine, work, traits):
+                return [engine, *(other for other in engines if other is not engine)]
+        return engines
+
+    async def _is_slow_now(
+        self, engine: Upstream, work: Assignment, traits: EngineTraits
+    ) -> bool:
+        """Whether reading a prompt now would pause the engine's streams too long."""
+        if engine.limit.bounded or not engine.is_available(boottime()):
+            return False
+        if boottime() - engine.slowdown_at > FRESH_SECONDS:
+            with contextlib.suppress(BankrackError, TimeoutError):
+                async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
+                    await self._control.probe(engine, traits.health_path)
+        service = work.service.name
+        gap = self._chooser.speeds_of(service).unit_gap
+        return is_slow_moment(
+            engine.slowdown,
+            age=boottime() - engine.slowdown_at,
+            gap=gap or self._chooser.pace_of(service).event_seconds,
+            gap_target=work.route.gap_target,
+        )
+
     async def _wait_for_admission(
         self,
         work: Assignment,
--- a/src/bankrack/serving/enginelink.py
+++ b/src/bankrack/serving/enginelink.py
@@ -1,6 +1,9 @@
 """Connection of a run to its current engine."""
 
+import math
+
 from bankrack.clock import boottime
+from bankrack.decisions.pauses import Stakes
 from bankrack.exceptions import UpstreamUnreachable
 from bankrack.serving.advisor import PlacementAdvisor
 from bankrack.serving.assignment import Assignment
@@ -9,6 +12,7 @@
 from bankrack.serving.client import Send
 from bankrack.serving.copies import Copies
 from bankrack.serving.forwarding import EventForwarder
+from bankrack.serving.gaps import GapMeter
 from bankrack.serving.relay import RelayDependencies
 from bankrack.serving.runlog import RunLog
 from bankrack.serving.upstreams import Upstream
@@ -83,7 +87,7 @@
             last_event=self._forwarder.order.last,
         )
         self.engine = engine
-        self._forwarder.change_engine()
+        self._forwarder.change_engine(GapMeter(engine.id, self._note_paced))
         engine.in_flight += 1
         try:
             exchange = await self._dependencies.client.open(send)
@@ -124,9 +128,25 @@
         chooser.answered(engine, failed=False)
         self._advisor.began(work, engine, took=took)
 
+    def _note_paced(self, gaps: GapMeter) -> None:
+        """Tell the pool owner how far apart the run's events are, if engines differ."""
+        engine, work = self.engine, self._work
+        if engine is None or math.isinf(engine.slowdown_at):
+            # Nothing is reported where engines do not state how long work takes.
+            return
+        if work.route.gap_target and self._dependencies.upstreams.uneven(
+            work.service.name
+        ):
+            stakes = Stakes(work.route.gap_target, work.route.target_latency)
+            speeds = self._dependencies.chooser.speeds_of(work.service.name)
+            speeds.observe_stated(engine.id, engine.slowdown)
+            speeds.observe_gaps(engine.id, gaps.base, stakes)
+            self._advisor.paced(work, gaps)
+
     def disconnect(self) -> None:
         """Close the connection, which makes the engine stop the run."""
         if self.exchange is not None:
+            self._forwarder.gaps.report(boottime())
             self.exchange.close()
             self.exchange = None
         if self.engine is not None:
--- a/src/bankrack/serving/forwarding.py
+++ b/src/bankrack/serving/forwarding.py
@@ -7,6 +7,7 @@
 from bankrack.serving.client import Head
 from bankrack.serving.events import EventOrder
 from bankrack.serving.events import EventSplitter
+from bankrack.serving.gaps import GapMeter
 from bankrack.serving.job import Reply
 
 
@@ -28,6 +29,7 @@
 
     :param gap_target: target seconds between two events; 0 if unset.
     :ivar began_at: boot-time seconds of the first event.
+    :ivar gaps: gaps between the events of the current engine.
     :ivar last_at: boot-time seconds of the newest event.
     :ivar excess_pause_seconds: sum of the pauses' excess over ``gap_target``.
     """
@@ -40,6 +42,7 @@
         "began_at",
         "count",
         "excess_pause_seconds",
+        "gaps",
         "last_at",
         "longest_pause",
         "order",
@@ -52,6 +55,7 @@
         self.count = 0
         self.longest_pause = Pause(0.0, 0, False)
         self.excess_pause_seconds = 0.0
+        self.gaps = GapMeter("")
         self._gap_target = gap_target
         self._moved = False
         self._reply = reply
@@ -72,9 +76,13 @@
         """Mean seconds between two events; 0 before the second event."""
         return self.seconds / max(1, self.count - 1)
 
-    def change_engine(self) -> EventSplitter:
-        """Start with a new splitter for another engine; returns the previous one."""
+    def change_engine(self, gaps: GapMeter | None = None) -> EventSplitter:
+        """Start with a new splitter for another engine; returns the previous one.
+
+        :param gaps: measures the events of the other engine, if it is known.
+        """
         previous, self._splitter = self._splitter, EventSplitter()
+        self.gaps = gaps or GapMeter("")
         self._moved = True
         return previous
 
@@ -99,7 +107,7 @@
     async def _write(self, data: bytes, head: Head) -> None:
         now = boottime()
         if self.began:
-            self._note_pause(now - self.last_at)
+            self._note_pause(now - self.last_at, now)
         self._moved = False
         self.last_at = now
         self.count += 1
@@ -110,7 +118,9 @@
             await self._reply.begin(head.status, head.headers)
         await self._reply.write(data)
 
-    def _note_pause(self, seconds: float) -> None:
+    def _note_pause(self, seconds: float, now: float) -> None:
+        if not self._moved:
+            self.gaps.add(seconds, now)
         if seconds > self.longest_pause.seconds:
             self.longest_pause = Pause(seconds, self.count, self._moved)
         if self._gap_target:
--- a/src/bankrack/serving/routing.py
+++ b/src/bankrack/serving/routing.py
@@ -50,6 +50,8 @@
     :param copy_ttl: time until an engine frees an unused copy of a run.
     :param max_reservation_seconds: longest lifetime of a reservation; 0 if reservations
         are unsupported.
+    :param health_path: path at which an engine states its load at once; empty if
+        unknown.
     """
 
     slots: int
@@ -60,6 +62,7 @@
     copies_runs: bool = False
     copy_ttl: float = 0.0
     max_reservation_seconds: float = 0.0
+    health_path: str = ""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/bankrack/serving/runlog.py
+++ b/src/bankrack/serving/runlog.py
@@ -6,6 +6,7 @@
 from bankrack.clock import boottime
 from bankrack.decisions.admission import Refuse
 from bankrack.decisions.admission import Wait
+from bankrack.decisions.pauses import FRESH_SECONDS
 from bankrack.serving.assignment import Assignment
 from bankrack.serving.events import EventOrder
 from bankrack.serving.forwarding import EventForwarder
@@ -42,6 +43,7 @@
         """
         now = boottime()
         report = engine.report
+        is_fresh = now - engine.slowdown_at <= FRESH_SECONDS
         logs.event(
             _logger,
             name,
@@ -55,6 +57,7 @@
             last_event=self._order.last,
             report_age=now - report.taken if report else None,
             used=report.used if report else None,
+            slowdown=engine.slowdown if is_fresh else None,
             elapsed=now - self._work.job.arrived,
         )
 
@@ -88,4 +91,6 @@
             pause_after=forwarder.longest_pause.event,
             pause_moved=forwarder.longest_pause.moved,
             stood_still=forwarder.excess_pause_seconds,
+            upstream=forwarder.gaps.engine or None,
+            base_gap=forwarder.gaps.base,
         )
--- a/src/bankrack/serving/upstreams.py
+++ b/src/bankrack/serving/upstreams.py
@@ -87,6 +87,7 @@
     :ivar slowdown: how long work took at ``slowdown_at``, as a multiple of the usual
         time.
     :ivar sent: times and tokens of the runs that reports may not include yet.
+    :ivar uneven: it has stated that work took longer or shorter than usual.
     """
 
     __slots__ = (
@@ -112,6 +113,7 @@
         "slowdown",
         "slowdown_at",
         "suspect_until",
+        "uneven",
     )
 
     def __init__(self, record: UpstreamRecord, now: float) -> None:
@@ -129,6 +131,7 @@
         self.queue_length = 0
         self.slowdown = 1.0
         self.slowdown_at = -math.inf
+        self.uneven = False
         self.notice_logged_at = -math.inf
         self.failure_rate = 0.0
         self.backoff_until = 0.0
@@ -252,6 +255,7 @@
         if load.slowdown is not None:
             self.slowdown = load.slowdown
             self.slowdown_at = now
+            self.uneven |= load.slowdown != 1.0
 
     def note_cold(self, seconds: float, now: float) -> None:
         """Record the remaining warm-up time in seconds, as stated at ``now``."""
@@ -397,6 +401,10 @@
         """Return all upstreams of a service, including those shutting down."""
         return [u for u in self.by_id.values() if u.record.service == service]
 
+    def uneven(self, service: str) -> bool:
+        """Whether upstreams of a service state that work takes unequally long."""
+        return any(u.uneven for u in self.by_id.values() if u.record.service == service)
+
     def open_of(self, service: str) -> list[Upstream]:
         """Return the upstreams of a service that accept new work.
 
--- a/tests/fleet/test_poolowners.py
+++ b/tests/fleet/test_poolowners.py
@@ -11,7 +11,9 @@
 from bankrack.decisions.admission import Admit
 from bankrack.decisions.coldstart import ColdTolerance
 from bankrack.fleet.documents import Member
+from bankrack.fleet.messages import PaceUpdate
 from bankrack.fleet.messages import PlacementQuery
+from bankrack.fleet.messages import RunUpdate
 from bankrack.fleet.poolowners import FLUSH_INTERVAL_SECONDS
 from bankrack.fleet.poolowners import Ledgers
 from bankrack.fleet.poolowners import NOTES_PATH
@@ -22,6 +24,7 @@
 from bankrack.serving.assignment import Assignment
 from bankrack.serving.choice import Chooser
 from bankrack.serving.coldquotas import ColdQuotas
+from bankrack.serving.gaps import GapMeter
 from bankrack.serving.job import Demand
 from bankrack.serving.job import Job
 from bankrack.serving.job import RequestKind
@@ -48,7 +51,7 @@
         caller_timeout=None,
         demand=Demand(prompt=3000, output_limit=500),
     )
-    route = Route("r", "h", "/", (), RequestKind.STREAM, 30.0, 1.0)
+    route = Route("r", "h", "/", (), RequestKind.STREAM, 30.0, 1.0, gap_target=0.18)
     return Assignment(job, route, Service("s"), None, 0, 1e9)
 
 
@@ -181,6 +184,40 @@
             self.assertEqual({}, ledger._placement_by_run)
             sending.cancel()
 
+    async def test_gaps_of_streams_reach_owner_and_the_next_one(self):
+        async with two_nodes() as (owner, other):
+            sending = asyncio.create_task(other.client.run())
+            for _ in range(2):
+                for engine, gap in (("one", 0.05), ("two", 0.03), ("three", 0.018)):
+                    meter = GapMeter(engine)
+                    for number in range(40):
+                        meter.add(gap, 100.0 + number)
+                    other.client.paced(assignment(f"r-{engine}"), meter)
+                await asyncio.sleep(3 * FLUSH_INTERVAL_SECONDS)
+                ledger = owner.ledgers._ledger("s", 0)
+                factors = [ledger.speeds.factor(e) for e in ("one", "two", "three")]
+                self.assertEqual(sorted(factors, reverse=True), factors)
+                self.assertGreater(factors[0], 1.4)
+                self.assertIn("one", owner.ledgers.describe_speeds()["s"])
+                # The owner is gone; running streams tell the next one.
+                await owner.stop()
+                other.client._suspect(owner.client._own, "gone")
+                owner = other
+            sending.cancel()
+
+    def test_updates_without_gaps_are_encoded_as_before(self):
+        update = RunUpdate("s", 0, "r-1", "began", "one", took=0.5)
+        data = msgspec.msgpack.encode([update])
+        self.assertEqual(8, len(msgspec.msgpack.decode(data)[0]))
+        [decoded] = msgspec.msgpack.decode(data, type=list[PaceUpdate])
+        self.assertEqual((0.5, 0), (decoded.took, decoded.events))
+
+    async def test_absurd_gaps_change_nothing(self):
+        async with two_nodes() as (owner, _):
+            for took in (0.0, -1.0, float("nan"), float("inf")):
+                owner.ledgers.take(PaceUpdate("s", 0, "r", "paced", "one", took=took))
+            self.assertEqual({}, owner.ledgers.describe_speeds())
+
     async def test_query_without_pools_is_rejected(self):
         placement_query = PlacementQuery("s", 0, 0, "r-1", 1, 1, MEMORY, "a", [])
         async with two_nodes() as (owner, other):
--- a/tests/placement/test_allocation.py
+++ b/tests/placement/test_allocation.py
@@ -173,6 +173,15 @@
         self.assertIsInstance(self.ask("new"), Admit)
         self.assertEqual(["new"], list(self.allocator.ledger._placement_by_run))
 
+    def test_releases_of_dropped_runs_are_forgotten(self):
+        self.begin(self.fill())
+        occupancy = self.allocator.ledger.occupancy
+        self.now += REPORT_LAG_SECONDS + UNLISTED_SECONDS + 0.5
+        self.assertNotEqual([], occupancy.releases(self.engines))
+        self.report()
+        occupancy.free_by_engine(self.engines, memory=MEMORY)
+        self.assertEqual([], occupancy.releases(self.engines))
+
     def test_listed_runs_are_kept(self):
         placed = self.fill()
         self.begin(placed)
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -191,7 +191,7 @@
 
     A ``leaving`` server reports that in all responses.  With ``backoff`` it rejects all
     requests and asks for that many seconds without any.  ``limit`` is the rate limit
-    that it reports.
+    that it reports, ``load`` its load.
     """
 
     def __init__(self, server_id: str) -> None:
@@ -202,6 +202,8 @@
         self.leaving = False
         self.backoff = ""
         self.limit = ""
+        self.load = ""
+        self.probes = 0
         self.custom_handler: (
             t.Callable[[web.BaseRequest], t.Awaitable[t.Any]] | None
         ) = None
@@ -225,9 +227,14 @@
             headers["Retry-After"] = self.backoff
         if self.limit:
             headers["Server-Limit"] = self.limit
+        if self.load:
+            headers["Bankrack-Server-Load"] = self.load
         return headers
 
     async def respond(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.path == "/healthz":
+            self.probes += 1
+            return web.Response()
         if request.path.startswith("/v1/"):
             return await self.control(request)
         body = await request.read()
@@ -361,12 +368,17 @@
         "routes": [
             route("look", "idempotent", "plain", maxAttempts=2),
             route("bill", "non_idempotent", "plain"),
-            route("talk", "streaming", "engines", timeoutMs=20000),
+            route("talk", "streaming", "engines", timeoutMs=20000, gap_aim_ms=180),
             route("note", "streaming", "engines", resumable=True, maxAttempts=2),
         ],
         "services": [
             {"name": "plain", "maxConnections": 10},
-            {"name": "engines", "maxConnections": 10, "engine": engine},
+            {
+                "name": "engines",
+                "maxConnections": 10,
+                "healthPath": "/healthz",
+                "engine": engine,
+            },
         ],
         "limits": {"maxHeaderBytes": 8000, "maxBodyBytes": 100000},
         "tenants": [{"name": "tutors", "apiKeys": ["key-1"]}],
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -54,6 +54,34 @@
         self.assertEqual(wanted, found)
 
 
+class Pauses(TestCase):
+    def test_pauses_have_causes(self):
+        fields = (
+            "first_event=0.4 events=90 between_events=%s base_gap=%s "
+            "longest_pause=%s pause_moved=%s stood_still=%s"
+        )
+        rows = [
+            (0.03, 0.03, 0.1, False, 0),
+            (0.03, 0.03, 0.2, False, 0.02),
+            (0.03, 0.03, 0.3, True, 0.12),
+            (0.03, 0.03, 1.1, False, 0.9),
+            (0.06, 0.05, 0.25, False, 0.07),
+            (0.06, 0, 0.25, False, 0.07),
+        ]
+        lines = (
+            LINE % ("stream_paced", f"r-{number}", fields % row)
+            for number, row in enumerate(rows)
+        )
+        wanted = {
+            "a prompt was read beside it on another engine": 1,
+            "the run changed its engine": 1,
+            "its engine stood still, or preempted it": 1,
+            "a prompt was read beside it on a slow engine": 1,
+            "unknown": 1,
+        }
+        self.assertEqual(wanted, dict(Day(lines).pauses()))
+
+
 class Paces(TestCase):
     def test_only_long_streams_are_counted(self):
         fields = "first_event=0.4 events=%d between_events=0.03"
