--- a/benchmarks/losses.py
+++ b/benchmarks/losses.py
@@ -26,10 +26,18 @@
 UNAVOIDABLE = frozenset(
     {"upstreams failed it", "node ended under it", TIMED_OUT, UNCONFIRMED_DENIAL}
 )
+SLOW_ENGINE_FACTOR = 1.25
+"""An engine is slow if its events are this much further apart than usual."""
+MAX_READING_GAPS = 10.0
+"""A prompt that is read beside a stream makes no longer pause, in multiples of its gap;
+in a longer one the run was preempted or its engine stood still."""
 LATE_PREFIX = "late: "
 """Prefix of the causes of attempts that were served late."""
 
 
+_NONE: collections.Counter[str] = collections.Counter()
+
+
 @dataclasses.dataclass(slots=True)
 class Attempt:
     """The log entries of one attempt of a caller.
@@ -42,6 +50,9 @@
     :param refusal: reason of the last refused resume, if any.
     :param events: number of events of a stream that was served completely.
     :param between_events: mean seconds between these events.
+    :param pause: longest pause in seconds of a stream that paused for too long.
+    :param base_gap: usual seconds between events on its last engine.
+    :param moved: the run changed its engine in that pause.
     """
 
     node: str
@@ -53,6 +64,9 @@
     refusal: str | None = None
     events: int = 0
     between_events: float = 0.0
+    pause: float = 0.0
+    base_gap: float = 0.0
+    moved: bool = False
     outcome: str | None = None
 
 
@@ -96,6 +110,10 @@
             case "stream_paced" if fields.get("whole", "True") == "True":
                 attempt.events = int(fields["events"])
                 attempt.between_events = float(fields["between_events"])
+                attempt.base_gap = float(fields.get("base_gap", "0"))
+                attempt.moved = fields.get("pause_moved") == "True"
+                if float(fields.get("stood_still", "0")) > 0.0:
+                    attempt.pause = float(fields["longest_pause"])
             case "request_ended":
                 attempt.outcome = fields.get("outcome", "")
 
@@ -108,6 +126,16 @@
         )
         return sorted(attempt.between_events for attempt in long)
 
+    def pauses(self) -> collections.Counter[str]:
+        """Count streams that paused for longer than their target by cause."""
+        gaps = [a.base_gap for a in self.attempts_by_id.values() if a.base_gap]
+        usual = statistics.median(gaps) if gaps else 0.0
+        return collections.Counter(
+            _pause_cause(attempt, usual)
+            for attempt in self.attempts_by_id.values()
+            if attempt.pause
+        )
+
     def causes(self) -> collections.Counter[str]:
         """Count lost and late attempts by cause."""
         found = (_cause(attempt) for attempt in self.attempts_by_id.values())
@@ -149,6 +177,18 @@
     return LATE_PREFIX + ("waited for a place" if waited else "its engine was slow")
 
 
+def _pause_cause(attempt: Attempt, usual_gap: float) -> str:
+    if attempt.moved:
+        return "the run changed its engine"
+    if not attempt.base_gap:
+        return "unknown"
+    if attempt.pause > MAX_READING_GAPS * attempt.base_gap:
+        return "its engine stood still, or preempted it"
+    if attempt.base_gap > SLOW_ENGINE_FACTOR * usual_gap:
+        return "a prompt was read beside it on a slow engine"
+    return "a prompt was read beside it on another engine"
+
+
 def _lost_stream_cause(attempt: Attempt) -> str:
     if attempt.refusal is not None:
         return f"engine ended, copy refused ({attempt.refusal[:40]})"
@@ -195,6 +235,8 @@
             days.append(Day(file))
     attempts = sum(len(day.attempts_by_id) for day in days)
     _print_causes([day.causes() for day in days], attempts)
+    for cause, count in sum((day.pauses() for day in days), _NONE).most_common():
+        print(f"{count:6d}  stream paused: {cause}")
     _print_paces([pace for day in days for pace in day.paces()])
     return 0
 
--- a/soak/gateway/fakes.py
+++ b/soak/gateway/fakes.py
@@ -21,6 +21,13 @@
 EXPIRY_INTERVAL_SECONDS = 0.2
 EVENT_INTERVAL_SECONDS = 0.03
 """Time between two events of a stream, close to that of the platform's engines."""
+SPEEDS = (0.6, 1.0, 1.6)
+"""Speeds of the engines, by their number."""
+SLOW_MOMENT = 2.5
+"""How much longer work takes in an engine's slow moments."""
+SLOW_PERIOD_SECONDS = 0.6
+SLOW_PERIODS = 6
+"""One in this many periods of an engine is slow."""
 REQUEST_ID = "Bankrack-Request-Id"
 BACKOFF_FRACTION = 0.01
 """Fraction of requests that a plain server rejects with a request for backoff."""
@@ -259,6 +266,21 @@
         self.stalled = False
         self.on_poison: t.Callable[[SoakEngine], None] = lambda engine: None
 
+    @property
+    def slowdown(self) -> float:
+        """How long work takes at this moment, as a multiple of the usual time."""
+        period = int(time.monotonic() / SLOW_PERIOD_SECONDS) + self._number
+        return 1.0 if period % SLOW_PERIODS else SLOW_MOMENT
+
+    @property
+    def _number(self) -> int:
+        return int(self.id.partition("-")[2])
+
+    def notice_headers(self) -> dict[str, str]:
+        """Headers of each response, with how long work takes at this moment."""
+        self.load = f"0,0,8,{round(100 * self.slowdown)}"
+        return super().notice_headers()
+
     async def run(self, request: web.BaseRequest) -> web.StreamResponse:
         """Stream a run from its first event, or from a copy's next event."""
         request_id = request.headers[REQUEST_ID]
@@ -296,7 +318,8 @@
             while self.stalled:
                 await asyncio.sleep(EVENT_INTERVAL_SECONDS)
             await response.write(expected_event(request_id, number))
-            await asyncio.sleep(self.pause)
+            speed = SPEEDS[self._number % len(SPEEDS)]
+            await asyncio.sleep(self.pause * self.slowdown / speed)
         await response.write_eof()
         return response
 
