--- a/src/bankrack/decisions/admission.py
+++ b/src/bankrack/decisions/admission.py
@@ -61,6 +61,18 @@
     backup_fits: bool = False
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Queueing:
+    """Why a run stands where it does in the queue.
+
+    :param workspace_share: tokens by which its workspace is ahead of the others.
+    :param returning: its caller was refused and comes at the time that it was told.
+    """
+
+    workspace_share: float = 0.0
+    returning: bool = False
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Wait:
     """No engine has room for the run, or the runs ahead need that room.
@@ -68,11 +80,13 @@
     :param seconds: delay until the run asks again.
     :param ahead: number of runs ahead in the queue.
     :param expected: estimated seconds until an engine has room; ``None`` if unknown.
+    :param queueing: how the run stands among those of its rank, if that is known.
     """
 
     seconds: float
     ahead: int
     expected: float | None
+    queueing: Queueing | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -81,10 +95,14 @@
 
     :param ahead: number of runs ahead in the queue.
     :param expected: estimated seconds until an engine has room.
+    :param booked: seconds until the return that was booked for the caller, if any.
+    :param queueing: how the run stands among those of its rank, if that is known.
     """
 
     ahead: int
     expected: float
+    booked: float | None = None
+    queueing: Queueing | None = None
 
 
 Verdict = Admit | Wait | Refuse
@@ -98,6 +116,8 @@
     ahead: t.Sequence[Candidate],
     releases: t.Iterable[Release],
     now: float,
+    start: t.Callable[[t.Sequence[Candidate]], float] | None = None,
+    keep: bool = False,
 ) -> Verdict:
     """Decide whether a run is admitted, queued or rejected.
 
@@ -105,6 +125,10 @@
     :param ahead: runs ahead in the queue, the next one first.
     :param releases: memory that current runs of the pool are expected to free.
     :param now: time on the clock of the queue.
+    :param start: forecast of the seconds until the run begins, given the runs ahead;
+        infinite if that is too late.  Without it the wait for the runs ahead counts.
+    :param keep: reject the run only when its latest useful start is over, not because
+        its forecast became worse while it was queued.
     """
     left = _remaining_room(ahead, room_by_engine, limits)
     found = tuple(
@@ -115,7 +139,10 @@
     if found:
         return Admit(found)
     expected = _expected_wait(candidate, room_by_engine, limits, ahead, releases)
-    if now + (expected or 0.0) > candidate.start_deadline:
+    if start is not None:
+        expected = start(ahead)
+    left_to_wait = 0.0 if keep else expected or 0.0
+    if now + left_to_wait > candidate.start_deadline:
         return Refuse(len(ahead), expected or MAX_RETRY_SECONDS)
     return Wait(_retry_seconds(expected), len(ahead), expected)
 
--- /dev/null
+++ b/src/bankrack/decisions/calendar.py
@@ -0,0 +1,286 @@
+"""The calendar of a pool's room: when a run can begin, and when a caller should return.
+
+Answers bursts that ask for more than a pool holds.  Estimated for each run by itself,
+the wait leaves out those who were told to come back and those who will arrive
+meanwhile: runs wait in vain before they are refused, and callers return together to a
+full pool.
+
+A forecast plays what is known of the pool forwards: the memory that its runs free, the
+prompts that its engines still have to read, the queue, the returns that were booked,
+and arrivals like the latest ones.  A refusal books the time at which the caller's run
+would begin, so that the next refusal is given a later one.
+"""
+
+import collections
+import dataclasses
+import heapq
+import math
+import typing as t
+
+from bankrack.decisions.memory import Release
+
+Rank = tuple[int, int]
+
+ARRIVAL_WINDOW_SECONDS = 2.0
+"""Arrivals of this time are expected to repeat; half of the shortest usual burst."""
+SLOT_SECONDS = 0.1
+"""Expected arrivals are summed up in slots of this length, which bounds the work."""
+MAX_ARRIVALS = 2000
+"""Limit on remembered arrivals."""
+EARLY_SECONDS = 0.1
+"""A caller that returns less than this before its time is on time: clocks and links
+differ by some milliseconds, and the wait in the queue is of this order."""
+RETURN_GRACE_SECONDS = 1.5
+"""A booking expires this long after its time: a new connection may take a second."""
+CLAIMED_SECONDS = 20.0
+"""The same for a return that waits; its node may have ended under it."""
+EXPIRE_INTERVAL_SECONDS = 0.1
+"""Bookings are searched for expired ones this often, as each waiting run asks several
+times per second."""
+MAX_BOOKINGS = 4000
+"""Limit on bookings; beyond it callers are told a time that is not booked."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Stay:
+    """A run's use of a pool.
+
+    :param need: memory in tokens.
+    :param prompt: prompt tokens that an engine must read before the run begins.
+    :param seconds: time from the placement to the end.
+    """
+
+    need: float
+    prompt: float
+    seconds: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Arrival:
+    """A stay that is expected to ask for room.
+
+    :param seconds: time from now.
+    """
+
+    seconds: float
+    stay: Stay
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Outlook:
+    """What is known of a pool's room.
+
+    :param free: free memory of the engines that could take the run, in tokens.
+    :param releases: memory that current runs will free.
+    :param unread: prompt tokens that the engines still have to read.
+    :param read_rate: prompt tokens per second that all engines read together.
+    :param read_ahead: an engine with unread prompts for longer gets no further run, in
+        seconds.
+    """
+
+    free: float
+    releases: t.Sequence[Release]
+    unread: float
+    read_rate: float
+    read_ahead: float
+
+
+def forecast_start(
+    stay: Stay,
+    outlook: Outlook,
+    *,
+    ahead: t.Iterable[Stay],
+    arrivals: t.Iterable[Arrival],
+    horizon: float,
+) -> float:
+    """Estimate the seconds until a run begins; infinite if beyond the horizon.
+
+    :param ahead: runs that go before it, the next one first.
+    :param arrivals: runs that go before it if they come before it begins.
+    """
+    pool = _Pool(outlook)
+    queue = collections.deque(ahead)
+    coming = collections.deque(sorted(arrivals, key=lambda one: one.seconds))
+    while pool.now <= horizon:
+        while coming and coming[0].seconds <= pool.now:
+            queue.append(coming.popleft().stay)
+        head = queue[0] if queue else stay
+        ready_at = pool.ready_at(head)
+        if ready_at <= pool.now:
+            if not queue:
+                return pool.now
+            pool.place(queue.popleft())
+            continue
+        following = min(ready_at, coming[0].seconds if coming else math.inf)
+        if math.isinf(following):
+            break
+        pool.advance(following)
+    return math.inf
+
+
+class _Pool:
+    """All engines of a pool as one, in the time of a forecast."""
+
+    __slots__ = ("_ends", "_free", "_outlook", "_read_at", "now")
+
+    def __init__(self, outlook: Outlook) -> None:
+        self.now = 0.0
+        self._outlook = outlook
+        self._free = outlook.free
+        self._read_at = outlook.unread / outlook.read_rate
+        self._ends = [(one.seconds, one.tokens) for one in outlook.releases]
+        heapq.heapify(self._ends)
+
+    def ready_at(self, stay: Stay) -> float:
+        """Time of the next event that may make room for a run; now if there is room."""
+        if self._free < stay.need:
+            return max(self._ends[0][0], self.now + 1e-6) if self._ends else math.inf
+        return max(self.now, self._read_at - self._outlook.read_ahead)
+
+    def advance(self, moment: float) -> None:
+        """Let time pass; runs end meanwhile."""
+        self.now = max(self.now, moment)
+        while self._ends and self._ends[0][0] <= self.now:
+            self._free += heapq.heappop(self._ends)[1]
+
+    def place(self, stay: Stay) -> None:
+        """Let a run begin now."""
+        self._free -= stay.need
+        read_seconds = stay.prompt / self._outlook.read_rate
+        self._read_at = max(self._read_at, self.now) + read_seconds
+        heapq.heappush(self._ends, (self.now + stay.seconds, stay.need))
+
+
+class RecentArrivals:
+    """Runs that asked for room for the first time within the window."""
+
+    __slots__ = ("_recent",)
+
+    def __init__(self) -> None:
+        self._recent: collections.deque[tuple[float, Rank, Stay]] = collections.deque(
+            maxlen=MAX_ARRIVALS
+        )
+
+    def note(self, rank: Rank, stay: Stay, now: float) -> None:
+        """Record a run that asks for the first time."""
+        self._recent.append((now, rank, stay))
+        while self._recent[0][0] < now - ARRIVAL_WINDOW_SECONDS:
+            self._recent.popleft()
+
+    def expected(
+        self, now: float, horizon: float, *, goes_first: t.Callable[[Rank], bool]
+    ) -> list[Arrival]:
+        """Arrivals until the horizon, if those of the window repeat.
+
+        :param goes_first: whether runs of a rank count.
+        """
+        slots: dict[int, list[Stay]] = {}
+        for at, rank, stay in self._recent:
+            seconds = at + ARRIVAL_WINDOW_SECONDS - now
+            if seconds >= 0.0 and goes_first(rank):
+                slots.setdefault(int(seconds / SLOT_SECONDS), []).append(stay)
+        found = []
+        for slot, stays in slots.items():
+            total = _sum(stays)
+            seconds = slot * SLOT_SECONDS
+            while seconds < horizon:
+                found.append(Arrival(seconds, total))
+                seconds += ARRIVAL_WINDOW_SECONDS
+        return found
+
+
+def _sum(stays: t.Sequence[Stay]) -> Stay:
+    """One stay that uses as much as all of these, for their mean time."""
+    return Stay(
+        sum(stay.need for stay in stays),
+        sum(stay.prompt for stay in stays),
+        sum(stay.seconds for stay in stays) / len(stays),
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class Booking:
+    """A return that a refused caller was told.
+
+    :param at: time of the return, on the clock of the calendar.
+    :param run: id of the run that returned, once it did.
+    """
+
+    rank: Rank
+    stay: Stay
+    at: float
+    run: str | None = None
+
+
+class Calendar:
+    """Booked returns of one pool, by caller.
+
+    :ivar matched: number of returns that came at their time.
+    :ivar expired: number of bookings that nobody used.
+    """
+
+    __slots__ = ("_booking_by_caller", "_expire_at", "expired", "matched")
+
+    def __init__(self) -> None:
+        self._booking_by_caller: dict[str, Booking] = {}
+        self._expire_at = -math.inf
+        self.matched = 0
+        self.expired = 0
+
+    def __len__(self) -> int:
+        return len(self._booking_by_caller)
+
+    def book(self, caller: str, rank: Rank, stay: Stay, at: float) -> bool:
+        """Book a return; whether there was room for it in the calendar."""
+        if not caller or len(self._booking_by_caller) >= MAX_BOOKINGS:
+            return False
+        self._booking_by_caller[caller] = Booking(rank, stay, at)
+        return True
+
+    def find(self, caller: str, now: float) -> Booking | None:
+        """The booking of a caller that has not expired."""
+        self._expire(now)
+        return self._booking_by_caller.get(caller)
+
+    def claim(self, caller: str, run: str, now: float) -> bool:
+        """Whether a run is the booked return of its caller.
+
+        The first run that comes at its time claims the booking; a caller that repeats
+        its requests gains nothing by the others, nor by coming earlier.
+        """
+        booking = self.find(caller, now)
+        if booking is None or now < booking.at - EARLY_SECONDS:
+            return False
+        if booking.run is None:
+            booking.run = run
+            self.matched += 1
+        return booking.run == run
+
+    def close(self, caller: str) -> None:
+        """Remove the booking of a caller whose run was admitted or gave up."""
+        self._booking_by_caller.pop(caller, None)
+
+    def arrivals(
+        self, now: float, *, goes_first: t.Callable[[Rank], bool]
+    ) -> list[Arrival]:
+        """Returns that are still to come.
+
+        :param goes_first: whether returns of a rank count.
+        """
+        self._expire(now)
+        return [
+            Arrival(max(0.0, booking.at - now), booking.stay)
+            for booking in self._booking_by_caller.values()
+            if booking.run is None and goes_first(booking.rank)
+        ]
+
+    def _expire(self, now: float) -> None:
+        if now < self._expire_at:
+            return
+        self._expire_at = now + EXPIRE_INTERVAL_SECONDS
+        for caller, booking in list(self._booking_by_caller.items()):
+            claimed = booking.run is not None
+            patience = CLAIMED_SECONDS if claimed else RETURN_GRACE_SECONDS
+            if now > booking.at + patience:
+                self.expired += not claimed
+                del self._booking_by_caller[caller]
--- a/src/bankrack/fleet/messages.py
+++ b/src/bankrack/fleet/messages.py
@@ -8,6 +8,7 @@
 
 from bankrack import logs
 from bankrack.decisions.admission import Admit
+from bankrack.decisions.admission import Queueing
 from bankrack.decisions.admission import Refuse
 from bankrack.decisions.admission import Verdict
 from bankrack.decisions.admission import Wait
@@ -15,6 +16,9 @@
 
 _logger = logging.getLogger(__name__)
 
+MAX_DIGEST_LENGTH = 64
+"""Longer digests count as unknown; bounds what the owner keeps for each."""
+
 RunUpdateKind = t.Literal["placed", "began", "failed", "ended", "copy_dropped"]
 
 
@@ -49,6 +53,22 @@
     copy: bool = False
 
 
+class IdentifiedQuery(PlacementQuery, array_like=True):
+    """A query that also tells the owner of a crowded pool whose run it is.
+
+    :param workspace: digest of the caller's workspace.
+    :param caller: digest that is equal for all attempts of a caller's request.
+    """
+
+    workspace: t.Any = ""
+    caller: t.Any = ""
+
+
+def is_digest(value: t.Any) -> bool:
+    """Whether a value of an identified query can be used; otherwise it is unknown."""
+    return isinstance(value, str) and len(value) <= MAX_DIGEST_LENGTH
+
+
 class PlacementResponse(msgspec.Struct, array_like=True):
     """Engines for a run, or the time until the next query.
 
@@ -70,26 +90,64 @@
     backup_fits: bool = False
 
 
+class QueueingResponse(PlacementResponse, array_like=True):
+    """The response to an identified query about a run that is not admitted.
+
+    :param booked: seconds until the return that was booked for the caller, if any.
+    :param workspace_share: tokens by which the workspace is ahead of the others.
+    :param returning: whether the run is the booked return of its caller.
+    """
+
+    booked: float | None = None
+    workspace_share: float = 0.0
+    returning: bool = False
+
+
 def encode_verdict(verdict: Verdict, reports: list[ReportMessage]) -> PlacementResponse:
     """Encode a verdict and the engine reports that belong to it."""
     match verdict:
         case Admit(engines, backup_fits):
             return PlacementResponse(list(engines), reports, backup_fits=backup_fits)
-        case Wait(seconds, ahead, expected):
-            return PlacementResponse([], [], "wait", seconds, ahead, expected)
-        case Refuse(ahead, expected):
-            return PlacementResponse([], [], "refuse", 0.0, ahead, expected)
-
-
-def decode_verdict(message: PlacementResponse) -> Verdict:
+        case Wait(seconds, ahead, expected, queueing):
+            response = PlacementResponse([], [], "wait", seconds, ahead, expected)
+            return _with_queueing(response, queueing)
+        case Refuse(ahead, expected, booked, queueing):
+            response = PlacementResponse([], [], "refuse", 0.0, ahead, expected)
+            return _with_queueing(response, queueing, booked)
+
+
+def _with_queueing(
+    response: PlacementResponse, queueing: Queueing | None, booked: float | None = None
+) -> PlacementResponse:
+    """Add how a run stands in the queue, if its query was identified."""
+    if queueing is None:
+        return response
+    return QueueingResponse(
+        response.ids,
+        response.reports,
+        response.verdict,
+        response.seconds,
+        response.ahead,
+        response.expected,
+        response.backup_fits,
+        booked,
+        queueing.workspace_share,
+        queueing.returning,
+    )
+
+
+def decode_verdict(message: QueueingResponse) -> Verdict:
     """Decode a verdict."""
+    queueing = Queueing(message.workspace_share, message.returning)
     match message.verdict:
         case "admit":
             return Admit(tuple(message.ids), backup_fits=message.backup_fits)
         case "wait":
-            return Wait(message.seconds, message.ahead, message.expected)
+            return Wait(message.seconds, message.ahead, message.expected, queueing)
         case "refuse":
-            return Refuse(message.ahead, message.expected or 0.0)
+            return Refuse(
+                message.ahead, message.expected or 0.0, message.booked, queueing
+            )
 
 
 class RunUpdate(msgspec.Struct, array_like=True):
--- a/src/bankrack/fleet/poolowners.py
+++ b/src/bankrack/fleet/poolowners.py
@@ -17,13 +17,17 @@
 from bankrack import logs
 from bankrack.clock import boottime
 from bankrack.decisions.admission import Admit
+from bankrack.decisions.admission import Refuse
 from bankrack.decisions.admission import Verdict
+from bankrack.decisions.admission import Wait
 from bankrack.fleet.documents import Member
 from bankrack.fleet.messages import decode_message
 from bankrack.fleet.messages import decode_verdict
 from bankrack.fleet.messages import encode_verdict
+from bankrack.fleet.messages import IdentifiedQuery
+from bankrack.fleet.messages import is_digest
 from bankrack.fleet.messages import PlacementQuery
-from bankrack.fleet.messages import PlacementResponse
+from bankrack.fleet.messages import QueueingResponse
 from bankrack.fleet.messages import RunUpdate
 from bankrack.fleet.messages import RunUpdateKind
 from bankrack.fleet.reports import encode_reports
@@ -44,6 +48,7 @@
 from bankrack.serving.pools import select_pool
 from bankrack.serving.upstreams import Upstream
 from bankrack.serving.upstreams import Upstreams
+from bankrack.utils import stable_digest
 
 PLACE_PATH = "/peer/place"
 NOTES_PATH = "/peer/notes"
@@ -52,9 +57,18 @@
 FLUSH_INTERVAL_SECONDS = 0.1
 """Delay by which run updates are batched."""
 FLUSH_TIMEOUT_SECONDS = 0.5
+CROWDED_SECONDS = 10.0
+"""Queries are identified for this long after the owner queued or refused a run; several
+times the interval between two runs of a node of a large fleet."""
+DIGEST_LENGTH = 12
+"""Length of the digests that identify a query; with 48 bits collisions are rare and
+only affect the order of waiting runs."""
 MAX_QUEUED_UPDATES = 500
 """Run updates kept between two flushes; further ones are dropped."""
 
+UNIDENTIFIED_FIELDS = len(PlacementQuery.__struct_fields__)
+"""Fields of a query that does not tell whose run it is."""
+
 _logger = logging.getLogger(__name__)
 
 
@@ -79,9 +93,10 @@
         self._chooser = chooser
         self._note_use = note_use
         self.learn_seconds = LEARN_SECONDS
+        self.invalid_digests = 0
         self._allocator_by_pool: dict[tuple[str, int], Allocator] = {}
 
-    def decide(self, query: PlacementQuery) -> Verdict:
+    def decide(self, query: IdentifiedQuery) -> Verdict:
         """Decide on a run; records an admitted run as placed on its first engine."""
         of_service = self._upstreams.open_of(query.service)
         of_pool = select_pool(of_service, query.pool, query.pools)
@@ -98,12 +113,20 @@
             left=query.left,
             silence_left=query.silence_left,
             cold_rate=query.cold_rate,
+            workspace=self._digest_or_unknown(query.workspace),
+            caller=self._digest_or_unknown(query.caller),
         )
         allocator = self._allocator(query.service, query.pool)
         if query.copy:
             return allocator.place_copy(engines, placement)
         return allocator.decide(engines, placement)
 
+    def _digest_or_unknown(self, value: t.Any) -> str:
+        if is_digest(value):
+            return t.cast("str", value)
+        self.invalid_digests += 1
+        return ""
+
     def take(self, update: RunUpdate) -> None:
         """Apply an update on a run."""
         ledger = self._ledger(update.service, update.pool)
@@ -126,7 +149,7 @@
 
     async def handle_query(self, request: web.Request) -> web.Response:
         """Answer another node's query."""
-        query = decode_message(await request.read(), PlacementQuery)
+        query = decode_message(await request.read(), IdentifiedQuery)
         self._note_use()
         verdict = self.decide(query)
         reports: list[ReportMessage] = []
@@ -190,6 +213,7 @@
         self._updates: list[RunUpdate] = []
         self._has_updates = asyncio.Event()
         self._owner_name_by_pool: dict[int, str] = {}
+        self._crowded_until_by_pool: dict[tuple[str, int], float] = {}
 
     def owner(self, pool: int) -> Member:
         """Return the member that owns a pool's ledgers: the first responsive one."""
@@ -245,7 +269,7 @@
         service = work.service.name
         engines = self._upstreams.of(service)
         pools = count_pools(len(engines))
-        query = PlacementQuery(
+        query = IdentifiedQuery(
             service=service,
             pool=pool_of(work.job.id, pools),
             pools=pools,
@@ -261,15 +285,31 @@
             silence_left=work.silence_left(),
             cold_rate=self._cold.owner_rate(work.service),
             copy=copy,
+            workspace=_digest(work.workspace or ""),
+            caller=work.fingerprint[:DIGEST_LENGTH],
         )
         owner = self.owner(query.pool)
         if owner.name == self._own.name:
             return self._ledgers.decide(query)
+        key = service, query.pool
+        if copy or self._clock() < self._crowded_until_by_pool.get(key, 0.0):
+            verdict = await self._ask(owner, query)
+        else:
+            plain = msgspec.structs.astuple(query)
+            verdict = await self._ask(owner, plain[:UNIDENTIFIED_FIELDS])
+            if isinstance(verdict, Refuse):
+                verdict = await self._ask(owner, query)
+        if isinstance(verdict, Wait | Refuse):
+            self._crowded_until_by_pool[key] = self._clock() + CROWDED_SECONDS
+        return verdict
+
+    async def _ask(self, owner: Member, query: t.Any) -> Verdict | None:
+        """Send a query to the owner; ``None`` if it does not respond."""
         body = await self._post(owner, PLACE_PATH, query, QUERY_TIMEOUT_SECONDS)
         if body is None:
             return None
         try:
-            advice = msgspec.msgpack.decode(body, type=PlacementResponse)
+            advice = msgspec.msgpack.decode(body, type=QueueingResponse)
         except msgspec.MsgspecError as error:
             self._suspect(owner, f"invalid response: {error}")
             return None
@@ -385,3 +425,9 @@
     def _suspect(self, owner: Member, reason: str) -> None:
         self._suspects.suspect(owner)
         logs.event(_logger, "owner_lost", owner=owner.name, reason=reason)
+
+
+@functools.lru_cache(maxsize=1024)
+def _digest(workspace: str) -> str:
+    """Digest of a workspace's name; empty without a workspace."""
+    return stable_digest(workspace).hex()[:DIGEST_LENGTH] if workspace else ""
--- a/src/bankrack/lab/poolsimulation.py
+++ b/src/bankrack/lab/poolsimulation.py
@@ -293,14 +293,16 @@
             due=caller.arrived_at + caller.stream.target - now,
             left=caller.deadline - now,
             silence_left=caller.arrived_at + caller.stream.silence - now,
+            workspace=f"workspace-{caller.workspace}",
+            caller=caller.name,
         )
         match self._allocator.decide(upstreams, request):
             case Admit(names):
                 self._place(caller, names[:MAX_ENGINES_ASKED])
             case Wait(seconds):
                 self._schedule(now + seconds, lambda: self._request_engine(caller))
-            case Refuse(expected=expected):
-                self._refuse(caller, expected)
+            case Refuse(expected=expected, booked=booked):
+                self._refuse(caller, expected, booked)
 
     def _place_without_queue(self, caller: _Caller, upstreams: list[Upstream]) -> None:
         ledger = self._allocator.ledger
@@ -377,10 +379,14 @@
             late = caller.first_token_at - caller.arrived_at > caller.stream.target
             self._finish(caller, RunOutcome.LATE if late else RunOutcome.IN_TIME)
 
-    def _refuse(self, caller: _Caller, expected: float) -> None:
+    def _refuse(
+        self, caller: _Caller, expected: float, booked: float | None = None
+    ) -> None:
         """Refuse a run; its caller retries once."""
         left = caller.deadline - self.now
         after = retry_after_seconds(expected, left=left, draw=self._rng.random())
+        if booked is not None:
+            after = booked
         caller.refusals += 1
         if caller.refusals > 1:
             self._finish(caller, RunOutcome.REFUSED)
--- a/src/bankrack/placement/allocation.py
+++ b/src/bankrack/placement/allocation.py
@@ -1,13 +1,17 @@
 """Allocates the engines of one pool to runs, with its ledger and admission queue."""
 
 import dataclasses
+import math
 import random
 import typing as t
 
 from bankrack.clock import boottime
 from bankrack.decisions.admission import Admit
 from bankrack.decisions.admission import decide
+from bankrack.decisions.admission import MAX_RETRY_SECONDS
+from bankrack.decisions.admission import Queueing
 from bankrack.decisions.admission import ReadLimits
+from bankrack.decisions.admission import Refuse
 from bankrack.decisions.admission import Room
 from bankrack.decisions.admission import Verdict
 from bankrack.decisions.admission import Wait
@@ -16,7 +20,15 @@
 from bankrack.decisions.backups import crash_probability
 from bankrack.decisions.backups import LIKELY_CRASH_PROBABILITY
 from bankrack.decisions.backups import max_fill_with_backup
+from bankrack.decisions.calendar import Calendar
+from bankrack.decisions.calendar import forecast_start
+from bankrack.decisions.calendar import Outlook
+from bankrack.decisions.calendar import RecentArrivals
+from bankrack.decisions.calendar import Stay
 from bankrack.decisions.coldstart import quota_of
+from bankrack.decisions.fairshares import FairShares
+from bankrack.decisions.memory import Release
+from bankrack.decisions.retryafter import MAX_WAIT_FRACTION
 from bankrack.placement.ledger import copy_name
 from bankrack.placement.ledger import Ledger
 from bankrack.placement.occupancy import USABLE_MEMORY_FRACTION
@@ -48,6 +60,8 @@
 Otherwise runs would go first that are late once their prompts are read."""
 START_FRACTION = 0.5
 """Fraction of a run's remaining time within which it must begin to be useful."""
+CROWDED_SECONDS = 5.0
+"""A pool counts as crowded this long after a run had to wait or was refused."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -63,6 +77,8 @@
     :param silence_left: seconds until the caller gives up if it receives nothing.
     :param cold_rate: runs per second that may be placed on an engine while it is cold;
         0 for no limit.
+    :param workspace: digest of the caller's workspace; empty if unknown.
+    :param caller: equal for all attempts of a caller's request; empty if unknown.
     """
 
     run: str
@@ -74,6 +90,8 @@
     left: float
     silence_left: float
     cold_rate: float = 0.0
+    workspace: str = ""
+    caller: str = ""
 
 
 class Allocator:
@@ -99,9 +117,13 @@
         self._learn_seconds = learn_seconds
         self._used_since: float | None = None
         self._peak_fill = WindowMaximum(PEAK_WINDOW_SECONDS, clock=clock)
-        self._read_ahead = read_ahead
+        self.read_ahead = read_ahead
         self.ledger = Ledger(clock=clock, rng=rng)
         self.queue = AdmissionQueue()
+        self.shares = FairShares()
+        self.calendar = Calendar()
+        self.recent = RecentArrivals()
+        self._crowded_until = -math.inf
         self._clock = clock
         self._placed_at_by_id: dict[str, list[float]] = {}
 
@@ -117,22 +139,7 @@
         occupancy = ledger.occupancy
         ledger.forget()
         ledger.withdraw(request.run)
-        candidate = Candidate(
-            run=request.run,
-            rank=request.rank,
-            need=occupancy.need(
-                request.demand, memory=request.memory, seconds=request.left
-            ),
-            due=now
-            + request.due
-            - READ_TIME_FRACTION * ledger.read_seconds(request.demand),
-            # The deadline of the first request is kept: half of the remaining time,
-            # computed anew for each retry, would never be over.
-            start_deadline=queue.start_deadline(
-                request.run, now + self._seconds_until_too_late(request)
-            ),
-            prompt=request.demand.prompt,
-        )
+        candidate = self._candidate(request, now)
         free_by_engine = occupancy.free_by_engine(
             engines,
             memory=request.memory,
@@ -148,22 +155,38 @@
                 free_by_engine[name] = 0.0
         unread_by_engine = ledger.unread_by_engine()
         rate = ledger.read_rate
+        room_by_engine = {
+            name: Room(free, unread_by_engine.get(name, 0.0))
+            for name, free in free_by_engine.items()
+        }
+        forecast = None
+        if request.caller:
+            forecast = _Forecast(
+                self, candidate, room_by_engine, occupancy.releases(engines), now
+            )
+        waits = request.run in queue
         verdict = decide(
             candidate,
-            room_by_engine={
-                name: Room(free, unread_by_engine.get(name, 0.0))
-                for name, free in free_by_engine.items()
-            },
-            limits=ReadLimits(rate, max_unread=rate * self._read_ahead),
-            ahead=queue.ahead(candidate, now),
+            room_by_engine=room_by_engine,
+            limits=ReadLimits(rate, max_unread=rate * self.read_ahead),
+            ahead=queue.ahead(
+                candidate, now, shares=self.shares, quantum=request.memory
+            ),
             releases=occupancy.releases(engines),
             now=now,
+            start=None if waits or forecast is None else forecast.start,
+            keep=waits and forecast is not None,
         )
+        if not waits:
+            self.recent.note(candidate.rank, _stay(candidate), now)
+        if forecast is not None:
+            verdict = self._explain(verdict, request, forecast, waits=waits)
         self._update_queue(candidate, verdict, now)
         match verdict:
             case Admit(names):
                 first, *others = self._order(engines, request, names)
                 ledger.place(request.run, first, request.demand)
+                self._charge(request, candidate, now)
                 if first in cold_ids:
                     self._placed_at_by_id.setdefault(first, []).append(now)
                 # Other cold engines are left out, as a run on them is not counted here.
@@ -171,6 +194,88 @@
                 return Admit(names, backup_fits=backup_fits)
         return verdict
 
+    def _candidate(self, request: PlacementRequest, now: float) -> Candidate:
+        ledger = self.ledger
+        return Candidate(
+            run=request.run,
+            rank=request.rank,
+            need=ledger.occupancy.need(
+                request.demand, memory=request.memory, seconds=request.left
+            ),
+            due=now
+            + request.due
+            - READ_TIME_FRACTION * ledger.read_seconds(request.demand),
+            # The deadline of the first request is kept: half of the remaining time,
+            # computed anew for each retry, would never be over.
+            start_deadline=self.queue.start_deadline(
+                request.run, now + self._seconds_until_too_late(request)
+            ),
+            prompt=request.demand.prompt,
+            seconds=ledger.run_seconds(request.demand),
+            workspace=request.workspace,
+            returning=bool(request.caller)
+            and self.calendar.claim(request.caller, request.run, now),
+        )
+
+    def _explain(
+        self,
+        verdict: Verdict,
+        request: PlacementRequest,
+        forecast: "_Forecast",
+        *,
+        waits: bool,
+    ) -> Verdict:
+        """Add how a run stands in the queue, and book the return of a refused one."""
+        candidate, now = forecast.candidate, forecast.now
+        queueing = Queueing(
+            self.shares.debt(candidate.rank, candidate.workspace), candidate.returning
+        )
+        match verdict:
+            case Wait():
+                return dataclasses.replace(verdict, queueing=queueing)
+            case Refuse() if candidate.returning and now <= candidate.start_deadline:
+                # It was promised room, which was lost since; it may still come free.
+                return Wait(MAX_RETRY_SECONDS, verdict.ahead, None, queueing)
+            case Refuse():
+                booked = None if waits else self._book(request, forecast)
+                expected = min(verdict.expected, request.left)
+                return Refuse(verdict.ahead, expected, booked, queueing)
+        return verdict
+
+    def _book(self, request: PlacementRequest, forecast: "_Forecast") -> float | None:
+        """Book the return of a refused caller; seconds until then, ``None`` if full.
+
+        A caller that comes before its time is told the same time again.
+        """
+        now, calendar = forecast.now, self.calendar
+        known = calendar.find(request.caller, now)
+        if known is not None and known.run is None and known.at > now:
+            return known.at - now
+        seconds = forecast.return_start(MAX_WAIT_FRACTION * request.left)
+        if math.isinf(seconds):
+            return None
+        candidate = forecast.candidate
+        if not calendar.book(
+            request.caller, candidate.rank, _stay(candidate), now + seconds
+        ):
+            return None
+        return seconds
+
+    def _charge(
+        self, request: PlacementRequest, candidate: Candidate, now: float
+    ) -> None:
+        """Charge an admitted run to its workspace, and close its booking."""
+        self.queue.note_admitted(candidate, now)
+        if request.caller:
+            self.calendar.close(request.caller)
+        if request.workspace:
+            self.shares.charge(
+                candidate.rank,
+                candidate.workspace,
+                request.demand.expected,
+                waiting=self.queue.waiting(candidate.rank),
+            )
+
     def _update_queue(self, candidate: Candidate, verdict: Verdict, now: float) -> None:
         """Queue a run that has to wait; remove any other from the queue."""
         if isinstance(verdict, Wait):
@@ -280,3 +385,81 @@
             engines, request.demand, memory=request.memory, hall=request.hall
         )
         return tuple(engine.id for engine in ordered if engine.id in names)
+
+
+class _Forecast:
+    """When a run would begin, from what the pool's owner knows.
+
+    :ivar candidate: the run.
+    :ivar now: time on the clock of the queue.
+    """
+
+    __slots__ = ("_allocator", "_outlook", "candidate", "now")
+
+    def __init__(
+        self,
+        allocator: Allocator,
+        candidate: Candidate,
+        room_by_engine: t.Mapping[str, Room],
+        releases: t.Sequence[Release],
+        now: float,
+    ) -> None:
+        self._allocator = allocator
+        self.candidate = candidate
+        self.now = now
+        rooms = room_by_engine.values()
+        self._outlook = Outlook(
+            # Free memory of engines that cannot fit the whole run does not count.
+            free=sum(room.free for room in rooms if room.free >= candidate.need),
+            releases=releases,
+            unread=sum(room.unread for room in rooms),
+            read_rate=max(1, len(rooms)) * allocator.ledger.read_rate,
+            read_ahead=allocator.read_ahead,
+        )
+
+    def start(self, ahead: t.Sequence[Candidate]) -> float:
+        """Seconds until the run begins behind the queue; infinite if too late.
+
+        Runs of a better rank that arrive meanwhile go first, and once the run is late
+        all that do.
+        """
+        candidate = self.candidate
+        rank = candidate.rank
+        seconds = self._start(
+            ahead, candidate.due - self.now, lambda other: other < rank
+        )
+        if not math.isinf(seconds):
+            return seconds
+        return self._start(
+            ahead, candidate.start_deadline - self.now, lambda other: True
+        )
+
+    def return_start(self, horizon: float) -> float:
+        """Seconds until the run would begin if its caller returned just then."""
+        rank = self.candidate.rank
+        queue = self._allocator.queue.on_time(rank, self.now)
+        return self._start(queue, horizon, lambda other: other < rank)
+
+    def _start(
+        self,
+        ahead: t.Iterable[Candidate],
+        horizon: float,
+        goes_first: t.Callable[[tuple[int, int]], bool],
+    ) -> float:
+        allocator, now = self._allocator, self.now
+        rank = self.candidate.rank
+        arrivals = allocator.recent.expected(now, horizon, goes_first=goes_first)
+        arrivals += allocator.calendar.arrivals(
+            now, goes_first=lambda other: other <= rank
+        )
+        return forecast_start(
+            _stay(self.candidate),
+            self._outlook,
+            ahead=[_stay(other) for other in ahead],
+            arrivals=arrivals,
+            horizon=horizon,
+        )
+
+
+def _stay(candidate: Candidate) -> Stay:
+    return Stay(candidate.need, candidate.prompt, candidate.seconds)
--- a/src/bankrack/serving/enginefinder.py
+++ b/src/bankrack/serving/enginefinder.py
@@ -161,14 +161,16 @@
                         log.write_verdict("place_waits", verdict)
                     logged = True
                     await asyncio.sleep(seconds * (0.75 + random.random() / 2))
-                case Refuse(expected=expected):
+                case Refuse(expected=expected, booked=booked):
                     log.write_verdict("place_refused", verdict)
+                    if booked is None:
+                        booked = retry_after_seconds(
+                            expected, left=work.time_left(), draw=random.random()
+                        )
                     raise Overloaded(
                         "the run cannot begin in time behind the runs queued ahead; "
                         "try again later",
-                        retry_after=retry_after_seconds(
-                            expected, left=work.time_left(), draw=random.random()
-                        ),
+                        retry_after=booked,
                     )
                 case _:
                     engines = self._by_reports(work, traits, tried)
--- a/src/bankrack/serving/runlog.py
+++ b/src/bankrack/serving/runlog.py
@@ -60,6 +60,7 @@
 
     def write_verdict(self, name: str, verdict: Wait | Refuse) -> None:
         """Log why the run waits in the admission queue or is refused."""
+        queueing = verdict.queueing
         logs.event(
             _logger,
             name,
@@ -69,6 +70,9 @@
             expected=verdict.expected,
             time_left=self._work.time_left(),
             elapsed=boottime() - self._work.job.arrived,
+            workspace_share=queueing.workspace_share if queueing else None,
+            booked=verdict.booked if isinstance(verdict, Refuse) else None,
+            returning=queueing.returning if queueing else None,
         )
 
     def write_pace(self, forwarder: EventForwarder, *, whole: bool) -> None:
