--- a/src/bankrack/decisions/admissionqueue.py
+++ b/src/bankrack/decisions/admissionqueue.py
@@ -182,7 +182,8 @@
     """
     use_by_workspace: dict[tuple[t.Any, str], float] = {}
     turn_by_run = {}
-    for other in sorted(waiting, key=lambda other: (not other.returning, other.due)):
+    in_order = sorted(waiting, key=lambda one: (not one.returning, one.due, one.run))
+    for other in in_order:
         key = other.rank, other.workspace
         use = use_by_workspace.get(key)
         if use is None:
--- a/src/bankrack/decisions/calendar.py
+++ b/src/bankrack/decisions/calendar.py
@@ -17,6 +17,8 @@
 import math
 import typing as t
 
+from bankrack.decisions.admission import ReadLimits
+from bankrack.decisions.admission import Room
 from bankrack.decisions.memory import Release
 
 Rank = tuple[int, int]
@@ -84,6 +86,25 @@
     read_rate: float
     read_ahead: float
 
+    @classmethod
+    def of(
+        cls,
+        room_by_engine: t.Mapping[str, Room],
+        need: float,
+        limits: ReadLimits,
+        releases: t.Sequence[Release],
+    ) -> t.Self:
+        """The outlook for a run that needs so many tokens of memory."""
+        rooms = room_by_engine.values()
+        return cls(
+            # Free memory of engines that cannot fit the whole run does not count.
+            free=sum(room.free for room in rooms if room.free >= need),
+            releases=releases,
+            unread=sum(room.unread for room in rooms),
+            read_rate=max(1, len(rooms)) * limits.rate,
+            read_ahead=limits.max_unread / limits.rate,
+        )
+
 
 def forecast_start(
     stay: Stay,
--- a/src/bankrack/placement/allocation.py
+++ b/src/bankrack/placement/allocation.py
@@ -1,17 +1,13 @@
 """Allocates the engines of one pool to runs, with its ledger and admission queue."""
 
 import dataclasses
-import math
 import random
 import typing as t
 
 from bankrack.clock import boottime
 from bankrack.decisions.admission import Admit
 from bankrack.decisions.admission import decide
-from bankrack.decisions.admission import MAX_RETRY_SECONDS
-from bankrack.decisions.admission import Queueing
 from bankrack.decisions.admission import ReadLimits
-from bankrack.decisions.admission import Refuse
 from bankrack.decisions.admission import Room
 from bankrack.decisions.admission import Verdict
 from bankrack.decisions.admission import Wait
@@ -20,15 +16,10 @@
 from bankrack.decisions.backups import crash_probability
 from bankrack.decisions.backups import LIKELY_CRASH_PROBABILITY
 from bankrack.decisions.backups import max_fill_with_backup
-from bankrack.decisions.calendar import Calendar
-from bankrack.decisions.calendar import forecast_start
 from bankrack.decisions.calendar import Outlook
-from bankrack.decisions.calendar import RecentArrivals
-from bankrack.decisions.calendar import Stay
 from bankrack.decisions.coldstart import quota_of
-from bankrack.decisions.fairshares import FairShares
-from bankrack.decisions.memory import Release
-from bankrack.decisions.retryafter import MAX_WAIT_FRACTION
+from bankrack.placement.crowding import Crowding
+from bankrack.placement.crowding import Forecast
 from bankrack.placement.ledger import copy_name
 from bankrack.placement.ledger import Ledger
 from bankrack.placement.occupancy import USABLE_MEMORY_FRACTION
@@ -60,8 +51,6 @@
 Otherwise runs would go first that are late once their prompts are read."""
 START_FRACTION = 0.5
 """Fraction of a run's remaining time within which it must begin to be useful."""
-CROWDED_SECONDS = 5.0
-"""A pool counts as crowded this long after a run had to wait or was refused."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -117,13 +106,10 @@
         self._learn_seconds = learn_seconds
         self._used_since: float | None = None
         self._peak_fill = WindowMaximum(PEAK_WINDOW_SECONDS, clock=clock)
-        self.read_ahead = read_ahead
+        self._read_ahead = read_ahead
         self.ledger = Ledger(clock=clock, rng=rng)
         self.queue = AdmissionQueue()
-        self.shares = FairShares()
-        self.calendar = Calendar()
-        self.recent = RecentArrivals()
-        self._crowded_until = -math.inf
+        self.crowding = Crowding(self.queue)
         self._clock = clock
         self._placed_at_by_id: dict[str, list[float]] = {}
 
@@ -159,34 +145,38 @@
             name: Room(free, unread_by_engine.get(name, 0.0))
             for name, free in free_by_engine.items()
         }
+        limits = ReadLimits(rate, max_unread=rate * self._read_ahead)
+        releases = occupancy.releases(engines)
         forecast = None
         if request.caller:
-            forecast = _Forecast(
-                self, candidate, room_by_engine, occupancy.releases(engines), now
-            )
+            pool = Outlook.of(room_by_engine, candidate.need, limits, releases)
+            forecast = Forecast(self.crowding, candidate, pool, now)
         waits = request.run in queue
         verdict = decide(
             candidate,
             room_by_engine=room_by_engine,
-            limits=ReadLimits(rate, max_unread=rate * self.read_ahead),
+            limits=limits,
             ahead=queue.ahead(
-                candidate, now, shares=self.shares, quantum=request.memory
+                candidate, now, shares=self.crowding.shares, quantum=request.memory
             ),
-            releases=occupancy.releases(engines),
+            releases=releases,
             now=now,
             start=None if waits or forecast is None else forecast.start,
             keep=waits and forecast is not None,
         )
-        if not waits:
-            self.recent.note(candidate.rank, _stay(candidate), now)
+        self.crowding.note_decision(candidate, verdict, now, is_first=not waits)
         if forecast is not None:
-            verdict = self._explain(verdict, request, forecast, waits=waits)
+            verdict = self.crowding.explain(
+                verdict, forecast, caller=request.caller, left=request.left, waits=waits
+            )
         self._update_queue(candidate, verdict, now)
         match verdict:
             case Admit(names):
                 first, *others = self._order(engines, request, names)
                 ledger.place(request.run, first, request.demand)
-                self._charge(request, candidate, now)
+                self.crowding.charge(
+                    candidate, request.demand.expected, now, caller=request.caller
+                )
                 if first in cold_ids:
                     self._placed_at_by_id.setdefault(first, []).append(now)
                 # Other cold engines are left out, as a run on them is not counted here.
@@ -214,68 +204,9 @@
             seconds=ledger.run_seconds(request.demand),
             workspace=request.workspace,
             returning=bool(request.caller)
-            and self.calendar.claim(request.caller, request.run, now),
+            and self.crowding.calendar.claim(request.caller, request.run, now),
         )
 
-    def _explain(
-        self,
-        verdict: Verdict,
-        request: PlacementRequest,
-        forecast: "_Forecast",
-        *,
-        waits: bool,
-    ) -> Verdict:
-        """Add how a run stands in the queue, and book the return of a refused one."""
-        candidate, now = forecast.candidate, forecast.now
-        queueing = Queueing(
-            self.shares.debt(candidate.rank, candidate.workspace), candidate.returning
-        )
-        match verdict:
-            case Wait():
-                return dataclasses.replace(verdict, queueing=queueing)
-            case Refuse() if candidate.returning and now <= candidate.start_deadline:
-                # It was promised room, which was lost since; it may still come free.
-                return Wait(MAX_RETRY_SECONDS, verdict.ahead, None, queueing)
-            case Refuse():
-                booked = None if waits else self._book(request, forecast)
-                expected = min(verdict.expected, request.left)
-                return Refuse(verdict.ahead, expected, booked, queueing)
-        return verdict
-
-    def _book(self, request: PlacementRequest, forecast: "_Forecast") -> float | None:
-        """Book the return of a refused caller; seconds until then, ``None`` if full.
-
-        A caller that comes before its time is told the same time again.
-        """
-        now, calendar = forecast.now, self.calendar
-        known = calendar.find(request.caller, now)
-        if known is not None and known.run is None and known.at > now:
-            return known.at - now
-        seconds = forecast.return_start(MAX_WAIT_FRACTION * request.left)
-        if math.isinf(seconds):
-            return None
-        candidate = forecast.candidate
-        if not calendar.book(
-            request.caller, candidate.rank, _stay(candidate), now + seconds
-        ):
-            return None
-        return seconds
-
-    def _charge(
-        self, request: PlacementRequest, candidate: Candidate, now: float
-    ) -> None:
-        """Charge an admitted run to its workspace, and close its booking."""
-        self.queue.note_admitted(candidate, now)
-        if request.caller:
-            self.calendar.close(request.caller)
-        if request.workspace:
-            self.shares.charge(
-                candidate.rank,
-                candidate.workspace,
-                request.demand.expected,
-                waiting=self.queue.waiting(candidate.rank),
-            )
-
     def _update_queue(self, candidate: Candidate, verdict: Verdict, now: float) -> None:
         """Queue a run that has to wait; remove any other from the queue."""
         if isinstance(verdict, Wait):
@@ -385,81 +316,3 @@
             engines, request.demand, memory=request.memory, hall=request.hall
         )
         return tuple(engine.id for engine in ordered if engine.id in names)
-
-
-class _Forecast:
-    """When a run would begin, from what the pool's owner knows.
-
-    :ivar candidate: the run.
-    :ivar now: time on the clock of the queue.
-    """
-
-    __slots__ = ("_allocator", "_outlook", "candidate", "now")
-
-    def __init__(
-        self,
-        allocator: Allocator,
-        candidate: Candidate,
-        room_by_engine: t.Mapping[str, Room],
-        releases: t.Sequence[Release],
-        now: float,
-    ) -> None:
-        self._allocator = allocator
-        self.candidate = candidate
-        self.now = now
-        rooms = room_by_engine.values()
-        self._outlook = Outlook(
-            # Free memory of engines that cannot fit the whole run does not count.
-            free=sum(room.free for room in rooms if room.free >= candidate.need),
-            releases=releases,
-            unread=sum(room.unread for room in rooms),
-            read_rate=max(1, len(rooms)) * allocator.ledger.read_rate,
-            read_ahead=allocator.read_ahead,
-        )
-
-    def start(self, ahead: t.Sequence[Candidate]) -> float:
-        """Seconds until the run begins behind the queue; infinite if too late.
-
-        Runs of a better rank that arrive meanwhile go first, and once the run is late
-        all that do.
-        """
-        candidate = self.candidate
-        rank = candidate.rank
-        seconds = self._start(
-            ahead, candidate.due - self.now, lambda other: other < rank
-        )
-        if not math.isinf(seconds):
-            return seconds
-        return self._start(
-            ahead, candidate.start_deadline - self.now, lambda other: True
-        )
-
-    def return_start(self, horizon: float) -> float:
-        """Seconds until the run would begin if its caller returned just then."""
-        rank = self.candidate.rank
-        queue = self._allocator.queue.on_time(rank, self.now)
-        return self._start(queue, horizon, lambda other: other < rank)
-
-    def _start(
-        self,
-        ahead: t.Iterable[Candidate],
-        horizon: float,
-        goes_first: t.Callable[[tuple[int, int]], bool],
-    ) -> float:
-        allocator, now = self._allocator, self.now
-        rank = self.candidate.rank
-        arrivals = allocator.recent.expected(now, horizon, goes_first=goes_first)
-        arrivals += allocator.calendar.arrivals(
-            now, goes_first=lambda other: other <= rank
-        )
-        return forecast_start(
-            _stay(self.candidate),
-            self._outlook,
-            ahead=[_stay(other) for other in ahead],
-            arrivals=arrivals,
-            horizon=horizon,
-        )
-
-
-def _stay(candidate: Candidate) -> Stay:
-    return Stay(candidate.need, candidate.prompt, candidate.seconds)
--- /dev/null
+++ b/src/bankrack/placement/crowding.py
@@ -0,0 +1,215 @@
+"""A crowded pool: whose runs wait, when a run can begin, and when callers return.
+
+The state is the pool owner's alone and is lost with it: a new owner starts with equal
+shares, without bookings, and with the runs that ask it again.
+"""
+
+import dataclasses
+import math
+import typing as t
+
+from bankrack.decisions.admission import Admit
+from bankrack.decisions.admission import MAX_RETRY_SECONDS
+from bankrack.decisions.admission import Queueing
+from bankrack.decisions.admission import Refuse
+from bankrack.decisions.admission import Verdict
+from bankrack.decisions.admission import Wait
+from bankrack.decisions.admissionqueue import AdmissionQueue
+from bankrack.decisions.admissionqueue import Candidate
+from bankrack.decisions.calendar import ARRIVAL_WINDOW_SECONDS
+from bankrack.decisions.calendar import Calendar
+from bankrack.decisions.calendar import forecast_start
+from bankrack.decisions.calendar import Outlook
+from bankrack.decisions.calendar import Rank
+from bankrack.decisions.calendar import RecentArrivals
+from bankrack.decisions.calendar import Stay
+from bankrack.decisions.fairshares import FairShares
+from bankrack.decisions.retryafter import MAX_WAIT_FRACTION
+
+CROWDED_SECONDS = 5.0
+"""A pool counts as crowded this long after a run had to wait or was refused."""
+MAX_DESCRIBED = 20
+"""Limit on the workspaces in the state dump."""
+
+
+class Crowding:
+    """What the owner of a pool keeps about a time in which runs wait.
+
+    :param queue: admission queue of the pool.
+    :ivar refused: number of refused runs.
+    """
+
+    def __init__(self, queue: AdmissionQueue) -> None:
+        self.queue = queue
+        self.shares = FairShares()
+        self.calendar = Calendar()
+        self.recent = RecentArrivals()
+        self.refused = 0
+        self._since = -math.inf
+        self._until = -math.inf
+
+    def seconds(self, now: float) -> float:
+        """Seconds for which runs have had to wait or were refused."""
+        return now - self._since if now <= self._until else 0.0
+
+    def note_decision(
+        self, candidate: Candidate, verdict: Verdict, now: float, *, is_first: bool
+    ) -> None:
+        """Record a decision.
+
+        :param is_first: whether the run asked for the first time.
+        """
+        if is_first:
+            self.recent.note(candidate.rank, _stay(candidate), now)
+        if not isinstance(verdict, Admit):
+            if now > self._until:
+                self._since = now
+            self._until = now + CROWDED_SECONDS
+
+    def charge(
+        self, candidate: Candidate, tokens: float, now: float, *, caller: str
+    ) -> None:
+        """Charge an admitted run to its workspace, and close its booking."""
+        self.queue.note_admitted(candidate, now)
+        if caller:
+            self.calendar.close(caller)
+        if candidate.workspace:
+            self.shares.charge(
+                candidate.rank,
+                candidate.workspace,
+                tokens,
+                waiting=self.queue.waiting(candidate.rank),
+            )
+
+    def explain(
+        self,
+        verdict: Verdict,
+        forecast: "Forecast",
+        *,
+        caller: str,
+        left: float,
+        waits: bool,
+    ) -> Verdict:
+        """Add how a run stands in the queue, and book the return of a refused one.
+
+        :param left: seconds until its final answer is due.
+        :param waits: whether the run was queued before.
+        """
+        candidate = forecast.candidate
+        debt = self.shares.debt(candidate.rank, candidate.workspace)
+        queueing = Queueing(debt, candidate.returning)
+        match verdict:
+            case Wait():
+                return dataclasses.replace(verdict, queueing=queueing)
+            case Refuse() if (
+                candidate.returning and forecast.now <= candidate.start_deadline
+            ):
+                # Its room was lost after it was promised, but may come free in time.
+                return Wait(MAX_RETRY_SECONDS, verdict.ahead, None, queueing)
+            case Refuse():
+                self.refused += 1
+                booked = None if waits else self._book(caller, forecast, left)
+                expected = min(verdict.expected, left)
+                return Refuse(verdict.ahead, expected, booked, queueing)
+        return verdict
+
+    def _book(self, caller: str, forecast: "Forecast", left: float) -> float | None:
+        """Book the return of a refused caller; seconds until then, ``None`` if full.
+
+        A caller that comes before its time is told the same time again.
+        """
+        now, candidate = forecast.now, forecast.candidate
+        known = self.calendar.find(caller, now)
+        if known is not None and known.run is None and known.at > now:
+            return known.at - now
+        seconds = forecast.return_start(MAX_WAIT_FRACTION * left)
+        if math.isinf(seconds):
+            return None
+        stay = _stay(candidate)
+        if not self.calendar.book(caller, candidate.rank, stay, now + seconds):
+            return None
+        return seconds
+
+    def describe(self, name_by_digest: t.Mapping[str, str]) -> dict[str, t.Any]:
+        """Return the part of the state dump as JSON-serializable data."""
+        ahead = sorted(self.shares.debts().items(), key=lambda item: -item[1])
+        return {
+            "waiting": len(self.queue),
+            "refused": self.refused,
+            "shares": [
+                {
+                    "rank": list(rank),
+                    "workspace": name_by_digest.get(workspace, workspace),
+                    "tokens_ahead": round(debt),
+                }
+                for (rank, workspace), debt in ahead[:MAX_DESCRIBED]
+            ],
+            "calendar": {
+                "booked": len(self.calendar),
+                "matched": self.calendar.matched,
+                "expired": self.calendar.expired,
+            },
+        }
+
+
+class Forecast:
+    """When a run would begin, from what the pool's owner knows.
+
+    :param pool: room for the run.
+    """
+
+    __slots__ = ("_crowding", "_pool", "candidate", "now")
+
+    def __init__(
+        self, crowding: Crowding, candidate: Candidate, pool: Outlook, now: float
+    ) -> None:
+        self._crowding = crowding
+        self._pool = pool
+        self.candidate = candidate
+        self.now = now
+
+    def start(self, ahead: t.Sequence[Candidate]) -> float:
+        """Seconds until the run begins behind the queue; infinite if too late.
+
+        Runs of a better rank that arrive meanwhile go first, and once the run is late
+        all that do.
+        """
+        rank, now = self.candidate.rank, self.now
+        on_time = self.candidate.due - now
+        seconds = self._start(ahead, on_time, lambda other: other < rank)
+        if not math.isinf(seconds):
+            return seconds
+        last = self.candidate.start_deadline - now
+        return self._start(ahead, last, lambda other: True)
+
+    def return_start(self, horizon: float) -> float:
+        """Seconds until the run would begin if its caller returned just then."""
+        rank = self.candidate.rank
+        ahead = self._crowding.queue.on_time(rank, self.now)
+        return self._start(ahead, horizon, lambda other: other < rank)
+
+    def _start(
+        self,
+        ahead: t.Iterable[Candidate],
+        horizon: float,
+        goes_first: t.Callable[[Rank], bool],
+    ) -> float:
+        crowding, now, rank = self._crowding, self.now, self.candidate.rank
+        # A burst is expected to last as long again as it has lasted.
+        lasting = max(ARRIVAL_WINDOW_SECONDS, crowding.seconds(now))
+        return forecast_start(
+            _stay(self.candidate),
+            self._pool,
+            ahead=[_stay(other) for other in ahead],
+            arrivals=[
+                *crowding.recent.expected(
+                    now, min(horizon, lasting), goes_first=goes_first
+                ),
+                *crowding.calendar.arrivals(now, goes_first=lambda r: r <= rank),
+            ],
+            horizon=horizon,
+        )
+
+
+def _stay(candidate: Candidate) -> Stay:
+    return Stay(candidate.need, candidate.prompt, candidate.seconds)
--- /dev/null
+++ b/tests/placement/test_allocation_crowded.py
@@ -0,0 +1,167 @@
+"""Replays of load that asks for more than a pool holds."""
+
+import collections
+import random
+import typing as t
+
+from bankrack.decisions.admission import Admit
+from bankrack.decisions.admission import Refuse
+from bankrack.decisions.admission import Verdict
+from bankrack.decisions.admission import Wait
+from bankrack.placement.allocation import Allocator
+from bankrack.placement.allocation import PlacementRequest
+from bankrack.serving.job import Demand
+from tests.placement.test_allocation import LONG
+from tests.placement.test_allocation import MEMORY
+from tests.placement.test_allocation import PoolTestCase
+
+CHECK = Demand(prompt=2000, output_limit=16)
+
+
+class CrowdedPoolTestCase(PoolTestCase):
+    """Two engines whose four runs began, and identified queries."""
+
+    def setUp(self):
+        super().setUp()
+        self.engines = [self.engine("one", slots=64), self.engine("two", slots=64)]
+        self.running = collections.deque(self.fill())
+        self.begin(list(self.running))
+
+    def ask_as(
+        self,
+        caller: str,
+        workspace: str = "w",
+        demand: Demand = LONG,
+        *,
+        run: str = "",
+        rank: int = 1,
+        due: float = 2.0,
+        left: float = 30.0,
+        silence: float = 900.0,
+    ) -> Verdict:
+        return self.allocator.decide(
+            self.engines,
+            PlacementRequest(
+                run or caller,
+                demand,
+                MEMORY,
+                "a",
+                (0, rank),
+                due,
+                left,
+                silence,
+                workspace=workspace,
+                caller=caller,
+            ),
+        )
+
+    def end_one(self) -> None:
+        self.allocator.ledger.end(self.running.popleft())
+
+    def replay(self, callers: t.Sequence[tuple[str, str]], places: int) -> list[str]:
+        """Let callers ask in turn while single places are freed; who got them."""
+        admitted: list[str] = []
+        waiting = dict(callers)
+        for _ in range(places):
+            for caller, workspace in list(waiting.items()):
+                self.ask_as(caller, workspace, left=900.0)
+            self.end_one()
+            for caller, workspace in list(waiting.items()):
+                if isinstance(self.ask_as(caller, workspace, left=900.0), Admit):
+                    admitted.append(workspace)
+                    del waiting[caller]
+                    self.running.append(caller)
+                    self.begin([caller])
+                    break
+        return admitted
+
+
+class SharesTest(CrowdedPoolTestCase):
+    def test_workspace_that_repeats_takes_from_itself(self):
+        """One workspace asks three times as often as each of the others, and first."""
+        callers = [(f"loud-{number}", "loud") for number in range(12)]
+        for name in ("b", "c", "d"):
+            callers += [(f"{name}-{number}", name) for number in range(4)]
+        admitted = self.replay(callers, 16)
+        self.assertLessEqual(admitted.count("loud"), 5)
+        self.assertGreaterEqual(min(admitted.count(name) for name in "bcd"), 3)
+
+    def test_single_workspace_uses_all_room(self):
+        callers = [(f"only-{number}", "only") for number in range(8)]
+        self.assertEqual(8, len(self.replay(callers, 8)))
+
+
+class ReturnsTest(CrowdedPoolTestCase):
+    def refuse(self, caller: str) -> Refuse:
+        """Refuse a caller that bears less silence than the wait of 8 s."""
+        found = self.ask_as(caller, demand=CHECK, left=39.0, due=0.5, silence=4.0)
+        assert isinstance(found, Refuse), found
+        return found
+
+    def crowd(self) -> None:
+        """Runs of a better rank wait for the next ends."""
+        for number in range(2):
+            self.ask_as(f"ahead-{number}", rank=0, due=1.9, left=90.0)
+
+    def test_burst_is_refused_at_first_question_never_later(self):
+        """Checks that come in a burst of plans, and ask until their time is over."""
+        self.crowd()
+        outcomes = [
+            self.ask_as(f"check-{number}", demand=CHECK, left=12.0, due=0.5)
+            for number in range(20)
+        ]
+        kept = [n for n, found in enumerate(outcomes) if isinstance(found, Wait)]
+        self.assertLess(len(kept), 20)
+        for seconds in (0.5, 1.0, 2.0):
+            self.now += 0.5
+            for number in kept:
+                found = self.ask_as(
+                    f"check-{number}", demand=CHECK, left=12.0 - seconds, due=-seconds
+                )
+                self.assertNotIsInstance(found, Refuse)
+
+    def test_return_at_its_time_goes_before_newcomers(self):
+        """Also before one that is due earlier."""
+        self.crowd()
+        booked = self.refuse("back").booked
+        assert booked is not None
+        self.now += booked
+        self.crowd()
+        returning = self.ask_as("back", demand=CHECK, run="second", due=9.0)
+        newcomer = self.ask_as("new-2", demand=CHECK, due=8.0)
+        assert isinstance(returning, Wait)
+        assert isinstance(newcomer, Wait)
+        assert returning.queueing is not None
+        self.assertTrue(returning.queueing.returning)
+        self.assertEqual(returning.ahead + 1, newcomer.ahead)
+
+    def test_early_return_is_told_the_same_time(self):
+        self.crowd()
+        booked = self.refuse("eager").booked
+        assert booked is not None
+        self.now += 0.2
+        again = self.refuse("eager").booked
+        assert again is not None
+        self.assertAlmostEqual(booked - 0.2, again)
+        self.assertEqual(1, len(self.allocator.crowding.calendar))
+
+    def test_refused_callers_are_told_different_times(self):
+        self.crowd()
+        told = [self.refuse(f"caller-{number}").booked for number in range(8)]
+        times = [round(at, 2) for at in told if at is not None]
+        self.assertEqual(sorted(times), times)
+        self.assertGreater(len(set(times)), 1)
+
+
+class LostOwnerTest(CrowdedPoolTestCase):
+    def test_new_owner_takes_returns_as_newcomers(self):
+        """A new owner knows no bookings, shares or queue; it refuses nobody for it."""
+        self.allocator = Allocator(
+            clock=lambda: self.now, rng=random.Random(2), read_ahead=60.0
+        )
+        found = [self.ask_as(f"caller-{number}") for number in range(30)]
+        admitted = sum(isinstance(verdict, Admit) for verdict in found)
+        self.assertEqual(4, admitted)
+        waits = [verdict for verdict in found if isinstance(verdict, Wait)]
+        self.assertTrue(waits)
+        self.assertFalse(any(one.queueing and one.queueing.returning for one in waits))
