--- a/src/bankrack/fleet/poolowners.py
+++ b/src/bankrack/fleet/poolowners.py
@@ -147,6 +147,33 @@
             case "copy_dropped":
                 ledger.drop_copy(update.run)
 
+    def describe(self, workspaces: t.Iterable[str]) -> list[dict[str, t.Any]]:
+        """Return the owned pools for the state dump.
+
+        :param workspaces: names of the workspaces, of which the owner knows digests.
+        """
+        name_by_digest = {workspace_digest(name): name for name in workspaces}
+        return [
+            {
+                "service": service,
+                "pool": pool,
+                **allocator.crowding.describe(name_by_digest),
+            }
+            for (service, pool), allocator in self._allocator_by_pool.items()
+        ]
+
+    def gauges(self) -> dict[str, float]:
+        """Return the values of the gauges of all owned pools by name."""
+        crowdings = [each.crowding for each in self._allocator_by_pool.values()]
+        return {
+            "runs_waiting": float(sum(len(each.queue) for each in crowdings)),
+            "runs_refused": float(sum(each.refused for each in crowdings)),
+            "returns_booked": float(sum(len(each.calendar) for each in crowdings)),
+            "returns_matched": float(sum(each.calendar.matched for each in crowdings)),
+            "returns_expired": float(sum(each.calendar.expired for each in crowdings)),
+            "digests_invalid": float(self.invalid_digests),
+        }
+
     async def handle_query(self, request: web.Request) -> web.Response:
         """Answer another node's query."""
         query = decode_message(await request.read(), IdentifiedQuery)
@@ -285,7 +312,7 @@
             silence_left=work.silence_left(),
             cold_rate=self._cold.owner_rate(work.service),
             copy=copy,
-            workspace=_digest(work.workspace or ""),
+            workspace=workspace_digest(work.workspace or ""),
             caller=work.fingerprint[:DIGEST_LENGTH],
         )
         owner = self.owner(query.pool)
@@ -428,6 +455,6 @@
 
 
 @functools.lru_cache(maxsize=1024)
-def _digest(workspace: str) -> str:
+def workspace_digest(workspace: str) -> str:
     """Digest of a workspace's name; empty without a workspace."""
     return stable_digest(workspace).hex()[:DIGEST_LENGTH] if workspace else ""
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -7,6 +7,7 @@
 import dataclasses
 import logging
 import socket
+import typing as t
 
 from aiohttp import web
 
@@ -267,8 +268,15 @@
             upstreams=list(self.upstreams.by_id.values()),
             keeps_ledgers=self.owners.owns_first_pool,
             quarantined=self.crashes.quarantined(),
+            pools=self._describe_pools,
+            pool_gauges=self.ledgers.gauges(),
         )
 
+    def _describe_pools(self) -> list[dict[str, t.Any]]:
+        table = self.view.table
+        workspaces = table.workspaces_by_key.values() if table else ()
+        return self.ledgers.describe({workspace.name for workspace in workspaces})
+
     def reload(self, settings: GatewaySettings) -> None:
         """Apply those of the new settings that can change without a restart.
 
--- a/src/bankrack/nodestate.py
+++ b/src/bankrack/nodestate.py
@@ -16,6 +16,8 @@
     :param store_age: seconds since the store itself last confirmed the view.
     :param keeps_ledgers: whether this node owns the first pool and keeps its ledgers.
     :param quarantined: fingerprints of the quarantined requests.
+    :param pools: describes the pools of engines that this node owns.
+    :param pool_gauges: values of the gauges of these pools by name.
     """
 
     node: str
@@ -29,6 +31,8 @@
     upstreams: list[Upstream]
     keeps_ledgers: bool
     quarantined: list[str]
+    pools: t.Callable[[], list[dict[str, t.Any]]]
+    pool_gauges: dict[str, float]
 
     def gauges(self) -> dict[str, float]:
         """Return the values of the gauges by name."""
@@ -44,6 +48,7 @@
             "quarantined": float(len(self.quarantined)),
             "backing_off": float(sum(u.backing_off(now) for u in self.upstreams)),
             "leaving": float(sum(u.leaving for u in self.upstreams)),
+            **self.pool_gauges,
         }
 
     def describe(self) -> dict[str, t.Any]:
@@ -58,5 +63,6 @@
             "in_flight": self.in_flight,
             "members": sorted(self.members),
             "quarantined": self.quarantined,
+            "pools": self.pools(),
             "upstreams": [upstream.describe() for upstream in self.upstreams],
         }
--- a/src/bankrack/placement/crowding.py
+++ b/src/bankrack/placement/crowding.py
@@ -25,6 +25,7 @@
 from bankrack.decisions.calendar import Stay
 from bankrack.decisions.fairshares import FairShares
 from bankrack.decisions.retryafter import MAX_WAIT_FRACTION
+from bankrack.decisions.retryafter import MIN_RETRY_AFTER_SECONDS
 
 CROWDED_SECONDS = 5.0
 """A pool counts as crowded this long after a run had to wait or was refused."""
@@ -125,6 +126,7 @@
         seconds = forecast.return_start(MAX_WAIT_FRACTION * left)
         if math.isinf(seconds):
             return None
+        seconds = max(seconds, MIN_RETRY_AFTER_SECONDS)
         stay = _stay(candidate)
         if not self.calendar.book(caller, candidate.rank, stay, now + seconds):
             return None
--- a/tests/fleet/test_poolowners.py
+++ b/tests/fleet/test_poolowners.py
@@ -2,16 +2,23 @@
 
 import asyncio
 import contextlib
+import math
 import typing as t
 
 import aiohttp
 import msgspec
 from aiohttp import web
 
+from bankrack.clock import boottime
 from bankrack.decisions.admission import Admit
+from bankrack.decisions.admission import Verdict
 from bankrack.decisions.coldstart import ColdTolerance
 from bankrack.fleet.documents import Member
+from bankrack.fleet.messages import decode_verdict
+from bankrack.fleet.messages import IdentifiedQuery
 from bankrack.fleet.messages import PlacementQuery
+from bankrack.fleet.messages import QueueingResponse
+from bankrack.fleet.poolowners import CROWDED_SECONDS
 from bankrack.fleet.poolowners import FLUSH_INTERVAL_SECONDS
 from bankrack.fleet.poolowners import Ledgers
 from bankrack.fleet.poolowners import NOTES_PATH
@@ -44,12 +51,12 @@
         headers=[],
         body=b"",
         key=None,
-        arrived=0.0,
+        arrived=boottime(),
         caller_timeout=None,
         demand=Demand(prompt=3000, output_limit=500),
     )
     route = Route("r", "h", "/", (), RequestKind.STREAM, 30.0, 1.0)
-    return Assignment(job, route, Service("s"), None, 0, 1e9)
+    return Assignment(job, route, Service("s"), None, 0, 1e9, fingerprint="f00d")
 
 
 class Node:
@@ -196,3 +203,58 @@
                 async with other.session.post(url, data=b"\xc1nonsense") as response:
                     self.assertEqual(400, response.status)
             self.assertIsNotNone(await other.query_engines("r-1"))
+
+
+class CrowdedPoolTest(TestCase):
+    def fill(self, owner: Node) -> None:
+        """Take all slots of the three engines."""
+        ledger = owner.ledgers._ledger("s", 0)
+        for number in range(8):
+            for name in ("one", "two", "three"):
+                ledger.place(f"{name}-{number}", name, Demand(10, output_limit=500))
+
+    async def test_queries_are_identified_only_once_a_run_had_to_wait(self):
+        async with two_nodes() as (owner, other):
+            seen: list[t.Any] = []
+            decide = owner.ledgers.decide
+            owner.ledgers.decide = lambda query: seen.append(query) or decide(query)
+            await other.query_engines("r-1")
+            self.fill(owner)
+            seen.clear()
+            for run in ("r-2", "r-3"):
+                await other.client.decide(assignment(run), memory=MEMORY, avoid=())
+            other.now += CROWDED_SECONDS + 1.0
+            await other.client.decide(assignment("r-4"), memory=MEMORY, avoid=())
+            identified = [bool(query.caller) for query in seen]
+            # A run that would be refused without identification asks again with it.
+            self.assertEqual([False, True, True, False, True], identified)
+
+    async def test_query_of_an_older_node_is_accepted(self):
+        query = PlacementQuery("s", 0, 1, "r-1", 1, 1, MEMORY, "a", [])
+        self.assertIsInstance(await self.send(query), Admit)
+
+    async def test_absurd_identities_change_nothing_but_a_count(self):
+        for value in (math.nan, -1, 10**9, "x" * 1000, ["a"], None):
+            query = IdentifiedQuery(
+                "s", 0, 1, "r-1", 1, 1, MEMORY, "a", [], workspace=value, caller=value
+            )
+            self.assertIsInstance(await self.send(query, invalid=2), Admit)
+
+    async def send(self, query: PlacementQuery, invalid: int = 0) -> Verdict:
+        """Post a query to a new owner, which then has counted invalid digests."""
+        async with two_nodes() as (owner, other):
+            url = f"http://{owner.address}{PLACE_PATH}"
+            data = msgspec.msgpack.encode(query)
+            async with other.session.post(url, data=data) as response:
+                body = await response.read()
+            self.assertEqual(invalid, owner.ledgers.gauges()["digests_invalid"])
+            return decode_verdict(msgspec.msgpack.decode(body, type=QueueingResponse))
+
+    async def test_owner_describes_its_pools(self):
+        async with two_nodes() as (owner, _):
+            self.fill(owner)
+            await owner.client.decide(assignment("r-1"), memory=MEMORY, avoid=())
+            (pool,) = owner.ledgers.describe(["acme"])
+            self.assertEqual(
+                ("s", 0, 1), (pool["service"], pool["pool"], pool["refused"])
+            )
