--- a/src/bankrack/decisions/admissionqueue.py
+++ b/src/bankrack/decisions/admissionqueue.py
@@ -102,9 +102,9 @@
 
     def note_admitted(self, candidate: Candidate, now: float) -> None:
         """Count an admitted run that passes the late ones in the queue."""
-        if now > candidate.due:
+        if is_late(candidate, now):
             self._passes = 0
-        elif any(now > e.candidate.due for e in self._entry_by_run.values()):
+        elif any(is_late(e.candidate, now) for e in self._entry_by_run.values()):
             self._passes += 1
 
     def ahead(
@@ -134,7 +134,7 @@
             turn_by_run = _turns(waiting, shares, quantum)
         last_call = None
         if self._passes >= MAX_PASSES:
-            late = [other for other in waiting if now > other.due]
+            late = [other for other in waiting if is_late(other, now)]
             last_call = min(late, key=lambda other: other.due, default=None)
 
         def key(other: Candidate) -> tuple[t.Any, ...]:
@@ -153,6 +153,14 @@
                 del self._entry_by_run[run]
 
 
+def is_late(candidate: Candidate, now: float) -> bool:
+    """Whether a run goes behind those that can still begin on time.
+
+    A return does not, however late it is: its caller has already waited for its time.
+    """
+    return now > candidate.due and not candidate.returning
+
+
 def _key(candidate: Candidate, now: float, turn: int) -> tuple[t.Any, ...]:
     """Sort key: runs that can still begin on time first, then by rank and due time.
 
--- a/src/bankrack/decisions/calendar.py
+++ b/src/bankrack/decisions/calendar.py
@@ -252,7 +252,7 @@
         return len(self._booking_by_caller)
 
     def book(self, caller: str, rank: Rank, stay: Stay, at: float) -> bool:
-        """Book a return; whether there was room for it in the calendar."""
+        """Book a return; whether the calendar is not full."""
         if not caller or len(self._booking_by_caller) >= MAX_BOOKINGS:
             return False
         self._booking_by_caller[caller] = Booking(rank, stay, at)
--- a/src/bankrack/placement/allocation.py
+++ b/src/bankrack/placement/allocation.py
@@ -167,7 +167,7 @@
         self.crowding.note_decision(candidate, verdict, now, is_first=not waits)
         if forecast is not None:
             verdict = self.crowding.explain(
-                verdict, forecast, caller=request.caller, left=request.left, waits=waits
+                verdict, forecast, caller=request.caller, left=request.left
             )
         self._update_queue(candidate, verdict, now)
         match verdict:
--- a/src/bankrack/placement/crowding.py
+++ b/src/bankrack/placement/crowding.py
@@ -26,6 +26,8 @@
 from bankrack.decisions.fairshares import FairShares
 from bankrack.decisions.retryafter import MAX_WAIT_FRACTION
 from bankrack.decisions.retryafter import MIN_RETRY_AFTER_SECONDS
+from bankrack.decisions.retryafter import retry_after_seconds
+from bankrack.utils import stable_digest
 
 CROWDED_SECONDS = 5.0
 """A pool counts as crowded this long after a run had to wait or was refused."""
@@ -89,12 +91,10 @@
         *,
         caller: str,
         left: float,
-        waits: bool,
     ) -> Verdict:
         """Add how a run stands in the queue, and book the return of a refused one.
 
         :param left: seconds until its final answer is due.
-        :param waits: whether the run was queued before.
         """
         candidate = forecast.candidate
         debt = self.shares.debt(candidate.rank, candidate.workspace)
@@ -105,19 +105,20 @@
             case Refuse() if (
                 candidate.returning and forecast.now <= candidate.start_deadline
             ):
-                # Its room was lost after it was promised, but may come free in time.
+                # Its caller may have no further attempt, and forecasts can be wrong.
                 return Wait(MAX_RETRY_SECONDS, verdict.ahead, None, queueing)
             case Refuse():
                 self.refused += 1
-                booked = None if waits else self._book(caller, forecast, left)
+                booked = self._book(caller, forecast, left)
                 expected = min(verdict.expected, left)
                 return Refuse(verdict.ahead, expected, booked, queueing)
         return verdict
 
     def _book(self, caller: str, forecast: "Forecast", left: float) -> float | None:
-        """Book the return of a refused caller; seconds until then, ``None`` if full.
+        """Book the return of a refused caller; seconds until then, if it is booked.
 
-        A caller that comes before its time is told the same time again.
+        A caller that comes before its time is told the same time again.  Where no room
+        is expected within the time that callers wait, they are told the end of it.
         """
         now, candidate = forecast.now, forecast.candidate
         known = self.calendar.find(caller, now)
@@ -125,7 +126,8 @@
             return known.at - now
         seconds = forecast.return_start(MAX_WAIT_FRACTION * left)
         if math.isinf(seconds):
-            return None
+            draw = stable_digest(caller)[0] / 256
+            seconds = retry_after_seconds(left, left=left, draw=draw)
         seconds = max(seconds, MIN_RETRY_AFTER_SECONDS)
         stay = _stay(candidate)
         if not self.calendar.book(caller, candidate.rank, stay, now + seconds):
@@ -176,19 +178,19 @@
         Runs of a better rank that arrive meanwhile go first, and once the run is late
         all that do.
         """
-        rank, now = self.candidate.rank, self.now
-        on_time = self.candidate.due - now
-        seconds = self._start(ahead, on_time, lambda other: other < rank)
+        own = self.candidate.rank
+        on_time = self.candidate.due - self.now
+        seconds = self._start(ahead, on_time, lambda rank: rank < own)
         if not math.isinf(seconds):
             return seconds
-        last = self.candidate.start_deadline - now
-        return self._start(ahead, last, lambda other: True)
+        last = self.candidate.start_deadline - self.now
+        return self._start(ahead, last, lambda rank: True)
 
     def return_start(self, horizon: float) -> float:
         """Seconds until the run would begin if its caller returned just then."""
-        rank = self.candidate.rank
-        ahead = self._crowding.queue.on_time(rank, self.now)
-        return self._start(ahead, horizon, lambda other: other < rank)
+        own = self.candidate.rank
+        ahead = self._crowding.queue.on_time(own, self.now)
+        return self._start(ahead, horizon, lambda rank: rank < own)
 
     def _start(
         self,
