--- a/src/bankrack/placement/allocation.py
+++ b/src/bankrack/placement/allocation.py
@@ -186,6 +186,9 @@
 
     def _candidate(self, request: PlacementRequest, now: float) -> Candidate:
         ledger = self.ledger
+        returning = bool(request.caller) and self.crowding.calendar.claim(
+            request.caller, request.run, now
+        )
         return Candidate(
             run=request.run,
             rank=request.rank,
@@ -198,13 +201,13 @@
             # The deadline of the first request is kept: half of the remaining time,
             # computed anew for each retry, would never be over.
             start_deadline=self.queue.start_deadline(
-                request.run, now + self._seconds_until_too_late(request)
+                request.run,
+                now + self._seconds_until_too_late(request, returning=returning),
             ),
             prompt=request.demand.prompt,
             seconds=ledger.run_seconds(request.demand),
             workspace=request.workspace,
-            returning=bool(request.caller)
-            and self.crowding.calendar.claim(request.caller, request.run, now),
+            returning=returning,
         )
 
     def _update_queue(self, candidate: Candidate, verdict: Verdict, now: float) -> None:
@@ -300,10 +303,19 @@
             self._placed_at_by_id[engine] = recent
         return len(recent) < quota.count
 
-    def _seconds_until_too_late(self, request: PlacementRequest) -> float:
-        """Seconds within which a run must be admitted to be useful."""
+    def _seconds_until_too_late(
+        self, request: PlacementRequest, *, returning: bool
+    ) -> float:
+        """Seconds within which a run must be admitted to be useful.
+
+        A return may use all of the time that it does not need to run, as its caller
+        may have no further attempt.
+        """
         read_seconds = self.ledger.read_seconds(request.demand)
-        return min(START_FRACTION * request.left, request.silence_left - read_seconds)
+        start = START_FRACTION * request.left
+        if returning:
+            start = max(start, request.left - self.ledger.run_seconds(request.demand))
+        return min(start, request.silence_left - read_seconds)
 
     def _order(
         self,
