--- a/src/bankrack/decisions/admissionqueue.py
+++ b/src/bankrack/decisions/admissionqueue.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import math
 import typing as t
 
 from bankrack.decisions.fairshares import FairShares
@@ -14,6 +15,9 @@
 
 Several rounds of questions remain to it afterwards, and the time to read its prompt is
 not part of its slack."""
+TURN_CACHE_SECONDS = 0.05
+"""Turns of workspaces are computed again after this time, as each queued run asks
+several times per second."""
 MAX_PASSES = 50
 """Runs on time that may pass the late ones in a row, so that those who have waited
 longest are not starved; a late run takes at most one place of this many."""
@@ -55,11 +59,12 @@
 class AdmissionQueue:
     """Queued runs; an entry expires unless the run asks again in time."""
 
-    __slots__ = ("_entry_by_run", "_passes")
+    __slots__ = ("_cached_turns", "_entry_by_run", "_passes")
 
     def __init__(self) -> None:
         self._entry_by_run: dict[str, _Entry] = {}
         self._passes = 0
+        self._cached_turns: tuple[float, dict[str, int]] = (-math.inf, {})
 
     def __len__(self) -> int:
         return len(self._entry_by_run)
@@ -129,9 +134,9 @@
         if not waiting:
             return []
         waiting.append(candidate)
-        turn_by_run = {}
+        turn_by_run: dict[str, int] = {}
         if shares is not None:
-            turn_by_run = _turns(waiting, shares, quantum)
+            turn_by_run = self._turns(candidate, waiting, now, shares, quantum)
         last_call = None
         if self._passes >= MAX_PASSES:
             late = [other for other in waiting if is_late(other, now)]
@@ -147,6 +152,21 @@
         keyed.sort(key=lambda pair: pair[0])
         return [other for _, other in keyed]
 
+    def _turns(
+        self,
+        candidate: Candidate,
+        waiting: t.Iterable[Candidate],
+        now: float,
+        shares: FairShares,
+        quantum: float,
+    ) -> dict[str, int]:
+        """The turns of the waiting runs, computed anew for a new one."""
+        computed, found = self._cached_turns
+        if now >= computed + TURN_CACHE_SECONDS or candidate.run not in found:
+            found = _turns(waiting, shares, quantum)
+            self._cached_turns = now, found
+        return found
+
     def _expire(self, now: float) -> None:
         for run, entry in list(self._entry_by_run.items()):
             if entry.until < now:
--- a/src/bankrack/decisions/calendar.py
+++ b/src/bankrack/decisions/calendar.py
@@ -27,8 +27,8 @@
 """Arrivals of this time are expected to repeat; half of the shortest usual burst."""
 SLOT_SECONDS = 0.1
 """Expected arrivals are summed up in slots of this length, which bounds the work."""
-MAX_ARRIVALS = 2000
-"""Limit on remembered arrivals."""
+MAX_RANKS = 64
+"""Limit on the ranks of expected arrivals; routes and workspaces have a few."""
 EARLY_SECONDS = 0.1
 """A caller that returns less than this before its time is on time: clocks and links
 differ by some milliseconds, and the wait in the queue is of this order."""
@@ -172,21 +172,45 @@
         heapq.heappush(self._ends, (self.now + stay.seconds, stay.need))
 
 
+@dataclasses.dataclass(slots=True)
+class _Total:
+    """Sums over the runs of one rank that arrived within one slot."""
+
+    runs: int = 0
+    need: float = 0.0
+    prompt: float = 0.0
+    seconds: float = 0.0
+
+    def add(self, stay: Stay) -> None:
+        self.runs += 1
+        self.need += stay.need
+        self.prompt += stay.prompt
+        self.seconds += stay.seconds
+
+    def stay(self) -> Stay:
+        """One stay that uses as much as all of these, for their mean time."""
+        return Stay(self.need, self.prompt, self.seconds / self.runs)
+
+
 class RecentArrivals:
     """Runs that asked for room for the first time within the window."""
 
-    __slots__ = ("_recent",)
+    __slots__ = ("_totals_by_slot",)
 
     def __init__(self) -> None:
-        self._recent: collections.deque[tuple[float, Rank, Stay]] = collections.deque(
-            maxlen=MAX_ARRIVALS
-        )
+        self._totals_by_slot: dict[int, dict[Rank, _Total]] = {}
 
     def note(self, rank: Rank, stay: Stay, now: float) -> None:
         """Record a run that asks for the first time."""
-        self._recent.append((now, rank, stay))
-        while self._recent[0][0] < now - ARRIVAL_WINDOW_SECONDS:
-            self._recent.popleft()
+        slot = int(now / SLOT_SECONDS)
+        totals = self._totals_by_slot.get(slot)
+        if totals is None:
+            oldest = now - ARRIVAL_WINDOW_SECONDS
+            for old in [s for s in self._totals_by_slot if s * SLOT_SECONDS < oldest]:
+                del self._totals_by_slot[old]
+            totals = self._totals_by_slot[slot] = {}
+        if rank in totals or len(totals) < MAX_RANKS:
+            totals.setdefault(rank, _Total()).add(stay)
 
     def expected(
         self, now: float, horizon: float, *, goes_first: t.Callable[[Rank], bool]
@@ -195,30 +219,21 @@
 
         :param goes_first: whether runs of a rank count.
         """
-        slots: dict[int, list[Stay]] = {}
-        for at, rank, stay in self._recent:
-            seconds = at + ARRIVAL_WINDOW_SECONDS - now
-            if seconds >= 0.0 and goes_first(rank):
-                slots.setdefault(int(seconds / SLOT_SECONDS), []).append(stay)
         found = []
-        for slot, stays in slots.items():
-            total = _sum(stays)
-            seconds = slot * SLOT_SECONDS
-            while seconds < horizon:
-                found.append(Arrival(seconds, total))
-                seconds += ARRIVAL_WINDOW_SECONDS
+        for slot, totals in self._totals_by_slot.items():
+            first = slot * SLOT_SECONDS + ARRIVAL_WINDOW_SECONDS - now
+            if first < -SLOT_SECONDS:
+                continue
+            for rank, total in totals.items():
+                if not goes_first(rank):
+                    continue
+                stay, seconds = total.stay(), max(0.0, first)
+                while seconds < horizon:
+                    found.append(Arrival(seconds, stay))
+                    seconds += ARRIVAL_WINDOW_SECONDS
         return found
 
 
-def _sum(stays: t.Sequence[Stay]) -> Stay:
-    """One stay that uses as much as all of these, for their mean time."""
-    return Stay(
-        sum(stay.need for stay in stays),
-        sum(stay.prompt for stay in stays),
-        sum(stay.seconds for stay in stays) / len(stays),
-    )
-
-
 @dataclasses.dataclass(slots=True)
 class Booking:
     """A return that a refused caller was told.
