--- a/src/bankrack/decisions/admissionqueue.py
+++ b/src/bankrack/decisions/admissionqueue.py
@@ -187,7 +187,7 @@
     A run that is already late gains nothing from beginning a little sooner.  With the
     oldest runs first, a queue longer than the target latency would make every run late.
     """
-    late = now > candidate.due
+    late = is_late(candidate, now)
     is_copy = candidate.rank[1] < 0
     can_wait = candidate.due - now > PASS_SLACK_SECONDS and not is_copy
     return (
--- a/tests/decisions/test_admissionqueue.py
+++ b/tests/decisions/test_admissionqueue.py
@@ -2,11 +2,23 @@
 
 from bankrack.decisions.admissionqueue import AdmissionQueue
 from bankrack.decisions.admissionqueue import Candidate
+from bankrack.decisions.admissionqueue import MAX_PASSES
+from bankrack.decisions.fairshares import FairShares
 from tests.base import TestCase
 
 
-def candidate(run: str, *, rank: int = 1, due: float = 10.0) -> Candidate:
-    return Candidate(run, (0, rank), need=1000.0, due=due, start_deadline=due + 10.0)
+def candidate(
+    run: str, *, rank: int = 1, due: float = 10.0, workspace: str = "", **options: bool
+) -> Candidate:
+    return Candidate(
+        run,
+        (0, rank),
+        need=1000.0,
+        due=due,
+        start_deadline=due + 10.0,
+        workspace=workspace,
+        **options,
+    )
 
 
 class QueueOrderTest(TestCase):
@@ -47,3 +59,33 @@
         self.queue.remove("caption")
         self.queue.remove("caption")
         self.assertEqual([], self.ahead(candidate("new")))
+
+    def test_urgent_run_with_time_lets_a_pressed_one_pass(self):
+        self.enqueue(candidate("plan", rank=0, due=4.0))
+        self.assertEqual([], self.ahead(candidate("check", due=1.5)))
+        self.assertEqual(["plan"], self.ahead(candidate("check", due=3.5), now=2.5))
+
+    def test_return_goes_first_in_its_rank_even_if_late(self):
+        self.enqueue(candidate("back", due=1.0, returning=True), candidate("old"))
+        self.enqueue(candidate("urgent", rank=0))
+        ahead = self.ahead(candidate("new", due=9.9), now=8.5)
+        self.assertEqual(["urgent", "back"], ahead)
+
+    def test_workspace_that_used_more_goes_behind_within_its_rank(self):
+        shares = FairShares()
+        shares.charge((0, 1), "large", 5000.0, waiting=["small"])
+        self.enqueue(candidate("a", due=8.0, workspace="large"))
+        self.enqueue(candidate("b", rank=2, due=8.0, workspace="small"))
+        new = candidate("new", due=9.0, workspace="small")
+        self.assertEqual([], self.queue.ahead(new, 7.5, shares=shares, quantum=2000.0))
+        self.assertEqual(["a"], [c.run for c in self.queue.ahead(new, 7.5)])
+
+    def test_oldest_late_run_is_passed_by_a_bounded_number(self):
+        self.enqueue(candidate("late", due=1.0), candidate("later", due=2.0))
+        for number in range(MAX_PASSES):
+            new = candidate(f"new-{number}")
+            self.assertEqual([], self.ahead(new, now=9.0))
+            self.queue.note_admitted(new, 9.0)
+        self.assertEqual(["late"], self.ahead(candidate("last"), now=9.0))
+        self.queue.note_admitted(candidate("late", due=1.0), 9.0)
+        self.assertEqual([], self.ahead(candidate("last"), now=9.0))
