--- a/src/bankrack/placement/allocation.py
+++ b/src/bankrack/placement/allocation.py
@@ -129,7 +129,7 @@
         free_by_engine = occupancy.free_by_engine(
             engines,
             memory=request.memory,
-            long=not request.demand.short,
+            long=not request.demand.short or self.crowding.displaces(request.rank, now),
             # Late runs may use suspected engines: only the network may have failed,
             # and the engine itself checks whether it has room.
             suspects=request.due < 0.0,
@@ -174,9 +174,11 @@
             case Admit(names):
                 first, *others = self._order(engines, request, names)
                 ledger.place(request.run, first, request.demand)
-                self.crowding.charge(
-                    candidate, request.demand.expected, now, caller=request.caller
-                )
+                if not request.demand.short:
+                    self.crowding.note_long(request.rank, now)
+                # Callers may expect any number of tokens, an engine holds its memory.
+                tokens = min(request.demand.expected, request.memory)
+                self.crowding.charge(candidate, tokens, now, caller=request.caller)
                 if first in cold_ids:
                     self._placed_at_by_id.setdefault(first, []).append(now)
                 # Other cold engines are left out, as a run on them is not counted here.
--- a/src/bankrack/placement/crowding.py
+++ b/src/bankrack/placement/crowding.py
@@ -19,6 +19,7 @@
 from bankrack.decisions.calendar import ARRIVAL_WINDOW_SECONDS
 from bankrack.decisions.calendar import Calendar
 from bankrack.decisions.calendar import forecast_start
+from bankrack.decisions.calendar import MAX_RANKS
 from bankrack.decisions.calendar import Outlook
 from bankrack.decisions.calendar import Rank
 from bankrack.decisions.calendar import RecentArrivals
@@ -31,6 +32,8 @@
 
 CROWDED_SECONDS = 5.0
 """A pool counts as crowded this long after a run had to wait or was refused."""
+LONG_RUN_SECONDS = 20.0
+"""A long run that was admitted longer ago has usually ended."""
 MAX_DESCRIBED = 20
 """Limit on the workspaces in the state dump."""
 
@@ -48,6 +51,7 @@
         self.calendar = Calendar()
         self.recent = RecentArrivals()
         self.refused = 0
+        self._long_at_by_workspace_rank: dict[int, float] = {}
         self._since = -math.inf
         self._until = -math.inf
 
@@ -55,6 +59,19 @@
         """Seconds for which runs have had to wait or were refused."""
         return now - self._since if now <= self._until else 0.0
 
+    def displaces(self, rank: Rank, now: float) -> bool:
+        """Whether engines that run out of memory would preempt others for this run.
+
+        They preempt the newest of the runs whose workspace has the worst rank: a short
+        run itself, unless long ones of less urgent workspaces run beside it.
+        """
+        if now > self._until:
+            return False
+        return any(
+            worse > rank[0] and at > now - LONG_RUN_SECONDS
+            for worse, at in self._long_at_by_workspace_rank.items()
+        )
+
     def note_decision(
         self, candidate: Candidate, verdict: Verdict, now: float, *, is_first: bool
     ) -> None:
@@ -69,6 +86,12 @@
                 self._since = now
             self._until = now + CROWDED_SECONDS
 
+    def note_long(self, rank: Rank, now: float) -> None:
+        """Record that a long run was admitted."""
+        known = self._long_at_by_workspace_rank
+        if rank[0] in known or len(known) < MAX_RANKS:
+            known[rank[0]] = now
+
     def charge(
         self, candidate: Candidate, tokens: float, now: float, *, caller: str
     ) -> None:
@@ -129,6 +152,8 @@
             draw = stable_digest(caller)[0] / 256
             seconds = retry_after_seconds(left, left=left, draw=draw)
         seconds = max(seconds, MIN_RETRY_AFTER_SECONDS)
+        if not math.isfinite(seconds):
+            return None
         stay = _stay(candidate)
         if not self.calendar.book(caller, candidate.rank, stay, now + seconds):
             return None
--- a/tests/placement/test_allocation_crowded.py
+++ b/tests/placement/test_allocation_crowded.py
@@ -1,6 +1,7 @@
 """Replays of load that asks for more than a pool holds."""
 
 import collections
+import math
 import random
 import typing as t
 
@@ -152,6 +153,42 @@
         self.assertEqual(sorted(times), times)
         self.assertGreater(len(set(times)), 1)
 
+    def test_absurd_times_and_sizes_are_not_kept(self):
+        huge = Demand(prompt=10**9, output_limit=10**9)
+        for left in (math.nan, -1.0, 1e9):
+            for demand in (CHECK, huge):
+                self.ask_as("odd", demand=demand, left=left, due=left, silence=left)
+        self.now += 100.0
+        self.assertIsNone(self.allocator.crowding.calendar.find("odd", self.now))
+        debts = self.allocator.crowding.shares.debts()
+        self.assertTrue(all(debt <= MEMORY for debt in debts.values()))
+
+
+class PreemptionTest(CrowdedPoolTestCase):
+    """Streams of workspaces with rank 1, which grow by some 270 tokens in 2.5 s."""
+
+    def ask_short(self, workspace_rank: int) -> Verdict:
+        free = self.allocator.ledger.occupancy.free_by_engine(
+            self.engines, memory=MEMORY, long=False
+        )
+        demand = Demand(prompt=int(max(free.values())) - 300, output_limit=10)
+        rank = (workspace_rank, 0)
+        return self.allocator.decide(
+            self.engines,
+            PlacementRequest("short", demand, MEMORY, "a", rank, 1.0, 30.0, 30.0),
+        )
+
+    def setUp(self):
+        super().setUp()
+        for number in range(3):
+            self.allocator.crowding.note_long((number, 1), self.now)
+
+    def test_urgent_short_run_does_not_preempt_streams(self):
+        self.assertIsInstance(self.ask_short(0), Wait)
+
+    def test_short_run_that_risks_only_itself_is_admitted(self):
+        self.assertIsInstance(self.ask_short(2), Admit)
+
 
 class LostOwnerTest(CrowdedPoolTestCase):
     def test_new_owner_takes_returns_as_newcomers(self):
