--- a/src/bankrack/decisions/admissionqueue.py
+++ b/src/bankrack/decisions/admissionqueue.py
@@ -107,9 +107,9 @@
 
     def note_admitted(self, candidate: Candidate, now: float) -> None:
         """Count an admitted run that passes the late ones in the queue."""
-        if is_late(candidate, now):
+        if now > candidate.due:
             self._passes = 0
-        elif any(is_late(e.candidate, now) for e in self._entry_by_run.values()):
+        elif any(now > e.candidate.due for e in self._entry_by_run.values()):
             self._passes += 1
 
     def ahead(
@@ -139,7 +139,7 @@
             turn_by_run = self._turns(candidate, waiting, now, shares, quantum)
         last_call = None
         if self._passes >= MAX_PASSES:
-            late = [other for other in waiting if is_late(other, now)]
+            late = [other for other in waiting if now > other.due]
             last_call = min(late, key=lambda other: other.due, default=None)
 
         def key(other: Candidate) -> tuple[t.Any, ...]:
@@ -173,21 +173,13 @@
                 del self._entry_by_run[run]
 
 
-def is_late(candidate: Candidate, now: float) -> bool:
-    """Whether a run goes behind those that can still begin on time.
-
-    A return does not, however late it is: its caller has already waited for its time.
-    """
-    return now > candidate.due and not candidate.returning
-
-
 def _key(candidate: Candidate, now: float, turn: int) -> tuple[t.Any, ...]:
     """Sort key: runs that can still begin on time first, then by rank and due time.
 
     A run that is already late gains nothing from beginning a little sooner.  With the
     oldest runs first, a queue longer than the target latency would make every run late.
     """
-    late = is_late(candidate, now)
+    late = now > candidate.due
     is_copy = candidate.rank[1] < 0
     can_wait = candidate.due - now > PASS_SLACK_SECONDS and not is_copy
     return (
--- a/src/bankrack/decisions/calendar.py
+++ b/src/bankrack/decisions/calendar.py
@@ -239,12 +239,15 @@
     """A return that a refused caller was told.
 
     :param at: time of the return, on the clock of the calendar.
+    :param has_room: room is expected then; otherwise it is only the latest time that
+        the caller accepts.
     :param run: id of the run that returned, once it did.
     """
 
     rank: Rank
     stay: Stay
     at: float
+    has_room: bool = True
     run: str | None = None
 
 
@@ -266,11 +269,13 @@
     def __len__(self) -> int:
         return len(self._booking_by_caller)
 
-    def book(self, caller: str, rank: Rank, stay: Stay, at: float) -> bool:
+    def book(
+        self, caller: str, rank: Rank, stay: Stay, at: float, *, has_room: bool = True
+    ) -> bool:
         """Book a return; whether the calendar is not full."""
         if not caller or len(self._booking_by_caller) >= MAX_BOOKINGS:
             return False
-        self._booking_by_caller[caller] = Booking(rank, stay, at)
+        self._booking_by_caller[caller] = Booking(rank, stay, at, has_room)
         return True
 
     def find(self, caller: str, now: float) -> Booking | None:
@@ -307,7 +312,7 @@
         return [
             Arrival(max(0.0, booking.at - now), booking.stay)
             for booking in self._booking_by_caller.values()
-            if booking.run is None and goes_first(booking.rank)
+            if booking.run is None and booking.has_room and goes_first(booking.rank)
         ]
 
     def _expire(self, now: float) -> None:
--- a/src/bankrack/placement/allocation.py
+++ b/src/bankrack/placement/allocation.py
@@ -204,7 +204,7 @@
             # computed anew for each retry, would never be over.
             start_deadline=self.queue.start_deadline(
                 request.run,
-                now + self._seconds_until_too_late(request, returning=returning),
+                now + self._seconds_until_too_late(request),
             ),
             prompt=request.demand.prompt,
             seconds=ledger.run_seconds(request.demand),
@@ -305,19 +305,10 @@
             self._placed_at_by_id[engine] = recent
         return len(recent) < quota.count
 
-    def _seconds_until_too_late(
-        self, request: PlacementRequest, *, returning: bool
-    ) -> float:
-        """Seconds within which a run must be admitted to be useful.
-
-        A return may use all of the time that it does not need to run, as its caller
-        may have no further attempt.
-        """
+    def _seconds_until_too_late(self, request: PlacementRequest) -> float:
+        """Seconds within which a run must be admitted to be useful."""
         read_seconds = self.ledger.read_seconds(request.demand)
-        start = START_FRACTION * request.left
-        if returning:
-            start = max(start, request.left - self.ledger.run_seconds(request.demand))
-        return min(start, request.silence_left - read_seconds)
+        return min(START_FRACTION * request.left, request.silence_left - read_seconds)
 
     def _order(
         self,
--- a/src/bankrack/placement/crowding.py
+++ b/src/bankrack/placement/crowding.py
@@ -125,10 +125,8 @@
         match verdict:
             case Wait():
                 return dataclasses.replace(verdict, queueing=queueing)
-            case Refuse() if (
-                candidate.returning and forecast.now <= candidate.start_deadline
-            ):
-                # Its caller may have no further attempt, and forecasts can be wrong.
+            case Refuse() if self._is_promised(caller, forecast):
+                # Its room was lost since, but may come free while it is still on time.
                 return Wait(MAX_RETRY_SECONDS, verdict.ahead, None, queueing)
             case Refuse():
                 self.refused += 1
@@ -137,6 +135,14 @@
                 return Refuse(verdict.ahead, expected, booked, queueing)
         return verdict
 
+    def _is_promised(self, caller: str, forecast: "Forecast") -> bool:
+        """Whether a run was promised room and can still begin on time."""
+        candidate, now = forecast.candidate, forecast.now
+        if not candidate.returning or now > candidate.due:
+            return False
+        booking = self.calendar.find(caller, now)
+        return booking is not None and booking.has_room
+
     def _book(self, caller: str, forecast: "Forecast", left: float) -> float | None:
         """Book the return of a refused caller; seconds until then, if it is booked.
 
@@ -148,14 +154,17 @@
         if known is not None and known.run is None and known.at > now:
             return known.at - now
         seconds = forecast.return_start(MAX_WAIT_FRACTION * left)
-        if math.isinf(seconds):
+        has_room = math.isfinite(seconds)
+        if not has_room:
             draw = stable_digest(caller)[0] / 256
             seconds = retry_after_seconds(left, left=left, draw=draw)
         seconds = max(seconds, MIN_RETRY_AFTER_SECONDS)
         if not math.isfinite(seconds):
             return None
         stay = _stay(candidate)
-        if not self.calendar.book(caller, candidate.rank, stay, now + seconds):
+        if not self.calendar.book(
+            caller, candidate.rank, stay, now + seconds, has_room=has_room
+        ):
             return None
         return seconds
 
