--- a/src/bankrack/fleet/poolowners.py
+++ b/src/bankrack/fleet/poolowners.py
@@ -319,14 +319,15 @@
         if owner.name == self._own.name:
             return self._ledgers.decide(query)
         key = service, query.pool
-        if copy or self._clock() < self._crowded_until_by_pool.get(key, 0.0):
+        # Copies go before all queued runs, whoever they belong to.
+        if not copy and self._clock() < self._crowded_until_by_pool.get(key, 0.0):
             verdict = await self._ask(owner, query)
         else:
-            plain = msgspec.structs.astuple(query)
-            verdict = await self._ask(owner, plain[:UNIDENTIFIED_FIELDS])
-            if isinstance(verdict, Refuse):
+            plain = msgspec.structs.astuple(query)[:UNIDENTIFIED_FIELDS]
+            verdict = await self._ask(owner, plain)
+            if isinstance(verdict, Refuse) and not copy:
                 verdict = await self._ask(owner, query)
-        if isinstance(verdict, Wait | Refuse):
+        if isinstance(verdict, Wait | Refuse) and not copy:
             self._crowded_until_by_pool[key] = self._clock() + CROWDED_SECONDS
         return verdict
 
