--- a/src/bankrack/fleet/poolowners.py
+++ b/src/bankrack/fleet/poolowners.py
@@ -320,7 +320,8 @@
             return self._ledgers.decide(query)
         key = service, query.pool
         # Copies go before all queued runs, whoever they belong to.
-        if not copy and self._clock() < self._crowded_until_by_pool.get(key, 0.0):
+        until = None if copy else self._crowded_until_by_pool.get(key)
+        if until is not None and self._clock() < until:
             verdict = await self._ask(owner, query)
         else:
             plain = msgspec.structs.astuple(query)[:UNIDENTIFIED_FIELDS]
