Merge the parts of hard load: pools, speeds of engines, crowded pools

- the flag by which a second pool is asked not to queue a run is a field of identified queries (IdentifiedQuery), so that other queries stay as they were;
- scripted clients of tests have the account of bodies in flight;

--- a/src/bankrack/fleet/poolowners.py
+++ b/src/bankrack/fleet/poolowners.py
@@ -6,42 +6,39 @@
 """
 
 import asyncio
-import functools
 import logging
 import typing as t
 
 import aiohttp
 import msgspec
-from aiohttp import web
 
 from bankrack import logs
 from bankrack.clock import boottime
 from bankrack.decisions.admission import Admit
+from bankrack.decisions.admission import Refuse
 from bankrack.decisions.admission import Verdict
+from bankrack.decisions.admission import Wait
+from bankrack.decisions.pauses import FRESH_SECONDS
 from bankrack.fleet.documents import Member
-from bankrack.fleet.messages import decode_message
+from bankrack.fleet.ledgers import Ledgers
 from bankrack.fleet.messages import decode_verdict
-from bankrack.fleet.messages import encode_verdict
+from bankrack.fleet.messages import DIGEST_LENGTH
+from bankrack.fleet.messages import IdentifiedQuery
+from bankrack.fleet.messages import PaceUpdate
 from bankrack.fleet.messages import PlacementQuery
-from bankrack.fleet.messages import PlacementResponse
+from bankrack.fleet.messages import QueueingResponse
 from bankrack.fleet.messages import RunUpdate
 from bankrack.fleet.messages import RunUpdateKind
-from bankrack.fleet.reports import encode_reports
+from bankrack.fleet.messages import workspace_digest
+from bankrack.fleet.poolrooms import PoolRooms
 from bankrack.fleet.reports import merge_reports
-from bankrack.fleet.reports import ReportMessage
 from bankrack.fleet.roster import rank_members
 from bankrack.fleet.suspects import SuspectList
-from bankrack.placement.allocation import Allocator
-from bankrack.placement.allocation import LEARN_SECONDS
-from bankrack.placement.allocation import PlacementRequest
-from bankrack.placement.ledger import Ledger
 from bankrack.serving.assignment import Assignment
-from bankrack.serving.choice import Chooser
 from bankrack.serving.coldquotas import ColdQuotas
-from bankrack.serving.job import Demand
-from bankrack.serving.pools import count_pools
-from bankrack.serving.pools import pool_of
-from bankrack.serving.pools import select_pool
+from bankrack.serving.gaps import GapMeter
+from bankrack.serving.pools import pool_of_engine
+from bankrack.serving.pools import PoolIndex
 from bankrack.serving.upstreams import Upstream
 from bankrack.serving.upstreams import Upstreams
 
@@ -52,114 +49,16 @@
 FLUSH_INTERVAL_SECONDS = 0.1
 """Delay by which run updates are batched."""
 FLUSH_TIMEOUT_SECONDS = 0.5
+CROWDED_SECONDS = 10.0
+"""Queries are identified for this long after the owner queued or refused a run; several
+times the interval between two runs of a node of a large fleet."""
 MAX_QUEUED_UPDATES = 500
 """Run updates kept between two flushes; further ones are dropped."""
 
-_logger = logging.getLogger(__name__)
-
-
-class Ledgers:
-    """The ledgers that this node owns, by service and pool, and their HTTP handlers.
+UNIDENTIFIED_FIELDS = len(PlacementQuery.__struct_fields__)
+"""Fields of a query that does not tell whose run it is."""
 
-    :param note_use: called on queries of other nodes, as engines are polled while in
-        use.
-    :param crashed_since: returns the upstreams that crashed after a given time.
-    """
-
-    def __init__(
-        self,
-        upstreams: Upstreams,
-        chooser: Chooser,
-        *,
-        note_use: t.Callable[[], None] = lambda: None,
-        crashed_since: t.Callable[[float], t.Collection[str]] = lambda moment: (),
-    ) -> None:
-        self._ended_since = crashed_since
-        self._upstreams = upstreams
-        self._chooser = chooser
-        self._note_use = note_use
-        self.learn_seconds = LEARN_SECONDS
-        self._allocator_by_pool: dict[tuple[str, int], Allocator] = {}
-
-    def decide(self, query: PlacementQuery) -> Verdict:
-        """Decide on a run; records an admitted run as placed on its first engine."""
-        of_service = self._upstreams.open_of(query.service)
-        of_pool = select_pool(of_service, query.pool, query.pools)
-        engines = [engine for engine in of_pool if engine.id not in query.avoid]
-        if not engines:
-            return Admit(())
-        placement = PlacementRequest(
-            run=query.run,
-            demand=Demand(prompt=query.prompt, output_limit=query.output),
-            memory=query.memory,
-            hall=query.hall,
-            rank=query.rank,
-            due=query.due,
-            left=query.left,
-            silence_left=query.silence_left,
-            cold_rate=query.cold_rate,
-        )
-        allocator = self._allocator(query.service, query.pool)
-        if query.copy:
-            return allocator.place_copy(engines, placement)
-        return allocator.decide(engines, placement)
-
-    def take(self, update: RunUpdate) -> None:
-        """Apply an update on a run."""
-        ledger = self._ledger(update.service, update.pool)
-        match update.kind:
-            case "placed":
-                demand = Demand(prompt=update.prompt, output_limit=update.output)
-                ledger.place(update.run, update.engine, demand)
-            case "began":
-                ledger.begin(update.run, update.engine, took=update.took)
-                if engine := self._upstreams.by_id.get(update.engine):
-                    self._chooser.answered(engine, failed=False)
-            case "failed":
-                if engine := self._upstreams.by_id.get(update.engine):
-                    self._chooser.suspect(engine)
-                    self._chooser.answered(engine, failed=True)
-            case "ended":
-                ledger.end(update.run, took=update.took)
-            case "copy_dropped":
-                ledger.drop_copy(update.run)
-
-    async def handle_query(self, request: web.Request) -> web.Response:
-        """Answer another node's query."""
-        query = decode_message(await request.read(), PlacementQuery)
-        self._note_use()
-        verdict = self.decide(query)
-        reports: list[ReportMessage] = []
-        if query.pools > 1 and isinstance(verdict, Admit):
-            by_id = self._upstreams.by_id
-            reports = encode_reports(by_id[name] for name in verdict.engines)
-        advice = encode_verdict(verdict, reports)
-        return web.Response(body=msgspec.msgpack.encode(advice))
-
-    async def handle_run_updates(self, request: web.Request) -> web.Response:
-        """Apply run updates of another node."""
-        body = await request.read()
-        for update in decode_message(body, list[RunUpdate]):
-            self.take(update)
-        return web.Response()
-
-    def _allocator(self, service: str, pool: int) -> Allocator:
-        key = service, pool
-        if key not in self._allocator_by_pool:
-            allocator = Allocator(
-                learn_seconds=self.learn_seconds,
-                crashed_since=functools.partial(self._crashed_of, service),
-            )
-            self._allocator_by_pool[key] = allocator
-        return self._allocator_by_pool[key]
-
-    def _crashed_of(self, service: str, moment: float) -> list[str]:
-        """Return the engines of a service that crashed after a given time."""
-        found = [(i, self._upstreams.find(i)) for i in self._ended_since(moment)]
-        return [i for i, known in found if known and known.record.service == service]
-
-    def _ledger(self, service: str, pool: int) -> Ledger:
-        return self._allocator(service, pool).ledger
+_logger = logging.getLogger(__name__)
 
 
 class PoolOwnerClient:
@@ -177,8 +76,11 @@
         upstreams: Upstreams,
         cold: ColdQuotas,
         *,
+        count_overflow: t.Callable[[str], None] = lambda outcome: None,
         clock: t.Callable[[], float] = boottime,
     ) -> None:
+        self.rooms = PoolRooms(self._left, count=count_overflow, clock=clock)
+        self._pool_index = PoolIndex(upstreams)
         self._cold = cold
         self._clock = clock
         self._session = session
@@ -190,6 +92,7 @@
         self._updates: list[RunUpdate] = []
         self._has_updates = asyncio.Event()
         self._owner_name_by_pool: dict[int, str] = {}
+        self._crowded_until_by_pool: dict[tuple[str, int], float] = {}
 
     def owner(self, pool: int) -> Member:
         """Return the member that owns a pool's ledgers: the first responsive one."""
@@ -202,14 +105,14 @@
     def owned(self, service: str) -> list[Upstream]:
         """Return the engines of a service whose ledger this node owns."""
         engines = self._upstreams.of(service)
-        pools = count_pools(len(engines))
+        pools = self._upstreams.pools_of(service)
         ranked = self._ranked()
         own = {
             pool
             for pool in range(pools)
             if self._owner_of(pool, ranked).name == self._own.name
         }
-        return [engine for engine in engines if pool_of(engine.id, pools) in own]
+        return [e for e in engines if pool_of_engine(e.id, pools) in own]
 
     @property
     def owns_first_pool(self) -> bool:
@@ -230,30 +133,55 @@
         self, work: Assignment, *, memory: int, avoid: t.Collection[str]
     ) -> Verdict | None:
         """Have the owner decide on a run; ``None`` if it does not respond."""
-        return await self._query(work, memory=memory, avoid=avoid, copy=False)
+        pools = self._upstreams.pools_of(work.service.name)
+
+        async def ask(pool: int, queue: bool) -> Verdict | None:
+            return await self._query(
+                work, pool=pool, pools=pools, memory=memory, avoid=avoid, queue=queue
+            )
+
+        return await self.rooms.decide(work, pools, ask)
 
     async def place_copy(
-        self, work: Assignment, *, memory: int, avoid: t.Collection[str]
+        self, work: Assignment, *, memory: int, avoid: t.Collection[str], hall: str
     ) -> Verdict | None:
         """Have the owner choose engines for a copy of a run."""
-        return await self._query(work, memory=memory, avoid=avoid, copy=True)
+        pools = self._upstreams.pools_of(work.service.name)
+        pool = self.rooms.pool(work, pools)
+        return await self._query(
+            work,
+            pool=pool,
+            pools=pools,
+            memory=memory,
+            avoid=avoid,
+            copy=True,
+            hall=hall,
+        )
 
     async def _query(
-        self, work: Assignment, *, memory: int, avoid: t.Collection[str], copy: bool
+        self,
+        work: Assignment,
+        *,
+        pool: int,
+        pools: int,
+        memory: int,
+        avoid: t.Collection[str],
+        copy: bool = False,
+        queue: bool = True,
+        hall: str = "",
     ) -> Verdict | None:
         demand = work.job.demand
         service = work.service.name
-        engines = self._upstreams.of(service)
-        pools = count_pools(len(engines))
-        query = PlacementQuery(
+        engines = self._pool_index.engines(service, pool, pools)
+        query = IdentifiedQuery(
             service=service,
-            pool=pool_of(work.job.id, pools),
+            pool=pool,
             pools=pools,
             run=work.job.id,
             prompt=demand.prompt,
             output=demand.output,
             memory=memory,
-            hall=self._own.hall,
+            hall=hall or self._own.hall,
             avoid=[*avoid, *self._unavailable_here(engines)],
             rank=(work.priority, work.route.priority),
             due=work.job.arrived + work.route.target_latency - boottime(),
@@ -261,15 +189,34 @@
             silence_left=work.silence_left(),
             cold_rate=self._cold.owner_rate(work.service),
             copy=copy,
+            workspace=workspace_digest(work.workspace or ""),
+            caller=work.fingerprint[:DIGEST_LENGTH],
+            queue=queue,
         )
         owner = self.owner(query.pool)
         if owner.name == self._own.name:
             return self._ledgers.decide(query)
+        unidentified = msgspec.structs.astuple(query)[:UNIDENTIFIED_FIELDS]
+        if copy:
+            return await self._ask(owner, unidentified)
+        key = service, query.pool
+        crowded = self._clock() < self._crowded_until_by_pool.get(key, 0.0)
+        verdict = await self._ask(
+            owner, query if crowded or not queue else unidentified
+        )
+        if isinstance(verdict, Refuse) and not crowded and queue:
+            verdict = await self._ask(owner, query)
+        if isinstance(verdict, Wait | Refuse):
+            self._crowded_until_by_pool[key] = self._clock() + CROWDED_SECONDS
+        return verdict
+
+    async def _ask(self, owner: Member, query: t.Any) -> Verdict | None:
+        """Send a query to the owner; ``None`` if it does not respond."""
         body = await self._post(owner, PLACE_PATH, query, QUERY_TIMEOUT_SECONDS)
         if body is None:
             return None
         try:
-            advice = msgspec.msgpack.decode(body, type=PlacementResponse)
+            advice = msgspec.msgpack.decode(body, type=QueueingResponse)
         except msgspec.MsgspecError as error:
             self._suspect(owner, f"invalid response: {error}")
             return None
@@ -308,17 +255,51 @@
 
     def began(self, work: Assignment, engine: Upstream, *, took: float) -> None:
         """Report that a run produced its first event on ``engine``."""
-        self._queue_update(work, "began", engine.id, took=took)
+        age = self._clock() - engine.slowdown_at
+        if age > FRESH_SECONDS or not self._upstreams.uneven(work.service.name):
+            self._queue_update(work, "began", engine.id, took=took)
+            return
+        self._append_update(
+            PaceUpdate(
+                *self._address_of(work),
+                "began",
+                engine.id,
+                took=took,
+                stated=engine.slowdown,
+            )
+        )
+
+    def paced(self, work: Assignment, gaps: GapMeter) -> None:
+        """Report how far apart the events of a run are on an engine."""
+        self._append_update(
+            PaceUpdate(
+                *self._address_of(work),
+                "paced",
+                gaps.engine,
+                took=gaps.base,
+                events=gaps.events,
+                longest=gaps.longest,
+                gap_target=work.route.gap_target,
+                target_latency=work.route.target_latency,
+            )
+        )
 
     def failed(self, work: Assignment, engine: Upstream) -> None:
         """Report an engine that was unreachable, disconnected or produced no event."""
-        pools = count_pools(len(self._upstreams.of(work.service.name)))
-        if self.owner(pool_of(work.job.id, pools)).name != self._own.name:
+        if self.owner(self._pool(work)).name != self._own.name:
             self._queue_update(work, "failed", engine.id)
 
     def ended(self, work: Assignment, *, took: float) -> None:
         """Report the end of a run."""
         self._queue_update(work, "ended", "", took=took)
+        self.rooms.forget(work)
+
+    def _left(self, work: Assignment, pool: int) -> None:
+        """Report that a run is no longer placed or queued in a pool."""
+        self._queue_update(work, "ended", "", pool=pool)
+
+    def _pool(self, work: Assignment) -> int:
+        return self.rooms.pool(work, self._upstreams.pools_of(work.service.name))
 
     def copy_dropped(self, work: Assignment) -> None:
         """Report that a run has no copy although one was admitted."""
@@ -353,11 +334,19 @@
         prompt: int = 0,
         output: int = 0,
         took: float = 0.0,
+        pool: int | None = None,
     ) -> None:
-        service = work.service.name
-        pool = pool_of(work.job.id, count_pools(len(self._upstreams.of(service))))
-        run = work.job.id
-        update = RunUpdate(service, pool, run, kind, engine, prompt, output, took)
+        service, own_pool, run = self._address_of(work)
+        pool = own_pool if pool is None else pool
+        self._append_update(
+            RunUpdate(service, pool, run, kind, engine, prompt, output, took)
+        )
+
+    def _address_of(self, work: Assignment) -> tuple[str, int, str]:
+        """Service, pool and id of a run."""
+        return work.service.name, self._pool(work), work.job.id
+
+    def _append_update(self, update: RunUpdate) -> None:
         if len(self._updates) < MAX_QUEUED_UPDATES:
             self._updates.append(update)
         self._has_updates.set()
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -7,6 +7,7 @@
 import dataclasses
 import logging
 import socket
+import typing as t
 
 from aiohttp import web
 
@@ -19,13 +20,13 @@
 from bankrack.fleet.documents import Member
 from bankrack.fleet.fleetsize import FleetSize
 from bankrack.fleet.follower import Follower
+from bankrack.fleet.ledgers import Ledgers
 from bankrack.fleet.lending import LEND_PATH
 from bankrack.fleet.lending import Lender
 from bankrack.fleet.membership import Announcer
 from bankrack.fleet.peers import LeaderClient
 from bankrack.fleet.peers import UPDATES_PATH
 from bankrack.fleet.peers import UpdateServer
-from bankrack.fleet.poolowners import Ledgers
 from bankrack.fleet.poolowners import NOTES_PATH
 from bankrack.fleet.poolowners import PLACE_PATH
 from bankrack.fleet.poolowners import PoolOwnerClient
@@ -54,7 +55,6 @@
 from bankrack.serving.notices import NoticeHandler
 from bankrack.serving.outliers import OutlierMonitor
 from bankrack.serving.plain import PlainRelay
-from bankrack.serving.pools import count_pools
 from bankrack.serving.relay import RelayDependencies
 from bankrack.serving.reports import ReportPoller
 from bankrack.serving.routing import CallerLimits
@@ -172,6 +172,9 @@
             self.ledgers,
             self.upstreams,
             self.cold,
+            count_overflow=lambda outcome: self.metrics.pool_overflows.inc(
+                {"outcome": outcome}
+            ),
         )
         self.reports = ReportPoller(self.chooser, control, select=self._engines_to_poll)
         dependencies = RelayDependencies(
@@ -273,8 +276,17 @@
             quarantined=self.crashes.quarantined(),
             failing=self.outliers.describe(),
             held=self.held.describe(),
+            full_pools=self.owners.rooms.describe(),
+            engine_speeds=self.ledgers.describe_speeds(),
+            pools=self._describe_pools,
+            pool_gauges=self.ledgers.gauges(),
         )
 
+    def _describe_pools(self) -> list[dict[str, t.Any]]:
+        table = self.view.table
+        workspaces = table.workspaces_by_key.values() if table else ()
+        return self.ledgers.describe({workspace.name for workspace in workspaces})
+
     def reload(self, settings: GatewaySettings) -> None:
         """Apply those of the new settings that can change without a restart.
 
@@ -385,7 +397,7 @@
         """
         engines = self.upstreams.of(service)
         polls_all = self.follower.leader is None and self.roster.is_standby()
-        if not polls_all or count_pools(len(engines)) > 1:
+        if not polls_all or self.upstreams.pools_of(service) > 1:
             engines = self.owners.owned(service)
         # Engines that are evacuated or asked for backoff are not polled.
         now = boottime()
--- a/src/bankrack/metrics.py
+++ b/src/bankrack/metrics.py
@@ -82,6 +82,10 @@
         self.cuts = self._counter(
             "bankrack_caller_cuts", "Callers cut off as they read too slowly, by reason"
         )
+        self.pool_overflows = self._counter(
+            "bankrack_pool_overflows",
+            "Runs for which a second pool was asked, by its answer",
+        )
         self.latency = self._histogram(
             "bankrack_answer_seconds", "Time to the answer", LATENCY_BUCKETS
         )
--- a/src/bankrack/nodestate.py
+++ b/src/bankrack/nodestate.py
@@ -15,9 +15,14 @@
     :param view_age: seconds since the view was last confirmed, by any source.
     :param store_age: seconds since the store itself last confirmed the view.
     :param keeps_ledgers: whether this node owns the first pool and keeps its ledgers.
+    :param engine_speeds: speeds of the engines of the pools that this node owns, by
+        service and engine.
     :param quarantined: fingerprints of the quarantined requests.
     :param failing: upstreams with failures, as known from all nodes.
     :param held: account of the bytes held for callers and upstreams.
+    :param full_pools: pools that had no room for a run, as last told to this node.
+    :param pools: describes the pools of engines that this node owns.
+    :param pool_gauges: values of the gauges of these pools by name.
     """
 
     node: str
@@ -33,6 +38,10 @@
     quarantined: list[str]
     failing: list[dict[str, t.Any]]
     held: dict[str, t.Any]
+    full_pools: list[dict[str, t.Any]]
+    engine_speeds: dict[str, dict[str, t.Any]]
+    pools: t.Callable[[], list[dict[str, t.Any]]]
+    pool_gauges: dict[str, float]
 
     def gauges(self) -> dict[str, float]:
         """Return the values of the gauges by name."""
@@ -52,6 +61,7 @@
             "unread_bytes": float(self.held["unread_bytes"]),
             "slow_callers": float(len(self.held["slow_callers"])),
             "body_bytes": float(self.held["body_bytes"]),
+            **self.pool_gauges,
         }
 
     def describe(self) -> dict[str, t.Any]:
@@ -68,5 +78,8 @@
             "quarantined": self.quarantined,
             "failing": self.failing,
             **self.held,
+            "full_pools": self.full_pools,
+            "engine_speeds": self.engine_speeds,
+            "pools": self.pools(),
             "upstreams": [upstream.describe() for upstream in self.upstreams],
         }
--- a/src/bankrack/placement/allocation.py
+++ b/src/bankrack/placement/allocation.py
@@ -16,7 +16,10 @@
 from bankrack.decisions.backups import crash_probability
 from bankrack.decisions.backups import LIKELY_CRASH_PROBABILITY
 from bankrack.decisions.backups import max_fill_with_backup
+from bankrack.decisions.calendar import Outlook
 from bankrack.decisions.coldstart import quota_of
+from bankrack.placement.crowding import Crowding
+from bankrack.placement.crowding import Forecast
 from bankrack.placement.ledger import copy_name
 from bankrack.placement.ledger import Ledger
 from bankrack.placement.occupancy import USABLE_MEMORY_FRACTION
@@ -39,6 +42,8 @@
 It covers the delay until this node learns that a prompt was read, so that engines do
 not idle; with more, runs would wait on the engine and the newest would be read
 first."""
+PAUSE_RETRY_SECONDS = 0.1
+"""Delay until a run asks again for an engine where it would not be paused too long."""
 COPY_RANK = -1
 """Route rank of a copy: copies go before all runs of a workspace with the same rank."""
 READ_TIME_FRACTION = 0.75
@@ -56,13 +61,15 @@
 
     :param run: id of the run.
     :param memory: memory in tokens of an engine without a report.
-    :param hall: hall of the node that asks.
+    :param hall: hall of the node that asks, or of the engine whose run is copied.
     :param rank: rank of the workspace, then of the route; the lowest is served first.
     :param due: seconds until its target latency is over; negative if it is late.
     :param left: seconds until its final answer is due.
     :param silence_left: seconds until the caller gives up if it receives nothing.
     :param cold_rate: runs per second that may be placed on an engine while it is cold;
         0 for no limit.
+    :param workspace: digest of the caller's workspace; empty if unknown.
+    :param caller: equal for all attempts of a caller's request; empty if unknown.
     """
 
     run: str
@@ -74,6 +81,8 @@
     left: float
     silence_left: float
     cold_rate: float = 0.0
+    workspace: str = ""
+    caller: str = ""
 
 
 class Allocator:
@@ -102,6 +111,7 @@
         self._read_ahead = read_ahead
         self.ledger = Ledger(clock=clock, rng=rng)
         self.queue = AdmissionQueue()
+        self.crowding = Crowding(self.queue)
         self._clock = clock
         self._placed_at_by_id: dict[str, list[float]] = {}
 
@@ -117,26 +127,11 @@
         occupancy = ledger.occupancy
         ledger.forget()
         ledger.withdraw(request.run)
-        candidate = Candidate(
-            run=request.run,
-            rank=request.rank,
-            need=occupancy.need(
-                request.demand, memory=request.memory, seconds=request.left
-            ),
-            due=now
-            + request.due
-            - READ_TIME_FRACTION * ledger.read_seconds(request.demand),
-            # The deadline of the first request is kept: half of the remaining time,
-            # computed anew for each retry, would never be over.
-            start_deadline=queue.start_deadline(
-                request.run, now + self._seconds_until_too_late(request)
-            ),
-            prompt=request.demand.prompt,
-        )
+        candidate = self._candidate(request, now)
         free_by_engine = occupancy.free_by_engine(
             engines,
             memory=request.memory,
-            long=not request.demand.short,
+            long=not request.demand.short or self.crowding.displaces(request.rank, now),
             # Late runs may use suspected engines: only the network may have failed,
             # and the engine itself checks whether it has room.
             suspects=request.due < 0.0,
@@ -148,22 +143,50 @@
                 free_by_engine[name] = 0.0
         unread_by_engine = ledger.unread_by_engine()
         rate = ledger.read_rate
+        room_by_engine = {
+            name: Room(free, unread_by_engine.get(name, 0.0))
+            for name, free in free_by_engine.items()
+        }
+        limits = ReadLimits(rate, max_unread=rate * self._read_ahead)
+        releases = occupancy.releases(engines)
+        forecast = None
+        if request.caller:
+            pool = Outlook.of(room_by_engine, candidate.need, limits, releases)
+            forecast = Forecast(self.crowding, candidate, pool, now)
+        waits = request.run in queue
         verdict = decide(
             candidate,
-            room_by_engine={
-                name: Room(free, unread_by_engine.get(name, 0.0))
-                for name, free in free_by_engine.items()
-            },
-            limits=ReadLimits(rate, max_unread=rate * self._read_ahead),
-            ahead=queue.ahead(candidate, now),
-            releases=occupancy.releases(engines),
+            room_by_engine=room_by_engine,
+            limits=limits,
+            ahead=queue.ahead(
+                candidate, now, shares=self.crowding.shares, quantum=request.memory
+            ),
+            releases=releases,
             now=now,
+            start=None if waits or forecast is None else forecast.start,
+            keep=waits and forecast is not None,
         )
+        if (
+            isinstance(verdict, Admit)
+            and candidate.due > now
+            and ledger.pauses_everywhere(engines, verdict.engines, request.demand)
+        ):
+            verdict = Wait(PAUSE_RETRY_SECONDS, 0, None)
+        self.crowding.note_decision(candidate, verdict, now, is_first=not waits)
+        if forecast is not None:
+            verdict = self.crowding.explain(
+                verdict, forecast, caller=request.caller, left=request.left
+            )
         self._update_queue(candidate, verdict, now)
         match verdict:
             case Admit(names):
                 first, *others = self._order(engines, request, names)
                 ledger.place(request.run, first, request.demand)
+                if not request.demand.short:
+                    self.crowding.note_long(request.rank, now)
+                # Callers may expect any number of tokens, an engine holds its memory.
+                tokens = min(request.demand.expected, request.memory)
+                self.crowding.charge(candidate, tokens, now, caller=request.caller)
                 if first in cold_ids:
                     self._placed_at_by_id.setdefault(first, []).append(now)
                 # Other cold engines are left out, as a run on them is not counted here.
@@ -171,6 +194,32 @@
                 return Admit(names, backup_fits=backup_fits)
         return verdict
 
+    def _candidate(self, request: PlacementRequest, now: float) -> Candidate:
+        ledger = self.ledger
+        returning = bool(request.caller) and self.crowding.calendar.claim(
+            request.caller, request.run, now
+        )
+        return Candidate(
+            run=request.run,
+            rank=request.rank,
+            need=ledger.occupancy.need(
+                request.demand, memory=request.memory, seconds=request.left
+            ),
+            due=now
+            + request.due
+            - READ_TIME_FRACTION * ledger.read_seconds(request.demand),
+            # The deadline of the first request is kept: half of the remaining time,
+            # computed anew for each retry, would never be over.
+            start_deadline=self.queue.start_deadline(
+                request.run,
+                now + self._seconds_until_too_late(request),
+            ),
+            prompt=request.demand.prompt,
+            seconds=ledger.run_seconds(request.demand),
+            workspace=request.workspace,
+            returning=returning,
+        )
+
     def _update_queue(self, candidate: Candidate, verdict: Verdict, now: float) -> None:
         """Queue a run that has to wait; remove any other from the queue."""
         if isinstance(verdict, Wait):
@@ -219,6 +268,9 @@
     ) -> Verdict:
         """Select an engine for a copy of a run; an admitted copy counts as stored.
 
+        Any engine with room serves, so one in the running engine's hall goes before
+        all others: copies within a hall are faster and use no link between halls.
+
         Copies of the runs of a leaving engine go before queued runs: their callers have
         received part of the stream, which is lost with the engine otherwise.
 
@@ -250,7 +302,9 @@
         self._update_queue(candidate, verdict, now)
         match verdict:
             case Admit(names):
-                first = self._order(engines, request, names)[0]
+                ordered = self._order(engines, request, names)
+                near = [e.id for e in engines if e.record.hall == request.hall]
+                first = next((name for name in ordered if name in near), ordered[0])
                 ledger.place_copy(request.run, first, request.demand)
                 return Admit((first,))
         return verdict
--- a/src/bankrack/serving/advisor.py
+++ b/src/bankrack/serving/advisor.py
@@ -4,6 +4,7 @@
 
 from bankrack.decisions.admission import Verdict
 from bankrack.serving.assignment import Assignment
+from bankrack.serving.gaps import GapMeter
 from bankrack.serving.upstreams import Upstream
 
 
@@ -27,7 +28,7 @@
         ...
 
     async def place_copy(
-        self, work: Assignment, *, memory: int, avoid: t.Collection[str]
+        self, work: Assignment, *, memory: int, avoid: t.Collection[str], hall: str
     ) -> Verdict | None:
         """Select an engine for a copy of a run; ``None`` if no owner answers.
 
@@ -36,6 +37,7 @@
 
         :param memory: memory in tokens of an engine without a report.
         :param avoid: ids of engines that must not be used.
+        :param hall: of the engine that runs it; preferred, as copies are faster there.
         """
         ...
 
@@ -54,6 +56,10 @@
         """
         ...
 
+    def paced(self, work: Assignment, gaps: GapMeter) -> None:
+        """The events of a run are this far apart on an engine."""
+        ...
+
     def failed(self, work: Assignment, engine: Upstream) -> None:
         """An engine was unreachable, broke off the run or did not begin it."""
         ...
--- a/src/bankrack/serving/copies.py
+++ b/src/bankrack/serving/copies.py
@@ -176,7 +176,10 @@
         own choice relies on reports that do not include them yet.
         """
         verdict = await self._advisor.place_copy(
-            self._work, memory=self._traits.memory, avoid=[*tried, engine.id]
+            self._work,
+            memory=self._traits.memory,
+            avoid=[*tried, engine.id],
+            hall=engine.record.hall,
         )
         match verdict:
             case Admit(names) if names:
@@ -190,10 +193,12 @@
 
     def _targets(self, engine: Upstream, tried: t.Collection[str]) -> list[Upstream]:
         """Order the candidate engines for a copy of a run on ``engine``."""
-        engines = self._upstreams.of(self._work.service.name)
+        service = self._work.service.name
+        engines = self._upstreams.of(service)
+        pools = self._upstreams.pools_of(service)
         candidates = [
             u
-            for u in open_engines_of_pool(engine, engines)
+            for u in open_engines_of_pool(engine, engines, pools)
             if u is not engine and u.id not in tried
         ]
         return self._chooser.engines_by_room(
--- a/src/bankrack/serving/enginefinder.py
+++ b/src/bankrack/serving/enginefinder.py
@@ -1,6 +1,7 @@
 """Finds an engine with room for a run, and reserves it."""
 
 import asyncio
+import contextlib
 import dataclasses
 import random
 import typing as t
@@ -9,6 +10,8 @@
 from bankrack.decisions.admission import Admit
 from bankrack.decisions.admission import Refuse
 from bankrack.decisions.admission import Wait
+from bankrack.decisions.pauses import FRESH_SECONDS
+from bankrack.decisions.pauses import is_slow_moment
 from bankrack.decisions.retryafter import retry_after_seconds
 from bankrack.exceptions import BankrackError
 from bankrack.exceptions import Overloaded
@@ -18,7 +21,6 @@
 from bankrack.serving.choice import Chooser
 from bankrack.serving.coldquotas import ColdQuotas
 from bankrack.serving.enginecontrol import EngineControl
-from bankrack.serving.pools import count_pools
 from bankrack.serving.pools import pool_of
 from bankrack.serving.pools import select_pool
 from bankrack.serving.routing import EngineTraits
@@ -32,6 +34,10 @@
 RESERVATION_INTERVAL_SECONDS = 0.08
 """Mean pause between two rounds of requests for a reservation, each of which is
 charged."""
+MAX_PROBED = 3
+"""Limit on engines that are asked how long work takes there at this moment."""
+PROBE_TIMEOUT_SECONDS = 0.05
+"""Longest wait for that answer, which engines give at once."""
 MAX_ENGINES_ASKED = 6
 """Limit on engines that are asked for a reservation in one round."""
 RESERVATION_TIMEOUT_SECONDS = 0.15
@@ -115,7 +121,7 @@
         unreachable: set[str] = set()
         while True:
             ordered = await self._wait_for_admission(work, traits, log, tried)
-            engines = ordered.engines
+            engines = await self._avoid_slow_moments(ordered.engines, work, traits)
             if not traits.max_reservation_seconds:
                 return self._choose(work, engines[0], None, ordered)
             for engine in engines[:MAX_ENGINES_ASKED]:
@@ -128,14 +134,48 @@
                 reservation = await self._reserve(
                     engine, work, traits, log, unreachable=unreachable
                 )
-                if reservation is not None:
-                    log.write("place_kept", engine, "ok", f"ordered by {ordered.by}")
-                    return self._choose(work, engine, reservation, ordered)
+                if reservation is None:
+                    continue
+                log.write("place_kept", engine, "ok", f"ordered by {ordered.by}")
+                return self._choose(work, engine, reservation, ordered)
             if boottime() >= deadline:
                 engine = self._fallback_engine(work, engines, unreachable)
                 return self._choose(work, engine, None, ordered)
             await asyncio.sleep(RESERVATION_INTERVAL_SECONDS * (0.5 + random.random()))
 
+    async def _avoid_slow_moments(
+        self, engines: list[Upstream], work: Assignment, traits: EngineTraits
+    ) -> list[Upstream]:
+        """Move the first engine that is not slow at this moment to the front.
+
+        Engines are asked for their load only if those of the service are uneven.
+        """
+        if not traits.health_path or not self._upstreams.uneven(work.service.name):
+            return engines
+        for engine in engines[:MAX_PROBED]:
+            if not await self._is_slow_now(engine, work, traits):
+                return [engine, *(other for other in engines if other is not engine)]
+        return engines
+
+    async def _is_slow_now(
+        self, engine: Upstream, work: Assignment, traits: EngineTraits
+    ) -> bool:
+        """Whether reading a prompt now would pause the engine's streams too long."""
+        if engine.limit.bounded or not engine.is_available(boottime()):
+            return False
+        if boottime() - engine.slowdown_at > FRESH_SECONDS:
+            with contextlib.suppress(BankrackError, TimeoutError):
+                async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
+                    await self._control.probe(engine, traits.health_path)
+        service = work.service.name
+        gap = self._chooser.speeds_of(service).unit_gap
+        return is_slow_moment(
+            engine.slowdown,
+            age=boottime() - engine.slowdown_at,
+            gap=gap or self._chooser.pace_of(service).event_seconds,
+            gap_target=work.route.gap_target,
+        )
+
     async def _wait_for_admission(
         self,
         work: Assignment,
@@ -161,14 +201,16 @@
                         log.write_verdict("place_waits", verdict)
                     logged = True
                     await asyncio.sleep(seconds * (0.75 + random.random() / 2))
-                case Refuse(expected=expected):
+                case Refuse(expected=expected, booked=booked):
                     log.write_verdict("place_refused", verdict)
+                    if booked is None:
+                        booked = retry_after_seconds(
+                            expected, left=work.time_left(), draw=random.random()
+                        )
                     raise Overloaded(
                         "the run cannot begin in time behind the runs queued ahead; "
                         "try again later",
-                        retry_after=retry_after_seconds(
-                            expected, left=work.time_left(), draw=random.random()
-                        ),
+                        retry_after=booked,
                     )
                 case _:
                     engines = self._by_reports(work, traits, tried)
@@ -196,7 +238,7 @@
         Raises :exc:`Overloaded` if there is none.
         """
         name = work.service.name
-        pools = count_pools(len(self._upstreams.of(name)))
+        pools = self._upstreams.pools_of(name)
         untried = [
             engine
             for engine in self._upstreams.available_of(name)
--- a/src/bankrack/serving/runlog.py
+++ b/src/bankrack/serving/runlog.py
@@ -6,6 +6,7 @@
 from bankrack.clock import boottime
 from bankrack.decisions.admission import Refuse
 from bankrack.decisions.admission import Wait
+from bankrack.decisions.pauses import FRESH_SECONDS
 from bankrack.serving.assignment import Assignment
 from bankrack.serving.events import EventOrder
 from bankrack.serving.forwarding import EventForwarder
@@ -42,6 +43,7 @@
         """
         now = boottime()
         report = engine.report
+        is_fresh = now - engine.slowdown_at <= FRESH_SECONDS
         logs.event(
             _logger,
             name,
@@ -55,11 +57,13 @@
             last_event=self._order.last,
             report_age=now - report.taken if report else None,
             used=report.used if report else None,
+            slowdown=engine.slowdown if is_fresh else None,
             elapsed=now - self._work.job.arrived,
         )
 
     def write_verdict(self, name: str, verdict: Wait | Refuse) -> None:
         """Log why the run waits in the admission queue or is refused."""
+        queueing = verdict.queueing
         logs.event(
             _logger,
             name,
@@ -69,6 +73,9 @@
             expected=verdict.expected,
             time_left=self._work.time_left(),
             elapsed=boottime() - self._work.job.arrived,
+            workspace_share=queueing.workspace_share if queueing else None,
+            booked=verdict.booked if isinstance(verdict, Refuse) else None,
+            returning=queueing.returning if queueing else None,
         )
 
     def write_pace(self, forwarder: EventForwarder, *, whole: bool) -> None:
@@ -88,4 +95,6 @@
             pause_after=forwarder.longest_pause.event,
             pause_moved=forwarder.longest_pause.moved,
             stood_still=forwarder.excess_pause_seconds,
+            upstream=forwarder.gaps.engine or None,
+            base_gap=forwarder.gaps.base,
         )
--- a/src/bankrack/serving/upstreams.py
+++ b/src/bankrack/serving/upstreams.py
@@ -6,6 +6,7 @@
 import typing as t
 
 from bankrack.clock import boottime
+from bankrack.decisions.poolcount import PoolCounts
 from bankrack.serving.ratelimit import RateLimit
 from bankrack.serving.ratelimit import UNLIMITED
 
@@ -94,6 +95,7 @@
     :ivar retest_at: time from which this node sends an excluded upstream requests that
         can be repeated; infinite if it leaves that to other nodes.
     :ivar sent: times and tokens of the runs that reports may not include yet.
+    :ivar uneven: it has stated that work took longer or shorter than usual.
     """
 
     __slots__ = (
@@ -123,6 +125,7 @@
         "slowdown",
         "slowdown_at",
         "suspect_until",
+        "uneven",
     )
 
     def __init__(self, record: UpstreamRecord, now: float) -> None:
@@ -140,6 +143,7 @@
         self.queue_length = 0
         self.slowdown = 1.0
         self.slowdown_at = -math.inf
+        self.uneven = False
         self.notice_logged_at = -math.inf
         self.failure_rate = 0.0
         self.backoff_until = 0.0
@@ -293,6 +297,7 @@
         if load.slowdown is not None:
             self.slowdown = load.slowdown
             self.slowdown_at = now
+            self.uneven |= load.slowdown != 1.0
 
     def note_cold(self, seconds: float, now: float) -> None:
         """Record the remaining warm-up time in seconds, as stated at ``now``."""
@@ -351,11 +356,18 @@
 
 
 class Upstreams:
-    """All known upstreams, indexed by id."""
+    """All known upstreams, indexed by id.
+
+    :ivar serial: changes whenever an upstream joins or is removed.
+    """
 
     def __init__(self, *, clock: t.Callable[[], float] = boottime) -> None:
         self.by_id: dict[str, Upstream] = {}
         self.evacuated_halls: set[str] = set()
+        self.pool_counts = PoolCounts(clock=clock)
+        self.serial = 0
+        self._of_service: dict[str, list[Upstream]] = {}
+        self._size_by_service: collections.Counter[str] = collections.Counter()
         self._clock = clock
         self._removed_by_id: collections.OrderedDict[str, Upstream] = (
             collections.OrderedDict()
@@ -371,7 +383,11 @@
         known.note_cold(record.cold_seconds, now)
         if known.record == record:
             return None
+        before = known.record.service
         known.record = record
+        if before != record.service:
+            self._note_changed(before, -1)
+            self._note_changed(record.service, 1)
         known.evacuated = record.hall in self.evacuated_halls
         if record.leaving and known.note_leaving(now):
             return "leaving"
@@ -382,6 +398,7 @@
         joined = self._removed_by_id.pop(record.id, None) or Upstream(record, now)
         self.by_id[record.id] = joined
         joined.record = record
+        self._note_changed(record.service, 1)
         joined.removed_at = 0.0
         joined.evacuated = record.hall in self.evacuated_halls
         joined.note_cold(record.cold_seconds, now)
@@ -399,6 +416,7 @@
         known = self.by_id.pop(upstream_id, None)
         if known is None:
             return False
+        self._note_changed(known.record.service, -1)
         known.removed_at = self._clock()
         self._removed_by_id[upstream_id] = known
         if len(self._removed_by_id) > MAX_REMOVED:
@@ -437,7 +455,28 @@
 
     def of(self, service: str) -> list[Upstream]:
         """Return all upstreams of a service, including those shutting down."""
-        return [u for u in self.by_id.values() if u.record.service == service]
+        found = self._of_service.get(service)
+        if found is None:
+            every = self.by_id.values()
+            found = [u for u in every if u.record.service == service]
+            if found:
+                self._of_service[service] = found
+        return list(found)
+
+    def _note_changed(self, service: str, difference: int) -> None:
+        """Record that upstreams of a service joined or were removed."""
+        self.serial += 1
+        self._of_service.pop(service, None)
+        self._size_by_service[service] += difference
+        self.pool_counts.note(service, self._size_by_service[service])
+
+    def pools_of(self, service: str) -> int:
+        """Number of pools into which the upstreams of a service are split."""
+        return self.pool_counts.pools(service)
+
+    def uneven(self, service: str) -> bool:
+        """Whether upstreams of a service state that work takes unequally long."""
+        return any(u.uneven for u in self.by_id.values() if u.record.service == service)
 
     def open_of(self, service: str) -> list[Upstream]:
         """Return the upstreams of a service that accept new work.
--- a/tests/placement/test_allocation.py
+++ b/tests/placement/test_allocation.py
@@ -173,6 +173,15 @@
         self.assertIsInstance(self.ask("new"), Admit)
         self.assertEqual(["new"], list(self.allocator.ledger._placement_by_run))
 
+    def test_releases_of_dropped_runs_are_forgotten(self):
+        self.begin(self.fill())
+        occupancy = self.allocator.ledger.occupancy
+        self.now += REPORT_LAG_SECONDS + UNLISTED_SECONDS + 0.5
+        self.assertNotEqual([], occupancy.releases(self.engines))
+        self.report()
+        occupancy.free_by_engine(self.engines, memory=MEMORY)
+        self.assertEqual([], occupancy.releases(self.engines))
+
     def test_listed_runs_are_kept(self):
         placed = self.fill()
         self.begin(placed)
@@ -288,6 +297,15 @@
         self.assertIsInstance(self.ask("new-0"), Admit)
         self.assertIsInstance(self.ask("new-1"), Wait)
 
+    def test_copy_stays_in_hall_of_engine_while_there_is_room(self):
+        far = Upstream(UpstreamRecord("far", "s", "far", "b", 8), self.now - 50)
+        far.note_report(EngineReport(0, 0, 0, MEMORY, taken=self.now))
+        self.engines.append(far)
+        found = [self.copy(run) for run in ("moving", "a", "b")]
+        near, _, last = [verdict.engines for verdict in found]
+        self.assertIn(near, [("one",), ("two",)])
+        self.assertEqual(("far",), last)
+
     def test_copy_goes_before_queued_runs(self):
         for run in ("new-0", "new-1"):
             self.assertIsInstance(self.ask(run), Admit)
--- a/tests/serving/test_plain.py
+++ b/tests/serving/test_plain.py
@@ -19,6 +19,7 @@
 from bankrack.serving.relay import RelayDependencies
 from bankrack.serving.routing import Route
 from bankrack.serving.routing import Service
+from bankrack.serving.sending import BodiesInFlight
 from bankrack.serving.upstreams import UpstreamRecord
 from bankrack.serving.upstreams import Upstreams
 from tests.base import TestCase
@@ -47,6 +48,7 @@
 
     def __init__(self, statuses: t.Iterable[int]) -> None:
         self._statuses = iter(statuses)
+        self.in_flight = BodiesInFlight(lambda: 0.0)
         self.upstreams: list[str] = []
 
     async def open(self, send: Send) -> ScriptedExchange:
