Revert "Copies stay in the hall of the engine that runs the stream"

Cause: it acts on every deployment with several halls, where the parts of hard load are to act only where a deployment calls for them.

--- a/src/bankrack/fleet/poolowners.py
+++ b/src/bankrack/fleet/poolowners.py
@@ -143,7 +143,7 @@
         return await self.rooms.decide(work, pools, ask)
 
     async def place_copy(
-        self, work: Assignment, *, memory: int, avoid: t.Collection[str], hall: str
+        self, work: Assignment, *, memory: int, avoid: t.Collection[str]
     ) -> Verdict | None:
         """Have the owner choose engines for a copy of a run."""
         pools = self._upstreams.pools_of(work.service.name)
@@ -155,7 +155,6 @@
             memory=memory,
             avoid=avoid,
             copy=True,
-            hall=hall,
         )
 
     async def _query(
@@ -168,7 +167,6 @@
         avoid: t.Collection[str],
         copy: bool = False,
         queue: bool = True,
-        hall: str = "",
     ) -> Verdict | None:
         demand = work.job.demand
         service = work.service.name
@@ -181,7 +179,7 @@
             prompt=demand.prompt,
             output=demand.output,
             memory=memory,
-            hall=hall or self._own.hall,
+            hall=self._own.hall,
             avoid=[*avoid, *self._unavailable_here(engines)],
             rank=(work.priority, work.route.priority),
             due=work.job.arrived + work.route.target_latency - boottime(),
--- a/src/bankrack/placement/allocation.py
+++ b/src/bankrack/placement/allocation.py
@@ -61,7 +61,7 @@
 
     :param run: id of the run.
     :param memory: memory in tokens of an engine without a report.
-    :param hall: hall of the node that asks, or of the engine whose run is copied.
+    :param hall: hall of the node that asks.
     :param rank: rank of the workspace, then of the route; the lowest is served first.
     :param due: seconds until its target latency is over; negative if it is late.
     :param left: seconds until its final answer is due.
@@ -268,9 +268,6 @@
     ) -> Verdict:
         """Select an engine for a copy of a run; an admitted copy counts as stored.
 
-        Any engine with room serves, so one in the running engine's hall goes before
-        all others: copies within a hall are faster and use no link between halls.
-
         Copies of the runs of a leaving engine go before queued runs: their callers have
         received part of the stream, which is lost with the engine otherwise.
 
@@ -302,9 +299,7 @@
         self._update_queue(candidate, verdict, now)
         match verdict:
             case Admit(names):
-                ordered = self._order(engines, request, names)
-                near = [e.id for e in engines if e.record.hall == request.hall]
-                first = next((name for name in ordered if name in near), ordered[0])
+                first = self._order(engines, request, names)[0]
                 ledger.place_copy(request.run, first, request.demand)
                 return Admit((first,))
         return verdict
--- a/src/bankrack/serving/advisor.py
+++ b/src/bankrack/serving/advisor.py
@@ -28,7 +28,7 @@
         ...
 
     async def place_copy(
-        self, work: Assignment, *, memory: int, avoid: t.Collection[str], hall: str
+        self, work: Assignment, *, memory: int, avoid: t.Collection[str]
     ) -> Verdict | None:
         """Select an engine for a copy of a run; ``None`` if no owner answers.
 
@@ -37,7 +37,6 @@
 
         :param memory: memory in tokens of an engine without a report.
         :param avoid: ids of engines that must not be used.
-        :param hall: of the engine that runs it; preferred, as copies are faster there.
         """
         ...
 
--- a/src/bankrack/serving/copies.py
+++ b/src/bankrack/serving/copies.py
@@ -176,10 +176,7 @@
         own choice relies on reports that do not include them yet.
         """
         verdict = await self._advisor.place_copy(
-            self._work,
-            memory=self._traits.memory,
-            avoid=[*tried, engine.id],
-            hall=engine.record.hall,
+            self._work, memory=self._traits.memory, avoid=[*tried, engine.id]
         )
         match verdict:
             case Admit(names) if names:
