Choice of plain upstreams and queries read no clock where nothing is excluded or crowded

Change: the clock is read only for upstreams that were excluded, doubted or stated a slowdown, and for pools that were crowded.

--- a/src/bankrack/fleet/poolowners.py
+++ b/src/bankrack/fleet/poolowners.py
@@ -198,7 +198,8 @@
         if copy:
             return await self._ask(owner, unidentified)
         key = service, query.pool
-        crowded = self._clock() < self._crowded_until_by_pool.get(key, 0.0)
+        until = self._crowded_until_by_pool.get(key)
+        crowded = until is not None and self._clock() < until
         verdict = await self._ask(
             owner, query if crowded or not queue else unidentified
         )
--- a/src/bankrack/serving/choice.py
+++ b/src/bankrack/serving/choice.py
@@ -108,17 +108,26 @@
         :param may_retest: the request may be sent to an excluded upstream, to see
             whether it serves again.
         """
-        now = self._clock()
-        candidates = list(upstreams)
-        in_use = [u for u in candidates if not u.excluded(now)] or candidates
-        if may_retest and len(in_use) < len(candidates):
-            others_full = all(self._load(u) >= CROWDED_LOAD for u in in_use)
-            for upstream in candidates:
-                if upstream.retest_due(now, others_full=others_full):
-                    return upstream
+        candidates = in_use = list(upstreams)
+        if any(upstream.excluded_until for upstream in candidates):
+            now = self._clock()
+            in_use = [u for u in candidates if not u.excluded(now)] or candidates
+            if may_retest and (due := self._due_for_retest(candidates, in_use, now)):
+                return due
         score = self._plain_score if repeatable else self._unrepeatable_score
         return self._lowest_score(in_use, avoid, score)
 
+    def _due_for_retest(
+        self, upstreams: list[Upstream], in_use: list[Upstream], now: float
+    ) -> Upstream | None:
+        """Return an excluded upstream that is due for a retest, if any.
+
+        :param in_use: those of the upstreams that are not excluded.
+        """
+        others_full = all(self._load(upstream) >= CROWDED_LOAD for upstream in in_use)
+        due = (u for u in upstreams if u.retest_due(now, others_full=others_full))
+        return next(due, None)
+
     def engines_by_room(
         self,
         upstreams: t.Iterable[Upstream],
@@ -221,9 +230,11 @@
         return min(preferred, key=score)
 
     def _plain_score(self, upstream: Upstream) -> float:
-        age = self._clock() - upstream.slowdown_at
-        slowdown = expected_slowdown(upstream.slowdown, age=age)
-        return load_score(self._load(upstream), slowdown) + self._penalty(upstream)
+        score = self._load(upstream)
+        if upstream.slowdown != 1.0:
+            age = self._clock() - upstream.slowdown_at
+            score = load_score(score, expected_slowdown(upstream.slowdown, age=age))
+        return score + self._penalty(upstream)
 
     def _load(self, upstream: Upstream) -> float:
         """Return the known requests at an upstream as a fraction of its slots."""
@@ -235,7 +246,9 @@
 
     def _unrepeatable_score(self, upstream: Upstream) -> float:
         score = self._plain_score(upstream)
-        return score + DOUBT_PENALTY * upstream.doubted(self._clock())
+        if upstream.doubted_until:
+            score += DOUBT_PENALTY * upstream.doubted(self._clock())
+        return score
 
     def _penalty(self, upstream: Upstream) -> float:
         now = self._clock()
