--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -274,18 +274,21 @@
             upstreams=list(self.upstreams.by_id.values()),
             keeps_ledgers=self.owners.owns_first_pool,
             quarantined=self.crashes.quarantined(),
-            failing=self.outliers.describe(),
             held=self.held.describe(),
-            full_pools=self.owners.rooms.describe(),
-            engine_speeds=self.ledgers.describe_speeds(),
-            pools=self._describe_pools,
             pool_gauges=self.ledgers.gauges(),
+            details=self._details,
         )
 
-    def _describe_pools(self) -> list[dict[str, t.Any]]:
+    def _details(self) -> dict[str, t.Any]:
+        """Return the parts of the state dump that the gauges do not need."""
         table = self.view.table
         workspaces = table.workspaces_by_key.values() if table else ()
-        return self.ledgers.describe({workspace.name for workspace in workspaces})
+        return {
+            "failing": self.outliers.describe(),
+            "full_pools": self.owners.rooms.describe(),
+            "engine_speeds": self.ledgers.describe_speeds(),
+            "pools": self.ledgers.describe({each.name for each in workspaces}),
+        }
 
     def reload(self, settings: GatewaySettings) -> None:
         """Apply those of the new settings that can change without a restart.
--- a/src/bankrack/nodestate.py
+++ b/src/bankrack/nodestate.py
@@ -15,14 +15,11 @@
     :param view_age: seconds since the view was last confirmed, by any source.
     :param store_age: seconds since the store itself last confirmed the view.
     :param keeps_ledgers: whether this node owns the first pool and keeps its ledgers.
-    :param engine_speeds: speeds of the engines of the pools that this node owns, by
-        service and engine.
     :param quarantined: fingerprints of the quarantined requests.
-    :param failing: upstreams with failures, as known from all nodes.
     :param held: account of the bytes held for callers and upstreams.
-    :param full_pools: pools that had no room for a run, as last told to this node.
-    :param pools: describes the pools of engines that this node owns.
-    :param pool_gauges: values of the gauges of these pools by name.
+    :param pool_gauges: values of the gauges of the pools that this node owns, by name.
+    :param details: returns further parts of the state dump, which are not needed as
+        often as the gauges.
     """
 
     node: str
@@ -36,12 +33,9 @@
     upstreams: list[Upstream]
     keeps_ledgers: bool
     quarantined: list[str]
-    failing: list[dict[str, t.Any]]
     held: dict[str, t.Any]
-    full_pools: list[dict[str, t.Any]]
-    engine_speeds: dict[str, dict[str, t.Any]]
-    pools: t.Callable[[], list[dict[str, t.Any]]]
     pool_gauges: dict[str, float]
+    details: t.Callable[[], dict[str, t.Any]]
 
     def gauges(self) -> dict[str, float]:
         """Return the values of the gauges by name."""
@@ -76,10 +70,7 @@
             "in_flight": self.in_flight,
             "members": sorted(self.members),
             "quarantined": self.quarantined,
-            "failing": self.failing,
             **self.held,
-            "full_pools": self.full_pools,
-            "engine_speeds": self.engine_speeds,
-            "pools": self.pools(),
+            **self.details(),
             "upstreams": [upstream.describe() for upstream in self.upstreams],
         }
