Long runs prefer engines that complete them sooner

Cause: the cost of an engine counted when a run begins there, not when it ends; long runs went to engines of the usual speed while fast ones had room, and more of them were on their way when an engine or a VM failed. Change: a second of later completion costs a quarter of a second of later begin, by the engine's learned factor; it is 1 wherever no slowdown was stated. The test fails without it.

--- a/src/bankrack/placement/ledger.py
+++ b/src/bankrack/placement/ledger.py
@@ -55,6 +55,10 @@
 MISMATCH_COST_PROMPTS = 0.85
 """Cost of an engine that is meant for the other kind of run, in multiples of the
 prompt's read time."""
+COMPLETION_COST = 0.25
+"""Cost of a second by which a long run ends later, against that of a second by which
+it begins later.  Its caller reads meanwhile, but waits for the end of the answer, and
+loses it if the engine or the VM fails before."""
 SUSPECT_COST_SECONDS = 10.0
 """Cost of an engine that failed recently; places it behind all others."""
 FAILURE_COST_SECONDS = 2.0
@@ -340,6 +344,9 @@
         cost += FULL_COST_SECONDS * max(0.0, shortfall) / max(1, total)
         if demand.short:
             cost += demand.prompt * (1.0 / rate - 1.0 / usual_rate)
+        else:
+            stream_seconds = demand.output * self._pace.token_seconds
+            cost += COMPLETION_COST * stream_seconds * (factor - 1.0)
         if engine.record.hall != hall:
             cost += FAR_COST_SECONDS
         cost += FAILURE_COST_SECONDS * engine.failure_rate
--- a/tests/placement/test_pauserisk.py
+++ b/tests/placement/test_pauserisk.py
@@ -87,6 +87,17 @@
         slow_short = [name for name in short_engines if name.startswith("slow")]
         self.assertGreater(len(slow_short), len(short_engines) / 2)
 
+    def test_long_runs_fill_the_engines_that_complete_them_soonest(self):
+        """A wave of long streams that the fast engines alone can hold."""
+        self.learn_gaps()
+        engines = []
+        for number in range(8):
+            self.now += 0.5
+            engines.append(self.first(LONG))
+            self.begin(f"r-{number}", engines[-1], LONG)
+            self.pace(f"r-{number}", engines[-1])
+        self.assertEqual({"fast-0", "fast-1"}, set(engines))
+
     def test_prompt_keeps_away_from_streams_on_a_slow_engine(self):
         self.learn_gaps()
         self.begin("stream", "slow-0", LONG)
