The gateway and the upstreams' module have one job each again

Change: the dispatcher's source of the configuration is fleet/confirmedview.py, which of the new settings apply is told by the settings, and the registry of upstreams is serving/registry.py. No change of behaviour.

--- a/benchmarks/answers.py
+++ b/benchmarks/answers.py
@@ -10,9 +10,9 @@
 
 from bankrack.serving.notices import Notice
 from bankrack.serving.notices import NoticeHandler
+from bankrack.serving.registry import Upstreams
 from bankrack.serving.upstreams import Upstream
 from bankrack.serving.upstreams import UpstreamRecord
-from bankrack.serving.upstreams import Upstreams
 from benchmarks.timing import median_microseconds
 from engines import PlatformUpstreams as Dialect
 
--- a/benchmarks/shared_rates.py
+++ b/benchmarks/shared_rates.py
@@ -27,10 +27,10 @@
 from bankrack.fleet.permits import PermitCoordinator
 from bankrack.metrics import GatewayMetrics
 from bankrack.serving.ratelimit import RateLimit
+from bankrack.serving.registry import Upstreams
 from bankrack.serving.sendlog import SendLog
 from bankrack.serving.upstreams import Upstream
 from bankrack.serving.upstreams import UpstreamRecord
-from bankrack.serving.upstreams import Upstreams
 
 OVERSHOOT = 1.5
 SLACK = 5
--- a/src/bankrack/fleet/leavingupdates.py
+++ b/src/bankrack/fleet/leavingupdates.py
@@ -14,7 +14,7 @@
 from bankrack.fleet.broadcast import Broadcast
 from bankrack.fleet.messages import decode_message
 from bankrack.serving.notices import NoticeHandler
-from bankrack.serving.upstreams import Upstreams
+from bankrack.serving.registry import Upstreams
 
 LEAVING_PATH = "/peer/leaving"
 STORE_DELAY_SECONDS = 0.05
--- a/src/bankrack/fleet/ledgers.py
+++ b/src/bankrack/fleet/ledgers.py
@@ -25,7 +25,7 @@
 from bankrack.serving.choice import Chooser
 from bankrack.serving.job import Demand
 from bankrack.serving.pools import PoolIndex
-from bankrack.serving.upstreams import Upstreams
+from bankrack.serving.registry import Upstreams
 
 
 class Ledgers:
--- a/src/bankrack/fleet/limitupdates.py
+++ b/src/bankrack/fleet/limitupdates.py
@@ -20,7 +20,7 @@
 from bankrack.fleet.messages import decode_message
 from bankrack.serving.notices import NoticeHandler
 from bankrack.serving.ratelimit import RateLimit
-from bankrack.serving.upstreams import Upstreams
+from bankrack.serving.registry import Upstreams
 
 LIMITS_PATH = "/peer/limits"
 NOTIFY_INTERVAL_SECONDS = 0.2
--- a/src/bankrack/fleet/peers.py
+++ b/src/bankrack/fleet/peers.py
@@ -26,8 +26,8 @@
 from bankrack.fleet.store import Item
 from bankrack.fleet.store import Snapshot
 from bankrack.fleet.view import View
+from bankrack.serving.registry import Upstreams
 from bankrack.serving.upstreams import Upstream
-from bankrack.serving.upstreams import Upstreams
 
 UPDATES_PATH = "/peer/updates"
 LONG_POLL_SECONDS = 0.25
--- a/src/bankrack/fleet/permits.py
+++ b/src/bankrack/fleet/permits.py
@@ -34,9 +34,9 @@
 from bankrack.fleet.messages import decode_message
 from bankrack.metrics import GatewayMetrics
 from bankrack.serving.ratelimit import RateLimit
+from bankrack.serving.registry import Upstreams
 from bankrack.serving.sendlog import SendLog
 from bankrack.serving.upstreams import Upstream
-from bankrack.serving.upstreams import Upstreams
 
 PERMIT_PATH = "/peer/permit"
 ASK_TIMEOUT_SECONDS = 0.04
--- a/src/bankrack/fleet/poolowners.py
+++ b/src/bankrack/fleet/poolowners.py
@@ -39,8 +39,8 @@
 from bankrack.serving.gaps import GapMeter
 from bankrack.serving.pools import pool_of_engine
 from bankrack.serving.pools import PoolIndex
+from bankrack.serving.registry import Upstreams
 from bankrack.serving.upstreams import Upstream
-from bankrack.serving.upstreams import Upstreams
 
 PLACE_PATH = "/peer/place"
 NOTES_PATH = "/peer/notes"
--- a/src/bankrack/fleet/ratelimits.py
+++ b/src/bankrack/fleet/ratelimits.py
@@ -14,7 +14,7 @@
 from bankrack.fleet.permits import PermitCoordinator
 from bankrack.metrics import GatewayMetrics
 from bankrack.serving.notices import NoticeHandler
-from bankrack.serving.upstreams import Upstreams
+from bankrack.serving.registry import Upstreams
 
 
 class RateLimits:
--- a/src/bankrack/fleet/reports.py
+++ b/src/bankrack/fleet/reports.py
@@ -5,9 +5,9 @@
 import msgspec
 
 from bankrack.clock import boottime
+from bankrack.serving.registry import Upstreams
 from bankrack.serving.upstreams import EngineReport
 from bankrack.serving.upstreams import Upstream
-from bankrack.serving.upstreams import Upstreams
 
 
 class ReportMessage(msgspec.Struct, array_like=True):
--- a/src/bankrack/fleet/view.py
+++ b/src/bankrack/fleet/view.py
@@ -20,9 +20,9 @@
 from bankrack.fleet.store import Item
 from bankrack.fleet.store import Snapshot
 from bankrack.serving.crashregister import CrashRegister
+from bankrack.serving.registry import Upstreams
 from bankrack.serving.routing import RoutingTable
 from bankrack.serving.upstreams import UpstreamRecord
-from bankrack.serving.upstreams import Upstreams
 
 LAPSE_GRACE_SECONDS = 1.5
 """Grace period after an outage of the store in which upstream entries that are missing
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import dataclasses
 import logging
 import socket
 import typing as t
@@ -17,6 +16,7 @@
 from bankrack.clock import boottime
 from bankrack.exceptions import NodeNotReady
 from bankrack.fleet.broadcast import Broadcast
+from bankrack.fleet.confirmedview import ConfirmedView
 from bankrack.fleet.documents import Member
 from bankrack.fleet.fleetsize import FleetSize
 from bankrack.fleet.follower import Follower
@@ -55,21 +55,13 @@
 from bankrack.serving.notices import NoticeHandler
 from bankrack.serving.outliers import OutlierMonitor
 from bankrack.serving.plain import PlainRelay
+from bankrack.serving.registry import Upstreams
 from bankrack.serving.relay import RelayDependencies
 from bankrack.serving.reports import ReportPoller
 from bankrack.serving.routing import CallerLimits
-from bankrack.serving.routing import RoutingTable
 from bankrack.serving.streams import StreamRelay
 from bankrack.serving.upstreams import Upstream
-from bankrack.serving.upstreams import Upstreams
 
-MAX_VIEW_AGE_SECONDS = 3.0
-"""Maximum age of the view before it is confirmed with the store again."""
-MAX_DENIAL_VIEW_AGE_SECONDS = 1.3
-"""Maximum age of the view on which a request may be denied.
-
-Followers lag the store by up to about 1.1 s, and a change must apply within 2 s.
-"""
 FIRST_VIEW_TIMEOUT_SECONDS = 0.1
 """Maximum time that a request waits for the first configuration."""
 BALANCER_NOTICE_SECONDS = 3.0
@@ -81,8 +73,6 @@
 """Time reserved for closing before the process is killed."""
 STOP_POLL_INTERVAL_SECONDS = 0.05
 APPLY_INTERVAL_SECONDS = 0.5
-RELOADABLE_SETTINGS = frozenset({"grace", "budget", "cold"})
-"""Settings that can be changed without a restart."""
 
 _logger = logging.getLogger(__name__)
 
@@ -196,8 +186,9 @@
             dependencies,
             view_age=lambda: self.view.age,
         )
+        self.configuration = ConfirmedView(self.view, self.follower)
         self.dispatcher = Dispatcher(
-            directory=self,
+            directory=self.configuration,
             upstreams=self.upstreams,
             budget=self.budget,
             metrics=self.metrics,
@@ -295,26 +286,15 @@
 
         Changes to any other setting are logged and take effect at the next start.
         """
-        old = self.settings
-        changed = [
-            field.name
-            for field in dataclasses.fields(settings)
-            if getattr(settings, field.name) != getattr(old, field.name)
-        ]
-        applied = {
-            name: getattr(settings, name)
-            for name in changed
-            if name in RELOADABLE_SETTINGS
-        }
-        self.settings = dataclasses.replace(old, **applied)
+        self.settings, applied, waiting = self.settings.reloaded(settings)
         self.budget.set_policy(self.settings.budget)
         self.cold.tolerance = self.settings.cold
         logs.event(
             _logger,
             "settings_reloaded",
-            node=old.name,
+            node=self.settings.name,
             applied=",".join(applied) or "none",
-            waiting=",".join(name for name in changed if name not in applied) or "none",
+            waiting=",".join(waiting) or "none",
         )
 
     async def stop(self, reason: str) -> None:
@@ -354,27 +334,6 @@
         await self._internal_session.close()
         self.stopped.set()
 
-    # Implementation of the dispatcher's ConfigurationSource
-
-    @property
-    def table(self) -> RoutingTable | None:
-        """The most recent routing table, if any."""
-        return self.view.table
-
-    @property
-    def age(self) -> float:
-        """Seconds since the view was last confirmed."""
-        return self.view.age
-
-    async def refresh_if_stale(self) -> None:
-        """Confirm the view if it is too old, unless the store is unavailable."""
-        if self.view.age > MAX_VIEW_AGE_SECONDS and self.follower.store_reachable:
-            await self.follower.confirm(within=MAX_VIEW_AGE_SECONDS)
-
-    async def confirm(self) -> bool:
-        """Confirm the view now and return whether it succeeded."""
-        return await self.follower.confirm(within=MAX_DENIAL_VIEW_AGE_SECONDS)
-
     # Serving
 
     async def _serve(self, job: Job, reply: Reply) -> None:
--- a/src/bankrack/integration.py
+++ b/src/bankrack/integration.py
@@ -14,6 +14,9 @@
 from bankrack.serving.enginecontrol import EngineControl
 from bankrack.serving.notices import NoticeHandler
 
+RELOADABLE_SETTINGS = frozenset({"grace", "budget", "cold"})
+"""Settings that can be changed without a restart."""
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class GatewaySettings:
@@ -44,6 +47,24 @@
     memory_mb: float = 0.0
     cold: ColdTolerance = dataclasses.field(default_factory=ColdTolerance)
 
+    def reloaded(
+        self, settings: "GatewaySettings"
+    ) -> tuple["GatewaySettings", list[str], list[str]]:
+        """Return these settings with those of the new ones that a running node takes.
+
+        The lists name the changed settings that are applied, and those that take effect
+        at the next start.
+        """
+        changed = [
+            field.name
+            for field in dataclasses.fields(settings)
+            if getattr(settings, field.name) != getattr(self, field.name)
+        ]
+        applied = [name for name in changed if name in RELOADABLE_SETTINGS]
+        values = {name: getattr(settings, name) for name in applied}
+        waiting = [name for name in changed if name not in RELOADABLE_SETTINGS]
+        return dataclasses.replace(self, **values), applied, waiting
+
 
 class GatewayDialect(t.Protocol):
     """Translates between the platform's wire formats and bankrack's types."""
--- a/src/bankrack/serving/copies.py
+++ b/src/bankrack/serving/copies.py
@@ -18,10 +18,10 @@
 from bankrack.serving.choice import Chooser
 from bankrack.serving.enginecontrol import EngineControl
 from bankrack.serving.pools import open_engines_of_pool
+from bankrack.serving.registry import Upstreams
 from bankrack.serving.routing import EngineTraits
 from bankrack.serving.runlog import RunLog
 from bankrack.serving.upstreams import Upstream
-from bankrack.serving.upstreams import Upstreams
 from bankrack.utils import backoff_seconds
 
 COPY_CHECK_INTERVAL_SECONDS = 0.1
--- a/src/bankrack/serving/dispatch.py
+++ b/src/bankrack/serving/dispatch.py
@@ -23,12 +23,12 @@
 from bankrack.serving.job import Reply
 from bankrack.serving.job import RequestKind
 from bankrack.serving.plain import PlainRelay
+from bankrack.serving.registry import Upstreams
 from bankrack.serving.routing import Route
 from bankrack.serving.routing import RoutingTable
 from bankrack.serving.routing import Service
 from bankrack.serving.routing import Workspace
 from bankrack.serving.streams import StreamRelay
-from bankrack.serving.upstreams import Upstreams
 
 STREAM_GRACE_SECONDS = 2.5
 """Time for which streams are accepted after a shutdown began, as the load balancer
--- a/src/bankrack/serving/enginefinder.py
+++ b/src/bankrack/serving/enginefinder.py
@@ -23,10 +23,10 @@
 from bankrack.serving.enginecontrol import EngineControl
 from bankrack.serving.pools import pool_of
 from bankrack.serving.pools import select_pool
+from bankrack.serving.registry import Upstreams
 from bankrack.serving.routing import EngineTraits
 from bankrack.serving.runlog import RunLog
 from bankrack.serving.upstreams import Upstream
-from bankrack.serving.upstreams import Upstreams
 
 RESERVATION_WAIT_FRACTION = 0.7
 """Fraction of the target latency for which a run waits for a reservation; the rest
--- a/src/bankrack/serving/outliers.py
+++ b/src/bankrack/serving/outliers.py
@@ -19,8 +19,8 @@
 from bankrack.decisions.outliers import RETESTS_TO_READMIT
 from bankrack.decisions.outliers import WINDOW_SECONDS
 from bankrack.metrics import GatewayMetrics
+from bankrack.serving.registry import Upstreams
 from bankrack.serving.upstreams import Upstream
-from bankrack.serving.upstreams import Upstreams
 from bankrack.utils import stable_digest
 
 MAX_OUTCOMES = 64
--- a/src/bankrack/serving/pools.py
+++ b/src/bankrack/serving/pools.py
@@ -7,8 +7,8 @@
 import functools
 import typing as t
 
+from bankrack.serving.registry import Upstreams
 from bankrack.serving.upstreams import Upstream
-from bankrack.serving.upstreams import Upstreams
 from bankrack.utils import stable_digest
 
 MAX_REMEMBERED = 16_384
--- a/src/bankrack/serving/relay.py
+++ b/src/bankrack/serving/relay.py
@@ -12,7 +12,7 @@
 from bankrack.serving.enginecontrol import EngineControl
 from bankrack.serving.enginefinder import EngineFinder
 from bankrack.serving.outliers import OutlierMonitor
-from bankrack.serving.upstreams import Upstreams
+from bankrack.serving.registry import Upstreams
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/tests/fleet/test_changelog.py
+++ b/tests/fleet/test_changelog.py
@@ -4,7 +4,7 @@
 from bankrack.fleet.store import Item
 from bankrack.fleet.store import Snapshot
 from bankrack.fleet.view import View
-from bankrack.serving.upstreams import Upstreams
+from bankrack.serving.registry import Upstreams
 from tests.base import TestCase
 from tests.fleet.test_view import decode
 
--- a/tests/fleet/test_leavingupdates.py
+++ b/tests/fleet/test_leavingupdates.py
@@ -13,8 +13,8 @@
 from bankrack.fleet.leavingupdates import STORE_DELAY_SECONDS
 from bankrack.serving.notices import Notice
 from bankrack.serving.notices import NoticeHandler
+from bankrack.serving.registry import Upstreams
 from bankrack.serving.upstreams import UpstreamRecord
-from bankrack.serving.upstreams import Upstreams
 from tests.base import TestCase
 
 
--- a/tests/fleet/test_limitupdates.py
+++ b/tests/fleet/test_limitupdates.py
@@ -19,8 +19,8 @@
 from bankrack.serving.notices import Notice
 from bankrack.serving.notices import NoticeHandler
 from bankrack.serving.ratelimit import RateLimit
+from bankrack.serving.registry import Upstreams
 from bankrack.serving.upstreams import UpstreamRecord
-from bankrack.serving.upstreams import Upstreams
 from tests.base import TestCase
 
 OWN = Member("n-0", "10.0.0.1:1", "a")
--- a/tests/fleet/test_outlierupdates.py
+++ b/tests/fleet/test_outlierupdates.py
@@ -13,8 +13,8 @@
 from bankrack.fleet.outlierupdates import OutlierUpdates
 from bankrack.metrics import GatewayMetrics
 from bankrack.serving.outliers import OutlierMonitor
+from bankrack.serving.registry import Upstreams
 from bankrack.serving.upstreams import UpstreamRecord
-from bankrack.serving.upstreams import Upstreams
 from tests.base import TestCase
 from tests.platform.deployment import until
 
--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -21,7 +21,7 @@
 from bankrack.fleet.store import Snapshot
 from bankrack.fleet.view import View
 from bankrack.front.listeners import serve_application
-from bankrack.serving.upstreams import Upstreams
+from bankrack.serving.registry import Upstreams
 from tests.base import TestCase
 from tests.fakes import free_address
 from tests.fleet.test_view import decode
--- a/tests/fleet/test_permits.py
+++ b/tests/fleet/test_permits.py
@@ -20,8 +20,8 @@
 from bankrack.front.internalserver import serve_paths
 from bankrack.metrics import GatewayMetrics
 from bankrack.serving.ratelimit import RateLimit
+from bankrack.serving.registry import Upstreams
 from bankrack.serving.upstreams import UpstreamRecord
-from bankrack.serving.upstreams import Upstreams
 from tests.base import TestCase
 from tests.fakes import free_address
 
--- a/tests/fleet/test_poolowners.py
+++ b/tests/fleet/test_poolowners.py
@@ -39,10 +39,10 @@
 from bankrack.serving.job import Job
 from bankrack.serving.job import RequestKind
 from bankrack.serving.pools import pool_of
+from bankrack.serving.registry import Upstreams
 from bankrack.serving.routing import Route
 from bankrack.serving.routing import Service
 from bankrack.serving.upstreams import UpstreamRecord
-from bankrack.serving.upstreams import Upstreams
 from tests.base import TestCase
 from tests.fakes import free_address
 
--- a/tests/fleet/test_view.py
+++ b/tests/fleet/test_view.py
@@ -10,10 +10,10 @@
 from bankrack.fleet.store import Snapshot
 from bankrack.fleet.view import LAPSE_GRACE_SECONDS
 from bankrack.fleet.view import View
+from bankrack.serving.registry import Upstreams
 from bankrack.serving.routing import CallerLimits
 from bankrack.serving.routing import RoutingTable
 from bankrack.serving.upstreams import UpstreamRecord
-from bankrack.serving.upstreams import Upstreams
 from tests.base import TestCase
 
 
--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -11,8 +11,8 @@
 from bankrack.fleet.store import Item
 from bankrack.fleet.view import View
 from bankrack.serving.client import new_session
+from bankrack.serving.registry import Upstreams
 from bankrack.serving.upstreams import UpstreamRecord
-from bankrack.serving.upstreams import Upstreams
 from store import PlatformStore
 from tests.base import TestCase
 from tests.platform.deployment import running
--- a/tests/platform/test_following.py
+++ b/tests/platform/test_following.py
@@ -4,11 +4,11 @@
 import time
 
 from bankrack.clock import boottime
+from bankrack.fleet.confirmedview import MAX_DENIAL_VIEW_AGE_SECONDS
 from bankrack.fleet.documents import Member
 from bankrack.fleet.follower import OUTAGE_SECONDS
 from bankrack.gateway import APPLY_INTERVAL_SECONDS
 from bankrack.gateway import Gateway
-from bankrack.gateway import MAX_DENIAL_VIEW_AGE_SECONDS
 from bankrack.serving import pools
 from tests.base import TestCase
 from tests.platform.deployment import Deployment
@@ -74,7 +74,7 @@
             await until(lambda: not gateway.follower.store_reachable)
             calls = len(deployment.store.calls)
             began = boottime()
-            confirmed = [await gateway.confirm() for _ in range(50)]
+            confirmed = [await gateway.configuration.confirm() for _ in range(50)]
             self.assertFalse(any(confirmed))
             self.assertLess(boottime() - began, 0.3)
             self.assertLess(len(deployment.store.calls) - calls, 5)
--- a/tests/platform/test_refusals.py
+++ b/tests/platform/test_refusals.py
@@ -3,8 +3,8 @@
 import asyncio
 
 from bankrack.clock import boottime
+from bankrack.fleet.confirmedview import MAX_DENIAL_VIEW_AGE_SECONDS
 from bankrack.fleet.messages import RunUpdate
-from bankrack.gateway import MAX_DENIAL_VIEW_AGE_SECONDS
 from tests.base import TestCase
 from tests.platform.deployment import running
 from tests.platform.deployment import until
--- a/tests/serving/test_notices.py
+++ b/tests/serving/test_notices.py
@@ -10,10 +10,10 @@
 from bankrack.serving.notices import Notice
 from bankrack.serving.notices import NoticeHandler
 from bankrack.serving.ratelimit import RateLimit
+from bankrack.serving.registry import Upstreams
 from bankrack.serving.upstreams import Load
 from bankrack.serving.upstreams import Upstream
 from bankrack.serving.upstreams import UpstreamRecord
-from bankrack.serving.upstreams import Upstreams
 from tests.base import TestCase
 
 
--- a/tests/serving/test_plain.py
+++ b/tests/serving/test_plain.py
@@ -16,12 +16,12 @@
 from bankrack.serving.job import Job
 from bankrack.serving.job import RequestKind
 from bankrack.serving.plain import PlainRelay
+from bankrack.serving.registry import Upstreams
 from bankrack.serving.relay import RelayDependencies
 from bankrack.serving.routing import Route
 from bankrack.serving.routing import Service
 from bankrack.serving.sending import BodiesInFlight
 from bankrack.serving.upstreams import UpstreamRecord
-from bankrack.serving.upstreams import Upstreams
 from tests.base import TestCase
 
 BREAKS = 0
--- a/tests/serving/test_upstreams.py
+++ b/tests/serving/test_upstreams.py
@@ -1,9 +1,9 @@
 """Tests of the registry of upstreams."""
 
+from bankrack.serving.registry import MAX_REMOVED
+from bankrack.serving.registry import Upstreams
 from bankrack.serving.upstreams import EngineReport
-from bankrack.serving.upstreams import MAX_REMOVED
 from bankrack.serving.upstreams import UpstreamRecord
-from bankrack.serving.upstreams import Upstreams
 from tests.base import TestCase
 
 
