Retests of excluded upstreams and short deadlines no longer cost callers

Cause, found in review: a retest that was refused was sent to the same upstream again, four times; a request whose caller had 20 ms left counted as the upstream's failure; a retest was sent though no retry was left; a notification that was sent again was applied again; tasks outlived the component. Result: the new test of a refused retest passes, and fails on the code before.

--- a/src/bankrack/fleet/outlierupdates.py
+++ b/src/bankrack/fleet/outlierupdates.py
@@ -7,8 +7,11 @@
 """
 
 import asyncio
+import collections
 import contextlib
+import itertools
 import logging
+import random
 import typing as t
 
 import msgspec
@@ -30,6 +33,9 @@
 GATHER_SECONDS = 0.15
 """Longest wait for the responses of members before an upstream is judged."""
 LOG_INTERVAL_SECONDS = 1.0
+MAX_APPLIED = 4_096
+"""Messages that are recognized when they are sent again; far more than a fleet sends
+within the time of all retries."""
 
 _logger = logging.getLogger(__name__)
 
@@ -74,6 +80,8 @@
     :param hall: of the sender.
     :param served: upstreams that served a retest.
     :param readmitted: upstreams that served enough of them.
+    :param serial: differs between the sender's messages, as one that is sent again is
+        applied once.
     """
 
     hall: str
@@ -81,6 +89,7 @@
     exclusions: t.Annotated[list[ExclusionMessage], _MAX_ENTRIES]
     served: t.Annotated[list[str], _MAX_ENTRIES]
     readmitted: t.Annotated[list[str], _MAX_ENTRIES]
+    serial: int = 0
 
 
 class ServedMessage(msgspec.Struct, array_like=True):
@@ -105,12 +114,35 @@
         self._monitor = monitor
         self._notifying: set[asyncio.Task[None]] = set()
         self._logged_at = 0.0
+        # A restarted node must not repeat the serials of its last life.
+        self._serials = itertools.count(random.getrandbits(48))
+        self._applied: collections.OrderedDict[tuple[str, int], None] = (
+            collections.OrderedDict()
+        )
 
     async def handle(self, request: web.Request) -> web.Response:
         """Apply the notification of another node."""
         message = decode_message(await request.read(), OutlierMessage)
         source = request.query.get("from", "")
+        if self._is_new(source, message.serial):
+            self._apply_message(source, message)
         known = []
+        for failure in message.failures:
+            ages = [int(1000 * age) for age in self._monitor.served_ages(failure.id)]
+            known.append(ServedMessage(failure.id, ages, self._exclusion(failure.id)))
+        return web.Response(body=msgspec.msgpack.encode(known))
+
+    def _is_new(self, source: str, serial: int) -> bool:
+        """Whether a message was not applied yet; one without serial is always new."""
+        key = source, serial
+        if serial and key in self._applied:
+            return False
+        self._applied[key] = None
+        if len(self._applied) > MAX_APPLIED:
+            self._applied.popitem(last=False)
+        return True
+
+    def _apply_message(self, source: str, message: OutlierMessage) -> None:
         for failure in message.failures:
             self._monitor.take_failure(
                 failure.id,
@@ -119,24 +151,25 @@
                 hall=message.hall,
                 answered=failure.answered,
             )
-            ages = [int(1000 * age) for age in self._monitor.served_ages(failure.id)]
-            known.append(ServedMessage(failure.id, ages, self._exclusion(failure.id)))
         for exclusion in message.exclusions:
             self._apply(exclusion)
         for upstream_id in message.served:
             self._monitor.take_served_retest(upstream_id)
         for upstream_id in message.readmitted:
             self._monitor.readmit(upstream_id, f"told by {source}")
-        return web.Response(body=msgspec.msgpack.encode(known))
 
     async def run(self) -> None:
         """Notify all members of this node's updates, until cancelled."""
-        while True:
-            await self._monitor.has_updates.wait()
-            notifying = asyncio.create_task(self._notify())
-            self._notifying.add(notifying)
-            notifying.add_done_callback(self._notifying.discard)
-            await asyncio.sleep(BATCH_SECONDS)
+        try:
+            while True:
+                await self._monitor.has_updates.wait()
+                notifying = asyncio.create_task(self._notify())
+                self._notifying.add(notifying)
+                notifying.add_done_callback(self._notifying.discard)
+                await asyncio.sleep(BATCH_SECONDS)
+        finally:
+            for notifying in list(self._notifying):
+                notifying.cancel()
 
     async def _notify(self) -> None:
         """Notify all members, then judge the upstreams that failed."""
@@ -151,12 +184,15 @@
                 on_response=lambda member, body: self._gather(served, member, body),
             )
         )
-        if failures:
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(responded.wait(), GATHER_SECONDS)
-            for upstream_id in failures:
-                self._monitor.judge(upstream_id, served.get(upstream_id, ()))
-        untold = await sending
+        try:
+            if failures:
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(responded.wait(), GATHER_SECONDS)
+                for upstream_id in failures:
+                    self._monitor.judge(upstream_id, served.get(upstream_id, ()))
+            untold = await sending
+        finally:
+            sending.cancel()
         now = boottime()
         if now > self._logged_at + LOG_INTERVAL_SECONDS:
             self._logged_at = now
@@ -185,6 +221,7 @@
             [e for e in exclusions if e is not None],
             monitor.served[:64],
             monitor.readmitted[:64],
+            next(self._serials),
         )
         monitor.failed_by_id.clear()
         monitor.changed.clear()
--- a/src/bankrack/serving/choice.py
+++ b/src/bankrack/serving/choice.py
@@ -112,7 +112,8 @@
         if any(upstream.excluded_until for upstream in candidates):
             now = self._clock()
             in_use = [u for u in candidates if not u.excluded(now)] or candidates
-            if may_retest and (due := self._due_for_retest(candidates, in_use, now)):
+            untried = [u for u in candidates if u.id not in avoid]
+            if may_retest and (due := self._due_for_retest(untried, in_use, now)):
                 return due
         score = self._plain_score if repeatable else self._unrepeatable_score
         return self._lowest_score(in_use, avoid, score)
--- a/src/bankrack/serving/outliers.py
+++ b/src/bankrack/serving/outliers.py
@@ -136,6 +136,11 @@
 
     # Outcomes of this node's requests
 
+    def note_unreachable(self, upstream: Upstream) -> None:
+        """Record that nothing could be sent, which fails the retest of an exclusion."""
+        if upstream.excluded_until and upstream.excluded(self._clock()):
+            self.note_failed(upstream)
+
     def note_failed(self, upstream: Upstream, *, answered: bool = False) -> None:
         """Record that a request failed here after the upstream may have run it.
 
--- a/src/bankrack/serving/plain.py
+++ b/src/bankrack/serving/plain.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import typing as t
 
 from bankrack import logs
 from bankrack.clock import boottime
@@ -56,6 +57,7 @@
                 continue
             except UpstreamUnreachable as error:
                 self._dependencies.chooser.suspect(upstream)
+                self._dependencies.outliers.note_unreachable(upstream)
                 attempts.unreachable(upstream)
                 self._log(work, upstream, "unreachable", error.message)
                 continue
@@ -130,9 +132,7 @@
             candidates,
             avoid=attempts.avoid,
             repeatable=repeatable,
-            may_retest=repeatable
-            and attempts.count == 0
-            and work.route.max_upstreams > 1,
+            may_retest=repeatable and self._may_retest(work, attempts, candidates),
         )
         if upstream is None:
             backoff_left = self._dependencies.upstreams.backoff_left(work.service.name)
@@ -151,6 +151,17 @@
             )
         return upstream
 
+    def _may_retest(
+        self, work: Assignment, attempts: "_Attempts", candidates: t.Iterable[Upstream]
+    ) -> bool:
+        """Whether a repeatable request could still be retried after a failed retest."""
+        return (
+            attempts.count == 0
+            and work.route.max_upstreams > 1
+            and any(upstream.excluded_until for upstream in candidates)
+            and self._dependencies.budget.allowed(work.service.name) >= 1.0
+        )
+
     async def _with_room(
         self, work: Assignment, candidates: list[Upstream]
     ) -> list[Upstream]:
@@ -194,6 +205,7 @@
             )
         upstream.in_flight += 1
         exchange: Exchange | None = None
+        sent_at = boottime()
         try:
             async with asyncio.timeout(self._attempt_seconds(work, attempts)):
                 exchange = await self._dependencies.client.open(send)
@@ -201,12 +213,11 @@
                 body = None if head.not_run else await exchange.read()
         except asyncio.CancelledError:
             # The deadline of the whole request may pass first.
-            if work.time_left() <= 0.0:
-                self._dependencies.outliers.note_failed(upstream)
+            self._note_deadline(work, upstream, sent_at)
             raise
         except TimeoutError as error:
             if work.time_left() <= 0.0:
-                self._dependencies.outliers.note_failed(upstream)
+                self._note_deadline(work, upstream, sent_at)
                 raise
             attempts.count += 1
             raise UpstreamFailed("the upstream did not respond in time") from error
@@ -220,6 +231,18 @@
         attempts.count += 1
         return None if body is None else whole_answer(head, body)
 
+    def _note_deadline(
+        self, work: Assignment, upstream: Upstream, sent_at: float
+    ) -> None:
+        """Record that an upstream did not respond before the caller's deadline.
+
+        It speaks against the upstream only if it had the time in which requests of the
+        route are usually served.
+        """
+        waited = boottime() - sent_at
+        if work.time_left() <= 0.0 and waited >= work.route.target_latency:
+            self._dependencies.outliers.note_failed(upstream)
+
     def _attempt_seconds(self, work: Assignment, attempts: "_Attempts") -> float:
         left = work.time_left()
         if work.route.kind is not RequestKind.REPEATABLE or attempts.count > 0:
--- a/tests/serving/test_plain.py
+++ b/tests/serving/test_plain.py
@@ -5,6 +5,7 @@
 
 from bankrack.clock import boottime
 from bankrack.exceptions import UpstreamFailed
+from bankrack.exceptions import UpstreamUnreachable
 from bankrack.metrics import GatewayMetrics
 from bankrack.serving.assignment import Assignment
 from bankrack.serving.budget import RetryBudgetPolicy
@@ -24,6 +25,8 @@
 from bankrack.serving.upstreams import UpstreamRecord
 from tests.base import TestCase
 
+REFUSES = -1
+"""Scripted status of a connection that is refused."""
 BREAKS = 0
 """Scripted status of an answer that breaks off in its body."""
 NOT_RUN = 503
@@ -53,7 +56,10 @@
 
     async def open(self, send: Send) -> ScriptedExchange:
         self.upstreams.append(send.upstream.id)
-        return ScriptedExchange(next(self._statuses))
+        status = next(self._statuses)
+        if status == REFUSES:
+            raise UpstreamUnreachable("connection refused")
+        return ScriptedExchange(status)
 
 
 class RecordingCrashes:
@@ -98,6 +104,7 @@
         outliers = types.SimpleNamespace(
             note_failed=lambda upstream, **_: self.failed.append(upstream.id),
             note_served=lambda upstream: None,
+            note_unreachable=lambda upstream: self.failed.append(upstream.id),
         )
         relay = PlainRelay(
             RelayDependencies(
@@ -130,6 +137,15 @@
         await self.serve(500, 200)
         self.assertEqual(self.client.upstreams[:1], self.failed)
 
+    async def test_retest_that_is_refused_is_not_repeated(self):
+        excluded = self.upstreams.by_id["u-1"]
+        excluded.exclude(boottime() + 9.0, retest_at=0.0, early_retest_at=0.0)
+        outcome = await self.serve(REFUSES, 200)
+        self.assertEqual("u-1", self.client.upstreams[0])
+        self.assertNotEqual("u-1", self.client.upstreams[1])
+        self.assertEqual(["u-1"], self.failed)
+        self.assertTrue(outcome.startswith("200"))
+
     async def test_each_attempt_counts_once(self):
         """Four attempts are allowed, of which two may run."""
         outcome = await self.serve(BREAKS, NOT_RUN, NOT_RUN, 200)
