A refusal to a caller that waits for 100 Continue closes the connection

Cause, found in review: the body that such a caller never sends was awaited for 5 s, and the next request on the connection was taken for it. A reply that was cut could be accounted for once more by its writer. Change: the connection is closed after the refusal; a reply without account is not counted. Result: the modules' tests pass; neither has a test of its own yet.

--- a/src/bankrack/front/callerserver.py
+++ b/src/bankrack/front/callerserver.py
@@ -183,6 +183,10 @@
         lose the refusal.
         """
         job: Job | None = None
+        # A caller that waits for the interim response will not send the body.
+        waits = "Expect" in request.headers and request.content_length is not None
+        if waits:
+            reply.close_connection()
         try:
             job = self._dialect.decode(_request_head(request, arrived), b"")
             error.retry_after = job.retry_after
@@ -190,6 +194,8 @@
             await self._refuse(reply, error, job)
         except InvalidRequest as invalid:
             await self._refuse(reply, invalid, None)
+        if waits:
+            return
         with contextlib.suppress(
             TimeoutError, OSError, aiohttp.ClientError, web.RequestPayloadError
         ):
--- a/src/bankrack/front/httpreply.py
+++ b/src/bankrack/front/httpreply.py
@@ -64,6 +64,10 @@
         self._limit = limit
         self._max_silence = max_silence
 
+    def close_connection(self) -> None:
+        """Close the connection after the response."""
+        self._closing = True
+
     async def answer(self, answer: Answer) -> None:
         """Write a complete response."""
         response = web.StreamResponse(status=answer.status)
--- a/src/bankrack/front/unreadreplies.py
+++ b/src/bankrack/front/unreadreplies.py
@@ -135,6 +135,9 @@
 
     def must_wait(self, reply: WatchedReply, written: int) -> bool:
         """Account for written bytes; returns whether to wait until some were read."""
+        if reply.cut is None:
+            # It was cut, or has ended, and is no longer accounted for.
+            return False
         self.held += reply.measure(written)
         return isinstance(may_hold(reply.held, self.held, self.limits), Wait)
 
