Slow moments: an engine that does not respond to a probe counts as slow

Cause, found in review: a hung engine cost each run 50 ms a round and stayed first; one figure of a slow moment was learned once a second as long as its stream ran; hazards of all known engines were computed anew for each unknown one; clocks were read where engines state no slowdown; an owner that does not know of paces rejected whole batches of updates. Change: unreachable engines are not probed, a failed probe counts as slow; figures are learned once, when fresh; the shared parts of the hazard are cached, the engine observed least recently is forgotten first; paces are sent in messages of their own.

--- a/src/bankrack/fleet/poolowners.py
+++ b/src/bankrack/fleet/poolowners.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+import math
 import typing as t
 
 import aiohttp
@@ -254,8 +255,11 @@
 
     def began(self, work: Assignment, engine: Upstream, *, took: float) -> None:
         """Report that a run produced its first event on ``engine``."""
-        age = self._clock() - engine.slowdown_at
-        if age > FRESH_SECONDS or not self._upstreams.uneven(work.service.name):
+        if (
+            math.isinf(engine.slowdown_at)
+            or self._clock() - engine.slowdown_at > FRESH_SECONDS
+            or not self._upstreams.uneven(work.service.name)
+        ):
             self._queue_update(work, "began", engine.id, took=took)
             return
         self._append_update(
@@ -311,11 +315,13 @@
             await asyncio.sleep(FLUSH_INTERVAL_SECONDS)
             self._has_updates.clear()
             updates, self._updates = self._updates, []
-            updates_by_pool: dict[int, list[RunUpdate]] = {}
+            # An owner that does not know of paces rejects a message as a whole.
+            batches: dict[tuple[int, bool], list[RunUpdate]] = {}
             for update in updates:
-                updates_by_pool.setdefault(update.pool, []).append(update)
-            for pool, of_pool in updates_by_pool.items():
-                await self._send_updates(pool, of_pool)
+                key = update.pool, update.kind == "paced"
+                batches.setdefault(key, []).append(update)
+            for (pool, _), batch in batches.items():
+                await self._send_updates(pool, batch)
 
     async def _send_updates(self, pool: int, updates: list[RunUpdate]) -> None:
         owner = self.owner(pool)
--- a/src/bankrack/serving/enginefinder.py
+++ b/src/bankrack/serving/enginefinder.py
@@ -1,7 +1,6 @@
 """Finds an engine with room for a run, and reserves it."""
 
 import asyncio
-import contextlib
 import dataclasses
 import random
 import typing as t
@@ -121,7 +120,9 @@
         unreachable: set[str] = set()
         while True:
             ordered = await self._wait_for_admission(work, traits, log, tried)
-            engines = await self._avoid_slow_moments(ordered.engines, work, traits)
+            engines = await self._avoid_slow_moments(
+                ordered.engines, work, traits, unreachable=unreachable
+            )
             if not traits.max_reservation_seconds:
                 return self._choose(work, engines[0], None, ordered)
             for engine in engines[:MAX_ENGINES_ASKED]:
@@ -144,7 +145,12 @@
             await asyncio.sleep(RESERVATION_INTERVAL_SECONDS * (0.5 + random.random()))
 
     async def _avoid_slow_moments(
-        self, engines: list[Upstream], work: Assignment, traits: EngineTraits
+        self,
+        engines: list[Upstream],
+        work: Assignment,
+        traits: EngineTraits,
+        *,
+        unreachable: t.Collection[str],
     ) -> list[Upstream]:
         """Move the first engine that is not slow at this moment to the front.
 
@@ -152,7 +158,8 @@
         """
         if not traits.health_path or not self._upstreams.uneven(work.service.name):
             return engines
-        for engine in engines[:MAX_PROBED]:
+        reached = [engine for engine in engines if engine.id not in unreachable]
+        for engine in reached[:MAX_PROBED]:
             if not await self._is_slow_now(engine, work, traits):
                 return [engine, *(other for other in engines if other is not engine)]
         return engines
@@ -160,13 +167,18 @@
     async def _is_slow_now(
         self, engine: Upstream, work: Assignment, traits: EngineTraits
     ) -> bool:
-        """Whether reading a prompt now would pause the engine's streams too long."""
+        """Whether reading a prompt now would pause the engine's streams too long.
+
+        An engine that does not respond counts as slow.
+        """
         if engine.limit.bounded or not engine.is_available(boottime()):
             return False
         if boottime() - engine.slowdown_at > FRESH_SECONDS:
-            with contextlib.suppress(BankrackError, TimeoutError):
+            try:
                 async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
                     await self._control.probe(engine, traits.health_path)
+            except (BankrackError, TimeoutError):
+                return True
         service = work.service.name
         gap = self._chooser.speeds_of(service).unit_gap
         return is_slow_moment(
--- a/src/bankrack/serving/enginelink.py
+++ b/src/bankrack/serving/enginelink.py
@@ -3,6 +3,7 @@
 import math
 
 from bankrack.clock import boottime
+from bankrack.decisions.pauses import FRESH_SECONDS
 from bankrack.decisions.pauses import Stakes
 from bankrack.exceptions import UpstreamUnreachable
 from bankrack.serving.advisor import PlacementAdvisor
@@ -126,8 +127,18 @@
         engine.note_sent(prompt, sent_at)
         chooser.pace_of(work.service.name).began(prompt, took)
         chooser.answered(engine, failed=False)
+        if not math.isinf(engine.slowdown_at):
+            self._note_stated(engine)
         self._advisor.began(work, engine, took=took)
 
+    def _note_stated(self, engine: Upstream) -> None:
+        """Record the slowdown that an engine has just stated."""
+        service = self._work.service.name
+        fresh = boottime() - engine.slowdown_at <= FRESH_SECONDS
+        if fresh and self._dependencies.upstreams.uneven(service):
+            speeds = self._dependencies.chooser.speeds_of(service)
+            speeds.observe_stated(engine.id, engine.slowdown)
+
     def _note_paced(self, gaps: GapMeter) -> None:
         """Tell the pool owner how far apart the run's events are, if engines differ."""
         engine, work = self.engine, self._work
@@ -139,14 +150,13 @@
         ):
             stakes = Stakes(work.route.gap_target, work.route.target_latency)
             speeds = self._dependencies.chooser.speeds_of(work.service.name)
-            speeds.observe_stated(engine.id, engine.slowdown)
             speeds.observe_gaps(engine.id, gaps.base, stakes)
             self._advisor.paced(work, gaps)
 
     def disconnect(self) -> None:
         """Close the connection, which makes the engine stop the run."""
         if self.exchange is not None:
-            self._forwarder.gaps.report(boottime())
+            self._forwarder.gaps.report(self._forwarder.last_at)
             self.exchange.close()
             self.exchange = None
         if self.engine is not None:
--- a/src/bankrack/serving/enginespeeds.py
+++ b/src/bankrack/serving/enginespeeds.py
@@ -70,10 +70,12 @@
         "_gaps_by_engine",
         "_hazard_by_engine",
         "_logged_by_engine",
+        "_mean",
         "_pauses",
         "_speed_by_engine",
         "_stakes",
         "_stated_by_engine",
+        "_unavoidable",
         "_usual_gap",
         "_usual_stated",
         "active",
@@ -93,6 +95,8 @@
         )
         self._stakes: Stakes | None = None
         self._stated_by_engine: dict[str, collections.deque[float]] = {}
+        self._mean: float | None = None
+        self._unavoidable: float | None = None
         self._usual_gap: float | None = None
         self._usual_stated: float | None = None
 
@@ -144,17 +148,29 @@
             if engine in self._speed_by_engine:
                 found = self._excess_hazard(self.factor(engine))
             else:
-                found = statistics.fmean(map(self.hazard, self._speed_by_engine))
+                found = self._mean_hazard()
             self._hazard_by_engine[engine] = found
         return found
 
+    def _mean_hazard(self) -> float:
+        if self._mean is None:
+            self._mean = statistics.fmean(map(self.hazard, self._speed_by_engine))
+        return self._mean
+
+    def _forget_hazards(self) -> None:
+        """Discard the cached hazards after an observation."""
+        self._hazard_by_engine.clear()
+        self._mean = self._unavoidable = None
+
     def _excess_hazard(self, factor: float) -> float:
         """Hazard without pauses that the fastest engine has as well.
 
         These have another cause, such as preemptions.
         """
-        fastest = min(map(self.factor, self._speed_by_engine))
-        return max(0.0, self._hazard_of(factor) - self._hazard_of(fastest))
+        if self._unavoidable is None:
+            fastest = min(map(self.factor, self._speed_by_engine))
+            self._unavoidable = self._hazard_of(fastest)
+        return max(0.0, self._hazard_of(factor) - self._unavoidable)
 
     def _hazard_of(self, factor: float) -> float:
         assert self._usual_gap is not None
@@ -172,8 +188,8 @@
         last = self._speed_by_engine.get(engine, UNKNOWN)
         self._speed_by_engine[engine] = observe(last, kind, ratio)
         self._factor_by_engine.pop(engine, None)
-        self._hazard_by_engine.clear()
-        self._limit_engines()
+        self._forget_hazards()
+        self._limit_engines(engine)
         self._log(engine)
 
     def observe_gaps(self, engine: str, gap: float, stakes: Stakes) -> None:
@@ -188,8 +204,8 @@
         self._gaps_by_engine[engine] = gaps.with_gap(gap)
         self._usual_gap = usual(gaps.mean for gaps in self._gaps_by_engine.values())
         self._factor_by_engine.clear()
-        self._hazard_by_engine.clear()
-        self._limit_engines()
+        self._forget_hazards()
+        self._limit_engines(engine)
         self._log(engine)
 
     def observe_stated(self, engine: str, slowdown: float) -> None:
@@ -204,8 +220,8 @@
         stated.append(slowdown)
         self._usual_stated = usual(map(_base, self._stated_by_engine.values()))
         self._factor_by_engine.clear()
-        self._hazard_by_engine.clear()
-        self._limit_engines()
+        self._forget_hazards()
+        self._limit_engines(engine)
         self._log(engine)
 
     def observe_stream(
@@ -219,7 +235,7 @@
         """
         if events >= MIN_STREAM_EVENTS and gap > 0.0:
             self._pauses.append(StreamPause(longest_pause / gap, prompts))
-            self._hazard_by_engine.clear()
+            self._forget_hazards()
 
     def describe(self) -> dict[str, t.Any]:
         """Return the speeds for the state dump."""
@@ -234,7 +250,9 @@
             }
         return found
 
-    def _limit_engines(self) -> None:
+    def _limit_engines(self, observed: str) -> None:
+        """Forget the engine that was not observed for longest beyond the limit."""
+        self._speed_by_engine.move_to_end(observed)
         if len(self._speed_by_engine) <= MAX_ENGINES:
             return
         gone, _ = self._speed_by_engine.popitem(last=False)
