Pools and crowded pools: a run is counted, queued and told a time in one pool only

Change: a run that has waited is only placed in the second pool; queries that are not to queue count and book nothing; services with several pools book no returns; times are bounded; needs are bounded by the pool; the clock is read while a change is due.

--- a/src/bankrack/decisions/calendar.py
+++ b/src/bankrack/decisions/calendar.py
@@ -120,11 +120,11 @@
     :param arrivals: runs that go before it if they come before it begins.
     """
     pool = _Pool(outlook)
-    queue = collections.deque(ahead)
+    queue = collections.deque(pool.bounded(other) for other in ahead)
     coming = collections.deque(sorted(arrivals, key=lambda one: one.seconds))
     while pool.now <= horizon:
         while coming and coming[0].seconds <= pool.now:
-            queue.append(coming.popleft().stay)
+            queue.append(pool.bounded(coming.popleft().stay))
         head = queue[0] if queue else stay
         ready_at = pool.ready_at(head)
         if ready_at <= pool.now:
@@ -142,7 +142,7 @@
 class _Pool:
     """All engines of a pool as one, in the time of a forecast."""
 
-    __slots__ = ("_ends", "_free", "_outlook", "_read_at", "now")
+    __slots__ = ("_ends", "_free", "_outlook", "_read_at", "_total", "now")
 
     def __init__(self, outlook: Outlook) -> None:
         self.now = 0.0
@@ -151,6 +151,15 @@
         self._read_at = outlook.unread / outlook.read_rate
         self._ends = [(one.seconds, one.tokens) for one in outlook.releases]
         heapq.heapify(self._ends)
+        self._total = self._free + sum(tokens for _, tokens in self._ends)
+
+    def bounded(self, stay: Stay) -> Stay:
+        """A stay that fits into the pool once all of its runs have ended.
+
+        One stay may stand for all runs of a moment, and must not block those behind it
+        for good.
+        """
+        return dataclasses.replace(stay, need=min(stay.need, self._total))
 
     def ready_at(self, stay: Stay) -> float:
         """Time of the next event that may make room for a run; now if there is room."""
--- a/src/bankrack/decisions/poolcount.py
+++ b/src/bankrack/decisions/poolcount.py
@@ -67,7 +67,10 @@
         if count is None:
             count = self._count_by_service[service] = _Count(now, 1, 1, now)
         self._update(count, now)
-        if wanted != count.wanted and count.wanted == count.pools:
+        grows = wanted > count.pools
+        if wanted != count.wanted and (
+            count.wanted == count.pools or grows != (count.wanted > count.pools)
+        ):
             count.wanted_since = now
         count.wanted = wanted
         if engines > MAX_ENGINES_PER_POOL * count.pools:
@@ -79,7 +82,8 @@
         count = self._count_by_service.get(service)
         if count is None:
             return 1
-        self._update(count, self._clock())
+        if count.wanted != count.pools:
+            self._update(count, self._clock())
         return count.pools
 
     def _update(self, count: _Count, now: float) -> None:
--- a/src/bankrack/decisions/pooloverflow.py
+++ b/src/bankrack/decisions/pooloverflow.py
@@ -89,7 +89,9 @@
             return None
         case Refuse():
             # A run is refused only by the word of both owners.
-            return AskSecond(queue=True)
+            # One that has waited keeps its start deadline, which a second queue would
+            # count anew.
+            return AskSecond(queue=not waited)
         case Wait(expected=expected):
             if not waited and expected is not None and expected < MIN_RETRY_SECONDS:
                 return None
@@ -115,15 +117,22 @@
     second: bool
 
 
-def settle(first: Verdict | None, second: Verdict | None, *, may_move: bool) -> Outcome:
+def settle(
+    first: Verdict | None,
+    second: Verdict | None,
+    *,
+    may_move: bool,
+    may_queue: bool = True,
+) -> Outcome:
     """Decide where a run goes by the verdicts of both owners.
 
     :param may_move: the run may leave the first pool's queue for the second one's.
+    :param may_queue: a run that the first pool refuses may wait in the second one.
     """
     match first, second:
         case _, Admit(engines) if engines:
             return Outcome(second, second=True)
-        case Refuse(), Wait():
+        case Refuse(), Wait() if may_queue:
             return Outcome(second, second=True)
         case Refuse(expected=own), Refuse(expected=other):
             expected = min(own, other)
--- a/src/bankrack/fleet/ledgers.py
+++ b/src/bankrack/fleet/ledgers.py
@@ -71,7 +71,9 @@
             silence_left=query.silence_left,
             cold_rate=query.cold_rate,
             workspace=self._digest_or_unknown(query.workspace),
-            caller=self._digest_or_unknown(query.caller),
+            # A return begins in another pool, which does not know the booking.
+            caller=self._digest_or_unknown(query.caller) if query.pools == 1 else "",
+            queue=query.queue,
         )
         allocator = self._allocator(query.service, query.pool)
         if query.pools > 1:
--- a/src/bankrack/fleet/messages.py
+++ b/src/bankrack/fleet/messages.py
@@ -113,7 +113,7 @@
     :param returning: whether the run is the booked return of its caller.
     """
 
-    booked: float | None = None
+    booked: t.Annotated[float, msgspec.Meta(ge=0.0, le=MAX_SECONDS)] | None = None
     workspace_share: float = 0.0
     returning: bool = False
 
@@ -124,7 +124,8 @@
         case Admit(engines, backup_fits):
             return PlacementResponse(list(engines), reports, backup_fits=backup_fits)
         case Wait(seconds, ahead, expected, queueing):
-            response = PlacementResponse([], [], "wait", seconds, ahead, expected)
+            bounded = None if expected is None else min(expected, MAX_SECONDS)
+            response = PlacementResponse([], [], "wait", seconds, ahead, bounded)
             return _with_queueing(response, queueing)
         case Refuse(ahead, expected, booked, queueing):
             expected = min(expected, MAX_SECONDS)
@@ -146,7 +147,7 @@
         response.ahead,
         response.expected,
         response.backup_fits,
-        booked,
+        None if booked is None else min(booked, MAX_SECONDS),
         queueing.workspace_share,
         queueing.returning,
     )
--- a/src/bankrack/fleet/poolrooms.py
+++ b/src/bankrack/fleet/poolrooms.py
@@ -107,7 +107,12 @@
             answer = await self._ask_second(work, second, question.queue, ask)
             self._note(work, second, size, answer)
             self._log(work, first, second, verdict, answer)
-            outcome = settle(verdict, answer, may_move=not place.moved)
+            outcome = settle(
+                verdict, answer, may_move=not place.moved, may_queue=question.queue
+            )
+            if not outcome.second and isinstance(answer, None | Admit):
+                # It may have placed the run, on engines that are closed to this node.
+                self._leave(work, second)
         self._move(work, place, first)
         match outcome.verdict:
             case None | Admit(engines=()):
@@ -193,15 +198,6 @@
         ]
 
 
-def _next_place(
-    place: _Place | None, pool: int, verdict: Verdict | None, *, moves: bool
-) -> _Place:
-    waits = isinstance(verdict, Wait)
-    if place is None:
-        return _Place(pool, moved=moves, waited=waits)
-    return _Place(pool, moved=moves or place.moved, waited=waits or place.waited)
-
-
 def _name(verdict: Verdict | None) -> str:
     """The name of a verdict in logs and metrics."""
     match verdict:
--- a/src/bankrack/placement/allocation.py
+++ b/src/bankrack/placement/allocation.py
@@ -68,6 +68,8 @@
     :param silence_left: seconds until the caller gives up if it receives nothing.
     :param cold_rate: runs per second that may be placed on an engine while it is cold;
         0 for no limit.
+    :param queue: the run is queued here if it has to wait; otherwise it waits in
+        another pool, and is neither counted nor told a time here.
     :param workspace: digest of the caller's workspace; empty if unknown.
     :param caller: equal for all attempts of a caller's request; empty if unknown.
     """
@@ -81,6 +83,7 @@
     left: float
     silence_left: float
     cold_rate: float = 0.0
+    queue: bool = True
     workspace: str = ""
     caller: str = ""
 
@@ -172,8 +175,9 @@
             and ledger.pauses_everywhere(engines, verdict.engines, request.demand)
         ):
             verdict = Wait(PAUSE_RETRY_SECONDS, 0, None)
-        self.crowding.note_decision(candidate, verdict, now, is_first=not waits)
-        if forecast is not None:
+        is_first = not waits and request.queue
+        self.crowding.note_decision(candidate, verdict, now, is_first=is_first)
+        if forecast is not None and request.queue:
             verdict = self.crowding.explain(
                 verdict, forecast, caller=request.caller, left=request.left
             )
--- a/src/bankrack/placement/crowding.py
+++ b/src/bankrack/placement/crowding.py
@@ -131,7 +131,7 @@
             case Refuse():
                 self.refused += 1
                 booked = self._book(caller, forecast, left)
-                expected = min(verdict.expected, left)
+                expected = max(0.0, min(verdict.expected, left))
                 return Refuse(verdict.ahead, expected, booked, queueing)
         return verdict
 
--- a/tests/decisions/test_calendar.py
+++ b/tests/decisions/test_calendar.py
@@ -43,6 +43,11 @@
         early = Arrival(0.5, RUN)
         self.assertAlmostEqual(2.0, start(outlook(1.0, 2.0), arrivals=[early]))
 
+    def test_arrivals_of_a_moment_do_not_block_the_pool_for_good(self):
+        burst = Arrival(0.5, Stay(need=5000.0, prompt=5000.0, seconds=2.0))
+        pool = outlook(1.0, 2.0, 3.0, 4.0)
+        self.assertLess(start(pool, ahead=1, arrivals=[burst]), 10.0)
+
     def test_start_beyond_the_horizon_or_never_is_infinite(self):
         self.assertEqual(math.inf, start(outlook(9.0), horizon=5.0))
         self.assertEqual(math.inf, start(outlook()))
--- a/tests/decisions/test_pooloverflow.py
+++ b/tests/decisions/test_pooloverflow.py
@@ -39,6 +39,13 @@
         self.assertIsNotNone(self.ask(LONG, second_at=99.9, tokens=500))
         self.assertIsNotNone(self.ask(LONG, second_at=100.0 - FULL_SECONDS))
 
+    def test_refused_run_that_waited_is_not_queued_anew(self):
+        """A second queue would count its start deadline from then on."""
+        question = self.ask(NO, waited=True)
+        self.assertEqual(AskSecond(queue=False), question)
+        found = settle(NO, LONG, may_move=False, may_queue=question.queue)
+        self.assertEqual(Outcome(NO, second=False), found)
+
     def test_verdict_that_holds(self):
         less = Wait(0.3, 1, 2.5)
         for first, second, expected in (
