--- a/src/bankrack/placement/allocation.py
+++ b/src/bankrack/placement/allocation.py
@@ -169,12 +169,12 @@
             start=None if waits or forecast is None else forecast.start,
             keep=waits and forecast is not None,
         )
-        if (
-            isinstance(verdict, Admit)
-            and candidate.due > now
-            and ledger.pauses_everywhere(engines, verdict.engines, request.demand)
+        if isinstance(verdict, Admit) and ledger.should_wait_for_speed(
+            engines, verdict.engines, request.demand, due=request.due
         ):
-            verdict = Wait(PAUSE_RETRY_SECONDS, 0, None)
+            # It is not queued: no room is kept for it before others.
+            queue.remove(request.run)
+            return Wait(PAUSE_RETRY_SECONDS, 0, None)
         is_first = not waits and request.queue
         self.crowding.note_decision(candidate, verdict, now, is_first=is_first)
         if forecast is not None and request.queue:
--- a/src/bankrack/placement/ledger.py
+++ b/src/bankrack/placement/ledger.py
@@ -55,6 +55,9 @@
 MISMATCH_COST_PROMPTS = 0.85
 """Cost of an engine that is meant for the other kind of run, in multiples of the
 prompt's read time."""
+MAX_SPEED_WAIT = 0.25
+"""Fraction of the target latency for which a run waits for an engine that does not
+pause it."""
 COMPLETION_COST = 0.25
 """Cost of a second by which a long run ends later, against that of a second by which
 it begins later.  Its caller reads meanwhile, but waits for the end of the answer, and
@@ -354,14 +357,26 @@
             cost += SUSPECT_COST_SECONDS
         return cost + JITTER_COST_SECONDS * self._rng.random()
 
-    def pauses_everywhere(
-        self, engines: t.Sequence[Upstream], names: t.Collection[str], demand: Demand
+    def should_wait_for_speed(
+        self,
+        engines: t.Sequence[Upstream],
+        names: t.Collection[str],
+        demand: Demand,
+        *,
+        due: float,
     ) -> bool:
-        """Whether a long run is likely to be paused too long on all of some engines.
+        """Whether a long run waits for an engine that does not pause it too long.
+
+        It does while all engines with room would, for a small part of its target
+        latency: the rest is needed for its prompt, also on a slow engine.
 
         :param names: ids of the engines that have room for the run.
+        :param due: seconds until the target latency is over.
         """
-        if not self.speeds.active or demand.short:
+        stakes = self.speeds.stakes
+        if not self.speeds.active or stakes is None or demand.short:
+            return False
+        if due < (1.0 - MAX_SPEED_WAIT) * stakes.seconds:
             return False
         return all(
             self._pause_risk.pauses_streams(engine.id, engines=len(engines))
