--- a/src/bankrack/decisions/admissionqueue.py
+++ b/src/bankrack/decisions/admissionqueue.py
@@ -137,13 +137,13 @@
         turn_by_run: dict[str, int] = {}
         if shares is not None:
             turn_by_run = self._turns(candidate, waiting, now, shares, quantum)
-        last_call = None
+        longest_late = None
         if self._passes >= MAX_PASSES:
             late = [other for other in waiting if now > other.due]
-            last_call = min(late, key=lambda other: other.due, default=None)
+            longest_late = min(late, key=lambda other: other.due, default=None)
 
         def key(other: Candidate) -> tuple[t.Any, ...]:
-            first = other is not last_call
+            first = other is not longest_late
             return first, *_key(other, now, turn_by_run.get(other.run, 0))
 
         own = key(candidate)
--- a/src/bankrack/decisions/calendar.py
+++ b/src/bankrack/decisions/calendar.py
@@ -35,7 +35,7 @@
 RETURN_GRACE_SECONDS = 1.5
 """A booking expires this long after its time: a new connection may take a second."""
 CLAIMED_SECONDS = 20.0
-"""The same for a return that waits; its node may have ended under it."""
+"""The same for a return that waits; its node may have ended meanwhile."""
 EXPIRE_INTERVAL_SECONDS = 0.1
 """Bookings are searched for expired ones this often, as each waiting run asks several
 times per second."""
@@ -330,7 +330,7 @@
         self._expire_at = now + EXPIRE_INTERVAL_SECONDS
         for caller, booking in list(self._booking_by_caller.items()):
             claimed = booking.run is not None
-            patience = CLAIMED_SECONDS if claimed else RETURN_GRACE_SECONDS
-            if now > booking.at + patience:
+            seconds = CLAIMED_SECONDS if claimed else RETURN_GRACE_SECONDS
+            if now > booking.at + seconds:
                 self.expired += not claimed
                 del self._booking_by_caller[caller]
--- a/src/bankrack/decisions/outliers.py
+++ b/src/bankrack/decisions/outliers.py
@@ -147,7 +147,7 @@
 def max_excluded(upstreams: int) -> int:
     """Return how many of a service's upstreams may be excluded together.
 
-    At least half of them remain in use: if more seem ill, the failures have another
+    At least half of them remain in use: if more seem to fail, the failures have another
     cause, or the others could not bear the load.
     """
     return upstreams // 2
--- a/src/bankrack/placement/allocation.py
+++ b/src/bankrack/placement/allocation.py
@@ -169,8 +169,11 @@
             start=None if waits or forecast is None else forecast.start,
             keep=waits and forecast is not None,
         )
-        if isinstance(verdict, Admit) and ledger.should_wait_for_speed(
-            engines, verdict.engines, request.demand, due=request.due
+        if isinstance(verdict, Admit) and ledger.pause_risk.should_wait(
+            verdict.engines,
+            request.demand,
+            due=request.due,
+            pool_size=len(engines),
         ):
             # It is not queued: no room is kept for it before others.
             queue.remove(request.run)
@@ -330,6 +333,10 @@
     ) -> tuple[str, ...]:
         """Order the engines with room, the one that begins the run soonest first."""
         ordered = self.ledger.order(
-            engines, request.demand, memory=request.memory, hall=request.hall
+            engines,
+            request.demand,
+            memory=request.memory,
+            hall=request.hall,
+            due=request.due,
         )
         return tuple(engine.id for engine in ordered if engine.id in names)
--- a/src/bankrack/placement/ledger.py
+++ b/src/bankrack/placement/ledger.py
@@ -12,6 +12,7 @@
 
 from bankrack.clock import boottime
 from bankrack.decisions.enginespeed import Kind
+from bankrack.decisions.pauses import DELAY_VALUE
 from bankrack.decisions.pauses import Stakes
 from bankrack.placement.occupancy import Occupancy
 from bankrack.placement.pauserisk import PauseRisk
@@ -55,9 +56,6 @@
 MISMATCH_COST_PROMPTS = 0.85
 """Cost of an engine that is meant for the other kind of run, in multiples of the
 prompt's read time."""
-MAX_SPEED_WAIT = 0.25
-"""Fraction of the target latency for which a run waits for an engine that does not
-pause it."""
 COMPLETION_COST = 0.25
 """Cost of a second by which a long run ends later, against that of a second by which
 it begins later.  Its caller reads meanwhile, but waits for the end of the answer, and
@@ -83,7 +81,7 @@
         self._rng = rng or random.Random()
         self._pace = Pace()
         self.speeds = EngineSpeeds()
-        self._pause_risk = PauseRisk(self.speeds, clock=clock)
+        self.pause_risk = PauseRisk(self.speeds, clock=clock)
         self._short_ids: set[str] = set()
         self._placement_by_run: dict[str, Placement] = {}
         self._short_prompts: collections.deque[tuple[float, int]] = collections.deque()
@@ -101,7 +99,7 @@
         others = [p for p in self._placement_by_run.values() if p.engine == engine]
         ahead = self._unread(engine, others, short_only=short_only)
         placement = Placement(engine, demand, now, ahead, short_only, confirmed=now)
-        self._pause_risk.note_prompt(others)
+        self.pause_risk.note_prompt(others)
         if demand.short and run not in self._placement_by_run:
             self._expire_prompts()
             self._short_prompts.append((placement.placed, placement.prompt))
@@ -192,7 +190,7 @@
         if placement is not None:
             factor = self.speeds.factor(placement.engine)
             self._pace.ended(placement.demand, took / factor)
-            self._pause_risk.note_end(placement, took)
+            self.pause_risk.note_end(placement, took)
 
     def withdraw(self, run: str) -> Placement | None:
         """Remove and return a placement, for instance of a run that never began."""
@@ -232,12 +230,19 @@
         return MAX_READ_WAITS * demand.prompt / self._pace.wait_rate()
 
     def order(
-        self, engines: t.Iterable[Upstream], demand: Demand, *, memory: int, hall: str
+        self,
+        engines: t.Iterable[Upstream],
+        demand: Demand,
+        *,
+        memory: int,
+        hall: str,
+        due: float = math.inf,
     ) -> list[Upstream]:
         """Order engines for a run, the one that begins it soonest first.
 
         :param memory: memory in tokens of an engine without a report.
         :param hall: hall of the node that asks.
+        :param due: seconds until the target latency is over.
         """
         self.forget()
         engines = list(engines)
@@ -260,9 +265,11 @@
                 hall,
                 short_only=short_only,
             )
-            cost += self._pause_risk.cost(
+            cost += self.pause_risk.cost(
                 engine.id, placements, demand, engines=len(engines)
             )
+            if self.speeds.active and demand.short:
+                cost += self._lateness_cost(engine, placements, demand, due)
             if short_ids and short_only != demand.short:
                 cost += MISMATCH_COST_PROMPTS * demand.prompt / self._pace.read_rate()
             return cost
@@ -280,7 +287,7 @@
         rate = tokens / RATE_WINDOW_SECONDS
         wanted = rate / (SHORT_ENGINE_LOAD * self._pace.read_rate(short_only=True))
         if self.speeds.active and (
-            slow_ids := self._pause_risk.engines_for_short_runs(
+            slow_ids := self.pause_risk.engines_for_short_runs(
                 engines, wanted=wanted, long_tokens=self._long_tokens(), memory=memory
             )
         ):
@@ -357,32 +364,22 @@
             cost += SUSPECT_COST_SECONDS
         return cost + JITTER_COST_SECONDS * self._rng.random()
 
-    def should_wait_for_speed(
+    def _lateness_cost(
         self,
-        engines: t.Sequence[Upstream],
-        names: t.Collection[str],
+        engine: Upstream,
+        placements: list[Placement],
         demand: Demand,
-        *,
         due: float,
-    ) -> bool:
-        """Whether a long run waits for an engine that does not pause it too long.
-
-        It does while all engines with room would, for a small part of its target
-        latency: the rest is needed for its prompt, also on a slow engine.
+    ) -> float:
+        """Cost of the time by which a short run may begin late on an engine.
 
-        :param names: ids of the engines that have room for the run.
-        :param due: seconds until the target latency is over.
+        Short runs get the slow engines, so that long ones are not paused, but not at
+        the price of their own target.
         """
-        stakes = self.speeds.stakes
-        if not self.speeds.active or stakes is None or demand.short:
-            return False
-        if due < (1.0 - MAX_SPEED_WAIT) * stakes.seconds:
-            return False
-        return all(
-            self._pause_risk.pauses_streams(engine.id, engines=len(engines))
-            for engine in engines
-            if engine.id in names
-        )
+        rate = self._pace.read_rate(short_only=True) / self.speeds.factor(engine.id)
+        unread = self._unread(engine.id, placements, short_only=True)
+        seconds = MAX_READ_WAITS * (unread + demand.prompt) / rate
+        return max(0.0, seconds - max(0.0, due)) / DELAY_VALUE
 
 
 def _used(report: EngineReport | None, placements: list[Placement]) -> float:
--- a/src/bankrack/placement/pauserisk.py
+++ b/src/bankrack/placement/pauserisk.py
@@ -18,7 +18,9 @@
 """Initial estimate of a long stream's duration, and weight of the newest."""
 MIN_PAUSE_RISK = 0.1
 """With a higher risk an engine is one that pauses long streams."""
-
+MAX_SPEED_WAIT = 0.25
+"""Fraction of the target latency for which a run waits for an engine that does not
+pause it."""
 MAX_LONG_FILL = 0.75
 """Fraction of the other engines' memory that long runs may need while slow ones are
 dedicated to short runs."""
@@ -71,6 +73,25 @@
         """
         return self._of_stream(engine, engines) >= MIN_PAUSE_RISK
 
+    def should_wait(
+        self, engines: t.Collection[str], demand: Demand, *, due: float, pool_size: int
+    ) -> bool:
+        """Whether a long run waits for an engine that does not pause it too long.
+
+        It does while all engines with room would, for a small part of its target
+        latency: the rest is needed for its prompt, also on a slow engine.
+
+        :param engines: ids of the engines that have room for the run.
+        :param due: seconds until the target latency is over.
+        :param pool_size: number of engines that share the prompts.
+        """
+        stakes = self._speeds.stakes
+        if not self._speeds.active or stakes is None or demand.short:
+            return False
+        if due < (1.0 - MAX_SPEED_WAIT) * stakes.seconds:
+            return False
+        return all(self.pauses_streams(name, engines=pool_size) for name in engines)
+
     def engines_for_short_runs(
         self,
         engines: t.Sequence[Upstream],
--- a/tests/placement/test_pauserisk.py
+++ b/tests/placement/test_pauserisk.py
@@ -105,6 +105,23 @@
         self.engines = [e for e in self.engines if e.id.startswith("slow")]
         self.assertEqual("slow-1", self.first(SHORT))
 
+    def test_short_run_avoids_slow_engines_where_it_would_be_late(self):
+        self.learn_gaps()
+        for number in range(24):
+            self.now += 0.1
+            engine = self.first(SHORT)
+            self.begin(f"r-{number}", engine, SHORT)
+            self.ledger.end(f"r-{number}")
+
+        def first(due: float) -> str:
+            ordered = self.ledger.order(
+                self.engines, SHORT, memory=MEMORY, hall="a", due=due
+            )
+            return ordered[0].id.split("-")[0]
+
+        self.assertEqual("slow", first(due=5.0))
+        self.assertNotEqual("slow", first(due=0.2))
+
     def test_stream_that_was_paused_already_keeps_no_prompt_away(self):
         self.learn_gaps()
         for name in ("slow-0", "slow-1"):
