--- a/src/bankrack/fleet/outlierupdates.py
+++ b/src/bankrack/fleet/outlierupdates.py
@@ -2,7 +2,7 @@
 
 A node whose request failed at an upstream tells all members at once.  Their responses
 state the requests that the upstream served them meanwhile, and an exclusion that the
-node does not know of yet.  The node that then finds the upstream to be ill tells all
+node does not know of yet.  The node that then excludes the upstream tells all
 members of its exclusion.
 """
 
