Rate limits: a coordinator forwards what it learns from a permit request

Cause: limits of other nodes were taken in at two places. The one for messages about limits marked them as to be forwarded, the one for permit requests did not; if the request came first, the message found nothing new, and the members learned of the limit only from answers to their own requests. Change: LimitReceiver takes in what other nodes report, from either kind of message, and marks what the coordinator has to forward. A limit learned from a permit request is logged as rate_limit_heard too. The tests' only change is the receiver in two constructors.

--- a/src/bankrack/fleet/limitupdates.py
+++ b/src/bankrack/fleet/limitupdates.py
@@ -2,7 +2,8 @@
 
 A node learns of a limit only from responses to its own requests. So the first response
 that reports a limit, or its end, is sent to the upstream's coordinator, which notifies
-all members. A limit that merely changes is exchanged with permit requests.
+all members. A limit that merely changes is exchanged with permit requests. One of these
+may also be the first to report a limit to the coordinator.
 """
 
 import asyncio
@@ -59,29 +60,78 @@
     return RateLimit(message.rate, now - message.sent_age, now - message.received_age)
 
 
+class LimitReceiver:
+    """Applies rate limits that other nodes report to this node.
+
+    If this node coordinates the upstream, it has to notify all members of a limit and
+    of its end, however it was reported.
+    """
+
+    def __init__(
+        self,
+        own: Member,
+        coordinators: Coordinators,
+        notices: NoticeHandler,
+        upstreams: Upstreams,
+    ) -> None:
+        self._own = own
+        self._coordinators = coordinators
+        self._notices = notices
+        self._upstreams = upstreams
+
+    def apply(self, upstream_id: str, limit: RateLimit, source: str) -> RateLimit:
+        """Apply a reported rate limit.
+
+        :param source: name of the node that reported it.
+        :return: the rate limit as known here; the reported one if the upstream's entry
+            has not reached this node yet.
+        """
+        upstream = self._upstreams.find(upstream_id)
+        if upstream is None:
+            return limit
+        was_bounded = upstream.limit.bounded
+        if upstream.note_limit(limit):
+            logs.event(
+                _logger,
+                "rate_limit_heard",
+                upstream=upstream_id,
+                limit=limit.rate,
+                heard_age=round(boottime() - limit.received_at, 3),
+                source=source,
+            )
+        changed = upstream.limit.bounded != was_bounded
+        if changed and self.is_coordinator(upstream_id):
+            self._notices.limit_updates.add(upstream_id)
+        return upstream.limit
+
+    def is_coordinator(self, upstream_id: str) -> bool:
+        """Whether this node has to notify all members of the upstream's limit."""
+        candidates = self._coordinators.candidates(upstream_id)
+        return bool(candidates) and candidates[0].name == self._own.name
+
+
 class LimitUpdates:
     """Sends rate limits reported to this node and applies those of other nodes."""
 
     def __init__(
         self,
         broadcast: Broadcast,
-        own: Member,
         coordinators: Coordinators,
         notices: NoticeHandler,
         upstreams: Upstreams,
+        receiver: LimitReceiver,
     ) -> None:
         self._broadcast = broadcast
-        self._own = own
         self._coordinators = coordinators
         self._notices = notices
         self._upstreams = upstreams
+        self._receiver = receiver
 
     async def handle(self, request: web.Request) -> web.Response:
         """Apply rate limits of another node; those of unknown upstreams are ignored."""
         source = request.query.get("from", "")
         for message in decode_message(await request.read(), list[LimitMessage]):
-            if self._apply(message, source):
-                self._notices.limit_updates.add(message.id)
+            self._receiver.apply(message.id, decode_limit(message), source)
         return web.Response()
 
     async def run(self) -> None:
@@ -91,35 +141,13 @@
             await asyncio.gather(*(self._notify(upstream_id) for upstream_id in ids))
             await asyncio.sleep(NOTIFY_INTERVAL_SECONDS)
 
-    def _apply(self, message: LimitMessage, source: str) -> bool:
-        """Apply a rate limit; returns whether this node has to notify the others."""
-        upstream = self._upstreams.find(message.id)
-        if upstream is None:
-            return False
-        was_bounded = upstream.limit.bounded
-        if upstream.note_limit(decode_limit(message)):
-            logs.event(
-                _logger,
-                "rate_limit_heard",
-                upstream=message.id,
-                limit=message.rate,
-                heard_age=message.received_age,
-                source=source,
-            )
-        changed = upstream.limit.bounded != was_bounded
-        return changed and self._is_coordinator(message.id)
-
-    def _is_coordinator(self, upstream_id: str) -> bool:
-        candidates = self._coordinators.candidates(upstream_id)
-        return bool(candidates) and candidates[0].name == self._own.name
-
     async def _notify(self, upstream_id: str) -> None:
         """Notify the upstream's coordinator, or all members if this node is it."""
         upstream = self._upstreams.find(upstream_id)
         if upstream is None:
             return
         body = msgspec.msgpack.encode([encode_limit(upstream_id, upstream.limit)])
-        if self._is_coordinator(upstream_id):
+        if self._receiver.is_coordinator(upstream_id):
             missing = await self._broadcast.notify(LIMITS_PATH, body)
         else:
             missing = await self._notify_coordinator(upstream_id, body)
--- a/src/bankrack/fleet/permits.py
+++ b/src/bankrack/fleet/permits.py
@@ -31,10 +31,10 @@
 from bankrack.fleet.limitupdates import decode_limit
 from bankrack.fleet.limitupdates import encode_limit
 from bankrack.fleet.limitupdates import LimitMessage
+from bankrack.fleet.limitupdates import LimitReceiver
 from bankrack.fleet.messages import decode_message
 from bankrack.metrics import GatewayMetrics
 from bankrack.serving.ratelimit import RateLimit
-from bankrack.serving.registry import Upstreams
 from bankrack.serving.sendlog import SendLog
 from bankrack.serving.upstreams import Upstream
 
@@ -86,6 +86,7 @@
 class PermitCoordinator:
     """Grants permits for the upstreams that this node coordinates.
 
+    :param limits: applies the rate limits reported with permit requests.
     :param view_age: returns the seconds since this node's view was confirmed.
     """
 
@@ -93,7 +94,7 @@
         self,
         own: Member,
         coordinators: Coordinators,
-        upstreams: Upstreams,
+        limits: LimitReceiver,
         *,
         view_age: t.Callable[[], float],
         clock: t.Callable[[], float] = boottime,
@@ -101,7 +102,7 @@
     ) -> None:
         self._own = own
         self._coordinators = coordinators
-        self._upstreams = upstreams
+        self._limits = limits
         self._view_age = view_age
         self._clock = clock
         self._rng = rng or random.Random()
@@ -118,7 +119,7 @@
         :return: seconds to wait, 0 if granted, and the rate limit as known here.
         """
         now = self._clock()
-        limit = self._merge(upstream_id, reported)
+        limit = self._limits.apply(upstream_id, reported, requester.node)
         if not limit.bounded:
             return 0.0, limit
         entry = self._entry(upstream_id, now)
@@ -139,15 +140,6 @@
         permit_response = PermitResponse(wait, encode_limit(upstream_id, limit))
         return web.Response(body=msgspec.msgpack.encode(permit_response))
 
-    def _merge(self, upstream_id: str, reported: RateLimit) -> RateLimit:
-        """Merge the reported rate limit with the one known here."""
-        upstream = self._upstreams.find(upstream_id)
-        if upstream is None:
-            # The upstream's entry reached the requesting node first.
-            return reported
-        upstream.note_limit(reported)
-        return upstream.limit
-
     def _entry(self, upstream_id: str, now: float) -> _CounterEntry:
         entry = self._entry_by_id.get(upstream_id)
         if entry is None:
--- a/src/bankrack/fleet/ratelimits.py
+++ b/src/bankrack/fleet/ratelimits.py
@@ -7,6 +7,7 @@
 from bankrack.fleet.broadcast import Broadcast
 from bankrack.fleet.coordinators import Coordinators
 from bankrack.fleet.documents import Member
+from bankrack.fleet.limitupdates import LimitReceiver
 from bankrack.fleet.limitupdates import LIMITS_PATH
 from bankrack.fleet.limitupdates import LimitUpdates
 from bankrack.fleet.permits import PERMIT_PATH
@@ -37,11 +38,12 @@
         view_age: t.Callable[[], float],
     ) -> None:
         self.coordinators = Coordinators(own, members)
+        receiver = LimitReceiver(own, self.coordinators, notices, upstreams)
         coordinator = PermitCoordinator(
-            own, self.coordinators, upstreams, view_age=view_age
+            own, self.coordinators, receiver, view_age=view_age
         )
         limit_updates = LimitUpdates(
-            broadcast, own, self.coordinators, notices, upstreams
+            broadcast, self.coordinators, notices, upstreams, receiver
         )
         self.permits = PermitClient(
             session, own, self.coordinators, coordinator, metrics
--- a/tests/fleet/test_limitupdates.py
+++ b/tests/fleet/test_limitupdates.py
@@ -12,6 +12,7 @@
 from bankrack.fleet.coordinators import Coordinators
 from bankrack.fleet.documents import Member
 from bankrack.fleet.limitupdates import LimitMessage
+from bankrack.fleet.limitupdates import LimitReceiver
 from bankrack.fleet.limitupdates import LIMITS_PATH
 from bankrack.fleet.limitupdates import LimitUpdates
 from bankrack.fleet.limitupdates import NOTIFY_INTERVAL_SECONDS
@@ -62,12 +63,15 @@
         for name in (self.coordinated_id, self.other_id):
             record = UpstreamRecord(name, "s", "10.0.0.9:1", "a", slots=1)
             self.upstreams.put(record)
+        self.receiver = LimitReceiver(
+            OWN, self.coordinators, self.notices, self.upstreams
+        )
         self.limit_updates = LimitUpdates(
             t.cast(t.Any, self.broadcast),
-            OWN,
             self.coordinators,
             self.notices,
             self.upstreams,
+            self.receiver,
         )
 
     def find_upstream_id(self, matches: t.Callable[[list[Member]], bool]) -> str:
@@ -163,7 +167,7 @@
     async def test_coordinator_forwards_limit_learned_from_permit_request(self):
         """A limit first received with a permit request must still reach all members."""
         coordinator = PermitCoordinator(
-            OWN, self.coordinators, self.upstreams, view_age=lambda: 0.0
+            OWN, self.coordinators, self.receiver, view_age=lambda: 0.0
         )
         now = boottime()
         reported = RateLimit(rate=1.8, sent_at=now - 0.3, received_at=now - 0.2)
--- a/tests/fleet/test_permits.py
+++ b/tests/fleet/test_permits.py
@@ -14,11 +14,13 @@
 from bankrack.fleet import permits
 from bankrack.fleet.coordinators import Coordinators
 from bankrack.fleet.documents import Member
+from bankrack.fleet.limitupdates import LimitReceiver
 from bankrack.fleet.permits import PERMIT_PATH
 from bankrack.fleet.permits import PermitClient
 from bankrack.fleet.permits import PermitCoordinator
 from bankrack.front.internalserver import serve_paths
 from bankrack.metrics import GatewayMetrics
+from bankrack.serving.notices import NoticeHandler
 from bankrack.serving.ratelimit import RateLimit
 from bankrack.serving.registry import Upstreams
 from bankrack.serving.upstreams import UpstreamRecord
@@ -46,8 +48,9 @@
         self.upstream = self.upstreams.by_id["u"]
         self.coordinators = Coordinators(own, lambda: members)
         self.coordinators.learn_seconds = 0.0
+        limits = LimitReceiver(own, self.coordinators, NoticeHandler(), self.upstreams)
         self.coordinator = PermitCoordinator(
-            own, self.coordinators, self.upstreams, view_age=lambda: self.view_age
+            own, self.coordinators, limits, view_age=lambda: self.view_age
         )
         self.client = PermitClient(
             session, own, self.coordinators, self.coordinator, GatewayMetrics()
