Fakes: two overlapping stops of an endpoint no longer fail

Cause: stop() forgot its runner only after the clean-up. A second call in the meantime, as by a test's teardown while a crashed fake restarts, cleaned up the same runner again and failed with AttributeError: 'pre_shutdown'. Change: a lock lets the second call wait for the first one.

--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -26,6 +26,7 @@
         self._runner: web.ServerRunner | None = None
         self._server: web.Server | None = None
         self._site: web.TCPSite | None = None
+        self._stopping = asyncio.Lock()
 
     async def start(self) -> None:
         server = web.Server(self.handle, handler_cancellation=True)
@@ -48,9 +49,10 @@
                 connection.transport.abort()
 
     async def stop(self) -> None:
-        if self._runner is not None:
-            await self._runner.cleanup()
-            self._runner = None
+        async with self._stopping:
+            if self._runner is not None:
+                await self._runner.cleanup()
+                self._runner = None
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         raise NotImplementedError
