Tests of rate limits: callers with time for delays that differ

Cause: callers had 2 s left, so their Retry-After was at most a third of that, 0.67 s. Change: the callers of this case and its routes have 20 s, the assertion is unchanged.

--- a/tests/platform/test_rate_limits.py
+++ b/tests/platform/test_rate_limits.py
@@ -15,6 +15,7 @@
 from tests.platform.deployment import running
 from tests.platform.deployment import until
 from tests.platform.fakes import call
+from tests.platform.fakes import configuration
 from tests.platform.fakes import FakeServer
 from tests.platform.fakes import ReceivedResponse
 
@@ -47,13 +48,21 @@
 
 
 async def send_load(
-    gateways: t.Sequence[Gateway], path: str, *, per_second: float, seconds: float
+    gateways: t.Sequence[Gateway],
+    path: str,
+    *,
+    per_second: float,
+    seconds: float,
+    deadline_ms: int = 3000,
 ) -> list[ReceivedResponse]:
     """Send requests to the gateways in turn without waiting for responses."""
     calls = []
     for n in range(int(per_second * seconds)):
         front = gateways[n % len(gateways)].settings.front
-        headers = {"Bankrack-Request-Id": f"r-{n}"}
+        headers = {
+            "Bankrack-Request-Id": f"r-{n}",
+            "Bankrack-Deadline-Ms": str(deadline_ms),
+        }
         calls.append(asyncio.create_task(call(front, path, headers=headers)))
         await asyncio.sleep(1.0 / per_second)
     return await asyncio.gather(*calls)
@@ -114,15 +123,22 @@
             self.assertGreater(arrived, len(responses) / 4)
 
     async def test_excess_is_refused_at_once_while_all_upstreams_are_limited(self):
+        """Callers have time for delays that differ in more than their two decimals."""
+        config = configuration(2)
+        for route in config["routes"]:
+            route["timeoutMs"] = 20_000
         for path, servers in (("/bill/x", "plain"), ("/talk/x", "engines")):
             async with running() as deployment:
+                deployment.store.put("op/config", config)
                 gateways = await start_fleet(deployment, 2)
                 limited = getattr(deployment, servers)
                 for server in limited:
                     server.limit = "1"
                 await send_load(gateways, path, per_second=20, seconds=1.0)
                 since = boottime()
-                responses = await send_load(gateways, path, per_second=20, seconds=3.0)
+                responses = await send_load(
+                    gateways, path, per_second=20, seconds=3.0, deadline_ms=20_000
+                )
                 self.assertLess(boottime() - since, 3.6)
                 for server in limited:
                     self.assertLessEqual(
