Upstreams.uneven looks at its service's upstreams only

Cause: each run asks several times whether its service's engines state unequal speeds, and that looked through the upstreams of all services. Change: it reads the list by service that the registry keeps already.

--- a/src/bankrack/serving/registry.py
+++ b/src/bankrack/serving/registry.py
@@ -134,7 +134,7 @@
 
     def uneven(self, service: str) -> bool:
         """Whether upstreams of a service state that work takes unequally long."""
-        return any(u.uneven for u in self.by_id.values() if u.record.service == service)
+        return any(upstream.uneven for upstream in self.of(service))
 
     def open_of(self, service: str) -> list[Upstream]:
         """Return the upstreams of a service that accept new work.
--- a/tests/serving/test_upstreams.py
+++ b/tests/serving/test_upstreams.py
@@ -3,6 +3,7 @@
 from bankrack.serving.registry import MAX_REMOVED
 from bankrack.serving.registry import Upstreams
 from bankrack.serving.upstreams import EngineReport
+from bankrack.serving.upstreams import Load
 from bankrack.serving.upstreams import UpstreamRecord
 from tests.base import TestCase
 
@@ -104,3 +105,13 @@
         self.assertTrue(engine.cold(11.0))
         upstreams.put(record("x"))
         self.assertFalse(engine.cold(11.0))
+
+
+class Uneven(TestCase):
+    def test_only_upstreams_of_the_service_count(self):
+        upstreams = Upstreams(clock=lambda: 1.0)
+        upstreams.put(UpstreamRecord("x", "s", "10.0.0.1:1", "a", slots=8))
+        upstreams.put(UpstreamRecord("y", "other", "10.0.0.1:1", "a", slots=8))
+        upstreams.by_id["y"].note_load(Load(0, slowdown=1.6), 1.0)
+        self.assertFalse(upstreams.uneven("s"))
+        self.assertTrue(upstreams.uneven("other"))
