--- a/tests/serving/test_plain.py
+++ b/tests/serving/test_plain.py
@@ -1,5 +1,6 @@
 """Tests of the relay of plain requests, with scripted upstreams."""
 
+import asyncio
 import types
 import typing as t
 
@@ -29,17 +30,21 @@
 """Scripted status of a connection that is refused."""
 BREAKS = 0
 """Scripted status of an answer that breaks off in its body."""
+SILENT = -2
+"""Scripted status of an answer without a body."""
 NOT_RUN = 503
 
 
 class ScriptedExchange:
     def __init__(self, status: int) -> None:
-        self._breaks = status == BREAKS
-        self.head = Head(status or 200, [], status == NOT_RUN, None, sealed=True)
+        self._status = status
+        self.head = Head(max(status, 200), [], status == NOT_RUN, None, sealed=True)
 
     async def read(self) -> bytes:
-        if self._breaks:
+        if self._status == BREAKS:
             raise UpstreamFailed("the answer broke off")
+        if self._status == SILENT:
+            await asyncio.Event().wait()
         return b"body"
 
     def close(self) -> None:
@@ -97,13 +102,16 @@
         policy = RetryBudgetPolicy(ratio=0.2, reserve=1000, window=10.0)
         self.budget = SharedRetryBudget(policy, nodes=lambda: 1)
 
-    async def serve(self, *statuses: int, max_upstreams: int = 4) -> str:
+    async def serve(
+        self, *statuses: int, max_upstreams: int = 4, seconds: float = 9.0
+    ) -> str:
         self.client = ScriptedClient(statuses)
         cold = types.SimpleNamespace(allows=lambda *_: True, take=lambda *_: True)
         self.failed: list[str] = []
+        self.served: list[str] = []
         outliers = types.SimpleNamespace(
             note_failed=lambda upstream, **_: self.failed.append(upstream.id),
-            note_served=lambda upstream: None,
+            note_served=lambda upstream: self.served.append(upstream.id),
             note_unreachable=lambda upstream: self.failed.append(upstream.id),
         )
         relay = PlainRelay(
@@ -120,9 +128,17 @@
         )
         job = Job("r", "GET", "h", "/", [], b"", None, boottime(), None)
         route = Route(
-            "r", "h", "/", (), RequestKind.REPEATABLE, 9.0, 0.3, 1, max_upstreams
+            "r",
+            "h",
+            "/",
+            (),
+            RequestKind.REPEATABLE,
+            9.0,
+            seconds / 30,
+            1,
+            max_upstreams,
         )
-        work = Assignment(job, route, Service("s"), None, 1, boottime() + 9.0)
+        work = Assignment(job, route, Service("s"), None, 1, boottime() + seconds)
         return await relay.serve(work, t.cast(t.Any, self.reply))
 
     async def test_failure_after_a_5xx_is_not_noted_as_served(self):
@@ -136,6 +152,7 @@
         self.assertEqual([], self.failed)
         await self.serve(500, 200)
         self.assertEqual(self.client.upstreams[:1], self.failed)
+        self.assertEqual(self.client.upstreams[1:], self.served)
 
     async def test_retest_that_is_refused_is_not_repeated(self):
         excluded = self.upstreams.by_id["u-1"]
@@ -151,3 +168,8 @@
         outcome = await self.serve(BREAKS, NOT_RUN, NOT_RUN, 200)
         self.assertEqual([200], [answer.status for answer in self.reply.answers])
         self.assertTrue(outcome.startswith("200 after 4 sends"))
+
+    async def test_silent_attempt_counts_once(self):
+        outcome = await self.serve(SILENT, NOT_RUN, NOT_RUN, 200, seconds=0.6)
+        self.assertTrue(outcome.startswith("200 after 4 sends"))
+        self.assertEqual(self.client.upstreams[:1], self.failed)
