Outlier monitor: outcomes, exclusions and reports apart; names of the field

Cause: one class of 290 lines kept the outcomes, decided and ended exclusions, counted retests and held what other nodes are to be told; its names (Well, doubted) are not the field's. Change: OutcomeLog (serving/outcomes.py), Exclusions (serving/exclusions.py) and the monitor as their front; pending updates are taken at once instead of cleared field by field. Well is Healthy, an upstream at which another node's request failed is suspected for its peer. Names on the wire, in logs, metrics and the state dump are unchanged.

--- a/src/bankrack/decisions/outliers.py
+++ b/src/bankrack/decisions/outliers.py
@@ -58,7 +58,7 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class Well:
+class Healthy:
     """The upstream may be used."""
 
 
@@ -76,7 +76,7 @@
     exempt_halls: frozenset[str] = frozenset()
 
 
-Verdict = Well | Exclude
+Verdict = Healthy | Exclude
 
 
 def judge(
@@ -91,38 +91,38 @@
     :param upstreams: open upstreams of the service, including this one.
     """
     if excluded >= max_excluded(upstreams):
-        return Well()
+        return Healthy()
     recent = [o for o in outcomes if now - WINDOW_SECONDS <= o.at <= now]
     recent.sort(key=lambda o: (o.at, o.reporter))
-    run = _failing_run(recent)
-    exempt_halls = _served_halls(recent if run is None else run)
-    cut_off = _failing_run(o for o in run or recent if o.hall not in exempt_halls)
+    streak = _failing_streak(recent)
+    exempt_halls = _served_halls(recent if streak is None else streak)
+    cut_off = _failing_streak(o for o in streak or recent if o.hall not in exempt_halls)
     if cut_off is not None and all(o.failed for o in cut_off):
-        run = cut_off
+        streak = cut_off
     else:
         exempt_halls = frozenset()
-    if run is None:
-        return Well()
-    failures = [o for o in run if o.failed]
+    if streak is None:
+        return Healthy()
+    failures = [o for o in streak if o.failed]
     reporters = tuple(sorted({o.reporter for o in failures}))
-    return Exclude(reporters, len(failures), len(run) - len(failures), exempt_halls)
+    return Exclude(reporters, len(failures), len(streak) - len(failures), exempt_halls)
 
 
-def _failing_run(outcomes: t.Iterable[Outcome]) -> list[Outcome] | None:
+def _failing_streak(outcomes: t.Iterable[Outcome]) -> list[Outcome] | None:
     """Return the outcomes since the sum last left zero, if it is at the limit."""
     total = 0.0
-    run: list[Outcome] = []
+    streak: list[Outcome] = []
     for outcome in outcomes:
         if not outcome.failed:
             total -= SERVED_WEIGHT
-        elif _counts(outcome, run):
+        elif _is_counted(outcome, streak):
             total += ANSWERED_WEIGHT if outcome.answered else FAILURE_WEIGHT
-        run.append(outcome)
+        streak.append(outcome)
         if total <= 0.0:
-            total, run = 0.0, []
-    reporters = {o.reporter for o in run if o.failed}
+            total, streak = 0.0, []
+    reporters = {o.reporter for o in streak if o.failed}
     is_failing = len(reporters) >= MIN_REPORTERS and total >= EXCLUSION_LIMIT
-    return run if is_failing else None
+    return streak if is_failing else None
 
 
 def _served_halls(outcomes: t.Sequence[Outcome]) -> frozenset[str]:
@@ -139,8 +139,8 @@
     )
 
 
-def _counts(failure: Outcome, run: t.Sequence[Outcome]) -> bool:
-    earlier = sum(o.failed and o.reporter == failure.reporter for o in run)
+def _is_counted(failure: Outcome, streak: t.Sequence[Outcome]) -> bool:
+    earlier = sum(o.failed and o.reporter == failure.reporter for o in streak)
     return earlier < MAX_FAILURES_BY_REPORTER
 
 
--- a/src/bankrack/fleet/outlierupdates.py
+++ b/src/bankrack/fleet/outlierupdates.py
@@ -24,7 +24,7 @@
 from bankrack.fleet.broadcast import Broadcast
 from bankrack.fleet.documents import Member
 from bankrack.fleet.messages import decode_message
-from bankrack.serving.outliers import Exclusion
+from bankrack.serving.exclusions import Exclusion
 from bankrack.serving.outliers import OutlierMonitor
 
 OUTLIERS_PATH = "/peer/outliers"
@@ -206,28 +206,23 @@
             )
 
     def _take_updates(self) -> tuple[list[str], OutlierMessage]:
-        monitor = self._monitor
+        pending = self._monitor.take_pending()
         now = boottime()
         failures = [
             FailureMessage(
                 upstream_id, int(1000 * max(0.0, now - failed.at)), failed.answered
             )
-            for upstream_id, failed in list(monitor.failed_by_id.items())[:64]
+            for upstream_id, failed in list(pending.failed_by_id.items())[:64]
         ]
-        exclusions = [self._exclusion(name) for name in sorted(monitor.changed)[:64]]
+        exclusions = [self._exclusion(name) for name in sorted(pending.changed)[:64]]
         message = OutlierMessage(
             self._own.hall,
             failures,
             [e for e in exclusions if e is not None],
-            monitor.served[:64],
-            monitor.readmitted[:64],
+            pending.served[:64],
+            pending.readmitted[:64],
             next(self._serials),
         )
-        monitor.failed_by_id.clear()
-        monitor.changed.clear()
-        monitor.served.clear()
-        monitor.readmitted.clear()
-        monitor.has_updates.clear()
         return [failure.id for failure in failures], message
 
     def _gather(
--- a/src/bankrack/serving/choice.py
+++ b/src/bankrack/serving/choice.py
@@ -35,7 +35,7 @@
 MAX_SUSPICION_SECONDS = 4.0
 MAX_DOUBLINGS = 16
 """Failures in a row that are counted; the suspicion time reaches its maximum before."""
-DOUBT_PENALTY = 0.5
+PEER_SUSPICION_PENALTY = 0.5
 """Penalty of an upstream at which another node's request failed just before.  Others
 are preferred until half of their slots are taken."""
 CROWDED_LOAD = 0.5
@@ -247,8 +247,8 @@
 
     def _unrepeatable_score(self, upstream: Upstream) -> float:
         score = self._plain_score(upstream)
-        if upstream.doubted_until:
-            score += DOUBT_PENALTY * upstream.doubted(self._clock())
+        if upstream.peer_suspect_until and upstream.peer_suspected(self._clock()):
+            score += PEER_SUSPICION_PENALTY
         return score
 
     def _penalty(self, upstream: Upstream) -> float:
--- a/src/bankrack/serving/upstreams.py
+++ b/src/bankrack/serving/upstreams.py
@@ -71,14 +71,14 @@
 class Upstream:
     """An upstream instance and this node's state for it.  Times are boot-time seconds.
 
-    :ivar doubted_until: end of the time for which a failure at another node keeps
-        requests that can't be repeated away.
     :ivar ended: the process was restarted, so this instance's runs are lost.
     :ivar excluded_until: end of the time without requests that can't be repeated, as
         several nodes' requests failed.
     :ivar failures: consecutive failures; ``rejections`` are consecutive rejections.
     :ivar failure_rate: moving average of the failures.
     :ivar full_until: end of the time for which a rejecting upstream counts as full.
+    :ivar peer_suspect_until: end of the time for which another node's failure keeps
+        requests that can't be repeated away.
     :ivar queue_length: requests queued at the upstream, as last stated by it.
     :ivar rate_limited_until: end of the time without a permit of its rate limit.
     :ivar removed_at: time when its entry was removed from the store; 0 if it was not.
@@ -94,7 +94,6 @@
     __slots__ = (
         "backoff_until",
         "cold_until",
-        "doubted_until",
         "early_retest_at",
         "ended",
         "evacuated",
@@ -106,6 +105,7 @@
         "leaving_at",
         "limit",
         "notice_logged_at",
+        "peer_suspect_until",
         "queue_length",
         "rate_limited_until",
         "record",
@@ -143,7 +143,7 @@
         self.rejections = 0
         self.full_until = 0.0
         self.suspect_until = 0.0
-        self.doubted_until = 0.0
+        self.peer_suspect_until = 0.0
         self.excluded_until = 0.0
         self.early_retest_at = math.inf
         self.retest_at = math.inf
@@ -262,9 +262,9 @@
         """Whether the nodes exclude the upstream at ``now``, as it fails requests."""
         return now < self.excluded_until
 
-    def doubted(self, now: float) -> bool:
+    def peer_suspected(self, now: float) -> bool:
         """Whether another node's request failed here just before ``now``."""
-        return now < self.doubted_until
+        return now < self.peer_suspect_until
 
     def retest_due(self, now: float, *, others_full: bool) -> bool:
         """Whether this node may send the excluded upstream one request at ``now``."""
@@ -281,7 +281,7 @@
 
     def readmit(self) -> None:
         """End an exclusion."""
-        self.excluded_until = self.doubted_until = 0.0
+        self.excluded_until = self.peer_suspect_until = 0.0
         self.retest_at = self.early_retest_at = math.inf
 
     def note_load(self, load: Load, now: float) -> None:
--- a/tests/decisions/test_outliers.py
+++ b/tests/decisions/test_outliers.py
@@ -3,10 +3,10 @@
 import random
 
 from bankrack.decisions.outliers import Exclude
+from bankrack.decisions.outliers import Healthy
 from bankrack.decisions.outliers import judge
 from bankrack.decisions.outliers import Outcome
 from bankrack.decisions.outliers import Verdict
-from bankrack.decisions.outliers import Well
 from tests.base import TestCase
 
 NODES = 61
@@ -35,19 +35,19 @@
         self.assertEqual(Exclude(("1", "2"), 2, 0), judged("o3 o4 x1 x2"))
 
     def test_three_5xx_answers_exclude_an_upstream(self):
-        self.assertEqual(Well(), judged("e1 e2"))
+        self.assertEqual(Healthy(), judged("e1 e2"))
         self.assertEqual(Exclude(("1", "2", "3"), 3, 0), judged("e1 e2 e3"))
 
     def test_one_node_does_not_exclude_an_upstream(self):
-        self.assertEqual(Well(), judged("x1 x1 x1 x1 x1 x1"))
+        self.assertEqual(Healthy(), judged("x1 x1 x1 x1 x1 x1"))
 
     def test_served_requests_outweigh_failures(self):
-        self.assertEqual(Well(), judged("x1 o3 o4 o5 x2 o3 o4 o5 x1"))
+        self.assertEqual(Healthy(), judged("x1 o3 o4 o5 x2 o3 o4 o5 x1"))
 
     def test_at_most_half_of_the_upstreams_are_excluded(self):
-        self.assertEqual(Well(), judged("x1 x2", excluded=1, upstreams=3))
+        self.assertEqual(Healthy(), judged("x1 x2", excluded=1, upstreams=3))
         self.assertIsInstance(judged("x1 x2", excluded=1, upstreams=4), Exclude)
-        self.assertEqual(Well(), judged("x1 x2", upstreams=1))
+        self.assertEqual(Healthy(), judged("x1 x2", upstreams=1))
 
     def test_hall_whose_nodes_are_served_is_exempt(self):
         """The link between two halls and the upstream is bad."""
@@ -55,7 +55,7 @@
         self.assertEqual(Exclude(("1", "2", "4", "5"), 4, 0, frozenset("a")), verdict)
 
     def test_hall_is_not_exempt_if_nodes_of_failing_halls_are_served_too(self):
-        self.assertEqual(Well(), judged("x1 o0 o2 o3 o1 x2 o6 o9 x4 o4"))
+        self.assertEqual(Healthy(), judged("x1 o0 o2 o3 o1 x2 o6 o9 x4 o4"))
 
     def test_hall_that_was_served_before_the_failures_is_not_exempt(self):
         verdict = judged("x1 o0 o3 o6 o9 o2 o4 x2 x1")
@@ -63,7 +63,7 @@
 
     def test_old_outcomes_do_not_count(self):
         found = judge(outcomes("x1 x2"), now=10.0, excluded=0, upstreams=3)
-        self.assertEqual(Well(), found)
+        self.assertEqual(Healthy(), found)
 
 
 class ReplayTest(TestCase):
--- a/tests/fleet/test_outlierupdates.py
+++ b/tests/fleet/test_outlierupdates.py
@@ -102,4 +102,4 @@
                     await self.node.take(**fields)
         await self.node.take(served=["nobody"], failures=[["nobody", 0]])
         self.assertEqual([], self.node.excluded())
-        self.assertEqual(0.0, self.node.upstream.doubted_until)
+        self.assertEqual(0.0, self.node.upstream.peer_suspect_until)
