--- a/src/bankrack/serving/exclusions.py
+++ b/src/bankrack/serving/exclusions.py
@@ -198,7 +198,7 @@
     def note_served_retest(self, upstream: Upstream) -> bool:
         """Count a served retest; returns whether they suffice to end the exclusion."""
         retests = self._retests_by_id.get(upstream.id)
-        if retests is None or not upstream.excluded(self._clock()):
+        if retests is None:
             return False
         retests.served += 1
         return retests.served >= RETESTS_TO_READMIT
