Outlier decision: different requests are the evidence, not sends

Cause: a request that no upstream can serve, sent again by its caller through other nodes, counted as a failure of the upstream each time. Change: failures carry the fingerprint of their request, and one that failed before in the same sum counts no more, nor does its reporter. Members tell whether they were served the same request within 3 s; if so all of its failures count, as services may receive equal requests only. The fields are appended to the messages, with defaults.

--- a/src/bankrack/decisions/outliers.py
+++ b/src/bankrack/decisions/outliers.py
@@ -4,6 +4,10 @@
 resets or fails requests while its health check succeeds.  Each node alone would find
 out by losing a request of its own.  Therefore the nodes exchange the outcomes of
 requests, and exclude an upstream if two of them report failures.
+
+A quiet service may receive little besides one request that fails anywhere and is sent
+again and again, through several nodes.  Therefore the evidence is how many different
+requests fail.
 """
 
 import collections
@@ -48,6 +52,7 @@
     :param reporter: node that sent the request.
     :param hall: of the reporter.
     :param answered: the failure was a 5xx answer.
+    :param request: the failed request's fingerprint; empty if unknown.
     """
 
     at: float
@@ -55,6 +60,7 @@
     hall: str
     failed: bool
     answered: bool = False
+    request: str = ""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -80,7 +86,12 @@
 
 
 def judge(
-    outcomes: t.Iterable[Outcome], *, now: float, excluded: int, upstreams: int
+    outcomes: t.Iterable[Outcome],
+    *,
+    now: float,
+    excluded: int,
+    upstreams: int,
+    served_requests: t.Collection[str] = (),
 ) -> Verdict:
     """Judge an upstream by the outcomes of the requests of all nodes.
 
@@ -89,14 +100,18 @@
 
     :param excluded: other upstreams of the service that are excluded already.
     :param upstreams: open upstreams of the service, including this one.
+    :param served_requests: fingerprints of requests that were served at some upstream
+        within the window; each of their failures counts.
     """
     if excluded >= max_excluded(upstreams):
         return Healthy()
     recent = [o for o in outcomes if now - WINDOW_SECONDS <= o.at <= now]
     recent.sort(key=lambda o: (o.at, o.reporter))
-    streak = _failing_streak(recent)
+    streak = _failing_streak(recent, served_requests)
     exempt_halls = _served_halls(recent if streak is None else streak)
-    cut_off = _failing_streak(o for o in streak or recent if o.hall not in exempt_halls)
+    cut_off = _failing_streak(
+        (o for o in streak or recent if o.hall not in exempt_halls), served_requests
+    )
     if cut_off is not None and all(o.failed for o in cut_off):
         streak = cut_off
     else:
@@ -108,19 +123,23 @@
     return Exclude(reporters, len(failures), len(streak) - len(failures), exempt_halls)
 
 
-def _failing_streak(outcomes: t.Iterable[Outcome]) -> list[Outcome] | None:
+def _failing_streak(
+    outcomes: t.Iterable[Outcome], served_requests: t.Collection[str]
+) -> list[Outcome] | None:
     """Return the outcomes since the sum last left zero, if it is at the limit."""
     total = 0.0
     streak: list[Outcome] = []
+    counted: list[Outcome] = []
     for outcome in outcomes:
         if not outcome.failed:
             total -= SERVED_WEIGHT
-        elif _is_counted(outcome, streak):
+        elif _is_evidence(outcome, counted, served_requests):
             total += ANSWERED_WEIGHT if outcome.answered else FAILURE_WEIGHT
+            counted.append(outcome)
         streak.append(outcome)
         if total <= 0.0:
-            total, streak = 0.0, []
-    reporters = {o.reporter for o in streak if o.failed}
+            total, streak, counted = 0.0, [], []
+    reporters = {o.reporter for o in counted}
     is_failing = len(reporters) >= MIN_REPORTERS and total >= EXCLUSION_LIMIT
     return streak if is_failing else None
 
@@ -139,9 +158,16 @@
     )
 
 
-def _is_counted(failure: Outcome, streak: t.Sequence[Outcome]) -> bool:
-    earlier = sum(o.failed and o.reporter == failure.reporter for o in streak)
-    return earlier < MAX_FAILURES_BY_REPORTER
+def _is_evidence(
+    failure: Outcome, counted: t.Sequence[Outcome], served_requests: t.Collection[str]
+) -> bool:
+    """Whether a failure tells more than those that were counted before it."""
+    by_reporter = sum(o.reporter == failure.reporter for o in counted)
+    if by_reporter >= MAX_FAILURES_BY_REPORTER:
+        return False
+    if not failure.request or failure.request in served_requests:
+        return True
+    return all(o.request != failure.request for o in counted)
 
 
 def max_excluded(upstreams: int) -> int:
--- a/src/bankrack/fleet/outlierupdates.py
+++ b/src/bankrack/fleet/outlierupdates.py
@@ -9,6 +9,7 @@
 import asyncio
 import collections
 import contextlib
+import dataclasses
 import itertools
 import logging
 import random
@@ -42,6 +43,7 @@
 _Milliseconds = t.Annotated[int, msgspec.Meta(ge=0, le=15_000)]
 _Count = t.Annotated[int, msgspec.Meta(ge=0, le=10_000)]
 _Names = t.Annotated[list[str], msgspec.Meta(max_length=16)]
+_Fingerprint = t.Annotated[str, msgspec.Meta(max_length=64)]
 _MAX_ENTRIES = msgspec.Meta(max_length=64)
 
 
@@ -50,11 +52,13 @@
 
     :param age_ms: time since the failure.
     :param answered: the upstream answered with a 5xx.
+    :param request: fingerprint of the request; empty if unknown.
     """
 
     id: str
     age_ms: _Milliseconds
     answered: bool = False
+    request: _Fingerprint = ""
 
 
 class ExclusionMessage(msgspec.Struct, array_like=True):
@@ -96,11 +100,27 @@
     """What a member knows of an upstream whose failure it was told of.
 
     :param ages_ms: times since the upstream served requests of this member.
+    :param request_served: any upstream served this member the same request recently.
     """
 
     id: str
     ages_ms: t.Annotated[list[_Milliseconds], _MAX_ENTRIES]
     exclusion: ExclusionMessage | None = None
+    request_served: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class _Gathered:
+    """What the other members know of the upstreams at which requests failed.
+
+    :ivar request_by_id: fingerprints of the failed requests, by upstream.
+    :ivar served_by_id: requests that were served there, by upstream.
+    :ivar served_requests: those of the failed requests that were served anywhere.
+    """
+
+    request_by_id: dict[str, str]
+    served_by_id: dict[str, list[Outcome]] = dataclasses.field(default_factory=dict)
+    served_requests: set[str] = dataclasses.field(default_factory=set)
 
 
 class OutlierUpdates:
@@ -126,12 +146,15 @@
         source = request.query.get("from", "")
         if self._is_new(source, message.serial):
             self._apply_message(source, message)
-        known = []
-        for failure in message.failures:
-            ages = [int(1000 * age) for age in self._monitor.served_ages(failure.id)]
-            known.append(ServedMessage(failure.id, ages, self._exclusion(failure.id)))
+        known = [self._known_of(failure) for failure in message.failures]
         return web.Response(body=msgspec.msgpack.encode(known))
 
+    def _known_of(self, failure: FailureMessage) -> ServedMessage:
+        ages = [int(1000 * age) for age in self._monitor.served_ages(failure.id)]
+        request_served = self._monitor.has_served(failure.request)
+        exclusion = self._exclusion(failure.id)
+        return ServedMessage(failure.id, ages, exclusion, request_served)
+
     def _is_new(self, source: str, serial: int) -> bool:
         """Whether a message was not applied yet; one without serial is always new."""
         key = source, serial
@@ -150,6 +173,7 @@
                 reporter=source,
                 hall=message.hall,
                 answered=failure.answered,
+                request=failure.request,
             )
         for exclusion in message.exclusions:
             self._apply(exclusion)
@@ -173,23 +197,28 @@
 
     async def _notify(self) -> None:
         """Notify all members, then judge the upstreams that failed."""
-        failures, message = self._take_updates()
-        served: dict[str, list[Outcome]] = {}
+        message = self._take_updates()
+        gathered = _Gathered({f.id: f.request for f in message.failures})
+        failed_ids = list(gathered.request_by_id)
         responded = asyncio.Event()
         sending = asyncio.create_task(
             self._broadcast.notify(
                 OUTLIERS_PATH,
                 msgspec.msgpack.encode(message),
                 on_first_round=responded.set,
-                on_response=lambda member, body: self._gather(served, member, body),
+                on_response=lambda member, body: self._gather(gathered, member, body),
             )
         )
         try:
-            if failures:
+            if failed_ids:
                 with contextlib.suppress(TimeoutError):
                     await asyncio.wait_for(responded.wait(), GATHER_SECONDS)
-                for upstream_id in failures:
-                    self._monitor.judge(upstream_id, served.get(upstream_id, ()))
+                for upstream_id in failed_ids:
+                    self._monitor.judge(
+                        upstream_id,
+                        gathered.served_by_id.get(upstream_id, ()),
+                        served_requests=gathered.served_requests,
+                    )
             untold = await sending
         finally:
             sending.cancel()
@@ -199,23 +228,26 @@
             logs.event(
                 _logger,
                 "outlier_evidence_sent",
-                failed=",".join(failures) or None,
+                failed=",".join(failed_ids) or None,
                 excluded=",".join(e.id for e in message.exclusions) or None,
                 served=",".join(message.served + message.readmitted) or None,
                 untold=",".join(member.name for member in untold) or None,
             )
 
-    def _take_updates(self) -> tuple[list[str], OutlierMessage]:
+    def _take_updates(self) -> OutlierMessage:
         pending = self._monitor.take_pending()
         now = boottime()
         failures = [
             FailureMessage(
-                upstream_id, int(1000 * max(0.0, now - failed.at)), failed.answered
+                upstream_id,
+                int(1000 * max(0.0, now - failed.at)),
+                failed.answered,
+                failed.request,
             )
             for upstream_id, failed in list(pending.failed_by_id.items())[:64]
         ]
         exclusions = [self._exclusion(name) for name in sorted(pending.changed)[:64]]
-        message = OutlierMessage(
+        return OutlierMessage(
             self._own.hall,
             failures,
             [e for e in exclusions if e is not None],
@@ -223,11 +255,8 @@
             pending.readmitted[:64],
             next(self._serials),
         )
-        return [failure.id for failure in failures], message
 
-    def _gather(
-        self, served: dict[str, list[Outcome]], member: Member, body: bytes
-    ) -> None:
+    def _gather(self, gathered: _Gathered, member: Member, body: bytes) -> None:
         """Record the requests that a member reports as served."""
         now = boottime()
         try:
@@ -236,10 +265,12 @@
             # It was logged, and the upstream is judged without this member.
             return
         for known in answers:
-            served.setdefault(known.id, []).extend(
+            gathered.served_by_id.setdefault(known.id, []).extend(
                 Outcome(now - age / 1000, member.name, member.hall, failed=False)
                 for age in known.ages_ms
             )
+            if known.request_served and known.id in gathered.request_by_id:
+                gathered.served_requests.add(gathered.request_by_id[known.id])
             if known.exclusion is not None:
                 self._apply(known.exclusion)
 
--- a/src/bankrack/serving/outcomes.py
+++ b/src/bankrack/serving/outcomes.py
@@ -1,6 +1,7 @@
 """Recent outcomes of requests at upstreams that failed some of them."""
 
 import collections
+import math
 
 from bankrack.decisions.outliers import Outcome
 from bankrack.decisions.outliers import WINDOW_SECONDS
@@ -11,6 +12,26 @@
 """Served requests that one node tells another of."""
 MAX_UPSTREAMS = 500
 """Upstreams with failures whose outcomes are kept."""
+MAX_SERVED_REQUESTS = 512
+"""Fingerprints of served requests that are kept."""
+
+
+class ServedRequests:
+    """Fingerprints of the requests that upstreams served this node recently."""
+
+    def __init__(self) -> None:
+        self._served_at: collections.OrderedDict[str, float] = collections.OrderedDict()
+
+    def add(self, request: str, now: float) -> None:
+        """Record a request that was served."""
+        self._served_at[request] = now
+        self._served_at.move_to_end(request)
+        if len(self._served_at) > MAX_SERVED_REQUESTS:
+            self._served_at.popitem(last=False)
+
+    def has(self, request: str, now: float) -> bool:
+        """Whether a request with this fingerprint was served within the window."""
+        return self._served_at.get(request, -math.inf) > now - WINDOW_SECONDS
 
 
 class OutcomeLog:
--- a/src/bankrack/serving/outliers.py
+++ b/src/bankrack/serving/outliers.py
@@ -14,6 +14,7 @@
 from bankrack.serving.exclusions import Exclusions
 from bankrack.serving.exclusions import starting_now
 from bankrack.serving.outcomes import OutcomeLog
+from bankrack.serving.outcomes import ServedRequests
 from bankrack.serving.registry import Upstreams
 from bankrack.serving.upstreams import Upstream
 
@@ -32,10 +33,12 @@
     """A failed request of this node.
 
     :param answered: it was answered with a 5xx.
+    :param request: its fingerprint; empty if unknown.
     """
 
     at: float
     answered: bool
+    request: str
 
 
 @dataclasses.dataclass(slots=True)
@@ -78,6 +81,7 @@
         self._upstreams = upstreams
         self._clock = clock
         self._outcomes = OutcomeLog()
+        self._served_requests = ServedRequests()
         self._exclusions = Exclusions(name, names, upstreams, metrics, clock=clock)
         self._pending = PendingUpdates()
         self.has_updates = asyncio.Event()
@@ -95,23 +99,24 @@
         if upstream.excluded_until and upstream.excluded(self._clock()):
             self.note_failed(upstream)
 
-    def note_failed(self, upstream: Upstream, *, answered: bool = False) -> None:
+    def note_failed(
+        self, upstream: Upstream, *, answered: bool = False, request: str = ""
+    ) -> None:
         """Record that a request failed here after the upstream may have run it.
 
         :param answered: it was answered with a 5xx.
+        :param request: its fingerprint.
         """
         now = self._clock()
         if not upstream.open or (not answered and _is_overloaded(upstream, now)):
             return
         may_change_verdict = self._may_change_verdict(upstream, now)
-        self._outcomes.add(
-            upstream.id,
-            Outcome(now, self._name, self._hall, failed=True, answered=answered),
-        )
+        outcome = Outcome(now, self._name, self._hall, True, answered, request)
+        self._outcomes.add(upstream.id, outcome)
         if upstream.excluded(now):
             self._note_failed_retest(upstream)
         elif may_change_verdict:
-            self._pending.failed_by_id[upstream.id] = OwnFailure(now, answered)
+            self._pending.failed_by_id[upstream.id] = OwnFailure(now, answered, request)
             self.has_updates.set()
 
     def _may_change_verdict(self, upstream: Upstream, now: float) -> bool:
@@ -128,9 +133,15 @@
             self._pending.changed.add(upstream.id)
             self.has_updates.set()
 
-    def note_served(self, upstream: Upstream) -> None:
-        """Record that an upstream served a request of this node."""
-        outcome = Outcome(self._clock(), self._name, self._hall, failed=False)
+    def note_served(self, upstream: Upstream, *, request: str = "") -> None:
+        """Record that an upstream served a request of this node.
+
+        :param request: its fingerprint.
+        """
+        now = self._clock()
+        if request:
+            self._served_requests.add(request, now)
+        outcome = Outcome(now, self._name, self._hall, failed=False)
         self._outcomes.add(upstream.id, outcome)
         if upstream.excluded_until and self._exclusions.may_retest(upstream):
             self._note_served_retest(upstream)
@@ -153,6 +164,7 @@
         reporter: str,
         hall: str,
         answered: bool = False,
+        request: str = "",
     ) -> None:
         """Apply another node's failure; requests that can't be repeated go elsewhere.
 
@@ -165,10 +177,8 @@
         now = self._clock()
         earlier = self._outcomes.failures(upstream_id, now)
         repeated = any(o.reporter == reporter for o in earlier)
-        self._outcomes.add(
-            upstream_id,
-            Outcome(now - age, reporter, hall, failed=True, answered=answered),
-        )
+        outcome = Outcome(now - age, reporter, hall, True, answered, request)
+        self._outcomes.add(upstream_id, outcome)
         if not answered and not repeated and self._exclusions.may_suspect(upstream):
             upstream.peer_suspect_until = now + PEER_SUSPICION_SECONDS
 
@@ -176,20 +186,35 @@
         """Return the ages of requests that the upstream served this node recently."""
         return self._outcomes.served_ages(upstream_id, self._clock())
 
-    def judge(self, upstream_id: str, served: t.Iterable[Outcome]) -> None:
+    def has_served(self, request: str) -> bool:
+        """Whether an upstream served a request with this fingerprint recently."""
+        return self._served_requests.has(request, self._clock())
+
+    def judge(
+        self,
+        upstream_id: str,
+        served: t.Iterable[Outcome],
+        *,
+        served_requests: t.Collection[str] = (),
+    ) -> None:
         """Exclude an upstream if the outcomes of all nodes demand it.
 
-        :param served: requests that other nodes report as served.
+        :param served: requests that other nodes report as served there.
+        :param served_requests: fingerprints of requests that other nodes report as
+            served anywhere.
         """
         upstream = self._upstreams.find(upstream_id)
         now = self._clock()
         if upstream is None or upstream.excluded(now):
             return
+        known = self._outcomes.recent(upstream_id, now)
+        own_requests = {o.request for o in known if self.has_served(o.request)}
         verdict = judge(
-            [*self._outcomes.recent(upstream_id, now), *served],
+            [*known, *served],
             now=now,
             excluded=self._exclusions.count_other_excluded(upstream),
             upstreams=self._exclusions.count_open(upstream),
+            served_requests=own_requests.union(served_requests),
         )
         match verdict:
             case Exclude():
--- a/src/bankrack/serving/plain.py
+++ b/src/bankrack/serving/plain.py
@@ -63,7 +63,9 @@
                 continue
             except UpstreamFailed as error:
                 self._dependencies.chooser.suspect(upstream)
-                self._dependencies.outliers.note_failed(upstream)
+                self._dependencies.outliers.note_failed(
+                    upstream, request=work.fingerprint
+                )
                 attempts.ran(upstream)
                 self._log(work, upstream, "failed", error.message)
                 await self._dependencies.crashes.note_failure(
@@ -107,10 +109,10 @@
         """
         outliers = self._dependencies.outliers
         if not failed:
-            outliers.note_served(upstream)
+            outliers.note_served(upstream, request=work.fingerprint)
         if not failed or work.route.kind is not RequestKind.REPEATABLE:
             for other in attempts.answered_5xx:
-                outliers.note_failed(other, answered=True)
+                outliers.note_failed(other, answered=True, request=work.fingerprint)
 
     async def _next(self, work: Assignment, attempts: "_Attempts") -> Upstream:
         """Choose the next upstream; raises :exc:`Overloaded` if there is none."""
@@ -241,7 +243,7 @@
         """
         waited = boottime() - sent_at
         if work.time_left() <= 0.0 and waited >= work.route.target_latency:
-            self._dependencies.outliers.note_failed(upstream)
+            self._dependencies.outliers.note_failed(upstream, request=work.fingerprint)
 
     def _attempt_seconds(self, work: Assignment, attempts: "_Attempts") -> float:
         left = work.time_left()
--- a/tests/decisions/test_outliers.py
+++ b/tests/decisions/test_outliers.py
@@ -1,6 +1,7 @@
 """Tests of judging upstreams by the outcomes of all nodes' requests."""
 
 import random
+import typing as t
 
 from bankrack.decisions.outliers import Exclude
 from bankrack.decisions.outliers import Healthy
@@ -16,23 +17,37 @@
 def outcomes(text: str) -> list[Outcome]:
     """Return outcomes 10 ms apart: ``x1`` for a failure at node 1, ``o1`` if served.
 
-    ``e1`` is a 5xx answer.
+    ``e1`` is a 5xx answer; ``x1/r`` failed with request ``r``.
     """
-    return [
-        Outcome(
-            0.01 * n, name[1:], HALLS[int(name[1:]) % 3], name[0] != "o", name[0] == "e"
-        )
-        for n, name in enumerate(text.split())
-    ]
-
-
-def judged(text: str, *, excluded: int = 0, upstreams: int = 3) -> Verdict:
-    return judge(outcomes(text), now=1.0, excluded=excluded, upstreams=upstreams)
+    found = []
+    for n, entry in enumerate(text.split()):
+        name, _, request = entry.partition("/")
+        kind, node = name[0], name[1:]
+        hall = HALLS[int(node) % 3]
+        found.append(Outcome(0.01 * n, node, hall, kind != "o", kind == "e", request))
+    return found
+
+
+def judged(
+    text: str,
+    *,
+    excluded: int = 0,
+    upstreams: int = 3,
+    served_requests: t.Collection[str] = (),
+) -> Verdict:
+    return judge(
+        outcomes(text),
+        now=1.0,
+        excluded=excluded,
+        upstreams=upstreams,
+        served_requests=served_requests,
+    )
 
 
 class JudgeTest(TestCase):
     def test_failures_of_two_nodes_exclude_an_upstream(self):
         self.assertEqual(Exclude(("1", "2"), 2, 0), judged("o3 o4 x1 x2"))
+        self.assertIsInstance(judged("x1 x1 o2 o2 x2"), Exclude)
 
     def test_three_5xx_answers_exclude_an_upstream(self):
         self.assertEqual(Healthy(), judged("e1 e2"))
@@ -61,6 +76,17 @@
         verdict = judged("x1 o0 o3 o6 o9 o2 o4 x2 x1")
         self.assertEqual(Exclude(("1", "2"), 2, 0), verdict)
 
+    def test_request_that_is_sent_again_counts_once(self):
+        self.assertEqual(Healthy(), judged("x1/bad x2/bad x3/bad x4/bad"))
+        self.assertEqual(Healthy(), judged("e1/bad e2/bad e3/bad x4/bad"))
+        self.assertEqual(Healthy(), judged("x1/bad x2/bad x1/other"))
+        self.assertIsInstance(judged("x1/bad x2/bad x3/other"), Exclude)
+
+    def test_request_that_is_served_elsewhere_counts_each_time(self):
+        text = "x1/same x2/same"
+        self.assertEqual(Healthy(), judged(text, served_requests={"other"}))
+        self.assertIsInstance(judged(text, served_requests={"same"}), Exclude)
+
     def test_old_outcomes_do_not_count(self):
         found = judge(outcomes("x1 x2"), now=10.0, excluded=0, upstreams=3)
         self.assertEqual(Healthy(), found)
@@ -82,6 +108,18 @@
                 return sum(outcome.failed for outcome in seen)
         return None
 
+    def test_bad_request_of_one_caller_excludes_no_quiet_upstream(self):
+        """Three requests a second at one of two upstreams, half of them a bad one."""
+        draw = random.Random(1)
+        seen: list[Outcome] = []
+        for n in range(600):
+            node, is_bad = draw.randrange(NODES), draw.random() < 0.5
+            request = "bad" if is_bad else f"r-{n}"
+            hall = HALLS[node % 3]
+            seen.append(Outcome(n / 3, f"n-{node}", hall, is_bad, False, request))
+            verdict = judge(seen, now=n / 3, excluded=0, upstreams=2)
+            self.assertEqual(Healthy(), verdict)
+
     def test_upstream_that_fails_all_is_excluded_after_two_failures(self):
         found = [self.failures_until_excluded(1.0, seed=seed) for seed in range(50)]
         self.assertLessEqual(max(found), 3)
--- a/tests/fleet/test_outlierupdates.py
+++ b/tests/fleet/test_outlierupdates.py
@@ -86,6 +86,20 @@
         await new.take(readmitted=["u-1", "nobody"])
         self.assertEqual([], new.excluded())
 
+    async def test_same_request_excludes_once_another_node_was_served_it(self):
+        new = Node("n-2", self.node)
+        running = asyncio.create_task(new.updates.run())
+        await new.take(failures=[["u-1", 0, False, "same"]])
+        new.monitor.note_failed(new.upstream, request="same")
+        await until(lambda: self.node.monitor.describe() != [])
+        await asyncio.sleep(0.05)
+        self.assertEqual([], new.excluded())
+        other = self.node.upstreams.by_id["u-2"]
+        self.node.monitor.note_served(other, request="same")
+        new.monitor.note_failed(new.upstream, request="same")
+        await until(lambda: new.excluded() == ["u-1"])
+        running.cancel()
+
     async def test_exclusion_of_a_further_upstream_is_ignored(self):
         await self.node.take(exclusions=[EXCLUSION, ["u-2", *EXCLUSION[1:]]])
         self.assertEqual(["u-1"], self.node.excluded())
--- a/tests/serving/test_outliers.py
+++ b/tests/serving/test_outliers.py
@@ -1,6 +1,7 @@
 """Tests of the monitor of failing upstreams, on a clock of their own."""
 
 import math
+import typing as t
 
 from bankrack.decisions.outliers import Exclude
 from bankrack.decisions.outliers import MAX_RETEST_SECONDS
@@ -136,7 +137,7 @@
 
 
 class PeerFailures(MonitorTest):
-    def fail(self, upstream_id: str, reporter: str = "n-2", **more: bool) -> None:
+    def fail(self, upstream_id: str, reporter: str = "n-2", **more: t.Any) -> None:
         self.monitor.take_failure(
             upstream_id, age=0.1, reporter=reporter, hall="a", **more
         )
@@ -187,6 +188,17 @@
         self.monitor.judge("u-1", ())
         self.assertEqual(set(), self.monitor.take_pending().changed)
 
+    def test_same_request_of_two_nodes_excludes_once_it_is_served_elsewhere(self):
+        self.fail("u-1", request="same")
+        self.monitor.note_failed(self.upstream, request="same")
+        self.monitor.judge("u-1", ())
+        self.assertIsNone(self.monitor.exclusion("u-1"))
+        self.monitor.note_served(self.upstreams.by_id["u-2"], request="same")
+        self.monitor.judge("u-1", ())
+        self.assertIsNotNone(self.monitor.exclusion("u-1"))
+        self.now += WINDOW_SECONDS
+        self.assertFalse(self.monitor.has_served("same"))
+
 
 class Retests(MonitorTest):
     def setUp(self):
--- a/tests/serving/test_plain.py
+++ b/tests/serving/test_plain.py
@@ -109,9 +109,19 @@
         cold = types.SimpleNamespace(allows=lambda *_: True, take=lambda *_: True)
         self.failed: list[str] = []
         self.served: list[str] = []
+        self.requests: set[str] = set()
+
+        def note_failed(upstream: t.Any, *, request: str, answered: bool = False):
+            self.failed.append(upstream.id)
+            self.requests.add(request)
+
+        def note_served(upstream: t.Any, *, request: str):
+            self.served.append(upstream.id)
+            self.requests.add(request)
+
         outliers = types.SimpleNamespace(
-            note_failed=lambda upstream, **_: self.failed.append(upstream.id),
-            note_served=lambda upstream: self.served.append(upstream.id),
+            note_failed=note_failed,
+            note_served=note_served,
             note_unreachable=lambda upstream: self.failed.append(upstream.id),
         )
         relay = PlainRelay(
@@ -138,7 +148,7 @@
             1,
             max_upstreams,
         )
-        work = Assignment(job, route, Service("s"), None, 1, boottime() + seconds)
+        work = Assignment(job, route, Service("s"), None, 1, boottime() + seconds, "f")
         return await relay.serve(work, t.cast(t.Any, self.reply))
 
     async def test_failure_after_a_5xx_is_not_noted_as_served(self):
@@ -153,6 +163,7 @@
         await self.serve(500, 200)
         self.assertEqual(self.client.upstreams[:1], self.failed)
         self.assertEqual(self.client.upstreams[1:], self.served)
+        self.assertEqual({"f"}, self.requests)
 
     async def test_retest_that_is_refused_is_not_repeated(self):
         excluded = self.upstreams.by_id["u-1"]
