Benchmark of shared rates: coordinators take limits from a receiver

Cause: PermitCoordinator takes a LimitReceiver instead of the upstreams, and the benchmark's fleet still gave it these: test_shared_rates ended with AttributeError. Change: each simulated node has a receiver of its own. Result: both tests of test_shared_rates pass again.

--- a/benchmarks/shared_rates.py
+++ b/benchmarks/shared_rates.py
@@ -23,9 +23,11 @@
 from bankrack.decisions.permits import PermitRequester
 from bankrack.fleet.coordinators import Coordinators
 from bankrack.fleet.documents import Member
+from bankrack.fleet.limitupdates import LimitReceiver
 from bankrack.fleet.permits import PermitClient
 from bankrack.fleet.permits import PermitCoordinator
 from bankrack.metrics import GatewayMetrics
+from bankrack.serving.notices import NoticeHandler
 from bankrack.serving.ratelimit import RateLimit
 from bankrack.serving.registry import Upstreams
 from bankrack.serving.sendlog import SendLog
@@ -165,10 +167,11 @@
 
         coordinators = Coordinators(member, members, clock=clock)
         fleet.now = now
+        limits = LimitReceiver(member, coordinators, NoticeHandler(), upstreams)
         coordinator = PermitCoordinator(
             member,
             coordinators,
-            upstreams,
+            limits,
             view_age=lambda: 0.0,
             clock=clock,
             rng=fleet.rng,
