Pauses: names of the field for what a pause costs

Cause: Stakes and expected_harm in the forecast of pauses are not terms that a reader of queueing or load-balancing code would look for.

--- a/src/bankrack/decisions/pauses.py
+++ b/src/bankrack/decisions/pauses.py
@@ -24,8 +24,8 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class Stakes:
-    """What a service's streams lose by a pause.
+class PauseCost:
+    """Cost of a pause that is longer than callers accept.
 
     :param gap_target: longest pause in seconds that callers accept.
     :param seconds: delay of a first event that costs a caller as much as a stream with
@@ -79,14 +79,16 @@
     return 1.0 - (1.0 - hazard) ** prompts
 
 
-def expected_harm(*, own: float, others: t.Iterable[float], stakes: Stakes) -> float:
+def expected_loss(
+    *, own: float, others: t.Iterable[float], pause_cost: PauseCost
+) -> float:
     """Expected loss by placing a run, as seconds of delay that cost as much.
 
     :param own: risk of the run itself; 0 for a run that is too short to be paused.
     :param others: hazard of each stream that the prompt would be read beside, without
         those that were paused for too long already.
     """
-    return stakes.seconds / DELAY_VALUE * (own + sum(others))
+    return pause_cost.seconds / DELAY_VALUE * (own + sum(others))
 
 
 def is_slow_moment(
--- a/src/bankrack/fleet/ledgers.py
+++ b/src/bankrack/fleet/ledgers.py
@@ -8,7 +8,7 @@
 
 from bankrack.decisions.admission import Admit
 from bankrack.decisions.admission import Verdict
-from bankrack.decisions.pauses import Stakes
+from bankrack.decisions.pauses import PauseCost
 from bankrack.fleet.messages import decode_message
 from bankrack.fleet.messages import encode_verdict
 from bankrack.fleet.messages import IdentifiedQuery
@@ -123,7 +123,7 @@
                     gap=update.took,
                     events=update.events,
                     longest=update.longest,
-                    stakes=Stakes(update.gap_target, update.target_latency),
+                    pause_cost=PauseCost(update.gap_target, update.target_latency),
                 )
 
     def describe_speeds(self) -> dict[str, dict[str, t.Any]]:
--- a/src/bankrack/placement/ledger.py
+++ b/src/bankrack/placement/ledger.py
@@ -13,7 +13,7 @@
 from bankrack.clock import boottime
 from bankrack.decisions.enginespeed import Kind
 from bankrack.decisions.pauses import DELAY_VALUE
-from bankrack.decisions.pauses import Stakes
+from bankrack.decisions.pauses import PauseCost
 from bankrack.placement.occupancy import Occupancy
 from bankrack.placement.pauserisk import PauseRisk
 from bankrack.placement.placements import MAX_READ_WAITS
@@ -166,7 +166,7 @@
         gap: float,
         events: int,
         longest: float,
-        stakes: Stakes,
+        pause_cost: PauseCost,
     ) -> None:
         """Record how far apart the events of a run are on an engine.
 
@@ -174,7 +174,7 @@
         :param events: number of gaps.
         :param longest: longest gap in seconds.
         """
-        self.speeds.observe_gaps(engine, gap, stakes)
+        self.speeds.observe_gaps(engine, gap, pause_cost)
         placement = self._placement_by_run.get(run)
         if placement is not None and placement.engine == engine:
             placement.gap, placement.gaps = gap, events
--- a/src/bankrack/placement/pauserisk.py
+++ b/src/bankrack/placement/pauserisk.py
@@ -4,7 +4,7 @@
 import typing as t
 
 from bankrack.clock import boottime
-from bankrack.decisions.pauses import expected_harm
+from bankrack.decisions.pauses import expected_loss
 from bankrack.decisions.pauses import lifetime_risk
 from bankrack.placement.placements import Placement
 from bankrack.serving.enginespeeds import EngineSpeeds
@@ -85,10 +85,10 @@
         :param due: seconds until the target latency is over.
         :param pool_size: number of engines that share the prompts.
         """
-        stakes = self._speeds.stakes
-        if not self._speeds.active or stakes is None or demand.short:
+        pause_cost = self._speeds.pause_cost
+        if not self._speeds.active or pause_cost is None or demand.short:
             return False
-        if due < (1.0 - MAX_SPEED_WAIT) * stakes.seconds:
+        if due < (1.0 - MAX_SPEED_WAIT) * pause_cost.seconds:
             return False
         return all(self.pauses_streams(name, engines=pool_size) for name in engines)
 
@@ -137,16 +137,16 @@
         :param placements: placements on the engine.
         :param engines: number of engines that share the prompts.
         """
-        stakes = self._speeds.stakes
+        pause_cost = self._speeds.pause_cost
         hazard = self._speeds.hazard(engine)
-        if stakes is None or hazard == 0.0:
+        if pause_cost is None or hazard == 0.0:
             return 0.0
         streams = sum(
-            not (p.copy or p.demand.short) and p.longest_pause <= stakes.gap_target
+            not (p.copy or p.demand.short) and p.longest_pause <= pause_cost.gap_target
             for p in placements
         )
         own = 0.0 if demand.short else self._of_stream(engine, engines)
-        return expected_harm(own=own, others=[hazard] * streams, stakes=stakes)
+        return expected_loss(own=own, others=[hazard] * streams, pause_cost=pause_cost)
 
     def _of_stream(self, engine: str, engines: int) -> float:
         """Probability that a long stream on an engine is paused too long."""
--- a/src/bankrack/serving/enginelink.py
+++ b/src/bankrack/serving/enginelink.py
@@ -4,7 +4,7 @@
 
 from bankrack.clock import boottime
 from bankrack.decisions.pauses import FRESH_SECONDS
-from bankrack.decisions.pauses import Stakes
+from bankrack.decisions.pauses import PauseCost
 from bankrack.exceptions import UpstreamUnreachable
 from bankrack.serving.advisor import PlacementAdvisor
 from bankrack.serving.assignment import Assignment
@@ -148,9 +148,9 @@
         if work.route.gap_target and self._dependencies.upstreams.uneven(
             work.service.name
         ):
-            stakes = Stakes(work.route.gap_target, work.route.target_latency)
+            pause_cost = PauseCost(work.route.gap_target, work.route.target_latency)
             speeds = self._dependencies.chooser.speeds_of(work.service.name)
-            speeds.observe_gaps(engine.id, gaps.base, stakes)
+            speeds.observe_gaps(engine.id, gaps.base, pause_cost)
             self._advisor.paced(work, gaps)
 
     def disconnect(self) -> None:
--- a/src/bankrack/serving/enginespeeds.py
+++ b/src/bankrack/serving/enginespeeds.py
@@ -18,7 +18,7 @@
 from bankrack.decisions.enginespeed import UNKNOWN
 from bankrack.decisions.enginespeed import usual
 from bankrack.decisions.pauses import pause_hazard
-from bankrack.decisions.pauses import Stakes
+from bankrack.decisions.pauses import PauseCost
 from bankrack.decisions.pauses import StreamPause
 
 MAX_ENGINES = 512
@@ -71,9 +71,9 @@
         "_hazard_by_engine",
         "_logged_by_engine",
         "_mean",
+        "_pause_cost",
         "_pauses",
         "_speed_by_engine",
-        "_stakes",
         "_stated_by_engine",
         "_unavoidable",
         "_usual_gap",
@@ -93,7 +93,7 @@
         self._speed_by_engine: collections.OrderedDict[str, Speed] = (
             collections.OrderedDict()
         )
-        self._stakes: Stakes | None = None
+        self._pause_cost: PauseCost | None = None
         self._stated_by_engine: dict[str, collections.deque[float]] = {}
         self._mean: float | None = None
         self._unavoidable: float | None = None
@@ -101,9 +101,9 @@
         self._usual_stated: float | None = None
 
     @property
-    def stakes(self) -> Stakes | None:
+    def pause_cost(self) -> PauseCost | None:
         """What pauses cost the service's callers; ``None`` while unknown."""
-        return self._stakes
+        return self._pause_cost
 
     def factor(self, engine: str) -> float:
         """Time that work takes on an engine as a multiple of the service's usual."""
@@ -141,7 +141,7 @@
 
         An engine without observations counts as one of the known ones.
         """
-        if self._usual_gap is None or self._stakes is None:
+        if self._usual_gap is None or self._pause_cost is None:
             return 0.0
         found = self._hazard_by_engine.get(engine)
         if found is None:
@@ -174,11 +174,11 @@
 
     def _hazard_of(self, factor: float) -> float:
         assert self._usual_gap is not None
-        assert self._stakes is not None
+        assert self._pause_cost is not None
         return pause_hazard(
             self._pauses,
             gap=factor * self._usual_gap,
-            gap_target=self._stakes.gap_target,
+            gap_target=self._pause_cost.gap_target,
         )
 
     def observe(self, engine: str, kind: Kind, ratio: float) -> None:
@@ -192,13 +192,13 @@
         self._limit_engines(engine)
         self._log(engine)
 
-    def observe_gaps(self, engine: str, gap: float, stakes: Stakes) -> None:
+    def observe_gaps(self, engine: str, gap: float, pause_cost: PauseCost) -> None:
         """Record the gap between the events of a stream on an engine, in seconds."""
         if not 0.0 < gap < math.inf:
             return
         self.active = True
-        if stakes.gap_target > 0.0:
-            self._stakes = stakes
+        if pause_cost.gap_target > 0.0:
+            self._pause_cost = pause_cost
         self._speed_by_engine.setdefault(engine, UNKNOWN)
         gaps = self._gaps_by_engine.get(engine, _Gaps(gap, 0))
         self._gaps_by_engine[engine] = gaps.with_gap(gap)
--- a/tests/decisions/test_pauses.py
+++ b/tests/decisions/test_pauses.py
@@ -1,17 +1,17 @@
 """Tests of the forecast of pauses."""
 
 from bankrack.decisions.pauses import DELAY_VALUE
-from bankrack.decisions.pauses import expected_harm
+from bankrack.decisions.pauses import expected_loss
 from bankrack.decisions.pauses import FRESH_SECONDS
 from bankrack.decisions.pauses import is_slow_moment
 from bankrack.decisions.pauses import lifetime_risk
 from bankrack.decisions.pauses import MIN_STREAMS
 from bankrack.decisions.pauses import pause_hazard
-from bankrack.decisions.pauses import Stakes
+from bankrack.decisions.pauses import PauseCost
 from bankrack.decisions.pauses import StreamPause
 from tests.base import TestCase
 
-STAKES = Stakes(gap_target=0.18, seconds=1.8)
+PAUSE_COST = PauseCost(gap_target=0.18, seconds=1.8)
 
 
 class PauseHazardTest(TestCase):
@@ -19,7 +19,7 @@
     observed = [StreamPause(5.0, 8), *[StreamPause(2.2, 8)] * 3] * 4
 
     def hazard(self, gap: float) -> float:
-        return pause_hazard(self.observed, gap=gap, gap_target=STAKES.gap_target)
+        return pause_hazard(self.observed, gap=gap, gap_target=PAUSE_COST.gap_target)
 
     def test_only_slow_engines_pause_their_streams_too_long(self):
         self.assertEqual(0.0, self.hazard(0.019))
@@ -54,6 +54,6 @@
         self.assertFalse(is_slow(4.0, age=10 * FRESH_SECONDS))
         self.assertFalse(is_slow(4.0, age=-1.0))
 
-    def test_harm_counts_the_run_and_each_stream_beside_it(self):
-        harm = expected_harm(own=0.5, others=[0.1, 0.1], stakes=STAKES)
-        self.assertAlmostEqual(0.7 * 1.8 / DELAY_VALUE, harm)
+    def test_expected_loss_counts_the_run_and_each_stream_beside_it(self):
+        loss = expected_loss(own=0.5, others=[0.1, 0.1], pause_cost=PAUSE_COST)
+        self.assertAlmostEqual(0.7 * 1.8 / DELAY_VALUE, loss)
--- a/tests/placement/test_pauserisk.py
+++ b/tests/placement/test_pauserisk.py
@@ -4,7 +4,7 @@
 
 from bankrack.decisions.admission import Admit
 from bankrack.decisions.admission import Wait
-from bankrack.decisions.pauses import Stakes
+from bankrack.decisions.pauses import PauseCost
 from bankrack.placement.allocation import Allocator
 from bankrack.placement.allocation import PlacementRequest
 from bankrack.serving.job import Demand
@@ -16,7 +16,7 @@
 MEMORY = 27_000
 SHORT = Demand(prompt=2500, output_limit=10)
 LONG = Demand(prompt=3000, output_limit=750)
-STAKES = Stakes(gap_target=0.18, seconds=1.8)
+PAUSE_COST = PauseCost(gap_target=0.18, seconds=1.8)
 GAP_BY_SPEED = {"slow": 0.051, "usual": 0.030, "fast": 0.019}
 
 
@@ -45,7 +45,7 @@
     def pace(self, run: str, engine: str, *, longest: float = 0.05) -> None:
         gap = GAP_BY_SPEED[engine.split("-")[0]]
         self.ledger.pace(
-            run, engine, gap=gap, events=60, longest=longest, stakes=STAKES
+            run, engine, gap=gap, events=60, longest=longest, pause_cost=PAUSE_COST
         )
 
     def begin(self, run: str, engine: str, demand: Demand) -> None:
