Engine speeds: the read rate is learned from prompts that were read alone

Cause: the pool owner took the rate at which engines read prompts for two to three times the measured one (10,000 to 27,000 tokens a second where a prompt takes 0.4 s). An engine begins a run with a reservation before those that wait there, so the wait of a run that met others does not grow with the tokens ahead of it, and the slope fitted to such waits is far too flat. Engines were sent two or three prompts at once, and the oldest of them waited for seconds while newer ones overtook it. Change: on engines of unequal speed only runs that found no unread prompt on their engine count for the rate and for the engine's speed.

--- a/src/bankrack/placement/ledger.py
+++ b/src/bankrack/placement/ledger.py
@@ -150,7 +150,14 @@
     def _observe_first_event(
         self, placement: Placement, tokens: int, took: float
     ) -> None:
-        """Learn from the time in which an engine read prompts."""
+        """Learn from the time in which an engine read prompts.
+
+        Engines of unequal speed are compared by prompts that they read alone: a run with
+        a reservation goes before those that wait there, so the wait of a run that met
+        others says little about the tokens that were ahead of it.
+        """
+        if self.speeds.active and placement.ahead > 0:
+            return
         engine, short_only = placement.engine, placement.short_only
         if self.speeds.active and tokens > 0 and took > 0.0:
             rate = self._pace.wait_rate(short_only=short_only)
--- a/tests/placement/test_pauserisk.py
+++ b/tests/placement/test_pauserisk.py
@@ -148,6 +148,22 @@
         every = self.allocator.decide(self.engines, self.request("any", due=3.0))
         self.assertIsInstance(every, Admit)
 
+    def test_read_rate_is_learned_from_prompts_that_were_read_alone(self):
+        """A peak at which runs meet others on their engine and overtake them."""
+        self.learn_gaps()
+        rng = random.Random(1)
+        for number in range(64):
+            self.now += 5.0
+            alone = Demand(prompt=rng.randint(1000, 5000), output_limit=10)
+            self.ledger.place(f"alone-{number}", "usual-0", alone)
+            self.ledger.place(f"overtakes-{number}", "usual-0", SHORT)
+            self.ledger.begin(f"overtakes-{number}", "usual-0", took=0.1)
+            took = alone.prompt / 7000
+            self.ledger.begin(f"alone-{number}", "usual-0", took=took)
+            for run in (f"alone-{number}", f"overtakes-{number}"):
+                self.ledger.end(run)
+        self.assertAlmostEqual(7000, self.ledger.read_rate, delta=700)
+
     def test_nothing_is_learned_before_gaps_are_reported(self):
         self.begin("r-1", "slow-0", LONG)
         self.ledger.end("r-1", took=5.0)
