Engine speeds: a prompt in progress counts as partly read

Cause: with the measured read rate, an engine that reads one prompt of usual size has more unread tokens than it may have to get another run. Change: what the engine has read of its oldest unread prompt since that was placed is subtracted, where engines are of unequal speed.

--- a/src/bankrack/placement/ledger.py
+++ b/src/bankrack/placement/ledger.py
@@ -219,12 +219,18 @@
         now = self._clock()
         wait_rate = self._pace.wait_rate()
         unread: dict[str, float] = {}
+        oldest_by_engine: dict[str, tuple[float, float]] = {}
         for placement in self._placement_by_run.values():
             if placement.began is None:
                 engine = placement.engine
                 factor = max(1.0, self.speeds.factor(engine))
                 tokens = factor * placement.unread(now, wait_rate / factor)
                 unread[engine] = unread.get(engine, 0.0) + tokens
+                if tokens:
+                    oldest_by_engine.setdefault(engine, (placement.placed, tokens))
+        if self.speeds.active:
+            for engine, (placed, tokens) in oldest_by_engine.items():
+                unread[engine] -= min(tokens, wait_rate * (now - placed))
         return unread
 
     def run_seconds(self, demand: Demand) -> float:
--- a/tests/placement/test_pauserisk.py
+++ b/tests/placement/test_pauserisk.py
@@ -164,6 +164,16 @@
                 self.ledger.end(run)
         self.assertAlmostEqual(7000, self.ledger.read_rate, delta=700)
 
+    def test_prompt_in_progress_counts_as_partly_read(self):
+        """Drafts that wait at a peak for engines which have almost read a prompt."""
+        self.begin("unknown", "usual-0", LONG)
+        self.ledger.place("r-1", "usual-0", LONG)
+        self.now += 0.2
+        self.assertEqual({"usual-0": 3000}, self.ledger.unread_by_engine())
+        self.learn_gaps()
+        unread = self.ledger.unread_by_engine()["usual-0"]
+        self.assertAlmostEqual(3000 - 0.2 * 7000, unread, delta=500)
+
     def test_nothing_is_learned_before_gaps_are_reported(self):
         self.begin("r-1", "slow-0", LONG)
         self.ledger.end("r-1", took=5.0)
