Pauses: runs with a short hint avoid engines that would pause them

Cause: a run that is expected to generate less than 100 tokens counted as one that nothing can pause, and was sent to the slow engines that are dedicated to short runs. Callers' hints are often several times too low. Change: can_be_paused decides by the expected duration against the time in which a prompt is read; such a run has a risk of its own, by its duration, and counts as one that prompts keep away from.

--- a/src/bankrack/decisions/pauses.py
+++ b/src/bankrack/decisions/pauses.py
@@ -19,6 +19,8 @@
 """With fewer observed streams the initial estimate is part of the distribution."""
 FRESH_SECONDS = 0.15
 """Age up to which a stated slowdown tells how long work takes now."""
+LENGTH_ERROR = 3.0
+"""Factor by which callers' estimates of an answer's length are often too low."""
 READING_RATIO = 2.0
 """Lengthening of the steps in which a piece of a prompt is read."""
 
@@ -79,12 +81,21 @@
     return 1.0 - (1.0 - hazard) ** prompts
 
 
+def can_be_paused(*, seconds: float, reading: float) -> bool:
+    """Whether a stream may make events for as long as a prompt is read beside it.
+
+    :param seconds: expected seconds from its first event to its last.
+    :param reading: seconds in which the engine reads a prompt.
+    """
+    return LENGTH_ERROR * seconds >= reading
+
+
 def expected_loss(
     *, own: float, others: t.Iterable[float], pause_cost: PauseCost
 ) -> float:
     """Expected loss by placing a run, as seconds of delay that cost as much.
 
-    :param own: risk of the run itself; 0 for a run that is too short to be paused.
+    :param own: risk of the run itself.
     :param others: hazard of each stream that the prompt would be read beside, without
         those that were paused for too long already.
     """
--- a/src/bankrack/placement/ledger.py
+++ b/src/bankrack/placement/ledger.py
@@ -152,9 +152,9 @@
     ) -> None:
         """Learn from the time in which an engine read prompts.
 
-        Engines of unequal speed are compared by prompts that they read alone: a run with
-        a reservation goes before those that wait there, so the wait of a run that met
-        others says little about the tokens that were ahead of it.
+        Engines of unequal speed are compared by prompts that they read alone: a run
+        with a reservation goes before those that wait there, so the wait of one that
+        met others says little about the tokens that were ahead of it.
         """
         if self.speeds.active and placement.ahead > 0:
             return
@@ -279,7 +279,12 @@
                 short_only=short_only,
             )
             cost += self.pause_risk.cost(
-                engine.id, placements, demand, engines=len(engines)
+                engine.id,
+                placements,
+                demand,
+                engines=len(engines),
+                token_seconds=self._pace.token_seconds,
+                read_rate=self._pace.wait_rate(),
             )
             if self.speeds.active and demand.short:
                 cost += self._lateness_cost(engine, placements, demand, due)
--- a/src/bankrack/placement/pauserisk.py
+++ b/src/bankrack/placement/pauserisk.py
@@ -4,6 +4,7 @@
 import typing as t
 
 from bankrack.clock import boottime
+from bankrack.decisions.pauses import can_be_paused
 from bankrack.decisions.pauses import expected_loss
 from bankrack.decisions.pauses import lifetime_risk
 from bankrack.placement.placements import Placement
@@ -131,34 +132,65 @@
         demand: Demand,
         *,
         engines: int,
+        token_seconds: float,
+        read_rate: float,
     ) -> float:
         """Expected loss by placing a run, as seconds of delay that cost as much.
 
         :param placements: placements on the engine.
         :param engines: number of engines that share the prompts.
+        :param token_seconds: usual seconds per expected output token.
+        :param read_rate: prompt tokens per second over the usual wait of a run.
         """
         pause_cost = self._speeds.pause_cost
         hazard = self._speeds.hazard(engine)
         if pause_cost is None or hazard == 0.0:
             return 0.0
-        streams = sum(
-            not (p.copy or p.demand.short) and p.longest_pause <= pause_cost.gap_target
+        reading = demand.prompt / read_rate
+        others = [
+            hazard
             for p in placements
-        )
-        own = 0.0 if demand.short else self._of_stream(engine, engines)
-        return expected_loss(own=own, others=[hazard] * streams, pause_cost=pause_cost)
+            if not p.copy
+            and p.longest_pause <= pause_cost.gap_target
+            and _can_be_paused(p.demand, token_seconds, reading)
+        ]
+        own = 0.0
+        if not demand.short:
+            own = self._of_stream(engine, engines)
+        elif _can_be_paused(demand, token_seconds, reading):
+            own = self._of_short_stream(engine, engines, demand.output * token_seconds)
+        return expected_loss(own=own, others=others, pause_cost=pause_cost)
 
     def _of_stream(self, engine: str, engines: int) -> float:
         """Probability that a long stream on an engine is paused too long."""
         hazard = self._speeds.hazard(engine)
         if hazard == 0.0:
             return 0.0
-        self._expire()
         seconds = self._stream_seconds * self._speeds.factor(engine)
-        rate = len(self._prompts) / WINDOW_SECONDS / max(1, engines)
-        return lifetime_risk(hazard, prompts=1.0 + rate * seconds)
+        prompts = 1.0 + self._prompt_rate(engines) * seconds
+        return lifetime_risk(hazard, prompts=prompts)
+
+    def _of_short_stream(self, engine: str, engines: int, seconds: float) -> float:
+        """The same for a short run, beside which fewer prompts are read.
+
+        :param seconds: expected seconds on an engine of the usual speed.
+        """
+        prompts = self._prompt_rate(engines) * seconds * self._speeds.factor(engine)
+        return lifetime_risk(self._speeds.hazard(engine), prompts=prompts)
+
+    def _prompt_rate(self, engines: int) -> float:
+        """Prompts per second that one engine is sent."""
+        self._expire()
+        return len(self._prompts) / WINDOW_SECONDS / max(1, engines)
 
     def _expire(self) -> None:
         since = self._clock() - WINDOW_SECONDS
         while self._prompts and self._prompts[0] < since:
             self._prompts.popleft()
+
+
+def _can_be_paused(demand: Demand, token_seconds: float, reading: float) -> bool:
+    """Whether a run makes events for long enough to be paused by a prompt."""
+    if not demand.short:
+        return True
+    return can_be_paused(seconds=demand.output * token_seconds, reading=reading)
--- a/tests/placement/test_pauserisk.py
+++ b/tests/placement/test_pauserisk.py
@@ -174,6 +174,17 @@
         unread = self.ledger.unread_by_engine()["usual-0"]
         self.assertAlmostEqual(3000 - 0.2 * 7000, unread, delta=500)
 
+    def test_short_stream_keeps_away_from_engines_that_would_pause_it(self):
+        """Letters of some twenty events between prompts that come all the time."""
+        self.learn_gaps()
+        for number in range(60):
+            self.now += 0.02
+            self.begin(f"r-{number}", f"usual-{number % 2}", SHORT)
+            self.ledger.end(f"r-{number}")
+        letter = Demand(prompt=2500, output_limit=80)
+        self.assertEqual("slow", self.first(SHORT).split("-")[0])
+        self.assertNotEqual("slow", self.first(letter).split("-")[0])
+
     def test_nothing_is_learned_before_gaps_are_reported(self):
         self.begin("r-1", "slow-0", LONG)
         self.ledger.end("r-1", took=5.0)
