Pauses: prompts keep away from runs that are to be resumed

Cause: a run that is resumed at its copy waits until the engine has read the prompt that it has in progress. The cost of an engine did not count copies at all. Change: resumption_hazard is the probability that a prompt delays a resumed run for longer than its target, by the engine's time to read the prompt; each copy on an engine counts with it, also on fast engines.

--- a/src/bankrack/decisions/pauses.py
+++ b/src/bankrack/decisions/pauses.py
@@ -19,6 +19,9 @@
 """With fewer observed streams the initial estimate is part of the distribution."""
 FRESH_SECONDS = 0.15
 """Age up to which a stated slowdown tells how long work takes now."""
+RESUME_WITHIN_SECONDS = 1.5
+"""Time within which a run is resumed at the copy that is made when its engine begins to
+shut down."""
 LENGTH_ERROR = 3.0
 """Factor by which callers' estimates of an answer's length are often too low."""
 READING_RATIO = 2.0
@@ -90,6 +93,17 @@
     return LENGTH_ERROR * seconds >= reading
 
 
+def resumption_hazard(*, reading: float, gap_target: float) -> float:
+    """Probability that a prompt pauses a run that is to be resumed on its engine.
+
+    An engine completes the prompt that it reads before it resumes a run, which may come
+    at any moment of the notice with which engines shut down.
+
+    :param reading: seconds in which the engine reads the prompt.
+    """
+    return min(1.0, max(0.0, reading - gap_target) / RESUME_WITHIN_SECONDS)
+
+
 def expected_loss(
     *, own: float, others: t.Iterable[float], pause_cost: PauseCost
 ) -> float:
--- a/src/bankrack/placement/pauserisk.py
+++ b/src/bankrack/placement/pauserisk.py
@@ -7,6 +7,7 @@
 from bankrack.decisions.pauses import can_be_paused
 from bankrack.decisions.pauses import expected_loss
 from bankrack.decisions.pauses import lifetime_risk
+from bankrack.decisions.pauses import resumption_hazard
 from bankrack.placement.placements import Placement
 from bankrack.serving.enginespeeds import EngineSpeeds
 from bankrack.serving.job import Demand
@@ -143,16 +144,22 @@
         :param read_rate: prompt tokens per second over the usual wait of a run.
         """
         pause_cost = self._speeds.pause_cost
-        hazard = self._speeds.hazard(engine)
-        if pause_cost is None or hazard == 0.0:
+        if pause_cost is None:
             return 0.0
+        hazard = self._speeds.hazard(engine)
         reading = demand.prompt / read_rate
+        resumption = resumption_hazard(
+            reading=reading * self._speeds.factor(engine),
+            gap_target=pause_cost.gap_target,
+        )
         others = [
-            hazard
+            resumption if p.copy else hazard
             for p in placements
-            if not p.copy
-            and p.longest_pause <= pause_cost.gap_target
-            and _can_be_paused(p.demand, token_seconds, reading)
+            if p.copy
+            or (
+                p.longest_pause <= pause_cost.gap_target
+                and _can_be_paused(p.demand, token_seconds, reading)
+            )
         ]
         own = 0.0
         if not demand.short:
--- a/tests/placement/test_pauserisk.py
+++ b/tests/placement/test_pauserisk.py
@@ -185,6 +185,17 @@
         self.assertEqual("slow", self.first(SHORT).split("-")[0])
         self.assertNotEqual("slow", self.first(letter).split("-")[0])
 
+    def test_prompt_keeps_away_from_a_run_that_will_be_resumed(self):
+        """A wave of prompts while an engine leaves and its streams have copies."""
+        self.learn_gaps()
+        self.engines = [self.engine("usual-0"), self.engine("usual-1")]
+        self.engines[1].note_report(EngineReport(0, 0, 6000, MEMORY, taken=self.now))
+        self.assertEqual("usual-0", self.first(SHORT))
+        self.ledger.place_copy("stream", "usual-0", LONG)
+        self.assertEqual("usual-1", self.first(SHORT))
+        self.ledger.drop_copy("stream")
+        self.assertEqual("usual-0", self.first(SHORT))
+
     def test_nothing_is_learned_before_gaps_are_reported(self):
         self.begin("r-1", "slow-0", LONG)
         self.ledger.end("r-1", took=5.0)
