--- a/tests/decisions/test_pauses.py
+++ b/tests/decisions/test_pauses.py
@@ -1,5 +1,6 @@
 """Tests of the forecast of pauses."""
 
+from bankrack.decisions.pauses import can_be_paused
 from bankrack.decisions.pauses import DELAY_VALUE
 from bankrack.decisions.pauses import expected_loss
 from bankrack.decisions.pauses import FRESH_SECONDS
@@ -8,6 +9,7 @@
 from bankrack.decisions.pauses import MIN_STREAMS
 from bankrack.decisions.pauses import pause_hazard
 from bankrack.decisions.pauses import PauseCost
+from bankrack.decisions.pauses import resumption_hazard
 from bankrack.decisions.pauses import StreamPause
 from tests.base import TestCase
 
@@ -54,6 +56,17 @@
         self.assertFalse(is_slow(4.0, age=10 * FRESH_SECONDS))
         self.assertFalse(is_slow(4.0, age=-1.0))
 
+    def test_resumed_run_is_paused_by_prompts_that_take_long(self):
+        def hazard(reading: float) -> float:
+            return resumption_hazard(reading=reading, gap_target=0.18)
+
+        self.assertEqual([0.0, 1.0], [hazard(0.15), hazard(5.0)])
+        self.assertGreater(hazard(0.65), hazard(0.4))
+
+    def test_stream_that_ends_before_a_prompt_is_read_is_not_paused(self):
+        self.assertFalse(can_be_paused(seconds=0.06, reading=0.4))
+        self.assertTrue(can_be_paused(seconds=0.2, reading=0.4))
+
     def test_expected_loss_counts_the_run_and_each_stream_beside_it(self):
         loss = expected_loss(own=0.5, others=[0.1, 0.1], pause_cost=PAUSE_COST)
         self.assertAlmostEqual(0.7 * 1.8 / DELAY_VALUE, loss)
