--- a/src/bankrack/decisions/pauses.py
+++ b/src/bankrack/decisions/pauses.py
@@ -19,13 +19,18 @@
 """With fewer observed streams the initial estimate is part of the distribution."""
 FRESH_SECONDS = 0.15
 """Age up to which a stated slowdown tells how long work takes now."""
+RESUME_WITHIN_SECONDS = 1.5
+"""Time within which a run is resumed at the copy that is made when its engine begins to
+shut down."""
+LENGTH_ERROR = 3.0
+"""Factor by which callers' estimates of an answer's length are often too low."""
 READING_RATIO = 2.0
 """Lengthening of the steps in which a piece of a prompt is read."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class Stakes:
-    """What a service's streams lose by a pause.
+class PauseCost:
+    """Cost of a pause that is longer than callers accept.
 
     :param gap_target: longest pause in seconds that callers accept.
     :param seconds: delay of a first event that costs a caller as much as a stream with
@@ -79,14 +84,36 @@
     return 1.0 - (1.0 - hazard) ** prompts
 
 
-def expected_harm(*, own: float, others: t.Iterable[float], stakes: Stakes) -> float:
+def can_be_paused(*, seconds: float, reading: float) -> bool:
+    """Whether a stream may make events for as long as a prompt is read beside it.
+
+    :param seconds: expected seconds from its first event to its last.
+    :param reading: seconds in which the engine reads a prompt.
+    """
+    return LENGTH_ERROR * seconds >= reading
+
+
+def resumption_hazard(*, reading: float, gap_target: float) -> float:
+    """Probability that a prompt pauses a run that is to be resumed on its engine.
+
+    An engine completes the prompt that it reads before it resumes a run, which may come
+    at any moment of the notice with which engines shut down.
+
+    :param reading: seconds in which the engine reads the prompt.
+    """
+    return min(1.0, max(0.0, reading - gap_target) / RESUME_WITHIN_SECONDS)
+
+
+def expected_loss(
+    *, own: float, others: t.Iterable[float], pause_cost: PauseCost
+) -> float:
     """Expected loss by placing a run, as seconds of delay that cost as much.
 
-    :param own: risk of the run itself; 0 for a run that is too short to be paused.
+    :param own: risk of the run itself.
     :param others: hazard of each stream that the prompt would be read beside, without
         those that were paused for too long already.
     """
-    return stakes.seconds / DELAY_VALUE * (own + sum(others))
+    return pause_cost.seconds / DELAY_VALUE * (own + sum(others))
 
 
 def is_slow_moment(
--- a/src/bankrack/placement/ledger.py
+++ b/src/bankrack/placement/ledger.py
@@ -13,7 +13,7 @@
 from bankrack.clock import boottime
 from bankrack.decisions.enginespeed import Kind
 from bankrack.decisions.pauses import DELAY_VALUE
-from bankrack.decisions.pauses import Stakes
+from bankrack.decisions.pauses import PauseCost
 from bankrack.placement.occupancy import Occupancy
 from bankrack.placement.pauserisk import PauseRisk
 from bankrack.placement.placements import MAX_READ_WAITS
@@ -150,7 +150,14 @@
     def _observe_first_event(
         self, placement: Placement, tokens: int, took: float
     ) -> None:
-        """Learn from the time in which an engine read prompts."""
+        """Learn from the time in which an engine read prompts.
+
+        Engines of unequal speed are compared by prompts that they read alone: a run
+        with a reservation goes before those that wait there, so the wait of one that
+        met others says little about the tokens that were ahead of it.
+        """
+        if self.speeds.active and placement.ahead > 0:
+            return
         engine, short_only = placement.engine, placement.short_only
         if self.speeds.active and tokens > 0 and took > 0.0:
             rate = self._pace.wait_rate(short_only=short_only)
@@ -166,7 +173,7 @@
         gap: float,
         events: int,
         longest: float,
-        stakes: Stakes,
+        pause_cost: PauseCost,
     ) -> None:
         """Record how far apart the events of a run are on an engine.
 
@@ -174,7 +181,7 @@
         :param events: number of gaps.
         :param longest: longest gap in seconds.
         """
-        self.speeds.observe_gaps(engine, gap, stakes)
+        self.speeds.observe_gaps(engine, gap, pause_cost)
         placement = self._placement_by_run.get(run)
         if placement is not None and placement.engine == engine:
             placement.gap, placement.gaps = gap, events
@@ -212,12 +219,18 @@
         now = self._clock()
         wait_rate = self._pace.wait_rate()
         unread: dict[str, float] = {}
+        oldest_by_engine: dict[str, tuple[float, float]] = {}
         for placement in self._placement_by_run.values():
             if placement.began is None:
                 engine = placement.engine
                 factor = max(1.0, self.speeds.factor(engine))
                 tokens = factor * placement.unread(now, wait_rate / factor)
                 unread[engine] = unread.get(engine, 0.0) + tokens
+                if tokens:
+                    oldest_by_engine.setdefault(engine, (placement.placed, tokens))
+        if self.speeds.active:
+            for engine, (placed, tokens) in oldest_by_engine.items():
+                unread[engine] -= min(tokens, wait_rate * (now - placed))
         return unread
 
     def run_seconds(self, demand: Demand) -> float:
@@ -266,7 +279,12 @@
                 short_only=short_only,
             )
             cost += self.pause_risk.cost(
-                engine.id, placements, demand, engines=len(engines)
+                engine.id,
+                placements,
+                demand,
+                engines=len(engines),
+                token_seconds=self._pace.token_seconds,
+                read_rate=self._pace.wait_rate(),
             )
             if self.speeds.active and demand.short:
                 cost += self._lateness_cost(engine, placements, demand, due)
--- a/tests/placement/test_pauserisk.py
+++ b/tests/placement/test_pauserisk.py
@@ -4,7 +4,7 @@
 
 from bankrack.decisions.admission import Admit
 from bankrack.decisions.admission import Wait
-from bankrack.decisions.pauses import Stakes
+from bankrack.decisions.pauses import PauseCost
 from bankrack.placement.allocation import Allocator
 from bankrack.placement.allocation import PlacementRequest
 from bankrack.serving.job import Demand
@@ -16,7 +16,7 @@
 MEMORY = 27_000
 SHORT = Demand(prompt=2500, output_limit=10)
 LONG = Demand(prompt=3000, output_limit=750)
-STAKES = Stakes(gap_target=0.18, seconds=1.8)
+PAUSE_COST = PauseCost(gap_target=0.18, seconds=1.8)
 GAP_BY_SPEED = {"slow": 0.051, "usual": 0.030, "fast": 0.019}
 
 
@@ -45,7 +45,7 @@
     def pace(self, run: str, engine: str, *, longest: float = 0.05) -> None:
         gap = GAP_BY_SPEED[engine.split("-")[0]]
         self.ledger.pace(
-            run, engine, gap=gap, events=60, longest=longest, stakes=STAKES
+            run, engine, gap=gap, events=60, longest=longest, pause_cost=PAUSE_COST
         )
 
     def begin(self, run: str, engine: str, demand: Demand) -> None:
@@ -148,6 +148,54 @@
         every = self.allocator.decide(self.engines, self.request("any", due=3.0))
         self.assertIsInstance(every, Admit)
 
+    def test_read_rate_is_learned_from_prompts_that_were_read_alone(self):
+        """A peak at which runs meet others on their engine and overtake them."""
+        self.learn_gaps()
+        rng = random.Random(1)
+        for number in range(64):
+            self.now += 5.0
+            alone = Demand(prompt=rng.randint(1000, 5000), output_limit=10)
+            self.ledger.place(f"alone-{number}", "usual-0", alone)
+            self.ledger.place(f"overtakes-{number}", "usual-0", SHORT)
+            self.ledger.begin(f"overtakes-{number}", "usual-0", took=0.1)
+            took = alone.prompt / 7000
+            self.ledger.begin(f"alone-{number}", "usual-0", took=took)
+            for run in (f"alone-{number}", f"overtakes-{number}"):
+                self.ledger.end(run)
+        self.assertAlmostEqual(7000, self.ledger.read_rate, delta=700)
+
+    def test_prompt_in_progress_counts_as_partly_read(self):
+        """Drafts that wait at a peak for engines which have almost read a prompt."""
+        self.begin("unknown", "usual-0", LONG)
+        self.ledger.place("r-1", "usual-0", LONG)
+        self.now += 0.2
+        self.assertEqual({"usual-0": 3000}, self.ledger.unread_by_engine())
+        self.learn_gaps()
+        unread = self.ledger.unread_by_engine()["usual-0"]
+        self.assertAlmostEqual(3000 - 0.2 * 7000, unread, delta=500)
+
+    def test_short_stream_keeps_away_from_engines_that_would_pause_it(self):
+        """Letters of some twenty events between prompts that come all the time."""
+        self.learn_gaps()
+        for number in range(60):
+            self.now += 0.02
+            self.begin(f"r-{number}", f"usual-{number % 2}", SHORT)
+            self.ledger.end(f"r-{number}")
+        letter = Demand(prompt=2500, output_limit=80)
+        self.assertEqual("slow", self.first(SHORT).split("-")[0])
+        self.assertNotEqual("slow", self.first(letter).split("-")[0])
+
+    def test_prompt_keeps_away_from_a_run_that_will_be_resumed(self):
+        """A wave of prompts while an engine leaves and its streams have copies."""
+        self.learn_gaps()
+        self.engines = [self.engine("usual-0"), self.engine("usual-1")]
+        self.engines[1].note_report(EngineReport(0, 0, 6000, MEMORY, taken=self.now))
+        self.assertEqual("usual-0", self.first(SHORT))
+        self.ledger.place_copy("stream", "usual-0", LONG)
+        self.assertEqual("usual-1", self.first(SHORT))
+        self.ledger.drop_copy("stream")
+        self.assertEqual("usual-0", self.first(SHORT))
+
     def test_nothing_is_learned_before_gaps_are_reported(self):
         self.begin("r-1", "slow-0", LONG)
         self.ledger.end("r-1", took=5.0)
