Engines: a 5xx answer is a failure of the engine, not the start of a run

Cause: an engine that answers runs with a 5xx within milliseconds was noted as having started them: the fastest and emptiest engine of its pool. Change: EngineLink suspects the engine and tells the pool's owner, as for a broken connection, unless a run with the same fingerprint was answered so within 3 s on this node.

--- a/src/bankrack/serving/enginelink.py
+++ b/src/bankrack/serving/enginelink.py
@@ -103,8 +103,11 @@
         self.sends += 1
         if not exchange.head.not_run:
             self.runs += resume is None
-            took = boottime() - now if resume is None else 0.0
-            self._note_begun(engine, sent_at=now, took=took)
+            if resume is None and exchange.head.status >= 500:
+                self._note_error(engine)
+            else:
+                took = boottime() - now if resume is None else 0.0
+                self._note_begun(engine, sent_at=now, took=took)
             copies.reset(backup)
         self._log.write(
             "run_sent",
@@ -131,6 +134,14 @@
             self._note_stated(engine)
         self._advisor.began(work, engine, took=took)
 
+    def _note_error(self, engine: Upstream) -> None:
+        """Suspect an engine that answered the run with a 5xx at once.
+
+        Otherwise it would seem the fastest and emptiest engine of its pool.
+        """
+        if self._dependencies.outliers.note_run_error(self._work.fingerprint):
+            self.suspect(engine)
+
     def _note_stated(self, engine: Upstream) -> None:
         """Record the slowdown that an engine has just stated."""
         service = self._work.service.name
--- a/src/bankrack/serving/outcomes.py
+++ b/src/bankrack/serving/outcomes.py
@@ -12,26 +12,28 @@
 """Served requests that one node tells another of."""
 MAX_UPSTREAMS = 500
 """Upstreams with failures whose outcomes are kept."""
-MAX_SERVED_REQUESTS = 512
-"""Fingerprints of served requests that are kept."""
+MAX_REQUESTS = 512
+"""Fingerprints of recent requests that are kept."""
 
 
-class ServedRequests:
-    """Fingerprints of the requests that upstreams served this node recently."""
+class RecentRequests:
+    """Fingerprints of this node's recent requests that ended in the same way."""
 
     def __init__(self) -> None:
-        self._served_at: collections.OrderedDict[str, float] = collections.OrderedDict()
+        self._ended_at: collections.OrderedDict[str, float] = collections.OrderedDict()
 
     def add(self, request: str, now: float) -> None:
-        """Record a request that was served."""
-        self._served_at[request] = now
-        self._served_at.move_to_end(request)
-        if len(self._served_at) > MAX_SERVED_REQUESTS:
-            self._served_at.popitem(last=False)
+        """Record the end of a request; one without fingerprint is ignored."""
+        if not request:
+            return
+        self._ended_at[request] = now
+        self._ended_at.move_to_end(request)
+        if len(self._ended_at) > MAX_REQUESTS:
+            self._ended_at.popitem(last=False)
 
     def has(self, request: str, now: float) -> bool:
-        """Whether a request with this fingerprint was served within the window."""
-        return self._served_at.get(request, -math.inf) > now - WINDOW_SECONDS
+        """Whether a request with this fingerprint ended so within the window."""
+        return self._ended_at.get(request, -math.inf) > now - WINDOW_SECONDS
 
 
 class OutcomeLog:
--- a/src/bankrack/serving/outliers.py
+++ b/src/bankrack/serving/outliers.py
@@ -14,7 +14,7 @@
 from bankrack.serving.exclusions import Exclusions
 from bankrack.serving.exclusions import starting_now
 from bankrack.serving.outcomes import OutcomeLog
-from bankrack.serving.outcomes import ServedRequests
+from bankrack.serving.outcomes import RecentRequests
 from bankrack.serving.registry import Upstreams
 from bankrack.serving.upstreams import Upstream
 
@@ -81,7 +81,8 @@
         self._upstreams = upstreams
         self._clock = clock
         self._outcomes = OutcomeLog()
-        self._served_requests = ServedRequests()
+        self._served_requests = RecentRequests()
+        self._failed_runs = RecentRequests()
         self._exclusions = Exclusions(name, names, upstreams, metrics, clock=clock)
         self._pending = PendingUpdates()
         self.has_updates = asyncio.Event()
@@ -139,13 +140,24 @@
         :param request: its fingerprint.
         """
         now = self._clock()
-        if request:
-            self._served_requests.add(request, now)
+        self._served_requests.add(request, now)
         outcome = Outcome(now, self._name, self._hall, failed=False)
         self._outcomes.add(upstream.id, outcome)
         if upstream.excluded_until and self._exclusions.may_retest(upstream):
             self._note_served_retest(upstream)
 
+    def note_run_error(self, request: str) -> bool:
+        """Record that an engine answered a run with a 5xx.
+
+        :param request: the run's fingerprint.
+        :return: whether that speaks against the engine.  The same request may fail at
+            any engine, and its caller may send it again and again.
+        """
+        now = self._clock()
+        is_repeated = self._failed_runs.has(request, now)
+        self._failed_runs.add(request, now)
+        return not is_repeated
+
     def _note_served_retest(self, upstream: Upstream) -> None:
         self.take_served_retest(upstream.id)
         if upstream.excluded(self._clock()):
--- a/tests/platform/test_streams.py
+++ b/tests/platform/test_streams.py
@@ -17,6 +17,10 @@
 from tests.platform.fakes import call
 
 
+async def respond_500(request: web.BaseRequest) -> web.Response:
+    return web.Response(status=500, headers={"Bankrack-Response-Seal": "s"})
+
+
 class Streams(TestCase):
     def expected_body(self, count: int = 5) -> bytes:
         return b"".join(b"id: %d\ndata: token%d\n\n" % (n, n) for n in range(count))
@@ -54,6 +58,37 @@
             self.assertEqual(self.expected_body(), response.body)
             self.assertEqual(2, len(deployment.arrivals()))
 
+    async def test_engine_that_answers_5xx_is_avoided_by_all_nodes(self):
+        async with running() as deployment:
+            names = ("n-1", "n-2")
+            gateways = [await deployment.start_ready_gateway(name) for name in names]
+            await until(lambda: all(len(g.view.members_by_name) == 2 for g in gateways))
+            deployment.engines[0].custom_handler = respond_500
+            statuses = []
+            for n in range(24):
+                front = gateways[n % 2].settings.front
+                response = await call(
+                    front,
+                    "/talk/x",
+                    body=b"%d" % n,
+                    headers={"Bankrack-Request-Id": f"r-{n}"},
+                )
+                statuses.append(response.status)
+                await asyncio.sleep(0.02)
+            # A third of them without the owner's knowledge.
+            self.assertLessEqual(statuses.count(500), 4)
+
+    async def test_run_that_every_engine_answers_5xx_suspects_one(self):
+        async with running() as deployment:
+            gateway = await deployment.start_ready_gateway()
+            for engine in deployment.engines:
+                engine.custom_handler = respond_500
+            for _ in range(4):
+                await call(gateway.settings.front, "/talk/x", body=b"bad")
+            engines = gateway.upstreams.of("engines")
+            self.assertEqual(1, sum(e.suspect_until > 0.0 for e in engines))
+            self.assertEqual(1, sum(e.failures for e in engines))
+
     async def test_stream_without_a_copy_is_cut_visibly(self):
         async with running() as deployment:
             gateway = await deployment.start_ready_gateway()
--- a/tests/serving/test_outliers.py
+++ b/tests/serving/test_outliers.py
@@ -135,6 +135,13 @@
         self.assertEqual(MAX_UPSTREAMS, len(described))
         self.assertNotIn("u-1", described)
 
+    def test_5xx_of_the_same_run_speaks_against_an_engine_once(self):
+        for request, expected in (("a", True), ("b", True), ("a", False), ("", True)):
+            self.assertEqual(expected, self.monitor.note_run_error(request))
+        self.assertTrue(self.monitor.note_run_error(""))
+        self.now += WINDOW_SECONDS
+        self.assertTrue(self.monitor.note_run_error("a"))
+
 
 class PeerFailures(MonitorTest):
     def fail(self, upstream_id: str, reporter: str = "n-2", **more: t.Any) -> None:
