Shares: an admitted light run no longer clears the debts of others

The virtual time of a rank moved up to the least start among the runs that still wait, past the start of the run that was just admitted. So one run of a light workspace, admitted while only heavy ones waited, cleared all debts, its own too. In start-time fair queueing the virtual time is the start of the run in service: the least of both is taken now.

Test: two workspaces 20,000 tokens ahead; after a run of 500 tokens of a third one the debts were 0, 0 and 0, and are 20,000, 20,000 and 500 now.

--- a/src/bankrack/decisions/fairshares.py
+++ b/src/bankrack/decisions/fairshares.py
@@ -54,7 +54,7 @@
         """Charge an admitted run to its workspace.
 
         :param waiting: workspaces whose runs of this rank wait; the virtual time moves
-            up to the one with the least use.
+            up to the least start of these and of the admitted run.
         :param weight: share of the workspace relative to the others.
         """
         if not workspace or not math.isfinite(tokens) or tokens <= 0.0:
@@ -67,7 +67,7 @@
                 return
         start = now + self.debt(rank, workspace)
         starts = [now + self.debt(rank, other) for other in waiting]
-        self._time_by_rank[rank] = min(starts, default=start)
+        self._time_by_rank[rank] = min([start, *starts])
         self._finish_by_workspace[key] = start + tokens / max(weight, 1e-3)
 
     def _forget(self, rank: Rank) -> None:
--- a/tests/decisions/test_fairshares.py
+++ b/tests/decisions/test_fairshares.py
@@ -36,6 +36,17 @@
             self.shares.charge(RANK, "large", 1000.0)
         self.assertLessEqual(self.shares.debt(RANK, "large"), 1000.0)
 
+    def test_light_run_keeps_debts_of_others(self):
+        """Its workspace would lose its turn to those that used far more."""
+        for name in ("a", "b"):
+            for _ in range(20):
+                self.shares.charge(RANK, name, 1000.0, waiting=["light"])
+        self.shares.charge(RANK, "light", 500.0, waiting=["a", "b"])
+        found = [self.shares.debt(RANK, name) for name in ("a", "b", "light")]
+        self.assertEqual([20_000.0, 20_000.0, 500.0], found)
+        self.shares.charge(RANK, "a", 1000.0, waiting=["a", "b"])
+        self.assertEqual(0.0, self.shares.debt(RANK, "b"))
+
     def test_ranks_are_separate(self):
         self.shares.charge(RANK, "a", 1000.0)
         self.assertEqual(0.0, self.shares.debt((1, 2), "a"))
