A new owner counts the runs that its engines list

Occupancy took the reported memory of listed runs off an engine's use, as placements stand for them. A new owner of a pool has no placements of the runs that the one before placed, so it took full engines for empty and sent runs there until their reports no longer listed any of these.

Listed runs that are neither placed nor known to have ended are recorded as placements now, without a known length; ended ones are remembered for 10 s, as reports still list them. Three tests: two engines that list two runs of an earlier owner each admitted a third one, now it waits; a run that ended is not counted; an identified one is told a time.

--- a/src/bankrack/placement/ledger.py
+++ b/src/bankrack/placement/ledger.py
@@ -196,7 +196,7 @@
         """Remove and return a placement, for instance of a run that never began."""
         placement = self._placement_by_run.pop(run, None)
         if placement is not None:
-            self.occupancy.invalidate(placement.engine)
+            self.occupancy.note_end(run, placement.engine)
         return placement
 
     @property
--- a/src/bankrack/placement/occupancy.py
+++ b/src/bankrack/placement/occupancy.py
@@ -35,6 +35,8 @@
 UNLISTED_SECONDS = 0.5
 """A run that its engine does not list this long after its placement has ended, and
 the notification was lost with its node."""
+ENDED_SECONDS = 10.0
+"""Time for which ended runs are remembered, several times the age of a report."""
 CACHE_SECONDS = 0.05
 """An engine's free memory is computed again after this time or when its runs change,
 as each queued run asks several times per second."""
@@ -64,6 +66,7 @@
         self._speeds = speeds
         self._clock = clock
         self._report_by_engine: dict[str, EngineReport] = {}
+        self._ended_at_by_run: dict[str, float] = {}
         # By engine and whether for a long run: time of computation, and tokens.
         self._free_by_engine: dict[tuple[str, bool], tuple[float, float]] = {}
         self._releases: tuple[float, list[Release]] = (-math.inf, [])
@@ -74,6 +77,17 @@
             self._invalidate_free(engine)
         self._releases = -math.inf, []
 
+    def note_end(self, run: str, engine: str) -> None:
+        """Record that a run has left an engine, whose reports may still list it."""
+        now = self._clock()
+        self._ended_at_by_run.pop(run, None)
+        self._ended_at_by_run[run] = now
+        while (oldest := next(iter(self._ended_at_by_run))) != run:
+            if now < self._ended_at_by_run[oldest] + ENDED_SECONDS:
+                break
+            del self._ended_at_by_run[oldest]
+        self.invalidate(engine)
+
     def _invalidate_free(self, engine: str) -> None:
         for long in (False, True):
             self._free_by_engine.pop((engine, long), None)
@@ -239,6 +253,7 @@
         self._report_by_engine[engine.id] = newest
         self._invalidate_free(engine.id)
         self._drop_unlisted(engine.id, newest)
+        self._adopt_unknown(engine.id, newest)
         if last is not None:
             self._learn_growth(engine.id, last, newest)
 
@@ -259,6 +274,22 @@
                 del self._placement_by_run[run]
                 self._releases = -math.inf, []
 
+    def _adopt_unknown(self, engine: str, report: EngineReport) -> None:
+        """Record the runs of an engine that another owner placed there.
+
+        A new owner would take full engines for empty.  The length of these runs is not
+        known, so they are expected to grow until they end.
+        """
+        now = self._clock()
+        for run, tokens in report.tokens_by_run.items():
+            if run in self._placement_by_run or run in self._ended_at_by_run:
+                continue
+            demand = Demand(prompt=tokens)
+            self._placement_by_run[run] = Placement(
+                engine, demand, now, began=now, confirmed=now
+            )
+            self._releases = -math.inf, []
+
     def _learn_growth(
         self, engine: str, last: EngineReport, newest: EngineReport
     ) -> None:
--- a/tests/placement/test_allocation.py
+++ b/tests/placement/test_allocation.py
@@ -221,6 +221,41 @@
         self.assertAlmostEqual(2.0 / 50, learned)
 
 
+class NewOwnerTest(PoolTestCase):
+    """Both engines list two runs that an earlier owner placed."""
+
+    def setUp(self):
+        super().setUp()
+        self.list_runs(one=["a", "b"], two=["c", "d"])
+
+    def list_runs(self, **runs_by_engine: list[str]) -> None:
+        for engine in self.engines:
+            listed = dict.fromkeys(runs_by_engine[engine.id], 3200)
+            report = EngineReport(
+                len(listed), 0, sum(listed.values()), MEMORY, self.now, False, listed
+            )
+            engine.note_report(report)
+
+    def test_runs_of_an_earlier_owner_hold_memory_until_they_end(self):
+        self.assertIsInstance(self.ask("new"), Wait)
+        self.allocator.ledger.end("a")
+        self.assertEqual(Admit(("one",)), self.ask("new"))
+        self.now += 2.0
+        self.list_runs(one=["b", "new"], two=["c"])
+        self.assertEqual(Admit(("two",)), self.ask("newer"))
+
+    def test_ended_run_holds_no_memory_though_an_older_report_lists_it(self):
+        self.allocator.ledger.place("a", "one", LONG)
+        self.allocator.ledger.end("a")
+        self.assertEqual(Admit(("one",)), self.ask("new"))
+
+    def test_identified_run_is_told_a_time_behind_them(self):
+        request = PlacementRequest(
+            "new", LONG, MEMORY, "a", (0, 1), 2.0, 30.0, 30.0, caller="caller"
+        )
+        self.assertIsInstance(self.allocator.decide(self.engines, request), Wait)
+
+
 class SuspectTest(PoolTestCase):
     def setUp(self):
         super().setUp()
