A run that comes back to a pool keeps its place there

A node tells a pool's owner in batches that a run has left it. A run that asked the same pool again before the batch was sent was placed there, and the news of its first leaving then ended that placement: its engine counted as free until a report listed the run. The news is dropped when the run asks that pool again; a batch that is just being sent can still overtake it.

Test: of two runs that left, one asks again; its placement was gone after the flush, now it is the only one that stays.

--- a/src/bankrack/fleet/poolowners.py
+++ b/src/bankrack/fleet/poolowners.py
@@ -192,6 +192,8 @@
             caller=work.fingerprint[:DIGEST_LENGTH],
             queue=queue,
         )
+        if not copy:
+            self._drop_end(service, pool, query.run)
         owner = self.owner(query.pool)
         if owner.name == self._own.name:
             return self._ledgers.decide(query)
@@ -210,6 +212,18 @@
             self._crowded_until_by_pool[key] = self._clock() + CROWDED_SECONDS
         return verdict
 
+    def _drop_end(self, service: str, pool: int, run: str) -> None:
+        """Drop the news that a run left a pool which it asks again.
+
+        It would arrive after the answer, and end the new placement.
+        """
+        self._updates = [
+            update
+            for update in self._updates
+            if (update.kind, update.run, update.pool, update.service)
+            != ("ended", run, pool, service)
+        ]
+
     async def _ask(self, owner: Member, query: t.Any) -> Verdict | None:
         """Send a query to the owner; ``None`` if it does not respond."""
         body = await self._post(owner, PLACE_PATH, query, QUERY_TIMEOUT_SECONDS)
--- a/tests/fleet/test_poolowners.py
+++ b/tests/fleet/test_poolowners.py
@@ -195,6 +195,17 @@
             self.assertEqual({}, ledger._placement_by_run)
             sending.cancel()
 
+    async def test_run_that_comes_back_to_a_pool_stays_placed_there(self):
+        async with two_nodes() as (owner, other):
+            sending = asyncio.create_task(other.client.run())
+            other.client.rooms._leave(assignment("r-1"), 0)
+            other.client.rooms._leave(assignment("r-2"), 0)
+            self.assertIsNotNone(await other.query_engines("r-1"))
+            await asyncio.sleep(3 * FLUSH_INTERVAL_SECONDS)
+            ledger = owner.ledgers._ledger("s", 0)
+            self.assertEqual(["r-1"], list(ledger._placement_by_run))
+            sending.cancel()
+
     async def test_gaps_of_streams_reach_owner_and_the_next_one(self):
         async with two_nodes() as (owner, other):
             sending = asyncio.create_task(other.client.run())
