Bookings are summed up by slot, which bounds the work of a forecast

Each refusal plays the pool forwards with one arrival for each booked return, on the event loop of the pool's owner, beside all of its other work. Booked returns are kept as sums by slot and rank now, as expected arrivals are. Slots are 0.125 s long: of tenths, some begin after their bookings by rounding, which then did not count.

--- a/src/bankrack/decisions/calendar.py
+++ b/src/bankrack/decisions/calendar.py
@@ -25,8 +25,10 @@
 
 ARRIVAL_WINDOW_SECONDS = 2.0
 """Arrivals of this time are expected to repeat; half of the shortest usual burst."""
-SLOT_SECONDS = 0.1
-"""Expected arrivals are summed up in slots of this length, which bounds the work."""
+SLOT_SECONDS = 0.125
+"""Expected arrivals and booked returns are summed up in slots of this length, which
+bounds the work of a forecast; a power of two, as slots must not begin after their
+bookings by rounding."""
 MAX_RANKS = 64
 """Limit on the ranks of expected arrivals; routes and workspaces have a few."""
 EARLY_SECONDS = 0.1
@@ -196,6 +198,12 @@
         self.prompt += stay.prompt
         self.seconds += stay.seconds
 
+    def remove(self, stay: Stay) -> None:
+        self.runs -= 1
+        self.need -= stay.need
+        self.prompt -= stay.prompt
+        self.seconds -= stay.seconds
+
     def stay(self) -> Stay:
         """One stay that uses as much as all of these, for their mean time."""
         return Stay(self.need, self.prompt, self.seconds / self.runs)
@@ -267,10 +275,17 @@
     :ivar expired: number of bookings that nobody used.
     """
 
-    __slots__ = ("_booking_by_caller", "_expire_at", "expired", "matched")
+    __slots__ = (
+        "_booking_by_caller",
+        "_coming_by_slot",
+        "_expire_at",
+        "expired",
+        "matched",
+    )
 
     def __init__(self) -> None:
         self._booking_by_caller: dict[str, Booking] = {}
+        self._coming_by_slot: dict[tuple[int, Rank], _Total] = {}
         self._expire_at = -math.inf
         self.matched = 0
         self.expired = 0
@@ -284,7 +299,10 @@
         """Book a return; whether the calendar is not full."""
         if not caller or len(self._booking_by_caller) >= MAX_BOOKINGS:
             return False
-        self._booking_by_caller[caller] = Booking(rank, stay, at, has_room)
+        self.close(caller)
+        booking = self._booking_by_caller[caller] = Booking(rank, stay, at, has_room)
+        if has_room:
+            self._coming_by_slot.setdefault(_slot(booking), _Total()).add(stay)
         return True
 
     def find(self, caller: str, now: float) -> Booking | None:
@@ -302,28 +320,40 @@
         if booking is None or now < booking.at - EARLY_SECONDS:
             return False
         if booking.run is None:
+            self._remove_coming(booking)
             booking.run = run
             self.matched += 1
         return booking.run == run
 
     def close(self, caller: str) -> None:
         """Remove the booking of a caller whose run was admitted or gave up."""
-        self._booking_by_caller.pop(caller, None)
+        booking = self._booking_by_caller.pop(caller, None)
+        if booking is not None:
+            self._remove_coming(booking)
 
     def arrivals(
         self, now: float, *, goes_first: t.Callable[[Rank], bool]
     ) -> list[Arrival]:
-        """Returns that are still to come.
+        """Returns that are still to come, those of a rank and a slot as one.
 
         :param goes_first: whether returns of a rank count.
         """
         self._expire(now)
         return [
-            Arrival(max(0.0, booking.at - now), booking.stay)
-            for booking in self._booking_by_caller.values()
-            if booking.run is None and booking.has_room and goes_first(booking.rank)
+            Arrival(max(0.0, slot * SLOT_SECONDS - now), total.stay())
+            for (slot, rank), total in self._coming_by_slot.items()
+            if goes_first(rank)
         ]
 
+    def _remove_coming(self, booking: Booking) -> None:
+        """Remove a booking from the returns that are still to come."""
+        if booking.run is not None or not booking.has_room:
+            return
+        total = self._coming_by_slot[_slot(booking)]
+        total.remove(booking.stay)
+        if not total.runs:
+            del self._coming_by_slot[_slot(booking)]
+
     def _expire(self, now: float) -> None:
         if now < self._expire_at:
             return
@@ -333,4 +363,9 @@
             seconds = CLAIMED_SECONDS if claimed else RETURN_GRACE_SECONDS
             if now > booking.at + seconds:
                 self.expired += not claimed
-                del self._booking_by_caller[caller]
+                self.close(caller)
+
+
+def _slot(booking: Booking) -> tuple[int, Rank]:
+    """The slot and the rank with which a booking is summed up."""
+    return int(booking.at / SLOT_SECONDS), booking.rank
--- a/tests/decisions/test_calendar.py
+++ b/tests/decisions/test_calendar.py
@@ -94,6 +94,19 @@
         self.assertEqual([], self.calendar.arrivals(end, goes_first=lambda rank: True))
         self.assertEqual((0, 200), (len(self.calendar), self.calendar.expired))
 
+    def test_work_of_a_forecast_is_bounded(self):
+        """Thousands of callers return within ten seconds."""
+        for number in range(MAX_BOOKINGS):
+            self.calendar.book(f"many-{number}", RANK, RUN, 2.0 + number % 100 / 10)
+        arrivals = self.calendar.arrivals(0.0, goes_first=lambda rank: True)
+        self.assertLessEqual(len(arrivals), 200)
+        booked = len(self.calendar)
+        self.assertAlmostEqual(booked * RUN.need, sum(a.stay.need for a in arrivals))
+        for number in range(MAX_BOOKINGS):
+            self.calendar.claim(f"many-{number}", "run", 12.0)
+            self.calendar.close(f"caller-{number}")
+        self.assertEqual([], self.calendar.arrivals(9.0, goes_first=lambda rank: True))
+
     def test_bookings_are_bounded(self):
         for number in range(2 * MAX_BOOKINGS):
             self.calendar.book(f"other-{number}", RANK, RUN, 1.0)
