Crowded pools: first attempts go before returns of their rank

Callers who came back at their time went before newcomers, and were kept while on time once room had been promised. An answer on time at a second attempt is worth half of one at the first, and nothing more than a late one if the refusal came late.

Returns go behind first attempts of their rank now, nothing is promised to them, and booked returns count in the forecasts of returns only. A caller that comes early is a return too, so that nobody gains by it.

--- a/src/bankrack/decisions/admission.py
+++ b/src/bankrack/decisions/admission.py
@@ -66,7 +66,7 @@
     """Why a run stands where it does in the queue.
 
     :param workspace_share: tokens by which its workspace is ahead of the others.
-    :param returning: its caller was refused and comes at the time that it was told.
+    :param returning: its caller was refused before, and comes again.
     """
 
     workspace_share: float = 0.0
--- a/src/bankrack/decisions/admissionqueue.py
+++ b/src/bankrack/decisions/admissionqueue.py
@@ -36,7 +36,7 @@
     :param prompt: prompt tokens that an engine must read before the run begins.
     :param seconds: expected time from its placement to its end.
     :param workspace: digest of the caller's workspace; empty if unknown.
-    :param returning: the caller was refused and comes at the time that it was told.
+    :param returning: the caller was refused before, and comes again.
     """
 
     run: str
@@ -178,6 +178,10 @@
 
     A run that is already late gains nothing from beginning a little sooner.  With the
     oldest runs first, a queue longer than the target latency would make every run late.
+
+    First attempts go before returns of their rank: an answer on time at once is worth
+    more to a caller than one after a refusal.  Where a pool is crowded for long, it
+    would else be spent on returns, and all callers be refused first.
     """
     late = now > candidate.due
     is_copy = candidate.rank[1] < 0
@@ -186,7 +190,7 @@
         late,
         can_wait,
         candidate.rank,
-        not candidate.returning,
+        candidate.returning,
         turn,
         candidate.due,
         candidate.run,
@@ -202,7 +206,7 @@
     """
     use_by_workspace: dict[tuple[t.Any, str], float] = {}
     turn_by_run = {}
-    in_order = sorted(waiting, key=lambda one: (not one.returning, one.due, one.run))
+    in_order = sorted(waiting, key=lambda one: (one.returning, one.due, one.run))
     for other in in_order:
         key = other.rank, other.workspace
         use = use_by_workspace.get(key)
--- a/src/bankrack/decisions/calendar.py
+++ b/src/bankrack/decisions/calendar.py
@@ -311,19 +311,19 @@
         return self._booking_by_caller.get(caller)
 
     def claim(self, caller: str, run: str, now: float) -> bool:
-        """Whether a run is the booked return of its caller.
+        """Whether a run is a return of a caller that was told a time.
 
-        The first run that comes at its time claims the booking; a caller that repeats
-        its requests gains nothing by the others, nor by coming earlier.
+        The first run that comes at that time claims the booking.  One that comes before
+        counts as a return as well, so that nobody gains by coming early.
         """
         booking = self.find(caller, now)
-        if booking is None or now < booking.at - EARLY_SECONDS:
+        if booking is None:
             return False
-        if booking.run is None:
+        if booking.run is None and now >= booking.at - EARLY_SECONDS:
             self._remove_coming(booking)
             booking.run = run
             self.matched += 1
-        return booking.run == run
+        return booking.run in (None, run)
 
     def close(self, caller: str) -> None:
         """Remove the booking of a caller whose run was admitted or gave up."""
--- a/src/bankrack/placement/crowding.py
+++ b/src/bankrack/placement/crowding.py
@@ -9,7 +9,6 @@
 import typing as t
 
 from bankrack.decisions.admission import Admit
-from bankrack.decisions.admission import MAX_RETRY_SECONDS
 from bankrack.decisions.admission import Queueing
 from bankrack.decisions.admission import Refuse
 from bankrack.decisions.admission import Verdict
@@ -125,9 +124,6 @@
         match verdict:
             case Wait():
                 return dataclasses.replace(verdict, queueing=queueing)
-            case Refuse() if self._is_promised(caller, forecast):
-                # Its room was lost since, but may come free while it is still on time.
-                return Wait(MAX_RETRY_SECONDS, verdict.ahead, None, queueing)
             case Refuse():
                 self.refused += 1
                 booked = self._book(caller, forecast, left)
@@ -135,14 +131,6 @@
                 return Refuse(verdict.ahead, expected, booked, queueing)
         return verdict
 
-    def _is_promised(self, caller: str, forecast: "Forecast") -> bool:
-        """Whether a run was promised room and can still begin on time."""
-        candidate, now = forecast.candidate, forecast.now
-        if not candidate.returning or now > candidate.due:
-            return False
-        booking = self.calendar.find(caller, now)
-        return booking is not None and booking.has_room
-
     def _book(self, caller: str, forecast: "Forecast", left: float) -> float | None:
         """Book the return of a refused caller; seconds until then, if it is booked.
 
@@ -212,26 +200,35 @@
         Runs of a better rank that arrive meanwhile go first, and once the run is late
         all that do.
         """
-        own = self.candidate.rank
+        own, returning = self.candidate.rank, self.candidate.returning
         on_time = self.candidate.due - self.now
-        seconds = self._start(ahead, on_time, lambda rank: rank < own)
+        seconds = self._start(
+            ahead, on_time, lambda rank: rank < own, behind_returns=returning
+        )
         if not math.isinf(seconds):
             return seconds
         last = self.candidate.start_deadline - self.now
-        return self._start(ahead, last, lambda rank: True)
+        return self._start(ahead, last, lambda rank: True, behind_returns=True)
 
     def return_start(self, horizon: float) -> float:
         """Seconds until the run would begin if its caller returned just then."""
         own = self.candidate.rank
         ahead = self._crowding.queue.on_time(own, self.now)
-        return self._start(ahead, horizon, lambda rank: rank < own)
+        return self._start(ahead, horizon, lambda rank: rank < own, behind_returns=True)
 
     def _start(
         self,
-        ahead: t.Iterable[Candidate],
+        ahead: t.Sequence[Candidate],
         horizon: float,
         goes_first: t.Callable[[Rank], bool],
+        *,
+        behind_returns: bool,
     ) -> float:
+        """Seconds until the run begins; infinite if beyond the horizon.
+
+        :param goes_first: whether runs of a rank that arrive meanwhile go first.
+        :param behind_returns: booked returns of its own rank go first as well.
+        """
         crowding, now, rank = self._crowding, self.now, self.candidate.rank
         # A burst is expected to last as long again as it has lasted.
         lasting = max(ARRIVAL_WINDOW_SECONDS, crowding.seconds(now))
@@ -243,7 +240,10 @@
                 *crowding.recent.expected(
                     now, min(horizon, lasting), goes_first=goes_first
                 ),
-                *crowding.calendar.arrivals(now, goes_first=lambda r: r <= rank),
+                *crowding.calendar.arrivals(
+                    now,
+                    goes_first=lambda r: r < rank or (behind_returns and r == rank),
+                ),
             ],
             horizon=horizon,
         )
