Crowded pools: a queue moves at the rate that it was seen to move at

The forecast plays a pool as one engine with all of its free memory. A run that would begin after its target but within half of its time was queued, too: 376 of 939 short runs were late.

A queue takes at least as long now as its runs need at the rate at which such runs were admitted in the last 3 s while others waited. A run that would begin after its target is refused at its first question, within a part of it, and its caller can be served on time at the second attempt. One that is late already is judged as before.

--- a/src/bankrack/placement/crowding.py
+++ b/src/bankrack/placement/crowding.py
@@ -15,6 +15,7 @@
 from bankrack.decisions.admission import Wait
 from bankrack.decisions.admissionqueue import AdmissionQueue
 from bankrack.decisions.admissionqueue import Candidate
+from bankrack.decisions.admissionrates import AdmissionRates
 from bankrack.decisions.calendar import ARRIVAL_WINDOW_SECONDS
 from bankrack.decisions.calendar import Calendar
 from bankrack.decisions.calendar import forecast_start
@@ -48,6 +49,7 @@
         self.queue = queue
         self.shares = FairShares()
         self.calendar = Calendar()
+        self.rates = AdmissionRates()
         self.recent = RecentArrivals()
         self.refused = 0
         self._long_at_by_workspace_rank: dict[int, float] = {}
@@ -80,7 +82,11 @@
         """
         if is_first:
             self.recent.note(candidate.rank, _stay(candidate), now)
-        if not isinstance(verdict, Admit):
+        if isinstance(verdict, Admit):
+            self.rates.note_admitted(candidate, now)
+        else:
+            if isinstance(verdict, Wait):
+                self.rates.note_wait(now)
             if now > self._until:
                 self._since = now
             self._until = now + CROWDED_SECONDS
@@ -197,18 +203,21 @@
     def start(self, ahead: t.Sequence[Candidate]) -> float:
         """Seconds until the run begins behind the queue; infinite if too late.
 
-        Runs of a better rank that arrive meanwhile go first, and once the run is late
-        all that do.
+        A run that would turn late is told so at once: its caller loses less by another
+        attempt that is served on time than by an answer that is late.  Runs of a better
+        rank that arrive meanwhile go first; where a run is late already, all that do.
         """
-        own, returning = self.candidate.rank, self.candidate.returning
+        own = self.candidate.rank
         on_time = self.candidate.due - self.now
-        seconds = self._start(
-            ahead, on_time, lambda rank: rank < own, behind_returns=returning
+        if on_time <= 0.0:
+            last = self.candidate.start_deadline - self.now
+            return self._start(ahead, last, lambda rank: True, behind_returns=True)
+        return self._start(
+            ahead,
+            on_time,
+            lambda rank: rank < own,
+            behind_returns=self.candidate.returning,
         )
-        if not math.isinf(seconds):
-            return seconds
-        last = self.candidate.start_deadline - self.now
-        return self._start(ahead, last, lambda rank: True, behind_returns=True)
 
     def return_start(self, horizon: float) -> float:
         """Seconds until the run would begin if its caller returned just then."""
@@ -230,9 +239,12 @@
         :param behind_returns: booked returns of its own rank go first as well.
         """
         crowding, now, rank = self._crowding, self.now, self.candidate.rank
+        queued = crowding.rates.seconds_until_first(self.candidate, ahead, now)
+        if queued > horizon:
+            return math.inf
         # A burst is expected to last as long again as it has lasted.
         lasting = max(ARRIVAL_WINDOW_SECONDS, crowding.seconds(now))
-        return forecast_start(
+        seconds = forecast_start(
             _stay(self.candidate),
             self._pool,
             ahead=[_stay(other) for other in ahead],
@@ -247,6 +259,7 @@
             ],
             horizon=horizon,
         )
+        return max(queued, seconds)
 
 
 def _stay(candidate: Candidate) -> Stay:
