Crowded pools: a return that would be late waits for a late answer

A first attempt that would begin after its target is refused at once, as its caller can come back. A return has no further attempt, and was refused for good by the same rule. It waits now as a run does that is late already, for half of its time at most, and only if more is admitted than arrives: all arrivals that are on time pass it, and otherwise it would wait in vain.

--- a/src/bankrack/decisions/admissionrates.py
+++ b/src/bankrack/decisions/admissionrates.py
@@ -8,6 +8,7 @@
 """
 
 import dataclasses
+import math
 import typing as t
 
 from bankrack.decisions.admissionqueue import Candidate
@@ -58,12 +59,20 @@
             needs[candidate.rank] = known + candidate.need
 
     def seconds_until_first(
-        self, candidate: Candidate, ahead: t.Iterable[Candidate], now: float
+        self,
+        candidate: Candidate,
+        ahead: t.Iterable[Candidate],
+        now: float,
+        *,
+        arriving: float | None = None,
     ) -> float:
         """Seconds until the runs ahead are admitted, at the rate of the window.
 
-        Runs of worse ranks count, as they would have been behind.  0 where too few
-        slots show that rate.
+        Admitted runs of worse ranks count, as they would have been behind.  0 where too
+        few slots show that rate.
+
+        :param arriving: memory per second of the runs of all ranks that arrive, if they
+            go first as well; infinite if no more than these are admitted.
         """
         oldest = now - WINDOW_SECONDS
         slots = [
@@ -78,11 +87,10 @@
             need
             for slot in slots
             for rank, need in slot.need_by_rank.items()
-            if rank >= candidate.rank
+            if rank >= candidate.rank or arriving is not None
         )
-        if admitted <= 0.0:
-            return 0.0
-        return total_need(ahead) * len(slots) * SLOT_SECONDS / admitted
+        rate = admitted / (len(slots) * SLOT_SECONDS) - (arriving or 0.0)
+        return total_need(ahead) / rate if rate > 0.0 else math.inf
 
     def _slot(self, now: float) -> _Slot:
         number = int(now / SLOT_SECONDS)
--- a/src/bankrack/decisions/calendar.py
+++ b/src/bankrack/decisions/calendar.py
@@ -229,6 +229,17 @@
         if rank in totals or len(totals) < MAX_RANKS:
             totals.setdefault(rank, _Total()).add(stay)
 
+    def need_per_second(self, now: float) -> float:
+        """Memory that the runs of the window ask for, in tokens per second."""
+        oldest = now - ARRIVAL_WINDOW_SECONDS
+        need = sum(
+            total.need
+            for slot, totals in self._totals_by_slot.items()
+            if slot * SLOT_SECONDS >= oldest
+            for total in totals.values()
+        )
+        return need / ARRIVAL_WINDOW_SECONDS
+
     def expected(
         self, now: float, horizon: float, *, goes_first: t.Callable[[Rank], bool]
     ) -> list[Arrival]:
--- a/src/bankrack/placement/crowding.py
+++ b/src/bankrack/placement/crowding.py
@@ -203,20 +203,23 @@
     def start(self, ahead: t.Sequence[Candidate]) -> float:
         """Seconds until the run begins behind the queue; infinite if too late.
 
-        A run that would turn late is told so at once: its caller loses less by another
-        attempt that is served on time than by an answer that is late.  Runs of a better
-        rank that arrive meanwhile go first; where a run is late already, all that do.
+        A first attempt that would turn late is told so at once: its caller loses less
+        by another attempt that is served on time than by an answer that is late.  A
+        return has no further attempt, and waits for a late answer where runs that are
+        late are served at all: all that arrive go before these.
         """
-        own = self.candidate.rank
+        own, returning = self.candidate.rank, self.candidate.returning
         on_time = self.candidate.due - self.now
-        if on_time <= 0.0:
-            last = self.candidate.start_deadline - self.now
-            return self._start(ahead, last, lambda rank: True, behind_returns=True)
+        if on_time > 0.0:
+            seconds = self._start(
+                ahead, on_time, lambda rank: rank < own, behind_returns=returning
+            )
+            if not returning or math.isfinite(seconds):
+                return seconds
+        last = self.candidate.start_deadline - self.now
+        arriving = self._crowding.recent.need_per_second(self.now)
         return self._start(
-            ahead,
-            on_time,
-            lambda rank: rank < own,
-            behind_returns=self.candidate.returning,
+            ahead, last, lambda rank: True, behind_returns=True, arriving=arriving
         )
 
     def return_start(self, horizon: float) -> float:
@@ -232,14 +235,18 @@
         goes_first: t.Callable[[Rank], bool],
         *,
         behind_returns: bool,
+        arriving: float | None = None,
     ) -> float:
         """Seconds until the run begins; infinite if beyond the horizon.
 
         :param goes_first: whether runs of a rank that arrive meanwhile go first.
         :param behind_returns: booked returns of its own rank go first as well.
+        :param arriving: memory per second of the runs that arrive, if all go first.
         """
         crowding, now, rank = self._crowding, self.now, self.candidate.rank
-        queued = crowding.rates.seconds_until_first(self.candidate, ahead, now)
+        queued = crowding.rates.seconds_until_first(
+            self.candidate, ahead, now, arriving=arriving
+        )
         if queued > horizon:
             return math.inf
         # A burst is expected to last as long again as it has lasted.
--- a/tests/decisions/test_admissionrates.py
+++ b/tests/decisions/test_admissionrates.py
@@ -1,6 +1,7 @@
 """Tests of the rate at which a crowded pool admits runs."""
 
 import collections
+import math
 
 from bankrack.decisions.admissionqueue import AdmissionQueue
 from bankrack.decisions.admissionqueue import Candidate
@@ -112,6 +113,17 @@
         self.assertAlmostEqual(3.0, self.seconds(now, rank=0))
         self.assertAlmostEqual(12.0, self.seconds(now, rank=2))
 
+    def test_queue_that_all_arrivals_pass_moves_if_more_is_admitted(self):
+        now = self.crowd(24)
+        own = Candidate("late", (1, 0), 1000.0, now, now)
+        for arriving, seconds in ((0.0, 3.0), (4000 / 3 - 500.0, 8.0)):
+            found = self.rates.seconds_until_first(
+                own, [own] * 4, now, arriving=arriving
+            )
+            self.assertAlmostEqual(seconds, found)
+        found = self.rates.seconds_until_first(own, [own], now, arriving=2000.0)
+        self.assertEqual(math.inf, found)
+
     def test_pool_that_is_not_crowded_for_long_has_no_rate(self):
         self.assertEqual(0.0, self.seconds(self.crowd(MIN_SLOTS - 1)))
         self.assertEqual(0.0, self.seconds(self.crowd(24) + WINDOW_SECONDS + 0.1))
--- a/tests/placement/test_allocation_crowded.py
+++ b/tests/placement/test_allocation_crowded.py
@@ -153,6 +153,16 @@
         self.assertTrue(returning.queueing.returning)
         self.assertEqual(newcomer.ahead + 1, returning.ahead)
 
+    def test_return_that_would_begin_late_waits_for_a_late_answer(self):
+        self.crowd()
+        booked = self.refuse("back").booked
+        assert booked is not None
+        self.now += booked
+        self.crowd()
+        self.assertIsInstance(self.ask_as("new", demand=CHECK, due=0.5), Refuse)
+        returning = self.ask_as("back", demand=CHECK, run="second", due=0.5)
+        self.assertIsInstance(returning, Wait)
+
     def test_early_return_is_told_the_same_time(self):
         self.crowd()
         booked = self.refuse("eager").booked
