--- a/src/bankrack/placement/crowding.py
+++ b/src/bankrack/placement/crowding.py
@@ -9,13 +9,13 @@
 import typing as t
 
 from bankrack.decisions.admission import Admit
-from bankrack.decisions.admission import MAX_RETRY_SECONDS
 from bankrack.decisions.admission import Queueing
 from bankrack.decisions.admission import Refuse
 from bankrack.decisions.admission import Verdict
 from bankrack.decisions.admission import Wait
 from bankrack.decisions.admissionqueue import AdmissionQueue
 from bankrack.decisions.admissionqueue import Candidate
+from bankrack.decisions.admissionrates import AdmissionRates
 from bankrack.decisions.calendar import ARRIVAL_WINDOW_SECONDS
 from bankrack.decisions.calendar import Calendar
 from bankrack.decisions.calendar import forecast_start
@@ -49,6 +49,7 @@
         self.queue = queue
         self.shares = FairShares()
         self.calendar = Calendar()
+        self.rates = AdmissionRates()
         self.recent = RecentArrivals()
         self.refused = 0
         self._long_at_by_workspace_rank: dict[int, float] = {}
@@ -81,7 +82,11 @@
         """
         if is_first:
             self.recent.note(candidate.rank, _stay(candidate), now)
-        if not isinstance(verdict, Admit):
+        if isinstance(verdict, Admit):
+            self.rates.note_admitted(candidate, now)
+        else:
+            if isinstance(verdict, Wait):
+                self.rates.note_wait(now)
             if now > self._until:
                 self._since = now
             self._until = now + CROWDED_SECONDS
@@ -125,9 +130,6 @@
         match verdict:
             case Wait():
                 return dataclasses.replace(verdict, queueing=queueing)
-            case Refuse() if self._is_promised(caller, forecast):
-                # Its room was lost since, but may come free while it is still on time.
-                return Wait(MAX_RETRY_SECONDS, verdict.ahead, None, queueing)
             case Refuse():
                 self.refused += 1
                 booked = self._book(caller, forecast, left)
@@ -135,14 +137,6 @@
                 return Refuse(verdict.ahead, expected, booked, queueing)
         return verdict
 
-    def _is_promised(self, caller: str, forecast: "Forecast") -> bool:
-        """Whether a run was promised room and can still begin on time."""
-        candidate, now = forecast.candidate, forecast.now
-        if not candidate.returning or now > candidate.due:
-            return False
-        booking = self.calendar.find(caller, now)
-        return booking is not None and booking.has_room
-
     def _book(self, caller: str, forecast: "Forecast", left: float) -> float | None:
         """Book the return of a refused caller; seconds until then, if it is booked.
 
@@ -209,33 +203,55 @@
     def start(self, ahead: t.Sequence[Candidate]) -> float:
         """Seconds until the run begins behind the queue; infinite if too late.
 
-        Runs of a better rank that arrive meanwhile go first, and once the run is late
-        all that do.
+        A first attempt that would turn late is told so at once: its caller loses less
+        by another attempt that is served on time than by an answer that is late.  A
+        return has no further attempt, and waits for a late answer where runs that are
+        late are served at all: all that arrive go before these.
         """
-        own = self.candidate.rank
+        own, returning = self.candidate.rank, self.candidate.returning
         on_time = self.candidate.due - self.now
-        seconds = self._start(ahead, on_time, lambda rank: rank < own)
-        if not math.isinf(seconds):
-            return seconds
+        if on_time > 0.0:
+            seconds = self._start(
+                ahead, on_time, lambda rank: rank < own, behind_returns=returning
+            )
+            if not returning or math.isfinite(seconds):
+                return seconds
         last = self.candidate.start_deadline - self.now
-        return self._start(ahead, last, lambda rank: True)
+        arriving = self._crowding.recent.need_per_second(self.now)
+        return self._start(
+            ahead, last, lambda rank: True, behind_returns=True, arriving=arriving
+        )
 
     def return_start(self, horizon: float) -> float:
         """Seconds until the run would begin if its caller returned just then."""
         own = self.candidate.rank
         ahead = self._crowding.queue.on_time(own, self.now)
-        return self._start(ahead, horizon, lambda rank: rank < own)
+        return self._start(ahead, horizon, lambda rank: rank < own, behind_returns=True)
 
     def _start(
         self,
-        ahead: t.Iterable[Candidate],
+        ahead: t.Sequence[Candidate],
         horizon: float,
         goes_first: t.Callable[[Rank], bool],
+        *,
+        behind_returns: bool,
+        arriving: float | None = None,
     ) -> float:
+        """Seconds until the run begins; infinite if beyond the horizon.
+
+        :param goes_first: whether runs of a rank that arrive meanwhile go first.
+        :param behind_returns: booked returns of its own rank go first as well.
+        :param arriving: memory per second of the runs that arrive, if all go first.
+        """
         crowding, now, rank = self._crowding, self.now, self.candidate.rank
+        queued = crowding.rates.seconds_until_first(
+            self.candidate, ahead, now, arriving=arriving
+        )
+        if queued > horizon:
+            return math.inf
         # A burst is expected to last as long again as it has lasted.
         lasting = max(ARRIVAL_WINDOW_SECONDS, crowding.seconds(now))
-        return forecast_start(
+        seconds = forecast_start(
             _stay(self.candidate),
             self._pool,
             ahead=[_stay(other) for other in ahead],
@@ -243,10 +259,14 @@
                 *crowding.recent.expected(
                     now, min(horizon, lasting), goes_first=goes_first
                 ),
-                *crowding.calendar.arrivals(now, goes_first=lambda r: r <= rank),
+                *crowding.calendar.arrivals(
+                    now,
+                    goes_first=lambda r: r < rank or (behind_returns and r == rank),
+                ),
             ],
             horizon=horizon,
         )
+        return max(queued, seconds)
 
 
 def _stay(candidate: Candidate) -> Stay:
