Unread replies: a connection is counted once

If the next reply grew before, the bytes counted twice, and the old record saw no progress, as bytes written to the new one were not added to it: a caller that still read could be cut. Change: the account is by connection; a new reply takes the place of the last one.

--- a/src/bankrack/front/unreadreplies.py
+++ b/src/bankrack/front/unreadreplies.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import fcntl
-import itertools
 import logging
 import struct
 import termios
@@ -37,7 +36,6 @@
     """
 
     __slots__ = (
-        "_transport",
         "_unread",
         "_written",
         "cut",
@@ -47,6 +45,7 @@
         "read_at",
         "request",
         "slow_since",
+        "transport",
     )
 
     def __init__(
@@ -58,14 +57,14 @@
         self.read_at = self.slow_since = boottime()
         self.logged = False
         self.cut: t.Callable[[int, str], None] | None = None
-        self._transport = transport
+        self.transport = transport
         self._written = 0
         self._unread = transport.get_write_buffer_size() + _unacknowledged(transport)
 
     def measure(self, written: int = 0) -> int:
         """Update ``held`` after ``written`` bytes; returns by how much it changed."""
         before = self.held
-        self.held = self._transport.get_write_buffer_size()
+        self.held = self.transport.get_write_buffer_size()
         self._written += written
         return self.held - before
 
@@ -75,7 +74,7 @@
         The kernel takes bytes from the write buffer in large pieces, so progress shows
         earlier in what the caller's host has acknowledged.
         """
-        unread = self.held + _unacknowledged(self._transport)
+        unread = self.held + _unacknowledged(self.transport)
         if unread < self._unread + self._written:
             self.read_at = now
         self._unread = unread
@@ -88,13 +87,13 @@
 
         :param high: ``None`` for asyncio's own limits.
         """
-        self._transport.set_write_buffer_limits(
+        self.transport.set_write_buffer_limits(
             None if high is None else int(high), low
         )
 
     def abort(self) -> None:
         """Drop the unread bytes and the connection."""
-        self._transport.abort()
+        self.transport.abort()
 
 
 class UnreadReplies:
@@ -113,8 +112,7 @@
         self.limits = limits
         self.held = 0
         self._note_cut = note_cut
-        self._by_number: dict[int, WatchedReply] = {}
-        self._numbers = itertools.count()
+        self._by_transport: dict[asyncio.Transport, WatchedReply] = {}
         self._timer: asyncio.TimerHandle | None = None
 
     @property
@@ -123,13 +121,17 @@
         return self.limits.bounded
 
     def __len__(self) -> int:
-        return len(self._by_number)
+        return len(self._by_transport)
 
     def watch(self, reply: WatchedReply) -> None:
-        """Watch a reply from now on until its buffer is empty again."""
+        """Watch a reply from now on until its buffer is empty again.
+
+        It takes the place of the connection's last reply, which has ended.
+        """
         reply.set_buffer_limit(self.limits.reply)
-        self.held += reply.measure()
-        self._by_number[next(self._numbers)] = reply
+        last = self._by_transport.get(reply.transport)
+        self.held += reply.measure() - (last.held if last is not None else 0)
+        self._by_transport[reply.transport] = reply
         if self._timer is None:
             self._schedule()
 
@@ -150,28 +152,31 @@
                 "held": reply.held,
                 "stalled": round(now - reply.read_at, 3),
             }
-            for reply in self._by_number.values()
+            for reply in self._by_transport.values()
         ]
 
     def sweep(self, now: float) -> None:
         """Update all replies, forget those that were read and cut what is too much."""
-        for number, reply in list(self._by_number.items()):
+        for transport, reply in list(self._by_transport.items()):
             self.held += reply.measure()
             reply.note_progress(now)
             if not reply.held and reply.cut is None:
-                del self._by_number[number]
+                del self._by_transport[transport]
             elif not reply.held:
                 reply.read_at = reply.slow_since = now
             elif not reply.logged and now - reply.slow_since >= reply.max_silence / 4:
                 reply.logged = True
                 self._log_slow(reply, now)
+        replies = list(self._by_transport.values())
         unread = [
             UnreadReply(number, reply.held, now - reply.read_at, reply.max_silence)
-            for number, reply in self._by_number.items()
+            for number, reply in enumerate(replies)
             if reply.held
         ]
         for cut in choose_cuts(unread, self.limits):
-            self._cut(self._by_number.pop(cut.number), cut.reason)
+            reply = replies[cut.number]
+            del self._by_transport[reply.transport]
+            self._cut(reply, cut.reason)
 
     def _log_slow(self, reply: WatchedReply, now: float) -> None:
         logs.event(
@@ -206,7 +211,7 @@
     def _on_timer(self) -> None:
         self._timer = None
         self.sweep(boottime())
-        if self._by_number:
+        if self._by_transport:
             self._schedule()
 
 
