Unread replies: a caller that has closed its side is dropped at once

Cause: if a caller closes its connection in order while bytes for it are unsent, the transport goes on trying to send them and reports the end only then. An engine that waited for that caller worked on until the caller was cut as stalled.

--- a/src/bankrack/front/unreadreplies.py
+++ b/src/bankrack/front/unreadreplies.py
@@ -61,6 +61,15 @@
         self._written = 0
         self._unread = transport.get_write_buffer_size() + _unacknowledged(transport)
 
+    @property
+    def abandoned(self) -> bool:
+        """Whether the caller closed its side before its request was served.
+
+        The transport would first send the rest of its buffer, which a caller that has
+        left doesn't read, and report the end of the connection only then.
+        """
+        return self.cut is not None and self.transport.is_closing()
+
     def measure(self, written: int = 0) -> int:
         """Update ``held`` after ``written`` bytes; returns by how much it changed."""
         before = self.held
@@ -87,9 +96,7 @@
 
         :param high: ``None`` for asyncio's own limits.
         """
-        self.transport.set_write_buffer_limits(
-            None if high is None else int(high), low
-        )
+        self.transport.set_write_buffer_limits(None if high is None else int(high), low)
 
     def abort(self) -> None:
         """Drop the unread bytes and the connection."""
@@ -158,6 +165,8 @@
     def sweep(self, now: float) -> None:
         """Update all replies, forget those that were read and cut what is too much."""
         for transport, reply in list(self._by_transport.items()):
+            if reply.abandoned:
+                reply.abort()
             self.held += reply.measure()
             reply.note_progress(now)
             if not reply.held and reply.cut is None:
--- a/tests/front/test_unreadreplies.py
+++ b/tests/front/test_unreadreplies.py
@@ -58,6 +58,9 @@
             self.sweep()
         self.assertEqual([], self.cuts)
         self.assertEqual(80_000, self.unread.held)
+        for _ in range(16):
+            self.sweep()
+        self.assertEqual(["stalled"], self.cuts)
 
     async def test_acknowledged_bytes_show_that_the_caller_reads(self):
         self.watch()
@@ -65,6 +68,10 @@
             self.connection.unacknowledged -= 100
             self.sweep(1.0)
         self.assertEqual([], self.cuts)
+        self.connection.unsent = 0
+        self.sweep()
+        self.sweep(5.0)
+        self.connection.unsent = 20_000
         self.sweep(3.9)
         self.assertEqual([], self.cuts)
         self.sweep(0.1)
@@ -85,3 +92,13 @@
         self.watch()
         self.assertEqual(20_000, self.unread.held)
         self.assertEqual(1, len(self.unread))
+
+    async def test_caller_that_closed_its_side_is_dropped_at_once(self):
+        """The transport would first send the bytes that nobody reads any more."""
+        reply = self.watch()
+        self.connection.closing = True
+        self.sweep()
+        self.assertTrue(self.connection.aborted)
+        reply.cut = None
+        self.sweep()
+        self.assertEqual((0, 0), (len(self.unread), self.unread.held))
