Unread replies: the rest of an ended response is accounted for

Cause: a response whose unread part stayed below 8 kB, or an answer of up to 64 kB, was not watched. Its request ended while the bytes lay in the connection's buffer: a planned stop lost them, a caller that never read kept them for ever, and no bound counted them. Change: what is unsent at the end of a response is watched from then on, and a stop waits until it has been read or cut, at most for the grace period. Measured: test_planned_stop_waits_for_the_rest_of_an_answer (50 kB, read 1 s after the stop began) got all; before, the account was empty and the request had ended.

--- a/src/bankrack/front/httpreply.py
+++ b/src/bankrack/front/httpreply.py
@@ -137,6 +137,9 @@
             await self._wait_until_read(0)
             self._watched.set_buffer_limit()
             self.close()
+        elif self._buffered:
+            # The request ends here, but what its caller has not read is still held.
+            self._watch()
 
     async def _wait_until_read(self, size: int) -> None:
         """Wait until the caller has read all but ``size`` bytes."""
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -300,7 +300,8 @@
     async def stop(self, reason: str) -> None:
         """Drain and close: fail readiness, finish requests in flight, then close.
 
-        Requests that are still in flight when the grace period ends are cut off.
+        Requests that are still in flight when the grace period ends are cut off, and
+        so are responses that their callers have not read.
 
         :param reason: logged with the event.
         """
@@ -316,6 +317,7 @@
         while boottime() < deadline:
             if (
                 not self.dispatcher.in_flight
+                and not self.held.replies.held
                 and boottime() > started_at + BALANCER_NOTICE_SECONDS
             ):
                 break
--- a/tests/platform/test_slow_callers.py
+++ b/tests/platform/test_slow_callers.py
@@ -7,6 +7,9 @@
 import types
 import typing as t
 
+from aiohttp import web
+
+from bankrack import gateway as gateway_module
 from bankrack.clock import boottime
 from bankrack.front import unreadreplies
 from bankrack.gateway import Gateway
@@ -26,8 +29,9 @@
 
     _numbers = itertools.count()
 
-    def __init__(self, front: str) -> None:
+    def __init__(self, front: str, path: str = "/talk/x") -> None:
         self._front = front
+        self._path = path.encode()
         self.request = f"slow-{next(self._numbers)}"
         self.longest_pause = 0.0
 
@@ -39,9 +43,10 @@
         await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
         self._reader, self._writer = await asyncio.open_connection(sock=sock, limit=1)
         self._writer.write(
-            b"POST /talk/x HTTP/1.1\r\nHost: h.example\r\nBankrack-Key: key-1\r\n"
+            b"POST %b HTTP/1.1\r\nHost: h.example\r\nBankrack-Key: key-1\r\n"
             b"Bankrack-Request-Id: %b\r\nBankrack-Deadline-Ms: 15000\r\n"
-            b"Content-Length: 0\r\nConnection: close\r\n\r\n" % self.request.encode()
+            b"Content-Length: 0\r\nConnection: close\r\n\r\n"
+            % (self._path, self.request.encode())
         )
 
     async def read(self) -> bytes:
@@ -118,6 +123,28 @@
             self.assertFalse((await caller.read()).endswith(END))
             self.assertEqual([("caller_slow", None), ("caller_cut", "stalled")], logged)
 
+    async def test_planned_stop_waits_for_the_rest_of_an_answer(self):
+        """The request has ended, as the rest fits into the connection's buffer."""
+        self.patch(gateway_module, "BALANCER_NOTICE_SECONDS", 0.2)
+        async with serving(memory_mb=128, events=1, pause=0.0) as found:
+            deployment, gateway, front = found
+            body = b"." * 50_000
+            for server in deployment.plain:
+
+                async def respond(request: web.BaseRequest, server=server) -> t.Any:
+                    return web.Response(body=body, headers=server.sealed(request))
+
+                server.custom_handler = respond
+            caller = SlowCaller(front, "/bill/x")
+            await caller.send()
+            await until(lambda: gateway.held.replies.held > 20_000)
+            stopping = asyncio.create_task(gateway.stop("test"))
+            await asyncio.sleep(1.0)
+            self.assertEqual(0, gateway.dispatcher.in_flight)
+            self.assertEqual(body, await caller.read())
+            await stopping
+            self.assertEqual(0, gateway.held.replies.held)
+
     async def test_many_callers_that_read_nothing(self):
         """They are cut as the memory fills; a caller beside them notices nothing."""
         async with serving(memory_mb=8, events=120, pause=0.02) as found:
