Held bytes: tests where mutants survived

Cause: three wrong versions of the bounds passed all tests: a reply without a limit of its own, a chunked body that is not counted as it arrives, and one that counts against itself while it grows. Measured: each of the three wrong versions fails its test, the code as it is passes.

--- a/tests/decisions/test_buffers.py
+++ b/tests/decisions/test_buffers.py
@@ -66,6 +66,15 @@
         self.assertEqual(0, sum(stream.left + stream.held for stream in slow))
         self.assertEqual({"memory", "stalled"}, reasons)
 
+    def test_reply_waits_above_its_own_and_above_the_common_limit(self):
+        for held, total, waits in [
+            (500, 1000, False),
+            (501, 501, True),
+            (9, 1001, True),
+        ]:
+            verdict = buffers.may_hold(held, total, self.LIMITS)
+            self.assertEqual(waits, isinstance(verdict, buffers.Wait))
+
     def test_longest_stalled_goes_first_until_there_is_room(self):
         held_and_stalled = [(400, 0.0), (200, 1.0), (300, 1.0), (100, 0.6)]
         replies = [
--- a/tests/platform/test_large_bodies.py
+++ b/tests/platform/test_large_bodies.py
@@ -52,6 +52,19 @@
             self.assertEqual({None, "0.75"}, retry_after)
             self.assertEqual(0, gateway.held.bodies.held)
 
+    async def test_chunked_body_counts_as_it_arrives(self):
+        async with serving(memory_mb=128) as (_, gateway):
+            front = gateway.settings.front.rpartition(":")
+            _, writer = await asyncio.open_connection(front[0], int(front[2]))
+            self.addCleanup(writer.close)
+            writer.write(
+                b"POST /bill/x HTTP/1.1\r\nHost: h.example\r\nBankrack-Key: key-1\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n100000\r\n" + b"x" * 1024 * 1024
+            )
+            await until(lambda: gateway.held.bodies.held == 1024 * 1024)
+            writer.close()
+            await until(lambda: not gateway.held.bodies.held)
+
     async def test_large_bodies_go_to_an_upstream_one_after_the_other(self):
         async with serving(memory_mb=512, timeout_ms=40_000) as (deployment, gateway):
             now, most = collections.Counter(), collections.Counter()
