Pools: tests where mutants survived

Change: tests of what owners are told, of the verdicts at their limits, and of the queries by a node of two pools. No fault was found in the code.

--- a/tests/decisions/test_pooloverflow.py
+++ b/tests/decisions/test_pooloverflow.py
@@ -19,9 +19,9 @@
 
 
 class PoolOverflowTest(TestCase):
-    def ask(self, first, *, second_at=0.0, waited=False, tokens=1000):
+    def ask(self, first, *, second_at=0.0, waited=False, tokens=1000, rank=(0, 1)):
         size, second = (
-            Size(tokens, (0, 1)),
+            Size(tokens, rank),
             FullPool(Size(1000, (0, 1)), 3.0, second_at),
         )
         return next_question(first, size=size, second=second, waited=waited, now=100.0)
@@ -37,6 +37,7 @@
         self.assertIsNone(self.ask(LONG, second_at=99.9))
         self.assertEqual(AskSecond(queue=True), self.ask(NO, second_at=99.9))
         self.assertIsNotNone(self.ask(LONG, second_at=99.9, tokens=500))
+        self.assertIsNotNone(self.ask(LONG, second_at=99.9, rank=(0, 0)))
         self.assertIsNotNone(self.ask(LONG, second_at=100.0 - FULL_SECONDS))
 
     def test_refused_run_that_waited_is_not_queued_anew(self):
@@ -58,6 +59,8 @@
             (LONG, Admit(()), Outcome(LONG, second=False)),
             (LONG, less, Outcome(LONG, second=False)),
             (LONG, SHORT, Outcome(SHORT, second=True)),
+            (Wait(0.1, 1, 1.0), Wait(0.1, 1, 0.3), Outcome(Wait(0.1, 1, 1.0), False)),
+            (Wait(0.3, 9, 10.0), Wait(0.3, 7, 8.0), Outcome(Wait(0.3, 9, 10.0), False)),
         ):
             self.assertEqual(expected, settle(first, second, may_move=True))
         self.assertEqual(LONG, settle(LONG, SHORT, may_move=False).verdict)
--- a/tests/fleet/test_poolowners.py
+++ b/tests/fleet/test_poolowners.py
@@ -11,6 +11,7 @@
 
 from bankrack.clock import boottime
 from bankrack.decisions.admission import Admit
+from bankrack.decisions.admission import Refuse
 from bankrack.decisions.admission import Verdict
 from bankrack.decisions.admission import Wait
 from bankrack.decisions.coldstart import ColdTolerance
@@ -38,6 +39,7 @@
 from bankrack.serving.job import Demand
 from bankrack.serving.job import Job
 from bankrack.serving.job import RequestKind
+from bankrack.serving.pools import candidate_pools
 from bankrack.serving.pools import pool_of
 from bankrack.serving.registry import Upstreams
 from bankrack.serving.routing import Route
@@ -271,6 +273,63 @@
             self.assertIsNotNone(await other.query_engines("r-1"))
 
 
+class TwoPoolsTest(TestCase):
+    """A node whose run is admitted by its second pool only."""
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> t.AsyncIterator[PoolOwnerClient]:
+        members = [Member(f"n-{n}", free_address(), "a", 1000.0) for n in range(2)]
+        node = Node(members[0], members)
+        node.upstreams.pools_of = lambda service: 2
+        self.first, self.second = candidate_pools("r-1", 2)
+        self.queries = []
+        self.work = assignment("r-1")
+
+        async def ask(owner: Member, query: t.Any) -> Verdict | None:
+            self.queries.append(query)
+            return self.verdict(query)
+
+        node.client._ask = ask
+        node.client._owner_of = lambda pool, ranked: members[1]
+        yield node.client
+        await node.stop()
+
+    def verdict(self, query: t.Any) -> Verdict | None:
+        return self.first_waits(query, Admit(("one",)))
+
+    def first_waits(self, query: t.Any, second: Verdict | None) -> Verdict | None:
+        pool = query.pool if isinstance(query, IdentifiedQuery) else query[1]
+        return Wait(0.3, 4, 3.0) if pool == self.first else second
+
+    async def test_updates_and_copies_follow_run(self):
+        async with self.running() as client:
+            await client.decide(self.work, memory=MEMORY, avoid=())
+            await client.place_copy(self.work, memory=MEMORY, avoid=())
+            self.assertEqual(self.second, self.queries[-1][1])
+            client.ended(self.work, took=1.0)
+            ended = [(update.kind, update.pool) for update in client._updates]
+            self.assertEqual([("ended", self.first), ("ended", self.second)], ended)
+            self.assertEqual(self.first, client.rooms.pool(self.work, 2))
+
+    async def test_silent_second_owner_is_told_that_run_is_not_there(self):
+        self.verdict = lambda query: self.first_waits(query, None)
+        async with self.running() as client:
+            await client.decide(self.work, memory=MEMORY, avoid=())
+            [update] = client._updates
+            self.assertEqual(("ended", self.second), (update.kind, update.pool))
+
+    async def test_second_owner_is_asked_once_and_not_to_queue(self):
+        self.verdict = lambda query: Refuse(9, 5.0)
+        async with self.running() as client:
+            pools = {"pool": 1, "pools": 2}
+            await client._query(
+                self.work, memory=MEMORY, avoid=(), queue=False, **pools
+            )
+        [query] = self.queries
+        self.assertIsInstance(query, IdentifiedQuery)
+        self.assertFalse(query.queue)
+
+
 class CrowdedPoolTest(TestCase):
     def setUp(self):
         super().setUp()
--- a/tests/fleet/test_poolrooms.py
+++ b/tests/fleet/test_poolrooms.py
@@ -27,13 +27,16 @@
         self.asked: list[tuple[int, bool]] = []
         self.left: list[int] = []
         self.outcomes: list[str] = []
+        self.now = 100.0
         self.rooms = PoolRooms(
-            lambda work, pool: self.left.append(pool), count=self.outcomes.append
+            lambda work, pool: self.left.append(pool),
+            count=self.outcomes.append,
+            clock=lambda: self.now,
         )
         self.work = assignment("r-1")
         self.first, self.second = candidate_pools("r-1", 5)
 
-    async def decide(self, first, second=None):
+    async def decide(self, first, second=None, *, pools=5):
         async def ask(pool: int, queue: bool) -> Verdict | None:
             self.asked.append((pool, queue))
             verdict = first if pool == self.first else second
@@ -41,7 +44,7 @@
                 raise verdict
             return verdict
 
-        return await self.rooms.decide(self.work, 5, ask)
+        return await self.rooms.decide(self.work, pools, ask)
 
     async def test_updates_follow_run_into_second_pool(self):
         self.assertEqual(self.first, self.rooms.pool(self.work, 5))
@@ -60,6 +63,49 @@
         self.assertEqual((self.second, True), self.asked[2])
         self.assertEqual([self.first], self.left)
 
+    async def test_run_that_left_by_admission_may_change_queues_later(self):
+        await self.decide(LONG_WAIT, HERE)
+        self.now += 1.0
+        await self.decide(Wait(0.1, 1, 0.2), LONG_WAIT)
+        self.assertEqual([self.first, self.second], self.left)
+        self.assertEqual(self.first, self.rooms.pool(self.work, 5))
+
+    async def test_second_pool_is_asked_once_a_short_wait_was_in_vain(self):
+        for _ in range(2):
+            await self.decide(Wait(0.05, 1, 0.01), None)
+        self.assertEqual(
+            [self.first, self.first, self.second], [p for p, _ in self.asked]
+        )
+
+    async def test_pool_without_usable_engine_is_told_that_run_left(self):
+        await self.decide(LONG_WAIT, Admit(()))
+        self.assertEqual([self.second], self.left)
+
+    async def test_run_without_owners_is_placed_in_pool_of_its_digest(self):
+        await self.decide(LONG_WAIT, Wait(0.1, 1, 0.2))
+        await self.decide(None, None)
+        self.assertEqual([self.first, self.first, self.second], self.left)
+        self.assertEqual(self.first, self.rooms.pool(self.work, 5))
+
+    async def test_pool_that_run_left_as_pools_changed_is_told(self):
+        await self.decide(LONG_WAIT, LONG_WAIT)
+        await self.decide(LONG_WAIT, LONG_WAIT, pools=1)
+        self.assertEqual([self.first], self.left)
+        await self.decide(LONG_WAIT, LONG_WAIT)
+        self.assertEqual([self.first, 0], self.left)
+
+    async def test_admission_shows_that_pool_is_no_longer_full(self):
+        await self.decide(LONG_WAIT, LONG_WAIT)
+        await self.decide(LONG_WAIT, HERE)
+        self.assertEqual(["wait"], self.outcomes)
+        ids = (f"r-{n}" for n in range(1000))
+        other = next(i for i in ids if candidate_pools(i, 5)[0] == self.second)
+        work, self.work = self.work, assignment(other)
+        await self.decide(None, HERE)
+        self.work = work
+        await self.decide(LONG_WAIT, HERE)
+        self.assertEqual(["wait", "admit"], self.outcomes)
+
     async def test_second_pool_serves_while_first_has_no_owner(self):
         self.assertEqual(HERE, await self.decide(None, HERE))
         self.assertEqual(self.second, self.rooms.pool(self.work, 5))
