Large bodies: the test counts them from their heads on

Cause: the test that bodies go to an upstream one after the other counted a body once the upstream had read all of it. Without any bound, or without a signal to those that wait, it passed. Change: it counts from the head of a request to its response, which takes 0.3 s, with the same assertions. One more test has callers that pause shortly at both limits.

--- a/tests/decisions/test_buffers.py
+++ b/tests/decisions/test_buffers.py
@@ -84,6 +84,15 @@
         self.assertEqual([Cut(2, "memory")], choose_cuts(replies, self.LIMITS))
         self.assertEqual([], choose_cuts(replies[1:], self.LIMITS))
 
+    def test_caller_that_paused_shortly_is_cut_only_if_memory_is_full(self):
+        for held, stalled, cut in [
+            (874, 3.9, False),
+            (1000, 0.49, False),
+            (875, 0.5, True),
+        ]:
+            cuts = choose_cuts([UnreadReply(1, held, stalled, 2.0)], self.LIMITS)
+            self.assertEqual([Cut(1, "memory")] if cut else [], cuts)
+
     def test_stalled_reply_is_cut_while_there_is_room(self):
         replies = [UnreadReply(1, 9, 4.0, 2.0), UnreadReply(2, 9, 3.9, 2.0)]
         self.assertEqual([Cut(1, "stalled")], choose_cuts(replies, self.LIMITS))
--- a/tests/platform/test_large_bodies.py
+++ b/tests/platform/test_large_bodies.py
@@ -69,17 +69,22 @@
         async with serving(memory_mb=512, timeout_ms=40_000) as (deployment, gateway):
             now, most = collections.Counter(), collections.Counter()
 
-            async def hold(request: web.BaseRequest) -> None:
-                assert request.transport is not None
-                address = request.transport.get_extra_info("sockname")
-                kind = (address, request.content_length)
-                now[kind] += 1
-                most[kind] = max(most[kind], now[kind])
-                await asyncio.sleep(0.05)
-                now[kind] -= 1
-
             for server in deployment.plain:
-                server.custom_handler = hold
+
+                async def respond(
+                    request: web.BaseRequest, respond=server.respond
+                ) -> t.Any:
+                    assert request.transport is not None
+                    address = request.transport.get_extra_info("sockname")
+                    kind = (address, request.content_length)
+                    now[kind] += 1
+                    most[kind] = max(most[kind], now[kind])
+                    await asyncio.sleep(0.3)
+                    response = await respond(request)
+                    now[kind] -= 1
+                    return response
+
+                server.respond = respond
             patient = {"Bankrack-Deadline-Ms": "40000"}
             bodies = [BODY] * 3 + [b"small"] * 20
             front = gateway.settings.front
