Slow callers: half of the silence until one is cut while memory is full

Cause: a host tells of what its caller has read in pieces, mostly of 8 kB. A caller that read 8 kB in 0.6 s looked stalled for longer than a quarter of the silence (0.5 s), and was cut while callers that read slowly filled the memory. Change: half of the silence.

--- a/src/bankrack/decisions/buffers.py
+++ b/src/bankrack/decisions/buffers.py
@@ -30,8 +30,11 @@
 STALL_SILENCES = 2.0
 """Time without reading until a reply is cut, as a multiple of the silence after which
 callers give up a stream.  A caller may pause for as long as it would wait itself."""
-PRESSED_STALL_SILENCES = 0.25
-"""The same while the memory is full.  A caller that reads at all has read within it."""
+PRESSED_STALL_SILENCES = 0.5
+"""The same while the memory is full.
+
+A caller's host tells of what was read in pieces of a sixteenth of its receive buffer,
+mostly 8 kB, so this cuts no caller that reads 8 kB a second or more."""
 SMALL_BODY_BYTES = 16 * 1024
 """Size up to which bodies are never held back, as the HTTP library holds as much for
 each connection anyway."""
