Forwarding: a caller that is waited for does not make its engine slow

Cause: once no more may be held for a caller, its engine's events wait for it. The time counted as a pause of the engine and was told to the pool owner, which learns engines' speeds and slow moments from it. Change: HttpReply.write tells whether it waited; from then on the stream's events are no measure of its engine.

--- a/src/bankrack/front/httpreply.py
+++ b/src/bankrack/front/httpreply.py
@@ -91,10 +91,11 @@
             response.enable_chunked_encoding()
         await self._prepare(response)
 
-    async def write(self, data: bytes) -> None:
+    async def write(self, data: bytes) -> bool:
         """Write a chunk of a streamed response.
 
-        Waits for a caller that does not read only if no more may be held for it.
+        Waits for a caller that does not read only if no more may be held for it;
+        returns whether it did.
         """
         if len(data) > SLOW_BYTES:
             self._watch()
@@ -102,11 +103,12 @@
             await self.response.write(data)
             if self._watched is not None:
                 if self._unread.must_wait(self._watched, len(data)):
-                    await self._wait_until_read(SLOW_BYTES)
+                    return await self._wait_until_read(SLOW_BYTES)
             elif self._buffered > SLOW_BYTES:
                 self._watch()
         except OSError as error:
             raise CallerDisconnected("the caller closed the connection") from error
+        return False
 
     async def end(self) -> None:
         """End a streamed response as complete."""
@@ -141,12 +143,14 @@
             # The request ends here, but what its caller has not read is still held.
             self._watch()
 
-    async def _wait_until_read(self, size: int) -> None:
-        """Wait until the caller has read all but ``size`` bytes."""
+    async def _wait_until_read(self, size: int) -> bool:
+        """Wait until the caller has read all but ``size`` bytes, if it has not yet."""
         assert self._watched is not None
+        waits = self._buffered > size
         self._watched.set_buffer_limit(size, low=size)
         await self._request.writer.drain()
         self._watched.set_buffer_limit(self._unread.limits.reply)
+        return waits
 
     @property
     def _buffered(self) -> int:
--- a/src/bankrack/serving/forwarding.py
+++ b/src/bankrack/serving/forwarding.py
@@ -116,7 +116,10 @@
                 raise UpstreamFailed("the engine's response has no proof of origin")
             self.began_at = self.last_at
             await self._reply.begin(head.status, head.headers)
-        await self._reply.write(data)
+        if await self._reply.write(data):
+            # Later events come when the caller reads, and those that lay unread
+            # meanwhile come at once: they do not tell how fast the engine is.
+            self.gaps = GapMeter("")
 
     def _note_pause(self, seconds: float, now: float) -> None:
         if not self._moved:
--- a/src/bankrack/serving/job.py
+++ b/src/bankrack/serving/job.py
@@ -139,8 +139,11 @@
         """Start a streamed response."""
         ...
 
-    async def write(self, data: bytes) -> None:
-        """Write a chunk of a streamed response and flush it."""
+    async def write(self, data: bytes) -> bool:
+        """Write a chunk of a streamed response; returns whether the caller is behind.
+
+        Then no more was held for it, and the write took until it had read some.
+        """
         ...
 
     async def end(self) -> None:
--- a/tests/serving/test_forwarding.py
+++ b/tests/serving/test_forwarding.py
@@ -3,6 +3,7 @@
 from bankrack.serving import forwarding
 from bankrack.serving.client import Head
 from bankrack.serving.forwarding import EventForwarder
+from bankrack.serving.gaps import GapMeter
 from tests.base import TestCase
 
 HEAD = Head(status=200, headers=[], not_run=False, run_id="r", sealed=True)
@@ -13,12 +14,14 @@
 
     def __init__(self) -> None:
         self.started = False
+        self.waited = False
 
     async def begin(self, status, headers) -> None:
         self.started = True
 
-    async def write(self, data) -> None:
+    async def write(self, data) -> bool:
         assert self.started
+        return self.waited
 
 
 class Pauses(TestCase):
@@ -26,7 +29,8 @@
         super().setUp()
         self.now = 50.0
         self.patch(forwarding, "boottime", lambda: self.now)
-        self.forwarder = EventForwarder(Caller(), gap_target=0.18)
+        self.caller = Caller()
+        self.forwarder = EventForwarder(self.caller, gap_target=0.18)
 
     async def event(self, number: int, *, after: float) -> None:
         self.now += after
@@ -54,3 +58,16 @@
         self.forwarder.restore_engine(splitter)
         await self.event(1, after=0.3)
         self.assertFalse(self.forwarder.longest_pause.moved)
+
+    async def test_events_that_waited_for_the_caller_tell_nothing_of_the_engine(self):
+        meter = GapMeter("e-1")
+        self.forwarder.change_engine(meter)
+        for number in range(4):
+            await self.event(number, after=0.04)
+        self.caller.waited = True
+        await self.event(4, after=0.04)
+        self.caller.waited = False
+        for number in range(5, 20):
+            await self.event(number, after=0.7)
+        self.assertEqual(4, meter.events)
+        self.assertAlmostEqual(0.04, meter.longest)
