Large bodies: a refused chunked body is dropped at once

Cause: a chunked body that no longer fitted was refused halfway; what had arrived stayed in memory and in the account for up to 5 s while the rest was skipped, and kept other bodies out meanwhile. Change: its parts and its reservation are dropped before the refusal is written.

--- a/src/bankrack/front/callerserver.py
+++ b/src/bankrack/front/callerserver.py
@@ -147,6 +147,7 @@
             reply.abort()
             return web.Response()
         except BodiesTooLarge as error:
+            reservation.release()
             await self._refuse_body(reply, error, request, arrived)
         except BankrackError as error:
             if not reply.started:
@@ -259,6 +260,10 @@
                         )
                     reservation.extend(size)
                     parts.append(part)
+        except BodiesTooLarge:
+            # The exception keeps this frame while the rest of the body is skipped.
+            parts.clear()
+            raise
         except TimeoutError as error:
             raise InvalidRequest(
                 f"the request body was not received within {BODY_TIMEOUT_SECONDS:g} s"
--- a/tests/platform/test_large_bodies.py
+++ b/tests/platform/test_large_bodies.py
@@ -52,17 +52,34 @@
             self.assertEqual({None, "0.75"}, retry_after)
             self.assertEqual(0, gateway.held.bodies.held)
 
+    async def send_chunk(
+        self, gateway: Gateway
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Send a body of 1 MB and more, whose end does not come."""
+        host, _, port = gateway.settings.front.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            b"POST /bill/x HTTP/1.1\r\nHost: h.example\r\nBankrack-Key: key-1\r\n"
+            b"Bankrack-Request-Id: r-1\r\nBankrack-Deadline-Ms: 3000\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n100000\r\n" + b"x" * 1024 * 1024
+        )
+        return reader, writer
+
+    async def test_refused_chunked_body_is_dropped_at_once(self):
+        """The rest of it is skipped for some seconds."""
+        async with serving(memory_mb=128) as (_, gateway):
+            others = gateway.held.bodies.reservation()
+            others.extend(16 * 1024 * 1024 - 500_000)
+            reader, writer = await self.send_chunk(gateway)
+            with contextlib.closing(writer):
+                self.assertIn(b" 503 ", await reader.readline())
+                self.assertEqual(others.size, gateway.held.bodies.held)
+
     async def test_chunked_body_counts_as_it_arrives(self):
         async with serving(memory_mb=128) as (_, gateway):
-            front = gateway.settings.front.rpartition(":")
-            _, writer = await asyncio.open_connection(front[0], int(front[2]))
-            self.addCleanup(writer.close)
-            writer.write(
-                b"POST /bill/x HTTP/1.1\r\nHost: h.example\r\nBankrack-Key: key-1\r\n"
-                b"Transfer-Encoding: chunked\r\n\r\n100000\r\n" + b"x" * 1024 * 1024
-            )
-            await until(lambda: gateway.held.bodies.held == 1024 * 1024)
-            writer.close()
+            _, writer = await self.send_chunk(gateway)
+            with contextlib.closing(writer):
+                await until(lambda: gateway.held.bodies.held == 1024 * 1024)
             await until(lambda: not gateway.held.bodies.held)
 
     async def test_large_bodies_go_to_an_upstream_one_after_the_other(self):
