Unread replies: an ended response has nothing left to end

Cause: the rest of a response was watched as if its request were still served until the handler returned. Measured: the seven tests of slow callers pass as before; no test brings the case about.

--- a/src/bankrack/front/httpreply.py
+++ b/src/bankrack/front/httpreply.py
@@ -142,6 +142,7 @@
         elif self._buffered:
             # The request ends here, but what its caller has not read is still held.
             self._watch()
+            self.close()
 
     async def _wait_until_read(self, size: int) -> bool:
         """Wait until the caller has read all but ``size`` bytes, if it has not yet."""
