Large bodies: a test that refusals reach their callers

Cause: without the skipping of a refused body all tests passed, although its caller then gets a reset in place of the refusal; so did a wait for a body that will not come. Change: one test with a caller that reads after it has sent all, and one that expects the interim response.

--- a/tests/platform/test_large_bodies.py
+++ b/tests/platform/test_large_bodies.py
@@ -65,6 +65,26 @@
         )
         return reader, writer
 
+    async def test_refusal_reaches_caller_that_reads_it_after_sending(self):
+        """One that waits for the interim response sends nothing and is closed."""
+        head = (
+            b"POST /bill/x HTTP/1.1\r\nHost: h.example\r\nBankrack-Key: key-1\r\n"
+            b"Bankrack-Request-Id: r-1\r\nBankrack-Deadline-Ms: 3000\r\n"
+            b"Content-Length: 4000000\r\nConnection: close\r\n"
+        )
+        async with serving(memory_mb=128) as (_, gateway):
+            gateway.held.bodies.reservation().extend(16 * 1024 * 1024)
+            host, _, port = gateway.settings.front.rpartition(":")
+            for sent in b"\r\n" + BODY, b"Expect: 100-continue\r\n\r\n":
+                reader, writer = await asyncio.open_connection(host, int(port))
+                with contextlib.closing(writer):
+                    writer.write(head + sent)
+                    await writer.drain()
+                    await asyncio.sleep(0.2)
+                    self.assertIn(b" 503 ", await reader.readline())
+                    async with asyncio.timeout(2.0):
+                        await reader.read()
+
     async def test_refused_chunked_body_is_dropped_at_once(self):
         """The rest of it is skipped for some seconds."""
         async with serving(memory_mb=128) as (_, gateway):
