--- a/tests/platform/test_large_bodies.py
+++ b/tests/platform/test_large_bodies.py
@@ -52,21 +52,76 @@
             self.assertEqual({None, "0.75"}, retry_after)
             self.assertEqual(0, gateway.held.bodies.held)
 
+    async def send_chunk(
+        self, gateway: Gateway
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Send a body of 1 MB and more, whose end does not come."""
+        host, _, port = gateway.settings.front.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            b"POST /bill/x HTTP/1.1\r\nHost: h.example\r\nBankrack-Key: key-1\r\n"
+            b"Bankrack-Request-Id: r-1\r\nBankrack-Deadline-Ms: 3000\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n100000\r\n" + b"x" * 1024 * 1024
+        )
+        return reader, writer
+
+    async def test_refusal_reaches_caller_that_reads_it_after_sending(self):
+        """One that waits for the interim response sends nothing and is closed."""
+        head = (
+            b"POST /bill/x HTTP/1.1\r\nHost: h.example\r\nBankrack-Key: key-1\r\n"
+            b"Bankrack-Request-Id: r-1\r\nBankrack-Deadline-Ms: 3000\r\n"
+            b"Content-Length: 4000000\r\nConnection: close\r\n"
+        )
+        async with serving(memory_mb=128) as (_, gateway):
+            gateway.held.bodies.reservation().extend(16 * 1024 * 1024)
+            host, _, port = gateway.settings.front.rpartition(":")
+            for sent in b"\r\n" + BODY, b"Expect: 100-continue\r\n\r\n":
+                reader, writer = await asyncio.open_connection(host, int(port))
+                with contextlib.closing(writer):
+                    writer.write(head + sent)
+                    await writer.drain()
+                    await asyncio.sleep(0.2)
+                    self.assertIn(b" 503 ", await reader.readline())
+                    async with asyncio.timeout(2.0):
+                        await reader.read()
+
+    async def test_refused_chunked_body_is_dropped_at_once(self):
+        """The rest of it is skipped for some seconds."""
+        async with serving(memory_mb=128) as (_, gateway):
+            others = gateway.held.bodies.reservation()
+            others.extend(16 * 1024 * 1024 - 500_000)
+            reader, writer = await self.send_chunk(gateway)
+            with contextlib.closing(writer):
+                self.assertIn(b" 503 ", await reader.readline())
+                self.assertEqual(others.size, gateway.held.bodies.held)
+
+    async def test_chunked_body_counts_as_it_arrives(self):
+        async with serving(memory_mb=128) as (_, gateway):
+            _, writer = await self.send_chunk(gateway)
+            with contextlib.closing(writer):
+                await until(lambda: gateway.held.bodies.held == 1024 * 1024)
+            await until(lambda: not gateway.held.bodies.held)
+
     async def test_large_bodies_go_to_an_upstream_one_after_the_other(self):
         async with serving(memory_mb=512, timeout_ms=40_000) as (deployment, gateway):
             now, most = collections.Counter(), collections.Counter()
 
-            async def hold(request: web.BaseRequest) -> None:
-                assert request.transport is not None
-                address = request.transport.get_extra_info("sockname")
-                kind = (address, request.content_length)
-                now[kind] += 1
-                most[kind] = max(most[kind], now[kind])
-                await asyncio.sleep(0.05)
-                now[kind] -= 1
-
             for server in deployment.plain:
-                server.custom_handler = hold
+
+                async def respond(
+                    request: web.BaseRequest, respond=server.respond
+                ) -> t.Any:
+                    assert request.transport is not None
+                    address = request.transport.get_extra_info("sockname")
+                    kind = (address, request.content_length)
+                    now[kind] += 1
+                    most[kind] = max(most[kind], now[kind])
+                    await asyncio.sleep(0.3)
+                    response = await respond(request)
+                    now[kind] -= 1
+                    return response
+
+                server.respond = respond
             patient = {"Bankrack-Deadline-Ms": "40000"}
             bodies = [BODY] * 3 + [b"small"] * 20
             front = gateway.settings.front
