Soak: checks for uneven engines, failing servers, slow readers and held bytes

Cause: the soak had engines of unequal speed, a server that resets all requests and callers that read late, but checked little of what the gateways do about them. And its engines lacked an attribute of the fakes, so they answered each order to copy a run with an error of their own, which nobody saw. Change: four invariants. The slowest engines get at most 0.6 of the fastest ones' runs a second; a server that resets all requests gets no requests that may not be repeated after 1 s, unless it is the only one available or nodes could not tell each other; no caller is cut that reads within 3 s; a gateway without callers holds no bytes for any. An error of the soak's own servers is a violation too, the engines use the initializer of the fakes, and a rate limit that was announced in no answer does not end the soak. Two bugs show the first two checks: "level" and "trusting".

--- a/soak/gateway/__main__.py
+++ b/soak/gateway/__main__.py
@@ -7,6 +7,7 @@
 import argparse
 import asyncio
 import collections
+import logging
 import pathlib
 import random
 import sys
@@ -33,6 +34,19 @@
 """Exit code of an inconclusive soak: its source files changed while it ran."""
 
 
+class ErrorLog(logging.Handler):
+    """Collects the errors of the soak's own servers."""
+
+    def __init__(self) -> None:
+        super().__init__(logging.ERROR)
+        self.errors: set[str] = set()
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Collect one error; requests that fail alike count once."""
+        error = record.exc_info[1] if record.exc_info else None
+        self.errors.add(repr(error) if error else record.getMessage())
+
+
 def source_mtimes() -> dict[str, int]:
     """Modification times of all source files in nanoseconds, by path."""
     files = (path for name in SOURCES for path in (ROOT / name).rglob("*.py"))
@@ -61,6 +75,8 @@
     :return: the exit code.
     """
     mtimes = source_mtimes()
+    error_log = ErrorLog()
+    logging.getLogger("aiohttp.server").addHandler(error_log)
     store = SoakStore(random.Random(seed + 1))
     await store.start()
     names = [f"gateway-{number}" for number in range(count)]
@@ -102,6 +118,8 @@
         await calling
         if poisoning is not None:
             await poisoning
+        for gateway in gateways:
+            checker.check_held(gateway, await gateway.held())
     finally:
         for gateway in gateways:
             gateway.end()
@@ -110,6 +128,8 @@
         await injector.end()
         await store.stop()
     checker.check(gateways)
+    for error in sorted(error_log.errors):
+        checker.record_violation(f"a server of the soak itself failed: {error}")
     if replacing:
         checker.check_replacement()
     checker.check_poison(injector.poisoned)
@@ -134,6 +154,8 @@
     for name, number in sorted(outcomes.items()):
         print(f"  {name}: {number}")
     print(f"engines ended by one request: {len(injector.poisoned)}")
+    rates = [f"{rate:.1f} at {speed}" for speed, rate in checker.run_rates().items()]
+    print(f"runs/s of engines by speed: {', '.join(rates) or 'too little time'}")
     resumed = sum(run.resumed for run in journal.runs)
     print(f"runs: {len(journal.runs)}, of them resumed from a copy: {resumed}")
     print(f"violations: {len(checker.violations)}")
--- a/soak/gateway/buggy.py
+++ b/soak/gateway/buggy.py
@@ -14,13 +14,17 @@
 import engines
 import headernames
 import serve
+from bankrack.decisions.outliers import Well
 from bankrack.exceptions import Outcome
 from bankrack.exceptions import UpstreamFailed
 from bankrack.fleet.coordinators import Coordinators
 from bankrack.fleet.view import View
 from bankrack.front.callerserver import CallerServer
 from bankrack.gateway import Gateway
+from bankrack.serving import outliers
+from bankrack.serving.choice import Chooser
 from bankrack.serving.crashregister import CrashRegister
+from bankrack.serving.enginespeeds import EngineSpeeds
 from bankrack.serving.events import EventOrder
 from bankrack.serving.job import RequestKind
 from bankrack.serving.notices import NoticeHandler
@@ -90,6 +94,17 @@
     Coordinators.is_coordinator = lambda self, upstream_id: True  # type: ignore[method-assign]
 
 
+def trust_failing() -> None:
+    """Send requests to upstreams that failed some just before."""
+    outliers.judge = lambda outcomes, **more: Well()  # type: ignore[assignment]
+    Chooser.suspect = lambda self, upstream: None  # type: ignore[method-assign]
+
+
+def ignore_speeds() -> None:
+    """Take all engines for equally fast."""
+    EngineSpeeds.factor = lambda self, engine_id: 1.0  # type: ignore[method-assign]
+
+
 def stop_at_once() -> None:
     """Stop without finishing the requests in flight."""
 
@@ -123,6 +138,8 @@
     "forget": forget_crashes,
     "deaf": ignore_notices,
     "alone": limit_per_node,
+    "trusting": trust_failing,
+    "level": ignore_speeds,
 }
 
 
--- a/soak/gateway/callers.py
+++ b/soak/gateway/callers.py
@@ -43,6 +43,7 @@
     :param complete: the response was read to its end.
     :param connected: the caller reached the node.
     :param disconnects: the caller disconnected before the end.
+    :param pause: seconds before it read the body.
     """
 
     request: str
@@ -57,6 +58,7 @@
     ended: float = 0.0
     connected: bool = True
     disconnects: bool = False
+    pause: float = 0.0
 
     def response_error(self) -> str:
         """Describe the error in a successful response; empty if it is correct."""
@@ -165,11 +167,11 @@
     async def _read(self, call: Call, response: aiohttp.ClientResponse) -> None:
         call.disconnects = self._rng.random() < DISCONNECT_FRACTION
         if is_large(call.request):
-            pause = self._rng.uniform(*VERY_SLOW_READER_SECONDS)
-            call.disconnects |= pause > MAX_PAUSE_SECONDS
-            await asyncio.sleep(pause)
+            call.pause = self._rng.uniform(*VERY_SLOW_READER_SECONDS)
+            call.disconnects |= call.pause > MAX_PAUSE_SECONDS
         elif self._rng.random() < SLOW_READER_FRACTION:
-            await asyncio.sleep(self._rng.uniform(*SLOW_READER_SECONDS))
+            call.pause = self._rng.uniform(*SLOW_READER_SECONDS)
+        await asyncio.sleep(call.pause)
         async for part in response.content.iter_any():
             call.body += part
             if call.disconnects:
--- a/soak/gateway/checks.py
+++ b/soak/gateway/checks.py
@@ -1,14 +1,20 @@
 """Checks of the gateways' guarantees against what callers and servers observed."""
 
 import collections
+import dataclasses
 import itertools
 import math
+import re
 import time
+import typing as t
 
 from soak.gateway.callers import Call
 from soak.gateway.callers import Callers
+from soak.gateway.callers import MAX_PAUSE_SECONDS
 from soak.gateway.fakes import Arrival
 from soak.gateway.fakes import Journal
+from soak.gateway.fakes import SoakEngine
+from soak.gateway.fakes import SPEEDS
 from soak.gateway.processes import Gateway
 from soak.gateway.processes import GRACE_SECONDS
 
@@ -20,6 +26,7 @@
 """Tolerance for timers that fire late on a busy machine."""
 OVERLAP_SECONDS = 1.0
 """Longest time that a run may continue on an engine after its resume on another."""
+CUT_PATTERN = re.compile(r"event=caller_cut .*?request=(\S+)")
 MAX_LOG_EXCERPT = 3000
 """Characters of a gateway's log quoted from the first sign of a failure."""
 BACKOFF_GRACE_SECONDS = 0.5
@@ -36,6 +43,13 @@
 MAX_LINK_FAULT_SECONDS = 3.0
 """Longest fault of a link to a server."""
 MAX_POISONED = 6
+MIN_SERVICE_SECONDS = 10.0
+"""Time in service of the engines of one speed from which their runs are compared."""
+MAX_SLOW_SHARE = 0.6
+"""Runs/s of the slowest engines at most, as a fraction of those of the fastest."""
+EXCLUSION_SECONDS = 1.0
+"""Time in which all nodes exclude a server that resets all requests."""
+MAX_REQUESTS_EXCLUDED = 2
 READMISSION_SECONDS = 15.0
 """Time in which a server that failed requests is used again."""
 BUDGET_WINDOW_SECONDS = 10.0
@@ -43,6 +57,19 @@
 BUDGET_RESERVE = 56
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Reset:
+    """A period in which a plain server reset all requests.
+
+    :param replaceable: another one without a rate limit was in service meanwhile.
+    """
+
+    server: str
+    began: float
+    ended: float
+    replaceable: bool
+
+
 class Checker:
     """Checks the guarantees after a soak and collects violations.
 
@@ -55,9 +82,12 @@
         self._callers = callers
         self._journal = journal
         self.left_at_by_server: dict[str, float] = {}
-        self.reset_until_by_server: dict[str, float] = {}
+        self.resets: list[Reset] = []
         self.added_at_by_path: dict[str, float] = {}
+        self.engine_by_id: dict[str, SoakEngine] = {}
         self.store_faults: list[tuple[float, float]] = []
+        self.hall_cuts: list[tuple[float, float]] = []
+        self.response_faults: list[tuple[float, float]] = []
 
     def record_violation(self, text: str) -> None:
         """Record a violated guarantee and print it."""
@@ -76,8 +106,11 @@
         self._check_leaving()
         self._check_notices()
         self._check_limits()
+        self._check_speeds()
+        self._check_exclusion()
         self._check_readmission()
         self._check_retry_budget(calls)
+        self._check_slow_readers(gateways)
         for gateway in gateways:
             text = gateway.log.read_text(encoding="utf-8", errors="replace")
             for sign in ("request_crashed", "background task failed", "Traceback"):
@@ -85,6 +118,30 @@
                     excerpt = text[text.index(sign) :][:MAX_LOG_EXCERPT]
                     self.record_violation(f"{gateway.log.name} contains {excerpt}")
 
+    def _check_slow_readers(self, gateways: list[Gateway]) -> None:
+        """Check that no caller was cut that read its response in time."""
+        call_by_request = {call.request: call for call in self._callers.calls}
+        for gateway in gateways:
+            text = gateway.log.read_text(encoding="utf-8", errors="replace")
+            for request in CUT_PATTERN.findall(text):
+                call = call_by_request[request]
+                excused = gateway.disturbed_between(call.sent, call.ended)
+                if call.pause <= MAX_PAUSE_SECONDS and not excused:
+                    self.record_violation(
+                        f"{gateway.name} cut {request} ({call.path}) after a pause of "
+                        f"{call.pause:.1f} s"
+                    )
+
+    def check_held(self, gateway: Gateway, held: dict[str, t.Any]) -> None:
+        """Check that a gateway without callers holds no bytes for any.
+
+        :param held: from its state dump.
+        """
+        if any(held.values()):
+            self.record_violation(
+                f"{gateway.name} holds bytes after all callers ended: {held}"
+            )
+
     def check_replacement(self) -> None:
         """Check that each connected caller got a response while nodes were replaced."""
         for call in self._callers.calls:
@@ -252,6 +309,8 @@
         for arrival, node in sorted(period, key=lambda pair: pair[0].answered):
             if arrival.answered:
                 limited_at_by_node.setdefault(node, arrival.answered)
+        if not limited_at_by_node:
+            return
         began = min(limited_at_by_node.values())
         counted_at = [
             arrival.at
@@ -271,17 +330,77 @@
                 )
                 return
 
+    def _check_exclusion(self) -> None:
+        """Check that a server that resets all requests gets only repeatable ones.
+
+        It is used if it is the only one available.  Nodes that could not tell each
+        other, or that saw another server fail as well, may not have excluded it.
+        """
+        faults = [*self.hall_cuts, *self.response_faults]
+        for reset in self.resets:
+            excused = any(at < reset.ended and end > reset.began for at, end in faults)
+            count = self._unrepeatable_requests(reset)
+            if reset.replaceable and not excused and count > MAX_REQUESTS_EXCLUDED:
+                self.record_violation(
+                    f"{reset.server} reset all requests, but {count} that may not be "
+                    f"repeated reached it later than {EXCLUSION_SECONDS} s after that "
+                    "began"
+                )
+
+    def _unrepeatable_requests(self, reset: Reset) -> int:
+        """Count those that reached a server once it should have been excluded."""
+        call_by_request = {call.request: call for call in self._callers.calls}
+        since = reset.began + EXCLUSION_SECONDS
+        count = 0
+        for arrival in self._journal.arrivals:
+            call = call_by_request.get(arrival.request)
+            if call is not None and arrival.server == reset.server:
+                late = call.path == "bill" and since < arrival.at < reset.ended
+                count += late and not call.node.disturbed_between(
+                    reset.began - MAX_LINK_FAULT_SECONDS, arrival.at
+                )
+        return count
+
+    def run_rates(self) -> dict[float, float]:
+        """Runs begun per second of an engine in service, by the engines' speed."""
+        began = min((run.began for run in self._journal.runs), default=0.0)
+        ended = max((run.began for run in self._journal.runs), default=0.0)
+        seconds: collections.Counter[float] = collections.Counter()
+        for engine in self.engine_by_id.values():
+            served = min(ended, engine.closed) - max(began, engine.opened)
+            seconds[engine.speed] += max(0.0, served)
+        runs = collections.Counter(
+            self.engine_by_id[run.server].speed
+            for run in self._journal.runs
+            if run.server in self.engine_by_id
+        )
+        return {
+            speed: runs[speed] / seconds[speed]
+            for speed in SPEEDS
+            if seconds[speed] >= MIN_SERVICE_SECONDS
+        }
+
+    def _check_speeds(self) -> None:
+        """Check that slow engines get fewer runs than fast ones."""
+        rates = self.run_rates()
+        slow, fast = rates.get(min(SPEEDS)), rates.get(max(SPEEDS))
+        if slow is not None and fast is not None and slow > MAX_SLOW_SHARE * fast:
+            self.record_violation(
+                f"slow engines got {slow:.1f} runs/s, fast ones {fast:.1f}"
+            )
+
     def _check_readmission(self) -> None:
         """Check that a server that reset all requests is used again."""
         ended_at = max((call.sent for call in self._callers.calls), default=0.0)
-        for server, reset_until in self.reset_until_by_server.items():
-            until = reset_until + READMISSION_SECONDS
+        for reset in self.resets:
+            server = reset.server
+            until = reset.ended + READMISSION_SECONDS
             left_at = self.left_at_by_server.get(server, math.inf)
             if until > min(ended_at, left_at):
                 continue
             arrivals = self._journal.arrivals
             if not any(
-                a.server == server and reset_until < a.at < until for a in arrivals
+                a.server == server and reset.ended < a.at < until for a in arrivals
             ):
                 self.record_violation(
                     f"{server} got no request for {READMISSION_SECONDS} s after it had "
--- a/soak/gateway/fakes.py
+++ b/soak/gateway/fakes.py
@@ -6,6 +6,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import math
 import random
 import time
 import typing as t
@@ -213,17 +214,19 @@
 
     service = "plain"
 
+    @property
+    def has_limits(self) -> bool:
+        """Whether it announces a rate limit at times."""
+        return int(self.id.partition("-")[2]) % SERVERS_PER_LIMITED == 0
+
     def notice_headers(self) -> dict[str, str]:
         """Headers of each response; a rate limit is announced at fixed times.
 
         This makes no random draw, so that it doesn't change the sequence of others.
         """
-        number = int(self.id.partition("-")[2])
         age = (time.monotonic() - self.opened) % LIMIT_PERIOD_SECONDS
         limited = 0.0 <= age - LIMIT_START_SECONDS < LIMIT_DURATION_SECONDS
-        self.limit = (
-            str(RATE_LIMIT) if limited and number % SERVERS_PER_LIMITED == 0 else ""
-        )
+        self.limit = str(RATE_LIMIT) if limited and self.has_limits else ""
         return super().notice_headers()
 
     async def run(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -262,23 +265,25 @@
 
 
 class SoakEngine(FakeEngine, _JournalingServer):
-    """An engine whose events name their request."""
+    """An engine whose events name their request.
+
+    :ivar closed: monotonic time from which it leaves or is gone.
+    """
 
     service = "engines"
 
     def __init__(self, server_id: str, journal: Journal, rng: random.Random) -> None:
-        _JournalingServer.__init__(self, server_id, journal, rng)
-        self.events = 0
-        self.cut_after = -1
-        self.cuts_inside_event = self.breaks_off = False
+        super().__init__(server_id, events=0, journal=journal, rng=rng)
         self.pause = EVENT_INTERVAL_SECONDS
-        self.has_room = True
-        self.handles = set()
-        self.orders = []
-        self.engine_by_address = {}
+        self.closed = math.inf
         self.stalled = False
         self.on_poison: t.Callable[[SoakEngine], None] = lambda engine: None
 
+    @property
+    def speed(self) -> float:
+        """How fast it works, as a multiple of the usual."""
+        return SPEEDS[self._number % len(SPEEDS)]
+
     @property
     def slowdown(self) -> float:
         """How long work takes at this moment, as a multiple of the usual time."""
@@ -331,8 +336,7 @@
             while self.stalled:
                 await asyncio.sleep(EVENT_INTERVAL_SECONDS)
             await response.write(expected_event(request_id, number))
-            speed = SPEEDS[self._number % len(SPEEDS)]
-            await asyncio.sleep(self.pause * self.slowdown / speed)
+            await asyncio.sleep(self.pause * self.slowdown / self.speed)
         await response.write_eof()
         return response
 
--- a/soak/gateway/faults.py
+++ b/soak/gateway/faults.py
@@ -11,6 +11,7 @@
 from tests.platform.fakes import configuration
 
 from soak.gateway.checks import Checker
+from soak.gateway.checks import Reset
 from soak.gateway.fakes import BACKOFF_SECONDS
 from soak.gateway.fakes import close
 from soak.gateway.fakes import Journal
@@ -255,13 +256,16 @@
     async def _cut_hall(self, hall: str, kind: str, rng: random.Random) -> None:
         """Disturb messages from all nodes to those of one hall.
 
-        No guarantee depends on these messages, so the nodes aren't marked as disturbed.
+        No guarantee of a single node depends on these messages, so the nodes aren't
+        marked as disturbed.
         """
         seconds = rng.uniform(0.5, 5.0)
+        began = time.monotonic()
         links = [g.inner_link for g in self._gateways if g.hall == hall]
         await asyncio.gather(
             *(self._disturb_link(link, kind, seconds) for link in links)
         )
+        self._checker.hall_cuts.append((began, time.monotonic()))
 
     async def _disturb_link(self, link: t.Any, kind: str, seconds: float) -> None:
         match kind:
@@ -309,17 +313,24 @@
     async def _corrupt_responses(self, rng: random.Random) -> None:
         server = rng.choice(self.servers)
         server.response_fault = rng.choice(RESPONSE_FAULTS)
+        began = time.monotonic()
         await asyncio.sleep(rng.uniform(1.0, 4.0))
         server.response_fault = ""
+        self._checker.response_faults.append((began, time.monotonic()))
 
     async def _reset_requests(self) -> None:
         """Let one server reset all requests; the draws of other faults don't change."""
         await asyncio.sleep(RESET_START_SECONDS)
         server = self.servers[1]
         server.resets_all = True
+        began = time.monotonic()
+        others = [other for other in self.servers if other is not server]
         await asyncio.sleep(RESET_SECONDS)
         server.resets_all = False
-        self._checker.reset_until_by_server[server.id] = time.monotonic()
+        replaceable = any(o in self.servers and not o.has_limits for o in others)
+        self._checker.resets.append(
+            Reset(server.id, began, time.monotonic(), replaceable=replaceable)
+        )
 
     async def _disturb_server_link(self, kind: str, rng: random.Random) -> None:
         server = rng.choice([*self.servers, *self.engines])
@@ -334,6 +345,7 @@
         await engine.open()
         engine.on_poison = self._end_poisoned
         self.engines.append(engine)
+        self._checker.engine_by_id[engine.id] = engine
         for known in self.engines:
             known.engine_by_address = {e.address: e for e in self.engines}
         self._store.put(f"servers/{engine.id}", engine.entry("engines"))
@@ -344,6 +356,7 @@
             return None
         engine = rng.choice(self.engines)
         self.engines.remove(engine)
+        engine.closed = time.monotonic()
         return engine
 
     async def _engine_reclaimed(self, rng: random.Random) -> None:
@@ -379,6 +392,7 @@
         self.poisoned.append(engine.id)
         if engine in self.engines:
             self.engines.remove(engine)
+            engine.closed = time.monotonic()
         engine.breaks_off = True
         assert engine.link is not None
         engine.link.close()
--- a/soak/gateway/processes.py
+++ b/soak/gateway/processes.py
@@ -5,6 +5,7 @@
 import pathlib
 import signal
 import time
+import typing as t
 
 import aiohttp
 from benchmarks.processes import Process
@@ -17,6 +18,10 @@
 READY_TIMEOUT_SECONDS = 90.0
 """Longest start, with hundreds of gateways starting on one machine at once."""
 READY_POLL_INTERVAL_SECONDS = 0.1
+HELD_FIELDS = ("unread_bytes", "slow_callers", "body_bytes")
+"""Fields of the state dump for what a gateway holds for callers."""
+RELEASE_SECONDS = 3.0
+"""Time in which a gateway notices that the last callers ended."""
 RECOVERY_SECONDS = 3.0
 """Time after a start or a resume in which timing guarantees aren't checked."""
 
@@ -152,6 +157,21 @@
             f"{self.name} was not ready within {READY_TIMEOUT_SECONDS} s"
         )
 
+    async def held(self) -> dict[str, t.Any]:
+        """Return what it holds for callers, from its state dump.
+
+        Waits for a while until that is nothing.
+        """
+        limit = time.monotonic() + RELEASE_SECONDS
+        async with aiohttp.ClientSession() as session:
+            while True:
+                async with session.get(f"http://{self.inner}/state") as response:
+                    state = await response.json(content_type=None)
+                held = {name: state[name] for name in HELD_FIELDS}
+                if not any(held.values()) or time.monotonic() > limit:
+                    return held
+                await asyncio.sleep(READY_POLL_INTERVAL_SECONDS)
+
     def reload(self, *, send_signal: bool) -> None:
         """Rewrite the settings file.
 
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -282,8 +282,8 @@
     ``padding`` is added to each event.
     """
 
-    def __init__(self, server_id: str, *, events: int = 5) -> None:
-        super().__init__(server_id)
+    def __init__(self, server_id: str, *, events: int = 5, **more: t.Any) -> None:
+        super().__init__(server_id, **more)
         self.events = events
         self.cut_after = -1
         self.cuts_inside_event = False
