Slow moments: the test tells probes from learned speeds

Change: the engine is the fastest one at first, so that it would get the next runs, and then enters a slow moment: no run may reach it, and it must have been probed.

--- a/tests/platform/test_slow_moments.py
+++ b/tests/platform/test_slow_moments.py
@@ -2,13 +2,16 @@
 
 import asyncio
 
+from bankrack.decisions.pauses import FRESH_SECONDS
 from bankrack.fleet.poolowners import FLUSH_INTERVAL_SECONDS
+from bankrack.gateway import Gateway
 from tests.base import TestCase
 from tests.platform.deployment import Deployment
 from tests.platform.deployment import running
 from tests.platform.fakes import call
 
 USUAL = "0,0,8,100"
+RATHER_SLOW = "0,0,8,150"
 SLOW = "0,0,8,400"
 
 
@@ -17,6 +20,9 @@
         for engine in deployment.engines:
             engine.events, engine.pause = 3, 0.03
         gateway = await deployment.start_ready_gateway()
+        await self.send_runs(gateway)
+
+    async def send_runs(self, gateway: Gateway) -> None:
         for number in range(12):
             response = await call(
                 gateway.settings.front,
@@ -26,15 +32,20 @@
             self.assertTrue(response.complete)
 
     async def test_engine_in_a_slow_moment_is_passed_over(self):
+        """The engine was the fastest before, so that it would get the next runs."""
         async with running() as deployment:
-            slow, *others = deployment.engines
-            slow.load = SLOW
+            fastest, *others = deployment.engines
+            fastest.load = USUAL
             for engine in others:
-                engine.load = USUAL
+                engine.load = RATHER_SLOW
             await self.run_often(deployment)
-            # The first run finds out that the engines are uneven.
-            self.assertLessEqual(len(slow.arrivals), 1)
-            self.assertGreater(slow.probes, 0)
+            before = len(fastest.arrivals)
+            self.assertGreater(before, 0)
+            fastest.load, fastest.probes = SLOW, 0
+            await asyncio.sleep(FRESH_SECONDS)
+            await self.send_runs(deployment.gateways[0])
+            self.assertEqual(before, len(fastest.arrivals))
+            self.assertGreater(fastest.probes, 0)
 
     async def test_runs_begin_while_all_engines_are_slow(self):
         async with running() as deployment:
