--- a/soak/gateway/checks.py
+++ b/soak/gateway/checks.py
@@ -32,6 +32,8 @@
 BACKOFF_GRACE_SECONDS = 0.5
 """Requests in flight when a server asks for backoff may arrive within this time."""
 MAX_REQUESTS_IN_BACKOFF = 2
+MAX_JITTER = 1.1
+"""Most that nodes prolong a back-off by, as a factor."""
 LIMIT_PROPAGATION_SECONDS = 3.0
 """Seconds from the first announcement of a rate limit until it is enforced."""
 LIMIT_GRACE_SECONDS = 0.5
@@ -333,8 +335,9 @@
     def _check_exclusion(self) -> None:
         """Check that a server that resets all requests gets only repeatable ones.
 
-        It is used if it is the only one available.  Nodes that could not tell each
-        other, or that saw another server fail as well, may not have excluded it.
+        It is used if it is the only one available, as while the others have rate
+        limits or asked for back-off.  Nodes that could not tell each other, or that saw
+        another server fail as well, may not have excluded it.
         """
         faults = [*self.hall_cuts, *self.response_faults]
         for reset in self.resets:
@@ -356,11 +359,27 @@
             call = call_by_request.get(arrival.request)
             if call is not None and arrival.server == reset.server:
                 late = call.path == "bill" and since < arrival.at < reset.ended
-                count += late and not call.node.disturbed_between(
-                    reset.began - MAX_LINK_FAULT_SECONDS, arrival.at
+                count += (
+                    late
+                    and not self._asked_for_backoff(reset, call.node, arrival.at)
+                    and not call.node.disturbed_between(
+                        reset.began - MAX_LINK_FAULT_SECONDS, arrival.at
+                    )
                 )
         return count
 
+    def _asked_for_backoff(self, reset: Reset, node: Gateway, at: float) -> bool:
+        """Whether another plain server's back-off for a node had not ended."""
+        call_by_request = {call.request: call for call in self._callers.calls}
+        return any(
+            notice.answered <= at < notice.answered + MAX_JITTER * notice.backoff
+            and notice.server != reset.server
+            and notice.request in call_by_request
+            and call_by_request[notice.request].node is node
+            for notice in self._journal.arrivals
+            if notice.backoff
+        )
+
     def run_rates(self) -> dict[float, float]:
         """Runs begun per second of an engine in service, by the engines' speed."""
         began = min((run.began for run in self._journal.runs), default=0.0)
