Soak: two workspaces that ask for more long runs than the engines hold

Cause: no soak had crowded engines, nor callers that return earlier than they are told. Half of the short runs of a third workspace must be served; all other checks apply. The report tells the fraction of streams served by key.

--- a/soak/gateway/__main__.py
+++ b/soak/gateway/__main__.py
@@ -13,6 +13,7 @@
 import sys
 import tempfile
 import time
+import typing as t
 
 from soak.gateway.buggy import BUGS
 from soak.gateway.callers import Callers
@@ -63,6 +64,7 @@
     *,
     replacing: bool = False,
     poison: bool = False,
+    crowded: bool = False,
 ) -> int:
     """Run one soak.
 
@@ -72,6 +74,7 @@
     :param folder: for settings and logs of the gateways.
     :param replacing: replace all gateways in turn instead of injecting faults.
     :param poison: also send a request that crashes engines, repeatedly.
+    :param crowded: let a workspace ask for most of the engines instead.
     :return: the exit code.
     """
     mtimes = source_mtimes()
@@ -105,8 +108,15 @@
         await asyncio.gather(*(gateway.wait_until_ready() for gateway in gateways))
         await asyncio.sleep(SETTLE_BEFORE_SECONDS)
         calling = asyncio.create_task(callers.run(workers))
-        poisoning = asyncio.create_task(callers.poison()) if poison else None
-        if replacing:
+        others: list[t.Coroutine[t.Any, t.Any, None]] = []
+        if poison:
+            others.append(callers.poison())
+        if crowded:
+            others.append(callers.press())
+        other_calls = asyncio.gather(*others)
+        if crowded:
+            await asyncio.sleep(minutes * 60.0)
+        elif replacing:
             await injector.replace_all()
             await asyncio.sleep(SETTLE_SECONDS)
         else:
@@ -116,8 +126,7 @@
             )
         callers.ended = True
         await calling
-        if poisoning is not None:
-            await poisoning
+        await other_calls
         for gateway in gateways:
             checker.check_held(gateway, await gateway.held())
     finally:
@@ -132,6 +141,8 @@
         checker.record_violation(f"a server of the soak itself failed: {error}")
     if replacing:
         checker.check_replacement()
+    if crowded:
+        checker.check_shares()
     checker.check_poison(injector.poisoned)
     print(f"seed {seed}, {minutes} minutes, bug {bug}, {count} gateways")
     _report(callers, injector, journal, checker)
@@ -155,6 +166,8 @@
         print(f"  {name}: {number}")
     print(f"engines ended by one request: {len(injector.poisoned)}")
     rates = [f"{rate:.1f} at {speed}" for speed, rate in checker.run_rates().items()]
+    shares = [f"{share:.2f} of {key}" for key, share in checker.served_shares().items()]
+    print(f"streams served: {', '.join(shares)}")
     print(f"runs/s of engines by speed: {', '.join(rates) or 'too little time'}")
     resumed = sum(run.resumed for run in journal.runs)
     print(f"runs: {len(journal.runs)}, of them resumed from a copy: {resumed}")
@@ -179,6 +192,11 @@
         action="store_true",
         help="repeatedly send a request that crashes engines",
     )
+    parser.add_argument(
+        "--crowded",
+        action="store_true",
+        help="let a workspace ask for most of the engines, without faults",
+    )
     parser.add_argument(
         "--keep", default="", help="new folder for the logs, kept after the soak"
     )
@@ -196,6 +214,7 @@
                 folder,
                 replacing=options.replacing,
                 poison=options.poison,
+                crowded=options.crowded,
             )
         )
 
--- a/soak/gateway/callers.py
+++ b/soak/gateway/callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import itertools
+import math
 import random
 import time
 import typing as t
@@ -31,6 +32,17 @@
 """Longest pause after which a caller must still get its response."""
 LARGE_BODY = b"." * 90_000
 KEY = "key-1"
+PRESSING_KEY = "key-2"
+"""Key of the workspace that asks for most of the engines."""
+TOKENS = "1000,200"
+MODEST_KEY = "key-3"
+"""Key of the workspace that asks for a small part of the engines, and is patient."""
+LONG_TOKENS = "9000,3000"
+"""Tokens of prompt and answer; an engine has room for two such runs."""
+PRESSING_CALLERS = 12
+MODEST_CALLERS = 2
+EARLY_FRACTION = 0.2
+"""Fraction of the time they are told after which the pressing callers return."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -44,6 +56,7 @@
     :param connected: the caller reached the node.
     :param disconnects: the caller disconnected before the end.
     :param pause: seconds before it read the body.
+    :param retry_after: seconds after which it was told to return.
     """
 
     request: str
@@ -59,6 +72,7 @@
     connected: bool = True
     disconnects: bool = False
     pause: float = 0.0
+    retry_after: float = 0.0
 
     def response_error(self) -> str:
         """Describe the error in a successful response; empty if it is correct."""
@@ -112,6 +126,36 @@
                 await self.call(session, "talk", body=POISON)
                 await asyncio.sleep(POISON_INTERVAL_SECONDS)
 
+    async def press(self) -> None:
+        """Ask for more long runs than the engines hold, for two workspaces.
+
+        Most are for one whose callers return earlier than they are told.
+        """
+        await asyncio.gather(
+            *(self._ask(PRESSING_KEY, EARLY_FRACTION) for _ in range(PRESSING_CALLERS)),
+            *(self._ask(MODEST_KEY, 1.0) for _ in range(MODEST_CALLERS)),
+        )
+
+    async def _ask(self, key: str, patience: float) -> None:
+        """Ask for one long run after the other, each until it is served.
+
+        :param patience: fraction of the time that the caller is told for which it waits
+            before it asks again.
+        """
+        timeout = aiohttp.ClientTimeout(
+            total=CALL_TIMEOUT_SECONDS + 2, sock_connect=1.0
+        )
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            while not self.ended:
+                body = b"work %d" % next(self._numbers)
+                retry_after = math.inf
+                while retry_after and not self.ended:
+                    call = await self.call(
+                        session, "talk", body=body, key=key, tokens=LONG_TOKENS
+                    )
+                    retry_after = call.retry_after
+                    await asyncio.sleep(patience * retry_after)
+
     async def _work(self) -> None:
         timeout = aiohttp.ClientTimeout(
             total=CALL_TIMEOUT_SECONDS + 2, sock_connect=1.0
@@ -123,20 +167,27 @@
                 await asyncio.sleep(self._rng.expovariate(1 / MEAN_PAUSE_SECONDS))
 
     async def call(
-        self, session: aiohttp.ClientSession, path: str, *, body: bytes | None = None
+        self,
+        session: aiohttp.ClientSession,
+        path: str,
+        *,
+        body: bytes | None = None,
+        key: str = KEY,
+        tokens: str = TOKENS,
     ) -> Call:
         """Send one request to a gateway that accepts calls."""
         accepting = [g for g in self._gateways if self._accepts_calls(g)]
         node = self._rng.choice(accepting or self._gateways)
         request = f"q{next(self._numbers)}"
-        call = Call(request, path, node, time.monotonic(), self.undisturbed(node))
+        undisturbed = self.undisturbed(node)
+        call = Call(request, path, node, time.monotonic(), undisturbed, key)
         self.calls.append(call)
         headers = {
             "Host": "h.example",
             "Bankrack-Request-Id": request,
             "Bankrack-Deadline-Ms": str(int(CALL_TIMEOUT_SECONDS * 1000)),
             "Bankrack-Key": call.key,
-            "Bankrack-Token-Usage": "1000,200",
+            "Bankrack-Token-Usage": tokens,
             "Kv-From": "127.0.0.1:1/stolen",
         }
         if body is None and is_large(request) and path != "look":
@@ -147,6 +198,7 @@
         try:
             async with sending as response:
                 call.status = response.status
+                call.retry_after = float(response.headers.get("Retry-After", 0.0))
                 await self._read(call, response)
         except aiohttp.ClientConnectorError:
             call.connected = False
--- a/soak/gateway/checks.py
+++ b/soak/gateway/checks.py
@@ -10,6 +10,7 @@
 
 from soak.gateway.callers import Call
 from soak.gateway.callers import Callers
+from soak.gateway.callers import KEY
 from soak.gateway.callers import MAX_PAUSE_SECONDS
 from soak.gateway.fakes import Arrival
 from soak.gateway.fakes import Journal
@@ -45,6 +46,8 @@
 MAX_LINK_FAULT_SECONDS = 3.0
 """Longest fault of a link to a server."""
 MAX_POISONED = 6
+MIN_SERVED_SHARE = 0.5
+"""Fraction of the short runs that must be served by crowded engines."""
 MIN_SERVICE_SECONDS = 10.0
 """Time in service of the engines of one speed from which their runs are compared."""
 MAX_SLOW_SHARE = 0.6
@@ -156,6 +159,25 @@
                     f"{call.node.name} while nodes were replaced"
                 )
 
+    def served_shares(self) -> dict[str, float]:
+        """Fraction of the streams that were served to their end, by key."""
+        asked: collections.Counter[str] = collections.Counter()
+        served: collections.Counter[str] = collections.Counter()
+        for call in self._callers.calls:
+            if call.path == "talk" and not call.disconnects:
+                asked[call.key] += 1
+                served[call.key] += call.complete and call.status == 200
+        return {key: served[key] / count for key, count in asked.items()}
+
+    def check_shares(self) -> None:
+        """Check that others' long runs leave room for a workspace with short ones."""
+        share = self.served_shares()[KEY]
+        if share < MIN_SERVED_SHARE:
+            self.record_violation(
+                f"{share:.2f} of the streams of the workspace with short runs were "
+                f"served; {MIN_SERVED_SHARE} must be"
+            )
+
     def check_poison(self, ended: list[str]) -> None:
         """Check how many engines a request that crashes engines has ended.
 
--- a/soak/gateway/faults.py
+++ b/soak/gateway/faults.py
@@ -10,6 +10,9 @@
 
 from tests.platform.fakes import configuration
 
+from soak.gateway.callers import KEY
+from soak.gateway.callers import MODEST_KEY
+from soak.gateway.callers import PRESSING_KEY
 from soak.gateway.checks import Checker
 from soak.gateway.checks import Reset
 from soak.gateway.fakes import BACKOFF_SECONDS
@@ -54,6 +57,13 @@
 """Kinds of faults; the number of entries is the weight of a kind."""
 
 
+WORKSPACES = (
+    {"name": "tutors", "apiKeys": [KEY]},
+    {"name": "crammers", "apiKeys": [PRESSING_KEY]},
+    {"name": "pupils", "apiKeys": [MODEST_KEY]},
+)
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Fault:
     """A planned fault.
@@ -116,7 +126,7 @@
         for _ in range(3):
             await self._open_server()
             await self._open_engine()
-        self._store.put("op/config", configuration(self._version))
+        self._store.put("op/config", configuration(self._version, tenants=WORKSPACES))
 
     async def run(self, faults: t.Sequence[Fault]) -> None:
         """Inject each fault at its time and wait until all have been repaired."""
@@ -413,7 +423,7 @@
         self._version += rng.randint(1, 5)
         path = f"look{self._version}"
         self._added.append(path)
-        document = configuration(self._version)
+        document = configuration(self._version, tenants=WORKSPACES)
         template = document["routes"][0]
         for added in self._added:
             document["routes"].append(
