Soak: the bug of trusting nodes uses the verdict by its name

Cause: the verdict Well became Healthy in one part while the soak learned a bug by its old name in another; the joined soak could not be imported. Change: the name.

--- a/soak/gateway/buggy.py
+++ b/soak/gateway/buggy.py
@@ -14,7 +14,7 @@
 import engines
 import headernames
 import serve
-from bankrack.decisions.outliers import Well
+from bankrack.decisions.outliers import Healthy
 from bankrack.exceptions import Outcome
 from bankrack.exceptions import UpstreamFailed
 from bankrack.fleet.coordinators import Coordinators
@@ -96,7 +96,7 @@
 
 def trust_failing() -> None:
     """Send requests to upstreams that failed some just before."""
-    outliers.judge = lambda outcomes, **more: Well()  # type: ignore[assignment]
+    outliers.judge = lambda outcomes, **more: Healthy()  # type: ignore[assignment]
     Chooser.suspect = lambda self, upstream: None  # type: ignore[method-assign]
 
 
