Runs of an earlier owner don't prevent backups, and known ends count

Backups are decided without these runs, as before. And a run that ends before the new owner saw it in a report is known to have ended.

--- a/src/bankrack/placement/allocation.py
+++ b/src/bankrack/placement/allocation.py
@@ -246,7 +246,8 @@
         free_by_engine = self.ledger.occupancy.free_by_engine(
             engines, memory=request.memory, long=not request.demand.short, suspects=True
         )
-        free = sum(free_by_engine.values())
+        # Runs of an earlier owner end soon, and would count as a peak for long.
+        free = sum(free_by_engine.values()) + self.ledger.occupancy.adopted_tokens()
         peak_fill = self._peak_fill.observe(
             1.0 - free / max(1.0, USABLE_MEMORY_FRACTION * total)
         )
--- a/src/bankrack/placement/ledger.py
+++ b/src/bankrack/placement/ledger.py
@@ -187,6 +187,7 @@
         """
         self.drop_copy(run)
         placement = self.withdraw(run)
+        self.occupancy.note_end(run)
         if placement is not None:
             factor = self.speeds.factor(placement.engine)
             self._pace.ended(placement.demand, took / factor)
@@ -196,7 +197,8 @@
         """Remove and return a placement, for instance of a run that never began."""
         placement = self._placement_by_run.pop(run, None)
         if placement is not None:
-            self.occupancy.note_end(run, placement.engine)
+            self.occupancy.note_end(run)
+            self.occupancy.invalidate(placement.engine)
         return placement
 
     @property
--- a/src/bankrack/placement/occupancy.py
+++ b/src/bankrack/placement/occupancy.py
@@ -67,6 +67,7 @@
         self._clock = clock
         self._report_by_engine: dict[str, EngineReport] = {}
         self._ended_at_by_run: dict[str, float] = {}
+        self._adopted: set[str] = set()
         # By engine and whether for a long run: time of computation, and tokens.
         self._free_by_engine: dict[tuple[str, bool], tuple[float, float]] = {}
         self._releases: tuple[float, list[Release]] = (-math.inf, [])
@@ -77,8 +78,8 @@
             self._invalidate_free(engine)
         self._releases = -math.inf, []
 
-    def note_end(self, run: str, engine: str) -> None:
-        """Record that a run has left an engine, whose reports may still list it."""
+    def note_end(self, run: str) -> None:
+        """Record that a run has left its engine, whose reports may still list it."""
         now = self._clock()
         self._ended_at_by_run.pop(run, None)
         self._ended_at_by_run[run] = now
@@ -86,7 +87,6 @@
             if now < self._ended_at_by_run[oldest] + ENDED_SECONDS:
                 break
             del self._ended_at_by_run[oldest]
-        self.invalidate(engine)
 
     def _invalidate_free(self, engine: str) -> None:
         for long in (False, True):
@@ -285,11 +285,20 @@
             if run in self._placement_by_run or run in self._ended_at_by_run:
                 continue
             demand = Demand(prompt=tokens)
+            self._adopted.add(run)
             self._placement_by_run[run] = Placement(
                 engine, demand, now, began=now, confirmed=now
             )
             self._releases = -math.inf, []
 
+    def adopted_tokens(self) -> float:
+        """Tokens that the runs hold which another owner placed."""
+        self._adopted &= self._placement_by_run.keys()
+        now = self._clock()
+        token_seconds = self._pace.generated_token_seconds
+        found = (self._placement_by_run[run] for run in self._adopted)
+        return sum(placement.tokens(now, token_seconds) for placement in found)
+
     def _learn_growth(
         self, engine: str, last: EngineReport, newest: EngineReport
     ) -> None:
--- a/tests/placement/test_allocation.py
+++ b/tests/placement/test_allocation.py
@@ -249,6 +249,10 @@
         self.allocator.ledger.end("a")
         self.assertEqual(Admit(("one",)), self.ask("new"))
 
+    def test_run_that_ended_before_the_first_report_holds_no_memory(self):
+        self.allocator.ledger.end("c")
+        self.assertEqual(Admit(("two",)), self.ask("new"))
+
     def test_identified_run_is_told_a_time_behind_them(self):
         request = PlacementRequest(
             "new", LONG, MEMORY, "a", (0, 1), 2.0, 30.0, 30.0, caller="caller"
--- a/tests/placement/test_allocation_backups.py
+++ b/tests/placement/test_allocation_backups.py
@@ -8,6 +8,8 @@
 from bankrack.placement.allocation import LEARN_SECONDS
 from bankrack.placement.allocation import PEAK_WINDOW_SECONDS
 from bankrack.serving.job import Demand
+from bankrack.serving.upstreams import EngineReport
+from tests.placement.test_allocation import MEMORY
 from tests.placement.test_allocation import PoolTestCase
 
 
@@ -41,6 +43,14 @@
         self.now += PEAK_WINDOW_SECONDS
         self.assertTrue(self.gets_backup("b"))
 
+    def test_runs_that_an_earlier_owner_placed_do_not_prevent_backups(self):
+        """They end soon, and would count as a peak for long after."""
+        for engine in self.engines:
+            listed = {f"old-{engine.id}": 7000}
+            report = EngineReport(1, 0, 7000, MEMORY, self.now, False, listed)
+            engine.note_report(report)
+        self.assertTrue(self.gets_backup("a"))
+
     def test_backup_is_refused_unless_run_and_backup_fit(self):
         large = Demand(prompt=4500, output_limit=200)
         verdict = self.ask("large", large)
