--- a/soak/gateway/checks.py
+++ b/soak/gateway/checks.py
@@ -50,7 +50,7 @@
 """Fraction of the short runs that must be served by crowded engines."""
 MIN_SERVICE_SECONDS = 10.0
 """Time in service of the engines of one speed from which their runs are compared."""
-MAX_SLOW_SHARE = 0.6
+MAX_SLOW_SHARE = 0.45
 """Runs/s of the slowest engines at most, as a fraction of those of the fastest."""
 EXCLUSION_SECONDS = 1.0
 """Time in which all nodes exclude a server that resets all requests."""
