Engines for short runs have a module of their own

Change: the selection, with the prompts it counts, is placement/shortruns.py. No change of behaviour; tests reach it by its new name.

--- a/src/bankrack/placement/ledger.py
+++ b/src/bankrack/placement/ledger.py
@@ -5,7 +5,6 @@
 engine's unread prompt tokens and the memory that its runs need.
 """
 
-import collections
 import math
 import random
 import typing as t
@@ -18,13 +17,13 @@
 from bankrack.placement.pauserisk import PauseRisk
 from bankrack.placement.placements import MAX_READ_WAITS
 from bankrack.placement.placements import Placement
+from bankrack.placement.shortruns import ShortRunEngines
 from bankrack.serving.choice import REPORT_LAG_SECONDS
 from bankrack.serving.enginespeeds import EngineSpeeds
 from bankrack.serving.job import Demand
 from bankrack.serving.pace import Pace
 from bankrack.serving.upstreams import EngineReport
 from bankrack.serving.upstreams import Upstream
-from bankrack.utils import stable_digest
 
 PLACEMENT_TTL_SECONDS = 60.0
 """Lifetime of a placement if the notification of the run's end is lost."""
@@ -41,18 +40,6 @@
 time."""
 FAR_COST_SECONDS = 0.01
 """Cost of an engine in another hall, as traffic between halls is charged."""
-MIN_ENGINES_TO_SPLIT = 12
-"""Smaller pools are not split, which would delay short runs without helping long
-ones."""
-MAX_SPLIT_FILL = 0.5
-"""Fraction of the other engines' memory that long runs may need while some engines
-are dedicated to short ones; a fuller pool needs all its memory."""
-SHORT_ENGINE_LOAD = 0.5
-"""Fraction of time that engines for short runs may spend on reading prompts."""
-MAX_SPLIT_FRACTION = 0.25
-"""Largest fraction of the engines that is dedicated to short runs."""
-RATE_WINDOW_SECONDS = 4.0
-"""Window over which the prompt tokens of short runs are counted."""
 MISMATCH_COST_PROMPTS = 0.85
 """Cost of an engine that is meant for the other kind of run, in multiples of the
 prompt's read time."""
@@ -82,9 +69,10 @@
         self._pace = Pace()
         self.speeds = EngineSpeeds()
         self.pause_risk = PauseRisk(self.speeds, clock=clock)
-        self._short_ids: set[str] = set()
+        self._short_runs = ShortRunEngines(
+            self._pace, self.speeds, self.pause_risk, clock=clock
+        )
         self._placement_by_run: dict[str, Placement] = {}
-        self._short_prompts: collections.deque[tuple[float, int]] = collections.deque()
         self.occupancy = Occupancy(
             self._placement_by_run, self._pace, self.speeds, clock=clock
         )
@@ -95,14 +83,13 @@
             # A node that is notified but not asked keeps only the newest placements.
             del self._placement_by_run[next(iter(self._placement_by_run))]
         now = self._clock()
-        short_only = engine in self._short_ids
+        short_only = engine in self._short_runs.engine_ids
         others = [p for p in self._placement_by_run.values() if p.engine == engine]
         ahead = self._unread(engine, others, short_only=short_only)
         placement = Placement(engine, demand, now, ahead, short_only, confirmed=now)
         self.pause_risk.note_prompt(others)
         if demand.short and run not in self._placement_by_run:
-            self._expire_prompts()
-            self._short_prompts.append((placement.placed, placement.prompt))
+            self._short_runs.note_prompt(placement.prompt, placement.placed)
         self.withdraw(run)
         self._placement_by_run[run] = placement
         self.occupancy.invalidate(engine)
@@ -263,8 +250,9 @@
         engines = list(engines)
         if not self.speeds.active:
             self.speeds.active = any(engine.uneven for engine in engines)
-        short_ids = self._short_run_engines(engines, memory=memory)
-        self._short_ids = short_ids
+        short_ids = self._short_runs.select(
+            engines, long_tokens=self._long_tokens(), memory=memory
+        )
         by_engine: dict[str, list[Placement]] = {}
         for placement in self._placement_by_run.values():
             by_engine.setdefault(placement.engine, []).append(placement)
@@ -296,32 +284,6 @@
 
         return sorted(engines, key=cost)
 
-    def _short_run_engines(self, engines: list[Upstream], *, memory: int) -> set[str]:
-        """Ids of the engines that are dedicated to short runs.
-
-        Reading a prompt delays all runs on the engine.  Where memory allows, short runs
-        are placed on as few engines as can read their prompts in time, so that long
-        runs elsewhere are not delayed.
-        """
-        tokens = sum(prompt for _, prompt in self._short_prompts)
-        rate = tokens / RATE_WINDOW_SECONDS
-        wanted = rate / (SHORT_ENGINE_LOAD * self._pace.read_rate(short_only=True))
-        if self.speeds.active and (
-            slow_ids := self.pause_risk.engines_for_short_runs(
-                engines, wanted=wanted, long_tokens=self._long_tokens(), memory=memory
-            )
-        ):
-            return slow_ids
-        if len(engines) < MIN_ENGINES_TO_SPLIT:
-            return set()
-        count = min(math.ceil(wanted), int(MAX_SPLIT_FRACTION * len(engines)))
-        ordered = sorted(engines, key=lambda engine: stable_digest(engine.id))
-        rest = ordered[count:]
-        room = sum(e.report.total if e.report else memory for e in rest)
-        if self._long_tokens() > MAX_SPLIT_FILL * room:
-            return set()
-        return {engine.id for engine in ordered[:count]}
-
     def _long_tokens(self) -> int:
         """Tokens that the long runs are expected to hold at their ends."""
         placements = self._placement_by_run.values()
@@ -333,12 +295,7 @@
         for run, placement in list(self._placement_by_run.items()):
             if placement.placed < oldest:
                 self.withdraw(run)
-        self._expire_prompts()
-
-    def _expire_prompts(self) -> None:
-        since = self._clock() - RATE_WINDOW_SECONDS
-        while self._short_prompts and self._short_prompts[0][0] < since:
-            self._short_prompts.popleft()
+        self._short_runs.expire()
 
     def _unread(
         self, engine: str, placements: list[Placement], *, short_only: bool
--- a/tests/placement/test_ledger.py
+++ b/tests/placement/test_ledger.py
@@ -5,8 +5,8 @@
 from bankrack.placement import ledger as ledger_module
 from bankrack.placement.ledger import Ledger
 from bankrack.placement.ledger import PLACEMENT_TTL_SECONDS
-from bankrack.placement.ledger import RATE_WINDOW_SECONDS
 from bankrack.placement.placements import READ_TIMEOUT_SECONDS
+from bankrack.placement.shortruns import RATE_WINDOW_SECONDS
 from bankrack.serving.job import Demand
 from bankrack.serving.upstreams import EngineReport
 from bankrack.serving.upstreams import Upstream
@@ -113,7 +113,10 @@
         self.assertEqual(set(), used[True] & used[False])
 
     def split(self) -> set[str]:
-        return self.ledger._short_run_engines(self.engines, memory=MEMORY)
+        long_tokens = self.ledger._long_tokens()
+        return self.ledger._short_runs.select(
+            self.engines, long_tokens=long_tokens, memory=MEMORY
+        )
 
     def test_small_pool_is_not_split(self):
         for number in range(20):
@@ -142,7 +145,7 @@
             self.now += 1.0
             demand = Demand(prompt=3000, output_limit=9)
             self.ledger.place(f"r-{number}", "one", demand)
-        oldest = self.ledger._short_prompts[0][0]
+        oldest = self.ledger._short_runs._prompts[0][0]
         self.assertLessEqual(self.now - oldest, RATE_WINDOW_SECONDS)
 
     def test_suspected_engine_goes_last(self):
