Requests that can't be repeated are refused rather than sent to an excluded upstream

Change: they go there only if all open upstreams are excluded. The refusal says "not run" and tells when the first of the others accepts work again; repeatable requests are sent as before.

--- a/src/bankrack/serving/plain.py
+++ b/src/bankrack/serving/plain.py
@@ -130,6 +130,8 @@
             ] or candidates
         candidates = await self._with_room(work, candidates)
         repeatable = work.route.kind is RequestKind.REPEATABLE
+        if not repeatable:
+            candidates = self._without_excluded(work, candidates)
         upstream = self._dependencies.chooser.plain(
             candidates,
             avoid=attempts.avoid,
@@ -153,6 +155,20 @@
             )
         return upstream
 
+    def _without_excluded(
+        self, work: Assignment, candidates: list[Upstream]
+    ) -> list[Upstream]:
+        """Return the upstreams that a request that can't be repeated may be sent to.
+
+        One that fails requests would lose it, while the caller of a refusal may return
+        once another upstream, which only asks for back-off for a moment, is available.
+        """
+        now = boottime()
+        open_upstreams = self._dependencies.upstreams.open_of(work.service.name)
+        if all(upstream.excluded(now) for upstream in open_upstreams):
+            return candidates
+        return [upstream for upstream in candidates if not upstream.excluded(now)]
+
     def _may_retest(
         self, work: Assignment, attempts: "_Attempts", candidates: t.Iterable[Upstream]
     ) -> bool:
--- a/src/bankrack/serving/registry.py
+++ b/src/bankrack/serving/registry.py
@@ -151,8 +151,11 @@
     def backoff_left(self, service: str) -> float | None:
         """Seconds until the first of a service's upstreams accepts work again.
 
-        ``None`` unless back-offs and rate limits are the only obstacle.
+        ``None`` unless back-offs and rate limits are the only obstacle.  Excluded ones
+        don't count, unless all are.
         """
         now = self._clock()
-        left = [u.closed_until - now for u in self.open_of(service)]
+        open_upstreams = self.open_of(service)
+        in_use = [u for u in open_upstreams if not u.excluded(now)] or open_upstreams
+        left = [u.closed_until - now for u in in_use]
         return min(left) if left and min(left) > 0.0 else None
--- a/tests/serving/test_plain.py
+++ b/tests/serving/test_plain.py
@@ -1,10 +1,12 @@
 """Tests of the relay of plain requests, with scripted upstreams."""
 
 import asyncio
+import math
 import types
 import typing as t
 
 from bankrack.clock import boottime
+from bankrack.exceptions import Overloaded
 from bankrack.exceptions import UpstreamFailed
 from bankrack.exceptions import UpstreamUnreachable
 from bankrack.metrics import GatewayMetrics
@@ -103,7 +105,11 @@
         self.budget = SharedRetryBudget(policy, nodes=lambda: 1)
 
     async def serve(
-        self, *statuses: int, max_upstreams: int = 4, seconds: float = 9.0
+        self,
+        *statuses: int,
+        max_upstreams: int = 4,
+        seconds: float = 9.0,
+        kind: RequestKind = RequestKind.REPEATABLE,
     ) -> str:
         self.client = ScriptedClient(statuses)
         cold = types.SimpleNamespace(allows=lambda *_: True, take=lambda *_: True)
@@ -142,7 +148,7 @@
             "h",
             "/",
             (),
-            RequestKind.REPEATABLE,
+            kind,
             9.0,
             seconds / 30,
             1,
@@ -174,6 +180,22 @@
         self.assertEqual(["u-1"], self.failed)
         self.assertTrue(outcome.startswith("200"))
 
+    async def test_unrepeatable_request_is_not_lost_to_an_excluded_upstream(self):
+        """The others ask for back-off for a moment; a refusal says "not run"."""
+        until = boottime() + 9.0
+        first, *others = self.upstreams.by_id.values()
+        first.exclude(until, retest_at=math.inf, early_retest_at=math.inf)
+        for other in others:
+            other.note_backoff(boottime() + 0.8)
+        with self.assertRaises(Overloaded) as caught:
+            await self.serve(200, kind=RequestKind.ONCE)
+        self.assertAlmostEqual(0.8, caught.exception.retry_after, delta=0.1)
+        self.assertTrue((await self.serve(200)).startswith("200"))
+        for other in others:
+            other.exclude(until, retest_at=math.inf, early_retest_at=math.inf)
+        outcome = await self.serve(200, kind=RequestKind.ONCE)
+        self.assertTrue(outcome.startswith("200"))
+
     async def test_each_attempt_counts_once(self):
         """Four attempts are allowed, of which two may run."""
         outcome = await self.serve(BREAKS, NOT_RUN, NOT_RUN, 200)
