--- a/src/bankrack/decisions/admissionrates.py
+++ b/src/bankrack/decisions/admissionrates.py
@@ -2,8 +2,8 @@
 
 Answers a pool that is crowded for long by runs of unequal size, of which the long ones
 end at times that nobody knows.  Its free memory lies on its engines in parts that are
-too small for a run, and a forecast by memory alone tells each run of a long queue that
-it begins at once.  What was admitted lately while runs waited shows how fast the queue
+too small for a run, and by a forecast from memory alone each run of a long queue would
+begin at once.  What was admitted lately while runs waited shows how fast the queue
 moves, whatever it is that binds.
 """
 
@@ -82,7 +82,7 @@
         ]
         if len(slots) < MIN_SLOTS:
             return 0.0
-        # One run more: a window without admissions tells no more than its length.
+        # One run more: without admissions only the length of the window is known.
         admitted = candidate.need + sum(
             need
             for slot in slots
--- a/src/bankrack/decisions/outliers.py
+++ b/src/bankrack/decisions/outliers.py
@@ -161,7 +161,7 @@
 def _is_evidence(
     failure: Outcome, counted: t.Sequence[Outcome], served_requests: t.Collection[str]
 ) -> bool:
-    """Whether a failure tells more than those that were counted before it."""
+    """Whether a failure is evidence beyond those that were counted before it."""
     by_reporter = sum(o.reporter == failure.reporter for o in counted)
     if by_reporter >= MAX_FAILURES_BY_REPORTER:
         return False
--- a/src/bankrack/fleet/poolowners.py
+++ b/src/bankrack/fleet/poolowners.py
@@ -213,9 +213,9 @@
         return verdict
 
     def _drop_end(self, service: str, pool: int, run: str) -> None:
-        """Drop the news that a run left a pool which it asks again.
+        """Drop the queued end of a run in a pool that it asks again.
 
-        It would arrive after the answer, and end the new placement.
+        It would be applied after the answer, and end the new placement.
         """
         self._updates = [
             update
--- a/src/bankrack/placement/crowding.py
+++ b/src/bankrack/placement/crowding.py
@@ -203,7 +203,7 @@
     def start(self, ahead: t.Sequence[Candidate]) -> float:
         """Seconds until the run begins behind the queue; infinite if too late.
 
-        A first attempt that would turn late is told so at once: its caller loses less
+        A first attempt that would begin late is refused at once: its caller loses less
         by another attempt that is served on time than by an answer that is late.  A
         return has no further attempt, and waits for a late answer where runs that are
         late are served at all: all that arrive go before these.
--- a/src/bankrack/serving/outcomes.py
+++ b/src/bankrack/serving/outcomes.py
@@ -9,7 +9,7 @@
 MAX_OUTCOMES = 64
 """Outcomes that are kept for one upstream."""
 MAX_SERVED_AGES = 8
-"""Served requests that one node tells another of."""
+"""Served requests that one node reports to another."""
 MAX_UPSTREAMS = 500
 """Upstreams with failures whose outcomes are kept."""
 MAX_REQUESTS = 512
