A new leader sends a follower what is newer than its view, not the whole view

Cause: a node that changed its leader requested the whole view, and a transfer was cut off after 0.7 s however much had arrived. With 3,000 upstreams a view is a megabyte, which takes 0.8 s and more over a link of 10 Mbit/s and longer while the leader serves others. So each attempt failed, was logged as the loss of the leader, and the next leader was asked for everything, too; the leaders spent their links on transfers that were thrown away, which made followers of others time out in turn. Meanwhile nodes read the store themselves, some of them seconds later.

A node on a narrow link can't be told of a change by any leader then.

Now a node that has a view requests the items that are newer than it, from any leader, and the keys and revisions of all. It compares those and asks again for what it lacks, so a change that a watch missed can't hide behind a newer revision: the revision alone was trusted before, also where a read had left out the members. A transfer goes on while bytes arrive, within a bound.

Four tests failed before: newer items only, missing and outdated items, members left out of a read, slow transfer.

--- a/src/bankrack/fleet/follower.py
+++ b/src/bankrack/fleet/follower.py
@@ -265,12 +265,13 @@
             if not self._roster.is_reader():
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
+            since = self._view.complete_revision
             try:
-                changes = await self._store.watch(
-                    self._view.revision, wait=WATCH_TIMEOUT_SECONDS
-                )
+                changes = await self._store.watch(since, wait=WATCH_TIMEOUT_SECONDS)
             except HistoryCompacted:
-                logs.event(_logger, "history_forgotten", revision=self._view.revision)
+                logs.event(_logger, "history_forgotten", revision=since)
+                # Members changed since this revision are not reported any more.
+                self._members_due = 0.0
                 await self._read()
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
@@ -280,7 +281,9 @@
                 continue
             failures = 0
             self._note_store_answer()
-            self._view.apply_changes(changes, source="watch")
+            self._view.apply_changes(
+                changes, source="watch", complete_revision=changes.revision
+            )
             await asyncio.sleep(WATCH_INTERVAL_SECONDS)
 
     async def _read(self) -> bool:
--- a/src/bankrack/fleet/peers.py
+++ b/src/bankrack/fleet/peers.py
@@ -37,6 +37,13 @@
 leader."""
 ANSWER_TIMEOUT_SECONDS = 0.45
 """Longest wait for a response beyond the long poll."""
+SILENCE_TIMEOUT_SECONDS = LONG_POLL_SECONDS + ANSWER_TIMEOUT_SECONDS
+CATCH_UP_TIMEOUT_SECONDS = 2.0
+"""Longest transfer of the keys of a view and of what changed since another node
+confirmed it."""
+WHOLE_VIEW_TIMEOUT_SECONDS = 5.0
+"""Longest transfer of a whole view, as a megabyte takes a second over the narrowest
+links, which several transfers may share."""
 
 _logger = logging.getLogger(__name__)
 
@@ -53,6 +60,8 @@
     :param waited: seconds for which the response was held back.
     :param sent: the leader's clock; echoed in the follower's next request.
     :param reports: engine reports received since the last response.
+    :param complete_revision: revision up to which the leader knows all items.
+    :param revisions: revisions of the items of ``keys``, in their order.
     """
 
     serial: str
@@ -64,14 +73,17 @@
     items: list[tuple[str, bytes, int]]
     gone: list[str]
     reports: list[ReportMessage]
+    complete_revision: int | None = None
+    revisions: list[int] = []
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class _FollowerState:
     """State of the follower as stated in its request.
 
-    :param serial: last serial received from this leader; empty if none.
-    :param since: revision of the follower's view.
+    :param serial: last serial received from this leader; empty if the whole view is
+        requested.
+    :param since: revision up to which the follower knows all items.
     :param sent: the leader's clock in its last response.
     :param engines: whether the follower uses engines.
     """
@@ -162,9 +174,11 @@
             items=[],
             gone=[],
             reports=encode_reports(self._engines_to_relay(), learned_after=state.sent),
+            complete_revision=view.complete_revision,
         )
         if changed is None:
-            message.keys = view.keys()
+            message.keys = [item.key for item in view.items]
+            message.revisions = [item.revision for item in view.items]
             since = state.since if state.serial else 0
             message.items = [_pack(i) for i in view.items if i.revision > since]
             return message
@@ -224,6 +238,7 @@
         self._uses_engines = uses_engines
         self._serial_by_name: dict[str, str] = {}
         self._sent_by_name: dict[str, float] = {}
+        self._lacking_since_by_name: dict[str, int] = {}
 
     async def ask(self, leader: Member) -> float:
         """Request updates once and apply them; returns the age of the leader's view.
@@ -234,12 +249,12 @@
         serial = self._serial_of(leader)
         query = {
             "serial": serial,
-            "since": str(self._view.revision),
+            "since": str(self._since(leader)),
             "sent": str(self._sent_by_name.get(leader.name, 0.0) if serial else 0.0),
             "engines": "1" if self._uses_engines() else "0",
             "address": self._address,
         }
-        limit = aiohttp.ClientTimeout(total=LONG_POLL_SECONDS + ANSWER_TIMEOUT_SECONDS)
+        limit = _timeout(serial)
         url = f"http://{leader.address}{UPDATES_PATH}"
         try:
             async with self._session.get(url, params=query, timeout=limit) as response:
@@ -257,12 +272,19 @@
         """Return the leader's serial that this node's view is based on.
 
         An empty serial requests all items, and an unknown one those that are newer than
-        this node's revision.
+        this node's. Whole views are large, so a node that has a view requests newer
+        items only, from any leader.
         """
-        serial = self._serial_by_name.get(leader.name, "")
-        if serial and self._view.confirmed_by != leader.name:
+        if not self._view.confirmed_at:
+            return ""
+        if self._view.confirmed_by != leader.name:
             return UNKNOWN_SERIAL
-        return serial
+        return self._serial_by_name.get(leader.name, UNKNOWN_SERIAL)
+
+    def _since(self, leader: Member) -> int:
+        """Return the revision after which items are requested from a leader."""
+        complete = self._view.complete_revision
+        return min(complete, self._lacking_since_by_name.get(leader.name, complete))
 
     def _apply(self, leader: Member, message: UpdateMessage, sent_at: float) -> None:
         view = self._view
@@ -270,18 +292,72 @@
         confirmed_at = sent_at + message.waited - message.age
         items = [Item(key, value, rev) for key, value, rev in message.items]
         if message.keys is not None:
-            snapshot = view.complete(message.keys, items)
-            if snapshot is None:
-                # An item missing here is older than the requested revision.
-                self._serial_by_name.pop(leader.name, None)
+            if not self._has_all_items(leader, message, items):
                 return
-            whole = Snapshot(snapshot.items, message.revision)
-            view.confirm(whole, asked_at=confirmed_at, source=leader.name)
+            snapshot = view.complete(message.keys, items)
+            assert snapshot is not None
+            view.confirm(
+                Snapshot(snapshot.items, message.revision),
+                asked_at=confirmed_at,
+                source=leader.name,
+                complete_revision=message.complete_revision,
+            )
         else:
             gone = [Item(key, None, message.revision) for key in message.gone]
-            changes = Snapshot((*items, *gone), message.revision)
-            view.apply_changes(changes, source=leader.name)
+            view.apply_changes(
+                Snapshot((*items, *gone), message.revision),
+                source=leader.name,
+                complete_revision=message.complete_revision,
+            )
             view.note_confirmed(confirmed_at)
         self._serial_by_name[leader.name] = message.serial
         self._sent_by_name[leader.name] = message.sent
         merge_reports(self._upstreams, message.reports)
+
+    def _has_all_items(
+        self, leader: Member, message: UpdateMessage, items: list[Item]
+    ) -> bool:
+        """Whether all items of the leader's view are known here or among ``items``.
+
+        Otherwise the next request asks for the missing ones.
+        """
+        self._lacking_since_by_name.pop(leader.name, None)
+        sent = {item.key for item in items}
+        keys = message.keys or []
+        # A leader of an earlier release sends no revisions.
+        revisions = message.revisions or [1] * len(keys)
+        missing = [
+            revision
+            for key, revision in zip(keys, revisions, strict=True)
+            if key not in sent and self._view.revision_of(key) < revision
+        ]
+        if not missing:
+            return True
+        since = min(missing) - 1
+        self._lacking_since_by_name[leader.name] = since
+        logs.event(
+            _logger,
+            "items_missing",
+            leader=leader.name,
+            count=len(missing),
+            since=since,
+        )
+        return False
+
+
+def _timeout(serial: str) -> aiohttp.ClientTimeout:
+    """Return the timeout of a request with the given serial.
+
+    A long transfer is not cut off while bytes arrive: repeated from its start, it would
+    never complete on a narrow link.
+    """
+    total = SILENCE_TIMEOUT_SECONDS
+    if not serial:
+        total = WHOLE_VIEW_TIMEOUT_SECONDS
+    elif serial == UNKNOWN_SERIAL:
+        total = CATCH_UP_TIMEOUT_SECONDS
+    return aiohttp.ClientTimeout(
+        total=total,
+        sock_connect=SILENCE_TIMEOUT_SECONDS,
+        sock_read=SILENCE_TIMEOUT_SECONDS,
+    )
--- a/src/bankrack/fleet/view.py
+++ b/src/bankrack/fleet/view.py
@@ -52,6 +52,8 @@
     :param upstreams: updated from the view.
     :param crashes: register updated with the quarantined requests of the store.
     :ivar serial: number of changes applied so far.
+    :ivar complete_revision: revision up to which all items are known. It is lower than
+        ``revision`` after a read that left out members.
     :ivar confirmed_at: time at which the whole state was last known to be current.
     :ivar confirmed_by: source of the last complete snapshot.
     :ivar updated: set, and replaced by a new event, on each change or confirmation.
@@ -69,6 +71,7 @@
         self.upstreams = upstreams
         self.members_by_name: dict[str, Member] = {}
         self.revision = 0
+        self.complete_revision = 0
         self.confirmed_at = 0.0
         self._crashes = crashes or CrashRegister(clock=clock)
         self._decode = decode
@@ -100,11 +103,19 @@
         """Start the grace period in which missing upstream entries are kept."""
         self._grace_ends_at = self._clock() + LAPSE_GRACE_SECONDS
 
-    def confirm(self, snapshot: Snapshot, *, asked_at: float, source: str) -> None:
+    def confirm(
+        self,
+        snapshot: Snapshot,
+        *,
+        asked_at: float,
+        source: str,
+        complete_revision: int | None = None,
+    ) -> None:
         """Apply a snapshot of the state as of ``asked_at`` or later.
 
         :param asked_at: time at which the snapshot was requested.
         :param source: the store or the name of the peer that sent it, for the log.
+        :param complete_revision: that of the peer's view; by default the snapshot's.
         """
         keys = {item.key for item in snapshot.items}
         for item in snapshot.items:
@@ -116,9 +127,14 @@
                 self._note_missing(key, snapshot.revision, source)
         self._upstream_log.flush()
         self.revision = max(self.revision, snapshot.revision)
+        if snapshot.until is None:
+            self._note_complete(complete_revision or snapshot.revision)
         self.note_confirmed(asked_at)
         self.confirmed_by = source
 
+    def _note_complete(self, revision: int) -> None:
+        self.complete_revision = max(self.complete_revision, revision)
+
     def note_confirmed(self, at: float) -> None:
         """Record that the view was current at a given time; wakes waiting followers."""
         if at > self.confirmed_at + MIN_CONFIRMATION_STEP_SECONDS:
@@ -129,6 +145,11 @@
         """Return the keys of all items."""
         return list(self._entry_by_key)
 
+    def revision_of(self, key: str) -> int:
+        """Return the revision of the item stored under a key; 0 if there is none."""
+        entry = self._entry_by_key.get(key)
+        return entry.item.revision if entry else 0
+
     def complete(
         self, keys: t.Iterable[str], items: t.Iterable[Item]
     ) -> Snapshot | None:
@@ -146,12 +167,20 @@
             by_key[key] = entry.item
         return Snapshot(tuple(by_key.values()), 0)
 
-    def apply_changes(self, changes: Snapshot, *, source: str) -> None:
-        """Apply individual changes in their order."""
+    def apply_changes(
+        self, changes: Snapshot, *, source: str, complete_revision: int | None = None
+    ) -> None:
+        """Apply individual changes in their order.
+
+        :param complete_revision: revision up to which all items are known with these
+            changes, if any is.
+        """
         for item in changes.items:
             self._take(item, source)
         self._upstream_log.flush()
         self.revision = max(self.revision, changes.revision)
+        if complete_revision is not None:
+            self._note_complete(complete_revision)
 
     def item(self, key: str) -> Item | None:
         """Return the item stored under a key, if any."""
--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -48,6 +48,7 @@
         self.follower = View(decode, Upstreams())
         self.address = free_address()
         self.answers: list[UpdateMessage] = []
+        self.seconds_per_part = 0.0
         self._stack = contextlib.AsyncExitStack()
 
     async def __aenter__(self) -> "LeaderAndFollower":
@@ -80,10 +81,24 @@
             runner = await serve_application(application, self.address)
             self._stack.push_async_callback(runner.cleanup)
 
-    async def _handle(self, request: web.Request) -> web.Response:
+    async def _handle(self, request: web.Request) -> web.StreamResponse:
         response = await self._server.handle(request)
         assert isinstance(response.body, bytes)
         self.answers.append(msgspec.msgpack.decode(response.body, type=UpdateMessage))
+        if self.seconds_per_part:
+            return await self._send_slowly(request, response.body)
+        return response
+
+    async def _send_slowly(
+        self, request: web.Request, body: bytes
+    ) -> web.StreamResponse:
+        """Send a body in parts, as over a narrow link."""
+        response = web.StreamResponse()
+        await response.prepare(request)
+        size = 1 + len(body) // 10
+        for start in range(0, len(body), size):
+            await asyncio.sleep(self.seconds_per_part)
+            await response.write(body[start : start + size])
         return response
 
     async def ask(self) -> UpdateMessage:
@@ -133,6 +148,52 @@
             self.assert_same(pair)
             self.assertIsNone((await pair.ask()).keys)
 
+    async def test_new_leader_sends_newer_items_only(self):
+        """Guards against whole views after each change of leader: on narrow links
+        they take longer than a follower waits."""
+        async with LeaderAndFollower() as pair:
+            pair.read(pair.follower, 3, "up/x-1", "up/y-2", "up/z-3")
+            pair.read(pair.leader, 4, "up/x-1", "up/z-3", "up/w-4")
+            message = await pair.ask()
+            self.assertEqual([("up/w-4", b"1", 4)], message.items)
+            self.assert_same(pair)
+
+    async def test_missing_and_outdated_items_are_requested(self):
+        """Guards against a view that is taken for current although a change is missing,
+        as a watch had not reported it."""
+        async with LeaderAndFollower() as pair:
+            pair.read(pair.follower, 3, "up/x-1", "up/y-2", "up/z-3")
+            pair.follower.apply_changes(Snapshot((), 9), source="watch")
+            pair.follower.complete_revision = 9
+            pair.read(pair.leader, 9, "up/x-1", "up/y-2", "up/z-3", "up/v-5")
+            changed = Snapshot((Item("up/x-1", b"2", 6),), 9)
+            pair.leader.apply_changes(changed, source="watch")
+            before = pair.follower.confirmed_at
+            await pair.ask()
+            self.assertEqual(before, pair.follower.confirmed_at)
+            message = await pair.ask()
+            self.assertEqual({5, 6}, {revision for _, _, revision in message.items})
+            self.assert_same(pair)
+            self.assertEqual(6, pair.follower.revision_of("up/x-1"))
+
+    async def test_members_left_out_of_a_read_are_requested(self):
+        async with LeaderAndFollower() as pair:
+            pair.read(pair.follower, 1, "up/x-1")
+            partial = Snapshot((Item("up/x-1", b"1", 1),), 8, until="up/x-1")
+            pair.follower.confirm(partial, asked_at=boottime(), source="store")
+            pair.read(pair.leader, 9, "up/x-1", "up/z-5")
+            self.assertEqual([("up/z-5", b"1", 5)], (await pair.ask()).items)
+            self.assert_same(pair)
+
+    async def test_slow_transfer_is_not_cut_off_while_bytes_arrive(self):
+        """Guards against transfers that start again and again on narrow links."""
+        self.patch(peers, "SILENCE_TIMEOUT_SECONDS", 0.2)
+        async with LeaderAndFollower() as pair:
+            pair.seconds_per_part = 0.1
+            pair.read(pair.leader, 3, "up/x-1", "up/y-2", "up/z-3")
+            await pair.ask()
+            self.assert_same(pair)
+
     async def test_restarted_leader_sends_all_keys(self):
         async with LeaderAndFollower() as pair:
             pair.read(pair.leader, 1, "up/x-1")
