Starting nodes resume reads of the store, and whole views are bounded

A seed encoded a megabyte for each of hundreds of nodes and buffered it until its link had carried it.

Now a failed read goes on with the page that failed, a page may take longer while bytes arrive, and seeds are asked one after the other, and not while the store delivers pages. A seed encodes its view once for requests that come together and refuses more than 16 MB of unsent views.

--- a/src/bankrack/fleet/follower.py
+++ b/src/bankrack/fleet/follower.py
@@ -19,6 +19,7 @@
 from bankrack.fleet.documents import Member
 from bankrack.fleet.peers import LeaderClient
 from bankrack.fleet.roster import Roster
+from bankrack.fleet.store import ReadProgress
 from bankrack.fleet.store import Store
 from bankrack.fleet.view import View
 from bankrack.utils import backoff_seconds
@@ -36,6 +37,8 @@
 READ_TIMEOUT_SECONDS = 0.4
 """Initial timeout of a read; doubled after each failure."""
 MAX_READ_TIMEOUT_SECONDS = 2.0
+MAX_READ_SECONDS = 5.0
+"""Time after which a read that failed midway starts again from its first page."""
 RETRY_SECONDS = 0.1
 MAX_RETRY_SECONDS = 0.6
 SLOW_RETRY_SECONDS = 2.0
@@ -84,6 +87,7 @@
         self._read_timeout = READ_TIMEOUT_SECONDS
         self.store_reachable = True
         self._read_task: asyncio.Task[bool] | None = None
+        self._progress = ReadProgress(-math.inf)
         self._first_attempt_done = asyncio.Event()
         self._members_due = 0.0
         self._own_read_due = 0.0
@@ -199,12 +203,23 @@
             await self._view.updated.wait()
 
     async def _keep_querying_seeds(self) -> None:
-        """Query the seeds for a view until there is one."""
-        await asyncio.sleep(SEED_DELAY_SECONDS)
+        """Query the seeds for a view until there is one.
+
+        They are queried one after the other, and not while the store delivers pages:
+        several whole views at once would share this node's link.
+        """
+        delay = SEED_DELAY_SECONDS
         while self._view.table is None:
-            queries = (self._query_seed(seed) for seed in self._roster.seeds())
-            await asyncio.gather(*queries)
-            await asyncio.sleep(SEED_INTERVAL_SECONDS)
+            pages = len(self._progress.revisions)
+            await asyncio.sleep(delay)
+            delay = SEED_INTERVAL_SECONDS
+            if len(self._progress.revisions) > pages:
+                continue
+            seeds = self._roster.seeds()
+            random.shuffle(seeds)
+            for seed in seeds:
+                if self._view.table is None:
+                    await self._query_seed(seed)
 
     async def _query_seed(self, seed: Member) -> None:
         """Apply a seed's view, if it has one."""
@@ -294,27 +309,38 @@
 
     async def _read_store(self) -> bool:
         sent_at = boottime()
+        progress = self._progress
+        if not progress.revisions or progress.began < sent_at - MAX_READ_SECONDS:
+            progress = self._progress = ReadProgress(sent_at)
         try:
             snapshot = await self._store.read(
-                members=sent_at > self._members_due, timeout=self._read_timeout
+                members=sent_at > self._members_due,
+                timeout=self._read_timeout,
+                progress=progress,
             )
         except PlatformUnavailable as error:
             self._failed_at = boottime()
             self._read_timeout = min(MAX_READ_TIMEOUT_SECONDS, 2 * self._read_timeout)
             if self.store_reachable:
                 self.store_reachable = False
-                logs.event(_logger, "store_lost", reason=error.message)
+                logs.event(
+                    _logger,
+                    "store_lost",
+                    reason=error.message,
+                    pages=len(progress.revisions),
+                )
             return False
+        self._progress = ReadProgress(-math.inf)
         self._read_timeout = READ_TIMEOUT_SECONDS
         if snapshot.until is None:
-            self._members_due = sent_at + MEMBERS_INTERVAL_SECONDS
+            self._members_due = progress.began + MEMBERS_INTERVAL_SECONDS
         self._note_store_answer()
         if not self.store_reachable:
             self.store_reachable = True
             outage = self.store_age if self.store_confirmed_at else None
             logs.event(_logger, "store_regained", away=outage)
-        self.store_confirmed_at = sent_at
-        self._view.confirm(snapshot, asked_at=sent_at, source="store")
+        self.store_confirmed_at = progress.began
+        self._view.confirm(snapshot, asked_at=progress.began, source="store")
         return True
 
     def _note_store_answer(self) -> None:
--- a/src/bankrack/fleet/peers.py
+++ b/src/bankrack/fleet/peers.py
@@ -26,6 +26,8 @@
 from bankrack.fleet.store import Item
 from bankrack.fleet.store import Snapshot
 from bankrack.fleet.view import View
+from bankrack.fleet.wholeviews import CACHE_SECONDS
+from bankrack.fleet.wholeviews import WholeViews
 from bankrack.serving.registry import Upstreams
 from bankrack.serving.upstreams import Upstream
 
@@ -122,6 +124,7 @@
     :param note_engines: called if a follower uses engines.
     :param note_requester: called with the address of a node whose request arrives
         before this node has a view.
+    :param count: called with the outcome of each request for a whole view.
     """
 
     def __init__(
@@ -132,6 +135,7 @@
         name: str,
         note_engines: t.Callable[[], None],
         note_requester: t.Callable[[str], None],
+        count: t.Callable[[str], None] = lambda outcome: None,
     ) -> None:
         self._view = view
         self._upstreams = upstreams
@@ -140,6 +144,7 @@
         self._note_requester = note_requester
         self._relayed_engines: list[Upstream] = []
         self._relayed_engines_key: tuple[int, int] | None = None
+        self._whole_views = WholeViews(self._encode_whole_view, count)
 
     async def handle(self, request: web.Request) -> web.Response:
         """Respond on a change or a new confirmation, or when the long poll ends."""
@@ -155,9 +160,18 @@
         if state.serial == self._serial():
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(view.updated.wait(), LONG_POLL_SECONDS)
+        if not state.serial:
+            return await self._whole_views.send(request)
         message = self._build_message(state, waited=boottime() - started_at)
         return web.Response(body=msgspec.msgpack.encode(message))
 
+    def _encode_whole_view(self) -> bytes:
+        state = _FollowerState(serial="", since=0, sent=0.0, engines=False)
+        message = self._build_message(state, waited=0.0)
+        # The age when the encoded view is sent for the last time.
+        message.age += CACHE_SECONDS
+        return msgspec.msgpack.encode(message)
+
     def _serial(self) -> str:
         return f"{self._name}/{self._view.serial}"
 
--- a/src/bankrack/fleet/store.py
+++ b/src/bankrack/fleet/store.py
@@ -28,6 +28,22 @@
     until: str | None = None
 
 
+@dataclasses.dataclass(slots=True)
+class ReadProgress:
+    """Pages of a read that failed midway, with which the next read continues.
+
+    :param began: time at which the first page was requested.
+    :param items: of the pages read so far.
+    :param revisions: of these pages.
+    :param after: last key read.
+    """
+
+    began: float
+    items: list[Item] = dataclasses.field(default_factory=list)
+    revisions: list[int] = dataclasses.field(default_factory=list)
+    after: str = ""
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Lease:
     """A granted lease.
@@ -46,11 +62,14 @@
     respond or refuses the call; a write may still have taken effect.
     """
 
-    async def read(self, *, members: bool, timeout: float) -> Snapshot:
+    async def read(
+        self, *, members: bool, timeout: float, progress: ReadProgress | None = None
+    ) -> Snapshot:
         """Read everything that nodes follow, without stale values.
 
         :param members: whether to include member entries, which may take further calls.
-        :param timeout: in seconds.
+        :param timeout: longest silence of the store in seconds.
+        :param progress: what an earlier call has read; updated by this one.
         """
         ...
 
--- /dev/null
+++ b/src/bankrack/fleet/wholeviews.py
@@ -0,0 +1,59 @@
+"""Sends whole views to nodes that have none, within a bound on memory.
+
+After the loss of most nodes, hundreds request a whole view from the same few seeds.
+Each holds a megabyte per thousand upstreams until the node has read it.
+"""
+
+import typing as t
+
+from aiohttp import web
+
+from bankrack.clock import boottime
+
+MAX_UNSENT_BYTES = 16 * 1024 * 1024
+"""Unsent bytes of whole views from which on further requests are refused."""
+CACHE_SECONDS = 0.2
+"""Time for which an encoded view is sent to all nodes that request one."""
+
+
+class WholeViews:
+    """Answers requests for whole views.
+
+    :param encode: returns the encoded view.
+    :param count: called with the outcome of each request.
+    """
+
+    def __init__(
+        self, encode: t.Callable[[], bytes], count: t.Callable[[str], None]
+    ) -> None:
+        self._encode = encode
+        self._count = count
+        self._body = b""
+        self._expires = 0.0
+        self._unsent_bytes = 0
+
+    async def send(self, request: web.Request) -> web.Response:
+        """Send the view, unless too many bytes are unsent already.
+
+        A node that is refused asks another seed, and reads the store meanwhile.
+        """
+        body = self._current_body()
+        if self._unsent_bytes and self._unsent_bytes + len(body) > MAX_UNSENT_BYTES:
+            self._count("whole_view_refused")
+            return web.Response(status=503)
+        self._count("whole_view_sent")
+        response = web.Response(body=body)
+        self._unsent_bytes += len(body)
+        try:
+            await response.prepare(request)
+            await response.write_eof()
+        finally:
+            self._unsent_bytes -= len(body)
+        return response
+
+    def _current_body(self) -> bytes:
+        now = boottime()
+        if now >= self._expires:
+            self._body = self._encode()
+            self._expires = now + CACHE_SECONDS
+        return self._body
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -216,6 +216,7 @@
             name=f"{settings.name}-{boottime():.9f}",
             note_engines=self.reports.note_use,
             note_requester=self.roster.note_requester,
+            count=lambda outcome: self.metrics.updates.inc({"outcome": outcome}),
         )
         inner = {
             UPDATES_PATH: updates.handle,
--- a/src/bankrack/metrics.py
+++ b/src/bankrack/metrics.py
@@ -86,6 +86,9 @@
             "bankrack_pool_overflows",
             "Runs for which a second pool was asked, by its answer",
         )
+        self.updates = self._counter(
+            "bankrack_updates", "Requests of nodes for the whole view, by outcome"
+        )
         self.latency = self._histogram(
             "bankrack_answer_seconds", "Time to the answer", LATENCY_BUCKETS
         )
--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -82,17 +82,17 @@
             self._stack.push_async_callback(runner.cleanup)
 
     async def _handle(self, request: web.Request) -> web.StreamResponse:
+        if self.seconds_per_part:
+            return await self._send_slowly(request)
         response = await self._server.handle(request)
         assert isinstance(response.body, bytes)
         self.answers.append(msgspec.msgpack.decode(response.body, type=UpdateMessage))
-        if self.seconds_per_part:
-            return await self._send_slowly(request, response.body)
         return response
 
-    async def _send_slowly(
-        self, request: web.Request, body: bytes
-    ) -> web.StreamResponse:
-        """Send a body in parts, as over a narrow link."""
+    async def _send_slowly(self, request: web.Request) -> web.StreamResponse:
+        """Send the whole view in parts, as over a narrow link."""
+        body = self._server._encode_whole_view()
+        self.answers.append(msgspec.msgpack.decode(body, type=UpdateMessage))
         response = web.StreamResponse()
         await response.prepare(request)
         size = 1 + len(body) // 10
--- a/tests/platform/test_starting.py
+++ b/tests/platform/test_starting.py
@@ -3,10 +3,14 @@
 import asyncio
 import pathlib
 import tempfile
+import typing as t
+
+from aiohttp import web
 
 import earlysocket
 from bankrack.clock import boottime
 from bankrack.fleet import follower
+from bankrack.gateway import Gateway
 from tests.base import TestCase
 from tests.fakes import free_address
 from tests.platform.deployment import running
@@ -44,6 +48,26 @@
             await deployment.start_ready_gateway("n-2", seeds=(first.settings.inner,))
             self.assertLess(boottime() - began, follower.READ_TIMEOUT_SECONDS)
 
+    async def test_read_continues_at_the_page_that_failed(self):
+        """Guards against reads that never complete while hundreds of nodes start: the
+        store refuses or delays some pages of each."""
+        async with running() as deployment:
+            store = deployment.store
+            store.page_size = 2
+            requested: list[str] = []
+            read_page = store._range
+
+            def fail_third_page(query: t.Mapping[str, str]) -> web.Response:
+                requested.append(query.get("sinceRevision", ""))
+                if len(requested) == 3:
+                    return web.Response(status=429)
+                return read_page(query)
+
+            self.patch(store, "_range", fail_third_page)
+            gateway = await deployment.start_ready_gateway()
+            self.assertEqual(requested[2], requested[3])
+            self.assertEqual(["p-1", "p-2"], sorted(_plain_ids(gateway)))
+
     async def test_restarted_leader_fetches_the_view_from_its_follower(self):
         async with running() as deployment:
             nodes = [
@@ -59,6 +83,10 @@
             await until(lambda: restarted.ready)
 
 
+def _plain_ids(gateway: Gateway) -> list[str]:
+    return [upstream.id for upstream in gateway.upstreams.of("plain")]
+
+
 class EarlySocket(TestCase):
     def settings_file(self, text: str) -> str:
         folder = tempfile.TemporaryDirectory()
