Missing entries are kept only after an outage, and as long on all nodes

One cause in two places: a node took its own first answer of the store, after its view had grown old, for the end of an outage. - An old view alone does not tell of an outage. A node whose leaders are cut off follows them until their views are 2 s old; reading then, it kept the entries that were missing for 1.5 s more, although the store had been available and they had been removed.

Now entries are kept only if the store failed a call since the view was confirmed, of this node or of one that it follows; updates between nodes carry that, and the time since the recovery, so that the earliest node that saw it ends the grace period of all. Pauses between reads are no longer prolonged beyond their bound. A node whose leaders are stale without an outage reads at once instead of 1 to 3 s later.

stale_view_ended and leader_stale tell the two cases apart (outage=). test_entry_removed_while_the_leaders_were_cut_off_is_removed_at_once and test_grace_period_ends_with_that_of_a_node_that_saw_the_recovery_earlier are new. The follower of test_follower.StaleLeaderTest has a view now, since the log line reads it; its checks are the same.

--- a/src/bankrack/fleet/follower.py
+++ b/src/bankrack/fleet/follower.py
@@ -258,7 +258,7 @@
         delay = backoff_seconds(
             failures, first=RETRY_SECONDS, maximum=MAX_RETRY_SECONDS
         )
-        return delay * (0.5 + random.random())
+        return delay * (0.5 + 0.5 * random.random())
 
     def _defers_to_readers(self) -> bool:
         """Whether this node is not a reader and leaves the next read to the readers."""
@@ -291,6 +291,7 @@
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
             except PlatformUnavailable:
+                self._view.note_store_failure()
                 failures += 1
                 await self._back_off(failures)
                 continue
@@ -320,6 +321,7 @@
             )
         except PlatformUnavailable as error:
             self._failed_at = boottime()
+            self._view.note_store_failure()
             self._read_timeout = min(MAX_READ_TIMEOUT_SECONDS, 2 * self._read_timeout)
             if self.store_reachable:
                 self.store_reachable = False
@@ -348,10 +350,16 @@
 
         Called before the answer is applied: entries whose leases expired during the
         outage will be restored and must not count as removed. The watch may deliver
-        their removal before the first read does.
+        their removal before the first read does. An old view alone is no sign of an
+        outage: the leaders may have been cut off from this node, and what is missing
+        then was removed.
         """
-        if self._view.age > OUTAGE_SECONDS and self._view.confirmed_at:
-            self._view.note_store_recovery()
+        view = self._view
+        if view.age <= OUTAGE_SECONDS or not view.confirmed_at:
+            return
+        logs.event(_logger, "stale_view_ended", age=view.age, outage=view.in_outage)
+        if view.in_outage:
+            view.note_store_recovery()
 
     def _max_leader_age(self) -> float:
         """Return the age of a leader's view, in seconds, above which it is skipped."""
@@ -364,14 +372,24 @@
     def _note_stale(self, name: str, age: float) -> None:
         """Log a leader with a stale view once, not on each query.
 
-        A node that is not a standby postpones its own read to let the readers try
-        first.
+        During an outage, a node that is not a standby postpones its own read to let the
+        readers try first. Otherwise its leaders are cut off, and it reads at once.
         """
-        if not self._stale_leaders and not self._roster.is_standby():
+        if (
+            not self._stale_leaders
+            and not self._roster.is_standby()
+            and self._view.in_outage
+        ):
             self._postpone_own_read()
         if name not in self._stale_leaders:
             self._stale_leaders.add(name)
-            logs.event(_logger, "leader_stale", leader=name, age=age)
+            logs.event(
+                _logger,
+                "leader_stale",
+                leader=name,
+                age=age,
+                outage=self._view.in_outage,
+            )
 
     def _log_leader(self, name: str | None) -> None:
         """Log the source of this node's view once it is in effect.
--- a/src/bankrack/fleet/peers.py
+++ b/src/bankrack/fleet/peers.py
@@ -64,6 +64,10 @@
     :param reports: engine reports received since the last response.
     :param complete_revision: revision up to which the leader knows all items.
     :param revisions: revisions of the items of ``keys``, in their order.
+    :param failed: seconds since the store failed, if that was after the leader's view
+        was confirmed.
+    :param recovered: seconds since the store recovered, during the grace period for
+        entries that expired in the outage.
     """
 
     serial: str
@@ -77,6 +81,8 @@
     reports: list[ReportMessage]
     complete_revision: int | None = None
     revisions: list[int] = []
+    failed: float | None = None
+    recovered: float | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -189,6 +195,8 @@
             gone=[],
             reports=encode_reports(self._engines_to_relay(), learned_after=state.sent),
             complete_revision=view.complete_revision,
+            failed=view.failed_seconds,
+            recovered=view.recovered_seconds,
         )
         if changed is None:
             message.keys = [item.key for item in view.items]
@@ -302,8 +310,13 @@
 
     def _apply(self, leader: Member, message: UpdateMessage, sent_at: float) -> None:
         view = self._view
-        # Counted from the send of the request, so the time is never too late.
-        confirmed_at = sent_at + message.waited - message.age
+        # Counted from the send of the request, so the times are never too late.
+        answered_at = sent_at + message.waited
+        confirmed_at = answered_at - message.age
+        if message.failed is not None:
+            view.note_store_failure(answered_at - message.failed)
+        if message.recovered is not None:
+            view.note_store_recovery(answered_at - message.recovered)
         items = [Item(key, value, rev) for key, value, rev in message.items]
         if message.keys is not None:
             if not self._has_all_items(leader, message, items):
--- a/src/bankrack/fleet/view.py
+++ b/src/bankrack/fleet/view.py
@@ -56,6 +56,8 @@
         ``revision`` after a read that left out members.
     :ivar confirmed_at: time at which the whole state was last known to be current.
     :ivar confirmed_by: source of the last complete snapshot.
+    :ivar store_failed_at: time at which the store last failed a call of this node, or
+        of a node that it follows.
     :ivar updated: set, and replaced by a new event, on each change or confirmation.
     """
 
@@ -73,6 +75,7 @@
         self.revision = 0
         self.complete_revision = 0
         self.confirmed_at = 0.0
+        self.store_failed_at = 0.0
         self._crashes = crashes or CrashRegister(clock=clock)
         self._decode = decode
         self._clock = clock
@@ -99,9 +102,45 @@
         """All items, to be sent to a peer."""
         return tuple(entry.item for entry in self._entry_by_key.values())
 
-    def note_store_recovery(self) -> None:
-        """Start the grace period in which missing upstream entries are kept."""
-        self._grace_ends_at = self._clock() + LAPSE_GRACE_SECONDS
+    @property
+    def in_outage(self) -> bool:
+        """Whether the store failed since the view was last confirmed."""
+        return self.store_failed_at > self.confirmed_at
+
+    @property
+    def recovered_seconds(self) -> float | None:
+        """Seconds since the store recovered; ``None`` after the grace period."""
+        left = self._grace_ends_at - self._clock()
+        return LAPSE_GRACE_SECONDS - left if left > 0.0 else None
+
+    @property
+    def failed_seconds(self) -> float | None:
+        """Seconds since the store failed; ``None`` unless it is in an outage."""
+        return self._clock() - self.store_failed_at if self.in_outage else None
+
+    def note_store_failure(self, at: float | None = None) -> None:
+        """Record that the store failed a call.
+
+        :param at: time of the failure; now by default.
+        """
+        failed_at = self._clock() if at is None else at
+        self.store_failed_at = max(self.store_failed_at, failed_at)
+
+    def note_store_recovery(self, at: float | None = None) -> None:
+        """Start the grace period in which missing upstream entries are kept.
+
+        It ends at the same time on all nodes that learn of the recovery from each
+        other.
+
+        :param at: time of the recovery; now by default.
+        """
+        now = self._clock()
+        ends_at = (now if at is None else at) + LAPSE_GRACE_SECONDS
+        if self._grace_ends_at > now:
+            ends_at = min(ends_at, self._grace_ends_at)
+        self._grace_ends_at = ends_at
+        for key, until in self._grace_until_by_key.items():
+            self._grace_until_by_key[key] = min(until, ends_at)
 
     def confirm(
         self,
--- a/tests/fleet/test_follower.py
+++ b/tests/fleet/test_follower.py
@@ -1,14 +1,22 @@
-"""Tests of following leaders whose views are stale."""
+"""Tests of following leaders whose views are stale, and of reading the store then."""
 
 import asyncio
 import contextlib
 import itertools
 import typing as t
 
+from bankrack.clock import boottime
+from bankrack.exceptions import PlatformUnavailable
 from bankrack.fleet.documents import Member
 from bankrack.fleet.follower import Follower
 from bankrack.fleet.follower import MAX_LEADER_AGE_FOR_STANDBY_SECONDS
+from bankrack.fleet.follower import OUTAGE_SECONDS
+from bankrack.fleet.store import Item
+from bankrack.fleet.store import Snapshot
+from bankrack.fleet.view import View
+from bankrack.serving.registry import Upstreams
 from tests.base import TestCase
+from tests.fleet.test_view import decode
 
 LEADERS = [Member(name, "10.0.0.1:1", "a") for name in ("one", "two")]
 
@@ -47,7 +55,8 @@
 class StaleLeaderTest(TestCase):
     async def stale_leader_log_lines(self, ages: t.Sequence[float]) -> list[str]:
         leaders = StaleLeaderClient(ages)
-        parts: t.Any = (None, None, RotatingRoster(), leaders)
+        view = View(decode, Upstreams())
+        parts: t.Any = (None, view, RotatingRoster(), leaders)
         follower = Follower(*parts)
         self.patch(follower, "_get_first_view", lambda: asyncio.sleep(0))
         with self.assertLogs("bankrack.fleet.follower") as found:
@@ -73,3 +82,45 @@
         self.assertEqual(
             3, len(await self.stale_leader_log_lines([old, old, 0.0, old, old, old]))
         )
+
+
+class FakeStore:
+    """Returns snapshots and raises errors, in order."""
+
+    def __init__(self, *results: Snapshot | PlatformUnavailable) -> None:
+        self._results = iter(results)
+
+    async def read(self, **options: t.Any) -> Snapshot:
+        match next(self._results):
+            case Snapshot() as snapshot:
+                return snapshot
+            case error:
+                raise error
+
+
+class StaleViewTest(TestCase):
+    """An upstream's entry was removed while the view grew old."""
+
+    def follower_with_old_view(self, store: FakeStore) -> Follower:
+        view = View(decode, Upstreams())
+        entry = Snapshot((Item("up/x", b"1", 1),), 1)
+        asked_at = boottime() - 2 * OUTAGE_SECONDS
+        view.confirm(entry, asked_at=asked_at, source="leader")
+        parts: t.Any = (store, view, None, None)
+        return Follower(*parts)
+
+    async def test_entry_removed_while_the_leaders_were_cut_off_is_removed_at_once(
+        self,
+    ):
+        """Guards against requests to upstreams that are gone: an old view was taken for
+        an outage of the store, in which entries may expire."""
+        follower = self.follower_with_old_view(FakeStore(Snapshot((), 2)))
+        self.assertTrue(await follower._read())
+        self.assertEqual([], follower._view.keys())
+
+    async def test_entry_missing_after_failed_reads_is_kept_during_grace_period(self):
+        failed = PlatformUnavailable("down")
+        follower = self.follower_with_old_view(FakeStore(failed, Snapshot((), 2)))
+        self.assertFalse(await follower._read())
+        self.assertTrue(await follower._read())
+        self.assertEqual(["up/x"], follower._view.keys())
--- a/tests/fleet/test_view.py
+++ b/tests/fleet/test_view.py
@@ -151,6 +151,23 @@
         self.view.sweep()
         self.assertEqual(set(), self.ids())
 
+    def test_grace_period_ends_with_that_of_a_node_that_saw_the_recovery_earlier(self):
+        """Guards against entries that each node keeps from its own first answer on."""
+        self.confirm(3, up_x=(b"1", 3))
+        self.view.note_store_recovery()
+        self.confirm(5)
+        self.view.note_store_recovery(self.now - 1.0)
+        self.now += LAPSE_GRACE_SECONDS - 0.9
+        self.view.sweep()
+        self.assertEqual(set(), self.ids())
+
+    def test_store_failure_before_the_last_confirmation_is_no_outage(self):
+        self.view.note_store_failure()
+        self.assertTrue(self.view.in_outage)
+        self.now += 0.1
+        self.confirm(3)
+        self.assertFalse(self.view.in_outage)
+
     def test_second_outage_does_not_extend_grace_period_of_first(self):
         self.confirm(3, up_x=(b"1", 3))
         self.view.note_store_recovery()
