A gateway logs when its event loop was blocked, with its own processor time

Three tests that failed once beside load ended in 504s, and "the machine was busy" looked like "a request was lost": a gateway logged nothing of its own loop. loop_was_blocked tells how long timers were late, and own_cpu whether the process computed meanwhile or was not scheduled; the histogram bankrack_loop_blocked_seconds counts the same.

--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -12,6 +12,7 @@
 
 from bankrack import logs
 from bankrack.background import BackgroundTasks
+from bankrack.background import LoopMonitor
 from bankrack.background import SuspensionLog
 from bankrack.clock import boottime
 from bankrack.exceptions import NodeNotReady
@@ -196,6 +197,10 @@
             streams=StreamRelay(dependencies, control=control, advisor=self.owners),
             crashes=dependencies.crashes,
         )
+        self._loop_monitor = LoopMonitor(
+            lambda: self.dispatcher.in_flight,
+            lambda seconds: self.metrics.blocked.observe({}, seconds),
+        )
         self.front = CallerServer(
             dialect.callers, self._serve, self._caller_limits, held=self.held
         )
@@ -231,6 +236,7 @@
         self._runners.append(await serve_paths(settings.inner, inner))
         self._tasks.spawn(self.follower.keep_sweeping)
         self._tasks.spawn(self.announcer.run)
+        self._tasks.spawn(self._loop_monitor.run)
         self._tasks.spawn(self.reports.run)
         self._tasks.spawn(self.owners.run)
         self._tasks.spawn(self.rate_limits.run)
--- a/src/bankrack/metrics.py
+++ b/src/bankrack/metrics.py
@@ -92,6 +92,11 @@
         self.latency = self._histogram(
             "bankrack_answer_seconds", "Time to the answer", LATENCY_BUCKETS
         )
+        self.blocked = self._histogram(
+            "bankrack_loop_blocked_seconds",
+            "Time for which the event loop was blocked",
+            LATENCY_BUCKETS,
+        )
         self.values = self._gauge("bankrack_value", "State of the node by name")
 
 
