Test of the demo: it listens on free ports

Two test runs at once failed with "address already in use": the test gave the demo a fixed port. It now looks for a range of free ones; what it checks is the same.

--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -2,6 +2,8 @@
 import io
 import json
 import pathlib
+import random
+import socket
 import subprocess
 import sys
 import tempfile
@@ -11,6 +13,9 @@
 from tests.fakes import intent_text
 from tests.fakes import settings_text
 
+DEMO_PORTS = 12
+"""Ports that the demo listens on at most, counted from the one it is given."""
+
 
 def call(*arguments: str) -> tuple[int, str, str]:
     out, err = io.StringIO(), io.StringIO()
@@ -89,10 +94,21 @@
         self.assertNotIn("Traceback", err)
 
 
+def first_of_free_ports(count: int) -> int:
+    """Return a port that is free, as are those that follow it."""
+    while True:
+        with contextlib.ExitStack() as stack, contextlib.suppress(OSError):
+            first = random.randrange(20_000, 30_000)
+            for port in range(first, first + count):
+                stack.enter_context(socket.create_server(("127.0.0.1", port)))
+            return first
+
+
 class TestDemo(TestCase):
     def test_demo_prints_caption_and_summary(self):
+        port = str(first_of_free_ports(DEMO_PORTS))
         done = subprocess.run(
-            [sys.executable, "-m", "bankrack", "demo", "--once", "--port", "19580"],
+            [sys.executable, "-m", "bankrack", "demo", "--once", "--port", port],
             capture_output=True,
             text=True,
             timeout=60,
