Early returns leave room for callers that were refused before them

Cause: who returns early is queued and admitted like a first attempt that comes later. So polling takes each place that is freed, and who returns when told finds none, is refused and goes to the end of the line: nothing remembered how long it had waited.

Now an early return leaves room for returns that are still to come of callers refused before it, and a booking keeps the time of the first refusal.

--- a/soak/gateway/__main__.py
+++ b/soak/gateway/__main__.py
@@ -142,7 +142,7 @@
     if replacing:
         checker.check_replacement()
     if crowded:
-        checker.check_shares()
+        checker.check_crowded()
     checker.check_poison(injector.poisoned)
     print(f"seed {seed}, {minutes} minutes, bug {bug}, {count} gateways")
     _report(callers, injector, journal, checker)
--- a/soak/gateway/checks.py
+++ b/soak/gateway/checks.py
@@ -12,6 +12,10 @@
 from soak.gateway.callers import Callers
 from soak.gateway.callers import KEY
 from soak.gateway.callers import MAX_PAUSE_SECONDS
+from soak.gateway.callers import MODEST_CALLERS
+from soak.gateway.callers import MODEST_KEY
+from soak.gateway.callers import PRESSING_CALLERS
+from soak.gateway.callers import PRESSING_KEY
 from soak.gateway.fakes import Arrival
 from soak.gateway.fakes import Journal
 from soak.gateway.fakes import SoakEngine
@@ -48,6 +52,9 @@
 MAX_POISONED = 6
 MIN_SERVED_SHARE = 0.5
 """Fraction of the short runs that must be served by crowded engines."""
+MIN_PATIENT_SHARE = 0.5
+"""Runs of a caller that returns when told, as a fraction of those of an early one; the
+rest is left to chance, as few such callers get a few runs each."""
 MIN_SERVICE_SECONDS = 10.0
 """Time in service of the engines of one speed from which their runs are compared."""
 MAX_SLOW_SHARE = 0.45
@@ -169,6 +176,37 @@
                 served[call.key] += call.complete and call.status == 200
         return {key: served[key] / count for key, count in asked.items()}
 
+    def runs_per_caller(self) -> dict[str, float]:
+        """Long runs served for each caller of a crowded pool, by key."""
+        served = collections.Counter(
+            call.key
+            for call in self._callers.calls
+            if call.status == 200 and call.complete
+        )
+        return {
+            key: served[key] / count
+            for key, count in (
+                (PRESSING_KEY, PRESSING_CALLERS),
+                (MODEST_KEY, MODEST_CALLERS),
+            )
+        }
+
+    def check_crowded(self) -> None:
+        """Check what the callers of crowded engines got."""
+        self.check_shares()
+        self._check_patience()
+
+    def _check_patience(self) -> None:
+        """Check that callers that return when told are served like early ones."""
+        runs = self.runs_per_caller()
+        for key, each in runs.items():
+            print(f"runs for each caller of {key}: {each:.1f}")
+        if runs[MODEST_KEY] < MIN_PATIENT_SHARE * runs[PRESSING_KEY]:
+            self.record_violation(
+                f"{runs[MODEST_KEY]:.1f} runs for each caller that returns when told, "
+                f"{runs[PRESSING_KEY]:.1f} for each that returns early"
+            )
+
     def check_shares(self) -> None:
         """Check that others' long runs leave room for a workspace with short ones."""
         share = self.served_shares()[KEY]
--- a/src/bankrack/decisions/admission.py
+++ b/src/bankrack/decisions/admission.py
@@ -118,6 +118,7 @@
     now: float,
     start: t.Callable[[t.Sequence[Candidate]], float] | None = None,
     keep: bool = False,
+    promised: t.Sequence[Candidate] = (),
 ) -> Verdict:
     """Decide whether a run is admitted, queued or rejected.
 
@@ -129,8 +130,9 @@
         infinite if that is too late.  Without it the wait for the runs ahead counts.
     :param keep: reject the run only when its latest useful start is over, not because
         its forecast became worse while it was queued.
+    :param promised: runs that have not come yet, for which the run leaves room.
     """
-    left = _remaining_room(ahead, room_by_engine, limits)
+    left = _remaining_room([*ahead, *promised], room_by_engine, limits)
     found = tuple(
         name
         for name, room in left.items()
--- a/src/bankrack/decisions/calendar.py
+++ b/src/bankrack/decisions/calendar.py
@@ -41,6 +41,9 @@
 EXPIRE_INTERVAL_SECONDS = 0.1
 """Bookings are searched for expired ones this often, as each waiting run asks several
 times per second."""
+MAX_PROMISED = 64
+"""Limit on the bookings for which one early return leaves room; more free places than
+this are enough for all."""
 MAX_BOOKINGS = 4000
 """Limit on bookings; beyond it callers are told a time that is not booked."""
 
@@ -269,13 +272,15 @@
     :param at: time of the return, on the clock of the calendar.
     :param has_room: room is expected then; otherwise it is only the latest time that
         the caller accepts.
+    :param since: time at which the caller was first refused.
     :param run: id of the run that returned, once it did.
     """
 
     rank: Rank
     stay: Stay
     at: float
-    has_room: bool = True
+    has_room: bool
+    since: float
     run: str | None = None
 
 
@@ -305,13 +310,28 @@
         return len(self._booking_by_caller)
 
     def book(
-        self, caller: str, rank: Rank, stay: Stay, at: float, *, has_room: bool = True
+        self,
+        caller: str,
+        rank: Rank,
+        stay: Stay,
+        at: float,
+        *,
+        now: float | None = None,
+        has_room: bool = True,
     ) -> bool:
-        """Book a return; whether the calendar is not full."""
+        """Book a return; whether the calendar is not full.
+
+        :param now: time of the refusal, by default that of the return; a caller that
+            was refused before keeps the earlier one.
+        """
         if not caller or len(self._booking_by_caller) >= MAX_BOOKINGS:
             return False
+        known = self._booking_by_caller.get(caller)
+        first = at if now is None else now
+        since = first if known is None else known.since
         self.close(caller)
-        booking = self._booking_by_caller[caller] = Booking(rank, stay, at, has_room)
+        booking = Booking(rank, stay, at, has_room, since)
+        self._booking_by_caller[caller] = booking
         if has_room:
             self._coming_by_slot.setdefault(_slot(booking), _Total()).add(stay)
         return True
@@ -336,6 +356,23 @@
             self.matched += 1
         return booking.run in (None, run)
 
+    def promised_before(self, caller: str, now: float) -> list[Booking]:
+        """Bookings of others that go before a caller that returns before its time.
+
+        These are of the same or a better rank, were refused for the first time before
+        this caller, and have not returned yet.  Empty for a caller that returns at its
+        time or has no booking.
+        """
+        own = self.find(caller, now)
+        if own is None or own.run is not None or now >= own.at - EARLY_SECONDS:
+            return []
+        earlier = (
+            other
+            for other in self._booking_by_caller.values()
+            if other.run is None and other.rank <= own.rank and other.since < own.since
+        )
+        return heapq.nsmallest(MAX_PROMISED, earlier, key=lambda other: other.since)
+
     def close(self, caller: str) -> None:
         """Remove the booking of a caller whose run was admitted or gave up."""
         booking = self._booking_by_caller.pop(caller, None)
--- a/src/bankrack/placement/allocation.py
+++ b/src/bankrack/placement/allocation.py
@@ -164,6 +164,7 @@
             ahead=queue.ahead(
                 candidate, now, shares=self.crowding.shares, quantum=request.memory
             ),
+            promised=self.crowding.promised(candidate, request.caller, now),
             releases=releases,
             now=now,
             start=None if waits or forecast is None else forecast.start,
--- a/src/bankrack/placement/crowding.py
+++ b/src/bankrack/placement/crowding.py
@@ -97,6 +97,23 @@
         if rank[0] in known or len(known) < MAX_RANKS:
             known[rank[0]] = now
 
+    def promised(
+        self, candidate: Candidate, caller: str, now: float
+    ) -> list[Candidate]:
+        """Returns for which a caller that comes before its time leaves room.
+
+        Otherwise callers that return early and often would take each place that is
+        freed, and those who return when told would find none.
+        """
+        if not caller:
+            return []
+        return [
+            dataclasses.replace(
+                candidate, need=booking.stay.need, prompt=booking.stay.prompt
+            )
+            for booking in self.calendar.promised_before(caller, now)
+        ]
+
     def charge(
         self, candidate: Candidate, tokens: float, now: float, *, caller: str
     ) -> None:
@@ -157,7 +174,7 @@
             return None
         stay = _stay(candidate)
         if not self.calendar.book(
-            caller, candidate.rank, stay, now + seconds, has_room=has_room
+            caller, candidate.rank, stay, now + seconds, now=now, has_room=has_room
         ):
             return None
         return seconds
--- a/tests/decisions/test_calendar.py
+++ b/tests/decisions/test_calendar.py
@@ -91,6 +91,22 @@
         self.assertFalse(self.calendar.claim("caller-7", "repeated", at + 0.1))
         self.assertEqual(1, self.calendar.matched)
 
+    def test_early_return_leaves_room_for_those_refused_before_it(self):
+        calendar = Calendar()
+        for number in range(3):
+            calendar.book(f"c-{number}", RANK, RUN, 5.0 - number, now=float(number))
+        calendar.book("urgent", (RANK[0], RANK[1] - 1), RUN, 4.0, now=0.5)
+        calendar.book("less urgent", (RANK[0], RANK[1] + 1), RUN, 4.0, now=0.5)
+        self.assertEqual(3, len(calendar.promised_before("c-2", 2.5)))
+        self.assertEqual([], calendar.promised_before("c-0", 2.5))
+        self.assertEqual([], calendar.promised_before("c-2", 3.0))
+        # A caller that is refused again keeps its place, and one that came has none.
+        calendar.claim("c-0", "run", 5.0)
+        calendar.book("c-0", RANK, RUN, 9.0, now=5.0)
+        calendar.claim("urgent", "other", 5.0)
+        found = calendar.promised_before("c-1", 2.5)
+        self.assertEqual([0.0], [booking.since for booking in found])
+
     def test_unused_bookings_expire(self):
         end = max(self.times) + RETURN_GRACE_SECONDS + 0.1
         self.assertEqual([], self.calendar.arrivals(end, goes_first=lambda rank: True))
--- a/tests/placement/test_allocation_crowded.py
+++ b/tests/placement/test_allocation_crowded.py
@@ -1,6 +1,8 @@
 """Replays of load that asks for more than a pool holds."""
 
 import collections
+import heapq
+import itertools
 import math
 import random
 import typing as t
@@ -184,6 +186,75 @@
         self.assertTrue(all(debt <= MEMORY for debt in debts.values()))
 
 
+class PatienceTest(CrowdedPoolTestCase):
+    """Callers of one workspace that ask for one run after the other."""
+
+    RUN_SECONDS = 1.5
+    EARLY_FRACTION = 0.2
+    LEFT_SECONDS = 6.0
+
+    def setUp(self):
+        super().setUp()
+        for run in self.running:
+            self.allocator.ledger.end(run)
+        self.events: list[tuple[float, int, t.Callable[[], None]]] = []
+        self.numbers = itertools.count()
+        self.random = random.Random(1)
+        self.served: collections.Counter[float] = collections.Counter()
+
+    def at(self, seconds: float, action: t.Callable[[], None]) -> None:
+        event = self.now + seconds, next(self.numbers), action
+        heapq.heappush(self.events, event)
+
+    def ask_for_run(self, patience: float) -> None:
+        """Let a caller ask until its request is served, and then for the next one.
+
+        :param patience: fraction of the time that it is told after which it returns.
+        """
+        request = f"request-{next(self.numbers)}"
+        pause = self.random.uniform(0.0, 0.1)
+        self.at(pause, lambda: self.attempt(request, patience))
+
+    def attempt(self, request: str, patience: float) -> None:
+        run, began = f"run-{next(self.numbers)}", self.now
+        self.decide(request, run, began, patience)
+
+    def decide(self, request: str, run: str, began: float, patience: float) -> None:
+        left = self.LEFT_SECONDS - (self.now - began)
+        due = left - 4.2
+        found = self.ask_as(request, run=run, due=due, left=left, silence=left)
+        match found:
+            case Admit():
+                self.served[patience] += 1
+                self.begin([run])
+                seconds = self.RUN_SECONDS * self.random.uniform(0.7, 1.3)
+                self.at(seconds, lambda: self.end(run, patience))
+            case Wait(seconds):
+                self.at(seconds, lambda: self.decide(request, run, began, patience))
+            case Refuse(_, expected, booked):
+                told = min(expected, left / 3) if booked is None else booked
+                self.at(patience * told, lambda: self.attempt(request, patience))
+
+    def end(self, run: str, patience: float) -> None:
+        self.allocator.ledger.end(run)
+        self.ask_for_run(patience)
+
+    def test_who_returns_when_told_is_served_as_often_as_who_returns_early(self):
+        """Guards against callers that gain from asking more often than they are told:
+        each place that is freed goes to those who happen to ask just then."""
+        for _ in range(8):
+            self.ask_for_run(self.EARLY_FRACTION)
+            self.ask_for_run(1.0)
+        end = self.now + 100.0
+        while self.events[0][0] < end:
+            self.now, _, action = heapq.heappop(self.events)
+            action()
+        places = 4 * 100.0 / self.RUN_SECONDS
+        self.assertGreater(sum(self.served.values()), 0.95 * places)
+        # A tenth is left to chance.
+        self.assertGreater(self.served[1.0], 0.9 * self.served[self.EARLY_FRACTION])
+
+
 class PreemptionTest(CrowdedPoolTestCase):
     """Streams of workspaces with rank 1, which grow by some 270 tokens in 2.5 s."""
 
