A reader that the store turns away takes the view of the node that reads instead

Callers at that node were served by an old configuration for as long as the store turned it away, although the other nodes had the new one.

If the store refuses its reads only, the others notice its old view after 1.2 s and read by themselves, but the reader went on reading in vain and asked none of them.

--- a/src/bankrack/fleet/follower.py
+++ b/src/bankrack/fleet/follower.py
@@ -42,6 +42,8 @@
 MAX_READ_SECONDS = 5.0
 """Time after which a read that failed midway starts again from its first page."""
 RETRY_SECONDS = 0.1
+STANDBY_TIMEOUT_SECONDS = 0.5
+"""Longest wait of a reader that the store turned away for another node's view."""
 SLOW_RETRY_SECONDS = 2.0
 MAX_SLOW_RETRY_SECONDS = 4.0
 """Bound of the pause between reads of a node that is not a reader while the store is
@@ -190,11 +192,22 @@
                     continue
                 failures += 1
                 self._postpone_own_read()
-                await self._back_off(failures)
+                await asyncio.gather(self._ask_standby(), self._back_off(failures))
         finally:
             watching.cancel()
             await asyncio.gather(watching, return_exceptions=True)
 
+    async def _ask_standby(self) -> None:
+        """Ask the node that would read next, which the store may not turn away."""
+        standby = self._roster.standby()
+        if standby is None:
+            return
+        try:
+            async with asyncio.timeout(STANDBY_TIMEOUT_SECONDS):
+                await self._leaders.ask(standby)
+        except (PeerUnavailable, TimeoutError):
+            self._roster.suspect(standby)
+
     async def _back_off(self, failures: int) -> None:
         await asyncio.sleep(read_backoff_seconds(failures))
 
--- a/src/bankrack/fleet/roster.py
+++ b/src/bankrack/fleet/roster.py
@@ -80,6 +80,17 @@
         ]
         return self._first_trusted([*rotated, *standbys])
 
+    def standby(self) -> Member | None:
+        """Return the node to ask if the store turns this node away, if there is one."""
+        hall = rank_members(self._members_of(self._own.hall))
+        candidates = [*self._reader_and_standbys(), *hall[: 1 + MAX_STANDBYS]]
+        trusted = (
+            member
+            for member in candidates
+            if member.name != self._own.name and self._suspects.is_trusted(member)
+        )
+        return next(trusted, None)
+
     def is_reader(self) -> bool:
         """Whether this node is the one that is to read the store for the fleet."""
         hall_leaders = _hall_leaders(self._members_of(self._own.hall))
--- a/tests/platform/test_following.py
+++ b/tests/platform/test_following.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import time
+import typing as t
 
 from bankrack.clock import boottime
+from bankrack.exceptions import PlatformUnavailable
 from bankrack.fleet.confirmedview import MAX_DENIAL_VIEW_AGE_SECONDS
 from bankrack.fleet.documents import Member
 from bankrack.fleet.follower import OUTAGE_SECONDS
@@ -21,6 +23,16 @@
 """Bound on removing entries that were lost in an outage; 3 s are required."""
 
 
+class RefusingStore:
+    """The store, to a node that it turns away."""
+
+    async def read(self, **options: t.Any) -> t.NoReturn:
+        raise PlatformUnavailable("turned away")
+
+    async def watch(self, since: int, *, wait: float) -> t.NoReturn:
+        raise PlatformUnavailable("turned away")
+
+
 async def expire_entry_during_outage(
     deployment: Deployment, nodes: list[Gateway]
 ) -> float:
@@ -171,6 +183,22 @@
             removal_seconds = await expire_entry_during_outage(deployment, nodes)
             self.assertLess(removal_seconds, MAX_REMOVAL_SECONDS)
 
+    async def test_reader_that_the_store_turns_away_learns_of_a_change_in_time(self):
+        """Guards against a reader that keeps an old configuration although the store
+        serves the other nodes."""
+        async with running() as deployment:
+            nodes = [await deployment.start_ready_gateway(f"n-{n}") for n in range(3)]
+            await until(lambda: all(len(n.view.members_by_name) == 3 for n in nodes))
+            await until(lambda: sum(n.follower.leader is None for n in nodes) == 1)
+            [reader] = [n for n in nodes if n.follower.leader is None]
+            self.patch(reader.follower, "_store", RefusingStore())
+            # A watch that waits already would still deliver the change.
+            deployment.store.watch_misses_changes = True
+            deployment.store.put("op/config", configuration(4))
+            await until(
+                lambda: all(n.view.table.version == 4 for n in nodes), seconds=2.9
+            )
+
     async def test_follower_reads_the_store_after_its_leader_crashed(self):
         async with running() as deployment:
             gateways = [
