--- a/soak/gateway/__main__.py
+++ b/soak/gateway/__main__.py
@@ -22,6 +22,7 @@
 from soak.gateway.fakes import SoakStore
 from soak.gateway.faults import FaultInjector
 from soak.gateway.faults import plan
+from soak.gateway.lag import describe_blocked_loops
 from soak.gateway.lag import LagMonitor
 from soak.gateway.processes import Gateway
 
@@ -147,6 +148,7 @@
     print(f"seed {seed}, {minutes} minutes, bug {bug}, {count} gateways")
     _report(callers, injector, journal, checker)
     print(lag_monitor)
+    print(describe_blocked_loops(gateways))
     if source_mtimes() != mtimes:
         print("void: source files changed during the soak, restarted gateways differ")
         return EXIT_INCONCLUSIVE
--- a/soak/gateway/lag.py
+++ b/soak/gateway/lag.py
@@ -1,11 +1,15 @@
-"""Measures event loop lag of the soak's own process.
+"""Measures event loop lag of the soak's own process, and finds that of the gateways.
 
 The process runs the fake store, the fake upstreams, the links and the callers; while
 its event loop is blocked, nothing that the gateways send is answered.
 """
 
 import asyncio
+import re
 import time
+import typing as t
+
+from soak.gateway.processes import Gateway
 
 TICK_INTERVAL_SECONDS = 0.05
 MIN_DELAY_SECONDS = 0.3
@@ -14,6 +18,10 @@
 Gateways stop waiting for a pool owner after 0.04 s and for a request after 2 s.
 """
 
+BLOCKED_PATTERN = re.compile(
+    r"event=loop_was_blocked seconds=([0-9.e-]+) own_cpu=([0-9.e-]+)"
+)
+
 
 class LagMonitor:
     """Monitors the event loop that it runs on.
@@ -37,3 +45,21 @@
     def __str__(self) -> str:
         longest = max((seconds for _, seconds in self.delays), default=0.0)
         return f"held up itself {len(self.delays)} times, {longest:.2f} s at most"
+
+
+def describe_blocked_loops(gateways: t.Iterable[Gateway]) -> str:
+    """Tell how often and how long event loops of gateways were blocked."""
+    blocked = [
+        (float(seconds), float(own_cpu))
+        for gateway in gateways
+        for seconds, own_cpu in BLOCKED_PATTERN.findall(
+            gateway.log.read_text(encoding="utf-8", errors="replace")
+        )
+    ]
+    if not blocked:
+        return "gateways were not held up"
+    longest, own_cpu = max(blocked)
+    return (
+        f"gateways were held up {len(blocked)} times, {longest:.2f} s at most, "
+        f"{own_cpu:.2f} s of it with their own work"
+    )
