--- a/src/bankrack/fleet/firstview.py
+++ b/src/bankrack/fleet/firstview.py
@@ -75,7 +75,7 @@
         Raises :exc:`ReadSuperseded` if one did.
         """
         self._pages += 1
-        if self._roster.is_seed():
+        if self._roster.is_seed() or not self._roster.seeds():
             return
         if self._wait_for_seeds_until is None:
             patience = random.uniform(*SEED_PATIENCE_SECONDS)
