--- a/tests/platform/test_slow_moments.py
+++ b/tests/platform/test_slow_moments.py
@@ -32,10 +32,7 @@
             self.assertTrue(response.complete)
 
     async def test_engine_in_a_slow_moment_is_passed_over(self):
-        """The engine was the fastest before, so it would get some of the next runs.
-
-        Which engine is ordered first is drawn among those of nearly the same cost.
-        """
+        """The engine was the fastest before, so that it would get the next runs."""
         async with running() as deployment:
             fastest, *others = deployment.engines
             fastest.load = USUAL
@@ -46,10 +43,7 @@
             self.assertGreater(before, 0)
             fastest.load, fastest.probes = SLOW, 0
             await asyncio.sleep(FRESH_SECONDS)
-            for _ in range(5):
-                await self.send_runs(deployment.gateways[0])
-                if fastest.probes:
-                    break
+            await self.send_runs(deployment.gateways[0])
             self.assertEqual(before, len(fastest.arrivals))
             self.assertGreater(fastest.probes, 0)
 
