hold_failed says what a reservation waited for

A request for a reservation that timed out was logged as TimeoutError only, so that three explanations looked alike: no connection, no answer of the engine, or an answer that this node was too late to read. The line now has the phase, the time to the connection and whether it was open before, the delay of the timer itself, and the calls in flight.

--- /dev/null
+++ b/src/bankrack/serving/callprogress.py
@@ -0,0 +1,85 @@
+"""How far a call to an upstream has come, as the HTTP client reports it.
+
+A call that times out tells little by itself: the connection may not have been
+established, the upstream may not have answered, or its answer waits to be read here.
+"""
+
+import enum
+import types
+import typing as t
+
+import aiohttp
+
+from bankrack.clock import boottime
+
+
+class CallPhase(enum.StrEnum):
+    """What a call waits for."""
+
+    CONNECTING = "connecting"
+    ANSWER = "answer"
+    BODY = "body"
+
+
+class CallProgress:
+    """Progress of one call.  Times are boot-time seconds.
+
+    :ivar started_at: start of the call.
+    :ivar connected_at: time when it had a connection; ``None`` before.
+    :ivar reused: the connection was open before the call.
+    :ivar answered_at: time when the head of the answer was read; ``None`` before.
+    """
+
+    __slots__ = ("answered_at", "connected_at", "reused", "started_at")
+
+    def __init__(self) -> None:
+        self.started_at = boottime()
+        self.connected_at: float | None = None
+        self.reused = False
+        self.answered_at: float | None = None
+
+    @property
+    def phase(self) -> CallPhase:
+        """What the call waits for."""
+        if self.connected_at is None:
+            return CallPhase.CONNECTING
+        return CallPhase.ANSWER if self.answered_at is None else CallPhase.BODY
+
+
+def trace_progress() -> aiohttp.TraceConfig:
+    """Create a trace that records the progress of calls.
+
+    A call is recorded if its request has a :class:`CallProgress` as the context of its
+    trace.
+    """
+    trace = aiohttp.TraceConfig()
+    trace.on_connection_create_end.append(_note_connected)
+    trace.on_connection_reuseconn.append(_note_reused)
+    trace.on_request_end.append(_note_answered)
+    return trace
+
+
+def _progress_of(context: types.SimpleNamespace) -> CallProgress | None:
+    return t.cast("CallProgress | None", context.trace_request_ctx)
+
+
+async def _note_connected(
+    session: aiohttp.ClientSession, context: types.SimpleNamespace, _: t.Any
+) -> None:
+    if (progress := _progress_of(context)) is not None:
+        progress.connected_at = boottime()
+
+
+async def _note_reused(
+    session: aiohttp.ClientSession, context: types.SimpleNamespace, _: t.Any
+) -> None:
+    if (progress := _progress_of(context)) is not None:
+        progress.connected_at = boottime()
+        progress.reused = True
+
+
+async def _note_answered(
+    session: aiohttp.ClientSession, context: types.SimpleNamespace, _: t.Any
+) -> None:
+    if (progress := _progress_of(context)) is not None:
+        progress.answered_at = boottime()
--- a/src/bankrack/serving/client.py
+++ b/src/bankrack/serving/client.py
@@ -21,6 +21,7 @@
 from bankrack.exceptions import UpstreamDisconnected
 from bankrack.exceptions import UpstreamFailed
 from bankrack.exceptions import UpstreamUnreachable
+from bankrack.serving.callprogress import trace_progress
 from bankrack.serving.job import Answer
 from bankrack.serving.job import Header
 from bankrack.serving.job import Job
@@ -151,6 +152,8 @@
     connector._factory = factory
     session = aiohttp.ClientSession(
         connector=connector,
+        # Calls for which nobody waits have no progress to record.
+        trace_configs=[trace_progress()] if reuse and upstream_paths else None,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=("Accept", "Accept-Encoding", "Content-Type", "User-Agent"),
--- a/src/bankrack/serving/enginecontrol.py
+++ b/src/bankrack/serving/enginecontrol.py
@@ -4,6 +4,7 @@
 
 from bankrack.clock import boottime
 from bankrack.exceptions import UpstreamClosed
+from bankrack.serving.callprogress import CallProgress
 from bankrack.serving.upstreams import EngineReport
 from bankrack.serving.upstreams import Upstream
 
@@ -15,13 +16,16 @@
         """Request an engine's status report; raises :exc:`UpstreamFailed`."""
         ...
 
-    async def reserve(self, engine: Upstream, tokens: int, ttl: float) -> str | None:
+    async def reserve(
+        self, engine: Upstream, tokens: int, ttl: float, progress: CallProgress
+    ) -> str | None:
         """Reserve a slot and memory; ``None`` if the engine has no capacity.
 
         Raises :exc:`UpstreamFailed`.
 
         :param tokens: memory to reserve.
         :param ttl: seconds until the reservation expires.
+        :param progress: updated as the call proceeds.
         """
         ...
 
@@ -64,10 +68,12 @@
         self._refuse_if_backing_off(engine)
         return await self._control.report(engine)
 
-    async def reserve(self, engine: Upstream, tokens: int, ttl: float) -> str | None:
+    async def reserve(
+        self, engine: Upstream, tokens: int, ttl: float, progress: CallProgress
+    ) -> str | None:
         """Reserve a slot and memory; ``None`` if the engine has no capacity."""
         self._refuse_if_backing_off(engine)
-        return await self._control.reserve(engine, tokens, ttl)
+        return await self._control.reserve(engine, tokens, ttl, progress)
 
     async def probe(self, engine: Upstream, path: str) -> None:
         """Ask an engine for its load at this moment."""
--- a/src/bankrack/serving/enginefinder.py
+++ b/src/bankrack/serving/enginefinder.py
@@ -17,6 +17,7 @@
 from bankrack.exceptions import UpstreamClosed
 from bankrack.serving.advisor import PlacementAdvisor
 from bankrack.serving.assignment import Assignment
+from bankrack.serving.callprogress import CallProgress
 from bankrack.serving.choice import Chooser
 from bankrack.serving.coldquotas import ColdQuotas
 from bankrack.serving.enginecontrol import EngineControl
@@ -98,6 +99,7 @@
         self._chooser = chooser
         self._upstreams = upstreams
         self._control = control
+        self._in_flight = 0
 
     async def find(
         self,
@@ -280,10 +282,12 @@
         :param unreachable: ids of engines that gave no answer; updated for this engine.
         """
         tokens = work.job.demand.prompt + RESERVED_GROWTH_TOKENS
+        progress = CallProgress()
+        self._in_flight += 1
         try:
-            async with asyncio.timeout(RESERVATION_TIMEOUT_SECONDS):
+            async with asyncio.timeout(RESERVATION_TIMEOUT_SECONDS) as limit:
                 reservation = await self._control.reserve(
-                    engine, tokens, traits.max_reservation_seconds
+                    engine, tokens, traits.max_reservation_seconds, progress
                 )
         except UpstreamClosed as error:
             log.write("hold_refused", engine, "closed", error.message)
@@ -291,9 +295,18 @@
         except (BankrackError, TimeoutError) as error:
             self._chooser.suspect(engine)
             self._advisor.failed(work, engine)
-            log.write("hold_failed", engine, "failed", repr(error))
+            due_at = progress.started_at + RESERVATION_TIMEOUT_SECONDS
+            log.write_no_reservation(
+                engine,
+                repr(error),
+                progress,
+                timer_late=boottime() - due_at if limit.expired() else 0.0,
+                in_flight=self._in_flight,
+            )
             unreachable.add(engine.id)
             return None
+        finally:
+            self._in_flight -= 1
         unreachable.discard(engine.id)
         if reservation is None:
             log.write("hold_refused", engine, "no room")
--- a/src/bankrack/serving/runlog.py
+++ b/src/bankrack/serving/runlog.py
@@ -8,6 +8,7 @@
 from bankrack.decisions.admission import Wait
 from bankrack.decisions.pauses import FRESH_SECONDS
 from bankrack.serving.assignment import Assignment
+from bankrack.serving.callprogress import CallProgress
 from bankrack.serving.events import EventOrder
 from bankrack.serving.forwarding import EventForwarder
 from bankrack.serving.upstreams import Upstream
@@ -61,6 +62,41 @@
             elapsed=now - self._work.job.arrived,
         )
 
+    def write_no_reservation(
+        self,
+        engine: Upstream,
+        reason: str,
+        progress: CallProgress,
+        *,
+        timer_late: float,
+        in_flight: int,
+    ) -> None:
+        """Log that an engine did not answer a request for a reservation.
+
+        :param timer_late: delay of the timer that ended the call; 0 without one.
+        :param in_flight: such requests of this node that were in flight.
+        """
+        now = boottime()
+        connected_at = progress.connected_at
+        logs.event(
+            _logger,
+            "hold_failed",
+            request=self._work.job.id,
+            upstream=engine.id,
+            address=engine.address,
+            outcome="failed",
+            reason=reason,
+            phase=progress.phase,
+            took=now - progress.started_at,
+            connected_after=(
+                None if connected_at is None else connected_at - progress.started_at
+            ),
+            reused=progress.reused,
+            timer_late=timer_late,
+            in_flight=in_flight,
+            elapsed=now - self._work.job.arrived,
+        )
+
     def write_verdict(self, name: str, verdict: Wait | Refuse) -> None:
         """Log why the run waits in the admission queue or is refused."""
         queueing = verdict.queueing
