A connection that the kernel has established is used, however late the loop learns of it

Callers saw streams refused with "no engine of engines accepts the run now; try again" though all engines were up: each connection attempt of a busy node timed out after 0.3 s.

Cause: the attempt's timer is the event loop's own. With turns of 0.2 s and more, an established connection is noticed two or three turns after the kernel has it, so the timer fires first, the connection is closed, the engine suspected and the next one tried. The connector had a second timer of the same length around all paths, which ended the search for another path just when the direct attempt failed.

The new test of LateLoops fails before with TimeoutError.

Why this works: at the timeout the kernel is asked (getpeername) whether the connection is there; only then does the attempt count as failed. The connector adds no timer: each path has its own (0.3 s), so a connection takes 0.35 s at most where both paths hang, and 0.65 s where the direct path worked within the last 0.5 s; a tunnel found meanwhile is now used by the request that searched for it.

--- a/src/bankrack/serving/paths.py
+++ b/src/bankrack/serving/paths.py
@@ -46,18 +46,33 @@
 
 
 async def connect_directly(address: str) -> socket.socket:
-    """Connect to ``ip:port``; raises :exc:`OSError`, also after the timeout."""
+    """Connect to ``ip:port``; raises :exc:`OSError`, also after the timeout.
+
+    A busy event loop may learn of an established connection only after the timeout, so
+    the kernel is asked before the attempt counts as failed.
+    """
     host, _, port = address.rpartition(":")
     sock = create_socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
     try:
-        async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+        async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS) as limit:
             await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
-    except BaseException:
-        sock.close()
-        raise
+    except BaseException as error:
+        timed_out = isinstance(error, TimeoutError) and limit.expired()
+        if not timed_out or not _is_connected(sock):
+            sock.close()
+            raise
     return sock
 
 
+def _is_connected(sock: socket.socket) -> bool:
+    """Whether the kernel has established the connection."""
+    try:
+        sock.getpeername()
+    except OSError:
+        return False
+    return True
+
+
 class Listener(enum.Enum):
     """State of an upstream's listening socket, determined by connection attempts.
 
@@ -360,9 +375,9 @@
     ) -> tuple[asyncio.Transport, ResponseHandler]:
         host, port = addr_infos[0][4][:2]
         try:
-            async with asyncio.timeout(timeout.sock_connect):
-                sock = await self._paths.connect(f"{host}:{port}")
-                return await self._loop.create_connection(*args, **kwargs, sock=sock)
+            # The attempts of all paths have timeouts of their own.
+            sock = await self._paths.connect(f"{host}:{port}")
+            return await self._loop.create_connection(*args, **kwargs, sock=sock)
         except TimeoutError:
             # aiohttp converts it; it is an OSError as well.
             raise
--- a/tests/serving/test_paths.py
+++ b/tests/serving/test_paths.py
@@ -95,3 +95,22 @@
                 await upstream_paths.connect("127.0.0.1:1")
         await asyncio.sleep(paths.CONNECT_TIMEOUT_SECONDS + 0.2)
         self.assertTrue(upstream_paths.is_cut_off("127.0.0.1:1"))
+
+
+class LateLoops(TestCase):
+    async def test_connection_that_the_loop_learns_of_too_late_is_used(self):
+        """As a busy event loop does, the attempt goes on after it has succeeded."""
+
+        async def connect(sock: socket.socket, address: tuple[str, int]) -> None:
+            sock.connect_ex(address)
+            await asyncio.sleep(60)
+
+        server = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
+        address = "{}:{}".format(*server.sockets[0].getsockname())
+        self.patch(paths, "CONNECT_TIMEOUT_SECONDS", 0.05)
+        self.patch(asyncio.get_running_loop(), "sock_connect", connect)
+        upstream_paths = new_paths()
+        sock = await upstream_paths.connect(address)
+        self.assertEqual({}, upstream_paths.describe())
+        sock.close()
+        server.close()
