A late answer to a reservation is no silence of the engine

Callers saw 503 "no engine of engines answers this node; try again" in under a second, with 15 s left, while all three engines were up with 200 places each and served others; all were told to return after the same 0.1 s.

Cause: a request for a reservation was cancelled 0.15 s after its start, whatever it waited for, and asked again at the next engine. Each cancelled request costs its connection, and a new one takes several turns of the event loop; so a first late answer makes more requests, more turns and later answers, until no request is answered although all engines answer. A time-out was also a verdict: it suspected the engine, told the pool's owner, and three of them refused the run.

Now a request goes on when it is overdue, its answer is used if it comes, and one that comes too late is released. The time-out follows the round trips (RFC 6298). An overdue answer is compared with what the other engines answered meanwhile; only an engine that is silent while others answer is suspected. While none answers, few runs ask again. A run is refused after 1 s without any response, then others at once, except for one in 0.25 s, with times to return between 0.1 and 0.4 s. 16 requests an engine at a time: the rest waits in order instead of opening connections.

Why it works: a run makes one request, however late the node is, so lateness no longer makes load.

--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -65,6 +65,7 @@
 from bankrack.serving.registry import Upstreams
 from bankrack.serving.relay import RelayDependencies
 from bankrack.serving.reports import ReportPoller
+from bankrack.serving.reservations import Reservations
 from bankrack.serving.routing import CallerLimits
 from bankrack.serving.streams import StreamRelay
 from bankrack.serving.upstreams import Upstream
@@ -191,6 +192,9 @@
             ),
         )
         self.reports = ReportPoller(self.chooser, control, select=self._engines_to_poll)
+        self.reservations = Reservations(
+            control, self.chooser, self.owners, self.metrics
+        )
         dependencies = RelayDependencies(
             client,
             self.chooser,
@@ -218,7 +222,12 @@
             budget=self.budget,
             metrics=self.metrics,
             plain=PlainRelay(dependencies),
-            streams=StreamRelay(dependencies, control=control, advisor=self.owners),
+            streams=StreamRelay(
+                dependencies,
+                control=control,
+                advisor=self.owners,
+                reservations=self.reservations,
+            ),
             crashes=dependencies.crashes,
         )
         self._loop_monitor = LoopMonitor(
@@ -390,6 +399,7 @@
         for runner in self._runners:
             await runner.cleanup()
         await self.tunnels.stop()
+        await self.reservations.close()
         await self.paths.close()
         await self._upstream_session.close()
         await self._control_session.close()
--- a/src/bankrack/lab/poolsimulation.py
+++ b/src/bankrack/lab/poolsimulation.py
@@ -17,6 +17,7 @@
 from bankrack.decisions.admission import Admit
 from bankrack.decisions.admission import Refuse
 from bankrack.decisions.admission import Wait
+from bankrack.decisions.reservations import MIN_RETRY_SECONDS
 from bankrack.decisions.retryafter import retry_after_seconds
 from bankrack.lab.poolengine import EngineRun
 from bankrack.lab.poolengine import SimulatedEngine
@@ -29,9 +30,8 @@
 from bankrack.serving.enginefinder import MAX_ENGINES_ASKED
 from bankrack.serving.enginefinder import RESERVATION_INTERVAL_SECONDS
 from bankrack.serving.enginefinder import RESERVATION_WAIT_FRACTION
-from bankrack.serving.enginefinder import RESERVED_GROWTH_TOKENS
-from bankrack.serving.enginefinder import UNREACHABLE_RETRY_SECONDS
 from bankrack.serving.job import Demand
+from bankrack.serving.reservations import RESERVED_GROWTH_TOKENS
 from bankrack.serving.upstreams import EngineReport
 from bankrack.serving.upstreams import Upstream
 from bankrack.serving.upstreams import UpstreamRecord
@@ -340,7 +340,7 @@
         if reachable:
             self._send(caller, reachable[0], None)
         else:
-            self._refuse(caller, UNREACHABLE_RETRY_SECONDS)
+            self._refuse(caller, MIN_RETRY_SECONDS)
 
     def _send(self, caller: _Caller, name: str, reservation: str | None) -> None:
         engine = self._engine_by_id[name]
--- a/src/bankrack/metrics.py
+++ b/src/bankrack/metrics.py
@@ -73,6 +73,14 @@
         self.requests = self._counter("bankrack_requests", "Requests by outcome")
         self.sends = self._counter("bankrack_sends", "Sends to upstreams by outcome")
         self.resumes = self._counter("bankrack_resumes", "Streams resumed, by outcome")
+        self.reservations = self._counter(
+            "bankrack_reservations", "Requests for reservations on engines, by outcome"
+        )
+        self.reservation_seconds = self._histogram(
+            "bankrack_reservation_seconds",
+            "Time from a request for a reservation to its answer",
+            LATENCY_BUCKETS,
+        )
         self.connections = self._counter(
             "bankrack_upstream_connections",
             "Attempts to connect to upstreams, by path and outcome",
--- a/src/bankrack/serving/callprogress.py
+++ b/src/bankrack/serving/callprogress.py
@@ -16,6 +16,7 @@
 class CallPhase(enum.StrEnum):
     """What a call waits for."""
 
+    QUEUED = "queued"
     CONNECTING = "connecting"
     ANSWER = "answer"
     BODY = "body"
@@ -38,6 +39,13 @@
         self.reused = False
         self.answered_at: float | None = None
 
+    @property
+    def connecting_seconds(self) -> float | None:
+        """Seconds until the call had a connection; ``None`` before."""
+        if self.connected_at is None:
+            return None
+        return self.connected_at - self.started_at
+
     @property
     def phase(self) -> CallPhase:
         """What the call waits for."""
--- a/src/bankrack/serving/enginecontrol.py
+++ b/src/bankrack/serving/enginecontrol.py
@@ -29,6 +29,13 @@
         """
         ...
 
+    async def release(self, engine: Upstream, reservation: str) -> None:
+        """Release a reservation that is not used; raises :exc:`UpstreamFailed`.
+
+        A reservation that is not released expires by itself.
+        """
+        ...
+
     async def probe(self, engine: Upstream, path: str) -> None:
         """Ask an engine for its load at this moment; raises :exc:`UpstreamFailed`.
 
@@ -75,6 +82,11 @@
         self._refuse_if_backing_off(engine)
         return await self._control.reserve(engine, tokens, ttl, progress)
 
+    async def release(self, engine: Upstream, reservation: str) -> None:
+        """Release a reservation that is not used."""
+        self._refuse_if_backing_off(engine)
+        await self._control.release(engine, reservation)
+
     async def probe(self, engine: Upstream, path: str) -> None:
         """Ask an engine for its load at this moment."""
         self._refuse_if_backing_off(engine)
--- a/src/bankrack/serving/enginefinder.py
+++ b/src/bankrack/serving/enginefinder.py
@@ -14,16 +14,17 @@
 from bankrack.decisions.retryafter import retry_after_seconds
 from bankrack.exceptions import BankrackError
 from bankrack.exceptions import Overloaded
-from bankrack.exceptions import UpstreamClosed
 from bankrack.serving.advisor import PlacementAdvisor
 from bankrack.serving.assignment import Assignment
-from bankrack.serving.callprogress import CallProgress
 from bankrack.serving.choice import Chooser
 from bankrack.serving.coldquotas import ColdQuotas
 from bankrack.serving.enginecontrol import EngineControl
 from bankrack.serving.pools import pool_of
 from bankrack.serving.pools import select_pool
 from bankrack.serving.registry import Upstreams
+from bankrack.serving.reservations import Reservation
+from bankrack.serving.reservations import Reservations
+from bankrack.serving.reservations import ReservationSearch
 from bankrack.serving.routing import EngineTraits
 from bankrack.serving.runlog import RunLog
 from bankrack.serving.upstreams import Upstream
@@ -40,17 +41,9 @@
 """Longest wait for that answer, which engines give at once."""
 MAX_ENGINES_ASKED = 6
 """Limit on engines that are asked for a reservation in one round."""
-RESERVATION_TIMEOUT_SECONDS = 0.15
-"""Longest wait for an engine's answer to a request for a reservation."""
-UNREACHABLE_RETRY_SECONDS = 0.1
-"""Retry delay for callers of a node that reaches no engine; another node may reach
-them."""
 OWNER = "owner"
 REPORTS = "reports"
 """Source of the order of engines: the pool owner, or this node's view of reports."""
-RESERVED_GROWTH_TOKENS = 150
-"""Tokens reserved in addition to the prompt.  Reserving the whole expected output
-would admit fewer runs."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -93,13 +86,14 @@
         control: EngineControl,
         advisor: PlacementAdvisor,
         cold: ColdQuotas,
+        reservations: Reservations,
     ) -> None:
         self._advisor = advisor
         self._cold = cold
         self._chooser = chooser
         self._upstreams = upstreams
         self._control = control
-        self._in_flight = 0
+        self._reservations = reservations
 
     async def find(
         self,
@@ -117,13 +111,24 @@
 
         :param tried: ids of engines that the run must not use again.
         """
+        self._reservations.refuse_if_silent(work)
+        with ReservationSearch(self._reservations, work, traits, log) as search:
+            return await self._search(work, traits, log, search, tried)
+
+    async def _search(
+        self,
+        work: Assignment,
+        traits: EngineTraits,
+        log: RunLog,
+        search: ReservationSearch,
+        tried: t.Collection[str],
+    ) -> ChosenEngine:
         max_wait = RESERVATION_WAIT_FRACTION * work.route.target_latency
         deadline = boottime() + min(max_wait, work.time_left() / 2)
-        unreachable: set[str] = set()
         while True:
             ordered = await self._wait_for_admission(work, traits, log, tried)
             engines = await self._avoid_slow_moments(
-                ordered.engines, work, traits, unreachable=unreachable
+                ordered.engines, work, traits, unreachable=search.unreachable
             )
             if not traits.max_reservation_seconds:
                 return self._choose(work, engines[0], None, ordered)
@@ -134,17 +139,25 @@
                 if engine.limit.bounded:
                     # A request for a reservation would count towards its rate limit.
                     return self._choose(work, engine, None, ordered)
-                reservation = await self._reserve(
-                    engine, work, traits, log, unreachable=unreachable
-                )
-                if reservation is None:
-                    continue
-                log.write("place_kept", engine, "ok", f"ordered by {ordered.by}")
-                return self._choose(work, engine, reservation, ordered)
-            if boottime() >= deadline:
-                engine = self._fallback_engine(work, engines, unreachable)
+                if reservation := await search.ask(engine):
+                    return self._reserved(work, reservation, ordered, log)
+            if boottime() >= deadline and not search.should_go_on:
+                engine = self._fallback_engine(work, engines, search)
                 return self._choose(work, engine, None, ordered)
-            await asyncio.sleep(RESERVATION_INTERVAL_SECONDS * (0.5 + random.random()))
+            pause = RESERVATION_INTERVAL_SECONDS * (0.5 + random.random())
+            if reservation := await search.pause(pause):
+                return self._reserved(work, reservation, ordered, log)
+
+    def _reserved(
+        self,
+        work: Assignment,
+        reservation: Reservation,
+        ordered: "_Ordered",
+        log: RunLog,
+    ) -> ChosenEngine:
+        engine = reservation.engine
+        log.write("place_kept", engine, "ok", f"ordered by {ordered.by}")
+        return self._choose(work, engine, reservation.id, ordered)
 
     async def _avoid_slow_moments(
         self,
@@ -268,55 +281,11 @@
             untried, work.job.demand, memory=traits.memory
         )
 
-    async def _reserve(
-        self,
-        engine: Upstream,
-        work: Assignment,
-        traits: EngineTraits,
-        log: RunLog,
-        *,
-        unreachable: set[str],
-    ) -> str | None:
-        """Ask an engine for a reservation; ``None`` if it does not make one.
-
-        :param unreachable: ids of engines that gave no answer; updated for this engine.
-        """
-        tokens = work.job.demand.prompt + RESERVED_GROWTH_TOKENS
-        progress = CallProgress()
-        self._in_flight += 1
-        try:
-            async with asyncio.timeout(RESERVATION_TIMEOUT_SECONDS) as limit:
-                reservation = await self._control.reserve(
-                    engine, tokens, traits.max_reservation_seconds, progress
-                )
-        except UpstreamClosed as error:
-            log.write("hold_refused", engine, "closed", error.message)
-            return None
-        except (BankrackError, TimeoutError) as error:
-            self._chooser.suspect(engine)
-            self._advisor.failed(work, engine)
-            due_at = progress.started_at + RESERVATION_TIMEOUT_SECONDS
-            log.write_no_reservation(
-                engine,
-                repr(error),
-                progress,
-                timer_late=boottime() - due_at if limit.expired() else 0.0,
-                in_flight=self._in_flight,
-            )
-            unreachable.add(engine.id)
-            return None
-        finally:
-            self._in_flight -= 1
-        unreachable.discard(engine.id)
-        if reservation is None:
-            log.write("hold_refused", engine, "no room")
-        return reservation
-
     def _fallback_engine(
         self,
         work: Assignment,
         engines: t.Sequence[Upstream],
-        unreachable: t.Collection[str],
+        search: ReservationSearch,
     ) -> Upstream:
         """The engine to whose queue a run without a reservation is sent.
 
@@ -324,7 +293,7 @@
         while another node may reach them.  The same applies if all that answered asked
         this node to back off.
         """
-        answering = [engine for engine in engines if engine.id not in unreachable]
+        answering = [engine for engine in engines if search.may_take_run(engine)]
         for engine in answering:
             if engine.is_available(boottime()):
                 return engine
@@ -335,7 +304,5 @@
                 "try again later",
                 retry_after=work.retry_after(backoff_left),
             )
-        raise Overloaded(
-            f"no engine of {work.service.name} answers this node; try again",
-            retry_after=UNREACHABLE_RETRY_SECONDS,
-        )
+        search.note_silence(self._upstreams.of(work.service.name))
+        raise self._reservations.unreachable(work)
--- a/src/bankrack/serving/notices.py
+++ b/src/bankrack/serving/notices.py
@@ -143,7 +143,7 @@
         if status == MISDIRECTED_STATUS:
             # Another process listens at this address and states its own status.
             return
-        now = self._clock()
+        now = upstream.responded_at = self._clock()
         if notice.load is not None:
             upstream.note_load(notice.load, now)
         if notice.cold_seconds is not None:
--- a/src/bankrack/serving/runlog.py
+++ b/src/bankrack/serving/runlog.py
@@ -8,6 +8,7 @@
 from bankrack.decisions.admission import Wait
 from bankrack.decisions.pauses import FRESH_SECONDS
 from bankrack.serving.assignment import Assignment
+from bankrack.serving.callprogress import CallPhase
 from bankrack.serving.callprogress import CallProgress
 from bankrack.serving.events import EventOrder
 from bankrack.serving.forwarding import EventForwarder
@@ -66,18 +67,18 @@
         self,
         engine: Upstream,
         reason: str,
-        progress: CallProgress,
+        progress: CallProgress | None,
         *,
         timer_late: float,
         in_flight: int,
     ) -> None:
-        """Log that an engine did not answer a request for a reservation.
+        """Log that an engine did not answer a request for a reservation in time.
 
-        :param timer_late: delay of the timer that ended the call; 0 without one.
+        :param progress: progress of the call; ``None`` if it was not sent yet.
+        :param timer_late: delay of the timer that ended the wait; 0 without one.
         :param in_flight: such requests of this node that were in flight.
         """
         now = boottime()
-        connected_at = progress.connected_at
         logs.event(
             _logger,
             "hold_failed",
@@ -86,12 +87,10 @@
             address=engine.address,
             outcome="failed",
             reason=reason,
-            phase=progress.phase,
-            took=now - progress.started_at,
-            connected_after=(
-                None if connected_at is None else connected_at - progress.started_at
-            ),
-            reused=progress.reused,
+            phase=progress.phase if progress else CallPhase.QUEUED,
+            took=now - progress.started_at if progress else None,
+            connected_after=progress.connecting_seconds if progress else None,
+            reused=progress.reused if progress else None,
             timer_late=timer_late,
             in_flight=in_flight,
             elapsed=now - self._work.job.arrived,
--- a/src/bankrack/serving/streams.py
+++ b/src/bankrack/serving/streams.py
@@ -14,6 +14,7 @@
 from bankrack.serving.job import Reply
 from bankrack.serving.relay import RelayDependencies
 from bankrack.serving.relay import RunContext
+from bankrack.serving.reservations import Reservations
 from bankrack.serving.run import Run
 
 
@@ -26,6 +27,7 @@
         *,
         control: EngineControl,
         advisor: PlacementAdvisor,
+        reservations: Reservations,
     ) -> None:
         self._chooser = dependencies.chooser
         engine_finder = EngineFinder(
@@ -34,6 +36,7 @@
             control=control,
             advisor=advisor,
             cold=dependencies.cold,
+            reservations=reservations,
         )
         self._context = RunContext(dependencies, control, advisor, engine_finder)
 
--- a/src/bankrack/serving/upstreams.py
+++ b/src/bankrack/serving/upstreams.py
@@ -86,6 +86,7 @@
     :ivar removed_at: time when its entry was removed from the store; 0 if it was not.
     :ivar slowdown: how long work took at ``slowdown_at``, as a multiple of the usual
         time.
+    :ivar responded_at: time of its newest response to this node.
     :ivar early_retest_at: the same as ``retest_at`` while the other upstreams are full.
     :ivar retest_at: time from which this node sends an excluded upstream requests that
         can be repeated; infinite if it leaves that to other nodes.
@@ -116,6 +117,7 @@
         "removed_at",
         "report",
         "report_received_at",
+        "responded_at",
         "retest_at",
         "sent",
         "slowdown",
@@ -134,6 +136,7 @@
         self.sent: list[tuple[float, int]] = []
         self.report: EngineReport | None = None
         self.report_received_at = 0.0
+        self.responded_at = -math.inf
         self.rate_limited_until = 0.0
         self.limit = UNLIMITED
         self.queue_length = 0
