Reservations: the search of one run is a module of its own

serving/reservations.py had two jobs in 440 lines: what all runs share (requests in flight, round trips, known silence, releases) and the search of one run.

--- a/src/bankrack/decisions/reservations.py
+++ b/src/bankrack/decisions/reservations.py
@@ -158,7 +158,7 @@
 
         :param answered_at: time of the newest answer of an engine of the service.
         """
-        if answered_at > self.noted_at:
+        if answered_at >= self.noted_at:
             return False
         if now < self.retest_at:
             return True
--- a/src/bankrack/serving/enginefinder.py
+++ b/src/bankrack/serving/enginefinder.py
@@ -22,9 +22,9 @@
 from bankrack.serving.pools import pool_of
 from bankrack.serving.pools import select_pool
 from bankrack.serving.registry import Upstreams
-from bankrack.serving.reservations import Reservation
 from bankrack.serving.reservations import Reservations
-from bankrack.serving.reservations import ReservationSearch
+from bankrack.serving.reservationsearch import Reservation
+from bankrack.serving.reservationsearch import ReservationSearch
 from bankrack.serving.routing import EngineTraits
 from bankrack.serving.runlog import RunLog
 from bankrack.serving.upstreams import Upstream
