Reservations: patience begins with the first request, silence needs a silent second

A run that had waited for admission began to look for an engine with its patience used up, so that an engine that hung was not followed by the next one. And a run whose only engine left refused a connection recorded that no engine answers, for all runs of the node; now that takes a second without a response of any engine. Found by reading.

--- a/src/bankrack/serving/reservationsearch.py
+++ b/src/bankrack/serving/reservationsearch.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import dataclasses
+import math
 import types
 import typing as t
 
@@ -59,10 +60,10 @@
         self._overdue: set[str] = set()
         self._answered = False
         self._silent_seconds = 0.0
-        self._began_at = boottime()
-        patience = min(work.time_left(), work.silence_left()) / 2
-        self._max_silent_seconds = min(MAX_SILENT_SECONDS, patience)
-        self._patient_until = self._began_at + patience
+        # A run may wait long for admission before it asks the first engine.
+        self._began_at = math.inf
+        self._patient_until = math.inf
+        self._max_silent_seconds = MAX_SILENT_SECONDS
 
     def __enter__(self) -> "ReservationSearch":
         return self
@@ -108,15 +109,22 @@
         return self._is_silent or boottime() >= self._patient_until
 
     def note_silence(self, engines: t.Iterable[Upstream]) -> None:
-        """Record that the run is refused, unless one of the engines responded."""
-        if all(engine.responded_at < self._began_at for engine in engines):
-            self._answers.silence.note(boottime())
+        """Record that the run is refused, unless one of the engines responded lately.
+
+        :param engines: all engines of the service.
+        """
+        now = boottime()
+        since = min(self._began_at, now - MAX_SILENT_SECONDS)
+        if self.unreachable and all(e.responded_at < since for e in engines):
+            self._answers.silence.note(now)
 
     async def ask(self, engine: Upstream) -> Reservation | None:
         """Ask an engine; ``None`` if it makes no reservation, or does not in time.
 
         A reservation of an engine that was asked before is returned as well.
         """
+        if math.isinf(self._began_at):
+            self._begin()
         if self._is_over and self._request_by_engine:
             return None
         request = self._continued(engine) or self._start(engine)
@@ -143,6 +151,13 @@
                 return reservation
         return None
 
+    def _begin(self) -> None:
+        """Limit the waiting of the run, from its first request on."""
+        patience = min(self._work.time_left(), self._work.silence_left()) / 2
+        self._began_at = boottime()
+        self._patient_until = self._began_at + patience
+        self._max_silent_seconds = min(MAX_SILENT_SECONDS, patience)
+
     def _continued(self, engine: Upstream) -> ReservationRequest | None:
         """Return the run's request to an engine that answers others meanwhile."""
         request = self._request_by_engine.get(engine.id)
