--- a/src/bankrack/serving/runlog.py
+++ b/src/bankrack/serving/runlog.py
@@ -1,6 +1,7 @@
 """Logged events of a run."""
 
 import logging
+import typing as t
 
 from bankrack import logs
 from bankrack.clock import boottime
@@ -37,11 +38,13 @@
         reason: str = "",
         *,
         backup: str | None = None,
+        **details: t.Any,
     ) -> None:
         """Log one event.
 
         :param name: name of the event, in snake case.
         :param backup: id of the engine that keeps the run's backup.
+        :param details: further keys of this event.
         """
         now = boottime()
         report = engine.report
@@ -60,6 +63,7 @@
             report_age=now - report.taken if report else None,
             used=report.used if report else None,
             slowdown=engine.slowdown if is_fresh else None,
+            **details,
             elapsed=now - self._work.job.arrived,
         )
 
@@ -78,22 +82,17 @@
         :param timer_late: delay of the timer that ended the wait; 0 without one.
         :param in_flight: such requests of this node that were in flight.
         """
-        now = boottime()
-        logs.event(
-            _logger,
+        self.write(
             "hold_failed",
-            request=self._work.job.id,
-            upstream=engine.id,
-            address=engine.address,
-            outcome="failed",
-            reason=reason,
+            engine,
+            "failed",
+            reason,
             phase=progress.phase if progress else CallPhase.QUEUED,
-            took=now - progress.started_at if progress else None,
+            took=boottime() - progress.started_at if progress else None,
             connected_after=progress.connecting_seconds if progress else None,
             reused=progress.reused if progress else None,
             timer_late=timer_late,
             in_flight=in_flight,
-            elapsed=now - self._work.job.arrived,
         )
 
     def write_verdict(self, name: str, verdict: Wait | Refuse) -> None:
