--- a/src/bankrack/decisions/reservations.py
+++ b/src/bankrack/decisions/reservations.py
@@ -24,7 +24,7 @@
 """Weights of the newest round trip in the moving mean and deviation, and deviations
 above the mean at which a request times out, as in RFC 6298."""
 RECENT_SECONDS = 10.0
-"""Age up to which an engine's round trips tell how long an answer takes now."""
+"""Age up to which an engine's round trips count."""
 MAX_SILENT_SECONDS = 1.0
 """Longest wait of a run while no engine answers."""
 MAX_REPEATS = 3
@@ -32,7 +32,7 @@
 MAX_REPEATED_FRACTION = 0.1
 """The same limit as a fraction of all requests in flight."""
 MAX_TIMER_DELAY_SECONDS = MIN_TIMEOUT_SECONDS / 2
-"""A timer that is later than this tells of this node only."""
+"""Delay of a timer beyond which this node itself may have caused the time-out."""
 RETEST_INTERVAL_SECONDS = 0.25
 """Pause between two runs that find out whether engines answer again."""
 MIN_RETRY_SECONDS = 0.1
@@ -89,10 +89,10 @@
 
 
 class Verdict(enum.StrEnum):
-    """What an overdue answer tells."""
+    """Conclusion from an overdue answer."""
 
     LATE_TIMER = "late timer"  # This node itself was late, so nothing is known.
-    IN_LINE = "in line"  # The engine answers the requests that were sent before.
+    QUEUED = "queued"  # The engine answers the requests that were sent before.
     SILENT = "silent"  # Only other engines answer.
     UNKNOWN = "unknown"  # The delay may be this node's.
 
@@ -112,7 +112,7 @@
 def judge(
     request: Overdue, engine: RoundTrips, others: t.Iterable[RoundTrips]
 ) -> Verdict:
-    """Return what an overdue answer of ``engine`` tells.
+    """Return what can be concluded from an overdue answer of ``engine``.
 
     :param others: round trips of the other engines.
     """
@@ -122,7 +122,7 @@
         # A later request was answered, so this one may be lost with its connection.
         return Verdict.UNKNOWN
     if engine.answered_at > request.queued_at:
-        return Verdict.IN_LINE
+        return Verdict.QUEUED
     if any(other.newest_queued_at > request.queued_at for other in others):
         return Verdict.SILENT
     return Verdict.UNKNOWN
--- a/src/bankrack/serving/callprogress.py
+++ b/src/bankrack/serving/callprogress.py
@@ -1,6 +1,6 @@
 """How far a call to an upstream has come, as the HTTP client reports it.
 
-A call that times out tells little by itself: the connection may not have been
+A time-out alone does not show its cause: the connection may not have been
 established, the upstream may not have answered, or its answer waits to be read here.
 """
 
--- a/src/bankrack/serving/reservations.py
+++ b/src/bankrack/serving/reservations.py
@@ -1,8 +1,8 @@
 """Sends this node's requests for reservations, and learns how long answers take.
 
-A request goes on when its run does not wait for it any more.  Its answer still tells
-how long answers take.  A reservation that nobody uses is released, as it would occupy
-the engine until it expires.
+A request goes on when its run does not wait for it any more, and its round trip still
+counts.  A reservation that nobody uses is released, as it would occupy the engine until
+it expires.
 """
 
 import asyncio
@@ -79,8 +79,8 @@
         return self.answered_at - sent_at
 
 
-class _Line:
-    """Requests to one engine: those in flight, and those that wait for them.
+class _EngineQueue:
+    """Requests to one engine: those in flight, and those that wait to be sent.
 
     :ivar users: number of both.
     """
@@ -125,7 +125,7 @@
         self.in_flight = 0
         self.repeats = 0
         self._answers_by_service: dict[str, ServiceAnswers] = {}
-        self._line_by_engine: dict[str, _Line] = {}
+        self._queue_by_engine: dict[str, _EngineQueue] = {}
         self._abandoned: set[asyncio.Task[t.Any]] = set()
 
     def answers_of(self, service: str) -> ServiceAnswers:
@@ -154,7 +154,7 @@
         """
         engine = request.engine
         tokens = work.job.demand.prompt + RESERVED_GROWTH_TOKENS
-        async with self._line(engine):
+        async with self._slot(engine):
             progress = request.progress = CallProgress()
             async with asyncio.timeout(CALL_TIMEOUT_SECONDS):
                 reservation = await self.control.reserve(
@@ -166,17 +166,17 @@
         return reservation
 
     @contextlib.asynccontextmanager
-    async def _line(self, engine: Upstream) -> t.AsyncIterator[None]:
+    async def _slot(self, engine: Upstream) -> t.AsyncIterator[None]:
         """Wait until the engine has few enough requests of this node."""
-        line = self._line_by_engine.setdefault(engine.id, _Line())
-        line.users += 1
+        queue = self._queue_by_engine.setdefault(engine.id, _EngineQueue())
+        queue.users += 1
         try:
-            async with line.slots:
+            async with queue.slots:
                 yield
         finally:
-            line.users -= 1
-            if not line.users:
-                del self._line_by_engine[engine.id]
+            queue.users -= 1
+            if not queue.users:
+                del self._queue_by_engine[engine.id]
 
     def abandon(self, request: ReservationRequest, log: RunLog) -> None:
         """Let a request go on without its run, and release what it reserves."""
@@ -185,11 +185,13 @@
             # It was not sent.
             request.task.cancel()
             return
-        settling = asyncio.create_task(self._settle(request, log))
+        settling = asyncio.create_task(self._release_when_made(request, log))
         self._abandoned.add(settling)
         settling.add_done_callback(self._abandoned.discard)
 
-    async def _settle(self, request: ReservationRequest, log: RunLog) -> None:
+    async def _release_when_made(
+        self, request: ReservationRequest, log: RunLog
+    ) -> None:
         assert request.task is not None
         engine = request.engine
         try:
--- a/src/bankrack/serving/reservationsearch.py
+++ b/src/bankrack/serving/reservationsearch.py
@@ -62,7 +62,7 @@
         self._silent_seconds = 0.0
         # A run may wait long for admission before it asks the first engine.
         self._began_at = math.inf
-        self._patient_until = math.inf
+        self._wait_until = math.inf
         self._max_silent_seconds = MAX_SILENT_SECONDS
 
     def __enter__(self) -> "ReservationSearch":
@@ -106,7 +106,7 @@
 
     @property
     def _is_over(self) -> bool:
-        return self._is_silent or boottime() >= self._patient_until
+        return self._is_silent or boottime() >= self._wait_until
 
     def note_silence(self, engines: t.Iterable[Upstream]) -> None:
         """Record that the run is refused, unless one of the engines responded lately.
@@ -124,7 +124,7 @@
         A reservation of an engine that was asked before is returned as well.
         """
         if math.isinf(self._began_at):
-            self._begin()
+            self._start_waiting()
         if self._is_over and self._request_by_engine:
             return None
         request = self._continued(engine) or self._start(engine)
@@ -151,17 +151,17 @@
                 return reservation
         return None
 
-    def _begin(self) -> None:
+    def _start_waiting(self) -> None:
         """Limit the waiting of the run, from its first request on."""
-        patience = min(self._work.time_left(), self._work.silence_left()) / 2
+        max_wait = min(self._work.time_left(), self._work.silence_left()) / 2
         self._began_at = boottime()
-        self._patient_until = self._began_at + patience
-        self._max_silent_seconds = min(MAX_SILENT_SECONDS, patience)
+        self._wait_until = self._began_at + max_wait
+        self._max_silent_seconds = min(MAX_SILENT_SECONDS, max_wait)
 
     def _continued(self, engine: Upstream) -> ReservationRequest | None:
         """Return the run's request to an engine that answers others meanwhile."""
         request = self._request_by_engine.get(engine.id)
-        if request is None or self._judge(request) is not Verdict.IN_LINE:
+        if request is None or self._judge(request) is not Verdict.QUEUED:
             return None
         return request
 
@@ -194,11 +194,11 @@
         )
         for request in list(self._request_by_engine.values()):
             assert request.task is not None
-            if request.task.done() and (reservation := self._take(request)):
+            if request.task.done() and (reservation := self._process(request)):
                 return reservation
         return None
 
-    def _take(self, request: ReservationRequest) -> Reservation | None:
+    def _process(self, request: ReservationRequest) -> Reservation | None:
         """Process an answer or a failure."""
         assert request.task is not None
         engine = request.engine
@@ -243,7 +243,7 @@
         """
         verdict = self._judge(request, late)
         match verdict:
-            case Verdict.LATE_TIMER | Verdict.IN_LINE:
+            case Verdict.LATE_TIMER | Verdict.QUEUED:
                 return self._is_over
             case Verdict.UNKNOWN:
                 self._silent_seconds += waited
--- a/tests/decisions/test_reservations.py
+++ b/tests/decisions/test_reservations.py
@@ -47,7 +47,7 @@
 
     def test_engine_that_answers_earlier_requests_is_not_silent(self):
         busy, other = answered((0.5, 1.1)), answered((1.05, 1.1))
-        self.assertIs(Verdict.IN_LINE, self.verdict(busy, other))
+        self.assertIs(Verdict.QUEUED, self.verdict(busy, other))
 
     def test_engine_is_silent_if_only_others_answer(self):
         silent, other = answered((0.5, 0.6)), answered((1.05, 1.1))
@@ -69,7 +69,7 @@
         """The others were queued before it, and sent later."""
         found = RoundTrips()
         found.observe(0.9, 1.05, 1.1)
-        self.assertIs(Verdict.IN_LINE, self.verdict(found))
+        self.assertIs(Verdict.QUEUED, self.verdict(found))
 
 
 class Repeats(TestCase):
