Logs name the shared parts of prompts, and the events of runs aboard a crash

Cause: nothing in the logs tells which parts the runs aboard a crashed engine had, nor which of them an engine had begun to answer, so the three hypotheses of the incident cannot be told apart. request_ended and upstream_checked now have parts (ids of all but the last part, bounded), upstream_checked also events. No decision uses them.

--- a/src/bankrack/serving/crashes.py
+++ b/src/bankrack/serving/crashes.py
@@ -18,6 +18,7 @@
 from bankrack.exceptions import UpstreamDisconnected
 from bankrack.serving.assignment import Assignment
 from bankrack.serving.crashregister import CrashRegister
+from bankrack.serving.job import shared_part_names
 from bankrack.serving.paths import Listener
 from bankrack.serving.paths import UpstreamPaths
 from bankrack.serving.upstreams import Upstream
@@ -75,6 +76,7 @@
         error: Exception,
         *,
         ran: float | None,
+        events: int = 0,
     ) -> None:
         """Check whether an upstream crashed after a request failed there.
 
@@ -83,12 +85,13 @@
         the results are known before a retry.
 
         :param ran: seconds since the run began; ``None`` if it had not begun.
+        :param events: number of events that the run had sent so far, on any upstream.
         """
         if not isinstance(error, UpstreamDisconnected):
             return
         checks = self._checks_by_fingerprint.setdefault(work.fingerprint, set())
         must_wait = bool(checks) or self.register.is_suspect(work.fingerprint)
-        check = asyncio.create_task(self._check(work, upstream, ran))
+        check = asyncio.create_task(self._check(work, upstream, ran, events))
         checks.add(check)
         check.add_done_callback(lambda _: self._forget(work.fingerprint, check))
         if must_wait:
@@ -101,7 +104,7 @@
             del self._checks_by_fingerprint[fingerprint]
 
     async def _check(
-        self, work: Assignment, upstream: Upstream, ran: float | None
+        self, work: Assignment, upstream: Upstream, ran: float | None, events: int
     ) -> None:
         began = boottime()
         listener = await self._paths.check(upstream.address)
@@ -114,6 +117,8 @@
             leaving=upstream.leaving,
             listener=listener.value,
             ran=ran,
+            events=events,
+            parts=shared_part_names(work.job.demand) or None,
             took=boottime() - began,
         )
         # The end of an upstream that announced its shutdown is not a crash.
--- a/src/bankrack/serving/dispatch.py
+++ b/src/bankrack/serving/dispatch.py
@@ -22,6 +22,7 @@
 from bankrack.serving.job import Job
 from bankrack.serving.job import Reply
 from bankrack.serving.job import RequestKind
+from bankrack.serving.job import shared_part_names
 from bankrack.serving.plain import PlainRelay
 from bankrack.serving.registry import Upstreams
 from bankrack.serving.routing import Route
@@ -227,6 +228,7 @@
             service=work.service.name if work else None,
             workspace=work.workspace if work else None,
             fingerprint=work.fingerprint if work else None,
+            parts=shared_part_names(job.demand) or None,
             outcome=outcome,
             elapsed=boottime() - job.arrived,
             version=table.version if table else None,
--- a/src/bankrack/serving/enginelink.py
+++ b/src/bankrack/serving/enginelink.py
@@ -185,5 +185,5 @@
         began = self._began_at
         ran = None if began is None else boottime() - began
         await self._dependencies.crashes.note_failure(
-            self._work, engine, error, ran=ran
+            self._work, engine, error, ran=ran, events=self._forwarder.count
         )
--- a/src/bankrack/serving/job.py
+++ b/src/bankrack/serving/job.py
@@ -18,6 +18,10 @@
 """Fraction of a caller's timeout that is suggested as ``Retry-After`` if the recovery
 time is unknown.  Callers retry once or twice and wait a third of their timeout at
 most."""
+MAX_LOGGED_PARTS = 8
+"""Bounds the parts of a prompt in one log line."""
+MAX_LOGGED_ID_LENGTH = 32
+"""Bounds the characters of a part's id, which callers choose, in a log line."""
 MIN_RETRY_AFTER_SECONDS = 0.25
 MAX_RETRY_AFTER_SECONDS = 5.0
 
@@ -44,6 +48,8 @@
 
     :param output_limit: upper bound of the generated tokens; 0 if unknown.
     :param length_hint: the caller's estimate of the generated tokens; 0 if unknown.
+    :param parts: parts of the prompt in their order; the last belongs to the request
+        itself or to its session.
     """
 
     prompt: int = 0
@@ -61,12 +67,23 @@
         """Tokens that the run is expected to generate."""
         return self.length_hint or self.output_limit
 
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """Parts of the prompt that other prompts may share."""
+        return self.parts[:-1]
+
     @property
     def short(self) -> bool:
         """Whether prefill is most of the work; false if the output is unknown."""
         return 0 < self.output < SHORT_TOKENS
 
 
+def shared_part_names(demand: Demand) -> str:
+    """Return the ids of a prompt's shared parts for the log, bounded in length."""
+    parts = demand.shared_parts[:MAX_LOGGED_PARTS]
+    return ",".join(part.id[:MAX_LOGGED_ID_LENGTH] for part in parts)
+
+
 @dataclasses.dataclass(slots=True)
 class Job:
     """One request of a caller.
