Crashes count against the shared parts of prompts too, in one mechanism with requests

Cause: what a crash tells was remembered by the fingerprint of the whole request alone, and these requests are no two alike; knowledge was kept under too narrow a key.

A request has traits now, its fingerprint and the shared parts of its prompt, and one register, one exchange and one kind of entry in the store hold the crashes of both. A run that sent no event before the crash is evidence against its parts; that an engine sent an event on a part clears it, at any node: members answer a report with their objections. Two independent crashes are enough; retries of one request are one. Parts that were at the same crashes are refused only together, and a crash that a blamed part explains says nothing against the others aboard. The refusal is a 502 that says not_run. A quarantine is retested by one request after 300 s.

--- a/src/bankrack/exceptions.py
+++ b/src/bankrack/exceptions.py
@@ -205,7 +205,7 @@
 
 
 class RequestQuarantined(BankrackError):
-    """The same request crashed upstreams before and is not sent to others."""
+    """The same request, or a part of its prompt, crashed upstreams before."""
 
     code = "request_quarantined"
     status = 502
--- a/src/bankrack/fleet/crashupdates.py
+++ b/src/bankrack/fleet/crashupdates.py
@@ -1,9 +1,10 @@
 """Exchange of crashes that requests may have caused, and their quarantine in the store.
 
-Each node sees the crashes of its own runs only, and a request may be retried at any
-node. So a crash is sent to all members at once, without a call to the store.
-Quarantined requests are also written to the store, for nodes that start later or were
-partitioned.
+Each node sees the crashes of its own runs only, and a request, or others with the same
+part of a prompt, may come to any node. So a crash is sent to all members at once,
+without a call to the store. A member at which upstreams just got past a part answers
+so, which the reporting node passes on. Quarantined traits are also written to the
+store, for nodes that start later or were partitioned.
 """
 
 import asyncio
@@ -64,16 +65,39 @@
         self._store = store
         self._view_age = view_age
         self._notifying: set[asyncio.Task[None]] = set()
+        register.rank = self._rank
 
     async def handle(self, request: web.Request) -> web.Response:
-        """Apply crashes reported by another node."""
+        """Apply crashes reported by another node; the response has the objections."""
         body = await request.read()
+        source = request.query.get("from", "")
+        objections = []
         for quarantine in decode_message(body, list[Quarantine]):
-            source = request.query.get("from", "")
-            self._register.take(
-                quarantine.fingerprint, quarantine.crashes, source=source
+            trait, crashes = quarantine.fingerprint, quarantine.crashes
+            self._register.take(trait, crashes, source=source)
+            if cleared := self._register.object_to(trait, crashes):
+                objections.append(Quarantine(trait, cleared))
+        if not objections:
+            return web.Response()
+        return web.Response(body=msgspec.msgpack.encode(objections))
+
+    def _take_objections(self, member: Member, body: bytes) -> None:
+        if not body:
+            return
+        try:
+            objections = decode_message(body, list[Quarantine])
+        except BankrackError as error:
+            logs.event(
+                _logger,
+                "objections_unreadable",
+                member=member.name,
+                reason=error.message,
+            )
+            return
+        for objection in objections:
+            self._register.take_objection(
+                objection.fingerprint, objection.crashes, source=member.name
             )
-        return web.Response()
 
     async def run(self) -> None:
         """Notify all members of newly recorded crashes, until cancelled."""
@@ -96,7 +120,10 @@
         quarantines = [Quarantine(name, crashes) for name, crashes in updates.items()]
         body = msgspec.msgpack.encode(quarantines)
         missing = await self._broadcast.notify(
-            CRASHES_PATH, body, on_first_round=updates_sent.set
+            CRASHES_PATH,
+            body,
+            on_first_round=updates_sent.set,
+            on_response=self._take_objections,
         )
         if missing:
             names = ",".join(member.name for member in missing)
--- a/src/bankrack/serving/assignment.py
+++ b/src/bankrack/serving/assignment.py
@@ -26,6 +26,7 @@
     :param priority: rank of the workspace.
     :param deadline: boot-time seconds at which the final answer is due.
     :param fingerprint: equal for requests with the same path, caller and body.
+    :param parts: traits of the shared parts of the prompt.
     """
 
     job: Job
@@ -35,6 +36,7 @@
     priority: int
     deadline: float
     fingerprint: str = ""
+    parts: tuple[str, ...] = ()
 
     def time_left(self) -> float:
         """Seconds until the final answer is due."""
--- a/src/bankrack/serving/crashes.py
+++ b/src/bankrack/serving/crashes.py
@@ -1,12 +1,14 @@
 """Detection of requests that crash upstreams.
 
 A request may crash every upstream that runs it, and its caller may retry it at any
-node.  Each further attempt would interrupt all runs of one more upstream, so crashes
-are recorded for the request beyond a single attempt or node.
+node; a part of its prompt may crash them in any other request too.  Each further
+attempt would interrupt all runs of one more upstream, so crashes are recorded for the
+request and its parts beyond a single attempt or node.
 """
 
 import asyncio
 import contextlib
+import dataclasses
 import logging
 import typing as t
 
@@ -14,6 +16,7 @@
 from bankrack.clock import boottime
 from bankrack.decisions.poison import Crash
 from bankrack.decisions.poison import is_early
+from bankrack.exceptions import Outcome
 from bankrack.exceptions import RequestQuarantined
 from bankrack.exceptions import UpstreamDisconnected
 from bankrack.serving.assignment import Assignment
@@ -41,34 +44,65 @@
         self._checks_by_fingerprint: dict[str, set[asyncio.Task[None]]] = {}
 
     def refuse_unless_any_allowed(
-        self, fingerprint: str, upstreams: t.Sequence[Upstream]
+        self, work: Assignment, upstreams: t.Sequence[Upstream]
     ) -> None:
         """Raise :exc:`RequestQuarantined` if no upstream may be sent a request."""
-        may_run_on = self.register.may_run_on
-        if upstreams and not any(
-            may_run_on(fingerprint, upstream.record.software) for upstream in upstreams
-        ):
-            raise self._quarantine_error(fingerprint)
+        blamed = [self._blamed(work, upstream) for upstream in upstreams]
+        traits = [trait for trait in blamed if trait is not None]
+        if not blamed or len(traits) < len(blamed):
+            return
+        if not self.register.take_retest(traits[0], work.fingerprint):
+            raise self._quarantine_error(work, traits[0], sent=False)
 
-    def refuse_unless_allowed(self, fingerprint: str, upstream: Upstream) -> None:
+    def refuse_unless_allowed(
+        self, work: Assignment, upstream: Upstream, *, sent: bool
+    ) -> None:
         """Raise :exc:`RequestQuarantined` if a request may not be sent to an upstream.
 
         This is the last check before the request is sent.
+
+        :param sent: whether the request was sent to an upstream before.
         """
-        if not self.register.may_run_on(fingerprint, upstream.record.software):
-            raise self._quarantine_error(fingerprint)
+        trait = self._blamed(work, upstream)
+        if trait is not None:
+            raise self._quarantine_error(work, trait, sent=sent)
+
+    def _blamed(self, work: Assignment, upstream: Upstream) -> str | None:
+        return self.register.blamed(
+            work.fingerprint, upstream.record.software, parts=work.parts
+        )
 
-    def _quarantine_error(self, fingerprint: str) -> RequestQuarantined:
-        crashes = self.register.crashes(fingerprint)
+    def _quarantine_error(
+        self, work: Assignment, trait: str, *, sent: bool
+    ) -> RequestQuarantined:
+        crashes = self.register.crashes(trait)
+        upstreams = {crash.upstream for crash in crashes if not crash.cleared}
+        if trait == work.fingerprint:
+            return RequestQuarantined(
+                f"this request crashed {len(upstreams)} upstreams and is not sent to "
+                f"others; change the request or fix the upstreams' software ({trait})"
+            )
         return RequestQuarantined(
-            f"this request crashed {len(crashes)} upstreams and is not sent to others; "
-            f"change the request or fix the upstreams' software ({fingerprint})"
+            f"requests with a part of this prompt crashed {len(upstreams)} upstreams "
+            "and are not sent to others; change the prompt or fix the upstreams' "
+            f"software ({trait})",
+            outcome=Outcome.RAN if sent else Outcome.NOT_RUN,
         )
 
+    def note_begun(self, work: Assignment, upstream: Upstream) -> None:
+        """Record that an upstream sent the first event of a run."""
+        for part in work.parts:
+            self.register.note_served(part, upstream.record.software)
+
     def note_served(self, work: Assignment, upstream: Upstream) -> None:
         """Record that an upstream served a request completely without a crash."""
         self.register.note_served(work.fingerprint, upstream.record.software)
 
+    def _is_suspect(self, work: Assignment) -> bool:
+        return any(
+            self.register.is_suspect(trait) for trait in (work.fingerprint, *work.parts)
+        )
+
     async def note_failure(
         self,
         work: Assignment,
@@ -90,7 +124,7 @@
         if not isinstance(error, UpstreamDisconnected):
             return
         checks = self._checks_by_fingerprint.setdefault(work.fingerprint, set())
-        must_wait = bool(checks) or self.register.is_suspect(work.fingerprint)
+        must_wait = bool(checks) or self._is_suspect(work)
         check = asyncio.create_task(self._check(work, upstream, ran, events))
         checks.add(check)
         check.add_done_callback(lambda _: self._forget(work.fingerprint, check))
@@ -123,9 +157,20 @@
         )
         # The end of an upstream that announced its shutdown is not a crash.
         if listener is Listener.REFUSES and not upstream.leaving:
-            crash = Crash(upstream.id, upstream.record.software, is_early(ran))
-            updates_sent = self.register.updates_sent
-            if self.register.note_crash(work.fingerprint, crash):
-                # An immediate retry by the caller reaches another node within 2 ms.
-                with contextlib.suppress(TimeoutError):
-                    await asyncio.wait_for(updates_sent.wait(), NOTIFY_TIMEOUT_SECONDS)
+            await self._note_crash(work, upstream, early=is_early(events))
+
+    async def _note_crash(
+        self, work: Assignment, upstream: Upstream, *, early: bool
+    ) -> None:
+        """Record a crash for the request, and for the parts that may have caused it."""
+        crash = Crash(upstream.id, upstream.record.software, early)
+        updates_sent = self.register.updates_sent
+        has_updates = self.register.note_crash(work.fingerprint, crash)
+        if early:
+            by_request = dataclasses.replace(crash, request=work.fingerprint)
+            for part in work.parts:
+                has_updates |= self.register.note_crash(part, by_request)
+        if has_updates:
+            # An immediate retry by the caller reaches another node within 2 ms.
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(updates_sent.wait(), NOTIFY_TIMEOUT_SECONDS)
--- a/src/bankrack/serving/crashregister.py
+++ b/src/bankrack/serving/crashregister.py
@@ -1,6 +1,6 @@
-"""Register of upstream crashes, by the requests that were running at the time.
+"""Register of upstream crashes, by the traits of the requests running at the time.
 
-It merges the observations of all nodes and derives which requests are in quarantine.
+It merges the observations of all nodes and derives which traits are in quarantine.
 """
 
 import asyncio
@@ -11,79 +11,132 @@
 
 from bankrack import logs
 from bankrack.clock import boottime
+from bankrack.decisions import poison
 from bankrack.decisions.poison import Crash
+from bankrack.decisions.poison import crash_key
+from bankrack.decisions.poison import CrashKey
 from bankrack.decisions.poison import is_poison
-from bankrack.decisions.poison import may_run_on
 from bankrack.decisions.poison import merge
+from bankrack.serving.servedtraits import ServedTraits
+from bankrack.serving.traits import is_part
 
 RETENTION_SECONDS = 600.0
 """Retention period of crashes, also the lease time of a quarantine in the store.  A
-request may run again after it."""
+trait may run again after it."""
+RETEST_SECONDS = 300.0
+"""Time since its last crash after which one request with a quarantined trait is sent,
+to find out whether the upstreams' fault is fixed."""
+RETEST_STEP_SECONDS = 2.0
+"""Further time for each node of a lower rank, longer than a run takes to crash."""
 MAX_HISTORIES = 4096
-"""Bounds the requests with recorded crashes; a crash adds a few dozen at most."""
+"""Bounds the traits with recorded crashes; a crash adds a few dozen at most."""
 MAX_CRASHES = 16
-"""Bounds the crashes recorded for one request, well above the quarantine limit."""
+"""Bounds the crashes recorded for one trait, well above the quarantine limit."""
+MAX_REQUESTS_BY_UPSTREAM = 3
+"""Bounds the requests recorded for one trait at one crash."""
 MAX_CRASHED_UPSTREAMS = 512
 """Bounds the recorded upstreams, to hold those of a hall that fails as a whole."""
 STORE = "store"
 """Source of crash reports that may be minutes old."""
-MAX_SERVED = 4096
-"""Bounds the requests recorded as served; frequent requests stay among them."""
 
 _logger = logging.getLogger(__name__)
 
 
 @dataclasses.dataclass(slots=True)
 class _History:
-    """Crashes during which one request was running."""
+    """Crashes during which one trait was active.
+
+    :ivar retested_at: time of this node's last retest.
+    :ivar retest: fingerprint of the request that may run as a retest.
+    """
 
     changed_at: float
-    crash_by_upstream: dict[str, Crash]
+    crash_by_key: dict[CrashKey, Crash]
+    retested_at: float = 0.0
+    retest: str = ""
+
+    @property
+    def crashes(self) -> list[Crash]:
+        return list(self.crash_by_key.values())
 
 
 class CrashRegister:
-    """Crashes of upstreams, by the fingerprints of the requests running on them.
+    """Crashes of upstreams, by the traits of the requests running on them.
 
     Reports of several nodes may arrive in any order and more than once.
 
     :ivar has_updates: set while this node has updates to send to other nodes.
     :ivar updates_sent: set once the pending updates were sent; replaced for each batch.
+    :ivar rank: returns this node's position among those that may retest a trait.
     """
 
     def __init__(self, *, clock: t.Callable[[], float] = boottime) -> None:
         self.has_updates = asyncio.Event()
         self.updates_sent = asyncio.Event()
+        self.rank: t.Callable[[str], int] = lambda trait: 0
         self._clock = clock
-        self._history_by_fingerprint: collections.OrderedDict[str, _History] = (
-            collections.OrderedDict()
-        )
-        self._software_by_served: collections.OrderedDict[str, str] = (
+        self._history_by_trait: collections.OrderedDict[str, _History] = (
             collections.OrderedDict()
         )
+        self._parts_by_upstream: dict[str, set[str]] = {}
+        self._served = ServedTraits(clock=clock)
         self._crashed_at_by_upstream: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
         )
         self._pending: set[str] = set()
-        self._quarantined: set[str] = set()
-        self._quarantined_in_store: set[str] = set()
+        self._poison: set[str] = set()
+        self._poison_in_store: set[str] = set()
 
-    def may_run_on(self, fingerprint: str, software: str) -> bool:
+    # Queries
+
+    def may_run_on(
+        self, fingerprint: str, software: str, *, parts: t.Collection[str] = ()
+    ) -> bool:
         """Whether a request may be sent to an upstream with this software version."""
-        return may_run_on(software, self.crashes(fingerprint))
+        return self.blamed(fingerprint, software, parts=parts) is None
+
+    def blamed(
+        self, fingerprint: str, software: str, *, parts: t.Collection[str] = ()
+    ) -> str | None:
+        """Return the trait that forbids a request on this software version, if any."""
+        for trait in (fingerprint, *parts):
+            history = self._history_by_trait.get(trait)
+            if history is None or history.retest == fingerprint:
+                continue
+            if poison.may_run_on(software, history.crashes):
+                continue
+            related = self._related(trait, history)
+            if not poison.is_blamed(trait, related):
+                continue
+            if not is_part(trait) or poison.companions(trait, related) <= set(parts):
+                return trait
+        return None
 
-    def is_suspect(self, fingerprint: str) -> bool:
-        """Whether a request may have caused a crash."""
-        return any(not crash.cleared for crash in self.crashes(fingerprint))
+    def _related(self, trait: str, history: _History) -> dict[str, list[Crash]]:
+        """Return the crashes of a trait, and of parts active at the same crashes."""
+        names = {trait}
+        for crash in history.crashes:
+            names |= self._parts_by_upstream.get(crash.upstream, set())
+        return {name: self.crashes(name) for name in names}
+
+    def is_suspect(self, trait: str) -> bool:
+        """Whether a trait may have caused a crash."""
+        return any(not crash.cleared for crash in self.crashes(trait))
 
     def quarantined(self) -> list[str]:
-        """Return the fingerprints of the requests in quarantine, sorted."""
+        """Return the traits in quarantine, sorted."""
         self._evict()
-        return sorted(self._quarantined)
+        known = self._history_by_trait
+        return sorted(
+            trait
+            for trait in self._poison
+            if poison.is_blamed(trait, self._related(trait, known[trait]))
+        )
 
-    def crashes(self, fingerprint: str) -> list[Crash]:
-        """Return the crashes during which a request was running."""
-        history = self._history_by_fingerprint.get(fingerprint)
-        return list(history.crash_by_upstream.values()) if history else []
+    def crashes(self, trait: str) -> list[Crash]:
+        """Return the crashes during which a trait was active."""
+        history = self._history_by_trait.get(trait)
+        return history.crashes if history else []
 
     def crashed_since(self, moment: float) -> list[str]:
         """Return the upstreams that crashed after ``moment``, in boot-time seconds."""
@@ -91,74 +144,108 @@
         return [upstream for upstream, at in crashed.items() if at > moment]
 
     def unsaved(self) -> list[str]:
-        """Return the fingerprints whose quarantine state differs from the store's."""
+        """Return the traits whose quarantine state differs from the store's."""
         self._evict()
-        known = self._history_by_fingerprint
-        return [f for f in self._quarantined ^ self._quarantined_in_store if f in known]
+        known = self._history_by_trait
+        return [
+            trait for trait in self._poison ^ self._poison_in_store if trait in known
+        ]
+
+    # Commands
 
-    def note_crash(self, fingerprint: str, crash: Crash) -> bool:
+    def take_retest(self, trait: str, fingerprint: str) -> bool:
+        """Let one request run although it has a quarantined trait, if that is due."""
+        history = self._history_by_trait.get(trait)
+        if history is None:
+            return False
+        now = self._clock()
+        due_at = max(history.changed_at, history.retested_at) + RETEST_SECONDS
+        if now < due_at + RETEST_STEP_SECONDS * self.rank(trait):
+            return False
+        history.retested_at = now
+        history.retest = fingerprint
+        logs.event(_logger, "trait_retested", fingerprint=trait, request=fingerprint)
+        return True
+
+    def note_crash(self, trait: str, crash: Crash) -> bool:
         """Record a crash seen by this node; returns whether other nodes need an update.
 
-        The first crash after the same software version served the request is recorded
-        as cleared, as a frequent request is likely to be running during any crash.
+        A crash just after the same software version got past the trait is recorded as
+        cleared, as a frequent trait is likely to be active during any crash.
         """
-        served_by = self._software_by_served.get(fingerprint)
-        if served_by == crash.software:
+        if self._served.clears(trait, crash.software):
             crash = dataclasses.replace(crash, cleared=True)
-        if not self.take(fingerprint, [crash], source="own"):
+        if not self.take(trait, [crash], source="own"):
             return False
-        self._add_update(fingerprint)
+        self._add_update(trait)
         return True
 
-    def note_served(self, fingerprint: str, software: str) -> None:
-        """Record that an upstream served a request without a crash."""
-        served = self._software_by_served
-        served[fingerprint] = software
-        served.move_to_end(fingerprint)
-        if len(served) > MAX_SERVED:
-            served.popitem(last=False)
+    def note_served(self, trait: str, software: str) -> None:
+        """Record that an upstream got past a trait without a crash.
+
+        For a fingerprint it served the whole request, for a part it sent an event.
+        """
+        self._served.add(trait, software)
         cleared = [
             dataclasses.replace(crash, cleared=True)
-            for crash in self.crashes(fingerprint)
+            for crash in self.crashes(trait)
             if crash.software == software and not crash.cleared
         ]
-        if cleared and self.take(fingerprint, cleared, source="served"):
-            self._add_update(fingerprint)
+        if cleared and self.take(trait, cleared, source="served"):
+            self._add_update(trait)
 
-    def take(
-        self, fingerprint: str, crashes: t.Iterable[Crash], *, source: str
-    ) -> bool:
+    def object_to(self, trait: str, crashes: t.Iterable[Crash]) -> list[Crash]:
+        """Clear crashes of a part that upstreams got past at this node just before.
+
+        Returns the cleared crashes, for the node that reported them.
+        """
+        if not is_part(trait):
+            return []
+        cleared = [
+            dataclasses.replace(crash, cleared=True)
+            for crash in crashes
+            if not crash.cleared and self._served.clears(trait, crash.software)
+        ]
+        if cleared:
+            self.take(trait, cleared, source="served")
+        return cleared
+
+    def take_objection(
+        self, trait: str, crashes: t.Iterable[Crash], *, source: str
+    ) -> None:
+        """Apply another node's objection to a report of this node."""
+        if self.take(trait, crashes, source=source):
+            self._add_update(trait)
+
+    def take(self, trait: str, crashes: t.Iterable[Crash], *, source: str) -> bool:
         """Merge reported crashes; returns whether anything changed.
 
         :param source: origin of the report, for the log.
         """
-        before = self.crashes(fingerprint)
+        before = self.crashes(trait)
         now = self._clock()
-        history = self._history_by_fingerprint.get(fingerprint)
-        if history is None:
-            history = _History(now, {})
-        by_upstream = history.crash_by_upstream
+        history = self._history_by_trait.get(trait) or _History(now, {})
         for crash in crashes:
             if source != STORE:
                 self._note_crashed(crash.upstream, now)
-            known = by_upstream.get(crash.upstream)
-            if known is not None:
-                by_upstream[crash.upstream] = merge(known, crash)
-            elif len(by_upstream) < MAX_CRASHES:
-                by_upstream[crash.upstream] = crash
-        after = list(by_upstream.values())
+            _add(history, crash)
+        after = history.crashes
         if after == before:
             return False
         history.changed_at = now
-        self._history_by_fingerprint[fingerprint] = history
-        self._history_by_fingerprint.move_to_end(fingerprint)
-        # Only one crash is cleared for the whole fleet, not one at each node.
-        self._software_by_served.pop(fingerprint, None)
+        history.retest = ""
+        self._history_by_trait[trait] = history
+        self._history_by_trait.move_to_end(trait)
+        if is_part(trait):
+            for crash in after:
+                self._parts_by_upstream.setdefault(crash.upstream, set()).add(trait)
+        if len(after) > len(before):
+            self._served.note_crash(trait)
         if is_poison(after):
-            self._quarantined.add(fingerprint)
+            self._poison.add(trait)
         else:
-            self._quarantined.discard(fingerprint)
-        self._log_change(fingerprint, before, after, source)
+            self._poison.discard(trait)
+        _log_change(trait, before, after, source)
         self._evict()
         return True
 
@@ -168,61 +255,78 @@
         if len(crashed) > MAX_CRASHED_UPSTREAMS:
             crashed.popitem(last=False)
 
-    def _log_change(
-        self,
-        fingerprint: str,
-        before: t.Collection[Crash],
-        after: t.Collection[Crash],
-        source: str,
-    ) -> None:
-        was_poison, is_now = is_poison(before), is_poison(after)
-        name = "crash_noted"
-        if was_poison != is_now:
-            name = "request_quarantined" if is_now else "quarantine_ended"
-        logs.event(
-            _logger,
-            name,
-            fingerprint=fingerprint,
-            upstreams=",".join(crash.upstream for crash in after),
-            early=sum(crash.early for crash in after),
-            cleared=sum(crash.cleared for crash in after),
-            source=source,
-        )
-
-    def apply_stored(self, fingerprint: str, crashes: t.Collection[Crash]) -> None:
-        """Merge the crashes that the store holds for a request."""
+    def apply_stored(self, trait: str, crashes: t.Collection[Crash]) -> None:
+        """Merge the crashes that the store holds for a trait."""
         if is_poison(crashes):
-            self._quarantined_in_store.add(fingerprint)
+            self._poison_in_store.add(trait)
         else:
-            self._quarantined_in_store.discard(fingerprint)
-        self.take(fingerprint, crashes, source=STORE)
+            self._poison_in_store.discard(trait)
+        self.take(trait, crashes, source=STORE)
 
-    def note_removed_from_store(self, fingerprint: str) -> None:
-        """Record that the store has no entry for a request any more."""
-        self._quarantined_in_store.discard(fingerprint)
+    def note_removed_from_store(self, trait: str) -> None:
+        """Record that the store has no entry for a trait any more."""
+        self._poison_in_store.discard(trait)
 
     def take_updates(self) -> dict[str, list[Crash]]:
-        """Remove and return the updates for other nodes, by fingerprint."""
-        updates = {
-            fingerprint: self.crashes(fingerprint) for fingerprint in self._pending
-        }
+        """Remove and return the updates for other nodes, by trait."""
+        updates = {trait: self.crashes(trait) for trait in self._pending}
         self._pending.clear()
         self.has_updates.clear()
         self.updates_sent = asyncio.Event()
         return updates
 
-    def _add_update(self, fingerprint: str) -> None:
-        self._pending.add(fingerprint)
+    def _add_update(self, trait: str) -> None:
+        self._pending.add(trait)
         self.has_updates.set()
 
     def _evict(self) -> None:
         """Evict expired histories, and the oldest ones above the bound."""
-        histories = self._history_by_fingerprint
+        histories = self._history_by_trait
         expired_before = self._clock() - RETENTION_SECONDS
         while histories:
-            fingerprint, oldest = next(iter(histories.items()))
+            trait, oldest = next(iter(histories.items()))
             if len(histories) <= MAX_HISTORIES and oldest.changed_at > expired_before:
                 return
-            del histories[fingerprint]
-            self._quarantined.discard(fingerprint)
-            self._pending.discard(fingerprint)
+            del histories[trait]
+            self._poison.discard(trait)
+            self._pending.discard(trait)
+            for crash in oldest.crashes:
+                self._forget_part(trait, crash.upstream)
+
+    def _forget_part(self, trait: str, upstream: str) -> None:
+        parts = self._parts_by_upstream.get(upstream)
+        if parts is not None:
+            parts.discard(trait)
+            if not parts:
+                del self._parts_by_upstream[upstream]
+
+
+def _add(history: _History, crash: Crash) -> None:
+    """Merge a crash into a history, within its bounds."""
+    by_key = history.crash_by_key
+    key = crash_key(crash)
+    known = by_key.get(key)
+    if known is not None:
+        by_key[key] = merge(known, crash)
+        return
+    same_upstream = sum(other.upstream == crash.upstream for other in by_key)
+    if len(by_key) < MAX_CRASHES and same_upstream < MAX_REQUESTS_BY_UPSTREAM:
+        by_key[key] = crash
+
+
+def _log_change(
+    trait: str, before: t.Collection[Crash], after: t.Collection[Crash], source: str
+) -> None:
+    was_poison, is_now = is_poison(before), is_poison(after)
+    name = "crash_noted"
+    if was_poison != is_now:
+        name = "request_quarantined" if is_now else "quarantine_ended"
+    logs.event(
+        _logger,
+        name,
+        fingerprint=trait,
+        upstreams=",".join(crash.upstream for crash in after),
+        early=sum(crash.early for crash in after),
+        cleared=sum(crash.cleared for crash in after),
+        source=source,
+    )
--- a/src/bankrack/serving/dispatch.py
+++ b/src/bankrack/serving/dispatch.py
@@ -30,6 +30,7 @@
 from bankrack.serving.routing import Service
 from bankrack.serving.routing import Workspace
 from bankrack.serving.streams import StreamRelay
+from bankrack.serving.traits import part_traits
 
 STREAM_GRACE_SECONDS = 2.5
 """Time for which streams are accepted after a shutdown began, as the load balancer
@@ -106,7 +107,7 @@
         try:
             assignment = await self._admit(job)
             upstreams = self._upstreams.open_of(assignment.service.name)
-            self._crashes.refuse_unless_any_allowed(assignment.fingerprint, upstreams)
+            self._crashes.refuse_unless_any_allowed(assignment, upstreams)
             outcome = await self._relay(assignment, reply)
             code = outcome.partition(" ")[0].rstrip(",")
         except BankrackError as error:
@@ -163,6 +164,7 @@
             priority=priority,
             deadline=job.arrived + timeout - DEADLINE_SLACK_SECONDS,
             fingerprint=fingerprint(job, workspace_name),
+            parts=part_traits(job.demand),
         )
 
     def _refuse_if_interrupted(
--- a/src/bankrack/serving/enginelink.py
+++ b/src/bankrack/serving/enginelink.py
@@ -70,7 +70,9 @@
         :param resume: copy to resume from; ``None`` to start the run anew.
         """
         work = self._work
-        self._dependencies.crashes.refuse_unless_allowed(work.fingerprint, engine)
+        self._dependencies.crashes.refuse_unless_allowed(
+            work, engine, sent=self.sends > 0
+        )
         now = boottime()
         kind = "resume" if resume else "first"
         self._dependencies.metrics.sends.inc(
--- a/src/bankrack/serving/plain.py
+++ b/src/bankrack/serving/plain.py
@@ -206,7 +206,9 @@
         self, work: Assignment, upstream: Upstream, attempts: "_Attempts"
     ) -> Answer | None:
         """Make one attempt; ``None`` if the upstream states that it did not run it."""
-        self._dependencies.crashes.refuse_unless_allowed(work.fingerprint, upstream)
+        self._dependencies.crashes.refuse_unless_allowed(
+            work, upstream, sent=attempts.count > 0
+        )
         self._dependencies.metrics.sends.inc(
             {"service": work.service.name, "kind": "plain"}
         )
--- a/src/bankrack/serving/run.py
+++ b/src/bankrack/serving/run.py
@@ -53,6 +53,7 @@
         self._tried: set[str] = set()
         self._backup_fits = False
         self._resumes = 0
+        self._begun = False
         self._completed = False
         self._released = False
         self._stream_seconds = 0.0
@@ -256,9 +257,16 @@
         while data := await self._read(exchange):
             await self._forwarder.feed(data, exchange.head)
             if self._forwarder.began:
+                self._note_begun()
                 self._start_copying()
         self._forwarder.check_end()
 
+    def _note_begun(self) -> None:
+        """Record once that an engine got past the parts of the run's prompt."""
+        if not self._begun and self._link.engine is not None:
+            self._begun = True
+            self._dependencies.crashes.note_begun(self._work, self._link.engine)
+
     async def _read(self, exchange: Exchange) -> bytes:
         if not self._reply.started or not self._copies.current:
             return await exchange.read_available()
--- a/tests/fleet/test_crashupdates.py
+++ b/tests/fleet/test_crashupdates.py
@@ -130,6 +130,14 @@
             await until(lambda: fleet.nodes[2].register.is_suspect("f"), seconds=1.5)
             await runner.cleanup()
 
+    async def test_member_that_saw_a_success_clears_the_crash_at_all_nodes(self):
+        async with running() as fleet:
+            fleet.nodes[2].register.note_served("part-1", "1")
+            fleet.nodes[0].register.note_crash("part-1", crash("a"))
+            for node in fleet.nodes:
+                await until(lambda n=node: bool(n.register.crashes("part-1")))
+                await until(lambda n=node: not n.register.is_suspect("part-1"))
+
     async def test_malformed_notification_is_rejected(self):
         async with running(nodes=1) as fleet:
             url = f"http://{fleet.nodes[0].member.address}{CRASHES_PATH}"
--- a/tests/serving/test_crashregister.py
+++ b/tests/serving/test_crashregister.py
@@ -4,6 +4,8 @@
 from bankrack.serving import crashregister
 from bankrack.serving.crashregister import CrashRegister
 from bankrack.serving.crashregister import RETENTION_SECONDS
+from bankrack.serving.crashregister import RETEST_SECONDS
+from bankrack.serving.crashregister import RETEST_STEP_SECONDS
 from tests.base import TestCase
 
 
@@ -113,6 +115,100 @@
         self.assertEqual(["f"], self.register.unsaved())
 
 
+def by(request: str, upstream: str) -> Crash:
+    """Return a crash before the first event of one request with a part."""
+    return Crash(upstream, "1", early=True, request=request)
+
+
+class QuarantinedParts(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.now = 100.0
+        self.register = CrashRegister(clock=lambda: self.now)
+
+    def may_run(self, *parts: str, fingerprint: str = "other") -> bool:
+        return self.register.may_run_on(fingerprint, "1", parts=parts)
+
+    def quarantine(self, *parts: str) -> None:
+        for request, upstream in (("x", "a"), ("y", "b")):
+            for part in parts:
+                self.register.note_crash(part, by(request, upstream))
+
+    def test_part_is_refused_in_any_request(self):
+        self.quarantine("part-1")
+        self.assertFalse(self.may_run("part-0", "part-1"))
+        self.assertTrue(self.may_run("part-0"))
+        self.assertEqual(["part-1"], self.register.quarantined())
+
+    def test_one_of_two_suspect_parts_may_run_until_it_is_known_which(self):
+        self.quarantine("part-1", "part-2")
+        self.assertFalse(self.may_run("part-1", "part-2"))
+        self.assertTrue(self.may_run("part-1"))
+        self.register.note_served("part-1", "1")
+        self.assertFalse(self.may_run("part-2"))
+
+    def test_success_before_clears_the_crashes_of_one_moment_only(self):
+        """The upstreams of a hall crash together, with a common part on each."""
+        self.register.note_served("part-1", "1")
+        for number in range(4):
+            self.register.note_crash("part-1", by(f"x{number}", f"a{number}"))
+            self.now += 0.1
+        self.assertTrue(self.may_run("part-1"))
+        self.now += 1.0
+        self.quarantine("part-1")
+        self.assertFalse(self.may_run("part-1"))
+
+    def test_node_where_the_part_is_served_objects(self):
+        peer = CrashRegister(clock=lambda: self.now)
+        peer.note_served("part-1", "1")
+        for request, upstream in (("x", "a"), ("y", "b")):
+            self.register.note_crash("part-1", by(request, upstream))
+            crashes = self.register.take_updates()["part-1"]
+            peer.take("part-1", crashes, source="n-1")
+            objections = peer.object_to("part-1", crashes)
+            self.register.take_objection("part-1", objections, source="n-2")
+        self.assertTrue(self.may_run("part-1"))
+        self.assertIn("part-1", self.register.take_updates())
+
+    def test_success_with_other_software_is_no_objection(self):
+        self.register.note_served("part-1", "2")
+        self.assertEqual([], self.register.object_to("part-1", [by("x", "a")]))
+
+    def test_one_request_is_retested_when_it_is_due(self):
+        self.quarantine("part-1")
+        self.assertFalse(self.register.take_retest("part-1", "f"))
+        self.now += RETEST_SECONDS + 0.1
+        self.assertTrue(self.register.take_retest("part-1", "f"))
+        self.assertFalse(self.register.take_retest("part-1", "g"))
+        self.assertTrue(self.may_run("part-1", fingerprint="f"))
+        self.assertFalse(self.may_run("part-1", fingerprint="g"))
+
+    def test_failed_retest_keeps_the_quarantine_and_a_success_ends_it(self):
+        self.quarantine("part-1")
+        self.now += RETEST_SECONDS + 0.1
+        self.register.take_retest("part-1", "f")
+        self.register.note_crash("part-1", by("f", "c"))
+        self.assertFalse(self.may_run("part-1", fingerprint="f"))
+        self.now += RETEST_SECONDS + 0.1
+        self.assertTrue(self.register.take_retest("part-1", "g"))
+        self.register.note_served("part-1", "1")
+        self.assertTrue(self.may_run("part-1"))
+
+    def test_nodes_of_lower_rank_retest_later(self):
+        self.register.rank = lambda trait: 3
+        self.quarantine("part-1")
+        self.now += RETEST_SECONDS + 0.1
+        self.assertFalse(self.register.take_retest("part-1", "f"))
+        self.now += 3 * RETEST_STEP_SECONDS
+        self.assertTrue(self.register.take_retest("part-1", "f"))
+
+    def test_requests_with_one_part_at_one_crash_are_bounded(self):
+        for number in range(20):
+            self.register.note_crash("part-1", by(f"x{number}", "a"))
+        self.register.note_crash("part-1", by("y", "b"))
+        self.assertFalse(self.may_run("part-1"))
+
+
 class CrashedUpstreams(TestCase):
     def setUp(self):
         super().setUp()
