A response without framing is complete only if its server did not crash; HEAD gets no body

Callers got a truncated body or stream as a complete one when a server answered with neither a length nor chunks and its process ended: the system closes the connections of a process that ends, which looks like the end of such a response. Its listener is checked at the end of an unframed response now (one connection, to the port that was just used); if it refuses and the server had not announced that it leaves, the response is broken off (response_cut), and streams go on elsewhere as after any crash.

The same tests showed that a refusal of a HEAD request had a body, which its caller would take for the start of the next response; it has none now.

The test of the resumed stream had announced its second engine too late; it now has both from the start, whichever is chosen first.

--- a/src/bankrack/front/httpreply.py
+++ b/src/bankrack/front/httpreply.py
@@ -77,7 +77,7 @@
         if len(answer.body) > LARGE_ANSWER_BYTES:
             self._watch()
         try:
-            if answer.body:
+            if answer.body and self._request.method != "HEAD":
                 await response.write(answer.body)
             await self._write_end()
         except OSError as error:
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -172,6 +172,7 @@
             self.notices,
             self.rate_limits.permits,
             self.held.in_flight,
+            self.paths,
         )
         control = GuardedControl(dialect.control(self._control_session, self.notices))
         self.ledgers = Ledgers(
--- a/src/bankrack/serving/client.py
+++ b/src/bankrack/serving/client.py
@@ -8,12 +8,14 @@
 import asyncio
 import dataclasses
 import functools
+import logging
 import typing as t
 
 import aiohttp
 import yarl
 from aiohttp.client_proto import ResponseHandler
 
+from bankrack import logs
 from bankrack.clock import boottime
 from bankrack.exceptions import InvalidRequest
 from bankrack.exceptions import Outcome
@@ -29,6 +31,7 @@
 from bankrack.serving.notices import NoticeHandler
 from bankrack.serving.paths import CONNECT_TIMEOUT_SECONDS
 from bankrack.serving.paths import create_socket
+from bankrack.serving.paths import Listener
 from bankrack.serving.paths import UpstreamConnector
 from bankrack.serving.paths import UpstreamPaths
 from bankrack.serving.permits import Permits
@@ -39,10 +42,13 @@
 READ_BUFFER_BYTES = 64 * 1024
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 """Bounds the response bodies that are buffered in memory."""
+STATUSES_WITHOUT_BODY = (204, 304)
 RESUMED_RUN_RANK = -1
 """Rank of a resumed run, which precedes all new runs: its caller already has the
 beginning, which would be lost."""
 
+_logger = logging.getLogger(__name__)
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Resume:
@@ -167,13 +173,23 @@
     return session
 
 
+CheckEnd = t.Callable[[], t.Awaitable[None]]
+"""Raises :exc:`UpstreamDisconnected` if the upstream ended with its connection."""
+
+
 class Exchange:
-    """A response being read; ``close`` aborts the request immediately."""
+    """A response being read; ``close`` aborts the request immediately.
+
+    :param check_end: called at the end of a response without framing.
+    """
 
-    __slots__ = ("_response", "head")
+    __slots__ = ("_check_end", "_response", "head")
 
-    def __init__(self, response: aiohttp.ClientResponse, head: Head) -> None:
+    def __init__(
+        self, response: aiohttp.ClientResponse, head: Head, check_end: CheckEnd
+    ) -> None:
         self._response = response
+        self._check_end = check_end
         self.head = head
 
     async def read(self) -> bytes:
@@ -190,10 +206,13 @@
     async def read_available(self) -> bytes:
         """Read the available bytes, at least one; empty at the end of the body."""
         try:
-            return await self._response.content.readany()
+            data = await self._response.content.readany()
         except (aiohttp.ClientError, OSError, ValueError) as error:
             message = f"the upstream's response was truncated ({error!r})"
             raise UpstreamDisconnected(message) from error
+        if not data and not _is_framed(self._response):
+            await self._check_end()
+        return data
 
     def close(self) -> None:
         """Drop the connection; the upstream stops working on the job."""
@@ -210,6 +229,7 @@
 class UpstreamClient:
     """Client that sends every job over a connection of its own.
 
+    :param paths: checks the listener of an upstream whose connection ended.
     :ivar in_flight: accounts for the bodies that are sent.
     """
 
@@ -220,8 +240,10 @@
         notices: NoticeHandler,
         permits: Permits,
         in_flight: BodiesInFlight,
+        paths: UpstreamPaths,
     ) -> None:
         self.in_flight = in_flight
+        self._paths = paths
         self._permits = permits
         self._session = session
         self._dialect = dialect
@@ -283,7 +305,30 @@
                 "one may have run",
                 outcome=Outcome.UNKNOWN,
             )
-        return Exchange(response, head)
+        check_end = functools.partial(self._check_end, send)
+        return Exchange(response, head, check_end)
+
+    async def _check_end(self, send: Send) -> None:
+        """Check that an upstream whose connection ended did not crash.
+
+        The system closes the connections of a process that ends, which looks like the
+        end of a response without framing.
+        """
+        upstream = send.upstream
+        listener = await self._paths.check(upstream.address)
+        if listener is not Listener.REFUSES or upstream.leaving:
+            return
+        logs.event(
+            _logger,
+            "response_cut",
+            request=send.job.id,
+            upstream=upstream.id,
+            listener=listener.value,
+        )
+        raise UpstreamDisconnected(
+            f"upstream {upstream.id} ended with its connection, so its response may "
+            "be incomplete; send the request again if that is safe"
+        )
 
     async def _acquire_permit(self, send: Send) -> None:
         """Take a permit of the upstream's rate limit, which all nodes share.
@@ -331,6 +376,14 @@
         )
 
 
+def _is_framed(response: aiohttp.ClientResponse) -> bool:
+    """Whether the end of a response shows without the end of its connection."""
+    if response.method == "HEAD" or response.status in STATUSES_WITHOUT_BODY:
+        return True
+    headers = response.headers
+    return "Content-Length" in headers or "Transfer-Encoding" in headers
+
+
 def _header_pairs(response: aiohttp.ClientResponse) -> list[Header]:
     return [
         (name.decode("latin-1"), value.decode("latin-1"))
--- a/tests/platform/test_sending.py
+++ b/tests/platform/test_sending.py
@@ -63,6 +63,7 @@
             NoticeHandler(),
             t.cast(t.Any, None),
             BodiesInFlight(lambda: math.inf),
+            t.cast(t.Any, None),
         )
         send = Send(job() if later else sent, upstream, None, 0, 5.0, resume=resume)
         try:
--- a/tests/platform/test_unframed_responses.py
+++ b/tests/platform/test_unframed_responses.py
@@ -21,21 +21,20 @@
 class RawServer:
     """A server that sends given bytes and ends the connection.
 
-    :param body: sent behind a head without any framing.
+    :param bodies: sent behind a head without any framing, one for each request.
     :param resets: the connection is reset instead of closed.
     :param crashes: the listener is closed before the connection.
     """
 
     def __init__(
         self,
-        body: bytes,
-        *,
+        *bodies: bytes,
         status: str = "200 OK",
         resets: bool = False,
         crashes: bool = False,
     ) -> None:
         self.requests: list[bytes] = []
-        self._body = body
+        self.bodies = list(bodies)
         self._status = status
         self._resets = resets
         self._crashes = crashes
@@ -61,10 +60,11 @@
                 writer.close()
                 return
             self.requests.append(head)
+            body = self.bodies.pop(0)
             writer.write(
                 f"HTTP/1.1 {self._status}\r\nBankrack-Response-Seal: s\r\n"
                 "Bankrack-Request-Id: r-1\r\n\r\n".encode()
-                + self._body
+                + body
             )
             await writer.drain()
             await asyncio.sleep(0.05)
@@ -130,6 +130,25 @@
         response = await ask("plain", "/bill/x", server)
         self.assertEqual((204, True, b""), _read(response))
 
+    async def test_refused_head_request_gets_no_body(self):
+        """The caller would take the body for the start of the next response."""
+        server = RawServer(b"", resets=True)
+        async with running() as deployment:
+            await replace_servers(deployment, "plain", server)
+            gateway = await deployment.start_ready_gateway()
+            host, _, port = gateway.settings.front.partition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(
+                b"HEAD /nowhere/x HTTP/1.1\r\nHost: h.example\r\n"
+                b"Bankrack-Request-Id: r-1\r\nBankrack-Deadline-Ms: 3000\r\n"
+                b"Bankrack-Key: key-1\r\nConnection: close\r\n\r\n"
+            )
+            received = await reader.read()
+            writer.close()
+            server.stop()
+        self.assertTrue(received.startswith(b"HTTP/1.1 404"), received)
+        self.assertTrue(received.endswith(b"\r\n\r\n"), received)
+
 
 class Streams(TestCase):
     async def test_stream_ends_with_the_connection(self):
@@ -150,20 +169,16 @@
         self.assertEqual((200, False, STREAM), _read(response))
 
     async def test_stream_goes_on_behind_the_last_whole_event(self):
-        broken = RawServer(EVENTS[0] + EVENTS[1] + b"id: 2\ndat", crashes=True)
-        rest = RawServer(EVENTS[2] + EVENTS[3])
-        async with running() as deployment:
-            await replace_servers(deployment, "engines", broken)
-            gateway = await deployment.start_ready_gateway()
-            calling = asyncio.create_task(call(gateway.settings.front, "/note/x"))
-            while not broken.requests:
-                await asyncio.sleep(0.002)
-            entry = deployment.engines[0].entry("engines", address=await rest.start())
-            deployment.store.put("servers/raw-9", entry)
-            response = await calling
-            rest.stop()
+        """Whichever of the engines is chosen first breaks off; the other goes on."""
+        start = EVENTS[0] + EVENTS[1] + b"id: 2\ndat"
+        servers = [RawServer(start), RawServer(start)]
+        bodies = servers[0].bodies = servers[1].bodies
+        bodies.append(EVENTS[2] + EVENTS[3])
+        response = await ask("engines", "/note/x", *servers)
         self.assertEqual((200, True, STREAM), _read(response))
-        self.assertIn(b"last-event-id: 1", rest.requests[0].lower())
+        requests = [request for server in servers for request in server.requests]
+        self.assertEqual(2, len(requests))
+        self.assertTrue(any(b"last-event-id: 1" in r.lower() for r in requests))
 
 
 def _read(response: ReceivedResponse) -> tuple[int, bool, bytes]:
