--- a/tests/serving/test_plain.py
+++ b/tests/serving/test_plain.py
@@ -76,7 +76,9 @@
     def __init__(self) -> None:
         self.served: list[str] = []
 
-    def refuse_unless_allowed(self, fingerprint: str, upstream: t.Any) -> None:
+    def refuse_unless_allowed(
+        self, work: Assignment, upstream: t.Any, *, sent: bool
+    ) -> None:
         pass
 
     def note_served(self, work: Assignment, upstream: t.Any) -> None:
