A node accepts as many new connections as it can serve

A node that the load balancer hands most new connections read all of them and served a tenth in time. Cause: nothing bounds what it accepts; each request makes the loop later for all others. It now counts new connections by periods of 50 ms and accepts as many as leave its event loop punctual (more while they are used and it is punctual, fewer when it is late, as in congestion control; no rate is set), and closes the others unread, so that their callers try another node at once. It stays ready: a node that called itself unready would hand the crowd to the next one, and so on.

connections_refused in the log, bankrack_caller_connections{outcome} in the metrics.

--- a/src/bankrack/front/callerserver.py
+++ b/src/bankrack/front/callerserver.py
@@ -19,6 +19,7 @@
 from bankrack.exceptions import InvalidRequest
 from bankrack.exceptions import Outcome
 from bankrack.exceptions import RequestTooLarge
+from bankrack.front.connectiongate import ConnectionGate
 from bankrack.front.headertimeout import HeaderTimeoutServer
 from bankrack.front.heldbytes import HeldBytes
 from bankrack.front.httpreply import HttpReply
@@ -76,6 +77,7 @@
         response was started.
     :param limits: returns the current limits.
     :param held: accounts for the bytes of requests and of unread responses.
+    :param gate: decides on each new connection.
     """
 
     def __init__(
@@ -85,8 +87,10 @@
         limits: t.Callable[[], CallerLimits],
         *,
         held: HeldBytes,
+        gate: ConnectionGate,
     ) -> None:
         self._dialect = dialect
+        self._gate = gate
         self._serve = serve
         self._limits = limits
         self._bodies = held.bodies
@@ -102,6 +106,7 @@
         self._server = HeaderTimeoutServer(
             self._handle,
             limits=self._limits,
+            admit=self._gate.admit,
             handler_cancellation=True,
             access_log=None,
             auto_decompress=False,
@@ -110,6 +115,8 @@
             max_field_size=MAX_LINE_BYTES,
             lingering_time=0.0,
         )
+        server = self._server
+        self._gate.open_connections = lambda: len(server.connections)
         loop = asyncio.get_running_loop()
         if listening is not None:
             self._listener = await loop.create_server(
--- a/src/bankrack/front/headertimeout.py
+++ b/src/bankrack/front/headertimeout.py
@@ -83,10 +83,20 @@
         self.force_close()
 
 
+class _RefusedConnection(asyncio.Protocol):
+    """A connection that is closed before anything is read from it."""
+
+    __slots__ = ()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        t.cast(asyncio.Transport, transport).abort()
+
+
 class HeaderTimeoutServer(web.Server):
     """Server whose connections enforce the header timeout.
 
     :param limits: returns the current limits.
+    :param admit: decides on each new connection.
     """
 
     def __init__(
@@ -94,13 +104,18 @@
         handler: t.Callable[[web.BaseRequest], t.Awaitable[web.StreamResponse]],
         *,
         limits: t.Callable[[], CallerLimits],
+        admit: t.Callable[[], bool] = lambda: True,
         **options: t.Any,
     ) -> None:
         super().__init__(handler, **options)
         self._limits = limits
+        self._admit = admit
 
-    def __call__(self) -> RequestHandler:
+    # asyncio takes any protocol, whereas the base class promises its own.
+    def __call__(self) -> t.Any:
         """Create the protocol of one connection."""
+        if not self._admit():
+            return _RefusedConnection()
         return _HeaderTimeoutHandler(
             self, limits=self._limits, loop=self._loop, **self._kwargs
         )
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -40,6 +40,7 @@
 from bankrack.fleet.updates import FleetUpdates
 from bankrack.fleet.view import View
 from bankrack.front.callerserver import CallerServer
+from bankrack.front.connectiongate import ConnectionGate
 from bankrack.front.heldbytes import HeldBytes
 from bankrack.front.internalserver import serve_paths
 from bankrack.integration import GatewayDialect
@@ -235,8 +236,15 @@
             lambda: self.dispatcher.in_flight,
             lambda seconds: self.metrics.blocked.observe({}, seconds),
         )
+        self._gate = ConnectionGate(
+            lambda outcome: self.metrics.caller_connections.inc({"outcome": outcome})
+        )
         self.front = CallerServer(
-            dialect.callers, self._serve, self._caller_limits, held=self.held
+            dialect.callers,
+            self._serve,
+            self._caller_limits,
+            held=self.held,
+            gate=self._gate,
         )
 
     async def start(self, *, listening: socket.socket | None = None) -> None:
@@ -274,6 +282,7 @@
         self._tasks.spawn(self.follower.keep_sweeping)
         self._tasks.spawn(self.announcer.run)
         self._tasks.spawn(self._loop_monitor.run)
+        self._tasks.spawn(self._gate.run)
         self._tasks.spawn(self.reports.run)
         self._tasks.spawn(self.owners.run)
         self._tasks.spawn(self.rate_limits.run)
--- a/src/bankrack/metrics.py
+++ b/src/bankrack/metrics.py
@@ -97,6 +97,9 @@
         self.cuts = self._counter(
             "bankrack_caller_cuts", "Callers cut off as they read too slowly, by reason"
         )
+        self.caller_connections = self._counter(
+            "bankrack_caller_connections", "New connections of callers, by outcome"
+        )
         self.pool_overflows = self._counter(
             "bankrack_pool_overflows",
             "Runs for which a second pool was asked, by its answer",
--- /dev/null
+++ b/tests/front/test_connectiongate.py
@@ -0,0 +1,47 @@
+"""Tests of the admission of new connections."""
+
+import collections
+
+from bankrack.decisions.connectionrate import START_ALLOWANCE
+from bankrack.front.connectiongate import ConnectionGate
+from tests.base import TestCase
+
+
+class GateTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.counts = collections.Counter()
+        self.open = 0
+        self.gate = ConnectionGate(
+            lambda outcome: self.counts.update([outcome]),
+            open_connections=lambda: self.open,
+            max_open=50,
+        )
+
+    def test_connections_beyond_the_allowance_are_refused(self):
+        admitted = sum(self.gate.admit() for _ in range(200))
+        self.assertEqual(START_ALLOWANCE, admitted)
+        self.assertEqual({"accepted": admitted, "refused": 200 - admitted}, self.counts)
+
+    def test_next_period_admits_again(self):
+        for _ in range(200):
+            self.gate.admit()
+        self.gate.end_period(delay=0.0)
+        self.assertTrue(self.gate.admit())
+
+    def test_open_connections_are_bounded(self):
+        self.open = 50
+        self.assertFalse(self.gate.admit())
+        self.open = 49
+        self.assertTrue(self.gate.admit())
+
+    async def test_refusals_are_logged_once_a_second(self):
+        self.gate._log(10.0)
+        for _ in range(200):
+            self.gate.admit()
+        with self.assertLogs("bankrack", "INFO") as lines:
+            self.gate._log(10.5)
+            self.gate._log(11.0)
+            self.gate._log(11.1)
+        [line] = lines.output
+        self.assertIn("event=connections_refused count=72", line)
--- a/tests/test_connection_floods.py
+++ b/tests/test_connection_floods.py
@@ -12,6 +12,7 @@
 import time
 
 from soak.gateway.processes import Gateway
+
 from tests.base import TestCase
 from tests.platform.fakes import configuration
 from tests.platform.fakes import FakeStore
