Soak: prompts with a deadly part beside the deadly request, and sound ones that share parts

--poison sends both in turn; all prompts have a common part and one of a session. No sound request may be refused as quarantined.

--- a/soak/gateway/__main__.py
+++ b/soak/gateway/__main__.py
@@ -75,7 +75,7 @@
     :param workers: number of concurrent callers.
     :param folder: for settings and logs of the gateways.
     :param replacing: replace all gateways in turn instead of injecting faults.
-    :param poison: also send a request that crashes engines, repeatedly.
+    :param poison: also send requests that crash engines, by their body or a part.
     :param crowded: let a workspace ask for most of the engines instead.
     :return: the exit code.
     """
@@ -149,7 +149,7 @@
         checker.check_replacement()
     if crowded:
         checker.check_crowded()
-    checker.check_poison(injector.poisoned)
+    checker.check_poison(injector.poisoned_by_cause)
     print(f"seed {seed}, {minutes} minutes, bug {bug}, {count} gateways")
     _report(callers, injector, journal, checker)
     print(lag_monitor)
@@ -172,7 +172,8 @@
     for name, number in sorted(outcomes.items()):
         print(f"  {name}: {number}")
     print(f"cuts of VMs: {len(checker.cuts)}, falls: {len(journal.falls)}")
-    print(f"engines ended by one request: {len(injector.poisoned)}")
+    for cause, ended in injector.poisoned_by_cause.items():
+        print(f"engines ended by one {cause}: {len(ended)}")
     rates = [f"{rate:.1f} at {speed}" for speed, rate in checker.run_rates().items()]
     shares = [f"{share:.2f} of {key}" for key, share in checker.served_shares().items()]
     print(f"streams served: {', '.join(shares)}")
@@ -198,7 +199,7 @@
     parser.add_argument(
         "--poison",
         action="store_true",
-        help="repeatedly send a request that crashes engines",
+        help="send requests that crash engines, by their body or a part of the prompt",
     )
     parser.add_argument(
         "--crowded",
--- a/soak/gateway/callers.py
+++ b/soak/gateway/callers.py
@@ -15,12 +15,15 @@
 from soak.gateway.fakes import expected_event
 from soak.gateway.fakes import is_large
 from soak.gateway.fakes import POISON
+from soak.gateway.fakes import POISON_PART
 from soak.gateway.processes import Gateway
 
 PATHS = ("look", "look", "bill", "bill", "talk")
 CALL_TIMEOUT_SECONDS = 6.0
 MEAN_PAUSE_SECONDS = 0.08
-POISON_INTERVAL_SECONDS = 0.4
+POISON_INTERVAL_SECONDS = 0.2
+SESSIONS = 20
+"""Number of sessions whose prompts share a part."""
 DISCONNECT_FRACTION = 0.03
 """Fraction of calls that are disconnected in the middle of a response."""
 SLOW_READER_FRACTION = 0.03
@@ -57,6 +60,7 @@
     :param disconnects: the caller disconnected before the end.
     :param pause: seconds before it read the body.
     :param retry_after: seconds after which it was told to return.
+    :param poisonous: it crashes the engines that run it.
     """
 
     request: str
@@ -73,6 +77,7 @@
     disconnects: bool = False
     pause: float = 0.0
     retry_after: float = 0.0
+    poisonous: bool = False
 
     def response_error(self) -> str:
         """Describe the error in a successful response; empty if it is correct."""
@@ -117,13 +122,18 @@
         await asyncio.gather(*(self._work() for _ in range(workers)))
 
     async def poison(self) -> None:
-        """Repeatedly send a request that crashes engines, until the soak has ended."""
+        """Send requests that crash engines in turn, until the soak has ended.
+
+        One is always the same; no two of the others are, but for a part of the prompt.
+        """
         timeout = aiohttp.ClientTimeout(
             total=CALL_TIMEOUT_SECONDS + 2, sock_connect=1.0
         )
         async with aiohttp.ClientSession(timeout=timeout) as session:
             while not self.ended:
-                await self.call(session, "talk", body=POISON)
+                await self.call(session, "talk", body=POISON, poisonous=True)
+                await asyncio.sleep(POISON_INTERVAL_SECONDS)
+                await self.call(session, "talk", part=POISON_PART, poisonous=True)
                 await asyncio.sleep(POISON_INTERVAL_SECONDS)
 
     async def press(self) -> None:
@@ -174,24 +184,35 @@
         body: bytes | None = None,
         key: str = KEY,
         tokens: str = TOKENS,
+        part: str = "",
+        poisonous: bool = False,
     ) -> Call:
-        """Send one request to a gateway that accepts calls."""
+        """Send one request to a gateway that accepts calls.
+
+        :param part: second part of the prompt; by default one that some others have.
+        :param poisonous: it crashes engines.
+        """
         accepting = [g for g in self._gateways if self._accepts_calls(g)]
         node = self._rng.choice(accepting or self._gateways)
         request = f"q{next(self._numbers)}"
         undisturbed = self.undisturbed(node)
         call = Call(request, path, node, time.monotonic(), undisturbed, key)
+        call.poisonous = poisonous
         self.calls.append(call)
+        part = part or f"session{len(self.calls) % SESSIONS}"
         headers = {
             "Host": "h.example",
             "Bankrack-Request-Id": request,
             "Bankrack-Deadline-Ms": str(int(CALL_TIMEOUT_SECONDS * 1000)),
             "Bankrack-Key": call.key,
             "Bankrack-Token-Usage": tokens,
+            "Bankrack-Prompt-Prefix": f"common:400,{part}:300,{request}:300",
             "Kv-From": "127.0.0.1:1/stolen",
         }
         if body is None and is_large(request) and path != "look":
             body = LARGE_BODY
+        if body is None and path == "talk":
+            body = request.encode()
         url = f"http://{node.front}/{path}/x"
         method = "GET" if path == "look" else "POST"
         sending = session.request(method, url, headers=headers, data=body)
--- a/soak/gateway/checks.py
+++ b/soak/gateway/checks.py
@@ -234,17 +234,21 @@
                 f"served; {MIN_SERVED_SHARE} must be"
             )
 
-    def check_poison(self, ended: list[str]) -> None:
-        """Check how many engines a request that crashes engines has ended.
+    def check_poison(self, ended_by_cause: dict[str, list[str]]) -> None:
+        """Check how many engines a request or a part of prompts has crashed.
 
-        Three crashes and three more sends are allowed.
+        Three crashes and three more sends are allowed.  No other request is refused.
 
-        :param ended: ids of the engines that it ended.
+        :param ended_by_cause: ids of the engines that each of them crashed.
         """
-        if len(ended) > MAX_POISONED:
-            self.record_violation(
-                f"one request ended {len(ended)} engines: {', '.join(ended)}"
-            )
+        for cause, ended in ended_by_cause.items():
+            if len(ended) > MAX_POISONED:
+                self.record_violation(
+                    f"one {cause} ended {len(ended)} engines: {', '.join(ended)}"
+                )
+        for call in self._callers.calls:
+            if not call.poisonous and b"request_quarantined" in call.body:
+                self.record_violation(f"{call.request} was refused: {call.body!r}")
 
     def _check_response(self, call: Call, *, ran: bool) -> None:
         if error := call.response_error():
--- a/soak/gateway/fakes.py
+++ b/soak/gateway/fakes.py
@@ -56,8 +56,11 @@
 SLOW_READ_SECONDS = 0.2
 """Time after which a server begins to read a large body."""
 POISON = b"ends whoever runs it"
+POISON_PART = "deadly"
+"""Part of a prompt that crashes engines, whatever else the request holds."""
 POISON_DELAY_SECONDS = 0.05
-"""Time from the start of a run with a ``POISON`` body to the crash of its engine."""
+"""Time from the start of a run with a ``POISON`` body or part to the crash of its
+engine."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -353,7 +356,7 @@
         self.pause = EVENT_INTERVAL_SECONDS
         self.closed = math.inf
         self.stalled = False
-        self.on_poison: t.Callable[[SoakEngine], None] = lambda engine: None
+        self.on_poison: t.Callable[[SoakEngine, str], None] = lambda engine, cause: None
 
     @property
     def speed(self) -> float:
@@ -401,9 +404,9 @@
         response.content_type = "text/event-stream"
         response.enable_chunked_encoding()
         await response.prepare(request)
-        if await request.read() == POISON:
+        if cause := await _poison_in(request):
             await asyncio.sleep(POISON_DELAY_SECONDS)
-            self.on_poison(self)
+            self.on_poison(self, cause)
         for number in range(first, event_count(request_id)):
             if self.breaks_off:
                 await response.write(b"id: %d\ndata: to" % number)
@@ -417,6 +420,14 @@
         return response
 
 
+async def _poison_in(request: web.BaseRequest) -> str:
+    """Name what in a request crashes engines; empty if nothing does."""
+    if await request.read() == POISON:
+        return "request"
+    parts = request.headers.get("Bankrack-Prompt-Prefix", "")
+    return "part" if f"{POISON_PART}:" in parts else ""
+
+
 def expected_body(request_id: str) -> bytes:
     """The expected body of the response to a plain request."""
     return f"answer to {request_id}".encode()
--- a/soak/gateway/faults.py
+++ b/soak/gateway/faults.py
@@ -108,7 +108,7 @@
         rng: random.Random,
     ) -> None:
         self.counts: collections.Counter[str] = collections.Counter()
-        self.poisoned: list[str] = []
+        self.poisoned_by_cause: dict[str, list[str]] = {"request": [], "part": []}
         self._restarts: set[asyncio.Task[None]] = set()
         self.servers: list[SoakServer] = []
         self.engines: list[SoakEngine] = []
@@ -395,11 +395,11 @@
         await asyncio.sleep(1.0)
         await self._open_engine()
 
-    def _end_poisoned(self, engine: SoakEngine) -> None:
+    def _end_poisoned(self, engine: SoakEngine, cause: str) -> None:
         """End an engine without notice, as a crash of its process would; replace it."""
         if engine.breaks_off:
             return
-        self.poisoned.append(engine.id)
+        self.poisoned_by_cause[cause].append(engine.id)
         if engine in self.engines:
             self.engines.remove(engine)
             engine.closed = time.monotonic()
