Soak: floods of new connections at one gateway after the other (--flooded)

Also overlapping with the deadly request and part, and with the drawn faults. The known bug forget now disables the check that the gateway uses; it is found for both the request and the part.

--- a/soak/gateway/__main__.py
+++ b/soak/gateway/__main__.py
@@ -13,7 +13,6 @@
 import sys
 import tempfile
 import time
-import typing as t
 
 from soak.gateway.buggy import BUGS
 from soak.gateway.callers import Callers
@@ -67,6 +66,7 @@
     replacing: bool = False,
     poison: bool = False,
     crowded: bool = False,
+    flooded: bool = False,
 ) -> int:
     """Run one soak.
 
@@ -76,6 +76,7 @@
     :param folder: for settings and logs of the gateways.
     :param replacing: replace all gateways in turn instead of injecting faults.
     :param poison: also send requests that crash engines, by their body or a part.
+    :param flooded: open most new connections at one gateway after the other.
     :param crowded: let a workspace ask for most of the engines instead.
     :return: the exit code.
     """
@@ -111,12 +112,12 @@
         await asyncio.gather(*(gateway.wait_until_ready() for gateway in gateways))
         await asyncio.sleep(SETTLE_BEFORE_SECONDS)
         calling = asyncio.create_task(callers.run(workers))
-        others: list[t.Coroutine[t.Any, t.Any, None]] = []
-        if poison:
-            others.append(callers.poison())
-        if crowded:
-            others.append(callers.press())
-        other_calls = asyncio.gather(*others)
+        chosen = {
+            callers.poison: poison,
+            callers.flood: flooded,
+            callers.press: crowded,
+        }
+        other_calls = asyncio.gather(*(call() for call, on in chosen.items() if on))
         if crowded:
             await asyncio.sleep(minutes * 60.0)
         elif replacing:
@@ -149,6 +150,7 @@
         checker.check_replacement()
     if crowded:
         checker.check_crowded()
+    checker.check_floods()
     checker.check_poison(injector.poisoned_by_cause)
     print(f"seed {seed}, {minutes} minutes, bug {bug}, {count} gateways")
     _report(callers, injector, journal, checker)
@@ -174,6 +176,8 @@
     print(f"cuts of VMs: {len(checker.cuts)}, falls: {len(journal.falls)}")
     for cause, ended in injector.poisoned_by_cause.items():
         print(f"engines ended by one {cause}: {len(ended)}")
+    refused = sum(not call.status for calls in callers.floods for call in calls)
+    print(f"floods: {len(callers.floods)}, calls without a response: {refused}")
     rates = [f"{rate:.1f} at {speed}" for speed, rate in checker.run_rates().items()]
     shares = [f"{share:.2f} of {key}" for key, share in checker.served_shares().items()]
     print(f"streams served: {', '.join(shares)}")
@@ -201,6 +205,11 @@
         action="store_true",
         help="send requests that crash engines, by their body or a part of the prompt",
     )
+    parser.add_argument(
+        "--flooded",
+        action="store_true",
+        help="open most new connections at one gateway after the other",
+    )
     parser.add_argument(
         "--crowded",
         action="store_true",
@@ -224,6 +233,7 @@
                 replacing=options.replacing,
                 poison=options.poison,
                 crowded=options.crowded,
+                flooded=options.flooded,
             )
         )
 
--- a/soak/gateway/buggy.py
+++ b/soak/gateway/buggy.py
@@ -84,7 +84,7 @@
 
 def forget_crashes() -> None:
     """Send requests that crashed upstreams before."""
-    CrashRegister.may_run_on = lambda self, fingerprint, software: True  # type: ignore[method-assign]
+    CrashRegister.blamed = lambda self, *found, **more: None  # type: ignore[method-assign]
 
 
 def ignore_notices() -> None:
--- a/soak/gateway/callers.py
+++ b/soak/gateway/callers.py
@@ -22,6 +22,10 @@
 CALL_TIMEOUT_SECONDS = 6.0
 MEAN_PAUSE_SECONDS = 0.08
 POISON_INTERVAL_SECONDS = 0.2
+FLOOD_CALLS = 600
+"""Calls of one flood, each over a connection of its own."""
+FLOOD_SECONDS = 2.0
+FLOOD_PAUSE_SECONDS = 3.0
 SESSIONS = 20
 """Number of sessions whose prompts share a part."""
 DISCONNECT_FRACTION = 0.03
@@ -110,6 +114,7 @@
 
     def __init__(self, gateways: list[Gateway], rng: random.Random) -> None:
         self.calls: list[Call] = []
+        self.floods: list[list[Call]] = []
         self.paths: list[str] = []
         self.ended = False
         self.undisturbed: t.Callable[[Gateway], bool] = lambda gateway: True
@@ -136,6 +141,23 @@
                 await self.call(session, "talk", part=POISON_PART, poisonous=True)
                 await asyncio.sleep(POISON_INTERVAL_SECONDS)
 
+    async def flood(self) -> None:
+        """Open most new connections at one gateway after the other, until the end."""
+        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_SECONDS, sock_connect=1.0)
+        connector = aiohttp.TCPConnector(limit=0, force_close=True)
+        async with aiohttp.ClientSession(
+            connector=connector, timeout=timeout
+        ) as session:
+            while not self.ended:
+                await asyncio.sleep(FLOOD_PAUSE_SECONDS)
+                node = self._rng.choice(self._gateways)
+                calls = []
+                for _ in range(FLOOD_CALLS):
+                    calling = self.call(session, "look", node=node)
+                    calls.append(asyncio.create_task(calling))
+                    await asyncio.sleep(FLOOD_SECONDS / FLOOD_CALLS)
+                self.floods.append(list(await asyncio.gather(*calls)))
+
     async def press(self) -> None:
         """Ask for more long runs than the engines hold, for two workspaces.
 
@@ -186,14 +208,15 @@
         tokens: str = TOKENS,
         part: str = "",
         poisonous: bool = False,
+        node: Gateway | None = None,
     ) -> Call:
-        """Send one request to a gateway that accepts calls.
+        """Send one request to a gateway that accepts calls, or to a given one.
 
         :param part: second part of the prompt; by default one that some others have.
         :param poisonous: it crashes engines.
         """
         accepting = [g for g in self._gateways if self._accepts_calls(g)]
-        node = self._rng.choice(accepting or self._gateways)
+        node = node or self._rng.choice(accepting or self._gateways)
         request = f"q{next(self._numbers)}"
         undisturbed = self.undisturbed(node)
         call = Call(request, path, node, time.monotonic(), undisturbed, key)
--- a/soak/gateway/checks.py
+++ b/soak/gateway/checks.py
@@ -50,6 +50,9 @@
 MAX_LINK_FAULT_SECONDS = 3.0
 """Longest fault of a link to a server."""
 MAX_POISONED = 6
+LATE_SECONDS = 2.0
+MAX_LATE_SHARE = 0.25
+"""Share of the requests that a flooded gateway reads and may answer late."""
 MIN_SERVED_SHARE = 0.5
 """Fraction of the short runs that must be served by crowded engines."""
 MIN_PATIENT_SHARE = 0.5
@@ -234,6 +237,22 @@
                 f"served; {MIN_SERVED_SHARE} must be"
             )
 
+    def check_floods(self) -> None:
+        """Check that gateways serve what they read while most new connections come.
+
+        A call without any response counts as read if it was not closed at once.
+        """
+        for calls in self._callers.floods:
+            if not all(call.undisturbed for call in calls):
+                continue
+            read = [c for c in calls if c.status or c.ended > c.sent + LATE_SECONDS]
+            late = [c for c in read if c.ended > c.sent + LATE_SECONDS]
+            if len(late) > MAX_LATE_SHARE * len(read):
+                self.record_violation(
+                    f"{calls[0].node.name} was flooded by {len(calls)} connections and "
+                    f"answered {len(late)} of {len(read)} requests late"
+                )
+
     def check_poison(self, ended_by_cause: dict[str, list[str]]) -> None:
         """Check how many engines a request or a part of prompts has crashed.
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -117,11 +117,13 @@
         found = soak(901, 0.15, "--poison")
         self.assertEqual(0, found.returncode, found.stdout + found.stderr)
         self.assertRegex(found.stdout, "engines ended by one request: [1-6]\n")
+        self.assertRegex(found.stdout, "engines ended by one part: [1-6]\n")
 
     def test_gateways_that_forget_crashes_are_detected(self):
         found = soak(901, 0.15, "--poison", "--bug", "forget")
         self.assertEqual(1, found.returncode, found.stdout + found.stderr)
         self.assertIn("one request ended", found.stdout)
+        self.assertIn("one part ended", found.stdout)
 
     def test_gateways_that_ignore_notices_are_detected(self):
         found = soak(1, 0.3, "--bug", "deaf")
