--- a/src/bankrack/serving/crashregister.py
+++ b/src/bankrack/serving/crashregister.py
@@ -160,7 +160,7 @@
             return False
         now = self._clock()
         due_at = max(history.changed_at, history.retested_at) + RETEST_SECONDS
-        if now < due_at + RETEST_STEP_SECONDS * self.rank(trait):
+        if now < due_at or now < due_at + RETEST_STEP_SECONDS * self.rank(trait):
             return False
         history.retested_at = now
         history.retest = fingerprint
--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -59,14 +59,14 @@
 
 
 class DeadlyParts(TestCase):
-    async def check_few_engines_crash(self, *shared: str) -> None:
+    async def check_few_engines_crash(self, *shared: str, nodes: int = 3) -> None:
         """Send deadly prompts at all nodes, and sound ones with their other parts."""
         sound = [part for part in shared if part != DEADLY_PART]
         async with running() as deployment:
-            fleet = await start_fleet(deployment)
+            fleet = await start_fleet(deployment, nodes=nodes)
             prompts = Prompts(fleet)
             for number in range(10):
-                node = number % 3
+                node = number % nodes
                 response = await prompts.call(*shared, node=node)
                 self.assertNotEqual(200, response.status)
                 await fleet.wait_for_restarts()
@@ -80,6 +80,9 @@
     async def test_deadly_first_part_crashes_few_engines(self):
         await self.check_few_engines_crash(DEADLY_PART, "common")
 
+    async def test_node_that_hears_of_no_other_finds_the_deadly_part(self):
+        await self.check_few_engines_crash("common", DEADLY_PART, nodes=1)
+
     async def test_deadly_part_of_concurrent_requests_crashes_few_engines(self):
         async with running() as deployment:
             fleet = await start_fleet(deployment)
