A node that was late for a moment admits the callers that came meanwhile

The allowance is a rate now, with credit for the time that passed up to a burst of 128; it is refilled at the end of a period, after the rate has adapted, so that a late loop does not accept more before. A late node that refuses callers falls back to what it just managed.

--- a/src/bankrack/decisions/connectionrate.py
+++ b/src/bankrack/decisions/connectionrate.py
@@ -8,27 +8,47 @@
 
 TICK_SECONDS = 0.05
 """Period in which connections are counted and the event loop's delay is measured."""
-START_ALLOWANCE = 128.0
-"""Connections that a node accepts in its first period, before it knows its capacity."""
-MIN_ALLOWANCE = 4.0
-"""Lower bound, so that a single delay turns few callers away."""
-MAX_ALLOWANCE = 1024.0
-MAX_DELAY_SECONDS = 0.05
+START_RATE = 2560.0
+"""Connections a second that a node accepts before it knows its capacity."""
+MIN_RATE = 80.0
+"""Lower bound, so that a short delay turns no callers away."""
+MAX_RATE = 20_000.0
+MAX_BURST = 128.0
+"""Bounds the connections accepted at once, as many callers reconnect to a new node."""
+BURST_SECONDS = 0.25
+"""Time whose connections are accepted at once after a delay of the event loop."""
+MAX_DELAY_SECONDS = 0.1
 """Delay of the event loop from which fewer connections are accepted."""
-INCREASE = 1.1
+INCREASE = 1.04
 DECREASE = 0.7
 
 
-def next_allowance(allowance: float, *, delay: float, accepted: int) -> float:
-    """Return how many connections to accept in the next period.
+def next_rate(
+    rate: float, *, delay: float, seconds: float, accepted: int, refused: int
+) -> float:
+    """Return the connections to accept a second from now on.
 
-    :param allowance: connections that were allowed in the period that ends.
+    A late node that turns callers away accepts less than what it just managed; one that
+    does not is late for another reason, or only for a moment.
+
+    :param rate: connections a second that were allowed in the last period.
     :param delay: delay of the event loop in that period, in seconds.
+    :param seconds: length of that period, with the delay.
     :param accepted: connections accepted in that period.
+    :param refused: connections refused in that period.
     """
     if delay > MAX_DELAY_SECONDS:
-        return max(MIN_ALLOWANCE, DECREASE * allowance)
-    is_probed = accepted >= allowance / 2
-    if is_probed or allowance < START_ALLOWANCE:
-        return min(MAX_ALLOWANCE, INCREASE * allowance)
-    return allowance
+        managed = min(rate, accepted / seconds) if refused else rate
+        return max(MIN_RATE, DECREASE * managed)
+    is_used = accepted + refused >= rate * seconds / 2
+    if is_used or rate < START_RATE:
+        return min(MAX_RATE, INCREASE * rate)
+    return rate
+
+
+def refill(allowance: float, rate: float, *, seconds: float) -> float:
+    """Return the connections that may be accepted now.
+
+    :param allowance: what was left before the last ``seconds``.
+    """
+    return min(MAX_BURST, BURST_SECONDS * rate, allowance + rate * seconds)
--- a/src/bankrack/front/connectiongate.py
+++ b/src/bankrack/front/connectiongate.py
@@ -7,8 +7,10 @@
 
 from bankrack import logs
 from bankrack.clock import boottime
-from bankrack.decisions.connectionrate import next_allowance
-from bankrack.decisions.connectionrate import START_ALLOWANCE
+from bankrack.decisions.connectionrate import MAX_BURST
+from bankrack.decisions.connectionrate import next_rate
+from bankrack.decisions.connectionrate import refill
+from bankrack.decisions.connectionrate import START_RATE
 from bankrack.decisions.connectionrate import TICK_SECONDS
 
 MAX_DESCRIPTOR_SHARE = 0.5
@@ -33,34 +35,39 @@
         *,
         open_connections: t.Callable[[], int] = lambda: 0,
         max_open: int | None = None,
+        clock: t.Callable[[], float] = boottime,
     ) -> None:
         self.open_connections = open_connections
+        self._clock = clock
         self._count = count
         self._max_open = max_open or _max_open_connections()
-        self._allowance = START_ALLOWANCE
+        self._rate = START_RATE
+        self._allowance = MAX_BURST
         self._accepted = 0
         self._refused = 0
+        self._unlogged = 0
         self._delay = 0.0
         self._logged_at = 0.0
 
     def admit(self) -> bool:
         """Decide on a new connection; a refused one is to be closed unread."""
-        fits = self.open_connections() < self._max_open
-        if fits and self._accepted < self._allowance:
+        if self._allowance >= 1.0 and self.open_connections() < self._max_open:
+            self._allowance -= 1.0
             self._accepted += 1
             self._count("accepted")
             return True
         self._refused += 1
+        self._unlogged += 1
         self._count("refused")
         return False
 
     async def run(self) -> None:
         """Adapt to the delay of the event loop until cancelled."""
         while True:
-            began = boottime()
+            due_at = self._clock() + TICK_SECONDS
             await asyncio.sleep(TICK_SECONDS)
-            now = boottime()
-            self.end_period(delay=now - began - TICK_SECONDS)
+            now = self._clock()
+            self.end_period(delay=now - due_at)
             self._log(now)
 
     def end_period(self, *, delay: float) -> None:
@@ -68,26 +75,34 @@
 
         :param delay: delay of the event loop in the last one, in seconds.
         """
-        self._allowance = next_allowance(
-            self._allowance, delay=delay, accepted=self._accepted
+        seconds = TICK_SECONDS + delay
+        self._rate = next_rate(
+            self._rate,
+            delay=delay,
+            seconds=seconds,
+            accepted=self._accepted,
+            refused=self._refused,
         )
+        # Not refilled in between: a late loop would accept more before it adapts.
+        self._allowance = refill(self._allowance, self._rate, seconds=seconds)
         self._accepted = 0
+        self._refused = 0
         self._delay = max(self._delay, delay)
 
     def _log(self, now: float) -> None:
         """Log refusals since the last line, and the longest delay."""
         if now < self._logged_at + LOG_INTERVAL_SECONDS:
             return
-        if self._refused:
+        if self._unlogged:
             logs.event(
                 _logger,
                 "connections_refused",
-                count=self._refused,
-                allowance=self._allowance,
+                count=self._unlogged,
+                rate=self._rate,
                 delay=self._delay,
                 open=self.open_connections(),
             )
-        self._refused = 0
+        self._unlogged = 0
         self._delay = 0.0
         self._logged_at = now
 
