--- a/src/bankrack/fleet/peers.py
+++ b/src/bankrack/fleet/peers.py
@@ -26,6 +26,7 @@
 from bankrack.fleet.reports import ReportMessage
 from bankrack.fleet.store import Item
 from bankrack.fleet.store import Snapshot
+from bankrack.fleet.transferlog import TransferLog
 from bankrack.fleet.view import View
 from bankrack.fleet.wholeviews import CACHE_SECONDS
 from bankrack.fleet.wholeviews import WholeViews
@@ -133,6 +134,7 @@
         before this node has a view.
     :param count: called with the outcome of each request for a whole view.
     :param link_mbps: rate of this node's link in Mbit/s; 0 if unknown.
+    :param transfers: records the responses.
     """
 
     def __init__(
@@ -145,6 +147,7 @@
         note_requester: t.Callable[[str], None],
         count: t.Callable[[str], None] = lambda outcome: None,
         link_mbps: float = 0.0,
+        transfers: TransferLog | None = None,
     ) -> None:
         self._view = view
         self._upstreams = upstreams
@@ -153,6 +156,7 @@
         self._note_requester = note_requester
         self._relayed_engines: list[Upstream] = []
         self._relayed_engines_key: tuple[int, int] | None = None
+        self._transfers = transfers or TransferLog()
         self._whole_views = WholeViews(
             self._encode_whole_view, count, link_mbps=link_mbps
         )
@@ -172,9 +176,20 @@
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(view.updated.wait(), LONG_POLL_SECONDS)
         if not state.serial:
-            return await self._whole_views.send(request)
+            response = await self._whole_views.send(request)
+            self._note_sent("whole_view", response, request)
+            return response
         message = self._build_message(state, waited=boottime() - started_at)
-        return web.Response(body=msgspec.msgpack.encode(message))
+        response = web.Response(body=msgspec.msgpack.encode(message))
+        kind = "changes" if message.keys is None else "newer_items"
+        self._note_sent(kind, response, request)
+        return response
+
+    def _note_sent(
+        self, kind: str, response: web.Response, request: web.Request
+    ) -> None:
+        size = len(t.cast(bytes, response.body or b""))
+        self._transfers.note_sent(kind, size, to=request.query.get("address", ""))
 
     def _encode_whole_view(self) -> bytes:
         state = _FollowerState(serial="", since=0, sent=0.0, engines=False)
@@ -257,7 +272,9 @@
         *,
         address: str,
         uses_engines: t.Callable[[], bool],
+        transfers: TransferLog | None = None,
     ) -> None:
+        self._transfers = transfers or TransferLog()
         self._session = session
         self._address = address
         self._view = view
@@ -283,15 +300,27 @@
         }
         limit = _timeout(serial)
         url = f"http://{leader.address}{UPDATES_PATH}"
+        body = bytearray()
+        error = ""
         try:
             async with self._session.get(url, params=query, timeout=limit) as response:
                 if response.status != 200:
                     raise PeerNotReady(f"{leader.name}: status {response.status}")
-                body = await response.read()
+                async for chunk in response.content.iter_any():
+                    body += chunk
             message = msgspec.msgpack.decode(body, type=UpdateMessage)
         except (aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError) as e:
             self._serial_by_name.pop(leader.name, None)
+            error = repr(e)
             raise PeerUnavailable(f"{leader.name}: {e!r}") from e
+        finally:
+            self._transfers.note_received(
+                _kind_of(serial),
+                len(body),
+                source=leader.name,
+                seconds=boottime() - sent_at,
+                error=error,
+            )
         self._apply(leader, message, sent_at)
         return message.age
 
@@ -377,6 +406,16 @@
         return False
 
 
+def _kind_of(serial: str) -> str:
+    """Return what a request with the given serial asks for, for the log."""
+    match serial:
+        case "":
+            return "whole_view"
+        case _ if serial == UNKNOWN_SERIAL:
+            return "newer_items"
+    return "changes"
+
+
 def _timeout(serial: str) -> aiohttp.ClientTimeout:
     """Return the timeout of a request with the given serial.
 
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -35,6 +35,7 @@
 from bankrack.fleet.roster import Roster
 from bankrack.fleet.store import era_of
 from bankrack.fleet.store import number_of
+from bankrack.fleet.transferlog import TransferLog
 from bankrack.fleet.tunnelclient import TunnelClient
 from bankrack.fleet.tunnelserver import TunnelServer
 from bankrack.fleet.updates import FleetUpdates
@@ -127,6 +128,7 @@
         self._control_session = new_session(reuse=True, upstream_paths=self.paths)
         self._internal_session = new_session(reuse=True)
         store = dialect.store(self._internal_session)
+        self.transfers = TransferLog(self.metrics.note_transfer)
         self.roster = Roster(
             own, self.view.members_by_name.values, seeds=settings.seeds
         )
@@ -136,6 +138,7 @@
             self.upstreams,
             address=settings.inner,
             uses_engines=lambda: self.reports.in_use(),
+            transfers=self.transfers,
         )
         self.follower = Follower(store, self.view, self.roster, leaders)
         self.announcer = Announcer(
@@ -265,6 +268,7 @@
             note_requester=self.roster.note_requester,
             count=lambda outcome: self.metrics.updates.inc({"outcome": outcome}),
             link_mbps=settings.link_mbps,
+            transfers=self.transfers,
         )
         inner = {
             UPDATES_PATH: updates.handle,
--- a/src/bankrack/metrics.py
+++ b/src/bankrack/metrics.py
@@ -107,6 +107,15 @@
         self.updates = self._counter(
             "bankrack_updates", "Requests of nodes for the whole view, by outcome"
         )
+        self.transfer_bytes = self._counter(
+            "bankrack_transfer_bytes",
+            "Bytes of views sent to and received from nodes, by direction and outcome",
+        )
+        self.transfer_seconds = self._histogram(
+            "bankrack_transfer_seconds",
+            "Time from a request for an update of the view to its last byte",
+            LATENCY_BUCKETS,
+        )
         self.latency = self._histogram(
             "bankrack_answer_seconds", "Time to the answer", LATENCY_BUCKETS
         )
@@ -117,6 +126,20 @@
         )
         self.values = self._gauge("bankrack_value", "State of the node by name")
 
+    def note_transfer(
+        self, direction: str, outcome: str, size: int, seconds: float
+    ) -> None:
+        """Count a message by which the view is replicated.
+
+        :param direction: ``sent`` or ``received``.
+        :param size: in bytes.
+        :param seconds: from the request to the last byte received.
+        """
+        labels = {"direction": direction, "outcome": outcome}
+        self.transfer_bytes.add(labels, size)
+        if direction == "received":
+            self.transfer_seconds.observe({"outcome": outcome}, seconds)
+
 
 class Metrics(_MetricsPage):
     """Metrics of one node."""
