--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -50,6 +50,7 @@
         inner: str | None = None,
         listening: socket.socket | None = None,
         memory_mb: float = 0.0,
+        prepare: t.Callable[[Gateway], None] = lambda gateway: None,
     ) -> Gateway:
         settings = GatewaySettings(
             name=name,
@@ -70,6 +71,7 @@
         gateway.budget._began -= 60.0
         gateway.ledgers.learn_seconds = 0.0
         gateway.rate_limits.coordinators.learn_seconds = 0.0
+        prepare(gateway)
         await gateway.start(listening=listening)
         self.gateways.append(gateway)
         return gateway
