Large values are sent in parts, and announced before they are here

Callers were served by the version before the last, 6.5 s after its acknowledgement.

Updates carry only the digests, so the messages that show life and age stay small, and a follower knows at once that something newer exists (value_announced). An update is given up when its sender falls silent, not while bytes arrive.

--- a/src/bankrack/exceptions.py
+++ b/src/bankrack/exceptions.py
@@ -272,6 +272,13 @@
     """Another node answered that it can't serve the request now."""
 
 
+class PeerDataInvalid(BankrackError):
+    """Another node sent data that does not fit together; it is requested again."""
+
+    code = "peer_data_invalid"
+    status = 502
+
+
 class ConfirmConflict(BankrackError):
     """Another operator confirmed a plan after this plan was made."""
 
--- a/src/bankrack/fleet/follower.py
+++ b/src/bankrack/fleet/follower.py
@@ -147,7 +147,7 @@
         try:
             async with asyncio.timeout(CONFIRM_TIMEOUT_SECONDS):
                 while self._view.confirmed_at < now - within:
-                    if not await self._read():
+                    if not await self.read():
                         break
         except TimeoutError:
             logs.event(_logger, "confirmation_timed_out", age=self._view.age)
@@ -165,7 +165,7 @@
     async def _get_first_view(self) -> None:
         """Obtain a first view, from the store or from any node that has one."""
         first = self._first_view
-        await first.obtain(self._read, on_failure=self._first_attempt_done.set)
+        await first.obtain(self.read, on_failure=self._first_attempt_done.set)
         self._first_attempt_done.set()
         if not self.store_confirmed_at:
             return
@@ -186,7 +186,7 @@
                 if self._defers_to_readers():
                     await asyncio.sleep(RETRY_SECONDS)
                     continue
-                if await self._read():
+                if await self.read():
                     failures = self._own_failures = 0
                     self._log_leader(None)
                     await asyncio.sleep(READ_INTERVAL_SECONDS)
@@ -239,7 +239,7 @@
                 logs.event(_logger, "history_forgotten", revision=number_of(since))
                 # Members changed since this revision are not reported any more.
                 self._members_due = 0.0
-                await self._read()
+                await self.read()
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
             except PlatformUnavailable:
@@ -254,8 +254,11 @@
             )
             await asyncio.sleep(WATCH_INTERVAL_SECONDS)
 
-    async def _read(self) -> bool:
-        """Read the store once; concurrent callers share one read."""
+    async def read(self) -> bool:
+        """Read the store once, and return whether that succeeded.
+
+        Concurrent callers share one read.
+        """
         if self._read_task is None or self._read_task.done():
             self._read_task = asyncio.create_task(self._read_store())
         return await asyncio.shield(self._read_task)
--- a/src/bankrack/fleet/peers.py
+++ b/src/bankrack/fleet/peers.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import functools
 import logging
 import math
 import typing as t
@@ -18,6 +19,7 @@
 
 from bankrack import logs
 from bankrack.clock import boottime
+from bankrack.exceptions import PeerDataInvalid
 from bankrack.exceptions import PeerNotReady
 from bankrack.exceptions import PeerUnavailable
 from bankrack.fleet.documents import Member
@@ -27,6 +29,10 @@
 from bankrack.fleet.store import Item
 from bankrack.fleet.store import Snapshot
 from bankrack.fleet.transferlog import TransferLog
+from bankrack.fleet.valueparts import LARGE_VALUE_BYTES
+from bankrack.fleet.valueparts import Outline
+from bankrack.fleet.valueparts import parse_outline
+from bankrack.fleet.valueparts import ValueParts
 from bankrack.fleet.view import View
 from bankrack.fleet.wholeviews import CACHE_SECONDS
 from bankrack.fleet.wholeviews import WholeViews
@@ -43,8 +49,7 @@
 """Longest wait for a response beyond the long poll."""
 SILENCE_TIMEOUT_SECONDS = LONG_POLL_SECONDS + ANSWER_TIMEOUT_SECONDS
 CATCH_UP_TIMEOUT_SECONDS = 2.0
-"""Longest transfer of the keys of a view and of what changed since another node
-confirmed it."""
+"""Longest transfer of the keys of a view and of what changed."""
 WHOLE_VIEW_TIMEOUT_SECONDS = 5.0
 """Longest transfer of a whole view, as a megabyte takes a second over the narrowest
 links, which several transfers may share."""
@@ -70,6 +75,8 @@
         was confirmed.
     :param recovered: seconds since the store recovered, during the grace period for
         entries that expired in the outage.
+    :param outlines: keys, joined digests and revisions of large values, which are not
+        among ``items`` and are requested in parts.
     """
 
     serial: str
@@ -85,6 +92,7 @@
     revisions: list[int] = []
     failed: float | None = None
     recovered: float | None = None
+    outlines: list[tuple[str, bytes, int]] = []
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -96,12 +104,15 @@
     :param since: revision up to which the follower knows all items.
     :param sent: the leader's clock in its last response.
     :param engines: whether the follower uses engines.
+    :param takes_outlines: whether the follower requests large values in parts; one of
+        an earlier release does not.
     """
 
     serial: str
     since: int
     sent: float
     engines: bool
+    takes_outlines: bool
 
 
 def _parse_follower_state(query: t.Mapping[str, str]) -> _FollowerState:
@@ -112,6 +123,7 @@
             since=int(query.get("since", "0")),
             sent=_finite(float(query.get("sent", "0"))),
             engines=query.get("engines") == "1",
+            takes_outlines=query.get("parts") == "1",
         )
     except ValueError as error:
         logs.event(_logger, "peer_message_invalid", reason=str(error))
@@ -134,6 +146,7 @@
         before this node has a view.
     :param count: called with the outcome of each request for a whole view.
     :param link_mbps: rate of this node's link in Mbit/s; 0 if unknown.
+    :param parts: keeps the parts of the large values that followers request.
     :param transfers: records the responses.
     """
 
@@ -142,6 +155,7 @@
         view: View,
         upstreams: Upstreams,
         *,
+        parts: ValueParts,
         name: str,
         note_engines: t.Callable[[], None],
         note_requester: t.Callable[[str], None],
@@ -151,15 +165,21 @@
     ) -> None:
         self._view = view
         self._upstreams = upstreams
+        self._parts = parts
         self._name = name
         self._note_engines = note_engines
         self._note_requester = note_requester
         self._relayed_engines: list[Upstream] = []
         self._relayed_engines_key: tuple[int, int] | None = None
         self._transfers = transfers or TransferLog()
-        self._whole_views = WholeViews(
-            self._encode_whole_view, count, link_mbps=link_mbps
-        )
+        self._whole_views_by_takes_outlines = {
+            takes_outlines: WholeViews(
+                functools.partial(self._encode_whole_view, takes_outlines),
+                count,
+                link_mbps=link_mbps,
+            )
+            for takes_outlines in (False, True)
+        }
 
     async def handle(self, request: web.Request) -> web.Response:
         """Respond on a change or a new confirmation, or when the long poll ends."""
@@ -176,7 +196,8 @@
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(view.updated.wait(), LONG_POLL_SECONDS)
         if not state.serial:
-            response = await self._whole_views.send(request)
+            whole_views = self._whole_views_by_takes_outlines[state.takes_outlines]
+            response = await whole_views.send(request)
             self._note_sent("whole_view", response, request)
             return response
         message = self._build_message(state, waited=boottime() - started_at)
@@ -191,8 +212,8 @@
         size = len(t.cast(bytes, response.body or b""))
         self._transfers.note_sent(kind, size, to=request.query.get("address", ""))
 
-    def _encode_whole_view(self) -> bytes:
-        state = _FollowerState(serial="", since=0, sent=0.0, engines=False)
+    def _encode_whole_view(self, takes_outlines: bool) -> bytes:
+        state = _FollowerState("", 0, 0.0, False, takes_outlines)
         message = self._build_message(state, waited=0.0)
         # The age when the encoded view is sent for the last time.
         message.age += CACHE_SECONDS
@@ -222,16 +243,37 @@
             message.keys = [item.key for item in view.items]
             message.revisions = [item.revision for item in view.items]
             since = state.since if state.serial else 0
-            message.items = [_pack(i) for i in view.items if i.revision > since]
-            return message
+            for item in view.items:
+                if item.revision > since:
+                    self._put_item(item, message, state)
+            changed = set(view.pending.by_key)
         for key in changed:
-            item = view.item(key)
-            if item is None:
+            known = view.item(key)
+            pending = view.pending.by_key.get(key)
+            if pending is not None and state.takes_outlines:
+                self._put_outline(pending.outline, message)
+            elif message.keys is not None:
+                continue
+            elif known is not None:
+                self._put_item(known, message, state)
+            elif pending is None:
                 message.gone.append(key)
-            else:
-                message.items.append(_pack(item))
         return message
 
+    def _put_item(
+        self, item: Item, message: UpdateMessage, state: _FollowerState
+    ) -> None:
+        """Add an item to a message, or its outline if it is large."""
+        value = item.value or b""
+        if state.takes_outlines and len(value) >= LARGE_VALUE_BYTES:
+            self._put_outline(self._parts.outline_of(item), message)
+        else:
+            message.items.append((item.key, value, item.revision))
+
+    def _put_outline(self, outline: Outline, message: UpdateMessage) -> None:
+        digests = outline.joined_digests()
+        message.outlines.append((outline.key, digests, outline.revision))
+
     def _keys_changed_since(self, serial: str) -> set[str] | None:
         """Return the keys changed since a serial; ``None`` if all keys must be sent."""
         name, _, number = serial.rpartition("/")
@@ -254,10 +296,6 @@
         return self._relayed_engines
 
 
-def _pack(item: Item) -> tuple[str, bytes, int]:
-    return item.key, item.value or b"", item.revision
-
-
 class LeaderClient:
     """Requests updates from a leader.
 
@@ -297,6 +335,7 @@
             "sent": str(self._sent_by_name.get(leader.name, 0.0) if serial else 0.0),
             "engines": "1" if self._uses_engines() else "0",
             "address": self._address,
+            "parts": "1",
         }
         limit = _timeout(serial)
         url = f"http://{leader.address}{UPDATES_PATH}"
@@ -309,7 +348,14 @@
                 async for chunk in response.content.iter_any():
                     body += chunk
             message = msgspec.msgpack.decode(body, type=UpdateMessage)
-        except (aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError) as e:
+            outlines = [parse_outline(*fields) for fields in message.outlines]
+        except (
+            aiohttp.ClientError,
+            OSError,
+            TimeoutError,
+            msgspec.MsgspecError,
+            PeerDataInvalid,
+        ) as e:
             self._serial_by_name.pop(leader.name, None)
             error = repr(e)
             raise PeerUnavailable(f"{leader.name}: {e!r}") from e
@@ -321,6 +367,8 @@
                 seconds=boottime() - sent_at,
                 error=error,
             )
+        for outline in outlines:
+            self._view.announce(outline, leader)
         self._apply(leader, message, sent_at)
         return message.age
 
@@ -390,7 +438,7 @@
         missing = [
             revision
             for key, revision in zip(keys, revisions, strict=True)
-            if key not in sent and self._view.revision_of(key) < revision
+            if key not in sent and self._known_revision_of(key) < revision
         ]
         if not missing:
             return True
@@ -405,6 +453,11 @@
         )
         return False
 
+    def _known_revision_of(self, key: str) -> int:
+        """Return the revision of an item that is here or being received."""
+        view = self._view
+        return max(view.revision_of(key), view.pending.revision_of(key))
+
 
 def _kind_of(serial: str) -> str:
     """Return what a request with the given serial asks for, for the log."""
@@ -419,14 +472,10 @@
 def _timeout(serial: str) -> aiohttp.ClientTimeout:
     """Return the timeout of a request with the given serial.
 
-    A long transfer is not cut off while bytes arrive: repeated from its start, it would
-    never complete on a narrow link.
+    A leader is lost when it falls silent. A long transfer is not cut off while bytes
+    arrive: repeated from its start, it would never complete on a narrow link.
     """
-    total = SILENCE_TIMEOUT_SECONDS
-    if not serial:
-        total = WHOLE_VIEW_TIMEOUT_SECONDS
-    elif serial == UNKNOWN_SERIAL:
-        total = CATCH_UP_TIMEOUT_SECONDS
+    total = CATCH_UP_TIMEOUT_SECONDS if serial else WHOLE_VIEW_TIMEOUT_SECONDS
     return aiohttp.ClientTimeout(
         total=total,
         sock_connect=SILENCE_TIMEOUT_SECONDS,
--- a/src/bankrack/fleet/view.py
+++ b/src/bankrack/fleet/view.py
@@ -18,6 +18,7 @@
 from bankrack.fleet.documents import Evacuation
 from bankrack.fleet.documents import Member
 from bankrack.fleet.documents import Quarantine
+from bankrack.fleet.pendingvalues import PendingValues
 from bankrack.fleet.replacements import is_older_table
 from bankrack.fleet.replacements import is_replaced
 from bankrack.fleet.replacements import is_restored
@@ -25,6 +26,7 @@
 from bankrack.fleet.store import Item
 from bankrack.fleet.store import number_of
 from bankrack.fleet.store import Snapshot
+from bankrack.fleet.valueparts import Outline
 from bankrack.serving.crashregister import CrashRegister
 from bankrack.serving.registry import Upstreams
 from bankrack.serving.routing import RoutingTable
@@ -63,6 +65,9 @@
     :ivar complete_revision: revision up to which all items are known. It is lower than
         ``revision`` after a read that left out members.
     :ivar confirmed_at: time at which the whole state was last known to be current.
+    :ivar current_at: the same, but for times at which a newer value was known and not
+        here yet.
+    :ivar pending: large values that are known to be newer and not here yet.
     :ivar confirmed_by: source of the last complete snapshot.
     :ivar store_failed_at: time at which the store last failed a call of this node, or
         of a node that it follows.
@@ -83,6 +88,8 @@
         self.revision = 0
         self.complete_revision = 0
         self.confirmed_at = 0.0
+        self.current_at = 0.0
+        self.pending = PendingValues(clock)
         self.store_failed_at = 0.0
         self._crashes = crashes or CrashRegister(clock=clock)
         self._decode = decode
@@ -108,6 +115,14 @@
         """Seconds since the store, or a peer, last confirmed the whole state."""
         return self._clock() - self.confirmed_at
 
+    @property
+    def current_age(self) -> float:
+        """Seconds since the newest values were last known to be here.
+
+        Larger than ``age`` while a newer value is known and not here yet.
+        """
+        return self._clock() - self.current_at
+
     @property
     def items(self) -> tuple[Item, ...]:
         """All items, to be sent to a peer."""
@@ -176,6 +191,9 @@
                 continue
             if key not in keys and entry.item.revision <= snapshot.revision:
                 self._note_missing(key, snapshot.revision, source)
+        for key in list(self.pending.by_key):
+            if key not in keys and (snapshot.until is None or key <= snapshot.until):
+                self._settle(key, snapshot.revision)
         self._upstream_log.flush()
         self.revision = max(self.revision, snapshot.revision)
         if snapshot.until is None:
@@ -213,6 +231,28 @@
         if at > self.confirmed_at + MIN_CONFIRMATION_STEP_SECONDS:
             self._wake()
         self.confirmed_at = max(self.confirmed_at, at)
+        self._note_current()
+
+    def _note_current(self) -> None:
+        if not self.pending.by_key:
+            self.current_at = max(self.current_at, self.confirmed_at)
+
+    def announce(self, outline: Outline, announcer: Member) -> None:
+        """Record that a newer value exists, before its parts are here.
+
+        The followers of this node learn of it at once.
+        """
+        known = max(
+            self.revision_of(outline.key),
+            self._removed_revision_by_key.get(outline.key, 0),
+        )
+        if outline.revision > known and self.pending.add(outline, announcer):
+            self._note_change(outline.key)
+
+    def _settle(self, key: str, revision: int) -> None:
+        """Note that a key is known up to a revision."""
+        self.pending.settle(key, revision)
+        self._note_current()
 
     def keys(self) -> list[str]:
         """Return the keys of all items."""
@@ -228,16 +268,18 @@
     ) -> Snapshot | None:
         """Complete the items that a peer sent with items already known here.
 
-        Returns ``None`` if one of ``keys`` is neither known nor among ``items``.
+        Returns ``None`` if one of ``keys`` is neither known nor pending nor among
+        ``items``.
         """
         by_key = {item.key: item for item in items}
         for key in keys:
             if key in by_key:
                 continue
             entry = self._entry_by_key.get(key)
-            if entry is None:
+            if entry is not None:
+                by_key[key] = entry.item
+            elif key not in self.pending.by_key:
                 return None
-            by_key[key] = entry.item
         return Snapshot(tuple(by_key.values()), 0)
 
     def apply_changes(
@@ -304,6 +346,7 @@
 
     def _put_entry(self, item: Item, document: Document | None) -> None:
         self._entry_by_key[item.key] = _Entry(item, document)
+        self._settle(item.key, item.revision)
         self._note_change(item.key)
 
     def _is_news(self, known: _Entry | None, item: Item, source: str) -> bool:
@@ -429,6 +472,7 @@
 
     def _note_missing(self, key: str, revision: int, source: str) -> None:
         """Remove an entry, or keep it for the grace period after an outage."""
+        self._settle(key, revision)
         entry = self._entry_by_key.get(key)
         if entry is None:
             return
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -25,6 +25,10 @@
 from bankrack.fleet.lending import LEND_PATH
 from bankrack.fleet.lending import Lender
 from bankrack.fleet.membership import Announcer
+from bankrack.fleet.partfetcher import PartFetcher
+from bankrack.fleet.partserver import LinkPacer
+from bankrack.fleet.partserver import PARTS_PATH
+from bankrack.fleet.partserver import PartServer
 from bankrack.fleet.peers import LeaderClient
 from bankrack.fleet.peers import UPDATES_PATH
 from bankrack.fleet.peers import UpdateServer
@@ -39,6 +43,7 @@
 from bankrack.fleet.tunnelclient import TunnelClient
 from bankrack.fleet.tunnelserver import TunnelServer
 from bankrack.fleet.updates import FleetUpdates
+from bankrack.fleet.valueparts import ValueParts
 from bankrack.fleet.view import View
 from bankrack.front.callerserver import CallerServer
 from bankrack.front.connectiongate import ConnectionGate
@@ -141,6 +146,16 @@
             transfers=self.transfers,
         )
         self.follower = Follower(store, self.view, self.roster, leaders)
+        self.parts = ValueParts()
+        self.part_fetcher = PartFetcher(
+            self._internal_session,
+            own,
+            members,
+            self.view,
+            self.parts,
+            self.transfers,
+            read_store=self.follower.read,
+        )
         self.announcer = Announcer(
             store,
             own,
@@ -263,6 +278,7 @@
         updates = UpdateServer(
             self.view,
             self.upstreams,
+            parts=self.parts,
             name=f"{settings.name}-{boottime():.9f}",
             note_engines=self.reports.note_use,
             note_requester=self.roster.note_requester,
@@ -270,8 +286,10 @@
             link_mbps=settings.link_mbps,
             transfers=self.transfers,
         )
+        parts = PartServer(self.parts, LinkPacer(settings.link_mbps), self.transfers)
         inner = {
             UPDATES_PATH: updates.handle,
+            PARTS_PATH: parts.handle,
             PLACE_PATH: self.ledgers.handle_query,
             NOTES_PATH: self.ledgers.handle_run_updates,
             LEND_PATH: self.lender.handle,
@@ -284,6 +302,7 @@
         if settings.tunnel:
             await self._start_tunnels(settings.tunnel)
         self._tasks.spawn(self.follower.keep_sweeping)
+        self._tasks.spawn(self.part_fetcher.run)
         self._tasks.spawn(self.announcer.run)
         self._tasks.spawn(self._loop_monitor.run)
         self._tasks.spawn(self._gate.run)
--- a/tests/fleet/test_follower.py
+++ b/tests/fleet/test_follower.py
@@ -115,12 +115,12 @@
         """Guards against requests to upstreams that are gone: an old view was taken for
         an outage of the store, in which entries may expire."""
         follower = self.follower_with_old_view(FakeStore(Snapshot((), 2)))
-        self.assertTrue(await follower._read())
+        self.assertTrue(await follower.read())
         self.assertEqual([], follower._view.keys())
 
     async def test_entry_missing_after_failed_reads_is_kept_during_grace_period(self):
         failed = PlatformUnavailable("down")
         follower = self.follower_with_old_view(FakeStore(failed, Snapshot((), 2)))
-        self.assertFalse(await follower._read())
-        self.assertTrue(await follower._read())
+        self.assertFalse(await follower.read())
+        self.assertTrue(await follower.read())
         self.assertEqual(["up/x"], follower._view.keys())
--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -19,6 +19,7 @@
 from bankrack.fleet.reports import ReportMessage
 from bankrack.fleet.store import Item
 from bankrack.fleet.store import Snapshot
+from bankrack.fleet.valueparts import ValueParts
 from bankrack.fleet.view import View
 from bankrack.front.listeners import serve_application
 from bankrack.serving.registry import Upstreams
@@ -71,6 +72,7 @@
         self._server = UpdateServer(
             self.leader,
             self.leader.upstreams,
+            parts=ValueParts(),
             name=name,
             note_engines=lambda: None,
             note_requester=lambda address: None,
@@ -91,7 +93,7 @@
 
     async def _send_slowly(self, request: web.Request) -> web.StreamResponse:
         """Send the whole view in parts, as over a narrow link."""
-        body = self._server._encode_whole_view()
+        body = self._server._encode_whole_view(True)
         self.answers.append(msgspec.msgpack.decode(body, type=UpdateMessage))
         response = web.StreamResponse()
         await response.prepare(request)
@@ -258,6 +260,7 @@
         server = UpdateServer(
             view,
             upstreams,
+            parts=ValueParts(),
             name="n",
             note_engines=lambda: None,
             note_requester=lambda address: None,
