A node serves by an old configuration only while it can't know a newer one

Callers could be served by a view of any age: once a node's own read of the store had failed, its view was never confirmed again (store_reachable), although it followed a leader and the store's readers were well; and whether a confirmation succeeded did not matter.

decisions/configurationuse.py judges by evidence. Age now counts from when the newest version was last known to be here, so it grows while a newer one is announced. Over 3 s: with a newer version known and somebody in touch, a request waits for it and is refused with 503 (not run, back after 0.2 s, at another node) if it does not come; without, it waits for a confirmation unless other nodes told of an outage or this node's own reads fail; a node that nobody answers serves on. A request that would be denied (401, 404) waits for a version that is known. Confirmation also takes what a leader says, not only a read of this node's own.

--- a/src/bankrack/fleet/confirmedview.py
+++ b/src/bankrack/fleet/confirmedview.py
@@ -5,17 +5,26 @@
 
 from bankrack import logs
 from bankrack.clock import boottime
+from bankrack.decisions.configurationuse import Confirm
+from bankrack.decisions.configurationuse import Evidence
+from bankrack.decisions.configurationuse import judge
+from bankrack.decisions.configurationuse import MAX_AGE_SECONDS
+from bankrack.decisions.configurationuse import Refuse
+from bankrack.decisions.configurationuse import Serve
+from bankrack.decisions.configurationuse import Verdict
+from bankrack.exceptions import NodeNotReady
 from bankrack.fleet.follower import Follower
 from bankrack.fleet.view import View
 from bankrack.serving.routing import RoutingTable
 
-MAX_VIEW_AGE_SECONDS = 3.0
-"""Maximum age of the view before it is confirmed with the store again."""
 MAX_DENIAL_VIEW_AGE_SECONDS = 1.3
 """Maximum age of the view on which a request may be denied.
 
 Followers lag the store by up to about 1.1 s, and a change must apply within 2 s.
 """
+RETRY_AFTER_SECONDS = 0.2
+"""Time after which a refused caller may return. It reaches another node, which most
+probably has the newer version."""
 LOG_INTERVAL_SECONDS = 1.0
 """Pause between two log lines on the use of a view that is too old."""
 
@@ -37,34 +46,65 @@
 
     @property
     def age(self) -> float:
-        """Seconds since the view was last confirmed."""
-        return self._view.age
+        """Seconds since the table was last known to be the newest one."""
+        return self._view.current_age
 
     async def refresh_if_stale(self) -> None:
-        """Confirm the view if it is too old, unless the store is unavailable."""
-        if self.age <= MAX_VIEW_AGE_SECONDS:
-            return
-        if not self._follower.store_reachable:
-            self._log_use("own read of the store failed")
-        elif not await self._follower.confirm(within=MAX_VIEW_AGE_SECONDS):
-            self._log_use("confirmation failed")
+        """Wait for the newest version if the one here is too old to rely on.
+
+        Raises :exc:`NodeNotReady` if a newer one is known and does not arrive.
+        """
+        verdict = self._judge(confirmation_failed=False)
+        if isinstance(verdict, Confirm):
+            confirmed = await self._follower.confirm(within=MAX_AGE_SECONDS)
+            verdict = self._judge(confirmation_failed=not confirmed)
+        match verdict:
+            case Serve(reason=""):
+                return
+            case Serve(reason):
+                self._log("stale_view_used", reason)
+            case Confirm() | Refuse():
+                self._log("stale_view_refused", "a newer version is known")
+                raise NodeNotReady(
+                    "a newer configuration has not arrived yet; retry the request",
+                    retry_after=RETRY_AFTER_SECONDS,
+                )
+
+    def _judge(self, *, confirmation_failed: bool) -> Verdict:
+        view = self._view
+        follower = self._follower
+        evidence = Evidence(
+            age=view.current_age,
+            newer_known=bool(view.pending.by_key),
+            contact_age=follower.contact_age,
+            told_of_outage=view.told_of_outage,
+            own_reads_fail=follower.leader is None and not follower.store_reachable,
+        )
+        return judge(evidence, confirmation_failed=confirmation_failed)
+
+    async def confirm(self) -> bool:
+        """Confirm the view now and return whether it succeeded.
+
+        A newer version that is known is waited for, as it may allow the request.
+        """
+        return await self._follower.confirm(
+            within=MAX_DENIAL_VIEW_AGE_SECONDS, newest=True
+        )
 
-    def _log_use(self, reason: str) -> None:
-        """Log that requests are served by a view that is too old, once a second."""
+    def _log(self, event: str, reason: str) -> None:
+        """Log the use or refusal of a view that is too old, once a second."""
         now = boottime()
         if now < self._logged_at + LOG_INTERVAL_SECONDS:
             return
         self._logged_at = now
         logs.event(
             _logger,
-            "stale_view_used",
+            event,
             reason=reason,
             age=self.age,
+            view_age=self._view.age,
             outage=self._view.in_outage,
             leader=self._follower.leader,
+            contact_age=self._follower.contact_age,
             store_age=self._follower.store_age,
         )
-
-    async def confirm(self) -> bool:
-        """Confirm the view now and return whether it succeeded."""
-        return await self._follower.confirm(within=MAX_DENIAL_VIEW_AGE_SECONDS)
--- a/src/bankrack/fleet/follower.py
+++ b/src/bankrack/fleet/follower.py
@@ -96,6 +96,7 @@
         self._failed_at = -math.inf
         self._logged_leader: str | None = ""
         self.store_confirmed_at = 0.0
+        self._contact_at = -math.inf
         self.leader: str | None = None
         self._stale_leaders: set[str] = set()
 
@@ -104,6 +105,11 @@
         """Seconds since the store itself last confirmed the view."""
         return boottime() - self.store_confirmed_at
 
+    @property
+    def contact_age(self) -> float:
+        """Seconds since the store or a leader last answered this node."""
+        return boottime() - self._contact_at
+
     async def run(self) -> None:
         """Keep the view current until cancelled."""
         await self._get_first_view()
@@ -120,6 +126,7 @@
                 logs.event(_logger, "leader_lost", reason=error.message)
                 self._roster.suspect(leader)
                 continue
+            self._contact_at = boottime()
             if age <= self._max_leader_age():
                 self._stale_leaders.discard(leader.name)
                 self._own_failures = 0
@@ -134,24 +141,55 @@
             await asyncio.sleep(RETRY_SECONDS)
             self._view.sweep()
 
-    async def confirm(self, *, within: float) -> bool:
-        """Ensure that the view is at most ``within`` seconds old.
+    async def confirm(self, *, within: float, newest: bool = False) -> bool:
+        """Ensure that the view was current at most ``within`` seconds ago.
 
-        Returns whether it is. Concurrent calls share one read.
+        Returns whether it was. Concurrent calls share one read.
+
+        :param newest: also wait for a newer value that is known and not here yet.
         """
-        if self._view.age <= within:
-            return True
+        view = self._view
         now = boottime()
-        if self._view.confirmed_at and now < self._failed_at + RECENT_FAILURE_SECONDS:
+
+        def is_confirmed() -> bool:
+            if newest and view.pending.by_key:
+                return False
+            return view.current_at >= now - within
+
+        if is_confirmed():
+            return True
+        has_failed = now < self._failed_at + RECENT_FAILURE_SECONDS
+        if has_failed and view.confirmed_at and not view.pending.by_key:
             return False
         try:
             async with asyncio.timeout(CONFIRM_TIMEOUT_SECONDS):
-                while self._view.confirmed_at < now - within:
-                    if not await self.read():
+                while not is_confirmed():
+                    if view.pending.by_key:
+                        await view.updated.wait()
+                    elif not await self._read_or_hear():
                         break
         except TimeoutError:
-            logs.event(_logger, "confirmation_timed_out", age=self._view.age)
-        return self._view.confirmed_at >= now - within
+            logs.event(
+                _logger,
+                "confirmation_timed_out",
+                age=view.age,
+                pending=len(view.pending.by_key),
+            )
+        return is_confirmed()
+
+    async def _read_or_hear(self) -> bool:
+        """Wait for a read of the store or for an update of the leader.
+
+        Returns ``False`` if the read failed.
+        """
+        reading = asyncio.create_task(self.read())
+        hearing = asyncio.create_task(self._view.updated.wait())
+        try:
+            await asyncio.wait({reading, hearing}, return_when=asyncio.FIRST_COMPLETED)
+            return not reading.done() or reading.result()
+        finally:
+            reading.cancel()
+            hearing.cancel()
 
     async def wait_for_first_attempt(self, seconds: float) -> None:
         """Wait until the first read or query since the start succeeded or failed.
@@ -308,7 +346,7 @@
         return True
 
     def _note_store_answer(self) -> None:
-        """Start the grace period for missing entries if this answer ends an outage.
+        """Note contact; start the grace period if this answer ends an outage.
 
         Called before the answer is applied: entries whose leases expired during the
         outage will be restored and must not count as removed. The watch may deliver
@@ -317,6 +355,7 @@
         then was removed.
         """
         view = self._view
+        self._contact_at = boottime()
         if view.age <= OUTAGE_SECONDS or not view.confirmed_at:
             return
         logs.event(_logger, "stale_view_ended", age=view.age, outage=view.in_outage)
--- a/src/bankrack/fleet/peers.py
+++ b/src/bankrack/fleet/peers.py
@@ -396,7 +396,7 @@
         answered_at = sent_at + message.waited
         confirmed_at = answered_at - message.age
         if message.failed is not None:
-            view.note_store_failure(answered_at - message.failed)
+            view.note_told_store_failure(answered_at - message.failed)
         if message.recovered is not None:
             view.note_store_recovery(answered_at - message.recovered)
         items = [Item(key, value, rev) for key, value, rev in message.items]
--- a/src/bankrack/fleet/view.py
+++ b/src/bankrack/fleet/view.py
@@ -91,6 +91,7 @@
         self.current_at = 0.0
         self.pending = PendingValues(clock)
         self.store_failed_at = 0.0
+        self._told_failed_at = 0.0
         self._crashes = crashes or CrashRegister(clock=clock)
         self._decode = decode
         self._clock = clock
@@ -144,13 +145,22 @@
         """Seconds since the store failed; ``None`` unless it is in an outage."""
         return self._clock() - self.store_failed_at if self.in_outage else None
 
-    def note_store_failure(self, at: float | None = None) -> None:
-        """Record that the store failed a call.
+    @property
+    def told_of_outage(self) -> bool:
+        """Whether a peer told of a failure since the view was last confirmed."""
+        return self._told_failed_at > self.confirmed_at
+
+    def note_store_failure(self) -> None:
+        """Record that the store failed a call of this node."""
+        self.store_failed_at = self._clock()
+
+    def note_told_store_failure(self, at: float) -> None:
+        """Record that a peer told of a failed call.
 
-        :param at: time of the failure; now by default.
+        :param at: time of the failure.
         """
-        failed_at = self._clock() if at is None else at
-        self.store_failed_at = max(self.store_failed_at, failed_at)
+        self.store_failed_at = max(self.store_failed_at, at)
+        self._told_failed_at = max(self._told_failed_at, at)
 
     def note_store_recovery(self, at: float | None = None) -> None:
         """Start the grace period in which missing upstream entries are kept.
--- a/src/bankrack/serving/dispatch.py
+++ b/src/bankrack/serving/dispatch.py
@@ -56,7 +56,10 @@
         ...
 
     async def refresh_if_stale(self) -> None:
-        """Confirm a version older than the age limit, if the store is available."""
+        """Wait for the newest version if the one here is too old to rely on.
+
+        Raises :exc:`NodeNotReady` if a newer one is known and does not arrive.
+        """
         ...
 
     async def confirm(self) -> bool:
--- a/tests/platform/test_large_configurations.py
+++ b/tests/platform/test_large_configurations.py
@@ -5,9 +5,14 @@
 import typing as t
 
 from bankrack.clock import boottime
+from bankrack.decisions.configurationuse import MAX_AGE_SECONDS
+from bankrack.fleet.documents import Member
+from bankrack.fleet.store import joint_revision
+from bankrack.fleet.valueparts import Outline
 from bankrack.gateway import Gateway
 from bankrack.utils import stable_digest
 from tests.base import TestCase
+from tests.fakes import free_address
 from tests.platform.deployment import Deployment
 from tests.platform.deployment import running
 from tests.platform.deployment import until
@@ -140,3 +145,42 @@
             after = sum(link.sent_bytes for link in fleet.link_by_name.values())
             size = len(fleet.store.item_by_key["op/config"].value)
             self.assertLess(after - before, 0.2 * size * (NODES - 1))
+
+
+class OutdatedConfigurations(TestCase):
+    async def test_node_that_lacks_a_version_it_knows_of_refuses_what_it_may_not_serve(
+        self,
+    ):
+        """Guards against requests that are handled by a version known to be old."""
+        async with running() as deployment:
+            gateway = await deployment.start_ready_gateway()
+            store = deployment.store
+            newer = joint_revision(store.era, store.revision + 100)
+            outline = Outline("op/config", newer, (b"digest of nothing",))
+            gateway.view.announce(outline, Member("gone", free_address(), "a"))
+            front = gateway.settings.front
+            self.assertEqual(200, (await call(front, "/bill/x")).status)
+            await until(lambda: gateway.configuration.age > MAX_AGE_SECONDS)
+            refused = await call(front, "/bill/x")
+            self.assertEqual(503, refused.status)
+            self.assertIn("Retry-After", refused.headers)
+            store.revision += 200
+            store.put("op/config", configuration(3))
+            await until(lambda: gateway.view.table.version == 3, seconds=2.0)
+            self.assertEqual(200, (await call(front, "/bill/x")).status)
+
+    async def test_request_on_an_added_route_waits_for_the_version_that_adds_it(self):
+        """Guards against routes that are refused while their version is received."""
+        async with running_fleet(nodes=3, mbps=0.4) as fleet:
+            fleet.store.put("op/config", large_configuration(5))
+            await until(
+                lambda: all(
+                    g.view.pending.by_key or g.view.table.version == 5
+                    for g in fleet.gateways
+                )
+            )
+            calls = [
+                call(gateway.settings.front, "/added-9/x") for gateway in fleet.gateways
+            ]
+            statuses = {response.status for response in await asyncio.gather(*calls)}
+            self.assertNotIn(404, statuses)
