A page of the store is not cut off while bytes arrive

A page with a configuration of 1,400 routes is half a megabyte; over 10 Mbit/s, beside what other nodes read, that can take longer, and the page was read again from its start.

Test: a page that arrives in ten parts of 0.1 s each with 0.15 s of silence allowed; it failed before (PlatformUnavailable).

--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -60,6 +60,21 @@
         raise NotImplementedError
 
 
+async def send_slowly(
+    request: web.BaseRequest, response: web.Response, seconds_per_part: float
+) -> web.StreamResponse:
+    """Send a response in ten parts, as over a narrow link."""
+    body = t.cast(bytes, response.body)
+    slow = web.StreamResponse(status=response.status, headers=response.headers)
+    slow.headers["Content-Length"] = str(len(body))
+    await slow.prepare(request)
+    size = 1 + len(body) // 10
+    for start in range(0, len(body), size):
+        await asyncio.sleep(seconds_per_part)
+        await slow.write(body[start : start + size])
+    return slow
+
+
 @dataclasses.dataclass
 class StoredItem:
     value: bytes
@@ -71,7 +86,8 @@
     """The platform's metadata store.
 
     If ``status`` is set, it is the status of every response.  An ``unresponsive`` store
-    does not respond.  ``pause`` delays responses by seconds,
+    does not respond.  ``pause`` delays responses by seconds, with ``seconds_per_part``
+    each tenth of a response takes that long,
     ``watch_misses_changes`` keeps changes out of watches, and ``compacted_revision`` is
     the oldest revision from which a watch may start.  ``take_copy`` and
     ``restore_copy`` return it to an earlier state, which begins a new ``era``.
@@ -86,6 +102,7 @@
         self.status = 0
         self.unresponsive = False
         self.pause = 0.0
+        self.seconds_per_part = 0.0
         self.watch_misses_changes = False
         self.page_size = 500
         self.leases: set[int] = set()
@@ -134,6 +151,8 @@
         response = await self._answer(request)
         if self.era:
             response.headers["Store-Era"] = str(self.era)
+        if self.seconds_per_part:
+            return await send_slowly(request, response, self.seconds_per_part)
         return response
 
     async def _answer(self, request: web.BaseRequest) -> web.Response:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -140,6 +140,17 @@
 
         await self.check(work)
 
+    async def test_page_is_not_cut_off_while_bytes_arrive(self):
+        """Guards against reads that begin again and again on narrow links."""
+
+        async def work(fake: FakeStore, store: PlatformStore) -> None:
+            fake.put("servers/a", b"x" * 3_000)
+            fake.seconds_per_part = 0.1
+            snapshot = await store.read(members=True, timeout=0.15)
+            self.assertEqual(1, len(snapshot.items))
+
+        await self.check(work)
+
     async def test_errors_and_timeouts_raise_one_typed_error(self):
         async def work(fake: FakeStore, store: PlatformStore) -> None:
             for status in (429, 503, 500, 404):
