Wider links lead also below 40 Mbit/s

Nodes rank by the rate of their link, up to 40 Mbit/s, then by the hash as before. The test failed before: a leader with a narrow link where five wider ones were in the hall.

--- a/src/bankrack/fleet/roster.py
+++ b/src/bankrack/fleet/roster.py
@@ -19,7 +19,8 @@
 """Nodes of a hall for each of its leaders; bounds the requests that a leader
 answers."""
 WIDE_LINK_MBPS = 40.0
-"""Link rate from which on a node is preferred as leader, for bursts of updates."""
+"""Link rate from which on a wider link makes no better leader. Below it the wider one
+is preferred, for bursts of updates."""
 MAX_REQUESTERS = 3
 """Nodes that requested updates before this node had a view, kept as further seeds; as
 many as there are configured seeds."""
@@ -27,10 +28,10 @@
 """Standby members that are tried after the readers before a node reads the store."""
 
 
-def _rank_key(member: Member) -> tuple[bool, bytes, str]:
+def _rank_key(member: Member) -> tuple[float, bytes, str]:
     """Return a member's sort key: wide links first, then a stable hash."""
-    narrow = member.link_mbps < WIDE_LINK_MBPS
-    return narrow, stable_digest(member.name), member.name
+    rate = min(member.link_mbps, WIDE_LINK_MBPS)
+    return -rate, stable_digest(member.name), member.name
 
 
 def rank_members(members: t.Iterable[Member]) -> list[Member]:
--- a/tests/fleet/test_roster.py
+++ b/tests/fleet/test_roster.py
@@ -1,5 +1,7 @@
 """Tests of the selection of readers and leaders."""
 
+import dataclasses
+
 from bankrack.fleet.documents import Member
 from bankrack.fleet.roster import MAX_STANDBYS
 from bankrack.fleet.roster import NODES_PER_HALL_LEADER
@@ -109,3 +111,14 @@
                 seen.add(follower)
                 leader = leaders[follower]
                 follower = leader.name if leader else None
+
+    def test_widest_links_lead_also_where_all_are_narrow(self):
+        """Guards against the narrowest links in the lead once wide ones are gone."""
+        narrow = members(20)
+        known = [
+            *narrow[:15],
+            *(dataclasses.replace(m, link_mbps=25.0) for m in narrow[15:]),
+        ]
+        leader = self.roster(known[0], known).leader()
+        assert leader is not None
+        self.assertEqual(25.0, leader.link_mbps)
