Updates between nodes are bounded, and what arrived of one that lacked items is kept

The same cause, where thousands of small items changed at once: a response had all of them, and a follower that then still lacked one threw all away and asked for everything anew. Newer items are sent by revision, 256 KiB at a time; the follower applies them and requests the rest. A response has 5 s while bytes arrive, silence of 0.7 s still ends it.

The test found a second fault before it was landed: the revision from which a follower asks was the lower one of its own and of what it lacked, so that the second response would have repeated the first for good.

--- a/src/bankrack/fleet/peers.py
+++ b/src/bankrack/fleet/peers.py
@@ -48,11 +48,12 @@
 ANSWER_TIMEOUT_SECONDS = 0.45
 """Longest wait for a response beyond the long poll."""
 SILENCE_TIMEOUT_SECONDS = LONG_POLL_SECONDS + ANSWER_TIMEOUT_SECONDS
-CATCH_UP_TIMEOUT_SECONDS = 2.0
-"""Longest transfer of the keys of a view and of what changed."""
-WHOLE_VIEW_TIMEOUT_SECONDS = 5.0
-"""Longest transfer of a whole view, as a megabyte takes a second over the narrowest
-links, which several transfers may share."""
+TRANSFER_TIMEOUT_SECONDS = 5.0
+"""Longest transfer. A megabyte takes a second over the narrowest links, which several
+transfers may share."""
+MAX_ITEM_BYTES = 256 * 1024
+"""Bytes of items from which on the others are left to the next response, so that an
+interrupted transfer loses little."""
 
 _logger = logging.getLogger(__name__)
 
@@ -242,10 +243,7 @@
         if changed is None:
             message.keys = [item.key for item in view.items]
             message.revisions = [item.revision for item in view.items]
-            since = state.since if state.serial else 0
-            for item in view.items:
-                if item.revision > since:
-                    self._put_item(item, message, state)
+            self._put_newer_items(message, state)
             changed = set(view.pending.by_key)
         for key in changed:
             known = view.item(key)
@@ -260,6 +258,24 @@
                 message.gone.append(key)
         return message
 
+    def _put_newer_items(self, message: UpdateMessage, state: _FollowerState) -> None:
+        """Add the items since a revision, the oldest first, as many as may be sent.
+
+        The follower keeps them and requests the rest. A whole view has all items.
+        """
+        if not state.serial:
+            for item in self._view.items:
+                self._put_item(item, message, state)
+            return
+        newer = [item for item in self._view.items if item.revision > state.since]
+        newer.sort(key=lambda item: item.revision)
+        size = 0
+        for item in newer:
+            if size >= MAX_ITEM_BYTES:
+                break
+            self._put_item(item, message, state)
+            size += len(item.value or b"")
+
     def _put_item(
         self, item: Item, message: UpdateMessage, state: _FollowerState
     ) -> None:
@@ -279,7 +295,16 @@
         name, _, number = serial.rpartition("/")
         if name != self._name or not number.isdigit():
             return None
-        return self._view.keys_changed_since(int(number))
+        changed = self._view.keys_changed_since(int(number))
+        if changed is None or self._small_item_bytes(changed) > MAX_ITEM_BYTES:
+            return None
+        return changed
+
+    def _small_item_bytes(self, keys: t.Iterable[str]) -> int:
+        """Return the size of the items that are not sent in parts."""
+        items = (self._view.item(key) for key in keys)
+        sizes = (len(item.value or b"") for item in items if item is not None)
+        return sum(size for size in sizes if size < LARGE_VALUE_BYTES)
 
     def _engines_to_relay(self) -> list[Upstream]:
         """Return the upstreams of services with one pool.
@@ -337,7 +362,7 @@
             "address": self._address,
             "parts": "1",
         }
-        limit = _timeout(serial)
+        limit = _timeout()
         url = f"http://{leader.address}{UPDATES_PATH}"
         body = bytearray()
         error = ""
@@ -386,9 +411,13 @@
         return self._serial_by_name.get(leader.name, UNKNOWN_SERIAL)
 
     def _since(self, leader: Member) -> int:
-        """Return the revision after which items are requested from a leader."""
+        """Return the revision after which items are requested from a leader.
+
+        That of the leader's items comes first: it may be lower, as a change was missed,
+        or higher, as part of the newer items arrived.
+        """
         complete = self._view.complete_revision
-        return min(complete, self._lacking_since_by_name.get(leader.name, complete))
+        return self._lacking_since_by_name.get(leader.name, complete)
 
     def _apply(self, leader: Member, message: UpdateMessage, sent_at: float) -> None:
         view = self._view
@@ -402,6 +431,9 @@
         items = [Item(key, value, rev) for key, value, rev in message.items]
         if message.keys is not None:
             if not self._has_all_items(leader, message, items):
+                # What arrived is kept, so that the next response has only the rest.
+                newest = max((item.revision for item in items), default=0)
+                view.apply_changes(Snapshot(tuple(items), newest), source=leader.name)
                 return
             snapshot = view.complete(message.keys, items)
             assert snapshot is not None
@@ -469,15 +501,14 @@
     return "changes"
 
 
-def _timeout(serial: str) -> aiohttp.ClientTimeout:
-    """Return the timeout of a request with the given serial.
+def _timeout() -> aiohttp.ClientTimeout:
+    """Return the timeout of a request.
 
     A leader is lost when it falls silent. A long transfer is not cut off while bytes
     arrive: repeated from its start, it would never complete on a narrow link.
     """
-    total = CATCH_UP_TIMEOUT_SECONDS if serial else WHOLE_VIEW_TIMEOUT_SECONDS
     return aiohttp.ClientTimeout(
-        total=total,
+        total=TRANSFER_TIMEOUT_SECONDS,
         sock_connect=SILENCE_TIMEOUT_SECONDS,
         sock_read=SILENCE_TIMEOUT_SECONDS,
     )
--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -178,6 +178,20 @@
             self.assert_same(pair)
             self.assertEqual(6, pair.follower.revision_of("up/x-1"))
 
+    async def test_many_changes_arrive_in_bounded_responses_of_which_none_is_lost(self):
+        """Guards against long transfers that begin again from their start."""
+        self.patch(peers, "MAX_ITEM_BYTES", 3)
+        async with LeaderAndFollower() as pair:
+            pair.read(pair.follower, 1, "up/x-1")
+            pair.read(pair.leader, 9, "up/x-1", *(f"up/y-{n}" for n in range(2, 9)))
+            sizes = [len((await pair.ask()).items) for _ in range(3)]
+            self.assertEqual([3, 3, 1], sizes)
+            self.assert_same(pair)
+            pair.read(pair.leader, 20, *(f"up/z-{n}" for n in range(10, 16)))
+            sizes = [len((await pair.ask()).items) for _ in range(2)]
+            self.assertEqual([3, 3], sizes)
+            self.assert_same(pair)
+
     async def test_members_left_out_of_a_read_are_requested(self):
         async with LeaderAndFollower() as pair:
             pair.read(pair.follower, 1, "up/x-1")
