Soak: large configurations in series over narrow links (--large)

Series of one to three configurations of 1,400 routes more, 0 to 0.6 s apart, some with all routes in another order, beside the faults of the plan, over links of 10 Mbit/s between the gateways.

--- a/soak/gateway/__main__.py
+++ b/soak/gateway/__main__.py
@@ -67,6 +67,7 @@
     poison: bool = False,
     crowded: bool = False,
     flooded: bool = False,
+    large: bool = False,
 ) -> int:
     """Run one soak.
 
@@ -77,6 +78,7 @@
     :param replacing: replace all gateways in turn instead of injecting faults.
     :param poison: also send requests that crash engines, by their body or a part.
     :param flooded: open most new connections at one gateway after the other.
+    :param large: also write large configurations in series, over narrow links.
     :param crowded: let a workspace ask for most of the engines instead.
     :return: the exit code.
     """
@@ -124,10 +126,14 @@
             await injector.replace_all()
             await asyncio.sleep(SETTLE_SECONDS)
         else:
-            await asyncio.gather(
-                injector.run(plan(seed, minutes * 60.0)),
-                disasters.run(seed, minutes * 60.0),
-            )
+            seconds = minutes * 60.0
+            injections = [
+                injector.run(plan(seed, seconds)),
+                disasters.run(seed, seconds),
+            ]
+            if large:
+                injections.append(injector.change_large_configurations(seed, seconds))
+            await asyncio.gather(*injections)
             await asyncio.gather(
                 asyncio.sleep(SETTLE_SECONDS), injector.ask_for_backoff()
             )
@@ -215,6 +221,11 @@
         action="store_true",
         help="let a workspace ask for most of the engines, without faults",
     )
+    parser.add_argument(
+        "--large",
+        action="store_true",
+        help="write configurations of 1,400 routes in series, over narrow links",
+    )
     parser.add_argument(
         "--keep", default="", help="new folder for the logs, kept after the soak"
     )
@@ -234,6 +245,7 @@
                 poison=options.poison,
                 crowded=options.crowded,
                 flooded=options.flooded,
+                large=options.large,
             )
         )
 
--- a/soak/gateway/faults.py
+++ b/soak/gateway/faults.py
@@ -57,6 +57,15 @@
 """Kinds of faults; the number of entries is the weight of a kind."""
 
 
+LARGE_ROUTES = 1_400
+"""Routes that only make the configurations large."""
+LARGE_PAUSE_SECONDS = (0.8, 3.0)
+"""Time between two series of large configurations."""
+SERIES_PAUSE_SECONDS = (0.0, 0.6)
+MAX_SERIES = 3
+NARROW_LINK_BYTES_PER_SECOND = 1.25e6
+"""Rate of 10 Mbit/s between gateways while configurations are large."""
+
 WORKSPACES = (
     {"name": "tutors", "apiKeys": [KEY]},
     {"name": "crammers", "apiKeys": [PRESSING_KEY]},
@@ -120,6 +129,7 @@
         self._numbers = itertools.count()
         self._version = 1
         self._added: list[str] = []
+        self._large_routes: list[dict[str, t.Any]] = []
 
     async def begin(self) -> None:
         """Start the initial servers and write the initial configuration."""
@@ -139,6 +149,27 @@
             tasks.add(asyncio.create_task(self._inject(fault)))
         await asyncio.gather(*tasks)
 
+    async def change_large_configurations(self, seed: int, seconds: float) -> None:
+        """Write large configurations in series over narrow links between gateways."""
+        rng = random.Random(seed)
+        template = configuration(0)["routes"][0]
+        for number in range(LARGE_ROUTES):
+            name = f"filler-{rng.getrandbits(64):016x}"
+            route = {**template, "name": name, "pathPrefix": f"/{name}-{number}/"}
+            self._large_routes.append(route)
+        for gateway in self._gateways:
+            gateway.inner_link.rate = NARROW_LINK_BYTES_PER_SECOND
+        ends_at = time.monotonic() + seconds
+        while time.monotonic() < ends_at:
+            for _ in range(rng.randint(1, MAX_SERIES)):
+                self.counts["large configuration"] += 1
+                # Most series change one route, some all of them.
+                if rng.random() < 0.2:
+                    rng.shuffle(self._large_routes)
+                await self._change_configuration(rng)
+                await asyncio.sleep(rng.uniform(*SERIES_PAUSE_SECONDS))
+            await asyncio.sleep(rng.uniform(*LARGE_PAUSE_SECONDS))
+
     async def ask_for_backoff(self) -> None:
         """Let all plain servers ask for back-off after all faults have been repaired.
 
@@ -429,6 +460,7 @@
             document["routes"].append(
                 {**template, "name": added, "pathPrefix": f"/{added}/"}
             )
+        document["routes"] += self._large_routes
         self._store.put("op/config", document)
         self._checker.added_at_by_path[path] = time.monotonic()
         self._checker.add_path(path)
--- a/soak/links.py
+++ b/soak/links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import time
 
 CHUNK_BYTES = 65536
 
@@ -12,6 +13,7 @@
     :param listen: address to listen at.
     :param target: address to forward connections to.
     :ivar delay: seconds by which each chunk of data is delayed.
+    :ivar rate: bytes a second that all responses together are sent at; 0 for no limit.
     """
 
     def __init__(self, listen: str, target: str) -> None:
@@ -22,6 +24,8 @@
         self._responding = asyncio.Event()
         self._responding.set()
         self.delay = 0.0
+        self.rate = 0.0
+        self._free_at = 0.0
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
 
@@ -72,7 +76,7 @@
         try:
             await asyncio.gather(
                 self._forward(reader, target_writer, self._flowing),
-                self._forward(target_reader, writer, self._responding),
+                self._forward(target_reader, writer, self._responding, limited=True),
             )
         except asyncio.CancelledError:
             return  # The soak ends.
@@ -86,10 +90,14 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         gate: asyncio.Event,
+        *,
+        limited: bool = False,
     ) -> None:
         try:
             while data := await reader.read(CHUNK_BYTES):
                 await asyncio.sleep(self.delay)
+                if limited and self.rate:
+                    await self._wait_for_turn(len(data))
                 await self._flowing.wait()
                 await gate.wait()
                 writer.write(data)
@@ -98,3 +106,8 @@
         except OSError:
             # One side closed its connection: close the other at once.
             writer.transport.abort()
+
+    async def _wait_for_turn(self, size: int) -> None:
+        now = time.monotonic()
+        self._free_at = max(self._free_at, now) + size / self.rate
+        await asyncio.sleep(self._free_at - now)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -119,6 +119,11 @@
         self.assertRegex(found.stdout, "engines ended by one request: [1-6]\n")
         self.assertRegex(found.stdout, "engines ended by one part: [1-6]\n")
 
+    def test_large_configurations_in_series_are_in_force_in_time(self):
+        found = soak(1, 0.2, "--large", "--gateways", "6")
+        self.assertEqual(0, found.returncode, found.stdout + found.stderr)
+        self.assertRegex(found.stdout, "large configuration: [1-9]")
+
     def test_gateways_that_forget_crashes_are_detected(self):
         found = soak(901, 0.15, "--poison", "--bug", "forget")
         self.assertEqual(1, found.returncode, found.stdout + found.stderr)
