--- a/src/bankrack/fleet/firstview.py
+++ b/src/bankrack/fleet/firstview.py
@@ -26,6 +26,9 @@
 reads more than one page of the store. After the loss of all nodes the store's link
 would carry the whole state to each of them."""
 POLL_SECONDS = 0.05
+MAX_RECEIVING_SECONDS = 1.0
+"""Time for which parts of a seed's configuration are awaited before another seed is
+queried."""
 
 
 def read_backoff_seconds(failures: int) -> float:
@@ -135,7 +138,7 @@
 
     async def _query(self, seed: Member) -> bool:
         """Apply a seed's view, if it has one; returns whether the seed answered."""
-        if self._view.table is not None:
+        if self._view.table is not None or self._is_receiving():
             return True
         try:
             await self._leaders.ask(seed)
@@ -144,3 +147,9 @@
         except PeerUnavailable:
             return False
         return True
+
+    def _is_receiving(self) -> bool:
+        """Whether parts of the configuration are on their way, as far as is known."""
+        since = boottime() - MAX_RECEIVING_SECONDS
+        pending = self._view.pending.by_key.values()
+        return any(value.announced_at > since for value in pending)
--- a/src/bankrack/fleet/pendingvalues.py
+++ b/src/bankrack/fleet/pendingvalues.py
@@ -70,3 +70,16 @@
         """Return the revision of the pending value of a key; 0 if there is none."""
         pending = self.by_key.get(key)
         return pending.outline.revision if pending else 0
+
+    def describe(self) -> list[dict[str, t.Any]]:
+        """Return the pending values for the state dump."""
+        now = self._clock()
+        return [
+            {
+                "key": key,
+                "revision": number_of(pending.outline.revision),
+                "age": now - pending.announced_at,
+                "announcers": [member.name for member in pending.announcers],
+            }
+            for key, pending in self.by_key.items()
+        ]
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -348,6 +348,7 @@
             ready=self.ready,
             version=table.version if table else None,
             view_age=self.view.age,
+            configuration_age=self.configuration.age,
             store_age=self.follower.store_age,
             revision=number_of(self.view.revision),
             store_era=era_of(self.view.revision),
@@ -368,6 +369,7 @@
         return {
             "failing": self.outliers.describe(),
             "paths": self.paths.describe(),
+            "pending_values": self.view.pending.describe(),
             "full_pools": self.owners.rooms.describe(),
             "engine_speeds": self.ledgers.describe_speeds(),
             "pools": self.ledgers.describe({each.name for each in workspaces}),
--- a/src/bankrack/nodestate.py
+++ b/src/bankrack/nodestate.py
@@ -13,6 +13,8 @@
 
     :param version: version of the current configuration, ``None`` before the first.
     :param view_age: seconds since the view was last confirmed, by any source.
+    :param configuration_age: seconds since the configuration was last known to be the
+        newest; larger than ``view_age`` while a newer one is on its way.
     :param store_age: seconds since the store itself last confirmed the view.
     :param keeps_ledgers: whether this node owns the first pool and keeps its ledgers.
     :param quarantined: fingerprints of the quarantined requests.
@@ -26,6 +28,7 @@
     ready: bool
     version: int | None
     view_age: float
+    configuration_age: float
     store_age: float
     revision: int
     store_era: int
@@ -45,6 +48,7 @@
             "ready": float(self.ready),
             "version": float(self.version or 0),
             "view_age_seconds": self.view_age,
+            "configuration_age_seconds": self.configuration_age,
             "members": float(len(self.members)),
             "upstreams": float(len(self.upstreams)),
             "in_flight": float(self.in_flight),
@@ -66,6 +70,7 @@
             "ready": self.ready,
             "version": self.version,
             "view_age": self.view_age,
+            "configuration_age": self.configuration_age,
             "store_age": self.store_age,
             "revision": self.revision,
             "store_era": self.store_era,
--- a/tests/platform/test_large_configurations.py
+++ b/tests/platform/test_large_configurations.py
@@ -58,6 +58,10 @@
             self.gateways.append(gateway)
         await until(lambda: all(self._is_settled(g) for g in self.gateways), seconds=20)
 
+    async def start_late(self, *, seeds: tuple[str, ...]) -> Gateway:
+        """Start a further node, which is not waited for."""
+        return await self._deployment.start_gateway("late", seeds=seeds)
+
     def _is_settled(self, gateway: Gateway) -> bool:
         members = gateway.view.members_by_name
         leaders = sum(g.follower.leader is None for g in self.gateways)
@@ -146,6 +150,19 @@
             size = len(fleet.store.item_by_key["op/config"].value)
             self.assertLess(after - before, 0.2 * size * (NODES - 1))
 
+    async def test_starting_node_receives_a_large_configuration_while_the_store_is_away(
+        self,
+    ):
+        """Guards against starting nodes whose seeds send them outlines only."""
+        async with running_fleet(nodes=3) as fleet:
+            fleet.store.put("op/config", large_configuration(5))
+            await fleet.seconds_until(5, since=boottime())
+            fleet.store.status = 503
+            seeds = tuple(link.address for link in fleet.link_by_name.values())
+            late = await fleet.start_late(seeds=seeds)
+            await until(lambda: late.ready, seconds=MAX_SECONDS)
+            self.assertEqual(5, late.view.table.version)
+
 
 class OutdatedConfigurations(TestCase):
     async def test_node_that_lacks_a_version_it_knows_of_refuses_what_it_may_not_serve(
