A starting node keeps what was announced to it

A node that starts while the store is away gets a seed's view with the configuration's outline. Keys that were only announced count as in force.

--- a/src/bankrack/fleet/peers.py
+++ b/src/bankrack/fleet/peers.py
@@ -442,6 +442,7 @@
                 asked_at=confirmed_at,
                 source=leader.name,
                 complete_revision=message.complete_revision,
+                pending_keys=[key for key, _, _ in message.outlines],
             )
         else:
             gone = [Item(key, None, message.revision) for key in message.gone]
--- a/src/bankrack/fleet/view.py
+++ b/src/bankrack/fleet/view.py
@@ -185,15 +185,17 @@
         asked_at: float,
         source: str,
         complete_revision: int | None = None,
+        pending_keys: t.Iterable[str] = (),
     ) -> None:
         """Apply a snapshot of the state as of ``asked_at`` or later.
 
         :param asked_at: time at which the snapshot was requested.
         :param source: the store or the name of the peer that sent it, for the log.
         :param complete_revision: that of the peer's view; by default the snapshot's.
+        :param pending_keys: further keys in force, whose values were announced only.
         """
         self._note_era(snapshot.revision, source)
-        keys = {item.key for item in snapshot.items}
+        keys = {item.key for item in snapshot.items}.union(pending_keys)
         for item in snapshot.items:
             self._take(item, source)
         for key, entry in list(self._entry_by_key.items()):
