What a node knows to be removed is not missing; narrow readers pause less between reads

Such an item counts as known. The test failed before: the view was never confirmed by that leader.

A reader paused 0.8 s after each read, however long the read took, so over a narrow link its view was older than its standbys allow (1.2 s) just because the state had become large. The pause now shrinks with twice the duration of the read. And a node that gets no parts for a second reads the whole state from the store only if it is a standby, others after 4 s: 198 of them did at once, over links that the parts needed.

--- a/benchmarks/largevalues.py
+++ b/benchmarks/largevalues.py
@@ -149,6 +149,7 @@
             node.parts,
             TransferLog(),
             read_store=functools.partial(asyncio.sleep, 0, False),
+            is_standby=lambda: False,
         )
         task = asyncio.create_task(fetcher.run())
         self._stack.callback(task.cancel)
--- a/src/bankrack/fleet/follower.py
+++ b/src/bankrack/fleet/follower.py
@@ -28,8 +28,10 @@
 from bankrack.utils import backoff_seconds
 
 READ_INTERVAL_SECONDS = 0.8
-"""Pause between reads; a change must be in force within 2 s even if the watch is silent
-and the reader is partitioned next."""
+"""Age of the reader's view at the end of the next read, so far as reads are short
+enough. A change must be in force within 2 s even if the watch is silent and the reader
+is partitioned next."""
+MIN_READ_PAUSE_SECONDS = 0.1
 WATCH_TIMEOUT_SECONDS = 10.0
 """Longest wait of one watch; each return costs another call."""
 WATCH_INTERVAL_SECONDS = 0.03
@@ -224,10 +226,11 @@
                 if self._defers_to_readers():
                     await asyncio.sleep(RETRY_SECONDS)
                     continue
+                began = boottime()
                 if await self.read():
                     failures = self._own_failures = 0
                     self._log_leader(None)
-                    await asyncio.sleep(READ_INTERVAL_SECONDS)
+                    await asyncio.sleep(_pause_seconds(boottime() - began))
                     continue
                 failures += 1
                 self._postpone_own_read()
@@ -400,3 +403,14 @@
         if name != self._logged_leader:
             self._logged_leader = name
             logs.event(_logger, "leader_chosen", leader=name or "self")
+
+
+def _pause_seconds(elapsed: float) -> float:
+    """Return the pause between two reads.
+
+    A view is as old as its read when that ends, and two reads older before the next one
+    ends. Readers with narrow links, whose reads take long, pause less.
+
+    :param elapsed: duration of the last read in seconds.
+    """
+    return max(MIN_READ_PAUSE_SECONDS, READ_INTERVAL_SECONDS - 2 * elapsed)
--- a/src/bankrack/fleet/partfetcher.py
+++ b/src/bankrack/fleet/partfetcher.py
@@ -40,8 +40,12 @@
 MIN_PAUSE_SECONDS = 0.02
 MAX_PAUSE_SECONDS = 0.16
 """Pauses after requests in a row that brought nothing; each is varied by half."""
-STALL_SECONDS = 1.0
-"""Time without a new part after which the store is read."""
+STANDBY_STALL_SECONDS = 1.0
+"""Time without a new part after which a node that stands by for the readers reads the
+store; the others then get the parts from it."""
+STALL_SECONDS = 4.0
+"""The same for other nodes. The whole state takes their links several times as long as
+the parts."""
 WIDE_SEARCH_SECONDS = 0.4
 """Time without a new part after which nodes of other halls are asked, too."""
 SOURCE = "parts"
@@ -71,6 +75,7 @@
 
     :param members: returns the live members, with or without this node.
     :param read_store: reads the store; returns whether it succeeded.
+    :param is_standby: whether this node is among the first to read the store.
     """
 
     def __init__(
@@ -83,6 +88,7 @@
         transfers: TransferLog,
         *,
         read_store: t.Callable[[], t.Awaitable[bool]],
+        is_standby: t.Callable[[], bool],
     ) -> None:
         self._session = session
         self._own = own
@@ -91,6 +97,7 @@
         self._parts = parts
         self._transfers = transfers
         self._read_store = read_store
+        self._is_standby = is_standby
         self._suspects = SuspectList()
         self._progress_by_key: dict[str, _Progress] = {}
 
@@ -119,7 +126,7 @@
             progress.idle_requests = 0
             return
         progress.idle_requests += 1
-        if boottime() > progress.part_at + STALL_SECONDS:
+        if boottime() > progress.part_at + self._stall_seconds():
             await self._fall_back_on_store(progress)
         await asyncio.sleep(_pause_seconds(progress.idle_requests))
 
@@ -243,7 +250,10 @@
         )
         await self._read_store()
         # The store is read again only after another such time, spread over the nodes.
-        progress.part_at = boottime() + STALL_SECONDS * random.random()
+        progress.part_at = boottime() + self._stall_seconds() * random.random()
+
+    def _stall_seconds(self) -> float:
+        return STANDBY_STALL_SECONDS if self._is_standby() else STALL_SECONDS
 
 
 def _pause_seconds(idle_requests: int) -> float:
--- a/src/bankrack/fleet/peers.py
+++ b/src/bankrack/fleet/peers.py
@@ -471,7 +471,7 @@
         missing = [
             revision
             for key, revision in zip(keys, revisions, strict=True)
-            if key not in sent and self._known_revision_of(key) < revision
+            if key not in sent and not self._view.knows(key, revision)
         ]
         if not missing:
             return True
@@ -486,11 +486,6 @@
         )
         return False
 
-    def _known_revision_of(self, key: str) -> int:
-        """Return the revision of an item that is here or being received."""
-        view = self._view
-        return max(view.revision_of(key), view.pending.revision_of(key))
-
 
 def _kind_of(serial: str) -> str:
     """Return what a request with the given serial asks for, for the log."""
--- a/src/bankrack/fleet/view.py
+++ b/src/bankrack/fleet/view.py
@@ -254,12 +254,11 @@
 
         The followers of this node learn of it at once.
         """
-        known = max(
-            self.revision_of(outline.key),
-            self._removed_revision_by_key.get(outline.key, 0),
-        )
-        if outline.revision > known and self.pending.add(outline, announcer):
-            self._note_change(outline.key)
+        key, revision = outline.key, outline.revision
+        if self.pending.revision_of(key) < revision and self.knows(key, revision):
+            return
+        if self.pending.add(outline, announcer):
+            self._note_change(key)
 
     def _settle(self, key: str, revision: int) -> None:
         """Note that a key is known up to a revision."""
@@ -275,13 +274,24 @@
         entry = self._entry_by_key.get(key)
         return entry.item.revision if entry else 0
 
+    def knows(self, key: str, revision: int) -> bool:
+        """Whether a revision of a key, or what came after it, is known here.
+
+        It may be in force, announced, or removed since.
+        """
+        return revision <= max(
+            self.revision_of(key),
+            self.pending.revision_of(key),
+            self._removed_revision_by_key.get(key, 0),
+        )
+
     def complete(
         self, keys: t.Iterable[str], items: t.Iterable[Item]
     ) -> Snapshot | None:
         """Complete the items that a peer sent with items already known here.
 
-        Returns ``None`` if one of ``keys`` is neither known nor pending nor among
-        ``items``.
+        Keys that were only announced, or removed since, have none. Returns ``None`` if
+        one of ``keys`` is neither known in any way nor among ``items``.
         """
         by_key = {item.key: item for item in items}
         for key in keys:
@@ -290,7 +300,7 @@
             entry = self._entry_by_key.get(key)
             if entry is not None:
                 by_key[key] = entry.item
-            elif key not in self.pending.by_key:
+            elif not self.knows(key, 1):
                 return None
         return Snapshot(tuple(by_key.values()), 0)
 
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -155,6 +155,7 @@
             self.parts,
             self.transfers,
             read_store=self.follower.read,
+            is_standby=self.roster.is_standby,
         )
         self.announcer = Announcer(
             store,
--- a/tests/fleet/test_partfetcher.py
+++ b/tests/fleet/test_partfetcher.py
@@ -77,6 +77,7 @@
             self.parts,
             TransferLog(),
             read_store=self._read_store,
+            is_standby=lambda: True,
         )
         task = asyncio.create_task(fetcher.run())
         self._stack.callback(task.cancel)
--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -192,6 +192,19 @@
             self.assertEqual([3, 3], sizes)
             self.assert_same(pair)
 
+    async def test_item_that_the_leader_does_not_know_to_be_removed_is_not_missing(
+        self,
+    ):
+        """Guards against followers that request what they know to be gone for good."""
+        async with LeaderAndFollower() as pair:
+            pair.read(pair.leader, 3, "up/x-1", "up/y-2")
+            pair.read(pair.follower, 3, "up/x-1", "up/y-2")
+            pair.read(pair.follower, 4, "up/x-1")
+            pair.leader.confirmed_at = boottime() + 1.0
+            await pair.ask()
+            self.assertEqual("leader", pair.follower.confirmed_by)
+            self.assertEqual(["up/x-1"], pair.follower.keys())
+
     async def test_members_left_out_of_a_read_are_requested(self):
         async with LeaderAndFollower() as pair:
             pair.read(pair.follower, 1, "up/x-1")
