A reader confirms everything but a large configuration in reads of their own

While the first value in the order of keys is large, the reader also reads what comes behind it, as often as before. Age (of the view, by which leaders are judged and upstreams are known to have left) and whole age (of everything, by which requests are served) are two figures; an update tells both.

--- a/src/bankrack/fleet/follower.py
+++ b/src/bankrack/fleet/follower.py
@@ -219,7 +219,10 @@
         Only the reader that others follow also watches the store; each change costs a
         call.
         """
-        watching = asyncio.create_task(self._watch_while_reader())
+        beside = [
+            asyncio.create_task(self._watch_while_reader()),
+            asyncio.create_task(self._keep_reading_briefly()),
+        ]
         failures = 0
         try:
             while self._roster.leader() is None:
@@ -236,8 +239,9 @@
                 self._postpone_own_read()
                 await asyncio.gather(self._ask_standby(), self._back_off(failures))
         finally:
-            watching.cancel()
-            await asyncio.gather(watching, return_exceptions=True)
+            for task in beside:
+                task.cancel()
+            await asyncio.gather(*beside, return_exceptions=True)
 
     async def _ask_standby(self) -> None:
         """Ask the node that would read next, which the store may not turn away."""
@@ -295,6 +299,32 @@
             )
             await asyncio.sleep(WATCH_INTERVAL_SECONDS)
 
+    async def _keep_reading_briefly(self) -> None:
+        """Confirm all but a large first value while this node is the reader.
+
+        A read of everything then takes long over a narrow link, and the age of all
+        other items, by which followers judge this node, must not wait for it.
+        """
+        while True:
+            began = boottime()
+            beyond = self._view.large_first_key()
+            if beyond and self._roster.is_reader():
+                await self._read_briefly(beyond)
+            await asyncio.sleep(_pause_seconds(boottime() - began))
+
+    async def _read_briefly(self, beyond: str) -> None:
+        """Read the items beyond a key once."""
+        progress = ReadProgress(boottime(), beyond=beyond)
+        try:
+            snapshot = await self._store.read(
+                members=False, timeout=self._read_timeout, progress=progress
+            )
+        except PlatformUnavailable as error:
+            logs.event(_logger, "brief_read_failed", reason=error.message)
+            return
+        self._note_store_answer()
+        self._view.confirm(snapshot, asked_at=progress.began, source="store")
+
     async def read(self) -> bool:
         """Read the store once, and return whether that succeeded.
 
--- a/src/bankrack/fleet/peers.py
+++ b/src/bankrack/fleet/peers.py
@@ -78,6 +78,8 @@
         entries that expired in the outage.
     :param outlines: keys, joined digests and revisions of large values, which are not
         among ``items`` and are requested in parts.
+    :param whole_age: the same as ``age``, but for confirmations that left out a large
+        value.
     """
 
     serial: str
@@ -94,6 +96,7 @@
     failed: float | None = None
     recovered: float | None = None
     outlines: list[tuple[str, bytes, int]] = []
+    whole_age: float | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -218,6 +221,7 @@
         message = self._build_message(state, waited=0.0)
         # The age when the encoded view is sent for the last time.
         message.age += CACHE_SECONDS
+        message.whole_age = self._view.whole_age + CACHE_SECONDS
         return msgspec.msgpack.encode(message)
 
     def _serial(self) -> str:
@@ -239,6 +243,7 @@
             complete_revision=view.complete_revision,
             failed=view.failed_seconds,
             recovered=view.recovered_seconds,
+            whole_age=view.whole_age,
         )
         if changed is None:
             message.keys = [item.key for item in view.items]
@@ -424,6 +429,9 @@
         # Counted from the send of the request, so the times are never too late.
         answered_at = sent_at + message.waited
         confirmed_at = answered_at - message.age
+        # A leader of an earlier release leaves nothing out.
+        whole_age = message.age if message.whole_age is None else message.whole_age
+        whole_at = answered_at - whole_age
         if message.failed is not None:
             view.note_told_store_failure(answered_at - message.failed)
         if message.recovered is not None:
@@ -443,6 +451,7 @@
                 source=leader.name,
                 complete_revision=message.complete_revision,
                 pending_keys=[key for key, _, _ in message.outlines],
+                whole_at=whole_at,
             )
         else:
             gone = [Item(key, None, message.revision) for key in message.gone]
@@ -451,7 +460,7 @@
                 source=leader.name,
                 complete_revision=message.complete_revision,
             )
-            view.note_confirmed(confirmed_at)
+            view.note_confirmed(confirmed_at, whole_at=whole_at)
         self._serial_by_name[leader.name] = message.serial
         self._sent_by_name[leader.name] = message.sent
         merge_reports(self._upstreams, message.reports)
--- a/src/bankrack/fleet/store.py
+++ b/src/bankrack/fleet/store.py
@@ -43,11 +43,13 @@
     """Items as of the joint ``revision`` or later.
 
     :param until: last key up to which the items are complete; ``None`` if all are.
+    :param beyond: key after which the items are complete; empty if all are.
     """
 
     items: tuple[Item, ...]
     revision: int
     until: str | None = None
+    beyond: str = ""
 
 
 @dataclasses.dataclass(slots=True)
@@ -57,19 +59,24 @@
     :param began: time at which the first page was requested.
     :param items: of the pages read so far.
     :param revisions: of these pages.
+    :param beyond: key after which the read starts; empty to read all.
     :param after: last key read.
     """
 
     began: float
     items: list[Item] = dataclasses.field(default_factory=list)
     revisions: list[int] = dataclasses.field(default_factory=list)
-    after: str = ""
+    beyond: str = ""
+    after: str = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        self.after = self.beyond
 
     def restart(self) -> None:
         """Forget the pages, as they are of an earlier era than the next one."""
         self.items.clear()
         self.revisions.clear()
-        self.after = ""
+        self.after = self.beyond
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/bankrack/fleet/view.py
+++ b/src/bankrack/fleet/view.py
@@ -26,6 +26,7 @@
 from bankrack.fleet.store import Item
 from bankrack.fleet.store import number_of
 from bankrack.fleet.store import Snapshot
+from bankrack.fleet.valueparts import LARGE_VALUE_BYTES
 from bankrack.fleet.valueparts import Outline
 from bankrack.serving.crashregister import CrashRegister
 from bankrack.serving.registry import Upstreams
@@ -65,8 +66,9 @@
     :ivar complete_revision: revision up to which all items are known. It is lower than
         ``revision`` after a read that left out members.
     :ivar confirmed_at: time at which the whole state was last known to be current.
-    :ivar current_at: the same, but for times at which a newer value was known and not
-        here yet.
+    :ivar whole_at: the same, but for confirmations that left out a large value.
+    :ivar current_at: the same as ``whole_at``, but for times at which a newer value was
+        known and not here yet.
     :ivar pending: large values that are known to be newer and not here yet.
     :ivar confirmed_by: source of the last complete snapshot.
     :ivar store_failed_at: time at which the store last failed a call of this node, or
@@ -88,6 +90,7 @@
         self.revision = 0
         self.complete_revision = 0
         self.confirmed_at = 0.0
+        self.whole_at = 0.0
         self.current_at = 0.0
         self.pending = PendingValues(clock)
         self.store_failed_at = 0.0
@@ -124,6 +127,11 @@
         """
         return self._clock() - self.current_at
 
+    @property
+    def whole_age(self) -> float:
+        """Seconds since the newest revisions of all values were last known."""
+        return self._clock() - self.whole_at
+
     @property
     def items(self) -> tuple[Item, ...]:
         """All items, to be sent to a peer."""
@@ -186,6 +194,7 @@
         source: str,
         complete_revision: int | None = None,
         pending_keys: t.Iterable[str] = (),
+        whole_at: float | None = None,
     ) -> None:
         """Apply a snapshot of the state as of ``asked_at`` or later.
 
@@ -193,24 +202,28 @@
         :param source: the store or the name of the peer that sent it, for the log.
         :param complete_revision: that of the peer's view; by default the snapshot's.
         :param pending_keys: further keys in force, whose values were announced only.
+        :param whole_at: that of the peer's view; by default ``asked_at``, unless the
+            snapshot leaves out values.
         """
         self._note_era(snapshot.revision, source)
         keys = {item.key for item in snapshot.items}.union(pending_keys)
         for item in snapshot.items:
             self._take(item, source)
         for key, entry in list(self._entry_by_key.items()):
-            if snapshot.until is not None and key > snapshot.until:
+            if not _covers(snapshot, key):
                 continue
             if key not in keys and entry.item.revision <= snapshot.revision:
                 self._note_missing(key, snapshot.revision, source)
         for key in list(self.pending.by_key):
-            if key not in keys and (snapshot.until is None or key <= snapshot.until):
+            if key not in keys and _covers(snapshot, key):
                 self._settle(key, snapshot.revision)
         self._upstream_log.flush()
         self.revision = max(self.revision, snapshot.revision)
-        if snapshot.until is None:
+        if snapshot.until is None and not snapshot.beyond:
             self._note_complete(complete_revision or snapshot.revision)
-        self.note_confirmed(asked_at)
+        if whole_at is None:
+            whole_at = self.whole_at if snapshot.beyond else asked_at
+        self.note_confirmed(asked_at, whole_at=whole_at)
         self.confirmed_by = source
 
     def _note_era(self, revision: int, source: str) -> None:
@@ -238,16 +251,27 @@
     def _note_complete(self, revision: int) -> None:
         self.complete_revision = max(self.complete_revision, revision)
 
-    def note_confirmed(self, at: float) -> None:
-        """Record that the view was current at a given time; wakes waiting followers."""
+    def note_confirmed(self, at: float, *, whole_at: float) -> None:
+        """Record that the view was current at a given time; wakes waiting followers.
+
+        :param whole_at: the latest such time that holds for all values.
+        """
         if at > self.confirmed_at + MIN_CONFIRMATION_STEP_SECONDS:
             self._wake()
         self.confirmed_at = max(self.confirmed_at, at)
+        self.whole_at = max(self.whole_at, whole_at)
         self._note_current()
 
     def _note_current(self) -> None:
         if not self.pending.by_key:
-            self.current_at = max(self.current_at, self.confirmed_at)
+            self.current_at = max(self.current_at, self.whole_at)
+
+    def large_first_key(self) -> str:
+        """Return the first key in order if its value is large, otherwise nothing."""
+        key = min(self._entry_by_key, default="")
+        entry = self._entry_by_key.get(key)
+        size = len(entry.item.value or b"") if entry else 0
+        return key if size >= LARGE_VALUE_BYTES else ""
 
     def announce(self, outline: Outline, announcer: Member) -> None:
         """Record that a newer value exists, before its parts are here.
@@ -553,3 +577,10 @@
                 self._drop(key, self._entry_by_key[key], "lapsed")
         self._upstream_log.flush()
         self._member_log.flush(members=len(self.members_by_name))
+
+
+def _covers(snapshot: Snapshot, key: str) -> bool:
+    """Whether a snapshot would have an item under a key if there were one."""
+    if key <= snapshot.beyond:
+        return False
+    return snapshot.until is None or key <= snapshot.until
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -87,7 +87,8 @@
 
     If ``status`` is set, it is the status of every response.  An ``unresponsive`` store
     does not respond.  ``pause`` delays responses by seconds, with ``seconds_per_part``
-    each tenth of a response takes that long,
+    each tenth of a response takes that long, and with ``seconds_per_megabyte`` a
+    response as long as a narrow link would,
     ``watch_misses_changes`` keeps changes out of watches, and ``compacted_revision`` is
     the oldest revision from which a watch may start.  ``take_copy`` and
     ``restore_copy`` return it to an earlier state, which begins a new ``era``.
@@ -103,6 +104,7 @@
         self.unresponsive = False
         self.pause = 0.0
         self.seconds_per_part = 0.0
+        self.seconds_per_megabyte = 0.0
         self.watch_misses_changes = False
         self.page_size = 500
         self.leases: set[int] = set()
@@ -151,8 +153,10 @@
         response = await self._answer(request)
         if self.era:
             response.headers["Store-Era"] = str(self.era)
-        if self.seconds_per_part:
-            return await send_slowly(request, response, self.seconds_per_part)
+        size = len(t.cast(bytes, response.body or b""))
+        transfer = self.seconds_per_megabyte * size / 1e6
+        if seconds_per_part := self.seconds_per_part or transfer / 10:
+            return await send_slowly(request, response, seconds_per_part)
         return response
 
     async def _answer(self, request: web.BaseRequest) -> web.Response:
--- a/tests/platform/test_large_configurations.py
+++ b/tests/platform/test_large_configurations.py
@@ -163,6 +163,22 @@
             await until(lambda: late.ready, seconds=MAX_SECONDS)
             self.assertEqual(5, late.view.table.version)
 
+    async def test_view_stays_young_while_the_reader_reads_a_large_configuration(self):
+        """Guards against readers that count as stale as their links are narrow."""
+        async with running() as deployment:
+            gateway = await deployment.start_ready_gateway()
+            await until(lambda: "n-1" in gateway.view.members_by_name)
+            deployment.store.put("op/config", large_configuration(5))
+            await until(lambda: gateway.view.table.version == 5)
+            deployment.store.seconds_per_megabyte = 2.0
+            ages = []
+            for _ in range(400):
+                await asyncio.sleep(0.01)
+                ages.append((gateway.view.age, gateway.view.whole_age))
+            self.assertLess(max(age for age, _ in ages), 1.2)
+            self.assertLess(max(age for _, age in ages), MAX_SECONDS)
+            self.assertGreater(max(age for _, age in ages), 1.0)
+
 
 class OutdatedConfigurations(TestCase):
     async def test_node_that_lacks_a_version_it_knows_of_refuses_what_it_may_not_serve(
