--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -30,8 +30,6 @@
 from bankrack.fleet.partserver import PARTS_PATH
 from bankrack.fleet.partserver import PartServer
 from bankrack.fleet.peers import LeaderClient
-from bankrack.fleet.peers import UPDATES_PATH
-from bankrack.fleet.peers import UpdateServer
 from bankrack.fleet.poolowners import NOTES_PATH
 from bankrack.fleet.poolowners import PLACE_PATH
 from bankrack.fleet.poolowners import PoolOwnerClient
@@ -43,6 +41,8 @@
 from bankrack.fleet.tunnelclient import TunnelClient
 from bankrack.fleet.tunnelserver import TunnelServer
 from bankrack.fleet.updates import FleetUpdates
+from bankrack.fleet.updateserver import UPDATES_PATH
+from bankrack.fleet.updateserver import UpdateServer
 from bankrack.fleet.valueparts import ValueParts
 from bankrack.fleet.view import View
 from bankrack.front.callerserver import CallerServer
--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -9,16 +9,17 @@
 
 from bankrack.clock import boottime
 from bankrack.fleet import peers
+from bankrack.fleet import updateserver
 from bankrack.fleet import view as view_module
 from bankrack.fleet.documents import Member
 from bankrack.fleet.peers import LeaderClient
-from bankrack.fleet.peers import UpdateMessage
-from bankrack.fleet.peers import UPDATES_PATH
-from bankrack.fleet.peers import UpdateServer
 from bankrack.fleet.reports import merge_reports
 from bankrack.fleet.reports import ReportMessage
 from bankrack.fleet.store import Item
 from bankrack.fleet.store import Snapshot
+from bankrack.fleet.updateserver import UpdateMessage
+from bankrack.fleet.updateserver import UPDATES_PATH
+from bankrack.fleet.updateserver import UpdateServer
 from bankrack.fleet.valueparts import ValueParts
 from bankrack.fleet.view import View
 from bankrack.front.listeners import serve_application
@@ -180,7 +181,7 @@
 
     async def test_many_changes_arrive_in_bounded_responses_of_which_none_is_lost(self):
         """Guards against long transfers that begin again from their start."""
-        self.patch(peers, "MAX_ITEM_BYTES", 3)
+        self.patch(updateserver, "MAX_ITEM_BYTES", 3)
         async with LeaderAndFollower() as pair:
             pair.read(pair.follower, 1, "up/x-1")
             pair.read(pair.leader, 9, "up/x-1", *(f"up/y-{n}" for n in range(2, 9)))
@@ -243,7 +244,7 @@
             self.assert_same(pair)
 
     async def test_new_confirmation_of_view_is_sent_at_once(self):
-        self.patch(peers, "LONG_POLL_SECONDS", 5.0)
+        self.patch(updateserver, "LONG_POLL_SECONDS", 5.0)
         async with LeaderAndFollower() as pair:
             pair.leader.confirmed_at = boottime() - 1.0
             await pair.ask()
