A follower of an earlier release gets all newer items in one response

While nodes are upgraded one by one, a follower of the earlier release throws a response away that lacks an item, and asks from the same revision again. Found by reading; only a follower that requests parts gets bounded responses. The test fails without the condition (3 items instead of 7).

--- a/src/bankrack/fleet/updateserver.py
+++ b/src/bankrack/fleet/updateserver.py
@@ -213,7 +213,7 @@
 
     def _build_message(self, state: _FollowerState, *, waited: float) -> UpdateMessage:
         view = self._view
-        changed = self._keys_changed_since(state.serial)
+        changed = self._keys_changed_since(state)
         message = UpdateMessage(
             serial=self._serial(),
             revision=view.revision,
@@ -250,17 +250,16 @@
     def _put_newer_items(self, message: UpdateMessage, state: _FollowerState) -> None:
         """Add the items since a revision, the oldest first, as many as may be sent.
 
-        The follower keeps them and requests the rest. A whole view has all items.
+        The follower keeps them and requests the rest. A whole view has all items, and a
+        follower of an earlier release gets all, as it keeps none of a part of them.
         """
-        if not state.serial:
-            for item in self._view.items:
-                self._put_item(item, message, state)
-            return
-        newer = [item for item in self._view.items if item.revision > state.since]
+        since = state.since if state.serial else 0
+        newer = [item for item in self._view.items if item.revision > since]
         newer.sort(key=lambda item: item.revision)
+        is_bounded = bool(state.serial) and state.takes_outlines
         size = 0
         for item in newer:
-            if size >= MAX_ITEM_BYTES:
+            if is_bounded and size >= MAX_ITEM_BYTES:
                 break
             self._put_item(item, message, state)
             size += len(item.value or b"")
@@ -279,15 +278,15 @@
         digests = outline.joined_digests()
         message.outlines.append((outline.key, digests, outline.revision))
 
-    def _keys_changed_since(self, serial: str) -> set[str] | None:
+    def _keys_changed_since(self, state: _FollowerState) -> set[str] | None:
         """Return the keys changed since a serial; ``None`` if all keys must be sent."""
-        name, _, number = serial.rpartition("/")
+        name, _, number = state.serial.rpartition("/")
         if name != self._name or not number.isdigit():
             return None
         changed = self._view.keys_changed_since(int(number))
-        if changed is None or self._small_item_bytes(changed) > MAX_ITEM_BYTES:
-            return None
-        return changed
+        if changed is None or not state.takes_outlines:
+            return changed
+        return changed if self._small_item_bytes(changed) <= MAX_ITEM_BYTES else None
 
     def _small_item_bytes(self, keys: t.Iterable[str]) -> int:
         """Return the size of the items that are not sent in parts."""
--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -20,6 +20,7 @@
 from bankrack.fleet.updateserver import UpdateMessage
 from bankrack.fleet.updateserver import UPDATES_PATH
 from bankrack.fleet.updateserver import UpdateServer
+from bankrack.fleet.valueparts import LARGE_VALUE_BYTES
 from bankrack.fleet.valueparts import ValueParts
 from bankrack.fleet.view import View
 from bankrack.front.listeners import serve_application
@@ -193,6 +194,26 @@
             self.assertEqual([3, 3], sizes)
             self.assert_same(pair)
 
+    async def test_follower_of_an_earlier_release_gets_all_items_with_their_values(
+        self,
+    ):
+        """Guards against followers that cannot request the rest, nor parts."""
+        self.patch(updateserver, "MAX_ITEM_BYTES", 3)
+        async with LeaderAndFollower() as pair:
+            pair.read(pair.leader, 9, *(f"up/y-{n}" for n in range(2, 9)))
+            large = Item("up/z-10", b"1" * LARGE_VALUE_BYTES, 10)
+            pair.leader.apply_changes(Snapshot((large,), 10), source="watch")
+            url = f"http://{pair.address}{UPDATES_PATH}"
+            query = {"serial": "none", "since": "2"}
+            async with (
+                aiohttp.ClientSession() as session,
+                session.get(url, params=query) as response,
+            ):
+                body = await response.read()
+            message = msgspec.msgpack.decode(body, type=UpdateMessage)
+            self.assertEqual(7, len(message.items))
+            self.assertEqual([], message.outlines)
+
     async def test_item_that_the_leader_does_not_know_to_be_removed_is_not_missing(
         self,
     ):
