--- a/src/bankrack/fleet/updateserver.py
+++ b/src/bankrack/fleet/updateserver.py
@@ -255,8 +255,9 @@
         """
         since = state.since if state.serial else 0
         newer = [item for item in self._view.items if item.revision > since]
-        newer.sort(key=lambda item: item.revision)
         is_bounded = bool(state.serial) and state.takes_outlines
+        if is_bounded:
+            newer.sort(key=lambda item: item.revision)
         size = 0
         for item in newer:
             if is_bounded and size >= MAX_ITEM_BYTES:
