--- a/benchmarks/largevalues.py
+++ b/benchmarks/largevalues.py
@@ -27,7 +27,6 @@
 from bankrack.clock import boottime
 from bankrack.fleet.documents import Member
 from bankrack.fleet.partfetcher import PartFetcher
-from bankrack.fleet.partserver import BYTES_PER_MEGABIT
 from bankrack.fleet.partserver import LinkPacer
 from bankrack.fleet.partserver import PARTS_PATH
 from bankrack.fleet.partserver import PartServer
@@ -36,6 +35,7 @@
 from bankrack.fleet.transferlog import TransferLog
 from bankrack.fleet.valueparts import ValueParts
 from bankrack.fleet.view import View
+from bankrack.fleet.wholeviews import BYTES_PER_MEGABIT
 from bankrack.front.listeners import serve_application
 from bankrack.serving.registry import Upstreams
 
--- a/src/bankrack/fleet/partserver.py
+++ b/src/bankrack/fleet/partserver.py
@@ -10,6 +10,7 @@
 from bankrack.fleet.transferlog import TransferLog
 from bankrack.fleet.valueparts import DIGEST_BYTES
 from bankrack.fleet.valueparts import ValueParts
+from bankrack.fleet.wholeviews import BYTES_PER_MEGABIT
 
 PARTS_PATH = "/peer/parts"
 MAX_RESPONSE_BYTES = 32 * 1024
@@ -20,7 +21,6 @@
 messages that show that the node lives."""
 MAX_BACKLOG_SECONDS = 0.1
 """Time for which parts may be under way on the link before more are refused."""
-BYTES_PER_MEGABIT = 125_000
 
 Digest = t.Annotated[bytes, msgspec.Meta(max_length=DIGEST_BYTES)]
 
