Log once a second what a node's connections, event loop and link bore

Nothing told a node whose link is full from one that cannot accept or whose loop turns slowly: connections were logged only if they were refused, and failures to accept went to standard error.

--- a/src/bankrack/front/callerserver.py
+++ b/src/bankrack/front/callerserver.py
@@ -78,6 +78,7 @@
     :param limits: returns the current limits.
     :param held: accounts for the bytes of requests and of unread responses.
     :param gate: decides on each new connection.
+    :param note_wait: called with the seconds that a connection waited to be accepted.
     """
 
     def __init__(
@@ -88,9 +89,11 @@
         *,
         held: HeldBytes,
         gate: ConnectionGate,
+        note_wait: t.Callable[[float], None] = lambda seconds: None,
     ) -> None:
         self._dialect = dialect
         self._gate = gate
+        self._note_wait = note_wait
         self._serve = serve
         self._limits = limits
         self._bodies = held.bodies
@@ -107,6 +110,7 @@
             self._handle,
             limits=self._limits,
             admit=self._gate.admit,
+            note_wait=self._note_wait,
             handler_cancellation=True,
             access_log=None,
             auto_decompress=False,
--- a/src/bankrack/front/connectiongate.py
+++ b/src/bankrack/front/connectiongate.py
@@ -25,6 +25,7 @@
     """Admits new connections at the rate that the node can serve.
 
     :param count: called with the outcome of each new connection.
+    :param note_delay: called with the event loop's delay in each period, in seconds.
     :param open_connections: returns the number of callers' open connections.
     :param max_open: bound of the open connections; half of the descriptors if ``None``.
     """
@@ -33,6 +34,7 @@
         self,
         count: t.Callable[[str], None],
         *,
+        note_delay: t.Callable[[float], None] = lambda seconds: None,
         open_connections: t.Callable[[], int] = lambda: 0,
         max_open: int | None = None,
         clock: t.Callable[[], float] = boottime,
@@ -40,6 +42,7 @@
         self.open_connections = open_connections
         self._clock = clock
         self._count = count
+        self._note_delay = note_delay
         self._max_open = max_open or _max_open_connections()
         self._rate = START_RATE
         self._allowance = MAX_BURST
@@ -68,6 +71,7 @@
             await asyncio.sleep(TICK_SECONDS)
             now = self._clock()
             self.end_period(delay=now - due_at)
+            self._note_delay(now - due_at)
             self._log(now)
 
     def end_period(self, *, delay: float) -> None:
--- a/src/bankrack/front/headertimeout.py
+++ b/src/bankrack/front/headertimeout.py
@@ -12,6 +12,7 @@
 from aiohttp.web_protocol import RequestHandler
 
 from bankrack import logs
+from bankrack.loadlog import kernel_wait_seconds
 from bankrack.serving.routing import CallerLimits
 
 TIMEOUT_RESPONSE = (
@@ -27,22 +28,25 @@
     A new connection without data is subject to the idle timeout instead.
     """
 
-    __slots__ = ("_header_started", "_limits", "_timer")
+    __slots__ = ("_header_started", "_limits", "_note_wait", "_timer")
 
     def __init__(
         self,
         manager: web.Server,
         *,
         limits: t.Callable[[], CallerLimits],
+        note_wait: t.Callable[[float], None],
         **options: t.Any,
     ) -> None:
         super().__init__(manager, **options)
         self._limits = limits
+        self._note_wait = note_wait
         self._header_started = False
         self._timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
+        self._note_wait(kernel_wait_seconds(transport.get_extra_info("socket")))
         self._set_timer(self._limits().idle_seconds)
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -97,6 +101,7 @@
 
     :param limits: returns the current limits.
     :param admit: decides on each new connection.
+    :param note_wait: called with the seconds that a connection waited to be accepted.
     """
 
     def __init__(
@@ -105,11 +110,13 @@
         *,
         limits: t.Callable[[], CallerLimits],
         admit: t.Callable[[], bool] = lambda: True,
+        note_wait: t.Callable[[float], None] = lambda seconds: None,
         **options: t.Any,
     ) -> None:
         super().__init__(handler, **options)
         self._limits = limits
         self._admit = admit
+        self._note_wait = note_wait
 
     # asyncio takes any protocol, whereas the base class promises its own.
     def __call__(self) -> t.Any:
@@ -117,5 +124,9 @@
         if not self._admit():
             return _RefusedConnection()
         return _HeaderTimeoutHandler(
-            self, limits=self._limits, loop=self._loop, **self._kwargs
+            self,
+            limits=self._limits,
+            note_wait=self._note_wait,
+            loop=self._loop,
+            **self._kwargs,
         )
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -51,6 +51,7 @@
 from bankrack.front.internalserver import serve_paths
 from bankrack.integration import GatewayDialect
 from bankrack.integration import GatewaySettings
+from bankrack.loadlog import LoadLog
 from bankrack.metrics import GatewayMetrics
 from bankrack.nodestate import NodeState
 from bankrack.serving.budget import SharedRetryBudget
@@ -109,6 +110,7 @@
         self._dialect = dialect
         self._tasks = BackgroundTasks()
         self._suspension_log = SuspensionLog()
+        self._load = LoadLog()
         self.fleet_size = FleetSize(lambda: self.view.members_by_name)
         self._runners: list[web.AppRunner] = []
         self._create_components()
@@ -131,9 +133,11 @@
         )
         self._upstream_session = new_session(reuse=False, upstream_paths=self.paths)
         self._control_session = new_session(reuse=True, upstream_paths=self.paths)
-        self._internal_session = new_session(reuse=True)
+        self._internal_session = new_session(
+            reuse=True, note_received=self._load.note_received
+        )
         store = dialect.store(self._internal_session)
-        self.transfers = TransferLog(self.metrics.note_transfer)
+        self.transfers = TransferLog(self._note_transfer)
         self.roster = Roster(
             own, self.view.members_by_name.values, seeds=settings.seeds
         )
@@ -251,12 +255,13 @@
             ),
             crashes=dependencies.crashes,
         )
+        self._load.describe = self._describe_load
         self._loop_monitor = LoopMonitor(
             lambda: self.dispatcher.in_flight,
             lambda seconds: self.metrics.blocked.observe({}, seconds),
         )
         self._gate = ConnectionGate(
-            lambda outcome: self.metrics.caller_connections.inc({"outcome": outcome})
+            self._count_connection, note_delay=self._load.note_delay
         )
         self.front = CallerServer(
             dialect.callers,
@@ -264,6 +269,7 @@
             self._caller_limits,
             held=self.held,
             gate=self._gate,
+            note_wait=self._load.note_wait,
         )
 
     async def start(self, *, listening: socket.socket | None = None) -> None:
@@ -272,6 +278,7 @@
         :param listening: a socket that already listens on the callers' address.
         """
         settings = self.settings
+        asyncio.get_running_loop().set_exception_handler(self._handle_loop_error)
         self._tasks.spawn(self.follower.run)
         await self.front.start(settings.front, listening=listening)
         ready = {settings.ready_path: self._handle_ready}
@@ -307,6 +314,7 @@
         self._tasks.spawn(self.announcer.run)
         self._tasks.spawn(self._loop_monitor.run)
         self._tasks.spawn(self._gate.run)
+        self._tasks.spawn(self._load.run)
         self._tasks.spawn(self.reports.run)
         self._tasks.spawn(self.owners.run)
         self._tasks.spawn(self.rate_limits.run)
@@ -442,6 +450,27 @@
         await self._internal_session.close()
         self.stopped.set()
 
+    def _handle_loop_error(
+        self, loop: asyncio.AbstractEventLoop, context: dict[str, t.Any]
+    ) -> None:
+        """Log an error that the event loop met outside of any task.
+
+        It reports a failure to accept once for each connection that it expected.
+        """
+        error = context.get("exception")
+        is_accept = isinstance(error, OSError) and "socket" in context
+        if not is_accept:
+            loop.default_exception_handler(context)
+        elif not self._load.note_accept_error():
+            return
+        logs.event(
+            _logger,
+            "loop_error",
+            level=logging.ERROR,
+            reason=context.get("message", ""),
+            error=repr(error),
+        )
+
     # Serving
 
     async def _serve(self, job: Job, reply: Reply) -> None:
@@ -494,9 +523,30 @@
         for name, value in self.state().gauges().items():
             self.metrics.values.set({"name": name}, value)
 
+    def _note_transfer(
+        self, direction: str, outcome: str, size: int, seconds: float
+    ) -> None:
+        self.metrics.note_transfer(direction, outcome, size, seconds)
+        if direction == "sent":
+            self._load.note_sent(size)
+
+    def _count_connection(self, outcome: str) -> None:
+        self.metrics.caller_connections.inc({"outcome": outcome})
+        self._load.note_connection(outcome)
+
+    def _describe_load(self) -> dict[str, t.Any]:
+        """Return what the line on the node's load says of this moment."""
+        return {
+            "open": self._gate.open_connections(),
+            "unread": self.held.replies.held,
+            "tunnels": self.tunnels.active,
+            "ready": self.ready,
+        }
+
     # Request handlers
 
     async def _handle_ready(self, request: web.Request) -> web.Response:
+        self._load.note_ready_check()
         return web.Response(status=200 if self.ready else 503)
 
     async def _handle_metrics(self, request: web.Request) -> web.Response:
--- a/src/bankrack/serving/client.py
+++ b/src/bankrack/serving/client.py
@@ -137,13 +137,37 @@
         super().connection_lost(exc)
 
 
+class _CountingHandler(_ResetAwareHandler):
+    """The same, and reports how many bytes arrive.
+
+    :param note_received: called with the size of each piece.
+    """
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        *,
+        note_received: t.Callable[[int], None],
+    ) -> None:
+        super().__init__(loop)
+        self._note_received = note_received
+
+    def data_received(self, data: bytes) -> None:
+        self._note_received(len(data))
+        super().data_received(data)
+
+
 def new_session(
-    *, reuse: bool, upstream_paths: UpstreamPaths | None = None
+    *,
+    reuse: bool,
+    upstream_paths: UpstreamPaths | None = None,
+    note_received: t.Callable[[int], None] | None = None,
 ) -> aiohttp.ClientSession:
     """Create a client session; requires a running event loop.
 
     :param reuse: keep connections open for further requests.
     :param upstream_paths: opens the connections of a session to upstreams.
+    :param note_received: called with the size of each piece that arrives.
     """
     if upstream_paths is not None:
         connector: aiohttp.TCPConnector = UpstreamConnector(upstream_paths, reuse=reuse)
@@ -155,6 +179,8 @@
         )
     loop = asyncio.get_running_loop()
     factory: t.Any = functools.partial(_ResetAwareHandler, loop=loop)
+    if note_received is not None:
+        factory = functools.partial(_CountingHandler, loop, note_received=note_received)
     connector._factory = factory
     session = aiohttp.ClientSession(
         connector=connector,
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -12,7 +12,7 @@
 LAYERS = (
     ("clock", "exceptions", "logs"),
     ("utils",),
-    ("background", "decisions", "metrics", "tables"),
+    ("background", "decisions", "loadlog", "metrics", "tables"),
     ("settings", "wire"),
     ("control", "serving"),
     ("placement",),
