--- a/soak/gateway/buggy.py
+++ b/soak/gateway/buggy.py
@@ -35,6 +35,8 @@
 from soak.gateway import cutoff
 from storeera import StoreEra
 
+ACCEPTING_SECONDS = 2.0
+"""Time after which a gateway with the bug ``unaccepting`` accepts nothing more."""
 SEND_BUFFER_BYTES = 4096
 """Size of the kernel's send buffers of connections to callers."""
 
@@ -131,6 +133,23 @@
     CallerServer.start = start_small  # type: ignore[method-assign]
 
 
+def stop_accepting() -> None:
+    """Accept no callers' connections after a time; everything else goes on."""
+    start = CallerServer.start
+
+    async def start_and_stop(
+        self: CallerServer, address: str, **options: t.Any
+    ) -> None:
+        await start(self, address, **options)
+        assert self._listener is not None
+        loop = asyncio.get_running_loop()
+        for listener in self._listener.sockets:
+            descriptor = listener.fileno()
+            loop.call_later(ACCEPTING_SECONDS, loop._remove_reader, descriptor)  # type: ignore[attr-defined]
+
+    CallerServer.start = start_and_stop  # type: ignore[method-assign]
+
+
 def open_no_tunnels() -> None:
     """Reach upstreams directly only."""
     Gateway._start_tunnels = lambda self, address: asyncio.sleep(0)  # type: ignore[method-assign]
@@ -162,6 +181,7 @@
     "alone": limit_per_node,
     "trusting": trust_failing,
     "level": ignore_speeds,
+    "unaccepting": stop_accepting,
 }
 
 
--- a/soak/gateway/processes.py
+++ b/soak/gateway/processes.py
@@ -75,6 +75,7 @@
         self._bug = bug
         self._folder = folder
         self._settings = folder / f"{name}.toml"
+        self.tunnel = free_address()
         text = SETTINGS.format(
             name=name,
             hall=hall,
@@ -83,7 +84,7 @@
             inner=self.inner,
             store=self.store_link.listen,
             grace=GRACE_SECONDS,
-            tunnel_port=free_address().rpartition(":")[2],
+            tunnel_port=self.tunnel.rpartition(":")[2],
         )
         self._settings.write_text(text, encoding="utf-8")
         self._process: Process | None = None
--- a/tests/test_connection_floods.py
+++ b/tests/test_connection_floods.py
@@ -7,16 +7,10 @@
 import asyncio
 import contextlib
 import dataclasses
-import pathlib
-import tempfile
 import time
 
-from soak.gateway.processes import Gateway
-
 from tests.base import TestCase
-from tests.platform.fakes import configuration
-from tests.platform.fakes import FakeStore
-from tests.platform.fakes import HOST
+from tests.gatewayprocesses import running_gateways
 
 GATEWAYS = 2
 SERVERS = 3
@@ -114,29 +108,9 @@
 
 class ConnectionFloods(TestCase):
     async def test_flooded_gateway_serves_what_it_reads(self):
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        store = FakeStore()
-        await store.start()
-        store.put("op/config", configuration())
-        servers = []
-        for number in range(SERVERS):
-            server = await asyncio.start_server(serve_upstream, HOST, 0, backlog=1024)
-            servers.append(server)
-            port = server.sockets[0].getsockname()[1]
-            entry = {"service": "plain", "address": f"{HOST}:{port}", "zone": "a"}
-            entry |= {"slots": 64, "state": "ready"}
-            store.put(f"servers/p-{number}", entry)
-        gateways = [
-            Gateway(f"g-{n}", "a", store.address, pathlib.Path(folder.name), "none")
-            for n in range(GATEWAYS)
-        ]
-        try:
-            for gateway in gateways:
-                await gateway.store_link.start()
-                await gateway.inner_link.start()
-                gateway.launch()
-            await asyncio.gather(*(g.wait_until_ready() for g in gateways))
+        async with running_gateways(
+            GATEWAYS, serve_upstream, upstreams=SERVERS
+        ) as gateways:
             await asyncio.sleep(1.0)
             usual = await press(gateways[0].front, USUAL_RATE, PERIOD_SECONDS)
             for flooded in gateways:
@@ -147,9 +121,3 @@
                 )
             after = await press(gateways[0].front, USUAL_RATE, PERIOD_SECONDS)
             self.assertGreater(after.served_share, MIN_SERVED_SHARE)
-        finally:
-            for gateway in gateways:
-                gateway.end()
-            for server in servers:
-                server.close()
-            await store.stop()
