Callers get descriptors that idle connections and tunnels hold

A ready node closed 7 of 7 new connections unread while idle ones held half of its descriptors, up to the idle timeout of 15 s; where tunnels of other nodes held all, its accepts failed and callers waited (tests/test_ready_nodes.py, real processes with 256 descriptors). The gate counted only callers' own connections, and tunnels were bounded by a number that knows no descriptors.

A node that refuses a tunnel no longer keeps the connection for up to a second.

--- a/src/bankrack/fleet/tunnelserver.py
+++ b/src/bankrack/fleet/tunnelserver.py
@@ -8,8 +8,11 @@
 
 from bankrack import logs
 from bankrack.clock import boottime
+from bankrack.decisions.descriptors import leaves_room
+from bankrack.decisions.descriptors import Use
 from bankrack.metrics import GatewayMetrics
 from bankrack.serving.paths import connect_directly
+from bankrack.utils import max_open_files
 from bankrack.wire.tunnels import decode_request
 from bankrack.wire.tunnels import encode_response
 from bankrack.wire.tunnels import END_OF_HEAD
@@ -28,6 +31,8 @@
 """Value of SO_LINGER.  The end of a connection may be the end of an answer, so the
 other node must see a reset unless the upstream itself ended the answer, even if this
 process is killed."""
+SEND_ON_CLOSE = struct.pack("ii", 0, 0)
+"""Value of SO_LINGER with which closing sends what was written."""
 
 _logger = logging.getLogger(__name__)
 
@@ -95,6 +100,7 @@
         self._is_upstream = is_upstream
         self._is_cut_off = is_cut_off
         self._metrics = metrics
+        self._max_descriptors = max_open_files()
         self._tunnels: set[_Tunnel] = set()
         self._server: asyncio.Server | None = None
         self._handlers: set[asyncio.Task[None]] = set()
@@ -129,7 +135,7 @@
         accepted: socket.socket = writer.get_extra_info("socket")
         accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         try:
-            await self._serve(_Stream(reader, writer))
+            await self._serve(_Stream(reader, writer), accepted.fileno())
         except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
             logs.event(_logger, "tunnel_failed", reason=repr(error))
         except asyncio.LimitOverrunError:
@@ -140,11 +146,11 @@
         finally:
             writer.transport.abort()
 
-    async def _serve(self, node: _Stream) -> None:
+    async def _serve(self, node: _Stream, descriptor: int) -> None:
         async with asyncio.timeout(HEAD_TIMEOUT_SECONDS):
             head = await node.reader.readuntil(END_OF_HEAD)
         address = decode_request(head[:MAX_HEAD_BYTES]) or ""
-        status, sock = await self._connect(address)
+        status, sock = await self._connect(address, descriptor)
         self._metrics.tunnels.inc({"outcome": status.name.lower()})
         if sock is None:
             logs.event(
@@ -162,11 +168,16 @@
             self._tunnels.discard(tunnel)
             upstream.writer.close()
 
-    async def _connect(self, address: str) -> tuple[TunnelStatus, socket.socket | None]:
-        """Connect to an upstream; returns no socket unless the tunnel is open."""
+    async def _connect(
+        self, address: str, descriptor: int
+    ) -> tuple[TunnelStatus, socket.socket | None]:
+        """Connect to an upstream; returns no socket unless the tunnel is open.
+
+        :param descriptor: of the other node's connection.
+        """
         if not self._is_upstream(address):
             return TunnelStatus.UNKNOWN_UPSTREAM, None
-        if self.stopping or len(self._tunnels) >= MAX_TUNNELS:
+        if self._is_full(descriptor):
             return TunnelStatus.FULL, None
         if self._is_cut_off(address):
             return TunnelStatus.UNREACHED, None
@@ -177,8 +188,16 @@
         except OSError:
             return TunnelStatus.UNREACHED, None
 
+    def _is_full(self, descriptor: int) -> bool:
+        if self.stopping or len(self._tunnels) >= MAX_TUNNELS:
+            return True
+        return not leaves_room(descriptor, self._max_descriptors, Use.TUNNEL)
+
     async def _refuse(self, node: _Stream, status: TunnelStatus) -> None:
-        """Answer, and wait until the other node closes, as closing resets."""
+        """Answer, and close in a way that leaves the answer to the other node."""
+        accepted: socket.socket = node.writer.get_extra_info("socket")
+        accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, SEND_ON_CLOSE)
         node.writer.write(encode_response(status))
         async with asyncio.timeout(HEAD_TIMEOUT_SECONDS):
-            await node.reader.read(1)
+            node.writer.close()
+            await node.writer.wait_closed()
--- a/src/bankrack/front/callerserver.py
+++ b/src/bankrack/front/callerserver.py
@@ -120,7 +120,8 @@
             lingering_time=0.0,
         )
         server = self._server
-        self._gate.open_connections = lambda: len(server.connections)
+        self._gate.open_connections = lambda: server.open_count
+        self._gate.close_idle = server.close_idle
         loop = asyncio.get_running_loop()
         if listening is not None:
             self._listener = await loop.create_server(
--- a/src/bankrack/front/headertimeout.py
+++ b/src/bankrack/front/headertimeout.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections
 import logging
 import typing as t
 
@@ -12,12 +13,17 @@
 from aiohttp.web_protocol import RequestHandler
 
 from bankrack import logs
+from bankrack.clock import boottime
 from bankrack.loadlog import kernel_wait_seconds
 from bankrack.serving.routing import CallerLimits
 
 TIMEOUT_RESPONSE = (
     b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 )
+MIN_IDLE_SECONDS = 0.1
+"""Time without bytes after which a connection may be closed for a new one."""
+MAX_EXAMINED = 32
+"""Connections that are looked at for one that is idle."""
 
 _logger = logging.getLogger(__name__)
 
@@ -28,32 +34,34 @@
     A new connection without data is subject to the idle timeout instead.
     """
 
-    __slots__ = ("_header_started", "_limits", "_note_wait", "_timer")
+    __slots__ = ("_header_started", "_limits", "_recent", "_timer")
 
     def __init__(
         self,
         manager: web.Server,
         *,
         limits: t.Callable[[], CallerLimits],
-        note_wait: t.Callable[[float], None],
+        recent: "RecentConnections",
         **options: t.Any,
     ) -> None:
         super().__init__(manager, **options)
         self._limits = limits
-        self._note_wait = note_wait
+        self._recent = recent
         self._header_started = False
         self._timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
-        self._note_wait(kernel_wait_seconds(transport.get_extra_info("socket")))
+        self._recent.note_active(self)
         self._set_timer(self._limits().idle_seconds)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         self._stop_timer()
+        self._recent.forget(self)
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
+        self._recent.note_active(self)
         super().data_received(data)
         if not self._awaits_header():
             self._header_started = False
@@ -62,6 +70,11 @@
             self._header_started = True
             self._set_timer(self._limits().header_seconds)
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing of a request is here."""
+        return self._awaits_header() and not self._header_started
+
     def _awaits_header(self) -> bool:
         """Return whether no request is served and the next headers are incomplete."""
         if self._request_count == 0:
@@ -87,20 +100,65 @@
         self.force_close()
 
 
-class _RefusedConnection(asyncio.Protocol):
-    """A connection that is closed before anything is read from it."""
+class RecentConnections:
+    """Callers' connections in the order of their latest activity."""
+
+    def __init__(self, clock: t.Callable[[], float] = boottime) -> None:
+        self._clock = clock
+        self._active_at_by_connection: collections.OrderedDict[
+            _HeaderTimeoutHandler, float
+        ] = collections.OrderedDict()
+
+    def note_active(self, connection: _HeaderTimeoutHandler) -> None:
+        """Record that bytes arrived, or that the connection is new."""
+        self._active_at_by_connection[connection] = self._clock()
+        self._active_at_by_connection.move_to_end(connection)
+
+    def forget(self, connection: _HeaderTimeoutHandler) -> None:
+        """Record the end of a connection."""
+        self._active_at_by_connection.pop(connection, None)
+
+    def close_idle(self) -> bool:
+        """Close the connection that has been idle for longest, if one is.
+
+        Those on which a request is served count as active now, so that no call looks
+        at many of them.
+        """
+        now = self._clock()
+        for _ in range(MAX_EXAMINED):
+            connection = next(iter(self._active_at_by_connection), None)
+            if connection is None:
+                return False
+            if now < self._active_at_by_connection[connection] + MIN_IDLE_SECONDS:
+                return False
+            if connection.is_idle:
+                self.forget(connection)
+                connection.force_close()
+                return True
+            self.note_active(connection)
+        return False
+
+
+class _NewConnection(asyncio.Protocol):
+    """A connection of which nothing is read until it was admitted.
+
+    :param open: takes the connection over, or closes it.
+    """
+
+    __slots__ = ("_open",)
 
-    __slots__ = ()
+    def __init__(self, open: t.Callable[[asyncio.Transport], None]) -> None:
+        self._open = open
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        t.cast(asyncio.Transport, transport).abort()
+        self._open(t.cast(asyncio.Transport, transport))
 
 
 class HeaderTimeoutServer(web.Server):
     """Server whose connections enforce the header timeout.
 
     :param limits: returns the current limits.
-    :param admit: decides on each new connection.
+    :param admit: decides on each new connection, given its descriptor.
     :param note_wait: called with the seconds that a connection waited to be accepted.
     """
 
@@ -109,7 +167,7 @@
         handler: t.Callable[[web.BaseRequest], t.Awaitable[web.StreamResponse]],
         *,
         limits: t.Callable[[], CallerLimits],
-        admit: t.Callable[[], bool] = lambda: True,
+        admit: t.Callable[[int], bool] = lambda descriptor: True,
         note_wait: t.Callable[[float], None] = lambda seconds: None,
         **options: t.Any,
     ) -> None:
@@ -117,16 +175,35 @@
         self._limits = limits
         self._admit = admit
         self._note_wait = note_wait
+        self._recent = RecentConnections()
 
     # asyncio takes any protocol, whereas the base class promises its own.
     def __call__(self) -> t.Any:
         """Create the protocol of one connection."""
-        if not self._admit():
-            return _RefusedConnection()
-        return _HeaderTimeoutHandler(
+        return _NewConnection(self._open)
+
+    def _open(self, transport: asyncio.Transport) -> None:
+        """Admit a connection, or close it unread."""
+        connection = transport.get_extra_info("socket")
+        if not self._admit(connection.fileno()):
+            transport.abort()
+            return
+        self._note_wait(kernel_wait_seconds(connection))
+        handler = _HeaderTimeoutHandler(
             self,
             limits=self._limits,
-            note_wait=self._note_wait,
+            recent=self._recent,
             loop=self._loop,
             **self._kwargs,
         )
+        transport.set_protocol(handler)
+        handler.connection_made(transport)
+
+    @property
+    def open_count(self) -> int:
+        """Number of open connections."""
+        return len(self._connections)
+
+    def close_idle(self) -> bool:
+        """Close the connection that has been idle for longest, if one is."""
+        return self._recent.close_idle()
--- a/src/bankrack/utils.py
+++ b/src/bankrack/utils.py
@@ -2,6 +2,7 @@
 
 import collections
 import hashlib
+import resource
 import typing as t
 
 from bankrack.clock import boottime
@@ -26,6 +27,12 @@
     return min(maximum, first * 2 ** min(failures, MAX_DOUBLINGS))
 
 
+def max_open_files() -> int:
+    """Return the limit of this process's file descriptors."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return soft
+
+
 class WindowMaximum:
     """Maximum of a value over a sliding window of ``window`` seconds."""
 
--- a/tests/front/test_connectiongate.py
+++ b/tests/front/test_connectiongate.py
@@ -50,6 +50,23 @@
         self.open = 49
         self.assertTrue(self.gate.admit())
 
+    def test_idle_connection_makes_room_for_a_new_one(self):
+        idle = 1
+
+        def close_idle():
+            nonlocal idle
+            idle -= 1
+            return idle >= 0
+
+        self.open = 50
+        self.gate.close_idle = close_idle
+        self.assertEqual([True, False], [self.gate.admit(), self.gate.admit()])
+
+    def test_connections_are_refused_before_descriptors_run_out(self):
+        gate = ConnectionGate(lambda outcome: None, max_open=50, max_descriptors=100)
+        self.assertTrue(gate.admit(80))
+        self.assertFalse(gate.admit(90))
+
     async def test_refusals_are_logged_once_a_second(self):
         self.gate._log(10.0)
         for _ in range(200):
