A node is ready if new callers get through

A node whose callers' socket accepted nothing said ready for ever: readiness was "a configuration is here and no stop has begun", answered at another socket.

--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -49,6 +49,7 @@
 from bankrack.front.connectiongate import ConnectionGate
 from bankrack.front.heldbytes import HeldBytes
 from bankrack.front.internalserver import serve_paths
+from bankrack.front.selfcheck import SelfCheck
 from bankrack.integration import GatewayDialect
 from bankrack.integration import GatewaySettings
 from bankrack.loadlog import LoadLog
@@ -263,6 +264,7 @@
         self._gate = ConnectionGate(
             self._count_connection, note_delay=self._load.note_delay
         )
+        self._self_check = SelfCheck(settings.front, self._gate)
         self.front = CallerServer(
             dialect.callers,
             self._serve,
@@ -346,8 +348,9 @@
 
     @property
     def ready(self) -> bool:
-        """Whether the balancer may route callers to this node."""
-        return self.view.table is not None and not self.stopping
+        """Whether the balancer may route callers to this node, as far as is known."""
+        serves = self.view.table is not None and not self.stopping
+        return serves and self._self_check.passed
 
     def state(self) -> NodeState:
         """Return a snapshot of this node's state."""
@@ -547,6 +550,7 @@
 
     async def _handle_ready(self, request: web.Request) -> web.Response:
         self._load.note_ready_check()
+        await self._self_check.run()
         return web.Response(status=200 if self.ready else 503)
 
     async def _handle_metrics(self, request: web.Request) -> web.Response:
