Cut-off nodes find the nodes that reach an upstream

Callers of nodes that were cut off from all upstreams were served far worse.

Refusals that come at once no longer count: up to 32 nodes are asked, four try, within the time of before (0.45 s). Nodes that opened a tunnel within 2 s are asked first. test_node_that_reaches_the_upstream_is_found (2 of 14 nodes reach it) failed before; with a silent upstream no more than four nodes try, as before.

test_node_that_is_cut_off_itself_is_passed_over asked one client 50 times, which now stays with the node that works; it asks 50 clients once and checks their order too.

--- a/src/bankrack/fleet/tunnelclient.py
+++ b/src/bankrack/fleet/tunnelclient.py
@@ -1,7 +1,10 @@
 """Connections to upstreams through nodes that reach them."""
 
 import asyncio
+import contextlib
+import dataclasses
 import functools
+import math
 import random
 import socket
 import typing as t
@@ -18,13 +21,37 @@
 from bankrack.wire.tunnels import MAX_HEAD_BYTES
 from bankrack.wire.tunnels import TunnelStatus
 
-MAX_NODES = 4
-"""Nodes that are asked for one connection."""
+MAX_TRYING_NODES = 4
+"""Nodes that try to reach an upstream for one connection; those that refuse at once, as
+they know that they don't reach it or have no room, do not count."""
+MAX_ASKED_NODES = 32
 STAGGER_SECONDS = 0.05
 """Time after which the next node is asked as well."""
 TUNNEL_TIMEOUT_SECONDS = 0.3
-FAILURE_MEMORY_SECONDS = 2.0
-"""Time for which nodes that opened no tunnel are asked after all others."""
+SEARCH_TIMEOUT_SECONDS = 0.45
+"""Time in which one of the nodes must have opened a tunnel."""
+MEMORY_SECONDS = 2.0
+"""Time for which nodes that opened a tunnel are asked before all others, and nodes that
+opened none after them."""
+
+
+class NoTunnelHere(NoTunnel):
+    """One node opened no tunnel; others may.
+
+    :param at_once: it refused without trying, as it knows that it can't.
+    """
+
+    def __init__(self, message: str, *, at_once: bool) -> None:
+        super().__init__(message)
+        self.at_once = at_once
+
+
+@dataclasses.dataclass(slots=True)
+class _Search:
+    """Nodes that were asked for one connection, and those that count as trying."""
+
+    asked: int = 0
+    trying: int = 0
 
 
 class TunnelClient:
@@ -46,6 +73,7 @@
         self._clock = clock
         self._rng = rng or random.Random()
         self._failed_at_by_name: dict[str, float] = {}
+        self._opened_at_by_name: dict[str, float] = {}
 
     async def connect(self, address: str) -> socket.socket:
         """Return a socket that another node has connected to ``ip:port``.
@@ -53,34 +81,64 @@
         Raises :exc:`NoTunnel` if no node opened a tunnel, and
         :exc:`ConnectionRefusedError` if the upstream refused the connection there.
         """
-        nodes = self._ordered_nodes()[:MAX_NODES]
+        nodes = self._ordered_nodes()[:MAX_ASKED_NODES]
         if not nodes:
             raise NoPeers("no other node is known that opens tunnels")
-        attempts = [functools.partial(self._connect, node, address) for node in nodes]
-        sock, _, errors = await staggered.staggered_race(attempts, STAGGER_SECONDS)
+        search = _Search()
+        attempts = [
+            functools.partial(self._try, node, address, search) for node in nodes
+        ]
+        sock = None
+        errors: t.Sequence[BaseException | None] = ()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(SEARCH_TIMEOUT_SECONDS):
+                sock, _, errors = await staggered.staggered_race(
+                    attempts, STAGGER_SECONDS
+                )
         if sock is not None:
             return t.cast(socket.socket, sock)
         for error in errors:
             if isinstance(error, ConnectionRefusedError):
                 raise error
-        raise NoTunnel(f"none of {len(nodes)} nodes opened a tunnel to {address}")
+        raise NoTunnel(f"none of {search.asked} nodes opened a tunnel to {address}")
+
+    async def _try(
+        self, node: Member, address: str, search: "_Search"
+    ) -> socket.socket:
+        """Ask one node, unless enough others are trying already."""
+        if search.trying >= MAX_TRYING_NODES:
+            raise NoTunnel(f"{node.name} was not asked")
+        search.asked += 1
+        search.trying += 1
+        try:
+            return await self._connect(node, address)
+        except NoTunnelHere as error:
+            if error.at_once:
+                search.trying -= 1
+            raise
 
     def _ordered_nodes(self) -> list[Member]:
-        """Order the other members: those that failed recently last, near ones first."""
-        now = self._clock()
+        """Order the other members by what became of their latest tunnel.
+
+        Among equals near ones come first.
+        """
         keyed = []
         for member in self._members():
             if member.name == self._own.name or not member.tunnel:
                 continue
-            failed_at = self._failed_at_by_name.get(
-                member.name, -FAILURE_MEMORY_SECONDS
-            )
-            has_failed = now - failed_at < FAILURE_MEMORY_SECONDS
             is_far = member.hall != self._own.hall
-            keyed.append((has_failed, is_far, self._rng.random(), member))
+            rank = self._rank(member.name)
+            keyed.append((rank, is_far, self._rng.random(), member))
         keyed.sort(key=lambda entry: entry[:3])
         return [member for *_, member in keyed]
 
+    def _rank(self, name: str) -> int:
+        """Return 0 for a node that opened a tunnel lately, 2 for one that did not."""
+        since = self._clock() - MEMORY_SECONDS
+        if self._failed_at_by_name.get(name, -math.inf) > since:
+            return 2
+        return 0 if self._opened_at_by_name.get(name, -math.inf) > since else 1
+
     async def _connect(self, node: Member, address: str) -> socket.socket:
         began = self._clock()
         try:
@@ -101,17 +159,22 @@
             raise
         if status is TunnelStatus.OPEN:
             self._failed_at_by_name.pop(node.name, None)
+            self._opened_at_by_name[node.name] = self._clock()
             return sock
         sock.close()
         if status is TunnelStatus.REFUSED:
             raise ConnectionRefusedError(f"{address} refuses {node.name} as well")
         self._note_failed(node)
-        raise NoTunnel(f"{node.name} opens no tunnel to {address} ({status.name})")
+        raise NoTunnelHere(
+            f"{node.name} opens no tunnel to {address} ({status.name})",
+            at_once=self._clock() < began + STAGGER_SECONDS,
+        )
 
     def _note_failed(self, node: Member) -> None:
         names = {member.name for member in self._members()}
-        for name in self._failed_at_by_name.keys() - names:
-            del self._failed_at_by_name[name]
+        for times in (self._failed_at_by_name, self._opened_at_by_name):
+            for name in times.keys() - names:
+                del times[name]
         self._failed_at_by_name[node.name] = self._clock()
 
 
