--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -18,6 +18,7 @@
 from tests.platform.deployment import running
 from tests.platform.deployment import until
 from tests.platform.fakes import call
+from tests.platform.fakes import configuration
 from tests.platform.fakes import FakeStore
 from tests.platform.test_fuzz import fuzz_settings
 from tests.platform.test_fuzz import JSON
@@ -35,6 +36,21 @@
 REQUIRED_FIELDS = ("service", "address", "zone", "slots", "state")
 
 
+class Routes(TestCase):
+    def test_routes_of_the_version_before_are_not_decoded_again(self):
+        """Guards against a small change that costs as much as a large configuration."""
+        tables = []
+        for version in (4, 5):
+            document = configuration(version)
+            value = json.dumps(document).encode()
+            tables.append(documents.decode(Item("op/config", value, version)))
+        paths = ("h.example", "/bill/x"), ("h.example", "/look/x")
+        for host, path in paths:
+            first, second = (table.match(host, path) for table in tables)
+            self.assertIsNotNone(first)
+            self.assertIs(first, second)
+
+
 def decode(entry: object) -> object:
     return documents.decode(Item("servers/x", json.dumps(entry).encode(), 1))
 
