Starting nodes stop reading what a seed sent; whole views wait for 0.3 s of a link

Callers of a node with a narrow link wait behind what nodes send each other. A starting node read the store's whole page on, 0.4 to 0.8 MB, after a seed had sent its view (test_read_is_abandoned_once_a_seed_sent_its_view failed before). A seed let whole views of 2 s of its link wait at once; those that it refuses return after 0.2 s, so 0.3 s keep the link in use. The latter was not measured by itself.

--- a/src/bankrack/fleet/follower.py
+++ b/src/bankrack/fleet/follower.py
@@ -210,12 +210,19 @@
         first = self._first_view
         await first.obtain(self.read, on_failure=self._first_attempt_done.set)
         self._first_attempt_done.set()
+        self._abandon_first_read()
         if not self.store_confirmed_at:
             return
         await asyncio.sleep(SETTLE_SECONDS)
         # A reader reads the members again and relays them to its followers.
         self._members_due = 0.0
 
+    def _abandon_first_read(self) -> None:
+        """End a read of the whole state that a node's view made needless."""
+        if self._read_task is not None and not self.store_confirmed_at:
+            self._read_task.cancel()
+            self._read_task = None
+
     async def _read_until_leader_found(self) -> None:
         """Read the store until there is a node to follow.
 
@@ -331,11 +338,13 @@
     async def read(self) -> bool:
         """Read the store once, and return whether that succeeded.
 
-        Concurrent callers share one read.
+        Concurrent callers share one read, which goes on if one of them is cancelled.
         """
         if self._read_task is None or self._read_task.done():
             self._read_task = asyncio.create_task(self._read_store())
-        return await asyncio.shield(self._read_task)
+        task = self._read_task
+        await asyncio.wait({task})
+        return not task.cancelled() and task.result()
 
     async def _read_store(self) -> bool:
         sent_at = boottime()
--- a/src/bankrack/fleet/wholeviews.py
+++ b/src/bankrack/fleet/wholeviews.py
@@ -13,8 +13,9 @@
 
 MAX_UNSENT_BYTES = 16 * 1024 * 1024
 """Unsent bytes of whole views from which on further requests are refused."""
-MAX_UNSENT_SECONDS = 2.0
-"""The same bound as the time in which the node's link carries them."""
+MAX_UNSENT_SECONDS = 0.3
+"""The same bound as the time in which the node's link carries them. Connections of
+callers wait behind them; a node that is refused returns before they are sent."""
 BYTES_PER_MEGABIT = 125_000
 CACHE_SECONDS = 0.2
 """Time for which an encoded view is sent to all nodes that request one."""
--- a/tests/fleet/test_wholeviews.py
+++ b/tests/fleet/test_wholeviews.py
@@ -49,4 +49,4 @@
 
     def test_bound_is_what_a_narrow_link_carries(self):
         views = WholeViews(lambda: b"", lambda outcome: None, link_mbps=10.0)
-        self.assertEqual(2_500_000, views._max_unsent)
+        self.assertEqual(375_000, views._max_unsent)
--- a/tests/platform/test_starting.py
+++ b/tests/platform/test_starting.py
@@ -12,6 +12,7 @@
 from bankrack.fleet import firstview
 from bankrack.fleet import follower
 from bankrack.gateway import Gateway
+from bankrack.utils import stable_digest
 from tests.base import TestCase
 from tests.fakes import free_address
 from tests.platform.deployment import running
@@ -85,6 +86,21 @@
             # The seed reads the store meanwhile, as it leads.
             self.assertLess(deployment.store.calls.count("kv-range"), pages + 4)
 
+    async def test_read_is_abandoned_once_a_seed_sent_its_view(self):
+        """Guards against starting nodes whose links are full of what they have."""
+        async with running() as deployment:
+            # The later one then follows the other and reads nothing.
+            names = sorted(("n-1", "n-2"), key=stable_digest)
+            first = await deployment.start_ready_gateway(names[0])
+            await until(lambda: first.view.members_by_name)
+            deployment.store.seconds_per_megabyte = 5_000.0
+            late = await deployment.start_ready_gateway(
+                names[1], seeds=(first.settings.inner,)
+            )
+            await until(lambda: late.follower.leader is not None)
+            self.assertIsNone(late.follower._read_task)
+            self.assertEqual(200, (await call(late.settings.front, "/bill/x")).status)
+
     async def test_seeds_that_are_gone_do_not_delay_the_start(self):
         async with running() as deployment:
             deployment.store.page_size = 1
