--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -204,7 +204,8 @@
     def _commit(self, payload: dict[str, t.Any]) -> web.Response:
         expected = payload["expectedRevision"]
         if not all(map(self._is_as_expected, expected)):
-            items = [self._item(row["tlsKey"]) for row in expected]
+            keys = [row["tlsKey"] for row in expected]
+            items = [self._item(key) for key in keys if key in self.item_by_key]
             return web.json_response({"items": items}, status=412)
         if any(put["lease"] not in {0, *self.leases} for put in payload["put"]):
             return web.Response(status=404)
