--- a/soak/gateway/__main__.py
+++ b/soak/gateway/__main__.py
@@ -35,6 +35,9 @@
 EXIT_INCONCLUSIVE = 3
 """Exit code of an inconclusive soak: its source files changed while it ran."""
 
+FEW_DESCRIPTORS = 256
+"""Limit of a gateway's open files while many connections are idle."""
+
 
 class ErrorLog(logging.Handler):
     """Collects the errors of the soak's own servers."""
@@ -67,6 +70,7 @@
     poison: bool = False,
     crowded: bool = False,
     flooded: bool = False,
+    idle: bool = False,
     large: bool = False,
 ) -> int:
     """Run one soak.
@@ -78,6 +82,8 @@
     :param replacing: replace all gateways in turn instead of injecting faults.
     :param poison: also send requests that crash engines, by their body or a part.
     :param flooded: open most new connections at one gateway after the other.
+    :param idle: keep idle connections at one gateway after the other, which have few
+        descriptors.
     :param large: also write large configurations in series, over narrow links.
     :param crowded: let a workspace ask for most of the engines instead.
     :return: the exit code.
@@ -110,6 +116,8 @@
         for gateway in gateways:
             await gateway.store_link.start()
             await gateway.inner_link.start()
+            if idle:
+                gateway.descriptors = FEW_DESCRIPTORS
             gateway.launch()
         await asyncio.gather(*(gateway.wait_until_ready() for gateway in gateways))
         await asyncio.sleep(SETTLE_BEFORE_SECONDS)
@@ -117,6 +125,7 @@
         chosen = {
             callers.poison: poison,
             callers.flood: flooded,
+            callers.crowd: idle,
             callers.press: crowded,
         }
         other_calls = asyncio.gather(*(call() for call, on in chosen.items() if on))
@@ -157,6 +166,7 @@
     if crowded:
         checker.check_crowded()
     checker.check_floods()
+    checker.check_crowds()
     checker.check_poison(injector.poisoned_by_cause)
     print(f"seed {seed}, {minutes} minutes, bug {bug}, {count} gateways")
     _report(callers, injector, journal, checker)
@@ -184,6 +194,7 @@
         print(f"engines ended by one {cause}: {len(ended)}")
     refused = sum(not call.status for calls in callers.floods for call in calls)
     print(f"floods: {len(callers.floods)}, calls without a response: {refused}")
+    print(f"crowds of idle connections: {len(callers.crowds)}")
     rates = [f"{rate:.1f} at {speed}" for speed, rate in checker.run_rates().items()]
     shares = [f"{share:.2f} of {key}" for key, share in checker.served_shares().items()]
     print(f"streams served: {', '.join(shares)}")
@@ -216,6 +227,11 @@
         action="store_true",
         help="open most new connections at one gateway after the other",
     )
+    parser.add_argument(
+        "--idle",
+        action="store_true",
+        help="keep idle connections at gateways with few descriptors",
+    )
     parser.add_argument(
         "--crowded",
         action="store_true",
@@ -245,6 +261,7 @@
                 poison=options.poison,
                 crowded=options.crowded,
                 flooded=options.flooded,
+                idle=options.idle,
                 large=options.large,
             )
         )
--- a/soak/gateway/callers.py
+++ b/soak/gateway/callers.py
@@ -24,6 +24,10 @@
 POISON_INTERVAL_SECONDS = 0.2
 FLOOD_CALLS = 600
 """Calls of one flood, each over a connection of its own."""
+IDLE_CALLS = 150
+"""Calls whose connections stay open, more than half of a gateway's descriptors."""
+NEW_CALLS = 7
+NEW_CALL_INTERVAL_SECONDS = 0.3
 FLOOD_SECONDS = 2.0
 FLOOD_PAUSE_SECONDS = 3.0
 SESSIONS = 20
@@ -106,6 +110,18 @@
         return ""
 
 
+@dataclasses.dataclass(slots=True)
+class Crowd:
+    """New calls of a gateway at which many connections are idle.
+
+    :param ready: it said so at each check.
+    """
+
+    node: Gateway
+    calls: list[Call] = dataclasses.field(default_factory=list)
+    ready: bool = True
+
+
 class Callers:
     """Sends requests to all gateways until ``ended`` is set.
 
@@ -115,6 +131,7 @@
     def __init__(self, gateways: list[Gateway], rng: random.Random) -> None:
         self.calls: list[Call] = []
         self.floods: list[list[Call]] = []
+        self.crowds: list[Crowd] = []
         self.paths: list[str] = []
         self.ended = False
         self.undisturbed: t.Callable[[Gateway], bool] = lambda gateway: True
@@ -158,6 +175,32 @@
                     await asyncio.sleep(FLOOD_SECONDS / FLOOD_CALLS)
                 self.floods.append(list(await asyncio.gather(*calls)))
 
+    async def crowd(self) -> None:
+        """Keep idle connections at one gateway after the other, and come anew there."""
+        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_SECONDS, sock_connect=1.0)
+        while not self.ended:
+            node = self._rng.choice(self._gateways)
+            connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=60.0)
+            async with aiohttp.ClientSession(
+                connector=connector, timeout=timeout
+            ) as idle:
+                calling = [
+                    self.call(idle, "look", node=node) for _ in range(IDLE_CALLS)
+                ]
+                await asyncio.gather(*calling)
+                self.crowds.append(await self._come_anew(node, timeout))
+
+    async def _come_anew(self, node: Gateway, timeout: aiohttp.ClientTimeout) -> Crowd:
+        """Call a gateway over new connections, and check its readiness beside."""
+        crowd = Crowd(node)
+        connector = aiohttp.TCPConnector(force_close=True)
+        async with aiohttp.ClientSession(connector=connector, timeout=timeout) as anew:
+            for _ in range(NEW_CALLS):
+                crowd.calls.append(await self.call(anew, "look", node=node))
+                await asyncio.sleep(NEW_CALL_INTERVAL_SECONDS)
+                crowd.ready = crowd.ready and await node.is_ready()
+        return crowd
+
     async def press(self) -> None:
         """Ask for more long runs than the engines hold, for two workspaces.
 
--- a/soak/gateway/checks.py
+++ b/soak/gateway/checks.py
@@ -253,6 +253,17 @@
                     f"answered {len(late)} of {len(read)} requests late"
                 )
 
+    def check_crowds(self) -> None:
+        """Check that gateways that say that they are ready take new connections."""
+        for crowd in self._callers.crowds:
+            if not crowd.ready or not all(call.undisturbed for call in crowd.calls):
+                continue
+            if not any(call.status for call in crowd.calls):
+                self.record_violation(
+                    f"{crowd.node.name} said ready and took none of "
+                    f"{len(crowd.calls)} new connections beside idle ones"
+                )
+
     def check_poison(self, ended_by_cause: dict[str, list[str]]) -> None:
         """Check how many engines a request or a part of prompts has crashed.
 
--- a/soak/gateway/processes.py
+++ b/soak/gateway/processes.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import pathlib
+import resource
 import signal
 import time
 import typing as t
@@ -19,6 +20,7 @@
 READY_TIMEOUT_SECONDS = 90.0
 """Longest start, with hundreds of gateways starting on one machine at once."""
 READY_POLL_INTERVAL_SECONDS = 0.1
+CHECK_TIMEOUT_SECONDS = 1.0
 HELD_FIELDS = ("unread_bytes", "slow_callers", "body_bytes")
 """Fields of the state dump for what a gateway holds for callers."""
 RELEASE_SECONDS = 3.0
@@ -55,6 +57,7 @@
     :param hall: the data hall in which it is configured to run.
     :param store: address of the store; the gateway reaches it through a link.
     :param bug: name of the bug to enable, see :mod:`soak.gateway.buggy`.
+    :ivar descriptors: limit of the open files of processes that are launched.
     """
 
     def __init__(
@@ -72,6 +75,7 @@
         self.disturbed_at: list[float] = []
         self.stop_requested_at = 0.0
         self.busy = False
+        self.descriptors: int | None = None
         self._bug = bug
         self._folder = folder
         self._settings = folder / f"{name}.toml"
@@ -104,6 +108,9 @@
         """Start the process; it counts as disturbed for ``RECOVERY_SECONDS``."""
         script = ["-m", "soak.gateway.buggy", self._bug, str(self._settings)]
         self._process = Process(self.name, script, log=str(self.log))
+        if self.descriptors is not None:
+            limits = (self.descriptors, self.descriptors)
+            resource.prlimit(self._process.pid, resource.RLIMIT_NOFILE, limits)
         self.stop_requested_at = 0.0
         self.disturb(RECOVERY_SECONDS)
 
@@ -153,15 +160,28 @@
         self.launch()
         return in_time
 
+    async def is_ready(self, session: aiohttp.ClientSession | None = None) -> bool:
+        """Check the readiness as load balancers do.
+
+        :param session: by default a new one, for a new connection.
+        """
+        if session is None:
+            async with aiohttp.ClientSession() as new:
+                return await self.is_ready(new)
+        url = f"http://{self.ready}{READY_PATH}"
+        limit = aiohttp.ClientTimeout(total=CHECK_TIMEOUT_SECONDS)
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+            async with session.get(url, timeout=limit) as found:
+                return found.status == 200
+        return False
+
     async def wait_until_ready(self) -> None:
-        """Wait until the readiness check that load balancers use succeeds."""
+        """Wait until the readiness check succeeds."""
         limit = time.monotonic() + READY_TIMEOUT_SECONDS
         async with aiohttp.ClientSession() as session:
             while time.monotonic() < limit:
-                with contextlib.suppress(aiohttp.ClientError):
-                    async with session.get(f"http://{self.ready}{READY_PATH}") as found:
-                        if found.status == 200:
-                            return
+                if await self.is_ready(session):
+                    return
                 await asyncio.sleep(READY_POLL_INTERVAL_SECONDS)
         raise TimeoutError(
             f"{self.name} was not ready within {READY_TIMEOUT_SECONDS} s"
--- a/tests/gatewayprocesses.py
+++ b/tests/gatewayprocesses.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import pathlib
-import resource
 import tempfile
 import typing as t
 
@@ -55,9 +54,7 @@
             stack.callback(gateway.end)
             await gateway.store_link.start()
             await gateway.inner_link.start()
+            gateway.descriptors = descriptors
             gateway.launch()
-            if descriptors is not None:
-                limits = (descriptors, descriptors)
-                resource.prlimit(gateway.process.pid, resource.RLIMIT_NOFILE, limits)
         await asyncio.gather(*(g.wait_until_ready() for g in gateways))
         yield gateways
--- a/tests/test_ready_nodes.py
+++ b/tests/test_ready_nodes.py
@@ -12,7 +12,6 @@
 import aiohttp
 from soak.gateway.buggy import ACCEPTING_SECONDS
 from soak.gateway.processes import Gateway
-from soak.gateway.processes import READY_PATH
 
 from bankrack.wire.tunnels import encode_request
 from bankrack.wire.tunnels import END_OF_HEAD
@@ -112,31 +111,18 @@
             writer.transport.abort()
 
 
-async def is_ready(session: aiohttp.ClientSession, gateway: Gateway) -> bool:
-    """Check the readiness as the load balancer does."""
-    try:
-        async with session.get(
-            f"http://{gateway.ready}{READY_PATH}",
-            timeout=aiohttp.ClientTimeout(total=CONNECTION_SECONDS),
-        ) as response:
-            return response.status == 200
-    except (aiohttp.ClientError, TimeoutError):
-        return False
-
-
-async def observe(gateway: Gateway, *, keep_check: bool = True) -> Outcomes:
+async def observe(gateway: Gateway) -> Outcomes:
     """Send new callers one after the other while the readiness is checked.
 
-    :param keep_check: check the readiness over one kept connection.
+    The check keeps its connection, as some load balancers do.
     """
     outcomes = Outcomes()
-    connector = aiohttp.TCPConnector(force_close=not keep_check)
-    async with aiohttp.ClientSession(connector=connector) as session:
-        await is_ready(session, gateway)
+    async with aiohttp.ClientSession() as session:
+        await gateway.is_ready(session)
         for _ in range(NEW_CALLERS):
             calling = asyncio.create_task(call_once(gateway, found := Outcomes()))
             await asyncio.sleep(NEW_CALLER_INTERVAL_SECONDS)
-            ready = await is_ready(session, gateway)
+            ready = await gateway.is_ready(session)
             await calling
             if not ready:
                 outcomes.unready += 1
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -124,6 +124,11 @@
         self.assertEqual(0, found.returncode, found.stdout + found.stderr)
         self.assertRegex(found.stdout, "large configuration: [1-9]")
 
+    def test_new_callers_get_through_beside_idle_connections(self):
+        found = soak(1, 0.15, "--idle")
+        self.assertEqual(0, found.returncode, found.stdout + found.stderr)
+        self.assertRegex(found.stdout, "crowds of idle connections: [1-9]")
+
     def test_gateways_that_forget_crashes_are_detected(self):
         found = soak(901, 0.15, "--poison", "--bug", "forget")
         self.assertEqual(1, found.returncode, found.stdout + found.stderr)
