--- a/src/bankrack/fleet/follower.py
+++ b/src/bankrack/fleet/follower.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import logging
 import math
 import random
@@ -46,8 +47,6 @@
 MAX_READ_TIMEOUT_SECONDS = 2.0
 MAX_READ_SECONDS = 5.0
 """Time after which a read that failed midway starts again from its first page."""
-CHANGE_SECONDS = 0.5
-"""Time for which a large value that changed may arrive otherwise before it is read."""
 RETRY_SECONDS = 0.1
 STANDBY_TIMEOUT_SECONDS = 0.5
 """Longest wait of a reader that the store turned away for another node's view."""
@@ -357,94 +356,89 @@
 
     async def _read_store(self) -> bool:
         sent_at = boottime()
+        members = sent_at > self._members_due
         held = self._view.item(self._view.large_first_key())
         try:
-            if held is not None and await self._read_around(held, began=sent_at):
-                return True
-            await self._read_pages(sent_at)
+            began, snapshot = await self._read_changes(held, sent_at, members=members)
         except ReadSuperseded:
             return False
         except PlatformUnavailable as error:
-            self._note_read_failed(error)
+            self._failed_at = boottime()
+            self._view.note_store_failure()
+            self._read_timeout = min(MAX_READ_TIMEOUT_SECONDS, 2 * self._read_timeout)
+            if self.store_reachable:
+                self.store_reachable = False
+                logs.event(
+                    _logger,
+                    "store_lost",
+                    reason=error.message,
+                    pages=len(self._progress.revisions),
+                )
             return False
+        self._progress = ReadProgress(-math.inf)
+        self._read_timeout = READ_TIMEOUT_SECONDS
+        if snapshot.until is None:
+            self._members_due = began + MEMBERS_INTERVAL_SECONDS
+        self._note_store_answer()
+        if not self.store_reachable:
+            self.store_reachable = True
+            outage = self.store_age if self.store_confirmed_at else None
+            logs.event(_logger, "store_regained", away=outage)
+        self.store_confirmed_at = began
+        self._view.confirm(snapshot, asked_at=began, source="store")
         return True
 
-    async def _read_pages(self, sent_at: float) -> None:
-        """Read everything, from where a read that failed midway ended."""
+    async def _read_changes(
+        self, held: Item | None, sent_at: float, *, members: bool
+    ) -> tuple[float, Snapshot]:
+        """Read the state without a large value that is known, if possible.
+
+        Returns it with the time from which on it was current.
+        """
+        if held is not None:
+            snapshot = await self._read_around(held, began=sent_at, members=members)
+            if snapshot is not None:
+                return sent_at, snapshot
+        return await self._read_pages(sent_at, members=members)
+
+    async def _read_pages(
+        self, sent_at: float, *, members: bool
+    ) -> tuple[float, Snapshot]:
+        """Read everything, from where a read that failed midway ended.
+
+        Returns it with the time at which its first page was requested.
+        """
         progress = self._progress
         if not progress.revisions or progress.began < sent_at - MAX_READ_SECONDS:
             progress = self._progress = ReadProgress(sent_at)
         snapshot = await self._store.read(
-            members=sent_at > self._members_due,
+            members=members,
             timeout=self._read_timeout,
             progress=progress,
             before_next_page=(
                 self._first_view.let_seeds_answer if self._view.table is None else None
             ),
         )
-        self._take(snapshot, began=progress.began)
+        return progress.began, snapshot
 
-    async def _read_around(self, held: Item, *, began: float) -> bool:
-        """Read everything but a large value, and confirm that one if it is unchanged.
+    async def _read_around(
+        self, held: Item, *, began: float, members: bool
+    ) -> Snapshot | None:
+        """Read everything but a large value, and that one only if it changed.
 
         Read each time, it would fill a narrow link, on which callers connect as well.
-        Returns ``False`` if it must be read, too.
+        Returns ``None`` if the store does not compare revisions now, as it is a write.
         """
+        progress = ReadProgress(began, beyond=held.key)
         snapshot = await self._store.read(
-            members=began > self._members_due,
-            timeout=self._read_timeout,
-            progress=ReadProgress(began, beyond=held.key),
+            members=members, timeout=self._read_timeout, progress=progress
         )
-        self._take(snapshot, began=began)
         try:
-            is_current = await self._store.is_current(held, timeout=self._read_timeout)
+            newest = await self._store.newest(held, timeout=self._read_timeout)
         except PlatformUnavailable as error:
-            # Comparing counts as a write, which the store may refuse while it is read.
             logs.event(_logger, "value_not_compared", reason=error.message)
-            return False
-        if is_current:
-            self._view.confirm_unchanged(snapshot, at=began)
-            return True
-        return await self._newer_arrives(held)
-
-    async def _newer_arrives(self, held: Item) -> bool:
-        """Return whether a newer value arrives otherwise, by the watch or in parts."""
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(CHANGE_SECONDS):
-                while self._view.revision_of(held.key) <= held.revision:
-                    await self._view.updated.wait()
-                return True
-        return False
-
-    def _note_read_failed(self, error: PlatformUnavailable) -> None:
-        self._failed_at = boottime()
-        self._view.note_store_failure()
-        self._read_timeout = min(MAX_READ_TIMEOUT_SECONDS, 2 * self._read_timeout)
-        if self.store_reachable:
-            self.store_reachable = False
-            logs.event(
-                _logger,
-                "store_lost",
-                reason=error.message,
-                pages=len(self._progress.revisions),
-            )
-
-    def _take(self, snapshot: Snapshot, *, began: float) -> None:
-        """Apply what was read.
-
-        :param began: time from which on the snapshot was current.
-        """
-        self._progress = ReadProgress(-math.inf)
-        self._read_timeout = READ_TIMEOUT_SECONDS
-        if snapshot.until is None:
-            self._members_due = began + MEMBERS_INTERVAL_SECONDS
-        self._note_store_answer()
-        if not self.store_reachable:
-            self.store_reachable = True
-            outage = self.store_age if self.store_confirmed_at else None
-            logs.event(_logger, "store_regained", away=outage)
-        self.store_confirmed_at = began
-        self._view.confirm(snapshot, asked_at=began, source="store")
+            return None
+        return dataclasses.replace(snapshot, items=(newest, *snapshot.items), beyond="")
 
     def _note_store_answer(self) -> None:
         """Note contact; start the grace period if this answer ends an outage.
--- a/src/bankrack/fleet/store.py
+++ b/src/bankrack/fleet/store.py
@@ -117,8 +117,10 @@
         """
         ...
 
-    async def is_current(self, held: Item, *, timeout: float) -> bool:
-        """Return whether an item is unchanged, without its value. Counts as a write.
+    async def newest(self, held: Item, *, timeout: float) -> Item:
+        """Return an item as the store has it now, which is ``held`` if it is unchanged.
+
+        The value is transferred only if it changed. Counts as a write.
 
         :param timeout: longest silence of the store in seconds.
         """
--- a/src/bankrack/fleet/view.py
+++ b/src/bankrack/fleet/view.py
@@ -226,15 +226,6 @@
         self.note_confirmed(asked_at, whole_at=whole_at)
         self.confirmed_by = source
 
-    def confirm_unchanged(self, snapshot: Snapshot, *, at: float) -> None:
-        """Record that a value which a snapshot left out is the newest as well.
-
-        :param snapshot: the one confirmed before, as of ``at`` or later.
-        """
-        if snapshot.until is None:
-            self._note_complete(snapshot.revision)
-        self.note_confirmed(at, whole_at=at)
-
     def _note_era(self, revision: int, source: str) -> None:
         """Begin a grace period if the store returned from an older copy.
 
