--- a/src/bankrack/front/headertimeout.py
+++ b/src/bankrack/front/headertimeout.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import collections
 import logging
 import typing as t
 
@@ -13,17 +12,13 @@
 from aiohttp.web_protocol import RequestHandler
 
 from bankrack import logs
-from bankrack.clock import boottime
+from bankrack.front.recentconnections import RecentConnections
 from bankrack.loadlog import kernel_wait_seconds
 from bankrack.serving.routing import CallerLimits
 
 TIMEOUT_RESPONSE = (
     b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 )
-MIN_IDLE_SECONDS = 0.1
-"""Time without bytes after which a connection may be closed for a new one."""
-MAX_EXAMINED = 32
-"""Connections that are looked at for one that is idle."""
 
 _logger = logging.getLogger(__name__)
 
@@ -41,7 +36,7 @@
         manager: web.Server,
         *,
         limits: t.Callable[[], CallerLimits],
-        recent: "RecentConnections",
+        recent: RecentConnections,
         **options: t.Any,
     ) -> None:
         super().__init__(manager, **options)
@@ -100,58 +95,19 @@
         self.force_close()
 
 
-class RecentConnections:
-    """Callers' connections in the order of their latest activity."""
-
-    def __init__(self, clock: t.Callable[[], float] = boottime) -> None:
-        self._clock = clock
-        self._active_at_by_connection: collections.OrderedDict[
-            _HeaderTimeoutHandler, float
-        ] = collections.OrderedDict()
-
-    def note_active(self, connection: _HeaderTimeoutHandler) -> None:
-        """Record that bytes arrived, or that the connection is new."""
-        self._active_at_by_connection[connection] = self._clock()
-        self._active_at_by_connection.move_to_end(connection)
-
-    def forget(self, connection: _HeaderTimeoutHandler) -> None:
-        """Record the end of a connection."""
-        self._active_at_by_connection.pop(connection, None)
-
-    def close_idle(self) -> bool:
-        """Close the connection that has been idle for longest, if one is.
-
-        Those on which a request is served count as active now, so that no call looks
-        at many of them.
-        """
-        now = self._clock()
-        for _ in range(MAX_EXAMINED):
-            connection = next(iter(self._active_at_by_connection), None)
-            if connection is None:
-                return False
-            if now < self._active_at_by_connection[connection] + MIN_IDLE_SECONDS:
-                return False
-            if connection.is_idle:
-                self.forget(connection)
-                connection.force_close()
-                return True
-            self.note_active(connection)
-        return False
-
-
 class _NewConnection(asyncio.Protocol):
     """A connection of which nothing is read until it was admitted.
 
-    :param open: takes the connection over, or closes it.
+    :param decide: admits the connection, or closes it.
     """
 
-    __slots__ = ("_open",)
+    __slots__ = ("_decide",)
 
-    def __init__(self, open: t.Callable[[asyncio.Transport], None]) -> None:
-        self._open = open
+    def __init__(self, decide: t.Callable[[asyncio.Transport], None]) -> None:
+        self._decide = decide
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self._open(t.cast(asyncio.Transport, transport))
+        self._decide(t.cast(asyncio.Transport, transport))
 
 
 class HeaderTimeoutServer(web.Server):
@@ -180,9 +136,9 @@
     # asyncio takes any protocol, whereas the base class promises its own.
     def __call__(self) -> t.Any:
         """Create the protocol of one connection."""
-        return _NewConnection(self._open)
+        return _NewConnection(self._decide)
 
-    def _open(self, transport: asyncio.Transport) -> None:
+    def _decide(self, transport: asyncio.Transport) -> None:
         """Admit a connection, or close it unread."""
         connection = transport.get_extra_info("socket")
         if not self._admit(connection.fileno()):
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -550,8 +550,10 @@
 
     async def _handle_ready(self, request: web.Request) -> web.Response:
         self._load.note_ready_check()
-        await self._self_check.run()
-        return web.Response(status=200 if self.ready else 503)
+        if self.view.table is None or self.stopping:
+            return web.Response(status=503)
+        passed = await self._self_check.run()
+        return web.Response(status=200 if passed else 503)
 
     async def _handle_metrics(self, request: web.Request) -> web.Response:
         content, headers = self.metrics.page(request.headers.getall("Accept", []))
