--- a/tests/fleet/test_tunnels.py
+++ b/tests/fleet/test_tunnels.py
@@ -216,7 +216,7 @@
     async def test_node_that_reaches_the_upstream_is_found(self):
         """Guards against callers of cut-off nodes that are served far worse."""
         async with contextlib.AsyncExitStack() as stack:
-            address = await stack.enter_async_context(upstream(hold))
+            address = await stack.enter_async_context(upstream(_hold))
             nodes = [
                 await stack.enter_async_context(
                     Node(f"n-{number}", address, cut_off=number > 1)
@@ -229,8 +229,9 @@
                 sock.close()
 
     async def test_node_that_opened_a_tunnel_is_asked_first(self):
+        """Guards against a search from anew for each connection."""
         async with contextlib.AsyncExitStack() as stack:
-            address = await stack.enter_async_context(upstream(hold))
+            address = await stack.enter_async_context(upstream(_hold))
             good = await stack.enter_async_context(Node("good", address))
             cut = [
                 await stack.enter_async_context(Node(f"n-{n}", address, cut_off=True))
@@ -242,6 +243,7 @@
             self.assertEqual("good", asked._ordered_nodes()[0].name)
 
     async def test_silent_upstream_is_tried_through_few_nodes(self):
+        """Guards against an upstream that is down and occupies all nodes."""
         tried = []
 
         async def connect(address: str) -> t.NoReturn:
@@ -258,9 +260,3 @@
             with self.assertRaises(NoTunnel):
                 await client(*(node.member for node in nodes)).connect("10.0.0.1:1")
         self.assertLessEqual(len(tried), 4)
-
-
-async def hold(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    """Keep a connection until the other side closes it."""
-    await reader.read(-1)
-    writer.close()
