Requests on idle connections of a stopping node are answered or reset

Cause: aiohttp's Server.pre_shutdown ends the task behind an idle connection but leaves the connection open, and drops what arrives. Everything behind it was awaited with these sockets open: leaving the store (2 s if it is silent), tasks, listeners, tunnels. The drain did not count requests whose head or body was still being received either.

Evidence: no request_ended line and no run for a lost request; the log says stop_ended cut=0 3.2 s after SIGTERM, and the connections end with the process. The log had no line on connections or on leaving the store; stop_ended and left say it now.

Why this works: idle connections are closed, without an await between the last read and the close, so that what crosses the close stays unread and is reset. The drain lasts until no connection has a part of a request; connections that are admitted later are reset; a response announces the close unless a further request was read. Leaving the store comes last, within what is left of the grace period.

--- a/src/bankrack/demo.py
+++ b/src/bankrack/demo.py
@@ -17,6 +17,7 @@
 from bankrack.control import intent as intents
 from bankrack.control import plans
 from bankrack.front import auth
+from bankrack.front.idleconnections import stop_runner
 from bankrack.front.listeners import serve_application
 from bankrack.node import Node
 from bankrack.standins.engine import EngineStandIn
@@ -155,7 +156,7 @@
     async def __aexit__(self, *exc_info: object) -> None:
         await self.node.close()
         for runner in self._runners:
-            await runner.cleanup()
+            await stop_runner(runner)
 
     async def _serve(self, application: web.Application, offset: int) -> None:
         address = f"127.0.0.1:{self.port + offset}"
--- a/src/bankrack/fleet/membership.py
+++ b/src/bankrack/fleet/membership.py
@@ -1,7 +1,6 @@
 """This node's own entry in the store, kept alive by a lease."""
 
 import asyncio
-import contextlib
 import logging
 import random
 import typing as t
@@ -9,6 +8,7 @@
 import msgspec
 
 from bankrack import logs
+from bankrack.clock import boottime
 from bankrack.exceptions import LeaseExpired
 from bankrack.exceptions import PlatformUnavailable
 from bankrack.fleet.documents import Member
@@ -109,11 +109,27 @@
                 return
             await asyncio.sleep(min(left, OUTAGE_POLL_INTERVAL_SECONDS))
 
-    async def leave(self) -> None:
-        """Revoke the lease, which removes the entry."""
-        if self._lease is not None:
-            with contextlib.suppress(PlatformUnavailable, LeaseExpired):
+    async def leave(self, *, within: float) -> None:
+        """Revoke the lease, which removes the entry.
+
+        :param within: seconds after which the entry is left to expire.
+        """
+        if self._lease is None:
+            return
+        began = boottime()
+        outcome = "revoked"
+        try:
+            async with asyncio.timeout(within):
                 await self._store.revoke(self._lease)
+        except (PlatformUnavailable, LeaseExpired, TimeoutError) as error:
+            outcome = repr(error)
+        logs.event(
+            _logger,
+            "left",
+            node=self._own.name,
+            outcome=outcome,
+            elapsed=boottime() - began,
+        )
 
     async def _renew_or_announce(self) -> None:
         if self._lease is not None:
--- a/src/bankrack/front/callerserver.py
+++ b/src/bankrack/front/callerserver.py
@@ -23,6 +23,7 @@
 from bankrack.front.headertimeout import HeaderTimeoutServer
 from bankrack.front.heldbytes import HeldBytes
 from bankrack.front.httpreply import HttpReply
+from bankrack.front.idleconnections import has_next_request
 from bankrack.front.requestbodies import BodyReservation
 from bankrack.serving.job import Answer
 from bankrack.serving.job import Header
@@ -79,6 +80,7 @@
     :param held: accounts for the bytes of requests and of unread responses.
     :param gate: decides on each new connection.
     :param note_wait: called with the seconds that a connection waited to be accepted.
+    :ivar closing: whether connections are closed after their responses.
     """
 
     def __init__(
@@ -133,12 +135,24 @@
             self._server, host, int(port), backlog=LISTEN_BACKLOG, reuse_address=True
         )
 
-    async def stop(self) -> None:
-        """Stop listening and close the idle connections."""
+    @property
+    def busy_count(self) -> int:
+        """Number of connections on which a request is served or partly here."""
+        return self._server.busy_count if self._server is not None else 0
+
+    def close_idle(self) -> int:
+        """Close all idle connections, and return their number."""
+        return self._server.close_all_idle() if self._server is not None else 0
+
+    def stop(self) -> int:
+        """Stop listening and close the idle connections; returns their number.
+
+        Nothing is awaited, so that no request is read that nobody answers. Requests
+        that are partly here or served now are still answered.
+        """
         if self._listener is not None:
             self._listener.close()
-        if self._server is not None:
-            self._server.pre_shutdown()
+        return self._server.stop() if self._server is not None else 0
 
     def apply_limits(self) -> None:
         """Apply the current idle timeout to connections opened from now on."""
@@ -148,7 +162,11 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         arrived = boottime()
-        reply = HttpReply(request, closing=self.closing, unread=self._unread)
+        reply = HttpReply(
+            request,
+            is_closing=lambda: self.closing and not has_next_request(request.protocol),
+            unread=self._unread,
+        )
         reservation = self._bodies.reservation()
         job: Job | None = None
         try:
--- a/src/bankrack/front/headertimeout.py
+++ b/src/bankrack/front/headertimeout.py
@@ -12,6 +12,8 @@
 from aiohttp.web_protocol import RequestHandler
 
 from bankrack import logs
+from bankrack.front.idleconnections import awaits_request
+from bankrack.front.idleconnections import close_idle_connections
 from bankrack.front.recentconnections import RecentConnections
 from bankrack.loadlog import kernel_wait_seconds
 from bankrack.serving.routing import CallerLimits
@@ -58,7 +60,7 @@
     def data_received(self, data: bytes) -> None:
         self._recent.note_active(self)
         super().data_received(data)
-        if not self._awaits_header():
+        if not awaits_request(self):
             self._header_started = False
             self._stop_timer()
         elif not self._header_started:
@@ -68,13 +70,7 @@
     @property
     def is_idle(self) -> bool:
         """Whether nothing of a request is here."""
-        return self._awaits_header() and not self._header_started
-
-    def _awaits_header(self) -> bool:
-        """Return whether no request is served and the next headers are incomplete."""
-        if self._request_count == 0:
-            return True
-        return self._waiter is not None and not self._waiter.done()
+        return awaits_request(self) and not self._header_started
 
     def _set_timer(self, seconds: float) -> None:
         self._stop_timer()
@@ -87,7 +83,7 @@
 
     def _on_timeout(self) -> None:
         self._timer = None
-        if not self._awaits_header():
+        if not awaits_request(self):
             return
         logs.event(_logger, "head_timed_out", began=self._header_started)
         if self._header_started and self.transport is not None:
@@ -132,6 +128,7 @@
         self._admit = admit
         self._note_wait = note_wait
         self._recent = RecentConnections()
+        self._stopped = False
 
     # asyncio takes any protocol, whereas the base class promises its own.
     def __call__(self) -> t.Any:
@@ -141,6 +138,9 @@
     def _decide(self, transport: asyncio.Transport) -> None:
         """Admit a connection, or close it unread."""
         connection = transport.get_extra_info("socket")
+        if self._stopped:
+            transport.abort()
+            return
         if not self._admit(connection.fileno()):
             transport.abort()
             return
@@ -160,6 +160,23 @@
         """Number of open connections."""
         return len(self._connections)
 
+    @property
+    def busy_count(self) -> int:
+        """Number of connections on which a request is served or partly here."""
+        return sum(not each.is_idle for each in self._connections)  # type: ignore[attr-defined]
+
     def close_idle(self) -> bool:
         """Close the connection that has been idle for longest, if one is."""
         return self._recent.close_idle()
+
+    def close_all_idle(self) -> int:
+        """Close all idle connections, and return their number."""
+        return close_idle_connections(self, lambda connection: connection.is_idle)
+
+    def stop(self) -> int:
+        """Admit no more connections, and close the idle ones; returns their number.
+
+        The others go on until their requests are answered.
+        """
+        self._stopped = True
+        return self.close_all_idle()
--- a/src/bankrack/front/httpreply.py
+++ b/src/bankrack/front/httpreply.py
@@ -22,15 +22,20 @@
 class HttpReply:
     """Writes the response to one request.
 
-    :param closing: whether to close the connection after the response.
+    :param is_closing: returns whether to close the connection after the response.
     :param unread: accounts for the bytes that callers have not read.
     """
 
     def __init__(
-        self, request: web.BaseRequest, *, closing: bool, unread: UnreadReplies
+        self,
+        request: web.BaseRequest,
+        *,
+        is_closing: t.Callable[[], bool],
+        unread: UnreadReplies,
     ) -> None:
         self._request = request
-        self._closing = closing
+        self._is_closing = is_closing
+        self._closes = False
         self._response: web.StreamResponse | None = None
         self._unread = unread
         self._watched: WatchedReply | None = None
@@ -66,7 +71,7 @@
 
     def close_connection(self) -> None:
         """Close the connection after the response."""
-        self._closing = True
+        self._closes = True
 
     async def answer(self, answer: Answer) -> None:
         """Write a complete response."""
@@ -179,7 +184,7 @@
             self._limit.reschedule(asyncio.get_running_loop().time())
 
     async def _prepare(self, response: web.StreamResponse) -> None:
-        if self._closing:
+        if self._closes or self._is_closing():
             response.force_close()
         self._response = response
         try:
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -48,6 +48,7 @@
 from bankrack.front.callerserver import CallerServer
 from bankrack.front.connectiongate import ConnectionGate
 from bankrack.front.heldbytes import HeldBytes
+from bankrack.front.idleconnections import stop_runner
 from bankrack.front.internalserver import serve_paths
 from bankrack.front.selfcheck import SelfCheck
 from bankrack.integration import GatewayDialect
@@ -88,6 +89,8 @@
 """
 STOP_MARGIN_SECONDS = 0.6
 """Time reserved for closing before the process is killed."""
+MIN_LEAVE_SECONDS = 0.4
+"""Shortest time for the store to remove this node's entry as it stops."""
 STOP_POLL_INTERVAL_SECONDS = 0.05
 APPLY_INTERVAL_SECONDS = 0.5
 
@@ -421,30 +424,48 @@
         self.dispatcher.stop_at(deadline)
         in_flight = self.dispatcher.in_flight
         logs.event(_logger, "stop_began", reason=reason, in_flight=in_flight)
+        idle_closed = 0
         while boottime() < deadline:
-            if (
-                not self.dispatcher.in_flight
-                and not self.held.replies.held
-                and not self.tunnels.active
-                and boottime() > started_at + BALANCER_NOTICE_SECONDS
-            ):
-                break
+            if boottime() > started_at + BALANCER_NOTICE_SECONDS:
+                # From here on new connections reach other nodes.
+                idle_closed += self.front.close_idle()
+                if not self._is_busy():
+                    break
             await asyncio.sleep(STOP_POLL_INTERVAL_SECONDS)
+        idle_closed += self.front.stop()
         logs.event(
             _logger,
             "stop_ended",
             cut=self.dispatcher.in_flight,
             tunnels_cut=self.tunnels.active,
+            connections_cut=self.front.busy_count,
+            idle_closed=idle_closed,
+            elapsed=boottime() - started_at,
         )
-        await self._close()
+        await self._close(leave_by=deadline)
+
+    def _is_busy(self) -> bool:
+        """Whether a request is served or partly here, or a response not yet read."""
+        return bool(
+            self.dispatcher.in_flight
+            or self.front.busy_count
+            or self.held.replies.held
+            or self.tunnels.active
+        )
+
+    async def _close(self, *, leave_by: float = 0.0) -> None:
+        """Close everything; callers' idle connections first, as nothing is awaited.
 
-    async def _close(self) -> None:
-        await self.front.stop()
-        await self.announcer.leave()
+        :param leave_by: boot-time seconds until which the store may take to remove this
+            node's entry.
+        """
+        self.front.stop()
+        limit = max(MIN_LEAVE_SECONDS, leave_by - boottime())
+        await self.announcer.leave(within=limit)
         await asyncio.sleep(STOP_POLL_INTERVAL_SECONDS)
         await self._tasks.stop()
         for runner in self._runners:
-            await runner.cleanup()
+            await stop_runner(runner)
         await self.tunnels.stop()
         await self.reservations.close()
         await self.paths.close()
--- a/src/bankrack/node.py
+++ b/src/bankrack/node.py
@@ -32,6 +32,7 @@
 from bankrack.control.peers import Peers
 from bankrack.front.auth import Workspaces
 from bankrack.front.callers import CallerApi
+from bankrack.front.idleconnections import stop_runner
 from bankrack.front.limits import InFlightLimiter
 from bankrack.front.listeners import serve_application
 from bankrack.front.operators import NodeSummary
@@ -205,7 +206,7 @@
         """Close immediately, without waiting for requests in flight."""
         await self._tasks.stop()
         for runner in self._runners:
-            await runner.cleanup()
+            await stop_runner(runner)
         await self.peers.close()
         for session in self._sessions:
             await session.close()
