The idle timeout does not cut off the head of a next request

Callers saw: a connection on which a request's head arrives just as the idle timeout ends is closed in the midst of it, without 408, although the caller is not idle.

Cause: aiohttp's timer of an idle connection looks at whether a whole request waits, not at whether a part of its head is here; our header timeout runs beside it.

Evidence: test_idle_timeout_does_not_cut_off_a_head failed before (the connection ended with 0 bytes 0.6 s after the first response, 0.2 s after the head had begun) and passes. From then on the header timeout alone decides, which answers 408.

--- a/src/bankrack/front/headertimeout.py
+++ b/src/bankrack/front/headertimeout.py
@@ -72,6 +72,13 @@
         """Whether nothing of a request is here."""
         return awaits_request(self) and not self._header_started
 
+    def _process_keepalive(self) -> None:
+        """Close an idle connection; a head that has begun is subject to its timeout."""
+        if self._header_started:
+            self._keepalive_handle = None
+            return
+        super()._process_keepalive()
+
     def _set_timer(self, seconds: float) -> None:
         self._stop_timer()
         self._timer = self._loop.call_later(seconds, self._on_timeout)
--- a/tests/front/test_idleconnections.py
+++ b/tests/front/test_idleconnections.py
@@ -74,6 +74,16 @@
         await asyncio.sleep(0.05)
         self.assertEqual(0, server.open_count)
 
+    async def test_idle_timeout_does_not_cut_off_a_head(self):
+        """Guards against an idle timeout that ends amid the next request's head."""
+        _, reader, writer = await self.connect()
+        await asyncio.sleep(self.limits.idle_seconds - 0.2)
+        writer.write(REQUEST[:9])
+        await asyncio.sleep(0.4)
+        writer.write(REQUEST[9:])
+        async with asyncio.timeout(1.0):
+            self.assertIn(b"whole", await reader.readuntil(b"whole"))
+
 
 class StopRunner(TestCase):
     async def test_crossing_request_between_nodes_is_reset_or_answered(self):
