The age of a node's view is bounded, whichever leaders are silent

Cause: the node asked the silent ones in turn, 0.7 s each, and read the store only between two rounds, so that its view was 2.9 s old each 3.7 s. The bound on the age was a sum of time-outs: with seven silent leaders of a hall of 130 nodes it is 8.2 s. A request trusted a configuration of 3 s, although a change must be in force after 2.

Evidence: three leader_lost lines 0.70 s apart, then stale_view_ended age=2.91 outage=False, in each round of the node's log; no call to the store in between.

Why this works: the age itself makes a node read the store beside its leaders (1.2 s for nodes that others follow, 1.5 s for all others), so that nothing adds up. A request asks from 1.9 s on. While leaders that answer tell of an outage no more nodes read than before.

tests.fleet.test_silent_nodes failed before (2.20 and 5.27 s where 2.0 are allowed, in test_last_node_of_a_hall and test_all_leaders_of_a_hall), and so did the test of a request at an age of 2.0 s. RotatingRoster and StaleLeaderClient of test_follower answer the calls of the new interface; no assertion changed.

--- a/src/bankrack/decisions/configurationuse.py
+++ b/src/bankrack/decisions/configurationuse.py
@@ -9,8 +9,9 @@
 
 import dataclasses
 
-MAX_AGE_SECONDS = 3.0
-"""Age of the configuration from which on a request may not rely on it unchecked."""
+MAX_AGE_SECONDS = 1.9
+"""Age of the configuration from which on a request may not rely on it unchecked. A
+change must be in force 2 s after the store acknowledged it."""
 MAX_CONTACT_AGE_SECONDS = 2.0
 """Time without an answer of the store or of a leader after which a node is cut off."""
 
--- a/src/bankrack/fleet/follower.py
+++ b/src/bankrack/fleet/follower.py
@@ -2,7 +2,8 @@
 
 A watch delivers changes at once but can stop without any error, so readers of the store
 also read the whole state periodically. All other nodes follow a reader, and read the
-store themselves if their leaders fail or have a stale view.
+store themselves if their leaders fail or have a stale view, or once their own view is
+so old that a change might not be in force in time.
 """
 
 import asyncio
@@ -18,8 +19,11 @@
 from bankrack.exceptions import PeerUnavailable
 from bankrack.exceptions import PlatformUnavailable
 from bankrack.exceptions import ReadSuperseded
+from bankrack.fleet.documents import Member
 from bankrack.fleet.firstview import FirstView
 from bankrack.fleet.firstview import read_backoff_seconds
+from bankrack.fleet.leaderqueries import LeaderQueries
+from bankrack.fleet.leaderqueries import SILENT_SECONDS
 from bankrack.fleet.peers import LeaderClient
 from bankrack.fleet.roster import Roster
 from bankrack.fleet.store import Item
@@ -60,10 +64,13 @@
 """Time for which a leader with a stale view is skipped. It is short, as a reader is the
 first to learn that the store is available again."""
 MAX_LEADER_AGE_FOR_STANDBY_SECONDS = 1.2
-"""Age of a leader's view, in seconds, above which standbys read the store
-themselves."""
-MAX_LEADER_AGE_SECONDS = 2.0
-"""The same bound for other nodes, which leave the first attempt to the standbys."""
+"""Age of a leader's view, and of its own, in seconds, above which a standby reads the
+store itself."""
+MAX_LEADER_AGE_SECONDS = 1.5
+"""The same bound for other nodes, which leave the first attempt to the standbys. A
+change must be in force within 2 s, and the read itself takes time."""
+MAX_TOLD_SECONDS = 1.0
+"""Time after the last answer of a leader for which its word on an outage counts."""
 OUTAGE_SECONDS = 1.5
 """Age of the view from which on an answer of the store marks the end of an outage."""
 SETTLE_SECONDS = 1.0
@@ -100,6 +107,7 @@
         self._own_failures = 0
         self._failed_at = -math.inf
         self._logged_leader: str | None = ""
+        self._queries = LeaderQueries(self._query, self._heard_at)
         self.store_confirmed_at = 0.0
         self._contact_at = -math.inf
         self.leader: str | None = None
@@ -117,36 +125,95 @@
 
     async def run(self) -> None:
         """Keep the view current until cancelled."""
+        bounding: asyncio.Task[None] | None = None
         try:
             await self._get_first_view()
+            bounding = asyncio.create_task(self._bound_age())
             await self._follow()
         finally:
+            if bounding is not None:
+                bounding.cancel()
             if self._read_task is not None:
                 self._read_task.cancel()
+            await self._queries.cancel()
 
     async def _follow(self) -> None:
         """Follow a leader, or read the store while there is none."""
         while True:
-            leader = self._roster.leader()
-            if leader is None:
+            leaders = self._roster.leaders()
+            if not leaders:
                 self.leader = None
                 await self._read_until_leader_found()
                 continue
+            self.leader = self.leader or leaders[0].name
+            await self._queries.wait_for_any(leaders)
+
+    async def _query(self, leader: Member) -> bool:
+        """Ask a leader once and judge its answer; returns whether there was one."""
+        try:
+            age = await self._leaders.ask(leader)
+        except PeerUnavailable as error:
+            logs.event(
+                _logger, "leader_lost", reason=error.message, view_age=self._view.age
+            )
+            self._roster.suspect(leader)
+            return False
+        self._contact_at = boottime()
+        if age <= self._max_leader_age():
+            self._stale_leaders.discard(leader.name)
+            self._own_failures = 0
             self.leader = leader.name
-            try:
-                age = await self._leaders.ask(leader)
-            except PeerUnavailable as error:
-                logs.event(_logger, "leader_lost", reason=error.message)
-                self._roster.suspect(leader)
+            self._log_leader(leader.name)
+        else:
+            self._note_stale(leader.name, age)
+            self._roster.suspect(leader, seconds=STALE_SUSPICION_SECONDS)
+        return True
+
+    def _heard_at(self, name: str) -> float:
+        return self._leaders.heard_at_by_name.get(name, 0.0)
+
+    async def _bound_age(self) -> None:
+        """Read the store whenever no leader confirms the view in time.
+
+        The age of the view must not grow with the number of leaders that are silent one
+        after the other.
+        """
+        failures = 0
+        while True:
+            left = self._max_leader_age() - self._view.age
+            if left > 0.0 or not self._reads_beside_leaders():
+                await asyncio.sleep(max(left, MIN_READ_PAUSE_SECONDS))
+                continue
+            logs.event(
+                _logger,
+                "view_read_beside_leaders",
+                age=self._view.age,
+                leader=self.leader,
+                contact_age=self.contact_age,
+            )
+            if await self.read():
+                failures = 0
                 continue
-            self._contact_at = boottime()
-            if age <= self._max_leader_age():
-                self._stale_leaders.discard(leader.name)
-                self._own_failures = 0
-                self._log_leader(leader.name)
-            else:
-                self._note_stale(leader.name, age)
-                self._roster.suspect(leader, seconds=STALE_SUSPICION_SECONDS)
+            failures += 1
+            await asyncio.sleep(
+                backoff_seconds(
+                    failures, first=RETRY_SECONDS, maximum=MAX_SLOW_RETRY_SECONDS
+                )
+            )
+
+    def _reads_beside_leaders(self) -> bool:
+        """Whether this node reads the store although it follows a leader.
+
+        It does not while leaders that answer tell of an outage, nor while one sends a
+        large update, with which a read would share a narrow link.
+        """
+        if self.leader is None:
+            return False
+        if self._view.told_of_outage and self.contact_age < MAX_TOLD_SECONDS:
+            return False
+        heard_at = max(self._leaders.heard_at_by_name.values(), default=0.0)
+        receives = heard_at > max(self._contact_at, boottime() - SILENT_SECONDS)
+        return not receives
 
     async def keep_sweeping(self) -> None:
         """Remove entries whose grace period is over, until cancelled."""
@@ -243,7 +310,7 @@
         ]
         failures = 0
         try:
-            while self._roster.leader() is None:
+            while not self._roster.leaders():
                 if self._defers_to_readers():
                     await asyncio.sleep(RETRY_SECONDS)
                     continue
--- a/src/bankrack/fleet/peers.py
+++ b/src/bankrack/fleet/peers.py
@@ -40,6 +40,7 @@
     """Requests updates from a leader.
 
     :param address: internal address of this node, as a seed for a restarted leader.
+    :ivar heard_at_by_name: boot-time seconds of the last byte of each leader.
     """
 
     def __init__(
@@ -58,6 +59,7 @@
         self._view = view
         self._upstreams = upstreams
         self._uses_engines = uses_engines
+        self.heard_at_by_name: dict[str, float] = {}
         self._serial_by_name: dict[str, str] = {}
         self._sent_by_name: dict[str, float] = {}
         self._lacking_since_by_name: dict[str, int] = {}
@@ -86,6 +88,7 @@
                 if response.status != 200:
                     raise PeerNotReady(f"{leader.name}: status {response.status}")
                 async for chunk in response.content.iter_any():
+                    self.heard_at_by_name[leader.name] = boottime()
                     body += chunk
             message = msgspec.msgpack.decode(body, type=UpdateMessage)
             outlines = [parse_outline(*fields) for fields in message.outlines]
--- a/src/bankrack/fleet/roster.py
+++ b/src/bankrack/fleet/roster.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+import itertools
 import typing as t
 
 from bankrack.clock import boottime
@@ -70,16 +71,40 @@
 
     def leader(self) -> Member | None:
         """Return the node to follow; ``None`` if this node reads the store itself."""
+        return next(iter(self.leaders()), None)
+
+    def leaders(self) -> list[Member]:
+        """Return the nodes that this node may follow, in the order of preference.
+
+        There are none if it reads the store itself.
+        """
         hall = self._members_of(self._own.hall)
         hall_leaders = _hall_leaders(hall)
         if self._includes_own(hall_leaders):
-            return self._first_trusted(self._reader_and_standbys())
-        offset = int.from_bytes(stable_digest(self._own.name)) % len(hall_leaders)
-        rotated = hall_leaders[offset:] + hall_leaders[:offset]
-        standbys = rank_members(hall)[
-            len(hall_leaders) : len(hall_leaders) + MAX_STANDBYS
-        ]
-        return self._first_trusted([*rotated, *standbys])
+            return self._trusted_before_own(self._reader_and_standbys())
+        ranked = rank_members(hall)
+        first_fallback = len(hall_leaders) + MAX_STANDBYS
+        standbys = ranked[len(hall_leaders) : first_fallback]
+        candidates = [*self._rotated(hall_leaders), *standbys]
+        if len(hall_leaders) > 1:
+            last = first_fallback + len(hall_leaders)
+            candidates += self._fallbacks(ranked[first_fallback:last])
+        return self._trusted_before_own(candidates)
+
+    def _fallbacks(self, members: list[Member]) -> list[Member]:
+        """Order the nodes that a large hall follows once all leaders are silent.
+
+        Otherwise each of its nodes would read the store. They follow each other in one
+        order, so that no two wait for each other, and all others are spread over them.
+        """
+        return members if self._includes_own(members) else self._rotated(members)
+
+    def _rotated(self, members: list[Member]) -> list[Member]:
+        """Return members in their order, beginning at one that depends on this node."""
+        if not members:
+            return members
+        offset = int.from_bytes(stable_digest(self._own.name)) % len(members)
+        return members[offset:] + members[:offset]
 
     def standby(self) -> Member | None:
         """Return the node to ask if the store turns this node away, if there is one."""
@@ -113,14 +138,12 @@
         leaders = [m for hall in by_hall.values() for m in _hall_leaders(hall)]
         return rank_members(leaders)[: 1 + MAX_STANDBYS]
 
-    def _first_trusted(self, candidates: t.Iterable[Member]) -> Member | None:
-        """Return the first responsive candidate that is ranked before this node."""
-        for member in candidates:
-            if member.name == self._own.name:
-                return None
-            if self._suspects.is_trusted(member):
-                return member
-        return None
+    def _trusted_before_own(self, candidates: t.Iterable[Member]) -> list[Member]:
+        """Return the responsive candidates that are ranked before this node."""
+        before = itertools.takewhile(
+            lambda member: member.name != self._own.name, candidates
+        )
+        return [member for member in before if self._suspects.is_trusted(member)]
 
     def _includes_own(self, members: t.Iterable[Member]) -> bool:
         return any(member.name == self._own.name for member in members)
--- a/tests/decisions/test_configurationuse.py
+++ b/tests/decisions/test_configurationuse.py
@@ -25,6 +25,11 @@
         young = dataclasses.replace(OLD, age=MAX_AGE_SECONDS, newer_known=True)
         self.assertEqual(Serve(), judge(young, confirmation_failed=False))
 
+    def test_request_asks_before_a_change_must_be_in_force(self):
+        """Guards against routes that are still served 2 s after they were dropped."""
+        at_the_bound = dataclasses.replace(OLD, age=2.0)
+        self.assertEqual(Confirm(), judge(at_the_bound, confirmation_failed=False))
+
     def test_node_in_touch_does_not_serve_by_a_version_that_it_knows_to_be_old(self):
         known = dataclasses.replace(OLD, newer_known=True, told_of_outage=True)
         self.assertEqual(Confirm(), judge(known, confirmation_failed=False))
--- a/tests/fleet/test_follower.py
+++ b/tests/fleet/test_follower.py
@@ -27,8 +27,8 @@
     def __init__(self) -> None:
         self._rotation = itertools.cycle(LEADERS)
 
-    def leader(self) -> Member:
-        return next(self._rotation)
+    def leaders(self) -> list[Member]:
+        return [next(self._rotation)]
 
     def is_standby(self) -> bool:
         return True
@@ -42,6 +42,7 @@
 
     def __init__(self, ages: t.Sequence[float]) -> None:
         self._ages = iter(ages)
+        self.heard_at_by_name: dict[str, float] = {}
         self.done = asyncio.Event()
 
     async def ask(self, leader: Member) -> float:
--- /dev/null
+++ b/tests/fleet/test_silent_nodes.py
@@ -0,0 +1,72 @@
+"""The age of the view while many nodes fall silent at once."""
+
+import contextlib
+import random
+import typing as t
+
+from bankrack.fleet.roster import rank_members
+from tests.base import TestCase
+from tests.fleet.silentfleet import Fleet
+from tests.fleet.silentfleet import FleetStore
+from tests.fleet.silentfleet import leaders_of
+from tests.fleet.silentfleet import readers_of
+
+MAX_AGE_SECONDS = 2.0
+"""Time after the store's acknowledgement in which a change must be in force."""
+SECONDS = 5.0
+"""Longer than a suspicion, after which silent nodes are asked again."""
+MAX_CALLS_PER_SECOND = 2000
+"""Reads that the store takes from all nodes."""
+
+
+@contextlib.asynccontextmanager
+async def running(
+    *, halls: int, nodes_per_hall: int, pages: int = 1
+) -> t.AsyncIterator[Fleet]:
+    store = FleetStore(pages=pages)
+    fleet = Fleet(store, halls=halls, nodes_per_hall=nodes_per_hall)
+    try:
+        await fleet.start()
+        yield fleet
+    finally:
+        await fleet.stop()
+
+
+class SilentNodes(TestCase):
+    async def check(self, fleet: Fleet, names: t.Iterable[str]) -> None:
+        fleet.store.call_times.clear()
+        fleet.silence(names)
+        self.assertLess(await fleet.oldest_age(SECONDS), MAX_AGE_SECONDS)
+        most = fleet.store.most_calls_in_a_second()
+        self.assertLess(most, MAX_CALLS_PER_SECOND)
+
+    async def test_last_node_of_a_hall_learns_of_changes_in_time(self):
+        """Guards against a node that learns nothing while it asks silent ones in
+        turn."""
+        async with running(halls=3, nodes_per_hall=4) as fleet:
+            hall = [n.member for n in fleet.running if n.member.hall == "hall-0"]
+            others = rank_members(hall)[:-1]
+            await self.check(fleet, [member.name for member in others])
+
+    async def test_half_of_the_nodes_are_silent(self):
+        async with running(halls=3, nodes_per_hall=26) as fleet:
+            half = random.Random(1).sample(list(fleet.node_by_name), 39)
+            await self.check(fleet, half)
+
+    async def test_all_leaders_of_a_hall_are_silent(self):
+        """Guards against followers that lose one leader after the other."""
+        async with running(halls=3, nodes_per_hall=64, pages=4) as fleet:
+            await self.check(fleet, leaders_of(fleet, 0))
+
+    async def test_reader_and_its_standbys_are_silent(self):
+        async with running(halls=3, nodes_per_hall=26) as fleet:
+            await self.check(fleet, readers_of(fleet))
+
+    async def test_outage_of_the_store_is_no_silence_of_leaders(self):
+        """Guards against a read by every node as soon as the store falls silent."""
+        async with running(halls=3, nodes_per_hall=26) as fleet:
+            fleet.store.call_times.clear()
+            fleet.store.silent = True
+            await fleet.oldest_age(SECONDS)
+            nodes = len(fleet.node_by_name)
+            self.assertLess(fleet.store.most_calls_in_a_second(), nodes)
