Responses that are read whole are bounded together

Callers would see: a node that ends for its memory, with all its requests, as all servers of a plain service answer without end.

Cause: each response body was bounded (16 MiB), all together were not: 40 requests are 640 MB.

--- a/src/bankrack/front/heldbytes.py
+++ b/src/bankrack/front/heldbytes.py
@@ -7,12 +7,13 @@
 from bankrack.front.requestbodies import RequestBodies
 from bankrack.front.unreadreplies import UnreadReplies
 from bankrack.metrics import GatewayMetrics
+from bankrack.serving.bufferedresponses import BufferedResponses
 from bankrack.serving.routing import CallerLimits
 from bankrack.serving.sending import BodiesInFlight
 
 
 class HeldBytes:
-    """Unread replies, request bodies, and the bodies in flight to upstreams.
+    """Unread replies, bodies of requests and responses, and bodies in flight.
 
     :param memory_mb: memory of the process; 0 if unknown, which sets no bounds.
     :param caller_limits: returns the current limits of requests.
@@ -29,6 +30,7 @@
             limits, note_cut=lambda reason: metrics.cuts.inc({"reason": reason})
         )
         self.bodies = RequestBodies(limits)
+        self.responses = BufferedResponses(limits.replies)
         self.in_flight = BodiesInFlight(
             lambda: upstream_limit(limits, caller_limits().body_bytes)
         )
@@ -40,4 +42,5 @@
             "slow_callers": self.replies.describe(),
             "body_bytes": self.bodies.held,
             "in_flight_bytes": self.in_flight.describe(),
+            "response_bytes": self.responses.held,
         }
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -201,6 +201,7 @@
             self.rate_limits.permits,
             self.held.in_flight,
             self.paths,
+            self.held.responses,
         )
         control = GuardedControl(dialect.control(self._control_session, self.notices))
         self.ledgers = Ledgers(
--- a/src/bankrack/serving/client.py
+++ b/src/bankrack/serving/client.py
@@ -23,6 +23,7 @@
 from bankrack.exceptions import UpstreamDisconnected
 from bankrack.exceptions import UpstreamFailed
 from bankrack.exceptions import UpstreamUnreachable
+from bankrack.serving.bufferedresponses import BufferedResponses
 from bankrack.serving.callprogress import trace_progress
 from bankrack.serving.job import Answer
 from bankrack.serving.job import Header
@@ -40,8 +41,6 @@
 
 MAX_HEADER_BYTES = 16 * 1024
 READ_BUFFER_BYTES = 64 * 1024
-MAX_RESPONSE_BYTES = 16 * 1024 * 1024
-"""Bounds the response bodies that are buffered in memory."""
 STATUSES_WITHOUT_BODY = (204, 304)
 RESUMED_RUN_RANK = -1
 """Rank of a resumed run, which precedes all new runs: its caller already has the
@@ -207,26 +206,33 @@
     """A response being read; ``close`` aborts the request immediately.
 
     :param check_end: called at the end of a response without framing.
+    :param buffered: accounts for the body while it is read whole.
     """
 
-    __slots__ = ("_check_end", "_response", "head")
+    __slots__ = ("_buffered", "_check_end", "_response", "head")
 
     def __init__(
-        self, response: aiohttp.ClientResponse, head: Head, check_end: CheckEnd
+        self,
+        response: aiohttp.ClientResponse,
+        head: Head,
+        check_end: CheckEnd,
+        buffered: BufferedResponses,
     ) -> None:
         self._response = response
         self._check_end = check_end
+        self._buffered = buffered
         self.head = head
 
     async def read(self) -> bytes:
-        """Read the complete body; raises :exc:`UpstreamFailed` if it is truncated."""
+        """Read the complete body.
+
+        Raises :exc:`UpstreamFailed` if it is truncated or too large.
+        """
         chunks = []
-        size = 0
-        while chunk := await self.read_available():
-            size += len(chunk)
-            if size > MAX_RESPONSE_BYTES:
-                raise UpstreamFailed("the upstream's response is larger than 16 MiB")
-            chunks.append(chunk)
+        with self._buffered.reading() as size:
+            while chunk := await self.read_available():
+                self._buffered.add(size, len(chunk))
+                chunks.append(chunk)
         return b"".join(chunks)
 
     async def read_available(self) -> bytes:
@@ -256,6 +262,8 @@
     """Client that sends every job over a connection of its own.
 
     :param paths: checks the listener of an upstream whose connection ended.
+    :param buffered: accounts for the responses that are read; there is no bound for all
+        together by default.
     :ivar in_flight: accounts for the bodies that are sent.
     """
 
@@ -267,8 +275,10 @@
         permits: Permits,
         in_flight: BodiesInFlight,
         paths: UpstreamPaths,
+        buffered: BufferedResponses | None = None,
     ) -> None:
         self.in_flight = in_flight
+        self._buffered = buffered or BufferedResponses()
         self._paths = paths
         self._permits = permits
         self._session = session
@@ -332,7 +342,7 @@
                 outcome=Outcome.UNKNOWN,
             )
         check_end = functools.partial(self._check_end, send)
-        return Exchange(response, head, check_end)
+        return Exchange(response, head, check_end, self._buffered)
 
     async def _check_end(self, send: Send) -> None:
         """Check that an upstream whose connection ended did not crash.
--- a/tests/platform/test_endless_responses.py
+++ b/tests/platform/test_endless_responses.py
@@ -188,6 +188,17 @@
             self.assertIn(response.status, (502, 503, 504))
             self.assertLess(max(server.sent), 64 * 1024 * 1024)
 
+    async def test_memory_is_bounded_while_all_servers_send_without_end(self):
+        """Guards against a process that is killed for its memory, with all requests."""
+        servers = [EndlessServer(SEALED + CHUNKED, CHUNK) for _ in range(3)]
+        async with endless("plain", *servers) as (_, front):
+            await call(front, "/bill/x")
+            calls = [call(front, "/bill/x") for _ in range(40)]
+            async with growth_below(MAX_GROWTH_MB):
+                found = await asyncio.gather(*calls, return_exceptions=True)
+        for response in found:
+            self.assertIsInstance(response, ReceivedResponse)
+
 
 class Streams(TestCase):
     async def stream(self, begin: bytes, piece: bytes) -> ReceivedResponse:
