Interim responses without end are given up

Callers would see: 504 at their deadline, while the node parses what the server sends at full speed.

Cause: the HTTP client waits for the final response behind any number of interim ones.

Evidence: test_endless_interim_responses_are_given_up failed before (504 at the deadline) and passes: the 17th closes the connection, and the caller gets 502 within 0.5 s.

--- a/src/bankrack/serving/client.py
+++ b/src/bankrack/serving/client.py
@@ -41,6 +41,8 @@
 
 MAX_HEADER_BYTES = 16 * 1024
 READ_BUFFER_BYTES = 64 * 1024
+MAX_INTERIM_RESPONSES = 16
+"""Responses with a status of 1xx before the one that answers a request."""
 STATUSES_WITHOUT_BODY = (204, 304)
 RESUMED_RUN_RANK = -1
 """Rank of a resumed run, which precedes all new runs: its caller already has the
@@ -118,9 +120,23 @@
 
     aiohttp itself treats any end of the connection as the end of such a response.  It
     also keeps the unsent rest of a request whose connection was closed, until the
-    upstream reads it; here the rest is dropped unless a response has begun.
+    upstream reads it; here the rest is dropped unless a response has begun.  A
+    connection on which interim responses don't end is closed.
     """
 
+    _interim_count = 0
+
+    def feed_data(self, data: t.Any, size: int = 0) -> None:
+        message, _ = data
+        is_interim = 100 <= message.code < 200
+        self._interim_count = self._interim_count + 1 if is_interim else 0
+        if self._interim_count > MAX_INTERIM_RESPONSES:
+            # Aborting forgets an exception that was set before.
+            self.abort()
+            self.set_exception(aiohttp.ClientPayloadError("too many interim responses"))
+        elif self.exception() is None:
+            super().feed_data(data, size)
+
     def close(self) -> None:
         transport = self.transport
         unsent = transport.get_write_buffer_size() if transport is not None else 0
--- a/tests/platform/test_endless_responses.py
+++ b/tests/platform/test_endless_responses.py
@@ -157,6 +157,10 @@
     async def test_bytes_that_are_no_answer_are_given_up(self):
         await self.check(b"", PIECE)
 
+    async def test_endless_interim_responses_are_given_up(self):
+        """Guards against a caller that waits for its deadline while a server sends."""
+        await self.check(b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 1000)
+
 
 class Bodies(TestCase):
     async def check(self, begin: bytes, piece: bytes) -> None:
