Soak: most of a hall paused, and stops with kept connections beside a silent store

--silencing pauses all gateways of a hall but one again and again, while routes are added and dropped and servers drain, and stops gateways to which callers keep 30 connections, which they use until the process is gone, while the store is silent. A route that is served over 2.0 s after it was dropped is a violation, and so is a kept connection that ends without a reset behind a request.

--- a/soak/gateway/__main__.py
+++ b/soak/gateway/__main__.py
@@ -25,6 +25,7 @@
 from soak.gateway.lag import describe_blocked_loops
 from soak.gateway.lag import LagMonitor
 from soak.gateway.processes import Gateway
+from soak.gateway.silencing import Silencing
 
 SETTLE_BEFORE_SECONDS = 3.0
 """Time in which gateways that started together agree on their leaders."""
@@ -72,6 +73,7 @@
     flooded: bool = False,
     idle: bool = False,
     large: bool = False,
+    silencing: bool = False,
 ) -> int:
     """Run one soak.
 
@@ -85,6 +87,8 @@
     :param idle: keep idle connections at one gateway after the other, which have few
         descriptors.
     :param large: also write large configurations in series, over narrow links.
+    :param silencing: only pause most of a hall while routes are dropped and servers
+        drain, and stop gateways with kept connections while the store is silent.
     :param crowded: let a workspace ask for most of the engines instead.
     :return: the exit code.
     """
@@ -108,6 +112,7 @@
     callers.undisturbed = lambda gateway: time.monotonic() > gateway.undisturbed_from
     injector = FaultInjector(gateways, store, journal, checker, random.Random(seed + 3))
     disasters = DisasterInjector(gateways, store, lambda: injector.servers, checker)
+    silenced = Silencing(callers, injector, store, checker)
     expiring = asyncio.create_task(store.expire())
     lag_monitor = LagMonitor()
     monitoring = asyncio.create_task(lag_monitor.watch())
@@ -134,17 +139,12 @@
         elif replacing:
             await injector.replace_all()
             await asyncio.sleep(SETTLE_SECONDS)
+        elif silencing:
+            await silenced.run(seed, minutes * 60.0)
+            await asyncio.sleep(SETTLE_SECONDS)
         else:
-            seconds = minutes * 60.0
-            injections = [
-                injector.run(plan(seed, seconds)),
-                disasters.run(seed, seconds),
-            ]
-            if large:
-                injections.append(injector.change_large_configurations(seed, seconds))
-            await asyncio.gather(*injections)
-            await asyncio.gather(
-                asyncio.sleep(SETTLE_SECONDS), injector.ask_for_backoff()
+            await _inject_faults(
+                injector, disasters, seed, seconds=minutes * 60.0, large=large
             )
         callers.ended = True
         await calling
@@ -170,6 +170,8 @@
     checker.check_poison(injector.poisoned_by_cause)
     print(f"seed {seed}, {minutes} minutes, bug {bug}, {count} gateways")
     _report(callers, injector, journal, checker)
+    kept = collections.Counter(silenced.outcomes)
+    print(f"kept connections: {', '.join(f'{n} {how}' for how, n in kept.items())}")
     print(lag_monitor)
     print(describe_blocked_loops(gateways))
     if source_mtimes() != mtimes:
@@ -178,6 +180,24 @@
     return 1 if checker.violations else 0
 
 
+async def _inject_faults(
+    injector: FaultInjector,
+    disasters: DisasterInjector,
+    seed: int,
+    *,
+    seconds: float,
+    large: bool,
+) -> None:
+    injections = [
+        injector.run(plan(seed, seconds)),
+        disasters.run(seed, seconds),
+    ]
+    if large:
+        injections.append(injector.change_large_configurations(seed, seconds))
+    await asyncio.gather(*injections)
+    await asyncio.gather(asyncio.sleep(SETTLE_SECONDS), injector.ask_for_backoff())
+
+
 def _report(
     callers: Callers, injector: FaultInjector, journal: Journal, checker: Checker
 ) -> None:
@@ -242,6 +262,11 @@
         action="store_true",
         help="write configurations of 1,400 routes in series, over narrow links",
     )
+    parser.add_argument(
+        "--silencing",
+        action="store_true",
+        help="pause most of a hall and stop gateways with kept connections in series",
+    )
     parser.add_argument(
         "--keep", default="", help="new folder for the logs, kept after the soak"
     )
@@ -263,6 +288,7 @@
                 flooded=options.flooded,
                 idle=options.idle,
                 large=options.large,
+                silencing=options.silencing,
             )
         )
 
--- a/soak/gateway/callers.py
+++ b/soak/gateway/callers.py
@@ -135,7 +135,7 @@
         self.paths: list[str] = []
         self.ended = False
         self.undisturbed: t.Callable[[Gateway], bool] = lambda gateway: True
-        self._gateways = gateways
+        self.gateways = gateways
         self._rng = rng
         self._numbers = itertools.count()
 
@@ -167,7 +167,7 @@
         ) as session:
             while not self.ended:
                 await asyncio.sleep(FLOOD_PAUSE_SECONDS)
-                node = self._rng.choice(self._gateways)
+                node = self._rng.choice(self.gateways)
                 calls = []
                 for _ in range(FLOOD_CALLS):
                     calling = self.call(session, "look", node=node)
@@ -179,7 +179,7 @@
         """Keep idle connections at one gateway after the other, and come anew there."""
         timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_SECONDS, sock_connect=1.0)
         while not self.ended:
-            node = self._rng.choice(self._gateways)
+            node = self._rng.choice(self.gateways)
             connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=60.0)
             async with aiohttp.ClientSession(
                 connector=connector, timeout=timeout
@@ -258,13 +258,11 @@
         :param part: second part of the prompt; by default one that some others have.
         :param poisonous: it crashes engines.
         """
-        accepting = [g for g in self._gateways if self._accepts_calls(g)]
-        node = node or self._rng.choice(accepting or self._gateways)
-        request = f"q{next(self._numbers)}"
-        undisturbed = self.undisturbed(node)
-        call = Call(request, path, node, time.monotonic(), undisturbed, key)
+        accepting = [g for g in self.gateways if self._accepts_calls(g)]
+        node = node or self._rng.choice(accepting or self.gateways)
+        call = self.begin(path, node, key=key)
         call.poisonous = poisonous
-        self.calls.append(call)
+        request = call.request
         part = part or f"session{len(self.calls) % SESSIONS}"
         headers = {
             "Host": "h.example",
@@ -294,6 +292,14 @@
         call.ended = time.monotonic()
         return call
 
+    def begin(self, path: str, node: Gateway, *, key: str = KEY) -> Call:
+        """Record a request that is sent now."""
+        request = f"q{next(self._numbers)}"
+        undisturbed = self.undisturbed(node)
+        call = Call(request, path, node, time.monotonic(), undisturbed, key)
+        self.calls.append(call)
+        return call
+
     def _accepts_calls(self, gateway: Gateway) -> bool:
         """Whether callers still use a gateway.
 
--- a/soak/gateway/checks.py
+++ b/soak/gateway/checks.py
@@ -113,6 +113,8 @@
         self.left_at_by_server: dict[str, float] = {}
         self.resets: list[Reset] = []
         self.added_at_by_path: dict[str, float] = {}
+        self.dropping_at_by_path: dict[str, float] = {}
+        self.dropped_at_by_path: dict[str, float] = {}
         self.engine_by_id: dict[str, SoakEngine] = {}
         self.store_faults: list[tuple[float, float]] = []
         self.hall_cuts: list[tuple[float, float]] = []
@@ -289,6 +291,9 @@
     def _check_denial(self, call: Call) -> None:
         """Check that a valid request is denied only while its route is new."""
         if call.status not in DENIAL_STATUSES:
+            self._check_dropped(call)
+            return
+        if call.ended > self.dropping_at_by_path.get(call.path, math.inf):
             return
         added = self.added_at_by_path.get(call.path, 0.0)
         fresh = call.sent < added + APPLY_SECONDS + TIMER_TOLERANCE_SECONDS
@@ -300,6 +305,20 @@
             f"{call.request} ({call.path}) was denied with {call.status}"
         )
 
+    def _check_dropped(self, call: Call) -> None:
+        """Check that no route is served that was dropped some time ago."""
+        late = call.sent - self.dropped_at_by_path.get(call.path, math.inf)
+        if (
+            call.status == 200
+            and late > APPLY_SECONDS + TIMER_TOLERANCE_SECONDS
+            and call.undisturbed
+            and not self._is_store_faulty(call.sent)
+        ):
+            self.record_violation(
+                f"{call.request} was served by {call.node.name} {late:.1f} s after "
+                f"the route {call.path} was dropped"
+            )
+
     def _check_closed(self, call: Call) -> None:
         """Check that a planned stop closes no connection without a response."""
         if (
--- a/soak/gateway/faults.py
+++ b/soak/gateway/faults.py
@@ -166,7 +166,7 @@
                 # Most series change one route, some all of them.
                 if rng.random() < 0.2:
                     rng.shuffle(self._large_routes)
-                await self._change_configuration(rng)
+                await self.change_configuration(rng)
                 await asyncio.sleep(rng.uniform(*SERIES_PAUSE_SECONDS))
             await asyncio.sleep(rng.uniform(*LARGE_PAUSE_SECONDS))
 
@@ -188,7 +188,7 @@
         for gateway in self._gateways:
             self.counts["gateway replaced"] += 1
             print(f"replacing {gateway.name}", flush=True)
-            await self._stop(gateway)
+            await self.stop(gateway)
             await gateway.wait_until_ready()
 
     async def end(self) -> None:
@@ -211,7 +211,7 @@
             case ["server", "link", *kind]:
                 await self._disturb_server_link(" ".join(kind), rng)
             case ["server", "leaves"]:
-                await self._server_leaves(rng)
+                await self.server_leaves(rng)
             case ["server", "spoils", "answers"]:
                 await self._corrupt_responses(rng)
             case ["engine", "reclaimed"]:
@@ -221,7 +221,7 @@
             case ["engine", "stalls"]:
                 await self._engine_stalls(rng)
             case ["configuration", "changed"]:
-                await self._change_configuration(rng)
+                await self.change_configuration(rng)
             case _:
                 raise ValueError(f"unknown kind of fault: {fault.kind!r}")
 
@@ -233,16 +233,16 @@
         match kind:
             case "killed":
                 down = rng.uniform(0.2, 2.0)
-                await self._run_exclusively(gateway, lambda: gateway.kill(down))
+                await self.run_exclusively(gateway, lambda: gateway.kill(down))
             case "frozen":
                 pause = rng.uniform(0.3, 3.0)
-                await self._run_exclusively(gateway, lambda: gateway.freeze(pause))
+                await self.run_exclusively(gateway, lambda: gateway.freeze(pause))
             case "stopped":
-                await self._run_exclusively(gateway, lambda: self._stop(gateway))
+                await self.run_exclusively(gateway, lambda: self.stop(gateway))
             case "reloaded":
                 gateway.reload(send_signal=rng.random() < 0.5)
 
-    async def _run_exclusively(
+    async def run_exclusively(
         self, gateway: Gateway, work: t.Callable[[], t.Awaitable[None]]
     ) -> None:
         """Inject a fault unless another one affects the same gateway's process."""
@@ -254,7 +254,8 @@
         finally:
             gateway.busy = False
 
-    async def _stop(self, gateway: Gateway) -> None:
+    async def stop(self, gateway: Gateway) -> None:
+        """Stop a gateway as planned, and start it again."""
         undisturbed = time.monotonic() > gateway.undisturbed_from
         in_time = await gateway.stop()
         if undisturbed:
@@ -331,7 +332,7 @@
         self._store.put(f"servers/{server.id}", server.entry("plain"))
         return server
 
-    async def _server_leaves(self, rng: random.Random) -> None:
+    async def server_leaves(self, rng: random.Random) -> None:
         """Start a new server, then remove another one as planned."""
         leaving = rng.choice(self.servers)
         await self._open_server()
@@ -449,11 +450,27 @@
 
     # Configuration
 
-    async def _change_configuration(self, rng: random.Random) -> None:
+    async def change_configuration(self, rng: random.Random) -> None:
         """Add a route; the configuration's version rises by 1 to 5."""
         self._version += rng.randint(1, 5)
         path = f"look{self._version}"
         self._added.append(path)
+        self._write_configuration()
+        self._checker.added_at_by_path[path] = time.monotonic()
+        self._checker.add_path(path)
+
+    async def drop_route(self, rng: random.Random) -> None:
+        """Remove a route that was added; callers go on to use it."""
+        if not self._added:
+            return
+        path = self._added.pop(-rng.randint(1, min(2, len(self._added))))
+        self._checker.add_path(path)
+        self._version += rng.randint(1, 5)
+        self._checker.dropping_at_by_path[path] = time.monotonic()
+        self._write_configuration()
+        self._checker.dropped_at_by_path[path] = time.monotonic()
+
+    def _write_configuration(self) -> None:
         document = configuration(self._version, tenants=WORKSPACES)
         template = document["routes"][0]
         for added in self._added:
@@ -462,5 +479,3 @@
             )
         document["routes"] += self._large_routes
         self._store.put("op/config", document)
-        self._checker.added_at_by_path[path] = time.monotonic()
-        self._checker.add_path(path)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -124,6 +124,14 @@
         self.assertEqual(0, found.returncode, found.stdout + found.stderr)
         self.assertRegex(found.stdout, "large configuration: [1-9]")
 
+    def test_silent_neighbours_and_stops_with_kept_connections_harm_nobody(self):
+        """Guards against requests that a stopping node reads and never answers, and
+        against changes that a node learns late as its neighbours are silent."""
+        found = soak(2, 0.3, "--silencing", "--gateways", "8")
+        self.assertEqual(0, found.returncode, found.stdout)
+        self.assertRegex(found.stdout, "hall paused: [1-9]")
+        self.assertRegex(found.stdout, "kept connections stopped: [1-9]")
+
     def test_new_callers_get_through_beside_idle_connections(self):
         found = soak(1, 0.15, "--idle")
         self.assertEqual(0, found.returncode, found.stdout + found.stderr)
