A rate limit that ends while other nodes are asked needs no permit

Callers saw: 500 for a request to an upstream whose rate limit ended, by an answer to another request, while this node asked silent coordinators for a permit; it was not sent.

Cause: the limit is read again after the time-outs of the coordinators, and the share of a node without coordinators was computed from an infinite rate.

Evidence: test_limit_that_ends_while_others_are_asked_needs_no_permit failed before with the same error and passes: without a limit the request is sent.

--- a/src/bankrack/fleet/permits.py
+++ b/src/bankrack/fleet/permits.py
@@ -218,6 +218,9 @@
             found = await self._ask(member, upstream, requester)
             if found is not None:
                 return found, "other node"
+        if not upstream.limit.bounded:
+            # It ended while the others were asked.
+            return 0.0, "no limit"
         return self._take_isolated(upstream), "alone"
 
     async def _ask(
--- a/tests/fleet/test_permits.py
+++ b/tests/fleet/test_permits.py
@@ -127,6 +127,17 @@
                     taken += await node.take()
             self.assertLessEqual(taken, 1)
 
+    async def test_limit_that_ends_while_others_are_asked_needs_no_permit(self):
+        """Guards against a request that crashes as it computes a share of no limit."""
+        async with fleet() as nodes:
+            for node in nodes[:2]:
+                await node.stop()
+            taking = asyncio.create_task(nodes[3].take())
+            await asyncio.sleep(0)
+            now = boottime()
+            nodes[3].upstream.note_limit(RateLimit(math.inf, now, now))
+            self.assertTrue(await taking)
+
     async def test_refusing_coordinator_is_not_suspected(self):
         async with fleet() as nodes:
             await nodes[3].take()
