Soak and test of stops: a request that crosses the close unread is no loss

The rule names both bounds, which the checks now use: a close later than 0.2 s after the request, or a request that ran. The reset does not always come first: the caller may have the end of the connection in its buffer already.

--- a/soak/gateway/checks.py
+++ b/soak/gateway/checks.py
@@ -113,6 +113,7 @@
         self.left_at_by_server: dict[str, float] = {}
         self.resets: list[Reset] = []
         self.added_at_by_path: dict[str, float] = {}
+        self.crossing: list[Call] = []
         self.dropping_at_by_path: dict[str, float] = {}
         self.dropped_at_by_path: dict[str, float] = {}
         self.engine_by_id: dict[str, SoakEngine] = {}
@@ -134,6 +135,12 @@
             self._check_response(call, ran=runs[call.request] > 0)
             self._check_denial(call)
             self._check_closed(call)
+        for call in self.crossing:
+            if runs[call.request]:
+                self.record_violation(
+                    f"{call.request} ran, and {call.node.name} closed its connection "
+                    "without a response"
+                )
         self._check_runs({call.request: call.path for call in calls})
         self._check_leaving()
         self._check_notices()
--- a/soak/gateway/silencing.py
+++ b/soak/gateway/silencing.py
@@ -26,6 +26,8 @@
 KEPT_CONNECTIONS = 30
 USE_SECONDS = 6.0
 """Time after SIGTERM over which kept connections are used."""
+LOSS_SLACK_SECONDS = 0.2
+"""A request that is sent so shortly before the close may cross it unread."""
 REQUEST = (
     "POST /bill/x HTTP/1.1\r\nHost: h.example\r\nBankrack-Request-Id: {id}\r\n"
     "Bankrack-Deadline-Ms: 3000\r\nBankrack-Key: {key}\r\nContent-Length: 2\r\n\r\nhi"
@@ -163,7 +165,8 @@
     async def _use(self, node: Gateway, kept: KeptConnection, seconds: float) -> None:
         """Use a connection some seconds after SIGTERM.
 
-        A close without a reset tells the caller that its request was read.
+        A close without a reset tells the caller that its request was read, unless the
+        close came first.
         """
         await asyncio.sleep(seconds)
         if kept.reader.at_eof():
@@ -173,7 +176,11 @@
         found = await kept.request(call)
         kept.writer.transport.abort()
         self.outcomes.append(found)
-        if found == "closed":
+        if found != "closed":
+            return
+        call.connected = False
+        self._checker.crossing.append(call)
+        if call.ended > call.sent + LOSS_SLACK_SECONDS:
             self._checker.record_violation(
                 f"{call.request}: {node.name} closed a kept connection {seconds:.1f} s "
                 "after SIGTERM with a request that it had read"
--- a/tests/platform/test_stopping.py
+++ b/tests/platform/test_stopping.py
@@ -4,6 +4,7 @@
 import typing as t
 
 from bankrack import gateway as gateway_module
+from bankrack.clock import boottime
 from tests.base import TestCase
 from tests.platform.deployment import Deployment
 from tests.platform.deployment import running
@@ -11,6 +12,8 @@
 
 NOTICE_SECONDS = 0.4
 """Time for which a stopping gateway keeps idle connections in these tests."""
+LOSS_SLACK_SECONDS = 0.2
+"""A request that is sent so shortly before the close may cross it unread."""
 REQUEST = (
     b"POST /bill/x HTTP/1.1\r\nHost: h.example\r\nBankrack-Request-Id: %s\r\n"
     b"Bankrack-Deadline-Ms: 3000\r\nBankrack-Key: key-1\r\nContent-Length: 2\r\n\r\nhi"
@@ -78,10 +81,16 @@
             stopping = asyncio.create_task(gateway.stop("test"))
             outcomes = []
             for number, caller in enumerate(callers):
-                outcomes.append(await caller.request(b"kept-%d" % number))
+                began = boottime()
+                outcome = await caller.request(b"kept-%d" % number)
+                if boottime() < began + LOSS_SLACK_SECONDS and outcome == "closed":
+                    outcome = "crossed the close"
+                outcomes.append(outcome)
                 await asyncio.sleep(0.06)
             await stopping
-        self.assertEqual({"200", "closed before use"}, set(outcomes))
+        self.assertIn("200", outcomes)
+        self.assertIn("closed before use", outcomes)
+        self.assertNotIn("closed", outcomes)
 
     async def test_request_that_is_partly_here_is_answered(self):
         """Guards against a drain that ends while a head or a body is received."""
