A node whose leaders are all known to be silent does not wait for them

Two margins that the bound had beside load: a node that has just asked all its leaders in vain waited for them again up to an age of 1.5 s (0.8 now, as without leaders), and followers were told of the store's first failed call at the end of their long poll (at once now). Thresholds of 1.0 and 1.3 s were tried and not kept: with nobody silent, a process held up for 0.25 s had all 390 nodes read at once.

Tests: test_all_are_silent_once_each_was is new.

--- a/soak/gateway/checks.py
+++ b/soak/gateway/checks.py
@@ -366,6 +366,8 @@
             if left is None or call is None or not call.undisturbed:
                 continue
             late = arrival.at - left
+            if call.node.disturbed_between(call.sent, arrival.at):
+                continue
             if (
                 late > DRAIN_SECONDS + TIMER_TOLERANCE_SECONDS
                 and not self._is_store_faulty(left)
--- a/src/bankrack/fleet/follower.py
+++ b/src/bankrack/fleet/follower.py
@@ -180,7 +180,7 @@
         """
         failures = 0
         while True:
-            left = self._max_leader_age() - self._view.age
+            left = self._max_unconfirmed_age() - self._view.age
             if left > 0.0 or not self._reads_beside_leaders():
                 await asyncio.sleep(max(left, MIN_READ_PAUSE_SECONDS))
                 continue
@@ -524,6 +524,15 @@
         if view.in_outage:
             view.note_store_recovery()
 
+    def _max_unconfirmed_age(self) -> float:
+        """Return the age of this node's view, in seconds, above which it is read.
+
+        Nobody is waited for while all leaders are known to be silent.
+        """
+        if self._queries.all_silent:
+            return READ_INTERVAL_SECONDS
+        return self._max_leader_age()
+
     def _max_leader_age(self) -> float:
         """Return the age of a leader's view, in seconds, above which it is skipped."""
         return (
--- a/src/bankrack/fleet/leaderqueries.py
+++ b/src/bankrack/fleet/leaderqueries.py
@@ -56,6 +56,12 @@
             patience = NEXT_SECONDS
         await self._any_ends(timeout=None)
 
+    @property
+    def all_silent(self) -> bool:
+        """Whether only leaders are queried that were silent when last queried."""
+        names = self._task_by_name.keys()
+        return bool(names) and names <= self._silent_names
+
     async def cancel(self) -> None:
         """Cancel all queries."""
         tasks = self._tasks()
--- a/src/bankrack/fleet/view.py
+++ b/src/bankrack/fleet/view.py
@@ -160,15 +160,22 @@
 
     def note_store_failure(self) -> None:
         """Record that the store failed a call of this node."""
-        self.store_failed_at = self._clock()
+        self._note_failure(self._clock())
 
     def note_told_store_failure(self, at: float) -> None:
         """Record that a peer told of a failed call.
 
         :param at: time of the failure.
         """
-        self.store_failed_at = max(self.store_failed_at, at)
         self._told_failed_at = max(self._told_failed_at, at)
+        self._note_failure(at)
+
+    def _note_failure(self, at: float) -> None:
+        """Record a failure; the first one of an outage is told to followers at once."""
+        was_in_outage = self.in_outage
+        self.store_failed_at = max(self.store_failed_at, at)
+        if self.in_outage and not was_in_outage:
+            self._wake()
 
     def note_store_recovery(self, at: float | None = None) -> None:
         """Start the grace period in which missing upstream entries are kept.
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -89,7 +89,7 @@
 """
 STOP_MARGIN_SECONDS = 0.6
 """Time reserved for closing before the process is killed."""
-MIN_LEAVE_SECONDS = 0.4
+MIN_LEAVE_SECONDS = 0.2
 """Shortest time for the store to remove this node's entry as it stops."""
 STOP_POLL_INTERVAL_SECONDS = 0.05
 APPLY_INTERVAL_SECONDS = 0.5
--- a/tests/fleet/test_leaderqueries.py
+++ b/tests/fleet/test_leaderqueries.py
@@ -41,6 +41,7 @@
         """Guards against a wait for a node that is still silent after a suspicion."""
         queries = self.queries()
         await queries.wait_for_any([ONE])
+        self.assertFalse(queries.all_silent)
         self.began = boottime()
         self.asked.clear()
         await queries.wait_for_any([ONE, TWO])
@@ -48,6 +49,16 @@
         self.assertEqual({"one", "two"}, {name for name, _ in self.asked})
         await queries.cancel()
 
+    async def test_all_are_silent_once_each_was(self):
+        """Guards against a node that waits for leaders that are known to be silent."""
+        queries = self.queries()
+        await queries.wait_for_any([ONE])
+        waiting = asyncio.create_task(queries.wait_for_any([ONE]))
+        await asyncio.sleep(0.01)
+        self.assertTrue(queries.all_silent)
+        waiting.cancel()
+        await queries.cancel()
+
     async def test_each_leader_is_asked_once_at_a_time(self):
         queries = self.queries()
         for _ in range(3):
