--- a/benchmarks/silentnodes.py
+++ b/benchmarks/silentnodes.py
@@ -13,8 +13,11 @@
 from tests.fleet.silentfleet import Fleet
 from tests.fleet.silentfleet import FleetStore
 from tests.fleet.silentfleet import leaders_of
+from tests.fleet.silentfleet import Ranking
 from tests.fleet.silentfleet import readers_of
 
+from bankrack.fleet import roster
+
 HALLS = 3
 ITEMS_PER_PAGE = 500
 CHANGE_SECONDS = 0.33
@@ -75,6 +78,7 @@
 
 
 async def _main(options: argparse.Namespace) -> None:
+    t.cast(t.Any, roster).rank_members = Ranking()
     for case in SILENT_BY_CASE:
         await _run(case, options)
 
--- a/tests/fleet/silentfleet.py
+++ b/tests/fleet/silentfleet.py
@@ -134,9 +134,10 @@
 
 
 class Ranking:
-    """Ranks members as the gateway does, each set of them once.
+    """Ranks members as the gateway does, each set of names once.
 
-    All nodes are in one process, which would do little else.
+    It replaces ``roster.rank_members`` while a fleet runs, as all nodes are in one
+    process, which would do little else.
     """
 
     def __init__(self) -> None:
@@ -162,7 +163,6 @@
         self.store = store
         self.questions = 0
         self.held_up = 0.0
-        t.cast(t.Any, roster).rank_members = Ranking()
         members = [
             Member(f"{hall}-{n}", f"{hall}-{n}", f"hall-{hall}")
             for hall in range(halls)
--- a/tests/fleet/test_silent_nodes.py
+++ b/tests/fleet/test_silent_nodes.py
@@ -4,11 +4,13 @@
 import random
 import typing as t
 
+from bankrack.fleet import roster
 from bankrack.fleet.roster import rank_members
 from tests.base import TestCase
 from tests.fleet.silentfleet import Fleet
 from tests.fleet.silentfleet import FleetStore
 from tests.fleet.silentfleet import leaders_of
+from tests.fleet.silentfleet import Ranking
 from tests.fleet.silentfleet import readers_of
 
 MAX_AGE_SECONDS = 2.0
@@ -33,6 +35,10 @@
 
 
 class SilentNodes(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.patch(roster, "rank_members", Ranking())
+
     async def check(self, fleet: Fleet, names: t.Iterable[str]) -> None:
         fleet.store.call_times.clear()
         fleet.silence(names)
