Log each send as it is written, and how long two engines have a run

Hypotheses on runs at two engines could not be told apart: run_sent is written once the head has come, so an unanswered send left no line, and nothing told when an earlier engine was left. run_sending names the engine, the copy and the last event at the moment of the send; engine_left and bankrack_run_overlap_seconds tell the overlap; request_ended lists in sent_to all upstreams that were sent the request.

--- a/src/bankrack/metrics.py
+++ b/src/bankrack/metrics.py
@@ -16,6 +16,7 @@
 GAP_BUCKETS = (0.01, 0.02, 0.03, 0.04, 0.05, 0.061, 0.08, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0)
 FIRST_TOKEN_BUCKETS = (0.05, 0.1, 0.2, 0.4, 0.78, 1.0, 2.0, 5.0, 10.0, 30.0)
 LATENCY_BUCKETS = (0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 15.0, 40.0)
+OVERLAP_BUCKETS = (0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.8, 2.0)
 STALL_THRESHOLD_SECONDS = 0.1
 
 
@@ -73,6 +74,11 @@
         self.requests = self._counter("bankrack_requests", "Requests by outcome")
         self.sends = self._counter("bankrack_sends", "Sends to upstreams by outcome")
         self.resumes = self._counter("bankrack_resumes", "Streams resumed, by outcome")
+        self.overlap = self._histogram(
+            "bankrack_run_overlap_seconds",
+            "Time from sending a run to another engine until its silent engine is left",
+            OVERLAP_BUCKETS,
+        )
         self.reservations = self._counter(
             "bankrack_reservations", "Requests for reservations on engines, by outcome"
         )
--- a/src/bankrack/serving/assignment.py
+++ b/src/bankrack/serving/assignment.py
@@ -27,6 +27,7 @@
     :param deadline: boot-time seconds at which the final answer is due.
     :param fingerprint: equal for requests with the same path, caller and body.
     :param parts: traits of the shared parts of the prompt.
+    :param sent_to: upstreams that the job was sent to, in their order.
     """
 
     job: Job
@@ -37,6 +38,7 @@
     deadline: float
     fingerprint: str = ""
     parts: tuple[str, ...] = ()
+    sent_to: list[str] = dataclasses.field(default_factory=list)
 
     def time_left(self) -> float:
         """Seconds until the final answer is due."""
--- a/src/bankrack/serving/callprogress.py
+++ b/src/bankrack/serving/callprogress.py
@@ -25,15 +25,24 @@
 class CallProgress:
     """Progress of one call.  Times are boot-time seconds.
 
+    :param on_connected: called when the call has a connection, just before its request
+        is written.
     :ivar started_at: start of the call.
     :ivar connected_at: time when it had a connection; ``None`` before.
     :ivar reused: the connection was open before the call.
     :ivar answered_at: time when the head of the answer was read; ``None`` before.
     """
 
-    __slots__ = ("answered_at", "connected_at", "reused", "started_at")
+    __slots__ = (
+        "answered_at",
+        "connected_at",
+        "on_connected",
+        "reused",
+        "started_at",
+    )
 
-    def __init__(self) -> None:
+    def __init__(self, on_connected: t.Callable[[], None] = lambda: None) -> None:
+        self.on_connected = on_connected
         self.started_at = boottime()
         self.connected_at: float | None = None
         self.reused = False
@@ -76,6 +85,7 @@
 ) -> None:
     if (progress := _progress_of(context)) is not None:
         progress.connected_at = boottime()
+        progress.on_connected()
 
 
 async def _note_reused(
@@ -84,6 +94,7 @@
     if (progress := _progress_of(context)) is not None:
         progress.connected_at = boottime()
         progress.reused = True
+        progress.on_connected()
 
 
 async def _note_answered(
--- a/src/bankrack/serving/client.py
+++ b/src/bankrack/serving/client.py
@@ -24,6 +24,7 @@
 from bankrack.exceptions import UpstreamFailed
 from bankrack.exceptions import UpstreamUnreachable
 from bankrack.serving.bufferedresponses import BufferedResponses
+from bankrack.serving.callprogress import CallProgress
 from bankrack.serving.callprogress import trace_progress
 from bankrack.serving.job import Answer
 from bankrack.serving.job import Header
@@ -199,8 +200,7 @@
     connector._factory = factory
     session = aiohttp.ClientSession(
         connector=connector,
-        # Calls for which nobody waits have no progress to record.
-        trace_configs=[trace_progress()] if reuse and upstream_paths else None,
+        trace_configs=[trace_progress()] if upstream_paths is not None else None,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=("Accept", "Accept-Encoding", "Content-Type", "User-Agent"),
@@ -304,9 +304,11 @@
             total=None, sock_connect=CONNECT_TIMEOUT_SECONDS
         )
 
-    async def open(self, send: Send) -> Exchange:
+    async def open(self, send: Send, progress: CallProgress | None = None) -> Exchange:
         """Send a job and wait for the head of its response.
 
+        :param progress: updated as the job is sent.
+
         Raises :exc:`UpstreamUnreachable` if nothing was sent, and
         :exc:`UpstreamFailed` if the job may have run.
         """
@@ -331,6 +333,7 @@
                     data=job.body or None,
                     allow_redirects=False,
                     timeout=self._timeout,
+                    trace_request_ctx=progress,
                 )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise UpstreamUnreachable(
--- a/src/bankrack/serving/dispatch.py
+++ b/src/bankrack/serving/dispatch.py
@@ -235,6 +235,7 @@
             fingerprint=work.fingerprint if work else None,
             parts=shared_part_names(job.demand) or None,
             outcome=outcome,
+            sent_to=",".join(work.sent_to) or None if work else None,
             elapsed=boottime() - job.arrived,
             version=table.version if table else None,
             version_age=self._configuration.age,
--- a/src/bankrack/serving/enginelink.py
+++ b/src/bankrack/serving/enginelink.py
@@ -1,5 +1,6 @@
 """Connection of a run to its current engine."""
 
+import functools
 import math
 
 from bankrack.clock import boottime
@@ -8,6 +9,7 @@
 from bankrack.exceptions import UpstreamUnreachable
 from bankrack.serving.advisor import PlacementAdvisor
 from bankrack.serving.assignment import Assignment
+from bankrack.serving.callprogress import CallProgress
 from bankrack.serving.client import Exchange
 from bankrack.serving.client import Resume
 from bankrack.serving.client import Send
@@ -24,6 +26,7 @@
 
     :ivar engine: engine that has the run, from the moment it is sent.
     :ivar exchange: response of the engine, once its head was received.
+    :ivar sent_at: boot-time seconds when the run was last written to an engine.
     :ivar sends: number of attempts that may have reached an engine.
     :ivar runs: number of times the run may have started anew, without resumptions.
     """
@@ -38,6 +41,7 @@
     ) -> None:
         self.engine: Upstream | None = None
         self.exchange: Exchange | None = None
+        self.sent_at = 0.0
         self.sends = 0
         self.runs = 0
         self._dependencies = dependencies
@@ -92,8 +96,9 @@
         self.engine = engine
         self._forwarder.change_engine(GapMeter(engine.id, self._note_paced))
         engine.in_flight += 1
+        progress = CallProgress(functools.partial(self._note_sending, send, kind))
         try:
-            exchange = await self._dependencies.client.open(send)
+            exchange = await self._dependencies.client.open(send, progress)
         except UpstreamUnreachable:
             self.disconnect()
             raise
@@ -120,6 +125,13 @@
         )
         return exchange
 
+    def _note_sending(self, send: Send, kind: str) -> None:
+        """Record that a connection was established and the run is written to it."""
+        self.sent_at = boottime()
+        self._work.sent_to.append(send.upstream.id)
+        source = f"{send.resume.source}/{send.resume.handle}" if send.resume else None
+        self._log.write("run_sending", send.upstream, kind, resumed_from=source)
+
     def _note_begun(self, engine: Upstream, *, sent_at: float, took: float) -> None:
         """Record that an engine has started the run.
 
--- a/src/bankrack/serving/plain.py
+++ b/src/bankrack/serving/plain.py
@@ -11,6 +11,7 @@
 from bankrack.exceptions import UpstreamFailed
 from bankrack.exceptions import UpstreamUnreachable
 from bankrack.serving.assignment import Assignment
+from bankrack.serving.callprogress import CallProgress
 from bankrack.serving.client import Exchange
 from bankrack.serving.client import Send
 from bankrack.serving.client import whole_answer
@@ -226,9 +227,10 @@
         upstream.in_flight += 1
         exchange: Exchange | None = None
         sent_at = boottime()
+        progress = CallProgress(lambda: work.sent_to.append(upstream.id))
         try:
             async with asyncio.timeout(self._attempt_seconds(work, attempts)):
-                exchange = await self._dependencies.client.open(send)
+                exchange = await self._dependencies.client.open(send, progress)
                 head = exchange.head
                 body = None if head.not_run else await exchange.read()
         except asyncio.CancelledError:
--- a/src/bankrack/serving/run.py
+++ b/src/bankrack/serving/run.py
@@ -299,6 +299,7 @@
                 self._resumes += 1
                 exchange.close()
                 silent_engine.in_flight -= 1
+                self._note_overlap(silent_engine)
                 # It may only be overloaded, so the suspicion is not reported to the
                 # pool owner.
                 self._dependencies.chooser.suspect(silent_engine)
@@ -307,6 +308,12 @@
         self._copies.current = copies
         self._forwarder.restore_engine(splitter)
 
+    def _note_overlap(self, silent_engine: Upstream) -> None:
+        """Record for how long two engines had the run."""
+        overlap = boottime() - self._link.sent_at
+        self._dependencies.metrics.overlap.observe({}, overlap)
+        self._log.write("engine_left", silent_engine, "resumed", overlap=overlap)
+
     async def _leave_failed_engine(self, error: BankrackError) -> None:
         """Disconnect from an engine that failed and mark it as suspect."""
         failed_engine = self._link.engine
