--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -267,14 +267,15 @@
     A ``leaving`` server reports that in all responses.  With ``backoff`` it rejects all
     requests and asks for that many seconds without any.  ``limit`` is the rate limit
     that it reports, ``load`` its load, ``brittle`` the rejections in a second that it
-    says to bear.
+    says to bear.  ``cancelled_at`` has the boot-time seconds at which it noticed
+    that a client closed its connection before the response was complete.
     """
 
     def __init__(self, server_id: str) -> None:
         super().__init__()
         self.id = server_id
         self.arrivals: list[Arrival] = []
-        self.cancelled = 0
+        self.cancelled_at: list[float] = []
         self.leaving = False
         self.backoff = ""
         self.limit = ""
@@ -285,6 +286,10 @@
             t.Callable[[web.BaseRequest], t.Awaitable[t.Any]] | None
         ) = None
 
+    @property
+    def cancelled(self) -> int:
+        return len(self.cancelled_at)
+
     def entry(self, service: str, **more: t.Any) -> dict[str, t.Any]:
         entry = {"service": service, "address": self.address, "zone": "a", "slots": 6}
         return {**entry, "state": "ready", **more}
@@ -333,7 +338,7 @@
                     return t.cast(web.StreamResponse, found)
             return await self.run(request)
         except asyncio.CancelledError:
-            self.cancelled += 1
+            self.cancelled_at.append(boottime())
             raise
 
     async def control(self, request: web.BaseRequest) -> web.StreamResponse:
--- /dev/null
+++ b/tests/platform/test_run_handover.py
@@ -0,0 +1,108 @@
+"""Tests that at most one engine works on a run, except for a short time."""
+
+import asyncio
+import time
+
+from aiohttp import web
+
+from tests.base import TestCase
+from tests.platform.deployment import Deployment
+from tests.platform.deployment import running
+from tests.platform.deployment import until
+from tests.platform.fakes import call
+from tests.platform.fakes import ReceivedResponse
+
+ALLOWED_OVERLAP_SECONDS = 0.4
+"""Time for which the platform lets two engines work on one run."""
+EVENTS = 5
+
+
+def whole_body(count: int = EVENTS) -> bytes:
+    return b"".join(b"id: %d\ndata: token%d\n\n" % (n, n) for n in range(count))
+
+
+def is_resume(request: web.BaseRequest) -> bool:
+    return "Kv-From" in request.headers
+
+
+class SilentEngines(TestCase):
+    """Runs whose engine falls silent while the engine with the copy begins late."""
+
+    async def serve(
+        self, deployment: Deployment, *, head_after: float
+    ) -> ReceivedResponse:
+        """Serve a stream; the head of a resumed run is held for some seconds."""
+
+        async def stall(request: web.BaseRequest) -> None:
+            for engine in deployment.engines:
+                engine.pause = 0.0 if is_resume(request) else 30.0
+            if is_resume(request):
+                await asyncio.sleep(head_after)
+
+        for engine in deployment.engines:
+            engine.custom_handler = stall
+        gateway = await deployment.start_ready_gateway()
+        return await call(gateway.settings.front, "/talk/x")
+
+    def overlap(self, deployment: Deployment) -> float:
+        """Seconds from the arrival at the second engine until the first one stopped."""
+        [resumed] = [a for a in deployment.arrivals() if a.get("Kv-From")]
+        stopped_at = min(at for e in deployment.engines for at in e.cancelled_at)
+        return stopped_at - resumed.at
+
+    async def check_overlap(self, *, head_after: float) -> None:
+        async with running() as deployment:
+            response = await self.serve(deployment, head_after=head_after)
+            self.assertEqual(whole_body(), response.body)
+            self.assertTrue(response.complete)
+            self.assertLess(self.overlap(deployment), ALLOWED_OVERLAP_SECONDS)
+
+    async def test_silent_engine_does_not_work_on_beside_a_copy_that_begins_late(self):
+        await self.check_overlap(head_after=0.6)
+
+    async def test_silent_engine_does_not_work_on_beside_a_copy_near_its_timeout(self):
+        await self.check_overlap(head_after=1.5)
+
+    async def test_silent_engine_does_not_work_on_beside_a_copy_that_never_begins(self):
+        async with running() as deployment:
+            response = await self.serve(deployment, head_after=30.0)
+            self.assertFalse(response.complete)
+            self.assertEqual(whole_body(1), response.body)
+            first = deployment.arrivals()
+            await until(lambda: sum(e.cancelled for e in deployment.engines) == 2)
+            self.assertEqual(2, len(first))
+            self.assertLess(self.overlap(deployment), ALLOWED_OVERLAP_SECONDS)
+
+
+class StrictEngines(TestCase):
+    """Engines that take a run for another one unless both headers are there."""
+
+    async def test_run_without_events_is_not_begun_again_on_its_backup(self):
+        async with running() as deployment:
+
+            async def cut_first(request: web.BaseRequest) -> None:
+                for engine in deployment.engines:
+                    engine.cut_after = -1 if is_resume(request) else 0
+
+            for engine in deployment.engines:
+                engine.custom_handler = cut_first
+            gateway = await deployment.start_ready_gateway()
+            response = await call(gateway.settings.front, "/talk/x")
+            begun = [a for a in deployment.arrivals() if a.get("Last-Event-Id") is None]
+            self.assertEqual(1, len(begun))
+            self.assertEqual(502, response.status)
+
+
+class BlockedNodes(TestCase):
+    async def test_engine_is_not_left_for_a_silence_in_which_its_node_stood_still(self):
+        async with running() as deployment:
+            for engine in deployment.engines:
+                engine.events, engine.pause = 60, 0.02
+            gateway = await deployment.start_ready_gateway()
+            stream = asyncio.create_task(call(gateway.settings.front, "/talk/x"))
+            await until(lambda: len(deployment.arrivals()) == 1)
+            await asyncio.sleep(0.3)
+            time.sleep(1.0)
+            response = await stream
+            self.assertEqual(1, len(deployment.arrivals()))
+            self.assertEqual(whole_body(60), response.body)
