A run without events is not resumed

Callers of streams that may run once had them run twice: a stream that broke before its first event was sent to its backup with Kv-From and without Last-Event-Id. Only both make a send the same run; an engine that reads them strictly begins a second one.

Where the caller has no event there is nothing to go on from, so such a run has no usable copies: it starts anew where its route allows that, and is answered 502 otherwise.

--- a/src/bankrack/serving/run.py
+++ b/src/bankrack/serving/run.py
@@ -268,7 +268,7 @@
             self._dependencies.crashes.note_begun(self._work, self._link.engine)
 
     async def _read(self, exchange: Exchange) -> bytes:
-        if not self._reply.started or not self._copies.current:
+        if not self._reply.started or not self._usable_copies():
             return await exchange.read_available()
         return await read_unless_silent(exchange, self._pace)
 
@@ -285,7 +285,7 @@
 
         If the silent engine had to be left, the run continues as if it had failed.
         """
-        copies = self._copies.current
+        copies = self._usable_copies()
         splitter = self._forwarder.change_engine()
         silent = self._link.detach()
         self._log.write("stream_silent", silent.engine, "asking copies", error.message)
@@ -314,6 +314,14 @@
         self._dependencies.chooser.suspect(engine)
         self._tried.add(engine.id)
 
+    def _usable_copies(self) -> list[Copy]:
+        """Return the copies from which the run can be resumed.
+
+        An engine can tell a resumed run from a new one only if it learns after which
+        event to go on, so there are none before the caller received one.
+        """
+        return self._copies.current if self._forwarder.order.last is not None else []
+
     async def _leave_failed_engine(self, error: BankrackError) -> None:
         """Disconnect from an engine that failed and mark it as suspect."""
         failed_engine = self._link.engine
@@ -338,7 +346,7 @@
 
     async def _resume(self) -> bool:
         """Resume the run at one of its copies; returns whether that succeeded."""
-        copies = self._copies.current
+        copies = self._usable_copies()
         failed_at = boottime()
         for copy in copies:
             if await self._resume_at(copy):
