A node that stood still does not take its engines for silent

After a stall of the node all silence time-outs were due at once, although events lay unread in the sockets: every run with a copy was moved, each to a second engine beside one that worked, and the moves of all runs came at the same moment.

Silence counts only while the node reads: bytes that are here when the time-out ends are taken, and a time-out that came over 0.1 s late is waited for once more.

--- a/src/bankrack/serving/silence.py
+++ b/src/bankrack/serving/silence.py
@@ -1,7 +1,9 @@
 """Detects engines that stop sending events while their connection stays open."""
 
 import asyncio
+import contextlib
 
+from bankrack.clock import boottime
 from bankrack.exceptions import UpstreamFailed
 from bankrack.serving.client import Exchange
 from bankrack.serving.pace import Pace
@@ -11,20 +13,35 @@
 SILENCE_TIMEOUT_GAPS = 8.0
 """Lower bound of the same timeout in mean event intervals, for slow engines."""
 
+MAX_TIMER_DELAY_SECONDS = 0.1
+"""Delay of the timeout from which on the node itself stood still."""
+
 
 class EngineSilent(UpstreamFailed):
     """An engine stopped sending events; it may still be running the run."""
 
 
 async def read_unless_silent(exchange: Exchange, pace: Pace) -> bytes:
-    """Read the available bytes of a stream; raises :exc:`EngineSilent`."""
+    """Read the available bytes of a stream; raises :exc:`EngineSilent`.
+
+    While this node stands still nothing is read, which is not the engine's silence.
+    """
     silence_timeout = max(
         SILENCE_TIMEOUT_SECONDS, SILENCE_TIMEOUT_GAPS * pace.event_seconds
     )
+    due = boottime() + silence_timeout
+    with contextlib.suppress(TimeoutError):
+        return await _read_within(exchange, silence_timeout)
+    stood_still = boottime() - due > MAX_TIMER_DELAY_SECONDS
     try:
-        async with asyncio.timeout(silence_timeout):
-            return await exchange.read_available()
+        # Bytes that are here already are read even if no time is left.
+        return await _read_within(exchange, silence_timeout if stood_still else 0.0)
     except TimeoutError as error:
         raise EngineSilent(
             f"the engine sent no event for {silence_timeout:.2f} s"
         ) from error
+
+
+async def _read_within(exchange: Exchange, seconds: float) -> bytes:
+    async with asyncio.timeout(seconds):
+        return await exchange.read_available()
