Model of the handover: a silent engine is left whether or not its copy answers

The model let the node keep a stalled engine until the copy had taken over, as the program did. It now leaves it before it goes on waiting, and sends no run without events to the copy; both old behaviours are seeded bugs that the check finds.

--- a/models/handover.pml
+++ b/models/handover.pml
@@ -3,14 +3,18 @@
  * Engine 0 generates the events.  It may repeat or skip one, stall, or crash, which closes
  * its connection and may lose events in transit.  The node then sends the run to engine 1
  * with the id of the copy and the last event delivered to the caller.  A copy can be used
- * once, and the response to that request may be lost.  The node leaves a stalled engine
- * only after the copy has taken over.
+ * once, and the response to that request may be lost.  The node stays with a stalled
+ * engine only if the copy rejects the run, and leaves it otherwise once the time in which
+ * both may have the run is over, answered or not.  A run of which the caller has no event
+ * is not sent to the copy, as an engine could not tell it from a new one.
  *
  * The caller receives each event once and in order; a response is complete only after
  * the last event; no event of an abandoned engine is forwarded.
  *
  * Seeded bugs: -DBUG_ANY_EVENT forwards any event; -DBUG_CUT_IS_END treats a closed
- * connection as the end; -DBUG_KEEP_OLD continues to read from an abandoned engine.
+ * connection as the end; -DBUG_KEEP_OLD continues to read from an abandoned engine;
+ * -DBUG_AWAIT_COPY leaves a stalled engine only when the copy has answered;
+ * -DBUG_RESUME_EMPTY sends the copy a run without events.
  */
 #define EVENTS 3
 #define END EVENTS          /* the end marker follows the last event */
@@ -80,9 +84,15 @@
     fi
 }
 
+#ifdef BUG_RESUME_EMPTY
+#define RESUMABLE copy
+#else
+#define RESUMABLE (copy && passed > 0)
+#endif
+
 inline go_on() {
     if
-    :: engine == 0 && copy ->
+    :: engine == 0 && RESUMABLE ->
         copy = false;
         connected0 = false;
         if
@@ -94,11 +104,23 @@
 }
 
 inline take_over() {
+    assert(passed > 0);
     starts1 = passed;
     connected1 = true;
     engine = 1
 }
 
+inline leave_unanswered() {
+#ifndef BUG_AWAIT_COPY
+    connected0 = false;
+#endif
+    assert(!connected0);                            /* engine 1 may have the run */
+    if
+    :: take_over()
+    :: broken = true
+    fi
+}
+
 proctype Node() {
     byte event;
     do
@@ -111,11 +133,12 @@
 #else
         go_on()
 #endif
-    :: !whole && !broken && engine == 0 && copy ->  /* the engine stalls */
+    :: !whole && !broken && engine == 0 && RESUMABLE ->     /* the engine stalls */
         copy = false;
         if
-        :: take_over(); connected0 = false
-        :: skip                                     /* the copy refuses */
+        :: skip                                     /* the copy rejects the run */
+        :: connected0 = false; take_over()          /* it answers in time */
+        :: leave_unanswered()
         fi
     :: !whole && !broken && engine == 1 && nempty(from1) ->
         from1 ? event; pass(event)
--- a/src/bankrack/serving/run.py
+++ b/src/bankrack/serving/run.py
@@ -283,7 +283,8 @@
     async def _switch_to_copy(self, error: BankrackError) -> Answer | None:
         """Resume at a copy if possible, otherwise stay with the silent engine.
 
-        If the silent engine had to be left, the run continues as if it had failed.
+        If the silent engine had to be left, the run continues as if it had failed.  It
+        may only be overloaded, so the pool owner is not told to avoid it.
         """
         copies = self._usable_copies()
         splitter = self._forwarder.change_engine()
@@ -294,26 +295,18 @@
                 continue
             if await self._resume_at(copy):
                 silent.leave("resumed")
-                self._suspect_silent(silent.engine)
+                self._dependencies.chooser.suspect(silent.engine)
                 self._resumes += 1
                 return None
             silent.keep()
         if silent.left:
-            self._suspect_silent(silent.engine)
+            self._dependencies.chooser.suspect(silent.engine)
             return await self._continue(error)
         self._link.attach(silent)
         self._copies.current = copies
         self._forwarder.restore_engine(splitter)
         return None
 
-    def _suspect_silent(self, engine: Upstream) -> None:
-        """Avoid a silent engine for a while.
-
-        It may only be overloaded, so the suspicion is not reported to the pool owner.
-        """
-        self._dependencies.chooser.suspect(engine)
-        self._tried.add(engine.id)
-
     def _usable_copies(self) -> list[Copy]:
         """Return the copies from which the run can be resumed.
 
--- a/tests/test_models.py
+++ b/tests/test_models.py
@@ -90,6 +90,8 @@
         self.assert_finds("handover", "BUG_ANY_EVENT")
         self.assert_finds("handover", "BUG_CUT_IS_END")
         self.assert_finds("handover", "BUG_KEEP_OLD")
+        self.assert_finds("handover", "BUG_AWAIT_COPY")
+        self.assert_finds("handover", "BUG_RESUME_EMPTY")
 
     def test_cold(self):
         self.assert_passes("cold")
