The end of a tunnel reaches an upstream that does not read

Upstreams that had not read their request kept it after its node had given it up, for as long as they did not read: the tunnel's node did not see the close, and held up to 256 KiB and a tunnel. Bytes of the request that waited there were sent later all the same, so that an upstream could still be given a request whose node had left.

Cause: an end was only seen once everything before it had been copied (drain blocks, and asyncio stops reading), and the connection to the upstream was then closed behind what waited for it. The same held for 30 s after an upstream that had half-closed.

Now the kernel tells of the end (EPOLLRDHUP, one epoll for all tunnels), whatever is unread, and what waits for the upstream is dropped; its connection is reset where bytes are unsent, as a close would travel behind them. It is closed otherwise, because the kernel repeats a lost close but no reset.

Known difference to the direct path: the rest of a body that an upstream reads after its whole answer is cut off when the node closes.

--- a/src/bankrack/fleet/tunnelserver.py
+++ b/src/bankrack/fleet/tunnelserver.py
@@ -10,7 +10,10 @@
 from bankrack.clock import boottime
 from bankrack.decisions.descriptors import leaves_room
 from bankrack.decisions.descriptors import Use
+from bankrack.fleet.hangups import HangupWatch
 from bankrack.metrics import GatewayMetrics
+from bankrack.serving.giveup import give_up
+from bankrack.serving.giveup import RESET_ON_CLOSE
 from bankrack.serving.paths import connect_directly
 from bankrack.utils import max_open_files
 from bankrack.wire.tunnels import decode_request
@@ -27,10 +30,6 @@
 """Time that the other node has to read the rest once the upstream closed."""
 ACTIVE_SECONDS = 1.0
 """Time without bytes after which an answered tunnel counts as idle."""
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-"""Value of SO_LINGER.  The end of a connection may be the end of an answer, so the
-other node must see a reset unless the upstream itself ended the answer, even if this
-process is killed."""
 SEND_ON_CLOSE = struct.pack("ii", 0, 0)
 """Value of SO_LINGER with which closing sends what was written."""
 
@@ -56,15 +55,18 @@
         """Whether an answer is due or under way."""
         return not self.answered or boottime() - self.last_at < ACTIVE_SECONDS
 
-    async def run(self) -> None:
-        """Copy until either end closes; the upstream's end is passed on as it was."""
+    async def run(self, hangup: "asyncio.Future[None]") -> None:
+        """Copy until either end closes; the upstream's end is passed on as it was.
+
+        :param hangup: done once the node closed; what it sent before is then dropped.
+        """
         request = asyncio.create_task(self._copy(self.node, self.upstream))
         answer = asyncio.create_task(self._copy(self.upstream, self.node))
         try:
-            await asyncio.wait({request, answer}, return_when=asyncio.FIRST_COMPLETED)
+            await _first_of(request, answer, hangup)
             if answer.done() and answer.exception() is None:
                 self.node.writer.write_eof()
-                await asyncio.wait({request}, timeout=READ_TIMEOUT_SECONDS)
+                await _first_of(request, hangup, timeout=READ_TIMEOUT_SECONDS)
         finally:
             for task in (request, answer):
                 task.cancel()
@@ -78,6 +80,13 @@
             await target.writer.drain()
 
 
+async def _first_of(
+    *futures: "asyncio.Future[None]", timeout: float | None = None
+) -> None:
+    """Wait until one of some futures is done, whatever its result."""
+    await asyncio.wait(futures, timeout=timeout, return_when=asyncio.FIRST_COMPLETED)
+
+
 class _Stream(t.NamedTuple):
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
@@ -102,6 +111,7 @@
         self._metrics = metrics
         self._max_descriptors = max_open_files()
         self._tunnels: set[_Tunnel] = set()
+        self._hangups = HangupWatch()
         self._server: asyncio.Server | None = None
         self._handlers: set[asyncio.Task[None]] = set()
         self.stopping = False
@@ -113,6 +123,7 @@
 
     async def start(self, address: str) -> None:
         """Listen on ``ip:port``."""
+        self._hangups.start()
         host, _, port = address.rpartition(":")
         self._server = await asyncio.start_server(
             self._handle, host, int(port), limit=CHUNK_BYTES
@@ -125,6 +136,7 @@
         for handler in self._handlers:
             handler.cancel()
         await asyncio.gather(*self._handlers, return_exceptions=True)
+        self._hangups.stop()
 
     async def _handle(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -133,6 +145,9 @@
         self._handlers.add(task)
         task.add_done_callback(self._handlers.discard)
         accepted: socket.socket = writer.get_extra_info("socket")
+        # The end of a connection may be the end of an answer, so the other node must
+        # see a reset unless the upstream itself ended the answer, even if this process
+        # is killed.
         accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         try:
             await self._serve(_Stream(reader, writer), accepted.fileno())
@@ -163,10 +178,11 @@
         self._tunnels.add(tunnel)
         try:
             node.writer.write(encode_response(status))
-            await tunnel.run()
+            with self._hangups.watching(descriptor) as hangup:
+                await tunnel.run(hangup)
         finally:
             self._tunnels.discard(tunnel)
-            upstream.writer.close()
+            give_up(upstream.writer.transport)
 
     async def _connect(
         self, address: str, descriptor: int
