A request that was given up ends at once at an upstream that answers before it reads

An upstream that had begun its answer and not read the whole request worked on after the request was given up, for as long as it did not read on; so did one that read nothing of a large request, before its answer.

Cause: the unsent rest was dropped only before an answer had begun, although what counts is whether the answer is whole. And even then the close waited in the kernel behind up to some megabytes that the upstream had no room for.

Now the connection is ended in the same way as that of a tunnel, unless the whole answer has arrived: the rest is dropped, and where bytes are unsent the connection is reset. Where all bytes are sent nothing changes.

Silent upstreams, an answer of which a part was read, and one whose reading is paused saw the end at once before, too; the rest of a body is still sent after a whole answer.

--- a/src/bankrack/serving/client.py
+++ b/src/bankrack/serving/client.py
@@ -26,6 +26,7 @@
 from bankrack.serving.bufferedresponses import BufferedResponses
 from bankrack.serving.callprogress import CallProgress
 from bankrack.serving.callprogress import trace_progress
+from bankrack.serving.giveup import give_up
 from bankrack.serving.job import Answer
 from bankrack.serving.job import Header
 from bankrack.serving.job import Job
@@ -121,8 +122,8 @@
 
     aiohttp itself treats any end of the connection as the end of such a response.  It
     also keeps the unsent rest of a request whose connection was closed, until the
-    upstream reads it; here the rest is dropped unless a response has begun.  A
-    connection on which interim responses don't end is closed.
+    upstream reads it; here the rest is dropped unless the whole response has arrived.
+    A connection on which interim responses don't end is closed.
     """
 
     _interim_count = 0
@@ -139,12 +140,10 @@
             super().feed_data(data, size)
 
     def close(self) -> None:
-        transport = self.transport
-        unsent = transport.get_write_buffer_size() if transport is not None else 0
-        if unsent and self._payload is None:
-            self.abort()
-        else:
-            super().close()
+        is_answered = self._payload is not None and self._payload.is_eof()
+        if self.transport is not None and not is_answered:
+            give_up(self.transport)
+        super().close()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         payload = self._payload
