An engine stops before the copies of its run are freed

An engine worked on for 0.15 s after its caller had left if a copy of the run could not be freed at once, which is so when an engine leaves and is busy.

Cause: the copies were freed before the connection was closed, because the engine that has them is that of the connection. Now the connection is closed first and the engine is passed on; it frees a copy by its handle, whether the run goes on or not.

--- a/src/bankrack/serving/copies.py
+++ b/src/bankrack/serving/copies.py
@@ -153,12 +153,13 @@
                 return False
         return False
 
-    async def release(self) -> None:
+    async def release(self, engine: Upstream | None) -> None:
         """Free the copies that the run no longer needs.
 
         Backups are freed by the engines themselves.
+
+        :param engine: engine that generated the run's newest events, if any.
         """
-        engine = self._engine()
         for copy in self.current:
             if copy.backup or engine is None or copy.source != engine.address:
                 continue
--- a/src/bankrack/serving/run.py
+++ b/src/bankrack/serving/run.py
@@ -110,13 +110,17 @@
             self._log.write_pace(self._forwarder, whole=False)
 
     async def _release(self) -> None:
-        """Release the run's engine and copies, and its place in the pool."""
+        """Release the run's engine and copies, and its place in the pool.
+
+        The engine comes first, as it works on until its connection is closed.
+        """
         if self._copy_task is not None:
             self._copy_task.cancel()
-        await self._copies.release()
+        engine = self._link.running
         self._released = True
         self._link.close()
         self._context.advisor.ended(self._work, took=self._stream_seconds)
+        await self._copies.release(engine)
 
     # Starting
 
--- a/tests/platform/test_run_handover.py
+++ b/tests/platform/test_run_handover.py
@@ -5,11 +5,14 @@
 
 from aiohttp import web
 
+from bankrack.clock import boottime
+from bankrack.decisions import backups
 from tests.base import TestCase
 from tests.platform.deployment import Deployment
 from tests.platform.deployment import running
 from tests.platform.deployment import until
 from tests.platform.fakes import call
+from tests.platform.fakes import FakeEngine
 from tests.platform.fakes import ReceivedResponse
 
 ALLOWED_OVERLAP_SECONDS = 0.4
@@ -97,6 +100,43 @@
             )
 
 
+class LeftRuns(TestCase):
+    """Runs whose caller leaves while another engine has a copy of them."""
+
+    async def serve_with_copy(self, deployment: Deployment) -> FakeEngine:
+        """Begin a run and have it copied; returns its engine, which frees no copy."""
+        self.patch(backups, "CALM_BACKUP_FILL", -1.0)
+        for engine in deployment.engines:
+            engine.events, engine.pause = 100, 0.1
+        gateway = await deployment.start_ready_gateway()
+        self.stream = asyncio.create_task(call(gateway.settings.front, "/talk/x"))
+        await until(lambda: len(deployment.arrivals()) == 1)
+        [home] = [engine for engine in deployment.engines if engine.arrivals]
+        control = home.control
+
+        async def control_slowly(request: web.BaseRequest) -> web.StreamResponse:
+            response = await control(request)
+            if request.method == "DELETE":
+                await asyncio.sleep(1.0)
+            return response
+
+        home.control = control_slowly
+        entry = home.entry("engines", state="draining")
+        deployment.store.put(f"servers/{home.id}", entry)
+        # The second request is for the first copy's refreshment.
+        await until(lambda: [p for p, _ in home.orders].count("/v1/kv-move") > 1)
+        return home
+
+    async def test_engine_does_not_work_on_while_the_copies_of_its_run_are_freed(self):
+        async with running() as deployment:
+            home = await self.serve_with_copy(deployment)
+            left_at = boottime()
+            self.stream.cancel()
+            await until(lambda: home.cancelled == 1)
+            self.assertLess(home.cancelled_at[0] - left_at, 0.05)
+            await until(lambda: "/v1/kv-handle/copy" in [p for p, _ in home.orders])
+
+
 class StrictEngines(TestCase):
     """Engines that take a run for another one unless both headers are there."""
 
