An engine does not work on at an error that nobody waits for

An engine that answered a run with an error and was slow to end it stayed connected after its caller had left, and after the answer had been found too large: in trials it had not seen the close 4 s later, neither way.

Cause: nothing owned the connection while an answer in place of a stream was read whole, so it lived until the collector found it. Now it is closed once the answer was read, or was given up.

Both tests of AnswersWithoutStream failed before ("the condition did not come true in time", 0.1 s allowed). test_run_handover: 9 passed.

--- a/src/bankrack/serving/run.py
+++ b/src/bankrack/serving/run.py
@@ -1,6 +1,7 @@
 """A run of a generation, which is resumed on another engine if its engine fails."""
 
 import asyncio
+import contextlib
 import math
 
 from bankrack.clock import boottime
@@ -162,7 +163,8 @@
                 self._log.write("attempt_ended", engine, "rejected")
                 continue
             if exchange.head.status != 200:
-                return whole_answer(exchange.head, await exchange.read())
+                with contextlib.closing(exchange):
+                    return whole_answer(exchange.head, await exchange.read())
             self._link.exchange = exchange
             return None
 
--- a/tests/platform/test_run_handover.py
+++ b/tests/platform/test_run_handover.py
@@ -7,6 +7,7 @@
 
 from bankrack.clock import boottime
 from bankrack.decisions import backups
+from bankrack.serving import bufferedresponses
 from tests.base import TestCase
 from tests.platform.deployment import Deployment
 from tests.platform.deployment import running
@@ -137,6 +138,44 @@
             await until(lambda: "/v1/kv-handle/copy" in [p for p, _ in home.orders])
 
 
+class AnswersWithoutStream(TestCase):
+    """Engines that answer a run with an error, and are slow to end it."""
+
+    async def serve(self, deployment: Deployment, body: bytes) -> None:
+        """Begin a run whose answer has a part of its body only."""
+
+        async def begin_error(request: web.BaseRequest) -> web.StreamResponse:
+            response = web.StreamResponse(status=500)
+            await response.prepare(request)
+            await response.write(body)
+            await asyncio.sleep(30.0)
+            return response
+
+        for engine in deployment.engines:
+            engine.custom_handler = begin_error
+        gateway = await deployment.start_ready_gateway()
+        self.stream = asyncio.create_task(call(gateway.settings.front, "/talk/x"))
+        await until(lambda: len(deployment.arrivals()) == 1)
+        await asyncio.sleep(0.1)
+
+    async def test_engine_does_not_work_on_at_an_error_whose_caller_left(self):
+        async with running() as deployment:
+            await self.serve(deployment, b"part")
+            self.stream.cancel()
+            await until(
+                lambda: sum(e.cancelled for e in deployment.engines) == 1, seconds=0.1
+            )
+
+    async def test_engine_does_not_work_on_at_an_error_that_is_too_large(self):
+        self.patch(bufferedresponses, "MAX_RESPONSE_BYTES", 1000)
+        async with running() as deployment:
+            await self.serve(deployment, b"x" * 2000)
+            self.assertEqual(502, (await self.stream).status)
+            await until(
+                lambda: sum(e.cancelled for e in deployment.engines) == 1, seconds=0.1
+            )
+
+
 class StrictEngines(TestCase):
     """Engines that take a run for another one unless both headers are there."""
 
