--- a/src/bankrack/serving/run.py
+++ b/src/bankrack/serving/run.py
@@ -1,6 +1,7 @@
 """A run of a generation, which is resumed on another engine if its engine fails."""
 
 import asyncio
+import contextlib
 import math
 
 from bankrack.clock import boottime
@@ -110,13 +111,17 @@
             self._log.write_pace(self._forwarder, whole=False)
 
     async def _release(self) -> None:
-        """Release the run's engine and copies, and its place in the pool."""
+        """Release the run's engine and copies, and its place in the pool.
+
+        The engine comes first, as it works on until its connection is closed.
+        """
         if self._copy_task is not None:
             self._copy_task.cancel()
-        await self._copies.release()
+        engine = self._link.running
         self._released = True
         self._link.close()
         self._context.advisor.ended(self._work, took=self._stream_seconds)
+        await self._copies.release(engine)
 
     # Starting
 
@@ -158,7 +163,8 @@
                 self._log.write("attempt_ended", engine, "rejected")
                 continue
             if exchange.head.status != 200:
-                return whole_answer(exchange.head, await exchange.read())
+                with contextlib.closing(exchange):
+                    return whole_answer(exchange.head, await exchange.read())
             self._link.exchange = exchange
             return None
 
--- /dev/null
+++ b/tests/fleet/test_tunnel_ends.py
@@ -0,0 +1,99 @@
+"""How soon an upstream learns that a node closed its tunnel, over real sockets."""
+
+import asyncio
+import contextlib
+import socket
+import typing as t
+
+from bankrack.serving.giveup import give_up
+from tests.base import TestCase
+from tests.fleet.test_tunnels import client
+from tests.fleet.test_tunnels import Node
+from tests.rawupstream import LARGE
+from tests.rawupstream import RawUpstream
+
+ALLOWED_SECONDS = 0.05
+"""Time that the end of a tunnel may take over the loopback interface."""
+
+
+class Tunnelled(t.NamedTuple):
+    upstream: RawUpstream
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    node: Node
+
+
+@contextlib.asynccontextmanager
+async def tunnelled() -> t.AsyncIterator[Tunnelled]:
+    """Open a tunnel to an upstream that is silent."""
+    upstream = RawUpstream()
+    with contextlib.closing(upstream):
+        async with Node("n", upstream.address) as node:
+            sock = await client(node.member).connect(upstream.address)
+            await upstream.accept()
+            reader, writer = await asyncio.open_connection(sock=sock)
+            yield Tunnelled(upstream, reader, writer, node)
+            writer.transport.abort()
+
+
+class EndOfTunnels(TestCase):
+    async def check_end(self, tunnel: Tunnelled) -> None:
+        took = await tunnel.upstream.seconds_until_end()
+        self.assertLess(took, ALLOWED_SECONDS)
+        await asyncio.sleep(0.05)
+        self.assertEqual(0, len(tunnel.node.server._tunnels))
+
+    async def test_silent_upstream_does_not_work_on_after_its_node_left(self):
+        async with tunnelled() as tunnel:
+            tunnel.writer.write(b"request")
+            await asyncio.sleep(0.1)
+            give_up(tunnel.writer.transport)
+            await self.check_end(tunnel)
+
+    async def test_upstream_that_reads_nothing_does_not_keep_its_node_s_tunnel(self):
+        async with tunnelled() as tunnel:
+            tunnel.writer.write(LARGE)
+            await asyncio.sleep(0.3)
+            give_up(tunnel.writer.transport)
+            await self.check_end(tunnel)
+
+    async def test_request_in_the_tunnel_is_not_sent_after_it_was_given_up(self):
+        async with tunnelled() as tunnel:
+            [path] = tunnel.node.server._tunnels
+            sent = 0
+            while not path.upstream.writer.transport.get_write_buffer_size():
+                tunnel.writer.write(b"x" * 20_000)
+                sent += 20_000
+                await asyncio.sleep(0.002)
+            give_up(tunnel.writer.transport)
+            await self.check_end(tunnel)
+            self.assertLess(await tunnel.upstream.read_rest(), sent)
+
+    async def test_upstream_whose_answer_waits_for_the_node_does_not_work_on(self):
+        async with tunnelled() as tunnel:
+            tunnel.reader._transport.pause_reading()
+            tunnel.writer.write(b"request")
+            loop = asyncio.get_running_loop()
+            sending = loop.create_task(loop.sock_sendall(tunnel.upstream.sock, LARGE))
+            await asyncio.sleep(0.3)
+            give_up(tunnel.writer.transport)
+            await self.check_end(tunnel)
+            await asyncio.gather(sending, return_exceptions=True)
+
+    async def test_reset_by_the_node_ends_a_tunnel_at_once(self):
+        async with tunnelled() as tunnel:
+            tunnel.writer.write(b"request")
+            await asyncio.sleep(0.1)
+            sock = tunnel.writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+            tunnel.writer.transport.abort()
+            await self.check_end(tunnel)
+
+    async def test_upstream_that_half_closed_does_not_work_on_after_its_node_left(self):
+        async with tunnelled() as tunnel:
+            tunnel.writer.write(LARGE)
+            await asyncio.sleep(0.3)
+            tunnel.upstream.sock.shutdown(socket.SHUT_WR)
+            await asyncio.sleep(0.1)
+            give_up(tunnel.writer.transport)
+            await self.check_end(tunnel)
