The scripted client of the plain relay's tests takes the progress of a send

Six tests of tests.serving.test_plain raised TypeError since sends are logged as they are written, as their client's open took no progress.

--- a/tests/serving/test_plain.py
+++ b/tests/serving/test_plain.py
@@ -14,6 +14,7 @@
 from bankrack.serving.assignment import Assignment
 from bankrack.serving.budget import RetryBudgetPolicy
 from bankrack.serving.budget import SharedRetryBudget
+from bankrack.serving.callprogress import CallProgress
 from bankrack.serving.choice import Chooser
 from bankrack.serving.client import Head
 from bankrack.serving.client import Send
@@ -62,11 +63,12 @@
         self.in_flight = BodiesInFlight(lambda: 0.0)
         self.upstreams: list[str] = []
 
-    async def open(self, send: Send) -> ScriptedExchange:
+    async def open(self, send: Send, progress: CallProgress) -> ScriptedExchange:
         self.upstreams.append(send.upstream.id)
         status = next(self._statuses)
         if status == REFUSES:
             raise UpstreamUnreachable("connection refused")
+        progress.on_connected()
         return ScriptedExchange(status)
 
 
