An upstream's 503 is passed on only if callers may send the request again

Callers take 503, 429, 408 and 421 for an assurance that a request has not run and never will, and send it again. An upstream's 503, 429 or 408 was passed on to them even if it did not state that the request was not run, so one that may run once could run twice.

Such a request may have run, so its answer is a 502 of the node, without a seal, as for any other upstream that failed. Requests that may be repeated get the upstream's answer as before. The dialect says which statuses invite callers (Head.invites).

--- a/src/bankrack/serving/client.py
+++ b/src/bankrack/serving/client.py
@@ -94,6 +94,8 @@
     :param run_id: id of the job that the response belongs to, if stated.
     :param sealed: the response carries the upstream's proof of origin.
     :param notice: the upstream's status.
+    :param invites: callers take the status for an assurance that the job was not run,
+        and send it again.
     """
 
     status: int
@@ -102,6 +104,7 @@
     run_id: str | None
     sealed: bool
     notice: Notice = dataclasses.field(default_factory=Notice)
+    invites: bool = False
 
 
 class UpstreamDialect(t.Protocol):
@@ -267,10 +270,18 @@
         self._response.close()
 
 
-def whole_answer(head: Head, body: bytes) -> Answer:
-    """Join an answer that was read whole; raises :exc:`UpstreamFailed`."""
+def whole_answer(head: Head, body: bytes, *, repeatable: bool) -> Answer:
+    """Join an answer that was read whole; raises :exc:`UpstreamFailed`.
+
+    :param repeatable: the job may run more than once.
+    """
     if head.status < 300 and not head.sealed:
         raise UpstreamFailed("the upstream's answer carries no proof of origin")
+    if head.invites and not (head.not_run or repeatable):
+        raise UpstreamFailed(
+            f"the upstream answered {head.status} but does not state that it did not "
+            "run the request"
+        )
     return Answer(head.status, head.headers, body)
 
 
--- a/src/bankrack/serving/plain.py
+++ b/src/bankrack/serving/plain.py
@@ -251,7 +251,10 @@
             if exchange is not None:
                 exchange.close()
         attempts.count += 1
-        return None if body is None else whole_answer(head, body)
+        if body is None:
+            return None
+        repeatable = work.route.kind is RequestKind.REPEATABLE
+        return whole_answer(head, body, repeatable=repeatable)
 
     def _note_deadline(
         self, work: Assignment, upstream: Upstream, sent_at: float
--- a/src/bankrack/serving/run.py
+++ b/src/bankrack/serving/run.py
@@ -158,10 +158,16 @@
                 self._log.write("attempt_ended", engine, "rejected")
                 continue
             if exchange.head.status != 200:
-                return whole_answer(exchange.head, await exchange.read())
+                return await self._read_answer(exchange)
             self._link.exchange = exchange
             return None
 
+    async def _read_answer(self, exchange: Exchange) -> Answer:
+        """Read a complete response that an engine sent instead of a stream."""
+        body = await exchange.read()
+        repeatable = self._work.route.resumable
+        return whole_answer(exchange.head, body, repeatable=repeatable)
+
     async def _open_first(self, chosen_engine: ChosenEngine) -> Exchange:
         """Send a run that no engine has yet.
 
