An engine is left if its failure has no end

An engine that answered a stream with a 500 and sent no end of it stayed connected after the deadline or after the caller had left, and worked on: the exchange belonged to the run only once a stream had begun, so that nothing closed it while a whole answer was read.

The exchange is closed behind the reading, however that ends.

--- a/src/bankrack/serving/run.py
+++ b/src/bankrack/serving/run.py
@@ -1,6 +1,7 @@
 """A run of a generation, which is resumed on another engine if its engine fails."""
 
 import asyncio
+import contextlib
 import math
 
 from bankrack.clock import boottime
@@ -164,7 +165,8 @@
 
     async def _read_answer(self, exchange: Exchange) -> Answer:
         """Read a complete response that an engine sent instead of a stream."""
-        body = await exchange.read()
+        with contextlib.closing(exchange):
+            body = await exchange.read()
         repeatable = self._work.route.resumable
         return whole_answer(exchange.head, body, repeatable=repeatable)
 
