A run that is released twice leaves its engine

An engine stayed connected, and worked on, if its caller left while the run was being released at its deadline: the release first waits up to 0.15 s for a copy to be freed, the second cancellation ended that wait, and the connection was never closed.

The engine is left however the freeing of the copy ends.

--- a/src/bankrack/serving/run.py
+++ b/src/bankrack/serving/run.py
@@ -114,10 +114,12 @@
         """Release the run's engine and copies, and its place in the pool."""
         if self._copy_task is not None:
             self._copy_task.cancel()
-        await self._copies.release()
-        self._released = True
-        self._link.close()
-        self._context.advisor.ended(self._work, took=self._stream_seconds)
+        try:
+            await self._copies.release()
+        finally:
+            self._released = True
+            self._link.close()
+            self._context.advisor.ended(self._work, took=self._stream_seconds)
 
     # Starting
 
