A silent engine is left if the engine with the copy failed

A run stayed on its silent engine if the engine with the copy had been sent the run and then broke off, answered with a failure or with another request's answer: that one may have begun, and the platform counts the first engine's work 0.4 s later as a second run, also for a request that may run once.

Cause: any failed resumption lifted the bound on the silent engine, as if the run had been rejected. Only two outcomes show that the other engine does not have the run: no connection was made, or it says that it did not run it. EngineLink knows them, so it now decides there; after all others the silent engine is left and the run goes on as if its engine had failed.

The three tests of FailedHandovers failed before (the silent engine saw no close within 0.4 s). test_second_sends 27, test_run_handover 6, test_streams 18 passed.

--- a/src/bankrack/serving/enginelink.py
+++ b/src/bankrack/serving/enginelink.py
@@ -101,13 +101,16 @@
             exchange = await self._dependencies.client.open(send, progress)
         except UpstreamUnreachable:
             self.disconnect()
+            self._settle(begun=False)
             raise
         except BaseException:
+            self._settle(begun=progress.connected_at is not None)
             self.sends += 1
             self.runs += resume is None
             copies.reset(backup)
             raise
         self.sends += 1
+        self._settle(begun=not exchange.head.not_run)
         if not exchange.head.not_run:
             self.runs += resume is None
             if resume is None and exchange.head.status >= 500:
@@ -133,6 +136,15 @@
         if self._silent is not None:
             self._silent.note_sent()
 
+    def _settle(self, *, begun: bool) -> None:
+        """Leave the silent engine if another one may have begun the run, or keep it."""
+        if self._silent is None:
+            return
+        if begun:
+            self._silent.leave("the other engine may have begun")
+        else:
+            self._silent.keep()
+
     def _note_begun(self, engine: Upstream, *, sent_at: float, took: float) -> None:
         """Record that an engine has started the run.
 
--- a/src/bankrack/serving/run.py
+++ b/src/bankrack/serving/run.py
@@ -303,11 +303,9 @@
             if copy.holder is silent.engine or copy.holder.removed_at:
                 continue
             if await self._resume_at(copy):
-                silent.leave("resumed")
                 self._suspect_silent(silent.engine)
                 self._resumes += 1
                 return None
-            silent.keep()
         if silent.left:
             self._suspect_silent(silent.engine)
             return await self._continue(error)
--- a/src/bankrack/serving/silentengine.py
+++ b/src/bankrack/serving/silentengine.py
@@ -19,7 +19,7 @@
     The engine may only be overloaded, so its connection is kept while copies are asked.
     Once the run was sent to another engine, both may work on it.  That one rejects it
     at once or not at all, so the silent engine is left after a short time even if there
-    is no answer.
+    is no answer.  It is also left if the other one failed, as that one may have begun.
 
     :ivar left: the connection was closed.
     """
--- a/tests/platform/test_second_sends.py
+++ b/tests/platform/test_second_sends.py
@@ -232,6 +232,46 @@
             await until(lambda: home.cancelled >= 1, seconds=ALLOWED_OVERLAP_SECONDS)
 
 
+class FailedHandovers(TestCase):
+    """Runs whose engine falls silent while the engine with the copy fails at once.
+
+    That one may have begun, so the silent engine must not go on 0.4 s later.
+    """
+
+    async def check_silent_engine_is_left(self, at_the_copy: Handler) -> None:
+        async with running() as deployment:
+
+            async def stall(request: web.BaseRequest) -> t.Any:
+                if "Kv-From" in request.headers:
+                    return await at_the_copy(request)
+                for engine in deployment.engines:
+                    engine.pause = 30.0
+                return None
+
+            handle_all(deployment, stall)
+            gateway = await deployment.start_ready_gateway()
+            patient = {"Bankrack-Deadline-Ms": "20000"}
+            serving = asyncio.create_task(
+                call(gateway.settings.front, "/talk/x", headers=patient)
+            )
+            await until(lambda: len(deployment.arrivals()) >= 2)
+            [first] = [a for a in deployment.arrivals() if a.get("Kv-From") is None]
+            [home] = [e for e in deployment.engines if first in e.arrivals]
+            await until(lambda: bool(home.cancelled), seconds=ALLOWED_OVERLAP_SECONDS)
+            response = await serving
+            self.assertFalse(response.complete)
+
+    async def test_silent_engine_is_left_if_its_copy_breaks_off_before_its_head(self):
+        await self.check_silent_engine_is_left(send_raw(b""))
+
+    async def test_silent_engine_is_left_if_its_copy_answers_with_a_failure(self):
+        await self.check_silent_engine_is_left(respond(500))
+
+    async def test_silent_engine_is_left_if_its_copy_answers_another_request(self):
+        headers = {SEAL: "seal", "Bankrack-Request-Id": "r-9"}
+        await self.check_silent_engine_is_left(respond(200, **headers))
+
+
 class NewRuns(TestCase):
     """Runs of resumable routes, which are begun anew."""
 
