--- a/src/bankrack/serving/run.py
+++ b/src/bankrack/serving/run.py
@@ -163,11 +163,17 @@
                 self._log.write("attempt_ended", engine, "rejected")
                 continue
             if exchange.head.status != 200:
-                with contextlib.closing(exchange):
-                    return whole_answer(exchange.head, await exchange.read())
+                return await self._read_answer(exchange)
             self._link.exchange = exchange
             return None
 
+    async def _read_answer(self, exchange: Exchange) -> Answer:
+        """Read a complete response that an engine sent instead of a stream."""
+        with contextlib.closing(exchange):
+            body = await exchange.read()
+        repeatable = self._work.route.resumable
+        return whole_answer(exchange.head, body, repeatable=repeatable)
+
     async def _open_first(self, chosen_engine: ChosenEngine) -> Exchange:
         """Send a run that no engine has yet.
 
@@ -300,11 +306,9 @@
             if copy.holder is silent.engine or copy.holder.removed_at:
                 continue
             if await self._resume_at(copy):
-                silent.leave("resumed")
                 self._dependencies.chooser.suspect(silent.engine)
                 self._resumes += 1
                 return None
-            silent.keep()
         if silent.left:
             self._dependencies.chooser.suspect(silent.engine)
             return await self._continue(error)
