An event without proof of origin does not count as received

Callers of streams could get a complete answer that lacks its first event: if an engine's first event came without proof of origin, it was refused, but its id had been taken for the last one received. The run was then resumed behind an event that the caller never got, and so a run without events was resumed as well.

--- a/src/bankrack/serving/forwarding.py
+++ b/src/bankrack/serving/forwarding.py
@@ -92,8 +92,14 @@
         self._moved = False
 
     async def feed(self, data: bytes, head: Head) -> None:
-        """Add bytes of an engine's response and forward the completed events."""
+        """Add bytes of an engine's response and forward the completed events.
+
+        Raises :exc:`UpstreamFailed` if the first one has no proof of origin; it does
+        not count as received then.
+        """
         for event in self._splitter.feed(data):
+            if not self.began and not head.sealed:
+                raise UpstreamFailed("the engine's response has no proof of origin")
             if self.order.accept(event):
                 await self._write(event.data, head)
 
@@ -112,8 +118,6 @@
         self.last_at = now
         self.count += 1
         if not self.began:
-            if not head.sealed:
-                raise UpstreamFailed("the engine's response has no proof of origin")
             self.began_at = self.last_at
             await self._reply.begin(head.status, head.headers)
         if await self._reply.write(data):
--- a/tests/platform/test_run_handover.py
+++ b/tests/platform/test_run_handover.py
@@ -195,6 +195,26 @@
             self.assertEqual(1, len(begun))
             self.assertEqual(502, response.status)
 
+    async def test_event_without_proof_of_origin_is_not_taken_for_received(self):
+        async with running() as deployment:
+
+            async def unsealed(request: web.BaseRequest) -> web.StreamResponse | None:
+                if is_resume(request):
+                    return None
+                response = web.StreamResponse()
+                response.enable_chunked_encoding()
+                await response.prepare(request)
+                await response.write(b"id: 0\ndata: token0\n\n")
+                await asyncio.sleep(30.0)
+                return response
+
+            for engine in deployment.engines:
+                engine.custom_handler = unsealed
+            gateway = await deployment.start_ready_gateway()
+            response = await call(gateway.settings.front, "/talk/x")
+            self.assertEqual(1, len(deployment.arrivals()))
+            self.assertEqual(502, response.status)
+
 
 class BlockedNodes(TestCase):
     async def test_engine_is_not_left_for_a_silence_in_which_its_node_stood_still(self):
