A run that left its silent engine is not sent back to it, nor to a copy that rejected it

While a copy was asked, the engine that ran the copy's continuation could be given the silent engine as the place of its backup, as only failed engines were avoided. And once the silent engine had been left, the copy that had just rejected the run was asked again, which took another retry.

The silent engine is no place for backups while it is connected, and after it was left only copies are asked whose engines were not asked because they back off.

--- a/src/bankrack/serving/enginelink.py
+++ b/src/bankrack/serving/enginelink.py
@@ -53,6 +53,13 @@
         self._began_at: float | None = None
         self._silent: SilentEngine | None = None
 
+    @property
+    def silent_engine(self) -> Upstream | None:
+        """Silent engine that is still connected while another one is asked, if any."""
+        if self._silent is None or self._silent.left:
+            return None
+        return self._silent.engine
+
     @property
     def running(self) -> Upstream | None:
         """Engine that currently generates the run's events, if any."""
--- a/src/bankrack/serving/run.py
+++ b/src/bankrack/serving/run.py
@@ -255,7 +255,10 @@
         """Send the run to ``engine``, with a backup if the pool has spare memory."""
         backup = None
         if self._backup_fits:
-            backup = self._copies.choose_backup(engine, tried=self._tried)
+            avoided = set(self._tried)
+            if self._link.silent_engine is not None:
+                avoided.add(self._link.silent_engine.id)
+            backup = self._copies.choose_backup(engine, tried=avoided)
         return await self._link.open(
             engine, self._copies, backup=backup, reservation=reservation, resume=resume
         )
@@ -311,7 +314,9 @@
                 return None
         if silent.left:
             self._dependencies.chooser.suspect(silent.engine)
-            return await self._continue(error)
+            if await self._resume_after_backoffs(copies, failed_at=boottime()):
+                return None
+            return await self._begin_again(error)
         self._link.attach(silent)
         self._copies.current = copies
         self._forwarder.restore_engine(splitter)
@@ -343,6 +348,9 @@
         """
         if await self._resume():
             return None
+        return await self._begin_again(error)
+
+    async def _begin_again(self, error: BankrackError) -> Answer | None:
         if self._may_run_again():
             return await self._start()
         raise _interrupted(error) from error
@@ -354,7 +362,12 @@
         for copy in copies:
             if await self._resume_at(copy):
                 return self._note_resumed()
-        # Wait for back-offs only after all copies that are available at once.
+        return await self._resume_after_backoffs(copies, failed_at=failed_at)
+
+    async def _resume_after_backoffs(
+        self, copies: list[Copy], *, failed_at: float
+    ) -> bool:
+        """Resume at a copy that was not asked because its engine is backing off."""
         for copy in copies:
             if await self._resume_after_backoff(copy, failed_at):
                 return self._note_resumed()
--- a/tests/platform/test_run_handover.py
+++ b/tests/platform/test_run_handover.py
@@ -11,6 +11,7 @@
 from bankrack.serving.copies import DROP_TIMEOUT_SECONDS
 from tests.base import TestCase
 from tests.platform.deployment import Deployment
+from tests.platform.deployment import not_run_response
 from tests.platform.deployment import running
 from tests.platform.deployment import until
 from tests.platform.fakes import call
@@ -92,6 +93,56 @@
             longest = max(self.overlaps(deployment))
             self.assertLess(longest, ALLOWED_OVERLAP_SECONDS)
 
+    async def test_silent_engine_does_not_keep_the_backup_of_its_own_run(self):
+        for _ in range(4):
+            async with running() as deployment:
+                await self.serve(deployment, head_after=30.0)
+                first, second = sorted(deployment.arrivals(), key=lambda a: a.at)[:2]
+                [home] = [e for e in deployment.engines if first in e.arrivals]
+                self.assertNotEqual(home.address, second.get("Kv-Backup"))
+
+    async def test_copy_that_rejected_a_run_is_not_asked_again_at_once(self):
+        async with running() as deployment:
+
+            async def reject_late(request: web.BaseRequest) -> web.Response | None:
+                for engine in deployment.engines:
+                    engine.pause = 30.0
+                if not is_resume(request):
+                    return None
+                await asyncio.sleep(0.25)
+                return not_run_response()
+
+            for engine in deployment.engines:
+                engine.custom_handler = reject_late
+            gateway = await deployment.start_ready_gateway()
+            response = await call(gateway.settings.front, "/talk/x")
+            self.assertFalse(response.complete)
+            self.assertEqual(2, len(deployment.arrivals()))
+            engines = gateway.upstreams.of("engines")
+            self.assertEqual([0, 0, 0], [engine.in_flight for engine in engines])
+
+    async def test_silent_engine_stops_if_its_caller_leaves_before_a_copy_is_sent_to(
+        self,
+    ):
+        async with running() as deployment:
+            for engine in deployment.engines:
+                engine.pause = 30.0
+            gateway = await deployment.start_ready_gateway()
+            asked = asyncio.Event()
+
+            async def wait_for_budget(service: str) -> bool:
+                asked.set()
+                await asyncio.sleep(30.0)
+                return True
+
+            gateway.budget.take_or_borrow = wait_for_budget
+            serving = asyncio.create_task(call(gateway.settings.front, "/talk/x"))
+            await asked.wait()
+            serving.cancel()
+            await until(
+                lambda: sum(e.cancelled for e in deployment.engines) == 1, seconds=0.4
+            )
+
     async def test_no_engine_works_on_after_its_caller_left_during_a_handover(self):
         async with running() as deployment:
             serving = asyncio.create_task(self.serve(deployment, head_after=30.0))
