A tunnel ends with the machine of its node

An upstream worked on, and a tunnel and its connection were held, for a node whose machine had ended without a close (a killed vm): a silent one for good, one that answered for as long as the kernel repeats (a quarter of an hour by default).

Cause: the end of the tunnel towards the node had neither probes nor a time-out. Now the kernel probes a silent node after 5 s, and a tunnel is ended once 5 probes or segments in a row were not acknowledged: about 10 s after the last byte, and 6 s where bytes of the answer wait.

--- a/src/bankrack/fleet/tunnelserver.py
+++ b/src/bankrack/fleet/tunnelserver.py
@@ -10,6 +10,7 @@
 from bankrack.clock import boottime
 from bankrack.decisions.descriptors import leaves_room
 from bankrack.decisions.descriptors import Use
+from bankrack.fleet.gonepeers import until_gone
 from bankrack.fleet.hangups import HangupWatch
 from bankrack.metrics import GatewayMetrics
 from bankrack.serving.giveup import give_up
@@ -62,15 +63,19 @@
         """
         request = asyncio.create_task(self._copy(self.node, self.upstream))
         answer = asyncio.create_task(self._copy(self.upstream, self.node))
+        gone = asyncio.create_task(
+            until_gone(self.node.writer.get_extra_info("socket"))
+        )
         try:
-            await _first_of(request, answer, hangup)
+            await _first_of(request, answer, hangup, gone)
             if answer.done() and answer.exception() is None:
                 self.node.writer.write_eof()
-                await _first_of(request, hangup, timeout=READ_TIMEOUT_SECONDS)
+                await _first_of(request, hangup, gone, timeout=READ_TIMEOUT_SECONDS)
         finally:
-            for task in (request, answer):
+            tasks = (request, answer, gone)
+            for task in tasks:
                 task.cancel()
-            await asyncio.gather(request, answer, return_exceptions=True)
+            await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _copy(self, source: "_Stream", target: "_Stream") -> None:
         while data := await source.reader.read(CHUNK_BYTES):
--- a/tests/fleet/test_tunnel_ends.py
+++ b/tests/fleet/test_tunnel_ends.py
@@ -2,9 +2,12 @@
 
 import asyncio
 import contextlib
+import ctypes
 import socket
+import struct
 import typing as t
 
+from bankrack.fleet import gonepeers
 from bankrack.serving.giveup import give_up
 from tests.base import TestCase
 from tests.fleet.test_tunnels import client
@@ -14,6 +17,7 @@
 
 ALLOWED_SECONDS = 0.05
 """Time that the end of a tunnel may take over the loopback interface."""
+SO_ATTACH_FILTER = 26
 
 
 class Tunnelled(t.NamedTuple):
@@ -36,6 +40,14 @@
             writer.transport.abort()
 
 
+def vanish(sock: socket.socket) -> None:
+    """Drop all that arrives, as a machine does that was switched off."""
+    accept_nothing = struct.pack("HBBI", 6, 0, 0, 0)  # BPF: return 0
+    program = ctypes.create_string_buffer(accept_nothing)
+    value = struct.pack("HxxxxxxP", 1, ctypes.addressof(program))
+    sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, value)
+
+
 class EndOfTunnels(TestCase):
     async def check_end(self, tunnel: Tunnelled) -> None:
         took = await tunnel.upstream.seconds_until_end()
@@ -89,6 +101,49 @@
             tunnel.writer.transport.abort()
             await self.check_end(tunnel)
 
+    def probe_soon(self) -> None:
+        self.patch(gonepeers, "PROBE_AFTER_SECONDS", 1)
+        self.patch(gonepeers, "MAX_UNANSWERED", 2)
+
+    async def test_upstream_does_not_work_on_for_a_node_that_vanished(self):
+        self.probe_soon()
+        async with tunnelled() as tunnel:
+            tunnel.writer.write(b"request")
+            await asyncio.sleep(0.1)
+            vanish(tunnel.writer.get_extra_info("socket"))
+            took = await tunnel.upstream.seconds_until_end(limit=6.0)
+            self.assertLess(took, 4.0)
+
+    async def test_upstream_does_not_answer_on_to_a_node_that_vanished(self):
+        self.probe_soon()
+        async with tunnelled() as tunnel:
+            tunnel.writer.write(b"request")
+            await asyncio.sleep(0.1)
+            vanish(tunnel.writer.get_extra_info("socket"))
+            loop = asyncio.get_running_loop()
+            await loop.sock_sendall(tunnel.upstream.sock, b"event")
+            took = await tunnel.upstream.seconds_until_end(limit=6.0)
+            self.assertLess(took, 4.0)
+
+    async def test_tunnel_of_a_node_that_only_waits_is_kept(self):
+        self.probe_soon()
+        async with tunnelled() as tunnel:
+            tunnel.writer.write(b"request")
+            took = await tunnel.upstream.seconds_until_end(limit=4.0)
+            self.assertGreaterEqual(took, 4.0)
+
+    async def test_tunnel_of_a_node_that_reads_nothing_for_long_is_kept(self):
+        """The callers of some nodes read slowly."""
+        self.probe_soon()
+        async with tunnelled() as tunnel:
+            tunnel.reader._transport.pause_reading()
+            loop = asyncio.get_running_loop()
+            sending = loop.create_task(loop.sock_sendall(tunnel.upstream.sock, LARGE))
+            took = await tunnel.upstream.seconds_until_end(limit=6.0)
+            self.assertGreaterEqual(took, 6.0)
+            sending.cancel()
+            await asyncio.gather(sending, return_exceptions=True)
+
     async def test_upstream_that_half_closed_does_not_work_on_after_its_node_left(self):
         async with tunnelled() as tunnel:
             tunnel.writer.write(LARGE)
