Tests of reservations, late resumptions and early callers, which are sent once

A reservation goes to its own engine only, an engine that does not resume a run is left before the run is begun anew, and a request that came before the start is sent once.

--- a/tests/platform/test_second_sends.py
+++ b/tests/platform/test_second_sends.py
@@ -7,11 +7,14 @@
 
 from aiohttp import web
 
+from bankrack.serving import run
 from tests.base import TestCase
 from tests.platform.deployment import Deployment
+from tests.platform.deployment import not_run_response
 from tests.platform.deployment import running
 from tests.platform.deployment import until
 from tests.platform.fakes import call
+from tests.platform.fakes import FakeEngine
 from tests.platform.fakes import FakeServer
 from tests.platform.fakes import ReceivedResponse
 
@@ -310,6 +313,62 @@
             [left_at] = [at for s in deployment.engines for at in s.cancelled_at]
             self.assertLess(left_at - second_at, ALLOWED_OVERLAP_SECONDS)
 
+    async def test_engine_that_does_not_resume_a_run_is_left_before_a_new_one(self):
+        self.patch(run, "RESUME_TIMEOUT_SECONDS", 0.5)
+        async with running() as deployment:
+
+            async def resume_never(request: web.BaseRequest) -> None:
+                for engine in deployment.engines:
+                    engine.cut_after = 2 if len(deployment.arrivals()) == 1 else -1
+                if "Kv-From" in request.headers:
+                    await asyncio.sleep(30.0)
+
+            handle_all(deployment, resume_never)
+            gateway = await deployment.start_ready_gateway()
+            patient = {"Bankrack-Deadline-Ms": "20000"}
+            response = await call(gateway.settings.front, "/note/x", headers=patient)
+            self.assertTrue(response.complete)
+            self.assertEqual(5, response.body.count(b"data:"))
+            arrivals = sorted(deployment.arrivals(), key=lambda arrival: arrival.at)
+            forms = [
+                (arrival.get("Kv-From") is not None, arrival.get("Last-Event-Id"))
+                for arrival in arrivals
+            ]
+            self.assertEqual([(False, None), (True, "1"), (False, "1")], forms)
+            [left_at] = [at for s in deployment.engines for at in s.cancelled_at]
+            self.assertLess(left_at - arrivals[-1].at, ALLOWED_OVERLAP_SECONDS)
+
+
+class ReservationsOfRuns(TestCase):
+    async def test_reservation_is_not_used_again_at_another_engine(self):
+        async with running() as deployment:
+
+            async def reject_first(request: web.BaseRequest) -> web.Response | None:
+                return not_run_response() if len(deployment.arrivals()) < 3 else None
+
+            def reserve_as(engine: FakeEngine) -> Handler:
+                control = engine.control
+
+                async def handle(request: web.BaseRequest) -> web.StreamResponse:
+                    if request.path == "/v1/hold-take":
+                        return web.json_response({"hold": f"h-{engine.id}"})
+                    return await control(request)
+
+                return handle
+
+            for engine in deployment.engines:
+                engine.control = reserve_as(engine)  # type: ignore[method-assign]
+            handle_all(deployment, reject_first)
+            gateway = await deployment.start_ready_gateway()
+            response = await call(gateway.settings.front, "/talk/x")
+            self.assertTrue(response.complete)
+            holds = {
+                engine.id: [arrival.get("Hold") for arrival in engine.arrivals]
+                for engine in deployment.engines
+            }
+            wanted = {engine.id: [f"h-{engine.id}"] for engine in deployment.engines}
+            self.assertEqual(wanted, holds)
+
 
 async def hang_behind_unsealed_event(request: web.BaseRequest) -> web.StreamResponse:
     response = web.StreamResponse()
--- a/tests/platform/test_starting.py
+++ b/tests/platform/test_starting.py
@@ -146,6 +146,7 @@
         async with running() as deployment:
             await deployment.start_ready_gateway(listening=listening)
             self.assertEqual(200, (await calling).status)
+            self.assertEqual(1, len(deployment.arrivals()))
 
     def test_invalid_settings_yield_no_socket(self):
         for text in ("nonsense [", "[listen]\n", "[listen]\nfront = 'x:y'\n"):
