The unsent rest of a body is dropped if its response is given up

An upstream that had begun to answer before it had read the whole body was sent the rest of it after its caller had left or the deadline had passed, and learned of the end only behind it; so did a silent engine that was left for its copy.

The rest was dropped only while no response had begun. It is due to an upstream that has answered completely; any other close ends the request, so the rest is dropped.

--- a/src/bankrack/serving/client.py
+++ b/src/bankrack/serving/client.py
@@ -124,8 +124,9 @@
 
     aiohttp itself treats any end of the connection as the end of such a response.  It
     also keeps the unsent rest of a request whose connection was closed, until the
-    upstream reads it; here the rest is dropped unless a response has begun.  A
-    connection on which interim responses don't end is closed.
+    upstream reads it; here the rest is dropped unless the response is complete, so that
+    the upstream stops working on the request.  A connection on which interim responses
+    don't end is closed.
     """
 
     _interim_count = 0
@@ -144,7 +145,8 @@
     def close(self) -> None:
         transport = self.transport
         unsent = transport.get_write_buffer_size() if transport is not None else 0
-        if unsent and self._payload is None:
+        is_complete = self._payload is not None and self._payload.is_eof()
+        if unsent and not is_complete:
             self.abort()
         else:
             super().close()
--- a/tests/platform/test_large_bodies.py
+++ b/tests/platform/test_large_bodies.py
@@ -158,3 +158,33 @@
                 while part := await asyncio.to_thread(connection.recv, 1 << 20):
                     received += len(part)
             self.assertLess(received, len(BODY))
+
+    async def test_unsent_body_is_dropped_if_its_response_is_given_up(self):
+        """An upstream that answers while it reads learns that the request ended."""
+        async with serving(memory_mb=128) as (deployment, gateway):
+            listener = socket.create_server((HOST, 0))
+            self.addCleanup(listener.close)
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            address = f"{HOST}:{listener.getsockname()[1]}"
+            for server in deployment.plain:
+                deployment.store.remove(f"servers/{server.id}")
+            entry = deployment.plain[0].entry("plain", address=address)
+            deployment.store.put("servers/p-3", entry)
+            available = gateway.upstreams.available_of
+            await until(lambda: [u.id for u in available("plain")] == ["p-3"])
+            calling = asyncio.create_task(
+                call(gateway.settings.front, "/bill/x", body=BODY)
+            )
+            connection, _ = await asyncio.to_thread(listener.accept)
+            with connection:
+                connection.sendall(
+                    b"HTTP/1.1 200 OK\r\nBankrack-Response-Seal: s\r\n"
+                    b"Bankrack-Request-Id: r-1\r\nContent-Length: 9\r\n\r\nhalf"
+                )
+                self.assertEqual(504, (await calling).status)
+                connection.settimeout(5.0)
+                received = 0
+                with contextlib.suppress(ConnectionResetError):
+                    while part := await asyncio.to_thread(connection.recv, 1 << 20):
+                        received += len(part)
+            self.assertLess(received, len(BODY))
