The line that counts dropped log lines has a time and a level

The incident's record lacks some 20 lines of a node, and whether they were dropped can't be told: log_lines_dropped was the only line without time and level, so a filter by level loses it. It is formatted like all others now, as a warning. test_lines_that_were_dropped_are_counted_in_a_line_with_time_and_level failed before.

--- a/src/bankrack/logs.py
+++ b/src/bankrack/logs.py
@@ -34,11 +34,17 @@
             self.dropped += 1
             return
         if self.dropped:
-            line = b"event=log_lines_dropped count=%d\n" % self.dropped + line
+            line = self._dropped_line() + line
             self.dropped = 0
         self._pending += line
         self._write()
 
+    def _dropped_line(self) -> bytes:
+        """Format the number of lines dropped like any other event."""
+        message = f"event=log_lines_dropped count={self.dropped}"
+        fields = {"msg": message, "levelno": logging.WARNING, "levelname": "WARNING"}
+        return self.format(logging.makeLogRecord(fields)).encode() + b"\n"
+
     def _write(self) -> None:
         try:
             written = os.write(self._descriptor, self._pending)
