The last copy of a run is waited for as long as its caller waits

Since a silent engine is left 0.15 s after the send, a copy that began later than 2.0 s lost its stream, where the silent engine might have gone on before (found by the review: a silence of 0.9 s, a head after 2.2 s). Nothing else can continue such a run, so the last copy has until the caller gives up; 2.0 s hold where another copy or a new run can follow.

--- a/src/bankrack/serving/run.py
+++ b/src/bankrack/serving/run.py
@@ -36,7 +36,8 @@
 """Timeout for an engine to begin a run, in target latencies.  Shorter timeouts cause
 retries that overload the engines further."""
 RESUME_TIMEOUT_SECONDS = 2.0
-"""Timeout for resuming a run at a copy, which first recomputes missing tokens."""
+"""Timeout for resuming a run at a copy, which first recomputes missing tokens.  The
+last copy has until the caller gives up, as nothing else can continue the run."""
 
 
 class Run:
@@ -308,7 +309,7 @@
         for copy in copies:
             if copy.holder is silent.engine or copy.holder.removed_at:
                 continue
-            if await self._resume_at(copy):
+            if await self._resume_at(copy, is_last=copy is copies[-1]):
                 self._dependencies.chooser.suspect(silent.engine)
                 self._resumes += 1
                 return None
@@ -360,7 +361,7 @@
         copies = self._usable_copies()
         failed_at = boottime()
         for copy in copies:
-            if await self._resume_at(copy):
+            if await self._resume_at(copy, is_last=copy is copies[-1]):
                 return self._note_resumed()
         return await self._resume_after_backoffs(copies, failed_at=failed_at)
 
@@ -394,9 +395,20 @@
         ):
             return False
         await asyncio.sleep(backoff_left)
-        return await self._resume_at(copy)
+        return await self._resume_at(copy, is_last=True)
 
-    async def _resume_at(self, copy: Copy) -> bool:
+    def _resume_seconds(self, *, is_last: bool) -> float:
+        """Return the timeout for resuming the run at a copy."""
+        if not is_last or self._may_run_again():
+            return RESUME_TIMEOUT_SECONDS
+        silence = boottime() - self._forwarder.last_at
+        return max(RESUME_TIMEOUT_SECONDS, self._work.max_silence - silence)
+
+    async def _resume_at(self, copy: Copy, *, is_last: bool) -> bool:
+        """Resume the run at a copy; returns whether that succeeded.
+
+        :param is_last: there is no further copy.
+        """
         holder = copy.holder
         obstacle = holder.resume_obstacle(boottime())
         if obstacle is not None:
@@ -410,7 +422,7 @@
             return False
         resume = Resume(copy.source, copy.handle)
         try:
-            async with asyncio.timeout(RESUME_TIMEOUT_SECONDS):
+            async with asyncio.timeout(self._resume_seconds(is_last=is_last)):
                 exchange = await self._open(holder, resume=resume)
         except (BankrackError, TimeoutError) as error:
             self._link.disconnect()
--- a/tests/platform/test_run_handover.py
+++ b/tests/platform/test_run_handover.py
@@ -8,6 +8,7 @@
 from bankrack.clock import boottime
 from bankrack.decisions import backups
 from bankrack.serving import bufferedresponses
+from bankrack.serving import run
 from bankrack.serving.copies import DROP_TIMEOUT_SECONDS
 from tests.base import TestCase
 from tests.platform.deployment import Deployment
@@ -80,6 +81,10 @@
     async def test_silent_engine_does_not_work_on_beside_a_copy_near_its_timeout(self):
         await self.check_overlap(head_after=1.5)
 
+    async def test_last_copy_is_not_given_up_while_its_caller_waits(self):
+        self.patch(run, "RESUME_TIMEOUT_SECONDS", 0.3)
+        await self.check_overlap(head_after=0.8)
+
     async def test_silent_engine_does_not_work_on_beside_a_copy_that_never_begins(self):
         async with running() as deployment:
             response = await self.serve(deployment, head_after=30.0)
