The soak of gateways finds runs at two engines, and makes them likely

Cause: the soak let an engine work on for 1.0 s beside the one that had taken over its run (0.4 are allowed), took Kv-From alone for the same run, and its runs hardly moved: in 6 s of faults 0 or 1 was resumed, as nothing stalls for long and pools give no backups in their first 10 s.

Change: runs.py checks, at the servers, that a request that may run once is begun once (a later run is the same one only with Kv-From and Last-Event-Id), and that no two engines are at work on it for over 0.4 s. All beside the usual faults. The bugs lingering and eventless bring back the silent engine that is kept until the copy's head has come, and the resumption of runs without events.

--- a/soak/gateway/__main__.py
+++ b/soak/gateway/__main__.py
@@ -74,6 +74,7 @@
     idle: bool = False,
     large: bool = False,
     silencing: bool = False,
+    handover: bool = False,
 ) -> int:
     """Run one soak.
 
@@ -89,6 +90,8 @@
     :param large: also write large configurations in series, over narrow links.
     :param silencing: only pause most of a hall while routes are dropped and servers
         drain, and stop gateways with kept connections while the store is silent.
+    :param handover: also have engines stand still and break answers off, more callers
+        of streams, and stops of gateways with kept connections.
     :param crowded: let a workspace ask for most of the engines instead.
     :return: the exit code.
     """
@@ -98,8 +101,9 @@
     store = SoakStore(random.Random(seed + 1))
     await store.start()
     names = [f"gateway-{number}" for number in range(count)]
+    bugs = f"{bug},backups" if handover else bug
     gateways = [
-        Gateway(name, HALLS[number % len(HALLS)], store.address, folder, bug)
+        Gateway(name, HALLS[number % len(HALLS)], store.address, folder, bugs)
         for number, name in enumerate(names)
     ]
     store.link_by_address = {
@@ -108,6 +112,7 @@
     }
     journal = Journal()
     callers = Callers(gateways, random.Random(seed + 2))
+    callers.until_gone = handover
     checker = Checker(callers, journal)
     callers.undisturbed = lambda gateway: time.monotonic() > gateway.undisturbed_from
     injector = FaultInjector(gateways, store, journal, checker, random.Random(seed + 3))
@@ -115,9 +120,10 @@
     silenced = Silencing(callers, injector, store, checker)
     expiring = asyncio.create_task(store.expire())
     lag_monitor = LagMonitor()
+    checker.held_up = lag_monitor.spans
     monitoring = asyncio.create_task(lag_monitor.watch())
     try:
-        await injector.begin()
+        await injector.begin(conducts=random.Random(seed) if handover else None)
         for gateway in gateways:
             await gateway.store_link.start()
             await gateway.inner_link.start()
@@ -132,6 +138,7 @@
             callers.flood: flooded,
             callers.crowd: idle,
             callers.press: crowded,
+            callers.converse: handover,
         }
         other_calls = asyncio.gather(*(call() for call, on in chosen.items() if on))
         if crowded:
@@ -143,8 +150,10 @@
             await silenced.run(seed, minutes * 60.0)
             await asyncio.sleep(SETTLE_SECONDS)
         else:
-            await _inject_faults(
-                injector, disasters, seed, seconds=minutes * 60.0, large=large
+            seconds = minutes * 60.0
+            await asyncio.gather(
+                silenced.stop_nodes(random.Random(seed), seconds * handover),
+                _inject_faults(injector, disasters, seed, seconds=seconds, large=large),
             )
         callers.ended = True
         await calling
@@ -267,6 +276,11 @@
         action="store_true",
         help="pause most of a hall and stop gateways with kept connections in series",
     )
+    parser.add_argument(
+        "--handover",
+        action="store_true",
+        help="have engines stand still, and stop gateways with kept connections",
+    )
     parser.add_argument(
         "--keep", default="", help="new folder for the logs, kept after the soak"
     )
@@ -289,6 +303,7 @@
                 idle=options.idle,
                 large=options.large,
                 silencing=options.silencing,
+                handover=options.handover,
             )
         )
 
--- a/soak/gateway/buggy.py
+++ b/soak/gateway/buggy.py
@@ -1,6 +1,7 @@
 """Gateway with one known bug enabled, to verify that the soak detects it.
 
-``python -m soak.gateway.buggy BUG SETTINGS``; the bug ``none`` changes nothing.
+``python -m soak.gateway.buggy BUG SETTINGS``; the bug ``none`` changes nothing, and
+several are named with commas.
 """
 
 import asyncio
@@ -22,6 +23,7 @@
 from bankrack.fleet.view import View
 from bankrack.front.callerserver import CallerServer
 from bankrack.gateway import Gateway
+from bankrack.placement.allocation import Allocator
 from bankrack.serving import notices
 from bankrack.serving import outliers
 from bankrack.serving.choice import Chooser
@@ -31,6 +33,8 @@
 from bankrack.serving.job import RequestKind
 from bankrack.serving.notices import NoticeHandler
 from bankrack.serving.plain import PlainRelay
+from bankrack.serving.run import Run
+from bankrack.serving.silentengine import SilentEngine
 from bankrack.serving.upstreams import Upstream
 from soak.gateway import cutoff
 from storeera import StoreEra
@@ -165,11 +169,27 @@
     notices._rate_limit = lambda notice, known, sent_at: notice.rate_limit
 
 
+def keep_silent_engines() -> None:
+    """Keep a silent engine until the head of its copy's answer has come."""
+    SilentEngine.note_sent = lambda self: None  # type: ignore[method-assign]
+
+
+def resume_without_events() -> None:
+    """Resume runs of which the caller has no event."""
+    Run._usable_copies = lambda self: self._copies.current  # type: ignore[method-assign]
+
+
+def back_up_all() -> None:
+    """Give all runs backups, also before crashes make them worth it; not a bug."""
+    Allocator._backup_fits = lambda self, engines, request: True  # type: ignore[method-assign]
+
+
 BUGS = {
     "direct": open_no_tunnels,
     "era": ignore_eras,
     "brittle": press_brittle,
     "none": lambda: None,
+    "backups": back_up_all,
     "resume": resume_from_start,
     "outcome": report_not_run,
     "repeat": retry_anything,
@@ -182,12 +202,15 @@
     "trusting": trust_failing,
     "level": ignore_speeds,
     "unaccepting": stop_accepting,
+    "lingering": keep_silent_engines,
+    "eventless": resume_without_events,
 }
 
 
 def main() -> int:
     """Enable the bug and run the gateway."""
-    BUGS[sys.argv[1]]()
+    for name in sys.argv[1].split(","):
+        BUGS[name]()
     keep_send_buffers_small()
     cutoff.install(sys.argv[2])
     os.environ[serve.SETTINGS_VARIABLE] = sys.argv[2]
--- a/soak/gateway/callers.py
+++ b/soak/gateway/callers.py
@@ -17,11 +17,16 @@
 from soak.gateway.fakes import POISON
 from soak.gateway.fakes import POISON_PART
 from soak.gateway.processes import Gateway
+from soak.gateway.processes import GRACE_SECONDS
 
 PATHS = ("look", "look", "bill", "bill", "talk")
 CALL_TIMEOUT_SECONDS = 6.0
 MEAN_PAUSE_SECONDS = 0.08
+CROSS_SECONDS = 0.2
+"""A request that is sent so shortly before the close may cross it unread."""
 POISON_INTERVAL_SECONDS = 0.2
+TALKERS = 10
+"""Further callers of streams while runs move from one engine to another."""
 FLOOD_CALLS = 600
 """Calls of one flood, each over a connection of its own."""
 IDLE_CALLS = 150
@@ -126,12 +131,16 @@
     """Sends requests to all gateways until ``ended`` is set.
 
     :param rng: draws gateways, paths, pauses and the callers' behavior.
+    :ivar until_gone: callers use a gateway's connections until its process has ended.
+    :ivar crossing: calls that were sent as their connection was closed; none may run.
     """
 
     def __init__(self, gateways: list[Gateway], rng: random.Random) -> None:
         self.calls: list[Call] = []
         self.floods: list[list[Call]] = []
         self.crowds: list[Crowd] = []
+        self.crossing: list[Call] = []
+        self.until_gone = False
         self.paths: list[str] = []
         self.ended = False
         self.undisturbed: t.Callable[[Gateway], bool] = lambda gateway: True
@@ -158,6 +167,10 @@
                 await self.call(session, "talk", part=POISON_PART, poisonous=True)
                 await asyncio.sleep(POISON_INTERVAL_SECONDS)
 
+    async def converse(self) -> None:
+        """Ask for one stream after the other from more callers, until the end."""
+        await asyncio.gather(*(self._work(("talk",)) for _ in range(TALKERS)))
+
     async def flood(self) -> None:
         """Open most new connections at one gateway after the other, until the end."""
         timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_SECONDS, sock_connect=1.0)
@@ -231,13 +244,13 @@
                     retry_after = call.retry_after
                     await asyncio.sleep(patience * retry_after)
 
-    async def _work(self) -> None:
+    async def _work(self, paths: t.Sequence[str] = ()) -> None:
         timeout = aiohttp.ClientTimeout(
             total=CALL_TIMEOUT_SECONDS + 2, sock_connect=1.0
         )
         async with aiohttp.ClientSession(timeout=timeout) as session:
             while not self.ended:
-                path = self._rng.choice([*PATHS, *self.paths])
+                path = self._rng.choice(paths or [*PATHS, *self.paths])
                 await self.call(session, path)
                 await asyncio.sleep(self._rng.expovariate(1 / MEAN_PAUSE_SECONDS))
 
@@ -288,10 +301,19 @@
         except aiohttp.ClientConnectorError:
             call.connected = False
         except (aiohttp.ClientError, TimeoutError, OSError):
-            pass  # The call stays incomplete; whether it may be is checked later.
+            # The call stays incomplete; whether it may be is checked later.
+            self._note_crossed(call)
         call.ended = time.monotonic()
         return call
 
+    def _note_crossed(self, call: Call) -> None:
+        """Record a call on an open connection that crossed the close of a stop."""
+        age = time.monotonic() - call.sent
+        is_stop = call.node.stop_requested_at and call.undisturbed
+        if self.until_gone and is_stop and not call.status and age < CROSS_SECONDS:
+            call.connected = False
+            self.crossing.append(call)
+
     def begin(self, path: str, node: Gateway, *, key: str = KEY) -> Call:
         """Record a request that is sent now."""
         request = f"q{next(self._numbers)}"
@@ -307,7 +329,8 @@
         SIGTERM.
         """
         stopped_at = gateway.stop_requested_at
-        return not stopped_at or time.monotonic() < stopped_at + 2.0
+        seconds = GRACE_SECONDS if self.until_gone else 2.0
+        return not stopped_at or time.monotonic() < stopped_at + seconds
 
     async def _read(self, call: Call, response: aiohttp.ClientResponse) -> None:
         call.disconnects = self._rng.random() < DISCONNECT_FRACTION
--- a/soak/gateway/checks.py
+++ b/soak/gateway/checks.py
@@ -5,7 +5,6 @@
 import itertools
 import math
 import re
-import time
 import typing as t
 
 from soak.gateway.callers import Call
@@ -20,8 +19,12 @@
 from soak.gateway.fakes import Journal
 from soak.gateway.fakes import SoakEngine
 from soak.gateway.fakes import SPEEDS
+from soak.gateway.lag import blocked_spans
+from soak.gateway.lag import Span
 from soak.gateway.processes import Gateway
 from soak.gateway.processes import GRACE_SECONDS
+from soak.gateway.runs import Troubles
+from soak.gateway.runs import violations
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 DENIAL_STATUSES = frozenset({401, 403, 404})
@@ -29,8 +32,6 @@
 APPLY_SECONDS = 2.0
 TIMER_TOLERANCE_SECONDS = 0.4
 """Tolerance for timers that fire late on a busy machine."""
-OVERLAP_SECONDS = 1.0
-"""Longest time that a run may continue on an engine after its resume on another."""
 CUT_PATTERN = re.compile(r"event=caller_cut .*?request=(\S+)")
 MAX_LOG_EXCERPT = 3000
 """Characters of a gateway's log quoted from the first sign of a failure."""
@@ -113,7 +114,6 @@
         self.left_at_by_server: dict[str, float] = {}
         self.resets: list[Reset] = []
         self.added_at_by_path: dict[str, float] = {}
-        self.crossing: list[Call] = []
         self.dropping_at_by_path: dict[str, float] = {}
         self.dropped_at_by_path: dict[str, float] = {}
         self.engine_by_id: dict[str, SoakEngine] = {}
@@ -121,6 +121,8 @@
         self.hall_cuts: list[tuple[float, float]] = []
         self.cuts: list[Cut] = []
         self.response_faults: list[tuple[float, float]] = []
+        self.link_faults: dict[str, list[Span]] = collections.defaultdict(list)
+        self.held_up: list[Span] = []
 
     def record_violation(self, text: str) -> None:
         """Record a violated guarantee and print it."""
@@ -135,13 +137,13 @@
             self._check_response(call, ran=runs[call.request] > 0)
             self._check_denial(call)
             self._check_closed(call)
-        for call in self.crossing:
+        for call in self._callers.crossing:
             if runs[call.request]:
                 self.record_violation(
                     f"{call.request} ran, and {call.node.name} closed its connection "
                     "without a response"
                 )
-        self._check_runs({call.request: call.path for call in calls})
+        self._check_runs(gateways)
         self._check_leaving()
         self._check_notices()
         self._check_limits()
@@ -339,24 +341,12 @@
                 f"{call.request}: {call.node.name} closed without a response"
             )
 
-    def _check_runs(self, path_by_request: dict[str, str]) -> None:
-        runs_by_request = collections.defaultdict(list)
-        for run in self._journal.runs:
-            runs_by_request[run.request].append(run)
-        for request, runs in runs_by_request.items():
-            path = path_by_request.get(request)
-            if path is None:
-                self.record_violation(f"{request} ran but no caller sent it")
-                continue
-            starts = [run for run in runs if not run.resumed]
-            if not path.startswith("look") and len(starts) > 1:
-                self.record_violation(f"{request} ({path}) ran {len(starts)} times")
-            for earlier, later in itertools.pairwise(runs):
-                ended = earlier.ended or time.monotonic()
-                if path == "talk" and ended > later.began + OVERLAP_SECONDS:
-                    self.record_violation(
-                        f"{request} ran on two engines at the same time"
-                    )
+    def _check_runs(self, gateways: list[Gateway]) -> None:
+        """Check how often requests ran, and at how many engines at a time."""
+        spans = {gateway: blocked_spans(gateway) for gateway in gateways}
+        troubles = Troubles(self.held_up, spans, self.link_faults)
+        for text in violations(self._callers.calls, self._journal.runs, troubles):
+            self.record_violation(text)
 
     def _check_leaving(self) -> None:
         call_by_request = {call.request: call for call in self._callers.calls}
--- a/soak/gateway/fakes.py
+++ b/soak/gateway/fakes.py
@@ -17,6 +17,8 @@
 from tests.platform.fakes import FakeServer
 from tests.platform.fakes import FakeStore
 
+from soak.gateway.conduct import Conduct
+from soak.gateway.conduct import draw
 from soak.links import Link
 
 EXPIRY_INTERVAL_SECONDS = 0.2
@@ -68,7 +70,8 @@
     """A request that a server started to process.
 
     :param began: monotonic time; so is ``ended``.
-    :param resumed: it continued from a copy and counts as the same run.
+    :param resumed: it was sent with ``Kv-From`` and ``Last-Event-Id``, both of which
+        make it count as the same run.
     """
 
     request: str
@@ -78,6 +81,11 @@
     resumed: bool
     ended: float | None = None
 
+    @property
+    def end(self) -> float:
+        """Monotonic time of its end; now if it goes on."""
+        return self.ended or time.monotonic()
+
 
 @dataclasses.dataclass(slots=True)
 class Arrival:
@@ -236,7 +244,7 @@
 
     def _begin(self, request: web.BaseRequest) -> Run:
         request_id = request.headers[REQUEST_ID]
-        resumed = "Kv-From" in request.headers
+        resumed = {"Kv-From", "Last-Event-Id"} <= request.headers.keys()
         run = Run(request_id, self.id, self.service, time.monotonic(), resumed)
         return self.journal.begin(run)
 
@@ -347,6 +355,8 @@
     """An engine whose events name their request.
 
     :ivar closed: monotonic time from which it leaves or is gone.
+    :ivar strict: it takes ``Kv-From`` without ``Last-Event-Id`` for a new run.
+    :ivar conducts: draws how it serves each run; by default it serves all alike.
     """
 
     service = "engines"
@@ -356,6 +366,8 @@
         self.pause = EVENT_INTERVAL_SECONDS
         self.closed = math.inf
         self.stalled = False
+        self.strict = False
+        self.conducts: random.Random | None = None
         self.on_poison: t.Callable[[SoakEngine, str], None] = lambda engine, cause: None
 
     @property
@@ -383,6 +395,8 @@
         request_id = request.headers[REQUEST_ID]
         first = 0
         copy_handle = request.headers.get("Kv-From")
+        if self.strict and "Last-Event-Id" not in request.headers:
+            copy_handle = None
         if copy_handle is not None:
             if copy_handle not in self.handles:
                 return web.Response(status=503, headers={"Bankrack-Not-Executed": "1"})
@@ -392,14 +406,18 @@
         if backup in self.engine_by_address:
             self.engine_by_address[backup].handles.add(f"{backup}/{request_id}")
         run = self._begin(request)
+        conduct = Conduct()
+        if self.conducts is not None:
+            conduct = draw(self.conducts, resumed=run.resumed)
         try:
-            return await self._stream(request, request_id, first)
+            return await self._stream(request, request_id, first, conduct)
         finally:
             run.ended = time.monotonic()
 
     async def _stream(
-        self, request: web.BaseRequest, request_id: str, first: int
+        self, request: web.BaseRequest, request_id: str, first: int, conduct: Conduct
     ) -> web.StreamResponse:
+        await asyncio.sleep(conduct.head_delay)
         response = web.StreamResponse(headers=self.sealed(request))
         response.content_type = "text/event-stream"
         response.enable_chunked_encoding()
@@ -408,7 +426,9 @@
             await asyncio.sleep(POISON_DELAY_SECONDS)
             self.on_poison(self, cause)
         for number in range(first, event_count(request_id)):
-            if self.breaks_off:
+            if number == first + conduct.stall_after:
+                await asyncio.sleep(conduct.stall_seconds)
+            if self.breaks_off or conduct.breaks_off:
                 await response.write(b"id: %d\ndata: to" % number)
                 self._abort(request)
                 return response
--- a/soak/gateway/faults.py
+++ b/soak/gateway/faults.py
@@ -57,6 +57,8 @@
 """Kinds of faults; the number of entries is the weight of a kind."""
 
 
+STRICT_FRACTION = 0.5
+"""Fraction of the engines that are strict where engines differ in their conduct."""
 LARGE_ROUTES = 1_400
 """Routes that only make the configurations large."""
 LARGE_PAUSE_SECONDS = (0.8, 3.0)
@@ -121,6 +123,7 @@
         self._restarts: set[asyncio.Task[None]] = set()
         self.servers: list[SoakServer] = []
         self.engines: list[SoakEngine] = []
+        self._conducts: random.Random | None = None
         self._gateways = gateways
         self._store = store
         self._journal = journal
@@ -131,8 +134,13 @@
         self._added: list[str] = []
         self._large_routes: list[dict[str, t.Any]] = []
 
-    async def begin(self) -> None:
-        """Start the initial servers and write the initial configuration."""
+    async def begin(self, *, conducts: random.Random | None = None) -> None:
+        """Start the initial servers and write the initial configuration.
+
+        :param conducts: draws how engines serve runs, see :mod:`soak.gateway.conduct`;
+            by default they serve all alike.
+        """
+        self._conducts = conducts
         for _ in range(3):
             await self._open_server()
             await self._open_engine()
@@ -378,7 +386,9 @@
         server = rng.choice([*self.servers, *self.engines])
         for gateway in self._gateways:
             gateway.disturb(0.0)
+        began = time.monotonic()
         await self._disturb_link(server.link, kind, rng.uniform(0.5, 3.0))
+        self._checker.link_faults[server.id].append((began, time.monotonic()))
 
     # Engines
 
@@ -386,6 +396,9 @@
         engine = SoakEngine(f"e-{next(self._numbers)}", self._journal, self._rng)
         await engine.open()
         engine.on_poison = self._end_poisoned
+        if self._conducts is not None:
+            engine.conducts = random.Random(self._conducts.getrandbits(64))
+            engine.strict = self._conducts.random() < STRICT_FRACTION
         self.engines.append(engine)
         self._checker.engine_by_id[engine.id] = engine
         for known in self.engines:
--- a/soak/gateway/silencing.py
+++ b/soak/gateway/silencing.py
@@ -12,6 +12,7 @@
 from soak.gateway.callers import Call
 from soak.gateway.callers import CALL_TIMEOUT_SECONDS
 from soak.gateway.callers import Callers
+from soak.gateway.callers import CROSS_SECONDS
 from soak.gateway.callers import KEY
 from soak.gateway.checks import Checker
 from soak.gateway.fakes import SoakStore
@@ -26,8 +27,6 @@
 KEPT_CONNECTIONS = 30
 USE_SECONDS = 6.0
 """Time after SIGTERM over which kept connections are used."""
-LOSS_SLACK_SECONDS = 0.2
-"""A request that is sent so shortly before the close may cross it unread."""
 REQUEST = (
     "POST /bill/x HTTP/1.1\r\nHost: h.example\r\nBankrack-Request-Id: {id}\r\n"
     "Bankrack-Deadline-Ms: 3000\r\nBankrack-Key: {key}\r\nContent-Length: 2\r\n\r\nhi"
@@ -95,7 +94,7 @@
             self._pause_halls(random.Random(rng.getrandbits(64)), ends_at),
             self._change(random.Random(rng.getrandbits(64)), ends_at),
             self._drain(random.Random(rng.getrandbits(64)), ends_at),
-            self._stop_nodes(random.Random(rng.getrandbits(64)), ends_at),
+            self.stop_nodes(random.Random(rng.getrandbits(64)), seconds),
         )
 
     async def _pause_halls(self, rng: random.Random, ends_at: float) -> None:
@@ -131,7 +130,9 @@
             await asyncio.sleep(rng.uniform(*LEAVE_SECONDS))
         await asyncio.gather(*leaving)
 
-    async def _stop_nodes(self, rng: random.Random, ends_at: float) -> None:
+    async def stop_nodes(self, rng: random.Random, seconds: float) -> None:
+        """Stop one node after the other, while callers use connections to it."""
+        ends_at = time.monotonic() + seconds
         while time.monotonic() < ends_at:
             await asyncio.sleep(rng.uniform(1.0, 3.0))
             node = rng.choice(self._gateways)
@@ -179,8 +180,8 @@
         if found != "closed":
             return
         call.connected = False
-        self._checker.crossing.append(call)
-        if call.ended > call.sent + LOSS_SLACK_SECONDS:
+        self._callers.crossing.append(call)
+        if call.ended > call.sent + CROSS_SECONDS:
             self._checker.record_violation(
                 f"{call.request}: {node.name} closed a kept connection {seconds:.1f} s "
                 "after SIGTERM with a request that it had read"
