--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,8 +10,13 @@
 import time
 
 from soak.gateway import __main__ as command
+from soak.gateway.callers import Call
+from soak.gateway.fakes import Run
 from soak.gateway.faults import plan
 from soak.gateway.lag import LagMonitor
+from soak.gateway.processes import Gateway
+from soak.gateway.runs import Troubles
+from soak.gateway.runs import violations
 
 from tests.base import TestCase
 
@@ -86,6 +91,39 @@
         self.assertIn("held up itself 1 times", str(monitor))
 
 
+class Overlap(TestCase):
+    """Two engines at work on a run, with and without hold-ups and faults."""
+
+    def found(self, *runs, held_up=(), links=(), disturbed_at=()):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        node = Gateway("n", "a", "127.0.0.1:1", pathlib.Path(folder.name), "none")
+        node.disturbed_at = list(disturbed_at)
+        troubles = Troubles(list(held_up), {node: []}, {"e-1": list(links)})
+        call = Call("q1", "talk", node, 0.0, True)
+        return list(violations([call], runs, troubles))
+
+    def run_at(self, server, began, ended, *, resumed=True):
+        return Run("q1", server, "engines", began, resumed, ended)
+
+    def test_overlap_of_over_400_ms_is_found(self):
+        later = self.run_at("e-3", 2.0, 5.0)
+        short = self.run_at("e-1", 1.0, 2.39, resumed=False)
+        self.assertEqual([], self.found(short, later))
+        long = self.run_at("e-1", 1.0, 2.42, resumed=False)
+        (text,) = self.found(long, later)
+        self.assertIn("q1 was at work at e-1 and at e-3 for 0.42 s", text)
+
+    def test_only_measured_hold_ups_and_faults_excuse_an_overlap(self):
+        runs = self.run_at("e-1", 1.0, 2.6, resumed=False), self.run_at("e-3", 2.0, 5.0)
+        self.assertEqual([], self.found(*runs, held_up=[(2.1, 2.4)]))
+        self.assertEqual(1, len(self.found(*runs, held_up=[(2.1, 2.2), (3.0, 4.0)])))
+        self.assertEqual([], self.found(*runs, links=[(0.5, 2.1)]))
+        self.assertEqual(1, len(self.found(*runs, links=[(0.5, 1.5)])))
+        self.assertEqual([], self.found(*runs, disturbed_at=[2.2]))
+        self.assertEqual(1, len(self.found(*runs, disturbed_at=[1.5, 2.8])))
+
+
 class Soaking(TestCase):
     def test_short_soak_has_no_violation(self):
         found = soak(1, 0.25)
@@ -132,6 +170,22 @@
         self.assertRegex(found.stdout, "hall paused: [1-9]")
         self.assertRegex(found.stdout, "kept connections stopped: [1-9]")
 
+    def test_runs_that_move_are_not_at_work_at_two_engines(self):
+        """Guards against a silent engine that works on beside the one that has taken
+        over its run, and against runs that are begun twice for lack of an event."""
+        found = soak(1, 0.1, "--handover")
+        self.assertEqual(0, found.returncode, found.stdout + found.stderr)
+        self.assertRegex(found.stdout, r"resumed from a copy: \d\d")
+
+    def test_runs_at_two_engines_are_detected(self):
+        for bug, sign in (
+            ("lingering", r"was at work at e-\d+ and at e-\d+ for"),
+            ("eventless", r"\(talk\) ran [2-9] times"),
+        ):
+            found = soak(1, 0.05, "--handover", "--bug", bug)
+            self.assertEqual(1, found.returncode, found.stdout + found.stderr)
+            self.assertRegex(found.stdout, sign)
+
     def test_new_callers_get_through_beside_idle_connections(self):
         found = soak(1, 0.15, "--idle")
         self.assertEqual(0, found.returncode, found.stdout + found.stderr)
