--- a/soak/gateway/__main__.py
+++ b/soak/gateway/__main__.py
@@ -90,8 +90,8 @@
     :param large: also write large configurations in series, over narrow links.
     :param silencing: only pause most of a hall while routes are dropped and servers
         drain, and stop gateways with kept connections while the store is silent.
-    :param handover: also have engines stand still and break answers off, more callers
-        of streams, and stops of gateways with kept connections.
+    :param handover: also have engines stand still and break answers off, and stop
+        gateways with kept connections.
     :param crowded: let a workspace ask for most of the engines instead.
     :return: the exit code.
     """
@@ -138,7 +138,6 @@
             callers.flood: flooded,
             callers.crowd: idle,
             callers.press: crowded,
-            callers.converse: handover,
         }
         other_calls = asyncio.gather(*(call() for call, on in chosen.items() if on))
         if crowded:
--- a/soak/gateway/callers.py
+++ b/soak/gateway/callers.py
@@ -25,8 +25,6 @@
 CROSS_SECONDS = 0.2
 """A request that is sent so shortly before the close may cross it unread."""
 POISON_INTERVAL_SECONDS = 0.2
-TALKERS = 10
-"""Further callers of streams while runs move from one engine to another."""
 FLOOD_CALLS = 600
 """Calls of one flood, each over a connection of its own."""
 IDLE_CALLS = 150
@@ -167,10 +165,6 @@
                 await self.call(session, "talk", part=POISON_PART, poisonous=True)
                 await asyncio.sleep(POISON_INTERVAL_SECONDS)
 
-    async def converse(self) -> None:
-        """Ask for one stream after the other from more callers, until the end."""
-        await asyncio.gather(*(self._work(("talk",)) for _ in range(TALKERS)))
-
     async def flood(self) -> None:
         """Open most new connections at one gateway after the other, until the end."""
         timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_SECONDS, sock_connect=1.0)
@@ -244,13 +238,13 @@
                     retry_after = call.retry_after
                     await asyncio.sleep(patience * retry_after)
 
-    async def _work(self, paths: t.Sequence[str] = ()) -> None:
+    async def _work(self) -> None:
         timeout = aiohttp.ClientTimeout(
             total=CALL_TIMEOUT_SECONDS + 2, sock_connect=1.0
         )
         async with aiohttp.ClientSession(timeout=timeout) as session:
             while not self.ended:
-                path = self._rng.choice(paths or [*PATHS, *self.paths])
+                path = self._rng.choice([*PATHS, *self.paths])
                 await self.call(session, path)
                 await asyncio.sleep(self._rng.expovariate(1 / MEAN_PAUSE_SECONDS))
 
--- a/soak/gateway/checks.py
+++ b/soak/gateway/checks.py
@@ -511,7 +511,10 @@
         )
 
     def run_rates(self) -> dict[float, float]:
-        """Runs begun per second of an engine in service, by the engines' speed."""
+        """Runs begun per second of an engine in service, by the engines' speed.
+
+        A resumed run does not count, as it has to go where its copy is.
+        """
         began = min((run.began for run in self._journal.runs), default=0.0)
         ended = max((run.began for run in self._journal.runs), default=0.0)
         seconds: collections.Counter[float] = collections.Counter()
@@ -521,7 +524,7 @@
         runs = collections.Counter(
             self.engine_by_id[run.server].speed
             for run in self._journal.runs
-            if run.server in self.engine_by_id
+            if run.server in self.engine_by_id and not run.resumed
         )
         return {
             speed: runs[speed] / seconds[speed]
