Callers of a stopped gateway use open connections only, and fewer runs move

Both were stopped during the cut, and callers that had no open connection to them opened new ones for up to 8 s, were refused, and counted as requests. From 2 s after SIGTERM on such a call is none.

--- a/soak/gateway/callers.py
+++ b/soak/gateway/callers.py
@@ -17,7 +17,6 @@
 from soak.gateway.fakes import POISON
 from soak.gateway.fakes import POISON_PART
 from soak.gateway.processes import Gateway
-from soak.gateway.processes import GRACE_SECONDS
 
 PATHS = ("look", "look", "bill", "bill", "talk")
 CALL_TIMEOUT_SECONDS = 6.0
@@ -294,6 +293,8 @@
                 await self._read(call, response)
         except aiohttp.ClientConnectorError:
             call.connected = False
+            if self.until_gone and self._is_late(node):
+                self.calls.remove(call)  # No connection was open to be used.
         except (aiohttp.ClientError, TimeoutError, OSError):
             # The call stays incomplete; whether it may be is checked later.
             self._note_crossed(call)
@@ -322,9 +323,12 @@
         A load balancer notices a stop with delay, so calls continue for 2 s after
         SIGTERM.
         """
+        return self.until_gone or not self._is_late(gateway)
+
+    def _is_late(self, gateway: Gateway) -> bool:
+        """Whether a gateway was stopped so long ago that it gets no new connections."""
         stopped_at = gateway.stop_requested_at
-        seconds = GRACE_SECONDS if self.until_gone else 2.0
-        return not stopped_at or time.monotonic() < stopped_at + seconds
+        return bool(stopped_at) and time.monotonic() >= stopped_at + 2.0
 
     async def _read(self, call: Call, response: aiohttp.ClientResponse) -> None:
         call.disconnects = self._rng.random() < DISCONNECT_FRACTION
--- a/soak/gateway/conduct.py
+++ b/soak/gateway/conduct.py
@@ -4,13 +4,13 @@
 import math
 import random
 
-STALL_FRACTION = 0.25
+STALL_FRACTION = 0.18
 """Fraction of the runs that stand still in midstream."""
 STALL_SECONDS = (0.4, 3.0)
 LATE_HEAD_FRACTION = 0.6
 """Fraction of the resumed runs whose head comes with their first event."""
 HEAD_DELAY_SECONDS = (0.1, 2.0)
-BREAK_FRACTION = 0.08
+BREAK_FRACTION = 0.05
 """Fraction of the new runs that are broken off before their first event."""
 FIRST_EVENTS = 12
 """A run stands still before one of so many events."""
