--- a/soak/gateway/callers.py
+++ b/soak/gateway/callers.py
@@ -21,6 +21,8 @@
 PATHS = ("look", "look", "bill", "bill", "talk")
 CALL_TIMEOUT_SECONDS = 6.0
 MEAN_PAUSE_SECONDS = 0.08
+CROSS_SECONDS = 0.2
+"""A request that is sent so shortly before the close may cross it unread."""
 POISON_INTERVAL_SECONDS = 0.2
 FLOOD_CALLS = 600
 """Calls of one flood, each over a connection of its own."""
@@ -126,12 +128,16 @@
     """Sends requests to all gateways until ``ended`` is set.
 
     :param rng: draws gateways, paths, pauses and the callers' behavior.
+    :ivar until_gone: callers use a gateway's connections until its process has ended.
+    :ivar crossing: calls that were sent as their connection was closed; none may run.
     """
 
     def __init__(self, gateways: list[Gateway], rng: random.Random) -> None:
         self.calls: list[Call] = []
         self.floods: list[list[Call]] = []
         self.crowds: list[Crowd] = []
+        self.crossing: list[Call] = []
+        self.until_gone = False
         self.paths: list[str] = []
         self.ended = False
         self.undisturbed: t.Callable[[Gateway], bool] = lambda gateway: True
@@ -287,11 +293,22 @@
                 await self._read(call, response)
         except aiohttp.ClientConnectorError:
             call.connected = False
+            if self.until_gone and self._is_late(node):
+                self.calls.remove(call)  # No connection was open to be used.
         except (aiohttp.ClientError, TimeoutError, OSError):
-            pass  # The call stays incomplete; whether it may be is checked later.
+            # The call stays incomplete; whether it may be is checked later.
+            self._note_crossed(call)
         call.ended = time.monotonic()
         return call
 
+    def _note_crossed(self, call: Call) -> None:
+        """Record a call on an open connection that crossed the close of a stop."""
+        age = time.monotonic() - call.sent
+        is_stop = call.node.stop_requested_at and call.undisturbed
+        if self.until_gone and is_stop and not call.status and age < CROSS_SECONDS:
+            call.connected = False
+            self.crossing.append(call)
+
     def begin(self, path: str, node: Gateway, *, key: str = KEY) -> Call:
         """Record a request that is sent now."""
         request = f"q{next(self._numbers)}"
@@ -306,8 +323,12 @@
         A load balancer notices a stop with delay, so calls continue for 2 s after
         SIGTERM.
         """
+        return self.until_gone or not self._is_late(gateway)
+
+    def _is_late(self, gateway: Gateway) -> bool:
+        """Whether a gateway was stopped so long ago that it gets no new connections."""
         stopped_at = gateway.stop_requested_at
-        return not stopped_at or time.monotonic() < stopped_at + 2.0
+        return bool(stopped_at) and time.monotonic() >= stopped_at + 2.0
 
     async def _read(self, call: Call, response: aiohttp.ClientResponse) -> None:
         call.disconnects = self._rng.random() < DISCONNECT_FRACTION
