--- a/src/bankrack/serving/run.py
+++ b/src/bankrack/serving/run.py
@@ -352,6 +352,7 @@
         return await self._begin_again(error)
 
     async def _begin_again(self, error: BankrackError) -> Answer | None:
+        """Start anew after the last event, or raise :exc:`StreamInterrupted`."""
         if self._may_run_again():
             return await self._start()
         raise _interrupted(error) from error
--- a/src/bankrack/serving/silentengine.py
+++ b/src/bankrack/serving/silentengine.py
@@ -17,9 +17,9 @@
     """The connection of a run to an engine that stopped sending events.
 
     The engine may only be overloaded, so its connection is kept while copies are asked.
-    Once the run was sent to another engine, both may work on it.  That one rejects it
-    at once or not at all, so the silent engine is left after a short time even if there
-    is no answer.  It is also left if the other one failed, as that one may have begun.
+    Once the run was sent to another engine, both may work on it, so the silent engine
+    is left after a short time even if there is no answer.  It is left at once if the
+    other engine may have begun, and kept if that one rejected the run.
 
     :ivar left: the connection was closed.
     """
