--- a/src/bankrack/metrics.py
+++ b/src/bankrack/metrics.py
@@ -74,6 +74,10 @@
         self.requests = self._counter("bankrack_requests", "Requests by outcome")
         self.sends = self._counter("bankrack_sends", "Sends to upstreams by outcome")
         self.resumes = self._counter("bankrack_resumes", "Streams resumed, by outcome")
+        self.stream_ends = self._counter(
+            "bankrack_stream_ends",
+            "Streams that engines ended without an error, by framing",
+        )
         self.overlap = self._histogram(
             "bankrack_run_overlap_seconds",
             "Time from sending a run to another engine until its silent engine is left",
--- a/src/bankrack/serving/client.py
+++ b/src/bankrack/serving/client.py
@@ -26,6 +26,9 @@
 from bankrack.serving.bufferedresponses import BufferedResponses
 from bankrack.serving.callprogress import CallProgress
 from bankrack.serving.callprogress import trace_progress
+from bankrack.serving.framing import Framing
+from bankrack.serving.framing import framing_of
+from bankrack.serving.framing import STATUSES_WITHOUT_BODY
 from bankrack.serving.giveup import give_up
 from bankrack.serving.job import Answer
 from bankrack.serving.job import Header
@@ -45,7 +48,6 @@
 READ_BUFFER_BYTES = 64 * 1024
 MAX_INTERIM_RESPONSES = 16
 """Responses with a status of 1xx before the one that answers a request."""
-STATUSES_WITHOUT_BODY = (204, 304)
 RESUMED_RUN_RANK = -1
 """Rank of a resumed run, which precedes all new runs: its caller already has the
 beginning, which would be lost."""
@@ -241,6 +243,12 @@
         self._buffered = buffered
         self.head = head
 
+    @property
+    def framing(self) -> Framing:
+        """How the end of the body shows."""
+        response = self._response
+        return framing_of(response.method, response.status, response.headers)
+
     async def read(self) -> bytes:
         """Read the complete body.
 
@@ -380,8 +388,23 @@
         end of a response without framing.
         """
         upstream = send.upstream
+        ended_at = boottime()
         listener = await self._paths.check(upstream.address)
-        if listener is not Listener.REFUSES or upstream.leaving:
+        is_whole = listener is not Listener.REFUSES or upstream.leaving
+        logs.event(
+            _logger,
+            "response_end_checked",
+            request=send.job.id,
+            upstream=upstream.id,
+            address=upstream.address,
+            leaving=upstream.leaving,
+            removed=bool(upstream.removed_at),
+            listener=listener.value,
+            cut_off=self._paths.is_cut_off(upstream.address),
+            whole=is_whole,
+            took=boottime() - ended_at,
+        )
+        if is_whole:
             return
         logs.event(
             _logger,
--- a/src/bankrack/serving/events.py
+++ b/src/bankrack/serving/events.py
@@ -16,12 +16,16 @@
 
 
 class EventSplitter:
-    """Buffers bytes and returns complete events."""
+    """Buffers bytes and returns complete events.
 
-    __slots__ = ("_rest",)
+    :ivar count: number of complete events so far.
+    """
+
+    __slots__ = ("_rest", "count")
 
     def __init__(self) -> None:
         self._rest = b""
+        self.count = 0
 
     @property
     def rest(self) -> bytes:
@@ -41,6 +45,7 @@
             events.append(Event(raw, _event_id(raw)))
             start = end + 2
         self._rest = buffer[start:]
+        self.count += len(events)
         if len(self._rest) > MAX_EVENT_BYTES:
             raise InvalidUpstreamData("an event of the stream is larger than 1 MiB")
         return events
--- a/src/bankrack/serving/forwarding.py
+++ b/src/bankrack/serving/forwarding.py
@@ -71,6 +71,11 @@
         """Seconds from the first event to the newest."""
         return self.last_at - self.began_at
 
+    @property
+    def engine_events(self) -> int:
+        """Number of complete events that the current engine has sent."""
+        return self._splitter.count
+
     @property
     def gap(self) -> float:
         """Mean seconds between two events; 0 before the second event."""
--- a/src/bankrack/serving/run.py
+++ b/src/bankrack/serving/run.py
@@ -275,8 +275,24 @@
             if self._forwarder.began:
                 self._note_begun()
                 self._start_copying()
+        self._note_ended(exchange)
         self._forwarder.check_end()
 
+    def _note_ended(self, exchange: Exchange) -> None:
+        """Log what showed that the engine's response has ended without an error."""
+        assert self._link.engine is not None
+        framing = exchange.framing.value
+        self._dependencies.metrics.stream_ends.inc({"framing": framing})
+        self._log.write(
+            "stream_ended",
+            self._link.engine,
+            "ended",
+            framing=framing,
+            resumes=self._resumes,
+            events=self._forwarder.count,
+            engine_events=self._forwarder.engine_events,
+        )
+
     def _note_begun(self) -> None:
         """Record once that an engine got past the parts of the run's prompt."""
         if not self._begun and self._link.engine is not None:
