Tests of streams that end as complete too early, failing on today's code

An engine, or a plain server, answers with neither a length nor chunks and its process ends: the next life listens on the port, the port is silent, or the server had announced its shutdown. Also: a Transfer-Encoding other than chunks, a resumed run that sends nothing although its caller was left inside an event, and an HTTP/1.0 caller whose stream breaks off.

The raw servers moved to a module of their own, state their id in health answers, as the platform's servers do, and the fakes' plain service has a health path.

--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -318,7 +318,7 @@
     async def respond(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path == "/healthz":
             self.probes += 1
-            return web.Response()
+            return web.Response(headers={"Bankrack-Instance-Id": self.id})
         if request.path.startswith("/v1/"):
             return await self.control(request)
         request._client_max_size = 0  # unlimited
@@ -461,7 +461,7 @@
             route("note", "streaming", "engines", resumable=True, maxAttempts=2),
         ],
         "services": [
-            {"name": "plain", "maxConnections": 10},
+            {"name": "plain", "maxConnections": 10, "healthPath": "/healthz"},
             {
                 "name": "engines",
                 "maxConnections": 10,
--- /dev/null
+++ b/tests/platform/rawservers.py
@@ -0,0 +1,172 @@
+"""Servers over raw sockets, whose responses end with their connection."""
+
+import asyncio
+import contextlib
+import enum
+import socket
+import struct
+import typing as t
+
+from tests.platform.deployment import Deployment
+from tests.platform.deployment import running
+from tests.platform.fakes import call
+from tests.platform.fakes import HOST
+from tests.platform.fakes import ReceivedResponse
+
+EVENTS = [b"id: %d\ndata: token%d\n\n" % (number, number) for number in range(4)]
+STREAM = b"".join(EVENTS)
+RESET_LINGER = struct.pack("ii", 1, 0)
+
+
+class Ending(enum.Enum):
+    """What happens to a server as its response ends."""
+
+    LIVES = "lives"
+    RESETS = "resets"  # It resets the connection, and lives.
+    CRASHES = "crashes"  # Its port refuses connections.
+    REPLACED = "replaced"  # The next life listens on its port.
+    VANISHES = "vanishes"  # Its port is silent.
+
+
+class RawServer:
+    """A server that sends given bytes and ends the connection.
+
+    :param bodies: sent behind a head without a length, one for each request.
+    :param ending: what happens as the connection ends.
+    :param headers: further lines of the head.
+    :ivar full: it answers health checks with 503.
+    :ivar may_end: set once the connection may end.
+    :ivar replaced_after: seconds without a listener until the next life starts.
+    """
+
+    def __init__(
+        self,
+        *bodies: bytes,
+        status: str = "200 OK",
+        ending: Ending = Ending.LIVES,
+        headers: str = "",
+    ) -> None:
+        self.id = ""
+        self.requests: list[bytes] = []
+        self.bodies = list(bodies)
+        self.full = False
+        self.may_end = asyncio.Event()
+        self.may_end.set()
+        self.replaced_after = 0.0
+        self._status = status
+        self._ending = ending
+        self._headers = headers
+        self._server: asyncio.Server | None = None
+        self._address = (HOST, 0)
+        self._sockets: list[socket.socket] = []
+
+    @property
+    def address(self) -> str:
+        host, port = self._address
+        return f"{host}:{port}"
+
+    async def start(self) -> str:
+        """Listen; returns the address."""
+        self._server = await asyncio.start_server(self._serve, *self._address)
+        self._address = self._server.sockets[0].getsockname()
+        return self.address
+
+    def stop(self) -> None:
+        assert self._server is not None
+        self._server.close()
+        for sock in self._sockets:
+            sock.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            head = await reader.readuntil(b"\r\n\r\n")
+            if head.startswith(b"GET /healthz"):
+                status = "503 Full" if self.full else "200 OK"
+                writer.write(
+                    f"HTTP/1.1 {status}\r\nBankrack-Instance-Id: {self.id}\r\n"
+                    "Content-Length: 0\r\n\r\n".encode()
+                )
+                writer.close()
+                return
+            if head.startswith((b"GET /v1/", b"POST /v1/", b"DELETE")):
+                writer.write(b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")
+                writer.close()
+                return
+            self.requests.append(head)
+            body = self.bodies.pop(0)
+            writer.write(
+                f"HTTP/1.1 {self._status}\r\nBankrack-Response-Seal: s\r\n"
+                f"Bankrack-Request-Id: r-1\r\n{self._headers}\r\n".encode()
+                + body
+            )
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            await self.may_end.wait()
+            await self._end(writer)
+
+    async def _end(self, writer: asyncio.StreamWriter) -> None:
+        match self._ending:
+            case Ending.RESETS:
+                raw = t.cast(socket.socket, writer.get_extra_info("socket"))
+                raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
+                writer.transport.abort()
+                return
+            case Ending.CRASHES:
+                self.stop()
+            case Ending.REPLACED:
+                self._ending = Ending.CRASHES
+                self.stop()
+                if not self.replaced_after:
+                    await self._start_next_life()
+                writer.close()
+                await asyncio.sleep(self.replaced_after)
+                if self.replaced_after:
+                    await self._start_next_life()
+                return
+            case Ending.VANISHES:
+                self.stop()
+                self._listen_silently()
+        writer.close()
+
+    async def _start_next_life(self) -> None:
+        self.id += "-next"
+        await self.start()
+
+    def _listen_silently(self) -> None:
+        """Take the port with a full queue, so that nothing answers a connection."""
+        listening = socket.create_server(self._address, backlog=0)
+        self._sockets.append(listening)
+        for _ in range(2):
+            waiting = socket.socket()
+            waiting.setblocking(False)
+            waiting.connect_ex(self._address)
+            self._sockets.append(waiting)
+
+
+async def replace_servers(
+    deployment: Deployment, service: str, *servers: RawServer
+) -> None:
+    """Let raw servers take the place of a service's servers."""
+    fakes = deployment.engines if service == "engines" else deployment.plain
+    for fake in fakes:
+        deployment.store.remove(f"servers/{fake.id}")
+    for number, server in enumerate(servers):
+        server.id = f"raw-{number}"
+        entry = fakes[0].entry(service, address=await server.start())
+        deployment.store.put(f"servers/{server.id}", entry)
+
+
+async def ask(
+    service: str, path: str, *servers: RawServer, method: str = "POST"
+) -> ReceivedResponse:
+    """Send one request to a node that knows only the given servers of a service."""
+    async with running() as deployment:
+        await replace_servers(deployment, service, *servers)
+        gateway = await deployment.start_ready_gateway()
+        body = None if method == "HEAD" else b"question"
+        response = await call(gateway.settings.front, path, method=method, body=body)
+        for server in servers:
+            server.stop()
+        return response
--- /dev/null
+++ b/tests/platform/test_stream_ends.py
@@ -0,0 +1,140 @@
+"""Responses that look complete when their connection ends, but may not be."""
+
+import asyncio
+
+from tests.base import TestCase
+from tests.platform.deployment import running
+from tests.platform.deployment import until
+from tests.platform.fakes import call
+from tests.platform.fakes import ReceivedResponse
+from tests.platform.rawservers import ask
+from tests.platform.rawservers import Ending
+from tests.platform.rawservers import EVENTS
+from tests.platform.rawservers import RawServer
+from tests.platform.rawservers import replace_servers
+from tests.platform.rawservers import STREAM
+
+
+async def ask_leaving(
+    service: str, path: str, server: RawServer, *, removed: bool = False
+) -> ReceivedResponse:
+    """Send a request to a server that announces its end while it responds.
+
+    :param removed: its entry goes, instead of saying that it drains.
+    """
+    async with running() as deployment:
+        await replace_servers(deployment, service, server)
+        gateway = await deployment.start_ready_gateway()
+        server.may_end.clear()
+        request = asyncio.create_task(call(gateway.settings.front, path))
+        await until(lambda: bool(server.requests))
+        upstream = gateway.upstreams.by_id[server.id]
+        key = f"servers/{server.id}"
+        if removed:
+            deployment.store.remove(key)
+        else:
+            entry = deployment.plain[0].entry(service, address=server.address)
+            deployment.store.put(key, {**entry, "state": "draining"})
+        await until(lambda: upstream.leaving)
+        server.may_end.set()
+        response = await request
+        server.stop()
+        return response
+
+
+class Streams(TestCase):
+    """The caller must see that a stream was broken off."""
+
+    async def check_broken_off(self, server: RawServer) -> None:
+        response = await ask("engines", "/talk/x", server)
+        self.assertEqual((200, False, STREAM), _read(response))
+
+    async def test_engine_replaced_on_its_port_does_not_complete_its_streams(self):
+        await self.check_broken_off(RawServer(STREAM, ending=Ending.REPLACED))
+
+    async def test_engine_whose_machine_vanished_does_not_complete_its_streams(self):
+        await self.check_broken_off(RawServer(STREAM, ending=Ending.VANISHES))
+
+    async def test_leaving_engine_that_ends_does_not_complete_its_streams(self):
+        for removed in (False, True):
+            server = RawServer(STREAM, ending=Ending.CRASHES)
+            response = await ask_leaving("engines", "/talk/x", server, removed=removed)
+            self.assertEqual((200, False, STREAM), _read(response))
+
+    async def test_other_transfer_coding_than_chunks_is_no_framing(self):
+        server = RawServer(
+            STREAM, ending=Ending.CRASHES, headers="Transfer-Encoding: identity\r\n"
+        )
+        await self.check_broken_off(server)
+
+    async def test_all_streams_of_a_replaced_engine_are_broken_off(self):
+        """The next life listens after some of the ends were noticed."""
+        server = RawServer(*[STREAM] * 4, ending=Ending.REPLACED)
+        server.replaced_after = 0.05
+        async with running() as deployment:
+            await replace_servers(deployment, "engines", server)
+            gateway = await deployment.start_ready_gateway()
+            address = gateway.settings.front
+            responses = await asyncio.gather(
+                *[call(address, "/talk/x") for _ in range(4)]
+            )
+            server.stop()
+        self.assertEqual([(200, False, STREAM)] * 4, [_read(r) for r in responses])
+
+    async def test_resumed_run_that_sends_nothing_does_not_complete_a_cut_event(self):
+        """The event inside which the first engine broke off is still owed."""
+        servers = [RawServer(), RawServer()]
+        start = EVENTS[0] + EVENTS[1] + b"id: 2\ndat"
+        servers[0].bodies = servers[1].bodies = [start, b"", b"", b""]
+        response = await ask("engines", "/note/x", *servers)
+        self.assertEqual(EVENTS[0] + EVENTS[1], response.body)
+        self.assertFalse(response.complete)
+
+    async def test_stream_to_a_caller_without_chunks_is_reset_when_it_breaks_off(self):
+        """An HTTP/1.0 caller takes the end of the connection for the stream's end."""
+        server = RawServer(STREAM, ending=Ending.RESETS)
+        async with running() as deployment:
+            await replace_servers(deployment, "engines", server)
+            gateway = await deployment.start_ready_gateway()
+            host, _, port = gateway.settings.front.partition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(
+                b"POST /talk/x HTTP/1.0\r\nHost: h.example\r\nBankrack-Key: key-1\r\n"
+                b"Bankrack-Request-Id: r-1\r\nBankrack-Deadline-Ms: 3000\r\n\r\n"
+            )
+            with self.assertRaises(ConnectionResetError):
+                await reader.read()
+            writer.close()
+            server.stop()
+
+    # What must stay complete.
+
+    async def test_stream_of_a_full_engine_is_complete(self):
+        server = RawServer(STREAM)
+        server.full = True
+        response = await ask("engines", "/talk/x", server)
+        self.assertEqual((200, True, STREAM), _read(response))
+
+    async def test_stream_that_a_leaving_engine_completes_is_complete(self):
+        for removed in (False, True):
+            server = RawServer(STREAM)
+            response = await ask_leaving("engines", "/talk/x", server, removed=removed)
+            self.assertEqual((200, True, STREAM), _read(response))
+
+
+class PlainResponses(TestCase):
+    """The caller must get no success with a part of the body."""
+
+    async def test_server_replaced_on_its_port_does_not_complete_its_responses(self):
+        for ending in (Ending.REPLACED, Ending.VANISHES):
+            response = await ask("plain", "/bill/x", RawServer(b"part", ending=ending))
+            self.assertEqual(502, response.status)
+
+    async def test_leaving_server_that_ends_does_not_complete_its_responses(self):
+        server = RawServer(b"part", ending=Ending.CRASHES)
+        response = await ask_leaving("plain", "/bill/x", server)
+        self.assertEqual(502, response.status)
+
+
+def _read(response: ReceivedResponse) -> tuple[int, bool, bytes]:
+    return response.status, response.complete, response.body
