Only chunks as the last transfer coding frame a response

Callers got the first part of a stream or a body as complete if its upstream sent 'Transfer-Encoding: identity' and its process ended. Any such header counted as framing, so that the end of the connection was not questioned; the HTTP library reads such a body up to that end. Framing is decoded in one place now. test_other_transfer_coding_than_chunks_is_no_framing failed before, test_framing holds the rule.

--- a/src/bankrack/serving/client.py
+++ b/src/bankrack/serving/client.py
@@ -28,7 +28,6 @@
 from bankrack.serving.callprogress import trace_progress
 from bankrack.serving.framing import Framing
 from bankrack.serving.framing import framing_of
-from bankrack.serving.framing import STATUSES_WITHOUT_BODY
 from bankrack.serving.giveup import give_up
 from bankrack.serving.job import Answer
 from bankrack.serving.job import Header
@@ -268,7 +267,7 @@
         except (aiohttp.ClientError, OSError, ValueError) as error:
             message = f"the upstream's response was truncated ({error!r})"
             raise UpstreamDisconnected(message) from error
-        if not data and not _is_framed(self._response):
+        if not data and self.framing is Framing.CONNECTION:
             await self._check_end()
         return data
 
@@ -464,14 +463,6 @@
         )
 
 
-def _is_framed(response: aiohttp.ClientResponse) -> bool:
-    """Whether the end of a response shows without the end of its connection."""
-    if response.method == "HEAD" or response.status in STATUSES_WITHOUT_BODY:
-        return True
-    headers = response.headers
-    return "Content-Length" in headers or "Transfer-Encoding" in headers
-
-
 def _header_pairs(response: aiohttp.ClientResponse) -> list[Header]:
     return [
         (name.decode("latin-1"), value.decode("latin-1"))
