A response that only its connection ends is complete if its upstream lives on

Callers saw streams end as complete before their last event, and could get a success with a part of a body. A response with neither length nor chunks ends with its connection, and the system closes the connections of a process that ends. The node only asked whether the port refuses connections, so the next life on the port, another service's server there, a port that is silent, and any upstream that had announced its shutdown counted as proof of a whole response. Concurrent ends shared one check, whose answer could be older than the end.

Absence of an error was taken for completeness. Now the instance itself has to answer behind the end, at its health path, with its name (and its start, where lives share a name). Anything else is doubt, and doubt is a break: the run goes on at its copy, or is broken off; a plain request is repeated where that is safe. Ends that wait at the same time share a question that is asked after all of them; one of an upstream with a rate limit takes a permit.

--- /dev/null
+++ b/src/bankrack/decisions/responseends.py
@@ -0,0 +1,50 @@
+"""Whether the end of a connection was the end of the response on it.
+
+The system closes the connections of a process that ends, so a response that only the
+end of its connection ends is complete only if its upstream lives on behind that end.
+"""
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Instance:
+    """What identifies one life of an upstream.
+
+    :param name: ``None`` if it was not stated.
+    :param born: start of the process in Unix milliseconds; ``None`` if not stated, or
+        if each life has a name of its own.
+    """
+
+    name: str | None
+    born: int | None = None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Answered:
+    """An instance answered at the upstream's address behind the end."""
+
+    by: Instance
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Unanswered:
+    """No instance is known to have answered there."""
+
+    reason: str
+
+
+Evidence = Answered | Unanswered
+
+
+def doubt(upstream: Instance, evidence: Evidence) -> str | None:
+    """Return why a response may be incomplete, or ``None`` if it is complete."""
+    match evidence:
+        case Unanswered(reason):
+            return reason
+        case Answered(by) if by == upstream:
+            return None
+        case Answered(Instance(None)):
+            return "the instance at its address states no name"
+        case Answered(by):
+            return f"another instance answers at its address ({by.name}, {by.born})"
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -76,6 +76,7 @@
 from bankrack.serving.relay import RelayDependencies
 from bankrack.serving.reports import ReportPoller
 from bankrack.serving.reservations import Reservations
+from bankrack.serving.responseends import ResponseEnds
 from bankrack.serving.routing import CallerLimits
 from bankrack.serving.streams import StreamRelay
 from bankrack.serving.upstreams import Upstream
@@ -194,16 +195,19 @@
             view_age=lambda: self.view.age,
         )
         self.held = HeldBytes(settings.memory_mb, self.metrics, self._caller_limits)
+        control = GuardedControl(dialect.control(self._control_session, self.notices))
+        self.response_ends = ResponseEnds(
+            control, self.rate_limits.permits, self.metrics
+        )
         client = UpstreamClient(
             self._upstream_session,
             dialect.upstreams,
             self.notices,
             self.rate_limits.permits,
             self.held.in_flight,
-            self.paths,
+            self.response_ends,
             self.held.responses,
         )
-        control = GuardedControl(dialect.control(self._control_session, self.notices))
         self.ledgers = Ledgers(
             self.upstreams,
             self.chooser,
@@ -469,6 +473,7 @@
             await stop_runner(runner)
         await self.tunnels.stop()
         await self.reservations.close()
+        await self.response_ends.close()
         await self.paths.close()
         await self._upstream_session.close()
         await self._control_session.close()
--- a/src/bankrack/metrics.py
+++ b/src/bankrack/metrics.py
@@ -78,6 +78,10 @@
             "bankrack_stream_ends",
             "Streams that engines ended without an error, by framing",
         )
+        self.response_ends = self._counter(
+            "bankrack_response_ends",
+            "Responses that only the end of their connection ended, by outcome",
+        )
         self.overlap = self._histogram(
             "bankrack_run_overlap_seconds",
             "Time from sending a run to another engine until its silent engine is left",
--- a/src/bankrack/serving/client.py
+++ b/src/bankrack/serving/client.py
@@ -8,14 +8,12 @@
 import asyncio
 import dataclasses
 import functools
-import logging
 import typing as t
 
 import aiohttp
 import yarl
 from aiohttp.client_proto import ResponseHandler
 
-from bankrack import logs
 from bankrack.clock import boottime
 from bankrack.exceptions import InvalidRequest
 from bankrack.exceptions import Outcome
@@ -36,10 +34,10 @@
 from bankrack.serving.notices import NoticeHandler
 from bankrack.serving.paths import CONNECT_TIMEOUT_SECONDS
 from bankrack.serving.paths import create_socket
-from bankrack.serving.paths import Listener
 from bankrack.serving.paths import UpstreamConnector
 from bankrack.serving.paths import UpstreamPaths
 from bankrack.serving.permits import Permits
+from bankrack.serving.responseends import ResponseEnds
 from bankrack.serving.sending import BodiesInFlight
 from bankrack.serving.upstreams import Upstream
 
@@ -51,8 +49,6 @@
 """Rank of a resumed run, which precedes all new runs: its caller already has the
 beginning, which would be lost."""
 
-_logger = logging.getLogger(__name__)
-
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Resume:
@@ -74,6 +70,7 @@
     :param backup: address of the upstream that keeps a backup of the run.
     :param reservation: identifier of the run's reservation on the upstream.
     :param last_event: id of the last event that the caller received, if any.
+    :param health_path: health path of the upstream's service, empty if unknown.
     """
 
     job: Job
@@ -85,6 +82,7 @@
     reservation: str | None = None
     resume: Resume | None = None
     last_event: int | None = None
+    health_path: str = ""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -217,28 +215,30 @@
     return session
 
 
-CheckEnd = t.Callable[[], t.Awaitable[None]]
-"""Raises :exc:`UpstreamDisconnected` if the upstream ended with its connection."""
+ConfirmEnd = t.Callable[[], t.Awaitable[None]]
+"""Raises :exc:`UpstreamDisconnected` if the upstream may have ended with its
+connection."""
 
 
 class Exchange:
     """A response being read; ``close`` aborts the request immediately.
 
-    :param check_end: called at the end of a response without framing.
+    :param confirm_end: called at the end of a response that only the end of its
+        connection ends.
     :param buffered: accounts for the body while it is read whole.
     """
 
-    __slots__ = ("_buffered", "_check_end", "_response", "head")
+    __slots__ = ("_buffered", "_confirm_end", "_response", "head")
 
     def __init__(
         self,
         response: aiohttp.ClientResponse,
         head: Head,
-        check_end: CheckEnd,
+        confirm_end: ConfirmEnd,
         buffered: BufferedResponses,
     ) -> None:
         self._response = response
-        self._check_end = check_end
+        self._confirm_end = confirm_end
         self._buffered = buffered
         self.head = head
 
@@ -258,18 +258,24 @@
             while chunk := await self.read_available():
                 self._buffered.add(size, len(chunk))
                 chunks.append(chunk)
+            await self.confirm_end()
         return b"".join(chunks)
 
     async def read_available(self) -> bytes:
-        """Read the available bytes, at least one; empty at the end of the body."""
+        """Read the available bytes, at least one; empty at the end of the body.
+
+        The body is complete only if :meth:`confirm_end` agrees.
+        """
         try:
-            data = await self._response.content.readany()
+            return await self._response.content.readany()
         except (aiohttp.ClientError, OSError, ValueError) as error:
             message = f"the upstream's response was truncated ({error!r})"
             raise UpstreamDisconnected(message) from error
-        if not data and self.framing is Framing.CONNECTION:
-            await self._check_end()
-        return data
+
+    async def confirm_end(self) -> None:
+        """Raise :exc:`UpstreamDisconnected` unless the body that ended is complete."""
+        if self.framing is Framing.CONNECTION:
+            await self._confirm_end()
 
     def close(self) -> None:
         """Drop the connection; the upstream stops working on the job."""
@@ -294,7 +300,7 @@
 class UpstreamClient:
     """Client that sends every job over a connection of its own.
 
-    :param paths: checks the listener of an upstream whose connection ended.
+    :param ends: confirms the ends of responses that only their connections end.
     :param buffered: accounts for the responses that are read; there is no bound for all
         together by default.
     :ivar in_flight: accounts for the bodies that are sent.
@@ -307,12 +313,12 @@
         notices: NoticeHandler,
         permits: Permits,
         in_flight: BodiesInFlight,
-        paths: UpstreamPaths,
+        ends: ResponseEnds,
         buffered: BufferedResponses | None = None,
     ) -> None:
         self.in_flight = in_flight
         self._buffered = buffered or BufferedResponses()
-        self._paths = paths
+        self._ends = ends
         self._permits = permits
         self._session = session
         self._dialect = dialect
@@ -377,45 +383,10 @@
                 "one may have run",
                 outcome=Outcome.UNKNOWN,
             )
-        check_end = functools.partial(self._check_end, send)
-        return Exchange(response, head, check_end, self._buffered)
-
-    async def _check_end(self, send: Send) -> None:
-        """Check that an upstream whose connection ended did not crash.
-
-        The system closes the connections of a process that ends, which looks like the
-        end of a response without framing.
-        """
-        upstream = send.upstream
-        ended_at = boottime()
-        listener = await self._paths.check(upstream.address)
-        is_whole = listener is not Listener.REFUSES or upstream.leaving
-        logs.event(
-            _logger,
-            "response_end_checked",
-            request=send.job.id,
-            upstream=upstream.id,
-            address=upstream.address,
-            leaving=upstream.leaving,
-            removed=bool(upstream.removed_at),
-            listener=listener.value,
-            cut_off=self._paths.is_cut_off(upstream.address),
-            whole=is_whole,
-            took=boottime() - ended_at,
-        )
-        if is_whole:
-            return
-        logs.event(
-            _logger,
-            "response_cut",
-            request=send.job.id,
-            upstream=upstream.id,
-            listener=listener.value,
-        )
-        raise UpstreamDisconnected(
-            f"upstream {upstream.id} ended with its connection, so its response may "
-            "be incomplete; send the request again if that is safe"
+        confirm_end = functools.partial(
+            self._ends.confirm, send.upstream, send.health_path, request=job.id
         )
+        return Exchange(response, head, confirm_end, self._buffered)
 
     async def _acquire_permit(self, send: Send) -> None:
         """Take a permit of the upstream's rate limit, which all nodes share.
--- a/src/bankrack/serving/enginecontrol.py
+++ b/src/bankrack/serving/enginecontrol.py
@@ -43,6 +43,15 @@
         """
         ...
 
+    async def identify(self, upstream: Upstream, path: str) -> str | None:
+        """Return the name of the instance that answers at an upstream's address.
+
+        ``None`` if it states no name; raises :exc:`UpstreamFailed`.
+
+        :param path: health path of the service.
+        """
+        ...
+
     async def copy(self, source: Upstream, run_id: str, target: Upstream) -> str:
         """Copy a running run's memory to ``target``; returns the copy's handle.
 
@@ -92,6 +101,11 @@
         self._refuse_if_backing_off(engine)
         await self._control.probe(engine, path)
 
+    async def identify(self, upstream: Upstream, path: str) -> str | None:
+        """Return the name of the instance that answers at an upstream's address."""
+        self._refuse_if_backing_off(upstream)
+        return await self._control.identify(upstream, path)
+
     async def copy(self, source: Upstream, run_id: str, target: Upstream) -> str:
         """Copy a running run's memory to ``target``; returns the copy's handle."""
         self._refuse_if_backing_off(source)
--- a/src/bankrack/serving/enginefinder.py
+++ b/src/bankrack/serving/enginefinder.py
@@ -128,7 +128,7 @@
         while True:
             ordered = await self._wait_for_admission(work, traits, log, tried)
             engines = await self._avoid_slow_moments(
-                ordered.engines, work, traits, unreachable=search.unreachable
+                ordered.engines, work, unreachable=search.unreachable
             )
             if not traits.max_reservation_seconds:
                 return self._choose(work, engines[0], None, ordered)
@@ -163,7 +163,6 @@
         self,
         engines: list[Upstream],
         work: Assignment,
-        traits: EngineTraits,
         *,
         unreachable: t.Collection[str],
     ) -> list[Upstream]:
@@ -171,17 +170,16 @@
 
         Engines are asked for their load only if those of the service are uneven.
         """
-        if not traits.health_path or not self._upstreams.uneven(work.service.name):
+        service = work.service
+        if not service.health_path or not self._upstreams.uneven(service.name):
             return engines
         reached = [engine for engine in engines if engine.id not in unreachable]
         for engine in reached[:MAX_PROBED]:
-            if not await self._is_slow_now(engine, work, traits):
+            if not await self._is_slow_now(engine, work):
                 return [engine, *(other for other in engines if other is not engine)]
         return engines
 
-    async def _is_slow_now(
-        self, engine: Upstream, work: Assignment, traits: EngineTraits
-    ) -> bool:
+    async def _is_slow_now(self, engine: Upstream, work: Assignment) -> bool:
         """Whether reading a prompt now would pause the engine's streams too long.
 
         An engine that does not respond counts as slow.
@@ -191,7 +189,7 @@
         if boottime() - engine.slowdown_at > FRESH_SECONDS:
             try:
                 async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
-                    await self._control.probe(engine, traits.health_path)
+                    await self._control.probe(engine, work.service.health_path)
             except (BankrackError, TimeoutError):
                 return True
         service = work.service.name
--- a/src/bankrack/serving/enginelink.py
+++ b/src/bankrack/serving/enginelink.py
@@ -99,6 +99,7 @@
             reservation=reservation,
             resume=resume,
             last_event=self._forwarder.order.last,
+            health_path=work.service.health_path,
         )
         self.engine = engine
         self._forwarder.change_engine(GapMeter(engine.id, self._note_paced))
--- a/src/bankrack/serving/plain.py
+++ b/src/bankrack/serving/plain.py
@@ -219,6 +219,7 @@
             workspace=work.workspace,
             priority=work.priority,
             time_left=work.time_left(),
+            health_path=work.service.health_path,
         )
         if not self._dependencies.cold.take(upstream, work.service):
             raise UpstreamClosed(
--- a/src/bankrack/serving/routing.py
+++ b/src/bankrack/serving/routing.py
@@ -50,8 +50,6 @@
     :param copy_ttl: time until an engine frees an unused copy of a run.
     :param max_reservation_seconds: longest lifetime of a reservation; 0 if reservations
         are unsupported.
-    :param health_path: path at which an engine states its load at once; empty if
-        unknown.
     """
 
     slots: int
@@ -62,7 +60,6 @@
     copies_runs: bool = False
     copy_ttl: float = 0.0
     max_reservation_seconds: float = 0.0
-    health_path: str = ""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -71,12 +68,15 @@
 
     :param cold_rate: requests a second from all nodes that a cold upstream may
         receive; 0 for no bound.
+    :param health_path: path at which an upstream states its name and its load at once;
+        empty if unknown.
     """
 
     name: str
     max_connections: int = 0
     engine: EngineTraits | None = None
     cold_rate: float = 0.0
+    health_path: str = ""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/bankrack/serving/run.py
+++ b/src/bankrack/serving/run.py
@@ -276,6 +276,7 @@
                 self._note_begun()
                 self._start_copying()
         self._note_ended(exchange)
+        await exchange.confirm_end()
         self._forwarder.check_end()
 
     def _note_ended(self, exchange: Exchange) -> None:
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -10,7 +10,9 @@
 from bankrack.clock import boottime
 from bankrack.gateway import Gateway
 from bankrack.integration import GatewaySettings
+from bankrack.metrics import GatewayMetrics
 from bankrack.serving.budget import RetryBudgetPolicy
+from bankrack.serving.responseends import ResponseEnds
 from serve import PlatformDialect
 from tests.fakes import free_address
 from tests.platform.fakes import configuration
@@ -111,5 +113,10 @@
         await asyncio.sleep(0.01)
 
 
+def response_ends() -> ResponseEnds:
+    """Return what a client needs whose upstreams frame all responses."""
+    return ResponseEnds(t.cast(t.Any, None), t.cast(t.Any, None), GatewayMetrics())
+
+
 def not_run_response(status: int = 503) -> web.Response:
     return web.Response(status=status, headers={"Bankrack-Not-Executed": "1"})
--- a/tests/platform/rawservers.py
+++ b/tests/platform/rawservers.py
@@ -36,7 +36,8 @@
     :param headers: further lines of the head.
     :ivar full: it answers health checks with 503.
     :ivar may_end: set once the connection may end.
-    :ivar replaced_after: seconds without a listener until the next life starts.
+    :ivar replaced_after: seconds from the first response that ends to the next life;
+        other responses end behind that.
     """
 
     def __init__(
@@ -57,6 +58,7 @@
         self._ending = ending
         self._headers = headers
         self._server: asyncio.Server | None = None
+        self._replaced = asyncio.Event()
         self._address = (HOST, 0)
         self._sockets: list[socket.socket] = []
 
@@ -72,8 +74,9 @@
         return self.address
 
     def stop(self) -> None:
-        assert self._server is not None
-        self._server.close()
+        if self._server is not None:
+            self._server.close()
+            self._server = None
         for sock in self._sockets:
             sock.close()
 
@@ -115,25 +118,21 @@
                 return
             case Ending.CRASHES:
                 self.stop()
-            case Ending.REPLACED:
-                self._ending = Ending.CRASHES
+            case Ending.REPLACED if self._server is not None:
                 self.stop()
-                if not self.replaced_after:
-                    await self._start_next_life()
-                writer.close()
-                await asyncio.sleep(self.replaced_after)
                 if self.replaced_after:
-                    await self._start_next_life()
-                return
+                    writer.close()
+                    await asyncio.sleep(self.replaced_after)
+                self.id += "-next"
+                await self.start()
+                self._replaced.set()
+            case Ending.REPLACED:
+                await self._replaced.wait()
             case Ending.VANISHES:
                 self.stop()
                 self._listen_silently()
         writer.close()
 
-    async def _start_next_life(self) -> None:
-        self.id += "-next"
-        await self.start()
-
     def _listen_silently(self) -> None:
         """Take the port with a full queue, so that nothing answers a connection."""
         listening = socket.create_server(self._address, backlog=0)
--- a/tests/platform/test_given_up_sends.py
+++ b/tests/platform/test_given_up_sends.py
@@ -20,6 +20,7 @@
 from bankrack.serving.upstreams import UpstreamRecord
 from engines import PlatformUpstreams
 from tests.base import TestCase
+from tests.platform.deployment import response_ends
 from tests.rawupstream import LARGE
 from tests.rawupstream import RawUpstream
 
@@ -65,7 +66,7 @@
             NoticeHandler(),
             t.cast(t.Any, None),
             in_flight,
-            paths,
+            response_ends(),
         )
         opening = asyncio.create_task(client.open(send_to(upstream.address, body)))
         try:
--- a/tests/platform/test_sending.py
+++ b/tests/platform/test_sending.py
@@ -21,6 +21,7 @@
 from engines import PlatformUpstreams
 from tests.base import TestCase
 from tests.platform.deployment import not_run_response
+from tests.platform.deployment import response_ends
 from tests.platform.deployment import running
 from tests.platform.fakes import call
 from tests.platform.fakes import FakeServer
@@ -63,7 +64,7 @@
             NoticeHandler(),
             t.cast(t.Any, None),
             BodiesInFlight(lambda: math.inf),
-            t.cast(t.Any, None),
+            response_ends(),
         )
         send = Send(job() if later else sent, upstream, None, 0, 5.0, resume=resume)
         try:
--- a/tests/platform/test_stream_ends.py
+++ b/tests/platform/test_stream_ends.py
@@ -75,9 +75,11 @@
             await replace_servers(deployment, "engines", server)
             gateway = await deployment.start_ready_gateway()
             address = gateway.settings.front
-            responses = await asyncio.gather(
-                *[call(address, "/talk/x") for _ in range(4)]
-            )
+            server.may_end.clear()
+            calls = [asyncio.create_task(call(address, "/talk/x")) for _ in range(4)]
+            await until(lambda: len(server.requests) == len(calls))
+            server.may_end.set()
+            responses = await asyncio.gather(*calls)
             server.stop()
         self.assertEqual([(200, False, STREAM)] * 4, [_read(r) for r in responses])
 
--- /dev/null
+++ b/tests/serving/test_responseends.py
@@ -0,0 +1,50 @@
+"""Questions behind the ends of responses."""
+
+import asyncio
+import typing as t
+
+from bankrack.clock import boottime
+from bankrack.exceptions import UpstreamDisconnected
+from bankrack.metrics import GatewayMetrics
+from bankrack.serving.responseends import ResponseEnds
+from bankrack.serving.upstreams import Upstream
+from bankrack.serving.upstreams import UpstreamRecord
+from tests.base import TestCase
+
+
+class _Control:
+    """States a name after a moment; the upstream is replaced meanwhile."""
+
+    def __init__(self) -> None:
+        self.questions = 0
+        self.name = "e-1"
+
+    async def identify(self, upstream: Upstream, path: str) -> str:
+        self.questions += 1
+        name = self.name
+        await asyncio.sleep(0.05)
+        return name
+
+
+class Questions(TestCase):
+    async def test_answer_from_before_an_end_does_not_complete_its_response(self):
+        """Later ends wait for one question of their own, which they share."""
+        control = _Control()
+        ends = ResponseEnds(
+            t.cast(t.Any, control), t.cast(t.Any, None), GatewayMetrics()
+        )
+        upstream = Upstream(UpstreamRecord("e-1", "s", "x:1", "a", 1), boottime())
+
+        async def is_whole() -> bool:
+            try:
+                await ends.confirm(upstream, "/healthz", request="r")
+            except UpstreamDisconnected:
+                return False
+            return True
+
+        first = asyncio.create_task(is_whole())
+        await asyncio.sleep(0.01)
+        control.name = "e-2"
+        later = await asyncio.gather(*[is_whole() for _ in range(20)])
+        self.assertEqual((True, {False}), (await first, set(later)))
+        self.assertEqual(2, control.questions)
