A resumed run owes its caller the event inside which an engine broke off

Callers got a stream with 2 of 4 events as complete: its engine broke off inside an event, and the engine that went on ended its response at once. What the first engine had begun to send was dropped with its splitter, so nothing was missed.

--- a/src/bankrack/serving/events.py
+++ b/src/bankrack/serving/events.py
@@ -32,6 +32,18 @@
         """Buffered bytes of an incomplete event."""
         return self._rest
 
+    def cut_behind(self, last: int | None) -> bool:
+        """Whether the bytes end inside an event that the caller lacks.
+
+        :param last: id of the caller's newest event, if any.
+        """
+        lines = self._rest.split(b"\n")
+        if not self._rest or all(line.startswith(b":") for line in lines if line):
+            # Nothing, or the start of a comment.
+            return False
+        event_id = _event_id(b"\n".join(lines[:-1]))
+        return event_id is None or last is None or event_id > last
+
     def feed(self, data: bytes) -> list[Event]:
         """Add bytes; returns the events completed by them.
 
--- a/src/bankrack/serving/forwarding.py
+++ b/src/bankrack/serving/forwarding.py
@@ -36,6 +36,7 @@
 
     __slots__ = (
         "_gap_target",
+        "_left",
         "_moved",
         "_reply",
         "_splitter",
@@ -58,6 +59,8 @@
         self.gaps = GapMeter("")
         self._gap_target = gap_target
         self._moved = False
+        # Of the engines that were left since the newest event.
+        self._left: list[EventSplitter] = []
         self._reply = reply
         self._splitter = EventSplitter()
 
@@ -87,6 +90,7 @@
         :param gaps: measures the events of the other engine, if it is known.
         """
         previous, self._splitter = self._splitter, EventSplitter()
+        self._left.append(previous)
         self.gaps = gaps or GapMeter("")
         self._moved = True
         return previous
@@ -94,6 +98,7 @@
     def restore_engine(self, splitter: EventSplitter) -> None:
         """Restore the splitter of an engine that is kept after all."""
         self._splitter = splitter
+        self._left.remove(splitter)
         self._moved = False
 
     async def feed(self, data: bytes, head: Head) -> None:
@@ -106,12 +111,18 @@
             if not self.began and not head.sealed:
                 raise UpstreamFailed("the engine's response has no proof of origin")
             if self.order.accept(event):
+                self._left.clear()
                 await self._write(event.data, head)
 
     def check_end(self) -> None:
         """Raise :exc:`UpstreamFailed` if the stream ended before or inside an event."""
         if self._splitter.rest:
             raise UpstreamFailed("the stream ended inside an event")
+        if any(splitter.cut_behind(self.order.last) for splitter in self._left):
+            raise UpstreamFailed(
+                "the stream ended without the event inside which an earlier engine "
+                "broke off"
+            )
         if not self.began:
             raise UpstreamFailed("the stream ended before its first event")
 
--- a/tests/serving/test_events.py
+++ b/tests/serving/test_events.py
@@ -51,3 +51,19 @@
 
     def test_missing_event_is_an_error(self):
         self.assertRaises(InvalidUpstreamData, self.accepted, 0, 2)
+
+
+class CutEvents(TestCase):
+    def cut(self, rest: bytes, last: int | None = 3) -> bool:
+        splitter = EventSplitter()
+        splitter.feed(rest)
+        return splitter.cut_behind(last)
+
+    def test_part_of_a_new_event_is_missed(self):
+        for rest in (b"id: 4\ndat", b"id: 1", b"d", b"data: x\n"):
+            self.assertTrue(self.cut(rest), rest)
+        self.assertTrue(self.cut(b"id: 0\nd", last=None))
+
+    def test_part_of_a_comment_or_of_a_repeated_event_is_not_missed(self):
+        for rest in (b"", b": ke", b"id: 3\ndat", b"id: 3\ndata: x\n\n"):
+            self.assertFalse(self.cut(rest), rest)
