--- a/src/bankrack/fleet/tunnelserver.py
+++ b/src/bankrack/fleet/tunnelserver.py
@@ -3,7 +3,6 @@
 import asyncio
 import logging
 import socket
-import struct
 import typing as t
 
 from bankrack import logs
@@ -15,6 +14,7 @@
 from bankrack.metrics import GatewayMetrics
 from bankrack.serving.giveup import give_up
 from bankrack.serving.giveup import RESET_ON_CLOSE
+from bankrack.serving.giveup import SEND_ON_CLOSE
 from bankrack.serving.paths import connect_directly
 from bankrack.utils import max_open_files
 from bankrack.wire.tunnels import decode_request
@@ -31,8 +31,6 @@
 """Time that the other node has to read the rest once the upstream closed."""
 ACTIVE_SECONDS = 1.0
 """Time without bytes after which an answered tunnel counts as idle."""
-SEND_ON_CLOSE = struct.pack("ii", 0, 0)
-"""Value of SO_LINGER with which closing sends what was written."""
 
 _logger = logging.getLogger(__name__)
 
--- a/src/bankrack/serving/giveup.py
+++ b/src/bankrack/serving/giveup.py
@@ -8,6 +8,8 @@
 
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """Value of SO_LINGER with which closing resets the connection."""
+SEND_ON_CLOSE = struct.pack("ii", 0, 0)
+"""Value of SO_LINGER with which closing sends what was written."""
 SIOCOUTQNSD = 0x894B
 """Linux' request for the number of bytes that the kernel has not sent yet."""
 _COUNT = struct.Struct("i")
