Every response that continues a stream needs a proof of origin

Only the first response of a run was checked for the upstream's seal: a run that was resumed, or started anew behind its first events, was joined to events of a response without one, and its end counted as the stream's. The reply had begun, which was taken for the proof.

--- a/src/bankrack/serving/forwarding.py
+++ b/src/bankrack/serving/forwarding.py
@@ -104,18 +104,21 @@
     async def feed(self, data: bytes, head: Head) -> None:
         """Add bytes of an engine's response and forward the completed events.
 
-        Raises :exc:`UpstreamFailed` if the first one has no proof of origin; it does
-        not count as received then.
+        Raises :exc:`UpstreamFailed` if the response has no proof of origin; its events
+        do not count as received then.
         """
         for event in self._splitter.feed(data):
-            if not self.began and not head.sealed:
-                raise UpstreamFailed("the engine's response has no proof of origin")
+            _refuse_unproved(head)
             if self.order.accept(event):
                 self._left.clear()
                 await self._write(event.data, head)
 
-    def check_end(self) -> None:
-        """Raise :exc:`UpstreamFailed` if the stream ended before or inside an event."""
+    def check_end(self, head: Head) -> None:
+        """Raise :exc:`UpstreamFailed` if the stream ended before or inside an event.
+
+        :param head: of the response that ended, which needs a proof of origin.
+        """
+        _refuse_unproved(head)
         if self._splitter.rest:
             raise UpstreamFailed("the stream ended inside an event")
         if any(splitter.cut_behind(self.order.last) for splitter in self._left):
@@ -148,3 +151,8 @@
             self.longest_pause = Pause(seconds, self.count, self._moved)
         if self._gap_target:
             self.excess_pause_seconds += max(0.0, seconds - self._gap_target)
+
+
+def _refuse_unproved(head: Head) -> None:
+    if not head.sealed:
+        raise UpstreamFailed("the engine's response has no proof of origin")
--- a/src/bankrack/serving/run.py
+++ b/src/bankrack/serving/run.py
@@ -277,7 +277,7 @@
                 self._start_copying()
         self._note_ended(exchange)
         await exchange.confirm_end()
-        self._forwarder.check_end()
+        self._forwarder.check_end(exchange.head)
 
     def _note_ended(self, exchange: Exchange) -> None:
         """Log what showed that the engine's response has ended without an error."""
--- a/tests/platform/test_stream_ends.py
+++ b/tests/platform/test_stream_ends.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from aiohttp import web
+
 from tests.base import TestCase
 from tests.platform.deployment import running
 from tests.platform.deployment import until
@@ -109,6 +111,23 @@
             writer.close()
             server.stop()
 
+    async def test_run_is_not_resumed_by_a_response_without_proof_of_origin(self):
+        """It would be joined to the events of an engine that had proved its own."""
+
+        async def resume(request: web.BaseRequest) -> web.Response | None:
+            for engine in deployment.engines:
+                engine.cut_after = -1 if "Kv-From" in request.headers else 2
+            if "Kv-From" not in request.headers:
+                return None
+            return web.Response(body=EVENTS[2] + EVENTS[3])
+
+        async with running() as deployment:
+            for engine in deployment.engines:
+                engine.custom_handler = resume
+            gateway = await deployment.start_ready_gateway()
+            response = await call(gateway.settings.front, "/talk/x")
+        self.assertEqual((200, False, EVENTS[0] + EVENTS[1]), _read(response))
+
     # What must stay complete.
 
     async def test_stream_of_a_full_engine_is_complete(self):
