An unframed response that lay unread is not complete because its upstream lives

An upstream cuts off a response that lies unread for seconds, as a slow caller makes it lie, and lives on. Its name in a health answer is then no proof that it ended the response by itself.

--- a/src/bankrack/decisions/responseends.py
+++ b/src/bankrack/decisions/responseends.py
@@ -34,7 +34,20 @@
     reason: str
 
 
-Evidence = Answered | Unanswered
+@dataclasses.dataclass(slots=True, frozen=True)
+class LeftUnread:
+    """This node left the response unread for a time, in seconds.
+
+    An upstream that lives on may have cut it off meanwhile.
+    """
+
+    seconds: float
+
+
+Evidence = Answered | Unanswered | LeftUnread
+
+MAX_UNREAD_SECONDS = 1.0
+"""Upstreams cut off responses that lie unread for seconds."""
 
 
 def doubt(upstream: Instance, evidence: Evidence) -> str | None:
@@ -42,6 +55,8 @@
     match evidence:
         case Unanswered(reason):
             return reason
+        case LeftUnread(seconds):
+            return f"it lay unread for {seconds:.2f} s, in which it may be cut off"
         case Answered(by) if by == upstream:
             return None
         case Answered(Instance(None)):
--- a/src/bankrack/serving/client.py
+++ b/src/bankrack/serving/client.py
@@ -126,9 +126,25 @@
     also keeps the unsent rest of a request whose connection was closed, until the
     upstream reads it; here the rest is dropped unless the whole response has arrived.
     A connection on which interim responses don't end is closed.
+
+    :ivar unread_seconds: longest time for which arriving bytes were not read.
     """
 
     _interim_count = 0
+    _paused_at: float | None = None
+    unread_seconds = 0.0
+
+    def pause_reading(self) -> None:
+        super().pause_reading()
+        if self._paused_at is None:
+            self._paused_at = boottime()
+
+    def resume_reading(self, *args: t.Any, **more: t.Any) -> None:
+        super().resume_reading(*args, **more)
+        if self._paused_at is not None:
+            paused = boottime() - self._paused_at
+            self.unread_seconds = max(self.unread_seconds, paused)
+            self._paused_at = None
 
     def feed_data(self, data: t.Any, size: int = 0) -> None:
         message, _ = data
@@ -215,9 +231,9 @@
     return session
 
 
-ConfirmEnd = t.Callable[[], t.Awaitable[None]]
-"""Raises :exc:`UpstreamDisconnected` if the upstream may have ended with its
-connection."""
+ConfirmEnd = t.Callable[[float], t.Awaitable[None]]
+"""Raises :exc:`UpstreamDisconnected` if a response may be incomplete that was left
+unread for at most the given seconds."""
 
 
 class Exchange:
@@ -228,7 +244,13 @@
     :param buffered: accounts for the body while it is read whole.
     """
 
-    __slots__ = ("_buffered", "_confirm_end", "_response", "head")
+    __slots__ = (
+        "_buffered",
+        "_confirm_end",
+        "_protocol",
+        "_response",
+        "head",
+    )
 
     def __init__(
         self,
@@ -240,6 +262,9 @@
         self._response = response
         self._confirm_end = confirm_end
         self._buffered = buffered
+        # A response that has ended already has no connection any more.
+        connection = response.connection
+        self._protocol = connection.protocol if connection is not None else None
         self.head = head
 
     @property
@@ -275,7 +300,9 @@
     async def confirm_end(self) -> None:
         """Raise :exc:`UpstreamDisconnected` unless the body that ended is complete."""
         if self.framing is Framing.CONNECTION:
-            await self._confirm_end()
+            handler = t.cast(_ResetAwareHandler | None, self._protocol)
+            unread_seconds = 0.0 if handler is None else handler.unread_seconds
+            await self._confirm_end(unread_seconds)
 
     def close(self) -> None:
         """Drop the connection; the upstream stops working on the job."""
--- a/src/bankrack/serving/responseends.py
+++ b/src/bankrack/serving/responseends.py
@@ -9,6 +9,8 @@
 from bankrack.decisions.responseends import doubt
 from bankrack.decisions.responseends import Evidence
 from bankrack.decisions.responseends import Instance
+from bankrack.decisions.responseends import LeftUnread
+from bankrack.decisions.responseends import MAX_UNREAD_SECONDS
 from bankrack.decisions.responseends import Unanswered
 from bankrack.exceptions import BankrackError
 from bankrack.exceptions import UpstreamDisconnected
@@ -41,15 +43,23 @@
         self._next_by_id: dict[str, asyncio.Task[Evidence]] = {}
 
     async def confirm(
-        self, upstream: Upstream, health_path: str, *, request: str
+        self,
+        upstream: Upstream,
+        health_path: str,
+        unread_seconds: float,
+        *,
+        request: str,
     ) -> None:
         """Raise :exc:`UpstreamDisconnected` if a response may be incomplete.
 
         :param health_path: health path of the service, empty if unknown.
+        :param unread_seconds: longest time for which the response was not read.
         :param request: id of the request, for the log.
         """
         ended_at = boottime()
-        evidence = await self._ask_from_now(upstream, health_path)
+        evidence: Evidence = LeftUnread(unread_seconds)
+        if unread_seconds < MAX_UNREAD_SECONDS:
+            evidence = await self._ask_from_now(upstream, health_path)
         reason = doubt(Instance(upstream.name, upstream.record.born), evidence)
         outcome = "whole" if reason is None else "cut"
         self._metrics.response_ends.inc({"outcome": outcome})
@@ -61,6 +71,7 @@
             address=upstream.address,
             leaving=upstream.leaving,
             removed=bool(upstream.removed_at),
+            unread=unread_seconds,
             whole=reason is None,
             took=boottime() - ended_at,
         )
--- a/tests/decisions/test_responseends.py
+++ b/tests/decisions/test_responseends.py
@@ -3,6 +3,7 @@
 from bankrack.decisions.responseends import Answered
 from bankrack.decisions.responseends import doubt
 from bankrack.decisions.responseends import Instance
+from bankrack.decisions.responseends import LeftUnread
 from bankrack.decisions.responseends import Unanswered
 from tests.base import TestCase
 
@@ -20,3 +21,6 @@
         self.assertIsNone(doubt(upstream, Answered(Instance("e-1", born=1))))
         for born in (2, None):
             self.assertIsNotNone(doubt(upstream, Answered(Instance("e-1", born))))
+
+    def test_response_that_was_left_unread_may_have_been_cut_off(self):
+        self.assertIsNotNone(doubt(Instance("e-1"), LeftUnread(2.0)))
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -113,9 +113,12 @@
         await asyncio.sleep(0.01)
 
 
-def response_ends() -> ResponseEnds:
-    """Return what a client needs whose upstreams frame all responses."""
-    return ResponseEnds(t.cast(t.Any, None), t.cast(t.Any, None), GatewayMetrics())
+def response_ends(control: t.Any = None) -> ResponseEnds:
+    """Return what a client needs to confirm the ends of responses.
+
+    :param control: answers the questions; not needed if all responses are framed.
+    """
+    return ResponseEnds(control, t.cast(t.Any, None), GatewayMetrics())
 
 
 def not_run_response(status: int = 503) -> web.Response:
--- a/tests/platform/test_stream_ends.py
+++ b/tests/platform/test_stream_ends.py
@@ -1,10 +1,22 @@
 """Responses that look complete when their connection ends, but may not be."""
 
 import asyncio
+import dataclasses
+import math
+import typing as t
 
 from aiohttp import web
 
+from bankrack.exceptions import UpstreamDisconnected
+from bankrack.serving import responseends
+from bankrack.serving.client import new_session
+from bankrack.serving.client import UpstreamClient
+from bankrack.serving.notices import NoticeHandler
+from bankrack.serving.sending import BodiesInFlight
+from bankrack.serving.upstreams import Upstream
+from engines import PlatformUpstreams
 from tests.base import TestCase
+from tests.platform.deployment import response_ends
 from tests.platform.deployment import running
 from tests.platform.deployment import until
 from tests.platform.fakes import call
@@ -15,6 +27,7 @@
 from tests.platform.rawservers import RawServer
 from tests.platform.rawservers import replace_servers
 from tests.platform.rawservers import STREAM
+from tests.platform.test_given_up_sends import send_to
 
 
 async def ask_leaving(
@@ -143,6 +156,43 @@
             self.assertEqual((200, True, STREAM), _read(response))
 
 
+class _LivingUpstreams:
+    """Control calls to upstreams that all live on."""
+
+    async def identify(self, upstream: Upstream, path: str) -> str:
+        return upstream.name
+
+
+class UnreadResponses(TestCase):
+    async def test_response_that_lay_unread_is_not_complete_without_framing(self):
+        """Its upstream lives, but may have cut it off meanwhile."""
+        self.patch(responseends, "MAX_UNREAD_SECONDS", 0.2)
+        self.assertEqual(1_000_000, await self.read(pause=0.0))
+        with self.assertRaises(UpstreamDisconnected):
+            await self.read(pause=0.3)
+
+    async def read(self, *, pause: float) -> int:
+        """Read a large response after a pause; returns its size."""
+        server = RawServer(b"x" * 1_000_000)
+        send = send_to(await server.start(), b"")
+        session = new_session(reuse=False)
+        client = UpstreamClient(
+            session,
+            PlatformUpstreams(),
+            NoticeHandler(),
+            t.cast(t.Any, None),
+            BodiesInFlight(lambda: math.inf),
+            response_ends(_LivingUpstreams()),
+        )
+        try:
+            exchange = await client.open(dataclasses.replace(send, health_path="/h"))
+            await asyncio.sleep(pause)
+            return len(await exchange.read())
+        finally:
+            await session.close()
+            server.stop()
+
+
 class PlainResponses(TestCase):
     """The caller must get no success with a part of the body."""
 
--- a/tests/serving/test_responseends.py
+++ b/tests/serving/test_responseends.py
@@ -37,7 +37,7 @@
 
         async def is_whole() -> bool:
             try:
-                await ends.confirm(upstream, "/healthz", request="r")
+                await ends.confirm(upstream, "/healthz", 0.0, request="r")
             except UpstreamDisconnected:
                 return False
             return True
