An upstream confirms the end of its response on a new connection

A process that shuts down closes its listener and its streams first, and may still answer on connections that it has. The question behind the end of an unframed stream went over a kept control connection, so such an engine completed the streams that it had just cut off; one that no longer answered there held the caller for the whole second. A new connection shows that the listener lives as well as the name. test_engine_that_shuts_down_does_not_complete_its_streams failed before.

--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -195,7 +195,11 @@
             view_age=lambda: self.view.age,
         )
         self.held = HeldBytes(settings.memory_mb, self.metrics, self._caller_limits)
-        control = GuardedControl(dialect.control(self._control_session, self.notices))
+        control = GuardedControl(
+            dialect.control(
+                self._control_session, self.notices, unpooled=self._upstream_session
+            )
+        )
         self.response_ends = ResponseEnds(
             control, self.rate_limits.permits, self.metrics
         )
--- a/src/bankrack/integration.py
+++ b/src/bankrack/integration.py
@@ -88,10 +88,15 @@
         ...
 
     def control(
-        self, session: aiohttp.ClientSession, notices: NoticeHandler
+        self,
+        session: aiohttp.ClientSession,
+        notices: NoticeHandler,
+        *,
+        unpooled: aiohttp.ClientSession,
     ) -> EngineControl:
         """Create the client for control requests to engines.
 
+        :param unpooled: opens a connection for each request.
         :param notices: receives the notices that engines attach to their responses.
         """
         ...
--- a/tests/platform/rawservers.py
+++ b/tests/platform/rawservers.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import enum
+import re
 import socket
 import struct
 import typing as t
@@ -35,6 +36,7 @@
     :param ending: what happens as the connection ends.
     :param headers: further lines of the head.
     :ivar full: it answers health checks with 503.
+    :ivar keeps_connections: connections of control calls stay open, also when it ends.
     :ivar may_end: set once the connection may end.
     :ivar replaced_after: seconds from the first response that ends to the next life;
         other responses end behind that.
@@ -51,6 +53,7 @@
         self.requests: list[bytes] = []
         self.bodies = list(bodies)
         self.full = False
+        self.keeps_connections = False
         self.may_end = asyncio.Event()
         self.may_end.set()
         self.replaced_after = 0.0
@@ -84,19 +87,11 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            head = await reader.readuntil(b"\r\n\r\n")
-            if head.startswith(b"GET /healthz"):
-                status = "503 Full" if self.full else "200 OK"
-                writer.write(
-                    f"HTTP/1.1 {status}\r\nBankrack-Instance-Id: {self.id}\r\n"
-                    "Content-Length: 0\r\n\r\n".encode()
-                )
-                writer.close()
-                return
-            if head.startswith((b"GET /v1/", b"POST /v1/", b"DELETE")):
-                writer.write(b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")
-                writer.close()
-                return
+            while control := self._answer_control(head := await _read(reader)):
+                writer.write(control)
+                if not self.keeps_connections:
+                    writer.close()
+                    return
             self.requests.append(head)
             body = self.bodies.pop(0)
             writer.write(
@@ -109,6 +104,20 @@
             await self.may_end.wait()
             await self._end(writer)
 
+    def _answer_control(self, head: bytes) -> bytes:
+        """Return the answer to a control call; empty for other requests."""
+        if head.startswith(b"GET /healthz"):
+            status = "503 Full" if self.full else "200 OK"
+            return (
+                f"HTTP/1.1 {status}\r\nBankrack-Instance-Id: {self.id}\r\n"
+                "Content-Length: 0\r\n\r\n".encode()
+            )
+        if head.startswith(b"POST /v1/hold-take"):
+            return b'HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n{"hold":"h"}'
+        if head.startswith((b"GET /v1/", b"POST /v1/", b"DELETE")):
+            return b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"
+        return b""
+
     async def _end(self, writer: asyncio.StreamWriter) -> None:
         match self._ending:
             case Ending.RESETS:
@@ -144,6 +153,14 @@
             self._sockets.append(waiting)
 
 
+async def _read(reader: asyncio.StreamReader) -> bytes:
+    """Read a request; returns its head."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    if length := re.search(rb"(?i)\r\ncontent-length: *(\d+)", head):
+        await reader.readexactly(int(length[1]))
+    return head
+
+
 async def replace_servers(
     deployment: Deployment, service: str, *servers: RawServer
 ) -> None:
--- a/tests/platform/test_stream_ends.py
+++ b/tests/platform/test_stream_ends.py
@@ -76,6 +76,12 @@
             response = await ask_leaving("engines", "/talk/x", server, removed=removed)
             self.assertEqual((200, False, STREAM), _read(response))
 
+    async def test_engine_that_shuts_down_does_not_complete_its_streams(self):
+        """It accepts nothing more, but still answers on connections that are open."""
+        server = RawServer(STREAM, ending=Ending.CRASHES)
+        server.keeps_connections = True
+        await self.check_broken_off(server)
+
     async def test_other_transfer_coding_than_chunks_is_no_framing(self):
         server = RawServer(
             STREAM, ending=Ending.CRASHES, headers="Transfer-Encoding: identity\r\n"
