Ends that wait for a question are gathered for 5 ms, not behind an earlier question

An end that came while its upstream was asked waited for that answer first, up to a second on a silent port, and then for its own. Questions run beside each other now, and those whose ends come together, as when a process ends, still share one: 20 ends, two questions, as before (test_responseends).

--- a/src/bankrack/serving/responseends.py
+++ b/src/bankrack/serving/responseends.py
@@ -21,6 +21,9 @@
 
 ANSWER_TIMEOUT_SECONDS = 1.0
 """Time in which an upstream must show that it lives on behind its response."""
+GATHER_SECONDS = 0.005
+"""Time in which the ends of an upstream's responses wait for a shared question, as the
+end of a process ends them all at once."""
 RANK = -1
 """Rank of the question for permits: a response that was served would be lost."""
 
@@ -39,8 +42,8 @@
         self._control = control
         self._permits = permits
         self._metrics = metrics
-        self._asked_by_id: dict[str, asyncio.Task[Evidence]] = {}
-        self._next_by_id: dict[str, asyncio.Task[Evidence]] = {}
+        self._waiting_by_id: dict[str, asyncio.Task[Evidence]] = {}
+        self._questions: set[asyncio.Task[Evidence]] = set()
 
     async def confirm(
         self,
@@ -91,36 +94,27 @@
 
     async def close(self) -> None:
         """Stop asking."""
-        questions = {*self._asked_by_id.values(), *self._next_by_id.values()}
+        questions = list(self._questions)
         for question in questions:
             question.cancel()
         await asyncio.gather(*questions, return_exceptions=True)
 
     async def _ask_from_now(self, upstream: Upstream, health_path: str) -> Evidence:
-        """Ask an upstream, together with other callers that wait to ask it.
+        """Ask an upstream, together with other ends that wait for the question.
 
-        A question that is already under way may be answered from before the end.
+        A question that is already under way may be answered from before this end.
         """
-        key = upstream.id
-        question = self._next_by_id.get(key)
+        question = self._waiting_by_id.get(upstream.id)
         if question is None:
-            question = asyncio.create_task(
-                self._ask_after(self._asked_by_id.get(key), upstream, health_path)
-            )
-            self._next_by_id[key] = question
+            question = asyncio.create_task(self._ask(upstream, health_path))
+            self._waiting_by_id[upstream.id] = question
+            self._questions.add(question)
+            question.add_done_callback(self._questions.discard)
         return await asyncio.shield(question)
 
-    async def _ask_after(
-        self,
-        earlier: asyncio.Task[Evidence] | None,
-        upstream: Upstream,
-        health_path: str,
-    ) -> Evidence:
-        if earlier is not None:
-            await asyncio.wait([earlier])
-        key = upstream.id
-        question = self._next_by_id.pop(key)
-        self._asked_by_id[key] = question
+    async def _ask(self, upstream: Upstream, health_path: str) -> Evidence:
+        await asyncio.sleep(GATHER_SECONDS)
+        del self._waiting_by_id[upstream.id]
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_SECONDS):
                 return Answered(await self._identify(upstream, health_path))
@@ -128,9 +122,6 @@
             return Unanswered(f"no answer within {ANSWER_TIMEOUT_SECONDS:g} s")
         except BankrackError as error:
             return Unanswered(error.message)
-        finally:
-            if self._asked_by_id.get(key) is question:
-                del self._asked_by_id[key]
 
     async def _identify(self, upstream: Upstream, health_path: str) -> Instance:
         """Ask which instance answers at an upstream's address."""
