All Transfer-Encoding lines of a response tell its framing, not the first one

A response with the lines 'chunked' and 'identity' counted as chunked, while the HTTP library reads it up to the end of its connection, so that its end was not questioned: the caller got 2 of 4 events as complete (found by the review, with raw sockets). test_second_transfer_encoding_line_is_not_ignored failed before.

--- a/src/bankrack/serving/framing.py
+++ b/src/bankrack/serving/framing.py
@@ -1,7 +1,9 @@
 """What tells the end of a response's body (RFC 9112, 6.3)."""
 
 import enum
-import typing as t
+
+from multidict import CIMultiDict
+from multidict import CIMultiDictProxy
 
 STATUSES_WITHOUT_BODY = (204, 304)
 
@@ -16,16 +18,17 @@
     """Only the end of its connection ends the body."""
 
 
-def framing_of(method: str, status: int, headers: t.Mapping[str, str]) -> Framing:
+def framing_of(
+    method: str, status: int, headers: CIMultiDict[str] | CIMultiDictProxy[str]
+) -> Framing:
     """Return the framing of a response.
 
     :param method: method of its request.
-    :param headers: case-insensitive.
     """
     if method == "HEAD" or status in STATUSES_WITHOUT_BODY:
         return Framing.NO_BODY
-    codings = headers.get("Transfer-Encoding")
-    if codings is not None:
-        last = codings.rpartition(",")[2].strip().lower()
+    codings = headers.getall("Transfer-Encoding", [])
+    if codings:
+        last = ",".join(codings).rpartition(",")[2].strip().lower()
         return Framing.CHUNKED if last == "chunked" else Framing.CONNECTION
     return Framing.LENGTH if "Content-Length" in headers else Framing.CONNECTION
--- a/tests/serving/test_framing.py
+++ b/tests/serving/test_framing.py
@@ -26,3 +26,7 @@
     def test_response_without_a_body_needs_no_framing(self):
         self.check(Framing.NO_BODY, method="HEAD", transfer_encoding="identity")
         self.assertIs(Framing.NO_BODY, framing_of("GET", 204, CIMultiDict()))
+
+    def test_second_transfer_encoding_line_is_not_ignored(self):
+        lines = [("Transfer-Encoding", "chunked"), ("Transfer-Encoding", "identity")]
+        self.assertIs(Framing.CONNECTION, framing_of("GET", 200, CIMultiDict(lines)))
