Comments and events that the caller has prove nothing about a stream's end

Three ways to a stream that ended as complete too early, found by the review: a comment settled the event inside which the engine before had broken off; a comment alone counted as the first event; a run that was started anew ended behind an event that the caller had long passed. What an engine sent counts by its newest event now, and comments are no events. test_comment_does_not_complete_a_cut_event, test_comment_alone_is_no_stream and test_run_started_anew_does_not_complete_what_it_did_not_reach failed before.

--- a/src/bankrack/serving/events.py
+++ b/src/bankrack/serving/events.py
@@ -14,18 +14,25 @@
         self.data = data
         self.id = event_id
 
+    @property
+    def is_comment(self) -> bool:
+        """Whether it carries nothing, as sent to keep a connection open."""
+        return _is_comment(self.data)
+
 
 class EventSplitter:
     """Buffers bytes and returns complete events.
 
     :ivar count: number of complete events so far.
+    :ivar last_id: id of the newest of them that has one.
     """
 
-    __slots__ = ("_rest", "count")
+    __slots__ = ("_rest", "count", "last_id")
 
     def __init__(self) -> None:
         self._rest = b""
         self.count = 0
+        self.last_id: int | None = None
 
     @property
     def rest(self) -> bytes:
@@ -37,10 +44,9 @@
 
         :param last: id of the caller's newest event, if any.
         """
-        lines = self._rest.split(b"\n")
-        if not self._rest or all(line.startswith(b":") for line in lines if line):
-            # Nothing, or the start of a comment.
+        if _is_comment(self._rest):
             return False
+        lines = self._rest.split(b"\n")
         event_id = _event_id(b"\n".join(lines[:-1]))
         return event_id is None or last is None or event_id > last
 
@@ -54,7 +60,10 @@
         start = 0
         while (end := buffer.find(b"\n\n", start)) >= 0:
             raw = buffer[start : end + 2]
-            events.append(Event(raw, _event_id(raw)))
+            event = Event(raw, _event_id(raw))
+            events.append(event)
+            if event.id is not None:
+                self.last_id = event.id
             start = end + 2
         self._rest = buffer[start:]
         self.count += len(events)
@@ -63,6 +72,10 @@
         return events
 
 
+def _is_comment(raw: bytes) -> bool:
+    return all(line.startswith(b":") for line in raw.split(b"\n") if line)
+
+
 def _event_id(raw: bytes) -> int | None:
     for line in raw.split(b"\n"):
         if line.startswith(b"id:"):
--- a/src/bankrack/serving/forwarding.py
+++ b/src/bankrack/serving/forwarding.py
@@ -5,6 +5,7 @@
 from bankrack.clock import boottime
 from bankrack.exceptions import UpstreamFailed
 from bankrack.serving.client import Head
+from bankrack.serving.events import Event
 from bankrack.serving.events import EventOrder
 from bankrack.serving.events import EventSplitter
 from bankrack.serving.gaps import GapMeter
@@ -110,8 +111,7 @@
         for event in self._splitter.feed(data):
             _refuse_unproved(head)
             if self.order.accept(event):
-                self._left.clear()
-                await self._write(event.data, head)
+                await self._write(event, head)
 
     def check_end(self, head: Head) -> None:
         """Raise :exc:`UpstreamFailed` if the stream ended before or inside an event.
@@ -126,20 +126,28 @@
                 "the stream ended without the event inside which an earlier engine "
                 "broke off"
             )
-        if not self.began:
+        if not self.count:
             raise UpstreamFailed("the stream ended before its first event")
+        last, engine_last = self.order.last, self._splitter.last_id
+        if last is not None and engine_last is not None and engine_last < last:
+            raise UpstreamFailed(
+                f"the stream ended behind event {engine_last}, but the caller has "
+                f"event {last}"
+            )
 
-    async def _write(self, data: bytes, head: Head) -> None:
+    async def _write(self, event: Event, head: Head) -> None:
         now = boottime()
         if self.began:
             self._note_pause(now - self.last_at, now)
         self._moved = False
         self.last_at = now
-        self.count += 1
+        if not event.is_comment:
+            self.count += 1
+            self._left.clear()
         if not self.began:
             self.began_at = self.last_at
             await self._reply.begin(head.status, head.headers)
-        if await self._reply.write(data):
+        if await self._reply.write(event.data):
             # Later events come when the caller reads, and those that lay unread
             # meanwhile come at once: they do not tell how fast the engine is.
             self.gaps = GapMeter("")
--- a/tests/platform/test_stream_ends.py
+++ b/tests/platform/test_stream_ends.py
@@ -113,6 +113,33 @@
         self.assertEqual(EVENTS[0] + EVENTS[1], response.body)
         self.assertFalse(response.complete)
 
+    async def test_comment_does_not_complete_a_cut_event(self):
+        servers = [RawServer(), RawServer()]
+        start = EVENTS[0] + EVENTS[1] + b"id: 2\ndat"
+        servers[0].bodies = servers[1].bodies = [start, *[b": keep open\n\n"] * 3]
+        response = await ask("engines", "/note/x", *servers)
+        self.assertFalse(response.complete)
+
+    async def test_comment_alone_is_no_stream(self):
+        response = await ask("engines", "/talk/x", RawServer(b": keep open\n\n"))
+        self.assertFalse(response.status == 200 and response.complete)
+
+    async def test_run_started_anew_does_not_complete_what_it_did_not_reach(self):
+        """The caller has three events, and the second engine ends behind the first."""
+
+        async def end_early(request: web.BaseRequest) -> web.Response | None:
+            if "Last-Event-Id" not in request.headers:
+                return None
+            return web.Response(body=EVENTS[0], headers={"Bankrack-Response-Seal": "s"})
+
+        async with running() as deployment:
+            for engine in deployment.engines:
+                engine.cut_after = 3
+                engine.custom_handler = end_early
+            gateway = await deployment.start_ready_gateway()
+            response = await call(gateway.settings.front, "/note/x")
+        self.assertEqual((200, False, b"".join(EVENTS[:3])), _read(response))
+
     async def test_stream_to_a_caller_without_chunks_is_reset_when_it_breaks_off(self):
         """An HTTP/1.0 caller takes the end of the connection for the stream's end."""
         server = RawServer(STREAM, ending=Ending.RESETS)
