Ends of responses: upstreams that stop soon, busy ones, stalls of the node, deadlines

Blocked loops count as time in which nothing was read. - Whole ends were broken off: a health answer took 1.2 s, as it waits for a slot, or was a rejection without a name, or the upstream asked for back-off.

--- a/src/bankrack/decisions/responseends.py
+++ b/src/bankrack/decisions/responseends.py
@@ -1,7 +1,8 @@
 """Whether the end of a connection was the end of the response on it.
 
 The system closes the connections of a process that ends, so a response that only the
-end of its connection ends is complete only if its upstream lives on behind that end.
+end of its connection ends is complete only if its upstream lives on behind that end,
+and had no reason to cut the response off.
 """
 
 import dataclasses
@@ -44,10 +45,18 @@
     seconds: float
 
 
-Evidence = Answered | Unanswered | LeftUnread
+@dataclasses.dataclass(slots=True, frozen=True)
+class OutOfTime:
+    """The response ended when the time was over that its upstream had for it."""
+
+
+Evidence = Answered | Unanswered | LeftUnread | OutOfTime
 
 MAX_UNREAD_SECONDS = 1.0
 """Upstreams cut off responses that lie unread for seconds."""
+OUT_OF_TIME_SECONDS = 0.05
+"""Time left from which an upstream, whose clock starts a little later or whose count is
+rounded, may have stopped work."""
 
 
 def doubt(upstream: Instance, evidence: Evidence) -> str | None:
@@ -57,9 +66,24 @@
             return reason
         case LeftUnread(seconds):
             return f"it lay unread for {seconds:.2f} s, in which it may be cut off"
+        case OutOfTime():
+            return "its upstream's time was over, at which upstreams stop work"
         case Answered(by) if by == upstream:
             return None
         case Answered(Instance(None)):
             return "the instance at its address states no name"
         case Answered(by):
             return f"another instance answers at its address ({by.name}, {by.born})"
+
+
+def cut_evidence(*, unread: float, time_left: float) -> Evidence | None:
+    """Return why an upstream that lives on may have cut a response off, if it may.
+
+    :param unread: longest time for which the response was not read, in seconds.
+    :param time_left: seconds of the upstream's time that were left at the end.
+    """
+    if unread >= MAX_UNREAD_SECONDS:
+        return LeftUnread(unread)
+    if time_left <= OUT_OF_TIME_SECONDS:
+        return OutOfTime()
+    return None
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -271,7 +271,7 @@
         self._load.describe = self._describe_load
         self._loop_monitor = LoopMonitor(
             lambda: self.dispatcher.in_flight,
-            lambda seconds: self.metrics.blocked.observe({}, seconds),
+            self._note_blocked,
         )
         self._gate = ConnectionGate(
             self._count_connection, note_delay=self._load.note_delay
@@ -484,6 +484,11 @@
         await self._internal_session.close()
         self.stopped.set()
 
+    def _note_blocked(self, seconds: float) -> None:
+        """Record that the event loop was blocked."""
+        self.metrics.blocked.observe({}, seconds)
+        self.response_ends.note_blocked(seconds)
+
     def _handle_loop_error(
         self, loop: asyncio.AbstractEventLoop, context: dict[str, t.Any]
     ) -> None:
--- a/src/bankrack/serving/client.py
+++ b/src/bankrack/serving/client.py
@@ -37,6 +37,7 @@
 from bankrack.serving.paths import UpstreamConnector
 from bankrack.serving.paths import UpstreamPaths
 from bankrack.serving.permits import Permits
+from bankrack.serving.responseends import EndedResponse
 from bankrack.serving.responseends import ResponseEnds
 from bankrack.serving.sending import BodiesInFlight
 from bankrack.serving.upstreams import Upstream
@@ -231,36 +232,38 @@
     return session
 
 
-ConfirmEnd = t.Callable[[float], t.Awaitable[None]]
-"""Raises :exc:`UpstreamDisconnected` if a response may be incomplete that was left
-unread for at most the given seconds."""
-
-
 class Exchange:
     """A response being read; ``close`` aborts the request immediately.
 
-    :param confirm_end: called at the end of a response that only the end of its
-        connection ends.
+    :param ends: confirms the end if only the end of the connection ends the body.
     :param buffered: accounts for the body while it is read whole.
+    :param sent_at: boot-time seconds when the job was sent.
     """
 
     __slots__ = (
         "_buffered",
-        "_confirm_end",
+        "_ends",
         "_protocol",
         "_response",
+        "_send",
+        "_sent_at",
         "head",
     )
 
     def __init__(
         self,
+        send: Send,
         response: aiohttp.ClientResponse,
         head: Head,
-        confirm_end: ConfirmEnd,
+        ends: ResponseEnds,
         buffered: BufferedResponses,
+        *,
+        sent_at: float,
     ) -> None:
+        self._send = send
+        self._sent_at = sent_at
         self._response = response
-        self._confirm_end = confirm_end
+        self._ends = ends
         self._buffered = buffered
         # A response that has ended already has no connection any more.
         connection = response.connection
@@ -297,12 +300,23 @@
             message = f"the upstream's response was truncated ({error!r})"
             raise UpstreamDisconnected(message) from error
 
-    async def confirm_end(self) -> None:
-        """Raise :exc:`UpstreamDisconnected` unless the body that ended is complete."""
-        if self.framing is Framing.CONNECTION:
-            handler = t.cast(_ResetAwareHandler | None, self._protocol)
-            unread_seconds = 0.0 if handler is None else handler.unread_seconds
-            await self._confirm_end(unread_seconds)
+    async def confirm_end(self, *, has_copy: bool = False) -> None:
+        """Raise :exc:`UpstreamDisconnected` unless the body that ended is complete.
+
+        :param has_copy: the run can go on at a copy.
+        """
+        if self.framing is not Framing.CONNECTION:
+            return
+        handler = t.cast(_ResetAwareHandler | None, self._protocol)
+        ended = EndedResponse(
+            self._send.job.id,
+            self._send.health_path,
+            self._sent_at,
+            unread=0.0 if handler is None else handler.unread_seconds,
+            time_left=self._sent_at + self._send.time_left - boottime(),
+            has_copy=has_copy,
+        )
+        await self._ends.confirm(self._send.upstream, ended)
 
     def close(self) -> None:
         """Drop the connection; the upstream stops working on the job."""
@@ -410,10 +424,9 @@
                 "one may have run",
                 outcome=Outcome.UNKNOWN,
             )
-        confirm_end = functools.partial(
-            self._ends.confirm, send.upstream, send.health_path, request=job.id
+        return Exchange(
+            send, response, head, self._ends, self._buffered, sent_at=sent_at
         )
-        return Exchange(response, head, confirm_end, self._buffered)
 
     async def _acquire_permit(self, send: Send) -> None:
         """Take a permit of the upstream's rate limit, which all nodes share.
--- a/src/bankrack/serving/enginecontrol.py
+++ b/src/bankrack/serving/enginecontrol.py
@@ -1,5 +1,6 @@
 """Control calls to engines: reports, reservations and copies of runs."""
 
+import dataclasses
 import typing as t
 
 from bankrack.clock import boottime
@@ -9,6 +10,18 @@
 from bankrack.serving.upstreams import Upstream
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Health:
+    """Answer to a health check.
+
+    :param name: name of the instance that answered; ``None`` if it stated none.
+    :param healthy: it considers itself healthy and does not shut down.
+    """
+
+    name: str | None
+    healthy: bool
+
+
 class EngineControl(t.Protocol):
     """Interface of the control calls to engines."""
 
@@ -43,10 +56,10 @@
         """
         ...
 
-    async def identify(self, upstream: Upstream, path: str) -> str | None:
-        """Return the name of the instance that answers at an upstream's address.
+    async def identify(self, upstream: Upstream, path: str) -> Health:
+        """Ask on a new connection which instance answers at an upstream's address.
 
-        ``None`` if it states no name; raises :exc:`UpstreamFailed`.
+        Raises :exc:`UpstreamFailed`.
 
         :param path: health path of the service.
         """
@@ -101,8 +114,8 @@
         self._refuse_if_backing_off(engine)
         await self._control.probe(engine, path)
 
-    async def identify(self, upstream: Upstream, path: str) -> str | None:
-        """Return the name of the instance that answers at an upstream's address."""
+    async def identify(self, upstream: Upstream, path: str) -> Health:
+        """Ask on a new connection which instance answers at an upstream's address."""
         self._refuse_if_backing_off(upstream)
         return await self._control.identify(upstream, path)
 
--- a/src/bankrack/serving/run.py
+++ b/src/bankrack/serving/run.py
@@ -276,7 +276,7 @@
                 self._note_begun()
                 self._start_copying()
         self._note_ended(exchange)
-        await exchange.confirm_end()
+        await exchange.confirm_end(has_copy=bool(self._usable_copies()))
         self._forwarder.check_end(exchange.head)
 
     def _note_ended(self, exchange: Exchange) -> None:
--- a/tests/decisions/test_responseends.py
+++ b/tests/decisions/test_responseends.py
@@ -1,9 +1,9 @@
 """Whether a response is complete that only the end of its connection ends."""
 
 from bankrack.decisions.responseends import Answered
+from bankrack.decisions.responseends import cut_evidence
 from bankrack.decisions.responseends import doubt
 from bankrack.decisions.responseends import Instance
-from bankrack.decisions.responseends import LeftUnread
 from bankrack.decisions.responseends import Unanswered
 from tests.base import TestCase
 
@@ -23,4 +23,10 @@
             self.assertIsNotNone(doubt(upstream, Answered(Instance("e-1", born))))
 
     def test_response_that_was_left_unread_may_have_been_cut_off(self):
-        self.assertIsNotNone(doubt(Instance("e-1"), LeftUnread(2.0)))
+        evidence = cut_evidence(unread=2.0, time_left=5.0)
+        self.assertIsNotNone(evidence and doubt(Instance("e-1"), evidence))
+
+    def test_response_that_ends_as_its_time_is_over_may_have_been_cut_off(self):
+        evidence = cut_evidence(unread=0.0, time_left=0.01)
+        self.assertIsNotNone(evidence and doubt(Instance("e-1"), evidence))
+        self.assertIsNone(cut_evidence(unread=0.1, time_left=0.5))
--- a/tests/platform/rawservers.py
+++ b/tests/platform/rawservers.py
@@ -24,6 +24,7 @@
 
     LIVES = "lives"
     RESETS = "resets"  # It resets the connection, and lives.
+    STOPS = "stops"  # It ends 0.2 s later.
     CRASHES = "crashes"  # Its port refuses connections.
     REPLACED = "replaced"  # The next life listens on its port.
     VANISHES = "vanishes"  # Its port is silent.
@@ -36,6 +37,8 @@
     :param ending: what happens as the connection ends.
     :param headers: further lines of the head.
     :ivar full: it answers health checks with 503.
+    :ivar slow: health answers take 1.2 s.
+    :ivar nameless: the first two health answers are rejections that state no name.
     :ivar keeps_connections: connections of control calls stay open, also when it ends.
     :ivar may_end: set once the connection may end.
     :ivar replaced_after: seconds from the first response that ends to the next life;
@@ -53,6 +56,8 @@
         self.requests: list[bytes] = []
         self.bodies = list(bodies)
         self.full = False
+        self.slow = False
+        self.nameless = False
         self.keeps_connections = False
         self.may_end = asyncio.Event()
         self.may_end.set()
@@ -61,6 +66,7 @@
         self._ending = ending
         self._headers = headers
         self._server: asyncio.Server | None = None
+        self._rejections = 0
         self._replaced = asyncio.Event()
         self._address = (HOST, 0)
         self._sockets: list[socket.socket] = []
@@ -88,6 +94,8 @@
     ) -> None:
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             while control := self._answer_control(head := await _read(reader)):
+                if self.slow and head.startswith(b"GET /healthz"):
+                    await asyncio.sleep(1.2)
                 writer.write(control)
                 if not self.keeps_connections:
                     writer.close()
@@ -106,6 +114,10 @@
 
     def _answer_control(self, head: bytes) -> bytes:
         """Return the answer to a control call; empty for other requests."""
+        if head.startswith(b"GET /healthz") and self.nameless:
+            self._rejections += 1
+            self.nameless = self._rejections < 2
+            return b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n"
         if head.startswith(b"GET /healthz"):
             status = "503 Full" if self.full else "200 OK"
             return (
@@ -125,6 +137,10 @@
                 raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
                 writer.transport.abort()
                 return
+            case Ending.STOPS:
+                writer.close()
+                await asyncio.sleep(0.2)
+                self.stop()
             case Ending.CRASHES:
                 self.stop()
             case Ending.REPLACED if self._server is not None:
--- a/tests/platform/test_stream_ends.py
+++ b/tests/platform/test_stream_ends.py
@@ -7,10 +7,11 @@
 
 from aiohttp import web
 
+from bankrack.decisions import responseends
 from bankrack.exceptions import UpstreamDisconnected
-from bankrack.serving import responseends
 from bankrack.serving.client import new_session
 from bankrack.serving.client import UpstreamClient
+from bankrack.serving.enginecontrol import Health
 from bankrack.serving.notices import NoticeHandler
 from bankrack.serving.sending import BodiesInFlight
 from bankrack.serving.upstreams import Upstream
@@ -82,6 +83,12 @@
         server.keeps_connections = True
         await self.check_broken_off(server)
 
+    async def test_engine_that_stops_soon_does_not_complete_its_streams(self):
+        """It closes them first, and states its name for a moment longer."""
+        server = RawServer(STREAM, ending=Ending.STOPS)
+        server.full = True
+        await self.check_broken_off(server)
+
     async def test_other_transfer_coding_than_chunks_is_no_framing(self):
         server = RawServer(
             STREAM, ending=Ending.CRASHES, headers="Transfer-Encoding: identity\r\n"
@@ -192,8 +199,8 @@
 class _LivingUpstreams:
     """Control calls to upstreams that all live on."""
 
-    async def identify(self, upstream: Upstream, path: str) -> str:
-        return upstream.name
+    async def identify(self, upstream: Upstream, path: str) -> Health:
+        return Health(upstream.name, healthy=True)
 
 
 class UnreadResponses(TestCase):
@@ -234,6 +241,14 @@
             response = await ask("plain", "/bill/x", RawServer(b"part", ending=ending))
             self.assertEqual(502, response.status)
 
+    async def test_response_of_a_busy_server_is_complete(self):
+        """Its health answer waits for a slot, or is a rejection without a name."""
+        for attribute in ("slow", "nameless"):
+            server = RawServer(b"whole")
+            setattr(server, attribute, True)
+            response = await ask("plain", "/bill/x", server)
+            self.assertEqual((200, True, b"whole"), _read(response), attribute)
+
     async def test_leaving_server_that_ends_does_not_complete_its_responses(self):
         server = RawServer(b"part", ending=Ending.CRASHES)
         response = await ask_leaving("plain", "/bill/x", server)
--- a/tests/serving/test_responseends.py
+++ b/tests/serving/test_responseends.py
@@ -6,6 +6,8 @@
 from bankrack.clock import boottime
 from bankrack.exceptions import UpstreamDisconnected
 from bankrack.metrics import GatewayMetrics
+from bankrack.serving.enginecontrol import Health
+from bankrack.serving.responseends import EndedResponse
 from bankrack.serving.responseends import ResponseEnds
 from bankrack.serving.upstreams import Upstream
 from bankrack.serving.upstreams import UpstreamRecord
@@ -19,11 +21,11 @@
         self.questions = 0
         self.name = "e-1"
 
-    async def identify(self, upstream: Upstream, path: str) -> str:
+    async def identify(self, upstream: Upstream, path: str) -> Health:
         self.questions += 1
         name = self.name
         await asyncio.sleep(0.05)
-        return name
+        return Health(name, healthy=True)
 
 
 class Questions(TestCase):
@@ -37,7 +39,7 @@
 
         async def is_whole() -> bool:
             try:
-                await ends.confirm(upstream, "/healthz", 0.0, request="r")
+                await ends.confirm(upstream, EndedResponse("r", "/healthz", boottime()))
             except UpstreamDisconnected:
                 return False
             return True
@@ -48,3 +50,16 @@
         later = await asyncio.gather(*[is_whole() for _ in range(20)])
         self.assertEqual((True, {False}), (await first, set(later)))
         self.assertEqual(2, control.questions)
+
+    async def test_response_is_not_complete_if_the_node_stood_still(self):
+        """Its upstream may have cut it off meanwhile, and lives."""
+        ends = ResponseEnds(
+            t.cast(t.Any, _Control()), t.cast(t.Any, None), GatewayMetrics()
+        )
+        upstream = Upstream(UpstreamRecord("e-1", "s", "x:1", "a", 1), boottime())
+        sent = EndedResponse("r", "/healthz", boottime())
+        await ends.confirm(upstream, sent)
+        ends.note_blocked(1.5)
+        with self.assertRaises(UpstreamDisconnected):
+            await ends.confirm(upstream, sent)
+        await ends.confirm(upstream, EndedResponse("r", "/healthz", boottime()))
