An engine's answer that lacks its load, or an id, is no answer

A report of '{}', as a server of another kind answers on a reused address, told of an engine without runs, queue and memory: its placements were dropped and it had no room. A reservation or a copy without its id was used under the empty one, so that a run was sent with an empty Hold header, which reserves nothing.

No run of the users showed this; found by reading.

--- a/tests/platform/test_cut_answers.py
+++ b/tests/platform/test_cut_answers.py
@@ -6,8 +6,15 @@
 
 from aiohttp import web
 
+from bankrack.clock import boottime
 from bankrack.exceptions import PlatformUnavailable
+from bankrack.exceptions import UpstreamFailed
+from bankrack.serving.callprogress import CallProgress
 from bankrack.serving.client import new_session
+from bankrack.serving.notices import NoticeHandler
+from bankrack.serving.upstreams import Upstream
+from bankrack.serving.upstreams import UpstreamRecord
+from engines import PlatformEngineControl
 from store import PlatformStore
 from tests.base import TestCase
 from tests.platform.deployment import running
@@ -16,6 +23,7 @@
 PAGE = b'{"items":[{"tlsKey":"servers/a","value":"","revision":7}],"more":true,"at":9}'
 CHANGES = b'{"events":[{"tlsKey":"servers/a","revision":7,"gone":true}],"at":9}'
 LEASE = b'{"lease":5,"ttl_ms":3000}'
+REPORT = b'{"running":9,"queued":2,"kvUsed":4000,"kvTotal":9000,"runs":[["r",5,1,0]]}'
 
 
 @contextlib.asynccontextmanager
@@ -82,3 +90,37 @@
             deployment.store._range = lambda query: web.json_response(found)
             await asyncio.sleep(1.5)
             self.assertEqual(known, set(gateway.upstreams.by_id))
+
+
+class EngineAnswers(TestCase):
+    async def assert_fails(self, body: bytes, work: t.Any) -> None:
+        async with answering(body) as (address, session):
+            control = PlatformEngineControl(session, NoticeHandler())
+            record = UpstreamRecord("e-1", "s", address, "a", slots=1)
+            with self.subTest(body), self.assertRaises(UpstreamFailed):
+                await work(control, Upstream(record, boottime()))
+
+    async def test_report_without_load_tells_of_an_empty_engine(self):
+        parts = b'"running":9', b'"queued":2', b'"kvUsed":4000', b'"kvTotal":9000'
+        for missing in parts:
+            left = b",".join(part for part in parts if part is not missing)
+            await self.assert_fails(b"{%s}" % left, _report)
+        await self.assert_fails(b"{}", _report)
+
+    async def test_reservation_or_copy_without_its_id_is_used(self):
+        async def reserve(control: PlatformEngineControl, engine: Upstream) -> None:
+            await control.reserve(engine, 100, 1.0, CallProgress())
+
+        async def copy(control: PlatformEngineControl, engine: Upstream) -> None:
+            await control.copy(engine, "r-1", engine)
+
+        await self.assert_fails(b"{}", reserve)
+        await self.assert_fails(b'{"made":4}', copy)
+
+    async def test_report_that_ends_early_is_believed(self):
+        for size in range(len(REPORT)):
+            await self.assert_fails(REPORT[:size], _report)
+
+
+async def _report(control: PlatformEngineControl, engine: Upstream) -> None:
+    await control.report(engine)
