An ended stream whose rest is unsent is reset for callers without chunks

A stream to an HTTP/1.0 caller was set to close normally as soon as its engine had ended, while its last events could still lie in this node's memory. If the caller was then cut for reading nothing, or this process ended, the caller read what the system had, and then an end like that of a whole stream. The connection is set to close normally only once the system has all bytes; it sends them in any case.

test_ended_stream_that_is_cut_looks_whole_without_chunks failed before (50 events of 2 kB, some 100 kB, unread until the caller was cut: no reset) and passes now. With it test_caller_without_chunks_that_reads_again_gets_everything, which passed before too. test_slow_callers 9 of 9, test_stream_ends 13, test_unframed_responses 11, test_unreadreplies 5. No run of the users showed this; found by reading.

--- a/src/bankrack/front/httpreply.py
+++ b/src/bankrack/front/httpreply.py
@@ -124,8 +124,11 @@
 
     async def end(self) -> None:
         """End a streamed response as complete."""
-        self._set_linger(SEND_ON_CLOSE)
         try:
+            if not self.response.chunked:
+                # From now on the end of the connection tells that it is complete.
+                await self._hand_over()
+                self._set_linger(SEND_ON_CLOSE)
             await self._write_end()
         except OSError as error:
             raise CallerDisconnected("the caller closed the connection") from error
@@ -164,6 +167,16 @@
             self._watch()
             self.close()
 
+    async def _hand_over(self) -> None:
+        """Wait until the system has all that was written, and sends it in any case."""
+        self._watch()
+        transport = self._request.transport
+        if self._watched is not None:
+            await self._wait_until_read(0)
+        elif transport is not None:
+            transport.set_write_buffer_limits(0)
+            await self._request.writer.drain()
+
     async def _wait_until_read(self, size: int) -> bool:
         """Wait until the caller has read all but ``size`` bytes, if it has not yet."""
         assert self._watched is not None
--- a/tests/platform/test_slow_callers.py
+++ b/tests/platform/test_slow_callers.py
@@ -36,13 +36,20 @@
 
 
 class SlowCaller:
-    """A caller that reads only on request."""
+    """A caller that reads only on request.
+
+    :ivar was_reset: its connection was reset, not closed.
+    """
 
     _numbers = itertools.count()
 
-    def __init__(self, front: str, path: str = "/talk/x") -> None:
+    def __init__(
+        self, front: str, path: str = "/talk/x", *, version: bytes = b"1.1"
+    ) -> None:
         self._front = front
         self._path = path.encode()
+        self._version = version
+        self.was_reset = False
         self.request = f"slow-{next(self._numbers)}"
         self.longest_pause = 0.0
 
@@ -54,22 +61,24 @@
         await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
         self._reader, self._writer = await asyncio.open_connection(sock=sock, limit=1)
         self._writer.write(
-            b"POST %b HTTP/1.1\r\nHost: h.example\r\nBankrack-Key: key-1\r\n"
+            b"POST %b HTTP/%b\r\nHost: h.example\r\nBankrack-Key: key-1\r\n"
             b"Bankrack-Request-Id: %b\r\nBankrack-Deadline-Ms: 15000\r\n"
             b"Content-Length: 0\r\nConnection: close\r\n\r\n"
-            % (self._path, self.request.encode())
+            % (self._path, self._version, self.request.encode())
         )
 
     async def read(self, *, pause: float = 0.0) -> bytes:
         """Read to the end of the connection; returns the chunked body."""
         received, read_at = b"", 0.0
-        with contextlib.suppress(ConnectionError):
+        try:
             while part := await self._reader.read(4096 if pause else 65536):
                 await asyncio.sleep(pause)
                 now = boottime()
                 self.longest_pause = max(self.longest_pause, now - (read_at or now))
                 read_at = now
                 received += part
+        except ConnectionError:
+            self.was_reset = True
         self._writer.close()
         return received.partition(b"\r\n\r\n")[2]
 
@@ -200,6 +209,30 @@
             self.assertLess(len(body), 100_000)
             self.assertEqual([("caller_slow", None), ("caller_cut", "stalled")], logged)
 
+    async def test_ended_stream_that_is_cut_looks_whole_without_chunks(self):
+        """An HTTP/1.0 caller reads on after the node gave up waiting for it."""
+        async with serving(memory_mb=128, events=50, pause=0.002) as found:
+            _, gateway, front = found
+            caller = SlowCaller(front, version=b"1.0")
+            await caller.send()
+            await until(lambda: gateway.held.replies.held > 80_000)
+            await until(lambda: not gateway.dispatcher.in_flight, seconds=9.0)
+            await caller.read()
+            self.assertTrue(caller.was_reset)
+
+    async def test_caller_without_chunks_that_reads_again_gets_everything(self):
+        async with serving(memory_mb=128, events=50, pause=0.002) as found:
+            _, gateway, front = found
+            caller = SlowCaller(front, version=b"1.0")
+            await caller.send()
+            await until(lambda: gateway.held.replies.held > 80_000)
+            await asyncio.sleep(0.5)
+            body = await caller.read()
+        events = [
+            b"id: %d\ndata: token%d%b\n\n" % (n, n, b"." * 2000) for n in range(50)
+        ]
+        self.assertEqual((b"".join(events), False), (body, caller.was_reset))
+
     async def test_engine_waits_for_caller_that_left_an_eighth_of_the_share(self):
         limit = 8 * 1024 * 1024 / 64
         async with serving(memory_mb=8, events=150, pause=0.002) as found:
