A stream without chunks ends its connection, also one that is to be kept

A stream to an HTTP/1.0 caller that asked to keep its connection had neither a length nor chunks, and its connection stayed open: nothing showed its end, and the next response would have been read as its continuation. Its connection is closed now.

--- a/src/bankrack/front/httpreply.py
+++ b/src/bankrack/front/httpreply.py
@@ -98,6 +98,8 @@
         if self._request.version >= aiohttp.HttpVersion11:
             response.enable_chunked_encoding()
         else:
+            # Only the end of the connection ends this response.
+            response.force_close()
             # Only a reset tells this caller that the response is incomplete, also if
             # this process ends.
             self._set_linger(RESET_ON_CLOSE)
--- a/tests/platform/test_stream_ends.py
+++ b/tests/platform/test_stream_ends.py
@@ -124,6 +124,24 @@
             writer.close()
             server.stop()
 
+    async def test_stream_without_chunks_never_ends_on_a_kept_connection(self):
+        """An HTTP/1.0 caller asks to keep it, and waits for the stream's end."""
+        async with running() as deployment:
+            gateway = await deployment.start_ready_gateway()
+            host, _, port = gateway.settings.front.partition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(
+                b"POST /talk/x HTTP/1.0\r\nHost: h.example\r\nBankrack-Key: key-1\r\n"
+                b"Bankrack-Request-Id: r-1\r\nBankrack-Deadline-Ms: 3000\r\n"
+                b"Connection: keep-alive\r\n\r\n"
+            )
+            async with asyncio.timeout(3.0):
+                received = await reader.read()
+            writer.close()
+        self.assertTrue(
+            received.endswith(b"\r\n\r\n" + STREAM + b"id: 4\ndata: token4\n\n")
+        )
+
     async def test_run_is_not_resumed_by_a_response_without_proof_of_origin(self):
         """It would be joined to the events of an engine that had proved its own."""
 
