A reply that was begun and not ended is broken off, not completed

The handler of a request returns its response to the HTTP library, which ends whatever was begun and is still open: the last chunk is written, and the caller sees a complete stream. That only an explicit end completes a stream was thus left to each path through the relays. The server now breaks off what nobody ended, and logs reply_unended.

test_stream_that_nobody_ended_is_ended_by_the_http_library failed before (complete after 1 event, both when the handler returned and when it raised an error behind its beginning). No path of today's relays does that, as far as was read: Dispatcher.serve aborts on every typed error.

--- a/src/bankrack/front/callerserver.py
+++ b/src/bankrack/front/callerserver.py
@@ -199,6 +199,15 @@
         finally:
             reply.close()
             reservation.release()
+        if reply.unended:
+            # The HTTP library would end it as complete.
+            logs.event(
+                _logger,
+                "reply_unended",
+                level=logging.ERROR,
+                request=reply.request_id,
+            )
+            reply.abort()
         return reply.response
 
     async def _refuse_body(
--- a/src/bankrack/front/httpreply.py
+++ b/src/bankrack/front/httpreply.py
@@ -47,6 +47,12 @@
         self.cut: CallerTooSlow | None = None
         self.request_id = ""
         self.was_aborted = False
+        self._ended = False
+
+    @property
+    def unended(self) -> bool:
+        """Whether the response was started, and neither ended nor aborted."""
+        return self.started and not self._ended and not self.was_aborted
 
     @property
     def started(self) -> bool:
@@ -160,6 +166,7 @@
 
     async def _write_end(self) -> None:
         await self.response.write_eof()
+        self._ended = True
         if self._watched is not None:
             await self._wait_until_read(0)
             self._watched.set_buffer_limit()
--- a/tests/platform/test_stream_ends.py
+++ b/tests/platform/test_stream_ends.py
@@ -7,10 +7,13 @@
 
 from aiohttp import web
 
+from bankrack.exceptions import StreamInterrupted
 from bankrack.exceptions import UpstreamDisconnected
+from bankrack.front.httpreply import HttpReply
 from bankrack.serving import responseends
 from bankrack.serving.client import new_session
 from bankrack.serving.client import UpstreamClient
+from bankrack.serving.job import Job
 from bankrack.serving.notices import NoticeHandler
 from bankrack.serving.sending import BodiesInFlight
 from bankrack.serving.upstreams import Upstream
@@ -174,6 +177,27 @@
             self.assertEqual((200, True, STREAM), _read(response))
 
 
+class UnendedReplies(TestCase):
+    async def test_stream_that_nobody_ended_is_ended_by_the_http_library(self):
+        """A handler that returns early must not complete what it began."""
+
+        async def serve(job: Job, reply: HttpReply) -> None:
+            await reply.begin(200, [])
+            await reply.write(EVENTS[0])
+            if job.id == "r-1":
+                raise StreamInterrupted("the run could not be resumed")
+
+        async with running() as deployment:
+            gateway = await deployment.start_ready_gateway()
+            gateway.front._serve = serve
+            for request in ("r-1", "r-2"):
+                headers = {"Bankrack-Request-Id": request}
+                response = await call(
+                    gateway.settings.front, "/talk/x", headers=headers
+                )
+                self.assertEqual((200, False, EVENTS[0]), _read(response), request)
+
+
 class _LivingUpstreams:
     """Control calls to upstreams that all live on."""
 
