Tests: a node's stop completes no stream, with and without chunks

A stop whose grace period ends in the midst of a stream breaks it off: no last chunk for HTTP/1.1, a reset for HTTP/1.0, whether the engine sends chunks or not.

--- a/tests/platform/test_stopping.py
+++ b/tests/platform/test_stopping.py
@@ -9,6 +9,11 @@
 from tests.platform.deployment import Deployment
 from tests.platform.deployment import running
 from tests.platform.deployment import until
+from tests.platform.rawservers import RawServer
+from tests.platform.rawservers import replace_servers
+from tests.platform.rawservers import STREAM
+from tests.platform.test_slow_callers import END
+from tests.platform.test_slow_callers import SlowCaller
 
 NOTICE_SECONDS = 0.4
 """Time for which a stopping gateway keeps idle connections in these tests."""
@@ -143,3 +148,46 @@
             deployment.store.unresponsive = True
             async with asyncio.timeout(1.2):
                 await gateway.stop("test")
+
+
+class Streams(TestCase):
+    """Streams that outlast the grace period must not look complete."""
+
+    def setUp(self):
+        super().setUp()
+        self.patch(gateway_module, "BALANCER_NOTICE_SECONDS", 0.1)
+
+    async def stop_within(self, version: bytes, *, framed: bool) -> bytes:
+        """Stop a node in the midst of a stream; returns all that its caller reads.
+
+        :param framed: the engine sends chunks.
+        """
+        async with running() as deployment:
+            server = RawServer(STREAM)
+            server.may_end.clear()
+            if not framed:
+                await replace_servers(deployment, "engines", server)
+            for engine in deployment.engines:
+                engine.events, engine.pause = 1000, 0.01
+            gateway = await deployment.start_ready_gateway(grace=1.2)
+            caller = SlowCaller(gateway.settings.front, version=version)
+            caller.request = "r-1"
+            await caller.send()
+            await until(lambda: gateway.dispatcher.in_flight == 1)
+            await asyncio.sleep(0.2)
+            await gateway.stop("test")
+            async with asyncio.timeout(3.0):
+                received = await caller.read()
+            server.stop()
+            self.assertEqual(version == b"1.0", caller.was_reset)
+            return received
+
+    async def test_stop_completes_a_stream_for_a_caller_that_reads_chunks(self):
+        for framed in (True, False):
+            received = await self.stop_within(b"1.1", framed=framed)
+            self.assertIn(b"token3", received)
+            self.assertFalse(received.endswith(END), framed)
+
+    async def test_stop_completes_a_stream_for_a_caller_without_chunks(self):
+        for framed in (True, False):
+            await self.stop_within(b"1.0", framed=framed)
