Test: an update of a leader that ends early changes no view

An update whose end only the connection shows, cut at each byte, is refused: the view keeps its entries and its age.

--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from bankrack.clock import boottime
+from bankrack.exceptions import PeerUnavailable
 from bankrack.fleet import peers
 from bankrack.fleet import updateserver
 from bankrack.fleet import view as view_module
@@ -52,6 +53,7 @@
         self.address = free_address()
         self.answers: list[UpdateMessage] = []
         self.seconds_per_part = 0.0
+        self.cut_answer: bytes | None = None
         self._stack = contextlib.AsyncExitStack()
 
     async def __aenter__(self) -> "LeaderAndFollower":
@@ -86,6 +88,10 @@
             self._stack.push_async_callback(runner.cleanup)
 
     async def _handle(self, request: web.Request) -> web.StreamResponse:
+        if self.cut_answer is not None:
+            assert request.transport is not None
+            request.transport.write(b"HTTP/1.1 200 OK\r\n\r\n" + self.cut_answer)
+            request.transport.close()
         if self.seconds_per_part:
             return await self._send_slowly(request)
         response = await self._server.handle(request)
@@ -245,6 +251,23 @@
             await pair.ask()
             self.assert_same(pair)
 
+    async def test_answer_that_ends_early_empties_the_view(self):
+        """A leader's process ends, and only the end of the connection shows it."""
+        async with LeaderAndFollower() as pair:
+            pair.read(pair.leader, 3, "a-1", "b-2", "c-3")
+            await pair.ask()
+            confirmed_at = pair.follower.confirmed_at
+            whole = pair._server._encode_whole_view(True)
+            for size in range(len(whole)):
+                pair.cut_answer = whole[:size]
+                with self.assertRaises(PeerUnavailable):
+                    await pair.ask()
+            self.assert_same(pair)
+            self.assertEqual(confirmed_at, pair.follower.confirmed_at)
+            pair.cut_answer = whole
+            await pair.ask()
+            self.assertGreater(pair.follower.confirmed_at, confirmed_at)
+
     async def test_restarted_leader_sends_all_keys(self):
         async with LeaderAndFollower() as pair:
             pair.read(pair.leader, 1, "up/x-1")
