A member's unreadable answer no longer ends the notification of a crash

Objections that don't decode were expected as BankrackError, but the decoder raises HTTPBadRequest as for requests: the task that tells all members of a crash ended with it. Members that were to be told again were not, and whoever waited for the first round waited until its time-out. It is caught now, as beside it in outlierupdates.

Found by reading answers of peers that are cut: between nodes of one release a cut answer is seen by its length, so only another release or a foreign server causes this.

--- a/src/bankrack/fleet/crashupdates.py
+++ b/src/bankrack/fleet/crashupdates.py
@@ -86,12 +86,12 @@
             return
         try:
             objections = decode_message(body, list[Quarantine])
-        except BankrackError as error:
+        except web.HTTPBadRequest as error:
             logs.event(
                 _logger,
                 "objections_unreadable",
                 member=member.name,
-                reason=error.message,
+                reason=error.text,
             )
             return
         for objection in objections:
--- a/tests/fleet/test_crashupdates.py
+++ b/tests/fleet/test_crashupdates.py
@@ -17,6 +17,7 @@
 from bankrack.fleet.documents import Member
 from bankrack.fleet.documents import Quarantine
 from bankrack.fleet.store import Lease
+from bankrack.front.listeners import serve_application
 from bankrack.serving.crashregister import CrashRegister
 from tests.base import TestCase
 from tests.fakes import free_address
@@ -138,6 +139,22 @@
                 await until(lambda n=node: bool(n.register.crashes("part-1")))
                 await until(lambda n=node: not n.register.is_suspect("part-1"))
 
+    async def test_malformed_answer_of_one_member_keeps_others_waiting(self):
+        """A request waits until all members were told of its crash."""
+
+        async def answer(request: web.Request) -> web.Response:
+            return web.Response(body=b"\x91")
+
+        async with running(not_listening=1) as fleet:
+            application = web.Application()
+            application.router.add_post(CRASHES_PATH, answer)
+            runner = await serve_application(application, fleet.nodes[2].member.address)
+            register = fleet.nodes[0].register
+            told = register.updates_sent
+            register.note_crash("f", crash("a"))
+            await asyncio.wait_for(told.wait(), 0.5)
+            await runner.cleanup()
+
     async def test_malformed_notification_is_rejected(self):
         async with running(nodes=1) as fleet:
             url = f"http://{fleet.nodes[0].member.address}{CRASHES_PATH}"
