--- a/tests/platform/test_stream_ends.py
+++ b/tests/platform/test_stream_ends.py
@@ -177,6 +177,26 @@
             self.assertEqual((200, True, STREAM), _read(response))
 
 
+class FramedResponses(TestCase):
+    async def test_response_that_ends_before_its_frame_is_complete(self):
+        """Its server lives on, which is no proof for a response that tells its end."""
+        chunk = b"%x\r\n%b\r\n" % (len(STREAM), STREAM)
+        length, chunked = "Content-Length: 9999\r\n", "Transfer-Encoding: chunked\r\n"
+        for headers, body in (
+            (length, STREAM),
+            (chunked, chunk),
+            (chunked, chunk + b"0"),
+            (chunked, chunk + b"0\r\n"),
+            ("Transfer-Encoding: gzip, chunked\r\n", chunk),
+        ):
+            server = RawServer(body, headers=headers)
+            response = await ask("engines", "/talk/x", server)
+            self.assertEqual((200, False, STREAM), _read(response), (headers, body))
+            server = RawServer(body, headers=headers)
+            response = await ask("plain", "/bill/x", server)
+            self.assertEqual(502, response.status, (headers, body))
+
+
 class UnendedReplies(TestCase):
     async def test_stream_that_nobody_ended_is_ended_by_the_http_library(self):
         """A handler that returns early must not complete what it began."""
