--- a/src/bankrack/front/httpreply.py
+++ b/src/bankrack/front/httpreply.py
@@ -47,6 +47,12 @@
         self.cut: CallerTooSlow | None = None
         self.request_id = ""
         self.was_aborted = False
+        self._ended = False
+
+    @property
+    def unended(self) -> bool:
+        """Whether the response was started, and neither ended nor aborted."""
+        return self.started and not self._ended and not self.was_aborted
 
     @property
     def started(self) -> bool:
@@ -98,6 +104,8 @@
         if self._request.version >= aiohttp.HttpVersion11:
             response.enable_chunked_encoding()
         else:
+            # Only the end of the connection ends this response.
+            response.force_close()
             # Only a reset tells this caller that the response is incomplete, also if
             # this process ends.
             self._set_linger(RESET_ON_CLOSE)
@@ -124,8 +132,11 @@
 
     async def end(self) -> None:
         """End a streamed response as complete."""
-        self._set_linger(SEND_ON_CLOSE)
         try:
+            if not self.response.chunked:
+                # From now on the end of the connection tells that it is complete.
+                await self._hand_over()
+                self._set_linger(SEND_ON_CLOSE)
             await self._write_end()
         except OSError as error:
             raise CallerDisconnected("the caller closed the connection") from error
@@ -155,6 +166,7 @@
 
     async def _write_end(self) -> None:
         await self.response.write_eof()
+        self._ended = True
         if self._watched is not None:
             await self._wait_until_read(0)
             self._watched.set_buffer_limit()
@@ -164,6 +176,16 @@
             self._watch()
             self.close()
 
+    async def _hand_over(self) -> None:
+        """Wait until the system has all that was written, and sends it in any case."""
+        self._watch()
+        transport = self._request.transport
+        if self._watched is not None:
+            await self._wait_until_read(0)
+        elif transport is not None:
+            transport.set_write_buffer_limits(0)
+            await self._request.writer.drain()
+
     async def _wait_until_read(self, size: int) -> bool:
         """Wait until the caller has read all but ``size`` bytes, if it has not yet."""
         assert self._watched is not None
--- a/tests/platform/test_stream_ends.py
+++ b/tests/platform/test_stream_ends.py
@@ -8,10 +8,13 @@
 from aiohttp import web
 
 from bankrack.decisions import responseends
+from bankrack.exceptions import StreamInterrupted
 from bankrack.exceptions import UpstreamDisconnected
+from bankrack.front.httpreply import HttpReply
 from bankrack.serving.client import new_session
 from bankrack.serving.client import UpstreamClient
 from bankrack.serving.enginecontrol import Health
+from bankrack.serving.job import Job
 from bankrack.serving.notices import NoticeHandler
 from bankrack.serving.sending import BodiesInFlight
 from bankrack.serving.upstreams import Upstream
@@ -164,6 +167,24 @@
             writer.close()
             server.stop()
 
+    async def test_stream_without_chunks_never_ends_on_a_kept_connection(self):
+        """An HTTP/1.0 caller asks to keep it, and waits for the stream's end."""
+        async with running() as deployment:
+            gateway = await deployment.start_ready_gateway()
+            host, _, port = gateway.settings.front.partition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(
+                b"POST /talk/x HTTP/1.0\r\nHost: h.example\r\nBankrack-Key: key-1\r\n"
+                b"Bankrack-Request-Id: r-1\r\nBankrack-Deadline-Ms: 3000\r\n"
+                b"Connection: keep-alive\r\n\r\n"
+            )
+            async with asyncio.timeout(3.0):
+                received = await reader.read()
+            writer.close()
+        self.assertTrue(
+            received.endswith(b"\r\n\r\n" + STREAM + b"id: 4\ndata: token4\n\n")
+        )
+
     async def test_run_is_not_resumed_by_a_response_without_proof_of_origin(self):
         """It would be joined to the events of an engine that had proved its own."""
 
@@ -196,6 +217,47 @@
             self.assertEqual((200, True, STREAM), _read(response))
 
 
+class FramedResponses(TestCase):
+    async def test_response_that_ends_before_its_frame_is_complete(self):
+        """Its server lives on, which is no proof for a response that tells its end."""
+        chunk = b"%x\r\n%b\r\n" % (len(STREAM), STREAM)
+        length, chunked = "Content-Length: 9999\r\n", "Transfer-Encoding: chunked\r\n"
+        for headers, body in (
+            (length, STREAM),
+            (chunked, chunk),
+            (chunked, chunk + b"0"),
+            (chunked, chunk + b"0\r\n"),
+            ("Transfer-Encoding: gzip, chunked\r\n", chunk),
+        ):
+            server = RawServer(body, headers=headers)
+            response = await ask("engines", "/talk/x", server)
+            self.assertEqual((200, False, STREAM), _read(response), (headers, body))
+            server = RawServer(body, headers=headers)
+            response = await ask("plain", "/bill/x", server)
+            self.assertEqual(502, response.status, (headers, body))
+
+
+class UnendedReplies(TestCase):
+    async def test_stream_that_nobody_ended_is_ended_by_the_http_library(self):
+        """A handler that returns early must not complete what it began."""
+
+        async def serve(job: Job, reply: HttpReply) -> None:
+            await reply.begin(200, [])
+            await reply.write(EVENTS[0])
+            if job.id == "r-1":
+                raise StreamInterrupted("the run could not be resumed")
+
+        async with running() as deployment:
+            gateway = await deployment.start_ready_gateway()
+            gateway.front._serve = serve
+            for request in ("r-1", "r-2"):
+                headers = {"Bankrack-Request-Id": request}
+                response = await call(
+                    gateway.settings.front, "/talk/x", headers=headers
+                )
+                self.assertEqual((200, False, EVENTS[0]), _read(response), request)
+
+
 class _LivingUpstreams:
     """Control calls to upstreams that all live on."""
 
