The node takes no end of a connection for the end of a plain response

Callers of plain services got a part of a body as complete: a response with neither a length nor chunks, and one with 'Transfer-Encoding: identity', ends with its connection, which the system also closes as a process ends. The node read up to there and sent its caller the last chunk; nothing was asked at all. The rule for framing is the gateway's.

--- a/src/bankrack/generations/plain.py
+++ b/src/bankrack/generations/plain.py
@@ -18,6 +18,7 @@
 from bankrack.exceptions import NoUpstream
 from bankrack.exceptions import Outcome
 from bankrack.exceptions import RequestTooLarge
+from bankrack.exceptions import UpstreamDisconnected
 from bankrack.exceptions import UpstreamFailed
 from bankrack.exceptions import UpstreamUnreachable
 from bankrack.generations.engine import failed_error
@@ -26,6 +27,8 @@
 from bankrack.metrics import Metrics
 from bankrack.scheduling.health import Health
 from bankrack.scheduling.slots import no_upstream_error
+from bankrack.serving.framing import Framing
+from bankrack.serving.framing import framing_of
 from bankrack.settings import Limits
 from bankrack.wire import requestkeys
 
@@ -187,7 +190,7 @@
     async def _relay(
         self, request: web.Request, upstream_response: aiohttp.ClientResponse
     ) -> web.StreamResponse:
-        """Forward the response; abort the caller's connection if it is truncated.
+        """Forward the response; abort the caller's connection if it may be truncated.
 
         A truncated response must not end as if it were complete.
         """
@@ -201,7 +204,8 @@
         try:
             async for chunk in upstream_response.content.iter_any():
                 await response.write(chunk)
-        except (aiohttp.ClientError, TimeoutError, OSError):
+            _check_framed(request.method, upstream_response)
+        except (aiohttp.ClientError, TimeoutError, OSError, UpstreamDisconnected):
             if request.transport is not None:
                 request.transport.abort()
             return response
@@ -240,6 +244,19 @@
         )
 
 
+def _check_framed(method: str, response: aiohttp.ClientResponse) -> None:
+    """Raise :exc:`UpstreamDisconnected` if only its connection ended a response.
+
+    The system closes the connections of a process that ends, too.
+    """
+    framing = framing_of(method, response.status, response.headers)
+    if framing is Framing.CONNECTION:
+        raise UpstreamDisconnected(
+            "the response has neither a length nor chunks, so it may be incomplete; "
+            "have the upstream send one of them"
+        )
+
+
 def _end_to_end_headers(headers: t.Mapping[str, str]) -> CIMultiDict[str]:
     kept: CIMultiDict[str] = CIMultiDict()
     for name, value in headers.items():
