A plain response of the node that breaks off is reset for callers without chunks

An HTTP/1.0 caller takes the end of its connection for the end of the response, and the node closed it alike when the upstream had broken off: a part looked whole. The connection is set to reset on closing until the response has ended, as the gateway does for its streams, so a break of this node itself shows as well.

--- a/src/bankrack/front/httpreply.py
+++ b/src/bankrack/front/httpreply.py
@@ -1,7 +1,6 @@
 """Writes the response to one request of a caller, who may read it slowly."""
 
 import asyncio
-import socket
 import typing as t
 
 import aiohttp
@@ -15,6 +14,7 @@
 from bankrack.serving.assignment import MIN_SILENCE_SECONDS
 from bankrack.serving.giveup import RESET_ON_CLOSE
 from bankrack.serving.giveup import SEND_ON_CLOSE
+from bankrack.serving.giveup import set_linger
 from bankrack.serving.job import Answer
 from bankrack.serving.job import Header
 
@@ -100,7 +100,7 @@
         else:
             # Only a reset tells this caller that the response is incomplete, also if
             # this process ends.
-            self._set_linger(RESET_ON_CLOSE)
+            set_linger(self._request.transport, RESET_ON_CLOSE)
         await self._prepare(response)
 
     async def write(self, data: bytes) -> bool:
@@ -124,7 +124,7 @@
 
     async def end(self) -> None:
         """End a streamed response as complete."""
-        self._set_linger(SEND_ON_CLOSE)
+        set_linger(self._request.transport, SEND_ON_CLOSE)
         try:
             await self._write_end()
         except OSError as error:
@@ -146,13 +146,6 @@
         if self._watched is not None:
             self._watched.cut = None
 
-    def _set_linger(self, value: bytes) -> None:
-        """Set how the connection is closed: :data:`RESET_ON_CLOSE` or not."""
-        transport = self._request.transport
-        if transport is not None and not transport.is_closing():
-            sock = transport.get_extra_info("socket")
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
-
     async def _write_end(self) -> None:
         await self.response.write_eof()
         if self._watched is not None:
--- a/src/bankrack/generations/plain.py
+++ b/src/bankrack/generations/plain.py
@@ -29,6 +29,9 @@
 from bankrack.scheduling.slots import no_upstream_error
 from bankrack.serving.framing import Framing
 from bankrack.serving.framing import framing_of
+from bankrack.serving.giveup import RESET_ON_CLOSE
+from bankrack.serving.giveup import SEND_ON_CLOSE
+from bankrack.serving.giveup import set_linger
 from bankrack.settings import Limits
 from bankrack.wire import requestkeys
 
@@ -200,6 +203,9 @@
         )
         if upstream_response.content_length is not None:
             response.content_length = upstream_response.content_length
+        if request.version < aiohttp.HttpVersion11:
+            # Only a reset tells this caller, who does not read chunks, of a break.
+            set_linger(request.transport, RESET_ON_CLOSE)
         await response.prepare(request)
         try:
             async for chunk in upstream_response.content.iter_any():
@@ -209,6 +215,7 @@
             if request.transport is not None:
                 request.transport.abort()
             return response
+        set_linger(request.transport, SEND_ON_CLOSE)
         await response.write_eof()
         return response
 
--- a/src/bankrack/serving/giveup.py
+++ b/src/bankrack/serving/giveup.py
@@ -15,6 +15,16 @@
 _COUNT = struct.Struct("i")
 
 
+def set_linger(transport: asyncio.BaseTransport | None, value: bytes) -> None:
+    """Set how a connection is closed, also if this process ends.
+
+    :param value: :data:`RESET_ON_CLOSE` or :data:`SEND_ON_CLOSE`.
+    """
+    if transport is not None and not transport.is_closing():
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
+
+
 def give_up(transport: asyncio.WriteTransport) -> None:
     """Close the connection of a request that is not wanted any more.
 
--- a/tests/generations/test_plain.py
+++ b/tests/generations/test_plain.py
@@ -104,16 +104,21 @@
             self.assertFalse(received.data.endswith(b"0\r\n\r\n"), received)
 
     async def test_framed_response_is_complete(self):
-        for header, body in (
-            ("Content-Length: 4", "part"),
-            ("Transfer-Encoding: chunked", "4\r\npart\r\n0\r\n\r\n"),
+        for header, body, version in (
+            ("Content-Length: 4", "part", "1.1"),
+            ("Transfer-Encoding: chunked", "4\r\npart\r\n0\r\n\r\n", "1.1"),
+            ("Transfer-Encoding: chunked", "4\r\npart\r\n0\r\n\r\n", "1.0"),
         ):
             response = f"HTTP/1.1 200 OK\r\n{header}\r\n\r\n{body}".encode()
-            received = await ask_raw(response)
-            self.assertTrue(received.data.startswith(b"HTTP/1.1 200"), received)
-            self.assertTrue(
-                received.data.endswith((b"\r\npart", b"0\r\n\r\n")), received
-            )
+            received = await ask_raw(response, version=version)
+            sent = body if version == "1.1" else "part"
+            self.assertTrue(received.data.endswith(f"\r\n{sent}".encode()), received)
+            self.assertFalse(received.reset, received)
+
+    async def test_caller_without_chunks_sees_that_a_response_broke_off(self):
+        response = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"
+        received = await ask_raw(response, version="1.0")
+        self.assertTrue(received.reset, received)
 
     async def test_damaged_response_is_not_filled_up_with_an_error(self):
         # A status line behind a part of the body would be taken for its rest.
