The node takes no end of a connection for the end of an engine's report

A report that came without a length or chunks was read up to the end of its connection, which also shows as the engine's process ends: 12 runs looked like 1, and what was cut off counted as 0, so the engine looked empty. Such a report counts as unavailable now, like one that fails.

test_end_of_a_connection_does_not_complete_a_report failed before (a report with 1 run instead of none).

--- a/src/bankrack/generations/engine.py
+++ b/src/bankrack/generations/engine.py
@@ -15,6 +15,8 @@
 from bankrack.exceptions import UpstreamFailed
 from bankrack.exceptions import UpstreamRefused
 from bankrack.exceptions import UpstreamUnreachable
+from bankrack.serving.framing import Framing
+from bankrack.serving.framing import framing_of
 from bankrack.wire import completions
 from bankrack.wire.reports import LoadReport
 from bankrack.wire.reports import parse_report
@@ -107,7 +109,12 @@
         timeout = aiohttp.ClientTimeout(total=REPORT_TIMEOUT_SECONDS)
         try:
             async with self._session.get(url, timeout=timeout) as response:
-                return parse_report(await response.text())
+                text = await response.text()
+                framing = framing_of("GET", response.status, response.headers)
+                if framing is Framing.CONNECTION:
+                    # A report that was cut off would show too little load.
+                    return None
+                return parse_report(text)
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
             return None
 
