An answer without the values is no report of an empty engine

The node took whatever an engine's metrics path answered for its report, also a 503, and each value that it lacked for 0: an engine that failed to answer looked idle. An answer that is no 200, or lacks one of the four values, counts as unavailable now.

--- a/src/bankrack/generations/engine.py
+++ b/src/bankrack/generations/engine.py
@@ -111,8 +111,8 @@
             async with self._session.get(url, timeout=timeout) as response:
                 text = await response.text()
                 framing = framing_of("GET", response.status, response.headers)
-                if framing is Framing.CONNECTION:
-                    # A report that was cut off would show too little load.
+                if response.status != 200 or framing is Framing.CONNECTION:
+                    # An error, or a report that was cut off, shows too little load.
                     return None
                 return parse_report(text)
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
--- a/src/bankrack/wire/reports.py
+++ b/src/bankrack/wire/reports.py
@@ -16,15 +16,21 @@
 
 
 def parse_report(text: str) -> LoadReport:
-    """Parse the metrics that engines publish in the Prometheus text format."""
+    """Parse the metrics that engines publish in the Prometheus text format.
+
+    :raises ValueError: if a value is missing, which would look like no load.
+    """
     values_by_name: dict[str, float] = {}
     for line in text.splitlines():
         name, _, value = line.partition(" ")
         if name.startswith("vllm:"):
             values_by_name[name.partition("{")[0]] = float(value)
-    return LoadReport(
-        running=int(values_by_name.get("vllm:num_requests_running", 0)),
-        waiting=int(values_by_name.get("vllm:num_requests_waiting", 0)),
-        memory_share=values_by_name.get("vllm:kv_cache_usage_perc", 0.0),
-        preemptions=int(values_by_name.get("vllm:num_preemptions_total", 0)),
-    )
+    try:
+        return LoadReport(
+            running=int(values_by_name["vllm:num_requests_running"]),
+            waiting=int(values_by_name["vllm:num_requests_waiting"]),
+            memory_share=values_by_name["vllm:kv_cache_usage_perc"],
+            preemptions=int(values_by_name["vllm:num_preemptions_total"]),
+        )
+    except KeyError as error:
+        raise ValueError(f"the report lacks {error}") from error
