A plain response of the node that broke off is not counted as ok

A response that ended without an exception of its handler was recorded as ok, also if its upstream had broken it off or its caller had gone: bankrack_requests said outcome="ran", code="ok". The metric states the error's code now, and so does the new key code of plain_request_ended. Health is not touched.

test_response_that_broke_off_is_not_counted_as_ok failed before (one request with code="ok"). test_plain.py: 25 passed.

--- a/src/bankrack/generations/plain.py
+++ b/src/bankrack/generations/plain.py
@@ -15,6 +15,7 @@
 from bankrack.control.intent import Upstream
 from bankrack.control.intent import Workspace
 from bankrack.exceptions import BankrackError
+from bankrack.exceptions import CallerDisconnected
 from bankrack.exceptions import NoUpstream
 from bankrack.exceptions import Outcome
 from bankrack.exceptions import RequestTooLarge
@@ -56,6 +57,16 @@
 Claimer = t.Callable[[str, str], t.Callable[[], t.Awaitable[None]]]
 
 
+class Relayed(t.NamedTuple):
+    """A response that was passed on.
+
+    :param error: why it may be incomplete.
+    """
+
+    response: web.StreamResponse
+    error: BankrackError | None = None
+
+
 class PlainServices:
     """Forwards requests to the upstreams of plain services.
 
@@ -117,7 +128,7 @@
                 await claim()
                 claim = None
             try:
-                response = await self._attempt(request, upstream)
+                relayed = await self._attempt(request, upstream)
             except (UpstreamUnreachable, UpstreamFailed) as error:
                 self._health.failed(upstream.name)
                 retryable = error.outcome is Outcome.NOT_RUN or repeatable
@@ -130,8 +141,8 @@
                     raise
                 continue
             self._health.succeeded(upstream.name)
-            self._log_end(workspace, service, upstream, response.status, started)
-            return response
+            self._log_end(workspace, service, upstream, relayed, started)
+            return relayed.response
 
     def _choose(self, service: Service, tried: list[str]) -> Upstream:
         """Return the usable upstream with the fewest requests in flight."""
@@ -151,9 +162,7 @@
         self._health.started(chosen.name)
         return chosen
 
-    async def _attempt(
-        self, request: web.Request, upstream: Upstream
-    ) -> web.StreamResponse:
+    async def _attempt(self, request: web.Request, upstream: Upstream) -> Relayed:
         counts = self.in_flight_by_upstream
         counts[upstream.name] = counts.get(upstream.name, 0) + 1
         try:
@@ -161,9 +170,7 @@
         finally:
             counts[upstream.name] -= 1
 
-    async def _exchange(
-        self, request: web.Request, upstream: Upstream
-    ) -> web.StreamResponse:
+    async def _exchange(self, request: web.Request, upstream: Upstream) -> Relayed:
         path = request.raw_path.split("/", 3)
         url = f"http://{upstream.address}/{path[3] if len(path) > 3 else ''}"
         timeout = aiohttp.ClientTimeout(
@@ -188,11 +195,14 @@
                 raise error.__cause__ from error
             raise failed_error(upstream, type(error).__name__) from error
         async with upstream_response:
-            return await self._relay(request, upstream_response)
+            return await self._relay(request, upstream, upstream_response)
 
     async def _relay(
-        self, request: web.Request, upstream_response: aiohttp.ClientResponse
-    ) -> web.StreamResponse:
+        self,
+        request: web.Request,
+        upstream: Upstream,
+        upstream_response: aiohttp.ClientResponse,
+    ) -> Relayed:
         """Forward the response; abort the caller's connection if it may be truncated.
 
         A truncated response must not end as if it were complete.
@@ -208,16 +218,14 @@
             set_linger(request.transport, RESET_ON_CLOSE)
         await response.prepare(request)
         try:
-            async for chunk in upstream_response.content.iter_any():
-                await response.write(chunk)
-            _check_framed(request.method, upstream_response)
-        except (aiohttp.ClientError, TimeoutError, OSError, UpstreamDisconnected):
+            await _forward_body(request.method, upstream, upstream_response, response)
+        except BankrackError as error:
             if request.transport is not None:
                 request.transport.abort()
-            return response
+            return Relayed(response, error)
         set_linger(request.transport, SEND_ON_CLOSE)
         await response.write_eof()
-        return response
+        return Relayed(response)
 
     async def _limited_body(self, request: web.Request) -> t.AsyncIterator[bytes]:
         size = 0
@@ -236,21 +244,42 @@
         workspace: Workspace,
         service: Service,
         upstream: Upstream,
-        status: int,
+        relayed: Relayed,
         started: float,
     ) -> None:
-        self._metrics.requests.inc({"outcome": Outcome.RAN.value, "code": "ok"})
+        code = relayed.error.code if relayed.error else "ok"
+        self._metrics.requests.inc({"outcome": Outcome.RAN.value, "code": code})
         logs.event(
             _logger,
             "plain_request_ended",
             workspace=workspace.name,
             service=service.name,
             upstream=upstream.name,
-            status=status,
+            status=relayed.response.status,
+            code=code,
             seconds=boottime() - started,
         )
 
 
+async def _forward_body(
+    method: str,
+    upstream: Upstream,
+    upstream_response: aiohttp.ClientResponse,
+    response: web.StreamResponse,
+) -> None:
+    """Forward a body; raise a :exc:`BankrackError` if it may be incomplete."""
+    try:
+        async for chunk in upstream_response.content.iter_any():
+            try:
+                await response.write(chunk)
+            except ConnectionError as error:
+                # Converted here because aiohttp raises the same types for upstreams.
+                raise CallerDisconnected("the caller closed the connection") from error
+    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        raise failed_error(upstream, type(error).__name__) from error
+    _check_framed(method, upstream_response)
+
+
 def _check_framed(method: str, response: aiohttp.ClientResponse) -> None:
     """Raise :exc:`UpstreamDisconnected` if only its connection ended a response.
 
--- a/tests/generations/test_plain.py
+++ b/tests/generations/test_plain.py
@@ -60,10 +60,14 @@
 
 
 class Received(t.NamedTuple):
-    """Bytes up to the end of a caller's connection, and whether it was a reset."""
+    """Bytes up to the end of a caller's connection, and whether it was a reset.
+
+    :param metrics: the node's page of metrics.
+    """
 
     data: bytes
     reset: bool
+    metrics: str
 
 
 async def ask_raw(response: bytes, *, version: str = "1.1") -> Received:
@@ -90,7 +94,8 @@
             writer.close()
             with contextlib.suppress(ConnectionResetError):
                 await writer.wait_closed()
-            return Received(data, reset)
+            page, _ = b.nodes[0].metrics.page(())
+            return Received(data, reset, page.decode())
 
 
 class TestResponseEnds(TestCase):
@@ -120,6 +125,13 @@
         received = await ask_raw(response, version="1.0")
         self.assertTrue(received.reset, received)
 
+    async def test_response_that_broke_off_is_not_counted_as_ok(self):
+        for header in ("Content-Length: 9\r\n", "Transfer-Encoding: identity\r\n"):
+            response = f"HTTP/1.1 200 OK\r\n{header}\r\npart".encode()
+            received = await ask_raw(response)
+            self.assertNotIn('code="ok"', received.metrics)
+            self.assertIn('code="upstream_failed"', received.metrics)
+
     async def test_damaged_response_is_not_filled_up_with_an_error(self):
         # A status line behind a part of the body would be taken for its rest.
         for response in (
