The log tells for how long an upstream is avoided after failures

No logic is changed. test_log_tells_for_how_long_an_upstream_is_avoided failed before; test_choice.py: 13 passed, test_streams.py: 18 passed.

--- a/src/bankrack/serving/choice.py
+++ b/src/bankrack/serving/choice.py
@@ -1,9 +1,11 @@
 """Chooses upstreams by reports, answers and this node's own traffic."""
 
 import dataclasses
+import logging
 import random
 import typing as t
 
+from bankrack import logs
 from bankrack.clock import boottime
 from bankrack.decisions.plainchoice import expected_slowdown
 from bankrack.decisions.plainchoice import load_score
@@ -49,6 +51,8 @@
 SUSPECT_FACTOR = 1e-6
 """Factor on the weight of an engine that failed recently."""
 
+_logger = logging.getLogger(__name__)
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class EngineView:
@@ -195,8 +199,15 @@
         # Bounded, or the power of two overflows for an upstream that fails for hours.
         upstream.failures = min(upstream.failures + 1, MAX_DOUBLINGS)
         seconds = MIN_SUSPICION_SECONDS * 2 ** (upstream.failures - 1)
-        until = self._clock() + min(seconds, MAX_SUSPICION_SECONDS)
-        upstream.suspect_until = until
+        seconds = min(seconds, MAX_SUSPICION_SECONDS)
+        upstream.suspect_until = self._clock() + seconds
+        logs.event(
+            _logger,
+            "upstream_suspected",
+            upstream=upstream.id,
+            failures=upstream.failures,
+            seconds=seconds,
+        )
 
     def answered(self, upstream: Upstream, *, failed: bool) -> None:
         """Record an answer in the moving average of failures."""
--- a/tests/serving/test_choice.py
+++ b/tests/serving/test_choice.py
@@ -95,6 +95,14 @@
             self.chooser.rejected(upstream)
         self.assertIs(upstreams[0], self.chooser.plain(upstreams))
 
+    def test_log_tells_for_how_long_an_upstream_is_avoided(self):
+        bad = self.upstream("bad")
+        with self.assertLogs("bankrack", "INFO") as lines:
+            for _ in range(2):
+                self.chooser.suspect(bad)
+        self.assertIn("upstream_suspected upstream=bad failures=2", lines.output[1])
+        self.assertIn("seconds=1", lines.output[1])
+
     def test_suspicion_time_is_bounded(self):
         engine = self.upstream("gone")
         for _ in range(3000):
