Soak of gateways with streams that only their connections end

Nothing but unit tests ended an engine's process amid responses with neither a length nor chunks. The other faults go on beside.

Callers' streams were compared with all events before; the check now tells after which event a stream ended as complete. New: an unframed stream that its engine ended, and that no fault explains, must not be broken off. The soak prints how many unframed responses were complete, and how many were broken off.

--- a/soak/gateway/__main__.py
+++ b/soak/gateway/__main__.py
@@ -24,6 +24,7 @@
 from soak.gateway.faults import plan
 from soak.gateway.lag import describe_blocked_loops
 from soak.gateway.lag import LagMonitor
+from soak.gateway.lives import LifeInjector
 from soak.gateway.processes import Gateway
 from soak.gateway.silencing import Silencing
 
@@ -75,6 +76,7 @@
     large: bool = False,
     silencing: bool = False,
     handover: bool = False,
+    unframed: bool = False,
 ) -> int:
     """Run one soak.
 
@@ -92,6 +94,8 @@
         drain, and stop gateways with kept connections while the store is silent.
     :param handover: also have engines stand still and break answers off, and stop
         gateways with kept connections.
+    :param unframed: also have servers send responses without framing, and end processes
+        of servers in their midst.
     :param crowded: let a workspace ask for most of the engines instead.
     :return: the exit code.
     """
@@ -101,7 +105,7 @@
     store = SoakStore(random.Random(seed + 1))
     await store.start()
     names = [f"gateway-{number}" for number in range(count)]
-    bugs = f"{bug},backups" if handover else bug
+    bugs = f"{bug},backups" if handover or unframed else bug
     gateways = [
         Gateway(name, HALLS[number % len(HALLS)], store.address, folder, bugs)
         for number, name in enumerate(names)
@@ -117,13 +121,17 @@
     callers.undisturbed = lambda gateway: time.monotonic() > gateway.undisturbed_from
     injector = FaultInjector(gateways, store, journal, checker, random.Random(seed + 3))
     disasters = DisasterInjector(gateways, store, lambda: injector.servers, checker)
+    lives = LifeInjector(injector, store, checker)
     silenced = Silencing(callers, injector, store, checker)
     expiring = asyncio.create_task(store.expire())
     lag_monitor = LagMonitor()
     checker.held_up = lag_monitor.spans
     monitoring = asyncio.create_task(lag_monitor.watch())
     try:
-        await injector.begin(conducts=random.Random(seed) if handover else None)
+        await injector.begin(
+            conducts=random.Random(seed) if handover else None,
+            unframed=random.Random(f"unframed {seed}") if unframed else None,
+        )
         for gateway in gateways:
             await gateway.store_link.start()
             await gateway.inner_link.start()
@@ -138,6 +146,7 @@
             callers.flood: flooded,
             callers.crowd: idle,
             callers.press: crowded,
+            callers.stream: unframed,
         }
         other_calls = asyncio.gather(*(call() for call, on in chosen.items() if on))
         if crowded:
@@ -152,6 +161,7 @@
             seconds = minutes * 60.0
             await asyncio.gather(
                 silenced.stop_nodes(random.Random(seed), seconds * handover),
+                lives.run(seed, seconds * unframed),
                 _inject_faults(injector, disasters, seed, seconds=seconds, large=large),
             )
         callers.ended = True
@@ -228,6 +238,8 @@
     print(f"streams served: {', '.join(shares)}")
     print(f"runs/s of engines by speed: {', '.join(rates) or 'too little time'}")
     resumed = sum(run.resumed for run in journal.runs)
+    unframed = [f"{n} {end}" for end, n in sorted(checker.unframed_counts.items())]
+    print(f"without framing: {', '.join(unframed) or 'nothing'}")
     print(f"runs: {len(journal.runs)}, of them resumed from a copy: {resumed}")
     print(f"violations: {len(checker.violations)}")
 
@@ -280,6 +292,11 @@
         action="store_true",
         help="have engines stand still, and stop gateways with kept connections",
     )
+    parser.add_argument(
+        "--unframed",
+        action="store_true",
+        help="send responses without framing, and end servers' processes amid them",
+    )
     parser.add_argument(
         "--keep", default="", help="new folder for the logs, kept after the soak"
     )
@@ -303,6 +320,7 @@
                 large=options.large,
                 silencing=options.silencing,
                 handover=options.handover,
+                unframed=options.unframed,
             )
         )
 
--- a/soak/gateway/buggy.py
+++ b/soak/gateway/buggy.py
@@ -33,6 +33,7 @@
 from bankrack.serving.job import RequestKind
 from bankrack.serving.notices import NoticeHandler
 from bankrack.serving.plain import PlainRelay
+from bankrack.serving.responseends import ResponseEnds
 from bankrack.serving.run import Run
 from bankrack.serving.silentengine import SilentEngine
 from bankrack.serving.upstreams import Upstream
@@ -179,6 +180,11 @@
     Run._usable_copies = lambda self: self._copies.current  # type: ignore[method-assign]
 
 
+def confirm_nothing() -> None:
+    """Take the end of a connection for the end of a response, without a question."""
+    ResponseEnds.confirm = lambda self, *found, **more: asyncio.sleep(0)  # type: ignore[method-assign]
+
+
 def back_up_all() -> None:
     """Give all runs backups, also before crashes make them worth it; not a bug."""
     Allocator._backup_fits = lambda self, engines, request: True  # type: ignore[method-assign]
@@ -204,6 +210,7 @@
     "unaccepting": stop_accepting,
     "lingering": keep_silent_engines,
     "eventless": resume_without_events,
+    "unconfirmed": confirm_nothing,
 }
 
 
--- a/soak/gateway/callers.py
+++ b/soak/gateway/callers.py
@@ -32,6 +32,7 @@
 NEW_CALL_INTERVAL_SECONDS = 0.3
 FLOOD_SECONDS = 2.0
 FLOOD_PAUSE_SECONDS = 3.0
+STREAM_WORKERS = 12
 SESSIONS = 20
 """Number of sessions whose prompts share a part."""
 DISCONNECT_FRACTION = 0.03
@@ -89,6 +90,11 @@
     retry_after: float = 0.0
     poisonous: bool = False
 
+    @property
+    def events(self) -> int:
+        """Number of whole events that it received."""
+        return self.body.count(b"\n\n")
+
     def response_error(self) -> str:
         """Describe the error in a successful response; empty if it is correct."""
         if self.status != 200:
@@ -103,6 +109,8 @@
         count = event_count(self.request)
         expected = b"".join(expected_event(self.request, n) for n in range(count))
         if self.complete and self.body != expected:
+            if expected.startswith(self.body):
+                return f"ended as complete after event {self.events} of {count}"
             return (
                 f"complete stream has the wrong content: {len(self.body)} bytes, "
                 f"expected {len(expected)}"
@@ -149,6 +157,10 @@
         """Send requests from concurrent workers until the soak has ended."""
         await asyncio.gather(*(self._work() for _ in range(workers)))
 
+    async def stream(self) -> None:
+        """Ask for streams alone from more workers, until the soak has ended."""
+        await asyncio.gather(*(self._work(("talk",)) for _ in range(STREAM_WORKERS)))
+
     async def poison(self) -> None:
         """Send requests that crash engines in turn, until the soak has ended.
 
@@ -237,13 +249,13 @@
                     retry_after = call.retry_after
                     await asyncio.sleep(patience * retry_after)
 
-    async def _work(self) -> None:
+    async def _work(self, paths: t.Sequence[str] = ()) -> None:
         timeout = aiohttp.ClientTimeout(
             total=CALL_TIMEOUT_SECONDS + 2, sock_connect=1.0
         )
         async with aiohttp.ClientSession(timeout=timeout) as session:
             while not self.ended:
-                path = self._rng.choice([*PATHS, *self.paths])
+                path = self._rng.choice(paths or [*PATHS, *self.paths])
                 await self.call(session, path)
                 await asyncio.sleep(self._rng.expovariate(1 / MEAN_PAUSE_SECONDS))
 
--- a/soak/gateway/checks.py
+++ b/soak/gateway/checks.py
@@ -15,6 +15,7 @@
 from soak.gateway.callers import MODEST_KEY
 from soak.gateway.callers import PRESSING_CALLERS
 from soak.gateway.callers import PRESSING_KEY
+from soak.gateway.ends import UnframedEnds
 from soak.gateway.fakes import Arrival
 from soak.gateway.fakes import Journal
 from soak.gateway.fakes import SoakEngine
@@ -117,6 +118,7 @@
         self.dropping_at_by_path: dict[str, float] = {}
         self.dropped_at_by_path: dict[str, float] = {}
         self.engine_by_id: dict[str, SoakEngine] = {}
+        self.unframed_counts: dict[str, int] = {}
         self.store_faults: list[tuple[float, float]] = []
         self.hall_cuts: list[tuple[float, float]] = []
         self.cuts: list[Cut] = []
@@ -342,11 +344,16 @@
             )
 
     def _check_runs(self, gateways: list[Gateway]) -> None:
-        """Check how often requests ran, and at how many engines at a time."""
+        """Check how often and at how many engines at a time requests ran, and ended."""
         spans = {gateway: blocked_spans(gateway) for gateway in gateways}
         troubles = Troubles(self.held_up, spans, self.link_faults)
         for text in violations(self._callers.calls, self._journal.runs, troubles):
             self.record_violation(text)
+        gone = {name: engine.gone for name, engine in self.engine_by_id.items()}
+        ends = UnframedEnds(self._callers.calls, self._journal.runs, troubles, gone)
+        for text in ends.violations():
+            self.record_violation(text)
+        self.unframed_counts = ends.counts
 
     def _check_leaving(self) -> None:
         call_by_request = {call.request: call for call in self._callers.calls}
--- a/soak/gateway/fakes.py
+++ b/soak/gateway/fakes.py
@@ -19,6 +19,8 @@
 
 from soak.gateway.conduct import Conduct
 from soak.gateway.conduct import draw
+from soak.gateway.endings import Port
+from soak.gateway.endings import UnframedResponse
 from soak.links import Link
 
 EXPIRY_INTERVAL_SECONDS = 0.2
@@ -57,6 +59,10 @@
 LARGE_EVENT_BYTES = 20_000
 SLOW_READ_SECONDS = 0.2
 """Time after which a server begins to read a large body."""
+FULL_FRACTION = 0.2
+"""Fraction of health checks that servers with unframed responses answer with 503."""
+PART_SECONDS = 0.02
+"""Time between the two parts of an unframed plain response."""
 POISON = b"ends whoever runs it"
 POISON_PART = "deadly"
 """Part of a prompt that crashes engines, whatever else the request holds."""
@@ -72,6 +78,8 @@
     :param began: monotonic time; so is ``ended``.
     :param resumed: it was sent with ``Kv-From`` and ``Last-Event-Id``, both of which
         make it count as the same run.
+    :param unframed: the response has neither a length nor chunks.
+    :param whole: such a response was sent to its end.
     """
 
     request: str
@@ -80,6 +88,8 @@
     began: float
     resumed: bool
     ended: float | None = None
+    unframed: bool = False
+    whole: bool = False
 
     @property
     def end(self) -> float:
@@ -198,7 +208,13 @@
 
 
 class _JournalingServer(FakeServer):
-    """Base of servers that record arrivals in a journal and can inject faults."""
+    """Base of servers that record arrivals in a journal and can inject faults.
+
+    :ivar unframed: draws which responses have neither a length nor chunks.
+    :ivar unframed_share: their share.
+    :ivar closed: monotonic time from which it leaves or is gone.
+    :ivar gone: monotonic time of the end of its process.
+    """
 
     service = ""
 
@@ -209,6 +225,10 @@
         self.response_fault = ""
         self.resets_all = False
         self.opened = time.monotonic()
+        self.closed = math.inf
+        self.gone = math.inf
+        self.unframed: random.Random | None = None
+        self.unframed_share = 0.0
         self.link: Link | None = None
         self._silent_until = 0.0
 
@@ -217,16 +237,41 @@
         self._silent_until = time.monotonic() + seconds
         await asyncio.sleep(seconds)
 
-    async def open(self) -> None:
-        """Listen behind a :class:`~soak.links.Link`."""
+    @property
+    def port(self) -> Port:
+        """The port of a process that can end."""
+        assert isinstance(self.link, Port)
+        return self.link
+
+    def end(self) -> None:
+        """End the process, in the midst of all that it serves."""
+        self.gone = time.monotonic()
+        self.port.end()
+
+    async def open(
+        self, behind: "_JournalingServer | None" = None, down: float = 0.0
+    ) -> None:
+        """Listen behind a :class:`~soak.links.Link`.
+
+        :param behind: its process ends, and this one is the next life on its port.
+        :param down: seconds in between.
+        """
         await self.start()
-        self.link = Link(free_address(), self.address)
+        listen = free_address()
+        if behind is not None:
+            behind.end()
+            await asyncio.sleep(down)
+            listen = behind.address
+        link = Link if self.unframed is None else Port
+        self.link = link(listen, self.address)
         await self.link.start()
         self.address = self.link.listen
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Record a request, then serve it."""
         await asyncio.sleep(self._silent_until - time.monotonic())
+        if request.path == "/healthz" and self._is_full():
+            return web.Response(status=503, headers={"Bankrack-Instance-Id": self.id})
         request_id = request.headers.get(REQUEST_ID)
         if request_id is None or request.path.startswith("/v1/"):
             return await super().handle(request)
@@ -242,6 +287,18 @@
             arrival.backoff = float(response.headers.get("Retry-After", 0.0))
         return response
 
+    def _is_full(self) -> bool:
+        """Whether it leaves or is full as its health is asked."""
+        draws = self.unframed
+        return draws is not None and (self.leaving or draws.random() < FULL_FRACTION)
+
+    def _begin_response(self, request: web.BaseRequest, run: Run) -> web.StreamResponse:
+        draws = self.unframed
+        run.unframed = draws is not None and draws.random() < self.unframed_share
+        if run.unframed:
+            return UnframedResponse(headers=self.sealed(request))
+        return web.StreamResponse(headers=self.sealed(request))
+
     def _begin(self, request: web.BaseRequest) -> Run:
         request_id = request.headers[REQUEST_ID]
         resumed = {"Kv-From", "Last-Event-Id"} <= request.headers.keys()
@@ -340,7 +397,16 @@
         if is_faulty and self.response_fault == "torn":
             return await self._send_torn_response(request)
         body = expected_body(run.request)
-        return web.Response(body=body, headers=self.sealed(request))
+        response = self._begin_response(request, run)
+        if not run.unframed:
+            return web.Response(body=body, headers=self.sealed(request))
+        await response.prepare(request)
+        await response.write(body[: len(body) // 2])
+        await asyncio.sleep(PART_SECONDS)
+        await response.write(body[len(body) // 2 :])
+        await response.write_eof()
+        run.whole = True
+        return response
 
     async def _send_torn_response(self, request: web.BaseRequest) -> web.StreamResponse:
         response = web.StreamResponse(headers=self.sealed(request))
@@ -354,7 +420,6 @@
 class SoakEngine(FakeEngine, _JournalingServer):
     """An engine whose events name their request.
 
-    :ivar closed: monotonic time from which it leaves or is gone.
     :ivar strict: it takes ``Kv-From`` without ``Last-Event-Id`` for a new run.
     :ivar conducts: draws how it serves each run; by default it serves all alike.
     """
@@ -364,7 +429,6 @@
     def __init__(self, server_id: str, journal: Journal, rng: random.Random) -> None:
         super().__init__(server_id, events=0, journal=journal, rng=rng)
         self.pause = EVENT_INTERVAL_SECONDS
-        self.closed = math.inf
         self.stalled = False
         self.strict = False
         self.conducts: random.Random | None = None
@@ -410,22 +474,21 @@
         if self.conducts is not None:
             conduct = draw(self.conducts, resumed=run.resumed)
         try:
-            return await self._stream(request, request_id, first, conduct)
+            return await self._stream(request, run, first, conduct)
         finally:
             run.ended = time.monotonic()
 
     async def _stream(
-        self, request: web.BaseRequest, request_id: str, first: int, conduct: Conduct
+        self, request: web.BaseRequest, run: Run, first: int, conduct: Conduct
     ) -> web.StreamResponse:
         await asyncio.sleep(conduct.head_delay)
-        response = web.StreamResponse(headers=self.sealed(request))
+        response = self._begin_response(request, run)
         response.content_type = "text/event-stream"
-        response.enable_chunked_encoding()
         await response.prepare(request)
         if cause := await _poison_in(request):
             await asyncio.sleep(POISON_DELAY_SECONDS)
             self.on_poison(self, cause)
-        for number in range(first, event_count(request_id)):
+        for number in range(first, event_count(run.request)):
             if number == first + conduct.stall_after:
                 await asyncio.sleep(conduct.stall_seconds)
             if self.breaks_off or conduct.breaks_off:
@@ -434,9 +497,10 @@
                 return response
             while self.stalled:
                 await asyncio.sleep(EVENT_INTERVAL_SECONDS)
-            await response.write(expected_event(request_id, number))
+            await response.write(expected_event(run.request, number))
             await asyncio.sleep(self.pause * self.slowdown / self.speed)
         await response.write_eof()
+        run.whole = True
         return response
 
 
--- a/soak/gateway/faults.py
+++ b/soak/gateway/faults.py
@@ -59,6 +59,8 @@
 
 STRICT_FRACTION = 0.5
 """Fraction of the engines that are strict where engines differ in their conduct."""
+UNFRAMED_SHARES = (0.0, 0.6, 1.0)
+"""Shares of a server's responses that have no framing, if some have none."""
 LARGE_ROUTES = 1_400
 """Routes that only make the configurations large."""
 LARGE_PAUSE_SECONDS = (0.8, 3.0)
@@ -123,7 +125,10 @@
         self._restarts: set[asyncio.Task[None]] = set()
         self.servers: list[SoakServer] = []
         self.engines: list[SoakEngine] = []
+        # Those that have ended too, as nodes know them for a while.
+        self._engine_by_address: dict[str, t.Any] = {}
         self._conducts: random.Random | None = None
+        self._unframed: random.Random | None = None
         self._gateways = gateways
         self._store = store
         self._journal = journal
@@ -134,14 +139,22 @@
         self._added: list[str] = []
         self._large_routes: list[dict[str, t.Any]] = []
 
-    async def begin(self, *, conducts: random.Random | None = None) -> None:
+    async def begin(
+        self,
+        *,
+        conducts: random.Random | None = None,
+        unframed: random.Random | None = None,
+    ) -> None:
         """Start the initial servers and write the initial configuration.
 
         :param conducts: draws how engines serve runs, see :mod:`soak.gateway.conduct`;
             by default they serve all alike.
+        :param unframed: draws which servers send responses without framing; by default
+            none does.
         """
         self._conducts = conducts
-        for _ in range(3):
+        self._unframed = unframed
+        for _ in range(3 if unframed is None else 5):
             await self._open_server()
             await self._open_engine()
         self._store.put("op/config", configuration(self._version, tenants=WORKSPACES))
@@ -333,9 +346,28 @@
 
     # Servers
 
-    async def _open_server(self) -> SoakServer:
+    def in_service(self, service: str) -> list[SoakServer] | list[SoakEngine]:
+        """The servers of a service that take requests."""
+        return self.engines if service == "engines" else self.servers
+
+    async def open(
+        self, service: str, *, behind: t.Any = None, down: float = 0.0
+    ) -> None:
+        """Open a server, possibly as the next life of another one on its port."""
+        if service == "engines":
+            await self._open_engine(behind, down)
+        else:
+            await self._open_server(behind, down)
+
+    def _draw_framing(self, server: SoakServer | SoakEngine) -> None:
+        if self._unframed is not None:
+            server.unframed = random.Random(self._unframed.getrandbits(64))
+            server.unframed_share = self._unframed.choice(UNFRAMED_SHARES)
+
+    async def _open_server(self, behind: t.Any = None, down: float = 0.0) -> SoakServer:
         server = SoakServer(f"p-{next(self._numbers)}", self._journal, self._rng)
-        await server.open()
+        self._draw_framing(server)
+        await server.open(behind, down)
         self.servers.append(server)
         self._store.put(f"servers/{server.id}", server.entry("plain"))
         return server
@@ -392,17 +424,18 @@
 
     # Engines
 
-    async def _open_engine(self) -> None:
+    async def _open_engine(self, behind: t.Any = None, down: float = 0.0) -> None:
         engine = SoakEngine(f"e-{next(self._numbers)}", self._journal, self._rng)
-        await engine.open()
+        self._draw_framing(engine)
+        await engine.open(behind, down)
         engine.on_poison = self._end_poisoned
         if self._conducts is not None:
             engine.conducts = random.Random(self._conducts.getrandbits(64))
             engine.strict = self._conducts.random() < STRICT_FRACTION
         self.engines.append(engine)
         self._checker.engine_by_id[engine.id] = engine
-        for known in self.engines:
-            known.engine_by_address = {e.address: e for e in self.engines}
+        self._engine_by_address[engine.address] = engine
+        engine.engine_by_address = self._engine_by_address
         self._store.put(f"servers/{engine.id}", engine.entry("engines"))
 
     def _remove_engine(self, rng: random.Random) -> SoakEngine | None:
@@ -433,6 +466,7 @@
 
     async def _end_engine(self, engine: SoakEngine) -> None:
         engine.breaks_off = True
+        engine.gone = time.monotonic()
         engine.stalled = False
         await asyncio.sleep(0.1)
         await engine.stop()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import math
 import os
 import pathlib
 import subprocess
@@ -11,6 +12,9 @@
 
 from soak.gateway import __main__ as command
 from soak.gateway.callers import Call
+from soak.gateway.ends import UnframedEnds
+from soak.gateway.fakes import event_count
+from soak.gateway.fakes import expected_event
 from soak.gateway.fakes import Run
 from soak.gateway.faults import plan
 from soak.gateway.lag import LagMonitor
@@ -124,6 +128,45 @@
         self.assertEqual(1, len(self.found(*runs, disturbed_at=[1.5, 2.8])))
 
 
+class UnframedStreams(TestCase):
+    """Ends of streams without framing, as the soak's own checks see them."""
+
+    def call(self, events, *, complete, pause=0.0):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        node = Gateway("n", "a", "127.0.0.1:1", pathlib.Path(folder.name), "none")
+        body = b"".join(expected_event("q1", number) for number in range(events))
+        return Call(
+            *("q1", "talk", node, 1.0, True),
+            status=200,
+            complete=complete,
+            body=body,
+            ended=2.0,
+            pause=pause,
+        )
+
+    def found(self, call, *, whole=True, gone=math.inf, links=()):
+        run = Run("q1", "e-1", "engines", 1.0, False, 1.8, unframed=True, whole=whole)
+        troubles = Troubles([], {call.node: []}, {"e-1": list(links)})
+        return list(UnframedEnds([call], [run], troubles, {"e-1": gone}).violations())
+
+    def test_stream_that_ends_as_complete_too_early_is_found(self):
+        count = event_count("q1")
+        self.assertEqual("", self.call(count, complete=True).response_error())
+        self.assertEqual("", self.call(3, complete=False).response_error())
+        error = self.call(3, complete=True).response_error()
+        self.assertEqual(f"ended as complete after event 3 of {count}", error)
+
+    def test_only_faults_excuse_a_whole_stream_that_is_broken_off(self):
+        call = self.call(3, complete=False)
+        self.assertEqual(1, len(self.found(call)))
+        self.assertEqual(1, len(self.found(call, gone=9.0, links=[(4.0, 5.0)])))
+        self.assertEqual([], self.found(call, whole=False))
+        self.assertEqual([], self.found(call, gone=1.9))
+        self.assertEqual([], self.found(call, links=[(1.5, 1.6)]))
+        self.assertEqual([], self.found(self.call(3, complete=False, pause=1.2)))
+
+
 class Soaking(TestCase):
     def test_short_soak_has_no_violation(self):
         found = soak(1, 0.25)
@@ -186,6 +229,18 @@
             self.assertEqual(1, found.returncode, found.stdout + found.stderr)
             self.assertRegex(found.stdout, sign)
 
+    def test_streams_of_processes_that_end_are_not_taken_for_complete(self):
+        """Guards against streams without framing that end as complete too early, and
+        against true ends that are taken for breaks."""
+        found = soak(2, 0.1, "--unframed")
+        self.assertEqual(0, found.returncode, found.stdout + found.stderr)
+        self.assertRegex(found.stdout, r"\d\d streams complete")
+
+    def test_ends_of_connections_that_nobody_confirms_are_detected(self):
+        found = soak(2, 0.05, "--unframed", "--bug", "unconfirmed")
+        self.assertEqual(1, found.returncode, found.stdout + found.stderr)
+        self.assertRegex(found.stdout, r"ended as complete after event \d+ of \d+")
+
     def test_new_callers_get_through_beside_idle_connections(self):
         found = soak(1, 0.15, "--idle")
         self.assertEqual(0, found.returncode, found.stdout + found.stderr)
