Only one node opens a tunnel for a connection

The race of asyncio.staggered starts an attempt although another one has won, if a third one fails in the same turn of the event loop: Python 3.11's wait_for returns instead of being cancelled once what it waits for is done. Two winners then trip the race's assertion, and the first connection is lost. An attempt that starts after a tunnel was opened asks nobody now. The other race, between the direct path and the tunnel, has two attempts only, so that no third one waits.

--- a/src/bankrack/fleet/tunnelclient.py
+++ b/src/bankrack/fleet/tunnelclient.py
@@ -48,10 +48,14 @@
 
 @dataclasses.dataclass(slots=True)
 class _Search:
-    """Nodes that were asked for one connection, and those that count as trying."""
+    """Nodes that were asked for one connection, and those that count as trying.
+
+    :ivar opened: a node has opened the tunnel.
+    """
 
     asked: int = 0
     trying: int = 0
+    opened: bool = False
 
 
 class TunnelClient:
@@ -105,17 +109,23 @@
     async def _try(
         self, node: Member, address: str, search: "_Search"
     ) -> socket.socket:
-        """Ask one node, unless enough others are trying already."""
-        if search.trying >= MAX_TRYING_NODES:
+        """Ask one node, unless a tunnel is open or enough others are trying already.
+
+        The race starts another attempt although one has won if a third one fails in
+        the same turn of the event loop, and crashes if two win.
+        """
+        if search.opened or search.trying >= MAX_TRYING_NODES:
             raise NoTunnel(f"{node.name} was not asked")
         search.asked += 1
         search.trying += 1
         try:
-            return await self._connect(node, address)
+            sock = await self._connect(node, address)
         except NoTunnelHere as error:
             if error.at_once:
                 search.trying -= 1
             raise
+        search.opened = True
+        return sock
 
     def _ordered_nodes(self) -> list[Member]:
         """Order the other members by what became of their latest tunnel.
--- a/tests/fleet/test_tunnels.py
+++ b/tests/fleet/test_tunnels.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import contextlib
+import socket
 import typing as t
 
+from bankrack.fleet import tunnelclient
 from bankrack.fleet import tunnelserver
 from bankrack.fleet.documents import Member
 from bankrack.fleet.tunnelclient import TunnelClient
@@ -59,6 +61,33 @@
     return await asyncio.open_connection(sock=sock)
 
 
+class SimultaneousAnswers(TestCase):
+    async def test_only_one_tunnel_is_opened_when_a_node_refuses_in_the_same_moment(
+        self,
+    ):
+        """Guards against a request that crashes as a second node opens a tunnel."""
+        loop = asyncio.get_running_loop()
+        members = [Member(f"n{n}", free_address(), "a", tunnel="t") for n in range(3)]
+        answers = [loop.create_future() for _ in members]
+        client = TunnelClient(Member("own", free_address(), "a"), lambda: members)
+        asked = iter(answers)
+
+        async def connect(node: Member, address: str) -> socket.socket:
+            return await next(asked)
+
+        self.patch(client, "_connect", connect)
+        connecting = asyncio.create_task(client.connect("a"))
+        await asyncio.sleep(1.5 * tunnelclient.STAGGER_SECONDS)
+        opened, late = socket.socket(), socket.socket()
+        answers[1].set_exception(NoTunnel("refused"))
+        answers[0].set_result(opened)
+        answers[2].set_result(late)
+        self.assertIs(opened, await connecting)
+        self.assertIs(answers[2], next(asked))
+        opened.close()
+        late.close()
+
+
 class Ends(TestCase):
     async def test_answer_that_ends_with_its_connection_arrives_whole(self):
         body = b"x" * 3_000_000
