--- a/tests/placement/test_ledger.py
+++ b/tests/placement/test_ledger.py
@@ -7,6 +7,7 @@
 from bankrack.placement.ledger import PLACEMENT_TTL_SECONDS
 from bankrack.placement.placements import READ_TIMEOUT_SECONDS
 from bankrack.placement.shortruns import RATE_WINDOW_SECONDS
+from bankrack.serving.choice import Chooser
 from bankrack.serving.job import Demand
 from bankrack.serving.upstreams import EngineReport
 from bankrack.serving.upstreams import Upstream
@@ -152,6 +153,16 @@
         self.engines[0].suspect_until = self.now + 1.0
         self.assertEqual({"two"}, {self.first() for _ in range(20)})
 
+    def test_one_failure_does_not_keep_the_fastest_engine_idle_for_good(self):
+        for engine, stated in zip(self.engines, (0.6, 1.0), strict=True):
+            self.ledger.speeds.observe_stated(engine.id, stated)
+        self.assertEqual("one", self.first())
+        chooser = Chooser(hall="a", clock=lambda: self.now)
+        chooser.answered(self.engines[0], failed=True)
+        self.assertEqual("two", self.first())
+        self.now += 10.0
+        self.assertEqual("one", self.first())
+
     def test_engine_in_same_hall_goes_first(self):
         self.engines = [self.engine("far", hall="b"), self.engine("near")]
         ordered = [self.first() for _ in range(50)]
