ResponseEnds names its checks as checks

The log event is response_end_checked, so its code speaks of checks instead of questions. test_responseends, test_stream_ends and test_unframed_responses pass (6, 22 and 11).

--- a/src/bankrack/serving/responseends.py
+++ b/src/bankrack/serving/responseends.py
@@ -26,20 +26,20 @@
 from bankrack.serving.upstreams import Upstream
 
 ANSWER_TIMEOUT_SECONDS = 2.0
-"""Time in which an upstream must show that it lives on behind its response.  It may be
-busy, and a question may wait for a slot like a request."""
+"""Time in which an upstream must show that it is still alive after its response.  It
+may be busy, and a check may wait for a slot like a request."""
 ANSWER_TIMEOUT_WITH_COPY_SECONDS = 0.6
 """The same for a run that can go on at a copy, whose caller waits meanwhile."""
-ASK_AGAIN_SECONDS = 0.2
+RETRY_INTERVAL_SECONDS = 0.2
 """Pause before an upstream that stated no name is asked again."""
 LEAVING_SECONDS = 0.3
 """Time that an unhealthy upstream must live on: one that stops may close its
 connections some moments before it ends."""
-GATHER_SECONDS = 0.005
-"""Time in which the ends of an upstream's responses wait for a shared question, as the
+BATCH_SECONDS = 0.005
+"""Time in which the ends of an upstream's responses wait for a shared check, as the
 end of a process ends them all at once."""
-RANK = -1
-"""Rank of the question for permits: a response that was served would be lost."""
+PERMIT_RANK = -1
+"""Rank of the check for permits: a response that was served would be lost."""
 
 _logger = logging.getLogger(__name__)
 
@@ -65,7 +65,7 @@
 
 
 class ResponseEnds:
-    """Asks upstreams whether they live on behind the ends of their responses.
+    """Checks whether upstreams are still alive after their responses ended.
 
     :param permits: of upstreams' rate limits, which count every request.
     """
@@ -76,8 +76,8 @@
         self._control = control
         self._permits = permits
         self._metrics = metrics
-        self._waiting_by_id: dict[str, asyncio.Task[Evidence]] = {}
-        self._questions: set[asyncio.Task[Evidence]] = set()
+        self._pending_by_id: dict[str, asyncio.Task[Evidence]] = {}
+        self._checks: set[asyncio.Task[Evidence]] = set()
         self._blocked_at = -math.inf
         self._blocked_seconds = 0.0
 
@@ -92,7 +92,7 @@
         ended_at = boottime()
         evidence = cut_evidence(unread=response.unread, time_left=response.time_left)
         if evidence is None:
-            evidence = await self._ask_from_now(upstream, response)
+            evidence = await self._check_from_now(upstream, response)
         if self._blocked_at >= response.sent_at:
             # Known only now, as the connection is served before the timers.
             evidence = LeftUnread(self._blocked_seconds)
@@ -128,39 +128,39 @@
 
     async def close(self) -> None:
         """Stop asking."""
-        questions = list(self._questions)
-        for question in questions:
-            question.cancel()
-        await asyncio.gather(*questions, return_exceptions=True)
+        checks = list(self._checks)
+        for check in checks:
+            check.cancel()
+        await asyncio.gather(*checks, return_exceptions=True)
 
-    async def _ask_from_now(
+    async def _check_from_now(
         self, upstream: Upstream, response: EndedResponse
     ) -> Evidence:
-        """Ask an upstream, together with other ends that wait for the question.
+        """Ask an upstream, together with other ends that wait for the check.
 
-        A question that is already under way may be answered from before this end.
+        A check that is already under way may be answered from before this end.
         """
-        question = self._waiting_by_id.get(upstream.id)
-        if question is None:
-            question = asyncio.create_task(self._ask(upstream, response.health_path))
-            self._waiting_by_id[upstream.id] = question
-            self._questions.add(question)
-            question.add_done_callback(self._questions.discard)
+        check = self._pending_by_id.get(upstream.id)
+        if check is None:
+            check = asyncio.create_task(self._check(upstream, response.health_path))
+            self._pending_by_id[upstream.id] = check
+            self._checks.add(check)
+            check.add_done_callback(self._checks.discard)
         seconds = ANSWER_TIMEOUT_SECONDS
         if response.has_copy:
             seconds = ANSWER_TIMEOUT_WITH_COPY_SECONDS
         try:
             async with asyncio.timeout(seconds) as limit:
-                return await asyncio.shield(question)
+                return await asyncio.shield(check)
         except TimeoutError:
             if not limit.expired():
                 raise
             return Unanswered(f"no answer within {seconds:g} s")
 
-    async def _ask(self, upstream: Upstream, health_path: str) -> Evidence:
+    async def _check(self, upstream: Upstream, health_path: str) -> Evidence:
         """Ask which instance answers; ends after :data:`ANSWER_TIMEOUT_SECONDS`."""
-        await asyncio.sleep(GATHER_SECONDS)
-        del self._waiting_by_id[upstream.id]
+        await asyncio.sleep(BATCH_SECONDS)
+        del self._pending_by_id[upstream.id]
         if not health_path and upstream.record.born is None:
             return Unanswered("its service has no health path to ask at")
         try:
@@ -197,11 +197,11 @@
                 health = await self._control.identify(upstream, path)
                 if health.name is not None:
                     return health
-            await asyncio.sleep(ASK_AGAIN_SECONDS)
+            await asyncio.sleep(RETRY_INTERVAL_SECONDS)
 
     async def _take_permit(self, upstream: Upstream) -> None:
         while upstream.limit.bounded:
-            wait = await self._permits.take(upstream, rank=RANK)
+            wait = await self._permits.take(upstream, rank=PERMIT_RANK)
             if not wait:
                 return
             await asyncio.sleep(wait)
