Failing tests: requests that no upstream has are closed without an answer at a stop

A stopping node keeps a run that waits for room, or whose engines rejected it, until its process ends, and closes its connection then without any response.

--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -361,8 +361,8 @@
     ``cut_after`` aborts a stream after that many events, with ``cuts_inside_event``
     inside the next one; ``breaks_off`` aborts all streams at once.  ``handles`` names
     the copies that the engine holds.  An engine that ``preempts`` finds no run to copy.
-    An ``unresponsive`` one answers no call.  ``runs`` is the list in its report.
-    ``padding`` is added to each event.
+    An ``unresponsive`` one answers no call.  ``runs`` is the list in its report, and
+    ``used`` the tokens in its memory of 30,000.  ``padding`` is added to each event.
     """
 
     def __init__(self, server_id: str, *, events: int = 5, **more: t.Any) -> None:
@@ -374,6 +374,7 @@
         self.pause = 0.0
         self.padding = b""
         self.has_room = True
+        self.used = 0
         self.preempts = False
         self.unresponsive = False
         self.runs: list[list[t.Any]] | None = None
@@ -388,7 +389,8 @@
         if self.unresponsive:
             await asyncio.sleep(60)
         if request.path == "/v1/report":
-            report = {"running": 0, "queued": 0, "kvUsed": 0, "kvTotal": 30000}
+            memory = {"kvUsed": self.used, "kvTotal": 30000}
+            report = {"running": 0, "queued": 0, **memory}
             stated = {} if self.runs is None else {"runs": self.runs}
             return web.json_response({**report, **stated})
         if not self.has_room or self.backoff:
--- /dev/null
+++ b/tests/platform/test_stop_answers.py
@@ -0,0 +1,148 @@
+"""Requests without a response as the grace period of their node ends."""
+
+import asyncio
+import functools
+import itertools
+import typing as t
+
+from aiohttp import web
+
+from bankrack import gateway as gateway_module
+from bankrack.clock import boottime
+from bankrack.decisions.admission import Verdict
+from bankrack.decisions.admission import Wait
+from bankrack.gateway import Gateway
+from tests.base import TestCase
+from tests.platform.deployment import Deployment
+from tests.platform.deployment import not_run_response
+from tests.platform.deployment import running
+from tests.platform.deployment import until
+from tests.platform.fakes import call
+from tests.platform.fakes import ReceivedResponse
+
+GRACE_SECONDS = 1.6
+STOP_SECONDS = 1.0
+"""Time from SIGTERM until the node ends what it still serves."""
+
+
+def crowd(gateway: Gateway, *, after: int = 0) -> None:
+    """Let each run wait for room in the pool.
+
+    :param after: number of runs that find room before.
+    """
+    original = gateway.owners.decide
+    verdicts = itertools.count()
+
+    async def decide(*found: t.Any, **more: t.Any) -> Verdict | None:
+        if next(verdicts) < after:
+            return await original(*found, **more)
+        return Wait(0.05, ahead=0, expected=0.1)
+
+    gateway.owners.decide = decide
+
+
+async def never(request: web.BaseRequest) -> web.Response:
+    await asyncio.sleep(30.0)
+    return web.Response(status=500)
+
+
+async def reject(request: web.BaseRequest) -> web.Response:
+    return not_run_response()
+
+
+class Outcome(t.NamedTuple):
+    """What the caller of a stopping node got.
+
+    :param response: ``None`` if there was none as the process ended.
+    :param seconds: from SIGTERM.
+    """
+
+    response: ReceivedResponse | None
+    seconds: float
+
+    @property
+    def status(self) -> int:
+        return self.response.status if self.response is not None else 0
+
+    @property
+    def retry_after(self) -> str | None:
+        return self.response.headers.get("Retry-After") if self.response else None
+
+
+class EndOfTheGracePeriod(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.patch(gateway_module, "BALANCER_NOTICE_SECONDS", 0.1)
+
+    async def stop(
+        self,
+        deployment: Deployment,
+        path: str,
+        *,
+        arrivals: int = 1,
+        tokens: str = "100,20",
+        prepare: t.Callable[[Gateway], None] = lambda gateway: None,
+    ) -> Outcome:
+        """Stop a node that has one request; returns what its caller got by its end.
+
+        :param arrivals: of the request at upstreams as the stop begins.
+        """
+        gateway = await deployment.start_ready_gateway(
+            grace=GRACE_SECONDS, prepare=prepare
+        )
+        headers = {"Bankrack-Token-Usage": tokens, "Bankrack-Deadline-Ms": "20000"}
+        calling = asyncio.create_task(
+            call(gateway.settings.front, path, headers=headers)
+        )
+        await until(lambda: gateway.dispatcher.in_flight == 1)
+        await until(lambda: len(deployment.arrivals()) >= arrivals)
+        began = boottime()
+        stopping = asyncio.create_task(gateway.stop("test"))
+        await asyncio.wait([calling, stopping], return_when=asyncio.FIRST_COMPLETED)
+        response = calling.result() if calling.done() else None
+        outcome = Outcome(response, boottime() - began)
+        calling.cancel()
+        await asyncio.gather(calling, stopping, return_exceptions=True)
+        return outcome
+
+    def assert_refused(self, outcome: Outcome) -> None:
+        self.assertEqual(503, outcome.status)
+        self.assertIsNotNone(outcome.retry_after)
+
+    async def test_run_that_waits_for_room_is_closed_without_an_answer(self):
+        async with running() as deployment:
+            outcome = await self.stop(deployment, "/talk/x", arrivals=0, prepare=crowd)
+            self.assertEqual([], deployment.arrivals())
+        self.assert_refused(outcome)
+
+    async def test_run_that_would_outlast_the_stop_waits_until_its_end(self):
+        """A caller that is refused at once has time to return to another node."""
+        async with running() as deployment:
+            outcome = await self.stop(
+                deployment, "/talk/x", arrivals=0, tokens="100,9000", prepare=crowd
+            )
+        self.assert_refused(outcome)
+        self.assertLess(outcome.seconds, STOP_SECONDS / 2)
+
+    async def test_run_that_an_engine_rejected_is_closed_without_an_answer(self):
+        async with running() as deployment:
+            for engine in deployment.engines:
+                engine.custom_handler = reject
+            outcome = await self.stop(
+                deployment, "/talk/x", prepare=functools.partial(crowd, after=1)
+            )
+        self.assert_refused(outcome)
+
+    async def test_run_that_no_engine_has_begun_is_closed_without_an_answer(self):
+        async with running() as deployment:
+            for engine in deployment.engines:
+                engine.custom_handler = never
+            outcome = await self.stop(deployment, "/talk/x")
+        self.assertEqual((502, None), (outcome.status, outcome.retry_after))
+
+    async def test_plain_request_is_closed_without_an_answer(self):
+        async with running() as deployment:
+            for server in deployment.plain:
+                server.custom_handler = never
+            outcome = await self.stop(deployment, "/bill/x")
+        self.assertEqual((502, None), (outcome.status, outcome.retry_after))
