request_ended says that a stop ended a request, and that its caller got nothing

A cancelled request said outcome=cancelled, whether its caller had left or the process ended, and not whether any response had begun. It says broken_off_by=stop or caller now, and unanswered=True without a response.

--- a/src/bankrack/exceptions.py
+++ b/src/bankrack/exceptions.py
@@ -23,6 +23,7 @@
     CALLER = "caller"
     TIME = "time"
     NODE = "node"
+    STOP = "stop"
 
 
 class BankrackError(Exception):
--- a/src/bankrack/serving/dispatch.py
+++ b/src/bankrack/serving/dispatch.py
@@ -138,10 +138,25 @@
             broken_off_by = error.ended_by
             self._metrics.broken_off.inc({"by": broken_off_by.value})
             reply.abort()
+        except asyncio.CancelledError:
+            broken_off_by = self._cancelled_by()
+            raise
         finally:
             del self._jobs_by_number[number]
             self._count(job, assignment, code)
-            self._log(job, assignment, outcome, broken_off_by=broken_off_by)
+            self._log(
+                job,
+                assignment,
+                outcome,
+                broken_off_by=broken_off_by,
+                unanswered=code == "cancelled" and not reply.started,
+            )
+
+    def _cancelled_by(self) -> EndedBy:
+        """Return why a job is cancelled: its caller has left, or the process ends."""
+        stops_at = self._stops_at
+        is_over = stops_at is not None and boottime() >= stops_at
+        return EndedBy.STOP if is_over else EndedBy.CALLER
 
     async def _admit(self, job: Job) -> Assignment:
         await self._configuration.refresh_if_stale()
@@ -249,6 +264,7 @@
         outcome: str,
         *,
         broken_off_by: EndedBy | None,
+        unanswered: bool,
     ) -> None:
         table = self._configuration.table
         now = boottime()
@@ -263,6 +279,7 @@
             fingerprint=work.fingerprint if work else None,
             parts=shared_part_names(job.demand) or None,
             broken_off_by=broken_off_by.value if broken_off_by else None,
+            unanswered=unanswered or None,
             stopping_for=None if stop_began_at is None else now - stop_began_at,
             outcome=outcome,
             sent_to=",".join(work.sent_to) or None if work else None,
