A stopping node answers every request that it does not serve to its end

Cause: the stop waited for all requests alike until the grace period was over, and the end of the process cancelled what was left. A run that waited for room in the pool, or whose engines had rejected it, was kept for all that time although its node could not serve it any more, and its caller got neither a refusal nor the time to return to another node.

The dispatcher now asks a pure decision (decisions/stopping.py) for each request every 0.05 s of a stop: one that no upstream may have run is refused with 503 and Retry-After as soon as it would outlast the node, by the same forecast that refuses new ones; one that may have run is served until the grace period ends, and gets 502 then if it has no response yet. A request is ended by cancelling its task directly: a time-out would let it run once more, so that it could be sent and be refused as not run.

Streams that are cut off say broken_off_by=stop, which read upstream or cancelled.

--- a/src/bankrack/exceptions.py
+++ b/src/bankrack/exceptions.py
@@ -138,6 +138,15 @@
     status = 503
 
 
+class NodeStopped(BankrackError):
+    """The node's grace period ended before the response; the request may have run."""
+
+    code = "node_stopped"
+    status = 502
+    outcome = Outcome.UNKNOWN
+    ended_by = EndedBy.STOP
+
+
 class UpstreamUnreachable(BankrackError):
     """The connection to the upstream could not be established; nothing was sent."""
 
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -93,6 +93,8 @@
 MIN_LEAVE_SECONDS = 0.2
 """Shortest time for the store to remove this node's entry as it stops."""
 STOP_POLL_INTERVAL_SECONDS = 0.05
+END_REQUESTS_SECONDS = 0.1
+"""Time for the answers to requests that are ended as the grace period ends."""
 MAX_LOGGED_REQUESTS = 50
 """Requests in flight that are named as a stop begins and ends."""
 APPLY_INTERVAL_SECONDS = 0.5
@@ -420,8 +422,9 @@
     async def stop(self, reason: str) -> None:
         """Drain and close: fail readiness, finish requests in flight, then close.
 
-        Requests that are still in flight when the grace period ends are cut off, and
-        so are responses that their callers have not read.
+        Requests that no upstream has are refused once they would outlast the grace
+        period.  When it ends, streams that have begun are cut off, and so are responses
+        that their callers have not read; all other requests get an answer.
 
         :param reason: logged with the event.
         """
@@ -442,18 +445,21 @@
         )
         idle_closed = 0
         while boottime() < deadline:
+            self.dispatcher.end_requests()
             if boottime() > started_at + BALANCER_NOTICE_SECONDS:
                 # From here on new connections reach other nodes.
                 idle_closed += self.front.close_idle()
                 if not self._is_busy():
                     break
             await asyncio.sleep(STOP_POLL_INTERVAL_SECONDS)
+        ended, requests = self.dispatcher.in_flight, self._requests_in_flight()
+        await self._end_requests()
         idle_closed += self.front.stop()
         logs.event(
             _logger,
             "stop_ended",
-            cut=self.dispatcher.in_flight,
-            requests=self._requests_in_flight(),
+            cut=ended,
+            requests=requests,
             tunnels_cut=self.tunnels.active,
             connections_cut=self.front.busy_count,
             idle_closed=idle_closed,
@@ -461,6 +467,13 @@
         )
         await self._close(leave_by=deadline)
 
+    async def _end_requests(self) -> None:
+        """End the requests that are left, and let their answers be written."""
+        self.dispatcher.end_requests()
+        limit = boottime() + END_REQUESTS_SECONDS
+        while self.front.busy_count and boottime() < limit:
+            await asyncio.sleep(END_REQUESTS_SECONDS / 10)
+
     def _requests_in_flight(self) -> str | None:
         """Return the ids of the oldest requests in flight for the log, if any."""
         ids = self.dispatcher.request_ids[:MAX_LOGGED_REQUESTS]
--- a/src/bankrack/serving/assignment.py
+++ b/src/bankrack/serving/assignment.py
@@ -17,6 +17,24 @@
 """The same time as a multiple of the target gap between events."""
 
 
+@dataclasses.dataclass(slots=True)
+class Sends:
+    """Attempts to send a job to upstreams.
+
+    :ivar upstreams: ids of the upstreams, in their order.
+    :ivar rejected: number of attempts after which the upstream stated that it did not
+        run the job.
+    """
+
+    upstreams: list[str] = dataclasses.field(default_factory=list)
+    rejected: int = 0
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an upstream has the job, or had it and did not reject it."""
+        return len(self.upstreams) > self.rejected
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Assignment:
     """An accepted job.
@@ -27,7 +45,7 @@
     :param deadline: boot-time seconds at which the final answer is due.
     :param fingerprint: equal for requests with the same path, caller and body.
     :param parts: traits of the shared parts of the prompt.
-    :param sent_to: upstreams that the job was sent to, in their order.
+    :param sends: attempts to send the job, up to now.
     """
 
     job: Job
@@ -38,7 +56,7 @@
     deadline: float
     fingerprint: str = ""
     parts: tuple[str, ...] = ()
-    sent_to: list[str] = dataclasses.field(default_factory=list)
+    sends: Sends = dataclasses.field(default_factory=Sends)
 
     def time_left(self) -> float:
         """Seconds until the final answer is due."""
--- a/src/bankrack/serving/dispatch.py
+++ b/src/bankrack/serving/dispatch.py
@@ -1,18 +1,19 @@
 """Admission of requests and dispatch to the relay for their kind."""
 
 import asyncio
-import itertools
 import logging
 import random
 import typing as t
 
 from bankrack import logs
 from bankrack.clock import boottime
+from bankrack.decisions.stopping import judge
+from bankrack.decisions.stopping import RequestState
+from bankrack.decisions.stopping import Verdict
 from bankrack.exceptions import AuthenticationFailed
 from bankrack.exceptions import BankrackError
 from bankrack.exceptions import DeadlineExceeded
 from bankrack.exceptions import EndedBy
-from bankrack.exceptions import NodeDraining
 from bankrack.exceptions import NodeNotReady
 from bankrack.exceptions import NotFound
 from bankrack.exceptions import Outcome
@@ -27,6 +28,9 @@
 from bankrack.serving.job import shared_part_names
 from bankrack.serving.plain import PlainRelay
 from bankrack.serving.registry import Upstreams
+from bankrack.serving.requestsinflight import draining
+from bankrack.serving.requestsinflight import RequestInFlight
+from bankrack.serving.requestsinflight import RequestsInFlight
 from bankrack.serving.routing import Route
 from bankrack.serving.routing import RoutingTable
 from bankrack.serving.routing import Service
@@ -37,7 +41,6 @@
 STREAM_GRACE_SECONDS = 2.5
 """Time for which streams are accepted after a shutdown began, as the load balancer
 still sends requests meanwhile."""
-SHUTDOWN_RETRY_SECONDS = 0.02
 DEADLINE_SLACK_SECONDS = 0.03
 """Margin between the end of serving and the caller's deadline."""
 
@@ -92,8 +95,7 @@
         self._crashes = crashes
         self._metrics = metrics
         self._rng = rng or random.Random()
-        self._jobs_by_number: dict[int, Job] = {}
-        self._numbers = itertools.count()
+        self._requests = RequestsInFlight()
         self._stops_at: float | None = None
         self._stop_began_at: float | None = None
         self._streams_until = 0.0
@@ -101,12 +103,12 @@
     @property
     def in_flight(self) -> int:
         """Number of jobs that are being served."""
-        return len(self._jobs_by_number)
+        return len(self._requests)
 
     @property
     def request_ids(self) -> list[str]:
         """Ids of the requests that are being served, the oldest first."""
-        return [job.id for job in self._jobs_by_number.values()]
+        return [request.job.id for request in self._requests]
 
     def stop_at(self, stops_at: float) -> None:
         """Accept only requests expected to end before ``stops_at``.
@@ -117,18 +119,34 @@
         self._stop_began_at = boottime()
         self._streams_until = self._stop_began_at + STREAM_GRACE_SECONDS
 
+    def end_requests(self) -> None:
+        """End those requests that this node, as it stops, can't or need not serve."""
+        assert self._stops_at is not None
+        left = self._stops_at - boottime()
+        for request in self._requests:
+            state = RequestState(request.may_have_run, self._expected_seconds(request))
+            if judge(state, left=left) is not Verdict.SERVE:
+                request.end()
+
+    def _expected_seconds(self, request: RequestInFlight) -> float | None:
+        """Expected seconds to serve a request from now on; ``None`` if unknown."""
+        work = request.assignment
+        if work is None:
+            return None
+        seconds = work.route.target_latency
+        if work.route.kind is RequestKind.STREAM:
+            seconds += self._streams.expected_seconds(
+                work.service.name, work.job.demand
+            )
+        return seconds
+
     async def serve(self, job: Job, reply: Reply) -> None:
         """Serve one job; raises :exc:`BankrackError` if no response was started."""
-        number = next(self._numbers)
-        self._jobs_by_number[number] = job
+        number, request = self._requests.begin(job)
         outcome = code = "cancelled"
         broken_off_by: EndedBy | None = None
-        assignment: Assignment | None = None
         try:
-            assignment = await self._admit(job)
-            upstreams = self._upstreams.open_of(assignment.service.name)
-            self._crashes.refuse_unless_any_allowed(assignment, upstreams)
-            outcome = await self._relay(assignment, reply)
+            outcome = await self._serve(request, reply)
             code = outcome.partition(" ")[0].rstrip(",")
         except BankrackError as error:
             code = error.code
@@ -139,24 +157,30 @@
             self._metrics.broken_off.inc({"by": broken_off_by.value})
             reply.abort()
         except asyncio.CancelledError:
-            broken_off_by = self._cancelled_by()
+            broken_off_by = EndedBy.CALLER
             raise
         finally:
-            del self._jobs_by_number[number]
-            self._count(job, assignment, code)
+            self._requests.remove(number)
+            self._count(job, request.assignment, code)
             self._log(
                 job,
-                assignment,
+                request.assignment,
                 outcome,
                 broken_off_by=broken_off_by,
                 unanswered=code == "cancelled" and not reply.started,
             )
 
-    def _cancelled_by(self) -> EndedBy:
-        """Return why a job is cancelled: its caller has left, or the process ends."""
-        stops_at = self._stops_at
-        is_over = stops_at is not None and boottime() >= stops_at
-        return EndedBy.STOP if is_over else EndedBy.CALLER
+    async def _serve(self, request: RequestInFlight, reply: Reply) -> str:
+        """Admit and relay a request; returns the outcome for the log."""
+        try:
+            work = request.assignment = await self._admit(request.job)
+            upstreams = self._upstreams.open_of(work.service.name)
+            self._crashes.refuse_unless_any_allowed(work, upstreams)
+            return await self._relay(work, reply)
+        except asyncio.CancelledError as error:
+            if (ended := request.take_end()) is None:
+                raise
+            raise ended from error
 
     async def _admit(self, job: Job) -> Assignment:
         await self._configuration.refresh_if_stale()
@@ -209,7 +233,8 @@
     ) -> None:
         """Reject a request that this node's shutdown would interrupt.
 
-        Raises :exc:`NodeDraining`; the caller can retry at another node.
+        Raises :exc:`~bankrack.exceptions.NodeDraining`; the caller can retry at another
+        node.
         """
         now = boottime()
         if route.kind is RequestKind.STREAM:
@@ -219,10 +244,7 @@
         else:
             fits = now + route.timeout < stops_at
         if not fits:
-            raise NodeDraining(
-                "this node is shutting down; retry the request",
-                retry_after=SHUTDOWN_RETRY_SECONDS,
-            )
+            raise draining()
 
     def _pick_service(self, table: RoutingTable, route: Route) -> Service:
         """Choose a backend by weight, preferring those with an available upstream."""
@@ -282,7 +304,7 @@
             unanswered=unanswered or None,
             stopping_for=None if stop_began_at is None else now - stop_began_at,
             outcome=outcome,
-            sent_to=",".join(work.sent_to) or None if work else None,
+            sent_to=",".join(work.sends.upstreams) or None if work else None,
             elapsed=now - job.arrived,
             version=table.version if table else None,
             version_age=self._configuration.age,
--- a/src/bankrack/serving/enginelink.py
+++ b/src/bankrack/serving/enginelink.py
@@ -119,7 +119,9 @@
             raise
         self.sends += 1
         self._settle(begun=not exchange.head.not_run)
-        if not exchange.head.not_run:
+        if exchange.head.not_run:
+            work.sends.rejected += 1
+        else:
             self.runs += resume is None
             if resume is None and exchange.head.status >= 500:
                 self._note_error(engine)
@@ -138,7 +140,7 @@
 
     def _note_sending(self, send: Send, kind: str) -> None:
         """Record that a connection was established and the run is written to it."""
-        self._work.sent_to.append(send.upstream.id)
+        self._work.sends.upstreams.append(send.upstream.id)
         source = f"{send.resume.source}/{send.resume.handle}" if send.resume else None
         self._log.write("run_sending", send.upstream, kind, resumed_from=source)
         if self._silent is not None:
--- a/src/bankrack/serving/plain.py
+++ b/src/bankrack/serving/plain.py
@@ -231,7 +231,7 @@
         upstream.in_flight += 1
         exchange: Exchange | None = None
         sent_at = boottime()
-        progress = CallProgress(lambda: work.sent_to.append(upstream.id))
+        progress = CallProgress(lambda: work.sends.upstreams.append(upstream.id))
         try:
             async with asyncio.timeout(self._attempt_seconds(work, attempts)) as limit:
                 exchange = await self._dependencies.client.open(send, progress)
@@ -259,6 +259,7 @@
                 exchange.close()
         attempts.count += 1
         if body is None:
+            work.sends.rejected += 1
             return None
         repeatable = work.route.kind is RequestKind.REPEATABLE
         return whole_answer(head, body, repeatable=repeatable)
--- a/tests/platform/test_broken_off.py
+++ b/tests/platform/test_broken_off.py
@@ -83,3 +83,8 @@
         self.assertIn("requests=r-1", line_of(lines, "stop_began"))
         self.assertIn("requests=r-1", line_of(lines, "stop_ended"))
         self.assertIn("stopping_for=", line_of(lines, "request_ended"))
+
+    async def test_request_that_a_stop_cuts_off_is_not_ascribed_to_its_upstream(self):
+        async with running() as deployment:
+            lines = await self.stop(deployment)
+        self.assertIn("broken_off_by=stop", line_of(lines, "request_ended"))
