A stopping node accepts only streams that end in time at their greatest length

The node trusted the caller's estimate of the length, which is often far too low, while the request also states the most that can come out. That bound counts now, so that the caller is refused and goes to a node that stays.

--- a/src/bankrack/serving/dispatch.py
+++ b/src/bankrack/serving/dispatch.py
@@ -124,20 +124,18 @@
         assert self._stops_at is not None
         left = self._stops_at - boottime()
         for request in self._requests:
-            state = RequestState(request.may_have_run, self._expected_seconds(request))
+            state = RequestState(request.may_have_run, self._estimated_seconds(request))
             if judge(state, left=left) is not Verdict.SERVE:
                 request.end()
 
-    def _expected_seconds(self, request: RequestInFlight) -> float | None:
-        """Expected seconds to serve a request from now on; ``None`` if unknown."""
+    def _estimated_seconds(self, request: RequestInFlight) -> float | None:
+        """Estimated seconds to serve a request from now on; ``None`` if unknown."""
         work = request.assignment
         if work is None:
             return None
         seconds = work.route.target_latency
         if work.route.kind is RequestKind.STREAM:
-            seconds += self._streams.expected_seconds(
-                work.service.name, work.job.demand
-            )
+            seconds += self._streams.max_seconds(work.service.name, work.job.demand)
         return seconds
 
     async def serve(self, job: Job, reply: Reply) -> None:
@@ -238,7 +236,7 @@
         """
         now = boottime()
         if route.kind is RequestKind.STREAM:
-            seconds = self._streams.expected_seconds(service.name, job.demand)
+            seconds = self._streams.max_seconds(service.name, job.demand)
             ends_at = now + route.target_latency + seconds
             fits = now < self._streams_until and ends_at < stops_at
         else:
--- a/src/bankrack/serving/job.py
+++ b/src/bankrack/serving/job.py
@@ -67,6 +67,11 @@
         """Tokens that the run is expected to generate."""
         return self.length_hint or self.output_limit
 
+    @property
+    def max_output(self) -> int:
+        """Tokens that the run generates at most; the estimate if that is unknown."""
+        return self.output_limit or self.length_hint
+
     @property
     def shared_parts(self) -> tuple[PromptPart, ...]:
         """Parts of the prompt that other prompts may share."""
--- a/src/bankrack/serving/streams.py
+++ b/src/bankrack/serving/streams.py
@@ -40,9 +40,13 @@
         )
         self._context = RunContext(dependencies, control, advisor, engine_finder)
 
-    def expected_seconds(self, service: str, demand: Demand) -> float:
-        """Expected seconds from a run's first event to its last."""
-        return demand.output * self._chooser.pace_of(service).token_seconds
+    def max_seconds(self, service: str, demand: Demand) -> float:
+        """Seconds from a run's first event to its last at most, at the usual pace.
+
+        Callers' estimates of the length are often far too low.
+        """
+        pace = self._chooser.pace_of(service)
+        return demand.max_output * pace.generated_token_seconds
 
     async def serve(self, work: Assignment, reply: Reply) -> str:
         """Serve one stream; returns the outcome for the log."""
--- a/tests/platform/test_stop_answers.py
+++ b/tests/platform/test_stop_answers.py
@@ -146,3 +146,14 @@
                 server.custom_handler = never
             outcome = await self.stop(deployment, "/bill/x")
         self.assertEqual((502, None), (outcome.status, outcome.retry_after))
+
+    async def test_stream_with_too_low_a_length_hint_is_accepted_and_cut(self):
+        async with running() as deployment:
+            gateway = await deployment.start_ready_gateway()
+            stopping = asyncio.create_task(gateway.stop("test"))
+            await until(lambda: gateway.stopping)
+            headers = {"Bankrack-Token-Usage": "100,9000", "Length-Hint": "10"}
+            response = await call(gateway.settings.front, "/talk/x", headers=headers)
+            self.assertEqual([], deployment.arrivals())
+            await stopping
+        self.assertEqual(503, response.status)
