Failing test: a whole response is lost as one question waits for the other

A plain request that may not be repeated, on a route of 2 s, gets 502 ("no proof within 1.86 s (Answered(... healthy=False))") although all bytes of its response without framing are here and its server lives: the server's health takes 1.2 s and says 503. The answer to the question 5 ms behind the end does not count, as a server that may be ending must live on for 0.3 s; the next question is asked behind that answer, so that its own would come 2.4 s behind the end. Neither a time-out of the call nor patience is the cause.

--- a/tests/platform/test_unframed_responses.py
+++ b/tests/platform/test_unframed_responses.py
@@ -126,6 +126,13 @@
     async def test_slow_question_behind_a_response_does_not_cut_it(self):
         await self.check_whole(slow=True, full=True)
 
+    async def test_slow_questions_one_after_the_other_do_not_use_up_a_short_route(self):
+        """A full server proves the response by its second answer, 1.5 s behind it."""
+        server = RawServer(b"whole")
+        server.slow = server.full = True
+        response = await ask("plain", "/bill/x", server)
+        self.assertEqual((200, True, b"whole"), _read(response))
+
     async def test_reset_question_behind_a_response_does_not_cut_it(self):
         """A server resets connections beyond those that it accepts."""
         until = asyncio.get_running_loop().time() + 3.5
