A slow first question does not hold up the one that proves a response whole

Callers saw 502 for a plain request that may not be repeated, although all bytes of its response without framing were here and its server lived. Cause: the first question goes out 5 ms behind the end, where only a healthy answer counts; a full server's 503 came after 1.2 s, the next question behind it, and its answer 2.4 s behind the end of a route of 2 s.

The next question is asked 0.3 s behind the end now, also beside one that is still open: answers count by when they were asked for, so waiting for one that may prove nothing gains nothing. Not taken: counting an answer by when it comes (it may have been written before the server ended), and asking while the response runs (that proves no life behind the end).

That a server which ended is not believed for a slow answer holds before and after.

--- a/src/bankrack/decisions/responseends.py
+++ b/src/bankrack/decisions/responseends.py
@@ -163,6 +163,17 @@
             return True
 
 
+def time_alone(*, behind: float) -> float | None:
+    """Return the seconds for which a question is the only one; ``None`` for no end.
+
+    The answer to one asked soon behind the end may prove nothing, however late it
+    comes, so the next question does not wait for it.
+
+    :param behind: as for :func:`is_settled`.
+    """
+    return LEAVING_SECONDS - behind if behind < LEAVING_SECONDS else None
+
+
 def pause_before_question(
     upstream: Instance, evidence: Evidence, *, behind: float, now: float
 ) -> float:
--- a/src/bankrack/serving/responseends.py
+++ b/src/bankrack/serving/responseends.py
@@ -23,6 +23,7 @@
 from bankrack.decisions.responseends import pause_before_question
 from bankrack.decisions.responseends import Recourse
 from bankrack.decisions.responseends import Refused
+from bankrack.decisions.responseends import time_alone
 from bankrack.decisions.responseends import Unanswered
 from bankrack.exceptions import BankrackError
 from bankrack.exceptions import ResponseDoubted
@@ -194,21 +195,32 @@
         await asyncio.sleep(BATCH_SECONDS)
         del self._pending_by_id[upstream.id]
         newest_end = boottime()
-        while self._doubted.is_any(upstream.id, before=newest_end):
-            await self._take_permit(upstream)
-            asked_at = boottime()
-            evidence = await self._ask(upstream, health_path)
-            self._doubted.deliver(upstream.id, evidence, asked_at=asked_at)
-            pause = pause_before_question(
-                _instance(upstream),
-                evidence,
-                behind=asked_at - newest_end,
-                now=boottime() - newest_end,
-            )
-            await asyncio.sleep(pause)
+        async with asyncio.TaskGroup() as questions:
+            while self._doubted.is_any(upstream.id, before=newest_end):
+                await self._take_permit(upstream)
+                asked_at = boottime()
+                behind = asked_at - newest_end
+                question = questions.create_task(self._ask(upstream, health_path))
+                await asyncio.wait([question], timeout=time_alone(behind=behind))
+                if not question.done():
+                    continue
+                pause = pause_before_question(
+                    _instance(upstream),
+                    question.result(),
+                    behind=behind,
+                    now=boottime() - newest_end,
+                )
+                await asyncio.sleep(pause)
 
     async def _ask(self, upstream: Upstream, health_path: str) -> Evidence:
-        """Ask once which instance answers at an upstream's address."""
+        """Ask once which instance answers, and settle the ends that this settles."""
+        asked_at = boottime()
+        evidence = await self._identify(upstream, health_path)
+        self._doubted.deliver(upstream.id, evidence, asked_at=asked_at)
+        return evidence
+
+    async def _identify(self, upstream: Upstream, health_path: str) -> Evidence:
+        """Return which instance answers at an upstream's address."""
         try:
             health = await self._control.identify(upstream, health_path)
             born = None
--- a/tests/decisions/test_responseends.py
+++ b/tests/decisions/test_responseends.py
@@ -12,6 +12,7 @@
 from bankrack.decisions.responseends import patience
 from bankrack.decisions.responseends import recourse_of
 from bankrack.decisions.responseends import Refused
+from bankrack.decisions.responseends import time_alone
 from bankrack.decisions.responseends import Unanswered
 from tests.base import TestCase
 
@@ -62,6 +63,10 @@
         self.assertFalse(is_settled(upstream, answer, behind=0.1))
         self.assertTrue(is_settled(upstream, answer, behind=LEAVING_SECONDS))
 
+    def test_slow_question_that_may_prove_nothing_does_not_hold_up_the_next(self):
+        self.assertEqual(LEAVING_SECONDS, time_alone(behind=0.0))
+        self.assertIsNone(time_alone(behind=LEAVING_SECONDS))
+
     def test_silence_ends_no_response_that_nothing_else_can_serve(self):
         self.assertEqual(29.95, patience(NoRecourse(), time_left=30.0))
         self.assertEqual(0.0, patience(NoRecourse(), time_left=0.01))
--- a/tests/platform/test_unframed_responses.py
+++ b/tests/platform/test_unframed_responses.py
@@ -133,6 +133,13 @@
         response = await ask("plain", "/bill/x", server)
         self.assertEqual((200, True, b"whole"), _read(response))
 
+    async def test_slow_answer_of_a_server_that_has_ended_completes_no_response(self):
+        """It was asked as it ended, and refuses the question behind that."""
+        server = RawServer(b"part", ending=Ending.STOPS)
+        server.slow = server.full = True
+        response = await ask("plain", "/bill/x", server)
+        self.assertEqual(502, response.status)
+
     async def test_reset_question_behind_a_response_does_not_cut_it(self):
         """A server resets connections beyond those that it accepts."""
         until = asyncio.get_running_loop().time() + 3.5
