A stopping node settles responses in doubt before it ends

Callers saw a stream cut behind its last event, and 502 node_stopped, for whole responses without framing whose server answered again before the node ended. Cause: the checks behind the ends of responses knew nothing of the stop, so the node ended in a pause of 1 s between two questions, or while a request waited 2 s for a proof that another server could serve.

In the last second the node asks every 0.2 s, and a request that another server can take goes on to it (at once if it waits already, behind 0.4 s else). Listed: ends within the last 0.3 s of an unhealthy server, and proofs that take longer than the node lives.

--- a/src/bankrack/decisions/responseends.py
+++ b/src/bankrack/decisions/responseends.py
@@ -106,6 +106,8 @@
 connections some moments before it ends."""
 OTHER_UPSTREAM_SECONDS = 2.0
 """Time for a proof if the request can be sent to another upstream."""
+HURRIED_OTHER_SECONDS = 0.4
+"""The same while this node ends, which leaves the other upstream time to answer."""
 HELD_COPY_SECONDS = 0.6
 """The same for a run that can go on at a copy, whose caller waits meanwhile."""
 DEADLINE_MARGIN_SECONDS = 0.05
@@ -175,17 +177,23 @@
 
 
 def pause_before_question(
-    upstream: Instance, evidence: Evidence, *, behind: float, now: float
+    upstream: Instance,
+    evidence: Evidence,
+    *,
+    behind: float,
+    now: float,
+    hurried: bool = False,
 ) -> float:
     """Return the seconds after which an upstream is asked again.
 
     :param behind: as for :func:`is_settled`.
     :param now: seconds since the end of the response.
+    :param hurried: this node ends soon.
     """
     match evidence:
         case Answered(by) if by == upstream and behind < LEAVING_SECONDS:
             return max(0.0, LEAVING_SECONDS - now)
-        case _ if now < OTHER_UPSTREAM_SECONDS:
+        case _ if hurried or now < OTHER_UPSTREAM_SECONDS:
             return RETRY_INTERVAL_SECONDS
         case _:
             return LONG_RETRY_INTERVAL_SECONDS
@@ -202,15 +210,18 @@
     return OtherUpstream() if may_repeat else NoRecourse()
 
 
-def patience(recourse: Recourse, *, time_left: float) -> float:
+def patience(recourse: Recourse, *, time_left: float, hurried: bool = False) -> float:
     """Return the seconds for which a proof is waited for.
 
     :param time_left: seconds until the caller's deadline.
+    :param hurried: this node ends soon.
     """
     left = max(0.0, time_left - DEADLINE_MARGIN_SECONDS)
     match recourse:
         case HeldCopy():
             return min(HELD_COPY_SECONDS, left)
+        case OtherUpstream() if hurried:
+            return min(HURRIED_OTHER_SECONDS, left)
         case OtherUpstream():
             return min(OTHER_UPSTREAM_SECONDS, left)
         case NoRecourse():
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -95,6 +95,8 @@
 STOP_POLL_INTERVAL_SECONDS = 0.05
 END_REQUESTS_SECONDS = 0.1
 """Time for the answers to requests that are ended as the grace period ends."""
+LAST_QUESTIONS_SECONDS = 1.0
+"""Time before the end in which responses in doubt are settled without long pauses."""
 MAX_LOGGED_REQUESTS = 50
 """Requests in flight that are named as a stop begins and ends."""
 APPLY_INTERVAL_SECONDS = 0.5
@@ -446,6 +448,8 @@
         idle_closed = 0
         while boottime() < deadline:
             self.dispatcher.end_requests()
+            if boottime() > deadline - LAST_QUESTIONS_SECONDS:
+                self.response_ends.hurry()
             if boottime() > started_at + BALANCER_NOTICE_SECONDS:
                 # From here on new connections reach other nodes.
                 idle_closed += self.front.close_idle()
--- a/src/bankrack/serving/doubtedends.py
+++ b/src/bankrack/serving/doubtedends.py
@@ -9,6 +9,8 @@
 from bankrack.decisions.responseends import Evidence
 from bankrack.decisions.responseends import Instance
 from bankrack.decisions.responseends import is_settled
+from bankrack.decisions.responseends import OtherUpstream
+from bankrack.decisions.responseends import Recourse
 from bankrack.decisions.responseends import Unanswered
 
 
@@ -22,12 +24,14 @@
 
     :param upstream: the instance that sent the response.
     :param at: boot-time seconds of the end.
+    :param recourse: what else can serve the request.
     :param settled: set to what shows whether the response is complete.
     :param newest: newest evidence that did not settle it.
     """
 
     upstream: Instance
     at: float
+    recourse: Recourse
     settled: asyncio.Future[Evidence]
     newest: Evidence = dataclasses.field(default_factory=_no_answer)
 
@@ -57,10 +61,11 @@
 
     @contextlib.contextmanager
     def doubting(
-        self, upstream_id: str, upstream: Instance, *, at: float
+        self, upstream_id: str, upstream: Instance, *, at: float, recourse: Recourse
     ) -> t.Iterator[DoubtedEnd]:
         """Hold an end in doubt."""
-        end = DoubtedEnd(upstream, at, asyncio.get_running_loop().create_future())
+        settled = asyncio.get_running_loop().create_future()
+        end = DoubtedEnd(upstream, at, recourse, settled)
         self._ends_by_id.setdefault(upstream_id, set()).add(end)
         try:
             yield end
@@ -91,9 +96,20 @@
             else:
                 end.newest = evidence
 
+    def give_up_for_others(self, evidence: Evidence) -> None:
+        """Settle the ends of requests that can be sent to another upstream."""
+        self._settle(
+            evidence, [e for e in self._all() if e.recourse == OtherUpstream()]
+        )
+
     def settle_all(self, evidence: Evidence) -> None:
         """Settle all ends that are still in doubt."""
-        for ends in self._ends_by_id.values():
-            for end in ends:
-                if not end.settled.done():
-                    end.settled.set_result(evidence)
+        self._settle(evidence, self._all())
+
+    def _all(self) -> list[DoubtedEnd]:
+        return [end for ends in self._ends_by_id.values() for end in ends]
+
+    def _settle(self, evidence: Evidence, ends: t.Iterable[DoubtedEnd]) -> None:
+        for end in ends:
+            if not end.settled.done():
+                end.settled.set_result(evidence)
--- a/src/bankrack/serving/responseends.py
+++ b/src/bankrack/serving/responseends.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import contextlib
 import dataclasses
 import logging
 import math
@@ -45,6 +46,7 @@
 their waits are over, take those that become free meanwhile."""
 
 _NODE_ENDS = NotAskable("this node ends and asks no more")
+_NODE_ENDS_SOON = NotAskable("this node ends soon, and another upstream can serve it")
 _logger = logging.getLogger(__name__)
 
 
@@ -81,6 +83,7 @@
         self._permits = permits
         self._metrics = metrics
         self._closed = False
+        self._hurried = asyncio.Event()
         self._doubted = DoubtedEnds()
         self._pending_by_id: dict[str, asyncio.Task[None]] = {}
         self._checks_by_id: dict[str, set[asyncio.Task[None]]] = {}
@@ -135,6 +138,12 @@
                 "safe"
             )
 
+    def hurry(self) -> None:
+        """Settle what is in doubt soon, as this node ends."""
+        if not self._hurried.is_set():
+            self._hurried.set()
+            self._doubted.give_up_for_others(_NODE_ENDS_SOON)
+
     async def close(self) -> None:
         """Stop asking; responses that are in doubt stay so."""
         self._closed = True
@@ -165,10 +174,17 @@
             return _NODE_ENDS
         if not response.health_path:
             return NotAskable("its service has no health path to ask at")
-        seconds = patience(response.recourse, time_left=response.time_left)
+        seconds = patience(
+            response.recourse,
+            time_left=response.time_left,
+            hurried=self._hurried.is_set(),
+        )
         try:
             with self._doubted.doubting(
-                upstream.id, _instance(upstream), at=ended_at
+                upstream.id,
+                _instance(upstream),
+                at=ended_at,
+                recourse=response.recourse,
             ) as end:
                 if upstream.id not in self._pending_by_id:
                     self._start_check(upstream, response.health_path)
@@ -209,8 +225,18 @@
                     question.result(),
                     behind=behind,
                     now=boottime() - newest_end,
+                    hurried=self._hurried.is_set(),
                 )
-                await asyncio.sleep(pause)
+                await self._pause(pause)
+
+    async def _pause(self, seconds: float) -> None:
+        """Wait; the time is cut short as this node begins to hurry."""
+        if self._hurried.is_set():
+            await asyncio.sleep(seconds)
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._hurried.wait()
 
     async def _ask(self, upstream: Upstream, health_path: str) -> Evidence:
         """Ask once which instance answers, and settle the ends that this settles."""
--- a/tests/decisions/test_responseends.py
+++ b/tests/decisions/test_responseends.py
@@ -10,6 +10,7 @@
 from bankrack.decisions.responseends import NoRecourse
 from bankrack.decisions.responseends import OtherUpstream
 from bankrack.decisions.responseends import patience
+from bankrack.decisions.responseends import pause_before_question
 from bankrack.decisions.responseends import recourse_of
 from bankrack.decisions.responseends import Refused
 from bankrack.decisions.responseends import time_alone
@@ -67,6 +68,18 @@
         self.assertEqual(LEAVING_SECONDS, time_alone(behind=0.0))
         self.assertIsNone(time_alone(behind=LEAVING_SECONDS))
 
+    def test_node_that_ends_soon_neither_pauses_nor_waits_for_long(self):
+        silence = Unanswered("reset")
+        pauses = [
+            pause_before_question(
+                Instance("e-1"), silence, behind=5.0, now=5.0, hurried=hurried
+            )
+            for hurried in (False, True)
+        ]
+        self.assertEqual([1.0, 0.2], pauses)
+        self.assertEqual(0.4, patience(OtherUpstream(), time_left=9.0, hurried=True))
+        self.assertEqual(8.95, patience(NoRecourse(), time_left=9.0, hurried=True))
+
     def test_silence_ends_no_response_that_nothing_else_can_serve(self):
         self.assertEqual(29.95, patience(NoRecourse(), time_left=30.0))
         self.assertEqual(0.0, patience(NoRecourse(), time_left=0.01))
