A node answers the requests that are in flight as its drain's time-out ends

Callers of bankrack.node saw their connection closed without a response as the time-out of a drain ended, also those whose requests waited for a place, and streams ended without the error event that every other failure gets. Cause: close() ended the listeners, and aiohttp cancels handlers then, which nothing turns into an answer.

The drain ends the requests that are left first, by cancelling their tasks, and the code that knows whether an engine may have run the request turns that into 503 node_draining, 502 node_stopped, or an error event; the linger that follows lets them be written. The part of serving/requestsinflight.py that both nodes need is serving/endable.py now. A plain response that has begun is broken off as before.

--- a/src/bankrack/front/answers.py
+++ b/src/bankrack/front/answers.py
@@ -16,10 +16,12 @@
 from bankrack.exceptions import Outcome
 from bankrack.front import handles
 from bankrack.front.handles import Handle
+from bankrack.generations.generation import Deliver
 from bankrack.generations.generation import Generation
 from bankrack.generations.jobs import Job
 from bankrack.generations.stream import Token
 from bankrack.metrics import GapRecorder
+from bankrack.serving.endable import EndableRequest
 from bankrack.wire import completions
 from bankrack.wire.completions import ChunkWriter
 from bankrack.wire.completions import Usage
@@ -34,6 +36,7 @@
 class GenerationResponse:
     """The response that delivers one generation to its caller.
 
+    :param in_flight: the caller's request.
     :param started: boot-time clock reading when the request was accepted.
     """
 
@@ -44,12 +47,14 @@
         job: Job,
         generation: Generation,
         *,
+        in_flight: EndableRequest,
         started: float,
     ) -> None:
         self._node = node
         self._workspace = workspace
         self._job = job
         self._generation = generation
+        self._in_flight = in_flight
         self._started = started
         self._gaps = GapRecorder()
         self._delivered = 0
@@ -68,7 +73,7 @@
             self._record_tokens()
 
         try:
-            await self._generation.run(collect)
+            await self._generate(collect)
         except BankrackError as error:
             self._finish(error)
             raise
@@ -116,7 +121,7 @@
                 raise CallerDisconnected("the caller closed the connection") from error
 
         try:
-            await self._generation.run(deliver)
+            await self._generate(deliver)
         except CallerDisconnected:
             self._finish_cancelled()
             return response
@@ -136,6 +141,17 @@
         await self._write_end(response, writer, with_usage=with_usage)
         return response
 
+    async def _generate(self, deliver: Deliver) -> None:
+        """Run the generation; raises an error if the node's stop ends it."""
+        generation = self._generation
+        try:
+            await generation.run(deliver)
+        except asyncio.CancelledError as error:
+            ended = self._in_flight.take_error(may_have_run=generation.may_have_run)
+            if ended is None:
+                raise
+            raise ended from error
+
     def _encode(self, writer: ChunkWriter, tokens: list[Token]) -> bytes:
         first = tokens[0]
         if first.offset != self._first_offset + self._delivered:
--- a/src/bankrack/front/callers.py
+++ b/src/bankrack/front/callers.py
@@ -1,5 +1,6 @@
 """HTTP API for callers."""
 
+import contextlib
 import logging
 import typing as t
 import uuid
@@ -27,6 +28,7 @@
 from bankrack.generations.jobs import Job
 from bankrack.generations.stream import StreamCheck
 from bankrack.scheduling.slots import AdmissionRequest
+from bankrack.serving.endable import EndableRequest
 from bankrack.wire import completions
 from bankrack.wire import requestkeys
 from bankrack.wire.completions import CompletionRequest
@@ -148,12 +150,21 @@
     ) -> web.StreamResponse:
         raise NotFound("unknown path; see the documentation for callers")
 
+    @contextlib.contextmanager
+    def _serving(self, workspace: Workspace) -> t.Iterator[EndableRequest]:
+        """Count the request of the current task, which a drain may end."""
+        node = self._node
+        with node.in_flight.enter(workspace), node.requests.serving() as request:
+            yield request
+
     async def _forward_plain(
         self, request: web.Request, workspace: Workspace
     ) -> web.StreamResponse:
         service = self._service(request.match_info["service"], workspace, "plain")
-        with self._node.in_flight.enter(workspace):
-            return await self._node.plain.forward(request, workspace, service)
+        with self._serving(workspace) as in_flight:
+            return await self._node.plain.forward(
+                request, workspace, service, in_flight
+            )
 
     def _completion(self, kind: str) -> t.Any:
         async def handle(
@@ -165,9 +176,9 @@
             body = completions.decode_request(await request.read(), kind)
             service = self._service(body.model, workspace, "model")
             key = requestkeys.read(request.headers)
-            with self._node.in_flight.enter(workspace):
+            with self._serving(workspace) as in_flight:
                 job = _job(body, service, workspace, kind, key)
-                return await self._run(request, workspace, job, body)
+                return await self._run(request, workspace, job, body, in_flight)
 
         return handle
 
@@ -177,6 +188,7 @@
         workspace: Workspace,
         job: Job,
         body: CompletionRequest,
+        in_flight: EndableRequest,
     ) -> web.StreamResponse:
         node = self._node
         node.engines.retries.earn()
@@ -185,7 +197,12 @@
             claim = node.claims.claimer(workspace.name, job.key)
         generation = Generation(node.engines, job, claim=claim)
         answer = GenerationResponse(
-            node, workspace, job, generation, started=boottime()
+            node,
+            workspace,
+            job,
+            generation,
+            in_flight=in_flight,
+            started=boottime(),
         )
         if body.stream:
             return await answer.stream(request, with_usage=body.includes_usage)
@@ -220,10 +237,15 @@
         )
         job = Job(ask.request_id, ask, handle.kind, b"")
         check = StreamCheck(handle.generation, offset=offset)
-        with self._node.in_flight.enter(workspace):
+        with self._serving(workspace) as in_flight:
             generation = Generation.continued(self._node.engines, job, upstream, check)
             answer = GenerationResponse(
-                self._node, workspace, job, generation, started=boottime()
+                self._node,
+                workspace,
+                job,
+                generation,
+                in_flight=in_flight,
+                started=boottime(),
             )
             return await answer.stream(request, with_usage=True)
 
--- a/src/bankrack/generations/generation.py
+++ b/src/bankrack/generations/generation.py
@@ -92,8 +92,14 @@
         generation = cls(context, job)
         generation.upstream = upstream
         generation.check = check
+        generation._may_have_run = True
         return generation
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an engine has the job, or had it and did not reject it."""
+        return self._may_have_run or self._uncertain
+
     async def run(self, deliver: Deliver) -> None:
         """Run the generation and deliver its tokens as they arrive.
 
--- a/src/bankrack/generations/plain.py
+++ b/src/bankrack/generations/plain.py
@@ -1,5 +1,6 @@
 """Forwards HTTP requests of any method to the upstreams of plain services."""
 
+import asyncio
 import itertools
 import logging
 import typing as t
@@ -28,6 +29,7 @@
 from bankrack.metrics import Metrics
 from bankrack.scheduling.health import Health
 from bankrack.scheduling.slots import no_upstream_error
+from bankrack.serving.endable import EndableRequest
 from bankrack.serving.framing import Framing
 from bankrack.serving.framing import framing_of
 from bankrack.serving.giveup import RESET_ON_CLOSE
@@ -67,6 +69,20 @@
     error: BankrackError | None = None
 
 
+class Progress:
+    """How far a request has come.
+
+    :ivar may_have_run: an upstream has it, or had it and did not reject it.
+    :ivar begun: its response has begun.
+    """
+
+    __slots__ = ("begun", "may_have_run")
+
+    def __init__(self) -> None:
+        self.may_have_run = False
+        self.begun = False
+
+
 class PlainServices:
     """Forwards requests to the upstreams of plain services.
 
@@ -100,7 +116,33 @@
         self.in_flight_by_upstream: dict[str, int] = {}
 
     async def forward(
-        self, request: web.Request, workspace: Workspace, service: Service
+        self,
+        request: web.Request,
+        workspace: Workspace,
+        service: Service,
+        in_flight: EndableRequest,
+    ) -> web.StreamResponse:
+        """Forward one request; a stop of the node ends it with an error.
+
+        One whose response has begun is broken off.
+        """
+        progress = Progress()
+        try:
+            return await self._forward(request, workspace, service, progress)
+        except asyncio.CancelledError as error:
+            if progress.begun:
+                raise
+            ended = in_flight.take_error(may_have_run=progress.may_have_run)
+            if ended is None:
+                raise
+            raise ended from error
+
+    async def _forward(
+        self,
+        request: web.Request,
+        workspace: Workspace,
+        service: Service,
+        progress: Progress,
     ) -> web.StreamResponse:
         """Forward one request, with retries on other upstreams.
 
@@ -114,26 +156,27 @@
         repeatable = repeatable and not request.can_read_body
         self._retries.earn()
         tried: list[str] = []
-        may_have_run = False
         started = boottime()
         while True:
             try:
                 upstream = self._choose(service, tried)
             except NoUpstream as error:
-                if may_have_run:
+                if progress.may_have_run:
                     error.outcome = Outcome.UNKNOWN
                 raise
             tried.append(upstream.name)
             if claim is not None:
                 await claim()
                 claim = None
+            ran_before = progress.may_have_run
             try:
-                relayed = await self._attempt(request, upstream)
+                relayed = await self._attempt(request, upstream, progress)
             except (UpstreamUnreachable, UpstreamFailed) as error:
                 self._health.failed(upstream.name)
-                retryable = error.outcome is Outcome.NOT_RUN or repeatable
-                may_have_run = may_have_run or error.outcome is not Outcome.NOT_RUN
-                if may_have_run:
+                certain = error.outcome is Outcome.NOT_RUN
+                retryable = certain or repeatable
+                progress.may_have_run = ran_before or not certain
+                if progress.may_have_run:
                     error.outcome = Outcome.UNKNOWN
                 if not retryable or len(tried) >= MAX_ATTEMPTS:
                     raise
@@ -162,15 +205,19 @@
         self._health.started(chosen.name)
         return chosen
 
-    async def _attempt(self, request: web.Request, upstream: Upstream) -> Relayed:
+    async def _attempt(
+        self, request: web.Request, upstream: Upstream, progress: Progress
+    ) -> Relayed:
         counts = self.in_flight_by_upstream
         counts[upstream.name] = counts.get(upstream.name, 0) + 1
         try:
-            return await self._exchange(request, upstream)
+            return await self._exchange(request, upstream, progress)
         finally:
             counts[upstream.name] -= 1
 
-    async def _exchange(self, request: web.Request, upstream: Upstream) -> Relayed:
+    async def _exchange(
+        self, request: web.Request, upstream: Upstream, progress: Progress
+    ) -> Relayed:
         path = request.raw_path.split("/", 3)
         url = f"http://{upstream.address}/{path[3] if len(path) > 3 else ''}"
         timeout = aiohttp.ClientTimeout(
@@ -179,6 +226,7 @@
             sock_read=self._limits.first_token_timeout,
         )
         body = self._limited_body(request) if request.can_read_body else None
+        progress.may_have_run = True
         try:
             upstream_response = await self._session.request(
                 request.method,
@@ -194,6 +242,7 @@
             if isinstance(error.__cause__, BankrackError):
                 raise error.__cause__ from error
             raise failed_error(upstream, type(error).__name__) from error
+        progress.begun = True
         async with upstream_response:
             return await self._relay(request, upstream, upstream_response)
 
--- a/src/bankrack/node.py
+++ b/src/bankrack/node.py
@@ -45,6 +45,7 @@
 from bankrack.metrics import Metrics
 from bankrack.scheduling.admission import Admission
 from bankrack.scheduling.health import Health
+from bankrack.serving.endable import EndableRequests
 from bankrack.settings import Settings
 
 DRAIN_POLL_INTERVAL_SECONDS = 0.05
@@ -67,6 +68,7 @@
         self.in_flight = InFlightLimiter(
             max_requests=settings.limits.requests_in_flight
         )
+        self.requests = EndableRequests()
         self.health = Health()
         self.vms = VmList()
         self.membership = Membership(name=settings.name, hall=settings.hall)
@@ -240,9 +242,12 @@
             async with asyncio.timeout(self.settings.limits.drain_timeout):
                 while self.in_flight.total:
                     await asyncio.sleep(DRAIN_POLL_INTERVAL_SECONDS)
-        # Requests sent on kept-alive connections in the meantime are refused.
+        ended = self.in_flight.total
+        self.requests.end_all()
+        # Meanwhile the answers to these are written, and requests sent on kept-alive
+        # connections are refused.
         await asyncio.sleep(DRAIN_LINGER_SECONDS)
-        logs.event(_logger, "drain_ended", cut=self.in_flight.total)
+        logs.event(_logger, "drain_ended", cut=ended)
         await self.close()
 
     def is_leaving(self, upstream: Upstream) -> bool:
--- a/src/bankrack/serving/dispatch.py
+++ b/src/bankrack/serving/dispatch.py
@@ -21,6 +21,7 @@
 from bankrack.serving.assignment import Assignment
 from bankrack.serving.budget import SharedRetryBudget
 from bankrack.serving.crashes import CrashMonitor
+from bankrack.serving.endable import draining
 from bankrack.serving.fingerprint import fingerprint
 from bankrack.serving.job import Job
 from bankrack.serving.job import Reply
@@ -28,7 +29,6 @@
 from bankrack.serving.job import shared_part_names
 from bankrack.serving.plain import PlainRelay
 from bankrack.serving.registry import Upstreams
-from bankrack.serving.requestsinflight import draining
 from bankrack.serving.requestsinflight import RequestInFlight
 from bankrack.serving.requestsinflight import RequestsInFlight
 from bankrack.serving.routing import Route
