Failing test: a stream that a drain ended can't go on at another node

docs/callers.md tells callers to send a stream that ended with an error event again to any node with Last-Event-ID. Behind the end of a drain they get an error instead of the rest, as the node cancels the run at its engine.

--- a/tests/test_node_drain.py
+++ b/tests/test_node_drain.py
@@ -12,6 +12,7 @@
 from tests.fakes import Testbed
 from tests.fakes import testbed
 from tests.front.test_callers import body
+from tests.front.test_callers import texts
 
 PATIENCE_SECONDS = 5.0
 
@@ -110,6 +111,23 @@
         error = json.loads(events[-1][1])["error"]
         self.assertEqual("node_stopped", error["code"])
 
+    async def test_stream_that_a_drain_ended_can_not_go_on_at_another_node(self):
+        async with testbed(nodes=2) as b:
+            async with b.post(body(300, stream=True)) as response:
+                await response.content.readline()
+                node = await drain(b)
+                events = await b.events(response)
+            self.assertIn("node_stopped", events[-1][1])
+            last = events[-1][0]
+            async with b.post(
+                body(300, stream=True), node=1, Last_Event_ID=last
+            ) as response:
+                rest = await b.events(response)
+            await node.stopped.wait()
+        numbers = [int(word.rpartition("-")[2]) for word in texts(events + rest)]
+        self.assertEqual("[DONE]", rest[-1][1])
+        self.assertEqual(list(range(300)), numbers)
+
 
 async def _never(*found: object, **more: object) -> None:
     await asyncio.Event().wait()
