A stream that a drain ended can go on at another node

Its caller got an error event and, as docs/callers.md says, sent the request again with Last-Event-ID: the answer was stream_interrupted, as the ending node had cancelled the run at its engine. A node that ends leaves the runs now whose callers have a handle; an engine frees those that nobody reads, as behind a node that died. A caller that hangs up at a node that lives cancels its run as before.

--- a/src/bankrack/front/answers.py
+++ b/src/bankrack/front/answers.py
@@ -114,6 +114,7 @@
             if writer is None:
                 writer = self._writer()
                 await response.prepare(request)
+                self._generation.continuable = True
             try:
                 await response.write(self._encode(writer, tokens))
             except ConnectionError as error:
--- a/src/bankrack/generations/generation.py
+++ b/src/bankrack/generations/generation.py
@@ -57,6 +57,7 @@
 
     :param claim: called once, after placement and before the first dispatch, for a
         job that must not be repeated; raises if the job must not be sent.
+    :ivar continuable: the caller can continue the stream at another node.
     """
 
     def __init__(
@@ -71,6 +72,7 @@
         self._claim = claim
         self._uncertain = False
         self._may_have_run = False
+        self.continuable = False
         self._response: aiohttp.ClientResponse | None = None
         self.placement: EngineSlot | None = None
         self.upstream: Upstream | None = None
@@ -93,6 +95,7 @@
         generation.upstream = upstream
         generation.check = check
         generation._may_have_run = True
+        generation.continuable = True
         return generation
 
     @property
@@ -351,7 +354,7 @@
         if self.upstream is not None and self.check.generation:
             if finished:
                 self._context.health.succeeded(self.upstream.name)
-            else:
+            elif not (self.continuable and self._context.ending):
                 self._context.cancel_soon(self.upstream, self.check.generation)
         self._release_placement()
 
--- a/src/bankrack/generations/jobs.py
+++ b/src/bankrack/generations/jobs.py
@@ -56,6 +56,7 @@
     :param ensure_fresh: reads the configuration again if the process was
         suspended since the last read.
     :param is_leaving: returns whether an upstream must not get new requests.
+    :ivar ending: this node ends; callers may continue their streams at another one.
     """
 
     def __init__(
@@ -69,6 +70,7 @@
         ensure_fresh: t.Callable[[], t.Awaitable[None]],
         is_leaving: t.Callable[[Upstream], bool],
     ) -> None:
+        self.ending = False
         self.ensure_fresh = ensure_fresh
         self.is_leaving = is_leaving
         self.client = client
--- a/src/bankrack/node.py
+++ b/src/bankrack/node.py
@@ -243,6 +243,7 @@
                 while self.in_flight.total:
                     await asyncio.sleep(DRAIN_POLL_INTERVAL_SECONDS)
         ended = self.in_flight.total
+        self.engines.ending = True
         self.requests.end_all()
         # Meanwhile the answers to these are written, and requests sent on kept-alive
         # connections are refused.
