--- a/tests/serving/test_responseends.py
+++ b/tests/serving/test_responseends.py
@@ -119,6 +119,20 @@
         await asyncio.sleep(0.01)
         self.assertEqual((1, tasks), (control.questions, asyncio.all_tasks()))
 
+    async def test_question_beside_a_slow_one_ends_with_the_response_too(self):
+        control = _Control()
+        control.delay = 60.0
+        ends = ResponseEnds(
+            t.cast(t.Any, control), t.cast(t.Any, None), GatewayMetrics()
+        )
+        upstream = Upstream(UpstreamRecord("e-1", "s", "x:1", "a", 1), boottime())
+        tasks = asyncio.all_tasks()
+        response = EndedResponse("r", "/healthz", boottime(), time_left=1.0)
+        with self.assertRaises(UpstreamDisconnected):
+            await ends.confirm(upstream, response)
+        await asyncio.sleep(0.01)
+        self.assertEqual((2, tasks), (control.questions, asyncio.all_tasks()))
+
     async def test_answer_that_may_be_from_before_the_end_proves_nothing(self):
         """Nor does one of an upstream whose next life keeps its name."""
         for born, sent_later, whole in (
