--- a/src/bankrack/serving/responseends.py
+++ b/src/bankrack/serving/responseends.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import contextlib
 import dataclasses
 import logging
 import math
@@ -23,6 +24,7 @@
 from bankrack.decisions.responseends import pause_before_question
 from bankrack.decisions.responseends import Recourse
 from bankrack.decisions.responseends import Refused
+from bankrack.decisions.responseends import time_alone
 from bankrack.decisions.responseends import Unanswered
 from bankrack.exceptions import BankrackError
 from bankrack.exceptions import ResponseDoubted
@@ -44,6 +46,7 @@
 their waits are over, take those that become free meanwhile."""
 
 _NODE_ENDS = NotAskable("this node ends and asks no more")
+_NODE_ENDS_SOON = NotAskable("this node ends soon, and another upstream can serve it")
 _logger = logging.getLogger(__name__)
 
 
@@ -80,6 +83,7 @@
         self._permits = permits
         self._metrics = metrics
         self._closed = False
+        self._hurried = asyncio.Event()
         self._doubted = DoubtedEnds()
         self._pending_by_id: dict[str, asyncio.Task[None]] = {}
         self._checks_by_id: dict[str, set[asyncio.Task[None]]] = {}
@@ -134,6 +138,12 @@
                 "safe"
             )
 
+    def hurry(self) -> None:
+        """Settle what is in doubt soon, as this node ends."""
+        if not self._hurried.is_set():
+            self._hurried.set()
+            self._doubted.give_up_for_others(_NODE_ENDS_SOON)
+
     async def close(self) -> None:
         """Stop asking; responses that are in doubt stay so."""
         self._closed = True
@@ -164,10 +174,17 @@
             return _NODE_ENDS
         if not response.health_path:
             return NotAskable("its service has no health path to ask at")
-        seconds = patience(response.recourse, time_left=response.time_left)
+        seconds = patience(
+            response.recourse,
+            time_left=response.time_left,
+            hurried=self._hurried.is_set(),
+        )
         try:
             with self._doubted.doubting(
-                upstream.id, _instance(upstream), at=ended_at
+                upstream.id,
+                _instance(upstream),
+                at=ended_at,
+                recourse=response.recourse,
             ) as end:
                 if upstream.id not in self._pending_by_id:
                     self._start_check(upstream, response.health_path)
@@ -194,21 +211,42 @@
         await asyncio.sleep(BATCH_SECONDS)
         del self._pending_by_id[upstream.id]
         newest_end = boottime()
-        while self._doubted.is_any(upstream.id, before=newest_end):
-            await self._take_permit(upstream)
-            asked_at = boottime()
-            evidence = await self._ask(upstream, health_path)
-            self._doubted.deliver(upstream.id, evidence, asked_at=asked_at)
-            pause = pause_before_question(
-                _instance(upstream),
-                evidence,
-                behind=asked_at - newest_end,
-                now=boottime() - newest_end,
-            )
-            await asyncio.sleep(pause)
+        async with asyncio.TaskGroup() as questions:
+            while self._doubted.is_any(upstream.id, before=newest_end):
+                await self._take_permit(upstream)
+                asked_at = boottime()
+                behind = asked_at - newest_end
+                question = questions.create_task(self._ask(upstream, health_path))
+                await asyncio.wait([question], timeout=time_alone(behind=behind))
+                if not question.done():
+                    continue
+                pause = pause_before_question(
+                    _instance(upstream),
+                    question.result(),
+                    behind=behind,
+                    now=boottime() - newest_end,
+                    hurried=self._hurried.is_set(),
+                )
+                await self._pause(pause)
+
+    async def _pause(self, seconds: float) -> None:
+        """Wait; the time is cut short as this node begins to hurry."""
+        if self._hurried.is_set():
+            await asyncio.sleep(seconds)
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._hurried.wait()
 
     async def _ask(self, upstream: Upstream, health_path: str) -> Evidence:
-        """Ask once which instance answers at an upstream's address."""
+        """Ask once which instance answers, and settle the ends that this settles."""
+        asked_at = boottime()
+        evidence = await self._identify(upstream, health_path)
+        self._doubted.deliver(upstream.id, evidence, asked_at=asked_at)
+        return evidence
+
+    async def _identify(self, upstream: Upstream, health_path: str) -> Evidence:
+        """Return which instance answers at an upstream's address."""
         try:
             health = await self._control.identify(upstream, health_path)
             born = None
