Failing test: lines that wait for the reader are lost as the process ends

What operators saw: the users' record of a request that ended without a whole answer around the SIGTERM to its node has no line of any node that names the request.

A real gateway serves 200 requests and ends 5 that no upstream answers, while nobody reads its output, a pipe of 4 kB. Once the reader reads again, each request must have exactly one request_ended line, and stop_ended must be there.

--- a/tests/gatewayprocesses.py
+++ b/tests/gatewayprocesses.py
@@ -26,12 +26,14 @@
     slots: int = 64,
     bug: str = "none",
     descriptors: int | None = None,
+    prepare: t.Callable[[Gateway], None] = lambda gateway: None,
 ) -> t.AsyncIterator[list[Gateway]]:
     """Start a store, upstreams and gateways, and wait until these are ready.
 
     :param serve_upstream: serves one connection of an upstream.
     :param bug: see :mod:`soak.gateway.buggy`.
     :param descriptors: limit of each gateway's open files.
+    :param prepare: called before each gateway's process is started.
     """
     async with contextlib.AsyncExitStack() as stack:
         folder = stack.enter_context(tempfile.TemporaryDirectory())
@@ -55,6 +57,7 @@
             await gateway.store_link.start()
             await gateway.inner_link.start()
             gateway.descriptors = descriptors
+            prepare(gateway)
             gateway.launch()
         await asyncio.gather(*(g.wait_until_ready() for g in gateways))
         yield gateways
--- /dev/null
+++ b/tests/test_unread_logs.py
@@ -0,0 +1,139 @@
+"""Logs of gateways that stop while the reader of their output is slow."""
+
+import asyncio
+import contextlib
+import fcntl
+import os
+import re
+import signal
+import time
+
+import aiohttp
+from soak.gateway import processes
+from soak.gateway.processes import Gateway
+
+from tests.base import TestCase
+from tests.gatewayprocesses import running_gateways
+
+GRACE_SECONDS = 5
+PIPE_BYTES = 4096
+SERVED = 200
+HELD = 5
+"""Number of requests that no upstream answers."""
+CLOSED = (OSError, asyncio.IncompleteReadError)
+RESPONSE = (
+    b"HTTP/1.1 200 OK\r\nBankrack-Response-Seal: s\r\nContent-Length: 5\r\n"
+    b"Connection: close\r\n\r\nwhole"
+)
+
+
+class Reader:
+    """Reads the output of a process through a small pipe, only when it is told to."""
+
+    def __init__(self) -> None:
+        self._descriptor = -1
+        self._content = b""
+
+    def attach(self, gateway: Gateway) -> None:
+        """Let a process that is started next write its output here."""
+        os.mkfifo(gateway.log)
+        self._descriptor = os.open(gateway.log, os.O_RDONLY | os.O_NONBLOCK)
+        fcntl.fcntl(self._descriptor, fcntl.F_SETPIPE_SZ, PIPE_BYTES)
+
+    def read(self) -> None:
+        """Read what the pipe has."""
+        with contextlib.suppress(BlockingIOError):
+            while part := os.read(self._descriptor, PIPE_BYTES):
+                self._content += part
+
+    async def read_until_end(self, gateway: Gateway) -> None:
+        """Read all until the process has ended."""
+        while gateway.process.alive:
+            self.read()
+            await asyncio.sleep(0.01)
+        self.read()
+
+    def close(self) -> None:
+        os.close(self._descriptor)
+
+    def lines(self, event: str) -> list[str]:
+        """Return the lines of an event."""
+        lines = self._content.decode().splitlines()
+        return [line for line in lines if f"event={event} " in line]
+
+    def requests_ended(self) -> list[str]:
+        """Return the ids of the requests whose ends were logged."""
+        found = (re.search(r" request=(\S+)", e) for e in self.lines("request_ended"))
+        return sorted(each[1] for each in found if each)
+
+
+async def serve_upstream(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Answer one request, unless its path says that it is to be held."""
+    with contextlib.closing(writer), contextlib.suppress(*CLOSED):
+        head = await reader.readuntil(b"\r\n\r\n")
+        if b"/look/held" in head:
+            await reader.read()
+        else:
+            writer.write(RESPONSE)
+
+
+async def request(session: aiohttp.ClientSession, gateway: Gateway, name: str) -> int:
+    """Send one request; returns the status."""
+    headers = {
+        "Host": "h.example",
+        "Bankrack-Request-Id": name,
+        "Bankrack-Key": "key-1",
+        "Bankrack-Deadline-Ms": "20000",
+    }
+    url = f"http://{gateway.front}/look/{name}"
+    async with session.get(url, headers=headers) as response:
+        await response.read()
+        return response.status
+
+
+class UnreadLogs(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.patch(processes, "GRACE_SECONDS", GRACE_SECONDS)
+        self.reader = Reader()
+        self.addCleanup(self.reader.close)
+        self.names = [f"served-{n}" for n in range(SERVED)]
+        self.names += [f"held-{n}" for n in range(HELD)]
+
+    async def serve_and_stop(self, gateway: Gateway) -> float:
+        """Serve requests, and stop the process until the last one was answered.
+
+        Nobody reads the output meanwhile.  Returns the monotonic time of SIGTERM.
+        """
+        self.reader.read()
+        async with aiohttp.ClientSession() as session:
+            calls = [
+                asyncio.create_task(request(session, gateway, name))
+                for name in self.names
+            ]
+            await asyncio.gather(*calls[:SERVED])
+            stopped_at = time.monotonic()
+            gateway.process.signal(signal.SIGTERM)
+            await asyncio.gather(*calls)
+        return stopped_at
+
+    async def test_lines_that_wait_for_the_reader_are_lost_as_the_process_ends(self):
+        async with running_gateways(1, serve_upstream, prepare=self.reader.attach) as [
+            gateway
+        ]:
+            await self.serve_and_stop(gateway)
+            await self.reader.read_until_end(gateway)
+        self.assertEqual(sorted(self.names), self.reader.requests_ended())
+        self.assertEqual(1, len(self.reader.lines("stop_ended")))
+
+    async def test_reader_that_never_reads_holds_the_process_up(self):
+        async with running_gateways(1, serve_upstream, prepare=self.reader.attach) as [
+            gateway
+        ]:
+            stopped_at = await self.serve_and_stop(gateway)
+            limit = stopped_at + GRACE_SECONDS
+            while gateway.process.alive and time.monotonic() < limit:
+                await asyncio.sleep(0.01)
+            self.assertEqual(0, gateway.process.wait(0.0))
