The lines that wait for the reader are written as the process ends

What operators saw: no line of a node names a request that it served or ended in its last seconds, and stop_ended is missing. Cause: while the reader of the output is slow, BoundedHandler keeps up to 256 kB and writes them as the next line comes. Nothing wrote them at the end.

What is kept is now written once the event loop has ended, as the requests that its end cancels log their ends only then. Lines that were dropped last are counted in a last line.

--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -106,6 +106,7 @@
     """One gateway process.
 
     :param dialect: translates between the platform's wire formats and bankrack.
+    :ivar ends_by: boot-time seconds when the process is killed; 0 until it is stopped.
     """
 
     def __init__(self, settings: GatewaySettings, dialect: GatewayDialect) -> None:
@@ -116,6 +117,7 @@
         self.view = View(dialect.decode, self.upstreams, crashes=self.crashes)
         self.stopping = False
         self.stopped = asyncio.Event()
+        self.ends_by = 0.0
         self._dialect = dialect
         self._tasks = BackgroundTasks()
         self._suspension_log = SuspensionLog()
@@ -434,7 +436,8 @@
         self.stopping = True
         self.front.closing = True
         self.tunnels.stopping = True
-        deadline = started_at + self.settings.grace - STOP_MARGIN_SECONDS
+        self.ends_by = started_at + self.settings.grace
+        deadline = self.ends_by - STOP_MARGIN_SECONDS
         self.dispatcher.stop_at(deadline)
         logs.event(
             _logger,
--- a/src/bankrack/logs.py
+++ b/src/bankrack/logs.py
@@ -2,6 +2,8 @@
 
 import logging
 import os
+import select
+import time
 import typing as t
 
 STDOUT = 1
@@ -39,6 +41,22 @@
         self._pending += line
         self._write()
 
+    def finish(self, *, within: float) -> None:
+        """Write what is buffered, and wait for the reader if it is slow.
+
+        :param within: seconds after which the rest is left unwritten.
+        """
+        if self.dropped:
+            self._pending += self._dropped_line()
+            self.dropped = 0
+        limit = time.monotonic() + within
+        poll = select.poll()
+        poll.register(self._descriptor, select.POLLOUT)
+        self._write()
+        while self._pending and (left := limit - time.monotonic()) > 0.0:
+            poll.poll(left * 1000)
+            self._write()
+
     def _dropped_line(self) -> bytes:
         """Format the number of lines dropped like any other event."""
         message = f"event=log_lines_dropped count={self.dropped}"
@@ -68,6 +86,16 @@
     root.propagate = False
 
 
+def finish(*, within: float) -> None:
+    """Write what a slow reader has not taken yet, as the process ends.
+
+    :param within: seconds after which the rest is left unwritten.
+    """
+    for handler in logging.getLogger("bankrack").handlers:
+        if isinstance(handler, BoundedHandler):
+            handler.finish(within=within)
+
+
 def event(
     logger: logging.Logger, name: str, *, level: int = logging.INFO, **fields: t.Any
 ) -> None:
