A second signal does not end a process that writes its last lines

What operators would see: a node whose log reader is slow, and that gets SIGHUP, SIGINT or SIGTERM again as it ends, is gone without its last lines. Cause: the end of the event loop restores the default action of the signals that it handled. The window was some milliseconds before the process waited for its reader, and is up to the grace period since.

--- a/tests/test_unread_logs.py
+++ b/tests/test_unread_logs.py
@@ -12,6 +12,7 @@
 from soak.gateway import processes
 from soak.gateway.processes import Gateway
 
+from bankrack.gateway import BALANCER_NOTICE_SECONDS
 from tests.base import TestCase
 from tests.gatewayprocesses import running_gateways
 
@@ -20,6 +21,8 @@
 SERVED = 200
 HELD = 5
 """Number of requests that no upstream answers."""
+IDLE_END_SECONDS = BALANCER_NOTICE_SECONDS + 0.8
+"""Time from SIGTERM until the event loop of an idle process has ended."""
 CLOSED = (OSError, asyncio.IncompleteReadError)
 RESPONSE = (
     b"HTTP/1.1 200 OK\r\nBankrack-Response-Seal: s\r\nContent-Length: 5\r\n"
@@ -128,6 +131,21 @@
         self.assertEqual(sorted(self.names), self.reader.requests_ended())
         self.assertEqual(1, len(self.reader.lines("stop_ended")))
 
+    async def test_second_signal_ends_a_process_that_waits_for_the_reader(self):
+        """Guards against lines that are lost as an operator signals again."""
+        async with running_gateways(1, serve_upstream, prepare=self.reader.attach) as [
+            gateway
+        ]:
+            del self.names[SERVED:]
+            await self.serve_and_stop(gateway)
+            await asyncio.sleep(IDLE_END_SECONDS)
+            self.assertTrue(gateway.process.alive)
+            for number in (signal.SIGHUP, signal.SIGINT, signal.SIGTERM):
+                gateway.process.signal(number)
+            await self.reader.read_until_end(gateway)
+            self.assertEqual(0, gateway.process.wait(0.0))
+        self.assertEqual(sorted(self.names), self.reader.requests_ended())
+
     async def test_reader_that_never_reads_holds_the_process_up(self):
         async with running_gateways(1, serve_upstream, prepare=self.reader.attach) as [
             gateway
