--- a/tests/test_unread_logs.py
+++ b/tests/test_unread_logs.py
@@ -7,6 +7,7 @@
 import re
 import signal
 import time
+import typing as t
 
 import aiohttp
 from soak.gateway import processes
@@ -16,13 +17,17 @@
 from tests.base import TestCase
 from tests.gatewayprocesses import running_gateways
 
-GRACE_SECONDS = 5
+SHORT_GRACE_SECONDS = 2
+"""Grace period that ends while requests are held."""
+LONG_GRACE_SECONDS = 5
+"""Grace period of a process that has nothing to do for its last seconds."""
 PIPE_BYTES = 4096
 SERVED = 200
 HELD = 5
 """Number of requests that no upstream answers."""
 IDLE_END_SECONDS = BALANCER_NOTICE_SECONDS + 0.8
 """Time from SIGTERM until the event loop of an idle process has ended."""
+READ_INTERVAL_SECONDS = 0.001
 CLOSED = (OSError, asyncio.IncompleteReadError)
 RESPONSE = (
     b"HTTP/1.1 200 OK\r\nBankrack-Response-Seal: s\r\nContent-Length: 5\r\n"
@@ -53,7 +58,7 @@
         """Read all until the process has ended."""
         while gateway.process.alive:
             self.read()
-            await asyncio.sleep(0.01)
+            await asyncio.sleep(READ_INTERVAL_SECONDS)
         self.read()
 
     def close(self) -> None:
@@ -99,18 +104,28 @@
 class UnreadLogs(TestCase):
     def setUp(self):
         super().setUp()
-        self.patch(processes, "GRACE_SECONDS", GRACE_SECONDS)
         self.reader = Reader()
         self.addCleanup(self.reader.close)
         self.names = [f"served-{n}" for n in range(SERVED)]
-        self.names += [f"held-{n}" for n in range(HELD)]
+
+    @contextlib.asynccontextmanager
+    async def unread_gateway(self, *, grace: int) -> t.AsyncIterator[Gateway]:
+        """Start a gateway whose output is not read yet.
+
+        :param grace: its grace period in seconds.
+        """
+        self.patch(processes, "GRACE_SECONDS", grace)
+        async with running_gateways(1, serve_upstream, prepare=self.reader.attach) as [
+            gateway
+        ]:
+            self.reader.read()
+            yield gateway
 
     async def serve_and_stop(self, gateway: Gateway) -> float:
         """Serve requests, and stop the process until the last one was answered.
 
-        Nobody reads the output meanwhile.  Returns the monotonic time of SIGTERM.
+        Returns the monotonic time of SIGTERM.
         """
-        self.reader.read()
         async with aiohttp.ClientSession() as session:
             calls = [
                 asyncio.create_task(request(session, gateway, name))
@@ -123,20 +138,17 @@
         return stopped_at
 
     async def test_lines_that_wait_for_the_reader_are_lost_as_the_process_ends(self):
-        async with running_gateways(1, serve_upstream, prepare=self.reader.attach) as [
-            gateway
-        ]:
+        self.names += [f"held-{n}" for n in range(HELD)]
+        async with self.unread_gateway(grace=SHORT_GRACE_SECONDS) as gateway:
             await self.serve_and_stop(gateway)
             await self.reader.read_until_end(gateway)
         self.assertEqual(sorted(self.names), self.reader.requests_ended())
-        self.assertEqual(1, len(self.reader.lines("stop_ended")))
+        [line] = self.reader.lines("stop_ended")
+        self.assertIn(f" cut={HELD} ", line)
 
     async def test_second_signal_ends_a_process_that_waits_for_the_reader(self):
         """Guards against lines that are lost as an operator signals again."""
-        async with running_gateways(1, serve_upstream, prepare=self.reader.attach) as [
-            gateway
-        ]:
-            del self.names[SERVED:]
+        async with self.unread_gateway(grace=LONG_GRACE_SECONDS) as gateway:
             await self.serve_and_stop(gateway)
             await asyncio.sleep(IDLE_END_SECONDS)
             self.assertTrue(gateway.process.alive)
@@ -147,11 +159,9 @@
         self.assertEqual(sorted(self.names), self.reader.requests_ended())
 
     async def test_reader_that_never_reads_holds_the_process_up(self):
-        async with running_gateways(1, serve_upstream, prepare=self.reader.attach) as [
-            gateway
-        ]:
+        async with self.unread_gateway(grace=LONG_GRACE_SECONDS) as gateway:
             stopped_at = await self.serve_and_stop(gateway)
-            limit = stopped_at + GRACE_SECONDS
+            limit = stopped_at + LONG_GRACE_SECONDS
             while gateway.process.alive and time.monotonic() < limit:
                 await asyncio.sleep(0.01)
             self.assertEqual(0, gateway.process.wait(0.0))
