A request that a node without a configuration refuses has its request_ended line

What operators saw: callers got 503 from a node that had just started, and no line of the node names the request. Cause: the gateway raised the refusal before the dispatcher, which writes the line, had the request. The dispatcher refuses it now; it did so already further down, after a wait for a newer version that is of no use without any.

--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -15,7 +15,6 @@
 from bankrack.background import LoopMonitor
 from bankrack.background import SuspensionLog
 from bankrack.clock import boottime
-from bankrack.exceptions import NodeNotReady
 from bankrack.fleet.broadcast import Broadcast
 from bankrack.fleet.confirmedview import ConfirmedView
 from bankrack.fleet.documents import Member
@@ -544,11 +543,6 @@
     async def _serve(self, job: Job, reply: Reply) -> None:
         if self.view.table is None:
             await self.follower.wait_for_first_attempt(FIRST_VIEW_TIMEOUT_SECONDS)
-        if self.view.table is None:
-            raise NodeNotReady(
-                "this node has no configuration yet; try again",
-                retry_after=job.retry_after,
-            )
         self.reports.note_use()
         await self.dispatcher.serve(job, reply)
 
--- a/src/bankrack/serving/dispatch.py
+++ b/src/bankrack/serving/dispatch.py
@@ -183,6 +183,7 @@
             raise ended from error
 
     async def _admit(self, job: Job) -> Assignment:
+        self._require_table(job)
         await self._configuration.refresh_if_stale()
         try:
             return self._assign(job)
@@ -195,13 +196,18 @@
                 retry_after=job.retry_after,
             ) from error
 
-    def _assign(self, job: Job) -> Assignment:
+    def _require_table(self, job: Job) -> RoutingTable:
+        """Return the configuration in force; raises :exc:`NodeNotReady` without one."""
         table = self._configuration.table
         if table is None:
             raise NodeNotReady(
                 "this node has no configuration yet; retry the request",
                 retry_after=job.retry_after,
             )
+        return table
+
+    def _assign(self, job: Job) -> Assignment:
+        table = self._require_table(job)
         route = table.match(job.host, job.target.partition("?")[0])
         if route is None:
             raise NotFound(
