A request that ends before its body is read is named in the log

What operators saw: a request whose caller left, or whose node ended, while its body arrived has no line at all; one whose body was refused has request_refused without its id. Cause: the id was known only with the whole request. It is read from the head now, which is here by then: request_refused says request=, and a request that is cancelled while its body arrives has a line request_not_read.

--- a/src/bankrack/front/callerserver.py
+++ b/src/bankrack/front/callerserver.py
@@ -161,16 +161,16 @@
             self._server._kwargs["keepalive_timeout"] = idle
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        arrived = boottime()
         reply = HttpReply(
             request,
             is_closing=lambda: self.closing and not has_next_request(request.protocol),
             unread=self._unread,
         )
+        head = _request_head(request, boottime())
         reservation = self._bodies.reservation()
         job: Job | None = None
         try:
-            job = await self._read(request, arrived, reservation)
+            job = await self._read(request, head, reservation)
             reply.request_id = job.id
             await self._serve(job, reply)
         except CallerDisconnected:
@@ -178,10 +178,14 @@
             return web.Response()
         except BodiesTooLarge as error:
             reservation.release()
-            await self._refuse_body(reply, error, request, arrived)
+            await self._refuse_body(reply, error, request, head)
         except BankrackError as error:
             if not reply.started:
-                await self._refuse(reply, error, job)
+                await self._refuse(reply, error, job, head)
+        except asyncio.CancelledError:
+            if job is None:
+                logs.event(_logger, "request_not_read", request=self._id_of(head))
+            raise
         except Exception as error:
             logs.event(
                 _logger,
@@ -195,7 +199,7 @@
                 reply.abort()
             else:
                 failure = BankrackError("internal error", outcome=Outcome.UNKNOWN)
-                await self._refuse(reply, failure, job)
+                await self._refuse(reply, failure, job, head)
         finally:
             reply.close()
             reservation.release()
@@ -215,7 +219,7 @@
         reply: HttpReply,
         error: BodiesTooLarge,
         request: web.BaseRequest,
-        arrived: float,
+        head: RequestHead,
     ) -> None:
         """Refuse a request whose body was not read, and skip the body.
 
@@ -228,12 +232,12 @@
         if waits:
             reply.close_connection()
         try:
-            job = self._dialect.decode(_request_head(request, arrived), b"")
+            job = self._dialect.decode(head, b"")
             error.retry_after = job.retry_after
             self._bodies.log_refused(job.id, request.content_length or 0)
-            await self._refuse(reply, error, job)
+            await self._refuse(reply, error, job, head)
         except InvalidRequest as invalid:
-            await self._refuse(reply, invalid, None)
+            await self._refuse(reply, invalid, None, head)
         if waits:
             return
         with contextlib.suppress(
@@ -244,11 +248,19 @@
                     pass
 
     async def _refuse(
-        self, reply: HttpReply, error: BankrackError, job: Job | None
+        self,
+        reply: HttpReply,
+        error: BankrackError,
+        job: Job | None,
+        head: RequestHead,
     ) -> None:
         if job is None:
             logs.event(
-                _logger, "request_refused", code=error.code, reason=error.message
+                _logger,
+                "request_refused",
+                request=self._id_of(head),
+                code=error.code,
+                reason=error.message,
             )
         answer = self._dialect.refusal(error, job.id if job else None)
         try:
@@ -256,11 +268,17 @@
         except CallerDisconnected:
             reply.abort()
 
+    def _id_of(self, head: RequestHead) -> str | None:
+        """Return the id of a request that was not read; ``None`` if it has none."""
+        try:
+            return self._dialect.decode(head, b"").id
+        except InvalidRequest:
+            return None
+
     async def _read(
-        self, request: web.BaseRequest, arrived: float, reservation: BodyReservation
+        self, request: web.BaseRequest, head: RequestHead, reservation: BodyReservation
     ) -> Job:
         limits = self._limits()
-        head = _request_head(request, arrived)
         size = sum(len(name) + len(value) + 4 for name, value in head.headers)
         if size > limits.header_bytes:
             raise HeadersTooLarge(
