A failure on the way out does not keep a stopping process running

What operators would see: a node that stops, logs stop_ended and is then killed as its grace period ends, with the last lines of its log. Cause: an error while something is closed ended the task of the stop, whose result nobody reads, and the process waited for an event that was never set. It is logged now (close_failed) and the process ends.

The test failed before with the error itself.

--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -491,11 +491,21 @@
         )
 
     async def _close(self, *, leave_by: float = 0.0) -> None:
-        """Close everything; callers' idle connections first, as nothing is awaited.
+        """Close everything, and let the process end whatever fails meanwhile.
 
         :param leave_by: boot-time seconds until which the store may take to remove this
             node's entry.
         """
+        try:
+            await self._close_all(leave_by)
+        except Exception as error:
+            logs.event(_logger, "close_failed", level=logging.ERROR, reason=repr(error))
+            _logger.exception("closing failed")
+        finally:
+            self.stopped.set()
+
+    async def _close_all(self, leave_by: float) -> None:
+        """Close everything; callers' idle connections first, as nothing is awaited."""
         self.front.stop()
         limit = max(MIN_LEAVE_SECONDS, leave_by - boottime())
         await self.announcer.leave(within=limit)
@@ -510,7 +520,6 @@
         await self._upstream_session.close()
         await self._control_session.close()
         await self._internal_session.close()
-        self.stopped.set()
 
     def _note_blocked(self, seconds: float) -> None:
         """Record that the event loop was blocked."""
--- a/tests/platform/test_stopping.py
+++ b/tests/platform/test_stopping.py
@@ -191,3 +191,21 @@
     async def test_stop_completes_a_stream_for_a_caller_without_chunks(self):
         for framed in (True, False):
             await self.stop_within(b"1.0", framed=framed)
+
+
+class Failures(TestCase):
+    async def test_failure_on_the_way_out_does_not_keep_the_process_running(self):
+        """Guards against a process that is killed, with the last lines of its log."""
+
+        async def fail() -> None:
+            raise RuntimeError("the tunnels can't be closed")
+
+        async with running() as deployment:
+            gateway = await deployment.start_ready_gateway(grace=1.2)
+            original = gateway.tunnels.stop
+            self.patch(gateway.tunnels, "stop", fail)
+            with self.assertLogs("bankrack", "ERROR") as found:
+                await gateway.stop("test")
+            self.assertTrue(gateway.stopped.is_set())
+            await original()
+        self.assertIn("event=close_failed", found.output[0])
