--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -15,7 +15,6 @@
 from bankrack.background import LoopMonitor
 from bankrack.background import SuspensionLog
 from bankrack.clock import boottime
-from bankrack.exceptions import NodeNotReady
 from bankrack.fleet.broadcast import Broadcast
 from bankrack.fleet.confirmedview import ConfirmedView
 from bankrack.fleet.documents import Member
@@ -108,6 +107,7 @@
     """One gateway process.
 
     :param dialect: translates between the platform's wire formats and bankrack.
+    :ivar ends_by: boot-time seconds when the process is killed; 0 until it is stopped.
     """
 
     def __init__(self, settings: GatewaySettings, dialect: GatewayDialect) -> None:
@@ -118,6 +118,7 @@
         self.view = View(dialect.decode, self.upstreams, crashes=self.crashes)
         self.stopping = False
         self.stopped = asyncio.Event()
+        self.ends_by = 0.0
         self._dialect = dialect
         self._tasks = BackgroundTasks()
         self._suspension_log = SuspensionLog()
@@ -436,7 +437,8 @@
         self.stopping = True
         self.front.closing = True
         self.tunnels.stopping = True
-        deadline = started_at + self.settings.grace - STOP_MARGIN_SECONDS
+        self.ends_by = started_at + self.settings.grace
+        deadline = self.ends_by - STOP_MARGIN_SECONDS
         self.dispatcher.stop_at(deadline)
         logs.event(
             _logger,
@@ -493,11 +495,21 @@
         )
 
     async def _close(self, *, leave_by: float = 0.0) -> None:
-        """Close everything; callers' idle connections first, as nothing is awaited.
+        """Close everything, and let the process end whatever fails meanwhile.
 
         :param leave_by: boot-time seconds until which the store may take to remove this
             node's entry.
         """
+        try:
+            await self._close_all(leave_by)
+        except Exception as error:
+            logs.event(_logger, "close_failed", level=logging.ERROR, reason=repr(error))
+            _logger.exception("closing failed")
+        finally:
+            self.stopped.set()
+
+    async def _close_all(self, leave_by: float) -> None:
+        """Close everything; callers' idle connections first, as nothing is awaited."""
         self.front.stop()
         limit = max(MIN_LEAVE_SECONDS, leave_by - boottime())
         await self.announcer.leave(within=limit)
@@ -512,7 +524,6 @@
         await self._upstream_session.close()
         await self._control_session.close()
         await self._internal_session.close()
-        self.stopped.set()
 
     def _note_blocked(self, seconds: float) -> None:
         """Record that the event loop was blocked."""
@@ -545,11 +556,6 @@
     async def _serve(self, job: Job, reply: Reply) -> None:
         if self.view.table is None:
             await self.follower.wait_for_first_attempt(FIRST_VIEW_TIMEOUT_SECONDS)
-        if self.view.table is None:
-            raise NodeNotReady(
-                "this node has no configuration yet; try again",
-                retry_after=job.retry_after,
-            )
         self.reports.note_use()
         await self.dispatcher.serve(job, reply)
 
