A silent engine is left while its copy can still finish the run in time

Callers of runs whose engine hung (it keeps its connection, sends nothing, answers calls) got no whole stream, though the engine with the copy was ready: with a budget of 3 s if the head of the copy's answer took 0.6 s, on a node that stopped with a grace period of 4 s if it took 1.5 s. Cause: the wait for an engine that lives was measured by the silence that callers bear alone, 2.25 s, and not by the time that was left for the run.

next_step now gets the time until the caller's time is over or the node ends, and moves a run while a copy can still begin and make the rest of it. A copy begins in the longest of the last eight times that the node measured for the service, 2 s until there are eight. A run that can't end in time anywhere is waited for as before. Nothing is sent to a copy whose engine does not answer, as before.

--- a/src/bankrack/decisions/silentengines.py
+++ b/src/bankrack/decisions/silentengines.py
@@ -3,9 +3,12 @@
 A run is lost if the engine with its copy fails once the run was sent there.  A silent
 engine that lives may go on, so it is waited for as long as a copy can take over in
 time.  One that does not answer, or does not have the run any more, is not waited for.
+
+No engine is waited for longer than leaves a copy the time to finish the run.
 """
 
 import dataclasses
+import math
 
 RESUME_SECONDS = 0.6
 """Time that a copy has to take over before the caller gives up."""
@@ -48,6 +51,28 @@
 EngineAnswer = Unanswered | NotAsked | RunListed | RunNotListed | RunsNotStated
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class TimeLeft:
+    """Time in which a run can still end, and what it needs at a copy.
+
+    :param seconds: until the caller's time is over or this node ends.
+    :param begin: seconds in which a copy of the pool begins, at most.
+    :param rest: expected seconds from the run's next event to its last.
+    """
+
+    seconds: float
+    begin: float
+    rest: float
+
+    @property
+    def spare(self) -> float:
+        """Seconds for which a copy need not be sent the run yet."""
+        if self.rest >= self.seconds:
+            # Nothing ends the run in time, so that nothing is staked for it.
+            return math.inf
+        return self.seconds - self.rest - self.begin
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Wait:
     """Keep the engine, and ask again after some seconds."""
@@ -66,6 +91,7 @@
     before: EngineAnswer | None,
     *,
     max_silence: float,
+    time_left: TimeLeft,
     holder_answered: bool,
     ask_seconds: float,
 ) -> Wait | Move:
@@ -75,6 +101,7 @@
     :param engine: its newest answer.
     :param before: its previous answer in the same silence, if any.
     :param max_silence: seconds without an event after which the caller gives up.
+    :param time_left: time for the rest of the run.
     :param holder_answered: an engine with a copy has just answered.
     :param ask_seconds: time for which engines are asked.
     """
@@ -84,7 +111,7 @@
             return Wait(ASK_INTERVAL_SECONDS)
         # Nobody answers, so the copy is tried once as late as it can take over.
         after = max_silence - RESUME_SECONDS
-    left = after - silence
+    left = min(after - silence, time_left.spare)
     if left <= 0:
         return Move()
     return Wait(max(0.0, min(ASK_INTERVAL_SECONDS, left - ask_seconds)))
--- a/src/bankrack/serving/dispatch.py
+++ b/src/bankrack/serving/dispatch.py
@@ -116,6 +116,7 @@
         :param stops_at: boot-time seconds when the process ends.
         """
         self._stops_at = stops_at
+        self._streams.stop_at(stops_at)
         self._stop_began_at = boottime()
         self._streams_until = self._stop_began_at + STREAM_GRACE_SECONDS
 
--- a/src/bankrack/serving/pace.py
+++ b/src/bankrack/serving/pace.py
@@ -20,6 +20,8 @@
 """Initial estimate of the seconds per token, for an engine with about ten runs."""
 INITIAL_EVENT_SECONDS = 0.035
 """Initial estimate of the seconds between two events."""
+INITIAL_RESUME_SECONDS = 2.0
+"""Initial estimate of the seconds in which a copy begins: the time it is given."""
 SAMPLES = 64
 """Number of recent runs whose median is used."""
 MIN_SAMPLES = 8
@@ -124,6 +126,8 @@
         "_generated_token_samples",
         "_generated_token_seconds",
         "_mixed",
+        "_resume_samples",
+        "_resume_seconds",
         "_short_only",
         "_token_samples",
         "_token_seconds",
@@ -137,6 +141,10 @@
         self._token_seconds = Estimate("token_seconds", INITIAL_TOKEN_SECONDS)
         self._event_seconds = Estimate("event_seconds", INITIAL_EVENT_SECONDS)
         self._generated_token_seconds = Estimate("made_seconds", INITIAL_TOKEN_SECONDS)
+        self._resume_seconds = Estimate("resume_seconds", INITIAL_RESUME_SECONDS)
+        self._resume_samples: collections.deque[float] = collections.deque(
+            maxlen=MIN_SAMPLES
+        )
         self._generated_token_samples: collections.deque[float] = collections.deque(
             maxlen=SAMPLES
         )
@@ -170,6 +178,11 @@
         """Seconds between two events of a stream."""
         return self._event_seconds.value
 
+    @property
+    def resume_seconds(self) -> float:
+        """Seconds in which a copy begins: the longest of some recent ones."""
+        return self._resume_seconds.value
+
     def read_rate(self, *, short_only: bool = False) -> float:
         """Prompt tokens per second that an engine reads.
 
@@ -216,6 +229,15 @@
             value = statistics.median(self._event_samples)
             self._event_seconds.change(value, samples=len(self._event_samples))
 
+    def resumed(self, seconds: float) -> None:
+        """Record the time from the send of a run to a copy until the copy began."""
+        if seconds <= 0.0:
+            return
+        self._resume_samples.append(seconds)
+        if len(self._resume_samples) >= MIN_SAMPLES:
+            value = max(self._resume_samples)
+            self._resume_seconds.change(value, samples=len(self._resume_samples))
+
     def ended(self, demand: Demand, seconds: float) -> None:
         """Record the seconds from the first to the last event of a completed run.
 
--- a/src/bankrack/serving/relay.py
+++ b/src/bankrack/serving/relay.py
@@ -1,7 +1,9 @@
 """Dependencies shared by the relays for all kinds of requests."""
 
 import dataclasses
+import math
 
+from bankrack.clock import boottime
 from bankrack.metrics import GatewayMetrics
 from bankrack.serving.advisor import PlacementAdvisor
 from bankrack.serving.budget import SharedRetryBudget
@@ -31,6 +33,22 @@
     failures: FailureReporter
 
 
+class NodeStop:
+    """The end of this node.
+
+    :ivar stops_at: boot-time seconds when the process ends; infinite before its stop.
+    """
+
+    __slots__ = ("stops_at",)
+
+    def __init__(self) -> None:
+        self.stops_at = math.inf
+
+    def time_left(self) -> float:
+        """Seconds until the process ends."""
+        return self.stops_at - boottime()
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class RunContext:
     """Components that all runs share."""
@@ -39,3 +57,4 @@
     control: EngineControl
     advisor: PlacementAdvisor
     engine_finder: EngineFinder
+    stop: NodeStop
--- a/src/bankrack/serving/run.py
+++ b/src/bankrack/serving/run.py
@@ -7,6 +7,7 @@
 from bankrack.clock import boottime
 from bankrack.decisions.backoff import should_wait_for_backoff
 from bankrack.decisions.responseends import recourse_of
+from bankrack.decisions.silentengines import TimeLeft
 from bankrack.exceptions import BankrackError
 from bankrack.exceptions import InvalidUpstreamData
 from bankrack.exceptions import Overloaded
@@ -59,6 +60,7 @@
             EngineInquiry(context.control, work.job.id, self._log),
             self._pace,
             max_silence=work.max_silence,
+            time_left=self._time_left,
         )
         self._tried: set[str] = set()
         self._backup_fits = False
@@ -318,6 +320,15 @@
             return await exchange.read_available()
         return await self._silence_watch.read(exchange, engine, self._usable_copies)
 
+    def _time_left(self) -> TimeLeft:
+        """Return the time for the rest of the run, and what it needs at a copy."""
+        seconds = self._work.job.demand.output * self._pace.token_seconds
+        return TimeLeft(
+            min(self._work.time_left(), self._context.stop.time_left()),
+            begin=self._pace.resume_seconds,
+            rest=max(0.0, seconds - self._forwarder.seconds),
+        )
+
     def _start_copying(self) -> None:
         """Start keeping copies after the run's first event, if engines support it."""
         if self._copy_task is None and self._traits.copies_runs:
@@ -455,6 +466,7 @@
             self._log.write("resume_refused", holder, "budget")
             return False
         resume = Resume(copy.source, copy.handle)
+        began_at = boottime()
         try:
             async with asyncio.timeout(self._resume_seconds(is_last=is_last)):
                 exchange = await self._open(holder, resume=resume)
@@ -469,6 +481,7 @@
             self._log.write("resume_refused", holder, str(exchange.head.status), "")
             return False
         self._link.exchange = exchange
+        self._pace.resumed(boottime() - began_at)
         return True
 
 
--- a/src/bankrack/serving/silence.py
+++ b/src/bankrack/serving/silence.py
@@ -9,6 +9,7 @@
 from bankrack.decisions.silentengines import EngineAnswer
 from bankrack.decisions.silentengines import Move
 from bankrack.decisions.silentengines import next_step
+from bankrack.decisions.silentengines import TimeLeft
 from bankrack.decisions.silentengines import Wait
 from bankrack.exceptions import EndedBy
 from bankrack.exceptions import UpstreamFailed
@@ -47,16 +48,30 @@
     """Reads the stream of a run that has copies.
 
     :param max_silence: seconds without an event after which the caller gives up.
+    :param time_left: returns the time for the rest of the run.
     """
 
-    __slots__ = ("_exchange", "_inquiry", "_max_silence", "_pace", "_silent_since")
+    __slots__ = (
+        "_exchange",
+        "_inquiry",
+        "_max_silence",
+        "_pace",
+        "_silent_since",
+        "_time_left",
+    )
 
     def __init__(
-        self, inquiry: EngineInquiry, pace: Pace, *, max_silence: float
+        self,
+        inquiry: EngineInquiry,
+        pace: Pace,
+        *,
+        max_silence: float,
+        time_left: t.Callable[[], TimeLeft],
     ) -> None:
         self._inquiry = inquiry
         self._pace = pace
         self._max_silence = max_silence
+        self._time_left = time_left
         # Response that is silent, and since when, also while copies rejected the run.
         self._exchange: Exchange | None = None
         self._silent_since = 0.0
@@ -96,6 +111,7 @@
                 found.engine,
                 before,
                 max_silence=self._max_silence,
+                time_left=self._time_left(),
                 holder_answered=bool(found.holders),
                 ask_seconds=ASK_SECONDS,
             ):
--- a/src/bankrack/serving/streams.py
+++ b/src/bankrack/serving/streams.py
@@ -12,6 +12,7 @@
 from bankrack.serving.enginefinder import EngineFinder
 from bankrack.serving.job import Demand
 from bankrack.serving.job import Reply
+from bankrack.serving.relay import NodeStop
 from bankrack.serving.relay import RelayDependencies
 from bankrack.serving.relay import RunContext
 from bankrack.serving.reservations import Reservations
@@ -38,7 +39,17 @@
             cold=dependencies.cold,
             reservations=reservations,
         )
-        self._context = RunContext(dependencies, control, advisor, engine_finder)
+        self._stop = NodeStop()
+        self._context = RunContext(
+            dependencies, control, advisor, engine_finder, self._stop
+        )
+
+    def stop_at(self, stops_at: float) -> None:
+        """Move runs off silent engines in time to end before ``stops_at``.
+
+        :param stops_at: boot-time seconds when the process ends.
+        """
+        self._stop.stops_at = stops_at
 
     def expected_seconds(self, service: str, demand: Demand) -> float:
         """Expected seconds from a run's first event to its last."""
--- a/tests/decisions/test_silentengines.py
+++ b/tests/decisions/test_silentengines.py
@@ -9,11 +9,14 @@
 from bankrack.decisions.silentengines import RunListed
 from bankrack.decisions.silentengines import RunNotListed
 from bankrack.decisions.silentengines import RunsNotStated
+from bankrack.decisions.silentengines import TimeLeft
 from bankrack.decisions.silentengines import Unanswered
 from bankrack.decisions.silentengines import Wait
 from tests.base import TestCase
 
 MAX_SILENCE = 2.0
+AMPLE = TimeLeft(20.0, begin=2.0, rest=10.0)
+LIVING = (NotAsked(), RunListed(9), RunsNotStated())
 
 
 def step(
@@ -21,6 +24,7 @@
     engine: EngineAnswer,
     before: EngineAnswer | None = None,
     *,
+    time_left: TimeLeft = AMPLE,
     holder_answered: bool = True,
 ) -> Wait | Move:
     return next_step(
@@ -28,6 +32,7 @@
         engine,
         before,
         max_silence=MAX_SILENCE,
+        time_left=time_left,
         holder_answered=holder_answered,
         ask_seconds=0.25,
     )
@@ -71,3 +76,21 @@
         assert isinstance(wait, Wait)
         self.assertAlmostEqual(0.05, wait.seconds)
         self.assertEqual(Wait(0.0), step(1.3, RunListed(9)))
+
+    def test_copy_is_left_the_time_to_finish_the_run(self):
+        for engine in LIVING:
+            spare = step(0.6, engine, time_left=TimeLeft(4.4, begin=2.0, rest=2.0))
+            assert isinstance(spare, Wait)
+            self.assertAlmostEqual(0.15, spare.seconds)
+            due = step(0.6, engine, time_left=TimeLeft(4.0, begin=2.0, rest=2.0))
+            self.assertEqual(Move(), due)
+
+    def test_run_that_ends_in_time_nowhere_is_not_staked_on_a_copy(self):
+        for engine in LIVING:
+            never = TimeLeft(2.0, begin=2.0, rest=2.0)
+            self.assertIsInstance(step(0.6, engine, time_left=never), Wait)
+
+    def test_run_with_little_time_is_not_moved_to_an_engine_that_does_not_answer(self):
+        over = TimeLeft(1.0, begin=2.0, rest=0.0)
+        waits = step(0.6, RunListed(9), time_left=over, holder_answered=False)
+        self.assertEqual(Wait(ASK_INTERVAL_SECONDS), waits)
--- a/tests/platform/test_silent_engines.py
+++ b/tests/platform/test_silent_engines.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from bankrack.serving.choice import REPORT_LAG_SECONDS
+from bankrack.serving.pace import MIN_SAMPLES
 from tests.base import TestCase
 from tests.platform.deployment import Deployment
 from tests.platform.deployment import not_run_response
@@ -69,12 +70,18 @@
 
 
 async def serve_beside_silence(
-    deployment: Deployment, at_the_copy: Handler, *, stops: bool = False
+    deployment: Deployment,
+    at_the_copy: Handler,
+    *,
+    stops: bool = False,
+    begin_seconds: t.Sequence[float] = (),
+    headers: dict[str, str] = PATIENT,
 ) -> ReceivedResponse:
     """Serve a stream whose engine is silent for a while and then goes on.
 
     :param at_the_copy: handles the run at the engine with its copy.
     :param stops: the node begins to stop before the silence.
+    :param begin_seconds: times in which earlier copies began.
     """
 
     async def handle(request: web.BaseRequest) -> t.Any:
@@ -84,8 +91,10 @@
         engine.events, engine.pause = EVENTS, PAUSE_SECONDS
         engine.custom_handler = handle
     gateway = await deployment.start_ready_gateway()
+    for seconds in begin_seconds:
+        gateway.chooser.pace_of("engines").resumed(seconds)
     stream = asyncio.create_task(
-        call(gateway.settings.front, "/talk/x", headers=PATIENT)
+        call(gateway.settings.front, "/talk/x", headers=headers)
     )
     home = await home_of(deployment)
     await asyncio.sleep(0.4)
@@ -127,6 +136,19 @@
     async def test_stream_is_not_lost_at_a_node_that_stops_while_its_engine_lives(self):
         await self.check_whole(stops=True)
 
+    async def test_engine_is_not_left_early_by_a_hurried_run_whose_copies_begin_at_once(
+        self,
+    ):
+        async with running() as deployment:
+            response = await serve_beside_silence(
+                deployment,
+                reset,
+                begin_seconds=[0.1] * MIN_SAMPLES,
+                headers={"Bankrack-Deadline-Ms": "4000"},
+            )
+        self.assertEqual(whole_body(), response.body)
+        self.assertTrue(response.complete)
+
 
 class MovedRuns(TestCase):
     """Runs of silent engines that go on at their copies, or stay."""
--- a/tests/serving/test_pace.py
+++ b/tests/serving/test_pace.py
@@ -2,6 +2,7 @@
 
 from bankrack.serving.job import Demand
 from bankrack.serving.pace import INITIAL_READ_RATE
+from bankrack.serving.pace import INITIAL_RESUME_SECONDS
 from bankrack.serving.pace import INITIAL_TOKEN_SECONDS
 from bankrack.serving.pace import MIN_RUNS
 from bankrack.serving.pace import MIN_SAMPLES
@@ -60,3 +61,12 @@
             pace.ended(Demand(prompt=1000, output_limit=10), 5.0)
         self.assertEqual(INITIAL_READ_RATE, pace.read_rate())
         self.assertEqual(INITIAL_TOKEN_SECONDS, pace.token_seconds)
+
+    def test_slow_begin_of_a_copy_is_not_forgotten_at_once(self):
+        pace = Pace()
+        for seconds in [0.1] * (MIN_SAMPLES - 1):
+            pace.resumed(seconds)
+        self.assertEqual(INITIAL_RESUME_SECONDS, pace.resume_seconds)
+        pace.resumed(0.8)
+        pace.resumed(0.1)
+        self.assertEqual(0.8, pace.resume_seconds)
--- a/tests/serving/test_silence.py
+++ b/tests/serving/test_silence.py
@@ -4,6 +4,7 @@
 import time
 import typing as t
 
+from bankrack.decisions.silentengines import TimeLeft
 from bankrack.decisions.silentengines import Unanswered
 from bankrack.serving import silence
 from bankrack.serving.engineinquiry import Answers
@@ -72,7 +73,12 @@
     async def test_engine_without_an_event_is_silent(self):
         inquiry: t.Any = DeadEngine()
         engine: t.Any = None
-        watch = SilenceWatch(inquiry, Pace(), max_silence=2.0)
+        watch = SilenceWatch(
+            inquiry,
+            Pace(),
+            max_silence=2.0,
+            time_left=lambda: TimeLeft(20.0, begin=2.0, rest=0.0),
+        )
         began = time.monotonic()
         with self.assertRaises(EngineSilent):
             await watch.read(self.start(), engine, list)
