Failing test: a copy whose engine hangs is waited for until the caller has left

The first of two copies gets 2 s also where the silence began 0.6 s before, so that the second is sent the run after 2.6 s; callers give up after 2 s. The two tests of a dying engine share their set-up.

--- a/tests/platform/test_silent_engine_answers.py
+++ b/tests/platform/test_silent_engine_answers.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 
+from bankrack.serving.pace import MIN_SAMPLES
 from tests.base import TestCase
 from tests.platform.deployment import not_run_response
 from tests.platform.deployment import running
@@ -88,6 +89,22 @@
         entry = engine.entry("engines", state="draining")
         self.deployment.store.put(f"servers/{engine.id}", entry)
 
+    def die_once_copied(self, engines: Engines) -> None:
+        """Make the engine of the run and its backup leave, the first with a copy."""
+        home, backup, third = engines
+        home.events, home.pause = 30, 0.1
+        backup.events = third.events = 30
+        self.leave(home)
+        self.leave(backup)
+
+        async def control(request: web.BaseRequest) -> web.StreamResponse:
+            answer = await FakeEngine.control(home, request)
+            if request.path == "/v1/kv-move":
+                home.pause, home.unresponsive = 30.0, True
+            return answer
+
+        t.cast(t.Any, home).control = control
+
     async def test_engine_that_lists_no_run_is_not_waited_for_until_its_caller_left(
         self,
     ):
@@ -119,25 +136,34 @@
 
         def fall_silent(found: Engines) -> None:
             engines.append(found)
-            home, backup, third = found
-            home.events, home.pause = 30, 0.1
-            backup.events = third.events = 30
-            backup.unresponsive = True
-            self.leave(home)
-            self.leave(backup)
-
-            async def control(request: web.BaseRequest) -> web.StreamResponse:
-                answer = await FakeEngine.control(home, request)
-                if request.path == "/v1/kv-move":
-                    home.pause, home.unresponsive = 30.0, True
-                return answer
-
-            t.cast(t.Any, home).control = control
+            found.backup.unresponsive = True
+            self.die_once_copied(found)
 
         response, resumed, _ = await self.serve(fall_silent, at_copies=handle)
         self.assertTrue(response.complete)
         self.assertEqual(2, len(resumed))
 
+    async def test_caller_gives_up_no_stream_as_the_first_of_its_copies_hangs(self):
+        async def hang(request: web.BaseRequest) -> None:
+            address = request.headers["Kv-From"].partition("/")[0]
+            if address == engines[0].home.address:
+                await asyncio.sleep(30.0)
+
+        engines: list[Engines] = []
+
+        def fall_silent(found: Engines) -> None:
+            engines.append(found)
+            self.die_once_copied(found)
+            for _ in range(MIN_SAMPLES):
+                self.deployment.gateways[0].chooser.pace_of("engines").resumed(0.1)
+
+        response, resumed, _ = await self.serve(fall_silent, at_copies=hang)
+        self.assertTrue(response.complete)
+        before_moving = 0.6
+        self.assertLess(
+            before_moving + resumed[1] - resumed[0], CALLER_PATIENCE_SECONDS
+        )
+
     async def test_caller_gives_up_no_stream_as_its_copy_rejected_it_once(self):
         rejected = []
 
