A stop ends within its grace period, and nothing arrives behind its last look

It waits for the answers of the requests that it ends now, and closes the listeners together.

A request that arrived behind the last look waited for a newer configuration and was closed without an answer; it is refused at once, and the look is repeated until the answers are out.

Tests: each of these, a plain request that was rejected, and the code node_stopped in those that passed by chance. The test of unread logs counts on requests that an upstream has; it waits for that now, as a busy machine sent SIGTERM before.

--- a/src/bankrack/decisions/stopping.py
+++ b/src/bankrack/decisions/stopping.py
@@ -22,8 +22,7 @@
     """A request that a stopping node has.
 
     :param may_have_run: an upstream has it, or had it and did not reject it.
-    :param seconds: estimated time from now to the end of its response if it is sent
-        now; ``None`` if unknown.
+    :param seconds: most time from now to the end of its response; ``None`` if unknown.
     """
 
     may_have_run: bool
--- a/src/bankrack/front/internalserver.py
+++ b/src/bankrack/front/internalserver.py
@@ -6,8 +6,9 @@
 
 Handler = t.Callable[[web.Request], t.Awaitable[web.StreamResponse]]
 
-SHUTDOWN_TIMEOUT_SECONDS = 0.1
-"""Short, because peers retry their requests on another node."""
+SHUTDOWN_TIMEOUT_SECONDS = 0.05
+"""Time for requests that are served, and for those that are then cancelled.  It is
+short, because peers retry their requests on another node."""
 
 
 async def serve_paths(
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -475,9 +475,9 @@
 
     async def _end_requests(self) -> None:
         """End the requests that are left, and let their answers be written."""
-        self.dispatcher.end_requests()
         limit = boottime() + END_REQUESTS_SECONDS
-        while self.front.busy_count and boottime() < limit:
+        while self.dispatcher.in_flight and boottime() < limit:
+            self.dispatcher.end_requests()
             await asyncio.sleep(END_REQUESTS_SECONDS / 10)
 
     def _requests_in_flight(self) -> str | None:
@@ -515,8 +515,7 @@
         await self.announcer.leave(within=limit)
         await asyncio.sleep(STOP_POLL_INTERVAL_SECONDS)
         await self._tasks.stop()
-        for runner in self._runners:
-            await stop_runner(runner)
+        await asyncio.gather(*(stop_runner(runner) for runner in self._runners))
         await self.tunnels.stop()
         await self.reservations.close()
         await self.response_ends.close()
--- a/src/bankrack/serving/dispatch.py
+++ b/src/bankrack/serving/dispatch.py
@@ -125,19 +125,23 @@
         assert self._stops_at is not None
         left = self._stops_at - boottime()
         for request in self._requests:
-            state = RequestState(request.may_have_run, self._estimated_seconds(request))
+            state = RequestState(request.may_have_run, self._max_seconds(request))
             if judge(state, left=left) is not Verdict.SERVE:
                 request.end()
 
-    def _estimated_seconds(self, request: RequestInFlight) -> float | None:
-        """Estimated seconds to serve a request from now on; ``None`` if unknown."""
+    def _max_seconds(self, request: RequestInFlight) -> float | None:
+        """Most seconds that a request still takes; ``None`` before it was admitted."""
         work = request.assignment
         if work is None:
             return None
-        seconds = work.route.target_latency
-        if work.route.kind is RequestKind.STREAM:
-            seconds += self._streams.max_seconds(work.service.name, work.job.demand)
-        return seconds
+        if work.route.kind is not RequestKind.STREAM:
+            return work.time_left()
+        return self._stream_seconds(work.route, work.service, work.job)
+
+    def _stream_seconds(self, route: Route, service: Service, job: Job) -> float:
+        """Most seconds that a stream takes that is sent now."""
+        seconds = self._streams.max_seconds(service.name, job.demand)
+        return route.target_latency + seconds
 
     async def serve(self, job: Job, reply: Reply) -> None:
         """Serve one job; raises :exc:`BankrackError` if no response was started."""
@@ -156,7 +160,7 @@
             self._metrics.broken_off.inc({"by": broken_off_by.value})
             reply.abort()
         except asyncio.CancelledError:
-            broken_off_by = EndedBy.CALLER
+            broken_off_by = self._cancelled_by()
             raise
         finally:
             self._requests.remove(number)
@@ -181,7 +185,18 @@
                 raise
             raise ended from error
 
+    def _cancelled_by(self) -> EndedBy:
+        """Return why a job is cancelled: its caller has left, or the process ends."""
+        return EndedBy.STOP if self._is_over else EndedBy.CALLER
+
+    @property
+    def _is_over(self) -> bool:
+        """Whether the grace period is over, so that nothing is served any more."""
+        return self._stops_at is not None and boottime() >= self._stops_at
+
     async def _admit(self, job: Job) -> Assignment:
+        if self._is_over:
+            raise draining()
         self._require_table(job)
         await self._configuration.refresh_if_stale()
         try:
@@ -243,8 +258,7 @@
         """
         now = boottime()
         if route.kind is RequestKind.STREAM:
-            seconds = self._streams.max_seconds(service.name, job.demand)
-            ends_at = now + route.target_latency + seconds
+            ends_at = now + self._stream_seconds(route, service, job)
             fits = now < self._streams_until and ends_at < stops_at
         else:
             fits = now + route.timeout < stops_at
--- a/tests/platform/test_stop_answers.py
+++ b/tests/platform/test_stop_answers.py
@@ -41,6 +41,28 @@
     gateway.owners.decide = decide
 
 
+def wait_for_room(gateway: Gateway) -> None:
+    """Let a plain request wait without end once an upstream rejected it."""
+    original = gateway.dispatcher._plain._with_room
+    rounds = itertools.count()
+
+    async def with_room(*found: t.Any) -> t.Any:
+        if next(rounds):
+            await asyncio.sleep(30.0)
+        return await original(*found)
+
+    gateway.dispatcher._plain._with_room = with_room
+
+
+def admit_nothing(gateway: Gateway) -> None:
+    """Let each request wait for a newer configuration."""
+
+    async def refresh() -> None:
+        await asyncio.sleep(30.0)
+
+    gateway.configuration.refresh_if_stale = refresh
+
+
 async def never(request: web.BaseRequest) -> web.Response:
     await asyncio.sleep(30.0)
     return web.Response(status=500)
@@ -105,6 +127,12 @@
         await asyncio.gather(calling, stopping, return_exceptions=True)
         return outcome
 
+    def assert_stopped(self, outcome: Outcome) -> None:
+        """Assert that it may have run, and that the stop itself ended it."""
+        self.assertEqual((502, None), (outcome.status, outcome.retry_after))
+        assert outcome.response is not None
+        self.assertIn(b"node_stopped", outcome.response.body)
+
     def assert_refused(self, outcome: Outcome) -> None:
         self.assertEqual(503, outcome.status)
         self.assertIsNotNone(outcome.retry_after)
@@ -138,14 +166,51 @@
             for engine in deployment.engines:
                 engine.custom_handler = never
             outcome = await self.stop(deployment, "/talk/x")
-        self.assertEqual((502, None), (outcome.status, outcome.retry_after))
+        self.assert_stopped(outcome)
 
     async def test_plain_request_is_closed_without_an_answer(self):
         async with running() as deployment:
             for server in deployment.plain:
                 server.custom_handler = never
             outcome = await self.stop(deployment, "/bill/x")
-        self.assertEqual((502, None), (outcome.status, outcome.retry_after))
+        self.assert_stopped(outcome)
+
+    async def test_plain_request_that_was_rejected_is_reported_as_run(self):
+        """It waits for large bodies on their way, as no upstream has room for it."""
+        async with running() as deployment:
+            for server in deployment.plain:
+                server.custom_handler = reject
+            outcome = await self.stop(deployment, "/bill/x", prepare=wait_for_room)
+        self.assert_refused(outcome)
+
+    async def test_request_that_is_not_admitted_is_closed_without_an_answer(self):
+        async with running() as deployment:
+            outcome = await self.stop(
+                deployment, "/bill/x", arrivals=0, prepare=admit_nothing
+            )
+        self.assert_refused(outcome)
+
+    async def test_request_behind_the_grace_period_waits_for_a_configuration(self):
+        async with running() as deployment:
+            gateway = await deployment.start_ready_gateway(prepare=admit_nothing)
+            gateway.dispatcher.stop_at(boottime())
+            async with asyncio.timeout(1.0):
+                response = await call(gateway.settings.front, "/bill/x")
+        self.assertEqual(503, response.status)
+
+    async def test_line_of_a_request_that_the_process_cancels_blames_its_caller(self):
+        async with running() as deployment:
+            for server in deployment.plain:
+                server.custom_handler = never
+            gateway = await deployment.start_ready_gateway()
+            calling = asyncio.create_task(call(gateway.settings.front, "/bill/x"))
+            await until(lambda: len(deployment.arrivals()) == 1)
+            gateway.dispatcher.stop_at(boottime())
+            with self.assertLogs("bankrack", "INFO") as found:
+                calling.cancel()
+                await until(lambda: not gateway.dispatcher.in_flight)
+        [line] = [line for line in found.output if "event=request_ended" in line]
+        self.assertIn("broken_off_by=stop unanswered=True", line)
 
     async def test_stream_with_too_low_a_length_hint_is_accepted_and_cut(self):
         async with running() as deployment:
--- a/tests/test_unread_logs.py
+++ b/tests/test_unread_logs.py
@@ -75,16 +75,26 @@
         return sorted(each[1] for each in found if each)
 
 
-async def serve_upstream(
-    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-) -> None:
-    """Answer one request, unless its path says that it is to be held."""
-    with contextlib.closing(writer), contextlib.suppress(*CLOSED):
-        head = await reader.readuntil(b"\r\n\r\n")
-        if b"/look/held" in head:
-            await reader.read()
-        else:
-            writer.write(RESPONSE)
+class HoldingUpstream:
+    """Answers requests, unless their path says that they are to be held.
+
+    :ivar held: request lines of those that it got and holds, or held.
+    """
+
+    def __init__(self) -> None:
+        self.held: set[bytes] = set()
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serve one request."""
+        with contextlib.closing(writer), contextlib.suppress(*CLOSED):
+            head = await reader.readuntil(b"\r\n\r\n")
+            if b"/look/held" in head:
+                self.held.add(head.split(b"\r\n")[0])
+                await reader.read()
+            else:
+                writer.write(RESPONSE)
 
 
 async def request(session: aiohttp.ClientSession, gateway: Gateway, name: str) -> int:
@@ -106,6 +116,7 @@
         super().setUp()
         self.reader = Reader()
         self.addCleanup(self.reader.close)
+        self.upstream = HoldingUpstream()
         self.names = [f"served-{n}" for n in range(SERVED)]
 
     @contextlib.asynccontextmanager
@@ -115,9 +126,9 @@
         :param grace: its grace period in seconds.
         """
         self.patch(processes, "GRACE_SECONDS", grace)
-        async with running_gateways(1, serve_upstream, prepare=self.reader.attach) as [
-            gateway
-        ]:
+        async with running_gateways(
+            1, self.upstream.serve, prepare=self.reader.attach
+        ) as [gateway]:
             self.reader.read()
             yield gateway
 
@@ -132,6 +143,9 @@
                 for name in self.names
             ]
             await asyncio.gather(*calls[:SERVED])
+            while len(self.upstream.held) < len(calls) - SERVED:
+                # A request that no upstream has is refused as the stop begins.
+                await asyncio.sleep(0.01)
             stopped_at = time.monotonic()
             gateway.process.signal(signal.SIGTERM)
             await asyncio.gather(*calls)
