request_ended of a stream names the node through whose tunnel its answer came

What operators saw: a stream that was cut off with the node of its tunnel says broken_off_by=upstream, though its engine lives, and no line leads to the node that ended. The connector notes the node to which it opened the connection, found by its address among the members, and the line says tunnel=NODE beside broken_off_by, whose values stay.

--- a/src/bankrack/fleet/tunnelclient.py
+++ b/src/bankrack/fleet/tunnelclient.py
@@ -110,6 +110,11 @@
                 raise error
         raise NoTunnel(f"none of {search.asked} nodes opened a tunnel to {address}")
 
+    def node_at(self, address: str) -> str | None:
+        """Return the name of the node that opens tunnels at ``ip:port``."""
+        names = (each.name for each in self._members() if each.tunnel == address)
+        return next(names, None)
+
     async def _try(self, node: Member, search: _Search) -> socket.socket:
         """Ask one node, unless a tunnel is open or enough others are trying already.
 
--- a/src/bankrack/serving/assignment.py
+++ b/src/bankrack/serving/assignment.py
@@ -24,10 +24,13 @@
     :ivar upstreams: ids of the upstreams, in their order.
     :ivar rejected: number of attempts after which the upstream stated that it did not
         run the job.
+    :ivar tunnel: node through which the response to the newest attempt comes; ``None``
+        if it comes directly, and before its head has come.
     """
 
     upstreams: list[str] = dataclasses.field(default_factory=list)
     rejected: int = 0
+    tunnel: str | None = None
 
     @property
     def may_have_run(self) -> bool:
--- a/src/bankrack/serving/client.py
+++ b/src/bankrack/serving/client.py
@@ -12,7 +12,6 @@
 
 import aiohttp
 import yarl
-from aiohttp.client_proto import ResponseHandler
 
 from bankrack.clock import boottime
 from bankrack.decisions.responseends import NoRecourse
@@ -37,6 +36,7 @@
 from bankrack.serving.paths import CONNECT_TIMEOUT_SECONDS
 from bankrack.serving.paths import create_socket
 from bankrack.serving.paths import UpstreamConnector
+from bankrack.serving.paths import UpstreamHandler
 from bankrack.serving.paths import UpstreamPaths
 from bankrack.serving.permits import Permits
 from bankrack.serving.responseends import EndedResponse
@@ -122,7 +122,7 @@
         ...
 
 
-class _ResetAwareHandler(ResponseHandler):
+class _ResetAwareHandler(UpstreamHandler):
     """Protocol handler that fails a response without length if its connection is reset.
 
     aiohttp itself treats any end of the connection as the end of such a response.  It
@@ -278,6 +278,12 @@
         response = self._response
         return framing_of(response.method, response.status, response.headers)
 
+    @property
+    def tunnel(self) -> str | None:
+        """Name of the node through which the response comes; ``None`` if directly."""
+        handler = t.cast(_ResetAwareHandler | None, self._protocol)
+        return None if handler is None else handler.tunnel
+
     async def read(self, recourse: t.Callable[[], Recourse] = NoRecourse) -> bytes:
         """Read the complete body.
 
--- a/src/bankrack/serving/dispatch.py
+++ b/src/bankrack/serving/dispatch.py
@@ -311,6 +311,7 @@
             stopping_for=None if stop_began_at is None else now - stop_began_at,
             outcome=outcome,
             sent_to=",".join(work.sends.upstreams) or None if work else None,
+            tunnel=work.sends.tunnel if work else None,
             elapsed=now - job.arrived,
             version=table.version if table else None,
             version_age=self._configuration.age,
--- a/src/bankrack/serving/enginelink.py
+++ b/src/bankrack/serving/enginelink.py
@@ -118,6 +118,7 @@
             copies.reset(backup)
             raise
         self.sends += 1
+        work.sends.tunnel = exchange.tunnel
         self._settle(begun=not exchange.head.not_run)
         if exchange.head.not_run:
             work.sends.rejected += 1
@@ -141,6 +142,7 @@
     def _note_sending(self, send: Send, kind: str) -> None:
         """Record that a connection was established and the run is written to it."""
         self._work.sends.upstreams.append(send.upstream.id)
+        self._work.sends.tunnel = None
         source = f"{send.resume.source}/{send.resume.handle}" if send.resume else None
         self._log.write("run_sending", send.upstream, kind, resumed_from=source)
         if self._silent is not None:
--- a/src/bankrack/serving/paths.py
+++ b/src/bankrack/serving/paths.py
@@ -107,6 +107,10 @@
         """
         ...
 
+    def node_at(self, address: str) -> str | None:
+        """Return the name of the node that opens tunnels at ``ip:port``."""
+        ...
+
 
 class NoTunnels:
     """Stands for the tunnels of a node without peers."""
@@ -115,6 +119,10 @@
         """Raise :exc:`NoPeers`."""
         raise NoPeers("this node has no peers")
 
+    def node_at(self, address: str) -> str | None:
+        """Return ``None``."""
+        return None
+
 
 class UpstreamPaths:
     """Connects to upstreams: directly, or through a node that reaches them."""
@@ -195,6 +203,13 @@
             self._start_retest(address, path)
         return t.cast(socket.socket, sock)
 
+    def node_between(self, peer: str, address: str) -> str | None:
+        """Return the node at ``peer`` if a connection to ``address`` leads through it.
+
+        :param peer: ``ip:port`` to which the connection was opened.
+        """
+        return None if peer == address else self._tunnels.node_at(peer)
+
     def is_cut_off(self, address: str) -> bool:
         """Whether other nodes reach an address that this one does not."""
         path = self._path_by_address.get(address)
@@ -367,6 +382,15 @@
     return direct
 
 
+class UpstreamHandler(ResponseHandler):
+    """One connection to an upstream.
+
+    :ivar tunnel: name of the node through which it leads; ``None`` if it is direct.
+    """
+
+    tunnel: str | None = None
+
+
 class UpstreamConnector(aiohttp.TCPConnector):
     """Connector whose connections are opened by :class:`UpstreamPaths`."""
 
@@ -385,14 +409,21 @@
         **kwargs: t.Any,
     ) -> tuple[asyncio.Transport, ResponseHandler]:
         host, port = addr_infos[0][4][:2]
+        address = f"{host}:{port}"
         try:
             # The attempts of all paths have timeouts of their own.
-            sock = await self._paths.connect(
-                f"{host}:{port}", single_use=not self._reuse
+            sock = await self._paths.connect(address, single_use=not self._reuse)
+            peer_host, peer_port = sock.getpeername()[:2]
+            transport, protocol = await self._loop.create_connection(
+                *args, **kwargs, sock=sock
             )
-            return await self._loop.create_connection(*args, **kwargs, sock=sock)
         except TimeoutError:
             # aiohttp converts it; it is an OSError as well.
             raise
         except OSError as error:
             raise client_error(req.connection_key, error) from error
+        peer = f"{peer_host}:{peer_port}"
+        t.cast(UpstreamHandler, protocol).tunnel = self._paths.node_between(
+            peer, address
+        )
+        return transport, protocol
--- a/tests/platform/test_stopping_peers.py
+++ b/tests/platform/test_stopping_peers.py
@@ -17,6 +17,7 @@
 from tests.platform.fakes import ReceivedResponse
 from tests.platform.partitions import Partition
 from tests.platform.partitions import start_gateway
+from tests.platform.test_broken_off import line_of
 
 NODES = 3
 EVENTS = 40
@@ -113,3 +114,19 @@
             await site.peer.stop("test")
             response = await stream
         self.check_whole(response)
+
+    async def test_break_of_a_tunnel_is_ascribed_to_the_upstream_alone(self):
+        async with tunnelled_site(grace=1.0) as site:
+            with self.assertLogs("bankrack", "INFO") as found:
+                stream = await begin_stream(site)
+                await site.peer.stop("test")
+                self.assertFalse((await stream).complete)
+        line = line_of(found.output, "request_ended")
+        self.assertIn(f" tunnel={site.peer.settings.name} ", line)
+
+    async def test_stream_that_needs_no_tunnel_is_ascribed_to_one(self):
+        async with running() as deployment:
+            gateway = await deployment.start_ready_gateway()
+            with self.assertLogs("bankrack", "INFO") as found:
+                await call(gateway.settings.front, "/talk/x")
+        self.assertNotIn(" tunnel=", line_of(found.output, "request_ended"))
