A stream through a peer that stops is copied and goes on through another node

What callers saw: a stream through the tunnel of a peer, as their own node did not reach the engine, was broken off as that peer's process ended, though the engine lived and another node would open a tunnel. Cause: only the peer knew of its stop; a run is copied only while its engine leaves.

A node that stops while answers lead through it now tells all members (/peer/stopping, stop_told; no message at other stops). A connection knows the node that it leads through, which is marked as ending, and the run is copied as if its engine left; when the tunnel breaks, it is resumed at the copy through another node, by the means that were there. Ways weighed: docs/design/upstream-paths.md.

What stays: streams of services whose engines don't copy, runs whose copy takes longer than what is left of the grace period, and plain answers.

--- a/src/bankrack/fleet/tunnelclient.py
+++ b/src/bankrack/fleet/tunnelclient.py
@@ -15,6 +15,7 @@
 from bankrack.serving.paths import connect_directly
 from bankrack.serving.paths import NoPeers
 from bankrack.serving.paths import NoTunnel
+from bankrack.serving.paths import TunnelNode
 from bankrack.wire.tunnels import decode_response
 from bankrack.wire.tunnels import encode_request
 from bankrack.wire.tunnels import END_OF_HEAD
@@ -82,6 +83,7 @@
         self._rng = rng or random.Random()
         self._failed_at_by_name: dict[str, float] = {}
         self._opened_at_by_name: dict[str, float] = {}
+        self._node_by_name: dict[str, TunnelNode] = {}
 
     async def connect(self, address: str, *, single_use: bool = False) -> socket.socket:
         """Return a socket that another node has connected to ``ip:port``.
@@ -110,10 +112,21 @@
                 raise error
         raise NoTunnel(f"none of {search.asked} nodes opened a tunnel to {address}")
 
-    def node_at(self, address: str) -> str | None:
-        """Return the name of the node that opens tunnels at ``ip:port``."""
-        names = (each.name for each in self._members() if each.tunnel == address)
-        return next(names, None)
+    def node_at(self, address: str) -> TunnelNode | None:
+        """Return the node that opens tunnels at ``ip:port``."""
+        for member in self._members():
+            if member.tunnel == address:
+                new = TunnelNode(member.name)
+                return self._node_by_name.setdefault(member.name, new)
+        return None
+
+    def note_stopping(self, name: str) -> None:
+        """Record that a node has announced its stop.
+
+        Its next process, which has the same name, is another node to its tunnels.
+        """
+        if (node := self._node_by_name.pop(name, None)) is not None:
+            node.is_ending = True
 
     async def _try(self, node: Member, search: _Search) -> socket.socket:
         """Ask one node, unless a tunnel is open or enough others are trying already.
@@ -191,9 +204,10 @@
 
     def _note_failed(self, node: Member) -> None:
         names = {member.name for member in self._members()}
-        for times in (self._failed_at_by_name, self._opened_at_by_name):
-            for name in times.keys() - names:
-                del times[name]
+        known = (self._failed_at_by_name, self._opened_at_by_name, self._node_by_name)
+        for by_name in known:
+            for name in by_name.keys() - names:
+                del by_name[name]
         self._failed_at_by_name[node.name] = self._clock()
 
 
--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -34,6 +34,8 @@
 from bankrack.fleet.poolowners import PoolOwnerClient
 from bankrack.fleet.ratelimits import RateLimits
 from bankrack.fleet.roster import Roster
+from bankrack.fleet.stoppingpeers import STOPPING_PATH
+from bankrack.fleet.stoppingpeers import StoppingPeers
 from bankrack.fleet.store import era_of
 from bankrack.fleet.store import number_of
 from bankrack.fleet.transferlog import TransferLog
@@ -137,7 +139,8 @@
             settings.link_mbps,
             settings.tunnel,
         )
-        self.paths = UpstreamPaths(self.metrics, TunnelClient(own, members))
+        tunnel_client = TunnelClient(own, members)
+        self.paths = UpstreamPaths(self.metrics, tunnel_client)
         self.tunnels = TunnelServer(
             self.upstreams.has_address, self.paths.is_cut_off, self.metrics
         )
@@ -189,6 +192,7 @@
         self.cold = ColdQuotas(settings.name, names, settings.cold)
         self.notices = NoticeHandler()
         broadcast = Broadcast(self._internal_session, own, members)
+        self.stopping_peers = StoppingPeers(broadcast, tunnel_client, self.tunnels)
         self.rate_limits = RateLimits(
             self._internal_session,
             own,
@@ -320,6 +324,7 @@
             PLACE_PATH: self.ledgers.handle_query,
             NOTES_PATH: self.ledgers.handle_run_updates,
             LEND_PATH: self.lender.handle,
+            STOPPING_PATH: self.stopping_peers.handle,
             **self.updates.handler_by_path,
             **self.rate_limits.handler_by_path,
             "/metrics": self._handle_metrics,
@@ -435,6 +440,7 @@
         self.stopping = True
         self.front.closing = True
         self.tunnels.stopping = True
+        self._tasks.spawn(self.stopping_peers.announce)
         self.ends_by = started_at + self.settings.grace
         deadline = self.ends_by - STOP_MARGIN_SECONDS
         self.dispatcher.stop_at(deadline)
--- a/src/bankrack/serving/client.py
+++ b/src/bankrack/serving/client.py
@@ -35,6 +35,7 @@
 from bankrack.serving.notices import NoticeHandler
 from bankrack.serving.paths import CONNECT_TIMEOUT_SECONDS
 from bankrack.serving.paths import create_socket
+from bankrack.serving.paths import TunnelNode
 from bankrack.serving.paths import UpstreamConnector
 from bankrack.serving.paths import UpstreamHandler
 from bankrack.serving.paths import UpstreamPaths
@@ -279,8 +280,8 @@
         return framing_of(response.method, response.status, response.headers)
 
     @property
-    def tunnel(self) -> str | None:
-        """Name of the node through which the response comes; ``None`` if directly."""
+    def tunnel(self) -> TunnelNode | None:
+        """Node through which the response comes; ``None`` if it comes directly."""
         handler = t.cast(_ResetAwareHandler | None, self._protocol)
         return None if handler is None else handler.tunnel
 
--- a/src/bankrack/serving/copies.py
+++ b/src/bankrack/serving/copies.py
@@ -1,7 +1,8 @@
 """Copies of a run's memory, from which the run can be resumed on another engine.
 
 A backup is kept up to date by the running engine from the start of the run.  Further
-copies are requested when that engine is shutting down.
+copies are requested when that engine is shutting down, or the node through which its
+events come.
 """
 
 import asyncio
@@ -68,6 +69,7 @@
     """Copies of one run.
 
     :param engine: returns the engine that currently generates the run's events, if any.
+    :param path_ends: returns whether these come through a node that stops.
     """
 
     def __init__(
@@ -81,6 +83,7 @@
         control: EngineControl,
         advisor: PlacementAdvisor,
         engine: t.Callable[[], Upstream | None],
+        path_ends: t.Callable[[], bool] = lambda: False,
     ) -> None:
         self.current: list[Copy] = []
         self._work = work
@@ -91,6 +94,7 @@
         self._control = control
         self._advisor = advisor
         self._engine = engine
+        self._path_ends = path_ends
 
     def choose_backup(
         self, engine: Upstream, *, tried: t.Collection[str]
@@ -113,7 +117,8 @@
             self.current.append(copy)
 
     async def maintain(self, *, tried: t.Collection[str]) -> None:
-        """Keep the run copied while its engine is shutting down; runs until cancelled.
+        """Keep the run copied while its engine, or the node through which its events
+        come, is shutting down; runs until cancelled.
 
         Nothing is copied while a usable backup exists.
         """
@@ -136,8 +141,8 @@
                 failures += 1
 
     def _needs_copy(self, engine: Upstream) -> bool:
-        """Whether ``engine`` is shutting down and the run has no usable backup."""
-        if not engine.leaving or engine.ended:
+        """Whether the run is about to break off and has no usable backup."""
+        if engine.ended or not (engine.leaving or self._path_ends()):
             return False
         return not any(copy.backup and copy.holder.open for copy in self.current)
 
--- a/src/bankrack/serving/enginelink.py
+++ b/src/bankrack/serving/enginelink.py
@@ -65,6 +65,12 @@
         """Engine that currently generates the run's events, if any."""
         return self.engine if self.exchange is not None else None
 
+    @property
+    def path_ends(self) -> bool:
+        """Whether the response comes through a node that stops."""
+        tunnel = self.exchange.tunnel if self.exchange is not None else None
+        return tunnel is not None and tunnel.is_ending
+
     async def open(
         self,
         engine: Upstream,
@@ -118,7 +124,8 @@
             copies.reset(backup)
             raise
         self.sends += 1
-        work.sends.tunnel = exchange.tunnel
+        if exchange.tunnel is not None:
+            work.sends.tunnel = exchange.tunnel.name
         self._settle(begun=not exchange.head.not_run)
         if exchange.head.not_run:
             work.sends.rejected += 1
--- a/src/bankrack/serving/paths.py
+++ b/src/bankrack/serving/paths.py
@@ -94,6 +94,19 @@
     """There is no other node that could open a tunnel."""
 
 
+class TunnelNode:
+    """A node through which connections lead.
+
+    :ivar is_ending: it has announced that it stops.
+    """
+
+    __slots__ = ("is_ending", "name")
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.is_ending = False
+
+
 class Tunnels(t.Protocol):
     """Connections through other nodes."""
 
@@ -107,8 +120,8 @@
         """
         ...
 
-    def node_at(self, address: str) -> str | None:
-        """Return the name of the node that opens tunnels at ``ip:port``."""
+    def node_at(self, address: str) -> TunnelNode | None:
+        """Return the node that opens tunnels at ``ip:port``."""
         ...
 
 
@@ -119,7 +132,7 @@
         """Raise :exc:`NoPeers`."""
         raise NoPeers("this node has no peers")
 
-    def node_at(self, address: str) -> str | None:
+    def node_at(self, address: str) -> TunnelNode | None:
         """Return ``None``."""
         return None
 
@@ -203,7 +216,7 @@
             self._start_retest(address, path)
         return t.cast(socket.socket, sock)
 
-    def node_between(self, peer: str, address: str) -> str | None:
+    def node_between(self, peer: str, address: str) -> TunnelNode | None:
         """Return the node at ``peer`` if a connection to ``address`` leads through it.
 
         :param peer: ``ip:port`` to which the connection was opened.
@@ -385,10 +398,10 @@
 class UpstreamHandler(ResponseHandler):
     """One connection to an upstream.
 
-    :ivar tunnel: name of the node through which it leads; ``None`` if it is direct.
+    :ivar tunnel: node through which it leads; ``None`` if it is direct.
     """
 
-    tunnel: str | None = None
+    tunnel: TunnelNode | None = None
 
 
 class UpstreamConnector(aiohttp.TCPConnector):
--- a/src/bankrack/serving/run.py
+++ b/src/bankrack/serving/run.py
@@ -80,6 +80,7 @@
             control=context.control,
             advisor=context.advisor,
             engine=lambda: self._link.running,
+            path_ends=lambda: self._link.path_ends,
         )
 
     async def serve(self) -> str:
--- a/tests/fleet/test_tunnels.py
+++ b/tests/fleet/test_tunnels.py
@@ -88,6 +88,19 @@
         late.close()
 
 
+class StoppingNodes(TestCase):
+    async def test_next_process_of_a_node_is_taken_for_the_one_that_stopped(self):
+        """Guards against copies of all streams through a node that has restarted."""
+        async with upstream(_hold) as address, Node("n", address) as node:
+            tunnels = client(node.member)
+            (await tunnels.connect(address)).close()
+            stopped = tunnels.node_at(node.member.tunnel)
+            tunnels.note_stopping("n")
+            tunnels.note_stopping("unknown")
+            self.assertTrue(stopped.is_ending)
+            self.assertFalse(tunnels.node_at(node.member.tunnel).is_ending)
+
+
 class Ends(TestCase):
     async def test_answer_that_ends_with_its_connection_arrives_whole(self):
         body = b"x" * 3_000_000
--- a/tests/platform/test_stopping_peers.py
+++ b/tests/platform/test_stopping_peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import re
 import typing as t
 
 from bankrack import gateway as gateway_module
@@ -38,19 +39,24 @@
     owner: Gateway
 
 
-def configuration_without_copies() -> dict[str, t.Any]:
-    """Return a configuration in which no silent engine is asked for its runs."""
+def configuration_without_backups(*, copies: bool) -> dict[str, t.Any]:
+    """Return a configuration in which no silent engine is asked for its runs.
+
+    :param copies: engines copy a run when they are asked to.
+    """
     found = configuration()
     for service in found["services"]:
         if "engine" in service:
-            service["engine"] |= {"moves": False, "backups": False}
+            service["engine"] |= {"moves": copies, "backups": False}
     return found
 
 
 @contextlib.asynccontextmanager
-async def tunnelled_site(*, grace: float = 8.0) -> t.AsyncIterator[Site]:
+async def tunnelled_site(
+    *, grace: float = 8.0, copies: bool = False
+) -> t.AsyncIterator[Site]:
     async with running(configured=False) as deployment:
-        deployment.store.put("op/config", configuration_without_copies())
+        deployment.store.put("op/config", configuration_without_backups(copies=copies))
         partition = Partition()
         with partition.installed():
             gateways = [
@@ -97,7 +103,8 @@
 
     def check_whole(self, response: ReceivedResponse) -> None:
         self.assertTrue(response.complete)
-        self.assertIn(b"token%d" % (EVENTS - 1), response.body)
+        tokens = [int(number) for number in re.findall(rb"token(\d+)", response.body)]
+        self.assertEqual(list(range(EVENTS)), tokens)
 
     async def test_stream_is_lost_as_a_tunnel_of_a_silent_engine_counts_as_idle(self):
         async with tunnelled_site() as site:
@@ -108,13 +115,21 @@
         self.check_whole(response)
 
     async def test_stream_without_a_copy_is_lost_as_its_tunnel_s_node_ends(self):
-        async with tunnelled_site(grace=1.0) as site:
+        async with tunnelled_site(grace=1.0, copies=True) as site:
             stream = await begin_stream(site)
             site.owner.tunnels.stopping = False
             await site.peer.stop("test")
             response = await stream
         self.check_whole(response)
 
+    async def test_node_that_no_stream_leads_through_tells_all_of_its_stop(self):
+        """Guards against a message to each of hundreds of nodes at every stop."""
+        async with running() as deployment:
+            gateway = await deployment.start_ready_gateway(grace=1.0)
+            with self.assertLogs("bankrack", "INFO") as found:
+                await gateway.stop("test")
+        self.assertNotIn("event=stop_told", "".join(found.output))
+
     async def test_break_of_a_tunnel_is_ascribed_to_the_upstream_alone(self):
         async with tunnelled_site(grace=1.0) as site:
             with self.assertLogs("bankrack", "INFO") as found:
