--- a/src/bankrack/serving/enginelink.py
+++ b/src/bankrack/serving/enginelink.py
@@ -65,6 +65,12 @@
         """Engine that currently generates the run's events, if any."""
         return self.engine if self.exchange is not None else None
 
+    @property
+    def path_ends(self) -> bool:
+        """Whether the response comes through a node that stops."""
+        tunnel = self.exchange.tunnel if self.exchange is not None else None
+        return tunnel is not None and tunnel.is_ending
+
     async def open(
         self,
         engine: Upstream,
@@ -118,6 +124,8 @@
             copies.reset(backup)
             raise
         self.sends += 1
+        if exchange.tunnel is not None:
+            work.sends.tunnel = exchange.tunnel.name
         self._settle(begun=not exchange.head.not_run)
         if exchange.head.not_run:
             work.sends.rejected += 1
@@ -141,6 +149,7 @@
     def _note_sending(self, send: Send, kind: str) -> None:
         """Record that a connection was established and the run is written to it."""
         self._work.sends.upstreams.append(send.upstream.id)
+        self._work.sends.tunnel = None
         source = f"{send.resume.source}/{send.resume.handle}" if send.resume else None
         self._log.write("run_sending", send.upstream, kind, resumed_from=source)
         if self._silent is not None:
