The first of two copies leaves the second time to begin before the caller gives up

A stream was lost to its caller although a second copy was ready, if the engine with the first one hung: that one got 2 s in any case, as long as callers bear a silence, so that the second was sent the run after 2.6 s. Copies that are left share the time until the caller gives up now (decisions/copyshares.py), where that is longer than the copies of the pool took to begin; where nothing is measured yet, or pools are slow, 2 s are kept.

The close of the copy that is left still comes before the next send; test_run_handover, test_second_sends and test_streams pass.

--- a/src/bankrack/serving/run.py
+++ b/src/bankrack/serving/run.py
@@ -6,6 +6,7 @@
 
 from bankrack.clock import boottime
 from bankrack.decisions.backoff import should_wait_for_backoff
+from bankrack.decisions.copyshares import seconds_for_copy
 from bankrack.decisions.responseends import recourse_of
 from bankrack.decisions.silentengines import TimeLeft
 from bankrack.exceptions import BankrackError
@@ -40,8 +41,9 @@
 """Timeout for an engine to begin a run, in target latencies.  Shorter timeouts cause
 retries that overload the engines further."""
 RESUME_TIMEOUT_SECONDS = 2.0
-"""Timeout for resuming a run at a copy, which first recomputes missing tokens.  The
-last copy has until the caller gives up, as nothing else can continue the run."""
+"""Timeout for resuming a run at a copy, which first recomputes missing tokens.  Copies
+before the last one may have less, so that the next one can begin in time.  The last
+copy has until the caller gives up, as nothing else can continue the run."""
 
 
 class Run:
@@ -350,10 +352,10 @@
         elsewhere = [copy for copy in copies if copy.holder is not silent.engine]
         # One whose engine did not answer is tried only if nothing is lost by it.
         elsewhere.sort(key=lambda copy: copy.holder.id not in error.holders)
-        for copy in elsewhere:
+        for place, copy in enumerate(elsewhere):
             if copy.holder.id not in error.holders and not silent.left:
                 continue
-            if await self._resume_at(copy, is_last=copy is elsewhere[-1]):
+            if await self._resume_at(copy, copies_left=len(elsewhere) - place):
                 self._dependencies.chooser.suspect(silent.engine)
                 self._resumes += 1
                 return None
@@ -405,8 +407,8 @@
         """Resume the run at one of its copies; returns whether that succeeded."""
         copies = self._usable_copies()
         failed_at = boottime()
-        for copy in copies:
-            if await self._resume_at(copy, is_last=copy is copies[-1]):
+        for place, copy in enumerate(copies):
+            if await self._resume_at(copy, copies_left=len(copies) - place):
                 return self._note_resumed()
         return await self._resume_after_backoffs(copies, failed_at=failed_at)
 
@@ -440,19 +442,27 @@
         ):
             return False
         await asyncio.sleep(backoff_left)
-        return await self._resume_at(copy, is_last=True)
+        return await self._resume_at(copy, copies_left=1)
 
-    def _resume_seconds(self, *, is_last: bool) -> float:
+    def _resume_seconds(self, *, copies_left: int) -> float:
         """Return the timeout for resuming the run at a copy."""
-        if not is_last or self._may_run_again():
-            return RESUME_TIMEOUT_SECONDS
         silence = boottime() - self._forwarder.last_at
-        return max(RESUME_TIMEOUT_SECONDS, self._work.max_silence - silence)
+        silence_left = self._work.max_silence - silence
+        if copies_left > 1:
+            return seconds_for_copy(
+                silence_left,
+                copies=copies_left,
+                begin=self._pace.resume_seconds,
+                limit=RESUME_TIMEOUT_SECONDS,
+            )
+        if self._may_run_again():
+            return RESUME_TIMEOUT_SECONDS
+        return max(RESUME_TIMEOUT_SECONDS, silence_left)
 
-    async def _resume_at(self, copy: Copy, *, is_last: bool) -> bool:
+    async def _resume_at(self, copy: Copy, *, copies_left: int) -> bool:
         """Resume the run at a copy; returns whether that succeeded.
 
-        :param is_last: there is no further copy.
+        :param copies_left: number of copies that may be tried, with this one.
         """
         holder = copy.holder
         obstacle = holder.resume_obstacle(boottime())
@@ -468,7 +478,7 @@
         resume = Resume(copy.source, copy.handle)
         began_at = boottime()
         try:
-            async with asyncio.timeout(self._resume_seconds(is_last=is_last)):
+            async with asyncio.timeout(self._resume_seconds(copies_left=copies_left)):
                 exchange = await self._open(holder, resume=resume)
         except (BankrackError, TimeoutError) as error:
             self._link.disconnect()
