Test: a request whose body arrives as the process ends is named

request_not_read was tested for callers that leave; that the end of a real process cancels such a request in the same way had no run that shows it.

--- a/tests/test_unread_logs.py
+++ b/tests/test_unread_logs.py
@@ -33,6 +33,10 @@
     b"HTTP/1.1 200 OK\r\nBankrack-Response-Seal: s\r\nContent-Length: 5\r\n"
     b"Connection: close\r\n\r\nwhole"
 )
+HALF_REQUEST = (
+    b"POST /look/x HTTP/1.1\r\nHost: h.example\r\nBankrack-Request-Id: half\r\n"
+    b"Content-Length: 2\r\n\r\nh"
+)
 
 
 class Reader:
@@ -146,6 +150,17 @@
         [line] = self.reader.lines("stop_ended")
         self.assertIn(f" cut={HELD} ", line)
 
+    async def test_request_whose_body_arrives_as_the_process_ends_is_not_named(self):
+        async with self.unread_gateway(grace=SHORT_GRACE_SECONDS) as gateway:
+            host, _, port = gateway.front.rpartition(":")
+            _, writer = await asyncio.open_connection(host, int(port))
+            with contextlib.closing(writer):
+                writer.write(HALF_REQUEST)
+                await self.serve_and_stop(gateway)
+                await self.reader.read_until_end(gateway)
+        [line] = self.reader.lines("request_not_read")
+        self.assertTrue(line.endswith(" request=half"), line)
+
     async def test_second_signal_ends_a_process_that_waits_for_the_reader(self):
         """Guards against lines that are lost as an operator signals again."""
         async with self.unread_gateway(grace=LONG_GRACE_SECONDS) as gateway:
