--- a/tests/platform/test_stopping_peers.py
+++ b/tests/platform/test_stopping_peers.py
@@ -122,6 +122,16 @@
             response = await stream
         self.check_whole(response)
 
+    async def test_stream_of_engines_that_copy_no_run_is_lost_as_its_tunnel_s_node_ends(
+        self,
+    ):
+        async with tunnelled_site(grace=1.0) as site:
+            stream = await begin_stream(site)
+            site.owner.tunnels.stopping = False
+            await site.peer.stop("test")
+            response = await stream
+        self.check_whole(response)
+
     async def test_node_that_no_stream_leads_through_tells_all_of_its_stop(self):
         """Guards against a message to each of hundreds of nodes at every stop."""
         async with running() as deployment:
