--- a/src/bankrack/serving/copies.py
+++ b/src/bankrack/serving/copies.py
@@ -95,6 +95,8 @@
         self._advisor = advisor
         self._engine = engine
         self._path_ends = path_ends
+        # Engine for whose run no place was found, once that was logged.
+        self._unplaced_for: Upstream | None = None
 
     def choose_backup(
         self, engine: Upstream, *, tried: t.Collection[str]
@@ -149,7 +151,10 @@
     async def _copy_to_any(self, engine: Upstream, tried: t.Collection[str]) -> bool:
         """Update the existing copy or create one; returns whether that succeeded."""
         holders = [c.holder for c in self.current if not c.backup and c.holder.open]
-        for target in holders or await self._find_targets(engine, tried):
+        targets = holders or await self._find_targets(engine, tried)
+        if not targets:
+            self._log_unplaced(engine)
+        for target in targets:
             result = await self._copy(engine, target)
             if result is _CopyResult.MADE:
                 return True
@@ -158,6 +163,12 @@
                 return False
         return False
 
+    def _log_unplaced(self, engine: Upstream) -> None:
+        """Log once for each engine that its run has no place for a copy."""
+        if self._unplaced_for is not engine:
+            self._unplaced_for = engine
+            self._log.write("copy_not_placed", engine, "waiting", "no room elsewhere")
+
     async def release(self, engine: Upstream | None) -> None:
         """Free the copies that the run no longer needs.
 
--- a/tests/serving/test_copies.py
+++ b/tests/serving/test_copies.py
@@ -13,10 +13,10 @@
 
 
 class CopyTargetsTest(TestCase):
-    async def targets(
-        self, *, full: t.Collection[str] = (), uneven: bool = True
-    ) -> list[str]:
-        """Targets for a run of the engine ``b-0``, which leaves, in hall ``b``."""
+    def copies(
+        self, *, full: t.Collection[str] = (), uneven: bool = True, log: t.Any = None
+    ) -> tuple[Copies, Upstream]:
+        """Copies of a run of the engine ``b-0``, which leaves, in hall ``b``."""
         names = [f"{hall}-{number}" for number in range(2) for hall in "abc"]
         engines = [
             Upstream(UpstreamRecord(name, "s", "10.0.0.1:1", name[0], slots=8), 0.0)
@@ -31,7 +31,7 @@
         copies = Copies(
             fake(job=fake(demand=Demand()), service=fake(name="s")),
             fake(memory=27_000),
-            fake(),
+            log,
             chooser=fake(),
             upstreams=fake(
                 uneven=lambda service: uneven,
@@ -42,7 +42,11 @@
             advisor=fake(place_copy=place_copy),
             engine=lambda: None,
         )
-        found = await copies._find_targets(engines[names.index("b-0")], ())
+        return copies, engines[names.index("b-0")]
+
+    async def targets(self, **site: t.Any) -> list[str]:
+        copies, engine = self.copies(**site)
+        found = await copies._find_targets(engine, ())
         return [engine.id for engine in found]
 
     async def test_engines_of_the_same_hall_are_asked_for_first(self):
@@ -53,3 +57,12 @@
 
     async def test_even_engines_are_chosen_by_room_alone(self):
         self.assertEqual(["a-0"], await self.targets(uneven=False))
+
+    async def test_run_without_room_for_a_copy_is_not_told_apart_from_one_with_it(self):
+        logged: list[str] = []
+        names = [f"{hall}-{number}" for number in range(2) for hall in "abc"]
+        log = types.SimpleNamespace(write=lambda name, *found: logged.append(name))
+        copies, engine = self.copies(full=names, log=log)
+        for _ in range(3):
+            self.assertFalse(await copies._copy_to_any(engine, ()))
+        self.assertEqual(["copy_not_placed"], logged)
