--- a/soak/gateway/__main__.py
+++ b/soak/gateway/__main__.py
@@ -30,6 +30,8 @@
 from soak.gateway.muting import Muting
 from soak.gateway.processes import Gateway
 from soak.gateway.silencing import Silencing
+from soak.gateway.stopcallers import StoppingCallers
+from soak.gateway.stopping import Stopping
 
 SETTLE_BEFORE_SECONDS = 3.0
 """Time in which gateways that started together agree on their leaders."""
@@ -81,6 +83,7 @@
     handover: bool = False,
     unframed: bool = False,
     silent: bool = False,
+    stopping: bool = False,
 ) -> int:
     """Run one soak.
 
@@ -102,6 +105,8 @@
         of servers in their midst.
     :param silent: only have engines fall silent in the midst of runs and come back, and
         holders of copies fail, while gateways are stopped in series.
+    :param stopping: only stop gateways in series that overlap, beside engines that
+        leave or reject runs and callers behind slow links.
     :param crowded: let a workspace ask for most of the engines instead.
     :return: the exit code.
     """
@@ -122,7 +127,7 @@
     }
     journal = Journal()
     callers = Callers(gateways, random.Random(seed + 2))
-    callers.until_gone = handover
+    callers.until_gone = handover or stopping
     callers.impatient = silent
     checker = Checker(callers, journal)
     callers.undisturbed = lambda gateway: time.monotonic() > gateway.undisturbed_from
@@ -155,6 +160,9 @@
             callers.crowd: idle,
             callers.press: crowded,
             callers.stream: unframed or silent,
+            functools.partial(
+                StoppingCallers(callers).run, random.Random(f"callers {seed}")
+            ): stopping,
         }
         other_calls = asyncio.gather(*(call() for call, on in chosen.items() if on))
         if crowded:
@@ -164,6 +172,8 @@
             await asyncio.sleep(SETTLE_SECONDS)
         elif silent:
             await Muting(gateways, injector, checker).run(seed, minutes * 60.0)
+        elif stopping:
+            await Stopping(gateways, injector).run(seed, minutes * 60.0)
         elif silencing:
             await silenced.run(seed, minutes * 60.0)
             await asyncio.sleep(SETTLE_SECONDS)
@@ -194,6 +204,7 @@
             checker.check_replacement: replacing,
             checker.check_crowded: crowded,
             functools.partial(checker.check_losses, gateways): silent,
+            functools.partial(checker.check_stops, gateways): stopping,
             functools.partial(checker.check_poison, injector.poisoned_by_cause): True,
         },
     )
@@ -264,6 +275,8 @@
     print(f"runs/s of engines by speed: {', '.join(rates) or 'too little time'}")
     lost = [f"{n} {how}" for how, n in sorted(checker.loss_counts.items())]
     print(f"lost behind silences that are not waited for: {', '.join(lost) or 0}")
+    unanswered = [f"{n} {why}" for why, n in sorted(checker.unanswered_counts.items())]
+    print(f"without a whole answer around a stop: {', '.join(unanswered) or 0}")
     resumed = sum(run.resumed for run in journal.runs)
     unframed = [f"{n} {end}" for end, n in sorted(checker.unframed_counts.items())]
     print(f"without framing: {', '.join(unframed) or 'nothing'}")
@@ -329,6 +342,11 @@
         action="store_true",
         help="have engines fall silent and copies fail, and stop gateways in series",
     )
+    parser.add_argument(
+        "--stopping",
+        action="store_true",
+        help="stop gateways in series that overlap, with engines that leave or reject",
+    )
     parser.add_argument(
         "--keep", default="", help="new folder for the logs, kept after the soak"
     )
@@ -354,6 +372,7 @@
                 handover=options.handover,
                 unframed=options.unframed,
                 silent=options.silent,
+                stopping=options.stopping,
             )
         )
 
--- a/soak/gateway/buggy.py
+++ b/soak/gateway/buggy.py
@@ -29,10 +29,12 @@
 from bankrack.serving import outliers
 from bankrack.serving.choice import Chooser
 from bankrack.serving.crashregister import CrashRegister
+from bankrack.serving.dispatch import Dispatcher
 from bankrack.serving.engineinquiry import Answers
 from bankrack.serving.engineinquiry import EngineInquiry
 from bankrack.serving.enginespeeds import EngineSpeeds
 from bankrack.serving.events import EventOrder
+from bankrack.serving.job import Job
 from bankrack.serving.job import RequestKind
 from bankrack.serving.notices import NoticeHandler
 from bankrack.serving.plain import PlainRelay
@@ -200,6 +202,22 @@
     ResponseEnds.confirm = lambda self, *found, **more: asyncio.sleep(0)  # type: ignore[method-assign]
 
 
+def refuse_nothing() -> None:
+    """Keep the requests that a stop ought to end until the process ends."""
+    Dispatcher.end_requests = lambda self: None  # type: ignore[method-assign]
+
+
+def log_some_ends() -> None:
+    """Leave out the ends of some requests while the gateway stops."""
+    log = Dispatcher._log
+
+    def log_some(self: Dispatcher, job: Job, *found: t.Any, **more: t.Any) -> None:
+        if self._stop_began_at is None or sum(job.id.encode()) % 3:
+            log(self, job, *found, **more)
+
+    Dispatcher._log = log_some  # type: ignore[method-assign]
+
+
 def back_up_all() -> None:
     """Give all runs backups, also before crashes make them worth it; not a bug."""
     Allocator._backup_fits = lambda self, engines, request: True  # type: ignore[method-assign]
@@ -227,6 +245,8 @@
     "lingering": keep_silent_engines,
     "eventless": resume_without_events,
     "unconfirmed": confirm_nothing,
+    "unrefused": refuse_nothing,
+    "unlogged": log_some_ends,
 }
 
 
--- a/soak/gateway/callers.py
+++ b/soak/gateway/callers.py
@@ -75,6 +75,9 @@
     :param pause: seconds before it read the body.
     :param retry_after: seconds after which it was told to return.
     :param poisonous: it crashes the engines that run it.
+    :param whole_at: monotonic time at which its last byte was sent; 0 if not recorded.
+    :param trip: seconds from a byte's sending to its arrival and back.
+    :param deadline: seconds that its caller waits for the response.
     """
 
     request: str
@@ -93,6 +96,9 @@
     pause: float = 0.0
     retry_after: float = 0.0
     poisonous: bool = False
+    whole_at: float = 0.0
+    trip: float = 0.0
+    deadline: float = CALL_TIMEOUT_SECONDS
 
     @property
     def events(self) -> int:
@@ -283,7 +289,7 @@
         :param part: second part of the prompt; by default one that some others have.
         :param poisonous: it crashes engines.
         """
-        accepting = [g for g in self.gateways if self._accepts_calls(g)]
+        accepting = [g for g in self.gateways if self.accepts_calls(g)]
         node = node or self._rng.choice(accepting or self.gateways)
         call = self.begin(path, node, key=key)
         call.poisonous = poisonous
@@ -312,7 +318,7 @@
                 await self._read(call, response)
         except aiohttp.ClientConnectorError:
             call.connected = False
-            if self.until_gone and self._is_late(node):
+            if self.until_gone and self.is_late(node):
                 self.calls.remove(call)  # No connection was open to be used.
         except (aiohttp.ClientError, TimeoutError, OSError):
             # The call stays incomplete; whether it may be is checked later.
@@ -328,23 +334,28 @@
             call.connected = False
             self.crossing.append(call)
 
-    def begin(self, path: str, node: Gateway, *, key: str = KEY) -> Call:
-        """Record a request that is sent now."""
-        request = f"q{next(self._numbers)}"
+    def begin(
+        self, path: str, node: Gateway, *, key: str = KEY, prefix: str = "q"
+    ) -> Call:
+        """Record a request that is sent now.
+
+        :param prefix: start of its id.
+        """
+        request = f"{prefix}{next(self._numbers)}"
         undisturbed = self.undisturbed(node)
         call = Call(request, path, node, time.monotonic(), undisturbed, key)
         self.calls.append(call)
         return call
 
-    def _accepts_calls(self, gateway: Gateway) -> bool:
+    def accepts_calls(self, gateway: Gateway) -> bool:
         """Whether callers still use a gateway.
 
         A load balancer notices a stop with delay, so calls continue for 2 s after
         SIGTERM.
         """
-        return self.until_gone or not self._is_late(gateway)
+        return self.until_gone or not self.is_late(gateway)
 
-    def _is_late(self, gateway: Gateway) -> bool:
+    def is_late(self, gateway: Gateway) -> bool:
         """Whether a gateway was stopped so long ago that it gets no new connections."""
         stopped_at = gateway.stop_requested_at
         return bool(stopped_at) and time.monotonic() >= stopped_at + 2.0
--- a/soak/gateway/checks.py
+++ b/soak/gateway/checks.py
@@ -27,6 +27,8 @@
 from soak.gateway.processes import GRACE_SECONDS
 from soak.gateway.runs import Troubles
 from soak.gateway.runs import violations
+from soak.gateway.unanswered import log_violations
+from soak.gateway.unanswered import Unanswered
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 DENIAL_STATUSES = frozenset({401, 403, 404})
@@ -121,6 +123,7 @@
         self.engine_by_id: dict[str, SoakEngine] = {}
         self.unframed_counts: dict[str, int] = {}
         self.loss_counts: dict[str, int] = {}
+        self.unanswered_counts: dict[str, int] = {}
         self.store_faults: list[tuple[float, float]] = []
         self.hall_cuts: list[tuple[float, float]] = []
         self.cuts: list[Cut] = []
@@ -366,6 +369,19 @@
             self.record_violation(text)
         self.loss_counts = losses.counts
 
+    def check_stops(self, gateways: list[Gateway]) -> None:
+        """Check that requests are answered and logged around the stops of gateways."""
+        spans = {gateway: blocked_spans(gateway) for gateway in gateways}
+        troubles = Troubles(self.held_up, spans, self.link_faults)
+        calls, arrivals = self._callers.calls, self._journal.arrivals
+        gone = {name: engine.gone for name, engine in self.engine_by_id.items()}
+        unanswered = Unanswered(calls, arrivals, self._journal.runs, troubles, gone)
+        for text in unanswered.violations():
+            self.record_violation(text)
+        self.unanswered_counts = unanswered.counts
+        for text in log_violations(calls, arrivals):
+            self.record_violation(text)
+
     def _check_leaving(self) -> None:
         call_by_request = {call.request: call for call in self._callers.calls}
         for arrival in self._journal.arrivals:
--- a/soak/gateway/fakes.py
+++ b/soak/gateway/fakes.py
@@ -61,6 +61,10 @@
 REQUESTS_PER_LARGE = 20
 """One in this many requests is large."""
 LARGE_EVENT_BYTES = 20_000
+LONG_PREFIX = "long"
+"""Start of the ids of requests whose streams outlast a grace period."""
+LONG_EVENTS = 140
+"""Events of a long stream at least; most take 5 to 15 s."""
 SLOW_READ_SECONDS = 0.2
 """Time after which a server begins to read a large body."""
 FULL_FRACTION = 0.2
@@ -446,6 +450,8 @@
     :ivar silences: draws how it falls silent, and what it does with runs sent to its
         copies; by default it does neither.
     :ivar states_runs: its reports list its runs.
+    :ivar is_full: it rejects all new runs.
+    :ivar trouble: how it treats new runs; it may ``reset`` or ``reject`` them.
     """
 
     service = "engines"
@@ -458,6 +464,8 @@
         self.conducts: random.Random | None = None
         self.silences: random.Random | None = None
         self.states_runs = False
+        self.trouble = ""
+        self.is_full = False
         self._at_work: list[Run] = []
         self.on_poison: t.Callable[[SoakEngine, str], None] = lambda engine, cause: None
 
@@ -505,6 +513,12 @@
 
     async def run(self, request: web.BaseRequest) -> web.StreamResponse:
         """Stream a run from its first event, or from a copy's next event."""
+        if self.is_full or self.trouble == "reject":
+            return web.Response(status=503, headers={"Bankrack-Not-Executed": "1"})
+        if self.trouble == "reset":
+            run = self._begin(request)
+            run.ended, run.broke_off = time.monotonic(), True
+            return self._abort(request)
         request_id = request.headers[REQUEST_ID]
         first = 0
         copy_handle = request.headers.get("Kv-From")
@@ -592,14 +606,17 @@
 
 def event_count(request_id: str) -> int:
     """Number of events in the stream of a request."""
+    if request_id.startswith(LONG_PREFIX):
+        return LONG_EVENTS + 37 * sum(request_id.encode()) % 120
     return 3 + sum(request_id.encode()) % 60
 
 
 def is_large(request_id: str) -> bool:
     """Whether a request has a large body and a stream of large events."""
-    return (
-        int(request_id.strip("q") or 0) % REQUESTS_PER_LARGE == REQUESTS_PER_LARGE - 1
-    )
+    number = request_id.removeprefix("q")
+    if not number.isdigit():
+        return False
+    return int(number) % REQUESTS_PER_LARGE == REQUESTS_PER_LARGE - 1
 
 
 def expected_event(request_id: str, number: int) -> bytes:
--- a/soak/gateway/faults.py
+++ b/soak/gateway/faults.py
@@ -241,7 +241,7 @@
             case ["server", "spoils", "answers"]:
                 await self._corrupt_responses(rng)
             case ["engine", "reclaimed"]:
-                await self._engine_reclaimed(rng)
+                await self.engine_reclaimed(rng)
             case ["engine", "crashes"]:
                 await self._engine_crashes(rng)
             case ["engine", "stalls"]:
@@ -456,7 +456,7 @@
         engine.closed = time.monotonic()
         return engine
 
-    async def _engine_reclaimed(self, rng: random.Random) -> None:
+    async def engine_reclaimed(self, rng: random.Random) -> None:
         """Announce that an engine is leaving, end it shortly after and replace it."""
         engine = self._remove_engine(rng)
         if engine is None:
--- a/soak/gateway/processes.py
+++ b/soak/gateway/processes.py
@@ -21,6 +21,8 @@
 """Longest start, with hundreds of gateways starting on one machine at once."""
 READY_POLL_INTERVAL_SECONDS = 0.1
 CHECK_TIMEOUT_SECONDS = 1.0
+KILLED_SECONDS = 1.0
+"""Time for which a process that is killed may still have had a request."""
 HELD_FIELDS = ("unread_bytes", "slow_callers", "body_bytes")
 """Fields of the state dump for what a gateway holds for callers."""
 RELEASE_SECONDS = 3.0
@@ -75,6 +77,8 @@
         self.disturbed_at: list[float] = []
         self.stop_requested_at = 0.0
         self.stopped_at: list[float] = []
+        self.killed_at: list[float] = []
+        self.stop_seconds: list[float] = []
         self.busy = False
         self.descriptors: int | None = None
         self._bug = bug
@@ -128,6 +132,10 @@
         """Monotonic time of the last SIGTERM before another one; 0 without any."""
         return max((at for at in self.stopped_at if at <= until), default=0.0)
 
+    def was_killed_between(self, since: float, until: float) -> bool:
+        """Whether its process was killed at work on a request of that time."""
+        return any(since <= at <= until + KILLED_SECONDS for at in self.killed_at)
+
     def cut_off(self, how: str) -> None:
         """Have its new connections to upstreams fail.
 
@@ -137,6 +145,7 @@
 
     async def kill(self, down: float) -> None:
         """Kill the process and start a new one after ``down`` seconds."""
+        self.killed_at.append(time.monotonic())
         self.process.stop()
         self.disturb(down + RECOVERY_SECONDS)
         await asyncio.sleep(down)
@@ -162,6 +171,9 @@
         while self.process.alive and time.monotonic() < limit:
             await asyncio.sleep(0.05)
         in_time = not self.process.alive
+        self.stop_seconds.append(time.monotonic() - self.stop_requested_at)
+        if not in_time:
+            self.killed_at.append(time.monotonic())
         self.process.stop()
         self.launch()
         return in_time
