--- a/soak/gateway/__main__.py
+++ b/soak/gateway/__main__.py
@@ -144,6 +144,7 @@
             conducts=random.Random(seed) if handover else None,
             unframed=random.Random(f"unframed {seed}") if unframed else None,
             silences=random.Random(f"silent {seed}") if silent else None,
+            patient=stopping,
         )
         for gateway in gateways:
             await gateway.store_link.start()
--- a/soak/gateway/faults.py
+++ b/soak/gateway/faults.py
@@ -67,6 +67,8 @@
 """Time between two series of large configurations."""
 SERIES_PAUSE_SECONDS = (0.0, 0.6)
 MAX_SERIES = 3
+PATIENT_STREAMS = {"targetLatencyMs": 6000, "gap_aim_ms": 1500}
+"""Fields of streaming routes whose runs may wait for room in the pool for long."""
 NARROW_LINK_BYTES_PER_SECOND = 1.25e6
 """Rate of 10 Mbit/s between gateways while configurations are large."""
 
@@ -137,6 +139,7 @@
         self._rng = rng
         self._numbers = itertools.count()
         self._version = 1
+        self._stream_fields: dict[str, int] = {}
         self._added: list[str] = []
         self._large_routes: list[dict[str, t.Any]] = []
 
@@ -146,6 +149,7 @@
         conducts: random.Random | None = None,
         unframed: random.Random | None = None,
         silences: random.Random | None = None,
+        patient: bool = False,
     ) -> None:
         """Start the initial servers and write the initial configuration.
 
@@ -155,14 +159,17 @@
             none does.
         :param silences: draws how engines fall silent in the midst of runs; by default
             none does.
+        :param patient: streams may wait for room in the pool for long.
         """
+        if patient:
+            self._stream_fields = PATIENT_STREAMS
         self._conducts = conducts
         self._silences = silences
         self._unframed = unframed
         for _ in range(3 if unframed is None and silences is None else 5):
             await self._open_server()
             await self._open_engine()
-        self._store.put("op/config", configuration(self._version, tenants=WORKSPACES))
+        self._write_configuration()
 
     async def run(self, faults: t.Sequence[Fault]) -> None:
         """Inject each fault at its time and wait until all have been repaired."""
@@ -528,6 +535,9 @@
 
     def _write_configuration(self) -> None:
         document = configuration(self._version, tenants=WORKSPACES)
+        for route in document["routes"]:
+            if route["kind"] == "streaming":
+                route.update(self._stream_fields)
         template = document["routes"][0]
         for added in self._added:
             document["routes"].append(
--- a/soak/gateway/stopcallers.py
+++ b/soak/gateway/stopcallers.py
@@ -1,6 +1,7 @@
 """Callers that use open connections to gateways until their processes have ended."""
 
 import asyncio
+import dataclasses
 import random
 import time
 
@@ -29,8 +30,31 @@
 PROMPT_TOKENS = 9000
 """Tokens of each prompt; an engine has room for three such runs."""
 LONG_DEADLINE_SECONDS = 25.0
-SHORT_DEADLINE_SECONDS = 18.0
+SHORT_DEADLINE_SECONDS = 19.0
 SHORT_PREFIX = "short"
+MAX_ATTEMPTS = 4
+"""Attempts of a caller at an answer."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Job:
+    """What a caller asks for, in one attempt or several.
+
+    :param body: the same in each attempt, and no other job's.
+    """
+
+    path: str
+    key: str
+    body: bytes
+    is_long: bool
+
+
+def _draw(rng: random.Random) -> Job:
+    is_long = rng.random() < LONG_FRACTION
+    path = "talk" if is_long else rng.choice(SHORT_PATHS)
+    key = rng.choice((KEY, PRESSING_KEY))
+    body = b"%016x" % rng.getrandbits(64) + b"." * rng.randint(*BODY_BYTES)
+    return Job(path, key, b"" if path == "look" else body, is_long)
 
 
 class StoppingCallers:
@@ -52,52 +76,75 @@
         await asyncio.gather(*map(self._work, links, draws))
 
     async def _work(self, link: Link, rng: random.Random) -> None:
-        kept_by_node: dict[Gateway, Connection] = {}
+        caller = _Caller(self._callers, link)
         try:
             while not self._callers.ended:
-                node = rng.choice(self._callers.gateways)
-                await self._use(node, kept_by_node, link, rng)
+                await self._ask(caller, _draw(rng), rng)
                 await asyncio.sleep(rng.expovariate(1 / MEAN_PAUSE_SECONDS))
         finally:
-            for kept in kept_by_node.values():
-                kept.close()
-
-    async def _use(
-        self,
-        node: Gateway,
-        kept_by_node: dict[Gateway, Connection],
-        link: Link,
-        rng: random.Random,
-    ) -> None:
-        """Send one request over the kept connection, or a new one if there is none."""
-        kept = kept_by_node.pop(node, None)
-        if kept is not None and not kept.is_open:
+            caller.leave()
+
+    async def _ask(self, caller: "_Caller", job: Job, rng: random.Random) -> None:
+        """Ask for an answer; one that is refused returns when it is told.
+
+        Runs that return may wait in the pool's queue for long.
+        """
+        for _ in range(MAX_ATTEMPTS):
+            call = await caller.call(rng.choice(self._callers.gateways), job)
+            if call is None or not call.retry_after or self._callers.ended:
+                return
+            await asyncio.sleep(call.retry_after)
+
+
+class _Caller:
+    """A caller that keeps a connection to each gateway."""
+
+    def __init__(self, callers: Callers, link: Link) -> None:
+        self._callers = callers
+        self._link = link
+        self._kept_by_node: dict[Gateway, Connection] = {}
+
+    def leave(self) -> None:
+        """Close all connections."""
+        for kept in self._kept_by_node.values():
             kept.close()
-            kept = None
-        if kept is None and not self._callers.is_late(node):
-            kept = await connect(node.front, link)
-        if kept is None:
-            return
-        if await self._call(node, kept, link, rng):
-            kept_by_node[node] = kept
+
+    async def call(self, node: Gateway, job: Job) -> Call | None:
+        """Send a request; returns ``None`` if no connection could be used."""
+        connection = await self._connect(node)
+        if connection is None:
+            return None
+        prefix = LONG_PREFIX if job.is_long else SHORT_PREFIX
+        call = self._callers.begin(job.path, node, key=job.key, prefix=prefix)
+        call.deadline = LONG_DEADLINE_SECONDS if job.is_long else SHORT_DEADLINE_SECONDS
+        call.trip = self._link.trip
+        if await self._exchange(call, connection, job):
+            self._kept_by_node[node] = connection
         else:
+            connection.close()
+        return call
+
+    async def _connect(self, node: Gateway) -> Connection | None:
+        """Return the kept connection, or a new one if there is none.
+
+        A balancer sends no new connection to a gateway that got SIGTERM long ago.
+        """
+        kept = self._kept_by_node.pop(node, None)
+        if kept is not None and kept.is_open:
+            return kept
+        if kept is not None:
             kept.close()
+        if self._callers.is_late(node):
+            return None
+        return await connect(node.front, self._link)
+
+    async def _exchange(self, call: Call, connection: Connection, job: Job) -> bool:
+        """Send a request and receive its response.
 
-    async def _call(
-        self, node: Gateway, connection: Connection, link: Link, rng: random.Random
-    ) -> bool:
-        """Send a request; returns whether the connection can be used again."""
-        is_long = rng.random() < LONG_FRACTION
-        path = "talk" if is_long else rng.choice(SHORT_PATHS)
-        key = rng.choice((KEY, PRESSING_KEY))
-        prefix = LONG_PREFIX if is_long else SHORT_PREFIX
-        body = b"." * rng.randint(*BODY_BYTES) if path != "look" else b""
-        call = self._callers.begin(path, node, key=key, prefix=prefix)
-        call.deadline = LONG_DEADLINE_SECONDS if is_long else SHORT_DEADLINE_SECONDS
-        data = _request(call, body)
-        call.trip = link.trip
+        :return: whether the connection can be used again.
+        """
         try:
-            call.whole_at = await connection.send(data)
+            call.whole_at = await connection.send(_request(call, job.body))
             async with asyncio.timeout(call.deadline + call.trip):
                 return await _receive(connection.received, call)
         except (asyncio.IncompleteReadError, OSError, TimeoutError):
--- a/soak/gateway/stopping.py
+++ b/soak/gateway/stopping.py
@@ -23,9 +23,12 @@
 TROUBLES = ("reset", "reject")
 TROUBLE_PAUSE_SECONDS = (0.3, 1.5)
 TROUBLE_SECONDS = (0.2, 1.5)
-FULL_PAUSE_SECONDS = (0.5, 4.0)
-FULL_SECONDS = (2.0, 7.0)
-"""Time for which most engines have no room."""
+FULL_PAUSE_SECONDS = (0.5, 2.5)
+FULL_SECONDS = (3.0, 9.0)
+"""Time for which the engines have no room."""
+FULL_STEP_SECONDS = 0.1
+MEMORY_TOKENS = 30_000
+"""Memory of an engine."""
 
 
 class Stopping:
@@ -34,20 +37,26 @@
     def __init__(self, gateways: list[Gateway], injector: FaultInjector) -> None:
         self._gateways = gateways
         self._injector = injector
+        self._ended = False
 
     async def run(self, seed: int, seconds: float) -> None:
-        """Run all series beside each other; ends once all gateways are ready."""
+        """Run all series beside each other; ends once all gateways are ready.
+
+        The engines' go on until the last gateway has stopped.
+        """
         ends_at = time.monotonic() + seconds
         rng = random.Random(f"stopping {seed}")
-        series = 1 + len(self._gateways) // GATEWAYS_PER_SERIES
-        draws = [random.Random(rng.getrandbits(64)) for _ in range(series)]
+        stops = 1 + len(self._gateways) // GATEWAYS_PER_SERIES
+        draws = [random.Random(rng.getrandbits(64)) for _ in range(stops)]
+        series = [
+            asyncio.create_task(each(random.Random(rng.getrandbits(64))))
+            for each in (self._leave, self._trouble, self._fill)
+        ]
+        await asyncio.gather(*(self._stop_nodes(each, ends_at) for each in draws))
+        self._ended = True
         await asyncio.gather(
-            self._leave(random.Random(rng.getrandbits(64)), ends_at),
-            self._trouble(random.Random(rng.getrandbits(64)), ends_at),
-            self._fill(random.Random(rng.getrandbits(64)), ends_at),
-            *(self._stop_nodes(each, ends_at) for each in draws),
+            *series, *(node.wait_until_ready() for node in self._gateways)
         )
-        await asyncio.gather(*(node.wait_until_ready() for node in self._gateways))
 
     async def _stop_nodes(self, rng: random.Random, ends_at: float) -> None:
         while time.monotonic() < ends_at:
@@ -82,18 +91,18 @@
             await asyncio.sleep(seconds)
             process.signal(number)
 
-    async def _leave(self, rng: random.Random, ends_at: float) -> None:
+    async def _leave(self, rng: random.Random) -> None:
         """Have one engine after the other leave; a new one follows each."""
         leaving = set()
-        while time.monotonic() < ends_at:
+        while not self._ended:
             await asyncio.sleep(rng.uniform(*LEAVE_PAUSE_SECONDS))
             self._injector.counts["engine left"] += 1
             details = random.Random(rng.getrandbits(64))
             leaving.add(asyncio.create_task(self._injector.engine_reclaimed(details)))
         await asyncio.gather(*leaving)
 
-    async def _trouble(self, rng: random.Random, ends_at: float) -> None:
-        while time.monotonic() < ends_at:
+    async def _trouble(self, rng: random.Random) -> None:
+        while not self._ended:
             await asyncio.sleep(rng.uniform(*TROUBLE_PAUSE_SECONDS))
             engine = rng.choice(self._injector.engines)
             trouble = rng.choice(TROUBLES)
@@ -102,14 +111,20 @@
             await asyncio.sleep(rng.uniform(*TROUBLE_SECONDS))
             engine.trouble = ""
 
-    async def _fill(self, rng: random.Random, ends_at: float) -> None:
-        """Have the engines reject all new runs for a while, but for one of them."""
-        while time.monotonic() < ends_at:
+    async def _fill(self, rng: random.Random) -> None:
+        """Have the engines report for a while that others use their memory.
+
+        Runs that were queued by then stay in the queue, as no run is sent to them.
+        """
+        while not self._ended:
             await asyncio.sleep(rng.uniform(*FULL_PAUSE_SECONDS))
             self._injector.counts["engines full"] += 1
-            full = list(self._injector.engines)[1:]
-            for engine in full:
-                engine.is_full = True
-            await asyncio.sleep(rng.uniform(*FULL_SECONDS))
-            for engine in full:
-                engine.is_full = False
+            full_until = time.monotonic() + rng.uniform(*FULL_SECONDS)
+            while time.monotonic() < full_until and not self._ended:
+                self._report_use(MEMORY_TOKENS)
+                await asyncio.sleep(FULL_STEP_SECONDS)
+            self._report_use(0)
+
+    def _report_use(self, tokens: int) -> None:
+        for engine in self._injector.engines:
+            engine.used = tokens
