--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,11 +1,9 @@
 """A surplus answer on a control channel, while servers are replaced (see claim.txt)."""
 
 import asyncio
-import contextlib
 import os
 import pathlib
 import sys
-import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standins-2"))
@@ -105,23 +103,5 @@
     return 0, f"{len(new.carried)} runs went on from their own memory"
 
 
-def main() -> int:
-    """Play the case and print the result."""
-    record = standins.Record(FOLDER)
-    began = time.monotonic()
-    with standins.folder() as folder:
-        try:
-            code, why = asyncio.run(play(record, folder))
-        except (OSError, TimeoutError) as error:
-            code, why = 2, repr(error)
-        if os.environ.get("KEEP_LOG"):
-            with contextlib.suppress(OSError):
-                text = pathlib.Path(folder, "edge-1.log").read_text(encoding="utf-8")
-                pathlib.Path(os.environ["KEEP_LOG"]).write_text(text, encoding="utf-8")
-    record.line("judge", f"exit {code}: {why}", took=f"{time.monotonic() - began:.1f}")
-    print(f"exit {code}: {why}")
-    return code
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(standins.main(FOLDER, play))
--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -287,6 +287,43 @@
         return json_answer(200, {"revision": self.revision})
 
 
+class Door(Server):
+    """One machine's way to the store, which may turn that machine away.
+
+    :ivar turns_away: each call gets 503, and a watch that waits is cut.
+    """
+
+    def __init__(self, name: str, store: Store) -> None:
+        super().__init__(name, store.record)
+        self.turns_away = False
+        self._store = store
+        self._waiting: set[asyncio.Task[None]] = set()
+
+    def turn_away(self) -> None:
+        """Turn the machine away from now on."""
+        self.turns_away = True
+        for task in list(self._waiting):
+            task.cancel()
+
+    async def handle(
+        self,
+        request: Request,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Answer one call."""
+        if self.turns_away:
+            writer.write(answer(503))
+            await writer.drain()
+            return
+        call = asyncio.create_task(self._store.handle(request, reader, writer))
+        self._waiting.add(call)
+        try:
+            await call
+        finally:
+            self._waiting.discard(call)
+
+
 class Node:
     """One process of the project, started as the deploy file says."""
 
@@ -446,3 +483,32 @@
         "models": [{"name": "m", "configVersion": 1, "adapters": []}],
         "sequence": 1,
     }
+
+
+def main(
+    case: pathlib.Path,
+    play: t.Callable[[Record, str], t.Awaitable[tuple[int, str]]],
+) -> int:
+    """Play a case in a temporary folder; prints the result, returns the exit code."""
+    record = Record(case)
+    began = time.monotonic()
+    with folder() as name:
+        try:
+            code, why = asyncio.run(_play(play, record, name))
+        except (OSError, TimeoutError) as error:
+            code, why = 2, repr(error)
+        keep_in = os.environ.get("KEEP_LOG")
+        if keep_in:
+            for log in pathlib.Path(name).glob("*.log"):
+                shutil.copy(log, f"{keep_in}.{log.stem}")
+    record.line("judge", f"exit {code}: {why}", took=f"{time.monotonic() - began:.1f}")
+    print(f"exit {code}: {why}")
+    return code
+
+
+async def _play(
+    play: t.Callable[[Record, str], t.Awaitable[tuple[int, str]]],
+    record: Record,
+    name: str,
+) -> tuple[int, str]:
+    return await play(record, name)
