--- a/review/5/case.py
+++ b/review/5/case.py
@@ -15,7 +15,7 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HALLS = {"hobart-hall": 3, "kingston-hall": 3, "glenorchy-hall": 2}
-TURNED_AWAY = "edge-kingston-hall-2"
+CUT_OFF = "edge-kingston-hall-2"
 """Reads the store for the others, as its log says."""
 FROZEN = "edge-hobart-hall-3"
 """The node that is next to read it."""
@@ -24,7 +24,7 @@
 DRAIN_SECONDS = 2.0
 SERVED_ON_SECONDS = 4.0
 FROZEN_SECONDS = 4.0
-TURNED_AWAY_SECONDS = 5.0
+CUT_OFF_SECONDS = 5.5
 ROUTE = {
     "name": "r-info",
     "hostname": "site.example",
@@ -82,9 +82,9 @@
         senders = [asyncio.create_task(send(name)) for name in TOUCHED]
         await asyncio.sleep(4.0)
         if TROUBLE:
-            doors[TURNED_AWAY].turn_away()
+            doors[CUT_OFF].cut_off()
             nodes[FROZEN].signal(signal.SIGSTOP)
-            record.line("platform", "turns away", node=TURNED_AWAY)
+            record.line("platform", "cuts off from the store", node=CUT_OFF)
             record.line("platform", "freezes", node=FROZEN)
         await asyncio.sleep(0.05)
         # It never says that it leaves: its entry goes, and it serves on.
@@ -93,8 +93,8 @@
         await asyncio.sleep(FROZEN_SECONDS)
         nodes[FROZEN].signal(signal.SIGCONT)
         leaving.end()
-        await asyncio.sleep(TURNED_AWAY_SECONDS - FROZEN_SECONDS)
-        doors[TURNED_AWAY].turns_away = False
+        await asyncio.sleep(CUT_OFF_SECONDS - FROZEN_SECONDS)
+        doors[CUT_OFF].cut = False
         await asyncio.sleep(1.0)
         sending = False
         await asyncio.gather(*senders)
@@ -102,7 +102,7 @@
     finally:
         expiry.cancel()
         for name, node in nodes.items():
-            for word in ("stale_view", "lapsed", "leader_stale", "leader_lost"):
+            for word in ("stale_view", "=lapsed", "leader_stale", "leader_lost"):
                 for line in node.log_lines(word) if name in TOUCHED else ():
                     record.line("log", f"{name} {line[:300]}")
             node.end()
--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -10,6 +10,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -41,16 +42,21 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Find ports that nobody uses now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind((HOST, 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
+    """Find ports that nobody uses now, outside the range that the system assigns."""
+    ports: list[int] = []
+    while len(ports) < count:
+        port = random.randrange(20_000, 32_000)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((HOST, port))
+            if port not in _given_out:
+                _given_out.add(port)
+                ports.append(port)
     return ports
 
 
+_given_out: set[int] = set()
+
+
 class Request(t.NamedTuple):
     """One request as it was read."""
 
@@ -288,40 +294,48 @@
 
 
 class Door(Server):
-    """One machine's way to the store, which may turn that machine away.
+    """One machine's path to the store, which may be cut.
 
-    :ivar turns_away: each call gets 503, and a watch that waits is cut.
+    :ivar cut: the machine's channels are reset, new ones too.
     """
 
     def __init__(self, name: str, store: Store) -> None:
         super().__init__(name, store.record)
-        self.turns_away = False
+        self.cut = False
         self._store = store
-        self._waiting: set[asyncio.Task[None]] = set()
+        self._read = asyncio.Event()
 
-    def turn_away(self) -> None:
-        """Turn the machine away from now on."""
-        self.turns_away = True
-        for task in list(self._waiting):
+    async def next_read(self) -> None:
+        """Wait until the machine has read the items once more."""
+        self._read.clear()
+        await self._read.wait()
+
+    def cut_off(self) -> None:
+        """Reset the machine's channels to the store from now on."""
+        self.cut = True
+        for writer in list(self._writers):
+            writer.transport.abort()
+        for task in list(self._tasks):
             task.cancel()
 
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self.cut:
+            writer.transport.abort()
+            return
+        await super()._serve(reader, writer)
+
     async def handle(
         self,
         request: Request,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        """Answer one call."""
-        if self.turns_away:
-            writer.write(answer(503))
-            await writer.drain()
-            return
-        call = asyncio.create_task(self._store.handle(request, reader, writer))
-        self._waiting.add(call)
-        try:
-            await call
-        finally:
-            self._waiting.discard(call)
+        """Pass one call on."""
+        await self._store.handle(request, reader, writer)
+        if request.path == "/v1/kv-range":
+            self._read.set()
 
 
 class Node:
