--- a/review/standins-2/engines.py
+++ b/review/standins-2/engines.py
@@ -30,6 +30,7 @@
         super().__init__(owner, made)
         self.request = request
         self.stopped = False
+        self.preempted = False
 
 
 class Engine(Server):
@@ -38,6 +39,10 @@
     :ivar events: number of events of a stream, given the request's id.
     :ivar gap: seconds between two events.
     :ivar surplus_left: answers to ``kv-move`` that are still sent a second time.
+    :ivar preempted_at: number of the event before which a run is preempted, once.
+    :ivar preempted_seconds: time until it goes on; no report lists it meanwhile.
+    :ivar keeps_copies: copies are kept; otherwise they give way to running requests.
+    :ivar queue_seconds: time in the queue until a request without a copy is rejected.
     :ivar carried: pairs of a request and the one whose memory it was carried on from.
     """
 
@@ -48,8 +53,12 @@
         self.events: t.Callable[[str], int] = lambda request: 250
         self.gap = 0.04
         self.move_seconds = 0.05
+        self.preempted_at: int | None = None
+        self.preempted_seconds = 1.5
+        self.keeps_copies = True
+        self.queue_seconds = 0.0
         self.surplus_left = 0
-        self.surplus_pause = 0.2
+        self.surplus_pause = 0.1
         self._surplus_at = 0.0
         self.surplus_delay = 0.03
         self.answers = 0
@@ -68,6 +77,14 @@
         await super().start(port)
         Engine.by_address[self.address] = self
 
+    def runs_now(self, request: str) -> bool:
+        """Whether a request is at work here."""
+        return request in self._runs
+
+    def has_copy_of(self, request: str) -> bool:
+        """Whether a copy of a request's memory lies here."""
+        return any(memory.owner == request for memory in self._copies.values())
+
     async def handle(
         self,
         request: Request,
@@ -105,13 +122,14 @@
             writer.write(answer(404))
 
     def _report(self) -> dict[str, t.Any]:
-        runs = [[r.request, 1000 + 4 * r.made, r.made, 0] for r in self._runs.values()]
+        at_work = [run for run in self._runs.values() if not run.preempted]
+        runs = [[r.request, 1000 + 4 * r.made, r.made, 0] for r in at_work]
         return {
             "stage": "both",
             "models": [{"name": "m", "configVersion": 1, "adapters": []}],
             "busy": False,
             "sequence": 0,
-            "queued": 0,
+            "queued": len(self._runs) - len(runs),
             "running": len(runs),
             "kvUsed": sum(run[1] for run in runs),
             "kvTotal": 34545,
@@ -170,8 +188,9 @@
         self.arrivals.append((time.monotonic(), request_id, source is not None))
         owner, first = request_id, 0
         if source is not None:
-            memory = self._copies.pop(source, None)
+            memory = self._copies.pop(source, None) if self.keeps_copies else None
             if memory is None:
+                await asyncio.sleep(self.queue_seconds)
                 self.record.line(self.name, "no copy", request=request_id, kv=source)
                 headers = {"Bankrack-Not-Executed": "1"}
                 writer.write(answer(503, b"", headers))
@@ -205,6 +224,9 @@
         )
         writer.write(head.encode())
         for number in range(first, self.events(run.request)):
+            if number == self.preempted_at:
+                self.preempted_at = None
+                await self._preempt(run)
             event = f"id: {number}\ndata: {run.owner} {number}\n\n".encode()
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
@@ -214,6 +236,14 @@
             await asyncio.sleep(self.gap)
         writer.write(b"0\r\n\r\n")
 
+    async def _preempt(self, run: Run) -> None:
+        """Take a run's memory for a while; it goes on once it was read anew."""
+        run.preempted = True
+        self.record.line(self.name, "preempts", request=run.request)
+        await asyncio.sleep(self.preempted_seconds)
+        run.preempted = False
+        self.record.line(self.name, "goes on", request=run.request)
+
 
 class Stream:
     """A stream as its caller sees it.
@@ -274,7 +304,7 @@
 
 async def _read_events(reader: asyncio.StreamReader, stream: Stream) -> None:
     buffer = b""
-    while size := int((await reader.readline()).strip() or b"0", 16):
+    while size := int(await reader.readuntil(b"\r\n"), 16):
         buffer += (await reader.readexactly(size + 2))[:-2]
         while b"\n\n" in buffer:
             event, _, buffer = buffer.partition(b"\n\n")
