--- a/review/4/case.py
+++ b/review/4/case.py
@@ -54,9 +54,7 @@
             await asyncio.sleep(0.07)
         # The service's servers are replaced: the new one starts first.
         await new.start()
-        store.put(
-            f"servers/{new.name}", standins.server_entry("scribe", new.address)
-        )
+        store.put(f"servers/{new.name}", standins.server_entry("scribe", new.address))
         await asyncio.sleep(0.5)
         old.draining = True
         store.put(
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -110,7 +110,9 @@
             each.end()
     after = [(at - acknowledged, r) for at, r in leaving.runs if at > acknowledged]
     late = [(at, r) for at, r in after if at > DRAIN_SECONDS]
-    record.line("judge", "late", requests=len(late), last=max(after, default=(0, ""))[0])
+    record.line(
+        "judge", "late", requests=len(late), last=max(after, default=(0, ""))[0]
+    )
     if done.count(200) < 100:
         return 2, f"only {done.count(200)} of {len(done)} requests were served"
     if late:
--- a/review/standins-2/engines.py
+++ b/review/standins-2/engines.py
@@ -213,9 +213,7 @@
             self._runs.pop(request_id, None)
             self.record.line(self.name, "left", request=request_id, made=run.made)
 
-    async def _stream(
-        self, run: Run, first: int, writer: asyncio.StreamWriter
-    ) -> None:
+    async def _stream(self, run: Run, first: int, writer: asyncio.StreamWriter) -> None:
         head = (
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
             f"Bankrack-Request-Id: {run.request}\r\n"
--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -96,7 +96,9 @@
     return Request(method, path, query, headers, body)
 
 
-def answer(status: int, body: bytes = b"", headers: dict[str, str] | None = None) -> bytes:
+def answer(
+    status: int, body: bytes = b"", headers: dict[str, str] | None = None
+) -> bytes:
     """Encode an answer with a length."""
     lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}"]
     lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
@@ -387,7 +389,9 @@
         until = time.monotonic() + seconds
         host, _, port = self.ready.rpartition(":")
         while time.monotonic() < until:
-            with contextlib.suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
+            with contextlib.suppress(
+                OSError, TimeoutError, asyncio.IncompleteReadError
+            ):
                 async with asyncio.timeout(1.0):
                     reader, writer = await asyncio.open_connection(host, int(port))
                     writer.write(b"GET /v1/readyz HTTP/1.1\r\nHost: ready\r\n\r\n")
