Move the client sessions and their handler out of the client of jobs

serving/client.py held both the client that sends jobs and the sessions that the store, the nodes and the control calls share.

--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -59,7 +59,6 @@
 from bankrack.nodestate import NodeState
 from bankrack.serving.budget import SharedRetryBudget
 from bankrack.serving.choice import Chooser
-from bankrack.serving.client import new_session
 from bankrack.serving.client import UpstreamClient
 from bankrack.serving.coldquotas import ColdQuotas
 from bankrack.serving.crashes import CrashMonitor
@@ -79,6 +78,7 @@
 from bankrack.serving.reservations import Reservations
 from bankrack.serving.responseends import ResponseEnds
 from bankrack.serving.routing import CallerLimits
+from bankrack.serving.sessions import new_session
 from bankrack.serving.streams import StreamRelay
 from bankrack.serving.upstreams import Upstream
 
--- a/src/bankrack/serving/client.py
+++ b/src/bankrack/serving/client.py
@@ -5,9 +5,7 @@
 proves that nothing was sent.
 """
 
-import asyncio
 import dataclasses
-import functools
 import typing as t
 
 import aiohttp
@@ -24,31 +22,22 @@
 from bankrack.exceptions import UpstreamUnreachable
 from bankrack.serving.bufferedresponses import BufferedResponses
 from bankrack.serving.callprogress import CallProgress
-from bankrack.serving.callprogress import trace_progress
 from bankrack.serving.framing import Framing
 from bankrack.serving.framing import framing_of
-from bankrack.serving.giveup import give_up
 from bankrack.serving.job import Answer
 from bankrack.serving.job import Header
 from bankrack.serving.job import Job
 from bankrack.serving.notices import Notice
 from bankrack.serving.notices import NoticeHandler
 from bankrack.serving.paths import CONNECT_TIMEOUT_SECONDS
-from bankrack.serving.paths import create_socket
 from bankrack.serving.paths import TunnelNode
-from bankrack.serving.paths import UpstreamConnector
-from bankrack.serving.paths import UpstreamHandler
-from bankrack.serving.paths import UpstreamPaths
 from bankrack.serving.permits import Permits
 from bankrack.serving.responseends import EndedResponse
 from bankrack.serving.responseends import ResponseEnds
 from bankrack.serving.sending import BodiesInFlight
+from bankrack.serving.sessions import ResetAwareHandler
 from bankrack.serving.upstreams import Upstream
 
-MAX_HEADER_BYTES = 16 * 1024
-READ_BUFFER_BYTES = 64 * 1024
-MAX_INTERIM_RESPONSES = 16
-"""Responses with a status of 1xx before the one that answers a request."""
 RESUMED_RUN_RANK = -1
 """Rank of a resumed run, which precedes all new runs: its caller already has the
 beginning, which would be lost."""
@@ -123,118 +112,6 @@
         ...
 
 
-class _ResetAwareHandler(UpstreamHandler):
-    """Protocol handler that fails a response without length if its connection is reset.
-
-    aiohttp itself treats any end of the connection as the end of such a response.  It
-    also keeps the unsent rest of a request whose connection was closed, until the
-    upstream reads it; here the rest is dropped unless the whole response has arrived.
-    A connection on which interim responses don't end is closed.
-
-    :ivar unread_seconds: longest time for which arriving bytes were not read.
-    """
-
-    _interim_count = 0
-    _paused_at: float | None = None
-    unread_seconds = 0.0
-
-    def pause_reading(self) -> None:
-        super().pause_reading()
-        if self._paused_at is None:
-            self._paused_at = boottime()
-
-    def resume_reading(self, *args: t.Any, **more: t.Any) -> None:
-        super().resume_reading(*args, **more)
-        if self._paused_at is not None:
-            paused = boottime() - self._paused_at
-            self.unread_seconds = max(self.unread_seconds, paused)
-            self._paused_at = None
-
-    def feed_data(self, data: t.Any, size: int = 0) -> None:
-        message, _ = data
-        is_interim = 100 <= message.code < 200
-        self._interim_count = self._interim_count + 1 if is_interim else 0
-        if self._interim_count > MAX_INTERIM_RESPONSES:
-            # Aborting forgets an exception that was set before.
-            self.abort()
-            self.set_exception(aiohttp.ClientPayloadError("too many interim responses"))
-        elif self.exception() is None:
-            super().feed_data(data, size)
-
-    def close(self) -> None:
-        is_answered = self._payload is not None and self._payload.is_eof()
-        if self.transport is not None and not is_answered:
-            give_up(self.transport)
-        super().close()
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(aiohttp.ClientPayloadError(f"reset: {exc!r}"))
-        super().connection_lost(exc)
-
-
-class _CountingHandler(_ResetAwareHandler):
-    """The same, and reports how many bytes arrive.
-
-    :param note_received: called with the size of each piece.
-    """
-
-    def __init__(
-        self,
-        loop: asyncio.AbstractEventLoop,
-        *,
-        note_received: t.Callable[[int], None],
-    ) -> None:
-        super().__init__(loop)
-        self._note_received = note_received
-
-    def data_received(self, data: bytes) -> None:
-        self._note_received(len(data))
-        super().data_received(data)
-
-
-def new_session(
-    *,
-    reuse: bool,
-    upstream_paths: UpstreamPaths | None = None,
-    note_received: t.Callable[[int], None] | None = None,
-) -> aiohttp.ClientSession:
-    """Create a client session; requires a running event loop.
-
-    :param reuse: keep connections open for further requests.
-    :param upstream_paths: opens the connections of a session to upstreams.
-    :param note_received: called with the size of each piece that arrives.
-    """
-    if upstream_paths is not None:
-        connector: aiohttp.TCPConnector = UpstreamConnector(upstream_paths, reuse=reuse)
-    else:
-        connector = aiohttp.TCPConnector(
-            limit=0,
-            force_close=not reuse,
-            socket_factory=lambda address: create_socket(address[0]),
-        )
-    loop = asyncio.get_running_loop()
-    factory: t.Any = functools.partial(_ResetAwareHandler, loop=loop)
-    if note_received is not None:
-        factory = functools.partial(_CountingHandler, loop, note_received=note_received)
-    connector._factory = factory
-    session = aiohttp.ClientSession(
-        connector=connector,
-        trace_configs=[trace_progress()] if upstream_paths is not None else None,
-        auto_decompress=False,
-        cookie_jar=aiohttp.DummyCookieJar(),
-        skip_auto_headers=("Accept", "Accept-Encoding", "Content-Type", "User-Agent"),
-        max_line_size=MAX_HEADER_BYTES,
-        max_field_size=MAX_HEADER_BYTES,
-        read_bufsize=READ_BUFFER_BYTES,
-    )
-    # aiohttp would silently resend a request whose connection broke.  The request may
-    # have run, so it could run twice or be reported as not run.
-    session._retry_connection = reuse
-    return session
-
-
 class Exchange:
     """A response being read; ``close`` aborts the request immediately.
 
@@ -282,7 +159,7 @@
     @property
     def tunnel(self) -> TunnelNode | None:
         """Node through which the response comes; ``None`` if it comes directly."""
-        handler = t.cast(_ResetAwareHandler | None, self._protocol)
+        handler = t.cast(ResetAwareHandler | None, self._protocol)
         return None if handler is None else handler.tunnel
 
     async def read(self, recourse: t.Callable[[], Recourse] = NoRecourse) -> bytes:
@@ -322,7 +199,7 @@
         self._note_answer()
         if self.framing is not Framing.CONNECTION:
             return
-        handler = t.cast(_ResetAwareHandler | None, self._protocol)
+        handler = t.cast(ResetAwareHandler | None, self._protocol)
         ended = EndedResponse(
             self._send.job.id,
             self._send.health_path,
--- a/tests/platform/test_cut_answers.py
+++ b/tests/platform/test_cut_answers.py
@@ -10,8 +10,8 @@
 from bankrack.exceptions import PlatformUnavailable
 from bankrack.exceptions import UpstreamFailed
 from bankrack.serving.callprogress import CallProgress
-from bankrack.serving.client import new_session
 from bankrack.serving.notices import NoticeHandler
+from bankrack.serving.sessions import new_session
 from bankrack.serving.upstreams import Upstream
 from bankrack.serving.upstreams import UpstreamRecord
 from engines import PlatformEngineControl
--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -10,8 +10,8 @@
 from bankrack.exceptions import PlatformDataInvalid
 from bankrack.fleet.store import Item
 from bankrack.fleet.view import View
-from bankrack.serving.client import new_session
 from bankrack.serving.registry import Upstreams
+from bankrack.serving.sessions import new_session
 from bankrack.serving.upstreams import UpstreamRecord
 from store import PlatformStore
 from tests.base import TestCase
--- a/tests/platform/test_given_up_sends.py
+++ b/tests/platform/test_given_up_sends.py
@@ -8,7 +8,6 @@
 from bankrack.clock import boottime
 from bankrack.metrics import GatewayMetrics
 from bankrack.serving.client import Exchange
-from bankrack.serving.client import new_session
 from bankrack.serving.client import Send
 from bankrack.serving.client import UpstreamClient
 from bankrack.serving.job import Demand
@@ -16,6 +15,7 @@
 from bankrack.serving.notices import NoticeHandler
 from bankrack.serving.paths import UpstreamPaths
 from bankrack.serving.sending import BodiesInFlight
+from bankrack.serving.sessions import new_session
 from bankrack.serving.upstreams import Upstream
 from bankrack.serving.upstreams import UpstreamRecord
 from engines import PlatformUpstreams
--- a/tests/platform/test_sending.py
+++ b/tests/platform/test_sending.py
@@ -8,7 +8,6 @@
 from bankrack.clock import boottime
 from bankrack.exceptions import Outcome
 from bankrack.exceptions import UpstreamUnreachable
-from bankrack.serving.client import new_session
 from bankrack.serving.client import Resume
 from bankrack.serving.client import Send
 from bankrack.serving.client import UpstreamClient
@@ -16,6 +15,7 @@
 from bankrack.serving.job import Job
 from bankrack.serving.notices import NoticeHandler
 from bankrack.serving.sending import BodiesInFlight
+from bankrack.serving.sessions import new_session
 from bankrack.serving.upstreams import Upstream
 from bankrack.serving.upstreams import UpstreamRecord
 from engines import PlatformUpstreams
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -6,7 +6,7 @@
 from bankrack.fleet.store import era_of
 from bankrack.fleet.store import Lease
 from bankrack.fleet.store import ReadProgress
-from bankrack.serving.client import new_session
+from bankrack.serving.sessions import new_session
 from store import PlatformStore
 from tests.base import TestCase
 from tests.platform.fakes import FakeStore
--- a/tests/platform/test_stream_ends.py
+++ b/tests/platform/test_stream_ends.py
@@ -11,12 +11,12 @@
 from bankrack.exceptions import StreamInterrupted
 from bankrack.exceptions import UpstreamDisconnected
 from bankrack.front.httpreply import HttpReply
-from bankrack.serving.client import new_session
 from bankrack.serving.client import UpstreamClient
 from bankrack.serving.enginecontrol import Health
 from bankrack.serving.job import Job
 from bankrack.serving.notices import NoticeHandler
 from bankrack.serving.sending import BodiesInFlight
+from bankrack.serving.sessions import new_session
 from bankrack.serving.upstreams import Upstream
 from engines import PlatformUpstreams
 from tests.base import TestCase
