Control calls: a connection for each, so that no surplus answer is taken for the next

Cause: control calls kept their connections. An answer to a call names neither the call nor the run, so that a second copy of it, which arrives while the connection rests or behind the next call, was taken for the answer to that. From then on every answer on the connection was that of the call before. Copies, reservations, reports, probes and the calls whose answers nobody reads shared these connections.

Change: each control call opens a connection, as requests do. It stays open for 0.1 s behind the answer and is not used again; bytes that arrive there are logged (surplus_answer) and counted (bankrack_surplus_answers), which tells an engine that answers twice from one that answers wrongly.

--- a/src/bankrack/gateway.py
+++ b/src/bankrack/gateway.py
@@ -147,7 +147,11 @@
             self.upstreams.has_address, self.paths.is_cut_off, self.metrics
         )
         self._upstream_session = new_session(reuse=False, upstream_paths=self.paths)
-        self._control_session = new_session(reuse=True, upstream_paths=self.paths)
+        # An answer to a control call does not name its call, so that on a connection
+        # that is used again a surplus one would be taken for the next answer.
+        self._control_session = new_session(
+            reuse=False, upstream_paths=self.paths, note_surplus=self._note_surplus
+        )
         self._internal_session = new_session(
             reuse=True, note_received=self._load.note_received
         )
@@ -206,11 +210,7 @@
             view_age=lambda: self.view.age,
         )
         self.held = HeldBytes(settings.memory_mb, self.metrics, self._caller_limits)
-        control = GuardedControl(
-            dialect.control(
-                self._control_session, self.notices, unpooled=self._upstream_session
-            )
-        )
+        control = GuardedControl(dialect.control(self._control_session, self.notices))
         self.response_ends = ResponseEnds(
             control, self.rate_limits.permits, self.metrics
         )
@@ -535,6 +535,11 @@
         self.metrics.blocked.observe({}, seconds)
         self.response_ends.note_blocked(seconds)
 
+    def _note_surplus(self, address: str, size: int) -> None:
+        """Record that an upstream answered a control call more than once."""
+        self.metrics.surplus_answers.inc({})
+        logs.event(_logger, "surplus_answer", address=address, bytes=size)
+
     def _handle_loop_error(
         self, loop: asyncio.AbstractEventLoop, context: dict[str, t.Any]
     ) -> None:
--- a/src/bankrack/integration.py
+++ b/src/bankrack/integration.py
@@ -88,15 +88,11 @@
         ...
 
     def control(
-        self,
-        session: aiohttp.ClientSession,
-        notices: NoticeHandler,
-        *,
-        unpooled: aiohttp.ClientSession,
+        self, session: aiohttp.ClientSession, notices: NoticeHandler
     ) -> EngineControl:
         """Create the client for control requests to engines.
 
-        :param unpooled: opens a connection for each request.
+        :param session: opens a connection for each request.
         :param notices: receives the notices that engines attach to their responses.
         """
         ...
--- a/src/bankrack/metrics.py
+++ b/src/bankrack/metrics.py
@@ -82,6 +82,10 @@
             "bankrack_response_ends",
             "Responses that only the end of their connection ended, by outcome",
         )
+        self.surplus_answers = self._counter(
+            "bankrack_surplus_answers",
+            "Control calls behind whose answer an upstream sent more bytes",
+        )
         self.broken_off = self._counter(
             "bankrack_broken_off",
             "Responses that ended before they were complete, by who ended them",
--- a/src/bankrack/serving/paths.py
+++ b/src/bankrack/serving/paths.py
@@ -398,9 +398,11 @@
 class UpstreamHandler(ResponseHandler):
     """One connection to an upstream.
 
+    :ivar address: ``ip:port`` of the upstream.
     :ivar tunnel: node through which it leads; ``None`` if it is direct.
     """
 
+    address = ""
     tunnel: TunnelNode | None = None
 
 
@@ -436,7 +438,7 @@
         except OSError as error:
             raise client_error(req.connection_key, error) from error
         peer = f"{peer_host}:{peer_port}"
-        t.cast(UpstreamHandler, protocol).tunnel = self._paths.node_between(
-            peer, address
-        )
+        handler = t.cast(UpstreamHandler, protocol)
+        handler.address = address
+        handler.tunnel = self._paths.node_between(peer, address)
         return transport, protocol
--- a/src/bankrack/serving/sessions.py
+++ b/src/bankrack/serving/sessions.py
@@ -16,6 +16,8 @@
 
 MAX_HEADER_BYTES = 16 * 1024
 READ_BUFFER_BYTES = 64 * 1024
+SURPLUS_SECONDS = 0.1
+"""Time for which the connection of an answered call stays open for surplus answers."""
 MAX_INTERIM_RESPONSES = 16
 """Responses with a status of 1xx before the one that answers a request."""
 
@@ -76,6 +78,56 @@
         super().connection_lost(exc)
 
 
+class SurplusHandler(ResetAwareHandler):
+    """The same, and reports bytes that arrive behind the whole response.
+
+    The connection stays open for a moment after the response, unless the upstream
+    closes it, but is not used again.
+
+    :param note_surplus: called with the upstream's address and the number of bytes.
+    """
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        *,
+        note_surplus: t.Callable[[str, int], None],
+    ) -> None:
+        super().__init__(loop)
+        self._note_surplus = note_surplus
+        self._closing: asyncio.TimerHandle | None = None
+
+    def close(self) -> None:
+        """Close the connection, after a moment if the response is whole."""
+        payload = self._payload
+        if self._closing is not None or payload is None or not payload.is_eof():
+            super().close()
+            return
+        self._closing = self._loop.call_later(SURPLUS_SECONDS, self._end)
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes of the response, or report those behind it.
+
+        :param data: empty where aiohttp reads on after a pause.
+        """
+        if self._closing is None:
+            super().data_received(data)
+        elif data:
+            self._note_surplus(self.address, len(data))
+            self._end()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Forget a connection that the upstream closed."""
+        if self._closing is not None:
+            self._closing.cancel()
+        super().connection_lost(exc)
+
+    def _end(self) -> None:
+        if self._closing is not None:
+            self._closing.cancel()
+        super().close()
+
+
 class _CountingHandler(ResetAwareHandler):
     """The same, and reports how many bytes arrive.
 
@@ -101,12 +153,15 @@
     reuse: bool,
     upstream_paths: UpstreamPaths | None = None,
     note_received: t.Callable[[int], None] | None = None,
+    note_surplus: t.Callable[[str, int], None] | None = None,
 ) -> aiohttp.ClientSession:
     """Create a client session; requires a running event loop.
 
     :param reuse: keep connections open for further requests.
     :param upstream_paths: opens the connections of a session to upstreams.
     :param note_received: called with the size of each piece that arrives.
+    :param note_surplus: called with the address of an upstream that sends more than a
+        whole response, and the number of bytes; requires that nothing is reused.
     """
     if upstream_paths is not None:
         connector: aiohttp.TCPConnector = UpstreamConnector(upstream_paths, reuse=reuse)
@@ -120,6 +175,8 @@
     factory: t.Any = functools.partial(ResetAwareHandler, loop=loop)
     if note_received is not None:
         factory = functools.partial(_CountingHandler, loop, note_received=note_received)
+    if note_surplus is not None:
+        factory = functools.partial(SurplusHandler, loop, note_surplus=note_surplus)
     connector._factory = factory
     session = aiohttp.ClientSession(
         connector=connector,
--- a/tests/platform/test_cut_answers.py
+++ b/tests/platform/test_cut_answers.py
@@ -95,7 +95,7 @@
 class EngineAnswers(TestCase):
     async def assert_fails(self, body: bytes, work: t.Any) -> None:
         async with answering(body) as (address, session):
-            control = PlatformEngineControl(session, NoticeHandler(), unpooled=session)
+            control = PlatformEngineControl(session, NoticeHandler())
             record = UpstreamRecord("e-1", "s", address, "a", slots=1)
             with self.subTest(body), self.assertRaises(UpstreamFailed):
                 await work(control, Upstream(record, boottime()))
