A node's own read of the store goes before another node's word of an outage

Cause: the node that reads for all was cut off from the store and told of an outage; the one that reads next was silent. While a leader that answered within the last second tells of an outage, a node made no read (Follower._reads_beside_leaders), put off the one it makes without leaders (_note_stale), and served by its old version (judge): one belief in three places, each without a call of its own.

Nodes that others follow read as soon as their view is old, whatever they are told; a failed read of their own puts the next one off for 1 to 2 s. The others read in turns that 30 nodes a second get, so that the turn comes within 0.3 s in a fleet of 8. A request asks the store unless the turn has not come. The log tells whether the node was told (view_read_beside_leaders).

Weighed: a read by every node at 1.5 s (390 nodes times 13 calls within the moment in which a store returns); going by the word of all leaders instead of one (three of a small hall may be cut off together).

--- a/benchmarks/silentnodes.py
+++ b/benchmarks/silentnodes.py
@@ -35,12 +35,32 @@
     return [name for name in fleet.node_by_name if name.startswith("0-")][:-1]
 
 
+def _next_reader(fleet: Fleet, rng: random.Random) -> list[str]:
+    """Cut the reader off from the store, and silence the node that reads next."""
+    reader, standby, _ = readers_of(fleet)
+    fleet.cut_off([reader])
+    return [standby]
+
+
+def _third_cut_off(fleet: Fleet, rng: random.Random) -> list[str]:
+    fleet.cut_off(rng.sample(list(fleet.node_by_name), len(fleet.node_by_name) // 3))
+    return []
+
+
+def _outage(fleet: Fleet, rng: random.Random) -> list[str]:
+    fleet.store.silent = True
+    return []
+
+
 SILENT_BY_CASE: dict[str, Choose] = {
     "none": lambda fleet, rng: [],
     "half of the nodes": _half,
     "all but one of a hall": _hall,
     "leaders of a hall": lambda fleet, rng: leaders_of(fleet, 0),
     "reader and standbys": lambda fleet, rng: readers_of(fleet),
+    "reader cut off, next one silent": _next_reader,
+    "a third cut off from the store": _third_cut_off,
+    "outage of the store": _outage,
 }
 
 
--- a/src/bankrack/decisions/configurationuse.py
+++ b/src/bankrack/decisions/configurationuse.py
@@ -23,15 +23,15 @@
     :param age: since the configuration was last known to be the newest.
     :param newer_known: a newer version exists that is not here yet.
     :param contact_age: since the store or a leader last answered this node.
-    :param told_of_outage: another node said that the store failed since the view of
-        this node was confirmed.
+    :param goes_by_outage: another node said that the store failed, and this node's turn
+        to read has not come.
     :param own_reads_fail: this node reads the store itself, and its last read failed.
     """
 
     age: float
     newer_known: bool
     contact_age: float
-    told_of_outage: bool
+    goes_by_outage: bool
     own_reads_fail: bool
 
 
@@ -69,7 +69,7 @@
         if evidence.contact_age > MAX_CONTACT_AGE_SECONDS:
             return Serve("cut off")
         return Refuse() if confirmation_failed else Confirm()
-    if evidence.told_of_outage:
+    if evidence.goes_by_outage:
         return Serve("another node told of an outage")
     if evidence.own_reads_fail:
         return Serve("own reads of the store fail")
--- a/src/bankrack/fleet/confirmedview.py
+++ b/src/bankrack/fleet/confirmedview.py
@@ -77,7 +77,7 @@
             age=view.current_age,
             newer_known=bool(view.pending.by_key),
             contact_age=follower.contact_age,
-            told_of_outage=view.told_of_outage,
+            goes_by_outage=follower.goes_by_outage,
             own_reads_fail=follower.leader is None and not follower.store_reachable,
         )
         return judge(evidence, confirmation_failed=confirmation_failed)
--- a/src/bankrack/fleet/follower.py
+++ b/src/bankrack/fleet/follower.py
@@ -15,6 +15,9 @@
 
 from bankrack import logs
 from bankrack.clock import boottime
+from bankrack.decisions.storeoutage import leaves_reads_to_others
+from bankrack.decisions.storeoutage import SEEN_OUTAGE_SECONDS
+from bankrack.decisions.storeoutage import turn_seconds
 from bankrack.exceptions import HistoryCompacted
 from bankrack.exceptions import PeerUnavailable
 from bankrack.exceptions import PlatformUnavailable
@@ -69,10 +72,6 @@
 MAX_LEADER_AGE_SECONDS = 1.5
 """The same bound for other nodes, which leave the first attempt to the standbys. A
 change must be in force within 2 s, and the read itself takes time."""
-MAX_TOLD_SECONDS = 1.0
-"""Time after the last answer of a leader for which its word on an outage counts."""
-OUTAGE_SECONDS = 1.5
-"""Age of the view from which on an answer of the store marks the end of an outage."""
 SETTLE_SECONDS = 1.0
 """Time for nodes that start simultaneously to discover each other."""
 CONFIRM_TIMEOUT_SECONDS = 0.8
@@ -104,6 +103,7 @@
         self._first_attempt_done = asyncio.Event()
         self._members_due = 0.0
         self._own_read_due = 0.0
+        self._turn_drawn_for = 0.0
         self._own_failures = 0
         self._failed_at = -math.inf
         self._logged_leader: str | None = ""
@@ -159,6 +159,7 @@
             self._roster.suspect(leader)
             return False
         self._contact_at = boottime()
+        self._draw_turn()
         if age <= self._max_leader_age():
             self._stale_leaders.discard(leader.name)
             self._own_failures = 0
@@ -184,16 +185,21 @@
             if left > 0.0 or not self._reads_beside_leaders():
                 await asyncio.sleep(max(left, MIN_READ_PAUSE_SECONDS))
                 continue
+            told = self._view.outage.told
             logs.event(
                 _logger,
                 "view_read_beside_leaders",
                 age=self._view.age,
                 leader=self.leader,
                 contact_age=self.contact_age,
+                told_of_outage=told,
             )
             if await self.read():
                 failures = 0
                 continue
+            if told:
+                self._postpone_own_read()
+                continue
             failures += 1
             await asyncio.sleep(
                 backoff_seconds(
@@ -204,17 +210,38 @@
     def _reads_beside_leaders(self) -> bool:
         """Whether this node reads the store although it follows a leader.
 
-        It does not while leaders that answer tell of an outage, nor while one sends a
-        large update, with which a read would share a narrow link.
+        It does not while it goes by an outage, nor while a leader sends a large
+        update, with which a read would share a narrow link.
         """
-        if self.leader is None:
-            return False
-        if self._view.told_of_outage and self.contact_age < MAX_TOLD_SECONDS:
+        if self.leader is None or self.goes_by_outage:
             return False
         heard_at = max(self._leaders.heard_at_by_name.values(), default=0.0)
         receives = heard_at > max(self._contact_at, boottime() - SILENT_SECONDS)
         return not receives
 
+    @property
+    def goes_by_outage(self) -> bool:
+        """Whether this node leaves the store, which is said to fail, to other nodes."""
+        return leaves_reads_to_others(
+            self._view.outage,
+            has_turn=boottime() >= self._own_read_due,
+            contact_age=self.contact_age,
+        )
+
+    def _draw_turn(self) -> None:
+        """Choose when to read a store of whose outage this node was told, once."""
+        view = self._view
+        if not view.outage.told or self._turn_drawn_for == view.confirmed_at:
+            return
+        self._turn_drawn_for = view.confirmed_at
+        seconds = turn_seconds(
+            followed=self._roster.is_standby(),
+            members=self._roster.count(),
+            draw=random.random(),
+        )
+        due = view.confirmed_at + self._max_leader_age() + seconds
+        self._own_read_due = max(self._own_read_due, due)
+
     async def keep_sweeping(self) -> None:
         """Remove entries whose grace period is over, until cancelled."""
         while True:
@@ -316,7 +343,7 @@
                     continue
                 began = boottime()
                 if await self.read():
-                    failures = self._own_failures = 0
+                    failures = 0
                     self._log_leader(None)
                     await asyncio.sleep(_pause_seconds(boottime() - began))
                     continue
@@ -346,14 +373,21 @@
         """Whether this node is not a reader and leaves the next read to the readers."""
         if self._roster.is_reader() or self._view.table is None:
             return False
-        return boottime() < self._own_read_due
+        return self._view.in_outage and boottime() < self._own_read_due
 
     def _postpone_own_read(self) -> None:
+        """Leave the store to other nodes for a while, as it failed this one.
+
+        The jitter only shortens the time, so that the end of an outage is noticed.
+        """
+        maximum = (
+            SLOW_RETRY_SECONDS if self._roster.is_standby() else MAX_SLOW_RETRY_SECONDS
+        )
         delay = backoff_seconds(
-            self._own_failures, first=SLOW_RETRY_SECONDS, maximum=MAX_SLOW_RETRY_SECONDS
+            self._own_failures, first=SLOW_RETRY_SECONDS, maximum=maximum
         )
         self._own_failures += 1
-        self._own_read_due = boottime() + delay * (0.5 + random.random())
+        self._own_read_due = boottime() + delay * (0.5 + 0.5 * random.random())
 
     async def _watch_while_reader(self) -> None:
         """Apply changes that the watch delivers while this node is a reader."""
@@ -443,6 +477,7 @@
                 )
             return False
         self._progress = ReadProgress(-math.inf)
+        self._own_failures = 0
         self._read_timeout = READ_TIMEOUT_SECONDS
         if snapshot.until is None:
             self._members_due = began + MEMBERS_INTERVAL_SECONDS
@@ -518,10 +553,18 @@
         """
         view = self._view
         self._contact_at = boottime()
-        if view.age <= OUTAGE_SECONDS or not view.confirmed_at:
+        if view.age <= SEEN_OUTAGE_SECONDS or not view.confirmed_at:
             return
-        logs.event(_logger, "stale_view_ended", age=view.age, outage=view.in_outage)
-        if view.in_outage:
+        begins_grace = view.in_outage
+        logs.event(
+            _logger,
+            "stale_view_ended",
+            age=view.age,
+            outage=view.in_outage,
+            seen=view.outage.seen,
+            grace=begins_grace,
+        )
+        if begins_grace:
             view.note_store_recovery()
 
     def _max_unconfirmed_age(self) -> float:
@@ -544,15 +587,10 @@
     def _note_stale(self, name: str, age: float) -> None:
         """Log a leader with a stale view once, not on each query.
 
-        During an outage, a node that is not a standby postpones its own read to let the
-        readers try first. Otherwise its leaders are cut off, and it reads at once.
+        During an outage, a node that is not a standby waits for its turn to read, to
+        let the readers try first. Otherwise its leaders are cut off, and it reads at
+        once.
         """
-        if (
-            not self._stale_leaders
-            and not self._roster.is_standby()
-            and self._view.in_outage
-        ):
-            self._postpone_own_read()
         if name not in self._stale_leaders:
             self._stale_leaders.add(name)
             logs.event(
--- a/src/bankrack/fleet/roster.py
+++ b/src/bankrack/fleet/roster.py
@@ -117,6 +117,10 @@
         )
         return next(trusted, None)
 
+    def count(self) -> int:
+        """Return the number of nodes of the fleet."""
+        return len({self._own.name, *(member.name for member in self._members())})
+
     def is_reader(self) -> bool:
         """Whether this node is the one that is to read the store for the fleet."""
         hall_leaders = _hall_leaders(self._members_of(self._own.hall))
--- a/src/bankrack/fleet/view.py
+++ b/src/bankrack/fleet/view.py
@@ -10,6 +10,7 @@
 
 from bankrack import logs
 from bankrack.clock import boottime
+from bankrack.decisions.storeoutage import Outage
 from bankrack.exceptions import PlatformDataInvalid
 from bankrack.fleet.changelog import MemberLog
 from bankrack.fleet.changelog import UpstreamLog
@@ -94,6 +95,7 @@
         self.current_at = 0.0
         self.pending = PendingValues(clock)
         self.store_failed_at = 0.0
+        self._seen_failed_at = 0.0
         self._told_failed_at = 0.0
         self._crashes = crashes or CrashRegister(clock=clock)
         self._decode = decode
@@ -154,13 +156,17 @@
         return self._clock() - self.store_failed_at if self.in_outage else None
 
     @property
-    def told_of_outage(self) -> bool:
-        """Whether a peer told of a failure since the view was last confirmed."""
-        return self._told_failed_at > self.confirmed_at
+    def outage(self) -> Outage:
+        """What is known of an outage since the view was last confirmed."""
+        return Outage(
+            seen=self._seen_failed_at > self.confirmed_at,
+            told=self._told_failed_at > self.confirmed_at,
+        )
 
     def note_store_failure(self) -> None:
         """Record that the store failed a call of this node."""
-        self._note_failure(self._clock())
+        self._seen_failed_at = self._clock()
+        self._note_failure(self._seen_failed_at)
 
     def note_told_store_failure(self, at: float) -> None:
         """Record that a peer told of a failed call.
--- a/tests/decisions/test_configurationuse.py
+++ b/tests/decisions/test_configurationuse.py
@@ -15,7 +15,7 @@
     age=MAX_AGE_SECONDS + 1.0,
     newer_known=False,
     contact_age=0.1,
-    told_of_outage=False,
+    goes_by_outage=False,
     own_reads_fail=False,
 )
 
@@ -31,7 +31,7 @@
         self.assertEqual(Confirm(), judge(at_the_bound, confirmation_failed=False))
 
     def test_node_in_touch_does_not_serve_by_a_version_that_it_knows_to_be_old(self):
-        known = dataclasses.replace(OLD, newer_known=True, told_of_outage=True)
+        known = dataclasses.replace(OLD, newer_known=True, goes_by_outage=True)
         self.assertEqual(Confirm(), judge(known, confirmation_failed=False))
         self.assertEqual(Refuse(), judge(known, confirmation_failed=True))
 
@@ -42,7 +42,7 @@
         self.assertIsInstance(judge(cut_off, confirmation_failed=False), Serve)
 
     def test_requests_do_not_wait_in_an_outage_of_which_other_nodes_know(self):
-        told = dataclasses.replace(OLD, told_of_outage=True)
+        told = dataclasses.replace(OLD, goes_by_outage=True)
         self.assertIsInstance(judge(told, confirmation_failed=False), Serve)
 
     def test_failed_read_of_a_follower_does_not_end_confirmations(self):
--- a/tests/fleet/silentfleet.py
+++ b/tests/fleet/silentfleet.py
@@ -85,16 +85,41 @@
         return Snapshot((Item(KEY, value, self.revision),), self.revision)
 
 
+class StorePath:
+    """One node's path to the store.
+
+    :ivar cut: whether the node's calls are reset.
+    """
+
+    def __init__(self, store: FleetStore) -> None:
+        self.cut = False
+        self._store = store
+
+    async def read(self, **options: t.Any) -> Snapshot:
+        self._refuse_if_cut()
+        return await self._store.read(**options)
+
+    async def watch(self, since: int, *, wait: float) -> Snapshot:
+        self._refuse_if_cut()
+        return await self._store.watch(since, wait=wait)
+
+    def _refuse_if_cut(self) -> None:
+        if self.cut:
+            raise PlatformUnavailable("the store resets this node's calls")
+
+
 @dataclasses.dataclass(slots=True)
 class Node:
     """One node.
 
+    :param path: its path to the store.
     :param silent: it neither runs nor answers.
     """
 
     member: Member
     view: View
     follower: Follower
+    path: StorePath
     silent: bool = False
 
 
@@ -175,8 +200,9 @@
         view = View(decode, Upstreams())
         known = Roster(own, lambda: members)
         connections: t.Any = Connections(self, view)
-        store: t.Any = self.store
-        return Node(own, view, Follower(store, view, known, connections))
+        path = StorePath(self.store)
+        store: t.Any = path
+        return Node(own, view, Follower(store, view, known, connections), path)
 
     @property
     def running(self) -> list[Node]:
@@ -200,12 +226,21 @@
             self.node_by_name[name].silent = True
             self._task_by_name[name].cancel()
 
+    def cut_off(self, names: t.Iterable[str]) -> None:
+        """Cut nodes off from the store; other nodes still reach them."""
+        for name in names:
+            self.node_by_name[name].path.cut = True
+
     async def oldest_age(self, seconds: float) -> float:
-        """Return the oldest view of any running node while some seconds pass."""
+        """Return the oldest view of any node while some seconds pass.
+
+        Nodes that are silent or cut off from the store do not count.
+        """
         oldest = 0.0
         until = boottime() + seconds
         while boottime() < until:
-            oldest = max(oldest, *(node.view.age for node in self.running))
+            touched = [node for node in self.running if not node.path.cut]
+            oldest = max(oldest, *(node.view.age for node in touched))
             sampled_at = boottime()
             await asyncio.sleep(SAMPLE_SECONDS)
             overslept = boottime() - sampled_at - SAMPLE_SECONDS
--- a/tests/fleet/test_follower.py
+++ b/tests/fleet/test_follower.py
@@ -6,11 +6,13 @@
 import typing as t
 
 from bankrack.clock import boottime
+from bankrack.decisions.configurationuse import MAX_AGE_SECONDS
+from bankrack.decisions.storeoutage import SEEN_OUTAGE_SECONDS
 from bankrack.exceptions import PlatformUnavailable
+from bankrack.fleet.confirmedview import ConfirmedView
 from bankrack.fleet.documents import Member
 from bankrack.fleet.follower import Follower
 from bankrack.fleet.follower import MAX_LEADER_AGE_FOR_STANDBY_SECONDS
-from bankrack.fleet.follower import OUTAGE_SECONDS
 from bankrack.fleet.store import Item
 from bankrack.fleet.store import Snapshot
 from bankrack.fleet.view import View
@@ -99,13 +101,47 @@
                 raise error
 
 
+class FollowedRoster(RotatingRoster):
+    """The roster of a node that other nodes of its hall follow."""
+
+    def count(self) -> int:
+        return 390
+
+
+class ToldOutageTest(TestCase):
+    async def test_request_goes_by_an_old_configuration_as_a_node_told_of_an_outage(
+        self,
+    ):
+        """Guards against requests that the old service runs although this node reaches
+        the store."""
+        view = View(decode, Upstreams())
+        asked_at = boottime() - MAX_AGE_SECONDS - 0.05
+        view.confirm(Snapshot((), 1), asked_at=asked_at, source="leader")
+        parts: t.Any = (FakeStore(Snapshot((), 2)), view, FollowedRoster(), Answering())
+        follower = Follower(*parts)
+        follower.leader = "one"
+        view.note_told_store_failure(boottime())
+        await follower._query(LEADERS[0])
+        await ConfirmedView(view, follower).refresh_if_stale()
+        self.assertEqual(2, view.revision)
+
+
+class Answering:
+    """Answers with an old view."""
+
+    async def ask(self, leader: Member) -> float:
+        return 2.0
+
+
 class StaleViewTest(TestCase):
     """An upstream's entry was removed while the view grew old."""
 
-    def follower_with_old_view(self, store: FakeStore) -> Follower:
+    def follower_with_old_view(
+        self, store: FakeStore, *, age: float = 2 * SEEN_OUTAGE_SECONDS
+    ) -> Follower:
         view = View(decode, Upstreams())
         entry = Snapshot((Item("up/x", b"1", 1),), 1)
-        asked_at = boottime() - 2 * OUTAGE_SECONDS
+        asked_at = boottime() - age
         view.confirm(entry, asked_at=asked_at, source="leader")
         parts: t.Any = (store, view, None, None)
         return Follower(*parts)
--- a/tests/platform/test_following.py
+++ b/tests/platform/test_following.py
@@ -5,10 +5,10 @@
 import typing as t
 
 from bankrack.clock import boottime
+from bankrack.decisions.storeoutage import SEEN_OUTAGE_SECONDS
 from bankrack.exceptions import PlatformUnavailable
 from bankrack.fleet.confirmedview import MAX_DENIAL_VIEW_AGE_SECONDS
 from bankrack.fleet.documents import Member
-from bankrack.fleet.follower import OUTAGE_SECONDS
 from bankrack.gateway import APPLY_INTERVAL_SECONDS
 from bankrack.gateway import Gateway
 from bankrack.serving import pools
@@ -56,7 +56,7 @@
             await until(lambda: "n-1" in gateway.view.members_by_name)
             await until(lambda: deployment.store.calls[-1] == "kv-watch")
             deployment.store.status = 503
-            await until(lambda: gateway.view.age > OUTAGE_SECONDS + 0.2)
+            await until(lambda: gateway.view.age > SEEN_OUTAGE_SECONDS + 0.2)
             # The pending watch reports this before any read succeeds again.
             entry = deployment.store.item_by_key["servers/p-1"].value
             deployment.store.remove("servers/p-1")
