Grace for lapsed entries: only for an outage that this node saw, or a long one it was told of

Cause: the first answer of the store with a view of over 1.5 s ended an outage of which another node had told, also if the store had never failed this node; the entries that the answer lacked were kept for 1.5 s more, and its followers were told so.

Change: decisions/storeoutage.may_have_lapsed. A grace period begins after a failed call of this node, as before, or if it was only told of the outage and its view is older than 2.4 s, before which no heartbeat of an upstream can have lapsed three times. stale_view_ended tells which (seen=, grace=).

Weighed: no grace at all on another's word; a node of a large fleet that has not had its turn in a long outage would then drop all entries that lapsed (test_entry_that_lapsed_in_an_outage_this_node_was_told_of_is_lost).

Measured: test_entry_that_left_is_kept_as_another_node_told_of_an_outage fails before the change (the entry is kept).

--- a/src/bankrack/decisions/storeoutage.py
+++ b/src/bankrack/decisions/storeoutage.py
@@ -17,6 +17,9 @@
 SEEN_OUTAGE_SECONDS = 1.5
 """Age of a view from which on entries may have expired, as the store failed this
 node."""
+TOLD_OUTAGE_SECONDS = 2.4
+"""The same for a node that was only told of an outage: two heartbeats of upstreams,
+whose entries expire after three."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -53,3 +56,15 @@
     """
     is_known = outage.seen or outage.told
     return is_known and not has_turn and contact_age < MAX_TOLD_SECONDS
+
+
+def may_have_lapsed(outage: Outage, *, view_age: float) -> bool:
+    """Whether entries that a read lacks may have expired as the store was away.
+
+    Otherwise they were removed, and this node did not learn of it.
+
+    :param view_age: seconds since the view was confirmed.
+    """
+    if outage.seen:
+        return view_age > SEEN_OUTAGE_SECONDS
+    return outage.told and view_age > TOLD_OUTAGE_SECONDS
--- a/src/bankrack/fleet/follower.py
+++ b/src/bankrack/fleet/follower.py
@@ -16,6 +16,7 @@
 from bankrack import logs
 from bankrack.clock import boottime
 from bankrack.decisions.storeoutage import leaves_reads_to_others
+from bankrack.decisions.storeoutage import may_have_lapsed
 from bankrack.decisions.storeoutage import SEEN_OUTAGE_SECONDS
 from bankrack.decisions.storeoutage import turn_seconds
 from bankrack.exceptions import HistoryCompacted
@@ -550,14 +551,14 @@
         Called before the answer is applied: entries whose leases expired during the
         outage will be restored and must not count as removed. The watch may deliver
         their removal before the first read does. An old view alone is no sign of an
-        outage: the leaders may have been cut off from this node, and what is missing
-        then was removed.
+        outage: the leaders may have been cut off from this node, or from the store
+        alone, and what is missing then was removed.
         """
         view = self._view
         self._contact_at = boottime()
         if view.age <= SEEN_OUTAGE_SECONDS or not view.confirmed_at:
             return
-        begins_grace = view.in_outage
+        begins_grace = may_have_lapsed(view.outage, view_age=view.age)
         logs.event(
             _logger,
             "stale_view_ended",
--- a/tests/decisions/test_storeoutage.py
+++ b/tests/decisions/test_storeoutage.py
@@ -4,7 +4,10 @@
 
 from bankrack.decisions.storeoutage import leaves_reads_to_others
 from bankrack.decisions.storeoutage import MAX_TOLD_SECONDS
+from bankrack.decisions.storeoutage import may_have_lapsed
 from bankrack.decisions.storeoutage import Outage
+from bankrack.decisions.storeoutage import SEEN_OUTAGE_SECONDS
+from bankrack.decisions.storeoutage import TOLD_OUTAGE_SECONDS
 from bankrack.decisions.storeoutage import turn_seconds
 from tests.base import TestCase
 
@@ -49,3 +52,15 @@
 
     def test_node_without_an_outage_waits(self):
         self.assertFalse(leaves_reads_to_others(NONE, has_turn=False, contact_age=0.1))
+
+
+class LapseTest(TestCase):
+    def test_entry_that_left_is_kept(self):
+        """Guards against a grace period that no outage of the store is due to."""
+        self.assertFalse(may_have_lapsed(NONE, view_age=9.0))
+        self.assertFalse(may_have_lapsed(TOLD, view_age=TOLD_OUTAGE_SECONDS))
+        self.assertFalse(may_have_lapsed(SEEN, view_age=SEEN_OUTAGE_SECONDS))
+
+    def test_entry_that_expired_in_an_outage_is_dropped(self):
+        self.assertTrue(may_have_lapsed(TOLD, view_age=TOLD_OUTAGE_SECONDS + 0.1))
+        self.assertTrue(may_have_lapsed(SEEN, view_age=SEEN_OUTAGE_SECONDS + 0.1))
--- a/tests/fleet/test_follower.py
+++ b/tests/fleet/test_follower.py
@@ -155,6 +155,22 @@
         self.assertTrue(await follower.read())
         self.assertEqual([], follower._view.keys())
 
+    async def test_entry_that_left_is_kept_as_another_node_told_of_an_outage(self):
+        """Guards against requests to upstreams that are gone: the store never failed
+        this node."""
+        follower = self.follower_with_old_view(FakeStore(Snapshot((), 2)), age=1.8)
+        follower._view.note_told_store_failure(boottime())
+        self.assertTrue(await follower.read())
+        self.assertEqual([], follower._view.keys())
+
+    async def test_entry_that_lapsed_in_an_outage_this_node_was_told_of_is_lost(self):
+        """Guards against an outage that the readers alone have seen: leases may have
+        expired meanwhile."""
+        follower = self.follower_with_old_view(FakeStore(Snapshot((), 2)), age=5.0)
+        follower._view.note_told_store_failure(boottime())
+        self.assertTrue(await follower.read())
+        self.assertEqual(["up/x"], follower._view.keys())
+
     async def test_entry_missing_after_failed_reads_is_kept_during_grace_period(self):
         failed = PlatformUnavailable("down")
         follower = self.follower_with_old_view(FakeStore(failed, Snapshot((), 2)))
