Heads that are no response's end the connection, whichever parser has read them

What callers saw: an answer with the status 000, 099, 600 or 999, or a 101 that nobody asked for, with the seal and the body of a server in trouble; with a control byte in a field's value the connection was closed without an answer though the request had run. Control calls fail from 300 on, so that 000 with a JSON body was a handle, a reservation or a report.

Cause: the parsers of aiohttp check no range of the status and no control bytes in values and reasons, and differ beyond that: the Python one takes the first of two lengths, the compiled one passes 'X-Note : 3' in an interim response.

Change: serving/responseheads.py, called where the handler of all sessions of a gateway takes a head (interim ones too): servers, control calls, health checks, the store and other nodes. The request counts as after any answer that is none: it may have run, the caller gets 502 that promises nothing, a repeatable one goes on elsewhere, and the server's failure is noted.

Weighed: a check at each use (read_head, _call, identify, the store, LeaderClient): five places that can differ again.

--- a/src/bankrack/serving/sessions.py
+++ b/src/bankrack/serving/sessions.py
@@ -13,6 +13,7 @@
 from bankrack.serving.paths import UpstreamConnector
 from bankrack.serving.paths import UpstreamHandler
 from bankrack.serving.paths import UpstreamPaths
+from bankrack.serving.responseheads import malformation
 
 MAX_HEADER_BYTES = 16 * 1024
 READ_BUFFER_BYTES = 64 * 1024
@@ -52,14 +53,20 @@
             self._paused_at = None
 
     def feed_data(self, data: t.Any, size: int = 0) -> None:
-        """Take the head of a response with the stream of its body."""
+        """Take the head of a response with the stream of its body.
+
+        What is no response's head ends the connection, as the request may have run.
+        """
         message, _ = data
+        fault = malformation(message.code, message.reason or "", message.raw_headers)
         is_interim = 100 <= message.code < 200
         self._interim_count = self._interim_count + 1 if is_interim else 0
         if self._interim_count > MAX_INTERIM_RESPONSES:
+            fault = "too many interim responses"
+        if fault:
             # Aborting forgets an exception that was set before.
             self.abort()
-            self.set_exception(aiohttp.ClientPayloadError("too many interim responses"))
+            self.set_exception(aiohttp.ClientPayloadError(f"no response: {fault}"))
         elif self.exception() is None:
             super().feed_data(data, size)
 
