bankrack.node: heads that are no response's end the connection there too

The sessions of bankrack.node read answers of engines, plain upstreams, its platform and other nodes with aiohttp's own handler, which takes a status of 000 and control bytes. They use the handler of the gateway's sessions now, which checks each head.

--- a/src/bankrack/node.py
+++ b/src/bankrack/node.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import functools
 import itertools
 import logging
 import typing as t
@@ -46,6 +47,7 @@
 from bankrack.scheduling.admission import Admission
 from bankrack.scheduling.health import Health
 from bankrack.serving.endable import EndableRequests
+from bankrack.serving.sessions import ResetAwareHandler
 from bankrack.settings import Settings
 
 DRAIN_POLL_INTERVAL_SECONDS = 0.05
@@ -190,10 +192,12 @@
             this way, as it would run twice.  If false, connections are not reused,
             because an idle connection may close just as a request is sent on it.
         """
+        connector = aiohttp.TCPConnector(limit=limit, force_close=not retry_connection)
+        loop = asyncio.get_running_loop()
+        factory: t.Any = functools.partial(ResetAwareHandler, loop=loop)
+        connector._factory = factory
         session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                limit=limit, force_close=not retry_connection
-            ),
+            connector=connector,
             auto_decompress=auto_decompress,
             cookie_jar=aiohttp.DummyCookieJar(),
         )
