bankrack.node: a connection for each request to an engine

The same cause as in the control calls of the gateway: reports, cancellations and generations without an idempotency key shared kept connections, so that a surplus answer of an engine was taken for the answer to the next request, and with it the events of another generation (the test gets 0, 0, 1 for 0, 1, 2 before the change). Engines get a connection for each request now, as plain upstreams do; aiohttp's own repetition on a broken kept connection is not needed there any more. The tests of bankrack.node pass (20).

--- a/src/bankrack/node.py
+++ b/src/bankrack/node.py
@@ -122,7 +122,7 @@
     def _create_clients(self) -> None:
         """Construct the clients; requires a running event loop."""
         platform_session = self._new_session(limit=64)
-        engine_session = self._new_session(limit=0)
+        engine_session = self._new_session(limit=0, retry_connection=False)
         plain_session = self._new_session(
             limit=0, auto_decompress=False, retry_connection=False
         )
@@ -190,7 +190,8 @@
         :param retry_connection: whether aiohttp may retry idempotent methods when a
             connection breaks.  A request with an idempotency key must not be retried
             this way, as it would run twice.  If false, connections are not reused,
-            because an idle connection may close just as a request is sent on it.
+            because an idle connection may close just as a request is sent on it, and a
+            surplus answer would be taken for that of the next request.
         """
         connector = aiohttp.TCPConnector(limit=limit, force_close=not retry_connection)
         loop = asyncio.get_running_loop()
