A blank before the first field of a response's head is no response

What callers saw: " Content-Length: 1" behind the status line of a server in trouble counted as a field, so that a caller got one byte of the server's body, whole by all signs.

Cause: the compiled parser of aiohttp skips blanks before the first field's name. The fields that reach the handler are clean by then.

Change: FirstFieldCheck looks at the bytes before the parser does, up to the first field behind the final status line (interim heads too), and ends the connection.

Weighed: the Python parser alone, which refuses these heads but takes others (test_responseheads), and costs more processor time.

A test feeds single bytes, another one bodies that look like a head.

--- a/src/bankrack/serving/sessions.py
+++ b/src/bankrack/serving/sessions.py
@@ -13,6 +13,7 @@
 from bankrack.serving.paths import UpstreamConnector
 from bankrack.serving.paths import UpstreamHandler
 from bankrack.serving.paths import UpstreamPaths
+from bankrack.serving.responseheads import FirstFieldCheck
 from bankrack.serving.responseheads import malformation
 
 MAX_HEADER_BYTES = 16 * 1024
@@ -34,6 +35,7 @@
     :ivar unread_seconds: longest time for which arriving bytes were not read.
     """
 
+    _first_field: FirstFieldCheck | None = None
     _interim_count = 0
     _paused_at: float | None = None
     unread_seconds = 0.0
@@ -52,6 +54,18 @@
             self.unread_seconds = max(self.unread_seconds, paused)
             self._paused_at = None
 
+    def set_response_params(self, **params: t.Any) -> None:
+        """Expect the response to one more request."""
+        self._first_field = FirstFieldCheck()
+        super().set_response_params(**params)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes of the response."""
+        if self._first_field is not None and self._first_field.finds_blank(data):
+            self._fail("a blank before the first field")
+            return
+        super().data_received(data)
+
     def feed_data(self, data: t.Any, size: int = 0) -> None:
         """Take the head of a response with the stream of its body.
 
@@ -64,12 +78,15 @@
         if self._interim_count > MAX_INTERIM_RESPONSES:
             fault = "too many interim responses"
         if fault:
-            # Aborting forgets an exception that was set before.
-            self.abort()
-            self.set_exception(aiohttp.ClientPayloadError(f"no response: {fault}"))
+            self._fail(fault)
         elif self.exception() is None:
             super().feed_data(data, size)
 
+    def _fail(self, fault: str) -> None:
+        # Aborting forgets an exception that was set before.
+        self.abort()
+        self.set_exception(aiohttp.ClientPayloadError(f"no response: {fault}"))
+
     def close(self) -> None:
         """Close the connection; a request that is not answered is given up."""
         is_answered = self._payload is not None and self._payload.is_eof()
--- a/tests/serving/test_responseheads.py
+++ b/tests/serving/test_responseheads.py
@@ -9,6 +9,7 @@
 from aiohttp.http_parser import HttpResponseParser
 from aiohttp.http_parser import HttpResponseParserPy
 
+from bankrack.serving.responseheads import FirstFieldCheck
 from bankrack.serving.responseheads import malformation
 from bankrack.serving.sessions import new_session
 from tests.base import TestCase
@@ -35,6 +36,11 @@
     b"HTTP/1.1 200 OK\r\n: a\r\nContent-Length: 2\r\n",
     b"HTTP/1.1 200 OK\r\nX-Note\r\nContent-Length: 2\r\n",
     b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n",
+    b"HTTP/1.1 200 OK\r\n X-Note: a\r\nContent-Length: 2\r\n",
+    b"HTTP/1.1 200 OK\r\n Content-Length: 2\r\n",
+    b"HTTP/1.1 200 OK\r\n\tContent-Length: 2\r\nX-Note: a\r\n",
+    b"HTTP/1.1 102 On\r\n X-Note: a\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n",
+    b"HTTP/1.1 102 On\r\n\r\nHTTP/1.1 200 OK\r\n Content-Length: 2\r\n",
     b"HTTP/1.1 200 O\x01K\r\nContent-Length: 2\r\n",
     b"HTTP/1.1 102 O\x01n\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n",
     b"HTTP/1.1 102 On\r\nX-Note: a\x01\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n",
@@ -100,6 +106,24 @@
             for head in SOUND_HEADS:
                 self.assertEqual(b"ok", await fetch(head))
 
+    async def test_head_that_arrives_in_parts_hides_a_blank(self):
+        # Guards against a body whose length a malformed line states.
+        head = (
+            b"HTTP/1.1 102 On\r\nX-Note: a\r\n\r\nHTTP/1.1 200 OK\r\n Content-Length: 1"
+        )
+        for size in 1, 2, 7:
+            check = FirstFieldCheck()
+            parts = [head[at : at + size] for at in range(0, len(head), size)]
+            self.assertTrue(any(check.finds_blank(part) for part in parts))
+
+    async def test_body_that_looks_like_a_head_is_checked(self):
+        # Guards against whole responses that are refused for their bodies.
+        body = b"HTTP/1.1 200 OK\r\n X-Note: a\r\n"
+        for head in SOUND_HEADS:
+            check = FirstFieldCheck()
+            whole = head + b"\r\n" + body
+            self.assertFalse(any(check.finds_blank(bytes([byte])) for byte in whole))
+
     def test_compiled_parser_is_missing(self):
         # Guards against a build whose parser is not the one that was measured.
         self.assertIsNot(HttpResponseParser, HttpResponseParserPy)
